Build: one Makefile with a part for each directory

The frame that programs, the common library and tests hang on: plain and sanitizer builds side by side, warnings as errors, a test runner that ends with one counted line, formatter and linter settings.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,115 @@
+# Top-level Makefile.  Each directory adds its part in Makefile.inc:
+#	LIB_SRCS	sources of the common library (lib/, policy/, proto/)
+#	PROGS		programs; NAME_SRCS lists a program's sources
+#	TESTS		cmocka programs, run by `make check`
+#	BENCHES		programs run by `make bench`
+# `make SAN=1 ...` builds under build-san/ with ASan and UBSan.
+
+CC = gcc
+CXX = g++
+O = build
+OPT = -O2 -g
+ifdef SAN
+O = build-san
+OPT = -O1 -g -fsanitize=address,undefined -fno-sanitize-recover=undefined \
+	-fno-omit-frame-pointer
+export ASAN_OPTIONS = detect_leaks=1:abort_on_error=0
+export UBSAN_OPTIONS = print_stacktrace=1
+endif
+
+WARN = -Wall -Wextra -Werror -Wdeclaration-after-statement -Wpointer-arith \
+	-Wstrict-prototypes -Wmissing-prototypes -Wvla -Wshadow
+CPPFLAGS = -D_GNU_SOURCE -DH2O_USE_LIBUV=1 -I. -I$(O)
+CFLAGS = -std=gnu11 $(OPT) $(WARN)
+CXXFLAGS = -std=c++17 $(OPT) -Wall -Wextra -Werror -fno-exceptions
+LDLIBS = -lh2o -luv -lprotobuf-c -ljansson -lxxhash -lssl -lcrypto -lz \
+	-lbsd -lm
+
+LIB_SRCS =
+PROGS =
+TESTS =
+BENCHES =
+
+all: programs
+
+include $(sort $(wildcard */Makefile.inc regress/*/Makefile.inc))
+
+LIB_OBJS = $(patsubst %,$(O)/%.o,$(basename $(LIB_SRCS)))
+LIB = $(O)/libcdm.a
+
+define PROGRAM
+$(1)_OBJS = $$(patsubst %,$$(O)/%.o,$$(basename $$($(1)_SRCS)))
+$$(O)/bin/$(1): $$($(1)_OBJS) $$(LIB)
+	@mkdir -p $$(@D)
+	@echo "  LD    $(1)"
+	@$$(CXX) $$(OPT) -o $$@ $$($(1)_OBJS) $$(LIB) $$($(1)_LIBS) $$(LDLIBS)
+ALL_OBJS += $$($(1)_OBJS)
+endef
+
+$(foreach p,$(sort $(PROGS) $(TESTS) $(BENCHES)),$(eval $(call PROGRAM,$(p))))
+
+programs: $(addprefix $(O)/bin/,$(PROGS))
+tests: $(addprefix $(O)/bin/,$(TESTS))
+benches: $(addprefix $(O)/bin/,$(BENCHES))
+
+$(LIB): $(LIB_OBJS)
+	@rm -f $@
+	@ar rcs $@ $(LIB_OBJS)
+
+# Generated code is not ours to warn about.
+$(O)/proto/%.o: proto/%.c
+	@mkdir -p $(@D)
+	@$(CC) $(CPPFLAGS) -std=gnu11 $(OPT) -MMD -c -o $@ $<
+
+$(O)/%.o: %.c
+	@mkdir -p $(@D)
+	@echo "  CC    $<"
+	@$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -c -o $@ $<
+
+$(O)/%.o: %.cc
+	@mkdir -p $(@D)
+	@echo "  CXX   $<"
+	@$(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -c -o $@ $<
+
+-include $(sort $(LIB_OBJS:.o=.d) $(ALL_OBJS:.o=.d))
+
+# Only for developers who change a .proto file; the result is committed.
+proto-gen:
+	cd proto && protoc-c --c_out=. *.proto
+
+setup:
+	sh .ci/packages
+
+check: programs tests
+	@sh regress/run.sh $(O) $(TESTS)
+
+SRC_FILES = $(shell git ls-files -co --exclude-standard '*.c' '*.h' | \
+	grep -v '^proto/')
+C_FILES = $(filter %.c,$(SRC_FILES))
+
+format:
+	clang-format -i $(SRC_FILES)
+
+format-check:
+	clang-format --dry-run -Werror $(SRC_FILES)
+
+lint: tidy cppcheck man-check
+
+tidy:
+	@printf '%s\n' $(C_FILES) | xargs -P 8 -n 4 sh -c \
+		'clang-tidy --quiet "$$@" -- $(CPPFLAGS) -std=gnu11 2>/dev/null' sh
+
+cppcheck:
+	cppcheck --quiet --std=c11 --error-exitcode=1 --inline-suppr \
+		--enable=warning,portability -j 8 -I. \
+		--suppress=missingInclude --suppress=unknownMacro $(C_FILES)
+
+MAN_PAGES = $(shell git ls-files -co --exclude-standard '*.[1-8]')
+man-check:
+	test -z "$(MAN_PAGES)" || mandoc -Tlint -Wwarning $(MAN_PAGES)
+
+clean:
+	rm -rf build build-san build-fuzz
+
+.PHONY: all programs tests benches check format format-check lint tidy \
+	cppcheck man-check clean setup proto-gen
--- /dev/null
+++ b/regress/run.sh
@@ -0,0 +1,28 @@
+# Runs the named test programs and ends with one line 'N passed, N failed'.
+# Entries of KNOWN-RED.txt of the form "red: TEST-PROGRAM" may fail; they are
+# printed.  usage: run.sh BUILD-DIRECTORY TEST ...
+out=$1
+shift
+root=$(cd "$(dirname "$0")/.." && pwd)
+passed=0
+failed=0
+red=0
+log=$(mktemp)
+for t in "$@"; do
+	if CDM_BIN="$root/$out/bin" CDM_ROOT="$root" \
+		"$root/$out/bin/$t" >"$log" 2>&1 </dev/null; then
+		passed=$((passed + 1))
+		echo "ok    $t: $(grep -c '^\[       OK' "$log") cases"
+	elif grep -q "^red: $t\$" "$root/KNOWN-RED.txt" 2>/dev/null; then
+		red=$((red + 1))
+		echo "RED   $t (known, see KNOWN-RED.txt)"
+	else
+		failed=$((failed + 1))
+		echo "FAIL  $t"
+		tail -n 60 "$log"
+	fi
+done
+rm -f "$log"
+test "$red" = 0 || echo "known red: $red"
+echo "$passed passed, $failed failed"
+test "$failed" = 0 && test "$passed" -gt 0
