--- /dev/null
+++ b/lib/config_check.c
@@ -0,0 +1,286 @@
+/*
+ * What the tables of the operators' file must keep among one another: names
+ * are unique, and what refers to a name finds it.
+ */
+#include "lib/config_check.h"
+
+#include <ctype.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "lib/xalloc.h"
+
+/* The file under check and where a fault is told. */
+struct check {
+	const struct config *c;
+	const struct toml_node *root;
+	const char *file;
+	char *err;
+	size_t err_size;
+};
+
+/* A string field of each element of one kind of table. */
+struct column {
+	const char *section;
+	const char *key;
+	const void *items;
+	size_t stride;
+	size_t offset;
+	size_t n;
+};
+
+static bool fail(const struct check *k, const char *section, size_t index,
+		 const char *key, const char *fmt, ...)
+	__attribute__((format(printf, 5, 6)));
+static const char *column_at(const struct column *col, size_t i);
+static bool known(const struct check *k, const struct column *names,
+		  const char *section, size_t index, const char *key,
+		  const char *word);
+static bool unique(const struct check *k, const struct column *col);
+static struct column service_names(const struct config *c);
+static struct column organisation_names(const struct config *c);
+static bool check_uniqueness(const struct check *k);
+static bool check_organisation(const struct check *k, size_t i);
+static bool check_model_service(const struct check *k, size_t i);
+static bool check_plain_service(const struct check *k, size_t i);
+static bool check_service(const struct check *k, size_t i);
+static bool check_objective(const struct check *k, size_t i);
+static bool well_formed_call(const char *call);
+
+#define COLUMN(c, name, field)                                          \
+	(struct column)                                                 \
+	{                                                               \
+		.section = #name, .key = #field, .items = (c)->name##s, \
+		.stride = sizeof(struct config_##name),                 \
+		.offset = offsetof(struct config_##name, field),        \
+		.n = (c)->n_##name##s,                                  \
+	}
+
+/* Checks what one table alone can't show.  Returns false with a message that
+ * names file, line and key. */
+bool config_check(const struct config *c, const struct toml_node *root,
+		  const char *file, char *err, size_t err_size)
+{
+	struct check k = { .c = c,
+			   .root = root,
+			   .file = file,
+			   .err = err,
+			   .err_size = err_size };
+	struct column services = service_names(c);
+	size_t i;
+
+	if (!check_uniqueness(&k))
+		return false;
+	for (i = 0; i < c->n_organisations; i++)
+		if (!check_organisation(&k, i))
+			return false;
+	for (i = 0; i < c->n_services; i++)
+		if (!check_service(&k, i))
+			return false;
+	for (i = 0; i < c->n_endpoints; i++)
+		if (!known(&k, &services, "endpoint", i, "service",
+			   c->endpoints[i].service))
+			return false;
+	for (i = 0; i < c->n_objectives; i++)
+		if (!check_objective(&k, i))
+			return false;
+	return true;
+}
+
+/* Writes a message that names the file, the key and its line; a key that is
+ * absent is put at the line of its table.  Returns false. */
+static bool fail(const struct check *k, const char *section, size_t index,
+		 const char *key, const char *fmt, ...)
+{
+	const struct toml_node *array = toml_get(k->root, section);
+	const struct toml_node *table = &array->children[index];
+	const struct toml_node *node = toml_get(table, key);
+	char what[512];
+	va_list ap;
+
+	va_start(ap, fmt);
+	vsnprintf(what, sizeof(what), fmt, ap);
+	va_end(ap);
+	snprintf(k->err, k->err_size, "%s:%d: %s: %s", k->file,
+		 node ? node->line : table->line, key, what);
+	return false;
+}
+
+/* Returns the field of element i. */
+static const char *column_at(const struct column *col, size_t i)
+{
+	const char *item = (const char *)col->items + i * col->stride;
+
+	return *(char *const *)(item + col->offset);
+}
+
+/* True if word is one of the names; else tells so, with the nearest one. */
+static bool known(const struct check *k, const struct column *names,
+		  const char *section, size_t index, const char *key,
+		  const char *word)
+{
+	const char **words = xcalloc(names->n, sizeof(*words));
+	const char *nearest;
+	bool found = false;
+	size_t i;
+
+	for (i = 0; i < names->n && !found; i++) {
+		words[i] = column_at(names, i);
+		found = !strcmp(words[i], word);
+	}
+	if (found)
+		goto out;
+	nearest = settings_nearest(word, words, names->n);
+	if (nearest)
+		fail(k, section, index, key,
+		     "no %s is called %s, did you mean %s?", names->section,
+		     word, nearest);
+	else
+		fail(k, section, index, key, "no %s is called %s",
+		     names->section, word);
+out:
+	free(words);
+	return found;
+}
+
+/* True if no two elements have the same value in the field. */
+static bool unique(const struct check *k, const struct column *col)
+{
+	const char *value;
+	size_t i, j;
+
+	for (i = 1; i < col->n; i++) {
+		value = column_at(col, i);
+		for (j = 0; value && j < i; j++) {
+			if (!column_at(col, j) ||
+			    strcmp(value, column_at(col, j)))
+				continue;
+			return fail(k, col->section, i, col->key,
+				    "%s is taken by an earlier %s",
+				    strcmp(col->key, "key") ? value : "it",
+				    col->section);
+		}
+	}
+	return true;
+}
+
+static struct column service_names(const struct config *c)
+{
+	return COLUMN(c, service, name);
+}
+
+static struct column organisation_names(const struct config *c)
+{
+	return COLUMN(c, organisation, name);
+}
+
+/* Each name, token, address and served model stands once. */
+static bool check_uniqueness(const struct check *k)
+{
+	const struct column columns[] = {
+		COLUMN(k->c, model, name),
+		COLUMN(k->c, organisation, name),
+		COLUMN(k->c, organisation, key),
+		COLUMN(k->c, service, name),
+		COLUMN(k->c, service, model),
+		COLUMN(k->c, endpoint, name),
+		COLUMN(k->c, endpoint, address),
+		COLUMN(k->c, objective, name),
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(columns) / sizeof(columns[0]); i++)
+		if (!unique(k, &columns[i]))
+			return false;
+	return true;
+}
+
+/* An organisation names services that exist. */
+static bool check_organisation(const struct check *k, size_t i)
+{
+	const struct string_list *list = &k->c->organisations[i].services;
+	struct column services = service_names(k->c);
+	size_t j;
+
+	for (j = 0; j < list->n; j++)
+		if (!known(k, &services, "organisation", i, "services",
+			   list->items[j]))
+			return false;
+	return true;
+}
+
+/* A model service names its model; its calls are never repeated as a whole,
+ * so it has no list of idempotent ones. */
+static bool check_model_service(const struct check *k, size_t i)
+{
+	const struct config_service *s = &k->c->services[i];
+	struct column models = COLUMN(k->c, model, name);
+
+	if (!s->model)
+		return fail(k, "service", i, "model",
+			    "missing, but required for kind \"model\"");
+	if (s->idempotent.n)
+		return fail(k, "service", i, "idempotent",
+			    "is only for kind \"plain\"");
+	return known(k, &models, "service", i, "model", s->model);
+}
+
+/* True for "METHOD /path". */
+static bool well_formed_call(const char *call)
+{
+	const char *p = call;
+
+	while (isupper((unsigned char)*p))
+		p++;
+	return p > call && p[0] == ' ' && p[1] == '/';
+}
+
+/* A plain service has neither model nor resume; its idempotent calls are
+ * well formed. */
+static bool check_plain_service(const struct check *k, size_t i)
+{
+	const struct config_service *s = &k->c->services[i];
+	const struct toml_node *array = toml_get(k->root, "service");
+	size_t j;
+
+	if (s->model)
+		return fail(k, "service", i, "model",
+			    "is only for kind \"model\"");
+	if (toml_get(&array->children[i], "resume"))
+		return fail(k, "service", i, "resume",
+			    "is only for kind \"model\"");
+	for (j = 0; j < s->idempotent.n; j++)
+		if (!well_formed_call(s->idempotent.items[j]))
+			return fail(k, "service", i, "idempotent",
+				    "must be written \"METHOD /path\"");
+	return true;
+}
+
+static bool check_service(const struct check *k, size_t i)
+{
+	if (k->c->services[i].kind == SERVICE_MODEL)
+		return check_model_service(k, i);
+	return check_plain_service(k, i);
+}
+
+/* An objective refers to what exists and has the threshold its measure asks
+ * for. */
+static bool check_objective(const struct check *k, size_t i)
+{
+	const struct config_objective *o = &k->c->objectives[i];
+	struct column services = service_names(k->c);
+	struct column organisations = organisation_names(k->c);
+
+	if (o->service &&
+	    !known(k, &services, "objective", i, "service", o->service))
+		return false;
+	if (o->organisation && !known(k, &organisations, "objective", i,
+				      "organisation", o->organisation))
+		return false;
+	if (o->measure != OBJECTIVE_REFUSALS && o->threshold <= 0)
+		return fail(k, "objective", i, "threshold",
+			    "must be above 0 for this measure");
+	return true;
+}
