Platform's client over HTTP

Cause: cdmfleetd and cdmentryd keep what must last in the platform's service and have to tell a write that surely did not happen from one that may have. A failed connect and the platform's own refusal (429, 503) prove that nothing was written; an answer lost after sending leaves a write unknown, while a read is merely unavailable. Calls are cancelled with the client, so a shutdown leaks none.

--- /dev/null
+++ b/lib/platform_http.c
@@ -0,0 +1,545 @@
+/*
+ * The platform's table, object store and instance list over HTTP with JSON.
+ * An answer that is lost after the request went out leaves a write unknown;
+ * reads have no effect, so theirs is merely unavailable.
+ */
+#include "lib/platform.h"
+
+#include <ctype.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "lib/xalloc.h"
+
+#define ANSWER_MAX_BYTES (16u << 20)
+
+struct call;
+
+/* The platform's service and the calls in progress. */
+struct platform_http {
+	struct platform platform; /* first: callers hold a pointer to it */
+	struct httpc *client;
+	char *address;
+	uint32_t timeout_ms;
+	struct call *calls;
+};
+
+/* One exchange; finish reads the answer and calls the caller's function. */
+struct call {
+	struct platform_http *p;
+	struct httpc_req *req;
+	struct call *prev;
+	struct call *next;
+	bool effect; /* the request changes something */
+	int status;
+	bool too_long;
+	char *body;
+	size_t len;
+	void (*finish)(struct call *call, enum platform_outcome outcome);
+	union {
+		void (*read)(void *, enum platform_outcome,
+			     const struct platform_row *);
+		void (*scan)(void *, enum platform_outcome,
+			     const struct platform_row *, size_t);
+		void (*write)(void *, enum platform_outcome, uint64_t,
+			      const struct platform_row *);
+		void (*put)(void *, enum platform_outcome);
+		void (*get)(void *, enum platform_outcome, const char *,
+			    size_t);
+		void (*instances)(void *, enum platform_outcome,
+				  const struct platform_instance *, size_t);
+	} done;
+	void *arg;
+};
+
+static void http_read(struct platform *p, const char *key,
+		      void (*done)(void *arg, enum platform_outcome outcome,
+				   const struct platform_row *row),
+		      void *arg);
+static void http_scan(struct platform *p, const char *prefix,
+		      void (*done)(void *arg, enum platform_outcome outcome,
+				   const struct platform_row *rows, size_t n),
+		      void *arg);
+static void http_write(struct platform *p, const char *nonce,
+		       const struct platform_write *writes, size_t n,
+		       void (*done)(void *arg, enum platform_outcome outcome,
+				    uint64_t version,
+				    const struct platform_row *row),
+		       void *arg);
+static void http_object_put(
+	struct platform *p, const char *name, const void *data, size_t len,
+	void (*done)(void *arg, enum platform_outcome outcome), void *arg);
+static void http_object_get(struct platform *p, const char *name,
+			    void (*done)(void *arg,
+					 enum platform_outcome outcome,
+					 const char *data, size_t len),
+			    void *arg);
+static void http_instances(struct platform *p,
+			   void (*done)(void *arg,
+					enum platform_outcome outcome,
+					const struct platform_instance *list,
+					size_t n),
+			   void *arg);
+static void http_free(struct platform *p);
+
+static struct call *call_new(struct platform *p,
+			     void (*finish)(struct call *call,
+					    enum platform_outcome outcome),
+			     void *arg);
+static void call_start(struct call *call, const char *method, const char *path,
+		       const void *body, size_t len);
+static void call_unlink(struct call *call);
+static void call_free(struct call *call);
+static void on_head(void *arg, int status, const struct httpc_header *headers,
+		    size_t n);
+static void on_body(void *arg, const char *data, size_t len);
+static void on_end(void *arg, enum httpc_outcome outcome);
+static enum platform_outcome classify(const struct call *call,
+				      enum httpc_outcome outcome);
+static enum platform_outcome lost(const struct call *call);
+static bool row_parse(const json_t *object, struct platform_row *row);
+static void finish_read(struct call *call, enum platform_outcome outcome);
+static void finish_scan(struct call *call, enum platform_outcome outcome);
+static void finish_write(struct call *call, enum platform_outcome outcome);
+static void finish_put(struct call *call, enum platform_outcome outcome);
+static void finish_get(struct call *call, enum platform_outcome outcome);
+static void finish_instances(struct call *call, enum platform_outcome outcome);
+static bool instance_parse(const json_t *object, struct platform_instance *i);
+static char *path_with(const char *before, const char *word);
+static json_t *write_to_json(const struct platform_write *w);
+
+static const struct platform_ops http_ops = {
+	.read = http_read,
+	.scan = http_scan,
+	.write = http_write,
+	.object_put = http_object_put,
+	.object_get = http_object_get,
+	.instances = http_instances,
+	.free = http_free,
+};
+
+/* Returns a client of the platform at address; it must be freed before the
+ * HTTP client c.  timeout_ms bounds the silence within a call. */
+struct platform *platform_http_new(struct httpc *c, const char *address,
+				   uint32_t timeout_ms)
+{
+	struct platform_http *h = xcalloc(1, sizeof(*h));
+
+	h->platform.ops = &http_ops;
+	h->client = c;
+	h->address = xstrdup(address);
+	h->timeout_ms = timeout_ms;
+	return &h->platform;
+}
+
+/* Gives up all calls in progress; their functions are not called. */
+static void http_free(struct platform *p)
+{
+	struct platform_http *h = (struct platform_http *)p;
+	struct call *call;
+
+	while ((call = h->calls)) {
+		httpc_cancel(call->req);
+		call_unlink(call);
+		call_free(call);
+	}
+	free(h->address);
+	free(h);
+}
+
+/* Reads one row. */
+static void http_read(struct platform *p, const char *key,
+		      void (*done)(void *arg, enum platform_outcome outcome,
+				   const struct platform_row *row),
+		      void *arg)
+{
+	struct call *call = call_new(p, finish_read, arg);
+	char *path = path_with("/table/row?key=", key);
+
+	call->done.read = done;
+	call_start(call, "GET", path, NULL, 0);
+	free(path);
+}
+
+/* Reads all rows whose key begins with prefix. */
+static void http_scan(struct platform *p, const char *prefix,
+		      void (*done)(void *arg, enum platform_outcome outcome,
+				   const struct platform_row *rows, size_t n),
+		      void *arg)
+{
+	struct call *call = call_new(p, finish_scan, arg);
+	char *path = path_with("/table/scan?prefix=", prefix);
+
+	call->done.scan = done;
+	call_start(call, "GET", path, NULL, 0);
+	free(path);
+}
+
+/* Writes all rows or none.  The caller's nonce stays with the rows. */
+static void http_write(struct platform *p, const char *nonce,
+		       const struct platform_write *writes, size_t n,
+		       void (*done)(void *arg, enum platform_outcome outcome,
+				    uint64_t version,
+				    const struct platform_row *row),
+		       void *arg)
+{
+	struct call *call = call_new(p, finish_write, arg);
+	json_t *list = json_array();
+	json_t *root = json_object();
+	char *body;
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		json_array_append_new(list, write_to_json(&writes[i]));
+	json_object_set_new(root, "nonce", json_string(nonce));
+	json_object_set_new(root, "writes", list);
+	body = json_dumps(root, JSON_COMPACT);
+	call->effect = true;
+	call->done.write = done;
+	call_start(call, "POST", "/table/write", body, body ? strlen(body) : 0);
+	free(body);
+	json_decref(root);
+}
+
+/* Stores an object; doing it twice does no harm. */
+static void http_object_put(
+	struct platform *p, const char *name, const void *data, size_t len,
+	void (*done)(void *arg, enum platform_outcome outcome), void *arg)
+{
+	struct call *call = call_new(p, finish_put, arg);
+	char *path = path_with("/objects/", name);
+
+	call->effect = true;
+	call->done.put = done;
+	call_start(call, "PUT", path, data, len);
+	free(path);
+}
+
+/* Fetches an object. */
+static void http_object_get(struct platform *p, const char *name,
+			    void (*done)(void *arg,
+					 enum platform_outcome outcome,
+					 const char *data, size_t len),
+			    void *arg)
+{
+	struct call *call = call_new(p, finish_get, arg);
+	char *path = path_with("/objects/", name);
+
+	call->done.get = done;
+	call_start(call, "GET", path, NULL, 0);
+	free(path);
+}
+
+/* Fetches the lagging list of instances. */
+static void http_instances(struct platform *p,
+			   void (*done)(void *arg,
+					enum platform_outcome outcome,
+					const struct platform_instance *list,
+					size_t n),
+			   void *arg)
+{
+	struct call *call = call_new(p, finish_instances, arg);
+
+	call->done.instances = done;
+	call_start(call, "GET", "/instances", NULL, 0);
+}
+
+/* Makes a call and puts it into the client's list. */
+static struct call *call_new(struct platform *p,
+			     void (*finish)(struct call *call,
+					    enum platform_outcome outcome),
+			     void *arg)
+{
+	struct platform_http *h = (struct platform_http *)p;
+	struct call *call = xcalloc(1, sizeof(*call));
+
+	call->p = h;
+	call->finish = finish;
+	call->arg = arg;
+	call->next = h->calls;
+	if (call->next)
+		call->next->prev = call;
+	h->calls = call;
+	return call;
+}
+
+/* Sends the request; the call ends in on_end(). */
+static void call_start(struct call *call, const char *method, const char *path,
+		       const void *body, size_t len)
+{
+	static const struct httpc_ops ops = {
+		.on_head = on_head,
+		.on_body = on_body,
+		.on_end = on_end,
+	};
+	struct httpc_request request = {
+		.method = method,
+		.address = call->p->address,
+		.path = path,
+		.body = body,
+		.body_len = len,
+		.connect_timeout_ms = call->p->timeout_ms,
+		.timeout_ms = call->p->timeout_ms,
+	};
+
+	call->req = httpc_start(call->p->client, &request, &ops, call);
+}
+
+/* Takes the call out of the client's list. */
+static void call_unlink(struct call *call)
+{
+	if (call->prev)
+		call->prev->next = call->next;
+	else
+		call->p->calls = call->next;
+	if (call->next)
+		call->next->prev = call->prev;
+}
+
+static void call_free(struct call *call)
+{
+	free(call->body);
+	free(call);
+}
+
+static void on_head(void *arg, int status, const struct httpc_header *headers,
+		    size_t n)
+{
+	struct call *call = arg;
+
+	(void)headers;
+	(void)n;
+	call->status = status;
+}
+
+/* Gathers the answer, which stays terminated. */
+static void on_body(void *arg, const char *data, size_t len)
+{
+	struct call *call = arg;
+
+	if (call->too_long || len > ANSWER_MAX_BYTES - call->len) {
+		call->too_long = true;
+		return;
+	}
+	call->body = xreallocarray(call->body, call->len + len + 1, 1);
+	memcpy(call->body + call->len, data, len);
+	call->len += len;
+	call->body[call->len] = '\0';
+}
+
+/* Tells the caller the outcome and ends the call. */
+static void on_end(void *arg, enum httpc_outcome outcome)
+{
+	struct call *call = arg;
+
+	/* unlinked first, since the caller may free the client */
+	call_unlink(call);
+	call->finish(call, classify(call, outcome));
+	call_free(call);
+}
+
+/* The outcome when the answer can't be known. */
+static enum platform_outcome lost(const struct call *call)
+{
+	return call->effect ? PLATFORM_UNKNOWN : PLATFORM_UNAVAILABLE;
+}
+
+/* Says what the end of an exchange means for the call.  Only a failed connect
+ * and the platform's own refusal prove that nothing was written. */
+static enum platform_outcome classify(const struct call *call,
+				      enum httpc_outcome outcome)
+{
+	if (outcome == HTTPC_CONNECT_FAILED)
+		return PLATFORM_UNAVAILABLE;
+	if (outcome != HTTPC_OK || call->too_long)
+		return lost(call);
+	switch (call->status) {
+	case 200:
+	case 201:
+	case 204:
+		return PLATFORM_OK;
+	case 404:
+		return PLATFORM_NOT_FOUND;
+	case 409:
+		return PLATFORM_CONFLICT;
+	case 429:
+	case 503:
+		return PLATFORM_UNAVAILABLE;
+	default:
+		break;
+	}
+	if (call->status >= 400 && call->status < 500)
+		return PLATFORM_REJECTED;
+	return lost(call);
+}
+
+/* Reads a row of the platform's JSON; the strings belong to object. */
+static bool row_parse(const json_t *object, struct platform_row *row)
+{
+	const json_t *version = json_object_get(object, "version");
+	const json_t *value = json_object_get(object, "value");
+
+	memset(row, 0, sizeof(*row));
+	row->key = json_string_value(json_object_get(object, "key"));
+	row->value = json_string_value(value);
+	row->value_len = json_string_length(value);
+	row->nonce = json_string_value(json_object_get(object, "nonce"));
+	if (!row->nonce)
+		row->nonce = "";
+	if (json_is_integer(version) && json_integer_value(version) >= 0)
+		row->version = (uint64_t)json_integer_value(version);
+	if (!row->value)
+		row->value = "";
+	return row->key && json_is_integer(version);
+}
+
+static void finish_read(struct call *call, enum platform_outcome outcome)
+{
+	struct platform_row row;
+	json_t *root = NULL;
+
+	if (outcome == PLATFORM_OK) {
+		root = json_loadb(call->body ? call->body : "", call->len, 0,
+				  NULL);
+		if (!root || !row_parse(root, &row))
+			outcome = PLATFORM_UNAVAILABLE;
+	}
+	call->done.read(call->arg, outcome,
+			outcome == PLATFORM_OK ? &row : NULL);
+	json_decref(root);
+}
+
+static void finish_scan(struct call *call, enum platform_outcome outcome)
+{
+	struct platform_row *rows = NULL;
+	json_t *root = NULL;
+	json_t *list;
+	size_t n = 0;
+	size_t i;
+
+	if (outcome != PLATFORM_OK)
+		goto out;
+	root = json_loadb(call->body ? call->body : "", call->len, 0, NULL);
+	list = json_object_get(root, "rows");
+	if (!json_is_array(list)) {
+		outcome = PLATFORM_UNAVAILABLE;
+		goto out;
+	}
+	rows = xcalloc(json_array_size(list), sizeof(*rows));
+	for (i = 0; i < json_array_size(list); i++)
+		if (row_parse(json_array_get(list, i), &rows[n]))
+			n++;
+out:
+	call->done.scan(call->arg, outcome, rows, n);
+	free(rows);
+	json_decref(root);
+}
+
+static void finish_write(struct call *call, enum platform_outcome outcome)
+{
+	struct platform_row row;
+	bool have_row = false;
+	uint64_t version = 0;
+	json_t *root = NULL;
+	const json_t *v;
+
+	if (outcome == PLATFORM_OK || outcome == PLATFORM_CONFLICT)
+		root = json_loadb(call->body ? call->body : "", call->len, 0,
+				  NULL);
+	if (outcome == PLATFORM_CONFLICT)
+		have_row = row_parse(json_object_get(root, "conflict"), &row);
+	if (outcome == PLATFORM_OK) {
+		v = json_array_get(json_object_get(root, "versions"), 0);
+		version = (uint64_t)json_integer_value(v);
+		if (!version)
+			outcome = PLATFORM_UNKNOWN;
+	}
+	call->done.write(call->arg, outcome, version, have_row ? &row : NULL);
+	json_decref(root);
+}
+
+static void finish_put(struct call *call, enum platform_outcome outcome)
+{
+	call->done.put(call->arg, outcome);
+}
+
+static void finish_get(struct call *call, enum platform_outcome outcome)
+{
+	call->done.get(call->arg, outcome, call->body ? call->body : "",
+		       outcome == PLATFORM_OK ? call->len : 0);
+}
+
+/* Reads one line of the instance list; the strings belong to object. */
+static bool instance_parse(const json_t *object, struct platform_instance *i)
+{
+	i->name = json_string_value(json_object_get(object, "name"));
+	i->zone = json_string_value(json_object_get(object, "zone"));
+	i->kind = json_string_value(json_object_get(object, "kind"));
+	i->address = json_string_value(json_object_get(object, "address"));
+	i->leaving = json_is_true(json_object_get(object, "leaving"));
+	return i->name && i->zone && i->kind && i->address;
+}
+
+static void finish_instances(struct call *call, enum platform_outcome outcome)
+{
+	struct platform_instance *instances = NULL;
+	json_t *root = NULL;
+	json_t *list;
+	size_t n = 0;
+	size_t i;
+
+	if (outcome != PLATFORM_OK)
+		goto out;
+	root = json_loadb(call->body ? call->body : "", call->len, 0, NULL);
+	list = json_object_get(root, "instances");
+	if (!json_is_array(list)) {
+		outcome = PLATFORM_UNAVAILABLE;
+		goto out;
+	}
+	instances = xcalloc(json_array_size(list), sizeof(*instances));
+	for (i = 0; i < json_array_size(list); i++)
+		if (instance_parse(json_array_get(list, i), &instances[n]))
+			n++;
+out:
+	call->done.instances(call->arg, outcome, instances, n);
+	free(instances);
+	json_decref(root);
+}
+
+/* Returns before and the word with every reserved byte escaped; the caller
+ * frees it. */
+static char *path_with(const char *before, const char *word)
+{
+	static const char digits[] = "0123456789ABCDEF";
+	size_t len = strlen(before);
+	char *path = xcalloc(len + 3 * strlen(word) + 1, 1);
+	char *out = path + len;
+	unsigned char c;
+
+	memcpy(path, before, len);
+	for (; *word; word++) {
+		c = (unsigned char)*word;
+		if (isalnum(c) || strchr("-._~/", c)) {
+			*out++ = (char)c;
+			continue;
+		}
+		*out++ = '%';
+		*out++ = digits[c >> 4];
+		*out++ = digits[c & 15];
+	}
+	return path;
+}
+
+/* Returns one conditional write in the platform's JSON. */
+static json_t *write_to_json(const struct platform_write *w)
+{
+	json_t *object = json_object();
+
+	json_object_set_new(object, "key", json_string(w->key));
+	json_object_set_new(object, "value",
+			    w->value ? json_string(w->value) : json_null());
+	json_object_set_new(object, "if_version",
+			    json_integer((json_int_t)w->if_version));
+	return object;
+}
