policy: shards of organisations and subsets of endpoints

Cause: no instance may know all callers or use all endpoints at 920 instances; who serves whom has to follow from the member list alone.

--- /dev/null
+++ b/policy/shard.c
@@ -0,0 +1,359 @@
+/*
+ * Shards: the few instances that serve an organisation.
+ *
+ * The members of a shard are chosen by rendezvous hashing in rounds over the
+ * zones, so that a lost instance is replaced by one other and nothing else
+ * moves.  The fullest instance is kept near the mean without moving anybody:
+ * each instance has a weight, callers spread over those instances of their
+ * shard that are in their region in proportion to the weights, and the
+ * weights are fitted until all instances carry the same load.  Callers are
+ * taken to be where the instances are.
+ */
+#include <assert.h>
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "lib/xalloc.h"
+#include "policy/pair_hash.h"
+#include "policy/shard.h"
+#include "policy/shard_fit.h"
+#include "policy/size_step.h"
+#include "policy/smallest.h"
+
+#define ZONE_SALT 0x7a6f6e65 /* keeps zone and instance ids apart */
+
+static int compare_members(const void *a, const void *b);
+static bool serves(const struct shard_member *m);
+static enum shard_outcome take_members(struct shard_plan *plan,
+				       const struct shard_member *members,
+				       size_t n);
+static enum shard_outcome find_zones(struct shard_plan *plan);
+static void reserve(struct shard_plan *plan, size_t n_orgs, size_t n_entries);
+static size_t order_zones(struct shard_scratch *s, const struct shard_org *org);
+static void sort_zones(struct ranked *order, size_t n);
+static unsigned int rank_in_region(const struct shard_scratch *s, size_t place);
+static void set_quotas(struct shard_scratch *s, size_t n_zones, size_t size);
+static void pick_members(struct shard_plan *plan, const struct shard_org *org,
+			 double share);
+static void pick_in_zone(struct shard_plan *plan, const struct shard_org *org,
+			 const struct shard_zone *zone);
+
+/*
+ * Returns how many of `n_members` instances serve an organisation with
+ * `share` (0 to 1) of the whole load.  A configured `size` above 0 goes
+ * before.  The size of the fleet counts in steps, so that single instances
+ * that come and go change no shard's size.
+ */
+unsigned int shard_size(double share, size_t n_members, unsigned int size)
+{
+	double wanted =
+		ceil(SHARD_SPREAD * share * size_step_eighth(n_members));
+
+	if (size > 0)
+		wanted = size;
+	else if (wanted < SHARD_SIZE_MIN)
+		wanted = SHARD_SIZE_MIN;
+	if (wanted > n_members)
+		return n_members;
+	return wanted;
+}
+
+void shard_plan_init(struct shard_plan *plan)
+{
+	memset(plan, 0, sizeof(*plan));
+}
+
+void shard_plan_free(struct shard_plan *plan)
+{
+	free(plan->first);
+	free(plan->entries);
+	free(plan->scratch);
+	memset(plan, 0, sizeof(*plan));
+}
+
+/*
+ * Works out the shard of each organisation.  The order of the members doesn't
+ * matter; that of the organisations is kept.  On anything but SHARD_OK the
+ * plan is empty and may be built again.
+ */
+enum shard_outcome shard_plan_build(struct shard_plan *plan,
+				    const struct shard_member *members,
+				    size_t n_members,
+				    const struct shard_org *orgs, size_t n_orgs)
+{
+	enum shard_outcome outcome;
+	double total = 0;
+	size_t i;
+
+	plan->n_orgs = 0;
+	plan->n_entries = 0;
+	outcome = take_members(plan, members, n_members);
+	if (outcome == SHARD_OK)
+		outcome = find_zones(plan);
+	if (outcome != SHARD_OK) {
+		plan->n_members = 0;
+		return outcome;
+	}
+	for (i = 0; i < n_orgs; i++)
+		total += shard_org_weight(&orgs[i]);
+	reserve(plan, n_orgs, 0);
+	plan->first[0] = 0;
+	for (i = 0; i < n_orgs; i++) {
+		pick_members(plan, &orgs[i],
+			     shard_org_weight(&orgs[i]) / total);
+		plan->first[i + 1] = plan->n_entries;
+	}
+	plan->n_orgs = n_orgs;
+	shard_fit(plan, orgs, total);
+	return SHARD_OK;
+}
+
+static bool serves(const struct shard_member *m)
+{
+	if (m->leaving)
+		return false;
+	return m->state == MEMBER_ALIVE || m->state == MEMBER_SUSPECT;
+}
+
+static int compare_members(const void *a, const void *b)
+{
+	const struct shard_member *x = a;
+	const struct shard_member *y = b;
+
+	if (x->zone != y->zone)
+		return x->zone < y->zone ? -1 : 1;
+	if (x->id != y->id)
+		return x->id < y->id ? -1 : 1;
+	return 0;
+}
+
+/* Copies the serving members into the plan, sorted by zone and id. */
+static enum shard_outcome take_members(struct shard_plan *plan,
+				       const struct shard_member *members,
+				       size_t n)
+{
+	struct shard_scratch *s = plan->scratch;
+	size_t i;
+
+	if (!s) {
+		s = xcalloc(1, sizeof(*s));
+		plan->scratch = s;
+	}
+	plan->members = s->members;
+	plan->load = s->load;
+	plan->n_members = 0;
+	for (i = 0; i < n; i++) {
+		if (!serves(&members[i]))
+			continue;
+		if (plan->n_members == SHARD_MEMBERS_MAX)
+			return SHARD_TOO_LARGE;
+		s->members[plan->n_members++] = members[i];
+	}
+	if (plan->n_members == 0)
+		return SHARD_NO_MEMBERS;
+	qsort(s->members, plan->n_members, sizeof(s->members[0]),
+	      compare_members);
+	return SHARD_OK;
+}
+
+static enum shard_outcome find_zones(struct shard_plan *plan)
+{
+	struct shard_scratch *s = plan->scratch;
+	struct shard_zone *zone = NULL;
+	size_t i;
+
+	plan->n_zones = 0;
+	memset(&s->demand, 0, sizeof(s->demand));
+	for (i = 0; i < plan->n_members; i++) {
+		if (s->members[i].region >= SHARD_REGIONS_MAX)
+			return SHARD_TOO_LARGE;
+		s->demand.present |= 1u << s->members[i].region;
+		s->demand.instances[s->members[i].region]++;
+		if (!zone || zone->id != s->members[i].zone) {
+			if (plan->n_zones == SHARD_ZONES_MAX)
+				return SHARD_TOO_LARGE;
+			zone = &s->zones[plan->n_zones++];
+			zone->id = s->members[i].zone;
+			zone->region = s->members[i].region;
+			zone->first = i;
+			zone->n = 0;
+		}
+		zone->n++;
+	}
+	s->n_zones = plan->n_zones;
+	s->n_members = plan->n_members;
+	return SHARD_OK;
+}
+
+/* Makes room for `n_orgs` organisations and `n_entries` entries in all. */
+static void reserve(struct shard_plan *plan, size_t n_orgs, size_t n_entries)
+{
+	if (n_orgs > plan->max_orgs || !plan->first) {
+		plan->first = xreallocarray(plan->first, n_orgs + 1,
+					    sizeof(plan->first[0]));
+		plan->max_orgs = n_orgs;
+	}
+	if (n_entries > plan->max_entries) {
+		plan->max_entries = n_entries + n_entries / 2;
+		plan->entries = xreallocarray(plan->entries, plan->max_entries,
+					      sizeof(plan->entries[0]));
+	}
+}
+
+/*
+ * Puts the zones that may serve the organisation into its own order, one of
+ * each region in turn, and returns their number.
+ */
+static size_t order_zones(struct shard_scratch *s, const struct shard_org *org)
+{
+	uint32_t regions = shard_org_regions(s, org);
+	size_t n = 0;
+	size_t i;
+
+	for (i = 0; i < s->n_zones; i++) {
+		struct shard_zone *zone = &s->zones[i];
+
+		zone->quota = 0;
+		if (!(regions & 1u << zone->region))
+			continue;
+		s->order[n].index = i;
+		s->order[n].key = pair_hash_unit(
+			pair_hash(org->key ^ ZONE_SALT, zone->id));
+		n++;
+	}
+	sort_zones(s->order, n);
+	for (i = 0; i < n; i++)
+		s->order[i].key += rank_in_region(s, i);
+	sort_zones(s->order, n);
+	return n;
+}
+
+static void sort_zones(struct ranked *order, size_t n)
+{
+	struct ranked r;
+	size_t i;
+	size_t j;
+
+	for (i = 1; i < n; i++) {
+		r = order[i];
+		for (j = i; j > 0 && order[j - 1].key > r.key; j--)
+			order[j] = order[j - 1];
+		order[j] = r;
+	}
+}
+
+/* Returns how many zones of the same region go before that at `place`. */
+static unsigned int rank_in_region(const struct shard_scratch *s, size_t place)
+{
+	uint16_t region = s->zones[s->order[place].index].region;
+	unsigned int rank = 0;
+	size_t i;
+
+	for (i = 0; i < place; i++) {
+		if (s->zones[s->order[i].index].region == region)
+			rank++;
+	}
+	return rank;
+}
+
+/* Deals `size` places to the ordered zones, one a zone in each round. */
+static void set_quotas(struct shard_scratch *s, size_t n_zones, size_t size)
+{
+	bool dealt = true;
+	size_t i;
+
+	while (size > 0 && dealt) {
+		dealt = false;
+		for (i = 0; i < n_zones && size > 0; i++) {
+			struct shard_zone *zone = &s->zones[s->order[i].index];
+
+			if (zone->quota == zone->n)
+				continue;
+			zone->quota++;
+			size--;
+			dealt = true;
+		}
+	}
+}
+
+static void pick_members(struct shard_plan *plan, const struct shard_org *org,
+			 double share)
+{
+	struct shard_scratch *s = plan->scratch;
+	size_t n_zones = order_zones(s, org);
+	unsigned int size = shard_size(share, plan->n_members, org->size);
+	size_t i;
+
+	set_quotas(s, n_zones, size);
+	reserve(plan, plan->max_orgs, plan->n_entries + size);
+	for (i = 0; i < s->n_zones; i++)
+		pick_in_zone(plan, org, &s->zones[i]);
+}
+
+static void pick_in_zone(struct shard_plan *plan, const struct shard_org *org,
+			 const struct shard_zone *zone)
+{
+	struct ranked *r = plan->scratch->ranked;
+	size_t i;
+
+	if (zone->quota == 0)
+		return;
+	for (i = 0; i < zone->n; i++) {
+		uint64_t id = plan->members[zone->first + i].id;
+
+		r[i].index = zone->first + i;
+		r[i].key = pair_hash_unit(pair_hash(org->key, id));
+	}
+	smallest_first(r, zone->n, zone->quota);
+	for (i = 0; i < zone->quota; i++) {
+		struct shard_entry *e = &plan->entries[plan->n_entries++];
+
+		e->member = r[i].index;
+		e->share = 0;
+	}
+}
+
+/*
+ * Returns the entries of an organisation, by zone, and sets `n` to their
+ * number.
+ */
+const struct shard_entry *shard_of(const struct shard_plan *plan, size_t org,
+				   size_t *n)
+{
+	assert(org < plan->n_orgs);
+	*n = plan->first[org + 1] - plan->first[org];
+	return &plan->entries[plan->first[org]];
+}
+
+/*
+ * Tells whether the instance `id` is in the shard of an organisation.
+ */
+bool shard_serves(const struct shard_plan *plan, size_t org, uint64_t id)
+{
+	const struct shard_entry *e;
+	size_t n;
+	size_t i;
+
+	if (org >= plan->n_orgs)
+		return false;
+	e = shard_of(plan, org, &n);
+	for (i = 0; i < n; i++) {
+		if (plan->members[e[i].member].id == id)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Returns the load of the fullest instance over the mean, as planned.
+ */
+double shard_fullest(const struct shard_plan *plan)
+{
+	double fullest = 0;
+	size_t i;
+
+	for (i = 0; i < plan->n_members; i++)
+		fullest = fmax(fullest, plan->load[i]);
+	return fullest;
+}
--- a/policy/shard.h
+++ b/policy/shard.h
@@ -8,21 +8,29 @@
 #include "policy/member.h"
 
 #define SHARD_SIZE_MIN 4 /* instances, where the fleet has as many */
-#define SHARD_SPREAD 2 /* instances for each instance's worth of load */
+#define SHARD_SPREAD 4 /* instances for each instance's worth of load */
 #define SHARD_MEMBERS_MAX MEMBER_MAX
 #define SHARD_ZONES_MAX 64
+#define SHARD_REGIONS_MAX 32
 #define SHARD_SHARE_ONE 65535 /* share of an entry that takes all the load */
+#define SHARD_ORDER_MAX 16 /* addresses in one answer */
 
 enum shard_outcome {
 	SHARD_OK,
 	SHARD_NO_MEMBERS, /* nobody serves */
-	SHARD_TOO_LARGE, /* members or zones beyond the maxima */
+	SHARD_TOO_LARGE, /* members, zones or regions beyond the maxima */
+};
+
+/* How strictly callers are sent to what is near them. */
+enum shard_near {
+	SHARD_NEAR_REGION, /* zones of a region count alike */
+	SHARD_NEAR_ZONE, /* the caller's zone goes first */
 };
 
 struct shard_member {
 	uint64_t id;
 	uint16_t zone;
-	uint16_t region; /* below 32 */
+	uint16_t region; /* below SHARD_REGIONS_MAX */
 	enum member_state state;
 	bool leaving;
 };
@@ -45,6 +53,7 @@
  * them from build to build.
  */
 struct shard_plan {
+	enum shard_near near; /* set by the owner after shard_plan_init() */
 	size_t n_members; /* serving ones only, sorted by zone and id */
 	size_t n_orgs;
 	size_t n_zones;
--- /dev/null
+++ b/policy/shard_fit.h
@@ -0,0 +1,47 @@
+#ifndef POLICY_SHARD_FIT_H
+#define POLICY_SHARD_FIT_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "policy/shard.h"
+#include "policy/smallest.h"
+
+/* Shared by shard.c and shard_fit.c only. */
+struct shard_zone {
+	uint16_t id;
+	uint16_t region;
+	size_t first; /* index of its first member */
+	size_t n;
+	size_t quota; /* members for the organisation at hand */
+};
+
+/* Part of an organisation's load, by where its callers are. */
+struct shard_demand {
+	uint32_t present; /* bit set of the regions with serving instances */
+	size_t instances[SHARD_REGIONS_MAX]; /* serving, by region */
+	double weight[SHARD_REGIONS_MAX]; /* of the shard at hand */
+	double total; /* of the weights */
+	double part[SHARD_REGIONS_MAX]; /* of the callers, by region */
+	double far; /* callers in regions without members of the shard */
+};
+
+struct shard_scratch {
+	size_t n_members;
+	size_t n_zones;
+	struct shard_demand demand;
+	struct shard_zone zones[SHARD_ZONES_MAX];
+	struct ranked order[SHARD_ZONES_MAX];
+	struct ranked ranked[SHARD_MEMBERS_MAX];
+	struct shard_member members[SHARD_MEMBERS_MAX];
+	double load[SHARD_MEMBERS_MAX];
+	double weight[SHARD_MEMBERS_MAX];
+};
+
+uint32_t shard_org_regions(const struct shard_scratch *s,
+			   const struct shard_org *org);
+double shard_org_weight(const struct shard_org *org);
+void shard_fit(struct shard_plan *plan, const struct shard_org *orgs,
+	       double total);
+
+#endif /* POLICY_SHARD_FIT_H */
--- /dev/null
+++ b/policy/smallest.c
@@ -0,0 +1,59 @@
+/* Selection of the candidates with the smallest keys. */
+#include <stdbool.h>
+
+#include "policy/smallest.h"
+
+static bool before(const struct ranked *a, const struct ranked *b)
+{
+	if (a->key != b->key)
+		return a->key < b->key;
+	return a->index < b->index;
+}
+
+static void swap(struct ranked *a, struct ranked *b)
+{
+	struct ranked t = *a;
+
+	*a = *b;
+	*b = t;
+}
+
+/* Puts the pivot of r[lo..hi] in its final place, which it returns. */
+static size_t partition(struct ranked *r, size_t lo, size_t hi)
+{
+	size_t i;
+	size_t place = lo;
+
+	swap(&r[lo + (hi - lo) / 2], &r[hi]);
+	for (i = lo; i < hi; i++) {
+		if (before(&r[i], &r[hi]))
+			swap(&r[i], &r[place++]);
+	}
+	swap(&r[place], &r[hi]);
+	return place;
+}
+
+/*
+ * Reorders the `n` candidates so that the first `k` are those with the
+ * smallest keys, in no particular order.  Equal keys are told apart by index,
+ * so that the choice doesn't depend on the order given.
+ */
+void smallest_first(struct ranked *r, size_t n, size_t k)
+{
+	size_t lo = 0;
+	size_t hi;
+	size_t place;
+
+	if (k == 0 || k >= n)
+		return;
+	hi = n - 1;
+	while (lo < hi) {
+		place = partition(r, lo, hi);
+		if (place == k)
+			return;
+		if (place < k)
+			lo = place + 1;
+		else
+			hi = place - 1;
+	}
+}
--- /dev/null
+++ b/policy/smallest.h
@@ -0,0 +1,15 @@
+#ifndef POLICY_SMALLEST_H
+#define POLICY_SMALLEST_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+/* A candidate and the key that it is chosen by. */
+struct ranked {
+	double key;
+	uint32_t index;
+};
+
+void smallest_first(struct ranked *r, size_t n, size_t k);
+
+#endif /* POLICY_SMALLEST_H */
--- a/policy/subset.h
+++ b/policy/subset.h
@@ -7,11 +7,10 @@
 
 #include "policy/shard.h"
 
-#define SUBSET_SIZE 32 /* endpoints of a model for an instance, on average */
+#define SUBSET_SIZE 32 /* endpoints of a model for an instance, at least */
 #define SUBSET_SIZE_MIN 16 /* an instance with fewer chooses more itself */
 #define SUBSET_USERS_MIN 8 /* instances that use one endpoint */
 #define SUBSET_WATCHERS 3 /* instances that watch one endpoint */
-#define SUBSET_USERS_MAX 512 /* instances that use one endpoint */
 
 struct subset_endpoint {
 	uint64_t id;
--- /dev/null
+++ b/regress/unit/test_shard.c
@@ -0,0 +1,316 @@
+/* Unit tests of policy/shard.c, shard_fit.c and shard_order.c. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <setjmp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "lib/xalloc.h"
+#include "policy/pair_hash.h"
+#include "policy/shard.h"
+#include "regress/fleet_tables.h"
+
+struct size_case {
+	const char *name;
+	double share;
+	size_t members;
+	unsigned int configured;
+	unsigned int size;
+};
+
+static const struct size_case size_cases[] = {
+	{ "small organisation", 0.0001, 920, 0, SHARD_SIZE_MIN },
+	{ "a tenth of the load", 0.1, 920, 0, 384 },
+	{ "one instance fewer changes nothing", 0.1, 919, 0, 384 },
+	{ "never more than there are", 0.9, 6, 0, 6 },
+	{ "small fleet", 0.01, 3, 0, 3 },
+	{ "configured", 0.5, 920, 2, 2 },
+	{ "configured above the fleet", 0.5, 6, 20, 6 },
+	{ "nobody there", 0.5, 0, 0, 0 },
+};
+
+static struct fleet *new_fleet(size_t instances, size_t orgs,
+			       unsigned int zones, unsigned int regions)
+{
+	struct fleet *f = xcalloc(1, sizeof(*f));
+
+	f->n_instances = instances;
+	f->n_orgs = orgs;
+	f->n_zones = zones;
+	f->n_regions = regions;
+	f->n_models = 1;
+	fleet_fill(f, 7);
+	return f;
+}
+
+static void build(struct shard_plan *plan, const struct fleet *f)
+{
+	assert_int_equal(shard_plan_build(plan, f->instances, f->n_instances,
+					  f->orgs, f->n_orgs),
+			 SHARD_OK);
+}
+
+/* Number of zones of a shard without the instance `lost`. */
+static size_t zones_without(const struct shard_plan *plan, size_t org,
+			    size_t lost)
+{
+	const struct shard_entry *e;
+	uint64_t seen = 0;
+	size_t i;
+	size_t n;
+
+	e = shard_of(plan, org, &n);
+	for (i = 0; i < n; i++) {
+		if (e[i].member != lost)
+			seen |= 1ull << plan->members[e[i].member].zone;
+	}
+	return __builtin_popcountll(seen);
+}
+
+static void test_size(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(size_cases) / sizeof(size_cases[0]); i++) {
+		const struct size_case *c = &size_cases[i];
+
+		print_message("%s\n", c->name);
+		assert_int_equal(shard_size(c->share, c->members,
+					    c->configured),
+				 c->size);
+	}
+}
+
+static void test_nobody_serves(void **state)
+{
+	struct shard_member m[] = {
+		{ .id = 1, .state = MEMBER_DEAD },
+		{ .id = 2, .state = MEMBER_ALIVE, .leaving = true },
+		{ .id = 3, .state = MEMBER_LEFT },
+	};
+	struct shard_org org = { .key = 1 };
+	struct shard_plan plan;
+
+	(void)state;
+	shard_plan_init(&plan);
+	assert_int_equal(shard_plan_build(&plan, m, 3, &org, 1),
+			 SHARD_NO_MEMBERS);
+	assert_int_equal(plan.n_members, 0);
+	assert_false(shard_serves(&plan, 0, 1));
+	shard_plan_free(&plan);
+}
+
+static void test_spans_zones(void **state)
+{
+	struct fleet *f = new_fleet(9, 10, 3, 1);
+	struct shard_plan plan;
+	size_t lost;
+	size_t org;
+
+	(void)state;
+	shard_plan_init(&plan);
+	f->orgs[9].size = 2;
+	build(&plan, f);
+	assert_int_equal(zones_without(&plan, 9, SHARD_MEMBERS_MAX), 2);
+	for (org = 0; org < 9; org++) {
+		for (lost = 0; lost < plan.n_members; lost++)
+			assert_true(zones_without(&plan, org, lost) >= 2);
+	}
+	shard_plan_free(&plan);
+	free(f);
+}
+
+static void test_same_from_any_order(void **state)
+{
+	struct fleet *f = new_fleet(60, 130, 6, 2);
+	struct shard_plan a;
+	struct shard_plan b;
+	struct shard_member m;
+	size_t i;
+
+	(void)state;
+	shard_plan_init(&a);
+	shard_plan_init(&b);
+	build(&a, f);
+	for (i = 0; i < 30; i++) {
+		m = f->instances[i];
+		f->instances[i] = f->instances[59 - i];
+		f->instances[59 - i] = m;
+	}
+	build(&b, f);
+	assert_int_equal(a.n_entries, b.n_entries);
+	assert_memory_equal(a.entries, b.entries,
+			    a.n_entries * sizeof(a.entries[0]));
+	shard_plan_free(&a);
+	shard_plan_free(&b);
+	free(f);
+}
+
+/* The loss of one instance begins one assignment for each that it had. */
+static void test_loss_moves_only_the_lost(void **state)
+{
+	struct fleet *f = new_fleet(60, 130, 6, 2);
+	struct shard_plan before;
+	struct shard_plan after;
+	const struct shard_entry *e;
+	uint64_t lost = f->instances[17].id;
+	size_t org;
+	size_t i;
+	size_t n;
+
+	(void)state;
+	shard_plan_init(&before);
+	shard_plan_init(&after);
+	build(&before, f);
+	f->instances[17].state = MEMBER_DEAD;
+	build(&after, f);
+	for (org = 0; org < f->n_orgs; org++) {
+		size_t begun = 0;
+
+		e = shard_of(&after, org, &n);
+		for (i = 0; i < n; i++) {
+			uint64_t id = after.members[e[i].member].id;
+
+			begun += !shard_serves(&before, org, id);
+		}
+		assert_true(begun <=
+			    (shard_serves(&before, org, lost) ? 1 : 0));
+	}
+	shard_plan_free(&before);
+	shard_plan_free(&after);
+	free(f);
+}
+
+static void test_balance_at_full_size(void **state)
+{
+	struct fleet *f = new_fleet(920, 1300, 13, 4);
+	struct shard_plan plan;
+
+	(void)state;
+	shard_plan_init(&plan);
+	build(&plan, f);
+	assert_true(shard_fullest(&plan) <= 1.2);
+	shard_plan_free(&plan);
+	free(f);
+}
+
+static void test_regions(void **state)
+{
+	struct fleet *f = new_fleet(60, 10, 6, 2);
+	struct shard_plan plan;
+	const struct shard_entry *e;
+	size_t i;
+	size_t n;
+
+	(void)state;
+	shard_plan_init(&plan);
+	f->orgs[5].regions = 1u << 1;
+	f->orgs[6].regions = 1u << 9; /* no such region */
+	build(&plan, f);
+	e = shard_of(&plan, 5, &n);
+	assert_true(n >= SHARD_SIZE_MIN);
+	for (i = 0; i < n; i++)
+		assert_int_equal(plan.members[e[i].member].region, 1);
+	shard_of(&plan, 6, &n);
+	assert_true(n >= SHARD_SIZE_MIN);
+	shard_plan_free(&plan);
+	free(f);
+}
+
+static void test_order_is_nearest_first(void **state)
+{
+	struct fleet *f = new_fleet(60, 3, 6, 2);
+	uint16_t out[SHARD_ORDER_MAX];
+	struct shard_plan plan;
+	size_t i;
+	size_t n;
+	uint64_t rnd;
+
+	(void)state;
+	shard_plan_init(&plan);
+	f->orgs[0].size = 12;
+	f->instances[2].state = MEMBER_SUSPECT; /* in region 0 */
+	build(&plan, f);
+	for (rnd = 0; rnd < 50; rnd++) {
+		n = shard_order(&plan, 0, 3, 1, rnd, out, 12);
+		assert_int_equal(n, 12);
+		for (i = 0; i < 6; i++)
+			assert_int_equal(plan.members[out[i]].region, 1);
+	}
+	plan.near = SHARD_NEAR_ZONE;
+	shard_order(&plan, 0, 3, 1, 1, out, 12);
+	assert_int_equal(plan.members[out[0]].zone, 3);
+	/* A short answer still names two zones. */
+	f->orgs[0].size = 60;
+	build(&plan, f);
+	n = shard_order(&plan, 0, 3, 1, 1, out, 4);
+	assert_int_equal(n, 4);
+	assert_int_equal(plan.members[out[2]].zone, 3);
+	assert_int_not_equal(plan.members[out[3]].zone, 3);
+	/* A suspected member comes after all others, also in its region. */
+	f->orgs[0].size = 12;
+	f->instances[3].state = MEMBER_SUSPECT;
+	for (i = 0; i < f->n_instances; i++) {
+		if (i % 6 == 3 && i != 3)
+			f->instances[i].state = MEMBER_DEAD;
+	}
+	build(&plan, f);
+	n = shard_order(&plan, 0, 3, 1, 1, out, 12);
+	assert_int_equal(n, 12);
+	for (i = 0; i < 11; i++)
+		assert_int_equal(plan.members[out[i]].state, MEMBER_ALIVE);
+	assert_int_equal(plan.members[out[11]].id, f->instances[3].id);
+	shard_plan_free(&plan);
+	free(f);
+}
+
+/* First addresses are drawn by the planned shares. */
+static void test_order_follows_shares(void **state)
+{
+	struct fleet *f = new_fleet(9, 10, 3, 1);
+	const int draws = 20000;
+	int first[9] = { 0 };
+	uint16_t out[1];
+	struct shard_plan plan;
+	const struct shard_entry *e;
+	size_t i;
+	size_t n;
+	int j;
+
+	(void)state;
+	shard_plan_init(&plan);
+	build(&plan, f);
+	for (j = 0; j < draws; j++) {
+		shard_order(&plan, 2, 0, 0, pair_hash(5, j), out, 1);
+		first[out[0]]++;
+	}
+	e = shard_of(&plan, 2, &n);
+	for (i = 0; i < n; i++) {
+		double share = (double)e[i].share / SHARD_SHARE_ONE;
+		double drawn = (double)first[e[i].member] / draws;
+
+		assert_true(drawn > share - 0.02 && drawn < share + 0.02);
+	}
+	shard_plan_free(&plan);
+	free(f);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_size),
+		cmocka_unit_test(test_nobody_serves),
+		cmocka_unit_test(test_spans_zones),
+		cmocka_unit_test(test_same_from_any_order),
+		cmocka_unit_test(test_loss_moves_only_the_lost),
+		cmocka_unit_test(test_balance_at_full_size),
+		cmocka_unit_test(test_regions),
+		cmocka_unit_test(test_order_is_nearest_first),
+		cmocka_unit_test(test_order_follows_shares),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
