--- /dev/null
+++ b/policy/burn.h
@@ -0,0 +1,59 @@
+#ifndef POLICY_BURN_H
+#define POLICY_BURN_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+enum {
+	BURN_MINUTE_MS = 60000,
+	BURN_MINUTES = 360,
+};
+
+struct burn_minute {
+	uint32_t good;
+	uint32_t bad;
+};
+
+/* Outcomes of one objective, by the minute, over the last six hours. */
+struct burn {
+	uint64_t minute; /* number of the newest slot */
+	uint64_t good; /* since burn_init(), for the budget */
+	uint64_t bad;
+	struct burn_minute ring[BURN_MINUTES];
+};
+
+/* Alarm when both windows burn faster than the threshold. */
+struct burn_pair {
+	const char *name;
+	uint32_t fast_min;
+	uint32_t slow_min;
+	double threshold;
+};
+
+enum burn_level {
+	BURN_OK,
+	BURN_TICKET, /* 30 minutes and 6 hours */
+	BURN_PAGE, /* 5 minutes and 1 hour */
+};
+
+struct burn_report {
+	enum burn_level level;
+	double page_fast; /* burn rates; 1 spends the budget exactly */
+	double page_slow;
+	double ticket_fast;
+	double ticket_slow;
+	double budget_left; /* 1 untouched, 0 spent, negative overspent */
+};
+
+extern const struct burn_pair burn_page;
+extern const struct burn_pair burn_ticket;
+
+void burn_init(struct burn *b, uint64_t now);
+void burn_add(struct burn *b, uint64_t now, uint32_t good, uint32_t bad);
+void burn_merge(struct burn *into, const struct burn *from);
+double burn_rate(const struct burn *b, uint64_t now, uint32_t minutes,
+		 double objective);
+struct burn_report burn_judge(const struct burn *b, uint64_t now,
+			      double objective);
+
+#endif /* POLICY_BURN_H */
--- /dev/null
+++ b/policy/retry.h
@@ -0,0 +1,41 @@
+#ifndef POLICY_RETRY_H
+#define POLICY_RETRY_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+enum retry_outcome {
+	RETRY_OK,
+	RETRY_ORG_EXHAUSTED,
+	RETRY_SERVICE_EXHAUSTED,
+	RETRY_TOO_MANY, /* the request's own attempts are used up */
+};
+
+struct retry_params {
+	uint32_t deposit_permille; /* retries earned by a success */
+	uint32_t floor_per_min; /* retries earned by time alone */
+	uint32_t burst; /* most retries that can be saved up */
+	uint32_t attempts_max; /* of one request, the first one included */
+	uint32_t backoff_min_ms;
+	uint32_t backoff_max_ms;
+};
+
+/* Retries left, in thousandths. */
+struct retry_budget {
+	uint64_t credit_milli;
+	uint64_t refilled_ms;
+};
+
+extern const struct retry_params retry_defaults;
+
+void retry_init(struct retry_budget *b, const struct retry_params *params,
+		uint64_t now);
+void retry_success(struct retry_budget *b, const struct retry_params *params);
+enum retry_outcome retry_take(struct retry_budget *org,
+			      struct retry_budget *service,
+			      const struct retry_params *params,
+			      uint32_t attempts, uint64_t now);
+uint32_t retry_backoff_ms(const struct retry_params *params, uint32_t attempts,
+			  uint64_t rnd);
+
+#endif /* POLICY_RETRY_H */
--- /dev/null
+++ b/policy/route.h
@@ -0,0 +1,80 @@
+#ifndef POLICY_ROUTE_H
+#define POLICY_ROUTE_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+enum route_flag {
+	ROUTE_UP = 1 << 0,
+	ROUTE_LEAVING = 1 << 1,
+	ROUTE_SILENT = 1 << 2, /* suspected: its streams are silent */
+	ROUTE_AVOID = 1 << 3, /* this request already failed there */
+	ROUTE_RUNS_SUSPECT = 1 << 4, /* runs a crash suspect */
+	ROUTE_RUNS_ALONE = 1 << 5, /* kept for one request run alone */
+};
+
+/* How far a request must be kept from others (policy/quarantine.h). */
+enum route_apart {
+	ROUTE_TOGETHER, /* ordinary request */
+	ROUTE_APART, /* not beside another crash suspect */
+	ROUTE_ALONE, /* beside no request at all, if that can be had */
+};
+
+enum route_outcome {
+	ROUTE_OK,
+	ROUTE_NONE_UP, /* no endpoint is up and staying */
+	ROUTE_ALL_AVOIDED, /* the request failed on all that are up */
+	ROUTE_ALL_BUSY, /* every permitted endpoint is full */
+	ROUTE_NO_ROOM_APART, /* none where it would be kept apart */
+};
+
+enum route_method {
+	ROUTE_SCAN, /* the best of all candidates */
+	ROUTE_TWO, /* the better of two drawn at random */
+};
+
+struct route_candidate {
+	uint32_t endpoint; /* index in the endpoint table */
+	uint16_t flags; /* enum route_flag */
+	uint16_t slots;
+	uint16_t running; /* last report, all instances' requests */
+	uint16_t queued; /* last report */
+	uint16_t own_now; /* this instance's requests there now */
+	uint16_t own_reported; /* the same when the report was made */
+	uint32_t report_age_ms;
+	uint32_t cached_tokens; /* longest known cached prefix */
+	uint32_t cache_age_ms; /* age of the event that said so */
+	uint32_t zone_us; /* one-way latency to its zone */
+};
+
+struct route_request {
+	uint32_t prompt_tokens;
+	uint32_t service_ms; /* expected time in a slot */
+	enum route_apart apart;
+};
+
+struct route_params {
+	enum route_method method;
+	uint32_t prefill_us_per_token;
+	uint32_t cache_keep_ms; /* half-life of a cache event's worth */
+	uint32_t report_keep_ms; /* half-life of a load report's worth */
+	uint32_t queue_per_slot_permille; /* busy when queued beyond this */
+	uint32_t zone_crossings; /* one-way latencies paid by a request */
+};
+
+struct route_choice {
+	enum route_outcome outcome;
+	uint32_t index; /* in the candidates, if ROUTE_OK */
+	uint32_t endpoint;
+	uint32_t wait_ms; /* expected wait for a slot there */
+};
+
+extern const struct route_params route_defaults;
+
+struct route_choice route_choose(const struct route_params *params,
+				 const struct route_request *req,
+				 const struct route_candidate *cand, size_t n,
+				 uint64_t rnd);
+const char *route_outcome_text(enum route_outcome outcome);
+
+#endif /* POLICY_ROUTE_H */
