--- a/policy/admit.h
+++ b/policy/admit.h
@@ -48,6 +48,7 @@
 
 struct admit_request {
 	uint64_t id; /* the caller's own handle of the request */
+	uint64_t digest; /* of organisation and content; 0 if not known */
 	uint32_t org;
 	enum admit_kind kind;
 	enum admit_priority priority;
--- /dev/null
+++ b/policy/admit_wait.h
@@ -0,0 +1,31 @@
+#ifndef POLICY_ADMIT_WAIT_H
+#define POLICY_ADMIT_WAIT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "policy/admit.h"
+#include "policy/admit_queue.h"
+#include "policy/promise.h"
+#include "policy/rate.h"
+
+enum { MS_PER_S = 1000 };
+
+struct admit {
+	struct admit_params params;
+	uint32_t running;
+	uint32_t running_resumes;
+	struct rate_meter rate;
+	struct promise_table promises;
+	struct admit_queue q;
+};
+
+double admit_drain_per_ms(const struct admit *a);
+double admit_wait_ms(const struct admit *a, uint32_t org, uint32_t ahead,
+		     bool resume);
+double admit_room_ms(const struct admit *a, uint32_t org, double wait,
+		     uint64_t now);
+uint64_t admit_promise_time(struct admit *a, uint32_t org, double late_ms,
+			    uint64_t now, uint64_t rnd);
+
+#endif /* POLICY_ADMIT_WAIT_H */
--- /dev/null
+++ b/policy/burn.c
@@ -0,0 +1,160 @@
+/*
+ * Service-level objectives: good and bad outcomes by the minute, burn rates
+ * over pairs of a fast and a slow window, and the budget left.  An alarm needs
+ * both windows: the slow one keeps a short spike quiet, the fast one ends the
+ * alarm soon after the fault.
+ */
+#include "policy/burn.h"
+
+#include <string.h>
+
+const struct burn_pair burn_page = {
+	.name = "page",
+	.fast_min = 5,
+	.slow_min = 60,
+	.threshold = 14.4,
+};
+
+const struct burn_pair burn_ticket = {
+	.name = "ticket",
+	.fast_min = 30,
+	.slow_min = 360,
+	.threshold = 6,
+};
+
+static void advance(struct burn *b, uint64_t minute);
+static uint32_t add_capped(uint32_t a, uint32_t b);
+static double rate_of(uint64_t good, uint64_t bad, double objective);
+
+/* Starts with no outcomes.  Clocks of merged tables must agree. */
+void burn_init(struct burn *b, uint64_t now)
+{
+	memset(b, 0, sizeof(*b));
+	b->minute = now / BURN_MINUTE_MS;
+}
+
+/* Clears the slots of the minutes that passed since the newest one. */
+static void advance(struct burn *b, uint64_t minute)
+{
+	uint64_t m;
+
+	if (minute <= b->minute)
+		return;
+	if (minute - b->minute >= BURN_MINUTES) {
+		memset(b->ring, 0, sizeof(b->ring));
+		b->minute = minute;
+		return;
+	}
+	for (m = b->minute + 1; m <= minute; m++)
+		memset(&b->ring[m % BURN_MINUTES], 0, sizeof(b->ring[0]));
+	b->minute = minute;
+}
+
+/* Adds without wrapping. */
+static uint32_t add_capped(uint32_t a, uint32_t b)
+{
+	return a > UINT32_MAX - b ? UINT32_MAX : a + b;
+}
+
+/*
+ * Counts outcomes at time now.  Those older than the table are counted in the
+ * budget only.
+ */
+void burn_add(struct burn *b, uint64_t now, uint32_t good, uint32_t bad)
+{
+	uint64_t minute = now / BURN_MINUTE_MS;
+	struct burn_minute *slot = &b->ring[minute % BURN_MINUTES];
+
+	advance(b, minute);
+	b->good += good;
+	b->bad += bad;
+	if (b->minute - minute >= BURN_MINUTES)
+		return;
+	slot->good = add_capped(slot->good, good);
+	slot->bad = add_capped(slot->bad, bad);
+}
+
+/* Adds the outcomes of another instance's table into one. */
+void burn_merge(struct burn *into, const struct burn *from)
+{
+	uint64_t m;
+
+	advance(into, from->minute);
+	into->good += from->good;
+	into->bad += from->bad;
+	for (m = 0; m < BURN_MINUTES && m <= from->minute; m++) {
+		uint64_t minute = from->minute - m;
+		struct burn_minute *to = &into->ring[minute % BURN_MINUTES];
+		const struct burn_minute *s =
+			&from->ring[minute % BURN_MINUTES];
+
+		if (into->minute - minute >= BURN_MINUTES)
+			break;
+		to->good = add_capped(to->good, s->good);
+		to->bad = add_capped(to->bad, s->bad);
+	}
+}
+
+/* Share of bad outcomes against the share that the objective allows. */
+static double rate_of(uint64_t good, uint64_t bad, double objective)
+{
+	double allowed = 1 - objective;
+
+	if (!bad)
+		return 0;
+	if (allowed < 1e-9)
+		allowed = 1e-9;
+	return (double)bad / (double)(good + bad) / allowed;
+}
+
+/*
+ * Burn rate over the last minutes, the running one included.  objective is the
+ * share of good outcomes that is promised, for instance 0.999.
+ */
+double burn_rate(const struct burn *b, uint64_t now, uint32_t minutes,
+		 double objective)
+{
+	uint64_t newest = now / BURN_MINUTE_MS;
+	uint64_t good = 0;
+	uint64_t bad = 0;
+	uint64_t m;
+
+	if (minutes > BURN_MINUTES)
+		minutes = BURN_MINUTES;
+	for (m = 0; m < minutes && m <= newest; m++) {
+		uint64_t minute = newest - m;
+		const struct burn_minute *s = &b->ring[minute % BURN_MINUTES];
+
+		if (minute > b->minute)
+			continue;
+		if (b->minute - minute >= BURN_MINUTES)
+			break;
+		good += s->good;
+		bad += s->bad;
+	}
+	return rate_of(good, bad, objective);
+}
+
+/* Works out both window pairs and the budget left since burn_init(). */
+struct burn_report burn_judge(const struct burn *b, uint64_t now,
+			      double objective)
+{
+	struct burn_report r = {
+		.level = BURN_OK,
+		.page_fast = burn_rate(b, now, burn_page.fast_min, objective),
+		.page_slow = burn_rate(b, now, burn_page.slow_min, objective),
+		.ticket_fast =
+			burn_rate(b, now, burn_ticket.fast_min, objective),
+		.ticket_slow =
+			burn_rate(b, now, burn_ticket.slow_min, objective),
+		.budget_left = 1 - rate_of(b->good, b->bad, objective),
+	};
+
+	if (r.ticket_fast >= burn_ticket.threshold &&
+	    r.ticket_slow >= burn_ticket.threshold)
+		r.level = BURN_TICKET;
+	if (r.page_fast >= burn_page.threshold &&
+	    r.page_slow >= burn_page.threshold)
+		r.level = BURN_PAGE;
+	return r;
+}
--- /dev/null
+++ b/policy/heap.c
@@ -0,0 +1,126 @@
+/*
+ * Binary heap over table indices.  All memory is taken at the start; an item's
+ * key can be changed and an item removed from the middle.
+ */
+#include "policy/heap.h"
+
+#include <assert.h>
+#include <stdlib.h>
+
+#include "lib/xalloc.h"
+
+static const uint32_t heap_absent = UINT32_MAX;
+
+static void put(struct heap *h, uint32_t place, uint32_t item);
+static void sift_up(struct heap *h, uint32_t place);
+static void sift_down(struct heap *h, uint32_t place);
+
+/* Takes memory for max items; the heap starts empty. */
+void heap_init(struct heap *h, uint32_t max)
+{
+	uint32_t i;
+
+	h->max = max;
+	h->n = 0;
+	h->item = xcalloc(max, sizeof(*h->item));
+	h->place = xcalloc(max, sizeof(*h->place));
+	h->key = xcalloc(max, sizeof(*h->key));
+	for (i = 0; i < max; i++)
+		h->place[i] = heap_absent;
+}
+
+/* Frees what heap_init() took. */
+void heap_release(struct heap *h)
+{
+	free(h->item);
+	free(h->place);
+	free(h->key);
+}
+
+/* Says whether item is in the heap. */
+bool heap_has(const struct heap *h, uint32_t item)
+{
+	assert(item < h->max);
+	return h->place[item] != heap_absent;
+}
+
+/* Puts item at a place. */
+static void put(struct heap *h, uint32_t place, uint32_t item)
+{
+	h->item[place] = item;
+	h->place[item] = place;
+}
+
+/* Moves the item at place up to where its key belongs. */
+static void sift_up(struct heap *h, uint32_t place)
+{
+	uint32_t item = h->item[place];
+
+	while (place) {
+		uint32_t parent = (place - 1) / 2;
+
+		if (h->key[h->item[parent]] <= h->key[item])
+			break;
+		put(h, place, h->item[parent]);
+		place = parent;
+	}
+	put(h, place, item);
+}
+
+/* Moves the item at place down to where its key belongs. */
+static void sift_down(struct heap *h, uint32_t place)
+{
+	uint32_t item = h->item[place];
+
+	for (;;) {
+		uint32_t child = 2 * place + 1;
+
+		if (child >= h->n)
+			break;
+		if (child + 1 < h->n &&
+		    h->key[h->item[child + 1]] < h->key[h->item[child]])
+			child++;
+		if (h->key[item] <= h->key[h->item[child]])
+			break;
+		put(h, place, h->item[child]);
+		place = child;
+	}
+	put(h, place, item);
+}
+
+/* Adds item, or changes its key. */
+void heap_set(struct heap *h, uint32_t item, double key)
+{
+	if (!heap_has(h, item))
+		put(h, h->n++, item);
+	h->key[item] = key;
+	sift_up(h, h->place[item]);
+	sift_down(h, h->place[item]);
+}
+
+/* Removes item, if it is there. */
+void heap_remove(struct heap *h, uint32_t item)
+{
+	uint32_t place, last;
+
+	if (!heap_has(h, item))
+		return;
+	place = h->place[item];
+	last = h->item[--h->n];
+	h->place[item] = heap_absent;
+	if (last == item)
+		return;
+	put(h, place, last);
+	sift_up(h, place);
+	sift_down(h, h->place[last]);
+}
+
+/* Gives the item with the least key; returns false if the heap is empty. */
+bool heap_peek(const struct heap *h, uint32_t *item, double *key)
+{
+	if (!h->n)
+		return false;
+	*item = h->item[0];
+	*key = h->key[*item];
+	return true;
+}
--- /dev/null
+++ b/policy/heap.h
@@ -0,0 +1,26 @@
+#ifndef POLICY_HEAP_H
+#define POLICY_HEAP_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* Binary heap of items 0 .. max - 1, each at most once, least key first. */
+struct heap {
+	uint32_t max;
+	uint32_t n;
+	uint32_t *item; /* by place */
+	uint32_t *place; /* by item; HEAP_ABSENT if not in the heap */
+	double *key; /* by item */
+};
+
+enum { HEAP_BYTES_PER_ITEM = 2 * sizeof(uint32_t) + sizeof(double) };
+
+void heap_init(struct heap *h, uint32_t max);
+void heap_release(struct heap *h);
+bool heap_has(const struct heap *h, uint32_t item);
+void heap_set(struct heap *h, uint32_t item, double key);
+void heap_remove(struct heap *h, uint32_t item);
+bool heap_peek(const struct heap *h, uint32_t *item, double *key);
+
+#endif /* POLICY_HEAP_H */
--- /dev/null
+++ b/policy/route.c
@@ -0,0 +1,298 @@
+/*
+ * Choice of an endpoint for one request.
+ *
+ * Every permitted candidate gets a cost in microseconds: the expected wait for
+ * a slot, the slowdown by the requests that share its batch, the prefill that
+ * its prefix cache does not save, and the way to its zone.  Load reports lag,
+ * so the requests that this instance started or finished since the report are
+ * put right, and what an old report says of other instances' requests is drawn
+ * towards the mean.  Cache events come late and with gaps, so an old one is
+ * worth less.
+ */
+#include "policy/route.h"
+
+#include <float.h>
+#include <stdbool.h>
+
+enum { US_PER_MS = 1000, TWO_PROBES = 8 };
+
+/* What a choice works out once for all candidates. */
+struct scan {
+	const struct route_params *params;
+	const struct route_request *req;
+	const struct route_candidate *cand;
+	size_t n;
+	float mean_others; /* other instances' requests an endpoint */
+};
+
+const struct route_params route_defaults = {
+	.method = ROUTE_SCAN,
+	.prefill_us_per_token = 200,
+	.cache_keep_ms = 30000,
+	.report_keep_ms = 2000,
+	.slowdown_permille = 250,
+	.queue_per_slot_permille = 125,
+	.zone_crossings = 4,
+};
+
+static float others(const struct route_candidate *c);
+static float load(const struct scan *s, const struct route_candidate *c);
+static float mean_others(const struct route_candidate *cand, size_t n);
+static enum route_outcome permit(const struct scan *s,
+				 const struct route_candidate *c);
+static float cost_us(const struct scan *s, const struct route_candidate *c);
+static float wait_us(const struct scan *s, const struct route_candidate *c);
+static bool is_better(enum route_outcome a, enum route_outcome b);
+static enum route_outcome choose_scan(const struct scan *s, bool silent,
+				      uint64_t rnd, size_t *best);
+static bool choose_two(const struct scan *s, uint64_t rnd, size_t *best);
+static bool choose_alone(const struct scan *s, bool idle, size_t *best);
+static bool is_candidate_alone(const struct scan *s, size_t i, bool idle);
+
+/* Requests of other instances at the endpoint when it last reported. */
+static float others(const struct route_candidate *c)
+{
+	uint32_t all = (uint32_t)c->running + c->queued;
+
+	return all > c->own_reported ? (float)(all - c->own_reported) : 0;
+}
+
+/* Mean of others() over the endpoints that are up. */
+static float mean_others(const struct route_candidate *cand, size_t n)
+{
+	float sum = 0;
+	size_t up = 0;
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		if (!(cand[i].flags & ROUTE_UP))
+			continue;
+		sum += others(&cand[i]);
+		up++;
+	}
+	return up ? sum / (float)up : 0;
+}
+
+/* Requests believed to be at the endpoint now, waiting ones included. */
+static float load(const struct scan *s, const struct route_candidate *c)
+{
+	float keep = (float)s->params->report_keep_ms;
+	float trust = keep / (keep + (float)c->report_age_ms);
+
+	return trust * others(c) + (1 - trust) * s->mean_others +
+	       (float)c->own_now;
+}
+
+/* Says whether the request may go to c, and if not, why. */
+static enum route_outcome permit(const struct scan *s,
+				 const struct route_candidate *c)
+{
+	float slots = (float)c->slots;
+	float room = slots * (1000 + (float)s->params->queue_per_slot_permille);
+
+	if (!(c->flags & ROUTE_UP) || c->flags & ROUTE_LEAVING || !c->slots)
+		return ROUTE_NONE_UP;
+	if (c->flags & ROUTE_AVOID)
+		return ROUTE_ALL_AVOIDED;
+	if (c->flags & ROUTE_RUNS_ALONE)
+		return ROUTE_NO_ROOM_APART;
+	if (s->req->apart != ROUTE_TOGETHER && c->flags & ROUTE_RUNS_SUSPECT)
+		return ROUTE_NO_ROOM_APART;
+	if (load(s, c) * 1000 >= room)
+		return ROUTE_ALL_BUSY;
+	return ROUTE_OK;
+}
+
+/* Expected wait for a slot, in microseconds. */
+static float wait_us(const struct scan *s, const struct route_candidate *c)
+{
+	float ahead = load(s, c) - (float)c->slots + 1;
+
+	if (ahead <= 0)
+		return 0;
+	return ahead * (float)s->req->service_ms * US_PER_MS / (float)c->slots;
+}
+
+/* Expected time that running at c adds, in microseconds. */
+static float cost_us(const struct scan *s, const struct route_candidate *c)
+{
+	const struct route_params *p = s->params;
+	float keep = (float)p->cache_keep_ms;
+	float worth = keep / (keep + (float)c->cache_age_ms);
+	float prompt = (float)s->req->prompt_tokens;
+	float cached = (float)c->cached_tokens;
+	float slow = (float)s->req->service_ms * (float)p->slowdown_permille;
+	float cost = wait_us(s, c);
+
+	if (cached > prompt)
+		cached = prompt;
+	cost += slow * load(s, c) / (float)c->slots;
+	cost += (prompt - cached * worth) * (float)p->prefill_us_per_token;
+	cost += (float)p->zone_crossings * (float)c->zone_us;
+	return cost;
+}
+
+/*
+ * Orders reasons: the one nearest to a place to run is the one to report.
+ */
+static bool is_better(enum route_outcome a, enum route_outcome b)
+{
+	static const int rank[] = {
+		[ROUTE_OK] = 4,
+		[ROUTE_ALL_BUSY] = 3,
+		[ROUTE_NO_ROOM_APART] = 2,
+		[ROUTE_ALL_AVOIDED] = 1,
+		[ROUTE_NONE_UP] = 0,
+	};
+
+	return rank[a] > rank[b];
+}
+
+/*
+ * Finds the cheapest permitted candidate, silent ones only if asked for.  The
+ * scan starts at a random one, so that equal costs do not send all instances
+ * to the same endpoint.
+ */
+static enum route_outcome choose_scan(const struct scan *s, bool silent,
+				      uint64_t rnd, size_t *best)
+{
+	enum route_outcome outcome = ROUTE_NONE_UP;
+	float best_us = FLT_MAX;
+	size_t start = rnd % s->n;
+	size_t k;
+
+	for (k = 0; k < s->n; k++) {
+		size_t i = start + k < s->n ? start + k : start + k - s->n;
+		const struct route_candidate *c = &s->cand[i];
+		enum route_outcome o = permit(s, c);
+		float us;
+
+		if (!silent && c->flags & ROUTE_SILENT)
+			continue;
+		if (is_better(o, outcome))
+			outcome = o;
+		if (o != ROUTE_OK)
+			continue;
+		us = cost_us(s, c);
+		if (us >= best_us)
+			continue;
+		best_us = us;
+		*best = i;
+	}
+	return outcome;
+}
+
+/*
+ * Takes the cheaper of two permitted candidates drawn at random.  Returns
+ * false if the draws did not find any.
+ */
+static bool choose_two(const struct scan *s, uint64_t rnd, size_t *best)
+{
+	size_t found = 0;
+	int i;
+
+	for (i = 0; i < TWO_PROBES && found < 2; i++) {
+		size_t k = (rnd >> (8 * i) & 0xff) * s->n >> 8;
+		const struct route_candidate *c = &s->cand[k];
+
+		if (c->flags & ROUTE_SILENT || permit(s, c) != ROUTE_OK)
+			continue;
+		if (found && cost_us(s, c) >= cost_us(s, &s->cand[*best])) {
+			found++;
+			continue;
+		}
+		*best = k;
+		found++;
+	}
+	return found > 0;
+}
+
+/* Says whether candidate i can take a request alone; idle asks for no load. */
+static bool is_candidate_alone(const struct scan *s, size_t i, bool idle)
+{
+	const struct route_candidate *c = &s->cand[i];
+
+	if (c->flags & ROUTE_SILENT || permit(s, c) != ROUTE_OK)
+		return false;
+	return !idle || (!c->own_now && others(c) == 0);
+}
+
+/*
+ * Picks the rank-th endpoint, by index, of those that can take a request
+ * alone.  Instances that see the same endpoints so put requests of different
+ * rank apart without asking each other.
+ */
+static bool choose_alone(const struct scan *s, bool idle, size_t *best)
+{
+	size_t count = 0;
+	size_t i, k, smaller;
+
+	for (i = 0; i < s->n; i++)
+		count += is_candidate_alone(s, i, idle);
+	for (i = 0; i < s->n && count; i++) {
+		if (!is_candidate_alone(s, i, idle))
+			continue;
+		smaller = 0;
+		for (k = 0; k < s->n; k++)
+			smaller += is_candidate_alone(s, k, idle) &&
+				   s->cand[k].endpoint < s->cand[i].endpoint;
+		if (smaller != s->req->rank % count)
+			continue;
+		*best = i;
+		return true;
+	}
+	return false;
+}
+
+/*
+ * Chooses one of n candidates for req.  rnd is a fresh random number.  An
+ * endpoint whose streams are silent is taken only if no other may be.  If
+ * there is no choice, the outcome says what stood in the way of the candidate
+ * that came nearest.
+ */
+struct route_choice route_choose(const struct route_params *params,
+				 const struct route_request *req,
+				 const struct route_candidate *cand, size_t n,
+				 uint64_t rnd)
+{
+	struct scan s = { .params = params, .req = req, .cand = cand, .n = n };
+	struct route_choice choice = { .outcome = ROUTE_NONE_UP };
+	size_t best = 0;
+	bool found = false;
+
+	if (!n)
+		return choice;
+	s.mean_others = mean_others(cand, n);
+	if (req->apart == ROUTE_ALONE)
+		found = choose_alone(&s, true, &best) ||
+			choose_alone(&s, false, &best);
+	else if (params->method == ROUTE_TWO)
+		found = choose_two(&s, rnd, &best);
+	choice.outcome = found ? ROUTE_OK : choose_scan(&s, false, rnd, &best);
+	if (choice.outcome != ROUTE_OK)
+		choice.outcome = choose_scan(&s, true, rnd, &best);
+	if (choice.outcome != ROUTE_OK)
+		return choice;
+	choice.index = (uint32_t)best;
+	choice.endpoint = cand[best].endpoint;
+	choice.wait_ms = (uint32_t)(wait_us(&s, &cand[best]) / US_PER_MS);
+	return choice;
+}
+
+/* The outcome as a phrase for a log line or a person. */
+const char *route_outcome_text(enum route_outcome outcome)
+{
+	switch (outcome) {
+	case ROUTE_OK:
+		return "an endpoint was chosen";
+	case ROUTE_NONE_UP:
+		return "no endpoint is up";
+	case ROUTE_ALL_AVOIDED:
+		return "the request failed on every endpoint that is up";
+	case ROUTE_ALL_BUSY:
+		return "every endpoint is full";
+	case ROUTE_NO_ROOM_APART:
+		return "no endpoint is free of other suspect requests";
+	}
+	return "unknown";
+}
--- a/policy/route.h
+++ b/policy/route.h
@@ -51,6 +51,7 @@
 	uint32_t prompt_tokens;
 	uint32_t service_ms; /* expected time in a slot */
 	enum route_apart apart;
+	uint32_t rank; /* of ROUTE_ALONE, from the quarantine */
 };
 
 struct route_params {
@@ -58,6 +59,7 @@
 	uint32_t prefill_us_per_token;
 	uint32_t cache_keep_ms; /* half-life of a cache event's worth */
 	uint32_t report_keep_ms; /* half-life of a load report's worth */
+	uint32_t slowdown_permille; /* of a full endpoint against an idle one */
 	uint32_t queue_per_slot_permille; /* busy when queued beyond this */
 	uint32_t zone_crossings; /* one-way latencies paid by a request */
 };
--- /dev/null
+++ b/policy/share.c
@@ -0,0 +1,130 @@
+/*
+ * An organisation's limit, split over the members of its shard.
+ *
+ * Half of the limit is split evenly, so that every member can always serve a
+ * caller that comes to it; the other half follows demand.  A member lowers its
+ * share at once, but raises it only out of what the others have published as
+ * no longer in force, and takes at most an n-th part of that a round.  Members
+ * whose views are at most one round old so never exceed the limit together.  A
+ * member that has heard from nobody for the hold time falls back to its even
+ * part, and only after twice that time do others use what it held.
+ */
+#include "policy/share.h"
+
+#include <assert.h>
+#include <stdbool.h>
+
+static uint32_t even_part(uint32_t total, size_t i, size_t n);
+static bool is_cut_off(const struct share_member *m, size_t n, size_t self,
+		       uint64_t now, uint32_t hold_ms);
+static uint32_t held_by_others(uint32_t limit, const struct share_member *m,
+			       size_t n, size_t self, uint64_t now,
+			       uint32_t hold_ms);
+
+/* The i-th of n parts of total, which differ by at most one. */
+static uint32_t even_part(uint32_t total, size_t i, size_t n)
+{
+	return (uint32_t)(total / n + (i < total % n));
+}
+
+/*
+ * Splits limit over n members into share, which sums to limit exactly.  Equal
+ * inputs give equal results at every member.
+ */
+void share_split(uint32_t limit, const uint32_t *demand, size_t n,
+		 uint32_t *share)
+{
+	uint32_t moving = limit / 2;
+	uint32_t given = 0;
+	uint64_t total = 0;
+	size_t i;
+
+	assert(n > 0 && n <= SHARE_MEMBERS_MAX);
+	for (i = 0; i < n; i++)
+		total += demand[i];
+	for (i = 0; i < n; i++) {
+		uint32_t part = even_part(moving, i, n);
+
+		if (total)
+			part = (uint32_t)((uint64_t)moving * demand[i] / total);
+		share[i] = even_part(limit - moving, i, n) + part;
+		given += share[i];
+	}
+	for (i = 0; given < limit; i = (i + 1) % n) {
+		if (total && !demand[i])
+			continue;
+		share[i]++;
+		given++;
+	}
+}
+
+/* The share that member self of n starts with: its even part alone. */
+uint32_t share_start(uint32_t limit, size_t self, size_t n)
+{
+	return even_part(limit - limit / 2, self, n);
+}
+
+/* Says whether no other member was heard within hold_ms. */
+static bool is_cut_off(const struct share_member *m, size_t n, size_t self,
+		       uint64_t now, uint32_t hold_ms)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		if (i != self && now - m[i].heard_ms <= hold_ms)
+			return false;
+	return n > 1;
+}
+
+/*
+ * What the others may have in force: the last published share, or the even
+ * part of a member not heard for so long that it has fallen back to that.
+ */
+static uint32_t held_by_others(uint32_t limit, const struct share_member *m,
+			       size_t n, size_t self, uint64_t now,
+			       uint32_t hold_ms)
+{
+	uint64_t held = 0;
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		if (i == self)
+			continue;
+		if (now - m[i].heard_ms > 2 * (uint64_t)hold_ms)
+			held += share_start(limit, i, n);
+		else
+			held += m[i].share;
+	}
+	return held < limit ? (uint32_t)held : limit;
+}
+
+/*
+ * The share that member self puts in force next, to be called once a round (an
+ * exchange between all members).  members is in the same order everywhere.
+ */
+uint32_t share_next(uint32_t limit, const struct share_member *members,
+		    size_t n, size_t self, uint64_t now, uint32_t hold_ms)
+{
+	uint32_t demand[SHARE_MEMBERS_MAX];
+	uint32_t target[SHARE_MEMBERS_MAX];
+	uint32_t mine = members[self].share;
+	uint32_t held, spare, step;
+	size_t i;
+
+	assert(n > 0 && n <= SHARE_MEMBERS_MAX && self < n);
+	for (i = 0; i < n; i++)
+		demand[i] = members[i].demand;
+	share_split(limit, demand, n, target);
+	if (is_cut_off(members, n, self, now, hold_ms))
+		return share_start(limit, self, n);
+	if (mine >= target[self])
+		return target[self];
+	held = held_by_others(limit, members, n, self, now, hold_ms);
+	if (held >= limit - mine)
+		return mine;
+	spare = limit - mine - held;
+	step = even_part(spare, self, n);
+	if (step > target[self] - mine)
+		step = target[self] - mine;
+	return mine + step;
+}
