--- a/policy/claim.h
+++ b/policy/claim.h
@@ -67,7 +67,8 @@
 struct claim_row {
 	uint64_t nonce; /* of the copy that wrote it */
 	uint64_t body_digest;
-	bool answered; /* the answer is stored in it */
+	bool answered; /* it ran, and its answer was received */
+	bool answer_kept; /* the answer is stored in the row */
 };
 
 struct claim_event {
--- /dev/null
+++ b/policy/quarantine.c
@@ -0,0 +1,325 @@
+/*
+ * Requests that crash endpoints: the table of suspects and its exchange.
+ *
+ * Requests that run on an endpoint when it dies are suspects.  A record holds
+ * the set of deaths that its request was there for, named by the endpoint's
+ * incarnation, so that merging the records of other instances is a bounded set
+ * union: idempotent, and the same in any order.  The table is of fixed size;
+ * where it is full the record with the fewest deaths goes.
+ */
+#include "policy/quarantine.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "lib/xalloc.h"
+#include "policy/quarantine_table.h"
+
+enum { KEEP_SLACK_MS = 5000 };
+
+const struct quarantine_params quarantine_defaults = {
+	.records_max = 4096,
+	.suspect_keep_ms = 600000,
+	.convicted_keep_ms = 3600000,
+	.settle_ms = 500,
+	.mass_deaths = 4,
+	.mass_ms = 10000,
+};
+
+static struct quarantine_entry *set_of(struct quarantine *q,
+				       const struct quarantine_digest *digest);
+static struct quarantine_entry *find_or_add(
+	struct quarantine *q, const struct quarantine_digest *digest,
+	uint64_t now);
+static bool goes_before(const struct quarantine_entry *a,
+			const struct quarantine_entry *b);
+static bool add_death(struct quarantine_entry *e, uint64_t death_id);
+static void note_recent(struct quarantine *q, uint64_t death_id, uint64_t now);
+static bool extend(struct quarantine_entry *e, uint64_t expires_ms);
+
+/* Takes memory for about records_max records. */
+struct quarantine *quarantine_new(const struct quarantine_params *params)
+{
+	struct quarantine *q = xcalloc(1, sizeof(*q));
+
+	q->params = *params;
+	q->nsets = 1;
+	while (q->nsets * QUARANTINE_WAYS < params->records_max)
+		q->nsets *= 2;
+	q->entry =
+		xcalloc((size_t)q->nsets * QUARANTINE_WAYS, sizeof(*q->entry));
+	return q;
+}
+
+/* Frees what quarantine_new() took; NULL is allowed. */
+void quarantine_free(struct quarantine *q)
+{
+	if (!q)
+		return;
+	free(q->entry);
+	free(q);
+}
+
+/* The digest of a request: the same wherever it is sent. */
+struct quarantine_digest quarantine_digest(const char *org, const void *content,
+					   size_t len)
+{
+	XXH64_hash_t seed = XXH3_64bits(org, strlen(org));
+	XXH128_hash_t h = XXH3_128bits_withSeed(content, len, seed);
+
+	return (struct quarantine_digest){ .hi = h.high64, .lo = h.low64 };
+}
+
+/* The name of the death of one incarnation of an endpoint. */
+uint64_t quarantine_death_id(const char *endpoint, uint64_t incarnation)
+{
+	return XXH3_64bits_withSeed(endpoint, strlen(endpoint), incarnation);
+}
+
+/* The entries where a digest may stand. */
+static struct quarantine_entry *set_of(struct quarantine *q,
+				       const struct quarantine_digest *digest)
+{
+	return &q->entry[(digest->lo & (q->nsets - 1)) * QUARANTINE_WAYS];
+}
+
+/* Returns the record of digest, or NULL if there is none in force. */
+struct quarantine_entry *quarantine_find(struct quarantine *q,
+					 const struct quarantine_digest *digest,
+					 uint64_t now)
+{
+	struct quarantine_entry *set = set_of(q, digest);
+	int i;
+
+	for (i = 0; i < QUARANTINE_WAYS; i++)
+		if (set[i].expires_ms > now && set[i].digest.lo == digest->lo &&
+		    set[i].digest.hi == digest->hi)
+			return &set[i];
+	return NULL;
+}
+
+/* Orders records by how soon they may be dropped for another. */
+static bool goes_before(const struct quarantine_entry *a,
+			const struct quarantine_entry *b)
+{
+	if (a->convicted != b->convicted)
+		return b->convicted;
+	if (a->ndeaths != b->ndeaths)
+		return a->ndeaths < b->ndeaths;
+	return a->expires_ms < b->expires_ms;
+}
+
+/* Returns the record of digest, in place of another one if need be. */
+static struct quarantine_entry *find_or_add(
+	struct quarantine *q, const struct quarantine_digest *digest,
+	uint64_t now)
+{
+	struct quarantine_entry *e = quarantine_find(q, digest, now);
+	struct quarantine_entry *set = set_of(q, digest);
+	int i;
+
+	if (e)
+		return e;
+	e = set;
+	for (i = 0; i < QUARANTINE_WAYS && e->expires_ms > now; i++)
+		if (set[i].expires_ms <= now || goes_before(&set[i], e))
+			e = &set[i];
+	*e = (struct quarantine_entry){ .digest = *digest };
+	return e;
+}
+
+/* Says whether the request ran on that endpoint when it died. */
+bool quarantine_has_death(const struct quarantine_entry *e, uint64_t death_id)
+{
+	int i;
+
+	for (i = 0; i < e->ndeaths; i++)
+		if (e->deaths[i] == death_id)
+			return true;
+	return false;
+}
+
+/*
+ * Adds a death to the ascending set; of more than it holds, the least stay.
+ * Returns true if the set changed.
+ */
+static bool add_death(struct quarantine_entry *e, uint64_t death_id)
+{
+	int i = 0;
+	int last;
+
+	if (quarantine_has_death(e, death_id))
+		return false;
+	while (i < e->ndeaths && e->deaths[i] < death_id)
+		i++;
+	if (i == QUARANTINE_DEATHS_MAX)
+		return false;
+	if (e->ndeaths < QUARANTINE_DEATHS_MAX)
+		e->ndeaths++;
+	for (last = e->ndeaths - 1; last > i; last--)
+		e->deaths[last] = e->deaths[last - 1];
+	e->deaths[i] = death_id;
+	return true;
+}
+
+/* Notes when a death was learnt of, and marks many at about the same time. */
+static void note_recent(struct quarantine *q, uint64_t death_id, uint64_t now)
+{
+	uint64_t from = now > q->params.mass_ms ? now - q->params.mass_ms : 0;
+	struct quarantine_recent *r;
+	uint32_t count = 0;
+	int i;
+
+	for (i = 0; i < QUARANTINE_RECENT; i++) {
+		r = &q->recent[i];
+		if (r->death_id == death_id)
+			return;
+		count += r->death_id && r->at_ms >= from;
+	}
+	q->recent[q->recent_next] = (struct quarantine_recent){
+		.death_id = death_id,
+		.at_ms = now,
+	};
+	q->recent_next = (q->recent_next + 1) % QUARANTINE_RECENT;
+	if (count + 1 < q->params.mass_deaths)
+		return;
+	for (i = 0; i < QUARANTINE_RECENT; i++)
+		if (q->recent[i].death_id && q->recent[i].at_ms >= from)
+			q->recent[i].mass = true;
+}
+
+/* Says whether the death was one of many at about the same time. */
+bool quarantine_is_mass(const struct quarantine *q, uint64_t death_id)
+{
+	int i;
+
+	for (i = 0; i < QUARANTINE_RECENT; i++)
+		if (q->recent[i].death_id == death_id)
+			return q->recent[i].mass;
+	return false;
+}
+
+/* Keeps a record for longer; returns true if by more than the slack. */
+static bool extend(struct quarantine_entry *e, uint64_t expires_ms)
+{
+	if (expires_ms <= e->expires_ms + KEEP_SLACK_MS)
+		return false;
+	e->expires_ms = expires_ms;
+	return true;
+}
+
+/*
+ * Notes that an endpoint died while this instance had n requests running on
+ * it.  Returns how many of them had run on another endpoint that died.
+ */
+size_t quarantine_death(struct quarantine *q, uint64_t death_id,
+			const struct quarantine_digest *running, size_t n,
+			uint64_t now)
+{
+	struct quarantine_entry *e;
+	size_t again = 0;
+	size_t i;
+
+	note_recent(q, death_id, now);
+	for (i = 0; i < n; i++) {
+		e = find_or_add(q, &running[i], now);
+		if (!add_death(e, death_id))
+			continue;
+		e->changed_ms = now;
+		e->death_ms = now;
+		extend(e, now + q->params.suspect_keep_ms);
+		again += e->ndeaths > 1;
+	}
+	return again;
+}
+
+/*
+ * Merges another instance's record.  Returns true if it said anything new, so
+ * that it is worth passing on.
+ */
+bool quarantine_merge(struct quarantine *q,
+		      const struct quarantine_record *record, uint64_t now)
+{
+	struct quarantine_entry *e;
+	bool changed = false;
+	int i;
+
+	if (!record->keep_ms || record->ndeaths > QUARANTINE_DEATHS_MAX)
+		return false;
+	e = find_or_add(q, &record->digest, now);
+	for (i = 0; i < record->ndeaths; i++) {
+		note_recent(q, record->deaths[i], now);
+		if (!add_death(e, record->deaths[i]))
+			continue;
+		e->death_ms = now;
+		changed = true;
+	}
+	if (record->convicted && !e->convicted) {
+		e->convicted = true;
+		changed = true;
+	}
+	changed |= extend(e, now + record->keep_ms);
+	if (changed)
+		e->changed_ms = now;
+	return changed;
+}
+
+/*
+ * Writes the records that changed at or after since, at most max, into out.
+ * Returns their number.
+ */
+size_t quarantine_export(const struct quarantine *q, uint64_t since,
+			 uint64_t now, struct quarantine_record *out,
+			 size_t max)
+{
+	size_t all = (size_t)q->nsets * QUARANTINE_WAYS;
+	size_t n = 0;
+	size_t i;
+
+	for (i = 0; i < all && n < max; i++) {
+		const struct quarantine_entry *e = &q->entry[i];
+
+		if (e->expires_ms <= now || e->changed_ms < since)
+			continue;
+		out[n] = (struct quarantine_record){
+			.digest = e->digest,
+			.ndeaths = e->ndeaths,
+			.convicted = e->convicted,
+			.keep_ms = (uint32_t)(e->expires_ms - now),
+		};
+		memcpy(out[n].deaths, e->deaths, sizeof(e->deaths));
+		n++;
+	}
+	return n;
+}
+
+/* Clears records whose time is over; returns their number. */
+size_t quarantine_expire(struct quarantine *q, uint64_t now)
+{
+	size_t all = (size_t)q->nsets * QUARANTINE_WAYS;
+	size_t n = 0;
+	size_t i;
+
+	for (i = 0; i < all; i++) {
+		struct quarantine_entry *e = &q->entry[i];
+
+		if (!e->expires_ms || e->expires_ms > now)
+			continue;
+		*e = (struct quarantine_entry){ 0 };
+		n++;
+	}
+	return n;
+}
+
+/* Number of records held, expired ones included until they are cleared. */
+size_t quarantine_count(const struct quarantine *q)
+{
+	size_t all = (size_t)q->nsets * QUARANTINE_WAYS;
+	size_t n = 0;
+	size_t i;
+
+	for (i = 0; i < all; i++)
+		n += q->entry[i].expires_ms != 0;
+	return n;
+}
