--- a/policy/share.c
+++ b/policy/share.c
@@ -4,8 +4,8 @@
  * Half of the limit is split evenly, so that every member can always serve a
  * caller that comes to it; the other half follows demand.  A member lowers its
  * share at once, but raises it only out of what the others have published as
- * no longer in force, and takes at most an n-th part of that a round.  Members
- * whose views are at most one round old so never exceed the limit together.  A
+ * no longer in force, and takes at most an even part of that a round.  Members
+ * that exchange every round so never exceed the limit together.  A
  * member that has heard from nobody for the hold time falls back to its even
  * part, and only after twice that time do others use what it held.
  */
@@ -15,11 +15,15 @@
 #include <stdbool.h>
 
 static uint32_t even_part(uint32_t total, size_t i, size_t n);
+static bool is_gone(const struct share_member *m, uint64_t now,
+		    uint32_t hold_ms);
 static bool is_cut_off(const struct share_member *m, size_t n, size_t self,
 		       uint64_t now, uint32_t hold_ms);
 static uint32_t held_by_others(uint32_t limit, const struct share_member *m,
 			       size_t n, size_t self, uint64_t now,
 			       uint32_t hold_ms);
+static uint32_t part_of_spare(uint32_t spare, const struct share_member *m,
+			      const uint32_t *target, size_t n, size_t self);
 
 /* The i-th of n parts of total, which differ by at most one. */
 static uint32_t even_part(uint32_t total, size_t i, size_t n)
@@ -64,6 +68,13 @@
 	return even_part(limit - limit / 2, self, n);
 }
 
+/* Says whether the member has fallen back to its even part for certain. */
+static bool is_gone(const struct share_member *m, uint64_t now,
+		    uint32_t hold_ms)
+{
+	return now - m->heard_ms > 2 * (uint64_t)hold_ms;
+}
+
 /* Says whether no other member was heard within hold_ms. */
 static bool is_cut_off(const struct share_member *m, size_t n, size_t self,
 		       uint64_t now, uint32_t hold_ms)
@@ -90,7 +101,7 @@
 	for (i = 0; i < n; i++) {
 		if (i == self)
 			continue;
-		if (now - m[i].heard_ms > 2 * (uint64_t)hold_ms)
+		if (is_gone(&m[i], now, hold_ms))
 			held += share_start(limit, i, n);
 		else
 			held += m[i].share;
@@ -98,6 +109,26 @@
 	return held < limit ? (uint32_t)held : limit;
 }
 
+/*
+ * The part of spare that member self may take: even parts go to the members
+ * below their target, in the order that all members agree on.
+ */
+static uint32_t part_of_spare(uint32_t spare, const struct share_member *m,
+			      const uint32_t *target, size_t n, size_t self)
+{
+	size_t takers = 0;
+	size_t before = 0;
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		if (m[i].share >= target[i])
+			continue;
+		takers++;
+		before += i < self;
+	}
+	return even_part(spare, before, takers);
+}
+
 /*
  * The share that member self puts in force next, to be called once a round (an
  * exchange between all members).  members is in the same order everywhere.
@@ -108,22 +139,23 @@
 	uint32_t demand[SHARE_MEMBERS_MAX];
 	uint32_t target[SHARE_MEMBERS_MAX];
 	uint32_t mine = members[self].share;
-	uint32_t held, spare, step;
+	uint32_t held, step;
 	size_t i;
 
 	assert(n > 0 && n <= SHARE_MEMBERS_MAX && self < n);
-	for (i = 0; i < n; i++)
-		demand[i] = members[i].demand;
-	share_split(limit, demand, n, target);
 	if (is_cut_off(members, n, self, now, hold_ms))
 		return share_start(limit, self, n);
+	for (i = 0; i < n; i++)
+		demand[i] = i != self && is_gone(&members[i], now, hold_ms)
+				    ? 0
+				    : members[i].demand;
+	share_split(limit, demand, n, target);
 	if (mine >= target[self])
 		return target[self];
 	held = held_by_others(limit, members, n, self, now, hold_ms);
 	if (held >= limit - mine)
 		return mine;
-	spare = limit - mine - held;
-	step = even_part(spare, self, n);
+	step = part_of_spare(limit - mine - held, members, target, n, self);
 	if (step > target[self] - mine)
 		step = target[self] - mine;
 	return mine + step;
--- /dev/null
+++ b/regress/unit/test_share.c
@@ -0,0 +1,189 @@
+/* Unit tests of policy/share.c. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <setjmp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "policy/share.h"
+#include "regress/random.h"
+
+enum {
+	HOLD_MS = 5000,
+	ROUND_MS = 500,
+	MEMBERS_MAX = 8,
+	TRIALS = 400,
+};
+
+static uint32_t sum(const uint32_t *v, size_t n)
+{
+	uint32_t total = 0;
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		total += v[i];
+	return total;
+}
+
+/* The split is exact, and every member keeps its part of the even half. */
+static void test_split_is_exact(void **state)
+{
+	struct random_source rnd = { .seed = 1 };
+	int trial;
+
+	(void)state;
+	for (trial = 0; trial < TRIALS; trial++) {
+		size_t n = 1 + random_below(&rnd, MEMBERS_MAX);
+		uint32_t limit = random_below(&rnd, 2000);
+		uint32_t demand[MEMBERS_MAX], share[MEMBERS_MAX];
+		size_t i;
+
+		for (i = 0; i < n; i++)
+			demand[i] = random_below(&rnd, 3)
+					    ? random_below(&rnd, UINT32_MAX)
+					    : 0;
+		share_split(limit, demand, n, share);
+		assert_int_equal(sum(share, n), limit);
+		for (i = 0; i < n; i++)
+			assert_true(share[i] >= share_start(limit, i, n));
+	}
+}
+
+static void test_split_follows_demand(void **state)
+{
+	const uint32_t demand[3] = { 90, 10, 0 };
+	uint32_t share[3];
+
+	(void)state;
+	share_split(60, demand, 3, share);
+	assert_int_equal(share[0], 10 + 27);
+	assert_int_equal(share[1], 10 + 3);
+	assert_int_equal(share[2], 10);
+}
+
+/* A shard whose members exchange once a round. */
+struct shard {
+	size_t n;
+	uint32_t limit;
+	struct share_member member[MEMBERS_MAX];
+	struct share_member view[MEMBERS_MAX][MEMBERS_MAX];
+};
+
+static void shard_init(struct shard *s, size_t n, uint32_t limit)
+{
+	size_t i, k;
+
+	s->n = n;
+	s->limit = limit;
+	for (i = 0; i < n; i++)
+		s->member[i] = (struct share_member){
+			.share = share_start(limit, i, n),
+		};
+	for (i = 0; i < n; i++)
+		for (k = 0; k < n; k++)
+			s->view[i][k] = s->member[k];
+}
+
+/* One round: all exchange (where cut allows) and then put shares in force. */
+static void shard_round(struct shard *s, uint64_t now, unsigned int cut)
+{
+	size_t i, k;
+
+	for (i = 0; i < s->n; i++)
+		for (k = 0; k < s->n; k++) {
+			if (i != k && ((cut >> i & 1) != (cut >> k & 1)))
+				continue;
+			s->view[i][k] = s->member[k];
+			s->view[i][k].heard_ms = now;
+		}
+	for (i = 0; i < s->n; i++)
+		s->member[i].share =
+			share_next(s->limit, s->view[i], s->n, i, now, HOLD_MS);
+}
+
+static uint32_t shard_sum(const struct shard *s)
+{
+	uint32_t total = 0;
+	size_t i;
+
+	for (i = 0; i < s->n; i++)
+		total += s->member[i].share;
+	return total;
+}
+
+/* Whatever demand does, members that exchange never exceed the limit. */
+static void test_no_overshoot(void **state)
+{
+	struct random_source rnd = { .seed = 2 };
+	int trial, round;
+
+	(void)state;
+	for (trial = 0; trial < TRIALS; trial++) {
+		struct shard s;
+		size_t i;
+
+		shard_init(&s, 2 + random_below(&rnd, MEMBERS_MAX - 1),
+			   random_below(&rnd, 500));
+		for (round = 1; round < 60; round++) {
+			if (round % 7 == 1)
+				for (i = 0; i < s.n; i++)
+					s.member[i].demand =
+						random_below(&rnd, 1000);
+			shard_round(&s, (uint64_t)round * ROUND_MS, 0);
+			assert_true(shard_sum(&s) <= s.limit);
+		}
+	}
+}
+
+/* With steady demand the whole limit comes into use. */
+static void test_converges(void **state)
+{
+	struct shard s;
+	int round;
+
+	(void)state;
+	shard_init(&s, 4, 100);
+	s.member[1].demand = 500;
+	for (round = 1; round < 80; round++)
+		shard_round(&s, (uint64_t)round * ROUND_MS, 0);
+	assert_int_equal(s.member[1].share, 100 - 13 - 12 - 12);
+	assert_int_equal(shard_sum(&s), 100);
+}
+
+/*
+ * A member that is cut off falls back to its even part before the others use
+ * what it held, so a lasting partition does not exceed the limit.
+ */
+static void test_partition(void **state)
+{
+	struct shard s;
+	int round;
+
+	(void)state;
+	shard_init(&s, 4, 100);
+	s.member[0].demand = 1000;
+	for (round = 1; round < 80; round++)
+		shard_round(&s, (uint64_t)round * ROUND_MS, 0);
+	for (; round < 200; round++) {
+		s.member[1].demand = 1000;
+		shard_round(&s, (uint64_t)round * ROUND_MS, 1);
+		assert_true(shard_sum(&s) <= s.limit);
+	}
+	assert_int_equal(s.member[0].share, share_start(100, 0, 4));
+	assert_true(s.member[1].share > 40);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_split_is_exact),
+		cmocka_unit_test(test_split_follows_demand),
+		cmocka_unit_test(test_no_overshoot),
+		cmocka_unit_test(test_converges),
+		cmocka_unit_test(test_partition),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
