--- a/policy/admit.h
+++ b/policy/admit.h
@@ -6,8 +6,8 @@
 #include <stdint.h>
 
 enum admit_kind {
-	ADMIT_RESUME, /* a generation that lost its endpoint */
 	ADMIT_NEW,
+	ADMIT_RESUME, /* a generation that lost its endpoint */
 };
 
 /* Orders an organisation's own requests; takes nothing from others. */
