cdmfleetd and cdmctl: membership, configuration, watch, leases, operators

Membership, adoption, leases and subsets are the decisions of policy/. A configuration is one transaction over the head row and a row of its own version, which settles a lost answer.

--- /dev/null
+++ b/ctl/apply.c
@@ -0,0 +1,278 @@
+/*
+ * cdmctl plan and apply.
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ctl/command.h"
+#include "lib/xalloc.h"
+
+#define POLL_MS 200
+#define SETTLE_MS 15000 /* to learn what came of an unanswered commit */
+#define ADOPT_MS 10000 /* until the winner of a race can be compared with */
+
+/* How far a version has come. */
+struct spread {
+	size_t in_force;
+	size_t instances;
+	char missing[512]; /* names, separated by ", " */
+};
+
+static bool plan(struct command *c, const char *text, size_t len,
+		 struct client_answer *answer);
+static char *file_query(const char *path);
+static int applied(struct command *c, json_int_t version);
+static bool measure_spread(struct command *c, json_int_t version,
+			   struct spread *s);
+static int race_lost(struct command *c, const struct client_answer *answer,
+		     const char *text, size_t len);
+static int settle(struct command *c, json_int_t version, const char *text);
+static int answered(struct command *c, struct client_answer *answer,
+		    json_int_t base, const char *text, size_t len);
+
+/* Prints what a file would change. */
+int command_plan(struct command *c)
+{
+	struct client_answer answer;
+	int status = EXIT_FAILED;
+	char *text;
+	size_t len;
+
+	text = read_file(c->words[0], &len);
+	if (!text)
+		return EXIT_FAILED;
+	if (!plan(c, text, len, &answer)) {
+		fail(&answer);
+		goto out;
+	}
+	status = EXIT_DONE;
+	if (c->json) {
+		print_json(answer.json);
+		goto out;
+	}
+	if (!json_array_size(json_object_get(answer.json, "changes"))) {
+		printf("nothing would change; version %" JSON_INTEGER_FORMAT
+		       " is in force\n",
+		       number_of(answer.json, "base"));
+		goto out;
+	}
+	printf("against version %" JSON_INTEGER_FORMAT " by %s:\n",
+	       number_of(answer.json, "base"), text_of(answer.json, "author"));
+	print_changes(json_object_get(answer.json, "changes"));
+out:
+	client_release(&answer);
+	free(text);
+	return status;
+}
+
+/* Puts a file in force and waits until it is so everywhere. */
+int command_apply(struct command *c)
+{
+	const char *author = c->author ? c->author : getenv("USER");
+	struct client_answer answer;
+	int status = EXIT_FAILED;
+	json_int_t base = c->base;
+	char *escaped = NULL;
+	char *query = NULL;
+	char *path = NULL;
+	char *text;
+	size_t len;
+
+	text = read_file(c->words[0], &len);
+	if (!text)
+		return EXIT_FAILED;
+	if (!plan(c, text, len, &answer)) {
+		fail(&answer);
+		goto out;
+	}
+	if (base < 0)
+		base = number_of(answer.json, "base");
+	if (!c->json)
+		print_changes(json_object_get(answer.json, "changes"));
+	client_release(&answer);
+	escaped = client_escape(author ? author : "unknown");
+	query = file_query(c->words[0]);
+	path = xasprintf("/v1/config?base=%" JSON_INTEGER_FORMAT
+			 "&author=%s&%s",
+			 base, escaped, query);
+	client_call(&c->client, "POST", path, text, len, &answer);
+	status = answered(c, &answer, base, text, len);
+out:
+	client_release(&answer);
+	free(escaped);
+	free(query);
+	free(path);
+	free(text);
+	return status;
+}
+
+/* Asks what the file would change; false with the reason in the answer. */
+static bool plan(struct command *c, const char *text, size_t len,
+		 struct client_answer *answer)
+{
+	char *query = file_query(c->words[0]);
+	char *path = xasprintf("/v1/plan?%s", query);
+
+	client_call(&c->client, "POST", path, text, len, answer);
+	free(path);
+	free(query);
+	return answer->outcome == CLIENT_OK && answer->status == 200;
+}
+
+/* Returns the part of a query that names the file in messages. */
+static char *file_query(const char *path)
+{
+	char *escaped = client_escape(path);
+	char *query = xasprintf("file=%s", escaped);
+
+	free(escaped);
+	return query;
+}
+
+/* Goes on from the answer to the commit. */
+static int answered(struct command *c, struct client_answer *answer,
+		    json_int_t base, const char *text, size_t len)
+{
+	if (answer->outcome == CLIENT_LOST ||
+	    !strcmp(text_of(answer->json, "accepted"), "unknown"))
+		return settle(c, base + 1, text);
+	if (answer->outcome != CLIENT_OK)
+		return fail(answer);
+	if (answer->status == 409)
+		return race_lost(c, answer, text, len);
+	if (answer->status != 200)
+		return fail(answer);
+	return applied(c, number_of(answer->json, "version"));
+}
+
+/* Waits until an accepted version is in force in every serving instance. */
+static int applied(struct command *c, json_int_t version)
+{
+	uint64_t deadline = client_now_ms() + (uint64_t)c->wait_s * 1000;
+	struct spread s = { 0 };
+	bool known;
+
+	for (;;) {
+		known = measure_spread(c, version, &s);
+		if (known && s.in_force == s.instances)
+			break;
+		if (client_now_ms() >= deadline)
+			break;
+		client_sleep(POLL_MS);
+	}
+	if (c->json)
+		printf("{\"version\": %" JSON_INTEGER_FORMAT
+		       ", \"in_force\": %zu, \"instances\": %zu}\n",
+		       version, s.in_force, s.instances);
+	else
+		printf("version %" JSON_INTEGER_FORMAT
+		       " accepted; in force in %zu of %zu instances%s%s\n",
+		       version, s.in_force, s.instances,
+		       *s.missing ? "; not yet in " : "", s.missing);
+	return s.instances && s.in_force == s.instances ? EXIT_DONE
+							: EXIT_NOT_EVERYWHERE;
+}
+
+/* Counts the serving instances that have at least the version in force. */
+static bool measure_spread(struct command *c, json_int_t version,
+			   struct spread *s)
+{
+	struct client_answer answer;
+	const json_t *instance;
+	const char *state;
+	bool ok;
+	size_t i;
+
+	client_call(&c->client, "GET", "/v1/status", NULL, 0, &answer);
+	ok = answer.outcome == CLIENT_OK && answer.status == 200;
+	if (ok)
+		memset(s, 0, sizeof(*s));
+	json_array_foreach(json_object_get(answer.json, "instances"), i,
+			   instance)
+	{
+		state = text_of(instance, "state");
+		if (strcmp(state, "alive") && strcmp(state, "suspect"))
+			continue;
+		s->instances++;
+		if (number_of(instance, "config_version") >= version) {
+			s->in_force++;
+			continue;
+		}
+		snprintf(s->missing + strlen(s->missing),
+			 sizeof(s->missing) - strlen(s->missing), "%s%s",
+			 *s->missing ? ", " : "", text_of(instance, "name"));
+	}
+	client_release(&answer);
+	return ok;
+}
+
+/* Tells whose version stands and how the file differs from it. */
+static int race_lost(struct command *c, const struct client_answer *answer,
+		     const char *text, size_t len)
+{
+	uint64_t deadline = client_now_ms() + ADOPT_MS;
+	json_int_t winner = number_of(answer->json, "version");
+	struct client_answer against;
+	const json_t *changes;
+
+	if (c->json) {
+		print_json(answer->json);
+		return EXIT_RACE_LOST;
+	}
+	fprintf(stderr, "cdmctl: %s\n", answer->error);
+	for (;;) {
+		if (plan(c, text, len, &against) &&
+		    number_of(against.json, "base") >= winner)
+			break;
+		client_release(&against);
+		if (client_now_ms() >= deadline)
+			return EXIT_RACE_LOST;
+		client_sleep(POLL_MS);
+	}
+	changes = json_object_get(against.json, "changes");
+	if (json_array_size(changes))
+		printf("against version %" JSON_INTEGER_FORMAT
+		       " this file would change:\n",
+		       number_of(against.json, "base"));
+	else
+		printf("this file is the same as version %" JSON_INTEGER_FORMAT
+		       "\n",
+		       number_of(against.json, "base"));
+	print_changes(changes);
+	client_release(&against);
+	return EXIT_RACE_LOST;
+}
+
+/* The answer to the commit is lost: looks which file the version came to
+ * hold. */
+static int settle(struct command *c, json_int_t version, const char *text)
+{
+	uint64_t deadline = client_now_ms() + SETTLE_MS;
+	struct client_answer answer;
+	json_int_t in_force;
+	bool same;
+
+	fprintf(stderr, "cdmctl: the answer to the commit was lost; looking "
+			"which file is in force\n");
+	while (client_now_ms() < deadline) {
+		client_call(&c->client, "GET", "/v1/config", NULL, 0, &answer);
+		in_force = number_of(answer.json, "version");
+		same = !strcmp(text_of(answer.json, "file"), text);
+		client_release(&answer);
+		if (in_force == version && same)
+			return applied(c, version);
+		if (in_force >= version) {
+			fprintf(stderr,
+				"cdmctl: another file is in force as version "
+				"%" JSON_INTEGER_FORMAT "\n",
+				in_force);
+			return EXIT_RACE_LOST;
+		}
+		client_sleep(POLL_MS);
+	}
+	fprintf(stderr, "cdmctl: the file may be accepted; see cdmctl status "
+			"before you apply it again\n");
+	return EXIT_FAILED;
+}
--- /dev/null
+++ b/ctl/burn.h
@@ -0,0 +1,30 @@
+#ifndef CTL_BURN_H
+#define CTL_BURN_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "policy/burn.h"
+
+/* One objective with the outcomes of all cdmentryds. */
+struct objective {
+	const char *name;
+	const char *scope; /* what it is about */
+	double target; /* share of good events */
+	struct burn burn;
+	struct burn_report report;
+};
+
+/* What the report is about. */
+struct burn_summary {
+	struct objective *objectives;
+	size_t n;
+	size_t asked; /* cdmentryds */
+	size_t silent; /* that did not answer */
+	uint64_t now; /* ms since the epoch */
+};
+
+const char *burn_level_sentence(enum burn_level level);
+void burn_html(const struct burn_summary *s);
+
+#endif /* CTL_BURN_H */
--- /dev/null
+++ b/ctl/command.h
@@ -0,0 +1,44 @@
+#ifndef CTL_COMMAND_H
+#define CTL_COMMAND_H
+
+#include "ctl/client.h"
+
+/* Exit statuses that scripts can rely on. */
+enum {
+	EXIT_DONE = 0,
+	EXIT_FAILED = 1,
+	EXIT_USAGE = 2,
+	EXIT_RACE_LOST = 3, /* another version stands where ours was to be */
+	EXIT_NOT_EVERYWHERE = 4, /* accepted, but not yet in force everywhere */
+};
+
+/* What the command line says; unused fields are zero. */
+struct command {
+	struct client client;
+	bool json;
+	bool html;
+	bool undo;
+	const char *author;
+	int64_t base; /* -1: the version in force */
+	int64_t wait_s;
+	const char *words[4]; /* after the command's name */
+	size_t n_words;
+};
+
+int command_plan(struct command *c);
+int command_apply(struct command *c);
+int command_status(struct command *c);
+int command_drain(struct command *c);
+int command_explain(struct command *c);
+int command_report(struct command *c);
+
+/* Shared by the commands. */
+int fail(const struct client_answer *answer);
+char *read_file(const char *path, size_t *len);
+void print_json(const json_t *json);
+const char *text_of(const json_t *object, const char *key);
+json_int_t number_of(const json_t *object, const char *key);
+void print_changes(const json_t *changes);
+json_t *entry_addresses(struct command *c);
+
+#endif /* CTL_COMMAND_H */
--- /dev/null
+++ b/ctl/common.c
@@ -0,0 +1,116 @@
+/*
+ * What the commands of cdmctl share.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ctl/command.h"
+#include "lib/xalloc.h"
+
+/* Prints why a call failed; returns the exit status. */
+int fail(const struct client_answer *answer)
+{
+	fprintf(stderr, "cdmctl: %s\n", answer->error);
+	return EXIT_FAILED;
+}
+
+/* Returns a file's bytes, or NULL after a message. */
+char *read_file(const char *path, size_t *len)
+{
+	FILE *f = fopen(path, "rb");
+	char *text = NULL;
+	char buf[8192];
+	size_t n;
+
+	*len = 0;
+	if (!f) {
+		perror(path);
+		return NULL;
+	}
+	while ((n = fread(buf, 1, sizeof(buf), f)) > 0) {
+		text = xreallocarray(text, *len + n + 1, 1);
+		memcpy(text + *len, buf, n);
+		*len += n;
+		text[*len] = '\0';
+	}
+	if (ferror(f))
+		perror(path);
+	fclose(f);
+	return text ? text : xstrdup("");
+}
+
+void print_json(const json_t *json)
+{
+	char *text = json_dumps(json, JSON_INDENT(2));
+
+	puts(text ? text : "{}");
+	free(text);
+}
+
+/* Returns a string field, or "". */
+const char *text_of(const json_t *object, const char *key)
+{
+	const char *text = json_string_value(json_object_get(object, key));
+
+	return text ? text : "";
+}
+
+/* Returns a whole number, or 0. */
+json_int_t number_of(const json_t *object, const char *key)
+{
+	return json_integer_value(json_object_get(object, key));
+}
+
+/* Prints changes one a line. */
+void print_changes(const json_t *changes)
+{
+	const json_t *change;
+	const char *keys;
+	size_t i;
+
+	json_array_foreach(changes, i, change)
+	{
+		keys = text_of(change, "keys");
+		printf("  %s %s %s%s%s\n", text_of(change, "change"),
+		       text_of(change, "section"), text_of(change, "name"),
+		       *keys ? ": " : "", keys);
+	}
+}
+
+/* Returns the operators' addresses of all cdmentryds that can be found by
+ * asking each instance's cdmfleetd; NULL after a message if none can be
+ * asked. */
+json_t *entry_addresses(struct command *c)
+{
+	struct client_answer status, own;
+	json_t *list = json_array();
+	const json_t *instance;
+	const json_t *entryd;
+	size_t i, j;
+
+	client_call(&c->client, "GET", "/v1/status", NULL, 0, &status);
+	if (status.outcome != CLIENT_OK || status.status != 200) {
+		fail(&status);
+		client_release(&status);
+		json_decref(list);
+		return NULL;
+	}
+	json_array_foreach(json_object_get(status.json, "instances"), i,
+			   instance)
+	{
+		if (!*text_of(instance, "operator_address"))
+			continue;
+		client_ask(text_of(instance, "operator_address"), "/v1/status",
+			   &own);
+		json_array_foreach(json_object_get(own.json, "entryds"), j,
+				   entryd) if (*text_of(entryd,
+							"operator_address"))
+			json_array_append(list,
+					  json_object_get(entryd,
+							  "operator_address"));
+		client_release(&own);
+	}
+	client_release(&status);
+	return list;
+}
--- /dev/null
+++ b/ctl/explain.c
@@ -0,0 +1,98 @@
+/*
+ * cdmctl explain: what happened to a request, gathered from every cdmentryd
+ * that knows of it.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ctl/command.h"
+#include "lib/xalloc.h"
+
+static void add_events(json_t *all, const json_t *events, const char *address);
+static int compare_events(const void *a, const void *b);
+static void print_sorted(json_t *all);
+
+/* Prints the events of a request in order of time. */
+int command_explain(struct command *c)
+{
+	char *escaped = client_escape(c->words[0]);
+	char *path = xasprintf("/v1/explain?request=%s", escaped);
+	json_t *addresses = entry_addresses(c);
+	struct client_answer answer;
+	json_t *all = json_array();
+	int status = EXIT_FAILED;
+	const json_t *address;
+	size_t silent = 0;
+	size_t i;
+
+	if (!addresses)
+		goto out;
+	json_array_foreach(addresses, i, address)
+	{
+		client_ask(json_string_value(address), path, &answer);
+		if (answer.outcome != CLIENT_OK)
+			silent++;
+		if (answer.outcome == CLIENT_OK && answer.status == 200)
+			add_events(all, json_object_get(answer.json, "events"),
+				   json_string_value(address));
+		client_release(&answer);
+	}
+	if (silent)
+		fprintf(stderr,
+			"cdmctl: %zu of %zu cdmentryds did not answer\n",
+			silent, json_array_size(addresses));
+	if (json_array_size(all)) {
+		status = EXIT_DONE;
+		if (c->json)
+			print_json(all);
+		else
+			print_sorted(all);
+	} else {
+		fprintf(stderr, "cdmctl: no cdmentryd knows of request %s\n",
+			c->words[0]);
+	}
+out:
+	json_decref(addresses);
+	json_decref(all);
+	free(path);
+	free(escaped);
+	return status;
+}
+
+/* Adds the events that one cdmentryd tells. */
+static void add_events(json_t *all, const json_t *events, const char *address)
+{
+	json_t *event;
+	size_t i;
+
+	json_array_foreach(events, i, event)
+	{
+		json_object_set_new(event, "by", json_string(address));
+		json_array_append(all, event);
+	}
+}
+
+static int compare_events(const void *a, const void *b)
+{
+	const json_t *const *x = a;
+	const json_t *const *y = b;
+
+	return strcmp(text_of(*x, "time"), text_of(*y, "time"));
+}
+
+/* Prints one sentence a line; times are of RFC 3339, so they sort as text. */
+static void print_sorted(json_t *all)
+{
+	size_t n = json_array_size(all);
+	const json_t **events = xcalloc(n, sizeof(*events));
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		events[i] = json_array_get(all, i);
+	qsort(events, n, sizeof(*events), compare_events);
+	for (i = 0; i < n; i++)
+		printf("%s  %s\n", text_of(events[i], "time"),
+		       text_of(events[i], "text"));
+	free(events);
+}
--- /dev/null
+++ b/fleetd/commit.c
@@ -0,0 +1,341 @@
+/*
+ * An operator's file on its way to being accepted: the file goes to the object
+ * store, then one transaction replaces the head row and inserts the version's
+ * own row.  A lost answer is settled by reading the version's row back.
+ */
+#include "fleetd/commit.h"
+
+#include <bsd/string.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "lib/counters.h"
+#include "lib/xalloc.h"
+#include "policy/config_adopt.h"
+
+#define COMMIT_RETRY_MS 300
+#define COMMIT_LIMIT_MS 8000 /* then the operator is told what is known */
+
+struct commit {
+	struct fleetd *f;
+	struct commit *next;
+	struct config *config;
+	struct config_head head; /* the rows' value to be */
+	uint64_t head_row; /* version of the head row that it replaces */
+	char nonce[PLATFORM_NONCE_SIZE];
+	struct config_commit state;
+	bool busy; /* a call to the platform is in progress */
+	bool uncertain; /* a write may have taken effect */
+	uint64_t step_at; /* ms */
+	uint64_t deadline; /* ms */
+	void (*done)(void *arg, const struct commit_result *result);
+	void *arg;
+};
+
+struct commits {
+	struct commit *first;
+};
+
+static struct counter commits_accepted = {
+	.name = "cdmfleetd_commits_accepted",
+	.help = "Configurations that this instance had accepted.",
+};
+static struct counter commits_lost = {
+	.name = "cdmfleetd_commits_lost",
+	.help = "Commits that lost against another.",
+};
+static struct counter commits_failed = {
+	.name = "cdmfleetd_commits_failed",
+	.help = "Commits that were not accepted or may not have been.",
+};
+
+static void on_head(void *arg, enum platform_outcome outcome,
+		    const struct platform_row *row);
+static void on_put(void *arg, enum platform_outcome outcome);
+static void step(struct commit *c);
+static void write_rows(struct commit *c);
+static void on_written(void *arg, enum platform_outcome outcome,
+		       uint64_t version, const struct platform_row *row);
+static void read_version(struct commit *c);
+static void on_version(void *arg, enum platform_outcome outcome,
+		       const struct platform_row *row);
+static void give_up(struct commit *c);
+static void accepted(struct commit *c);
+static void lost(struct commit *c, uint64_t version, const char *author);
+static void finish(struct commit *c, const struct commit_result *result);
+static void commit_free(struct commit *c);
+static uint64_t nonce_number(const char *nonce);
+
+struct commits *commits_new(void)
+{
+	counter_register(&commits_accepted);
+	counter_register(&commits_lost);
+	counter_register(&commits_failed);
+	return xcalloc(1, sizeof(struct commits));
+}
+
+/* Drops commits in progress; the platform's calls must be cancelled before. */
+void commits_free(struct commits *list)
+{
+	struct commit *c;
+
+	while ((c = list->first)) {
+		list->first = c->next;
+		commit_free(c);
+	}
+	free(list);
+}
+
+/* Goes on with commits that wait, and gives up those out of time. */
+void commits_tick(struct fleetd *f, uint64_t now)
+{
+	struct commit *c;
+	struct commit *next;
+
+	for (c = f->commits->first; c; c = next) {
+		next = c->next;
+		if (c->busy || now < c->step_at)
+			continue;
+		if (now >= c->deadline)
+			give_up(c);
+		else
+			step(c);
+	}
+}
+
+/* Has the file accepted as the version after base, if that is the version at
+ * the head.  Takes over the reference to config, sets its version, and calls
+ * done once from the loop. */
+void commit_start(struct fleetd *f, struct config *config, uint64_t base,
+		  const char *author,
+		  void (*done)(void *arg, const struct commit_result *result),
+		  void *arg)
+{
+	struct commit *c = xcalloc(1, sizeof(*c));
+
+	config->version = base + 1;
+	c->f = f;
+	c->config = config;
+	c->done = done;
+	c->arg = arg;
+	c->head.version = base + 1;
+	strlcpy(c->head.author, author, sizeof(c->head.author));
+	config_digest(config->text, config->text_len, c->head.digest);
+	snprintf(c->head.object, sizeof(c->head.object), "config/%s",
+		 c->head.digest);
+	platform_nonce(c->nonce);
+	config_commit_init(&c->state, base, nonce_number(c->nonce),
+			   config_digest_number(c->head.digest));
+	c->deadline = fleetd_now(f) + COMMIT_LIMIT_MS;
+	c->busy = true;
+	c->next = f->commits->first;
+	f->commits->first = c;
+	f->platform->ops->read(f->platform, CONFIG_HEAD_KEY, on_head, c);
+}
+
+/* The head row shows whether the base is right; then the file is stored. */
+static void on_head(void *arg, enum platform_outcome outcome,
+		    const struct platform_row *row)
+{
+	struct commit *c = arg;
+	struct platform *p = c->f->platform;
+	struct config_head head = { 0 };
+
+	if (outcome != PLATFORM_OK && outcome != PLATFORM_NOT_FOUND) {
+		give_up(c);
+		return;
+	}
+	if (outcome == PLATFORM_OK) {
+		if (!config_head_parse(row->value, row->value_len, &head)) {
+			give_up(c);
+			return;
+		}
+		c->head_row = row->version;
+	}
+	if (head.version != c->state.base) {
+		lost(c, head.version, head.author);
+		return;
+	}
+	p->ops->object_put(p, c->head.object, c->config->text,
+			   c->config->text_len, on_put, c);
+}
+
+static void on_put(void *arg, enum platform_outcome outcome)
+{
+	struct commit *c = arg;
+
+	c->busy = false;
+	if (outcome == PLATFORM_OK)
+		step(c);
+	else
+		give_up(c);
+}
+
+/* Does what the state asks for. */
+static void step(struct commit *c)
+{
+	switch (c->state.state) {
+	case CONFIG_COMMIT_WRITE:
+		write_rows(c);
+		return;
+	case CONFIG_COMMIT_READ:
+		read_version(c);
+		return;
+	case CONFIG_COMMIT_WON:
+		accepted(c);
+		return;
+	case CONFIG_COMMIT_LOST:
+		lost(c, c->state.winner.version, "another operator");
+		return;
+	}
+	abort();
+}
+
+/* Sends the transaction. */
+static void write_rows(struct commit *c)
+{
+	struct platform *p = c->f->platform;
+	char *value = config_head_format(&c->head);
+	char *key = config_version_key(c->head.version);
+	const struct platform_write writes[] = {
+		{ .key = CONFIG_HEAD_KEY,
+		  .value = value,
+		  .if_version = c->head_row },
+		{ .key = key, .value = value, .if_version = 0 },
+	};
+
+	c->busy = true;
+	p->ops->write(p, c->nonce, writes, 2, on_written, c);
+	free(key);
+	free(value);
+}
+
+static void on_written(void *arg, enum platform_outcome outcome,
+		       uint64_t version, const struct platform_row *row)
+{
+	struct commit *c = arg;
+	enum config_commit_result result = CONFIG_COMMIT_FAILED;
+
+	(void)version;
+	(void)row;
+	c->busy = false;
+	if (outcome == PLATFORM_OK) {
+		result = CONFIG_COMMIT_OK;
+	} else if (outcome == PLATFORM_CONFLICT) {
+		result = CONFIG_COMMIT_CONFLICT;
+	} else if (outcome == PLATFORM_UNKNOWN) {
+		result = CONFIG_COMMIT_NO_ANSWER;
+		c->uncertain = true;
+	}
+	config_commit_answered(&c->state, result);
+	if (result == CONFIG_COMMIT_OK || result == CONFIG_COMMIT_CONFLICT)
+		step(c);
+	else
+		c->step_at = fleetd_now(c->f) + COMMIT_RETRY_MS;
+}
+
+/* Reads the row that the version left, if it did. */
+static void read_version(struct commit *c)
+{
+	struct platform *p = c->f->platform;
+	char *key = config_version_key(c->head.version);
+
+	c->busy = true;
+	p->ops->read(p, key, on_version, c);
+	free(key);
+}
+
+static void on_version(void *arg, enum platform_outcome outcome,
+		       const struct platform_row *row)
+{
+	struct commit *c = arg;
+	struct config_version_row seen = { 0 };
+	struct config_head head = { 0 };
+
+	c->busy = false;
+	c->step_at = fleetd_now(c->f) + COMMIT_RETRY_MS;
+	if (outcome == PLATFORM_OK &&
+	    config_head_parse(row->value, row->value_len, &head)) {
+		seen.version = head.version;
+		seen.nonce = nonce_number(row->nonce);
+		seen.digest = config_digest_number(head.digest);
+	} else if (outcome != PLATFORM_NOT_FOUND) {
+		return;
+	}
+	config_commit_read(&c->state, seen.version ? &seen : NULL);
+	if (c->state.state == CONFIG_COMMIT_LOST)
+		lost(c, head.version, head.author);
+	else if (c->state.state == CONFIG_COMMIT_WON)
+		accepted(c);
+}
+
+/* Ends without knowing more; only after a lost answer is it uncertain. */
+static void give_up(struct commit *c)
+{
+	struct commit_result result = {
+		.outcome = c->uncertain ? COMMIT_UNKNOWN : COMMIT_NOT_ACCEPTED,
+		.version = c->head.version,
+		.reason =
+			c->uncertain
+				? "the platform's table stopped answering "
+				  "during the commit; the file may be accepted"
+				: "the platform's table or object store does "
+				  "not answer; the file is not accepted",
+	};
+
+	counter_add(&commits_failed, 1);
+	finish(c, &result);
+}
+
+/* The version is ours: it goes in force here before the operator hears. */
+static void accepted(struct commit *c)
+{
+	struct commit_result result = {
+		.outcome = COMMIT_ACCEPTED,
+		.version = c->head.version,
+	};
+
+	counter_add(&commits_accepted, 1);
+	confsync_accepted(c->f, config_ref(c->config), c->head.author);
+	finish(c, &result);
+}
+
+static void lost(struct commit *c, uint64_t version, const char *author)
+{
+	struct commit_result result = {
+		.outcome = COMMIT_LOST,
+		.version = version,
+		.author = author,
+	};
+
+	counter_add(&commits_lost, 1);
+	finish(c, &result);
+}
+
+/* Tells the outcome and ends the commit. */
+static void finish(struct commit *c, const struct commit_result *result)
+{
+	struct commit **p = &c->f->commits->first;
+
+	c->done(c->arg, result);
+	while (*p != c)
+		p = &(*p)->next;
+	*p = c->next;
+	commit_free(c);
+}
+
+static void commit_free(struct commit *c)
+{
+	config_unref(c->config);
+	free(c);
+}
+
+/* Returns the first 64 bits of a writer's nonce. */
+static uint64_t nonce_number(const char *nonce)
+{
+	char first[17];
+
+	strlcpy(first, nonce, sizeof(first));
+	return strtoull(first, NULL, 16);
+}
--- /dev/null
+++ b/fleetd/fleetd.c
@@ -0,0 +1,276 @@
+/*
+ * The process: sets its parts up, runs their systems at each tick, and leaves
+ * in order when told to.
+ */
+#include "fleetd/fleetd.h"
+
+#include <bsd/stdlib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "fleetd/commit.h"
+#include "fleetd/confsync.h"
+#include "fleetd/endpoints.h"
+#include "fleetd/feed.h"
+#include "fleetd/gossip.h"
+#include "fleetd/leases.h"
+#include "fleetd/listing.h"
+#include "fleetd/operator.h"
+#include "fleetd/orders.h"
+#include "fleetd/peers.h"
+#include "fleetd/roster.h"
+#include "fleetd/suspects.h"
+#include "fleetd/watch.h"
+#include "lib/counters.h"
+#include "lib/ident.h"
+#include "lib/log.h"
+
+#define LEAVE_TOLD_MS 1000 /* for the leaving state to spread */
+#define LEFT_TOLD_MS 300 /* for the last digests to go out */
+#define CLOSE_ROUNDS 200 /* of the loop, for handles to close */
+
+static bool start_parts(struct fleetd *f, char *err, size_t err_size);
+static void start_handles(struct fleetd *f);
+static void on_tick(uv_timer_t *timer);
+static void run_systems(struct fleetd *f, uint64_t now);
+static void on_signal(uv_signal_t *handle, int signum);
+static void step_shutdown(struct fleetd *f, uint64_t now);
+static bool calls_outstanding(const struct fleetd *f);
+static void stop_parts(struct fleetd *f);
+static void free_parts(struct fleetd *f);
+
+/* Runs until it is told to leave.  Returns the process's exit status. */
+int fleetd_run(const struct fleetd_settings *settings)
+{
+	static struct fleetd f;
+	char err[512];
+
+	memset(&f, 0, sizeof(f));
+	f.settings = settings;
+	f.loop = uv_default_loop();
+	f.self = name_id(settings->instance);
+	f.zone = zone_id(settings->zone);
+	signal(SIGPIPE, SIG_IGN);
+	if (!start_parts(&f, err, sizeof(err))) {
+		log_msg(LOG_CRIT, "start", NULL, "%s", err);
+		return 1;
+	}
+	start_handles(&f);
+	log_msg(LOG_NOTICE, "started", NULL,
+		"instance %s in zone %s: control address %s, operators' "
+		"address %s",
+		settings->instance, settings->zone, settings->control_address,
+		settings->operator_address);
+	uv_run(f.loop, UV_RUN_DEFAULT);
+	stop_parts(&f);
+	log_msg(LOG_NOTICE, "ended", NULL, "instance %s has left",
+		settings->instance);
+	free_parts(&f);
+	return 0;
+}
+
+/* Returns the loop's monotonic time in milliseconds. */
+uint64_t fleetd_now(const struct fleetd *f)
+{
+	return uv_now(f->loop);
+}
+
+/* Returns 64 random bits. */
+uint64_t fleetd_random(void)
+{
+	uint64_t r;
+
+	arc4random_buf(&r, sizeof(r));
+	return r;
+}
+
+/* Returns the number of a new change. */
+uint64_t fleetd_touch(struct fleetd *f)
+{
+	return ++f->sequence;
+}
+
+/* Puts a configuration in force; takes over the reference. */
+void fleetd_adopt(struct fleetd *f, struct config *config)
+{
+	struct config *before = f->config;
+
+	f->config = config;
+	f->config_changed = fleetd_touch(f);
+	endpoints_configure(f);
+	leases_configure(f);
+	listing_apply(f);
+	config_unref(before);
+	gossip_config_changed(f);
+	feed_tick(f);
+}
+
+/* Has the endpoints dealt out anew at the tick. */
+void fleetd_members_changed(struct fleetd *f)
+{
+	f->members_changed = true;
+}
+
+/* Starts to leave: others stop naming this instance to callers, and its
+ * cdmentryds finish what they have.  The process goes on. */
+void fleetd_leave(struct fleetd *f, const char *why)
+{
+	if (f->leaving)
+		return;
+	f->leaving = true;
+	f->leaving_at = fleetd_now(f);
+	f->leaving_changed = fleetd_touch(f);
+	log_msg(LOG_NOTICE, "leaving", NULL, "instance %s is leaving: %s",
+		f->settings->instance, why);
+	gossip_leave(f, MEMBER_LEAVING);
+	gossip_urgent(f);
+	feed_tick(f);
+}
+
+/* Makes the parts; false with a message in err. */
+static bool start_parts(struct fleetd *f, char *err, size_t err_size)
+{
+	f->peers = peers_new(f, err, err_size);
+	if (!f->peers)
+		return false;
+	f->operator= operator_new(f, err, err_size);
+	if (!f->operator)
+		return false;
+	f->client = httpc_new(f->loop);
+	f->platform =
+		platform_http_new(f->client, f->settings->platform_address,
+				  (uint32_t)f->settings->platform_timeout_ms);
+	f->roster = roster_new(f);
+	f->endpoints = endpoints_new();
+	f->suspects = suspects_new();
+	f->confsync = confsync_new(f);
+	f->commits = commits_new();
+	f->gossip = gossip_new(f);
+	f->feed = feed_new(f);
+	f->listing = listing_new();
+	f->leases = leases_new();
+	f->watch = watch_new();
+	f->orders = orders_new();
+	return true;
+}
+
+/* Starts the tick and the signals. */
+static void start_handles(struct fleetd *f)
+{
+	uv_timer_init(f->loop, &f->tick);
+	f->tick.data = f;
+	uv_timer_start(&f->tick, on_tick, 0, FLEETD_TICK_MS);
+	uv_signal_init(f->loop, &f->sigterm);
+	f->sigterm.data = f;
+	uv_signal_start(&f->sigterm, on_signal, SIGTERM);
+	uv_signal_init(f->loop, &f->sigint);
+	f->sigint.data = f;
+	uv_signal_start(&f->sigint, on_signal, SIGINT);
+}
+
+static void on_tick(uv_timer_t *timer)
+{
+	struct fleetd *f = timer->data;
+	uint64_t now = fleetd_now(f);
+
+	if (f->left_at) {
+		step_shutdown(f, now);
+		return;
+	}
+	run_systems(f, now);
+	if (f->stopping)
+		step_shutdown(f, now);
+}
+
+/* Runs each part's system once. */
+static void run_systems(struct fleetd *f, uint64_t now)
+{
+	listing_tick(f, now);
+	confsync_tick(f, now);
+	commits_tick(f, now);
+	gossip_tick(f, now);
+	roster_sync(f);
+	if (f->members_changed)
+		endpoints_assign(f);
+	f->members_changed = false;
+	leases_tick(f);
+	watch_tick(f, now);
+	orders_tick(f, now);
+	endpoints_tick(f, now);
+	suspects_tick(f, now);
+	peers_tick(f, now);
+	feed_tick(f);
+}
+
+/* The first signal starts to leave; a second one waits for nobody. */
+static void on_signal(uv_signal_t *handle, int signum)
+{
+	struct fleetd *f = handle->data;
+
+	(void)signum;
+	f->leave_deadline = fleetd_now(f);
+	if (!f->stopping)
+		f->leave_deadline += (uint64_t)f->settings->drain_ms;
+	f->stopping = true;
+	fleetd_leave(f, "it was told to stop");
+}
+
+/* Waits for the cdmentryds, tells that it has left, then for what is still on
+ * its way; then the loop ends. */
+static void step_shutdown(struct fleetd *f, uint64_t now)
+{
+	if (!f->left_at) {
+		if (now < f->leaving_at + LEAVE_TOLD_MS)
+			return;
+		if (feed_count(f) && now < f->leave_deadline)
+			return;
+		f->left_at = now;
+		gossip_leave(f, MEMBER_LEFT);
+		return;
+	}
+	if (now >= f->left_at + LEFT_TOLD_MS && !calls_outstanding(f))
+		uv_stop(f->loop);
+}
+
+/* True while an exchange of ours is not over; each has its timeout. */
+static bool calls_outstanding(const struct fleetd *f)
+{
+	return watch_outstanding(f) || orders_outstanding(f) ||
+	       f->platform->ops->pending(f->platform);
+}
+
+/* Closes everything that the loop holds. */
+static void stop_parts(struct fleetd *f)
+{
+	int i;
+
+	uv_close((uv_handle_t *)&f->tick, NULL);
+	uv_close((uv_handle_t *)&f->sigterm, NULL);
+	uv_close((uv_handle_t *)&f->sigint, NULL);
+	operator_stop(f);
+	peers_stop(f);
+	f->platform->ops->free(f->platform);
+	httpc_free(f->client);
+	for (i = 0; i < CLOSE_ROUNDS && (i < 10 || peers_count(f)); i++)
+		uv_run(f->loop, UV_RUN_NOWAIT);
+}
+
+static void free_parts(struct fleetd *f)
+{
+	orders_free(f->orders);
+	watch_free(f->watch);
+	leases_free(f->leases);
+	listing_free(f->listing);
+	feed_free(f->feed);
+	gossip_free(f->gossip);
+	commits_free(f->commits);
+	confsync_free(f->confsync);
+	suspects_free(f->suspects);
+	endpoints_free(f->endpoints);
+	roster_free(f->roster);
+	peers_free(f->peers);
+	operator_free(f->operator);
+	config_unref(f->config);
+	counters_release();
+}
--- /dev/null
+++ b/fleetd/orders.c
@@ -0,0 +1,204 @@
+/*
+ * Orders to engines: whoever holds a service's lease has each of its engines
+ * load the model that the configuration names.  The order is safe to repeat,
+ * so engines that ignore fencing numbers get it too, once the old holder is
+ * waited out.
+ */
+#include "fleetd/orders.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleetd/endpoints.h"
+#include "fleetd/leases.h"
+#include "lib/counters.h"
+#include "lib/log.h"
+#include "lib/xalloc.h"
+
+#define ORDER_MS 1000 /* longest flight of an order */
+#define ORDER_RETRY_MS 3000 /* after one that failed */
+#define ORDER_REPEAT_MS 60000 /* an engine's restart may go unseen */
+#define ORDERS_MAX 8 /* on their way at once */
+
+struct orders {
+	size_t outstanding;
+};
+
+/* One order on its way. */
+struct order {
+	struct fleetd *f;
+	uint64_t id; /* of the endpoint */
+	uint64_t fence;
+	uint64_t salt; /* of the engine's start, as known when it was sent */
+	char *service;
+	bool checks;
+	int status;
+};
+
+static struct counter orders_sent = {
+	.name = "cdmfleetd_orders_sent",
+	.help = "Orders sent to engines.",
+};
+static struct counter orders_withheld = {
+	.name = "cdmfleetd_orders_withheld",
+	.help = "Orders not sent because the lease did not hold any more.",
+};
+static struct counter orders_refused = {
+	.name = "cdmfleetd_orders_refused",
+	.help = "Orders that an engine refused for their fencing number.",
+};
+
+static bool order_due(const struct fleetd *f, const struct endpoint *e,
+		      uint64_t now);
+static void order_start(struct fleetd *f, struct endpoint *e);
+static bool on_connected(void *arg);
+static void on_head(void *arg, int status, const struct httpc_header *headers,
+		    size_t n);
+static void on_end(void *arg, enum httpc_outcome outcome);
+
+struct orders *orders_new(void)
+{
+	counter_register(&orders_sent);
+	counter_register(&orders_withheld);
+	counter_register(&orders_refused);
+	return xcalloc(1, sizeof(struct orders));
+}
+
+void orders_free(struct orders *o)
+{
+	free(o);
+}
+
+/* Returns the number of orders on their way. */
+size_t orders_outstanding(const struct fleetd *f)
+{
+	return f->orders->outstanding;
+}
+
+/* Starts the orders that are due. */
+void orders_tick(struct fleetd *f, uint64_t now)
+{
+	struct endpoint *e;
+	size_t i;
+
+	for (i = 0; i < f->endpoints->n && !f->leaving; i++) {
+		e = &f->endpoints->all[i];
+		if (f->orders->outstanding >= ORDERS_MAX)
+			return;
+		if (e->model && !e->ordering && now >= e->order_at &&
+		    order_due(f, e, now))
+			order_start(f, e);
+	}
+}
+
+/* True if the lease is ours and the engine hasn't obeyed since it began. */
+static bool order_due(const struct fleetd *f, const struct endpoint *e,
+		      uint64_t now)
+{
+	const struct config_endpoint *ce = &f->config->endpoints[e->index];
+	const struct lease *l = leases_of_service(f, ce->service);
+
+	if (!l || l->state != LEASE_HELD || !e->up)
+		return false;
+	if (e->order_fence == lease_fencing(l) && e->order_salt == e->salt &&
+	    now < e->order_at + ORDER_REPEAT_MS)
+		return false;
+	return leases_check(f, ce->service, ce->checks_fencing, ORDER_MS) ==
+	       LEASE_ORDER;
+}
+
+/* Connects; the lease is checked again before the order goes out. */
+static void order_start(struct fleetd *f, struct endpoint *e)
+{
+	static const struct httpc_ops ops = {
+		.on_connected = on_connected,
+		.on_head = on_head,
+		.on_end = on_end,
+	};
+	const struct config_endpoint *ce = &f->config->endpoints[e->index];
+	const struct config_service *service =
+		config_service_by_name(f->config, ce->service);
+	const struct lease *l = leases_of_service(f, ce->service);
+	struct order *o = xcalloc(1, sizeof(*o));
+	struct httpc_request request = {
+		.method = "POST",
+		.address = ce->address,
+		.path = "/v1/orders",
+		.connect_timeout_ms = ORDER_MS / 2,
+		.timeout_ms = ORDER_MS / 2,
+	};
+	json_t *body;
+	char *text;
+
+	o->f = f;
+	o->id = e->id;
+	o->fence = lease_fencing(l);
+	o->salt = e->salt;
+	o->service = xstrdup(ce->service);
+	o->checks = ce->checks_fencing;
+	body = json_pack("{s:I, s:s, s:s}", "fence", (json_int_t)o->fence,
+			 "order", "load-model", "model", service->model);
+	text = json_dumps(body, JSON_COMPACT);
+	request.body = text;
+	request.body_len = strlen(text);
+	e->ordering = true;
+	f->orders->outstanding++;
+	httpc_start(f->client, &request, &ops, o);
+	free(text);
+	json_decref(body);
+}
+
+/* The last moment to withhold the order: the process may have been paused. */
+static bool on_connected(void *arg)
+{
+	struct order *o = arg;
+	const struct lease *l = leases_of_service(o->f, o->service);
+
+	if (l && lease_fencing(l) == o->fence &&
+	    leases_check(o->f, o->service, o->checks, ORDER_MS / 2) ==
+		    LEASE_ORDER) {
+		counter_add(&orders_sent, 1);
+		return true;
+	}
+	counter_add(&orders_withheld, 1);
+	return false;
+}
+
+static void on_head(void *arg, int status, const struct httpc_header *headers,
+		    size_t n)
+{
+	struct order *o = arg;
+
+	(void)headers;
+	(void)n;
+	o->status = status;
+}
+
+static void on_end(void *arg, enum httpc_outcome outcome)
+{
+	struct order *o = arg;
+	struct endpoint *e = endpoints_find(o->f->endpoints, o->id);
+
+	o->f->orders->outstanding--;
+	if (!e)
+		goto out;
+	e->ordering = false;
+	e->order_at = fleetd_now(o->f);
+	if (outcome == HTTPC_OK && o->status == 200) {
+		e->order_fence = o->fence;
+		e->order_salt = o->salt;
+		goto out;
+	}
+	e->order_at += ORDER_RETRY_MS;
+	if (outcome != HTTPC_OK || o->status != 409)
+		goto out;
+	counter_add(&orders_refused, 1);
+	log_msg(LOG_WARNING, "order-refused", NULL,
+		"an engine of service %s has obeyed a later fencing number "
+		"than %" PRIu64,
+		o->service, o->fence);
+out:
+	free(o->service);
+	free(o);
+}
--- a/lib/config.c
+++ b/lib/config.c
@@ -10,22 +10,13 @@
 #include <string.h>
 
 #include "lib/config_check.h"
+#include "lib/config_section.h"
 #include "lib/xalloc.h"
 
 #define CURSOR_KEY_MIN 16
 #define COUNT_MAX 1e9
 #define TIMEOUT_MAX_MS 3600e3
 
-/* One kind of [[table]]: how an element is read and where it is kept. */
-struct section {
-	const char *key;
-	const struct setting *settings;
-	const void *defaults;
-	size_t item_size;
-	size_t items_offset; /* of the pointer in struct config */
-	size_t n_offset; /* of the count in struct config */
-};
-
 static const char *const resume_names[] = { "latency", "work", NULL };
 static const char *const kind_names[] = { "model", "plain", NULL };
 static const char *const measure_names[] = { "resume-latency", "extra-work",
@@ -218,30 +209,31 @@
 		.n_offset = offsetof(struct config, n_##name##s), \
 	}
 
-static const struct section sections[] = {
+const struct config_section config_sections[CONFIG_SECTIONS] = {
 	SECTION(model),	   SECTION(organisation), SECTION(service),
 	SECTION(endpoint), SECTION(objective),
 };
-#define N_SECTIONS (sizeof(sections) / sizeof(sections[0]))
 
-static unsigned char **section_items(struct config *c, const struct section *s);
-static size_t *section_count(struct config *c, const struct section *s);
+static unsigned char **section_items(struct config *c,
+				     const struct config_section *s);
+static size_t *section_count(struct config *c, const struct config_section *s);
 static bool read_cluster(struct config *c, const struct toml_node *root,
 			 const char *file, char *err, size_t err_size);
-static bool read_section(struct config *c, const struct section *s,
+static bool read_section(struct config *c, const struct config_section *s,
 			 const struct toml_node *root, const char *file,
 			 char *err, size_t err_size);
 static bool read_all(struct config *c, const struct toml_node *root,
 		     const char *file, char *err, size_t err_size);
 
 /* Returns the place of the pointer to the section's elements. */
-static unsigned char **section_items(struct config *c, const struct section *s)
+static unsigned char **section_items(struct config *c,
+				     const struct config_section *s)
 {
 	return (unsigned char **)((char *)c + s->items_offset);
 }
 
 /* Returns the place of the number of the section's elements. */
-static size_t *section_count(struct config *c, const struct section *s)
+static size_t *section_count(struct config *c, const struct config_section *s)
 {
 	return (size_t *)((char *)c + s->n_offset);
 }
@@ -270,7 +262,7 @@
 }
 
 /* Reads the [[tables]] of one kind, in the order of the file. */
-static bool read_section(struct config *c, const struct section *s,
+static bool read_section(struct config *c, const struct config_section *s,
 			 const struct toml_node *root, const char *file,
 			 char *err, size_t err_size)
 {
@@ -316,8 +308,9 @@
 		return false;
 	if (!read_cluster(c, root, file, err, err_size))
 		return false;
-	for (i = 0; i < N_SECTIONS; i++)
-		if (!read_section(c, &sections[i], root, file, err, err_size))
+	for (i = 0; i < CONFIG_SECTIONS; i++)
+		if (!read_section(c, &config_sections[i], root, file, err,
+				  err_size))
 			return false;
 	return config_check(c, root, file, err, err_size);
 }
@@ -358,13 +351,13 @@
  * allowed. */
 void config_unref(struct config *c)
 {
-	const struct section *s;
+	const struct config_section *s;
 	size_t i, k;
 
 	if (!c || --c->refs)
 		return;
-	for (i = 0; i < N_SECTIONS; i++) {
-		s = &sections[i];
+	for (i = 0; i < CONFIG_SECTIONS; i++) {
+		s = &config_sections[i];
 		for (k = 0; k < *section_count(c, s); k++)
 			settings_release(s->settings, *section_items(c, s) +
 							      k * s->item_size);
--- a/lib/platform.h
+++ b/lib/platform.h
@@ -76,6 +76,7 @@
 				       const struct platform_instance *list,
 				       size_t n),
 			  void *arg);
+	size_t (*pending)(const struct platform *p); /* calls in progress */
 	void (*free)(struct platform *p);
 };
 
--- a/lib/platform_http.c
+++ b/lib/platform_http.c
@@ -81,6 +81,7 @@
 					const struct platform_instance *list,
 					size_t n),
 			   void *arg);
+static size_t http_pending(const struct platform *p);
 static void http_free(struct platform *p);
 
 static struct call *call_new(struct platform *p,
@@ -116,6 +117,7 @@
 	.object_put = http_object_put,
 	.object_get = http_object_get,
 	.instances = http_instances,
+	.pending = http_pending,
 	.free = http_free,
 };
 
@@ -133,6 +135,18 @@
 	return &h->platform;
 }
 
+/* Returns the number of calls in progress. */
+static size_t http_pending(const struct platform *p)
+{
+	const struct platform_http *h = (const struct platform_http *)p;
+	const struct call *call;
+	size_t n = 0;
+
+	for (call = h->calls; call; call = call->next)
+		n++;
+	return n;
+}
+
 /* Gives up all calls in progress; their functions are not called. */
 static void http_free(struct platform *p)
 {
--- a/proto/control.pb-c.c
+++ b/proto/control.pb-c.c
@@ -1255,7 +1255,7 @@
   (ProtobufCMessageInit) cdm__observation__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cdm__digest__field_descriptors[8] =
+static const ProtobufCFieldDescriptor cdm__digest__field_descriptors[9] =
 {
   {
     "kind",
@@ -1353,6 +1353,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "to",
+    9,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Cdm__Digest, has_to),
+    offsetof(Cdm__Digest, to),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cdm__digest__field_indices_by_name[] = {
   4,   /* field[4] = config_version */
@@ -1362,12 +1374,13 @@
   2,   /* field[2] = sequence */
   6,   /* field[6] = suspicions */
   3,   /* field[3] = target */
+  8,   /* field[8] = to */
   5,   /* field[5] = updates */
 };
 static const ProtobufCIntRange cdm__digest__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor cdm__digest__descriptor =
 {
@@ -1377,7 +1390,7 @@
   "Cdm__Digest",
   "cdm",
   sizeof(Cdm__Digest),
-  8,
+  9,
   cdm__digest__field_descriptors,
   cdm__digest__field_indices_by_name,
   1,  cdm__digest__number_ranges,
--- a/proto/control.pb-c.h
+++ b/proto/control.pb-c.h
@@ -271,10 +271,15 @@
   Cdm__Suspicion **suspicions;
   size_t n_endpoints;
   Cdm__EndpointState **endpoints;
+  /*
+   * absent: whoever answers there
+   */
+  protobuf_c_boolean has_to;
+  uint64_t to;
 };
 #define CDM__DIGEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cdm__digest__descriptor) \
-    , CDM__DIGEST_KIND__DIGEST_PING, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL }
+    , CDM__DIGEST_KIND__DIGEST_PING, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
 
 
 /*
