policy: membership by random probes and gossip

Cause: the platform's instance list lags, and no instance may talk to all others at 920; the fleet has to find out itself who is alive. Change: a SWIM-style member table (random probe, indirect probes, suspicion, refutation by incarnation, updates on the messages), merged with the instance list; an instance that was paused, or whose probes fail, lengthens its own timeouts; dead members are probed now and then so that partitions heal.

--- a/policy/member.h
+++ b/policy/member.h
@@ -18,6 +18,8 @@
 #define MEMBER_RETRANSMIT 3 /* times log2 of the fleet's size */
 #define MEMBER_RECONNECT_MS 2000 /* between probes of dead members */
 #define MEMBER_HEALTH_MAX 4 /* local timeouts grow up to 1 + this */
+#define MEMBER_ANNOUNCE_PEERS 4 /* told at once of what is new */
+#define MEMBER_INCARNATION_MAX (1ull << 62)
 #define MEMBER_FORGET_MS 600000 /* dead and unlisted for this long */
 
 /* In order of precedence among updates of one incarnation. */
@@ -93,6 +95,7 @@
 	bool indirect; /* helpers have been asked */
 	uint64_t id;
 	uint64_t seq;
+	uint64_t started_at;
 	uint64_t indirect_at;
 	uint64_t deadline;
 };
@@ -120,6 +123,8 @@
 	unsigned int n_hot; /* members whose update is still being sent */
 	unsigned int n_relays; /* ever; the slot is this modulo the size */
 	uint64_t pauses; /* late ticks so far */
+	uint64_t suspicions; /* that we have raised */
+	uint64_t deaths; /* that we have declared by ourselves */
 	uint64_t false_suspicions; /* of us, refuted */
 	struct member_probe probe;
 	struct member_relay relays[MEMBER_RELAY_MAX];
@@ -133,14 +138,14 @@
 		   struct member_msg *out, size_t max);
 enum member_outcome member_receive(struct member_table *t,
 				   const struct member_msg *msg, uint64_t now,
-				   uint64_t rnd, struct member_msg *out,
-				   size_t max, size_t *n_out);
+				   struct member_msg *out, size_t max,
+				   size_t *n_out);
 enum member_outcome member_list(struct member_table *t,
 				const struct member_listing *list, size_t n,
 				uint64_t now);
 enum member_outcome member_merge(struct member_table *t,
 				 const struct member_update *u, uint64_t now);
-size_t member_fill(const struct member_table *t, size_t from,
+size_t member_fill(const struct member_table *t, size_t *from,
 		   struct member_update *out, size_t max);
 size_t member_announce(struct member_table *t, uint64_t rnd,
 		       struct member_msg *out, size_t max);
