policy: leases with fencing numbers over a table row

Cause: orders to engines need one sender at a time, holders get paused, and answers of the table get lost after the write took effect. Change: conditional writes with a nonce; the holder counts from the first sending of its write, a waiter from its own first reading; a lost answer is settled by reading the nonce back, an unsettled write is sent again unchanged. Endpoints without fencing get no order of a new holder before the old lease has run out. A restarted process waits out its former self.

--- a/policy/lease.h
+++ b/policy/lease.h
@@ -56,13 +56,16 @@
 	bool wanted; /* acquire it when it is free */
 	bool read_due; /* the row must be read before the next write */
 	bool busy; /* an action was given out and not yet answered */
+	bool releasing; /* no more orders; the row is to be released */
 	struct lease_row row; /* as last read or written */
 	uint64_t seen_at; /* when `row.version` was first read */
 	uint64_t valid_until; /* HELD: by our own clock */
 	uint64_t unfenced_from; /* orders to endpoints without fencing */
 	uint64_t next_at; /* nothing to do before */
 	bool pending; /* a write may have taken effect */
+	uint64_t former_nonce; /* of our last write that is known good */
 	struct lease_write write; /* the last write, kept while pending */
+	unsigned int write_sends;
 	uint64_t write_sent_at; /* when it was first sent */
 };
 
@@ -75,7 +78,7 @@
 		   uint64_t now);
 bool lease_take_over(struct lease *l, uint64_t now, uint64_t nonce,
 		     struct lease_write *out);
-void lease_release(struct lease *l, uint64_t now);
+void lease_release(struct lease *l);
 enum lease_verdict lease_check(const struct lease *l, uint64_t now,
 			       bool endpoint_checks, uint32_t order_ms);
 uint64_t lease_fencing(const struct lease *l);
--- /dev/null
+++ b/regress/unit/test_lease.c
@@ -0,0 +1,373 @@
+/* Unit tests of policy/lease.c. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <setjmp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "policy/lease.h"
+
+#define STEP_MS 100
+#define ORDER_MS 500
+
+/* How the table treats the next write. */
+enum fault {
+	FAULT_NONE,
+	FAULT_LOST_BEFORE, /* no answer, no effect */
+	FAULT_LOST_AFTER, /* no answer, but written */
+	FAULT_LATE, /* no answer; written when released by late_write() */
+	FAULT_DOWN, /* refused, without effect */
+};
+
+struct world {
+	uint64_t now;
+	uint64_t nonce;
+	struct lease_row row;
+	enum fault fault;
+	bool down; /* reads and writes fail */
+	struct lease_write late;
+	bool has_late;
+	unsigned int n_writes;
+};
+
+static enum lease_result apply(struct world *w, const struct lease_write *write)
+{
+	if (write->if_version != w->row.version)
+		return LEASE_CONFLICT;
+	w->row = write->row;
+	w->row.version = write->if_version + 1;
+	w->n_writes++;
+	return LEASE_WRITTEN;
+}
+
+static enum lease_result put(struct world *w, const struct lease_write *write)
+{
+	enum fault fault = w->fault;
+
+	w->fault = FAULT_NONE;
+	if (w->down || fault == FAULT_DOWN)
+		return LEASE_FAILED;
+	switch (fault) {
+	case FAULT_LOST_BEFORE:
+		return LEASE_NO_ANSWER;
+	case FAULT_LOST_AFTER:
+		apply(w, write);
+		return LEASE_NO_ANSWER;
+	case FAULT_LATE:
+		w->late = *write;
+		w->has_late = true;
+		return LEASE_NO_ANSWER;
+	default:
+		return apply(w, write);
+	}
+}
+
+static void late_write(struct world *w)
+{
+	assert_true(w->has_late);
+	w->has_late = false;
+	apply(w, &w->late);
+}
+
+static void step(struct world *w, struct lease *l)
+{
+	struct lease_write write;
+	enum lease_result result;
+
+	switch (lease_step(l, w->now, ++w->nonce, &write)) {
+	case LEASE_NOTHING:
+		break;
+	case LEASE_READ:
+		if (w->down)
+			lease_read_failed(l, w->now);
+		else
+			lease_read(l, &w->row, w->now);
+		break;
+	case LEASE_WRITE:
+		result = put(w, &write);
+		lease_written(l, result, w->row.version, w->now);
+		break;
+	}
+}
+
+static bool orders(const struct world *w, const struct lease *l, bool checks)
+{
+	return lease_check(l, w->now, checks, ORDER_MS) == LEASE_ORDER;
+}
+
+/* Runs both holders for so long; they never give orders at the same time. */
+static void run(struct world *w, struct lease *a, struct lease *b, uint64_t ms)
+{
+	uint64_t end = w->now + ms;
+
+	for (; w->now < end; w->now += STEP_MS) {
+		if (a)
+			step(w, a);
+		if (b)
+			step(w, b);
+		if (a && b)
+			assert_false(orders(w, a, false) &&
+				     orders(w, b, false));
+	}
+}
+
+static void start(struct lease *l, uint64_t self)
+{
+	lease_init(l, self);
+	l->wanted = true;
+}
+
+static void test_acquire_and_keep(void **state)
+{
+	struct world w = { .now = 1000 };
+	struct lease a;
+	struct lease b;
+
+	(void)state;
+	start(&a, 1);
+	start(&b, 2);
+	run(&w, &a, &b, 60000);
+	assert_true(orders(&w, &a, true));
+	assert_true(orders(&w, &a, false));
+	assert_int_equal(lease_check(&b, w.now, true, 0), LEASE_REFUSE);
+	assert_int_equal(w.row.fencing, 1);
+	assert_true(w.n_writes <= 1 + 60000 / LEASE_RENEW_MS);
+}
+
+/* The holder is paused; it wakes and believes nothing. */
+static void test_paused_holder(void **state)
+{
+	struct world w = { .now = 1000 };
+	struct lease a;
+	struct lease b;
+
+	(void)state;
+	start(&a, 1);
+	start(&b, 2);
+	run(&w, &a, &b, 10000);
+	run(&w, NULL, &b,
+	    LEASE_DURATION_MS + LEASE_MARGIN_MS + LEASE_RENEW_MS +
+		    LEASE_READ_MS);
+	assert_true(orders(&w, &b, false));
+	assert_int_equal(lease_fencing(&b), 2);
+	/* Woken: refused by its own clock, before it reads anything. */
+	assert_false(orders(&w, &a, true));
+	run(&w, &a, &b, 20000);
+	assert_false(orders(&w, &a, true));
+	assert_true(orders(&w, &b, false));
+}
+
+/* A short pause costs nothing. */
+static void test_briefly_paused_holder(void **state)
+{
+	struct world w = { .now = 1000 };
+	struct lease a;
+	struct lease b;
+
+	(void)state;
+	start(&a, 1);
+	start(&b, 2);
+	run(&w, &a, &b, 10000);
+	run(&w, NULL, &b, 4000);
+	run(&w, &a, &b, 20000);
+	assert_true(orders(&w, &a, false));
+	assert_int_equal(w.row.fencing, 1);
+}
+
+static void test_order_that_would_end_late(void **state)
+{
+	struct world w = { .now = 1000 };
+	struct lease a;
+
+	(void)state;
+	start(&a, 1);
+	run(&w, &a, NULL, 1000);
+	assert_int_equal(lease_check(&a, w.now, true, LEASE_DURATION_MS),
+			 LEASE_REFUSE);
+	assert_int_equal(lease_check(&a, w.now, true, 100), LEASE_ORDER);
+	assert_int_equal(lease_check(&a, a.valid_until - 100, true, 100),
+			 LEASE_REFUSE);
+}
+
+struct fault_case {
+	const char *name;
+	enum fault fault;
+};
+
+static const struct fault_case fault_cases[] = {
+	{ "answer lost, not written", FAULT_LOST_BEFORE },
+	{ "answer lost, written", FAULT_LOST_AFTER },
+	{ "refused", FAULT_DOWN },
+};
+
+/* A fault at the first write or at a renewal is got over by the holder. */
+static void test_lost_answers(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(fault_cases) / sizeof(fault_cases[0]); i++) {
+		struct world w = { .now = 1000 };
+		struct lease a;
+		struct lease b;
+
+		print_message("%s\n", fault_cases[i].name);
+		start(&a, 1);
+		start(&b, 2);
+		w.fault = fault_cases[i].fault;
+		run(&w, &a, NULL, 2000);
+		assert_true(orders(&w, &a, false));
+		assert_int_equal(w.row.fencing, 1);
+		w.fault = fault_cases[i].fault;
+		run(&w, &a, &b, 20000);
+		assert_int_equal(w.fault, FAULT_NONE);
+		assert_true(orders(&w, &a, false));
+		assert_int_equal(w.row.fencing, 1);
+	}
+}
+
+/* A write that arrives after it was sent again takes effect once. */
+static void test_late_write(void **state)
+{
+	struct world w = { .now = 1000, .fault = FAULT_LATE };
+	struct lease a;
+	struct lease b;
+	uint64_t sent;
+
+	(void)state;
+	start(&a, 1);
+	start(&b, 2);
+	run(&w, &a, NULL, 200);
+	sent = a.write_sent_at;
+	/* It arrives when the row was read and it is about to be sent again. */
+	while (a.read_due)
+		run(&w, &a, NULL, STEP_MS);
+	late_write(&w);
+	run(&w, &a, NULL, 1000);
+	/* The lease counts from the first sending. */
+	assert_int_equal(a.valid_until,
+			 sent + LEASE_DURATION_MS - LEASE_MARGIN_MS);
+	assert_int_equal(w.n_writes, 1);
+	assert_true(orders(&w, &a, false));
+	/* Another got in between: the late write fails on the version. */
+	w.fault = FAULT_LATE;
+	run(&w, &a, &b, LEASE_RENEW_MS);
+	w.row.version++;
+	w.row.holder = 2;
+	w.row.fencing = 2;
+	w.row.nonce = 12345;
+	late_write(&w);
+	assert_int_equal(w.row.holder, 2);
+	/* Told of it by its next renewal. */
+	run(&w, &a, NULL, LEASE_RENEW_MS);
+	assert_int_equal(w.row.holder, 2);
+	assert_false(orders(&w, &a, true));
+}
+
+/* During an outage the holder stops in time, and nobody takes over. */
+static void test_outage(void **state)
+{
+	struct world w = { .now = 1000 };
+	struct lease a;
+	struct lease b;
+
+	(void)state;
+	start(&a, 1);
+	start(&b, 2);
+	run(&w, &a, &b, 10000);
+	w.down = true;
+	run(&w, &a, &b, 60000);
+	assert_false(orders(&w, &a, true));
+	assert_false(orders(&w, &b, true));
+	w.down = false;
+	run(&w, &a, &b, 20000);
+	assert_true(orders(&w, &a, false) || orders(&w, &b, false));
+}
+
+static void test_release(void **state)
+{
+	struct world w = { .now = 1000 };
+	struct lease a;
+	struct lease b;
+
+	(void)state;
+	start(&a, 1);
+	start(&b, 2);
+	run(&w, &a, &b, 10000);
+	lease_release(&a);
+	assert_false(orders(&w, &a, true));
+	w.fault = FAULT_LOST_AFTER;
+	run(&w, &a, &b, LEASE_READ_MS + 3 * LEASE_RETRY_MS);
+	/* The next holder doesn't wait, since no order is under way. */
+	assert_true(orders(&w, &b, false));
+	assert_int_equal(w.row.fencing, 2);
+	/* To release what is another's does nothing. */
+	lease_release(&a);
+	run(&w, &a, &b, 10000);
+	assert_int_equal(w.row.holder, 2);
+}
+
+/* By an operator's order: fencing endpoints at once, others after the wait. */
+static void test_take_over(void **state)
+{
+	struct world w = { .now = 1000 };
+	struct lease_write write;
+	struct lease a;
+	struct lease b;
+	uint64_t taken;
+
+	(void)state;
+	start(&a, 1);
+	start(&b, 2);
+	run(&w, &a, &b, 10000);
+	taken = w.now;
+	assert_true(lease_take_over(&b, w.now, ++w.nonce, &write));
+	lease_written(&b, put(&w, &write), w.row.version, w.now);
+	assert_int_equal(lease_check(&b, w.now, true, ORDER_MS), LEASE_ORDER);
+	assert_int_equal(lease_check(&b, w.now, false, ORDER_MS), LEASE_WAIT);
+	/* The former holder, cut off, believes in its lease for a while. */
+	run(&w, NULL, &b, LEASE_DURATION_MS + LEASE_MARGIN_MS);
+	assert_true(orders(&w, &b, false));
+	assert_true(b.unfenced_from >= a.valid_until);
+	assert_true(b.unfenced_from <=
+		    taken + LEASE_DURATION_MS + LEASE_MARGIN_MS);
+}
+
+/* A new process of the same instance waits out its former self. */
+static void test_restarted_holder(void **state)
+{
+	struct world w = { .now = 1000 };
+	struct lease old;
+	struct lease new;
+
+	(void)state;
+	start(&old, 1);
+	run(&w, &old, NULL, 10000);
+	start(&new, 1);
+	run(&w, &new, NULL, LEASE_DURATION_MS);
+	assert_false(orders(&w, &new, true));
+	run(&w, &new, NULL, LEASE_MARGIN_MS + 2 * STEP_MS);
+	assert_true(orders(&w, &new, false));
+	assert_int_equal(w.row.fencing, 2);
+	assert_false(orders(&w, &old, true));
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_acquire_and_keep),
+		cmocka_unit_test(test_paused_holder),
+		cmocka_unit_test(test_briefly_paused_holder),
+		cmocka_unit_test(test_order_that_would_end_late),
+		cmocka_unit_test(test_lost_answers),
+		cmocka_unit_test(test_late_write),
+		cmocka_unit_test(test_outage),
+		cmocka_unit_test(test_release),
+		cmocka_unit_test(test_take_over),
+		cmocka_unit_test(test_restarted_holder),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
