policy: adoption and commit of configuration versions

Cause: versions are heard of by gossip, polls and bodies, out of order and from instances that may be wrong; commit answers get lost; operators race. Change: hearing only starts a fetch, only a checked body is put in force, and versions only grow; bodies come from peers and the table in turn; a version that nobody can deliver is given up at the table's word. The row of version base + 1 decides a commit, by its nonce.

--- a/policy/config_adopt.h
+++ b/policy/config_adopt.h
@@ -7,6 +7,7 @@
 #define CONFIG_POLL_MS 8000 /* mean; the jitter is a quarter either way */
 #define CONFIG_POLL_FAILED_MAX_MS 32000 /* longest wait after failures */
 #define CONFIG_FETCH_TIMEOUT_MS 1000 /* then another source is asked */
+#define CONFIG_FETCHES_MAX 4 /* then the head row's word goes before gossip */
 #define CONFIG_STALE_MS 30000 /* without word from the table */
 
 enum config_source {
@@ -52,9 +53,8 @@
 	bool polling;
 };
 
-void config_adopt_init(struct config_adopt *a, uint64_t now, uint64_t rnd);
-enum config_action config_adopt_step(struct config_adopt *a, uint64_t now,
-				     uint64_t rnd);
+void config_adopt_init(struct config_adopt *a, uint64_t now);
+enum config_action config_adopt_step(struct config_adopt *a, uint64_t now);
 void config_adopt_heard(struct config_adopt *a, uint64_t version, uint64_t peer,
 			uint64_t now);
 void config_adopt_polled(struct config_adopt *a, bool ok, uint64_t version,
