policy: admission holds under overload; fair charges; promised returns

A simulated overload (40 slots, 10 organisations, callers who wait 3 s and come back as told) showed three faults: - a wait was taken as zero whenever a slot was free, also while others waited for it, so the queue was overfilled between a completion and admit_next(); - a request's slot time was put right at its end, so that one long request set its organisation back behind what its waiting requests were told; charges now follow what the organisation's past requests came out at; - callers coming back had no way to find the room that their Retry-After stood for; they are now recognised by digest and go first within their priority, and new requests leave them a part of the drain rate.

--- a/policy/admit.c
+++ b/policy/admit.c
@@ -27,7 +27,9 @@
 	.resume_permille = 200,
 	.service_prior_ms = 5000,
 	.rate_keep_ms = 30000,
-	.return_permille = 500,
+	.return_permille = 300,
+	.margin_permille = 2000,
+	.promises_max = 16384,
 	.retry_max_s = 600,
 };
 
@@ -46,6 +48,13 @@
 					uint64_t now);
 static struct admit_verdict refuse_entry(struct admit *a, uint32_t e,
 					 uint64_t now, uint64_t rnd);
+static double expected_wait_ms(const struct admit *a,
+			       const struct admit_request *req, bool returning,
+			       uint64_t now);
+static struct admit_verdict enqueue(struct admit *a,
+				    const struct admit_request *req,
+				    bool returning, double wait, uint64_t now,
+				    uint64_t rnd);
 static struct admit_request request_of(const struct admit *a, uint32_t e);
 static uint32_t next_entry(const struct admit *a);
 static void recheck_list(struct admit *a, uint32_t org, uint32_t head,
@@ -61,7 +70,7 @@
 	a->params = *params;
 	rate_init(&a->rate, params->rate_keep_ms, params->service_prior_ms,
 		  now);
-	promise_init(&a->promises, params->queue_max);
+	promise_init(&a->promises, params->promises_max);
 	admit_queue_init(&a->q, params->orgs_max, 2 * params->queue_max);
 	return a;
 }
@@ -76,14 +85,6 @@
 	free(a);
 }
 
-/* Bytes that admission of this size takes. */
-size_t admit_bytes(const struct admit_params *params)
-{
-	return sizeof(struct admit) +
-	       admit_queue_bytes(params->orgs_max, 2 * params->queue_max) +
-	       params->queue_max * sizeof(struct promise);
-}
-
 /* Says whether nothing of the organisation may run, and why. */
 static enum admit_reason closed(const struct admit *a, uint32_t org)
 {
@@ -183,12 +184,62 @@
 	if (!a->params.slots)
 		due = now + NO_CAPACITY_RETRY_MS + rnd % NO_CAPACITY_RETRY_MS;
 	else
-		due = admit_promise_time(a, req->org, late_ms, now, rnd);
+		due = admit_promise_time(a, req->org, late_ms, now, rnd,
+					 &v.promised);
 	v.retry_after_s = (uint32_t)((due - now + MS_PER_S - 1) / MS_PER_S);
 	if (!v.retry_after_s)
 		v.retry_after_s = 1;
-	promise_give(&a->promises, req->digest,
-		     now + (uint64_t)v.retry_after_s * MS_PER_S);
+	if (v.promised)
+		promise_give(&a->promises, req->digest,
+			     now + (uint64_t)v.retry_after_s * MS_PER_S);
+	return v;
+}
+
+/*
+ * Expected wait of a request that cannot run at once.  One that comes back as
+ * told goes before the others of its priority; a new one leaves room for such
+ * and a margin, so that few that are queued are refused later.
+ */
+static double expected_wait_ms(const struct admit *a,
+			       const struct admit_request *req, bool returning,
+			       uint64_t now)
+{
+	uint8_t list = admit_queue_list(req);
+	double wait;
+
+	if (req->kind == ADMIT_RESUME)
+		return admit_wait_ms(a, req->org, a->q.queued_resumes, true);
+	if (returning)
+		return admit_wait_ms(
+			a, req->org,
+			admit_queue_ahead(&a->q, req->org, list - 1), false);
+	wait = admit_wait_ms(a, req->org,
+			     admit_queue_ahead(&a->q, req->org, list), false);
+	return wait + admit_room_ms(a, req->org, wait, now) +
+	       admit_margin_ms(a, req->org, wait);
+}
+
+/* Puts a request into the queue, if there is room. */
+static struct admit_verdict enqueue(struct admit *a,
+				    const struct admit_request *req,
+				    bool returning, double wait, uint64_t now,
+				    uint64_t rnd)
+{
+	struct admit_verdict v = {
+		.outcome = ADMIT_QUEUE,
+		.id = req->id,
+		.org = req->org,
+		.kind = req->kind,
+		.wait_ms = wait < UINT32_MAX ? (uint32_t)wait : UINT32_MAX,
+	};
+	enum admit_reason reason = full(a, req, returning);
+	uint32_t e;
+
+	if (reason != ADMIT_REASON_NONE)
+		return refuse(a, req, reason, 0, now, rnd);
+	e = admit_queue_add(&a->q, req, returning, now);
+	assert(e != admit_none);
+	v.ticket = (uint32_t)a->q.entry[e].generation << TICKET_INDEX_BITS | e;
 	return v;
 }
 
@@ -201,46 +252,24 @@
 				  const struct admit_request *req, uint64_t now,
 				  uint64_t rnd)
 {
-	struct admit_verdict v = { .outcome = ADMIT_QUEUE,
-				   .id = req->id,
-				   .org = req->org,
-				   .kind = req->kind };
-	bool resume = req->kind == ADMIT_RESUME;
 	enum admit_reason reason = closed(a, req->org);
-	bool returning;
-	double wait = 0;
-	double late;
-	uint32_t e;
+	bool returning, run;
+	double wait, late;
 
 	rate_advance(&a->rate, a->running, now);
 	if (reason != ADMIT_REASON_NONE)
 		return refuse(a, req, reason, 0, now, rnd);
-	if (!a->params.slots && !resume)
+	if (!a->params.slots && req->kind != ADMIT_RESUME)
 		return refuse(a, req, ADMIT_REASON_NO_CAPACITY, 0, now, rnd);
 	returning = promise_keep(&a->promises, req->digest, now);
-	if (!may_run(a, req)) {
-		wait = admit_wait_ms(
-			a, req->org,
-			resume ? a->q.queued_resumes
-			       : admit_queue_ahead(&a->q, req->org,
-						   admit_queue_list(req)),
-			resume);
-		if (!returning && !resume)
-			wait += admit_room_ms(a, req->org, wait, now);
-	}
+	run = may_run(a, req);
+	wait = run ? 0 : expected_wait_ms(a, req, returning, now);
 	late = (double)now + wait + req->need_ms - (double)req->deadline_ms;
 	if (req->deadline_ms && late > 0 && a->params.slots)
 		return refuse(a, req, ADMIT_REASON_DEADLINE, late, now, rnd);
-	if (may_run(a, req))
+	if (run)
 		return start(a, req, 0);
-	reason = full(a, req, returning);
-	if (reason != ADMIT_REASON_NONE)
-		return refuse(a, req, reason, 0, now, rnd);
-	e = admit_queue_add(&a->q, req, now);
-	assert(e != admit_none);
-	v.ticket = (uint32_t)a->q.entry[e].generation << TICKET_INDEX_BITS | e;
-	v.wait_ms = wait < UINT32_MAX ? (uint32_t)wait : UINT32_MAX;
-	return v;
+	return enqueue(a, req, returning, wait, now, rnd);
 }
 
 /* The request that waits in entry e. */
@@ -346,7 +375,8 @@
 	if (kind == ADMIT_RESUME)
 		a->running_resumes--;
 	o->running--;
-	admit_queue_charge(&a->q, org, (double)held_ms - charged_ms);
+	admit_queue_learn(&a->q, org, charged_ms, held_ms);
+	admit_queue_org_changed(&a->q, org);
 }
 
 /* Takes a waiting request out.  Returns false if the ticket is not valid. */
@@ -437,28 +467,3 @@
 		     e = a->q.entry[e].in_org.next)
 			heap_set(&a->q.due, e, 0);
 }
-
-/* Requests of the organisation that run here. */
-uint32_t admit_org_running(const struct admit *a, uint32_t org)
-{
-	return a->q.org[org].running;
-}
-
-/* Requests of the organisation that wait here. */
-uint32_t admit_org_queued(const struct admit *a, uint32_t org)
-{
-	return a->q.org[org].queued;
-}
-
-/* Figures for the counters and for the load report. */
-struct admit_stats admit_stats(const struct admit *a)
-{
-	return (struct admit_stats){
-		.slots = a->params.slots,
-		.running = a->running,
-		.running_resumes = a->running_resumes,
-		.queued = a->q.queued,
-		.queued_resumes = a->q.queued_resumes,
-		.drain_per_s = admit_drain_per_ms(a) * MS_PER_S,
-	};
-}
--- a/policy/admit.h
+++ b/policy/admit.h
@@ -43,6 +43,8 @@
 	uint32_t service_prior_ms; /* time in a slot, until measured */
 	uint32_t rate_keep_ms; /* memory of the measured drain rate */
 	uint32_t return_permille; /* drain rate promised to refused callers */
+	uint32_t margin_permille; /* standard deviations added to a wait */
+	uint32_t promises_max; /* refused callers remembered */
 	uint32_t retry_max_s; /* longest Retry-After */
 };
 
@@ -61,6 +63,7 @@
 	enum admit_outcome outcome;
 	enum admit_reason reason;
 	uint32_t retry_after_s; /* of a refusal; at least 1 */
+	bool promised; /* room is kept for the caller at that time */
 	uint32_t ticket; /* of a queued request, for admit_cancel() */
 	uint32_t wait_ms; /* expected wait; of a run from the queue: actual */
 	uint64_t id; /* the request that the verdict is about */
--- a/policy/admit_queue.c
+++ b/policy/admit_queue.c
@@ -1,18 +1,23 @@
 /*
  * Waiting requests of one instance: lists by organisation and priority,
  * start-time fair queueing between organisations, and a heap of latest starts.
- * Each start moves its organisation's virtual time on by the slot time used
+ * Each start moves its organisation's virtual time on by the slot time expected
  * divided by the weight; the organisation with the least virtual time goes
  * next, so slot time is shared by weight whatever the length of requests.
  */
 #include "policy/admit_queue.h"
 
 #include <assert.h>
+#include <math.h>
 #include <stdlib.h>
 
 #include "lib/xalloc.h"
 
-enum { ADMIT_GENERATION_MASK = 0xfff };
+enum {
+	ADMIT_GENERATION_MASK = 0xfff,
+	LEARN_REQUESTS = 32, /* memory of an organisation's slot times */
+	LEARN_PRIOR_MS = 1000,
+};
 
 const uint32_t admit_none = UINT32_MAX;
 
@@ -20,6 +25,8 @@
 				  bool in_resumes);
 static void list_append(struct admit_queue *q, struct admit_list *list,
 			uint32_t e, bool in_resumes);
+static void list_prepend(struct admit_queue *q, struct admit_list *list,
+			 uint32_t e);
 static void list_remove(struct admit_queue *q, struct admit_list *list,
 			uint32_t e, bool in_resumes);
 
@@ -40,9 +47,12 @@
 	q->entry = xcalloc(entries_max, sizeof(*q->entry));
 	heap_init(&q->ready, orgs_max);
 	heap_init(&q->due, entries_max);
-	for (i = 0; i < orgs_max; i++)
+	for (i = 0; i < orgs_max; i++) {
+		q->org[i].held_ms = LEARN_PRIOR_MS;
+		q->org[i].expected_ms = LEARN_PRIOR_MS;
 		for (l = 0; l < ADMIT_LISTS; l++)
 			q->org[i].list[l] = empty;
+	}
 	for (i = 0; i < entries_max; i++)
 		q->entry[i].in_org.next = i + 1 < entries_max ? i + 1
 							      : admit_none;
@@ -92,6 +102,22 @@
 	list->count++;
 }
 
+/* Puts entry e at the start of its organisation's list. */
+static void list_prepend(struct admit_queue *q, struct admit_list *list,
+			 uint32_t e)
+{
+	struct admit_link *link = &q->entry[e].in_org;
+
+	link->prev = admit_none;
+	link->next = list->head;
+	if (list->head == admit_none)
+		list->tail = e;
+	else
+		q->entry[list->head].in_org.prev = e;
+	list->head = e;
+	list->count++;
+}
+
 /* Takes entry e out of list. */
 static void list_remove(struct admit_queue *q, struct admit_list *list,
 			uint32_t e, bool in_resumes)
@@ -118,12 +144,13 @@
 }
 
 /*
- * Adds a request; returns its entry, or admit_none if no entry is free.  An
+ * Adds a request, in front of its list or at its end; returns its entry, or
+ * admit_none if no entry is free.  An
  * organisation that had nothing waiting starts no earlier than the virtual
  * time reached, so that it cannot save up idle time.
  */
 uint32_t admit_queue_add(struct admit_queue *q, const struct admit_request *req,
-			 uint64_t now)
+			 bool front, uint64_t now)
 {
 	struct admit_org *org = &q->org[req->org];
 	uint32_t e = q->free_head;
@@ -144,7 +171,10 @@
 		.list = admit_queue_list(req),
 		.used = true,
 	};
-	list_append(q, &org->list[entry->list], e, false);
+	if (front)
+		list_prepend(q, &org->list[entry->list], e);
+	else
+		list_append(q, &org->list[entry->list], e, false);
 	if (entry->list == ADMIT_LIST_RESUME) {
 		list_append(q, &q->resumes, e, true);
 		q->queued_resumes++;
@@ -198,16 +228,30 @@
 		heap_remove(&q->ready, org);
 }
 
-/* Moves the organisation's virtual time by ms of slot time; may be negative. */
+/*
+ * Charges the start of a request that is expected to hold a slot for ms.  The
+ * charge is put right by how the organisation's requests came out before, not
+ * by how this one will: a single long request would set the organisation back
+ * behind what those already waiting were told.
+ */
 void admit_queue_charge(struct admit_queue *q, uint32_t org, double ms)
 {
 	struct admit_org *o = &q->org[org];
 
-	if (o->weight)
-		o->start += ms / o->weight;
+	o->start += ms * o->held_ms / fmax(o->expected_ms, 1) / o->weight;
 	admit_queue_org_changed(q, org);
 }
 
+/* Learns how long a request held its slot against what was expected. */
+void admit_queue_learn(struct admit_queue *q, uint32_t org,
+		       uint32_t expected_ms, uint32_t held_ms)
+{
+	struct admit_org *o = &q->org[org];
+
+	o->held_ms += held_ms - o->held_ms / LEARN_REQUESTS;
+	o->expected_ms += expected_ms - o->expected_ms / LEARN_REQUESTS;
+}
+
 /* The organisation's entry to start next, or admit_none. */
 uint32_t admit_queue_first(const struct admit_queue *q, uint32_t org)
 {
--- a/policy/admit_wait.c
+++ b/policy/admit_wait.c
@@ -1,12 +1,13 @@
 /*
- * What admission expects: how fast slots drain, how long a request would wait,
- * and when a refused caller should come back.
+ * What admission expects and reports: how fast slots drain, how long a request
+ * would wait, when a refused caller should come back, and figures of its state.
  */
 #include "policy/admit_wait.h"
 
 #include <math.h>
 
 static double org_drain_per_ms(const struct admit *a, uint32_t org);
+static double lag_ms(const struct admit *a, uint32_t org);
 
 /* Completions a millisecond when all slots are in use. */
 double admit_drain_per_ms(const struct admit *a)
@@ -28,9 +29,25 @@
 }
 
 /*
- * Expected wait of a request with ahead others of its organisation before it.
- * It is the least of what the fair share and the whole queue give, and at
- * least what the organisation's limit asks.
+ * How long the others take to catch up with slot time that the organisation
+ * has had beyond its share.
+ */
+static double lag_ms(const struct admit *a, uint32_t org)
+{
+	const struct admit_org *o = &a->q.org[org];
+	double weight = (double)a->q.waiting_weight;
+
+	if (o->start <= a->q.virtual_now)
+		return 0;
+	if (!o->queued)
+		weight += o->weight;
+	return (o->start - a->q.virtual_now) * weight / a->params.slots;
+}
+
+/*
+ * Expected wait of a request with ahead others of its organisation before it,
+ * by its fair share, and at least what its limit asks.  The organisations that
+ * wait now are taken to go on waiting.
  */
 double admit_wait_ms(const struct admit *a, uint32_t org, uint32_t ahead,
 		     bool resume)
@@ -46,20 +63,31 @@
 	if (a->running > a->params.slots)
 		excess = a->running - a->params.slots;
 	if (resume)
-		return a->running < a->params.slots
-			       ? 0
-			       : (excess + ahead + 1) / drain;
-	if (a->running >= a->params.slots)
-		wait = fmin((ahead + 1) / org_drain_per_ms(a, org) +
-				    a->q.queued_resumes / drain,
-			    (a->q.queued + 1) / drain) +
-		       excess / drain;
+		return (excess + ahead + 1) / drain;
+	if (a->running >= a->params.slots || a->q.ready.n)
+		wait = ahead / org_drain_per_ms(a, org) +
+		       fmax(lag_ms(a, org), 1 / drain) +
+		       (a->q.queued_resumes + excess) / drain;
 	if (over > 0)
 		wait = fmax(wait, over * rate_service_ms(&a->rate) / o->limit);
 	return wait;
 }
 
-/* Part of the wait to be left to refused callers that come back by then. */
+/*
+ * What to add to an expected wait so that few wait longer: standard deviations
+ * of the time that as many independent completions take.
+ */
+double admit_margin_ms(const struct admit *a, uint32_t org, double wait)
+{
+	double gap = 1 / org_drain_per_ms(a, org);
+
+	return sqrt(wait * gap) * a->params.margin_permille / 1000;
+}
+
+/*
+ * What refused callers that come back, and go first, add to a wait: their part
+ * of the drain rate is not there for new requests.
+ */
 double admit_room_ms(const struct admit *a, uint32_t org, double wait,
 		     uint64_t now)
 {
@@ -69,16 +97,18 @@
 	if (o->promise_ms <= now)
 		return 0;
 	promised = fmin((double)(o->promise_ms - now), wait);
-	return promised * a->params.return_permille / 1000;
+	return promised * a->params.return_permille /
+	       (1000 - a->params.return_permille);
 }
 
 /*
  * The time that a refused caller of the organisation is told.  Each gets one
  * of its own, a promised part of the drain rate apart; past the longest
- * Retry-After the times are drawn from its later half instead.
+ * Retry-After the times are drawn from its later half instead, and promise
+ * nothing.
  */
 uint64_t admit_promise_time(struct admit *a, uint32_t org, double late_ms,
-			    uint64_t now, uint64_t rnd)
+			    uint64_t now, uint64_t rnd, bool *promised)
 {
 	struct admit_org *o = &a->q.org[org];
 	double max = (double)a->params.retry_max_s * MS_PER_S;
@@ -88,7 +118,8 @@
 
 	if (o->promise_ms > now)
 		wait = fmax(wait, (double)(o->promise_ms - now) + gap);
-	if (wait >= max) {
+	*promised = wait < max;
+	if (!*promised) {
 		wait = max / 2 + max / 2 * (double)(rnd >> 11) * 0x1p-53;
 		return now + (uint64_t)wait;
 	}
@@ -96,6 +127,39 @@
 	return o->promise_ms;
 }
 
+/* Bytes that admission of this size takes. */
+size_t admit_bytes(const struct admit_params *params)
+{
+	return sizeof(struct admit) +
+	       admit_queue_bytes(params->orgs_max, 2 * params->queue_max) +
+	       params->promises_max * sizeof(struct promise);
+}
+
+/* Requests of the organisation that run here. */
+uint32_t admit_org_running(const struct admit *a, uint32_t org)
+{
+	return a->q.org[org].running;
+}
+
+/* Requests of the organisation that wait here. */
+uint32_t admit_org_queued(const struct admit *a, uint32_t org)
+{
+	return a->q.org[org].queued;
+}
+
+/* Figures for the counters and for the load report. */
+struct admit_stats admit_stats(const struct admit *a)
+{
+	return (struct admit_stats){
+		.slots = a->params.slots,
+		.running = a->running,
+		.running_resumes = a->running_resumes,
+		.queued = a->q.queued,
+		.queued_resumes = a->q.queued_resumes,
+		.drain_per_s = admit_drain_per_ms(a) * MS_PER_S,
+	};
+}
+
 /* The reason of a refusal as a sentence for a person. */
 const char *admit_reason_text(enum admit_reason reason)
 {
--- a/policy/admit_wait.h
+++ b/policy/admit_wait.h
@@ -25,7 +25,8 @@
 		     bool resume);
 double admit_room_ms(const struct admit *a, uint32_t org, double wait,
 		     uint64_t now);
+double admit_margin_ms(const struct admit *a, uint32_t org, double wait);
 uint64_t admit_promise_time(struct admit *a, uint32_t org, double late_ms,
-			    uint64_t now, uint64_t rnd);
+			    uint64_t now, uint64_t rnd, bool *promised);
 
 #endif /* POLICY_ADMIT_WAIT_H */
--- a/policy/share.c
+++ b/policy/share.c
@@ -126,6 +126,7 @@
 		takers++;
 		before += i < self;
 	}
+	assert(takers > 0);
 	return even_part(spare, before, takers);
 }
 
@@ -136,7 +137,7 @@
 uint32_t share_next(uint32_t limit, const struct share_member *members,
 		    size_t n, size_t self, uint64_t now, uint32_t hold_ms)
 {
-	uint32_t demand[SHARE_MEMBERS_MAX];
+	uint32_t demand[SHARE_MEMBERS_MAX] = { 0 };
 	uint32_t target[SHARE_MEMBERS_MAX];
 	uint32_t mine = members[self].share;
 	uint32_t held, step;
--- a/regress/unit/test_admit.c
+++ b/regress/unit/test_admit.c
@@ -24,6 +24,8 @@
 	p.queue_max = 64;
 	p.org_queue_max = 32;
 	p.service_prior_ms = SERVICE_MS;
+	p.return_permille = 500;
+	p.margin_permille = 0;
 	a = admit_new(&p, NOW);
 	for (i = 0; i < orgs; i++)
 		admit_set_org(a, i, 1, LIMIT);
--- a/regress/unit/test_claim_model.c
+++ b/regress/unit/test_claim_model.c
@@ -49,8 +49,7 @@
 };
 
 struct model {
-	struct world *seen;
-	uint8_t *used;
+	XXH128_hash_t *seen; /* digests of states; zero: unused */
 	struct world *stack;
 	size_t depth;
 	size_t states;
@@ -74,15 +73,16 @@
 /* Adds a state to be visited, unless it was seen. */
 static void visit(struct model *m, const struct world *w)
 {
-	size_t i = XXH3_64bits(w, sizeof(*w)) & (SLOTS - 1);
+	const XXH128_hash_t none = { 0, 0 };
+	XXH128_hash_t digest = XXH3_128bits(w, sizeof(*w));
+	size_t i = digest.low64 & (SLOTS - 1);
 
-	while (m->used[i]) {
-		if (!memcmp(&m->seen[i], w, sizeof(*w)))
+	while (!XXH128_isEqual(m->seen[i], none)) {
+		if (XXH128_isEqual(m->seen[i], digest))
 			return;
 		i = (i + 1) & (SLOTS - 1);
 	}
-	m->used[i] = 1;
-	m->seen[i] = *w;
+	m->seen[i] = digest;
 	m->states++;
 	assert_true(m->states < SLOTS / 4 * 3);
 	assert_true(m->depth < STACK);
@@ -252,7 +252,7 @@
 /* Late operations of copy i take effect. */
 static void do_late(struct model *m, const struct world *w, int i)
 {
-	uint8_t bit;
+	unsigned int bit;
 
 	for (bit = LATE_INSERT; bit <= LATE_RUN; bit <<= 1) {
 		struct world next = *w;
@@ -316,8 +316,7 @@
 static void test_every_order(void **state)
 {
 	struct model m = {
-		.seen = xcalloc(SLOTS, sizeof(struct world)),
-		.used = xcalloc(SLOTS, 1),
+		.seen = xcalloc(SLOTS, sizeof(XXH128_hash_t)),
 		.stack = xcalloc(STACK, sizeof(struct world)),
 	};
 	struct world w;
@@ -338,7 +337,6 @@
 	assert_true(m.refused_not_run > 0);
 	assert_true(m.ran_once > 0);
 	free(m.seen);
-	free(m.used);
 	free(m.stack);
 }
 
