--- a/policy/resume.c
+++ b/policy/resume.c
@@ -18,6 +18,7 @@
 enum {
 	MILLI = 1000,
 	GAP_MEAN_SHIFT = 5, /* weight of a new gap in the mean: 1/32 */
+	DEV_LEAST_MS = 1,
 	OWN_FAULT_LEAST = 4, /* endpoints heard, below which it is not judged */
 };
 
@@ -85,6 +86,8 @@
 	off = gap - ep->mean_ms;
 	ep->mean_ms += off / (1 << GAP_MEAN_SHIFT);
 	off = off < 0 ? -off : off;
+	if (off < DEV_LEAST_MS)
+		off = DEV_LEAST_MS;
 	ep->dev_ms += (off - ep->dev_ms) / (1 << GAP_MEAN_SHIFT);
 }
 
--- a/policy/route.c
+++ b/policy/route.c
@@ -23,6 +23,12 @@
 	const struct route_candidate *cand;
 	size_t n;
 	float mean_others; /* other instances' requests an endpoint */
+	float room_per_slot; /* requests a slot at which an endpoint is full */
+	float prompt_tokens;
+	float prefill_us; /* a token */
+	float crossings;
+	float service_us;
+	float slowdown_us; /* of a full endpoint against an idle one */
 };
 
 const struct route_params route_defaults = {
@@ -36,12 +42,16 @@
 };
 
 static float others(const struct route_candidate *c);
-static float load(const struct scan *s, const struct route_candidate *c);
+static float load_of(const struct scan *s, const struct route_candidate *c);
 static float mean_others(const struct route_candidate *cand, size_t n);
 static enum route_outcome permit(const struct scan *s,
-				 const struct route_candidate *c);
-static float cost_us(const struct scan *s, const struct route_candidate *c);
-static float wait_us(const struct scan *s, const struct route_candidate *c);
+				 const struct route_candidate *c, float load);
+static float cost_us(const struct scan *s, const struct route_candidate *c,
+		     float load);
+static float cache_saves_us(const struct scan *s,
+			    const struct route_candidate *c);
+static float wait_us(const struct scan *s, const struct route_candidate *c,
+		     float load);
 static bool is_better(enum route_outcome a, enum route_outcome b);
 static enum route_outcome choose_scan(const struct scan *s, bool silent,
 				      uint64_t rnd, size_t *best);
@@ -74,7 +84,7 @@
 }
 
 /* Requests believed to be at the endpoint now, waiting ones included. */
-static float load(const struct scan *s, const struct route_candidate *c)
+static float load_of(const struct scan *s, const struct route_candidate *c)
 {
 	float keep = (float)s->params->report_keep_ms;
 	float trust = keep / (keep + (float)c->report_age_ms);
@@ -85,11 +95,8 @@
 
 /* Says whether the request may go to c, and if not, why. */
 static enum route_outcome permit(const struct scan *s,
-				 const struct route_candidate *c)
+				 const struct route_candidate *c, float load)
 {
-	float slots = (float)c->slots;
-	float room = slots * (1000 + (float)s->params->queue_per_slot_permille);
-
 	if (!(c->flags & ROUTE_UP) || c->flags & ROUTE_LEAVING || !c->slots)
 		return ROUTE_NONE_UP;
 	if (c->flags & ROUTE_AVOID)
@@ -98,38 +105,46 @@
 		return ROUTE_NO_ROOM_APART;
 	if (s->req->apart != ROUTE_TOGETHER && c->flags & ROUTE_RUNS_SUSPECT)
 		return ROUTE_NO_ROOM_APART;
-	if (load(s, c) * 1000 >= room)
+	if (load >= (float)c->slots * s->room_per_slot)
 		return ROUTE_ALL_BUSY;
 	return ROUTE_OK;
 }
 
 /* Expected wait for a slot, in microseconds. */
-static float wait_us(const struct scan *s, const struct route_candidate *c)
+static float wait_us(const struct scan *s, const struct route_candidate *c,
+		     float load)
 {
-	float ahead = load(s, c) - (float)c->slots + 1;
+	float ahead = load - (float)c->slots + 1;
 
-	if (ahead <= 0)
-		return 0;
-	return ahead * (float)s->req->service_ms * US_PER_MS / (float)c->slots;
+	return ahead <= 0 ? 0 : ahead * s->service_us / (float)c->slots;
 }
 
-/* Expected time that running at c adds, in microseconds. */
-static float cost_us(const struct scan *s, const struct route_candidate *c)
+/* Prefill that the prefix cache saves at c, in microseconds. */
+static float cache_saves_us(const struct scan *s,
+			    const struct route_candidate *c)
 {
-	const struct route_params *p = s->params;
-	float keep = (float)p->cache_keep_ms;
-	float worth = keep / (keep + (float)c->cache_age_ms);
-	float prompt = (float)s->req->prompt_tokens;
 	float cached = (float)c->cached_tokens;
-	float slow = (float)s->req->service_ms * (float)p->slowdown_permille;
-	float cost = wait_us(s, c);
-
-	if (cached > prompt)
-		cached = prompt;
-	cost += slow * load(s, c) / (float)c->slots;
-	cost += (prompt - cached * worth) * (float)p->prefill_us_per_token;
-	cost += (float)p->zone_crossings * (float)c->zone_us;
-	return cost;
+	float keep = (float)s->params->cache_keep_ms;
+
+	if (cached > s->prompt_tokens)
+		cached = s->prompt_tokens;
+	return cached * s->prefill_us * keep / (keep + (float)c->cache_age_ms);
+}
+
+/*
+ * Expected time that running at c adds, in microseconds.  The prefill of the
+ * whole prompt is the same everywhere, so only what the cache saves counts.
+ */
+static float cost_us(const struct scan *s, const struct route_candidate *c,
+		     float load)
+{
+	float ahead = load - (float)c->slots + 1;
+	float busy = load * s->slowdown_us;
+
+	if (ahead > 0)
+		busy += ahead * s->service_us;
+	return busy / (float)c->slots - cache_saves_us(s, c) +
+	       s->crossings * (float)c->zone_us;
 }
 
 /*
@@ -164,16 +179,18 @@
 	for (k = 0; k < s->n; k++) {
 		size_t i = start + k < s->n ? start + k : start + k - s->n;
 		const struct route_candidate *c = &s->cand[i];
-		enum route_outcome o = permit(s, c);
-		float us;
+		enum route_outcome o;
+		float load, us;
 
 		if (!silent && c->flags & ROUTE_SILENT)
 			continue;
+		load = load_of(s, c);
+		o = permit(s, c, load);
 		if (is_better(o, outcome))
 			outcome = o;
 		if (o != ROUTE_OK)
 			continue;
-		us = cost_us(s, c);
+		us = cost_us(s, c, load);
 		if (us >= best_us)
 			continue;
 		best_us = us;
@@ -188,21 +205,24 @@
  */
 static bool choose_two(const struct scan *s, uint64_t rnd, size_t *best)
 {
+	float best_us = FLT_MAX;
 	size_t found = 0;
 	int i;
 
 	for (i = 0; i < TWO_PROBES && found < 2; i++) {
 		size_t k = (rnd >> (8 * i) & 0xff) * s->n >> 8;
 		const struct route_candidate *c = &s->cand[k];
+		float load = load_of(s, c);
+		float us;
 
-		if (c->flags & ROUTE_SILENT || permit(s, c) != ROUTE_OK)
+		if (c->flags & ROUTE_SILENT || permit(s, c, load) != ROUTE_OK)
 			continue;
-		if (found && cost_us(s, c) >= cost_us(s, &s->cand[*best])) {
-			found++;
+		found++;
+		us = cost_us(s, c, load);
+		if (us >= best_us)
 			continue;
-		}
+		best_us = us;
 		*best = k;
-		found++;
 	}
 	return found > 0;
 }
@@ -212,7 +232,7 @@
 {
 	const struct route_candidate *c = &s->cand[i];
 
-	if (c->flags & ROUTE_SILENT || permit(s, c) != ROUTE_OK)
+	if (c->flags & ROUTE_SILENT || permit(s, c, load_of(s, c)) != ROUTE_OK)
 		return false;
 	return !idle || (!c->own_now && others(c) == 0);
 }
@@ -263,6 +283,12 @@
 	if (!n)
 		return choice;
 	s.mean_others = mean_others(cand, n);
+	s.room_per_slot = 1 + (float)params->queue_per_slot_permille / 1000;
+	s.prompt_tokens = (float)req->prompt_tokens;
+	s.prefill_us = (float)params->prefill_us_per_token;
+	s.crossings = (float)params->zone_crossings;
+	s.service_us = (float)req->service_ms * US_PER_MS;
+	s.slowdown_us = s.service_us * (float)params->slowdown_permille / 1000;
 	if (req->apart == ROUTE_ALONE)
 		found = choose_alone(&s, true, &best) ||
 			choose_alone(&s, false, &best);
@@ -275,7 +301,9 @@
 		return choice;
 	choice.index = (uint32_t)best;
 	choice.endpoint = cand[best].endpoint;
-	choice.wait_ms = (uint32_t)(wait_us(&s, &cand[best]) / US_PER_MS);
+	choice.wait_ms =
+		(uint32_t)(wait_us(&s, &cand[best], load_of(&s, &cand[best])) /
+			   US_PER_MS);
 	return choice;
 }
 
