cdmfleetd: demands of a shard pass between instances; greeting before a request

Cause: limits of an organisation are split over the cdmentryds of its shard, which learn of one another's demand only through their cdmfleetds; and a request for a file over a fresh connection was refused, since the other side did not know yet who asked.

--- a/ctl/apply.c
+++ b/ctl/apply.c
@@ -2,9 +2,11 @@
  * cdmctl plan and apply.
  */
 #include <inttypes.h>
+#include <pwd.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "ctl/command.h"
 #include "lib/xalloc.h"
@@ -20,6 +22,7 @@
 	char missing[512]; /* names, separated by ", " */
 };
 
+static const char *user_name(void);
 static bool plan(struct command *c, const char *text, size_t len,
 		 struct client_answer *answer);
 static char *file_query(const char *path);
@@ -70,7 +73,7 @@
 /* Puts a file in force and waits until it is so everywhere. */
 int command_apply(struct command *c)
 {
-	const char *author = c->author ? c->author : getenv("USER");
+	const char *author = c->author ? c->author : user_name();
 	struct client_answer answer;
 	int status = EXIT_FAILED;
 	json_int_t base = c->base;
@@ -92,7 +95,7 @@
 	if (!c->json)
 		print_changes(json_object_get(answer.json, "changes"));
 	client_release(&answer);
-	escaped = client_escape(author ? author : "unknown");
+	escaped = client_escape(author);
 	query = file_query(c->words[0]);
 	path = xasprintf("/v1/config?base=%" JSON_INTEGER_FORMAT
 			 "&author=%s&%s",
@@ -108,6 +111,18 @@
 	return status;
 }
 
+/* Returns who runs the command. */
+static const char *user_name(void)
+{
+	const char *name = getenv("USER");
+	const struct passwd *pw;
+
+	if (name && *name)
+		return name;
+	pw = getpwuid(geteuid());
+	return pw ? pw->pw_name : "unknown";
+}
+
 /* Asks what the file would change; false with the reason in the answer. */
 static bool plan(struct command *c, const char *text, size_t len,
 		 struct client_answer *answer)
--- a/fleetd/commit.c
+++ b/fleetd/commit.c
@@ -256,14 +256,15 @@
 	c->busy = false;
 	c->step_at = fleetd_now(c->f) + COMMIT_RETRY_MS;
 	if (outcome == PLATFORM_OK &&
-	    config_head_parse(row->value, row->value_len, &head)) {
+	    config_head_parse(row->value, row->value_len, &head) &&
+	    head.version == c->head.version) {
 		seen.version = head.version;
 		seen.nonce = nonce_number(row->nonce);
 		seen.digest = config_digest_number(head.digest);
 	} else if (outcome != PLATFORM_NOT_FOUND) {
 		return;
 	}
-	config_commit_read(&c->state, seen.version ? &seen : NULL);
+	config_commit_read(&c->state, &seen);
 	if (c->state.state == CONFIG_COMMIT_LOST)
 		lost(c, head.version, head.author);
 	else if (c->state.state == CONFIG_COMMIT_WON)
--- a/fleetd/confsync.c
+++ b/fleetd/confsync.c
@@ -58,7 +58,7 @@
 {
 	struct confsync *s = xcalloc(1, sizeof(*s));
 
-	config_adopt_init(&s->adopt, fleetd_now(f), fleetd_random());
+	config_adopt_init(&s->adopt, fleetd_now(f));
 	counter_register(&config_version);
 	counter_register(&config_adoptions);
 	counter_register(&config_polls);
@@ -74,7 +74,7 @@
 /* Does what is due. */
 void confsync_tick(struct fleetd *f, uint64_t now)
 {
-	switch (config_adopt_step(&f->confsync->adopt, now, fleetd_random())) {
+	switch (config_adopt_step(&f->confsync->adopt, now)) {
 	case CONFIG_POLL:
 		poll_head(f);
 		break;
--- a/fleetd/feed.c
+++ b/fleetd/feed.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "fleetd/demands.h"
 #include "fleetd/endpoints.h"
 #include "fleetd/gossip.h"
 #include "fleetd/roster.h"
@@ -170,6 +171,21 @@
 	}
 	endpoints_observed(f, m->endpoints, m->n_endpoints);
 	suspects_heard(f, m->suspicions, m->n_suspicions);
+	if (m->n_demands)
+		demands_observed(f, c, m);
+}
+
+/* Passes demands on to the cdmentryds, but not to the one they came from. */
+void feed_forward(struct fleetd *f, const struct frame_conn *except,
+		  const Cdm__Observation *m)
+{
+	size_t i;
+
+	for (i = 0; i < f->feed->n; i++)
+		if (f->feed->entries[i].conn != except)
+			frame_send(f->feed->entries[i].conn,
+				   CDM__FRAME_TYPE__FRAME_OBSERVATION,
+				   &m->base);
 }
 
 /* Returns the connected cdmentryds as JSON. */
--- a/fleetd/fleetd.c
+++ b/fleetd/fleetd.c
@@ -11,6 +11,7 @@
 
 #include "fleetd/commit.h"
 #include "fleetd/confsync.h"
+#include "fleetd/demands.h"
 #include "fleetd/endpoints.h"
 #include "fleetd/feed.h"
 #include "fleetd/gossip.h"
@@ -100,6 +101,7 @@
 	f->config_changed = fleetd_touch(f);
 	endpoints_configure(f);
 	leases_configure(f);
+	demands_changed(f);
 	listing_apply(f);
 	config_unref(before);
 	gossip_config_changed(f);
@@ -148,6 +150,7 @@
 	f->commits = commits_new();
 	f->gossip = gossip_new(f);
 	f->feed = feed_new(f);
+	f->demands = demands_new();
 	f->listing = listing_new();
 	f->leases = leases_new();
 	f->watch = watch_new();
@@ -191,8 +194,10 @@
 	commits_tick(f, now);
 	gossip_tick(f, now);
 	roster_sync(f);
-	if (f->members_changed)
+	if (f->members_changed) {
 		endpoints_assign(f);
+		demands_changed(f);
+	}
 	f->members_changed = false;
 	leases_tick(f);
 	watch_tick(f, now);
@@ -262,6 +267,7 @@
 	watch_free(f->watch);
 	leases_free(f->leases);
 	listing_free(f->listing);
+	demands_free(f->demands);
 	feed_free(f->feed);
 	gossip_free(f->gossip);
 	commits_free(f->commits);
--- a/fleetd/fleetd.h
+++ b/fleetd/fleetd.h
@@ -13,6 +13,7 @@
 
 struct commits;
 struct confsync;
+struct demands;
 struct endpoints;
 struct feed;
 struct gossip;
@@ -59,6 +60,7 @@
 	struct feed *feed;
 	struct confsync *confsync;
 	struct commits *commits;
+	struct demands *demands;
 	struct endpoints *endpoints;
 	struct watch *watch;
 	struct listing *listing;
--- a/fleetd/gossip.c
+++ b/fleetd/gossip.c
@@ -168,6 +168,17 @@
 	return ok;
 }
 
+/* Tells the other side of a connection who this is. */
+void gossip_greet(struct fleetd *f, struct frame_conn *c)
+{
+	struct draft d;
+
+	draft_init(f, &d, CDM__DIGEST_KIND__DIGEST_PUSH, 0);
+	d.digest.sequence = PUSH_TELLS;
+	frame_send(c, CDM__FRAME_TYPE__FRAME_DIGEST, &d.digest.base);
+	draft_release(&d);
+}
+
 /* Has some instances told at the next tick of what is new here. */
 void gossip_urgent(struct fleetd *f)
 {
--- a/fleetd/gossip.h
+++ b/fleetd/gossip.h
@@ -2,12 +2,14 @@
 #define FLEETD_GOSSIP_H
 
 #include "fleetd/fleetd.h"
+#include "lib/frame.h"
 #include "proto/control.pb-c.h"
 
 struct gossip *gossip_new(struct fleetd *f);
 void gossip_free(struct gossip *g);
 void gossip_tick(struct fleetd *f, uint64_t now);
 bool gossip_received(struct fleetd *f, const Cdm__Digest *m);
+void gossip_greet(struct fleetd *f, struct frame_conn *c);
 void gossip_urgent(struct fleetd *f);
 void gossip_self_changed(struct fleetd *f);
 void gossip_config_changed(struct fleetd *f);
--- a/fleetd/peers.c
+++ b/fleetd/peers.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "fleetd/confsync.h"
+#include "fleetd/demands.h"
 #include "fleetd/feed.h"
 #include "fleetd/gossip.h"
 #include "lib/counters.h"
@@ -304,6 +305,10 @@
 		frame_set_data(c, peer);
 	}
 	peer->open = true;
+	/* the other side has to know who asks before anything else */
+	if (peer->n_queue &&
+	    peer->queue[0].type != CDM__FRAME_TYPE__FRAME_DIGEST)
+		gossip_greet(peer->f, c);
 	peer_flush(peer);
 }
 
@@ -351,7 +356,7 @@
 	case CDM__FRAME_TYPE__FRAME_HELLO:
 		return peer->role == PEER_NEW && take_hello(peer, data, len);
 	case CDM__FRAME_TYPE__FRAME_OBSERVATION:
-		return peer->role == PEER_FEED &&
+		return peer->role != PEER_NEW &&
 		       take_observation(peer, data, len);
 	case CDM__FRAME_TYPE__FRAME_DIGEST:
 		return peer->role != PEER_FEED && take_digest(peer, data, len);
@@ -376,13 +381,19 @@
 	return true;
 }
 
+/* What a cdmentryd saw, or demands that another cdmfleetd passes on. */
 static bool take_observation(struct peer *peer, const uint8_t *data, size_t len)
 {
 	Cdm__Observation *m = cdm__observation__unpack(NULL, len, data);
 
 	if (!m)
 		return false;
-	feed_observed(peer->f, peer->conn, m);
+	if (peer->role == PEER_FEED) {
+		feed_observed(peer->f, peer->conn, m);
+	} else {
+		counter_add(&received_bytes, (double)len);
+		demands_heard(peer->f, m);
+	}
 	cdm__observation__free_unpacked(m, NULL);
 	return true;
 }
--- a/proto/control.pb-c.c
+++ b/proto/control.pb-c.c
@@ -1101,7 +1101,7 @@
   (ProtobufCMessageInit) cdm__delta__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cdm__demand__field_descriptors[3] =
+static const ProtobufCFieldDescriptor cdm__demand__field_descriptors[4] =
 {
   {
     "organisation",
@@ -1139,16 +1139,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "share",
+    4,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Cdm__Demand, has_share),
+    offsetof(Cdm__Demand, share),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cdm__demand__field_indices_by_name[] = {
   0,   /* field[0] = organisation */
   1,   /* field[1] = running */
+  3,   /* field[3] = share */
   2,   /* field[2] = waiting */
 };
 static const ProtobufCIntRange cdm__demand__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor cdm__demand__descriptor =
 {
@@ -1158,7 +1171,7 @@
   "Cdm__Demand",
   "cdm",
   sizeof(Cdm__Demand),
-  3,
+  4,
   cdm__demand__field_descriptors,
   cdm__demand__field_indices_by_name,
   1,  cdm__demand__number_ranges,
--- a/proto/control.pb-c.h
+++ b/proto/control.pb-c.h
@@ -220,14 +220,20 @@
   char *organisation;
   uint32_t running;
   uint32_t waiting;
+  /*
+   * of the limit, in force there
+   */
+  protobuf_c_boolean has_share;
+  uint32_t share;
 };
 #define CDM__DEMAND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cdm__demand__descriptor) \
-    , NULL, 0, 0 }
+    , NULL, 0, 0, 0, 0 }
 
 
 /*
- * cdmentryd to cdmfleetd: what it saw; between cdmfleetds of one shard too.
+ * cdmentryd to cdmfleetd: what it saw.  Demands go on to the cdmfleetds of the
+ * organisation's shard, and from there to their cdmentryds.
  */
 struct  Cdm__Observation
 {
