--- a/ctl/burn.c
+++ b/ctl/burn.c
@@ -32,7 +32,7 @@
 	int status = EXIT_FAILED;
 	size_t i;
 
-	if (strcmp(c->words[0], "burn")) {
+	if (strcmp(c->words[0], "burn") != 0) {
 		fprintf(stderr, "cdmctl: the only report is burn\n");
 		return EXIT_USAGE;
 	}
--- a/ctl/explain.c
+++ b/ctl/explain.c
@@ -85,12 +85,13 @@
 static void print_sorted(json_t *all)
 {
 	size_t n = json_array_size(all);
-	const json_t **events = xcalloc(n, sizeof(*events));
+	size_t size = sizeof(json_t *);
+	const json_t **events = xcalloc(n, size);
 	size_t i;
 
 	for (i = 0; i < n; i++)
 		events[i] = json_array_get(all, i);
-	qsort(events, n, sizeof(*events), compare_events);
+	qsort(events, n, size, compare_events);
 	for (i = 0; i < n; i++)
 		printf("%s  %s\n", text_of(events[i], "time"),
 		       text_of(events[i], "text"));
--- a/ctl/status.c
+++ b/ctl/status.c
@@ -51,7 +51,7 @@
 	char *text;
 	int status = EXIT_DONE;
 
-	if (strcmp(c->words[0], "endpoint") &&
+	if (strcmp(c->words[0], "endpoint") != 0 &&
 	    strcmp(c->words[0], "instance")) {
 		fprintf(stderr, "cdmctl: %s is neither endpoint nor instance\n",
 			c->words[0]);
--- a/fleetd/confsync.c
+++ b/fleetd/confsync.c
@@ -220,7 +220,7 @@
 
 	if (outcome == PLATFORM_OK)
 		config_digest(data, len, digest);
-	if (outcome != PLATFORM_OK || strcmp(digest, s->fetching.digest)) {
+	if (outcome != PLATFORM_OK || strcmp(digest, s->fetching.digest) != 0) {
 		config_adopt_fetch_failed(&s->adopt, fleetd_now(f));
 		return;
 	}
--- /dev/null
+++ b/fleetd/digest.c
@@ -0,0 +1,72 @@
+/*
+ * Digests to be sent: the sender's own record, updates of others, and what
+ * spreads about endpoints and requests.
+ */
+#include "fleetd/digest.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleetd/gossip.h"
+#include "fleetd/roster.h"
+#include "lib/xalloc.h"
+
+static void add_rumours(struct fleetd *f, struct digest *d);
+
+/* Begins a digest with this instance's own record. */
+void digest_init(struct fleetd *f, struct digest *d, Cdm__DigestKind kind,
+		 size_t max_updates)
+{
+	const struct member *self = member_find(gossip_members(f), f->self);
+
+	memset(d, 0, sizeof(*d));
+	cdm__digest__init(&d->message);
+	d->message.kind = kind;
+	d->message.from = f->self;
+	d->message.config_version = f->config ? f->config->version : 0;
+	d->members = xcalloc(max_updates + 1, sizeof(*d->members));
+	d->updates = xcalloc(max_updates + 1, sizeof(Cdm__Member *));
+	d->message.updates = d->updates;
+	digest_add(f, d, &self->u);
+	add_rumours(f, d);
+}
+
+/* Adds one update; an instance whose name isn't known can't be told of. */
+void digest_add(struct fleetd *f, struct digest *d,
+		const struct member_update *u)
+{
+	const struct roster_entry *e = roster_find(f->roster, u->id);
+	Cdm__Member *m = &d->members[d->message.n_updates];
+
+	if (!e || u->state == MEMBER_UNKNOWN)
+		return;
+	roster_pack(e, m);
+	m->state = roster_wire_state(u->state);
+	m->incarnation = u->incarnation;
+	m->config_version = u->config_version;
+	d->updates[d->message.n_updates++] = m;
+}
+
+/* Adds what spreads about endpoints and requests. */
+static void add_rumours(struct fleetd *f, struct digest *d)
+{
+	size_t i;
+
+	d->message.n_endpoints =
+		endpoints_rumours(f, d->states, ENDPOINT_RUMOURS_MAX);
+	for (i = 0; i < d->message.n_endpoints; i++)
+		d->endpoints[i] = &d->states[i];
+	d->message.endpoints = d->endpoints;
+	d->message.n_suspicions =
+		suspects_rumours(f, d->suspicions, SUSPECT_RUMOURS_MAX);
+	for (i = 0; i < d->message.n_suspicions; i++)
+		d->suspicion_list[i] = &d->suspicions[i];
+	d->message.suspicions = d->suspicion_list;
+}
+
+/* Frees the storage. */
+void digest_release(struct digest *d)
+{
+	free(d->members);
+	free(d->updates);
+}
--- /dev/null
+++ b/fleetd/digest.h
@@ -0,0 +1,26 @@
+#ifndef FLEETD_DIGEST_H
+#define FLEETD_DIGEST_H
+
+#include "fleetd/endpoints.h"
+#include "fleetd/fleetd.h"
+#include "fleetd/suspects.h"
+#include "proto/control.pb-c.h"
+
+/* A digest under construction with the storage that it points to. */
+struct digest {
+	Cdm__Digest message;
+	Cdm__Member *members;
+	Cdm__Member **updates;
+	Cdm__EndpointState states[ENDPOINT_RUMOURS_MAX];
+	Cdm__EndpointState *endpoints[ENDPOINT_RUMOURS_MAX];
+	Cdm__Suspicion suspicions[SUSPECT_RUMOURS_MAX];
+	Cdm__Suspicion *suspicion_list[SUSPECT_RUMOURS_MAX];
+};
+
+void digest_init(struct fleetd *f, struct digest *d, Cdm__DigestKind kind,
+		 size_t max_updates);
+void digest_add(struct fleetd *f, struct digest *d,
+		const struct member_update *u);
+void digest_release(struct digest *d);
+
+#endif /* FLEETD_DIGEST_H */
--- a/fleetd/endpoints.c
+++ b/fleetd/endpoints.c
@@ -421,7 +421,8 @@
 
 	for (i = 0; i < t->n; i++) {
 		e = &t->all[i];
-		if (strcmp(f->config->endpoints[e->index].service, s->name))
+		if (strcmp(f->config->endpoints[e->index].service, s->name) !=
+		    0)
 			continue;
 		list[n_list].id = e->id;
 		list[n_list++].zone = e->zone;
--- a/fleetd/feed.c
+++ b/fleetd/feed.c
@@ -122,7 +122,7 @@
 	struct feed *feed = f->feed;
 	struct feed_entry *e;
 
-	if (strcmp(hello->instance, f->settings->instance))
+	if (strcmp(hello->instance, f->settings->instance) != 0)
 		log_msg(LOG_WARNING, "entryd-instance", NULL,
 			"a cdmentryd of instance %s connected to the cdmfleetd "
 			"of instance %s; its settings name the wrong "
@@ -240,7 +240,7 @@
 
 	memset(s, 0, sizeof(*s));
 	s->members = xcalloc(r->n, sizeof(*s->members));
-	s->member_list = xcalloc(r->n, sizeof(*s->member_list));
+	s->member_list = xcalloc(r->n, sizeof(Cdm__Member *));
 	for (i = 0; i < r->n; i++) {
 		if (r->entries[i].changed <= since)
 			continue;
@@ -248,12 +248,12 @@
 		roster_pack(&r->entries[i], &s->members[s->n_members++]);
 	}
 	s->endpoints = endpoints_changes(f, since, &s->n_endpoints);
-	s->endpoint_list = xcalloc(s->n_endpoints, sizeof(*s->endpoint_list));
+	s->endpoint_list = xcalloc(s->n_endpoints, sizeof(Cdm__EndpointState *));
 	for (i = 0; i < s->n_endpoints; i++)
 		s->endpoint_list[i] = &s->endpoints[i];
 	s->suspicions = suspects_changes(f, since, &s->n_suspicions);
 	s->suspicion_list =
-		xcalloc(s->n_suspicions, sizeof(*s->suspicion_list));
+		xcalloc(s->n_suspicions, sizeof(Cdm__Suspicion *));
 	for (i = 0; i < s->n_suspicions; i++)
 		s->suspicion_list[i] = &s->suspicions[i];
 }
--- a/fleetd/gossip.c
+++ b/fleetd/gossip.c
@@ -12,6 +12,7 @@
 #include <time.h>
 
 #include "fleetd/confsync.h"
+#include "fleetd/digest.h"
 #include "fleetd/endpoints.h"
 #include "fleetd/feed.h"
 #include "fleetd/listing.h"
@@ -38,17 +39,6 @@
 	uint64_t sync_at;
 };
 
-/* A digest under construction with the storage that it points to. */
-struct draft {
-	Cdm__Digest digest;
-	Cdm__Member *members;
-	Cdm__Member **updates;
-	Cdm__EndpointState states[ENDPOINT_RUMOURS_MAX];
-	Cdm__EndpointState *endpoints[ENDPOINT_RUMOURS_MAX];
-	Cdm__Suspicion suspicions[SUSPECT_RUMOURS_MAX];
-	Cdm__Suspicion *suspicion_list[SUSPECT_RUMOURS_MAX];
-};
-
 static struct counter members_alive = {
 	.name = "cdmfleetd_members_serving",
 	.help = "Instances that this one takes for serving.",
@@ -63,12 +53,6 @@
 	.help = "Times that this process noticed that it had been paused.",
 };
 
-static void draft_init(struct fleetd *f, struct draft *d, Cdm__DigestKind kind,
-		       size_t max_updates);
-static void draft_add(struct fleetd *f, struct draft *d,
-		      const struct member_update *u);
-static void draft_rumours(struct fleetd *f, struct draft *d);
-static void draft_release(struct draft *d);
 static void send_messages(struct fleetd *f, const struct member_msg *out,
 			  size_t n);
 static void send_message(struct fleetd *f, const struct member_msg *msg);
@@ -171,12 +155,12 @@
 /* Tells the other side of a connection who this is. */
 void gossip_greet(struct fleetd *f, struct frame_conn *c)
 {
-	struct draft d;
+	struct digest d;
 
-	draft_init(f, &d, CDM__DIGEST_KIND__DIGEST_PUSH, 0);
-	d.digest.sequence = PUSH_TELLS;
-	frame_send(c, CDM__FRAME_TYPE__FRAME_DIGEST, &d.digest.base);
-	draft_release(&d);
+	digest_init(f, &d, CDM__DIGEST_KIND__DIGEST_PUSH, 0);
+	d.message.sequence = PUSH_TELLS;
+	frame_send(c, CDM__FRAME_TYPE__FRAME_DIGEST, &d.message.base);
+	digest_release(&d);
 }
 
 /* Has some instances told at the next tick of what is new here. */
@@ -217,18 +201,18 @@
 	const struct roster_entry *to = roster_find(f->roster, id);
 	const struct member *m = member_find(&f->gossip->members, id);
 	struct member_update u;
-	struct draft d;
+	struct digest d;
 
 	if (!to || !m || id == f->self)
 		return;
 	u = m->u;
 	u.state = MEMBER_LEAVING;
-	draft_init(f, &d, CDM__DIGEST_KIND__DIGEST_PUSH, 1);
-	draft_add(f, &d, &u);
-	d.digest.sequence = PUSH_TELLS;
+	digest_init(f, &d, CDM__DIGEST_KIND__DIGEST_PUSH, 1);
+	digest_add(f, &d, &u);
+	d.message.sequence = PUSH_TELLS;
 	peers_send(f, id, to->control_address, CDM__FRAME_TYPE__FRAME_DIGEST,
-		   &d.digest.base);
-	draft_release(&d);
+		   &d.message.base);
+	digest_release(&d);
 }
 
 /* Tells the fleet that this instance is leaving or has left. */
@@ -254,7 +238,7 @@
 	for (i = 0; i < n; i++) {
 		struct member_listing *l = &listings[n_listings];
 
-		if (strcmp(list[i].kind, "entry") ||
+		if (strcmp(list[i].kind, "entry") != 0 ||
 		    !address_to_member(list[i].address, list[i].zone, &l->addr))
 			continue;
 		l->id = name_id(list[i].name);
@@ -266,63 +250,6 @@
 	free(listings);
 }
 
-/* Begins a digest with this instance's own record. */
-static void draft_init(struct fleetd *f, struct draft *d, Cdm__DigestKind kind,
-		       size_t max_updates)
-{
-	const struct member *self = member_find(&f->gossip->members, f->self);
-
-	memset(d, 0, sizeof(*d));
-	cdm__digest__init(&d->digest);
-	d->digest.kind = kind;
-	d->digest.from = f->self;
-	d->digest.config_version = f->config ? f->config->version : 0;
-	d->members = xcalloc(max_updates + 1, sizeof(*d->members));
-	d->updates = xcalloc(max_updates + 1, sizeof(*d->updates));
-	d->digest.updates = d->updates;
-	draft_add(f, d, &self->u);
-	draft_rumours(f, d);
-}
-
-/* Adds one update; an instance whose name isn't known can't be told of. */
-static void draft_add(struct fleetd *f, struct draft *d,
-		      const struct member_update *u)
-{
-	const struct roster_entry *e = roster_find(f->roster, u->id);
-	Cdm__Member *m = &d->members[d->digest.n_updates];
-
-	if (!e || u->state == MEMBER_UNKNOWN)
-		return;
-	roster_pack(e, m);
-	m->state = roster_wire_state(u->state);
-	m->incarnation = u->incarnation;
-	m->config_version = u->config_version;
-	d->updates[d->digest.n_updates++] = m;
-}
-
-/* Adds what spreads about endpoints and requests. */
-static void draft_rumours(struct fleetd *f, struct draft *d)
-{
-	size_t i;
-
-	d->digest.n_endpoints =
-		endpoints_rumours(f, d->states, ENDPOINT_RUMOURS_MAX);
-	for (i = 0; i < d->digest.n_endpoints; i++)
-		d->endpoints[i] = &d->states[i];
-	d->digest.endpoints = d->endpoints;
-	d->digest.n_suspicions =
-		suspects_rumours(f, d->suspicions, SUSPECT_RUMOURS_MAX);
-	for (i = 0; i < d->digest.n_suspicions; i++)
-		d->suspicion_list[i] = &d->suspicions[i];
-	d->digest.suspicions = d->suspicion_list;
-}
-
-static void draft_release(struct draft *d)
-{
-	free(d->members);
-	free(d->updates);
-}
-
 static void send_messages(struct fleetd *f, const struct member_msg *out,
 			  size_t n)
 {
@@ -341,22 +268,22 @@
 		[MEMBER_PING_REQ] = CDM__DIGEST_KIND__DIGEST_PING_REQUEST,
 	};
 	const struct roster_entry *to = roster_find(f->roster, msg->to);
-	struct draft d;
+	struct digest d;
 	unsigned int i;
 
 	if (!to)
 		return;
-	draft_init(f, &d, kinds[msg->kind], MEMBER_PIGGYBACK_MAX);
-	d.digest.sequence = msg->seq;
-	d.digest.has_to = 1;
-	d.digest.to = msg->to;
-	d.digest.has_target = 1;
-	d.digest.target = msg->target;
+	digest_init(f, &d, kinds[msg->kind], MEMBER_PIGGYBACK_MAX);
+	d.message.sequence = msg->seq;
+	d.message.has_to = 1;
+	d.message.to = msg->to;
+	d.message.has_target = 1;
+	d.message.target = msg->target;
 	for (i = 0; i < msg->n_updates; i++)
-		draft_add(f, &d, &msg->updates[i]);
+		digest_add(f, &d, &msg->updates[i]);
 	peers_send(f, msg->to, to->control_address,
-		   CDM__FRAME_TYPE__FRAME_DIGEST, &d.digest.base);
-	draft_release(&d);
+		   CDM__FRAME_TYPE__FRAME_DIGEST, &d.message.base);
+	digest_release(&d);
 }
 
 /* Sends the whole table; sequence is PUSH_ASKS or PUSH_TELLS. */
@@ -364,17 +291,17 @@
 		       uint64_t sequence)
 {
 	const struct member_table *t = &f->gossip->members;
-	struct draft d;
+	struct digest d;
 	size_t i;
 
-	draft_init(f, &d, CDM__DIGEST_KIND__DIGEST_PUSH, t->n);
-	d.digest.sequence = sequence;
+	digest_init(f, &d, CDM__DIGEST_KIND__DIGEST_PUSH, t->n);
+	d.message.sequence = sequence;
 	for (i = 0; i < t->n; i++)
 		if (t->members[i].u.id != f->self)
-			draft_add(f, &d, &t->members[i].u);
+			digest_add(f, &d, &t->members[i].u);
 	peers_send(f, id, address, CDM__FRAME_TYPE__FRAME_DIGEST,
-		   &d.digest.base);
-	draft_release(&d);
+		   &d.message.base);
+	digest_release(&d);
 }
 
 /* Tells a few instances at once, or all of a small fleet; those for whom it
@@ -407,15 +334,15 @@
 static void push_to(struct fleetd *f, uint64_t id)
 {
 	const struct roster_entry *to = roster_find(f->roster, id);
-	struct draft d;
+	struct digest d;
 
 	if (!to)
 		return;
-	draft_init(f, &d, CDM__DIGEST_KIND__DIGEST_PUSH, 0);
-	d.digest.sequence = PUSH_TELLS;
+	digest_init(f, &d, CDM__DIGEST_KIND__DIGEST_PUSH, 0);
+	d.message.sequence = PUSH_TELLS;
 	peers_send(f, to->id, to->control_address,
-		   CDM__FRAME_TYPE__FRAME_DIGEST, &d.digest.base);
-	draft_release(&d);
+		   CDM__FRAME_TYPE__FRAME_DIGEST, &d.message.base);
+	digest_release(&d);
 }
 
 /* While no other instance is known to serve, asks those of the settings. */
@@ -430,7 +357,7 @@
 	g->seed_at = now + SEED_MS;
 	for (i = 0; i < f->settings->peers.n; i++) {
 		address = f->settings->peers.items[i];
-		if (strcmp(address, f->settings->advertise_address))
+		if (strcmp(address, f->settings->advertise_address) != 0)
 			send_table(f, 0, address, PUSH_ASKS);
 	}
 }
--- a/fleetd/roster.c
+++ b/fleetd/roster.c
@@ -253,7 +253,7 @@
 	size_t i;
 
 	for (i = 0; i < n && i < list->n; i++)
-		if (strcmp(items[i], list->items[i]))
+		if (strcmp(items[i], list->items[i]) != 0)
 			break;
 	if (i == n && n == list->n)
 		return false;
--- a/lib/config_check.c
+++ b/lib/config_check.c
@@ -155,7 +155,7 @@
 		value = column_at(col, i);
 		for (j = 0; value && j < i; j++) {
 			if (!column_at(col, j) ||
-			    strcmp(value, column_at(col, j)))
+			    strcmp(value, column_at(col, j)) != 0)
 				continue;
 			return fail(k, col->section, i, col->key,
 				    "%s is taken by an earlier %s",
--- a/lib/config_diff.c
+++ b/lib/config_diff.c
@@ -179,7 +179,7 @@
 		if (x->n != y->n)
 			return false;
 		for (i = 0; i < x->n; i++)
-			if (strcmp(x->items[i], y->items[i]))
+			if (strcmp(x->items[i], y->items[i]) != 0)
 				return false;
 		return true;
 	case SETTING_INTEGER:
--- a/lib/platform_http.c
+++ b/lib/platform_http.c
@@ -5,11 +5,11 @@
  */
 #include "lib/platform.h"
 
-#include <ctype.h>
 #include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "lib/platform_json.h"
 #include "lib/xalloc.h"
 
 #define ANSWER_MAX_BYTES (16u << 20)
@@ -99,16 +99,12 @@
 static enum platform_outcome classify(const struct call *call,
 				      enum httpc_outcome outcome);
 static enum platform_outcome lost(const struct call *call);
-static bool row_parse(const json_t *object, struct platform_row *row);
 static void finish_read(struct call *call, enum platform_outcome outcome);
 static void finish_scan(struct call *call, enum platform_outcome outcome);
 static void finish_write(struct call *call, enum platform_outcome outcome);
 static void finish_put(struct call *call, enum platform_outcome outcome);
 static void finish_get(struct call *call, enum platform_outcome outcome);
 static void finish_instances(struct call *call, enum platform_outcome outcome);
-static bool instance_parse(const json_t *object, struct platform_instance *i);
-static char *path_with(const char *before, const char *word);
-static json_t *write_to_json(const struct platform_write *w);
 
 static const struct platform_ops http_ops = {
 	.read = http_read,
@@ -152,10 +148,11 @@
 {
 	struct platform_http *h = (struct platform_http *)p;
 	struct call *call;
+	struct call *next;
 
-	while ((call = h->calls)) {
+	for (call = h->calls; call; call = next) {
+		next = call->next;
 		httpc_cancel(call->req);
-		call_unlink(call);
 		call_free(call);
 	}
 	free(h->address);
@@ -169,7 +166,7 @@
 		      void *arg)
 {
 	struct call *call = call_new(p, finish_read, arg);
-	char *path = path_with("/table/row?key=", key);
+	char *path = platform_path("/table/row?key=", key);
 
 	call->done.read = done;
 	call_start(call, "GET", path, NULL, 0);
@@ -183,7 +180,7 @@
 		      void *arg)
 {
 	struct call *call = call_new(p, finish_scan, arg);
-	char *path = path_with("/table/scan?prefix=", prefix);
+	char *path = platform_path("/table/scan?prefix=", prefix);
 
 	call->done.scan = done;
 	call_start(call, "GET", path, NULL, 0);
@@ -205,7 +202,7 @@
 	size_t i;
 
 	for (i = 0; i < n; i++)
-		json_array_append_new(list, write_to_json(&writes[i]));
+		json_array_append_new(list, platform_write_json(&writes[i]));
 	json_object_set_new(root, "nonce", json_string(nonce));
 	json_object_set_new(root, "writes", list);
 	body = json_dumps(root, JSON_COMPACT);
@@ -222,7 +219,7 @@
 	void (*done)(void *arg, enum platform_outcome outcome), void *arg)
 {
 	struct call *call = call_new(p, finish_put, arg);
-	char *path = path_with("/objects/", name);
+	char *path = platform_path("/objects/", name);
 
 	call->effect = true;
 	call->done.put = done;
@@ -238,7 +235,7 @@
 			    void *arg)
 {
 	struct call *call = call_new(p, finish_get, arg);
-	char *path = path_with("/objects/", name);
+	char *path = platform_path("/objects/", name);
 
 	call->done.get = done;
 	call_start(call, "GET", path, NULL, 0);
@@ -388,26 +385,6 @@
 	return lost(call);
 }
 
-/* Reads a row of the platform's JSON; the strings belong to object. */
-static bool row_parse(const json_t *object, struct platform_row *row)
-{
-	const json_t *version = json_object_get(object, "version");
-	const json_t *value = json_object_get(object, "value");
-
-	memset(row, 0, sizeof(*row));
-	row->key = json_string_value(json_object_get(object, "key"));
-	row->value = json_string_value(value);
-	row->value_len = json_string_length(value);
-	row->nonce = json_string_value(json_object_get(object, "nonce"));
-	if (!row->nonce)
-		row->nonce = "";
-	if (json_is_integer(version) && json_integer_value(version) >= 0)
-		row->version = (uint64_t)json_integer_value(version);
-	if (!row->value)
-		row->value = "";
-	return row->key && json_is_integer(version);
-}
-
 static void finish_read(struct call *call, enum platform_outcome outcome)
 {
 	struct platform_row row;
@@ -416,7 +393,7 @@
 	if (outcome == PLATFORM_OK) {
 		root = json_loadb(call->body ? call->body : "", call->len, 0,
 				  NULL);
-		if (!root || !row_parse(root, &row))
+		if (!root || !platform_row_parse(root, &row))
 			outcome = PLATFORM_UNAVAILABLE;
 	}
 	call->done.read(call->arg, outcome,
@@ -442,7 +419,7 @@
 	}
 	rows = xcalloc(json_array_size(list), sizeof(*rows));
 	for (i = 0; i < json_array_size(list); i++)
-		if (row_parse(json_array_get(list, i), &rows[n]))
+		if (platform_row_parse(json_array_get(list, i), &rows[n]))
 			n++;
 out:
 	call->done.scan(call->arg, outcome, rows, n);
@@ -462,7 +439,8 @@
 		root = json_loadb(call->body ? call->body : "", call->len, 0,
 				  NULL);
 	if (outcome == PLATFORM_CONFLICT)
-		have_row = row_parse(json_object_get(root, "conflict"), &row);
+		have_row = platform_row_parse(json_object_get(root, "conflict"),
+					      &row);
 	if (outcome == PLATFORM_OK) {
 		v = json_array_get(json_object_get(root, "versions"), 0);
 		version = (uint64_t)json_integer_value(v);
@@ -484,17 +462,6 @@
 		       outcome == PLATFORM_OK ? call->len : 0);
 }
 
-/* Reads one line of the instance list; the strings belong to object. */
-static bool instance_parse(const json_t *object, struct platform_instance *i)
-{
-	i->name = json_string_value(json_object_get(object, "name"));
-	i->zone = json_string_value(json_object_get(object, "zone"));
-	i->kind = json_string_value(json_object_get(object, "kind"));
-	i->address = json_string_value(json_object_get(object, "address"));
-	i->leaving = json_is_true(json_object_get(object, "leaving"));
-	return i->name && i->zone && i->kind && i->address;
-}
-
 static void finish_instances(struct call *call, enum platform_outcome outcome)
 {
 	struct platform_instance *instances = NULL;
@@ -513,47 +480,11 @@
 	}
 	instances = xcalloc(json_array_size(list), sizeof(*instances));
 	for (i = 0; i < json_array_size(list); i++)
-		if (instance_parse(json_array_get(list, i), &instances[n]))
+		if (platform_instance_parse(json_array_get(list, i),
+					    &instances[n]))
 			n++;
 out:
 	call->done.instances(call->arg, outcome, instances, n);
 	free(instances);
 	json_decref(root);
 }
-
-/* Returns before and the word with every reserved byte escaped; the caller
- * frees it. */
-static char *path_with(const char *before, const char *word)
-{
-	static const char digits[] = "0123456789ABCDEF";
-	size_t len = strlen(before);
-	char *path = xcalloc(len + 3 * strlen(word) + 1, 1);
-	char *out = path + len;
-	unsigned char c;
-
-	memcpy(path, before, len);
-	for (; *word; word++) {
-		c = (unsigned char)*word;
-		if (isalnum(c) || strchr("-._~/", c)) {
-			*out++ = (char)c;
-			continue;
-		}
-		*out++ = '%';
-		*out++ = digits[c >> 4];
-		*out++ = digits[c & 15];
-	}
-	return path;
-}
-
-/* Returns one conditional write in the platform's JSON. */
-static json_t *write_to_json(const struct platform_write *w)
-{
-	json_t *object = json_object();
-
-	json_object_set_new(object, "key", json_string(w->key));
-	json_object_set_new(object, "value",
-			    w->value ? json_string(w->value) : json_null());
-	json_object_set_new(object, "if_version",
-			    json_integer((json_int_t)w->if_version));
-	return object;
-}
