policy: planned leaving of endpoints and instances

Cause: callers keep old answers for a while, the instance list lags, and a planned stop may cut nothing. Change: an endpoint takes no work from the moment its leaving is known, and what runs is moved before its deadline; an instance leaves the answers, serves on until no answer can name it (5 s to spread and the answer's time to live), refuses, hands over what still runs and exits.

--- a/policy/drain.h
+++ b/policy/drain.h
@@ -50,7 +50,7 @@
 bool drain_endpoint_return(struct drain_endpoint *d);
 enum drain_endpoint_phase drain_endpoint_phase(const struct drain_endpoint *d,
 					       uint64_t now);
-bool drain_endpoint_takes_work(const struct drain_endpoint *d, uint64_t now);
+bool drain_endpoint_takes_work(const struct drain_endpoint *d);
 
 void drain_init(struct drain *d, const struct drain_settings *settings);
 void drain_announce(struct drain *d, uint64_t now);
