--- a/ctl/apply.c
+++ b/ctl/apply.c
@@ -208,7 +208,8 @@
 			   instance)
 	{
 		state = text_of(instance, "state");
-		if (strcmp(state, "alive") != 0 && strcmp(state, "suspect") != 0)
+		if (strcmp(state, "alive") != 0 &&
+		    strcmp(state, "suspect") != 0)
 			continue;
 		s->instances++;
 		if (number_of(instance, "config_version") >= version) {
--- a/ctl/status.c
+++ b/ctl/status.c
@@ -52,7 +52,7 @@
 	int status = EXIT_DONE;
 
 	if (strcmp(c->words[0], "endpoint") != 0 &&
-	    strcmp(c->words[0], "instance")) {
+	    strcmp(c->words[0], "instance") != 0) {
 		fprintf(stderr, "cdmctl: %s is neither endpoint nor instance\n",
 			c->words[0]);
 		return EXIT_USAGE;
--- a/fleetd/feed.c
+++ b/fleetd/feed.c
@@ -248,12 +248,12 @@
 		roster_pack(&r->entries[i], &s->members[s->n_members++]);
 	}
 	s->endpoints = endpoints_changes(f, since, &s->n_endpoints);
-	s->endpoint_list = xcalloc(s->n_endpoints, sizeof(Cdm__EndpointState *));
+	s->endpoint_list =
+		xcalloc(s->n_endpoints, sizeof(Cdm__EndpointState *));
 	for (i = 0; i < s->n_endpoints; i++)
 		s->endpoint_list[i] = &s->endpoints[i];
 	s->suspicions = suspects_changes(f, since, &s->n_suspicions);
-	s->suspicion_list =
-		xcalloc(s->n_suspicions, sizeof(Cdm__Suspicion *));
+	s->suspicion_list = xcalloc(s->n_suspicions, sizeof(Cdm__Suspicion *));
 	for (i = 0; i < s->n_suspicions; i++)
 		s->suspicion_list[i] = &s->suspicions[i];
 }
