emulator: stand-ins for engine, service and platform

The daemons need something to talk to before there is anything to test. engined batches continuously with a slot limit, generates chained tokens, has a prefix cache with late and gappy events, and takes its faults from POST /control. serviced counts runs by key. platformd has the table with conditional writes, objects, the lagging instance list and the weight store.

Settings are one table that serves as long options and as control keys, so that the two cannot differ. Ruled out: a reader that remembers unsent events; it is a place in the stream's text instead, and replay, pause, mute and attach are then the same code.

Tried by hand over HTTP: start, replay, 409 on a taken name, fencing, lost answer, refused connections, pause.

--- /dev/null
+++ b/emulator/chain.c
@@ -0,0 +1,143 @@
+/*
+ * The chain of tokens that stand-in engines generate.  Each token holds its
+ * position and a digest of the prompt, of all text before it and of a salt
+ * that is new at each start of an engine.  A missing, repeated or foreign
+ * token, or a splice of two generations, breaks the chain.  An honest resume
+ * on another engine does not.
+ */
+#include "emulator/chain.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SALT_DIGITS 8
+#define DIGEST_DIGITS 16
+
+static uint64_t digest_with_salt(const struct chain *c, const char *salt);
+static bool parse_hex(const char *s, size_t digits, uint64_t *value);
+static enum chain_fault check_token(struct chain *c, const char *token,
+				    size_t len);
+
+/* Begins the chain of an answer to a prompt of len bytes. */
+void chain_start(struct chain *c, const char *prompt, size_t len)
+{
+	*c = (struct chain){ .fault = CHAIN_GOOD };
+	XXH64_reset(&c->state, 0);
+	XXH64_update(&c->state, prompt, len);
+	XXH64_update(&c->state, "", 1);
+}
+
+/* Takes len bytes of text as given, unchecked; the next token's position is
+ * then the given one. */
+void chain_feed(struct chain *c, const char *text, size_t len,
+		uint64_t position)
+{
+	if (len)
+		XXH64_update(&c->state, text, len);
+	c->position = position;
+}
+
+/* Writes the next token with its final NUL, and returns its length. */
+size_t chain_make(struct chain *c, uint32_t salt, char token[CHAIN_TOKEN_SIZE])
+{
+	char digits[SALT_DIGITS + 1];
+	int len;
+
+	snprintf(digits, sizeof(digits), "%08x", (unsigned)salt);
+	len = snprintf(token, CHAIN_TOKEN_SIZE, "%llu.%s.%016llx ",
+		       (unsigned long long)c->position, digits,
+		       (unsigned long long)digest_with_salt(c, digits));
+	XXH64_update(&c->state, token, (size_t)len);
+	c->position++;
+	return (size_t)len;
+}
+
+/* Checks the next len bytes of an answer, which may end within a token.
+ * Returns the first fault of the answer; nothing after it is looked at. */
+enum chain_fault chain_check(struct chain *c, const char *text, size_t len)
+{
+	size_t i;
+
+	for (i = 0; i < len && c->fault == CHAIN_GOOD; i++) {
+		if (c->partial_len + 1 >= sizeof(c->partial)) {
+			c->fault = CHAIN_MALFORMED;
+			break;
+		}
+		c->partial[c->partial_len++] = text[i];
+		if (text[i] != ' ')
+			continue;
+		c->partial[c->partial_len] = '\0';
+		c->fault = check_token(c, c->partial, c->partial_len);
+		c->partial_len = 0;
+	}
+	return c->fault;
+}
+
+/* Returns the fault of an answer that is over. */
+enum chain_fault chain_finish(const struct chain *c)
+{
+	if (c->fault == CHAIN_GOOD && c->partial_len)
+		return CHAIN_TORN;
+	return c->fault;
+}
+
+/* Returns a word for a fault, as reports print it. */
+const char *chain_fault_name(enum chain_fault fault)
+{
+	static const char *const names[] = {
+		[CHAIN_GOOD] = "good",	       [CHAIN_MALFORMED] = "malformed",
+		[CHAIN_REPEATED] = "repeated", [CHAIN_MISSING] = "missing",
+		[CHAIN_FOREIGN] = "foreign",   [CHAIN_TORN] = "torn",
+	};
+
+	return names[fault];
+}
+
+/* Returns the digest that a token with these salt digits has to carry. */
+static uint64_t digest_with_salt(const struct chain *c, const char *salt)
+{
+	XXH64_state_t state = c->state;
+
+	XXH64_update(&state, salt, SALT_DIGITS);
+	return XXH64_digest(&state);
+}
+
+/* Reads exactly the given number of lower-case hexadecimal digits. */
+static bool parse_hex(const char *s, size_t digits, uint64_t *value)
+{
+	if (strspn(s, "0123456789abcdef") != digits)
+		return false;
+	*value = strtoull(s, NULL, 16);
+	return true;
+}
+
+/* Checks one whole token, which ends with its space and a NUL. */
+static enum chain_fault check_token(struct chain *c, const char *token,
+				    size_t len)
+{
+	uint64_t position, salt, digest;
+	char *end;
+	const char *digits;
+
+	if (strspn(token, "0123456789") == 0)
+		return CHAIN_MALFORMED;
+	errno = 0;
+	position = strtoull(token, &end, 10);
+	if (errno || *end != '.')
+		return CHAIN_MALFORMED;
+	digits = end + 1;
+	if (!parse_hex(digits, SALT_DIGITS, &salt) ||
+	    digits[SALT_DIGITS] != '.' ||
+	    !parse_hex(digits + SALT_DIGITS + 1, DIGEST_DIGITS, &digest) ||
+	    strcmp(digits + SALT_DIGITS + 1 + DIGEST_DIGITS, " ") != 0)
+		return CHAIN_MALFORMED;
+	if (position != c->position)
+		return position < c->position ? CHAIN_REPEATED : CHAIN_MISSING;
+	if (digest != digest_with_salt(c, digits))
+		return CHAIN_FOREIGN;
+	XXH64_update(&c->state, token, len);
+	c->position++;
+	return CHAIN_GOOD;
+}
--- /dev/null
+++ b/emulator/engine_cache.h
@@ -0,0 +1,34 @@
+#ifndef EMULATOR_ENGINE_CACHE_H
+#define EMULATOR_ENGINE_CACHE_H
+
+#include <stddef.h>
+#include <stdint.h>
+#include <sys/queue.h>
+
+#include <jansson.h>
+
+struct cache_block;
+TAILQ_HEAD(cache_blocks, cache_block);
+
+/* A prefix cache with limited memory, which drops what was used longest ago,
+ * and the events that it publishes late and with gaps. */
+struct engine_cache {
+	void *tree; /* blocks by hash */
+	struct cache_blocks blocks; /* the one used last comes first */
+	int64_t tokens; /* held now */
+	int64_t max_tokens;
+	json_t *events;
+	uint64_t event_seq;
+	double event_lag_ms;
+	double event_loss; /* share of events never told, 0..1 */
+	uint64_t random; /* state for the gaps */
+};
+
+void cache_init(struct engine_cache *c, uint64_t seed);
+void cache_release(struct engine_cache *c);
+uint64_t cache_use(struct engine_cache *c, const char *prompt,
+		   size_t prompt_len, const char *text, size_t text_len,
+		   uint64_t *total);
+json_t *cache_events(struct engine_cache *c, uint64_t since);
+
+#endif /* EMULATOR_ENGINE_CACHE_H */
--- /dev/null
+++ b/emulator/standin.c
@@ -0,0 +1,598 @@
+/*
+ * What all stand-ins share: their command line, their control interface and
+ * their life.  One table of settings serves as long options at the start and
+ * as the keys of POST /control afterwards.
+ */
+#include "emulator/standin.h"
+
+#include <argp.h>
+#include <errno.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "lib/counters.h"
+#include "lib/log.h"
+#include "lib/xalloc.h"
+
+#define MAX_BODY_BYTES (8u << 20)
+#define STOP_POLL_MS 20
+#define HELD_POLL_MS 1
+#define FIRST_SETTING_KEY 0x200
+
+const char *argp_program_version = "cardamomknot 0.1";
+
+/* A request that waits to be handled. */
+struct held {
+	struct held *next;
+	struct httpd_req *req; /* NULL: its caller has left */
+	double due_ms; /* INFINITY: never */
+	void (*handle)(struct httpd_req *req, void *arg);
+	void *arg;
+};
+
+static error_t parse_option(int key, char *arg, struct argp_state *state);
+static struct argp_option *make_options(const struct standin *s);
+static json_t *value_of_argument(const struct standin_setting *d,
+				 const char *arg);
+static const struct standin_setting *find_setting(const struct standin *s,
+						  const char *name);
+static bool value_allowed(const struct standin_setting *d, const json_t *value);
+static bool set_value(const struct standin *s, const struct standin_setting *d,
+		      const json_t *value, char *err, size_t err_size);
+static int choice_index(const struct standin_setting *d, const json_t *value);
+static json_t *get_value(const struct standin *s,
+			 const struct standin_setting *d);
+static void gather_routes(struct standin *s);
+static struct httpd *open_server(struct standin *s, const char *address);
+static void handle_control(struct httpd_req *req, void *arg);
+static void change_settings(struct standin *s, struct httpd_req *req);
+static bool check_all(const struct standin *s, json_t *body, char *err,
+		      size_t err_size);
+static void handle_counters(struct httpd_req *req, void *arg);
+static void on_signal(uv_signal_t *handle, int signum);
+static void on_stop_timer(uv_timer_t *timer);
+static void on_held_timer(uv_timer_t *timer);
+static void on_held_close(void *arg);
+static void on_handled_close(void *arg);
+static void drop_held(struct standin *s);
+static void close_handles(struct standin *s);
+static void release(struct standin *s);
+
+/* Returns a clock in milliseconds that never goes back. */
+double standin_now_ms(void)
+{
+	return (double)uv_hrtime() / 1e6;
+}
+
+/* Runs a stand-in until it is told to stop; returns the exit code. */
+int standin_run(struct standin *s, int argc, char **argv)
+{
+	struct argp argp = { .parser = parse_option, .doc = s->doc };
+	struct argp_option *options = make_options(s);
+	uv_loop_t loop;
+	size_t i;
+
+	argp.options = options;
+	log_open(s->program, LOG_INFO);
+	argp_parse(&argp, argc, argv, 0, NULL, s);
+	free(options);
+	uv_loop_init(&loop);
+	s->loop = &loop;
+	for (i = 0; i < 2; i++) {
+		uv_signal_init(&loop, &s->signals[i]);
+		s->signals[i].data = s;
+	}
+	uv_signal_start(&s->signals[0], on_signal, SIGTERM);
+	uv_signal_start(&s->signals[1], on_signal, SIGINT);
+	uv_timer_init(&loop, &s->stop_timer);
+	s->stop_timer.data = s;
+	uv_timer_init(&loop, &s->held_timer);
+	s->held_timer.data = s;
+	if (s->start)
+		s->start(s);
+	gather_routes(s);
+	s->httpd = open_server(s, s->address);
+	s->listening = true;
+	if (s->control_address)
+		s->control = open_server(s, s->control_address);
+	if (s->changed)
+		s->changed(s->target);
+	log_msg(LOG_INFO, "start", NULL, "%s serves at %s", s->program,
+		s->address);
+	uv_run(&loop, UV_RUN_DEFAULT);
+	release(s);
+	return 0;
+}
+
+/* Opens or closes the stand-in's main address for new connections. */
+void standin_listen(struct standin *s, bool on)
+{
+	char err[256];
+
+	if (on == s->listening || s->stopping)
+		return;
+	s->listening = on;
+	if (!on)
+		httpd_stop_listening(s->httpd);
+	else if (httpd_listen(s->httpd, s->address, err, sizeof(err)) < 0)
+		log_msg(LOG_ERR, "listen", NULL, "listening again: %s", err);
+}
+
+/* Answers with a JSON body, which is released. */
+void standin_reply(struct httpd_req *req, int status, json_t *body)
+{
+	char *text = json_dumps(body, JSON_COMPACT | JSON_ENCODE_ANY);
+
+	httpd_reply(req, status, "application/json", text ? text : "",
+		    text ? strlen(text) : 0);
+	free(text);
+	json_decref(body);
+}
+
+/* Answers with an error and a sentence formatted as by printf(3). */
+void standin_error(struct httpd_req *req, int status, const char *fmt, ...)
+{
+	char text[512];
+	va_list ap;
+
+	va_start(ap, fmt);
+	vsnprintf(text, sizeof(text), fmt, ap);
+	va_end(ap);
+	standin_reply(req, status, json_pack("{s:s}", "error", text));
+}
+
+/* Returns the request's body, which has to be a JSON object; otherwise
+ * answers with 400 and returns NULL. */
+json_t *standin_body(struct httpd_req *req)
+{
+	json_error_t error;
+	size_t len;
+	const char *body = httpd_body(req, &len);
+	json_t *object = json_loadb(body ? body : "", len, 0, &error);
+
+	if (json_is_object(object))
+		return object;
+	if (object)
+		standin_error(req, 400, "the body is not a JSON object");
+	else
+		standin_error(req, 400, "the body is not JSON: %s", error.text);
+	json_decref(object);
+	return NULL;
+}
+
+/* Cuts the connection of a request that has no answer yet. */
+void standin_cut(struct httpd_req *req)
+{
+	httpd_stream_begin(req, 200, "application/octet-stream");
+	httpd_stream_abort(req);
+}
+
+/* Keeps a request to be handled at due_ms on the clock of standin_now_ms(),
+ * or never (INFINITY).  handle gets NULL for it when its caller has left. */
+void standin_hold(struct standin *s, struct httpd_req *req, double due_ms,
+		  void (*handle)(struct httpd_req *req, void *arg), void *arg)
+{
+	struct held *h = xcalloc(1, sizeof(*h));
+	struct held **end = &s->held;
+
+	*h = (struct held){
+		.req = req, .due_ms = due_ms, .handle = handle, .arg = arg
+	};
+	while (*end)
+		end = &(*end)->next;
+	*end = h;
+	httpd_on_close(req, on_held_close, h);
+	if (!uv_is_active((uv_handle_t *)&s->held_timer))
+		uv_timer_start(&s->held_timer, on_held_timer, HELD_POLL_MS,
+			       HELD_POLL_MS);
+}
+
+/* Handles the held requests that are due, in the order of their arrival. */
+static void on_held_timer(uv_timer_t *timer)
+{
+	struct standin *s = timer->data;
+	struct held *h = s->held;
+	struct held *rest = NULL;
+	struct held **end = &rest;
+	double now = standin_now_ms();
+
+	s->held = NULL;
+	while (h) {
+		struct held *next = h->next;
+
+		h->next = NULL;
+		if (h->req && h->due_ms > now) {
+			*end = h;
+			end = &h->next;
+		} else {
+			if (h->req)
+				httpd_on_close(h->req, on_handled_close, NULL);
+			h->handle(h->req, h->arg);
+			free(h);
+		}
+		h = next;
+	}
+	*end = s->held;
+	s->held = rest;
+	if (!s->held)
+		uv_timer_stop(timer);
+}
+
+/* The caller of a held request has left. */
+static void on_held_close(void *arg)
+{
+	struct held *h = arg;
+
+	h->req = NULL;
+}
+
+/* A request that was held is over; nothing is kept for it. */
+static void on_handled_close(void *arg)
+{
+	(void)arg;
+}
+
+/* Cuts every request that is still held. */
+static void drop_held(struct standin *s)
+{
+	struct held *h;
+
+	while ((h = s->held)) {
+		s->held = h->next;
+		if (h->req) {
+			httpd_on_close(h->req, on_handled_close, NULL);
+			standin_cut(h->req);
+		}
+		h->handle(NULL, h->arg);
+		free(h);
+	}
+}
+
+/* Handles one option of the command line. */
+static error_t parse_option(int key, char *arg, struct argp_state *state)
+{
+	struct standin *s = state->input;
+	const struct standin_setting *d;
+	char err[256];
+	json_t *value;
+	bool good;
+
+	if (key == 'l') {
+		free(s->address);
+		s->address = xstrdup(arg);
+		return 0;
+	}
+	if (key == 'c') {
+		free(s->control_address);
+		s->control_address = xstrdup(arg);
+		return 0;
+	}
+	if (key == ARGP_KEY_END && !s->address)
+		argp_error(state, "an address to listen at is needed (-l)");
+	if (key < FIRST_SETTING_KEY || key >= FIRST_SETTING_KEY + 0x100)
+		return ARGP_ERR_UNKNOWN;
+	d = &s->settings[key - FIRST_SETTING_KEY];
+	value = value_of_argument(d, arg);
+	good = value && value_allowed(d, value) &&
+	       set_value(s, d, value, err, sizeof(err));
+	json_decref(value);
+	if (!good)
+		argp_error(state, "%s: \"%s\" is not allowed", d->name, arg);
+	return 0;
+}
+
+/* Makes the table of options: the addresses, then the settings. */
+static struct argp_option *make_options(const struct standin *s)
+{
+	static const struct argp_option fixed[] = {
+		{ "listen", 'l', "ADDRESS", 0, "Serve at a.b.c.d:port", 0 },
+		{ "control", 'c', "ADDRESS", 0,
+		  "Take control requests also at a.b.c.d:port", 0 },
+	};
+	size_t n = 0;
+	size_t used = sizeof(fixed) / sizeof(fixed[0]);
+	struct argp_option *options;
+	size_t i;
+
+	while (s->settings[n].name)
+		n++;
+	options = xcalloc(n + used + 1, sizeof(*options));
+	memcpy(options, fixed, sizeof(fixed));
+	for (i = 0; i < n; i++) {
+		char *name;
+		char *p;
+
+		if (s->settings[i].type == STANDIN_ACTION)
+			continue;
+		name = xstrdup(s->settings[i].name);
+		for (p = name; *p; p++)
+			if (*p == '_')
+				*p = '-';
+		options[used++] = (struct argp_option){
+			.name = name,
+			.key = FIRST_SETTING_KEY + (int)i,
+			.arg = "VALUE",
+			.doc = s->settings[i].help,
+		};
+	}
+	return options;
+}
+
+/* Turns an option's argument into the JSON value that it stands for, or
+ * returns NULL. */
+static json_t *value_of_argument(const struct standin_setting *d,
+				 const char *arg)
+{
+	if (d->type == STANDIN_STRING || d->type == STANDIN_CHOICE)
+		return json_string(arg);
+	return json_loads(arg, JSON_DECODE_ANY, NULL);
+}
+
+/* Finds a setting by its name. */
+static const struct standin_setting *find_setting(const struct standin *s,
+						  const char *name)
+{
+	const struct standin_setting *d;
+
+	for (d = s->settings; d->name; d++)
+		if (strcmp(d->name, name) == 0)
+			return d;
+	return NULL;
+}
+
+/* Tells whether a value has the type and range of a setting. */
+static bool value_allowed(const struct standin_setting *d, const json_t *value)
+{
+	double number = json_number_value(value);
+
+	switch (d->type) {
+	case STANDIN_INTEGER:
+		return json_is_integer(value) && number >= d->min &&
+		       number <= d->max;
+	case STANDIN_DECIMAL:
+		return json_is_number(value) && number >= d->min &&
+		       number <= d->max;
+	case STANDIN_BOOLEAN:
+		return json_is_boolean(value);
+	case STANDIN_STRING:
+		return json_is_string(value);
+	case STANDIN_CHOICE:
+		return choice_index(d, value) >= 0;
+	case STANDIN_ACTION:
+		return true;
+	}
+	return false;
+}
+
+/* Returns the index of a choice, or -1. */
+static int choice_index(const struct standin_setting *d, const json_t *value)
+{
+	int i;
+
+	for (i = 0; json_is_string(value) && d->choices[i]; i++)
+		if (strcmp(d->choices[i], json_string_value(value)) == 0)
+			return i;
+	return -1;
+}
+
+/* Puts an allowed value in force; only an action can still refuse. */
+static bool set_value(const struct standin *s, const struct standin_setting *d,
+		      const json_t *value, char *err, size_t err_size)
+{
+	void *field = (char *)s->target + d->offset;
+	char **string = field;
+
+	switch (d->type) {
+	case STANDIN_INTEGER:
+		*(int64_t *)field = json_integer_value(value);
+		break;
+	case STANDIN_DECIMAL:
+		*(double *)field = json_number_value(value);
+		break;
+	case STANDIN_BOOLEAN:
+		*(bool *)field = json_is_true(value);
+		break;
+	case STANDIN_STRING:
+		free(*string);
+		*string = xstrdup(json_string_value(value));
+		break;
+	case STANDIN_CHOICE:
+		*(int *)field = choice_index(d, value);
+		break;
+	case STANDIN_ACTION:
+		return d->act(s->target, value, err, err_size);
+	}
+	return true;
+}
+
+/* Returns a setting's value as JSON. */
+static json_t *get_value(const struct standin *s,
+			 const struct standin_setting *d)
+{
+	const void *field = (const char *)s->target + d->offset;
+	const char *string;
+
+	switch (d->type) {
+	case STANDIN_INTEGER:
+		return json_integer(*(const int64_t *)field);
+	case STANDIN_DECIMAL:
+		return json_real(*(const double *)field);
+	case STANDIN_BOOLEAN:
+		return json_boolean(*(const bool *)field);
+	case STANDIN_STRING:
+		string = *(const char *const *)field;
+		return json_string(string ? string : "");
+	case STANDIN_CHOICE:
+		return json_string(d->choices[*(const int *)field]);
+	case STANDIN_ACTION:
+		break;
+	}
+	return NULL;
+}
+
+/* Gathers the routes of every stand-in and those of this one. */
+static void gather_routes(struct standin *s)
+{
+	size_t n = 0;
+	size_t i;
+
+	s->all_routes[n++] = (struct httpd_route){ "/control", handle_control };
+	s->all_routes[n++] =
+		(struct httpd_route){ "/counters", handle_counters };
+	for (i = 0; s->routes[i].path && n < STANDIN_MAX_ROUTES; i++)
+		s->all_routes[n++] = s->routes[i];
+}
+
+/* Opens a server with all routes at an address, or ends the process. */
+static struct httpd *open_server(struct standin *s, const char *address)
+{
+	struct httpd_options options = { .routes = s->all_routes,
+					 .arg = s,
+					 .max_body = MAX_BODY_BYTES };
+	struct httpd *server = httpd_new(s->loop, &options);
+	char err[256];
+
+	if (httpd_listen(server, address, err, sizeof(err)) < 0) {
+		log_msg(LOG_ERR, "listen", NULL, "%s", err);
+		exit(1);
+	}
+	return server;
+}
+
+/* GET /control tells all settings, POST /control changes some. */
+static void handle_control(struct httpd_req *req, void *arg)
+{
+	struct standin *s = arg;
+	const struct standin_setting *d;
+	json_t *all;
+
+	if (strcmp(httpd_method(req), "POST") == 0) {
+		change_settings(s, req);
+		return;
+	}
+	all = json_object();
+	for (d = s->settings; d->name; d++)
+		if (d->type != STANDIN_ACTION)
+			json_object_set_new(all, d->name, get_value(s, d));
+	standin_reply(req, 200, all);
+}
+
+/* Changes all of the settings in a request, or none. */
+static void change_settings(struct standin *s, struct httpd_req *req)
+{
+	json_t *body = standin_body(req);
+	char err[256] = "";
+	const char *name;
+	json_t *value;
+	bool good = true;
+
+	if (!body)
+		return;
+	if (!check_all(s, body, err, sizeof(err))) {
+		json_decref(body);
+		standin_error(req, 400, "%s", err);
+		return;
+	}
+	json_object_foreach(body, name, value) good =
+		good &&
+		set_value(s, find_setting(s, name), value, err, sizeof(err));
+	json_decref(body);
+	if (s->changed)
+		s->changed(s->target);
+	if (good)
+		standin_reply(req, 200, json_pack("{s:b}", "ok", 1));
+	else
+		standin_error(req, 400, "%s", err);
+}
+
+/* Checks every setting of a request before any is changed. */
+static bool check_all(const struct standin *s, json_t *body, char *err,
+		      size_t err_size)
+{
+	const struct standin_setting *d;
+	const char *name;
+	json_t *value;
+
+	json_object_foreach(body, name, value)
+	{
+		d = find_setting(s, name);
+		if (!d) {
+			snprintf(err, err_size, "no setting is named %s", name);
+			return false;
+		}
+		if (!value_allowed(d, value)) {
+			snprintf(err, err_size, "%s cannot have this value",
+				 name);
+			return false;
+		}
+	}
+	return true;
+}
+
+/* GET /counters */
+static void handle_counters(struct httpd_req *req, void *arg)
+{
+	size_t len;
+	char *text = counters_text(&len);
+
+	(void)arg;
+	httpd_reply(req, 200, "text/plain; version=0.0.4", text, len);
+	free(text);
+}
+
+/* Stops gracefully: takes no connection and finishes what is open. */
+static void on_signal(uv_signal_t *handle, int signum)
+{
+	struct standin *s = handle->data;
+
+	if (s->stopping)
+		return;
+	log_msg(LOG_INFO, "stop", NULL, "stopping on signal %d", signum);
+	standin_listen(s, false);
+	s->stopping = true;
+	httpd_shutdown(s->httpd);
+	drop_held(s);
+	uv_timer_start(&s->stop_timer, on_stop_timer, 0, STOP_POLL_MS);
+}
+
+/* Ends the loop once every request is finished. */
+static void on_stop_timer(uv_timer_t *timer)
+{
+	struct standin *s = timer->data;
+
+	if (httpd_open_requests(s->httpd) == 0)
+		uv_stop(s->loop);
+}
+
+/* Closes the handles that belong to the stand-in itself. */
+static void close_handles(struct standin *s)
+{
+	uv_close((uv_handle_t *)&s->signals[0], NULL);
+	uv_close((uv_handle_t *)&s->signals[1], NULL);
+	uv_close((uv_handle_t *)&s->stop_timer, NULL);
+	uv_close((uv_handle_t *)&s->held_timer, NULL);
+}
+
+/* Releases everything, after the loop has stopped; what h2o keeps lasts as
+ * long as the process, so the loop is not closed. */
+static void release(struct standin *s)
+{
+	const struct standin_setting *d;
+
+	close_handles(s);
+	drop_held(s);
+	httpd_free(s->httpd);
+	if (s->control)
+		httpd_free(s->control);
+	if (s->release)
+		s->release(s->target);
+	uv_run(s->loop, UV_RUN_NOWAIT);
+	for (d = s->settings; d->name; d++)
+		if (d->type == STANDIN_STRING)
+			free(*(char **)((char *)s->target + d->offset));
+	free(s->address);
+	free(s->control_address);
+	counters_release();
+}
