policy: members of a table as members of shards; bench of versions

Cause: the daemons would each write the same conversion; the spread of a configuration version wasn't measured.

--- a/policy/shard.c
+++ b/policy/shard.c
@@ -59,6 +59,28 @@
 	return wanted;
 }
 
+/*
+ * Copies all members of a table, serving or not, to `out`, which has room for
+ * MEMBER_MAX, and returns their number.
+ */
+size_t shard_members(const struct member_table *t, struct shard_member *out)
+{
+	size_t i;
+
+	for (i = 0; i < t->n; i++) {
+		const struct member *m = &t->members[i];
+
+		out[i] = (struct shard_member){
+			.id = m->u.id,
+			.zone = m->u.addr.zone,
+			.region = m->u.addr.region,
+			.state = m->u.state,
+			.leaving = m->leaving || m->listed_leaving,
+		};
+	}
+	return t->n;
+}
+
 void shard_plan_init(struct shard_plan *plan)
 {
 	memset(plan, 0, sizeof(*plan));
--- a/policy/shard.h
+++ b/policy/shard.h
@@ -67,6 +67,7 @@
 	struct shard_scratch *scratch;
 };
 
+size_t shard_members(const struct member_table *t, struct shard_member *out);
 unsigned int shard_size(double share, size_t n_members, unsigned int size);
 void shard_plan_init(struct shard_plan *plan);
 void shard_plan_free(struct shard_plan *plan);
--- a/regress/bench/bench_policy_member.c
+++ b/regress/bench/bench_policy_member.c
@@ -162,6 +162,30 @@
 	}
 }
 
+/* Whoever hears of a later version has it in force at once and says so. */
+static size_t adopt(struct bench_net *net, uint64_t version)
+{
+	struct member_msg out[MEMBER_OUT_MAX];
+	size_t in_force = 0;
+	size_t i;
+	size_t n;
+
+	for (i = 0; i < net->n; i++) {
+		struct member_table *t = &net->tables[i];
+		const struct member *self = member_find(t, id_of(i));
+
+		if (self->u.config_version < version &&
+		    t->config_seen >= version) {
+			member_set_config(t, version);
+			net->rnd = pair_hash(net->rnd, i);
+			n = member_announce(t, net->rnd, out, MEMBER_OUT_MAX);
+			post(net, out, n);
+		}
+		in_force += self->u.config_version >= version;
+	}
+	return in_force;
+}
+
 static void reset_counts(struct bench_net *net)
 {
 	net->n_messages = 0;
@@ -273,6 +297,22 @@
 	      "bytes/s");
 }
 
+static void bench_config(struct bench_net *net)
+{
+	const uint64_t version = 5000;
+	struct member_update first = update_of(0);
+	unsigned int ticks = 0;
+
+	first.config_version = version;
+	member_merge(&net->tables[1], &first, net->now);
+	member_set_config(&net->tables[0], version);
+	while (adopt(net, version) < net->n &&
+	       ticks++ < PERIODS_MAX * TICKS_A_PERIOD)
+		run(net, 1);
+	print("member_config_known_to_all", net->n,
+	      ticks * MEMBER_TICK_MS / 1e3, "s");
+}
+
 static void bench_leaving(struct bench_net *net)
 {
 	member_leave(&net->tables[1], MEMBER_LEAVING, net->now);
@@ -347,6 +387,7 @@
 	for (i = 0; i < sizeof(sizes) / sizeof(sizes[0]); i++) {
 		net = new_net(sizes[i]);
 		bench_steady(net);
+		bench_config(net);
 		bench_leaving(net);
 		bench_death(net);
 		if (sizes[i] > ZONES * 2)
--- a/regress/unit/test_shard.c
+++ b/regress/unit/test_shard.c
@@ -103,6 +103,34 @@
 	shard_plan_free(&plan);
 }
 
+/* The plan serves exactly the members that the table says serve. */
+static void test_from_member_table(void **state)
+{
+	struct member_table *t = xcalloc(1, sizeof(*t));
+	struct member_update u = { .id = 1, .addr = { .zone = 2 } };
+	struct shard_member *members = xcalloc(MEMBER_MAX, sizeof(*members));
+	struct shard_org org = { .key = 1 };
+	struct shard_plan plan;
+	size_t n;
+
+	(void)state;
+	member_init(t, &u, 1000);
+	for (u.id = 2; u.id <= 6; u.id++) {
+		u.state = MEMBER_ALIVE + (u.id - 2);
+		member_merge(t, &u, 1000);
+	}
+	n = shard_members(t, members);
+	shard_plan_init(&plan);
+	assert_int_equal(shard_plan_build(&plan, members, n, &org, 1),
+			 SHARD_OK);
+	assert_int_equal(plan.n_members, member_count_serving(t));
+	assert_int_equal(plan.n_members, 3);
+	assert_int_equal(plan.members[0].zone, 2);
+	shard_plan_free(&plan);
+	free(members);
+	free(t);
+}
+
 static void test_spans_zones(void **state)
 {
 	struct fleet *f = new_fleet(9, 10, 3, 1);
@@ -303,6 +331,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_size),
 		cmocka_unit_test(test_nobody_serves),
+		cmocka_unit_test(test_from_member_table),
 		cmocka_unit_test(test_spans_zones),
 		cmocka_unit_test(test_same_from_any_order),
 		cmocka_unit_test(test_loss_moves_only_the_lost),
