--- a/policy/resume.c
+++ b/policy/resume.c
@@ -4,8 +4,8 @@
  *
  * An engine batches continuously, so all its streams advance together and fall
  * silent together.  Silence is therefore judged over all streams that this
- * instance hears from an endpoint, against the mean and deviation of the gaps
- * between their arrivals, long before a single stream's timeout.  While it is
+ * instance hears from an endpoint, against the mean, deviation and tail of the
+ * gaps between their arrivals, long before a single stream's timeout.  While it is
  * suspected, a second attempt may start elsewhere; the attempt that gives the
  * next position first wins and the other is fenced off for good, so that an
  * answer never mixes two generations beyond the point where one took over.
@@ -19,11 +19,15 @@
 	MILLI = 1000,
 	GAP_MEAN_SHIFT = 5, /* weight of a new gap in the mean: 1/32 */
 	DEV_LEAST_MS = 1,
+	TAIL_START_GAPS = 8, /* of the expected gap */
+	TAIL_ONE_IN = 2000,
+	TAIL_STEP_SHARE = 20, /* a step up is this part of the tail */
 	OWN_FAULT_LEAST = 4, /* endpoints heard, below which it is not judged */
 };
 
 const struct resume_profile resume_favour_latency = {
 	.gap_factor = 8,
+	.tail_permille = 1250,
 	.suspect_min_ms = 250,
 	.suspect_max_ms = 600,
 	.lost_after_ms = 1500,
@@ -31,12 +35,13 @@
 	.stream_lost_ms = 5000,
 	.first_token_ms = 1500,
 	.hedge = true,
-	.hedge_permille = 20,
-	.hedge_burst_tokens = 200000,
+	.hedge_permille = 50,
+	.hedge_burst_tokens = 300000,
 };
 
 const struct resume_profile resume_favour_work = {
 	.gap_factor = 16,
+	.tail_permille = 1500,
 	.suspect_min_ms = 500,
 	.suspect_max_ms = 800,
 	.lost_after_ms = 2500,
@@ -44,11 +49,14 @@
 	.stream_lost_ms = 8000,
 	.first_token_ms = 3000,
 	.hedge = true,
-	.hedge_permille = 5,
-	.hedge_burst_tokens = 60000,
+	.hedge_permille = 25,
+	.hedge_burst_tokens = 200000,
 };
 
+static void learn_gap(struct resume_endpoint *ep, float gap);
 static uint32_t take_over(struct resume_stream *s, uint32_t attempt);
+static void add_credit(struct resume_budget *b,
+		       const struct resume_profile *profile, uint64_t milli);
 
 /* Starts with an expected gap of gap_ms between arrivals. */
 void resume_endpoint_init(struct resume_endpoint *ep, uint32_t gap_ms)
@@ -56,6 +64,7 @@
 	*ep = (struct resume_endpoint){
 		.mean_ms = (float)gap_ms,
 		.dev_ms = (float)gap_ms / 2,
+		.tail_ms = (float)gap_ms * TAIL_START_GAPS,
 	};
 }
 
@@ -72,23 +81,37 @@
 	ep->decoding += (uint32_t)change;
 }
 
-/* Notes that a token of any stream arrived, and learns the gap before it. */
-void resume_endpoint_heard(struct resume_endpoint *ep, uint64_t now)
+/*
+ * Learns a gap: its mean, its deviation, and the tail by steps up when it is
+ * exceeded and so much smaller ones down when not that the two balance at one
+ * gap in TAIL_ONE_IN.
+ */
+static void learn_gap(struct resume_endpoint *ep, float gap)
 {
-	float gap, off;
+	float off = gap - ep->mean_ms;
+	float up = ep->tail_ms / TAIL_STEP_SHARE;
 
-	if (now <= ep->heard_ms)
-		return;
-	gap = (float)(now - ep->heard_ms);
-	ep->heard_ms = now;
-	if (!ep->decoding)
-		return;
-	off = gap - ep->mean_ms;
 	ep->mean_ms += off / (1 << GAP_MEAN_SHIFT);
 	off = off < 0 ? -off : off;
 	if (off < DEV_LEAST_MS)
 		off = DEV_LEAST_MS;
 	ep->dev_ms += (off - ep->dev_ms) / (1 << GAP_MEAN_SHIFT);
+	if (gap <= ep->tail_ms)
+		ep->tail_ms -= up / TAIL_ONE_IN;
+	else
+		ep->tail_ms += gap - ep->tail_ms < up ? gap - ep->tail_ms : up;
+}
+
+/* Notes that a token of any stream arrived, and learns the gap before it. */
+void resume_endpoint_heard(struct resume_endpoint *ep, uint64_t now)
+{
+	uint64_t before = ep->heard_ms;
+
+	if (now <= before)
+		return;
+	ep->heard_ms = now;
+	if (ep->decoding)
+		learn_gap(ep, (float)(now - before));
 }
 
 /*
@@ -105,7 +128,10 @@
 			   const struct resume_profile *profile)
 {
 	float ms = ep->mean_ms + (float)profile->gap_factor * ep->dev_ms;
+	float tail = ep->tail_ms * (float)profile->tail_permille / 1000;
 
+	if (ms < tail)
+		ms = tail;
 	if (ms < (float)profile->suspect_min_ms)
 		return profile->suspect_min_ms;
 	if (ms > (float)profile->suspect_max_ms)
@@ -279,18 +305,25 @@
 	b->credit_milli = (uint64_t)profile->hedge_burst_tokens * MILLI;
 }
 
-/* Earns hedged prefill by tokens relayed. */
-void resume_budget_relayed(struct resume_budget *b,
-			   const struct resume_profile *profile,
-			   uint32_t tokens)
+/* Adds thousandths of a token, up to the burst. */
+static void add_credit(struct resume_budget *b,
+		       const struct resume_profile *profile, uint64_t milli)
 {
 	uint64_t max = (uint64_t)profile->hedge_burst_tokens * MILLI;
 
-	b->credit_milli += (uint64_t)tokens * profile->hedge_permille;
+	b->credit_milli += milli;
 	if (b->credit_milli > max)
 		b->credit_milli = max;
 }
 
+/* Earns hedged prefill by tokens relayed. */
+void resume_budget_relayed(struct resume_budget *b,
+			   const struct resume_profile *profile,
+			   uint32_t tokens)
+{
+	add_credit(b, profile, (uint64_t)tokens * profile->hedge_permille);
+}
+
 /*
  * Takes the prefill of one hedge out of the budget, or returns false: the
  * stream then waits until its endpoint counts as lost.
@@ -304,3 +337,13 @@
 	b->credit_milli -= milli;
 	return true;
 }
+
+/*
+ * Gives back what a hedge did not waste: all of it if it won, since the move
+ * was needed; if it lost, the prefill that it had not done when cancelled.
+ */
+void resume_budget_refund(struct resume_budget *b,
+			  const struct resume_profile *profile, uint32_t tokens)
+{
+	add_credit(b, profile, (uint64_t)tokens * MILLI);
+}
--- a/policy/resume.h
+++ b/policy/resume.h
@@ -26,6 +26,7 @@
 /* How silence is judged; one profile a service, from the configuration. */
 struct resume_profile {
 	uint32_t gap_factor; /* suspect after mean + factor * deviation */
+	uint32_t tail_permille; /* and after so much of the rarest gaps */
 	uint32_t suspect_min_ms;
 	uint32_t suspect_max_ms;
 	uint32_t lost_after_ms; /* beyond the start of suspicion */
@@ -41,6 +42,7 @@
 struct resume_endpoint {
 	float mean_ms; /* of the gap between arrivals */
 	float dev_ms; /* mean absolute deviation of it */
+	float tail_ms; /* exceeded by about one gap in two thousand */
 	uint32_t decoding; /* streams past their first token */
 	uint64_t heard_ms;
 };
@@ -102,5 +104,8 @@
 			   const struct resume_profile *profile,
 			   uint32_t tokens);
 bool resume_budget_take(struct resume_budget *b, uint32_t prefill_tokens);
+void resume_budget_refund(struct resume_budget *b,
+			  const struct resume_profile *profile,
+			  uint32_t tokens);
 
 #endif /* POLICY_RESUME_H */
--- a/regress/bench/bench_policy_request.c
+++ b/regress/bench/bench_policy_request.c
@@ -21,6 +21,7 @@
 enum {
 	REPEATS = 5,
 	ROUTE_ROUNDS = 100000,
+	SUSPECT_ROUNDS = 2000,
 	ADMIT_ROUNDS = 500000,
 	RESUME_ROUNDS = 5000000,
 	ADMIT_BACKLOG = 2000,
@@ -186,10 +187,10 @@
 	printf("quarantine_judge_unknown %.1f ns/request\n",
 	       (now_ns() - start) / RESUME_ROUNDS);
 	start = now_ns();
-	for (i = 0; i < ROUTE_ROUNDS / 100; i++)
+	for (i = 0; i < SUSPECT_ROUNDS; i++)
 		sink += quarantine_judge(q, &d[0], 1000).verdict;
 	printf("quarantine_judge_suspect %.0f ns/request\n",
-	       (now_ns() - start) / (ROUTE_ROUNDS / 100));
+	       (now_ns() - start) / SUSPECT_ROUNDS);
 	quarantine_free(q);
 }
 
--- /dev/null
+++ b/regress/bench/bench_policy_resume.c
@@ -0,0 +1,308 @@
+/*
+ * Trade-off of resuming, at policy level: the real judgement of silence over
+ * seeded, synthetic gaps between tokens.  No processes, no network: latencies
+ * are from the last token before a silent death to the next one relayed, with
+ * the new engine's prefill at PREFILL_US a token.  Extra work is in tokens
+ * prefilled or decoded to no use, against all tokens prefilled and decoded.
+ */
+#include <math.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "lib/xalloc.h"
+#include "policy/resume.h"
+#include "regress/random.h"
+
+enum {
+	STREAMS = 30, /* that an instance hears from an endpoint */
+	STEPS = 4000000, /* of one endpoint */
+	STEP_MS = 40,
+	TICK_MS = 20, /* between two judgements */
+	PREFILL_US = 200,
+	CONNECT_MS = 2,
+	PROMPT_LEAST = 500,
+	PROMPT_SPREAD = 3500,
+	OUTPUT_TOKENS = 1500,
+	STEPS_PER_DEATH = 20000,
+	BINS = 20000, /* of gaps, a millisecond each */
+};
+
+/* How uneven the gaps of a live engine are. */
+struct gap_model {
+	const char *name;
+	double sigma; /* of the logarithm of a gap */
+	double stall_share; /* gaps lengthened by another prompt's prefill */
+	double stall_max_ms;
+	double pause_share; /* gaps in which the engine pauses */
+	double pause_max_ms;
+};
+
+struct stream {
+	uint32_t prompt;
+	uint32_t generated;
+};
+
+struct result {
+	uint64_t needed; /* tokens prefilled and decoded to use */
+	uint64_t wasted; /* to no use */
+	uint64_t denied; /* hedges that the budget did not allow */
+	uint64_t tail_gaps; /* of live engines, at the 99.9th percentile */
+	uint64_t tail_moved; /* streams moved in them, in gaps */
+	uint64_t moved;
+	uint64_t gaps;
+	double silence_ms; /* before deaths were acted on, in all */
+	uint32_t nlatency;
+	float *latency; /* ms */
+};
+
+struct sim {
+	const struct resume_profile *profile;
+	const struct gap_model *model;
+	struct random_source rnd;
+	struct resume_endpoint ep;
+	struct resume_budget budget;
+	struct stream stream[STREAMS];
+	uint64_t now;
+	double tail_ms; /* 99.9th percentile of gaps */
+	struct result r;
+};
+
+static double draw_gap(struct sim *s);
+static double tail_of(const struct gap_model *model);
+static void new_stream(struct sim *s, struct stream *stream);
+static double silence_until(const struct sim *s, enum resume_health health);
+static void live_gap(struct sim *s, double gap);
+static void death(struct sim *s);
+static void deliver(struct sim *s);
+static void run(const struct resume_profile *profile,
+		const struct gap_model *model, const char *name);
+
+/* A gap between two steps of a live engine, in milliseconds. */
+static double draw_gap(struct sim *s)
+{
+	double z = sqrt(-2 * log(random_unit(&s->rnd))) *
+		   cos(2 * M_PI * random_unit(&s->rnd));
+	double gap = STEP_MS * exp(s->model->sigma * z);
+	double kind = random_unit(&s->rnd);
+
+	if (kind < s->model->pause_share)
+		gap += s->model->pause_max_ms * random_unit(&s->rnd);
+	else if (kind < s->model->pause_share + s->model->stall_share)
+		gap += s->model->stall_max_ms * random_unit(&s->rnd);
+	return gap;
+}
+
+/* The 99.9th percentile of the model's gaps. */
+static double tail_of(const struct gap_model *model)
+{
+	struct sim s = { .model = model, .rnd = { .seed = 21 } };
+	uint64_t *bin = xcalloc(BINS, sizeof(*bin));
+	uint64_t above = 0;
+	int i;
+
+	for (i = 0; i < STEPS; i++) {
+		double gap = draw_gap(&s);
+
+		bin[gap < BINS ? (int)gap : BINS - 1]++;
+	}
+	for (i = BINS - 1; i > 0 && above < STEPS / 1000; i--)
+		above += bin[i];
+	free(bin);
+	return i + 1;
+}
+
+/* A request of its own prompt starts in place of one that ended. */
+static void new_stream(struct sim *s, struct stream *stream)
+{
+	stream->prompt = PROMPT_LEAST + random_below(&s->rnd, PROMPT_SPREAD);
+	stream->generated = 0;
+	s->r.needed += stream->prompt;
+}
+
+/* Milliseconds of silence after which a judgement finds the health. */
+static double silence_until(const struct sim *s, enum resume_health health)
+{
+	uint64_t t;
+
+	for (t = TICK_MS; t < BINS; t += TICK_MS)
+		if (resume_endpoint_judge(&s->ep, s->profile, s->now + t) >=
+		    health)
+			break;
+	return (double)t;
+}
+
+/* A live engine is silent for gap; hedges may start and may win. */
+static void live_gap(struct sim *s, double gap)
+{
+	double suspect, lost;
+	uint64_t moved = 0;
+	int i;
+
+	s->r.gaps++;
+	s->r.tail_gaps += gap >= s->tail_ms ? STREAMS : 0;
+	if (gap <= s->profile->suspect_min_ms)
+		return;
+	suspect = silence_until(s, RESUME_SUSPECT);
+	lost = silence_until(s, RESUME_LOST);
+	for (i = 0; i < STREAMS && gap > suspect; i++) {
+		struct stream *stream = &s->stream[i];
+		uint32_t tokens = stream->prompt + stream->generated;
+		double prefill = CONNECT_MS + tokens * PREFILL_US / 1000.0;
+		double from = suspect;
+		uint32_t done;
+
+		if (!s->profile->hedge ||
+		    !resume_budget_take(&s->budget, tokens)) {
+			s->r.denied++;
+			from = lost;
+		}
+		if (gap <= from)
+			continue;
+		if (gap <= from + prefill && from < lost) {
+			done = (uint32_t)((gap - from) * 1000 / PREFILL_US);
+			if (done > tokens)
+				done = tokens;
+			s->r.wasted += done;
+			resume_budget_refund(&s->budget, s->profile,
+					     tokens - done);
+			continue;
+		}
+		s->r.wasted += tokens;
+		moved++;
+	}
+	s->r.moved += moved;
+	if (gap >= s->tail_ms)
+		s->r.tail_moved += moved;
+}
+
+/* The engine dies silently: every stream moves. */
+static void death(struct sim *s)
+{
+	double suspect = silence_until(s, RESUME_SUSPECT);
+	double lost = silence_until(s, RESUME_LOST);
+	bool hedged[STREAMS];
+	int i;
+
+	for (i = 0; i < STREAMS; i++)
+		hedged[i] = s->profile->hedge &&
+			    resume_budget_take(&s->budget,
+					       s->stream[i].prompt +
+						       s->stream[i].generated);
+	for (i = 0; i < STREAMS; i++) {
+		struct stream *stream = &s->stream[i];
+		uint32_t tokens = stream->prompt + stream->generated;
+		double ms = CONNECT_MS + tokens * PREFILL_US / 1000.0 + STEP_MS;
+
+		ms += hedged[i] ? suspect : lost;
+		s->r.silence_ms += hedged[i] ? suspect : lost;
+		if (hedged[i])
+			resume_budget_refund(&s->budget, s->profile, tokens);
+		s->r.latency[s->r.nlatency++] = (float)ms;
+		s->r.needed += tokens;
+	}
+}
+
+/* All streams get a token. */
+static void deliver(struct sim *s)
+{
+	int i;
+
+	for (i = 0; i < STREAMS; i++) {
+		s->r.needed++;
+		if (++s->stream[i].generated >= OUTPUT_TOKENS)
+			new_stream(s, &s->stream[i]);
+	}
+	resume_budget_relayed(&s->budget, s->profile, STREAMS);
+	resume_endpoint_heard(&s->ep, s->now);
+}
+
+static int by_value(const void *a, const void *b)
+{
+	float x = *(const float *)a;
+	float y = *(const float *)b;
+
+	return (x > y) - (x < y);
+}
+
+/* Runs one endpoint's life under a profile and prints its figures. */
+static void run(const struct resume_profile *profile,
+		const struct gap_model *model, const char *name)
+{
+	struct sim s = { .profile = profile,
+			 .model = model,
+			 .rnd = { .seed = 22 },
+			 .tail_ms = tail_of(model) };
+	float *latency;
+	uint32_t i, n;
+
+	latency = xcalloc(STEPS / STEPS_PER_DEATH * STREAMS + STREAMS,
+			  sizeof(*latency));
+	s.r.latency = latency;
+	resume_endpoint_init(&s.ep, STEP_MS);
+	resume_endpoint_decoding(&s.ep, STREAMS, 0);
+	resume_budget_init(&s.budget, profile);
+	for (i = 0; i < STREAMS; i++)
+		new_stream(&s, &s.stream[i]);
+	for (i = 1; i < STEPS; i++) {
+		double gap = draw_gap(&s);
+
+		if (i % STEPS_PER_DEATH == 0) {
+			death(&s);
+			gap = STEP_MS;
+		} else {
+			live_gap(&s, gap);
+		}
+		s.now += (uint64_t)gap;
+		deliver(&s);
+	}
+	n = s.r.nlatency;
+	qsort(latency, n, sizeof(*latency), by_value);
+	printf("resume_%s_%s_silence_mean %.0f ms\n", model->name, name,
+	       s.r.silence_ms / n);
+	printf("resume_%s_%s_latency_p50 %.0f ms\n", model->name, name,
+	       (double)latency[n / 2]);
+	printf("resume_%s_%s_latency_p99 %.0f ms\n", model->name, name,
+	       (double)latency[n / 100 * 99]);
+	printf("resume_%s_%s_extra_work %.3f percent\n", model->name, name,
+	       100.0 * (double)s.r.wasted / (double)s.r.needed);
+	printf("resume_%s_%s_moved_at_tail_gap %.2f percent\n", model->name,
+	       name, 100.0 * (double)s.r.tail_moved / (double)s.r.tail_gaps);
+	printf("resume_%s_%s_moved_in_vain %.2f per-million-tokens\n",
+	       model->name, name,
+	       1e6 * (double)s.r.moved / ((double)s.r.gaps * STREAMS));
+	printf("resume_%s_%s_hedges_denied %llu streams\n", model->name, name,
+	       (unsigned long long)s.r.denied);
+	free(latency);
+}
+
+int main(void)
+{
+	static const struct gap_model models[] = {
+		{ "even", 0.2, 0, 0, 0, 0 },
+		{ "uneven", 0.3, 0.01, 300, 0.00001, 1500 },
+		{ "pausing", 0.3, 0.01, 300, 0.0001, 1500 },
+	};
+	static const uint32_t suspect_ms[] = { 150, 250, 400, 600, 800 };
+	size_t m, i;
+
+	for (m = 0; m < 3; m++) {
+		const struct gap_model *model = &models[m];
+
+		printf("resume_%s_gap_p999 %.0f ms\n", model->name,
+		       tail_of(model));
+		for (i = 0; i < 5; i++) {
+			struct resume_profile p = resume_favour_latency;
+			char name[32];
+
+			p.suspect_min_ms = suspect_ms[i];
+			p.suspect_max_ms = suspect_ms[i];
+			snprintf(name, sizeof(name), "hedge_at_%u",
+				 suspect_ms[i]);
+			run(&p, model, name);
+		}
+		run(&resume_favour_latency, model, "favour_latency");
+		run(&resume_favour_work, model, "favour_work");
+	}
+	return 0;
+}
--- a/regress/unit/test_resume.c
+++ b/regress/unit/test_resume.c
@@ -288,6 +288,7 @@
 
 	(void)state;
 	p.hedge_burst_tokens = 1000;
+	p.hedge_permille = 5;
 	resume_budget_init(&b, &p);
 	for (i = 0; i < 1000000; i++) {
 		resume_budget_relayed(&b, &p, 1);
@@ -295,6 +296,40 @@
 			taken += 500;
 	}
 	assert_in_range(taken, 5000, 6000);
+	resume_budget_refund(&b, &p, UINT32_MAX);
+	assert_int_equal(b.credit_milli, 1000 * 1000);
+}
+
+/*
+ * Rare long gaps of a live endpoint raise the threshold above them, so that
+ * they do not start hedges, and it falls again when they stop.
+ */
+static void test_learns_tail(void **state)
+{
+	const struct resume_profile *p = &resume_favour_latency;
+	struct resume_endpoint ep;
+	uint64_t now = 0;
+	uint32_t suspected = 0;
+	int i;
+
+	(void)state;
+	resume_endpoint_init(&ep, STEP_MS);
+	resume_endpoint_decoding(&ep, 1, now);
+	for (i = 0; i < 40000; i++) {
+		uint32_t gap = i % 100 ? STEP_MS : 380;
+
+		if (i > 20000 && gap >= resume_suspect_ms(&ep, p))
+			suspected++;
+		now += gap;
+		resume_endpoint_heard(&ep, now);
+	}
+	assert_int_equal(suspected, 0);
+	assert_in_range(resume_suspect_ms(&ep, p), 381, p->suspect_max_ms);
+	for (i = 0; i < 200000; i++) {
+		now += STEP_MS;
+		resume_endpoint_heard(&ep, now);
+	}
+	assert_int_equal(resume_suspect_ms(&ep, p), p->suspect_min_ms);
 }
 
 int main(void)
@@ -309,6 +344,7 @@
 		cmocka_unit_test(test_lost_attempts),
 		cmocka_unit_test(test_judge),
 		cmocka_unit_test(test_budget),
+		cmocka_unit_test(test_learns_tail),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
