policy: no overshoot of a limit under lost messages; suspects run alone in order

Limits: with a tenth of the messages lost, members together exceeded an organisation's limit by up to 50%, for two reasons. A member raised its share on old news of the others; it now does so only if it has just heard from all of them.

Quarantine: with 20 endpoints and 31 suspects, two trials of 300 lost a fourth endpoint, because two requests to run alone were put on one endpoint when none was free of suspects. Routing now keeps their order also then.

--- a/policy/route.c
+++ b/policy/route.c
@@ -22,6 +22,7 @@
 	const struct route_request *req;
 	const struct route_candidate *cand;
 	size_t n;
+	uint16_t shun; /* flags of candidates passed over for now */
 	float mean_others; /* other instances' requests an endpoint */
 	float room_per_slot; /* requests a slot at which an endpoint is full */
 	float prompt_tokens;
@@ -53,11 +54,13 @@
 static float wait_us(const struct scan *s, const struct route_candidate *c,
 		     float load);
 static bool is_better(enum route_outcome a, enum route_outcome b);
-static enum route_outcome choose_scan(const struct scan *s, bool silent,
-				      uint64_t rnd, size_t *best);
+static enum route_outcome choose_scan(const struct scan *s, uint64_t rnd,
+				      size_t *best);
 static bool choose_two(const struct scan *s, uint64_t rnd, size_t *best);
 static bool choose_alone(const struct scan *s, bool idle, size_t *best);
 static bool is_candidate_alone(const struct scan *s, size_t i, bool idle);
+static bool choose_special(struct scan *s, uint64_t rnd, size_t *best);
+static enum route_outcome choose(struct scan *s, uint64_t rnd, size_t *best);
 
 /* Requests of other instances at the endpoint when it last reported. */
 static float others(const struct route_candidate *c)
@@ -103,8 +106,6 @@
 		return ROUTE_ALL_AVOIDED;
 	if (c->flags & ROUTE_RUNS_ALONE)
 		return ROUTE_NO_ROOM_APART;
-	if (s->req->apart != ROUTE_TOGETHER && c->flags & ROUTE_RUNS_SUSPECT)
-		return ROUTE_NO_ROOM_APART;
 	if (load >= (float)c->slots * s->room_per_slot)
 		return ROUTE_ALL_BUSY;
 	return ROUTE_OK;
@@ -164,12 +165,11 @@
 }
 
 /*
- * Finds the cheapest permitted candidate, silent ones only if asked for.  The
- * scan starts at a random one, so that equal costs do not send all instances
+ * Finds the cheapest permitted candidate that is not shunned.  The scan starts at a random one, so that equal costs do not send all instances
  * to the same endpoint.
  */
-static enum route_outcome choose_scan(const struct scan *s, bool silent,
-				      uint64_t rnd, size_t *best)
+static enum route_outcome choose_scan(const struct scan *s, uint64_t rnd,
+				      size_t *best)
 {
 	enum route_outcome outcome = ROUTE_NONE_UP;
 	float best_us = FLT_MAX;
@@ -182,7 +182,7 @@
 		enum route_outcome o;
 		float load, us;
 
-		if (!silent && c->flags & ROUTE_SILENT)
+		if (c->flags & s->shun)
 			continue;
 		load = load_of(s, c);
 		o = permit(s, c, load);
@@ -215,7 +215,7 @@
 		float load = load_of(s, c);
 		float us;
 
-		if (c->flags & ROUTE_SILENT || permit(s, c, load) != ROUTE_OK)
+		if (c->flags & s->shun || permit(s, c, load) != ROUTE_OK)
 			continue;
 		found++;
 		us = cost_us(s, c, load);
@@ -232,7 +232,7 @@
 {
 	const struct route_candidate *c = &s->cand[i];
 
-	if (c->flags & ROUTE_SILENT || permit(s, c, load_of(s, c)) != ROUTE_OK)
+	if (c->flags & s->shun || permit(s, c, load_of(s, c)) != ROUTE_OK)
 		return false;
 	return !idle || (!c->own_now && others(c) == 0);
 }
@@ -264,9 +264,46 @@
 	return false;
 }
 
+/* Chooses where something else than a scan is asked for. */
+static bool choose_special(struct scan *s, uint64_t rnd, size_t *best)
+{
+	s->shun = ROUTE_SILENT;
+	if (s->req->apart != ROUTE_TOGETHER)
+		s->shun |= ROUTE_RUNS_SUSPECT;
+	if (s->req->apart != ROUTE_ALONE)
+		return s->params->method == ROUTE_TWO &&
+		       choose_two(s, rnd, best);
+	if (choose_alone(s, true, best) || choose_alone(s, false, best))
+		return true;
+	s->shun = ROUTE_SILENT;
+	return choose_alone(s, false, best);
+}
+
+/*
+ * Chooses among all candidates: first shunning those that run a suspect, if
+ * the request is to be kept apart, and those that are silent; then taking the
+ * former, then the latter too, rather than none.
+ */
+static enum route_outcome choose(struct scan *s, uint64_t rnd, size_t *best)
+{
+	enum route_outcome outcome;
+
+	if (choose_special(s, rnd, best))
+		return ROUTE_OK;
+	outcome = choose_scan(s, rnd, best);
+	if (outcome != ROUTE_OK && s->shun & ROUTE_RUNS_SUSPECT) {
+		s->shun = ROUTE_SILENT;
+		outcome = choose_scan(s, rnd, best);
+	}
+	if (outcome != ROUTE_OK) {
+		s->shun = 0;
+		outcome = choose_scan(s, rnd, best);
+	}
+	return outcome;
+}
+
 /*
- * Chooses one of n candidates for req.  rnd is a fresh random number.  An
- * endpoint whose streams are silent is taken only if no other may be.  If
+ * Chooses one of n candidates for req.  rnd is a fresh random number.  If
  * there is no choice, the outcome says what stood in the way of the candidate
  * that came nearest.
  */
@@ -278,7 +315,6 @@
 	struct scan s = { .params = params, .req = req, .cand = cand, .n = n };
 	struct route_choice choice = { .outcome = ROUTE_NONE_UP };
 	size_t best = 0;
-	bool found = false;
 
 	if (!n)
 		return choice;
@@ -289,14 +325,7 @@
 	s.crossings = (float)params->zone_crossings;
 	s.service_us = (float)req->service_ms * US_PER_MS;
 	s.slowdown_us = s.service_us * (float)params->slowdown_permille / 1000;
-	if (req->apart == ROUTE_ALONE)
-		found = choose_alone(&s, true, &best) ||
-			choose_alone(&s, false, &best);
-	else if (params->method == ROUTE_TWO)
-		found = choose_two(&s, rnd, &best);
-	choice.outcome = found ? ROUTE_OK : choose_scan(&s, false, rnd, &best);
-	if (choice.outcome != ROUTE_OK)
-		choice.outcome = choose_scan(&s, true, rnd, &best);
+	choice.outcome = choose(&s, rnd, &best);
 	if (choice.outcome != ROUTE_OK)
 		return choice;
 	choice.index = (uint32_t)best;
@@ -320,7 +349,7 @@
 	case ROUTE_ALL_BUSY:
 		return "every endpoint is full";
 	case ROUTE_NO_ROOM_APART:
-		return "no endpoint is free of other suspect requests";
+		return "every endpoint is kept for a request that runs alone";
 	}
 	return "unknown";
 }
--- a/policy/route.h
+++ b/policy/route.h
@@ -16,7 +16,7 @@
 /* How far a request must be kept from others (policy/quarantine.h). */
 enum route_apart {
 	ROUTE_TOGETHER, /* ordinary request */
-	ROUTE_APART, /* not beside another crash suspect */
+	ROUTE_APART, /* not beside another suspect, if that can be had */
 	ROUTE_ALONE, /* beside no request at all, if that can be had */
 };
 
@@ -25,7 +25,7 @@
 	ROUTE_NONE_UP, /* no endpoint is up and staying */
 	ROUTE_ALL_AVOIDED, /* the request failed on all that are up */
 	ROUTE_ALL_BUSY, /* every permitted endpoint is full */
-	ROUTE_NO_ROOM_APART, /* none where it would be kept apart */
+	ROUTE_NO_ROOM_APART, /* all are kept for requests run alone */
 };
 
 enum route_method {
--- a/policy/share.c
+++ b/policy/share.c
@@ -4,8 +4,9 @@
  * Half of the limit is split evenly, so that every member can always serve a
  * caller that comes to it; the other half follows demand.  A member lowers its
  * share at once, but raises it only out of what the others have published as
- * no longer in force, and takes at most an even part of that a round.  Members
- * that exchange every round so never exceed the limit together.  A
+ * no longer in force, takes at most an even part of that a round, and only if
+ * it has just heard from all others.  Members that act in step so never exceed
+ * the limit together, whatever messages are lost.  A
  * member that has heard from nobody for the hold time falls back to its even
  * part, and only after twice that time do others use what it held.
  */
@@ -22,6 +23,8 @@
 static uint32_t held_by_others(uint32_t limit, const struct share_member *m,
 			       size_t n, size_t self, uint64_t now,
 			       uint32_t hold_ms);
+static bool is_fresh(const struct share_member *m, size_t n, size_t self,
+		     uint64_t now, const struct share_params *params);
 static uint32_t part_of_spare(uint32_t spare, const struct share_member *m,
 			      const uint32_t *target, size_t n, size_t self);
 
@@ -109,6 +112,25 @@
 	return held < limit ? (uint32_t)held : limit;
 }
 
+/*
+ * Says whether every member was heard lately, but for those that have fallen
+ * back for certain.  On older news several members could use the same spare
+ * part of the limit.
+ */
+static bool is_fresh(const struct share_member *m, size_t n, size_t self,
+		     uint64_t now, const struct share_params *params)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		if (i == self || is_gone(&m[i], now, params->hold_ms))
+			continue;
+		if (now - m[i].heard_ms > params->fresh_ms)
+			return false;
+	}
+	return true;
+}
+
 /*
  * The part of spare that member self may take: even parts go to the members
  * below their target, in the order that all members agree on.
@@ -132,11 +154,15 @@
 
 /*
  * The share that member self puts in force next, to be called once a round (an
- * exchange between all members).  members is in the same order everywhere.
+ * exchange between all members).  members is in the same order everywhere, and
+ * self's own entry is as it last published it: members that decide on the same
+ * entries take disjoint parts of what is spare.
  */
 uint32_t share_next(uint32_t limit, const struct share_member *members,
-		    size_t n, size_t self, uint64_t now, uint32_t hold_ms)
+		    size_t n, size_t self, uint64_t now,
+		    const struct share_params *params)
 {
+	uint32_t hold_ms = params->hold_ms;
 	uint32_t demand[SHARE_MEMBERS_MAX] = { 0 };
 	uint32_t target[SHARE_MEMBERS_MAX];
 	uint32_t mine = members[self].share;
@@ -153,6 +179,8 @@
 	share_split(limit, demand, n, target);
 	if (mine >= target[self])
 		return target[self];
+	if (!is_fresh(members, n, self, now, params))
+		return mine;
 	held = held_by_others(limit, members, n, self, now, hold_ms);
 	if (held >= limit - mine)
 		return mine;
--- a/policy/share.h
+++ b/policy/share.h
@@ -11,12 +11,19 @@
 	uint64_t heard_ms; /* when last heard; unused for the member itself */
 };
 
+/* Times of the exchange between members. */
+struct share_params {
+	uint32_t fresh_ms; /* a share is raised on news this young only */
+	uint32_t hold_ms; /* a member not heard for longer is cut off */
+};
+
 enum { SHARE_MEMBERS_MAX = 64 };
 
 void share_split(uint32_t limit, const uint32_t *demand, size_t n,
 		 uint32_t *share);
 uint32_t share_start(uint32_t limit, size_t self, size_t n);
 uint32_t share_next(uint32_t limit, const struct share_member *members,
-		    size_t n, size_t self, uint64_t now, uint32_t hold_ms);
+		    size_t n, size_t self, uint64_t now,
+		    const struct share_params *params);
 
 #endif /* POLICY_SHARE_H */
--- /dev/null
+++ b/regress/bench/bench_policy_share.c
@@ -0,0 +1,173 @@
+/*
+ * An organisation's limit over its shard, at policy level: how far members
+ * together exceed it, and how much of it is in force, when their exchange
+ * loses messages.  Members act in step, or each in its own time.  Demand
+ * changes every CHANGE_MS.
+ */
+#include <stdbool.h>
+#include <stdio.h>
+
+#include "policy/share.h"
+#include "regress/random.h"
+
+enum {
+	MEMBERS_MAX = 8,
+	LIMIT = 400,
+	TICK_MS = 10,
+	ROUND_MS = 500,
+	DELAY_MAX_MS = 50,
+	RUN_MS = 20000000,
+	CHANGE_MS = 10000,
+};
+
+/* A message on its way. */
+struct message {
+	bool sent;
+	uint64_t arrives_ms;
+	struct share_member body;
+};
+
+struct shard {
+	struct random_source rnd;
+	size_t n;
+	uint32_t loss_percent;
+	bool in_step;
+	uint64_t act_ms[MEMBERS_MAX];
+	struct share_member member[MEMBERS_MAX];
+	struct share_member view[MEMBERS_MAX][MEMBERS_MAX];
+	struct message message[MEMBERS_MAX][MEMBERS_MAX];
+};
+
+static const struct share_params params = {
+	.fresh_ms = ROUND_MS,
+	.hold_ms = 10 * ROUND_MS,
+};
+
+static void init(struct shard *s, size_t n, uint32_t loss_percent,
+		 bool in_step);
+static void publish(struct shard *s, size_t from, uint64_t now);
+static void deliver(struct shard *s, uint64_t now);
+static void act(struct shard *s, uint64_t now);
+static void run(size_t n, uint32_t loss_percent, bool in_step);
+
+static void init(struct shard *s, size_t n, uint32_t loss_percent, bool in_step)
+{
+	size_t i, k;
+
+	*s = (struct shard){ .rnd = { .seed = n },
+			     .n = n,
+			     .in_step = in_step,
+			     .loss_percent = loss_percent };
+	for (i = 0; i < n; i++) {
+		s->member[i].share = share_start(LIMIT, i, n);
+		s->act_ms[i] = ROUND_MS;
+		if (!in_step)
+			s->act_ms[i] += random_below(&s->rnd, ROUND_MS);
+	}
+	for (i = 0; i < n; i++)
+		for (k = 0; k < n; k++)
+			s->view[i][k] = s->member[k];
+}
+
+/* Tells the others, unless messages are lost; they come after a delay. */
+static void publish(struct shard *s, size_t from, uint64_t now)
+{
+	size_t i;
+
+	s->view[from][from] = s->member[from];
+	for (i = 0; i < s->n; i++) {
+		if (i == from || random_below(&s->rnd, 100) < s->loss_percent)
+			continue;
+		s->message[i][from] = (struct message){
+			.sent = true,
+			.arrives_ms = now + random_below(&s->rnd, DELAY_MAX_MS),
+			.body = s->member[from],
+		};
+	}
+}
+
+static void deliver(struct shard *s, uint64_t now)
+{
+	size_t i, k;
+
+	for (i = 0; i < s->n; i++)
+		for (k = 0; k < s->n; k++) {
+			struct message *m = &s->message[i][k];
+
+			if (!m->sent || m->arrives_ms > now)
+				continue;
+			m->sent = false;
+			s->view[i][k] = m->body;
+			s->view[i][k].heard_ms = now;
+		}
+}
+
+/* Members whose time has come put their next share in force. */
+static void act(struct shard *s, uint64_t now)
+{
+	bool acted[MEMBERS_MAX] = { false };
+	size_t i;
+
+	for (i = 0; i < s->n; i++) {
+		if (now < s->act_ms[i])
+			continue;
+		acted[i] = true;
+		s->act_ms[i] += ROUND_MS;
+		if (!s->in_step)
+			s->act_ms[i] += random_below(&s->rnd, ROUND_MS / 4);
+		s->member[i].share =
+			share_next(LIMIT, s->view[i], s->n, i, now, &params);
+	}
+	for (i = 0; i < s->n; i++)
+		if (acted[i])
+			publish(s, i, now);
+}
+
+static void run(size_t n, uint32_t loss_percent, bool in_step)
+{
+	const char *how = in_step ? "in_step" : "own_time";
+	uint32_t most = 0, over = 0, ticks = 0;
+	uint64_t in_force = 0, now;
+	struct shard s;
+	size_t i;
+
+	init(&s, n, loss_percent, in_step);
+	for (now = TICK_MS; now < RUN_MS; now += TICK_MS) {
+		uint32_t sum = 0;
+
+		for (i = 0; i < n && now % CHANGE_MS == 0; i++)
+			s.member[i].demand = random_below(&s.rnd, 2)
+						     ? random_below(&s.rnd, 800)
+						     : 0;
+		deliver(&s, now);
+		act(&s, now);
+		for (i = 0; i < n; i++)
+			sum += s.member[i].share;
+		ticks++;
+		in_force += sum < LIMIT ? sum : LIMIT;
+		over += sum > LIMIT;
+		if (sum > most)
+			most = sum;
+	}
+	printf("share_%zu_%s_loss_%u_overshoot_max %.2f percent\n", n, how,
+	       loss_percent,
+	       most > LIMIT ? 100.0 * (most - LIMIT) / LIMIT : 0.0);
+	printf("share_%zu_%s_loss_%u_overshoot_time %.3f percent\n", n, how,
+	       loss_percent, 100.0 * over / ticks);
+	printf("share_%zu_%s_loss_%u_in_force %.1f percent\n", n, how,
+	       loss_percent, 100.0 * (double)in_force / ticks / LIMIT);
+}
+
+int main(void)
+{
+	static const size_t members[] = { 3, 4, 8 };
+	static const uint32_t loss[] = { 0, 1, 10, 30 };
+	size_t i, k;
+
+	for (i = 0; i < 3; i++)
+		for (k = 0; k < 4; k++) {
+			run(members[i], loss[k], true);
+			run(members[i], loss[k], false);
+		}
+	return 0;
+}
--- a/regress/unit/test_share.c
+++ b/regress/unit/test_share.c
@@ -17,6 +17,11 @@
 	TRIALS = 400,
 };
 
+static const struct share_params params = {
+	.fresh_ms = ROUND_MS - 1,
+	.hold_ms = HOLD_MS,
+};
+
 static uint32_t sum(const uint32_t *v, size_t n)
 {
 	uint32_t total = 0;
@@ -65,6 +70,7 @@
 
 /* A shard whose members exchange once a round. */
 struct shard {
+	struct random_source rnd;
 	size_t n;
 	uint32_t limit;
 	struct share_member member[MEMBERS_MAX];
@@ -75,6 +81,7 @@
 {
 	size_t i, k;
 
+	s->rnd = (struct random_source){ .seed = n };
 	s->n = n;
 	s->limit = limit;
 	for (i = 0; i < n; i++)
@@ -86,8 +93,12 @@
 			s->view[i][k] = s->member[k];
 }
 
-/* One round: all exchange (where cut allows) and then put shares in force. */
-static void shard_round(struct shard *s, uint64_t now, unsigned int cut)
+/*
+ * One round: all exchange, where cut allows and no message is lost, and then
+ * put shares in force.
+ */
+static void shard_round(struct shard *s, uint64_t now, unsigned int cut,
+			uint32_t loss_percent)
 {
 	size_t i, k;
 
@@ -95,12 +106,14 @@
 		for (k = 0; k < s->n; k++) {
 			if (i != k && ((cut >> i & 1) != (cut >> k & 1)))
 				continue;
+			if (i != k && random_below(&s->rnd, 100) < loss_percent)
+				continue;
 			s->view[i][k] = s->member[k];
 			s->view[i][k].heard_ms = now;
 		}
 	for (i = 0; i < s->n; i++)
 		s->member[i].share =
-			share_next(s->limit, s->view[i], s->n, i, now, HOLD_MS);
+			share_next(s->limit, s->view[i], s->n, i, now, &params);
 }
 
 static uint32_t shard_sum(const struct shard *s)
@@ -113,7 +126,7 @@
 	return total;
 }
 
-/* Whatever demand does, members that exchange never exceed the limit. */
+/* Whatever demand does and is lost, members never exceed the limit. */
 static void test_no_overshoot(void **state)
 {
 	struct random_source rnd = { .seed = 2 };
@@ -131,7 +144,8 @@
 				for (i = 0; i < s.n; i++)
 					s.member[i].demand =
 						random_below(&rnd, 1000);
-			shard_round(&s, (uint64_t)round * ROUND_MS, 0);
+			shard_round(&s, (uint64_t)round * ROUND_MS, 0,
+				    trial % 2 ? 20 : 0);
 			assert_true(shard_sum(&s) <= s.limit);
 		}
 	}
@@ -147,7 +161,7 @@
 	shard_init(&s, 4, 100);
 	s.member[1].demand = 500;
 	for (round = 1; round < 80; round++)
-		shard_round(&s, (uint64_t)round * ROUND_MS, 0);
+		shard_round(&s, (uint64_t)round * ROUND_MS, 0, 0);
 	assert_int_equal(s.member[1].share, 100 - 13 - 12 - 12);
 	assert_int_equal(shard_sum(&s), 100);
 }
@@ -165,10 +179,10 @@
 	shard_init(&s, 4, 100);
 	s.member[0].demand = 1000;
 	for (round = 1; round < 80; round++)
-		shard_round(&s, (uint64_t)round * ROUND_MS, 0);
+		shard_round(&s, (uint64_t)round * ROUND_MS, 0, 0);
 	for (; round < 200; round++) {
 		s.member[1].demand = 1000;
-		shard_round(&s, (uint64_t)round * ROUND_MS, 1);
+		shard_round(&s, (uint64_t)round * ROUND_MS, 1, 0);
 		assert_true(shard_sum(&s) <= s.limit);
 	}
 	assert_int_equal(s.member[0].share, share_start(100, 0, 4));
