--- /dev/null
+++ b/entryd/attempt.c
@@ -0,0 +1,368 @@
+/*
+ * Attempts: streams of engines for a generation.  Which attempt's tokens are
+ * relayed is decided by policy/resume.c; this file carries it out.
+ */
+#include <bsd/stdlib.h>
+#include <bsd/string.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "entryd/generation.h"
+#include "entryd/journal.h"
+#include "entryd/objectives.h"
+#include "entryd/services.h"
+#include "lib/counters.h"
+#include "lib/log.h"
+#include "lib/xalloc.h"
+
+#define PENDING_HIGH (256u << 10) /* bytes unsent to a caller: stop reading */
+#define PRIORITY_NEW 5
+#define PRIORITY_RESUME 9
+
+static struct counter relayed = {
+	.name = "cdmentryd_tokens_relayed",
+	.help = "Tokens relayed to callers.",
+};
+static struct counter stale = {
+	.name = "cdmentryd_tokens_dropped",
+	.help = "Tokens of attempts that had lost, or repeated, dropped.",
+};
+
+static struct attempt *attempt_new(struct entryd *e, struct generation *g,
+				   struct endpoint *ep);
+static void attempt_fill_prefix(struct attempt *a, const struct generation *g,
+				uint64_t endpoint);
+static void on_started(void *arg, uint64_t salt);
+static void on_token(void *arg, uint32_t position, const char *text,
+		     size_t len);
+static void on_pause(void *arg);
+static void on_done(void *arg, uint32_t n);
+static void on_failed(void *arg, enum engine_failure failure);
+static void heard(struct attempt *a, struct generation *g, struct endpoint *ep,
+		  uint64_t now);
+static void take_replayed(struct attempt *a, struct generation *g,
+			  uint32_t position, const char *text, size_t len);
+static void relay(struct attempt *a, struct generation *g, uint32_t position,
+		  const char *text, size_t len, uint64_t now);
+static void lose(struct attempt *a, struct generation *g, bool cancel,
+		 bool broken);
+
+static const struct engine_events attempt_events = {
+	.on_started = on_started,
+	.on_token = on_token,
+	.on_pause = on_pause,
+	.on_done = on_done,
+	.on_failed = on_failed,
+};
+
+/* Starts an attempt, or a second one beside it, at the position reached. */
+bool attempt_start(struct entryd *e, struct generation *g, struct endpoint *ep,
+		   bool hedge)
+{
+	struct attempt *a = attempt_new(e, g, ep);
+	const struct service *service = service_get(e, g->service);
+	const struct engine_start start = {
+		.address = ep->address,
+		.stream = a->name,
+		.prompt = g->ask.prompt,
+		.text = g->text,
+		.text_len = g->text_len,
+		.position = g->resume.next_pos,
+		.max_tokens = g->ask.max_tokens,
+		.priority = g->resume.last_attempt ? PRIORITY_RESUME
+						   : PRIORITY_NEW,
+	};
+
+	if (hedge)
+		a->number = resume_start_hedge(&g->resume);
+	else
+		a->number = resume_start(&g->resume, entryd_now(e),
+					 (uint32_t)service->first_token_ms);
+	snprintf(a->name, sizeof(a->name), "%s.%" PRIu32 ".%08" PRIx32, g->id,
+		 a->number, arc4random());
+	attempt_fill_prefix(a, g, ep->id);
+	a->stream =
+		e->engine->ops->start(e->engine, &start, &attempt_events, a);
+	return true;
+}
+
+/* Hears a stream that another instance started, from the cursor's position,
+ * or from its first token where the text before is not known. */
+bool attempt_attach(struct entryd *e, struct generation *g, struct endpoint *ep,
+		    const struct cursor *cursor)
+{
+	struct attempt *a = attempt_new(e, g, ep);
+
+	a->number = resume_start(&g->resume, entryd_now(e), 0);
+	a->attached = true;
+	strlcpy(a->name, cursor->stream, sizeof(a->name));
+	attempt_fill_prefix(a, g, ep->id);
+	a->stream = e->engine->ops->attach(e->engine, ep->address, a->name,
+					   g->text_tokens, &attempt_events, a);
+	return true;
+}
+
+/* Ends an attempt; cancel tells the engine to stop it too. */
+void attempt_end(struct entryd *e, struct generation *g, struct attempt *a,
+		 bool cancel)
+{
+	struct endpoint *ep = endpoint_get(e, a->endpoint);
+	int i;
+
+	for (i = 0; i < 2; i++)
+		if (g->attempts[i] == a)
+			g->attempts[i] = NULL;
+	if (ep) {
+		if (a->decoding)
+			resume_endpoint_decoding(&ep->silence, -1,
+						 entryd_now(e));
+		ep->suspects_now -= a->suspect;
+		ep->alone_now -= a->alone;
+		if (cancel)
+			e->engine->ops->cancel(e->engine, ep->address, a->name);
+		endpoint_release(e, ep);
+	}
+	if (a->stream)
+		e->engine->ops->detach(a->stream);
+	free(a);
+}
+
+/* Stops or goes on reading, for a caller that reads slowly.  A stream that is
+ * not read says nothing about its endpoint. */
+void attempt_pause(struct generation *g, struct attempt *a, bool paused)
+{
+	struct endpoint *ep = endpoint_get(a->e, a->endpoint);
+
+	g->paused = paused;
+	a->e->engine->ops->pause(a->stream, paused);
+	if (!paused || !a->decoding || !ep)
+		return;
+	a->decoding = false;
+	resume_endpoint_decoding(&ep->silence, -1, entryd_now(a->e));
+}
+
+/* Returns the attempt of a number, or NULL. */
+struct attempt *attempt_by_number(const struct generation *g, uint32_t number)
+{
+	int i;
+
+	for (i = 0; i < 2; i++)
+		if (g->attempts[i] && g->attempts[i]->number == number)
+			return g->attempts[i];
+	return NULL;
+}
+
+/* Makes an attempt on an endpoint and counts it there. */
+static struct attempt *attempt_new(struct entryd *e, struct generation *g,
+				   struct endpoint *ep)
+{
+	struct attempt *a = xcalloc(1, sizeof(*a));
+	struct quarantine_finding finding =
+		quarantine_judge(e->quarantine, &g->digest, entryd_now(e));
+
+	if (!relayed.next && !relayed.value) {
+		counter_register(&stale);
+		counter_register(&relayed);
+	}
+	a->e = e;
+	a->generation = g->self;
+	a->endpoint = ep->self;
+	a->started_at = entryd_now(e);
+	a->suspect = finding.deaths > 0;
+	a->alone = finding.verdict == QUARANTINE_RUN_ALONE;
+	ep->own_now++;
+	ep->suspects_now += a->suspect;
+	ep->alone_now += a->alone;
+	g->attempts[g->attempts[0] ? 1 : 0] = a;
+	g->phase = GENERATION_RUNNING;
+	return a;
+}
+
+/* Works out what the attempt's cursors have in common. */
+static void attempt_fill_prefix(struct attempt *a, const struct generation *g,
+				uint64_t endpoint)
+{
+	struct cursor cursor = {
+		.attempt = a->number,
+		.endpoint = endpoint,
+	};
+
+	memcpy(cursor.generation, g->id, sizeof(cursor.generation));
+	memcpy(cursor.stream, a->name, sizeof(cursor.stream));
+	cursor_prefix(&cursor, g->org_id, a->e->config->cursor_key, a->prefix);
+}
+
+/* The engine has taken the stream on. */
+static void on_started(void *arg, uint64_t salt)
+{
+	struct attempt *a = arg;
+	struct endpoint *ep = endpoint_get(a->e, a->endpoint);
+
+	if (ep && salt)
+		ep->salt = salt;
+}
+
+/* A token has come. */
+static void on_token(void *arg, uint32_t position, const char *text, size_t len)
+{
+	struct attempt *a = arg;
+	struct entryd *e = a->e;
+	struct generation *g = generation_get(e, a->generation);
+	struct endpoint *ep = endpoint_get(e, a->endpoint);
+	uint64_t now = entryd_now(e);
+	struct resume_verdict v;
+	struct attempt *loser;
+
+	if (ep)
+		heard(a, g, ep, now);
+	if (position < g->resume.next_pos) {
+		take_replayed(a, g, position, text, len);
+		return;
+	}
+	if (g->text_tokens < g->resume.next_pos) {
+		lose(a, g, false, false);
+		return;
+	}
+	v = resume_accept(&g->resume, a->number, position, now);
+	loser = v.outcome == RESUME_RELAY ? attempt_by_number(g, v.cancel)
+					  : NULL;
+	if (loser)
+		attempt_end(e, g, loser, true);
+	switch (v.outcome) {
+	case RESUME_RELAY:
+		relay(a, g, position, text, len, now);
+		return;
+	case RESUME_DROP_DUPLICATE:
+		counter_add(&stale, 1);
+		return;
+	case RESUME_DROP_STALE:
+		counter_add(&stale, 1);
+		attempt_end(e, g, a, true);
+		return;
+	case RESUME_GAP:
+		lose(a, g, true, false);
+		return;
+	}
+}
+
+/* What was read at once has been taken: send it on, and stop reading while
+ * the caller lags behind. */
+static void on_pause(void *arg)
+{
+	struct attempt *a = arg;
+	struct generation *g = generation_get(a->e, a->generation);
+	bool slow;
+
+	relay_flush(g);
+	slow = g->req && g->begun &&
+	       httpd_stream_pending(g->req) > PENDING_HIGH;
+	if (slow == g->paused)
+		return;
+	attempt_pause(g, a, slow);
+}
+
+/* The engine says that the generation is whole. */
+static void on_done(void *arg, uint32_t n)
+{
+	struct attempt *a = arg;
+	struct generation *g = generation_get(a->e, a->generation);
+
+	if (n != g->resume.next_pos || g->text_tokens != n) {
+		lose(a, g, true, false);
+		return;
+	}
+	generation_finish(a->e, g);
+}
+
+/* The stream has ended without its whole answer. */
+static void on_failed(void *arg, enum engine_failure failure)
+{
+	struct attempt *a = arg;
+	struct generation *g = generation_get(a->e, a->generation);
+	struct endpoint *ep = endpoint_get(a->e, a->endpoint);
+
+	journal_add(a->e->journal, g->request, "engine %s %s",
+		    ep ? ep->name : "(removed)", engine_failure_text(failure));
+	if (ep && failure == ENGINE_UNREACHABLE)
+		endpoint_unreachable(a->e, ep);
+	if (ep && failure == ENGINE_BUSY)
+		ep->queued = ep->slots * 2; /* until the next report */
+	lose(a, g, failure == ENGINE_MALFORMED, failure == ENGINE_BROKEN);
+}
+
+/* Learns from a token of the endpoint, and of the attempt's first one. */
+static void heard(struct attempt *a, struct generation *g, struct endpoint *ep,
+		  uint64_t now)
+{
+	if (!a->decoding) {
+		a->decoding = true;
+		resume_endpoint_decoding(&ep->silence, 1, now);
+	}
+	if (!a->first_seen) {
+		a->first_seen = true;
+		if (!a->attached)
+			service_first_token(service_get(a->e, g->service),
+					    (uint32_t)(now - a->started_at));
+	}
+	resume_endpoint_heard(&ep->silence, now);
+}
+
+/* Takes a token from before the caller's position.  The text that a new
+ * instance did not see is learnt this way and checked against the cursor. */
+static void take_replayed(struct attempt *a, struct generation *g,
+			  uint32_t position, const char *text, size_t len)
+{
+	struct entryd *e = a->e;
+
+	if (position != g->text_tokens) {
+		counter_add(&stale, 1);
+		return;
+	}
+	generation_add_text(g, text, len);
+	if (g->text_tokens == g->resume.next_pos && g->expect_hash &&
+	    generation_hash(g) != g->expect_hash)
+		generation_restart(e, g,
+				   "the text before your position is not "
+				   "the one that you were sent");
+}
+
+/* Relays the next token. */
+static void relay(struct attempt *a, struct generation *g, uint32_t position,
+		  const char *text, size_t len, uint64_t now)
+{
+	struct entryd *e = a->e;
+	struct service *service = service_get(e, g->service);
+
+	generation_add_text(g, text, len);
+	relay_token(g, a, position, text, len);
+	counter_add(&relayed, 1);
+	resume_budget_relayed(&service->hedges, service->profile, 1);
+	if (g->lost_at) {
+		objectives_resumed(e, g, now - g->lost_at);
+		journal_add(e->journal, g->request,
+			    "output goes on after %" PRIu64 " ms",
+			    now - g->lost_at);
+		g->lost_at = 0;
+	}
+	if (!g->first_token_at) {
+		g->first_token_at = now;
+		objectives_first_token(e, g, now - g->arrived_at);
+	}
+}
+
+/* Ends an attempt that gave less than it should have. */
+static void lose(struct attempt *a, struct generation *g, bool cancel,
+		 bool broken)
+{
+	struct entryd *e = a->e;
+	struct endpoint *ep = endpoint_get(e, a->endpoint);
+	uint32_t left =
+		resume_attempt_lost(&g->resume, a->number, entryd_now(e));
+
+	attempt_end(e, g, a, cancel);
+	if (left != RESUME_NO_ATTEMPT)
+		return;
+	generation_lost(e, g, ep, broken);
+}
--- /dev/null
+++ b/entryd/endpoints.c
@@ -0,0 +1,356 @@
+/*
+ * The endpoints: what the configuration, cdmfleetd and this process's own
+ * requests say of each, and the candidates that a route is chosen from.
+ */
+#include "entryd/endpoints.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "entryd/members.h"
+#include "lib/ident.h"
+#include "lib/log.h"
+#include "lib/xalloc.h"
+#include "policy/subset.h"
+
+#define GAP_PRIOR_MS 20 /* between arrivals, until learnt */
+#define SAME_ZONE_US 200 /* one-way latency assumed */
+#define OTHER_ZONE_US 1000
+
+struct endpoints {
+	struct slots table; /* of struct endpoint * */
+};
+
+static struct endpoint *endpoint_add(struct entryd *e, uint64_t id);
+static void endpoint_configure(struct endpoint *ep,
+			       const struct config_endpoint *from, bool model);
+static void drop_unused(struct entryd *e);
+static void assign_service(struct entryd *e, uint64_t service);
+static void fill_candidate(const struct entryd *e, const struct endpoint *ep,
+			   const struct endpoint_list *avoid, uint64_t now,
+			   struct route_candidate *c);
+static bool list_has(const struct endpoint_list *list, uint64_t id);
+
+/* Makes an empty table. */
+struct endpoints *endpoints_new(void)
+{
+	struct endpoints *t = xcalloc(1, sizeof(*t));
+
+	slots_init(&t->table, sizeof(struct endpoint *));
+	return t;
+}
+
+/* Frees a table. */
+void endpoints_free(struct endpoints *t)
+{
+	struct endpoint **item;
+	uint32_t i = 0;
+
+	while ((item = slots_next(&t->table, &i, NULL))) {
+		free((*item)->name);
+		free((*item)->address);
+		free(*item);
+	}
+	slots_release(&t->table);
+	free(t);
+}
+
+/* Takes the endpoints of a new configuration.  One that is gone takes no new
+ * work and is forgotten with its last request. */
+void endpoints_configure(struct entryd *e)
+{
+	const struct config *c = e->config;
+	struct endpoint *ep;
+	uint32_t index = 0;
+	size_t i;
+
+	while ((ep = endpoints_next(e, &index)))
+		ep->removed = true;
+	for (i = 0; i < c->n_endpoints; i++) {
+		const struct config_endpoint *from = &c->endpoints[i];
+		const struct config_service *service =
+			config_service_by_name(c, from->service);
+
+		ep = endpoint_by_id(e, name_id(from->name));
+		if (!ep)
+			ep = endpoint_add(e, name_id(from->name));
+		endpoint_configure(ep, from, service->kind == SERVICE_MODEL);
+	}
+	drop_unused(e);
+	endpoints_assign(e);
+}
+
+/* Chooses, for each service, the endpoints that this instance uses. */
+void endpoints_assign(struct entryd *e)
+{
+	size_t i;
+
+	for (i = 0; e->config && i < e->config->n_services; i++)
+		assign_service(e, name_id(e->config->services[i].name));
+}
+
+/* Takes states from cdmfleetd. */
+void endpoints_heard(struct entryd *e, Cdm__EndpointState **states, size_t n)
+{
+	uint64_t now = entryd_now(e);
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		const Cdm__EndpointState *s = states[i];
+		struct endpoint *ep = endpoint_by_id(e, name_id(s->name));
+
+		if (!ep)
+			continue;
+		ep->fleet_down = !s->up;
+		ep->fleet_leaving = s->leaving;
+		if (!s->has_running)
+			continue;
+		ep->running = s->running;
+		ep->queued = s->queued;
+		if (s->has_slots && s->slots)
+			ep->slots = s->slots;
+		ep->reported_at =
+			now -
+			(s->has_age_ms && s->age_ms < now ? s->age_ms : 0);
+		ep->own_reported = ep->own_now;
+		if (s->has_salt && s->salt && !ep->own_now)
+			ep->salt = s->salt;
+	}
+}
+
+/* Returns an endpoint, or NULL if it is forgotten. */
+struct endpoint *endpoint_get(const struct entryd *e, struct handle h)
+{
+	struct endpoint **item = slots_get(&e->endpoints->table, h);
+
+	return item ? *item : NULL;
+}
+
+/* Returns an endpoint by the id of its name, or NULL. */
+struct endpoint *endpoint_by_id(const struct entryd *e, uint64_t id)
+{
+	struct endpoint *ep;
+	uint32_t index = 0;
+
+	while ((ep = endpoints_next(e, &index)))
+		if (ep->id == id)
+			return ep;
+	return NULL;
+}
+
+/* Walks over all endpoints; *index starts at 0. */
+struct endpoint *endpoints_next(const struct entryd *e, uint32_t *index)
+{
+	struct endpoint **item = slots_next(&e->endpoints->table, index, NULL);
+
+	return item ? *item : NULL;
+}
+
+/* Tells whether an endpoint is believed to answer. */
+bool endpoint_up(const struct endpoint *ep)
+{
+	return !ep->removed && !ep->fleet_down && !ep->lost;
+}
+
+/* Tells whether an endpoint is to get no new work. */
+bool endpoint_leaving(const struct endpoint *ep)
+{
+	return ep->removed || ep->config_leaving || ep->fleet_leaving;
+}
+
+/* Chooses an endpoint for a request, or returns NULL with the reason. */
+struct endpoint *endpoints_route(struct entryd *e, uint64_t service,
+				 const struct route_request *req,
+				 const struct endpoint_list *avoid,
+				 enum route_outcome *outcome)
+{
+	static struct route_candidate list[ENDPOINT_CANDIDATES_MAX];
+	struct endpoint *eps[ENDPOINT_CANDIDATES_MAX];
+	struct route_choice choice;
+	struct endpoint *ep;
+	uint64_t now = entryd_now(e);
+	uint32_t index = 0;
+	size_t n = 0;
+
+	while (n < ENDPOINT_CANDIDATES_MAX &&
+	       (ep = endpoints_next(e, &index))) {
+		if (ep->service != service || !ep->used || ep->removed)
+			continue;
+		eps[n] = ep;
+		fill_candidate(e, ep, avoid, now, &list[n]);
+		list[n].endpoint = (uint32_t)n;
+		n++;
+	}
+	choice = route_choose(&route_defaults, req, list, n, entryd_random());
+	*outcome = choice.outcome;
+	return choice.outcome == ROUTE_OK ? eps[choice.index] : NULL;
+}
+
+/* Adds to a list of endpoints to avoid; the oldest make room. */
+void endpoint_list_add(struct endpoint_list *list, uint64_t id)
+{
+	const size_t max = sizeof(list->ids) / sizeof(list->ids[0]);
+
+	if (list_has(list, id))
+		return;
+	if (list->n == max) {
+		memmove(list->ids, list->ids + 1,
+			(max - 1) * sizeof(list->ids[0]));
+		list->n--;
+	}
+	list->ids[list->n++] = id;
+}
+
+/* A request of this process has left the endpoint. */
+void endpoint_release(struct entryd *e, struct endpoint *ep)
+{
+	ep->own_now--;
+	if (ep->removed && !ep->own_now)
+		drop_unused(e);
+}
+
+/* Returns all endpoints as JSON. */
+json_t *endpoints_status(const struct entryd *e)
+{
+	json_t *list = json_array();
+	const struct endpoint *ep;
+	uint32_t index = 0;
+
+	while ((ep = endpoints_next(e, &index)))
+		json_array_append_new(
+			list,
+			json_pack("{s:s, s:b, s:b, s:b, s:i, s:i, s:i, s:i}",
+				  "name", ep->name, "up", endpoint_up(ep),
+				  "leaving", endpoint_leaving(ep), "used",
+				  ep->used, "slots", (int)ep->slots, "running",
+				  (int)ep->running, "queued", (int)ep->queued,
+				  "own", (int)ep->own_now));
+	return list;
+}
+
+/* Makes an endpoint that is new. */
+static struct endpoint *endpoint_add(struct entryd *e, uint64_t id)
+{
+	struct endpoint *ep = xcalloc(1, sizeof(*ep));
+	struct endpoint **item = slots_alloc(&e->endpoints->table, &ep->self);
+
+	*item = ep;
+	ep->id = id;
+	resume_endpoint_init(&ep->silence, GAP_PRIOR_MS);
+	return ep;
+}
+
+/* Copies what the configuration says. */
+static void endpoint_configure(struct endpoint *ep,
+			       const struct config_endpoint *from, bool model)
+{
+	if (ep->address && strcmp(ep->address, from->address) != 0)
+		ep->lost = false;
+	free(ep->name);
+	free(ep->address);
+	ep->name = xstrdup(from->name);
+	ep->address = xstrdup(from->address);
+	ep->zone = zone_id(from->zone);
+	ep->service = name_id(from->service);
+	ep->model = model;
+	ep->removed = false;
+	ep->config_leaving = from->leaving;
+	if (!ep->slots || !ep->reported_at)
+		ep->slots = (uint32_t)from->slots;
+}
+
+/* Forgets the endpoints that are gone and run nothing. */
+static void drop_unused(struct entryd *e)
+{
+	struct endpoint *ep;
+	uint32_t index = 0;
+
+	while ((ep = endpoints_next(e, &index))) {
+		if (!ep->removed || ep->own_now || ep->probing)
+			continue;
+		slots_free(&e->endpoints->table, ep->self);
+		free(ep->name);
+		free(ep->address);
+		free(ep);
+	}
+}
+
+/* Chooses the used endpoints of one service.  While this instance is not
+ * among the serving ones (it starts, or leaves), it uses all. */
+static void assign_service(struct entryd *e, uint64_t service)
+{
+	struct subset_endpoint *list;
+	struct subset_entry *chosen;
+	struct endpoint **eps;
+	const struct shard_member *members;
+	struct endpoint *ep;
+	uint32_t index = 0;
+	size_t n_members;
+	size_t self;
+	size_t n = 0;
+	size_t i;
+
+	members = members_serving(e, &n_members, &self);
+	list = xcalloc(e->endpoints->table.n, sizeof(*list));
+	chosen = xcalloc(e->endpoints->table.n, sizeof(*chosen));
+	eps = xcalloc(e->endpoints->table.n, sizeof(struct endpoint *));
+	while ((ep = endpoints_next(e, &index))) {
+		if (ep->service != service)
+			continue;
+		ep->used = self == n_members;
+		list[n].id = ep->id;
+		list[n].zone = ep->zone;
+		eps[n++] = ep;
+	}
+	if (self < n_members && n) {
+		size_t n_chosen = subset_of_instance(members, n_members, self,
+						     list, n, chosen);
+
+		for (i = 0; i < n_chosen; i++)
+			eps[chosen[i].endpoint]->used = true;
+	}
+	free(eps);
+	free(list);
+	free(chosen);
+}
+
+/* Describes an endpoint to the routing policy. */
+static void fill_candidate(const struct entryd *e, const struct endpoint *ep,
+			   const struct endpoint_list *avoid, uint64_t now,
+			   struct route_candidate *c)
+{
+	memset(c, 0, sizeof(*c));
+	if (endpoint_up(ep))
+		c->flags |= ROUTE_UP;
+	if (endpoint_leaving(ep))
+		c->flags |= ROUTE_LEAVING;
+	if (ep->health != RESUME_HEALTHY)
+		c->flags |= ROUTE_SILENT;
+	if (avoid && list_has(avoid, ep->id))
+		c->flags |= ROUTE_AVOID;
+	if (ep->suspects_now)
+		c->flags |= ROUTE_RUNS_SUSPECT;
+	if (ep->alone_now)
+		c->flags |= ROUTE_RUNS_ALONE;
+	c->slots = (uint16_t)ep->slots;
+	c->running = (uint16_t)ep->running;
+	c->queued = (uint16_t)ep->queued;
+	c->own_now = (uint16_t)ep->own_now;
+	c->own_reported = (uint16_t)ep->own_reported;
+	c->report_age_ms = ep->reported_at ? (uint32_t)(now - ep->reported_at)
+					   : 0;
+	c->zone_us = ep->zone == e->zone ? SAME_ZONE_US : OTHER_ZONE_US;
+}
+
+/* Tells whether a list names an endpoint. */
+static bool list_has(const struct endpoint_list *list, uint64_t id)
+{
+	size_t i;
+
+	for (i = 0; i < list->n; i++)
+		if (list->ids[i] == id)
+			return true;
+	return false;
+}
--- /dev/null
+++ b/entryd/engine_http.c
@@ -0,0 +1,364 @@
+/*
+ * Model engines that speak the interface of docs/INTERFACES.md over HTTP.
+ */
+#include "entryd/engine.h"
+
+#include <assert.h>
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "lib/xalloc.h"
+
+#define CONNECT_TIMEOUT_MS 400
+#define CANCEL_TIMEOUT_MS 2000
+#define LINE_MAX_BYTES (1u << 20)
+#define PATH_SIZE 160
+
+struct engine_http {
+	struct engine engine; /* first */
+	struct httpc *client;
+};
+
+struct engine_stream {
+	struct httpc_req *req; /* NULL once it is over */
+	const struct engine_events *events;
+	void *arg;
+	char *line; /* the unfinished one */
+	size_t len;
+	size_t size;
+	int status;
+	enum engine_failure failure;
+	bool attaching;
+	bool busy; /* in a callback: freeing waits */
+	bool detached;
+};
+
+static struct engine_stream *start(struct engine *engine,
+				   const struct engine_start *q,
+				   const struct engine_events *events,
+				   void *arg);
+static struct engine_stream *attach(struct engine *engine, const char *address,
+				    const char *stream, uint32_t from,
+				    const struct engine_events *events,
+				    void *arg);
+static void detach(struct engine_stream *s);
+static void cancel(struct engine *engine, const char *address,
+		   const char *stream);
+static void pause_reading(struct engine_stream *s, bool paused);
+static void engine_free(struct engine *engine);
+static void on_head(void *arg, int status, const struct httpc_header *headers,
+		    size_t n);
+static void on_body(void *arg, const char *data, size_t len);
+static void on_end(void *arg, enum httpc_outcome outcome);
+static void on_cancelled(void *arg, enum httpc_outcome outcome, int status,
+			 const char *body, size_t len);
+static bool keep(struct engine_stream *s, const char *data, size_t len);
+static void take_line(struct engine_stream *s, const char *line, size_t len);
+static void take_event(struct engine_stream *s, json_t *event);
+static void over(struct engine_stream *s, enum engine_failure failure);
+static enum engine_failure failure_of_status(const struct engine_stream *s);
+
+static const struct engine_ops engine_http_ops = {
+	.start = start,
+	.attach = attach,
+	.detach = detach,
+	.cancel = cancel,
+	.pause = pause_reading,
+	.free = engine_free,
+};
+
+static const struct httpc_ops stream_ops = {
+	.on_head = on_head,
+	.on_body = on_body,
+	.on_end = on_end,
+};
+
+/* Makes the engines' interface over HTTP; each stream has a connection. */
+struct engine *engine_http_new(struct httpc *client)
+{
+	struct engine_http *h = xcalloc(1, sizeof(*h));
+
+	h->engine.ops = &engine_http_ops;
+	h->client = client;
+	return &h->engine;
+}
+
+/* Returns a clause for a person. */
+const char *engine_failure_text(enum engine_failure failure)
+{
+	static const char *const texts[] = {
+		[ENGINE_UNREACHABLE] = "could not be reached",
+		[ENGINE_BUSY] = "had no room",
+		[ENGINE_UNKNOWN_STREAM] = "no longer knew the generation",
+		[ENGINE_REFUSED] = "refused the request",
+		[ENGINE_BROKEN] = "broke the connection",
+		[ENGINE_MALFORMED] = "sent something malformed",
+	};
+
+	return texts[failure];
+}
+
+/* Starts or resumes a generation. */
+static struct engine_stream *start(struct engine *engine,
+				   const struct engine_start *q,
+				   const struct engine_events *events,
+				   void *arg)
+{
+	struct engine_http *h = (struct engine_http *)engine;
+	struct engine_stream *s = xcalloc(1, sizeof(*s));
+	json_t *json = json_pack("{s:s, s:s, s:s%, s:I, s:I, s:i}", "stream",
+				 q->stream, "prompt", q->prompt, "text",
+				 q->text ? q->text : "", q->text_len,
+				 "position", (json_int_t)q->position,
+				 "max_tokens", (json_int_t)q->max_tokens,
+				 "priority", q->priority);
+	char *body = json_dumps(json, JSON_COMPACT);
+	const struct httpc_header headers[] = {
+		{ "content-type", "application/json" },
+	};
+	const struct httpc_request request = {
+		.method = "POST",
+		.address = q->address,
+		.path = "/v1/streams",
+		.headers = headers,
+		.n_headers = 1,
+		.body = body,
+		.body_len = strlen(body),
+		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
+	};
+
+	s->events = events;
+	s->arg = arg;
+	s->req = httpc_start(h->client, &request, &stream_ops, s);
+	free(body);
+	json_decref(json);
+	return s;
+}
+
+/* Hears a generation that another instance, or another request, heard. */
+static struct engine_stream *attach(struct engine *engine, const char *address,
+				    const char *stream, uint32_t from,
+				    const struct engine_events *events,
+				    void *arg)
+{
+	struct engine_http *h = (struct engine_http *)engine;
+	struct engine_stream *s = xcalloc(1, sizeof(*s));
+	char path[PATH_SIZE];
+	const struct httpc_request request = {
+		.method = "GET",
+		.address = address,
+		.path = path,
+		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
+	};
+
+	snprintf(path, sizeof(path), "/v1/streams/%s?from=%" PRIu32, stream,
+		 from);
+	s->events = events;
+	s->arg = arg;
+	s->attaching = true;
+	s->req = httpc_start(h->client, &request, &stream_ops, s);
+	return s;
+}
+
+/* Closes the connection; no event follows. */
+static void detach(struct engine_stream *s)
+{
+	s->detached = true;
+	if (s->req)
+		httpc_cancel(s->req);
+	s->req = NULL;
+	if (s->busy)
+		return;
+	free(s->line);
+	free(s);
+}
+
+/* Tells an engine to stop a generation; what comes of it does not matter,
+ * since a stream without reader ends by itself. */
+static void cancel(struct engine *engine, const char *address,
+		   const char *stream)
+{
+	struct engine_http *h = (struct engine_http *)engine;
+	char path[PATH_SIZE];
+	const struct httpc_request request = {
+		.method = "DELETE",
+		.address = address,
+		.path = path,
+		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
+		.timeout_ms = CANCEL_TIMEOUT_MS,
+	};
+
+	snprintf(path, sizeof(path), "/v1/streams/%s", stream);
+	httpc_fetch(h->client, &request, on_cancelled, NULL);
+}
+
+/* Stops or goes on reading, for a caller that reads slowly. */
+static void pause_reading(struct engine_stream *s, bool paused)
+{
+	if (s->req)
+		httpc_pause(s->req, paused);
+}
+
+/* Frees the interface. */
+static void engine_free(struct engine *engine)
+{
+	free(engine);
+}
+
+/* The engine has answered. */
+static void on_head(void *arg, int status, const struct httpc_header *headers,
+		    size_t n)
+{
+	struct engine_stream *s = arg;
+	uint64_t salt = 0;
+	size_t i;
+
+	s->status = status;
+	if (status != 200)
+		return;
+	for (i = 0; i < n; i++)
+		if (!strcmp(headers[i].name, "x-engine-salt"))
+			salt = strtoull(headers[i].value, NULL, 16);
+	s->busy = true;
+	s->events->on_started(s->arg, salt);
+	s->busy = false;
+	if (s->detached)
+		detach(s);
+}
+
+/* Splits what was read into lines. */
+static void on_body(void *arg, const char *data, size_t len)
+{
+	struct engine_stream *s = arg;
+
+	if (s->status != 200)
+		return;
+	s->busy = true;
+	while (len && !s->detached) {
+		const char *end = memchr(data, '\n', len);
+		size_t n = end ? (size_t)(end - data) : len;
+
+		if (!end || s->len) {
+			if (!keep(s, data, n))
+				break;
+			if (!end)
+				break;
+			take_line(s, s->line, s->len);
+			s->len = 0;
+		} else {
+			take_line(s, data, n);
+		}
+		data += n + 1;
+		len -= n + 1;
+	}
+	if (!s->detached && s->events->on_pause)
+		s->events->on_pause(s->arg);
+	s->busy = false;
+	if (s->detached)
+		detach(s);
+}
+
+/* The exchange is over without a last event. */
+static void on_end(void *arg, enum httpc_outcome outcome)
+{
+	struct engine_stream *s = arg;
+
+	s->req = NULL;
+	s->busy = true;
+	if (outcome == HTTPC_CONNECT_FAILED)
+		over(s, ENGINE_UNREACHABLE);
+	else if (outcome == HTTPC_OK && s->status != 200)
+		over(s, failure_of_status(s));
+	else
+		over(s, ENGINE_BROKEN);
+	s->busy = false;
+	if (s->detached)
+		detach(s);
+}
+
+/* Nothing is to be done about a cancellation's outcome. */
+static void on_cancelled(void *arg, enum httpc_outcome outcome, int status,
+			 const char *body, size_t len)
+{
+	(void)arg;
+	(void)outcome;
+	(void)status;
+	(void)body;
+	(void)len;
+}
+
+/* Adds to the unfinished line; false, with the stream over, if it grows
+ * beyond all measure. */
+static bool keep(struct engine_stream *s, const char *data, size_t len)
+{
+	if (s->len + len > LINE_MAX_BYTES) {
+		over(s, ENGINE_MALFORMED);
+		return false;
+	}
+	if (s->size - s->len < len) {
+		s->size = (s->len + len) * 2;
+		s->line = xreallocarray(s->line, s->size, 1);
+	}
+	memcpy(s->line + s->len, data, len);
+	s->len += len;
+	return true;
+}
+
+/* Takes one line; only data lines matter. */
+static void take_line(struct engine_stream *s, const char *line, size_t len)
+{
+	static const char field[] = "data: ";
+	json_t *event;
+
+	if (len < sizeof(field) || memcmp(line, field, sizeof(field) - 1) != 0)
+		return;
+	event = json_loadb(line + sizeof(field) - 1, len - sizeof(field) + 1, 0,
+			   NULL);
+	if (!event) {
+		over(s, ENGINE_MALFORMED);
+		return;
+	}
+	take_event(s, event);
+	json_decref(event);
+}
+
+/* Takes one event. */
+static void take_event(struct engine_stream *s, json_t *event)
+{
+	const json_t *position = json_object_get(event, "p");
+	const json_t *text = json_object_get(event, "t");
+	const json_t *n = json_object_get(event, "n");
+
+	if (json_is_integer(position) && json_is_string(text))
+		s->events->on_token(s->arg,
+				    (uint32_t)json_integer_value(position),
+				    json_string_value(text),
+				    json_string_length(text));
+	else if (json_is_true(json_object_get(event, "done")) &&
+		 json_is_integer(n))
+		s->events->on_done(s->arg, (uint32_t)json_integer_value(n));
+	else if (json_object_get(event, "error"))
+		over(s, ENGINE_REFUSED);
+	else
+		over(s, ENGINE_MALFORMED);
+}
+
+/* Tells that the stream failed, once. */
+static void over(struct engine_stream *s, enum engine_failure failure)
+{
+	if (!s->detached)
+		s->events->on_failed(s->arg, failure);
+}
+
+/* Returns the meaning of a status that is not 200. */
+static enum engine_failure failure_of_status(const struct engine_stream *s)
+{
+	if (s->status == 429 || s->status == 503)
+		return ENGINE_BUSY;
+	if (s->status == 404 && s->attaching)
+		return ENGINE_UNKNOWN_STREAM;
+	return ENGINE_REFUSED;
+}
--- /dev/null
+++ b/entryd/generation.h
@@ -0,0 +1,147 @@
+#ifndef ENTRYD_GENERATION_H
+#define ENTRYD_GENERATION_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "entryd/cursor.h"
+#include "entryd/endpoints.h"
+#include "entryd/engine.h"
+#include "entryd/entryd.h"
+#include "entryd/problem.h"
+#include "policy/admit.h"
+#include "policy/quarantine.h"
+#include "policy/resume.h"
+
+#define REQUEST_ID_SIZE 32
+
+enum generation_phase {
+	GENERATION_WAITING, /* in admission's queue */
+	GENERATION_SEEKING, /* admitted, needs an endpoint */
+	GENERATION_RUNNING, /* one or two attempts are heard */
+};
+
+/* What the caller asked for. */
+struct generation_ask {
+	char *prompt;
+	uint32_t max_tokens;
+	bool stream; /* server-sent events, not one whole answer */
+	bool chat; /* answers in the form of chat completions */
+	uint64_t deadline_ms; /* for the first token */
+	enum admit_priority priority;
+	char *last_event_id; /* or NULL */
+	char *received; /* text that the caller holds, or NULL */
+	size_t received_len;
+};
+
+/* One stream of an engine for a generation. */
+struct attempt {
+	struct entryd *e;
+	struct handle generation;
+	struct handle endpoint;
+	uint32_t number;
+	uint64_t started_at; /* ms */
+	bool decoding; /* counted among the endpoint's streams that decode */
+	bool first_seen; /* its first token has come */
+	bool suspect; /* counted among the endpoint's suspects */
+	bool alone;
+	bool attached; /* it was started by another request */
+	struct engine_stream *stream;
+	char name[STREAM_NAME_SIZE];
+	char prefix[CURSOR_PREFIX_SIZE];
+};
+
+/* One generation, from its admission to its last token. */
+struct generation {
+	struct handle self;
+	struct httpd_req *req; /* NULL once the caller has left */
+	struct generation_ask ask;
+	char request[REQUEST_ID_SIZE]; /* for people: "cmpl-" and the id */
+	char id[GENERATION_ID_SIZE];
+	uint32_t org; /* index */
+	uint64_t org_id;
+	struct handle service;
+	struct quarantine_digest digest;
+	enum generation_phase phase;
+	bool begun; /* the answer's head has gone out */
+	bool paused; /* the caller reads slowly */
+	uint32_t ticket; /* while waiting */
+	struct admit_verdict run; /* of admission */
+	uint64_t arrived_at; /* ms */
+	uint64_t admitted_at; /* ms; 0: not yet */
+	uint64_t first_token_at; /* ms */
+	struct resume_stream resume;
+	struct attempt *attempts[2];
+	unsigned tries; /* attempts that used the retry budget */
+	struct endpoint_list avoid;
+	uint64_t seek_at; /* ms; not before */
+	uint64_t lost_at; /* ms, since when nothing is heard; 0: heard */
+	struct handle lost_endpoint; /* whose probe is waited for */
+	bool probing;
+	char *text; /* generated so far */
+	size_t text_len;
+	size_t text_size;
+	uint32_t text_tokens; /* in text */
+	struct XXH3_state_s *hash; /* over text */
+	uint64_t expect_hash; /* of a cursor, at text_tokens == resume.next_pos;
+				 0: none */
+	char *out; /* events of one read, until they are written */
+	size_t out_len;
+	size_t out_size;
+};
+
+struct service;
+
+struct generations *generations_new(void);
+void generations_free(struct generations *t);
+void generations_tick(struct entryd *e, uint64_t now, uint32_t stall_ms);
+size_t generations_count(const struct entryd *e);
+size_t generations_on(const struct entryd *e, const struct endpoint *ep,
+		      struct quarantine_digest *out, size_t max);
+void generations_probed(struct entryd *e, const struct endpoint *ep);
+void generations_hand_over(struct entryd *e);
+struct generation *generation_get(const struct entryd *e, struct handle h);
+struct generation *generations_next(const struct entryd *e, uint32_t *index);
+
+/* Takes ownership of ask.  The answer, or a refusal, goes to req. */
+void generation_start(struct entryd *e, struct httpd_req *req, uint32_t org,
+		      struct service *service, struct generation_ask *ask);
+void generation_admitted(struct entryd *e, struct handle h,
+			 const struct admit_verdict *v);
+void generation_seek(struct entryd *e, struct generation *g);
+void generation_readmit(struct entryd *e, struct generation *g);
+void generation_lost(struct entryd *e, struct generation *g,
+		     struct endpoint *ep, bool broken);
+void generation_fail(struct entryd *e, struct generation *g,
+		     const struct problem *problem);
+void generation_finish(struct entryd *e, struct generation *g);
+void generation_restart(struct entryd *e, struct generation *g,
+			const char *why);
+void generation_add_text(struct generation *g, const char *text, size_t len);
+uint64_t generation_hash(const struct generation *g);
+void generation_refuse(struct entryd *e, struct generation *g, int status,
+		       const char *title, const char *detail,
+		       uint32_t retry_after_s);
+void generation_ask_release(struct generation_ask *ask);
+
+/* Attempts (attempt.c). */
+bool attempt_start(struct entryd *e, struct generation *g, struct endpoint *ep,
+		   bool hedge);
+bool attempt_attach(struct entryd *e, struct generation *g, struct endpoint *ep,
+		    const struct cursor *cursor);
+void attempt_end(struct entryd *e, struct generation *g, struct attempt *a,
+		 bool cancel);
+void attempt_pause(struct generation *g, struct attempt *a, bool paused);
+struct attempt *attempt_by_number(const struct generation *g, uint32_t number);
+
+/* The caller's side (relay.c). */
+void relay_token(struct generation *g, const struct attempt *a,
+		 uint32_t position, const char *text, size_t len);
+void relay_flush(struct generation *g);
+void relay_restart(struct generation *g, const char *why);
+void relay_finish(struct generation *g, const char *reason);
+void relay_problem(struct generation *g, const struct problem *problem);
+void relay_hand_over(struct generation *g);
+
+#endif /* ENTRYD_GENERATION_H */
--- /dev/null
+++ b/entryd/orgs.c
@@ -0,0 +1,262 @@
+/*
+ * Organisations: the share of each one's limit that is in force here, moved
+ * with demand between the instances of its shard.
+ */
+#include "entryd/orgs.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "entryd/fleet.h"
+#include "entryd/members.h"
+#include "entryd/services.h"
+#include "lib/ident.h"
+#include "lib/log.h"
+#include "lib/xalloc.h"
+
+#define ROUND_MS 500 /* between exchanges of demands */
+#define QUIET_MS 3000 /* an organisation without requests is not published */
+#define WEIGHT_UNIT 1000
+#define DEMANDS_MAX 512 /* of one message */
+
+static const struct share_params share_params = {
+	.fresh_ms = 2 * ROUND_MS,
+	.hold_ms = 6 * ROUND_MS,
+};
+
+struct orgs {
+	struct org *all[ORGS_MAX];
+	size_t n;
+	uint64_t round_at; /* ms */
+};
+
+static struct org *org_add(struct entryd *e, const char *name);
+static void org_round(struct entryd *e, struct org *o, uint64_t now);
+static size_t org_shard(struct entryd *e, struct org *o, uint64_t now,
+			struct share_member *members, size_t *self);
+static const struct org_peer *peer_find(const struct org *o, uint64_t id);
+static void publish(struct entryd *e, uint64_t now);
+
+/* Makes an empty table. */
+struct orgs *orgs_new(void)
+{
+	return xcalloc(1, sizeof(struct orgs));
+}
+
+/* Frees a table. */
+void orgs_free(struct orgs *t)
+{
+	while (t->n) {
+		free(t->all[--t->n]->name);
+		free(t->all[t->n]);
+	}
+	free(t);
+}
+
+/* Takes the organisations of a new configuration. */
+void orgs_configure(struct entryd *e)
+{
+	const struct config *c = e->config;
+	size_t i;
+
+	for (i = 0; i < e->orgs->n; i++)
+		e->orgs->all[i]->configured = false;
+	for (i = 0; i < c->n_organisations; i++) {
+		const struct config_organisation *from = &c->organisations[i];
+		uint32_t index = org_index(e, name_id(from->name));
+		struct org *o = index < ORGS_MAX ? e->orgs->all[index]
+						 : org_add(e, from->name);
+
+		if (!o)
+			continue;
+		o->configured = true;
+		o->config_index = i;
+		o->weight = (uint32_t)(from->weight * WEIGHT_UNIT);
+		o->limit = (uint32_t)from->max_running;
+		org_round(e, o, entryd_now(e));
+	}
+	e->orgs->round_at = 0;
+}
+
+/* Works the shares out anew and publishes demands, once a round. */
+void orgs_tick(struct entryd *e, uint64_t now)
+{
+	size_t i;
+
+	if (now < e->orgs->round_at)
+		return;
+	e->orgs->round_at = now + ROUND_MS;
+	for (i = 0; i < e->orgs->n; i++) {
+		struct org *o = e->orgs->all[i];
+
+		if (o->running || o->waiting)
+			o->active_at = now;
+		if (o->configured)
+			org_round(e, o, now);
+	}
+	publish(e, now);
+}
+
+/* Takes what another instance published. */
+void orgs_heard(struct entryd *e, const char *instance, Cdm__Demand **demands,
+		size_t n)
+{
+	uint64_t id = name_id(instance);
+	uint64_t now = entryd_now(e);
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		uint32_t index =
+			org_index(e, name_id(demands[i]->organisation));
+		struct org_peer *peer;
+		struct org *o;
+
+		if (index >= ORGS_MAX)
+			continue;
+		o = e->orgs->all[index];
+		peer = (struct org_peer *)peer_find(o, id);
+		if (!peer && o->n_peers < ORG_PEERS_MAX)
+			peer = &o->peers[o->n_peers++];
+		if (!peer)
+			continue;
+		peer->id = id;
+		peer->member.demand = demands[i]->running + demands[i]->waiting;
+		peer->member.share = demands[i]->share;
+		peer->member.heard_ms = now;
+		if (peer->member.demand)
+			o->active_at = now;
+	}
+}
+
+/* Returns an organisation by its index. */
+struct org *org_at(const struct entryd *e, uint32_t index)
+{
+	assert(index < e->orgs->n);
+	return e->orgs->all[index];
+}
+
+/* Returns the index of an organisation, or ORGS_MAX. */
+uint32_t org_index(const struct entryd *e, uint64_t id)
+{
+	uint32_t i;
+
+	for (i = 0; i < e->orgs->n; i++)
+		if (e->orgs->all[i]->id == id)
+			return i;
+	return ORGS_MAX;
+}
+
+/* Returns the number of organisations ever seen. */
+size_t orgs_count(const struct entryd *e)
+{
+	return e->orgs->n;
+}
+
+/* Makes an organisation that is new; NULL if there are too many. */
+static struct org *org_add(struct entryd *e, const char *name)
+{
+	struct org *o;
+
+	if (e->orgs->n == ORGS_MAX) {
+		log_msg(LOG_ERR, "organisations", NULL,
+			"organisation %s is one too many for this process; "
+			"its requests are refused until it is restarted",
+			name);
+		return NULL;
+	}
+	o = xcalloc(1, sizeof(*o));
+	o->id = name_id(name);
+	o->name = xstrdup(name);
+	retry_init(&o->retry, &retry_defaults, entryd_now(e));
+	e->orgs->all[e->orgs->n++] = o;
+	return o;
+}
+
+/* Puts the organisation's next share in force. */
+static void org_round(struct entryd *e, struct org *o, uint64_t now)
+{
+	struct share_member members[ORG_PEERS_MAX];
+	size_t self;
+	size_t n = org_shard(e, o, now, members, &self);
+
+	if (!n) {
+		/* not of its shard: callers come here by an old answer only */
+		o->share = o->limit / 8 + 1;
+	} else if (!o->share) {
+		o->share = share_start(o->limit, self, n);
+	} else {
+		members[self].share = o->share;
+		o->share = share_next(o->limit, members, n, self, now,
+				      &share_params);
+	}
+	if (!o->share)
+		o->share = 1;
+	services_set_org(e, org_index(e, o->id));
+}
+
+/* Lists the shard's members with what they published; 0 if this instance is
+ * not one of them. */
+static size_t org_shard(struct entryd *e, struct org *o, uint64_t now,
+			struct share_member *members, size_t *self)
+{
+	uint64_t ids[ORG_PEERS_MAX];
+	size_t n = members_shard(e, o->config_index, ids, ORG_PEERS_MAX);
+	size_t i;
+
+	*self = n;
+	for (i = 0; i < n; i++) {
+		const struct org_peer *peer = peer_find(o, ids[i]);
+
+		memset(&members[i], 0, sizeof(members[i]));
+		if (ids[i] == e->self) {
+			*self = i;
+			members[i].demand = o->running + o->waiting;
+			members[i].heard_ms = now;
+		} else if (peer) {
+			members[i] = peer->member;
+		}
+	}
+	return *self < n ? n : 0;
+}
+
+/* Returns what an instance published, or NULL. */
+static const struct org_peer *peer_find(const struct org *o, uint64_t id)
+{
+	size_t i;
+
+	for (i = 0; i < o->n_peers; i++)
+		if (o->peers[i].id == id)
+			return &o->peers[i];
+	return NULL;
+}
+
+/* Publishes the demands of the organisations that are in use. */
+static void publish(struct entryd *e, uint64_t now)
+{
+	static Cdm__Demand demands[DEMANDS_MAX];
+	Cdm__Demand *list[DEMANDS_MAX];
+	Cdm__Observation m = CDM__OBSERVATION__INIT;
+	size_t n = 0;
+	size_t i;
+
+	for (i = 0; i < e->orgs->n && n < DEMANDS_MAX; i++) {
+		const struct org *o = e->orgs->all[i];
+
+		if (!o->configured || !o->active_at ||
+		    now - o->active_at > QUIET_MS)
+			continue;
+		cdm__demand__init(&demands[n]);
+		demands[n].organisation = o->name;
+		demands[n].running = o->running;
+		demands[n].waiting = o->waiting;
+		demands[n].has_share = 1;
+		demands[n].share = o->share;
+		list[n] = &demands[n];
+		n++;
+	}
+	m.demands = list;
+	m.n_demands = n;
+	if (n)
+		fleet_observe(e, &m);
+}
--- /dev/null
+++ b/entryd/probe.c
@@ -0,0 +1,155 @@
+/*
+ * Whether an endpoint still lives: a probe follows a broken stream, a failed
+ * connect and long silence.  One that is found gone gets no work from this
+ * process until a later probe succeeds.
+ */
+#include "entryd/endpoints.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdlib.h>
+
+#include "entryd/fleet.h"
+#include "entryd/generation.h"
+#include "entryd/suspects.h"
+#include "lib/counters.h"
+#include "lib/log.h"
+#include "lib/xalloc.h"
+
+#define PROBE_CONNECT_MS 200
+#define PROBE_TIMEOUT_MS 300
+#define REPROBE_MS 250 /* while it is lost */
+
+struct probe {
+	struct entryd *e;
+	struct handle endpoint;
+	uint64_t salt; /* expected; 0: any */
+};
+
+static void probe_start(struct entryd *e, struct endpoint *ep);
+static void on_probed(void *arg, enum httpc_outcome outcome, int status,
+		      const char *body, size_t len);
+static void judge(struct entryd *e, struct endpoint *ep, const struct probe *p,
+		  enum httpc_outcome outcome, uint64_t salt);
+static void set_lost(struct entryd *e, struct endpoint *ep, bool lost);
+static uint64_t salt_of(const char *body, size_t len);
+
+/* Judges the silence of each endpoint and probes the lost ones. */
+void endpoints_tick(struct entryd *e, uint64_t now, uint32_t stall_ms)
+{
+	struct endpoint *ep;
+	uint32_t index = 0;
+
+	while ((ep = endpoints_next(e, &index))) {
+		if (stall_ms)
+			resume_endpoint_excuse(&ep->silence, stall_ms);
+		if (ep->lost && !ep->probing && now >= ep->probe_at)
+			probe_start(e, ep);
+	}
+}
+
+/* Probes an endpoint, unless a probe is under way.  after_break says that a
+ * stream broke, so that a dead endpoint has suspects. */
+void endpoint_check(struct entryd *e, struct endpoint *ep, bool after_break)
+{
+	ep->after_break |= after_break;
+	if (!ep->probing)
+		probe_start(e, ep);
+}
+
+/* No connection could be made to the endpoint. */
+void endpoint_unreachable(struct entryd *e, struct endpoint *ep)
+{
+	set_lost(e, ep, true);
+}
+
+/* Asks for the load of an engine, or the counters of a plain service. */
+static void probe_start(struct entryd *e, struct endpoint *ep)
+{
+	struct probe *p = xcalloc(1, sizeof(*p));
+	const struct httpc_request request = {
+		.method = "GET",
+		.address = ep->address,
+		.path = ep->model ? "/v1/load" : "/counters",
+		.connect_timeout_ms = PROBE_CONNECT_MS,
+		.timeout_ms = PROBE_TIMEOUT_MS,
+	};
+
+	p->e = e;
+	p->endpoint = ep->self;
+	p->salt = ep->salt;
+	ep->probing = true;
+	httpc_fetch(e->client, &request, on_probed, p);
+}
+
+/* The probe has an outcome. */
+static void on_probed(void *arg, enum httpc_outcome outcome, int status,
+		      const char *body, size_t len)
+{
+	struct probe *p = arg;
+	struct endpoint *ep = endpoint_get(p->e, p->endpoint);
+
+	(void)status;
+	if (ep) {
+		ep->probing = false;
+		judge(p->e, ep, p, outcome, salt_of(body, len));
+		ep->after_break = false;
+		generations_probed(p->e, ep);
+	}
+	free(p);
+}
+
+/* Draws the conclusions.  Only a refused connect or a new start of the engine
+ * proves that the engine that ran there has died. */
+static void judge(struct entryd *e, struct endpoint *ep, const struct probe *p,
+		  enum httpc_outcome outcome, uint64_t salt)
+{
+	bool restarted = outcome == HTTPC_OK && p->salt && salt &&
+			 salt != p->salt;
+	bool dead = outcome == HTTPC_CONNECT_FAILED || restarted;
+
+	if (dead && ep->after_break && ep->model)
+		suspects_death(e, ep, p->salt);
+	if (outcome == HTTPC_OK) {
+		if (salt)
+			ep->salt = salt;
+		set_lost(e, ep, false);
+	} else {
+		set_lost(e, ep, true);
+	}
+}
+
+/* Notes whether the endpoint is gone, and tells cdmfleetd of a change. */
+static void set_lost(struct entryd *e, struct endpoint *ep, bool lost)
+{
+	Cdm__Observation m = CDM__OBSERVATION__INIT;
+	Cdm__EndpointState state = CDM__ENDPOINT_STATE__INIT;
+	Cdm__EndpointState *list = &state;
+
+	ep->probe_at = entryd_now(e) + REPROBE_MS;
+	if (ep->lost == lost)
+		return;
+	ep->lost = lost;
+	log_msg(LOG_NOTICE, lost ? "endpoint-lost" : "endpoint-back", NULL,
+		"endpoint %s at %s %s", ep->name, ep->address,
+		lost ? "does not answer; it gets no work" : "answers again");
+	state.name = ep->name;
+	state.up = !lost;
+	state.leaving = endpoint_leaving(ep);
+	state.has_salt = 1;
+	state.salt = ep->salt;
+	m.endpoints = &list;
+	m.n_endpoints = 1;
+	fleet_observe(e, &m);
+}
+
+/* Returns the salt in an engine's load report, or 0. */
+static uint64_t salt_of(const char *body, size_t len)
+{
+	json_t *json = json_loadb(body, len, 0, NULL);
+	const char *text = json_string_value(json_object_get(json, "salt"));
+	uint64_t salt = text ? strtoull(text, NULL, 16) : 0;
+
+	json_decref(json);
+	return salt;
+}
--- /dev/null
+++ b/entryd/problem.h
@@ -0,0 +1,30 @@
+#ifndef ENTRYD_PROBLEM_H
+#define ENTRYD_PROBLEM_H
+
+#include <jansson.h>
+#include <stdint.h>
+
+#include "lib/httpd.h"
+
+/* Whether the request ran, as far as can be told for certain. */
+enum run_state {
+	RUN_NOT_RUN,
+	RUN_MAY_HAVE_RUN,
+	RUN_RAN,
+};
+
+/* A refusal. */
+struct problem {
+	int status; /* of HTTP */
+	enum run_state run;
+	const char *title; /* short, the same for every case of its kind */
+	const char *detail; /* a sentence for a person */
+	uint32_t retry_after_s; /* 0: coming back does not help */
+	const char *request; /* id, or NULL */
+};
+
+const char *run_state_name(enum run_state run);
+json_t *problem_json(const struct problem *p);
+void problem_reply(struct httpd_req *req, const struct problem *p);
+
+#endif /* ENTRYD_PROBLEM_H */
--- /dev/null
+++ b/entryd/suspects.c
@@ -0,0 +1,110 @@
+/*
+ * Requests that crash endpoints: records of deaths go to the quarantine's
+ * table, and from there to the other instances through cdmfleetd.
+ */
+#include "entryd/suspects.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "entryd/fleet.h"
+#include "entryd/generation.h"
+#include "lib/counters.h"
+#include "lib/log.h"
+#include "lib/xalloc.h"
+
+#define RUNNING_MAX 4096 /* requests on one endpoint that died */
+#define EXPORT_MAX 256 /* records of one message */
+#define EXPIRE_MS 1000
+
+static struct counter deaths = {
+	.name = "cdmentryd_endpoint_deaths",
+	.help = "Deaths of engines seen with requests of this process.",
+};
+
+static void tell(struct entryd *e, uint64_t since);
+
+/* An engine, in the start named by salt, has died with requests of ours. */
+void suspects_death(struct entryd *e, const struct endpoint *ep, uint64_t salt)
+{
+	static struct quarantine_digest running[RUNNING_MAX];
+	uint64_t now = entryd_now(e);
+	size_t n = generations_on(e, ep, running, RUNNING_MAX);
+
+	if (!deaths.next && !deaths.value)
+		counter_register(&deaths);
+	counter_add(&deaths, 1);
+	log_msg(LOG_WARNING, "endpoint-death", NULL,
+		"engine %s died while %zu requests ran there", ep->name, n);
+	quarantine_death(e->quarantine, quarantine_death_id(ep->name, salt),
+			 running, n, now);
+	tell(e, now);
+}
+
+/* Takes records of other instances. */
+void suspects_heard(struct entryd *e, Cdm__Suspicion **list, size_t n)
+{
+	uint64_t now = entryd_now(e);
+	struct quarantine_record record;
+	size_t i;
+	size_t k;
+
+	for (i = 0; i < n; i++) {
+		memset(&record, 0, sizeof(record));
+		record.digest.lo = list[i]->digest;
+		for (k = 0; k < list[i]->n_deaths && k < QUARANTINE_DEATHS_MAX;
+		     k++)
+			record.deaths[record.ndeaths++] = list[i]->deaths[k];
+		record.convicted = list[i]->has_convicted && list[i]->convicted;
+		record.keep_ms = list[i]->has_expires_in_ms
+					 ? (uint32_t)list[i]->expires_in_ms
+					 : quarantine_defaults.suspect_keep_ms;
+		quarantine_merge(e->quarantine, &record, now);
+	}
+}
+
+/* Forgets what has lapsed. */
+void suspects_tick(struct entryd *e, uint64_t now)
+{
+	if (now / EXPIRE_MS != (now - ENTRYD_TICK_MS) / EXPIRE_MS)
+		quarantine_expire(e->quarantine, now);
+}
+
+/* Returns the digest of a request.  Messages carry 64 bits of it, so the rest
+ * is left out here too. */
+struct quarantine_digest suspects_digest(const char *org, const char *content,
+					 size_t len)
+{
+	struct quarantine_digest d = quarantine_digest(org, content, len);
+
+	d.hi = 0;
+	return d;
+}
+
+/* Sends the records changed since a time. */
+static void tell(struct entryd *e, uint64_t since)
+{
+	static struct quarantine_record records[EXPORT_MAX];
+	static Cdm__Suspicion messages[EXPORT_MAX];
+	Cdm__Suspicion *list[EXPORT_MAX];
+	Cdm__Observation m = CDM__OBSERVATION__INIT;
+	size_t n = quarantine_export(e->quarantine, since, entryd_now(e),
+				     records, EXPORT_MAX);
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		cdm__suspicion__init(&messages[i]);
+		messages[i].digest = records[i].digest.lo;
+		messages[i].deaths = records[i].deaths;
+		messages[i].n_deaths = records[i].ndeaths;
+		messages[i].has_convicted = 1;
+		messages[i].convicted = records[i].convicted;
+		messages[i].has_expires_in_ms = 1;
+		messages[i].expires_in_ms = records[i].keep_ms;
+		list[i] = &messages[i];
+	}
+	m.suspicions = list;
+	m.n_suspicions = n;
+	if (n)
+		fleet_observe(e, &m);
+}
--- /dev/null
+++ b/entryd/suspects.h
@@ -0,0 +1,14 @@
+#ifndef ENTRYD_SUSPECTS_H
+#define ENTRYD_SUSPECTS_H
+
+#include "entryd/endpoints.h"
+#include "entryd/entryd.h"
+#include "proto/control.pb-c.h"
+
+void suspects_death(struct entryd *e, const struct endpoint *ep, uint64_t salt);
+void suspects_heard(struct entryd *e, Cdm__Suspicion **list, size_t n);
+void suspects_tick(struct entryd *e, uint64_t now);
+struct quarantine_digest suspects_digest(const char *org, const char *content,
+					 size_t len);
+
+#endif /* ENTRYD_SUSPECTS_H */
--- a/lib/config.h
+++ b/lib/config.h
@@ -10,7 +10,7 @@
 /* The operators' file: one file is one transaction.  Names refer to one
  * another and are checked when the file is read. */
 
-enum resume_profile {
+enum resume_preference {
 	RESUME_LATENCY, /* "latency": move early */
 	RESUME_WORK, /* "work": avoid work done twice */
 };
@@ -39,7 +39,7 @@
 	char *name;
 	int kind; /* enum service_kind */
 	char *model; /* name, for SERVICE_MODEL */
-	int resume; /* enum resume_profile */
+	int resume; /* enum resume_preference */
 	struct string_list idempotent; /* "METHOD /path/prefix" */
 	int64_t timeout_ms; /* of a plain call; longest silence of a stream */
 	int64_t queue_max; /* requests that wait at one instance */
