--- a/entryd/attempt.c
+++ b/entryd/attempt.c
@@ -70,7 +70,7 @@
 		.text = g->text,
 		.text_len = g->text_len,
 		.position = g->resume.next_pos,
-		.max_tokens = g->ask.max_tokens,
+		.max_tokens = g->ask.max_tokens - g->resume.next_pos,
 		.priority = g->resume.last_attempt ? PRIORITY_RESUME
 						   : PRIORITY_NEW,
 	};
--- a/entryd/seek.c
+++ b/entryd/seek.c
@@ -62,6 +62,10 @@
 				   "your position is gone");
 		return;
 	}
+	if (g->resume.next_pos >= g->ask.max_tokens) {
+		generation_finish(e, g); /* only the end was not heard */
+		return;
+	}
 	if (!g->admitted_at) {
 		generation_readmit(e, g);
 		return;
--- a/lib/httpc.c
+++ b/lib/httpc.c
@@ -32,13 +32,12 @@
 	uv_timer_t sweep;
 	h2o_timeout_t io_timeout;
 	h2o_http1client_ctx_t ctx;
-	struct httpc_req *open; /* doubly linked */
+	h2o_linklist_t open; /* of struct httpc_req */
 };
 
 struct httpc_req {
 	struct httpc *client;
-	struct httpc_req *next;
-	struct httpc_req *prev;
+	h2o_linklist_t link; /* in the client's open exchanges */
 	h2o_http1client_t *h2o;
 	const struct httpc_ops *ops;
 	void *arg;
@@ -61,7 +60,8 @@
 static void finish(struct httpc_req *r, enum httpc_outcome outcome);
 static void req_free(struct httpc_req *r);
 static void on_sweep(uv_timer_t *timer);
-static bool check_timeout(struct httpc_req *r, uint64_t now);
+static struct httpc_req *find_late(const struct httpc *c, uint64_t now);
+static struct httpc_req *first_open(const struct httpc *c);
 static h2o_http1client_head_cb on_connect(h2o_http1client_t *client,
 					  const char *errstr,
 					  h2o_iovec_t **reqbufs,
@@ -84,6 +84,7 @@
 	struct httpc *c = xcalloc(1, sizeof(*c));
 
 	c->loop = loop;
+	h2o_linklist_init_anchor(&c->open);
 	h2o_timeout_init(loop, &c->io_timeout, HTTPC_IDLE_MS);
 	c->ctx.loop = loop;
 	c->ctx.io_timeout = &c->io_timeout;
@@ -97,8 +98,10 @@
 /* Cancels every open exchange and frees the client from the loop. */
 void httpc_free(struct httpc *c)
 {
-	while (c->open)
-		httpc_cancel(c->open);
+	struct httpc_req *r;
+
+	while ((r = first_open(c)))
+		httpc_cancel(r);
 	h2o_timeout_dispose(c->loop, &c->io_timeout);
 	uv_close((uv_handle_t *)&c->sweep, on_client_closed);
 }
@@ -121,10 +124,7 @@
 	r->head = !strcmp(q->method, "HEAD");
 	r->request = format_request(q, &r->request_vec.len);
 	r->request_vec.base = r->request;
-	r->next = c->open;
-	if (c->open)
-		c->open->prev = r;
-	c->open = r;
+	h2o_linklist_insert(&c->open, &r->link);
 	start(r, q);
 	return r;
 }
@@ -206,12 +206,7 @@
 /* Unlinks and frees an exchange that h2o holds no more. */
 static void req_free(struct httpc_req *r)
 {
-	if (r->prev)
-		r->prev->next = r->next;
-	else
-		r->client->open = r->next;
-	if (r->next)
-		r->next->prev = r->prev;
+	h2o_linklist_unlink(&r->link);
 	if (r->failing)
 		uv_close((uv_handle_t *)r->failing, on_timer_closed);
 	free(r->request);
@@ -243,31 +238,48 @@
 }
 
 /* Ends the exchanges whose time is up.  Telling one's end may cancel others,
- * so the walk starts anew after each. */
+ * so the search starts anew after each. */
 static void on_sweep(uv_timer_t *timer)
 {
 	struct httpc *c = timer->data;
-	uint64_t now = uv_now(c->loop);
-	struct httpc_req *r = c->open;
+	struct httpc_req *r;
 
-	while (r)
-		r = check_timeout(r, now) ? c->open : r->next;
+	while ((r = find_late(c, uv_now(c->loop)))) {
+		if (r->h2o)
+			h2o_http1client_cancel(r->h2o);
+		r->h2o = NULL;
+		finish(r, r->phase == PHASE_CONNECTING ? HTTPC_CONNECT_FAILED
+						       : HTTPC_TIMEOUT);
+	}
 }
 
-/* Ends one exchange if it has not moved for too long; true if it did. */
-static bool check_timeout(struct httpc_req *r, uint64_t now)
+/* Returns an exchange that has not moved for too long, or NULL. */
+static struct httpc_req *find_late(const struct httpc *c, uint64_t now)
 {
-	uint64_t limit = r->phase == PHASE_CONNECTING ? r->connect_timeout_ms
-						      : r->timeout_ms;
+	const h2o_linklist_t *link;
+
+	/* the analyzer does not see that a freed exchange was unlinked */
+	for (link = c->open.next; link != &c->open; /* NOLINTNEXTLINE */
+	     link = link->next) {
+		struct httpc_req *r =
+			H2O_STRUCT_FROM_MEMBER(struct httpc_req, link, link);
+		uint64_t limit = r->phase == PHASE_CONNECTING
+					 ? r->connect_timeout_ms
+					 : r->timeout_ms;
+
+		if (!r->over && !r->paused && limit &&
+		    now - r->last_ms >= limit)
+			return r;
+	}
+	return NULL;
+}
 
-	if (r->over || r->paused || !limit || now - r->last_ms < limit)
-		return false;
-	if (r->h2o)
-		h2o_http1client_cancel(r->h2o);
-	r->h2o = NULL;
-	finish(r, r->phase == PHASE_CONNECTING ? HTTPC_CONNECT_FAILED
-					       : HTTPC_TIMEOUT);
-	return true;
+/* Returns an open exchange, or NULL. */
+static struct httpc_req *first_open(const struct httpc *c)
+{
+	if (h2o_linklist_is_empty((h2o_linklist_t *)&c->open))
+		return NULL;
+	return H2O_STRUCT_FROM_MEMBER(struct httpc_req, link, c->open.next);
 }
 
 /* h2o: the connection stands or failed. */
