--- a/emulator/fault_link.c
+++ b/emulator/fault_link.c
@@ -53,7 +53,7 @@
 	size_t queued; /* bytes kept or being written */
 	size_t writing; /* writes not finished */
 	uv_shutdown_t shutdown;
-	STAILQ_HEAD(, chunk) chunks;
+	STAILQ_HEAD(chunk_queue, chunk) chunks;
 };
 
 struct fault_link {
@@ -82,7 +82,7 @@
 	uint64_t accepted;
 	uint64_t bytes_up;
 	uint64_t bytes_down;
-	TAILQ_HEAD(, fault_link) links;
+	TAILQ_HEAD(link_list, fault_link) links;
 };
 
 static bool listen_now(struct fault_mapping *m, char *err, size_t err_size);
--- a/emulator/standin.c
+++ b/emulator/standin.c
@@ -71,37 +71,36 @@
 {
 	struct argp argp = { .parser = parse_option, .doc = s->doc };
 	struct argp_option *options = make_options(s);
-	uv_loop_t loop;
+	uv_loop_t *loop = uv_default_loop();
 	size_t i;
 
 	argp.options = options;
 	log_open(s->program, LOG_INFO);
 	argp_parse(&argp, argc, argv, 0, NULL, s);
 	free(options);
-	uv_loop_init(&loop);
-	s->loop = &loop;
+	s->loop = loop;
 	for (i = 0; i < 2; i++) {
-		uv_signal_init(&loop, &s->signals[i]);
+		uv_signal_init(loop, &s->signals[i]);
 		s->signals[i].data = s;
 	}
 	uv_signal_start(&s->signals[0], on_signal, SIGTERM);
 	uv_signal_start(&s->signals[1], on_signal, SIGINT);
-	uv_timer_init(&loop, &s->stop_timer);
+	uv_timer_init(loop, &s->stop_timer);
 	s->stop_timer.data = s;
-	uv_timer_init(&loop, &s->held_timer);
+	uv_timer_init(loop, &s->held_timer);
 	s->held_timer.data = s;
 	if (s->start)
 		s->start(s);
 	gather_routes(s);
-	s->httpd = open_server(s, s->address);
-	s->listening = true;
 	if (s->control_address)
 		s->control = open_server(s, s->control_address);
+	s->httpd = open_server(s, s->address);
+	s->listening = true;
 	if (s->changed)
 		s->changed(s->target);
 	log_msg(LOG_INFO, "start", NULL, "%s serves at %s", s->program,
 		s->address);
-	uv_run(&loop, UV_RUN_DEFAULT);
+	uv_run(loop, UV_RUN_DEFAULT);
 	release(s);
 	return 0;
 }
--- /dev/null
+++ b/regress/harness.c
@@ -0,0 +1,395 @@
+/*
+ * Processes, ports, files and waiting for tests with real processes.
+ */
+#include "regress/harness.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <ftw.h>
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <setjmp.h>
+#include <cmocka.h>
+
+#include "lib/xalloc.h"
+
+/* Below the range that the system gives to outgoing connections. */
+#define FIRST_PORT 20000
+#define N_PORTS 12000
+#define MAX_ADDRESSES 512
+#define MAX_ARGS 256
+#define POLL_MS 2
+#define LOG_TAIL_BYTES 2000
+
+struct harness {
+	uv_loop_t loop;
+	struct httpc *client;
+	uv_timer_t timer;
+	char dir[256];
+	struct proc *procs;
+	char *addresses[MAX_ADDRESSES];
+	int reserved[MAX_ADDRESSES]; /* sockets that keep the ports ours */
+	size_t n_addresses;
+	char **paths; /* of files written */
+	size_t n_paths;
+};
+
+static int reserve_port(unsigned port);
+static void run_child(char *const *argv, const struct proc *p);
+static void reap(struct proc *p, int options);
+static void print_logs(const struct harness *h);
+static char *read_file(const char *path);
+static int remove_entry(const char *path, const struct stat *st, int flag,
+			struct FTW *ftw);
+static void on_timer(uv_timer_t *timer);
+
+/* The next port to try; successive harnesses of one process go on from it. */
+static unsigned next_port;
+
+/* Makes a harness with an empty directory. */
+struct harness *harness_new(void)
+{
+	struct harness *h = xcalloc(1, sizeof(*h));
+	const char *tmp = getenv("TMPDIR");
+
+	snprintf(h->dir, sizeof(h->dir), "%s/cdm-test-XXXXXX",
+		 tmp ? tmp : "/tmp");
+	assert_non_null(mkdtemp(h->dir));
+	uv_loop_init(&h->loop);
+	uv_timer_init(&h->loop, &h->timer);
+	h->client = httpc_new(&h->loop);
+	signal(SIGPIPE, SIG_IGN);
+	if (!next_port)
+		next_port = (unsigned)getpid() * 97 % N_PORTS;
+	return h;
+}
+
+/* Kills what still runs, reaps it and removes the directory; with
+ * HARNESS_KEEP set in the environment the directory stays. */
+void harness_free(struct harness *h)
+{
+	size_t i;
+
+	while (h->procs) {
+		struct proc *p = h->procs;
+
+		proc_kill(p);
+		h->procs = p->next;
+		free(p->name);
+		free(p->log_path);
+		free(p->out_path);
+		free(p);
+	}
+	httpc_free(h->client);
+	uv_close((uv_handle_t *)&h->timer, NULL);
+	uv_run(&h->loop, UV_RUN_DEFAULT);
+	uv_loop_close(&h->loop);
+	for (i = 0; i < h->n_addresses; i++) {
+		close(h->reserved[i]);
+		free(h->addresses[i]);
+	}
+	for (i = 0; i < h->n_paths; i++)
+		free(h->paths[i]);
+	free(h->paths);
+	if (!getenv("HARNESS_KEEP"))
+		nftw(h->dir, remove_entry, 8, FTW_DEPTH | FTW_PHYS);
+	free(h);
+}
+
+/* Returns the loop that waiting runs. */
+uv_loop_t *harness_loop(struct harness *h)
+{
+	return &h->loop;
+}
+
+/* Returns the HTTP client on that loop. */
+struct httpc *harness_client(struct harness *h)
+{
+	return h->client;
+}
+
+/* Returns the path of the test's directory. */
+const char *harness_dir(const struct harness *h)
+{
+	return h->dir;
+}
+
+/* Returns a free address, which stays the test's own until its end.  A socket
+ * that is bound but does not listen keeps other tests away from the port,
+ * while a server that sets SO_REUSEADDR can listen there. */
+const char *harness_address(struct harness *h)
+{
+	unsigned tries;
+
+	assert_true(h->n_addresses < MAX_ADDRESSES);
+	for (tries = 0; tries < N_PORTS; tries++) {
+		unsigned port = FIRST_PORT + next_port++ % N_PORTS;
+		int fd = reserve_port(port);
+
+		if (fd < 0)
+			continue;
+		h->reserved[h->n_addresses] = fd;
+		h->addresses[h->n_addresses] = xasprintf("127.0.0.1:%u", port);
+		return h->addresses[h->n_addresses++];
+	}
+	fail_msg("no port is free");
+	return NULL;
+}
+
+/* Binds a port that nobody has; -1 if somebody does. */
+static int reserve_port(unsigned port)
+{
+	struct sockaddr_in sin = { .sin_family = AF_INET,
+				   .sin_port = htons((uint16_t)port),
+				   .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int on = 1;
+
+	if (fd < 0)
+		return -1;
+	if (bind(fd, (const struct sockaddr *)&sin, sizeof(sin)) < 0) {
+		close(fd);
+		return -1;
+	}
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	return fd;
+}
+
+/* Writes a file in the test's directory and returns its path. */
+const char *harness_file(struct harness *h, const char *name, const char *fmt,
+			 ...)
+{
+	char *path = xasprintf("%s/%s", h->dir, name);
+	FILE *f = fopen(path, "w");
+	va_list ap;
+
+	assert_non_null(f);
+	va_start(ap, fmt);
+	vfprintf(f, fmt, ap);
+	va_end(ap);
+	fclose(f);
+	h->paths = xreallocarray(h->paths, h->n_paths + 1, sizeof(*h->paths));
+	h->paths[h->n_paths++] = path;
+	return path;
+}
+
+/* Starts a program of $CDM_BIN with arguments that end with NULL; its output
+ * goes to files. */
+struct proc *harness_startv(struct harness *h, const char *name,
+			    const char *program, const char *const *args)
+{
+	struct proc *p = xcalloc(1, sizeof(*p));
+	const char *bin = getenv("CDM_BIN");
+	char *argv[MAX_ARGS + 2] = { NULL };
+	size_t n;
+
+	assert_non_null(bin);
+	argv[0] = xasprintf("%s/%s", bin, program);
+	for (n = 0; n < MAX_ARGS && args[n]; n++)
+		argv[n + 1] = xstrdup(args[n]);
+	p->harness = h;
+	p->name = xstrdup(name);
+	p->log_path = xasprintf("%s/%s.log", h->dir, name);
+	p->out_path = xasprintf("%s/%s.out", h->dir, name);
+	p->next = h->procs;
+	h->procs = p;
+	p->pid = fork();
+	assert_true(p->pid >= 0);
+	if (p->pid == 0)
+		run_child(argv, p);
+	for (n = 0; argv[n]; n++)
+		free(argv[n]);
+	return p;
+}
+
+/* Becomes the program; ends with the test if that ends without clean-up. */
+static void run_child(char *const *argv, const struct proc *p)
+{
+	int log = open(p->log_path, O_WRONLY | O_CREAT | O_APPEND, 0600);
+	int out = open(p->out_path, O_WRONLY | O_CREAT | O_APPEND, 0600);
+
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+	dup2(log, STDERR_FILENO);
+	dup2(out, STDOUT_FILENO);
+	execv(argv[0], argv);
+	dprintf(STDERR_FILENO, "starting %s: %s\n", argv[0], strerror(errno));
+	_exit(127);
+}
+
+/* Takes the exit code of a process that has ended. */
+static void reap(struct proc *p, int options)
+{
+	int status;
+
+	if (!p->pid || waitpid(p->pid, &status, options) != p->pid)
+		return;
+	p->pid = 0;
+	p->exit_code = WIFEXITED(status) ? WEXITSTATUS(status)
+					 : 128 + WTERMSIG(status);
+}
+
+/* Tells whether a process still runs. */
+bool proc_running(struct proc *p)
+{
+	reap(p, WNOHANG);
+	return p->pid != 0;
+}
+
+/* A process has ended. */
+static bool has_ended(void *arg)
+{
+	return !proc_running(arg);
+}
+
+/* Waits for a process to end and returns its exit code. */
+int proc_wait(struct proc *p)
+{
+	char what[128];
+
+	snprintf(what, sizeof(what), "%s ends", p->name);
+	harness_until(p->harness, has_ended, p, what);
+	return p->exit_code;
+}
+
+/* Asks a process to stop gracefully and returns its exit code. */
+int proc_stop(struct proc *p)
+{
+	proc_signal(p, SIGTERM);
+	return proc_wait(p);
+}
+
+/* Kills and reaps a process. */
+void proc_kill(struct proc *p)
+{
+	if (!proc_running(p))
+		return;
+	kill(p->pid, SIGKILL);
+	reap(p, 0);
+}
+
+/* Sends a signal to a process that runs. */
+void proc_signal(struct proc *p, int signum)
+{
+	if (proc_running(p))
+		kill(p->pid, signum);
+}
+
+/* Returns what a process wrote to standard error. */
+char *proc_log(const struct proc *p)
+{
+	return read_file(p->log_path);
+}
+
+/* Returns what a process wrote to standard output. */
+char *proc_output(const struct proc *p)
+{
+	return read_file(p->out_path);
+}
+
+/* Returns a file's content, empty if there is none. */
+static char *read_file(const char *path)
+{
+	FILE *f = fopen(path, "r");
+	char *text = NULL;
+	size_t size = 0;
+
+	if (f && getdelim(&text, &size, '\0', f) < 0) {
+		free(text);
+		text = NULL;
+	}
+	if (f)
+		fclose(f);
+	return text ? text : xstrdup("");
+}
+
+/* Runs the loop for some milliseconds. */
+void harness_run(struct harness *h, uint64_t ms)
+{
+	uv_timer_start(&h->timer, on_timer, ms, 0);
+	uv_run(&h->loop, UV_RUN_DEFAULT);
+}
+
+/* Ends a run of the loop. */
+static void on_timer(uv_timer_t *timer)
+{
+	uv_stop(timer->loop);
+}
+
+/* Runs the loop until a condition holds; fails the test after a time that no
+ * correct run needs. */
+void harness_until(struct harness *h, bool (*holds)(void *arg), void *arg,
+		   const char *what)
+{
+	uint64_t start = uv_hrtime();
+
+	while (!holds(arg)) {
+		if ((uv_hrtime() - start) / 1000000 > HARNESS_WAIT_MS) {
+			print_logs(h);
+			fail_msg("waited %d ms in vain: %s", HARNESS_WAIT_MS,
+				 what);
+		}
+		harness_run(h, POLL_MS);
+	}
+}
+
+/* Something accepts connections at an address. */
+static bool accepts(void *arg)
+{
+	const char *address = arg;
+	const char *colon = strchr(address, ':');
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	bool good;
+
+	sin.sin_port = htons((uint16_t)strtoul(colon + 1, NULL, 10));
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	good = connect(fd, (const struct sockaddr *)&sin, sizeof(sin)) == 0;
+	close(fd);
+	return good;
+}
+
+/* Waits until something listens at an address. */
+void harness_wait_listening(struct harness *h, const char *address)
+{
+	char *copy = xstrdup(address);
+	char what[128];
+
+	snprintf(what, sizeof(what), "something listens at %s", address);
+	harness_until(h, accepts, copy, what);
+	free(copy);
+}
+
+/* Prints the end of each process's log. */
+static void print_logs(const struct harness *h)
+{
+	const struct proc *p;
+
+	for (p = h->procs; p; p = p->next) {
+		char *text = proc_log(p);
+		size_t len = strlen(text);
+		size_t skip = len > LOG_TAIL_BYTES ? len - LOG_TAIL_BYTES : 0;
+
+		print_error("--- %s (%s)\n%s\n", p->name,
+			    p->pid ? "running" : "ended", text + skip);
+		free(text);
+	}
+}
+
+/* Removes one file or directory. */
+static int remove_entry(const char *path, const struct stat *st, int flag,
+			struct FTW *ftw)
+{
+	(void)st;
+	(void)flag;
+	(void)ftw;
+	return remove(path);
+}
