--- a/Makefile
+++ b/Makefile
@@ -91,7 +91,7 @@
 	clang-format -i $(SRC_FILES)
 
 format-check:
-	clang-format --dry-run -Werror $(SRC_FILES)
+	@clang-format --dry-run -Werror $(SRC_FILES)
 
 lint: tidy cppcheck man-check
 
@@ -99,14 +99,18 @@
 	@printf '%s\n' $(C_FILES) | xargs -P 8 -n 4 sh -c \
 		'clang-tidy --quiet "$$@" -- $(CPPFLAGS) -std=gnu11 2>/dev/null' sh
 
+# cppcheck knows no system headers; the list macros of this one are needed.
+QUEUE_H = $(firstword $(wildcard /usr/include/sys/queue.h \
+	/usr/include/*/sys/queue.h))
+
 cppcheck:
-	cppcheck --quiet --std=c11 --error-exitcode=1 --inline-suppr \
-		--enable=warning,portability -j 8 -I. \
+	@cppcheck --quiet --std=c11 --error-exitcode=1 --inline-suppr \
+		--enable=warning,portability -j 8 -I. --include=$(QUEUE_H) \
 		--suppress=missingInclude --suppress=unknownMacro $(C_FILES)
 
 MAN_PAGES = $(shell git ls-files -co --exclude-standard '*.[1-8]')
 man-check:
-	test -z "$(MAN_PAGES)" || mandoc -Tlint -Wwarning $(MAN_PAGES)
+	@test -z "$(MAN_PAGES)" || mandoc -Tlint -Wwarning $(MAN_PAGES)
 
 clean:
 	rm -rf build build-san build-fuzz
--- a/lib/settings.c
+++ b/lib/settings.c
@@ -163,7 +163,7 @@
 	size_t i;
 	size_t j;
 
-	while (settings[n].key && n < SETTINGS_MAX) {
+	while (n < SETTINGS_MAX && settings[n].key) {
 		known[n] = settings[n].key;
 		n++;
 	}
