lib: an answer cut between two chunks is not whole

Cause: h2o's HTTP/1 client reports a connection that closes at a chunk's boundary as the end of the answer, so a cut answer of a plain service would have been passed on, and kept for later copies, as whole. Ruled out: a length check (the bodies have none) and the socket's state (h2o closes it either way). Change: the last chunk always comes by a read, while a closed connection has read nothing; a chunked answer that ends on nothing is broken.

--- a/lib/httpc.c
+++ b/lib/httpc.c
@@ -48,6 +48,7 @@
 	uint32_t timeout_ms;
 	enum httpc_phase phase;
 	bool head; /* the method is HEAD */
+	bool chunked; /* the answer comes in chunks */
 	bool paused;
 	bool in_callback; /* of h2o: closing is left to its return value */
 	bool over;
@@ -72,6 +73,8 @@
 				       h2o_header_t *headers, size_t n,
 				       int rlen);
 static int on_body(h2o_http1client_t *client, const char *errstr);
+static bool is_chunked(const h2o_header_t *headers, size_t n);
+static bool cut_between_chunks(const struct httpc_req *r);
 static void give_head(struct httpc_req *r, int status,
 		      const h2o_header_t *headers, size_t n);
 static void on_failing(uv_timer_t *timer);
@@ -332,6 +335,7 @@
 	}
 	r->phase = PHASE_BODY;
 	r->last_ms = uv_now(r->client->loop);
+	r->chunked = is_chunked(headers, n);
 	r->in_callback = true;
 	give_head(r, status, headers, n);
 	r->in_callback = false;
@@ -352,7 +356,8 @@
 {
 	struct httpc_req *r = client->data;
 	h2o_buffer_t **input = &client->sock->input;
-	bool broken = errstr && errstr != h2o_http1client_error_is_eos;
+	bool broken = errstr && (errstr != h2o_http1client_error_is_eos ||
+				 cut_between_chunks(r));
 
 	r->last_ms = uv_now(r->client->loop);
 	r->in_callback = true;
@@ -363,11 +368,31 @@
 	if (!r->over && !errstr)
 		return 0;
 	r->h2o = NULL;
-	finish(r, errstr == h2o_http1client_error_is_eos ? HTTPC_OK
-							 : HTTPC_BROKEN);
+	finish(r, broken ? HTTPC_BROKEN : HTTPC_OK);
 	return -1;
 }
 
+/* Tells whether the answer comes in chunks. */
+static bool is_chunked(const h2o_header_t *headers, size_t n)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		if (headers[i].name == &H2O_TOKEN_TRANSFER_ENCODING->buf)
+			return true;
+	return false;
+}
+
+/*
+ * Tells whether what h2o takes for the end is a connection that was closed
+ * between two chunks.  The last chunk comes by a read; a closed connection
+ * has read nothing.
+ */
+static bool cut_between_chunks(const struct httpc_req *r)
+{
+	return r->chunked && r->h2o->sock->bytes_read == 0;
+}
+
 /* Hands the head over with terminated strings. */
 static void give_head(struct httpc_req *r, int status,
 		      const h2o_header_t *headers, size_t n)
