--- a/policy/quarantine.c
+++ b/policy/quarantine.c
@@ -236,7 +236,9 @@
 
 /*
  * Merges another instance's record.  Returns true if it said anything new, so
- * that it is worth passing on.
+ * that it is worth passing on.  A caller that runs the request then judges it
+ * again and stops it if it is to be held or refused: copies that run at once in
+ * several instances so cost one endpoint each and no more.
  */
 bool quarantine_merge(struct quarantine *q,
 		      const struct quarantine_record *record, uint64_t now)
