fleetd: hearsay of leaving ends with its age

Cause: after an operator took back the draining of an endpoint, instances went on telling one another that it is leaving; each telling began the 30 s anew, so it never ended (seen in test_drain_lasts: no return within 30 s). Ruled out: to tell only what was read first hand, which at 920 instances reaches too few in a few seconds. Now a telling carries the time since the platform said so, relays add to it, and it lapses after 10 s; who reads it first hand tells it again every 4 s. The settings file is named by -f, as the other programs do.

--- a/fleetd/endpoints.c
+++ b/fleetd/endpoints.c
@@ -17,8 +17,8 @@
 
 #define REPORTED_DOWN_MS 1500 /* after a cdmentryd has lost an endpoint */
 #define HEARD_DOWN_MS 15000 /* unless the loss is told again */
-#define REPEAT_MS 5000 /* between tellings of a loss that lasts */
-#define LEAVING_LAG_MS 30000 /* the platform's list may be that far behind */
+#define REPEAT_MS 4000 /* between tellings of what lasts */
+#define LEAVING_TTL_MS 10000 /* of hearsay, since the platform said so */
 
 static struct counter endpoints_up = {
 	.name = "cdmfleetd_endpoints_up",
@@ -41,7 +41,10 @@
 		       Cdm__EndpointState *out);
 static void report_down(struct fleetd *f, struct endpoint *e);
 static void hear_down(struct fleetd *f, struct endpoint *e);
-static void hear_leaving(struct fleetd *f, struct endpoint *e);
+static void hear_leaving(struct fleetd *f, struct endpoint *e, uint64_t age_ms);
+static uint64_t hearsay_age(const struct fleetd *f, const struct endpoint *e);
+static bool knows_itself(const struct endpoint *e);
+static void note_leaving(struct fleetd *f, struct endpoint *e);
 static void assign_service(struct fleetd *f, const struct config_service *s,
 			   const struct shard_member *members, size_t n,
 			   size_t self);
@@ -133,15 +136,15 @@
 		e = &f->endpoints->all[i];
 		watched += e->watched;
 		up += e->up;
-		if (e->up)
-			continue;
-		if (!e->watched && now >= e->down_expires) {
+		if (!e->up && !e->watched && now >= e->down_expires) {
 			endpoint_set_up(f, e, true, "no word of it since");
 			e->sends_left = 0;
-		} else if (e->watched && now >= e->repeat_at) {
+		}
+		if (now >= e->repeat_at && knows_itself(e)) {
 			e->repeat_at = now + REPEAT_MS;
 			e->sends_left = ENDPOINT_SENDS;
 		}
+		note_leaving(f, e);
 	}
 	counter_set(&endpoints_up, (double)up);
 	counter_set(&endpoints_watched, (double)watched);
@@ -160,10 +163,32 @@
 /* True if the endpoint is to get no new work. */
 bool endpoint_leaving(const struct fleetd *f, const struct endpoint *e)
 {
-	return e->listed_leaving || e->drained || e->leaving_heard_at ||
+	return e->listed_leaving || e->drained ||
+	       fleetd_now(f) < e->leaving_until ||
 	       f->config->endpoints[e->index].leaving;
 }
 
+/* True if this instance knows at first hand of a loss or leaving that lasts,
+ * and is to go on telling of it. */
+static bool knows_itself(const struct endpoint *e)
+{
+	return e->listed_leaving || e->drained || (!e->up && e->watched);
+}
+
+/* Tells the cdmentryds if the endpoint has started or ceased to leave. */
+static void note_leaving(struct fleetd *f, struct endpoint *e)
+{
+	bool leaving = endpoint_leaving(f, e);
+
+	if (e->told_leaving == leaving)
+		return;
+	e->told_leaving = leaving;
+	touch(f, e);
+	log_msg(LOG_NOTICE, leaving ? "endpoint-leaving" : "endpoint-stays",
+		NULL, "endpoint %s is %s", f->config->endpoints[e->index].name,
+		leaving ? "leaving and gets no new work" : "no longer leaving");
+}
+
 /* Sets whether the endpoint is up; a change is told everywhere. */
 void endpoint_set_up(struct fleetd *f, struct endpoint *e, bool up,
 		     const char *why)
@@ -206,25 +231,18 @@
 			   bool drained)
 {
 	struct endpoint *e = endpoints_find(f->endpoints, name_id(name));
-	uint64_t now = fleetd_now(f);
 	bool before;
 
 	if (!e)
 		return;
-	before = endpoint_leaving(f, e);
+	before = e->listed_leaving || e->drained;
 	e->listed_leaving = listed;
 	e->drained = drained;
-	/* hearsay ends when it is confirmed, or isn't for long */
-	if (listed || drained || now > e->leaving_heard_at + LEAVING_LAG_MS)
-		e->leaving_heard_at = 0;
-	if (before == endpoint_leaving(f, e))
-		return;
-	touch(f, e);
-	e->sends_left = ENDPOINT_SENDS;
-	gossip_urgent(f);
-	log_msg(LOG_NOTICE, before ? "endpoint-stays" : "endpoint-leaving",
-		NULL, "endpoint %s is %s", name,
-		before ? "no longer leaving" : "leaving and gets no new work");
+	if (!before && (listed || drained)) {
+		e->sends_left = ENDPOINT_SENDS;
+		gossip_urgent(f);
+	}
+	note_leaving(f, e);
 }
 
 /* Takes losses and recoveries that a cdmentryd of this instance saw. */
@@ -257,7 +275,7 @@
 		if (!e)
 			continue;
 		if (s->leaving)
-			hear_leaving(f, e);
+			hear_leaving(f, e, s->leaving_age_ms);
 		if (!s->up)
 			hear_down(f, e);
 		else if (s->has_age_ms && !e->watched)
@@ -348,6 +366,9 @@
 	out->name = f->config->endpoints[e->index].name;
 	out->up = e->up;
 	out->leaving = endpoint_leaving(f, e);
+	out->has_leaving_age_ms = out->leaving;
+	if (!e->listed_leaving && !e->drained)
+		out->leaving_age_ms = hearsay_age(f, e);
 	if (!e->polled || !e->watched)
 		return;
 	out->has_slots = 1;
@@ -362,6 +383,16 @@
 	out->age_ms = fleetd_now(f) - e->load_at;
 }
 
+/* Returns how long ago the platform said that the endpoint is leaving. */
+static uint64_t hearsay_age(const struct fleetd *f, const struct endpoint *e)
+{
+	uint64_t now = fleetd_now(f);
+
+	if (e->leaving_until <= now)
+		return LEAVING_TTL_MS;
+	return now + LEAVING_TTL_MS - e->leaving_until;
+}
+
 /* A cdmentryd of this instance has lost the endpoint: it counts as down until
  * a poll that starts a little later reaches it. */
 static void report_down(struct fleetd *f, struct endpoint *e)
@@ -390,20 +421,24 @@
 	}
 }
 
-/* Takes word that an endpoint is leaving and passes it on once. */
-static void hear_leaving(struct fleetd *f, struct endpoint *e)
+/* Takes word that an endpoint is leaving, as the platform said age_ms ago, and
+ * passes it on.  Hearsay ends with its age, however often it is told: else
+ * instances would go on persuading each other after the platform has taken it
+ * back. */
+static void hear_leaving(struct fleetd *f, struct endpoint *e, uint64_t age_ms)
 {
-	bool before = endpoint_leaving(f, e);
+	uint64_t now = fleetd_now(f);
+	bool news = !endpoint_leaving(f, e);
 
-	e->leaving_heard_at = fleetd_now(f);
-	if (before)
+	if (age_ms >= LEAVING_TTL_MS)
+		return;
+	if (now + LEAVING_TTL_MS - age_ms > e->leaving_until)
+		e->leaving_until = now + LEAVING_TTL_MS - age_ms;
+	if (!news)
 		return;
-	touch(f, e);
 	e->sends_left = ENDPOINT_SENDS;
 	gossip_urgent(f);
-	log_msg(LOG_NOTICE, "endpoint-leaving", NULL,
-		"endpoint %s is leaving, says another instance",
-		f->config->endpoints[e->index].name);
+	note_leaving(f, e);
 }
 
 /* Marks the endpoints of one service that this instance uses and watches. */
--- a/fleetd/endpoints.h
+++ b/fleetd/endpoints.h
@@ -20,7 +20,8 @@
 	bool up;
 	bool listed_leaving; /* by the platform's list */
 	bool drained; /* by an operator */
-	uint64_t leaving_heard_at; /* ms, from another instance; 0: not */
+	uint64_t leaving_until; /* ms; hearsay of other instances */
+	bool told_leaving; /* as last told to the cdmentryds */
 	bool polled; /* at least once with success */
 	bool polling;
 	bool contested; /* others lost it; a good poll is told to them */
@@ -34,7 +35,7 @@
 	uint64_t salt; /* of the engine's start; 0: unknown */
 	uint64_t load_at; /* ms, when the load held */
 	unsigned int sends_left; /* digests that still tell of it */
-	uint64_t repeat_at; /* ms, when a loss is told again */
+	uint64_t repeat_at; /* ms, when loss or leaving is told again */
 	bool ordering; /* an order is on its way */
 	uint64_t order_fence; /* of the last order obeyed; 0: none */
 	uint64_t order_salt; /* of the engine's start that obeyed it */
--- a/fleetd/main.c
+++ b/fleetd/main.c
@@ -20,6 +20,10 @@
 const char *argp_program_version = "cdmfleetd 0.1";
 
 static const struct argp_option options[] = {
+	{ .name = "file",
+	  .key = 'f',
+	  .arg = "FILE",
+	  .doc = "read the settings from FILE" },
 	{ .name = "check",
 	  .key = 'n',
 	  .doc = "check the settings file and exit" },
@@ -29,28 +33,28 @@
 static const struct argp parser = {
 	.options = options,
 	.parser = parse_option,
-	.args_doc = "SETTINGS-FILE",
 	.doc = "Control process of an instance: membership, configuration, "
 	       "watch over endpoints, and orders to engines.",
 };
 
-/* Takes one option or the file's name. */
+/* Takes one option. */
 static error_t parse_option(int key, char *arg, struct argp_state *state)
 {
 	struct arguments *arguments = state->input;
 
 	switch (key) {
+	case 'f':
+		arguments->file = arg;
+		return 0;
 	case 'n':
 		arguments->check_only = true;
 		return 0;
 	case ARGP_KEY_ARG:
-		if (arguments->file)
-			argp_usage(state);
-		arguments->file = arg;
+		argp_usage(state);
 		return 0;
 	case ARGP_KEY_END:
 		if (!arguments->file)
-			argp_usage(state);
+			argp_error(state, "-f is required");
 		return 0;
 	default:
 		return ARGP_ERR_UNKNOWN;
--- a/proto/control.pb-c.c
+++ b/proto/control.pb-c.c
@@ -663,7 +663,7 @@
   (ProtobufCMessageInit) cdm__member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cdm__endpoint_state__field_descriptors[8] =
+static const ProtobufCFieldDescriptor cdm__endpoint_state__field_descriptors[9] =
 {
   {
     "name",
@@ -761,10 +761,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaving_age_ms",
+    9,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(Cdm__EndpointState, has_leaving_age_ms),
+    offsetof(Cdm__EndpointState, leaving_age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cdm__endpoint_state__field_indices_by_name[] = {
   7,   /* field[7] = age_ms */
   2,   /* field[2] = leaving */
+  8,   /* field[8] = leaving_age_ms */
   0,   /* field[0] = name */
   5,   /* field[5] = queued */
   4,   /* field[4] = running */
@@ -775,7 +788,7 @@
 static const ProtobufCIntRange cdm__endpoint_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor cdm__endpoint_state__descriptor =
 {
@@ -785,7 +798,7 @@
   "Cdm__EndpointState",
   "cdm",
   sizeof(Cdm__EndpointState),
-  8,
+  9,
   cdm__endpoint_state__field_descriptors,
   cdm__endpoint_state__field_indices_by_name,
   1,  cdm__endpoint_state__number_ranges,
--- a/proto/control.pb-c.h
+++ b/proto/control.pb-c.h
@@ -128,10 +128,15 @@
    */
   protobuf_c_boolean has_age_ms;
   uint64_t age_ms;
+  /*
+   * since the platform said so
+   */
+  protobuf_c_boolean has_leaving_age_ms;
+  uint64_t leaving_age_ms;
 };
 #define CDM__ENDPOINT_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cdm__endpoint_state__descriptor) \
-    , NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
