--- a/entryd/main.c
+++ b/entryd/main.c
@@ -20,6 +20,10 @@
 const char *argp_program_version = "cdmentryd 0.1";
 
 static const struct argp_option options[] = {
+	{ .name = "file",
+	  .key = 'f',
+	  .arg = "FILE",
+	  .doc = "read the settings from FILE" },
 	{ .name = "check",
 	  .key = 'n',
 	  .doc = "check the settings file and exit" },
@@ -29,7 +33,6 @@
 static const struct argp parser = {
 	.options = options,
 	.parser = parse_option,
-	.args_doc = "SETTINGS-FILE",
 	.doc = "Answers callers: admission, routing, streams and their "
 	       "resumption, calls that run at most once.",
 };
@@ -43,14 +46,15 @@
 	case 'n':
 		arguments->check_only = true;
 		return 0;
-	case ARGP_KEY_ARG:
-		if (arguments->file)
-			argp_usage(state);
+	case 'f':
 		arguments->file = arg;
 		return 0;
+	case ARGP_KEY_ARG:
+		argp_usage(state);
+		return 0;
 	case ARGP_KEY_END:
 		if (!arguments->file)
-			argp_usage(state);
+			argp_error(state, "-f is required");
 		return 0;
 	default:
 		return ARGP_ERR_UNKNOWN;
