--- a/Makefile
+++ b/Makefile
@@ -80,9 +80,31 @@
 setup:
 	sh .ci/packages
 
-check: programs tests
+check: setup
+	@$(MAKE) -s check-built
+
+check-built: programs tests
 	@sh regress/run.sh $(O) $(TESTS)
 
+# `make bench` runs them all, `make bench B=name` one.
+B = $(BENCHES)
+bench: programs benches
+	@for b in $(patsubst bench_%,%,$(B)); do \
+		echo "# bench_$$b"; \
+		CDM_BIN=$(CURDIR)/$(O)/bin CDM_ROOT=$(CURDIR) \
+			$(O)/bin/bench_$$b | grep -v '^\[' || exit 1; \
+	done
+
+# Installs what is needed, builds, and runs the main job on the stand-ins.
+demo: setup
+	@$(MAKE) -s programs
+	@sh emulator/demo.sh $(CURDIR)/$(O)/bin
+
+# Proofs under failure: all, or `make prove T=name`.
+T = $(basename $(notdir $(wildcard regress/integration/test_*.c)))
+prove: programs tests
+	@sh regress/run.sh $(O) $(addprefix test_,$(patsubst test_%,%,$(T)))
+
 SRC_FILES = $(shell git ls-files -co --exclude-standard '*.c' '*.h' | \
 	grep -v '^proto/')
 C_FILES = $(filter %.c,$(SRC_FILES))
@@ -115,5 +137,5 @@
 clean:
 	rm -rf build build-san build-fuzz
 
-.PHONY: all programs tests benches check format format-check lint tidy \
-	cppcheck man-check clean setup proto-gen
+.PHONY: all programs tests benches check check-built bench demo prove \
+	format format-check lint tidy cppcheck man-check clean setup proto-gen
--- a/regress/bench/bench_relay.c
+++ b/regress/bench/bench_relay.c
@@ -88,7 +88,7 @@
 
 	memset(s, 0, sizeof(*s));
 	s->request = xasprintf("POST %s HTTP/1.1\r\nhost: x\r\n"
-			       "authorization: Bearer key-org-1\r\n"
+			       "authorization: Bearer key-bench\r\n"
 			       "content-length: %zu\r\n\r\n%s",
 			       path, strlen(body), body);
 	assert_true(address_parse(address, host, sizeof(host), &port));
@@ -260,7 +260,7 @@
 			     const char *path, const char *body)
 {
 	const struct httpc_header headers[] = {
-		{ "authorization", "Bearer key-org-1" },
+		{ "authorization", "Bearer key-bench" },
 	};
 	const struct httpc_request r = {
 		.method = "POST",
@@ -319,6 +319,8 @@
 		.n_zones = 1,
 		.n_engines = ENGINES,
 		.n_organisations = 1,
+		.config = "[[organisation]]\nname = \"bench\"\n"
+			  "key = \"key-bench\"\nmax_running = 100000\n",
 		.slots = STREAMS,
 		.engine_args = { "--token-ms=20", "--slots=1500" },
 	};
