emulator: option names are released

LeakSanitizer ended the stand-ins with an error on a graceful stop: the names of the options are copies. test_engine and test_service pass under it now.

--- a/emulator/standin.c
+++ b/emulator/standin.c
@@ -34,6 +34,7 @@
 
 static error_t parse_option(int key, char *arg, struct argp_state *state);
 static struct argp_option *make_options(const struct standin *s);
+static void free_options(struct argp_option *options);
 static json_t *value_of_argument(const struct standin_setting *d,
 				 const char *arg);
 static const struct standin_setting *find_setting(const struct standin *s,
@@ -77,7 +78,7 @@
 	argp.options = options;
 	log_open(s->program, LOG_INFO);
 	argp_parse(&argp, argc, argv, 0, NULL, s);
-	free(options);
+	free_options(options);
 	s->loop = loop;
 	for (i = 0; i < 2; i++) {
 		uv_signal_init(loop, &s->signals[i]);
@@ -319,6 +320,17 @@
 	return options;
 }
 
+/* Frees the table; its names are copies, but for those of the addresses. */
+static void free_options(struct argp_option *options)
+{
+	size_t i;
+
+	for (i = 0; options[i].key; i++)
+		if (options[i].key >= FIRST_SETTING_KEY)
+			free((char *)options[i].name);
+	free(options);
+}
+
 /* Turns an option's argument into the JSON value that it stands for, or
  * returns NULL. */
 static json_t *value_of_argument(const struct standin_setting *d,
