--- /dev/null
+++ b/emulator/caller.c
@@ -0,0 +1,505 @@
+/*
+ * A caller of the system, for tests and the load tool.  It follows the
+ * published protocol: it obeys Retry-After, hands back the last cursor and
+ * the text it has when it reconnects, and drops its text on a restart.  Every
+ * answer is checked as a chain of tokens.
+ */
+#include "emulator/caller.h"
+
+#include <bsd/string.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "emulator/sse.h"
+#include "lib/xalloc.h"
+
+#define ENTRIES_TIMEOUT_MS 2000
+#define ENTRIES_MAX 16
+#define RECONNECT_WAIT_MS 50
+#define RETRY_DEFAULT_MS 1000
+#define RETRY_MAX_MS 60000
+#define ERROR_BODY_MAX 4096
+
+struct caller {
+	uv_loop_t *loop;
+	struct httpc *client;
+	const struct caller_ops *ops;
+	void *arg;
+	struct caller_options options;
+	struct caller_result result;
+	uv_timer_t timer;
+	struct httpc_req *req;
+	char *entries[ENTRIES_MAX];
+	size_t n_entries;
+	size_t next_entry;
+	size_t next_address;
+	struct sse sse;
+	struct chain chain;
+	char *cursor; /* the last id, or NULL */
+	char *text;
+	size_t text_len;
+	size_t text_size;
+	char *error; /* body of a refusal or of the entries */
+	size_t error_len;
+	char *retry_after;
+	int status; /* of the exchange that is open */
+	double start_ms;
+	double last_token_ms;
+	bool done; /* "[DONE]" came */
+	bool cancelled;
+};
+
+static double now_ms(void);
+static void ask_entries(struct caller *c);
+static void on_entries_body(void *arg, const char *data, size_t len);
+static void on_entries_end(void *arg, enum httpc_outcome outcome);
+static bool take_entries(struct caller *c);
+static void drop_entries(struct caller *c);
+static void ask_completion(struct caller *c);
+static char *make_body(const struct caller *c);
+static void on_head(void *arg, int status, const struct httpc_header *headers,
+		    size_t n);
+static void on_body(void *arg, const char *data, size_t len);
+static void on_end(void *arg, enum httpc_outcome outcome);
+static void on_event(void *arg, const struct sse_event *event);
+static void take_text(struct caller *c, const char *text, size_t len);
+static void note_tokens(struct caller *c, uint64_t n);
+static void restart(struct caller *c);
+static void add_error(struct caller *c, const char *data, size_t len);
+static void begin_exchange(struct caller *c);
+static void refused(struct caller *c);
+static void cut(struct caller *c);
+static void wait_then(struct caller *c, uv_timer_cb then, uint64_t ms);
+static void on_retry(uv_timer_t *timer);
+static void finish(struct caller *c, enum caller_outcome outcome);
+static void release(uv_handle_t *timer);
+
+static const struct httpc_ops entries_ops = {
+	.on_head = on_head,
+	.on_body = on_entries_body,
+	.on_end = on_entries_end,
+};
+
+static const struct httpc_ops completion_ops = {
+	.on_head = on_head,
+	.on_body = on_body,
+	.on_end = on_end,
+};
+
+/* Starts a caller on a loop. */
+struct caller *caller_start(uv_loop_t *loop, struct httpc *client,
+			    const struct caller_options *options,
+			    const struct caller_ops *ops, void *arg)
+{
+	struct caller *c = xcalloc(1, sizeof(*c));
+
+	c->loop = loop;
+	c->client = client;
+	c->ops = ops;
+	c->arg = arg;
+	c->options = *options;
+	c->options.key = xstrdup(options->key);
+	c->options.model = xstrdup(options->model);
+	c->options.prompt = xstrdup(options->prompt);
+	c->next_address = options->first_address;
+	c->result.first_token_ms = -1;
+	c->start_ms = now_ms();
+	chain_start(&c->chain, options->prompt, strlen(options->prompt));
+	uv_timer_init(loop, &c->timer);
+	c->timer.data = c;
+	ask_entries(c);
+	return c;
+}
+
+/* Ends a caller without a word. */
+void caller_cancel(struct caller *c)
+{
+	c->cancelled = true;
+	finish(c, CALLER_BROKEN);
+}
+
+/* Returns what a caller has so far. */
+const struct caller_result *caller_progress(const struct caller *c)
+{
+	return &c->result;
+}
+
+/* Returns a word for an outcome, as reports print it. */
+const char *caller_outcome_name(enum caller_outcome outcome)
+{
+	static const char *const names[] = {
+		[CALLER_WHOLE] = "whole",
+		[CALLER_REFUSED] = "refused",
+		[CALLER_BROKEN] = "broken",
+		[CALLER_WRONG] = "wrong",
+	};
+
+	return names[outcome];
+}
+
+/* Returns a clock in milliseconds that never goes back. */
+static double now_ms(void)
+{
+	return (double)uv_hrtime() / 1e6;
+}
+
+/* Asks one of the known addresses which to use. */
+static void ask_entries(struct caller *c)
+{
+	char authorization[256];
+	const struct httpc_header headers[] = {
+		{ "authorization", authorization },
+	};
+	const struct caller_options *o = &c->options;
+	const struct httpc_request r = {
+		.method = "GET",
+		.address = o->addresses[c->next_address++ % o->n_addresses],
+		.path = "/v1/entries",
+		.headers = headers,
+		.n_headers = 1,
+		.timeout_ms = ENTRIES_TIMEOUT_MS,
+	};
+
+	snprintf(authorization, sizeof(authorization), "Bearer %s", o->key);
+	begin_exchange(c);
+	c->req = httpc_start(c->client, &r, &entries_ops, c);
+}
+
+/* Keeps a part of the entries. */
+static void on_entries_body(void *arg, const char *data, size_t len)
+{
+	add_error(arg, data, len);
+}
+
+/* Goes on with the entries, or asks elsewhere. */
+static void on_entries_end(void *arg, enum httpc_outcome outcome)
+{
+	struct caller *c = arg;
+
+	c->req = NULL;
+	if (outcome == HTTPC_OK && c->status == 200 && take_entries(c))
+		ask_completion(c);
+	else if (outcome == HTTPC_OK && c->status >= 400)
+		refused(c);
+	else
+		cut(c);
+}
+
+/* Reads the answer to /v1/entries; false if it names no address. */
+static bool take_entries(struct caller *c)
+{
+	json_t *json =
+		json_loadb(c->error ? c->error : "", c->error_len, 0, NULL);
+	json_t *entry;
+	size_t i;
+
+	drop_entries(c);
+	json_array_foreach(json_object_get(json, "entries"), i, entry)
+	{
+		const char *address =
+			json_string_value(json_object_get(entry, "address"));
+
+		if (address && c->n_entries < ENTRIES_MAX)
+			c->entries[c->n_entries++] = xstrdup(address);
+	}
+	json_decref(json);
+	return c->n_entries > 0;
+}
+
+/* Forgets the entries. */
+static void drop_entries(struct caller *c)
+{
+	while (c->n_entries)
+		free(c->entries[--c->n_entries]);
+	c->next_entry = 0;
+}
+
+/* Asks for the completion, or for the rest of it. */
+static void ask_completion(struct caller *c)
+{
+	char authorization[256];
+	char deadline[16];
+	struct httpc_header headers[4] = {
+		{ "authorization", authorization },
+		{ "content-type", "application/json" },
+	};
+	struct httpc_request r = {
+		.method = "POST",
+		.address = c->entries[c->next_entry++ % c->n_entries],
+		.path = "/v1/completions",
+		.headers = headers,
+		.n_headers = 2,
+		.timeout_ms = c->options.silence_ms,
+	};
+	char *body = make_body(c);
+
+	snprintf(authorization, sizeof(authorization), "Bearer %s",
+		 c->options.key);
+	if (c->cursor)
+		headers[r.n_headers++] =
+			(struct httpc_header){ "last-event-id", c->cursor };
+	if (c->options.deadline) {
+		snprintf(deadline, sizeof(deadline), "%u",
+			 c->options.deadline_ms);
+		headers[r.n_headers++] =
+			(struct httpc_header){ "x-deadline-ms", deadline };
+	}
+	r.body = body;
+	r.body_len = strlen(body);
+	begin_exchange(c);
+	sse_release(&c->sse);
+	sse_init(&c->sse, on_event, c);
+	c->req = httpc_start(c->client, &r, &completion_ops, c);
+	free(body);
+}
+
+/* Makes the request's body; it holds the text so far after a break. */
+static char *make_body(const struct caller *c)
+{
+	json_t *json =
+		json_pack("{s:s, s:s, s:I, s:b}", "model", c->options.model,
+			  "prompt", c->options.prompt, "max_tokens",
+			  (json_int_t)c->options.max_tokens, "stream", 1);
+	char *body;
+
+	if (c->cursor)
+		json_object_set_new(json, "received_text",
+				    json_stringn(c->text ? c->text : "",
+						 c->text_len));
+	body = json_dumps(json, JSON_COMPACT);
+	json_decref(json);
+	return body;
+}
+
+/* Forgets the exchange before. */
+static void begin_exchange(struct caller *c)
+{
+	c->status = 0;
+	c->error_len = 0;
+	free(c->retry_after);
+	c->retry_after = NULL;
+}
+
+/* Notes the head of an answer. */
+static void on_head(void *arg, int status, const struct httpc_header *headers,
+		    size_t n)
+{
+	struct caller *c = arg;
+	size_t i;
+
+	c->status = status;
+	for (i = 0; i < n; i++) {
+		if (strcmp(headers[i].name, "retry-after") != 0)
+			continue;
+		free(c->retry_after);
+		c->retry_after = xstrdup(headers[i].value);
+	}
+}
+
+/* Takes a part of a completion or a refusal. */
+static void on_body(void *arg, const char *data, size_t len)
+{
+	struct caller *c = arg;
+
+	if (c->status == 200)
+		sse_feed(&c->sse, data, len);
+	else
+		add_error(c, data, len);
+}
+
+/* Keeps a part of a short body; the rest is dropped. */
+static void add_error(struct caller *c, const char *data, size_t len)
+{
+	if (!c->error)
+		c->error = xcalloc(ERROR_BODY_MAX, 1);
+	if (len > ERROR_BODY_MAX - c->error_len)
+		len = ERROR_BODY_MAX - c->error_len;
+	memcpy(c->error + c->error_len, data, len);
+	c->error_len += len;
+}
+
+/* An exchange is over. */
+static void on_end(void *arg, enum httpc_outcome outcome)
+{
+	struct caller *c = arg;
+
+	c->req = NULL;
+	if (chain_finish(&c->chain) != CHAIN_GOOD && c->done)
+		finish(c, CALLER_WRONG);
+	else if (c->chain.fault != CHAIN_GOOD)
+		finish(c, CALLER_WRONG);
+	else if (c->done)
+		finish(c, CALLER_WHOLE);
+	else if (outcome == HTTPC_OK && c->status >= 400)
+		refused(c);
+	else
+		cut(c);
+}
+
+/* Takes one event of the stream. */
+static void on_event(void *arg, const struct sse_event *event)
+{
+	struct caller *c = arg;
+	const json_t *choice;
+	const char *finish_reason;
+	json_t *json;
+
+	if (strcmp(event->data, "[DONE]") == 0) {
+		c->done = true;
+		return;
+	}
+	if (strcmp(event->event, "restart") == 0) {
+		restart(c);
+		return;
+	}
+	json = json_loadb(event->data, event->data_len, 0, NULL);
+	choice = json_array_get(json_object_get(json, "choices"), 0);
+	if (choice && *event->id) {
+		free(c->cursor);
+		c->cursor = xstrdup(event->id);
+	}
+	if (choice && json_object_get(choice, "text")) {
+		const json_t *text = json_object_get(choice, "text");
+
+		take_text(c, json_string_value(text), json_string_length(text));
+	}
+	finish_reason =
+		json_string_value(json_object_get(choice, "finish_reason"));
+	if (finish_reason)
+		strlcpy(c->result.finish, finish_reason,
+			sizeof(c->result.finish));
+	json_decref(json);
+}
+
+/* Takes the next text of the answer. */
+static void take_text(struct caller *c, const char *text, size_t len)
+{
+	uint64_t before = c->chain.position;
+
+	if (!text || !len)
+		return;
+	if (c->text_size - c->text_len < len) {
+		c->text_size = (c->text_len + len) * 2;
+		c->text = xreallocarray(c->text, c->text_size, 1);
+	}
+	memcpy(c->text + c->text_len, text, len);
+	c->text_len += len;
+	chain_check(&c->chain, text, len);
+	if (c->chain.position > before)
+		note_tokens(c, c->chain.position - before);
+}
+
+/* Notes the time of tokens that came together. */
+static void note_tokens(struct caller *c, uint64_t n)
+{
+	double now = now_ms();
+	double gap = now - c->last_token_ms;
+
+	c->result.relayed += n;
+	c->result.tokens = c->chain.position;
+	if (c->result.first_token_ms < 0) {
+		c->result.first_token_ms = now - c->start_ms;
+	} else {
+		if (gap > c->result.longest_gap_ms)
+			c->result.longest_gap_ms = gap;
+		if (c->ops->on_gap)
+			c->ops->on_gap(c->arg, gap);
+	}
+	c->last_token_ms = now;
+}
+
+/* The answer starts anew from its first token. */
+static void restart(struct caller *c)
+{
+	c->result.restarts++;
+	c->result.tokens = 0;
+	c->text_len = 0;
+	free(c->cursor);
+	c->cursor = NULL;
+	chain_start(&c->chain, c->options.prompt, strlen(c->options.prompt));
+}
+
+/* The request was refused: comes back when it was told to, or ends. */
+static void refused(struct caller *c)
+{
+	json_t *json =
+		json_loadb(c->error ? c->error : "", c->error_len, 0, NULL);
+	const char *run = json_string_value(json_object_get(json, "run"));
+	const char *detail = json_string_value(json_object_get(json, "detail"));
+	double wait = RETRY_DEFAULT_MS;
+
+	c->result.status = c->status;
+	strlcpy(c->result.run, run ? run : "", sizeof(c->result.run));
+	strlcpy(c->result.detail, detail ? detail : "",
+		sizeof(c->result.detail));
+	json_decref(json);
+	if (c->retry_after)
+		wait = strtod(c->retry_after, NULL) * 1000;
+	if (!c->retry_after || c->result.refusals >= c->options.refusals_max) {
+		finish(c, CALLER_REFUSED);
+		return;
+	}
+	c->result.refusals++;
+	wait_then(c, on_retry,
+		  (uint64_t)(wait < RETRY_MAX_MS ? wait : RETRY_MAX_MS));
+}
+
+/* The connection broke: goes on at another address, or ends. */
+static void cut(struct caller *c)
+{
+	if (c->result.reconnects >= c->options.reconnects_max) {
+		finish(c, CALLER_BROKEN);
+		return;
+	}
+	c->result.reconnects++;
+	wait_then(c, on_retry, RECONNECT_WAIT_MS);
+}
+
+/* Does something later. */
+static void wait_then(struct caller *c, uv_timer_cb then, uint64_t ms)
+{
+	uv_timer_start(&c->timer, then, ms, 0);
+}
+
+/* Tries the next address; when all were tried, asks for the entries anew. */
+static void on_retry(uv_timer_t *timer)
+{
+	struct caller *c = timer->data;
+
+	if (c->next_entry < c->n_entries)
+		ask_completion(c);
+	else
+		ask_entries(c);
+}
+
+/* Ends a caller and tells how. */
+static void finish(struct caller *c, enum caller_outcome outcome)
+{
+	c->result.outcome = outcome;
+	c->result.fault = chain_finish(&c->chain);
+	c->result.total_ms = now_ms() - c->start_ms;
+	if (c->req)
+		httpc_cancel(c->req);
+	if (!c->cancelled)
+		c->ops->on_done(c->arg, &c->result);
+	uv_close((uv_handle_t *)&c->timer, release);
+}
+
+/* Releases a caller whose timer is closed. */
+static void release(uv_handle_t *timer)
+{
+	struct caller *c = timer->data;
+
+	drop_entries(c);
+	sse_release(&c->sse);
+	free((char *)c->options.key);
+	free((char *)c->options.model);
+	free((char *)c->options.prompt);
+	free(c->cursor);
+	free(c->text);
+	free(c->error);
+	free(c->retry_after);
+	free(c);
+}
--- a/regress/harness.c
+++ b/regress/harness.c
@@ -368,6 +368,35 @@
 	free(copy);
 }
 
+/* A process that is to listen somewhere. */
+struct listening {
+	struct proc *proc;
+	char *address;
+};
+
+/* A process listens, or never will. */
+static bool listens_or_ended(void *arg)
+{
+	struct listening *l = arg;
+
+	return !proc_running(l->proc) || accepts(l->address);
+}
+
+/* Waits until a process listens at an address; fails when it ends before. */
+void proc_wait_listening(struct proc *p, const char *address)
+{
+	struct listening l = { p, xstrdup(address) };
+	char what[128];
+
+	snprintf(what, sizeof(what), "%s listens at %s", p->name, address);
+	harness_until(p->harness, listens_or_ended, &l, what);
+	free(l.address);
+	if (proc_running(p))
+		return;
+	print_logs(p->harness);
+	fail_msg("%s ended with %d", p->name, p->exit_code);
+}
+
 /* Prints the end of each process's log. */
 static void print_logs(const struct harness *h)
 {
--- a/regress/harness.h
+++ b/regress/harness.h
@@ -57,6 +57,7 @@
 void harness_until(struct harness *h, bool (*holds)(void *arg), void *arg,
 		   const char *what);
 void harness_wait_listening(struct harness *h, const char *address);
+void proc_wait_listening(struct proc *p, const char *address);
 
 /* A whole answer; release it with answer_release(). */
 struct answer {
--- a/regress/harness_fleet.c
+++ b/regress/harness_fleet.c
@@ -129,7 +129,7 @@
 	add(&a, f->platform);
 	add_all(&a, f->options.platform_args, 8);
 	f->platformd = start_args(f, "platformd", "platformd", &a);
-	harness_wait_listening(f->harness, f->platform);
+	proc_wait_listening(f->platformd, f->platform);
 	for (i = 0; i < f->options.n_instances; i++)
 		list_instance(f, f->instances[i].name, f->instances[i].zone,
 			      "entry", f->instances[i].advertised);
@@ -171,7 +171,7 @@
 	for (i = 0; i < f->options.n_services; i++)
 		map(&a, f->services[i].advertised, f->services[i].address);
 	f->faultd = start_args(f, "faultd", "faultd", &a);
-	harness_wait_listening(f->harness, f->faults);
+	proc_wait_listening(f->faultd, f->faults);
 }
 
 /* Starts, or starts anew, the cdmfleetd of an instance. */
@@ -196,8 +196,8 @@
 		f->instances[f->options.n_instances - 1].advertised,
 		f->options.fleetd_settings ? f->options.fleetd_settings : "");
 	snprintf(name, sizeof(name), "fleetd-%zu", i + 1);
-	in->fleetd = HARNESS_START(f->harness, name, "cdmfleetd", "-f", file);
-	harness_wait_listening(f->harness, in->operator_address);
+	in->fleetd = HARNESS_START(f->harness, name, "cdmfleetd", file);
+	proc_wait_listening(in->fleetd, in->operator_address);
 }
 
 /* Starts, or starts anew, the cdmentryd of an instance. */
@@ -221,8 +221,8 @@
 		in->entry_advertised, in->entry_operator, in->platform,
 		f->options.entryd_settings ? f->options.entryd_settings : "");
 	snprintf(name, sizeof(name), "entryd-%zu", i + 1);
-	in->entryd = HARNESS_START(f->harness, name, "cdmentryd", "-f", file);
-	harness_wait_listening(f->harness, in->entry);
+	in->entryd = HARNESS_START(f->harness, name, "cdmentryd", file);
+	proc_wait_listening(in->entryd, in->entry);
 }
 
 /* Starts, or starts anew, an engine or a plain service. */
@@ -245,7 +245,7 @@
 		add_all(&a, f->options.service_args, 8);
 	}
 	e->proc = start_args(f, e->name, e->kind, &a);
-	harness_wait_listening(f->harness, e->address);
+	proc_wait_listening(e->proc, e->address);
 }
 
 /* Runs cdmctl apply at an instance and returns its exit code. */
