emulator: SIGPIPE is ignored

engined ended without a word when 1,500 callers left their streams at once: libuv writes to sockets that the other side has closed raise SIGPIPE. The tests did not show it, because the harness ignores the signal and children inherit that; it gives them the default back now.

test_whole_path starts a fleet and brings faults about in the middle of answers.

--- a/emulator/faultd.c
+++ b/emulator/faultd.c
@@ -4,6 +4,7 @@
  * address of its own, names a mapping by the address that it listens at.
  */
 #include <argp.h>
+#include <signal.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -228,6 +229,7 @@
 	size_t i;
 	int rc = 1;
 
+	signal(SIGPIPE, SIG_IGN);
 	log_open("faultd", LOG_INFO);
 	argp_parse(&argp, argc, argv, 0, NULL, &f);
 	uv_signal_init(f.loop, &signals[0]);
--- a/emulator/loadgen.c
+++ b/emulator/loadgen.c
@@ -6,6 +6,7 @@
 #include <bsd/stdlib.h>
 #include <jansson.h>
 #include <math.h>
+#include <signal.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -379,6 +380,7 @@
 	};
 	double seconds;
 
+	signal(SIGPIPE, SIG_IGN);
 	l.seed = arc4random();
 	argp_parse(&argp, argc, argv, 0, NULL, &l);
 	if (!l.requests)
--- a/emulator/standin.c
+++ b/emulator/standin.c
@@ -6,7 +6,7 @@
 #include "emulator/standin.h"
 
 #include <argp.h>
-#include <errno.h>
+#include <signal.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -76,6 +76,7 @@
 	size_t i;
 
 	argp.options = options;
+	signal(SIGPIPE, SIG_IGN);
 	log_open(s->program, LOG_INFO);
 	argp_parse(&argp, argc, argv, 0, NULL, s);
 	free_options(options);
--- a/regress/harness.c
+++ b/regress/harness.c
@@ -218,6 +218,7 @@
 	int out = open(p->out_path, O_WRONLY | O_CREAT | O_APPEND, 0600);
 
 	prctl(PR_SET_PDEATHSIG, SIGKILL);
+	signal(SIGPIPE, SIG_DFL); /* ignoring it is the program's own job */
 	dup2(log, STDERR_FILENO);
 	dup2(out, STDOUT_FILENO);
 	execv(argv[0], argv);
