cdmentryd: its counters are registered once

Found by cdmload: two attempts before the first relayed token made cdmentryd spin for ever in counter_register(). The counters were registered while the count was 0 and the counter the last of its list, so the second attempt registered them again and closed the list to a ring.

--- a/entryd/attempt.c
+++ b/entryd/attempt.c
@@ -158,11 +158,13 @@
 static struct attempt *attempt_new(struct entryd *e, struct generation *g,
 				   struct endpoint *ep)
 {
+	static bool registered;
 	struct attempt *a = xcalloc(1, sizeof(*a));
 	struct quarantine_finding finding =
 		quarantine_judge(e->quarantine, &g->digest, entryd_now(e));
 
-	if (!relayed.next && !relayed.value) {
+	if (!registered) {
+		registered = true;
 		counter_register(&stale);
 		counter_register(&relayed);
 	}
--- a/regress/harness_fleet.c
+++ b/regress/harness_fleet.c
@@ -196,7 +196,7 @@
 		f->instances[f->options.n_instances - 1].advertised,
 		f->options.fleetd_settings ? f->options.fleetd_settings : "");
 	snprintf(name, sizeof(name), "fleetd-%zu", i + 1);
-	in->fleetd = HARNESS_START(f->harness, name, "cdmfleetd", file);
+	in->fleetd = HARNESS_START(f->harness, name, "cdmfleetd", "-f", file);
 	proc_wait_listening(in->fleetd, in->operator_address);
 }
 
@@ -221,7 +221,7 @@
 		in->entry_advertised, in->entry_operator, in->platform,
 		f->options.entryd_settings ? f->options.entryd_settings : "");
 	snprintf(name, sizeof(name), "entryd-%zu", i + 1);
-	in->entryd = HARNESS_START(f->harness, name, "cdmentryd", file);
+	in->entryd = HARNESS_START(f->harness, name, "cdmentryd", "-f", file);
 	proc_wait_listening(in->entryd, in->entry);
 }
 
