policy: shards have two instances in each region that serves

Small organisations had one instance in a region, which has to take all of their callers there, so that no shares could even it out. Change: at least two instances a region, places dealt to regions in turn and to zones within them; three instances for each instance's worth of load in place of four; the fleet's size counts in doublings.

--- a/policy/shard.c
+++ b/policy/shard.c
@@ -21,7 +21,8 @@
 #include "policy/size_step.h"
 #include "policy/smallest.h"
 
-#define ZONE_SALT 0x7a6f6e65 /* keeps zone and instance ids apart */
+#define ZONE_SALT 0x7a6f6e65 /* keeps the hashes of zones, ... */
+#define REGION_SALT 0x72656769 /* ... regions and instances apart */
 
 static int compare_members(const void *a, const void *b);
 static bool serves(const struct shard_member *m);
@@ -30,10 +31,11 @@
 				       size_t n);
 static enum shard_outcome find_zones(struct shard_plan *plan);
 static void reserve(struct shard_plan *plan, size_t n_orgs, size_t n_entries);
-static size_t order_zones(struct shard_scratch *s, const struct shard_org *org);
-static void sort_zones(struct ranked *order, size_t n);
-static unsigned int rank_in_region(const struct shard_scratch *s, size_t place);
-static void set_quotas(struct shard_scratch *s, size_t n_zones, size_t size);
+static void order_zones(struct shard_scratch *s, const struct shard_org *org);
+static void insert_ranked(struct ranked *r, size_t n, uint32_t index,
+			  uint64_t hash);
+static void set_quotas(struct shard_scratch *s, size_t size);
+static struct shard_zone *next_zone(struct shard_scratch *s, uint16_t region);
 static void pick_members(struct shard_plan *plan, const struct shard_org *org,
 			 double share);
 static void pick_in_zone(struct shard_plan *plan, const struct shard_org *org,
@@ -41,22 +43,21 @@
 
 /*
  * Returns how many of `n_members` instances serve an organisation with
- * `share` (0 to 1) of the whole load.  A configured `size` above 0 goes
- * before.  The size of the fleet counts in steps, so that single instances
- * that come and go change no shard's size.
+ * `share` (0 to 1) of the whole load, in `n_regions` regions.  A configured
+ * `size` above 0 goes before.  The size of the fleet counts in steps, so that
+ * single instances that come and go change no shard's size.
  */
-unsigned int shard_size(double share, size_t n_members, unsigned int size)
+unsigned int shard_size(double share, size_t n_members, size_t n_regions,
+			unsigned int size)
 {
 	double wanted =
-		ceil(SHARD_SPREAD * share * size_step_eighth(n_members));
+		ceil(SHARD_SPREAD * share * size_step_double(n_members));
 
+	wanted = fmax(wanted, SHARD_SIZE_MIN);
+	wanted = fmax(wanted, SHARD_REGION_MIN * n_regions);
 	if (size > 0)
 		wanted = size;
-	else if (wanted < SHARD_SIZE_MIN)
-		wanted = SHARD_SIZE_MIN;
-	if (wanted > n_members)
-		return n_members;
-	return wanted;
+	return fmin(wanted, n_members);
 }
 
 /*
@@ -192,6 +193,8 @@
 			return SHARD_TOO_LARGE;
 		s->demand.present |= 1u << s->members[i].region;
 		s->demand.instances[s->members[i].region]++;
+		if (s->members[i].region >= s->demand.n_regions)
+			s->demand.n_regions = s->members[i].region + 1;
 		if (!zone || zone->id != s->members[i].zone) {
 			if (plan->n_zones == SHARD_ZONES_MAX)
 				return SHARD_TOO_LARGE;
@@ -224,73 +227,58 @@
 }
 
 /*
- * Puts the zones that may serve the organisation into its own order, one of
- * each region in turn, and returns their number.
+ * Puts the regions and zones that may serve the organisation into its own
+ * order and clears their quotas.
  */
-static size_t order_zones(struct shard_scratch *s, const struct shard_org *org)
+static void order_zones(struct shard_scratch *s, const struct shard_org *org)
 {
 	uint32_t regions = shard_org_regions(s, org);
-	size_t n = 0;
+	uint64_t salted = org->key ^ ZONE_SALT;
 	size_t i;
 
-	for (i = 0; i < s->n_zones; i++) {
-		struct shard_zone *zone = &s->zones[i];
-
-		zone->quota = 0;
-		if (!(regions & 1u << zone->region))
-			continue;
-		s->order[n].index = i;
-		s->order[n].key = pair_hash_unit(
-			pair_hash(org->key ^ ZONE_SALT, zone->id));
-		n++;
+	s->n_regions = 0;
+	s->n_ordered = 0;
+	for (i = 0; i < SHARD_REGIONS_MAX; i++) {
+		if (regions & 1u << i)
+			insert_ranked(s->regions, s->n_regions++, i,
+				      pair_hash(org->key ^ REGION_SALT, i));
 	}
-	sort_zones(s->order, n);
-	for (i = 0; i < n; i++)
-		s->order[i].key += rank_in_region(s, i);
-	sort_zones(s->order, n);
-	return n;
-}
-
-static void sort_zones(struct ranked *order, size_t n)
-{
-	struct ranked r;
-	size_t i;
-	size_t j;
-
-	for (i = 1; i < n; i++) {
-		r = order[i];
-		for (j = i; j > 0 && order[j - 1].key > r.key; j--)
-			order[j] = order[j - 1];
-		order[j] = r;
+	for (i = 0; i < s->n_zones; i++) {
+		s->zones[i].quota = 0;
+		if (regions & 1u << s->zones[i].region)
+			insert_ranked(s->order, s->n_ordered++, i,
+				      pair_hash(salted, s->zones[i].id));
 	}
 }
 
-/* Returns how many zones of the same region go before that at `place`. */
-static unsigned int rank_in_region(const struct shard_scratch *s, size_t place)
+/* Inserts into the `n` sorted by their keys. */
+static void insert_ranked(struct ranked *r, size_t n, uint32_t index,
+			  uint64_t hash)
 {
-	uint16_t region = s->zones[s->order[place].index].region;
-	unsigned int rank = 0;
+	struct ranked new = { .key = pair_hash_unit(hash), .index = index };
 	size_t i;
 
-	for (i = 0; i < place; i++) {
-		if (s->zones[s->order[i].index].region == region)
-			rank++;
-	}
-	return rank;
+	for (i = n; i > 0 && r[i - 1].key > new.key; i--)
+		r[i] = r[i - 1];
+	r[i] = new;
 }
 
-/* Deals `size` places to the ordered zones, one a zone in each round. */
-static void set_quotas(struct shard_scratch *s, size_t n_zones, size_t size)
+/*
+ * Deals `size` places to the regions in turn and, within each, to its zones in
+ * turn.
+ */
+static void set_quotas(struct shard_scratch *s, size_t size)
 {
 	bool dealt = true;
 	size_t i;
 
 	while (size > 0 && dealt) {
 		dealt = false;
-		for (i = 0; i < n_zones && size > 0; i++) {
-			struct shard_zone *zone = &s->zones[s->order[i].index];
+		for (i = 0; i < s->n_regions && size > 0; i++) {
+			struct shard_zone *zone;
 
-			if (zone->quota == zone->n)
+			zone = next_zone(s, s->regions[i].index);
+			if (!zone)
 				continue;
 			zone->quota++;
 			size--;
@@ -299,15 +287,33 @@
 	}
 }
 
+/* Returns the region's zone whose turn it is, NULL if all are full. */
+static struct shard_zone *next_zone(struct shard_scratch *s, uint16_t region)
+{
+	struct shard_zone *best = NULL;
+	size_t i;
+
+	for (i = 0; i < s->n_ordered; i++) {
+		struct shard_zone *zone = &s->zones[s->order[i].index];
+
+		if (zone->region != region || zone->quota == zone->n)
+			continue;
+		if (!best || zone->quota < best->quota)
+			best = zone;
+	}
+	return best;
+}
+
 static void pick_members(struct shard_plan *plan, const struct shard_org *org,
 			 double share)
 {
 	struct shard_scratch *s = plan->scratch;
-	size_t n_zones = order_zones(s, org);
-	unsigned int size = shard_size(share, plan->n_members, org->size);
+	unsigned int size;
 	size_t i;
 
-	set_quotas(s, n_zones, size);
+	order_zones(s, org);
+	size = shard_size(share, plan->n_members, s->n_regions, org->size);
+	set_quotas(s, size);
 	reserve(plan, plan->max_orgs, plan->n_entries + size);
 	for (i = 0; i < s->n_zones; i++)
 		pick_in_zone(plan, org, &s->zones[i]);
--- a/policy/shard.h
+++ b/policy/shard.h
@@ -8,7 +8,8 @@
 #include "policy/member.h"
 
 #define SHARD_SIZE_MIN 4 /* instances, where the fleet has as many */
-#define SHARD_SPREAD 4 /* instances for each instance's worth of load */
+#define SHARD_REGION_MIN 2 /* instances in each region that serves */
+#define SHARD_SPREAD 3 /* instances for each instance's worth of load */
 #define SHARD_MEMBERS_MAX MEMBER_MAX
 #define SHARD_ZONES_MAX 64
 #define SHARD_REGIONS_MAX 32
@@ -68,7 +69,8 @@
 };
 
 size_t shard_members(const struct member_table *t, struct shard_member *out);
-unsigned int shard_size(double share, size_t n_members, unsigned int size);
+unsigned int shard_size(double share, size_t n_members, size_t n_regions,
+			unsigned int size);
 void shard_plan_init(struct shard_plan *plan);
 void shard_plan_free(struct shard_plan *plan);
 enum shard_outcome shard_plan_build(struct shard_plan *plan,
--- a/policy/shard_fit.c
+++ b/policy/shard_fit.c
@@ -109,14 +109,14 @@
 
 	weigh_shard(plan, i);
 	d->far = 0;
-	for (r = 0; r < SHARD_REGIONS_MAX; r++) {
+	for (r = 0; r < d->n_regions; r++) {
 		if (!(regions & 1u << r))
 			continue;
 		instances += d->instances[r];
 		if (d->weight[r] <= 0)
 			d->far += d->instances[r];
 	}
-	for (r = 0; r < SHARD_REGIONS_MAX; r++)
+	for (r = 0; r < d->n_regions; r++)
 		d->part[r] = d->instances[r] / instances;
 	d->far /= instances;
 }
@@ -141,7 +141,7 @@
 	struct shard_demand *d = &plan->scratch->demand;
 	uint32_t j;
 
-	memset(d->weight, 0, sizeof(d->weight));
+	memset(d->weight, 0, d->n_regions * sizeof(d->weight[0]));
 	d->total = 0;
 	for (j = plan->first[org]; j < plan->first[org + 1]; j++) {
 		size_t m = plan->entries[j].member;
--- a/policy/shard_fit.h
+++ b/policy/shard_fit.h
@@ -19,6 +19,7 @@
 /* Part of an organisation's load, by where its callers are. */
 struct shard_demand {
 	uint32_t present; /* bit set of the regions with serving instances */
+	unsigned int n_regions; /* one more than the highest of them */
 	size_t instances[SHARD_REGIONS_MAX]; /* serving, by region */
 	double weight[SHARD_REGIONS_MAX]; /* of the shard at hand */
 	double total; /* of the weights */
@@ -31,6 +32,9 @@
 	size_t n_zones;
 	struct shard_demand demand;
 	struct shard_zone zones[SHARD_ZONES_MAX];
+	size_t n_regions; /* for the organisation at hand, as the next three */
+	size_t n_ordered;
+	struct ranked regions[SHARD_REGIONS_MAX];
 	struct ranked order[SHARD_ZONES_MAX];
 	struct ranked ranked[SHARD_MEMBERS_MAX];
 	struct shard_member members[SHARD_MEMBERS_MAX];
--- a/policy/smallest.c
+++ b/policy/smallest.c
@@ -18,6 +18,18 @@
 	*b = t;
 }
 
+static void first_smallest(struct ranked *r, size_t n)
+{
+	size_t best = 0;
+	size_t i;
+
+	for (i = 1; i < n; i++) {
+		if (before(&r[i], &r[best]))
+			best = i;
+	}
+	swap(&r[0], &r[best]);
+}
+
 /* Puts the pivot of r[lo..hi] in its final place, which it returns. */
 static size_t partition(struct ranked *r, size_t lo, size_t hi)
 {
@@ -46,6 +58,10 @@
 
 	if (k == 0 || k >= n)
 		return;
+	if (k == 1) {
+		first_smallest(r, n);
+		return;
+	}
 	hi = n - 1;
 	while (lo < hi) {
 		place = partition(r, lo, hi);
--- a/regress/bench/bench_policy_fleet.c
+++ b/regress/bench/bench_policy_fleet.c
@@ -15,6 +15,8 @@
 #include "regress/fleet_tables.h"
 
 #define SEED 20240611
+#define SEEDS 20
+#define LOSSES 6 /* instances whose loss is tried */
 #define ANSWER_MAX 8
 
 struct bench_size {
@@ -159,6 +161,66 @@
 	shard_plan_free(&plan);
 }
 
+static double fullest_of(const struct fleet *f)
+{
+	struct shard_plan plan;
+	double fullest;
+
+	shard_plan_init(&plan);
+	build(&plan, f);
+	fullest = shard_fullest(&plan);
+	shard_plan_free(&plan);
+	return fullest;
+}
+
+static void kill_zone(struct fleet *f, unsigned int zone, size_t keep_every)
+{
+	size_t i;
+
+	for (i = 0; i < f->n_instances; i++) {
+		if (f->instances[i].zone != zone)
+			continue;
+		if (keep_every == 0 || i % keep_every != 0)
+			f->instances[i].state = MEMBER_DEAD;
+	}
+}
+
+/*
+ * The worst over seeds of names: all there, a zone lost, a zone with a quarter
+ * of its instances, steeper and flatter weights of the organisations.
+ */
+static void bench_shard_seeds(const char *size, struct fleet *f)
+{
+	const double slopes[] = { 1.3, 0.6 };
+	double worst[5] = { 0 };
+	uint64_t seed;
+	size_t i;
+	size_t j;
+
+	for (seed = 0; seed < SEEDS; seed++) {
+		fleet_fill(f, seed * 1000);
+		worst[0] = fmax(worst[0], fullest_of(f));
+		kill_zone(f, 1, 0);
+		worst[1] = fmax(worst[1], fullest_of(f));
+		fleet_fill(f, seed * 1000);
+		kill_zone(f, 1, 4);
+		worst[2] = fmax(worst[2], fullest_of(f));
+		fleet_fill(f, seed * 1000);
+		for (j = 0; j < 2; j++) {
+			for (i = 0; i < f->n_orgs; i++)
+				f->orgs[i].weight =
+					ceil(1e6 / pow(i + 1, slopes[j]));
+			worst[3 + j] = fmax(worst[3 + j], fullest_of(f));
+		}
+	}
+	print("shard_fullest_worst_seed", size, worst[0], "of_mean");
+	print("shard_fullest_worst_zone_lost", size, worst[1], "of_mean");
+	print("shard_fullest_worst_small_zone", size, worst[2], "of_mean");
+	print("shard_fullest_worst_steep", size, worst[3], "of_mean");
+	print("shard_fullest_worst_flat", size, worst[4], "of_mean");
+	fleet_fill(f, SEED);
+}
+
 static size_t count_lost(const struct shard_plan *old,
 			 const struct shard_plan *new)
 {
@@ -203,9 +265,7 @@
 }
 
 /* Assignments that end or begin, over those that were on the lost ones. */
-static void bench_shard_moves(const char *name, const char *size,
-			      const struct fleet *f,
-			      const struct fleet *smaller)
+static double shard_moves(const struct fleet *f, const struct fleet *smaller)
 {
 	struct shard_plan old;
 	struct shard_plan new;
@@ -220,23 +280,31 @@
 	unavoidable = count_on(&old, f, smaller);
 	ended = count_lost(&old, &new);
 	begun = count_lost(&new, &old);
-	print(name, size, fmax(ended, begun) / unavoidable, "of_unavoidable");
 	shard_plan_free(&old);
 	shard_plan_free(&new);
+	return fmax(ended, begun) / unavoidable;
 }
 
+/* The worst of some instances and of all zones. */
 static void bench_shard_losses(const char *size, const struct fleet *f)
 {
 	struct fleet *smaller = xmemdup(f, sizeof(*f));
+	double instance = 0;
+	double zone = 0;
 	size_t i;
 
-	smaller->instances[f->n_instances / 2].state = MEMBER_DEAD;
-	bench_shard_moves("shard_moves_instance_lost", size, f, smaller);
-	for (i = 0; i < f->n_instances; i++) {
-		if (f->instances[i].zone == 1)
-			smaller->instances[i].state = MEMBER_DEAD;
+	for (i = 0; i < f->n_instances; i += f->n_instances / LOSSES) {
+		memcpy(smaller, f, sizeof(*f));
+		smaller->instances[i].state = MEMBER_DEAD;
+		instance = fmax(instance, shard_moves(f, smaller));
+	}
+	for (i = 0; i < f->n_zones; i++) {
+		memcpy(smaller, f, sizeof(*f));
+		kill_zone(smaller, i, 0);
+		zone = fmax(zone, shard_moves(f, smaller));
 	}
-	bench_shard_moves("shard_moves_zone_lost", size, f, smaller);
+	print("shard_moves_instance_lost", size, instance, "of_unavoidable");
+	print("shard_moves_zone_lost", size, zone, "of_unavoidable");
 	free(smaller);
 }
 
@@ -471,6 +539,7 @@
 				    sizes[i].name, f, SHARD_NEAR_REGION, true);
 		bench_shard_nearest("shard_fullest_zone_first_skewed",
 				    sizes[i].name, f, SHARD_NEAR_ZONE, true);
+		bench_shard_seeds(sizes[i].name, f);
 		bench_shard_losses(sizes[i].name, f);
 		bench_subset(sizes[i].name, f);
 		bench_subset_moves("subset_moves_instance_lost", sizes[i].name,
--- a/regress/unit/test_shard.c
+++ b/regress/unit/test_shard.c
@@ -16,19 +16,21 @@
 	const char *name;
 	double share;
 	size_t members;
+	size_t regions;
 	unsigned int configured;
 	unsigned int size;
 };
 
 static const struct size_case size_cases[] = {
-	{ "small organisation", 0.0001, 920, 0, SHARD_SIZE_MIN },
-	{ "a tenth of the load", 0.1, 920, 0, 384 },
-	{ "one instance fewer changes nothing", 0.1, 919, 0, 384 },
-	{ "never more than there are", 0.9, 6, 0, 6 },
-	{ "small fleet", 0.01, 3, 0, 3 },
-	{ "configured", 0.5, 920, 2, 2 },
-	{ "configured above the fleet", 0.5, 6, 20, 6 },
-	{ "nobody there", 0.5, 0, 0, 0 },
+	{ "small, one region", 0.0001, 920, 1, 0, SHARD_SIZE_MIN },
+	{ "small, four regions", 0.0001, 920, 4, 0, 4 * SHARD_REGION_MIN },
+	{ "an eighth of the load", 0.125, 920, 4, 0, 384 },
+	{ "a zone fewer changes nothing", 0.125, 849, 4, 0, 384 },
+	{ "never more than there are", 0.9, 6, 1, 0, 6 },
+	{ "small fleet", 0.01, 3, 1, 0, 3 },
+	{ "configured", 0.5, 920, 4, 2, 2 },
+	{ "configured above the fleet", 0.5, 6, 1, 20, 6 },
+	{ "nobody there", 0.5, 0, 1, 0, 0 },
 };
 
 static struct fleet *new_fleet(size_t instances, size_t orgs,
@@ -78,7 +80,7 @@
 		const struct size_case *c = &size_cases[i];
 
 		print_message("%s\n", c->name);
-		assert_int_equal(shard_size(c->share, c->members,
+		assert_int_equal(shard_size(c->share, c->members, c->regions,
 					    c->configured),
 				 c->size);
 	}
@@ -212,15 +214,27 @@
 	free(f);
 }
 
+/* Also without a zone, and when a zone has fewer instances than others. */
 static void test_balance_at_full_size(void **state)
 {
 	struct fleet *f = new_fleet(920, 1300, 13, 4);
 	struct shard_plan plan;
+	uint64_t seed;
+	size_t i;
 
 	(void)state;
 	shard_plan_init(&plan);
-	build(&plan, f);
-	assert_true(shard_fullest(&plan) <= 1.2);
+	for (seed = 0; seed < 5; seed++) {
+		fleet_fill(f, seed * 1000);
+		build(&plan, f);
+		assert_true(shard_fullest(&plan) <= 1.2);
+		for (i = 1; i < f->n_instances; i += 13) {
+			if (seed < 3 || i % 4 > 0)
+				f->instances[i].state = MEMBER_DEAD;
+		}
+		build(&plan, f);
+		assert_true(shard_fullest(&plan) <= 1.2);
+	}
 	shard_plan_free(&plan);
 	free(f);
 }
@@ -228,6 +242,7 @@
 static void test_regions(void **state)
 {
 	struct fleet *f = new_fleet(60, 10, 6, 2);
+	unsigned int in_region[2] = { 0 };
 	struct shard_plan plan;
 	const struct shard_entry *e;
 	size_t i;
@@ -244,6 +259,10 @@
 		assert_int_equal(plan.members[e[i].member].region, 1);
 	shard_of(&plan, 6, &n);
 	assert_true(n >= SHARD_SIZE_MIN);
+	for (i = 0, e = shard_of(&plan, 9, &n); i < n; i++)
+		in_region[plan.members[e[i].member].region]++;
+	assert_true(in_region[0] >= SHARD_REGION_MIN);
+	assert_true(in_region[1] >= SHARD_REGION_MIN);
 	shard_plan_free(&plan);
 	free(f);
 }
