policy: a limit holds also when its shard is split in two

A trial with partitions that come and go exceeded the limit: a member counted as cut off only if it heard nobody, so both sides of a partition used the part of the limit that follows demand; and a member that came back knew nothing newer of one that went away at the same moment. A member without a majority now falls back to its even part, and news passed on by others counts as heard.

--- a/policy/share.c
+++ b/policy/share.c
@@ -6,9 +6,11 @@
  * share at once, but raises it only out of what the others have published as
  * no longer in force, takes at most an even part of that a round, and only if
  * it has just heard from all others.  Members that act in step so never exceed
- * the limit together, whatever messages are lost.  A
- * member that has heard from nobody for the hold time falls back to its even
- * part, and only after twice that time do others use what it held.
+ * the limit together, whatever messages are lost.  A member that has not heard
+ * from a majority for the hold time falls back to its even part of the whole,
+ * and only after twice that time do others use what it held beyond that.  News
+ * that came by way of another member counts as heard, so that two members that
+ * cannot reach each other alone do not take each other for gone.
  */
 #include "policy/share.h"
 
@@ -65,10 +67,13 @@
 	}
 }
 
-/* The share that member self of n starts with: its even part alone. */
+/*
+ * The share that member self of n starts with, and falls back to if it holds
+ * more: its even part.
+ */
 uint32_t share_start(uint32_t limit, size_t self, size_t n)
 {
-	return even_part(limit - limit / 2, self, n);
+	return even_part(limit, self, n);
 }
 
 /* Says whether the member has fallen back to its even part for certain. */
@@ -78,21 +83,24 @@
 	return now - m->heard_ms > 2 * (uint64_t)hold_ms;
 }
 
-/* Says whether no other member was heard within hold_ms. */
+/*
+ * Says whether no majority of the members, self included, was heard within
+ * hold_ms.  Of two sides of a partition at least one is cut off.
+ */
 static bool is_cut_off(const struct share_member *m, size_t n, size_t self,
 		       uint64_t now, uint32_t hold_ms)
 {
+	size_t heard = 0;
 	size_t i;
 
 	for (i = 0; i < n; i++)
-		if (i != self && now - m[i].heard_ms <= hold_ms)
-			return false;
-	return n > 1;
+		heard += i == self || now - m[i].heard_ms <= hold_ms;
+	return 2 * heard <= n;
 }
 
 /*
  * What the others may have in force: the last published share, or the even
- * part of a member not heard for so long that it has fallen back to that.
+ * part of a member not heard for so long that it holds no more than that.
  */
 static uint32_t held_by_others(uint32_t limit, const struct share_member *m,
 			       size_t n, size_t self, uint64_t now,
@@ -170,8 +178,10 @@
 	size_t i;
 
 	assert(n > 0 && n <= SHARE_MEMBERS_MAX && self < n);
-	if (is_cut_off(members, n, self, now, hold_ms))
-		return share_start(limit, self, n);
+	if (is_cut_off(members, n, self, now, hold_ms)) {
+		held = share_start(limit, self, n);
+		return mine < held ? mine : held;
+	}
 	for (i = 0; i < n; i++)
 		demand[i] = i != self && is_gone(&members[i], now, hold_ms)
 				    ? 0
--- a/policy/share.h
+++ b/policy/share.h
@@ -8,7 +8,7 @@
 struct share_member {
 	uint32_t demand; /* running and queued requests of the organisation */
 	uint32_t share; /* in force there, as last published */
-	uint64_t heard_ms; /* when last heard; unused for the member itself */
+	uint64_t heard_ms; /* of its news, also by way of others */
 };
 
 /* Times of the exchange between members. */
