policy: small dips of the slots refuse nobody

The number of slots follows load reports up and down. Each dip made waiting requests due for refusal that would have started in time once it passed; only a loss of an eighth since they were let in does so now.

--- a/policy/admit.c
+++ b/policy/admit.c
@@ -17,6 +17,7 @@
 	TICKET_INDEX_BITS = 20,
 	NO_CAPACITY_RETRY_MS = 3000,
 	RETURN_ROOM_SHARE = 8, /* one part of the queue, for returning calls */
+	NOTABLE_SHARE = 8, /* a loss of this part of the slots */
 };
 
 const struct admit_params admit_defaults = {
@@ -68,6 +69,7 @@
 
 	assert(2 * params->queue_max < 1U << TICKET_INDEX_BITS);
 	a->params = *params;
+	a->checked_slots = params->slots;
 	rate_init(&a->rate, params->rate_keep_ms, params->service_prior_ms,
 		  now);
 	promise_init(&a->promises, params->promises_max);
@@ -430,17 +432,22 @@
 }
 
 /*
- * Sets how many requests may run.  Fewer slots make waiting requests that can
- * no longer start in time due for refusal by admit_next() at once.
+ * Sets how many requests may run.  Notably fewer slots make waiting requests
+ * that can no longer start in time due for refusal by admit_next() at once;
+ * small changes do not, since the number follows load reports up and down.
  */
 void admit_set_slots(struct admit *a, uint32_t slots, uint64_t now)
 {
-	bool fewer = slots < a->params.slots;
+	uint32_t checked = a->checked_slots;
 
 	rate_advance(&a->rate, a->running, now);
 	a->params.slots = slots;
-	if (fewer && slots)
-		recheck(a, now);
+	if (slots > checked)
+		a->checked_slots = slots;
+	if (!slots || slots >= checked - checked / NOTABLE_SHARE)
+		return;
+	a->checked_slots = slots;
+	recheck(a, now);
 }
 
 /*
--- a/policy/admit_wait.h
+++ b/policy/admit_wait.h
@@ -13,6 +13,7 @@
 
 struct admit {
 	struct admit_params params;
+	uint32_t checked_slots; /* that waiting requests were let in by */
 	uint32_t running;
 	uint32_t running_resumes;
 	struct rate_meter rate;
--- a/regress/bench/bench_policy_resume.c
+++ b/regress/bench/bench_policy_resume.c
@@ -75,6 +75,8 @@
 static void live_gap(struct sim *s, double gap);
 static void death(struct sim *s);
 static void deliver(struct sim *s);
+static int by_value(const void *a, const void *b);
+static void print(const struct sim *s, const char *name);
 static void run(const struct resume_profile *profile,
 		const struct gap_model *model, const char *name);
 
@@ -225,6 +227,30 @@
 	return (x > y) - (x < y);
 }
 
+/* Prints the figures of a run. */
+static void print(const struct sim *s, const char *name)
+{
+	const struct result *r = &s->r;
+	const char *model = s->model->name;
+	uint32_t n = r->nlatency;
+
+	qsort(r->latency, n, sizeof(*r->latency), by_value);
+	printf("resume_%s_%s_silence_mean %.0f ms\n", model, name,
+	       r->silence_ms / n);
+	printf("resume_%s_%s_latency_p50 %.0f ms\n", model, name,
+	       (double)r->latency[n / 2]);
+	printf("resume_%s_%s_latency_p99 %.0f ms\n", model, name,
+	       (double)r->latency[n / 100 * 99]);
+	printf("resume_%s_%s_extra_work %.3f percent\n", model, name,
+	       100.0 * (double)r->wasted / (double)r->needed);
+	printf("resume_%s_%s_moved_at_tail_gap %.2f percent\n", model, name,
+	       100.0 * (double)r->tail_moved / (double)r->tail_gaps);
+	printf("resume_%s_%s_moved_in_vain %.2f per-million-tokens\n", model,
+	       name, 1e6 * (double)r->moved / ((double)r->gaps * STREAMS));
+	printf("resume_%s_%s_hedges_denied %llu streams\n", model, name,
+	       (unsigned long long)r->denied);
+}
+
 /* Runs one endpoint's life under a profile and prints its figures. */
 static void run(const struct resume_profile *profile,
 		const struct gap_model *model, const char *name)
@@ -234,7 +260,7 @@
 			 .rnd = { .seed = 22 },
 			 .tail_ms = tail_of(model) };
 	float *latency;
-	uint32_t i, n;
+	uint32_t i;
 
 	latency = xcalloc(STEPS / STEPS_PER_DEATH * STREAMS + STREAMS,
 			  sizeof(*latency));
@@ -256,23 +282,7 @@
 		s.now += (uint64_t)gap;
 		deliver(&s);
 	}
-	n = s.r.nlatency;
-	qsort(latency, n, sizeof(*latency), by_value);
-	printf("resume_%s_%s_silence_mean %.0f ms\n", model->name, name,
-	       s.r.silence_ms / n);
-	printf("resume_%s_%s_latency_p50 %.0f ms\n", model->name, name,
-	       (double)latency[n / 2]);
-	printf("resume_%s_%s_latency_p99 %.0f ms\n", model->name, name,
-	       (double)latency[n / 100 * 99]);
-	printf("resume_%s_%s_extra_work %.3f percent\n", model->name, name,
-	       100.0 * (double)s.r.wasted / (double)s.r.needed);
-	printf("resume_%s_%s_moved_at_tail_gap %.2f percent\n", model->name,
-	       name, 100.0 * (double)s.r.tail_moved / (double)s.r.tail_gaps);
-	printf("resume_%s_%s_moved_in_vain %.2f per-million-tokens\n",
-	       model->name, name,
-	       1e6 * (double)s.r.moved / ((double)s.r.gaps * STREAMS));
-	printf("resume_%s_%s_hedges_denied %llu streams\n", model->name, name,
-	       (unsigned long long)s.r.denied);
+	print(&s, name);
 	free(latency);
 }
 
--- a/regress/unit/test_admit.c
+++ b/regress/unit/test_admit.c
@@ -171,6 +171,30 @@
 	admit_free(a);
 }
 
+/* Small losses are passed over one by one, but not together. */
+static void test_slots_lost_slowly(void **state)
+{
+	struct admit *a = make(16, 2);
+	struct admit_verdict v;
+	uint32_t slots;
+	uint64_t id;
+
+	(void)state;
+	for (id = 1; id <= 44; id++)
+		assert_int_not_equal(arrive(a, id, 0, ADMIT_NEW,
+					    id > 16 ? NOW + 1800 : 0)
+					     .outcome,
+				     ADMIT_REFUSE);
+	for (slots = 15; slots >= 14; slots--) {
+		admit_set_slots(a, slots, NOW);
+		assert_false(admit_next(a, NOW, 0, &v));
+	}
+	admit_set_slots(a, 13, NOW);
+	assert_true(admit_next(a, NOW, 0, &v));
+	assert_int_equal(v.reason, ADMIT_REASON_DEADLINE);
+	admit_free(a);
+}
+
 /* Resumes go first while they hold less than their part of the slots. */
 static void test_resumes_within_bound(void **state)
 {
@@ -312,6 +336,7 @@
 		cmocka_unit_test(test_retry_after_spread),
 		cmocka_unit_test(test_deadline_in_queue),
 		cmocka_unit_test(test_slots_lost),
+		cmocka_unit_test(test_slots_lost_slowly),
 		cmocka_unit_test(test_resumes_within_bound),
 		cmocka_unit_test(test_priority_within_org),
 		cmocka_unit_test(test_limit),
