policy: old deaths learnt of at once are no wider fault

An instance that starts takes over the records of all deaths in one exchange, and took four of them for a rack that went; a request among them then needed a third death to be convicted. A death's time is now judged by how long its record has left. test_newcomer fails without it.

--- a/policy/quarantine.c
+++ b/policy/quarantine.c
@@ -163,29 +163,35 @@
 	return true;
 }
 
-/* Notes when a death was learnt of, and marks many at about the same time. */
-static void note_recent(struct quarantine *q, uint64_t death_id, uint64_t now)
+/* Says whether a noted death was at about the time at_ms. */
+static bool is_near(const struct quarantine *q,
+		    const struct quarantine_recent *r, uint64_t at_ms)
+{
+	uint64_t apart = r->at_ms > at_ms ? r->at_ms - at_ms : at_ms - r->at_ms;
+
+	return r->death_id && apart < q->params.mass_ms;
+}
+
+/* Notes when a death was, and marks many at about the same time. */
+static void note_recent(struct quarantine *q, uint64_t death_id, uint64_t at_ms)
 {
-	uint64_t from = now > q->params.mass_ms ? now - q->params.mass_ms : 0;
-	struct quarantine_recent *r;
 	uint32_t count = 0;
 	int i;
 
 	for (i = 0; i < QUARANTINE_RECENT; i++) {
-		r = &q->recent[i];
-		if (r->death_id == death_id)
+		if (q->recent[i].death_id == death_id)
 			return;
-		count += r->death_id && r->at_ms >= from;
+		count += is_near(q, &q->recent[i], at_ms);
 	}
 	q->recent[q->recent_next] = (struct quarantine_recent){
 		.death_id = death_id,
-		.at_ms = now,
+		.at_ms = at_ms,
 	};
 	q->recent_next = (q->recent_next + 1) % QUARANTINE_RECENT;
 	if (count + 1 < q->params.mass_deaths)
 		return;
 	for (i = 0; i < QUARANTINE_RECENT; i++)
-		if (q->recent[i].death_id && q->recent[i].at_ms >= from)
+		if (is_near(q, &q->recent[i], at_ms))
 			q->recent[i].mass = true;
 }
 
@@ -234,6 +240,20 @@
 	return again;
 }
 
+/*
+ * When the last death of another instance's record was, by the time that the
+ * record has left: an instance that starts learns of old deaths all at once.
+ */
+static uint64_t death_time(const struct quarantine *q,
+			   const struct quarantine_record *record, uint64_t now)
+{
+	uint64_t age = 0;
+
+	if (record->keep_ms < q->params.suspect_keep_ms)
+		age = q->params.suspect_keep_ms - record->keep_ms;
+	return now > age ? now - age : 0;
+}
+
 /*
  * Merges another instance's record.  Returns true if it said anything new, so
  * that it is worth passing on.  A caller that runs the request then judges it
@@ -251,7 +271,9 @@
 		return false;
 	e = find_or_add(q, &record->digest, now);
 	for (i = 0; i < record->ndeaths; i++) {
-		note_recent(q, record->deaths[i], now);
+		if (!record->convicted)
+			note_recent(q, record->deaths[i],
+				    death_time(q, record, now));
 		if (!add_death(e, record->deaths[i]))
 			continue;
 		e->death_ms = now;
--- a/policy/quarantine_table.h
+++ b/policy/quarantine_table.h
@@ -20,10 +20,10 @@
 	bool convicted;
 };
 
-/* A death learnt of lately. */
+/* One of the deaths learnt of last. */
 struct quarantine_recent {
 	uint64_t death_id;
-	uint64_t at_ms;
+	uint64_t at_ms; /* when it was, as far as is known */
 	bool mass; /* one of many at about the same time */
 };
 
--- a/regress/unit/test_quarantine.c
+++ b/regress/unit/test_quarantine.c
@@ -150,6 +150,30 @@
 	quarantine_free(q);
 }
 
+/* A newcomer learns of old deaths all at once, which is no wider fault. */
+static void test_newcomer(void **state)
+{
+	const struct quarantine_params *p = &quarantine_defaults;
+	struct quarantine *q = quarantine_new(p);
+	uint32_t i;
+
+	(void)state;
+	for (i = 1; i <= 6; i++) {
+		struct quarantine_record r = {
+			.digest = digest_of(i < 6 ? 100 + i : 2),
+			.deaths = { quarantine_death_id("e", i) },
+			.ndeaths = 1,
+			.keep_ms = p->suspect_keep_ms - i * 2 * p->mass_ms,
+		};
+
+		quarantine_merge(q, &r, NOW);
+	}
+	died(q, 7, 2, 0, 0, NOW + p->mass_ms);
+	assert_int_equal(verdict(q, 2, NOW + 2 * p->mass_ms),
+			 QUARANTINE_REFUSE);
+	quarantine_free(q);
+}
+
 static void test_expiry(void **state)
 {
 	const struct quarantine_params *p = &quarantine_defaults;
@@ -249,6 +273,7 @@
 		cmocka_unit_test(test_cases),
 		cmocka_unit_test(test_hold),
 		cmocka_unit_test(test_mass_deaths),
+		cmocka_unit_test(test_newcomer),
 		cmocka_unit_test(test_expiry),
 		cmocka_unit_test(test_merge_order),
 		cmocka_unit_test(test_full_table),
