--- a/regress/unit/test_share.c
+++ b/regress/unit/test_share.c
@@ -42,6 +42,7 @@
 	for (trial = 0; trial < TRIALS; trial++) {
 		size_t n = 1 + random_below(&rnd, MEMBERS_MAX);
 		uint32_t limit = random_below(&rnd, 2000);
+		uint32_t even = limit - limit / 2;
 		uint32_t demand[MEMBERS_MAX], share[MEMBERS_MAX];
 		size_t i;
 
@@ -52,7 +53,7 @@
 		share_split(limit, demand, n, share);
 		assert_int_equal(sum(share, n), limit);
 		for (i = 0; i < n; i++)
-			assert_true(share[i] >= limit / 2 / n);
+			assert_true(share[i] >= even / n + (i < even % n));
 	}
 }
 
