--- a/entryd/seek.c
+++ b/entryd/seek.c
@@ -43,6 +43,8 @@
 static uint64_t give_up_at(const struct entryd *e, const struct generation *g);
 static void watch(struct entryd *e, struct generation *g, uint64_t now,
 		  uint32_t stall_ms);
+static bool watch_hedge(struct entryd *e, struct generation *g, uint64_t now,
+			uint32_t stall_ms);
 static void hedge(struct entryd *e, struct generation *g);
 static void move(struct entryd *e, struct generation *g);
 static uint32_t prefill_of(const struct generation *g);
@@ -235,7 +237,7 @@
 			attempt_pause(g, a, false);
 		return;
 	}
-	if (!ep)
+	if (!ep || !watch_hedge(e, g, now, stall_ms))
 		return;
 	ep->health = resume_endpoint_judge(&ep->silence, service->profile, now);
 	switch (resume_judge(&g->resume, ep->health, service->profile, now)) {
@@ -250,7 +252,35 @@
 	}
 }
 
-/* Starts a second attempt, if there is budget and an endpoint for it. */
+/* Drops a second attempt whose engine is silent too, so that the first one is
+ * judged again; false while the second one may still be heard. */
+static bool watch_hedge(struct entryd *e, struct generation *g, uint64_t now,
+			uint32_t stall_ms)
+{
+	const struct service *service = service_get(e, g->service);
+	struct attempt *a = attempt_by_number(g, g->resume.hedge);
+	struct endpoint *ep = a ? endpoint_get(e, a->endpoint) : NULL;
+	enum resume_health health;
+
+	if (!ep)
+		return true;
+	a->started_at += stall_ms;
+	health = resume_endpoint_judge(&ep->silence, service->profile, now);
+	if (!resume_hedge_lost(health, a->started_at,
+			       (uint32_t)service->first_token_ms,
+			       service->profile, now))
+		return false;
+	journal_add(e->journal, g->request,
+		    "the second attempt at engine %s is silent too", ep->name);
+	endpoint_list_add(&g->avoid, ep->id);
+	endpoint_check(e, ep, false);
+	resume_attempt_lost(&g->resume, a->number, now);
+	attempt_end(e, g, a, true);
+	return true;
+}
+
+/* Starts a second attempt, if there is budget and an endpoint for it.  An
+ * engine that does not even replay what it has is left at once. */
 static void hedge(struct entryd *e, struct generation *g)
 {
 	struct service *service = service_get(e, g->service);
@@ -262,6 +292,10 @@
 	enum route_outcome outcome;
 	struct endpoint *ep;
 
+	if (a->attached && !a->first_seen) {
+		move(e, g);
+		return;
+	}
 	if (finding.verdict != QUARANTINE_RUN || !g->admitted_at ||
 	    g->text_tokens < g->resume.next_pos ||
 	    !resume_budget_take(&service->hedges, prefill_of(g)))
--- a/policy/resume.c
+++ b/policy/resume.c
@@ -268,8 +268,8 @@
 
 /*
  * Says what to do about a stream, given the health of the endpoint of its
- * attempt.  RESUME_MOVE is not given while a hedge is on: that one either
- * gives the next position or is lost itself.
+ * attempt.  RESUME_MOVE is not given while a hedge is on: that one gives
+ * the next position, or breaks, or is lost by resume_hedge_lost().
  */
 enum resume_action resume_judge(const struct resume_stream *s,
 				enum resume_health endpoint,
@@ -298,6 +298,22 @@
 	return RESUME_WAIT;
 }
 
+/*
+ * Says whether a hedge that was started at started_ms, and has given nothing
+ * yet, is lost too.  The caller then cancels it and reports it by
+ * resume_attempt_lost(), so that the first attempt is judged again and another
+ * hedge or a move follows.  Without this two silent engines in a row would
+ * hold a stream for good.
+ */
+bool resume_hedge_lost(enum resume_health endpoint, uint64_t started_ms,
+		       uint32_t expect_first_ms,
+		       const struct resume_profile *profile, uint64_t now)
+{
+	uint64_t by = started_ms + expect_first_ms + profile->first_token_ms;
+
+	return endpoint != RESUME_HEALTHY || now >= by;
+}
+
 /* Starts with the whole burst. */
 void resume_budget_init(struct resume_budget *b,
 			const struct resume_profile *profile)
--- a/policy/resume.h
+++ b/policy/resume.h
@@ -98,6 +98,10 @@
 				const struct resume_profile *profile,
 				uint64_t now);
 
+bool resume_hedge_lost(enum resume_health endpoint, uint64_t started_ms,
+		       uint32_t expect_first_ms,
+		       const struct resume_profile *profile, uint64_t now);
+
 void resume_budget_init(struct resume_budget *b,
 			const struct resume_profile *profile);
 void resume_budget_relayed(struct resume_budget *b,
--- a/regress/unit/test_resume.c
+++ b/regress/unit/test_resume.c
@@ -279,6 +279,27 @@
 }
 
 /* Hedges get no more prefill than their share and the burst. */
+static void test_hedge_lost(void **state)
+{
+	static const struct {
+		enum resume_health endpoint;
+		uint32_t after_ms; /* its start */
+		bool lost;
+	} cases[] = {
+		{ RESUME_HEALTHY, 0, false },	{ RESUME_HEALTHY, 1599, false },
+		{ RESUME_HEALTHY, 1600, true }, { RESUME_SUSPECT, 0, true },
+		{ RESUME_LOST, 0, true },
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
+		assert_int_equal(resume_hedge_lost(cases[i].endpoint, 1000, 100,
+						   &resume_favour_latency,
+						   1000 + cases[i].after_ms),
+				 cases[i].lost);
+}
+
 static void test_budget(void **state)
 {
 	struct resume_profile p = resume_favour_work;
@@ -343,6 +364,7 @@
 		cmocka_unit_test(test_random_attempts),
 		cmocka_unit_test(test_lost_attempts),
 		cmocka_unit_test(test_judge),
+		cmocka_unit_test(test_hedge_lost),
 		cmocka_unit_test(test_budget),
 		cmocka_unit_test(test_learns_tail),
 	};
