Never two generations in one answer; each of 1,000 callers its own answer

Faults found, each seen as a failing case before: - A cursor whose position was put back matched its text, since the hash was over the text alone: 170 of 160 tokens, the chain repeated. The number of tokens goes into the hash now. - A refusal after a cursor or an open restart said not-run although the request had run. Whether it was ever started is now kept. - One engine of 8 killed under 1,000 callers: the retry budget (a burst of 50, 10 at first) refused the other moves, and callers were cut. A move after tokens is free, and so is the first one without; the budget pays for more.

--- a/entryd/attempt.c
+++ b/entryd/attempt.c
@@ -171,6 +171,7 @@
 	a->e = e;
 	a->generation = g->self;
 	a->endpoint = ep->self;
+	g->started = true;
 	a->started_at = entryd_now(e);
 	a->suspect = finding.deaths > 0;
 	a->alone = finding.verdict == QUARANTINE_RUN_ALONE;
@@ -337,6 +338,7 @@
 	struct entryd *e = a->e;
 	struct service *service = service_get(e, g->service);
 
+	g->tries = 0;
 	generation_add_text(g, text, len);
 	relay_token(g, a, position, text, len);
 	counter_add(&relayed, 1);
--- a/entryd/generation.c
+++ b/entryd/generation.c
@@ -127,7 +127,7 @@
 {
 	const struct problem problem = {
 		.status = status,
-		.run = g->resume.last_attempt ? RUN_MAY_HAVE_RUN : RUN_NOT_RUN,
+		.run = g->started ? RUN_MAY_HAVE_RUN : RUN_NOT_RUN,
 		.title = title,
 		.detail = detail,
 		.retry_after_s = retry_after_s,
@@ -203,6 +203,7 @@
 /* Tells the caller that its answer starts anew, and starts it. */
 void generation_restart(struct entryd *e, struct generation *g, const char *why)
 {
+	g->started = true;
 	end_attempts(e, g, false);
 	if (!g->ask.stream) {
 		generation_refuse(e, g, 409, "cannot-resume", why, 1);
@@ -237,10 +238,13 @@
 	XXH3_64bits_update(g->hash, text, len);
 }
 
-/* Returns the hash of the text that is known. */
+/* Returns the hash of the text that is known and of its number of tokens, so
+ * that a cursor with another position does not match its text. */
 uint64_t generation_hash(const struct generation *g)
 {
-	return XXH3_64bits_digest(g->hash);
+	uint64_t digest = XXH3_64bits_digest(g->hash);
+
+	return XXH3_64bits_withSeed(&digest, sizeof(digest), g->text_tokens);
 }
 
 /* Lists the requests on an endpoint, those included that it just lost. */
@@ -402,6 +406,7 @@
 		    "the caller came to instance %s to go on after token "
 		    "%" PRIu32,
 		    e->settings->instance, cursor.position);
+	g->started = true;
 	g->resume.next_pos = cursor.position + 1;
 	g->resume.last_attempt = cursor.attempt - 1;
 	g->lost_at = entryd_now(e);
--- a/entryd/generation.h
+++ b/entryd/generation.h
@@ -65,6 +65,7 @@
 	struct quarantine_digest digest;
 	enum generation_phase phase;
 	bool begun; /* the answer's head has gone out */
+	bool started; /* at an engine, by this request or the one before */
 	bool paused; /* the caller reads slowly */
 	uint32_t ticket; /* while waiting */
 	struct admit_verdict run; /* of admission */
@@ -73,7 +74,7 @@
 	uint64_t first_token_at; /* ms */
 	struct resume_stream resume;
 	struct attempt *attempts[2];
-	unsigned tries; /* attempts that used the retry budget */
+	unsigned tries; /* attempts in a row that gave no token */
 	struct endpoint_list avoid;
 	uint64_t seek_at; /* ms; not before */
 	uint64_t lost_at; /* ms, since when nothing is heard; 0: heard */
--- a/entryd/seek.c
+++ b/entryd/seek.c
@@ -13,7 +13,8 @@
 #include "lib/log.h"
 
 #define SEEK_AGAIN_MS 20 /* before an endpoint is sought again */
-#define ATTEMPTS_MAX 12 /* of one generation */
+#define ATTEMPTS_MAX 12 /* in a row that give no token */
+#define FREE_TRIES 2 /* of these, outside the retry budgets */
 #define PENDING_LOW (64u << 10) /* bytes unsent: read again */
 #define NO_ENDPOINT_RETRY_S 3
 #define SECONDS_MS 1000
@@ -150,7 +151,9 @@
 }
 
 /* Takes an attempt out of the retry budgets; false if the generation is given
- * up instead. */
+ * up instead.  An attempt is free where the one before gave tokens, and once
+ * where it gave none: an engine that dies takes hundreds of generations with
+ * it, and to refuse these costs more work than their moves. */
 static bool check_budget(struct entryd *e, struct generation *g, uint64_t now)
 {
 	struct service *service = service_get(e, g->service);
@@ -158,7 +161,7 @@
 	enum retry_outcome outcome;
 
 	params.attempts_max = ATTEMPTS_MAX;
-	if (!g->tries++)
+	if (g->tries++ < FREE_TRIES)
 		return true;
 	outcome = retry_take(&org_at(e, g->org)->retry, &service->retry,
 			     &params, g->tries, now);
--- a/regress/caller.c
+++ b/regress/caller.c
@@ -43,13 +43,42 @@
  * with_text sends along what is held. */
 void caller_go_on(struct caller *c, const char *address, bool with_text)
 {
-	caller_take(c);
-	stream_close(c->stream);
+	caller_leave(c);
 	json_decref(c->problem);
 	c->problem = NULL;
 	connect_to(c, address, with_text);
 }
 
+/* Makes another caller that holds the same, and goes on at an address. */
+struct caller *caller_copy(const struct caller *c, const char *address)
+{
+	struct caller *copy = xcalloc(1, sizeof(*copy));
+
+	*copy = (struct caller){
+		.harness = c->harness,
+		.org = xstrdup(c->org),
+		.prompt = xstrdup(c->prompt),
+		.max_tokens = c->max_tokens,
+		.text = xmemdup(c->text, c->len + 1),
+		.len = c->len,
+		.tokens = c->tokens,
+		.id = xstrdup(c->id),
+		.chain = c->chain,
+	};
+	connect_to(copy, address, true);
+	return copy;
+}
+
+/* Closes the connection, after taking in what has come. */
+void caller_leave(struct caller *c)
+{
+	if (!c->stream)
+		return;
+	caller_take(c);
+	stream_close(c->stream);
+	c->stream = NULL;
+}
+
 /* Sends the request, or sends it again. */
 static void connect_to(struct caller *c, const char *address, bool with_text)
 {
@@ -245,7 +274,8 @@
 /* Leaves, and frees the caller. */
 void caller_close(struct caller *c)
 {
-	stream_close(c->stream);
+	if (c->stream)
+		stream_close(c->stream);
 	json_decref(c->problem);
 	free(c->prompt);
 	free(c->org);
--- a/regress/caller.h
+++ b/regress/caller.h
@@ -36,6 +36,8 @@
 			   const char *org, const char *prompt,
 			   uint32_t max_tokens);
 void caller_go_on(struct caller *c, const char *address, bool with_text);
+struct caller *caller_copy(const struct caller *c, const char *address);
+void caller_leave(struct caller *c);
 void caller_take(struct caller *c);
 bool caller_over(struct caller *c);
 void caller_wait_tokens(struct caller *c, uint32_t n);
