cdmentryd: quarantine, hedge budget and silence as the policies ask

The prefill of a hedge that wins is paid back. Where most engines are silent at once, the fault may be this instance's own: only each stream's own silence counts then. The hedge budget follows the service's own profile.

--- a/entryd/attempt.c
+++ b/entryd/attempt.c
@@ -340,6 +340,10 @@
 	generation_add_text(g, text, len);
 	relay_token(g, a, position, text, len);
 	counter_add(&relayed, 1);
+	if (a->hedge_tokens)
+		resume_budget_refund(&service->hedges, service->profile,
+				     a->hedge_tokens); /* it won: no waste */
+	a->hedge_tokens = 0;
 	resume_budget_relayed(&service->hedges, service->profile, 1);
 	if (g->lost_at) {
 		objectives_resumed(e, g, now - g->lost_at);
--- a/entryd/generation.h
+++ b/entryd/generation.h
@@ -47,6 +47,7 @@
 	bool suspect; /* counted among the endpoint's suspects */
 	bool alone;
 	bool attached; /* it was started by another request */
+	uint32_t hedge_tokens; /* taken from the hedge budget for it */
 	struct engine_stream *stream;
 	char name[STREAM_NAME_SIZE];
 	char prefix[CURSOR_PREFIX_SIZE];
@@ -100,6 +101,8 @@
 size_t generations_on(const struct entryd *e, const struct endpoint *ep,
 		      struct quarantine_digest *out, size_t max);
 void generations_probed(struct entryd *e, const struct endpoint *ep);
+void generations_rejudge(struct entryd *e,
+			 const struct quarantine_digest *digest);
 void generations_hand_over(struct entryd *e);
 struct generation *generation_get(const struct entryd *e, struct handle h);
 struct generation *generations_next(const struct entryd *e, uint32_t *index);
--- a/entryd/seek.c
+++ b/entryd/seek.c
@@ -34,6 +34,7 @@
 
 static bool check_quarantine(struct entryd *e, struct generation *g,
 			     struct quarantine_finding *finding, uint64_t now);
+static bool own_fault(const struct entryd *e);
 static bool check_budget(struct entryd *e, struct generation *g, uint64_t now);
 static struct endpoint *choose(struct entryd *e, struct generation *g,
 			       const struct quarantine_finding *finding,
@@ -42,7 +43,7 @@
 		      enum route_outcome outcome, uint64_t now);
 static uint64_t give_up_at(const struct entryd *e, const struct generation *g);
 static void watch(struct entryd *e, struct generation *g, uint64_t now,
-		  uint32_t stall_ms);
+		  uint32_t stall_ms, bool blind);
 static void hedge(struct entryd *e, struct generation *g);
 static void move(struct entryd *e, struct generation *g);
 static uint32_t prefill_of(const struct generation *g);
@@ -97,15 +98,17 @@
 {
 	struct generation *g;
 	uint32_t index = 0;
+	bool blind;
 
 	if (!moves.next && !hedges.next && !resent.next) {
 		counter_register(&moves);
 		counter_register(&hedges);
 		counter_register(&resent);
 	}
+	blind = own_fault(e);
 	while ((g = generations_next(e, &index))) {
 		if (g->phase == GENERATION_RUNNING)
-			watch(e, g, now, stall_ms);
+			watch(e, g, now, stall_ms, blind);
 		else if (g->phase == GENERATION_SEEKING && now >= g->seek_at)
 			generation_seek(e, g);
 	}
@@ -128,6 +131,51 @@
 	}
 }
 
+/* Other instances know more of a request now: where it runs here, it is
+ * stopped if it may not run any more, before it ends another engine. */
+void generations_rejudge(struct entryd *e,
+			 const struct quarantine_digest *digest)
+{
+	uint64_t now = entryd_now(e);
+	struct quarantine_finding finding;
+	struct generation *g;
+	uint32_t index = 0;
+	int i;
+
+	finding = quarantine_judge(e->quarantine, digest, now);
+	if (finding.verdict != QUARANTINE_HOLD &&
+	    finding.verdict != QUARANTINE_REFUSE)
+		return;
+	while ((g = generations_next(e, &index))) {
+		if (g->digest.lo != digest->lo ||
+		    g->phase != GENERATION_RUNNING)
+			continue;
+		for (i = 0; i < 2; i++)
+			if (g->attempts[i])
+				attempt_end(e, g, g->attempts[i], true);
+		g->resume.attempt = RESUME_NO_ATTEMPT;
+		g->resume.hedge = RESUME_NO_ATTEMPT;
+		generation_lost(e, g, NULL, false);
+	}
+}
+
+/* Tells whether so many endpoints are silent at once that the fault is likely
+ * to be this instance's own. */
+static bool own_fault(const struct entryd *e)
+{
+	const struct endpoint *ep;
+	uint32_t index = 0;
+	uint32_t active = 0;
+	uint32_t silent = 0;
+
+	while ((ep = endpoints_next(e, &index))) {
+		active += ep->silence.decoding > 0;
+		silent += ep->silence.decoding > 0 &&
+			  ep->health != RESUME_HEALTHY;
+	}
+	return resume_own_fault(silent, active);
+}
+
 /* Asks the quarantine; false if the generation may not run now. */
 static bool check_quarantine(struct entryd *e, struct generation *g,
 			     struct quarantine_finding *finding, uint64_t now)
@@ -218,13 +266,16 @@
 	return g->ask.deadline_ms;
 }
 
-/* Judges the silence of a running generation. */
+/* Judges the silence of a running generation.  While this instance may be the
+ * one that is cut off (blind), only the stream's own silence counts, since
+ * moving everything at once would only add load elsewhere. */
 static void watch(struct entryd *e, struct generation *g, uint64_t now,
-		  uint32_t stall_ms)
+		  uint32_t stall_ms, bool blind)
 {
 	const struct service *service = service_get(e, g->service);
 	struct attempt *a = attempt_by_number(g, g->resume.attempt);
 	struct endpoint *ep = a ? endpoint_get(e, a->endpoint) : NULL;
+	enum resume_health health;
 
 	if (stall_ms)
 		resume_stream_excuse(&g->resume, stall_ms);
@@ -238,7 +289,8 @@
 	if (!ep)
 		return;
 	ep->health = resume_endpoint_judge(&ep->silence, service->profile, now);
-	switch (resume_judge(&g->resume, ep->health, service->profile, now)) {
+	health = blind ? RESUME_HEALTHY : ep->health;
+	switch (resume_judge(&g->resume, health, service->profile, now)) {
 	case RESUME_WAIT:
 		return;
 	case RESUME_HEDGE:
@@ -283,6 +335,7 @@
 		    "%s from token %" PRIu32,
 		    silent->name, ep->name, g->resume.next_pos);
 	attempt_start(e, g, ep, true);
+	attempt_by_number(g, g->resume.hedge)->hedge_tokens = prefill_of(g);
 }
 
 /* Leaves a silent endpoint. */
--- a/entryd/services.c
+++ b/entryd/services.c
@@ -24,6 +24,8 @@
 };
 
 static struct service *service_add(struct entryd *e, const char *name);
+static void set_profile(struct service *s,
+			const struct resume_profile *profile);
 static void set_slots(struct entryd *e, struct service *s, uint64_t now);
 static void run_queue(struct entryd *e, struct service *s, uint64_t now);
 static void dispatch(struct entryd *e, const struct admit_verdict *v);
@@ -72,9 +74,9 @@
 		s->configured = true;
 		s->kind = from->kind;
 		s->timeout_ms = (uint32_t)from->timeout_ms;
-		s->profile = from->resume == RESUME_LATENCY
-				     ? &resume_favour_latency
-				     : &resume_favour_work;
+		set_profile(s, from->resume == RESUME_LATENCY
+				       ? &resume_favour_latency
+				       : &resume_favour_work);
 	}
 }
 
@@ -180,6 +182,15 @@
 	s->first_token_ms += (ms - s->first_token_ms) / FIRST_TOKEN_SHIFT;
 }
 
+/* Judges silence by a profile from now on, with its budget for hedges. */
+static void set_profile(struct service *s, const struct resume_profile *profile)
+{
+	if (s->profile == profile)
+		return;
+	s->profile = profile;
+	resume_budget_init(&s->hedges, profile);
+}
+
 /* Makes a service that is new. */
 static struct service *service_add(struct entryd *e, const char *name)
 {
@@ -192,8 +203,6 @@
 	s->name = xstrdup(name);
 	s->admit = admit_new(&admit_defaults, now);
 	s->first_token_ms = FIRST_TOKEN_PRIOR_MS;
-	s->profile = &resume_favour_work;
-	resume_budget_init(&s->hedges, &resume_favour_latency);
 	retry_init(&s->retry, &retry_defaults, now);
 	return s;
 }
--- a/entryd/suspects.c
+++ b/entryd/suspects.c
@@ -59,7 +59,8 @@
 		record.keep_ms = list[i]->has_expires_in_ms
 					 ? (uint32_t)list[i]->expires_in_ms
 					 : quarantine_defaults.suspect_keep_ms;
-		quarantine_merge(e->quarantine, &record, now);
+		if (quarantine_merge(e->quarantine, &record, now))
+			generations_rejudge(e, &record.digest);
 	}
 }
 
