--- a/entryd/attempt.c
+++ b/entryd/attempt.c
@@ -350,6 +350,9 @@
 		journal_add(e->journal, g->request,
 			    "output goes on after %" PRIu64 " ms",
 			    now - g->lost_at);
+		log_msg(LOG_INFO, "moved", g->request,
+			"output goes on after %" PRIu64 " ms",
+			now - g->lost_at);
 		g->lost_at = 0;
 	}
 	if (!g->first_token_at) {
