--- a/emulator/caller.c
+++ b/emulator/caller.c
@@ -326,9 +326,8 @@
 	struct caller *c = arg;
 
 	c->req = NULL;
-	if (chain_finish(&c->chain) != CHAIN_GOOD && c->done)
-		finish(c, CALLER_WRONG);
-	else if (c->chain.fault != CHAIN_GOOD)
+	if (c->chain.fault != CHAIN_GOOD ||
+	    (c->done && chain_finish(&c->chain) != CHAIN_GOOD))
 		finish(c, CALLER_WRONG);
 	else if (c->done)
 		finish(c, CALLER_WHOLE);
--- a/emulator/loadgen.c
+++ b/emulator/loadgen.c
@@ -95,8 +95,8 @@
 	{ "duration", 'd', "MS", 0, "Begin requests for so long instead", 0 },
 	{ "max-tokens", KEY_MAX_TOKENS, "N", 0, "Length of an answer (100)",
 	  0 },
-	{ "prompt-bytes", KEY_PROMPT_BYTES, "N", 0, "Length of a prompt (200)",
-	  0 },
+	{ "prompt-bytes", KEY_PROMPT_BYTES, "N", 0,
+	  "Length of a prompt after its number (200)", 0 },
 	{ "refusals", KEY_REFUSALS, "N", 0,
 	  "Refusals after which a caller comes back (0)", 0 },
 	{ "reconnects", KEY_RECONNECTS, "N", 0,
@@ -246,24 +246,15 @@
 	free(prompt);
 }
 
-/* Makes a prompt that no other request has. */
+/* Makes a prompt that no other request has, filled with zeros. */
 static char *make_prompt(const struct load *l)
 {
-	char *head = xasprintf("load %llu request %llu ",
-			       (unsigned long long)l->seed,
-			       (unsigned long long)l->started);
-	size_t len = strlen(head);
-	size_t size = l->prompt_bytes < PROMPT_MAX_BYTES ? l->prompt_bytes
-							 : PROMPT_MAX_BYTES;
-	char *prompt;
-
-	if (size <= len)
-		return head;
-	prompt = xcalloc(size + 1, 1);
-	memset(prompt, 'x', size);
-	memcpy(prompt, head, len);
-	free(head);
-	return prompt;
+	int fill = l->prompt_bytes < PROMPT_MAX_BYTES ? (int)l->prompt_bytes
+						      : PROMPT_MAX_BYTES;
+
+	return xasprintf("load %llu request %llu %0*d",
+			 (unsigned long long)l->seed,
+			 (unsigned long long)l->started, fill, 0);
 }
 
 /* Counts the gap between two tokens. */
