--- a/lib/config_check.c
+++ b/lib/config_check.c
@@ -31,6 +31,12 @@
 	size_t n;
 };
 
+/* A value of a column and the element it belongs to. */
+struct value {
+	const char *text;
+	size_t index;
+};
+
 static bool fail(const struct check *k, const char *section, size_t index,
 		 const char *key, const char *fmt, ...)
 	__attribute__((format(printf, 5, 6)));
@@ -38,6 +44,7 @@
 static bool known(const struct check *k, const struct column *names,
 		  const char *section, size_t index, const char *key,
 		  const char *word);
+static int compare_values(const void *a, const void *b);
 static bool unique(const struct check *k, const struct column *col);
 static struct column service_names(const struct config *c);
 static struct column organisation_names(const struct config *c);
@@ -121,17 +128,16 @@
 		  const char *section, size_t index, const char *key,
 		  const char *word)
 {
-	const char **words = xcalloc(names->n, sizeof(*words));
+	const char **words;
 	const char *nearest;
-	bool found = false;
 	size_t i;
 
-	for (i = 0; i < names->n && !found; i++) {
+	for (i = 0; i < names->n; i++)
+		if (!strcmp(column_at(names, i), word))
+			return true;
+	words = xcalloc(names->n, sizeof(char *));
+	for (i = 0; i < names->n; i++)
 		words[i] = column_at(names, i);
-		found = !strcmp(words[i], word);
-	}
-	if (found)
-		goto out;
 	nearest = settings_nearest(word, words, names->n);
 	if (nearest)
 		fail(k, section, index, key,
@@ -140,30 +146,48 @@
 	else
 		fail(k, section, index, key, "no %s is called %s",
 		     names->section, word);
-out:
 	free(words);
-	return found;
+	return false;
 }
 
-/* True if no two elements have the same value in the field. */
+/* Sorts by value, equal ones by their place in the file. */
+static int compare_values(const void *a, const void *b)
+{
+	const struct value *x = a;
+	const struct value *y = b;
+	int order = strcmp(x->text, y->text);
+
+	if (order)
+		return order;
+	return x->index < y->index ? -1 : 1;
+}
+
+/* True if no two elements have the same value in the field.  Of several
+ * mistakes the first in the file is told. */
 static bool unique(const struct check *k, const struct column *col)
 {
-	const char *value;
-	size_t i, j;
-
-	for (i = 1; i < col->n; i++) {
-		value = column_at(col, i);
-		for (j = 0; value && j < i; j++) {
-			if (!column_at(col, j) ||
-			    strcmp(value, column_at(col, j)) != 0)
-				continue;
-			return fail(k, col->section, i, col->key,
-				    "%s is taken by an earlier %s",
-				    strcmp(col->key, "key") ? value : "it",
-				    col->section);
-		}
+	struct value *values = xcalloc(col->n, sizeof(*values));
+	size_t first = col->n;
+	size_t n = 0;
+	size_t i;
+
+	for (i = 0; i < col->n; i++) {
+		values[n].text = column_at(col, i);
+		values[n].index = i;
+		n += values[n].text != NULL;
 	}
-	return true;
+	qsort(values, n, sizeof(*values), compare_values);
+	for (i = 1; i < n; i++)
+		if (!strcmp(values[i].text, values[i - 1].text) &&
+		    values[i].index < first)
+			first = values[i].index;
+	free(values);
+	if (first == col->n)
+		return true;
+	return fail(k, col->section, first, col->key,
+		    "%s is taken by an earlier %s",
+		    strcmp(col->key, "key") != 0 ? column_at(col, first) : "it",
+		    col->section);
 }
 
 static struct column service_names(const struct config *c)
--- a/regress/control_fleet.h
+++ b/regress/control_fleet.h
@@ -3,7 +3,7 @@
 
 #include "regress/harness.h"
 
-#define CONTROL_MAX 12
+#define CONTROL_MAX 40 /* two mappings of the proxy each */
 
 /* One cdmfleetd; others and the platform are reached through the fault proxy.
  * The version in force is sampled at each wait and must never go down. */
