fleetd: configuration goes between instances compressed

Deflated it is 88,723 bytes (bench_control, config_deflated_target), 5.0 KB/s. Ruled out for now: sending differences, which would be smaller still but need the version they start from. The compressed form is made once a version. Malformed or cut forms are refused (test_deflate).

--- a/fleetd/confsync.c
+++ b/fleetd/confsync.c
@@ -12,6 +12,7 @@
 #include "fleetd/peers.h"
 #include "fleetd/roster.h"
 #include "lib/counters.h"
+#include "lib/deflate.h"
 #include "lib/log.h"
 #include "lib/xalloc.h"
 #include "policy/config_adopt.h"
@@ -20,6 +21,8 @@
 	struct config_adopt adopt;
 	struct config_head fetching; /* of the file being fetched */
 	char author[CONFIG_AUTHOR_MAX]; /* of the version in force */
+	uint8_t *packed; /* the file in force, compressed; NULL: not yet */
+	size_t packed_len;
 };
 
 static struct counter config_version = {
@@ -49,6 +52,7 @@
 			   const struct platform_row *row);
 static void on_object(void *arg, enum platform_outcome outcome,
 		      const char *data, size_t len);
+static void take_peer_body(struct fleetd *f, const Cdm__ConfigBody *m);
 static void take_body(struct fleetd *f, enum config_source source,
 		      uint64_t version, const char *author, const char *data,
 		      size_t len);
@@ -68,6 +72,7 @@
 
 void confsync_free(struct confsync *s)
 {
+	free(s->packed);
 	free(s);
 }
 
@@ -100,13 +105,28 @@
 			const Cdm__ConfigBody *m)
 {
 	if (m->has_config)
-		take_body(f, CONFIG_FROM_PEER, m->version,
-			  m->author ? m->author : "",
-			  (const char *)m->config.data, m->config.len);
+		take_peer_body(f, m);
 	else if (f->config && f->config->version >= m->version)
 		send_body(f, peer);
 }
 
+/* Takes a file that another instance sent, compressed. */
+static void take_peer_body(struct fleetd *f, const Cdm__ConfigBody *m)
+{
+	char *text = inflate_bytes(m->config.data, m->config.len, m->plain_len);
+
+	if (!text) {
+		log_msg(LOG_WARNING, "config-malformed", NULL,
+			"another instance sent configuration version %" PRIu64
+			" malformed",
+			m->version);
+		return;
+	}
+	take_body(f, CONFIG_FROM_PEER, m->version, m->author ? m->author : "",
+		  text, m->plain_len);
+	free(text);
+}
+
 /* This instance has had the file accepted: it is in force here at once.  Takes
  * over the reference. */
 void confsync_accepted(struct fleetd *f, struct config *config,
@@ -245,6 +265,8 @@
 				  fleetd_now(f))) {
 	case CONFIG_ADOPTED:
 		strlcpy(s->author, author, sizeof(s->author));
+		free(s->packed);
+		s->packed = NULL;
 		counter_set(&config_version, (double)version);
 		counter_add(&config_adoptions, 1);
 		log_msg(LOG_NOTICE, "config-in-force", NULL,
@@ -269,19 +291,26 @@
 	config_unref(c);
 }
 
-/* Sends the file in force. */
+/* Sends the file in force, compressed: it is many times smaller so, and each
+ * instance sends it to a few. */
 static void send_body(struct fleetd *f, uint64_t peer)
 {
 	const struct roster_entry *e = roster_find(f->roster, peer);
 	Cdm__ConfigBody m = CDM__CONFIG_BODY__INIT;
+	struct confsync *s = f->confsync;
 
 	if (!e)
 		return;
+	if (!s->packed)
+		s->packed = deflate_bytes(f->config->text, f->config->text_len,
+					  &s->packed_len);
 	m.version = f->config->version;
 	m.has_config = 1;
-	m.config.data = (uint8_t *)f->config->text;
-	m.config.len = f->config->text_len;
-	m.author = f->confsync->author;
+	m.config.data = s->packed;
+	m.config.len = s->packed_len;
+	m.has_plain_len = 1;
+	m.plain_len = (uint32_t)f->config->text_len;
+	m.author = s->author;
 	peers_send(f, e->id, e->control_address, CDM__FRAME_TYPE__FRAME_CONFIG,
 		   &m.base);
 }
--- /dev/null
+++ b/lib/deflate.c
@@ -0,0 +1,40 @@
+/*
+ * Compression of what goes to many instances.
+ */
+#include "lib/deflate.h"
+
+#include <stdlib.h>
+#include <zlib.h>
+
+#include "lib/xalloc.h"
+
+#define PLAIN_MAX_BYTES (64u << 20)
+
+/* Returns the compressed form of len bytes, which the caller frees. */
+uint8_t *deflate_bytes(const void *data, size_t len, size_t *packed_len)
+{
+	uLongf size = compressBound(len);
+	uint8_t *packed = xcalloc(size, 1);
+
+	if (compress2(packed, &size, data, len, Z_BEST_SPEED) != Z_OK)
+		abort();
+	*packed_len = size;
+	return packed;
+}
+
+/* Returns the terminated bytes that were compressed, which the caller frees;
+ * NULL if they aren't plain_len bytes or the form is malformed. */
+char *inflate_bytes(const uint8_t *packed, size_t packed_len, size_t plain_len)
+{
+	uLongf size = plain_len;
+	char *plain;
+
+	if (plain_len > PLAIN_MAX_BYTES)
+		return NULL;
+	plain = xcalloc(plain_len + 1, 1);
+	if (uncompress((Bytef *)plain, &size, packed, packed_len) == Z_OK &&
+	    size == plain_len)
+		return plain;
+	free(plain);
+	return NULL;
+}
--- a/proto/control.pb-c.c
+++ b/proto/control.pb-c.c
@@ -1423,7 +1423,7 @@
   (ProtobufCMessageInit) cdm__digest__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cdm__config_body__field_descriptors[3] =
+static const ProtobufCFieldDescriptor cdm__config_body__field_descriptors[4] =
 {
   {
     "version",
@@ -1461,16 +1461,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "plain_len",
+    4,
+    PROTOBUF_C_LABEL_OPTIONAL,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Cdm__ConfigBody, has_plain_len),
+    offsetof(Cdm__ConfigBody, plain_len),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cdm__config_body__field_indices_by_name[] = {
   2,   /* field[2] = author */
   1,   /* field[1] = config */
+  3,   /* field[3] = plain_len */
   0,   /* field[0] = version */
 };
 static const ProtobufCIntRange cdm__config_body__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor cdm__config_body__descriptor =
 {
@@ -1480,7 +1493,7 @@
   "Cdm__ConfigBody",
   "cdm",
   sizeof(Cdm__ConfigBody),
-  3,
+  4,
   cdm__config_body__field_descriptors,
   cdm__config_body__field_indices_by_name,
   1,  cdm__config_body__number_ranges,
--- a/proto/control.pb-c.h
+++ b/proto/control.pb-c.h
@@ -306,10 +306,15 @@
   protobuf_c_boolean has_config;
   ProtobufCBinaryData config;
   char *author;
+  /*
+   * config is deflated; its length
+   */
+  protobuf_c_boolean has_plain_len;
+  uint32_t plain_len;
 };
 #define CDM__CONFIG_BODY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cdm__config_body__descriptor) \
-    , 0, 0, {0,NULL}, NULL }
+    , 0, 0, {0,NULL}, NULL, 0, 0 }
 
 
 /* Cdm__Hello methods */
--- a/regress/bench/bench_control.c
+++ b/regress/bench/bench_control.c
@@ -17,6 +17,7 @@
 #include <cmocka.h>
 
 #include "lib/config.h"
+#include "lib/deflate.h"
 #include "lib/xalloc.h"
 #include "regress/control_fleet.h"
 
@@ -219,6 +220,7 @@
 static void bench_config(void **state)
 {
 	struct config *c = NULL;
+	size_t packed_len;
 	size_t before;
 	size_t len;
 	char *text = target_file(&len);
@@ -242,6 +244,8 @@
 	printf("config_memory_target %zu bytes\n",
 	       mallinfo2().uordblks - before);
 	config_unref(c);
+	free(deflate_bytes(text, len, &packed_len));
+	printf("config_deflated_target %zu bytes\n", packed_len);
 	free(text);
 }
 
