--- a/regress/bench/bench_policy_member.c
+++ b/regress/bench/bench_policy_member.c
@@ -6,11 +6,11 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 #include "lib/xalloc.h"
 #include "policy/member.h"
 #include "policy/pair_hash.h"
+#include "regress/bench_tools.h"
 
 #define FRAME_BYTES 4 /* length prefix */
 #define TCP_BYTES 52 /* TCP and IP headers of a segment */
@@ -42,14 +42,6 @@
 	printf("%s_%zu %.6g %s\n", name, n, value, unit);
 }
 
-static double cpu_ns(void)
-{
-	struct timespec ts;
-
-	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &ts);
-	return ts.tv_sec * 1e9 + ts.tv_nsec;
-}
-
 static size_t varint(uint64_t v)
 {
 	size_t n = 1;
@@ -129,10 +121,10 @@
 
 		if (net->down[to])
 			continue;
-		start = cpu_ns();
+		start = bench_cpu_ns();
 		member_receive(&net->tables[to], &net->under_way[i], net->now,
 			       out, MEMBER_OUT_MAX, &n_out);
-		net->receive_ns += cpu_ns() - start;
+		net->receive_ns += bench_cpu_ns() - start;
 		net->n_received++;
 		post(net, out, n_out);
 	}
@@ -152,10 +144,10 @@
 			if (net->down[i])
 				continue;
 			net->rnd = pair_hash(net->rnd, i);
-			start = cpu_ns();
+			start = bench_cpu_ns();
 			n = member_tick(&net->tables[i], net->now, net->rnd,
 					out, MEMBER_OUT_MAX);
-			net->tick_ns += cpu_ns() - start;
+			net->tick_ns += bench_cpu_ns() - start;
 			net->n_ticks++;
 			post(net, out, n);
 		}
--- a/regress/fleet_tables.c
+++ b/regress/fleet_tables.c
@@ -5,6 +5,39 @@
 #include "policy/pair_hash.h"
 #include "regress/fleet_tables.h"
 
+struct fleet_size {
+	const char *name;
+	size_t instances;
+	size_t endpoints;
+	size_t orgs;
+	unsigned int zones;
+	unsigned int regions;
+	unsigned int models;
+};
+
+static const struct fleet_size sizes[FLEET_SIZES] = {
+	{ "6", 6, 100, 10, 3, 1, 4 },
+	{ "60", 60, 1000, 130, 6, 2, 10 },
+	{ "920", 920, 6600, 1300, 13, 4, 29 },
+};
+
+/*
+ * Gives a fleet one of the sizes and fills it.  Returns the size's name.
+ */
+const char *fleet_resize(struct fleet *f, size_t size, uint64_t seed)
+{
+	const struct fleet_size *s = &sizes[size];
+
+	f->n_instances = s->instances;
+	f->n_endpoints = s->endpoints;
+	f->n_orgs = s->orgs;
+	f->n_zones = s->zones;
+	f->n_regions = s->regions;
+	f->n_models = s->models;
+	fleet_fill(f, seed);
+	return s->name;
+}
+
 /*
  * Fills the tables: instances and endpoints dealt to the zones in turn, the
  * weight of the organisation of rank r in proportion to 1 / r.  The caller
--- a/regress/fleet_tables.h
+++ b/regress/fleet_tables.h
@@ -10,6 +10,7 @@
 #define FLEET_INSTANCES_MAX 920
 #define FLEET_ENDPOINTS_MAX 6600
 #define FLEET_ORGS_MAX 1300
+#define FLEET_SIZES 3 /* today, a tenth, the target */
 
 /* A fleet of made-up instances, endpoints and organisations. */
 struct fleet {
@@ -24,6 +25,7 @@
 	struct shard_org orgs[FLEET_ORGS_MAX];
 };
 
+const char *fleet_resize(struct fleet *f, size_t size, uint64_t seed);
 void fleet_fill(struct fleet *f, uint64_t seed);
 
 #endif /* REGRESS_FLEET_TABLES_H */
