policy: one more ping a second while membership news waits

Cause: after a region of 920 instances was cut off for two minutes, all were known to be alive again only 64 s after the cut had healed: the refutations wait for room in two messages a second. Change: while more updates wait than one message takes, one more peer is pinged each second.

--- a/policy/member.h
+++ b/policy/member.h
@@ -17,6 +17,7 @@
 #define MEMBER_LATE_MS 1000 /* a tick later than this was a pause */
 #define MEMBER_RETRANSMIT 2 /* times log2 of the fleet's size */
 #define MEMBER_RECONNECT_MS 2000 /* between probes of dead members */
+#define MEMBER_BACKLOG_MS 1000 /* between extra pings while news waits */
 #define MEMBER_HEALTH_MAX 4 /* local timeouts grow up to 1 + this */
 #define MEMBER_ANNOUNCE_PEERS 4 /* told at once of what is new */
 #define MEMBER_INCARNATION_MAX (1ull << 62)
@@ -117,6 +118,7 @@
 	uint64_t last_tick;
 	uint64_t next_period;
 	uint64_t next_reconnect;
+	uint64_t next_backlog;
 	uint64_t serving_epoch; /* grows when the serving set has changed */
 	uint64_t config_seen; /* highest version heard of */
 	uint64_t config_seen_at; /* the id of a member that has it */
--- a/policy/member_probe.c
+++ b/policy/member_probe.c
@@ -32,6 +32,8 @@
 };
 
 static void announce(struct member_table *t, uint64_t rnd, struct outbox *out);
+static void ping_one(struct member_table *t, enum choice choice, uint64_t rnd,
+		     struct outbox *out);
 static void note_pause(struct member_table *t, uint64_t now);
 static void advance_probe(struct member_table *t, uint64_t now, uint64_t rnd,
 			  struct outbox *out);
@@ -68,7 +70,6 @@
 		   struct member_msg *out, size_t max)
 {
 	struct outbox box = { .msgs = out, .max = max };
-	struct member *m;
 
 	note_pause(t, now);
 	t->last_tick = now;
@@ -84,13 +85,25 @@
 	}
 	if (now >= t->next_reconnect) {
 		t->next_reconnect = now + MEMBER_RECONNECT_MS;
-		m = choose(t, CHOOSE_DEAD, pair_hash(rnd, 3));
-		if (m)
-			compose(t, &box, MEMBER_PING, m->u.id, t->next_seq++);
+		ping_one(t, CHOOSE_DEAD, pair_hash(rnd, 3), &box);
+	}
+	if (now >= t->next_backlog && t->n_hot > MEMBER_PIGGYBACK_MAX) {
+		t->next_backlog = now + MEMBER_BACKLOG_MS;
+		ping_one(t, CHOOSE_PEER, pair_hash(rnd, 5), &box);
 	}
 	return box.n;
 }
 
+/* Pings a random member without judging it by the answer. */
+static void ping_one(struct member_table *t, enum choice choice, uint64_t rnd,
+		     struct outbox *out)
+{
+	struct member *m = choose(t, choice, rnd);
+
+	if (m)
+		compose(t, out, MEMBER_PING, m->u.id, t->next_seq++);
+}
+
 /*
  * After a pause of our own nothing that we didn't hear counts against the
  * others: the probe at hand is dropped, and suspects get their time anew.
@@ -430,13 +443,8 @@
 
 static void announce(struct member_table *t, uint64_t rnd, struct outbox *out)
 {
-	struct member *m;
 	size_t i;
 
-	for (i = 0; i < MEMBER_ANNOUNCE_PEERS; i++) {
-		m = choose(t, CHOOSE_PEER, pair_hash(rnd, i));
-		if (!m)
-			return;
-		compose(t, out, MEMBER_PING, m->u.id, t->next_seq++);
-	}
+	for (i = 0; i < MEMBER_ANNOUNCE_PEERS; i++)
+		ping_one(t, CHOOSE_PEER, pair_hash(rnd, i), out);
 }
