harness: a sanitizer's report in any process fails the test

A daemon that is killed at a test's end, or that fails an assertion in its middle and is started anew, left no trace in the verdict.

--- a/regress/harness.c
+++ b/regress/harness.c
@@ -45,6 +45,7 @@
 
 static int reserve_port(unsigned port);
 static void run_child(char *const *argv, const struct proc *p);
+static bool check_log(const struct proc *p);
 static void reap(struct proc *p, int options);
 static void print_logs(const struct harness *h);
 static char *read_file(const char *path);
@@ -74,15 +75,18 @@
 }
 
 /* Kills what still runs, reaps it and removes the directory; with
- * HARNESS_KEEP set in the environment the directory stays. */
+ * HARNESS_KEEP set in the environment the directory stays.  Fails the test if
+ * a process of its had an error that a sanitizer or an assertion found. */
 void harness_free(struct harness *h)
 {
+	bool clean = true;
 	size_t i;
 
 	while (h->procs) {
 		struct proc *p = h->procs;
 
 		proc_kill(p);
+		clean = check_log(p) && clean;
 		h->procs = p->next;
 		free(p->name);
 		free(p->log_path);
@@ -103,6 +107,27 @@
 	if (!getenv("HARNESS_KEEP"))
 		nftw(h->dir, remove_entry, 8, FTW_DEPTH | FTW_PHYS);
 	free(h);
+	assert_true(clean);
+}
+
+/* Tells whether a process ended without a sanitizer's report; prints it. */
+static bool check_log(const struct proc *p)
+{
+	static const char *const marks[] = {
+		"Sanitizer",
+		"runtime error:",
+		"Assertion",
+	};
+	char *text = proc_log(p);
+	bool clean = true;
+	size_t i;
+
+	for (i = 0; i < sizeof(marks) / sizeof(marks[0]); i++)
+		clean = clean && !strstr(text, marks[i]);
+	if (!clean)
+		print_error("--- %s\n%s\n", p->name, text);
+	free(text);
+	return clean;
 }
 
 /* Returns the loop that waiting runs. */
