--- a/lib/httpc.c
+++ b/lib/httpc.c
@@ -61,6 +61,7 @@
 static void finish(struct httpc_req *r, enum httpc_outcome outcome);
 static void req_free(struct httpc_req *r);
 static void on_sweep(uv_timer_t *timer);
+static struct httpc_req *req_of(const h2o_linklist_t *l);
 static struct httpc_req *find_late(const struct httpc *c, uint64_t now);
 static struct httpc_req *first_open(const struct httpc *c);
 static h2o_http1client_head_cb on_connect(h2o_http1client_t *client,
@@ -256,16 +257,23 @@
 	}
 }
 
-/* Returns an exchange that has not moved for too long, or NULL. */
+/* Returns the exchange of a link in the list. */
+static struct httpc_req *req_of(const h2o_linklist_t *l)
+{
+	return H2O_STRUCT_FROM_MEMBER(struct httpc_req, link, l);
+}
+
+/*
+ * Returns an exchange that has not moved for too long, or NULL.  The analyzer
+ * does not see that a freed exchange is out of the list.
+ */
 static struct httpc_req *find_late(const struct httpc *c, uint64_t now)
 {
-	const h2o_linklist_t *link;
+	const h2o_linklist_t *l = c->open.next;
 
-	/* the analyzer does not see that a freed exchange was unlinked */
-	for (link = c->open.next; link != &c->open; /* NOLINTNEXTLINE */
-	     link = link->next) {
-		struct httpc_req *r =
-			H2O_STRUCT_FROM_MEMBER(struct httpc_req, link, link);
+	/* NOLINTNEXTLINE */
+	for (; l != &c->open; l = l->next) {
+		struct httpc_req *r = req_of(l); /* NOLINT */
 		uint64_t limit = r->phase == PHASE_CONNECTING
 					 ? r->connect_timeout_ms
 					 : r->timeout_ms;
@@ -280,9 +288,10 @@
 /* Returns an open exchange, or NULL. */
 static struct httpc_req *first_open(const struct httpc *c)
 {
-	if (h2o_linklist_is_empty((h2o_linklist_t *)&c->open))
-		return NULL;
-	return H2O_STRUCT_FROM_MEMBER(struct httpc_req, link, c->open.next);
+	const h2o_linklist_t *l = c->open.next;
+
+	/* NOLINTNEXTLINE */
+	return l == &c->open ? NULL : req_of(l);
 }
 
 /* h2o: the connection stands or failed. */
