--- a/emulator/caller.c
+++ b/emulator/caller.c
@@ -105,6 +105,9 @@
 	c->options.prompt = xstrdup(options->prompt);
 	c->next_address = options->first_address;
 	c->result.first_token_ms = -1;
+	c->result.prompt_tokens =
+		(strlen(options->prompt) + CHAIN_PROMPT_TOKEN_BYTES - 1) /
+		CHAIN_PROMPT_TOKEN_BYTES;
 	c->start_ms = now_ms();
 	chain_start(&c->chain, options->prompt, strlen(options->prompt));
 	uv_timer_init(loop, &c->timer);
--- a/emulator/caller.h
+++ b/emulator/caller.h
@@ -40,6 +40,7 @@
 	char run[24]; /* what the last refusal said */
 	char detail[256];
 	char finish[16]; /* finish_reason */
+	uint64_t prompt_tokens; /* as stand-in engines count them */
 	uint64_t tokens;
 	uint64_t relayed; /* tokens that came, those before a restart too */
 	unsigned refusals;
--- a/emulator/chain.h
+++ b/emulator/chain.h
@@ -11,6 +11,7 @@
 
 /* "p.SALT.DIGEST " with the longest position, and the final NUL. */
 #define CHAIN_TOKEN_SIZE 48
+#define CHAIN_PROMPT_TOKEN_BYTES 4 /* a prompt's token has so many */
 
 enum chain_fault {
 	CHAIN_GOOD,
--- a/emulator/engine_cache.c
+++ b/emulator/engine_cache.c
@@ -11,14 +11,11 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define XXH_STATIC_LINKING_ONLY /* for the state by value */
-#include <xxhash.h>
-
+#include "emulator/chain.h"
 #include "emulator/standin.h"
 #include "lib/xalloc.h"
 
 #define BLOCK_TOKENS 16
-#define PROMPT_TOKEN_BYTES 4
 #define EVENTS_MAX 4096
 
 struct cache_block {
@@ -74,11 +71,13 @@
 	size_t i;
 
 	XXH64_reset(&state, 0);
-	for (i = 0; i < prompt_len; i += PROMPT_TOKEN_BYTES) {
+	for (i = 0; i < prompt_len; i += CHAIN_PROMPT_TOKEN_BYTES) {
 		size_t n = prompt_len - i;
 
 		XXH64_update(&state, prompt + i,
-			     n < PROMPT_TOKEN_BYTES ? n : PROMPT_TOKEN_BYTES);
+			     n < CHAIN_PROMPT_TOKEN_BYTES
+				     ? n
+				     : CHAIN_PROMPT_TOKEN_BYTES);
 		if (++tokens % BLOCK_TOKENS)
 			continue;
 		touch(c, XXH64_digest(&state), tokens, &known);
--- a/emulator/loadgen.c
+++ b/emulator/loadgen.c
@@ -14,6 +14,7 @@
 #include <uv.h>
 
 #include "emulator/caller.h"
+#include "emulator/experiment.h"
 #include "emulator/sketch.h"
 #include "lib/httpc.h"
 #include "lib/xalloc.h"
@@ -31,6 +32,8 @@
 	KEY_SILENCE_MS,
 	KEY_SEED,
 	KEY_RAMP_MS,
+	KEY_AT,
+	KEY_ENGINE,
 };
 
 struct load {
@@ -53,6 +56,7 @@
 	struct httpc *client;
 	uv_timer_t timer;
 	double start_ms;
+	double end_ms;
 	uint64_t started;
 	uint64_t open;
 	uint64_t outcomes[CALLER_WRONG + 1];
@@ -63,6 +67,10 @@
 	uint64_t relayed;
 	uint64_t lies; /* refusals without a reason */
 	char fault[64]; /* of the first wrong answer */
+	uint64_t prompt_tokens; /* of whole answers, as the rest is */
+	uint64_t whole_tokens;
+	struct experiment experiment;
+	bool ending; /* the engines are read once more */
 	struct sketch first_token;
 	struct sketch gaps;
 	struct sketch longest_gaps;
@@ -83,6 +91,7 @@
 static void put(json_t *json, const char *name, double value, const char *unit);
 static void put_quantiles(json_t *json, const char *name,
 			  const struct sketch *s);
+static void put_work(json_t *json, const struct load *l);
 
 static const struct argp_option options[] = {
 	{ "entry", 'e', "ADDRESS", 0,
@@ -105,6 +114,10 @@
 	  "Silence that a caller takes for a break (10000; 0: any)", 0 },
 	{ "ramp-ms", KEY_RAMP_MS, "MS", 0, "Time over which callers begin (0)",
 	  0 },
+	{ "at", KEY_AT, "MS,ADDRESS,JSON", 0,
+	  "Send a control request at its time; repeat for more", 0 },
+	{ "engine", KEY_ENGINE, "ADDRESS", 0,
+	  "Count the work of this engine; repeat for more", 0 },
 	{ "seed", KEY_SEED, "N", 0, "Decides the prompts (random)", 0 },
 	{ NULL, 0, NULL, 0, NULL, 0 },
 };
@@ -159,6 +172,14 @@
 	case KEY_SEED:
 		l->seed = number(arg, state);
 		break;
+	case KEY_AT:
+		if (!experiment_add_action(&l->experiment, arg))
+			argp_error(state, "%s: not MS,ADDRESS,JSON", arg);
+		break;
+	case KEY_ENGINE:
+		if (!experiment_add_engine(&l->experiment, arg))
+			argp_error(state, "%s: too many engines", arg);
+		break;
 	case ARGP_KEY_END:
 		if (!l->n_addresses || !l->n_keys || !l->model)
 			argp_error(state, "an entry, a key and a model are "
@@ -197,17 +218,27 @@
 	return (double)uv_hrtime() / 1e6;
 }
 
-/* Starts the callers that are due; ends the loop after the last one. */
+/* Starts the callers that are due; after the last one the engines are read
+ * once more, and the loop ends. */
 static void on_tick(uv_timer_t *timer)
 {
 	struct load *l = timer->data;
 	double elapsed = now_ms() - l->start_ms;
 
+	if (experiment_reading(&l->experiment) && (l->ending || !l->started))
+		return;
+	if (l->ending) {
+		uv_stop(l->loop);
+		return;
+	}
 	while (may_start(l, elapsed))
 		start_caller(l);
-	if (!l->open && (l->duration_ms ? elapsed >= (double)l->duration_ms
-					: l->started >= l->requests))
-		uv_stop(l->loop);
+	if (l->open || (l->duration_ms ? elapsed < (double)l->duration_ms
+				       : l->started < l->requests))
+		return;
+	l->end_ms = now_ms();
+	l->ending = true;
+	experiment_read(&l->experiment);
 }
 
 /* Tells whether another caller may begin now. */
@@ -286,6 +317,8 @@
 	if (r->first_token_ms >= 0)
 		sketch_add(&l->first_token, r->first_token_ms);
 	if (r->outcome == CALLER_WHOLE) {
+		l->prompt_tokens += r->prompt_tokens;
+		l->whole_tokens += r->tokens;
 		sketch_add(&l->longest_gaps, r->longest_gap_ms);
 		sketch_add(&l->totals, r->total_ms);
 	}
@@ -313,6 +346,7 @@
 	put_quantiles(json, "gap", &l->gaps);
 	put_quantiles(json, "longest_gap", &l->longest_gaps);
 	put_quantiles(json, "total", &l->totals);
+	put_work(json, l);
 	put(json, "elapsed", seconds, "s");
 	if (*l->fault)
 		json_object_set_new(json, "fault", json_string(l->fault));
@@ -354,6 +388,23 @@
 	put(json, full, s->max, "ms");
 }
 
+/* Prints the engines' work, and how much of it was beyond what the whole
+ * answers need. */
+static void put_work(json_t *json, const struct load *l)
+{
+	double prefilled = experiment_prefilled(&l->experiment);
+	double decoded = experiment_decoded(&l->experiment);
+	double needed = (double)(l->prompt_tokens + l->whole_tokens);
+
+	if (!l->experiment.n_engines)
+		return;
+	put(json, "engines_prefilled", prefilled, "tokens");
+	put(json, "engines_decoded", decoded, "tokens");
+	put(json, "needed", needed, "tokens");
+	put(json, "extra_work",
+	    needed > 0 ? (prefilled + decoded) / needed - 1 : 0, "ratio");
+}
+
 int main(int argc, char **argv)
 {
 	static const struct argp argp = {
@@ -382,8 +433,10 @@
 	l.timer.data = &l;
 	l.start_ms = now_ms();
 	uv_timer_start(&l.timer, on_tick, 0, 5);
+	experiment_start(&l.experiment, l.loop, l.client);
 	uv_run(l.loop, UV_RUN_DEFAULT);
-	seconds = (now_ms() - l.start_ms) / 1000;
+	seconds = (l.end_ms - l.start_ms) / 1000;
+	experiment_close(&l.experiment);
 	uv_close((uv_handle_t *)&l.timer, NULL);
 	httpc_free(l.client);
 	uv_run(l.loop, UV_RUN_DEFAULT);
