--- a/fleetd/endpoints.h
+++ b/fleetd/endpoints.h
@@ -8,6 +8,7 @@
 
 #define ENDPOINT_RUMOURS_MAX 16 /* states in one digest */
 #define ENDPOINT_SENDS 8 /* digests that carry a change */
+#define ENDPOINT_HEARD_DOWN_MS 15000 /* unless the loss is told again */
 
 /* What is known of one endpoint of the configuration in force. */
 struct endpoint {
@@ -64,6 +65,7 @@
 void endpoints_tick(struct fleetd *f, uint64_t now);
 struct endpoint *endpoints_find(const struct endpoints *t, uint64_t id);
 bool endpoint_leaving(const struct fleetd *f, const struct endpoint *e);
+void endpoint_note_leaving(struct fleetd *f, struct endpoint *e);
 void endpoint_set_up(struct fleetd *f, struct endpoint *e, bool up,
 		     const char *why);
 void endpoint_set_load(struct fleetd *f, struct endpoint *e,
