--- a/regress/bench/bench_control.c
+++ b/regress/bench/bench_control.c
@@ -29,6 +29,8 @@
 #define TARGET_ORGANISATIONS 1300
 #define TARGET_MODELS 29
 #define PARSES 10
+#define READS "platform_reads_total"
+#define WRITES "platform_writes_total"
 
 /* Means over the instances. */
 struct reading {
@@ -130,18 +132,74 @@
 	free(more);
 }
 
+/* Prints how long the fleet took for something since start_ns. */
+static void print_elapsed(const char *what, const struct control_fleet *f,
+			  uint64_t start_ns)
+{
+	printf("control_%s_i%zu %.0f ms\n", what, f->n,
+	       (double)(uv_hrtime() - start_ns) / 1e6);
+	fflush(stdout);
+}
+
+/* How long a change of configuration takes to be in force everywhere, from
+ * the start of cdmctl on. */
+static void measure_config(struct control_fleet *f)
+{
+	uint64_t start = uv_hrtime();
+
+	control_apply(f, 0, control_config(f, "next.toml", ""), "0");
+	control_wait_version(f, 2);
+	print_elapsed("config_everywhere", f, start);
+}
+
+/* Waited for by measure_death(). */
+struct deaths {
+	struct control_fleet *f;
+	size_t living; /* instances that are asked */
+};
+
+static bool all_know_death(void *arg)
+{
+	struct deaths *d = arg;
+	size_t i;
+
+	for (i = 0; i < d->living; i++)
+		if (control_counter(d->f, i, "cdmfleetd_members_serving") >
+		    (double)d->living)
+			return false;
+	return true;
+}
+
+/* How long until every instance takes a killed one for dead. */
+static void measure_death(struct control_fleet *f)
+{
+	struct deaths d = { .f = f, .living = f->n - 1 };
+	uint64_t start = uv_hrtime();
+
+	proc_kill(f->instances[d.living].proc);
+	harness_until(f->h, all_know_death, &d, "a death is known");
+	print_elapsed("death_known", f, start);
+	f->n--;
+}
+
 static void measure(struct point *p)
 {
 	struct control_fleet *f = control_fleet_new(p->instances, 3);
 	struct reading before;
 	struct reading after;
 	double s = MEASURE_MS / 1000.0;
+	double reads;
+	double writes;
 
 	apply_engines(f, p->engines);
 	harness_run(f->h, SETTLE_MS);
+	reads = harness_counter(f->h, f->platform, READS);
+	writes = harness_counter(f->h, f->platform, WRITES);
 	before = read_fleet(f);
 	harness_run(f->h, MEASURE_MS);
 	after = read_fleet(f);
+	reads = harness_counter(f->h, f->platform, READS) - reads;
+	writes = harness_counter(f->h, f->platform, WRITES) - writes;
 	p->cpu_percent = (after.cpu_s - before.cpu_s) / s * 100;
 	p->bytes_per_s = (after.bytes - before.bytes) / s;
 	p->rss_mib = after.rss_bytes / (1 << 20);
@@ -151,6 +209,14 @@
 	       p->bytes_per_s);
 	printf("control_rss_i%zu_e%zu %.2f MiB\n", p->instances, p->engines,
 	       p->rss_mib);
+	printf("control_platform_reads_i%zu_e%zu %.2f /s\n", p->instances,
+	       p->engines, reads / s);
+	printf("control_platform_writes_i%zu_e%zu %.2f /s\n", p->instances,
+	       p->engines, writes / s);
+	if (p->engines == FEW_ENGINES) {
+		measure_config(f);
+		measure_death(f);
+	}
 	fflush(stdout);
 	control_fleet_free(f);
 }
