--- a/entryd/api.c
+++ b/entryd/api.c
@@ -207,13 +207,15 @@
 	return o->services.n == 0;
 }
 
-/* Refuses a request that nothing was done for. */
+/* Refuses a request that nothing was done for here.  An earlier copy of it may
+ * have run elsewhere. */
 static void refuse(struct httpd_req *req, int status, const char *title,
 		   const char *detail, uint32_t retry_after_s)
 {
 	const struct problem problem = {
 		.status = status,
-		.run = RUN_NOT_RUN,
+		.run = problem_is_first_copy(req) ? RUN_NOT_RUN
+						  : RUN_MAY_HAVE_RUN,
 		.title = title,
 		.detail = detail,
 		.retry_after_s = retry_after_s,
--- a/entryd/call.h
+++ b/entryd/call.h
@@ -34,6 +34,7 @@
 	char *body;
 	size_t body_len;
 	bool idempotent;
+	bool first_copy; /* no earlier copy can have been sent */
 	uint64_t arrived_at; /* ms */
 	uint64_t deadline_ms;
 	bool waiting; /* in admission's queue */
@@ -75,7 +76,7 @@
 void call_leave_endpoint(struct call *c);
 
 /* At most once (call_claim.c). */
-void call_claim_begin(struct call *c, bool first_copy);
+void call_claim_begin(struct call *c);
 void call_claim_event(struct call *c, const struct claim_event *ev);
 bool call_claim_may_send(struct call *c);
 void call_claim_tick(struct call *c, uint64_t now);
--- a/entryd/call_claim.c
+++ b/entryd/call_claim.c
@@ -49,7 +49,7 @@
 static enum run_state run_of(enum claim_run run);
 
 /* Starts with writing the claim. */
-void call_claim_begin(struct call *c, bool first_copy)
+void call_claim_begin(struct call *c)
 {
 	const struct claim_event ev = {
 		.type = CLAIM_EV_BEGIN,
@@ -64,7 +64,7 @@
 	free(digested);
 	claim_init(&c->claim, nonce,
 		   XXH3_64bits_withSeed(c->body, c->body_len, seed),
-		   c->deadline_ms, first_copy);
+		   c->deadline_ms, c->first_copy);
 	c->row_key = xasprintf("claim/%016" PRIx64 "/%s", c->org_id, c->key);
 	call_claim_event(c, &ev);
 }
--- a/entryd/calls.c
+++ b/entryd/calls.c
@@ -33,6 +33,7 @@
 static void on_caller_left(void *arg);
 static void try_again(struct call *c, const char *why);
 static uint64_t deadline_of(struct entryd *e, struct httpd_req *req);
+static enum run_state run_unsent(const struct call *c);
 
 /* Makes an empty table. */
 struct calls *calls_new(void)
@@ -129,13 +130,12 @@
 		   const struct admit_verdict *v)
 {
 	struct call *c = call_get(e, h);
-	bool first;
 
 	if (!c)
 		return;
 	c->waiting = false;
 	if (v->outcome == ADMIT_REFUSE) {
-		call_refuse(c, 503, RUN_NOT_RUN, "overloaded",
+		call_refuse(c, 503, run_unsent(c), "overloaded",
 			    admit_reason_text(v->reason), v->retry_after_s);
 		return;
 	}
@@ -145,8 +145,7 @@
 		call_ended(c, HTTPC_CONNECT_FAILED);
 		return;
 	}
-	first = httpd_header(c->req, "x-first-copy") != NULL;
-	call_claim_begin(c, first);
+	call_claim_begin(c);
 }
 
 /*
@@ -293,6 +292,7 @@
 	c->type = type ? xstrdup(type) : NULL;
 	c->key = key ? xstrdup(key) : NULL;
 	c->body = xmemdup(body, c->body_len);
+	c->first_copy = problem_is_first_copy(req);
 	c->idempotent = is_idempotent(e, service, c->method, path);
 	c->arrived_at = entryd_now(e);
 	c->deadline_ms = deadline_of(e, req);
@@ -350,6 +350,12 @@
 		call_claim_left(c);
 }
 
+/* What is known of a call that this copy of it did not send. */
+static enum run_state run_unsent(const struct call *c)
+{
+	return c->first_copy ? RUN_NOT_RUN : RUN_MAY_HAVE_RUN;
+}
+
 /* Waits a little before the next try, or gives up at the deadline. */
 static void try_again(struct call *c, const char *why)
 {
@@ -357,7 +363,7 @@
 
 	if (now >= c->deadline_ms) {
 		call_refuse(c, 503,
-			    c->tries > 1 ? RUN_MAY_HAVE_RUN : RUN_NOT_RUN,
+			    c->tries > 1 ? RUN_MAY_HAVE_RUN : run_unsent(c),
 			    "no-endpoint", why, NO_ENDPOINT_RETRY_S);
 		return;
 	}
--- a/entryd/generation.c
+++ b/entryd/generation.c
@@ -90,6 +90,7 @@
 	the_entryd = e;
 	httpd_on_close(req, on_caller_left,
 		       (void *)(uintptr_t)handle_pack(g->self));
+	g->may_have_run = g->ask.last_event_id != NULL;
 	if (g->ask.last_event_id)
 		take_cursor(e, g);
 	else
@@ -127,7 +128,9 @@
 {
 	const struct problem problem = {
 		.status = status,
-		.run = g->resume.last_attempt ? RUN_MAY_HAVE_RUN : RUN_NOT_RUN,
+		.run = g->resume.last_attempt || g->may_have_run
+			       ? RUN_MAY_HAVE_RUN
+			       : RUN_NOT_RUN,
 		.title = title,
 		.detail = detail,
 		.retry_after_s = retry_after_s,
@@ -204,6 +207,7 @@
 void generation_restart(struct entryd *e, struct generation *g, const char *why)
 {
 	end_attempts(e, g, false);
+	g->may_have_run |= g->resume.last_attempt != 0;
 	if (!g->ask.stream) {
 		generation_refuse(e, g, 409, "cannot-resume", why, 1);
 		return;
--- a/entryd/generation.h
+++ b/entryd/generation.h
@@ -57,6 +57,7 @@
 	struct handle self;
 	struct httpd_req *req; /* NULL once the caller has left */
 	struct generation_ask ask;
+	bool may_have_run; /* before what resume knows of */
 	char request[REQUEST_ID_SIZE]; /* for people: "cmpl-" and the id */
 	char id[GENERATION_ID_SIZE];
 	uint32_t org; /* index */
--- a/entryd/problem.c
+++ b/entryd/problem.c
@@ -22,6 +22,15 @@
 	return names[run];
 }
 
+/* Tells whether a request can be no later copy of one that ran: it has neither
+ * a key nor a cursor, or the caller says that it never sent it before. */
+bool problem_is_first_copy(struct httpd_req *req)
+{
+	return httpd_header(req, "x-first-copy") ||
+	       (!httpd_header(req, "idempotency-key") &&
+		!httpd_header(req, "last-event-id"));
+}
+
 /* Returns the refusal as a JSON object. */
 json_t *problem_json(const struct problem *p)
 {
--- a/entryd/problem.h
+++ b/entryd/problem.h
@@ -2,6 +2,7 @@
 #define ENTRYD_PROBLEM_H
 
 #include <jansson.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "lib/httpd.h"
@@ -24,6 +25,7 @@
 };
 
 const char *run_state_name(enum run_state run);
+bool problem_is_first_copy(struct httpd_req *req);
 json_t *problem_json(const struct problem *p);
 void problem_reply(struct httpd_req *req, const struct problem *p);
 
