--- a/emulator/chain.h
+++ b/emulator/chain.h
@@ -11,6 +11,7 @@
 
 /* "p.SALT.DIGEST " with the longest position, and the final NUL. */
 #define CHAIN_TOKEN_SIZE 48
+#define CHAIN_PROMPT_TOKEN_BYTES 4 /* a prompt's token has so many */
 
 enum chain_fault {
 	CHAIN_GOOD,
@@ -36,6 +37,7 @@
 size_t chain_make(struct chain *c, uint32_t salt, char token[CHAIN_TOKEN_SIZE]);
 enum chain_fault chain_check(struct chain *c, const char *text, size_t len);
 enum chain_fault chain_finish(const struct chain *c);
+size_t chain_write_number(char *out, uint64_t n);
 const char *chain_fault_name(enum chain_fault fault);
 
 #endif /* EMULATOR_CHAIN_H */
--- a/entryd/attempt.c
+++ b/entryd/attempt.c
@@ -171,7 +171,6 @@
 	a->e = e;
 	a->generation = g->self;
 	a->endpoint = ep->self;
-	g->started = true;
 	a->started_at = entryd_now(e);
 	a->suspect = finding.deaths > 0;
 	a->alone = finding.verdict == QUARANTINE_RUN_ALONE;
@@ -342,12 +341,19 @@
 	generation_add_text(g, text, len);
 	relay_token(g, a, position, text, len);
 	counter_add(&relayed, 1);
+	if (a->hedge_tokens)
+		resume_budget_refund(&service->hedges, service->profile,
+				     a->hedge_tokens); /* it won: no waste */
+	a->hedge_tokens = 0;
 	resume_budget_relayed(&service->hedges, service->profile, 1);
 	if (g->lost_at) {
 		objectives_resumed(e, g, now - g->lost_at);
 		journal_add(e->journal, g->request,
 			    "output goes on after %" PRIu64 " ms",
 			    now - g->lost_at);
+		log_msg(LOG_INFO, "moved", g->request,
+			"output goes on after %" PRIu64 " ms",
+			now - g->lost_at);
 		g->lost_at = 0;
 	}
 	if (!g->first_token_at) {
--- a/entryd/generation.h
+++ b/entryd/generation.h
@@ -47,6 +47,7 @@
 	bool suspect; /* counted among the endpoint's suspects */
 	bool alone;
 	bool attached; /* it was started by another request */
+	uint32_t hedge_tokens; /* taken from the hedge budget for it */
 	struct engine_stream *stream;
 	char name[STREAM_NAME_SIZE];
 	char prefix[CURSOR_PREFIX_SIZE];
@@ -57,6 +58,7 @@
 	struct handle self;
 	struct httpd_req *req; /* NULL once the caller has left */
 	struct generation_ask ask;
+	bool may_have_run; /* before what resume knows of */
 	char request[REQUEST_ID_SIZE]; /* for people: "cmpl-" and the id */
 	char id[GENERATION_ID_SIZE];
 	uint32_t org; /* index */
@@ -65,7 +67,6 @@
 	struct quarantine_digest digest;
 	enum generation_phase phase;
 	bool begun; /* the answer's head has gone out */
-	bool started; /* at an engine, by this request or the one before */
 	bool paused; /* the caller reads slowly */
 	uint32_t ticket; /* while waiting */
 	struct admit_verdict run; /* of admission */
@@ -101,6 +102,8 @@
 size_t generations_on(const struct entryd *e, const struct endpoint *ep,
 		      struct quarantine_digest *out, size_t max);
 void generations_probed(struct entryd *e, const struct endpoint *ep);
+void generations_rejudge(struct entryd *e,
+			 const struct quarantine_digest *digest);
 void generations_hand_over(struct entryd *e);
 struct generation *generation_get(const struct entryd *e, struct handle h);
 struct generation *generations_next(const struct entryd *e, uint32_t *index);
--- a/regress/harness.c
+++ b/regress/harness.c
@@ -29,6 +29,7 @@
 #define MAX_ARGS 256
 #define POLL_MS 2
 #define LOG_TAIL_BYTES 2000
+#define CLOSE_TURNS 100 /* of the loop, to close its handles */
 
 struct harness {
 	uv_loop_t loop;
@@ -41,10 +42,12 @@
 	size_t n_addresses;
 	char **paths; /* of files written */
 	size_t n_paths;
+	struct harness *unclosed; /* the next one */
 };
 
 static int reserve_port(unsigned port);
 static void run_child(char *const *argv, const struct proc *p);
+static bool check_log(const struct proc *p);
 static void reap(struct proc *p, int options);
 static void print_logs(const struct harness *h);
 static char *read_file(const char *path);
@@ -55,6 +58,10 @@
 /* The next port to try; successive harnesses of one process go on from it. */
 static unsigned next_port;
 
+/* Harnesses whose loops still hold a server of the test's own, which lasts as
+ * long as the process. */
+static struct harness *unclosed;
+
 /* Makes a harness with an empty directory. */
 struct harness *harness_new(void)
 {
@@ -74,15 +81,19 @@
 }
 
 /* Kills what still runs, reaps it and removes the directory; with
- * HARNESS_KEEP set in the environment the directory stays. */
+ * HARNESS_KEEP set in the environment the directory stays.  Fails the test if
+ * a process of its had an error that a sanitizer or an assertion found. */
 void harness_free(struct harness *h)
 {
+	bool clean = true;
+	int turns;
 	size_t i;
 
 	while (h->procs) {
 		struct proc *p = h->procs;
 
 		proc_kill(p);
+		clean = check_log(p) && clean;
 		h->procs = p->next;
 		free(p->name);
 		free(p->log_path);
@@ -91,8 +102,8 @@
 	}
 	httpc_free(h->client);
 	uv_close((uv_handle_t *)&h->timer, NULL);
-	uv_run(&h->loop, UV_RUN_DEFAULT);
-	uv_loop_close(&h->loop);
+	for (turns = 0; turns < CLOSE_TURNS && uv_loop_close(&h->loop); turns++)
+		uv_run(&h->loop, UV_RUN_NOWAIT);
 	for (i = 0; i < h->n_addresses; i++) {
 		close(h->reserved[i]);
 		free(h->addresses[i]);
@@ -102,7 +113,33 @@
 	free(h->paths);
 	if (!getenv("HARNESS_KEEP"))
 		nftw(h->dir, remove_entry, 8, FTW_DEPTH | FTW_PHYS);
-	free(h);
+	if (turns < CLOSE_TURNS) {
+		free(h);
+	} else {
+		h->unclosed = unclosed;
+		unclosed = h;
+	}
+	assert_true(clean);
+}
+
+/* Tells whether a process ended without a sanitizer's report; prints it. */
+static bool check_log(const struct proc *p)
+{
+	static const char *const marks[] = {
+		"Sanitizer",
+		"runtime error:",
+		"Assertion",
+	};
+	char *text = proc_log(p);
+	bool clean = true;
+	size_t i;
+
+	for (i = 0; i < sizeof(marks) / sizeof(marks[0]); i++)
+		clean = clean && !strstr(text, marks[i]);
+	if (!clean)
+		print_error("--- %s\n%s\n", p->name, text);
+	free(text);
+	return clean;
 }
 
 /* Returns the loop that waiting runs. */
