policy: a lease that isn't wanted isn't read

Cause: lease_step() went on asking for a read each 3 s whether or not the lease was wanted; with 920 instances and 29 leases that would be some 8,900 reads a second, against about 2,000 that the table takes. Change: after the first reading an unwanted lease does nothing. Test: test_unwanted, which fails without the change.

--- a/policy/lease.c
+++ b/policy/lease.c
@@ -61,13 +61,13 @@
 		prepare(l, 0, l->row.fencing, nonce);
 		return write_out(l, now, out);
 	}
-	if (l->state == LEASE_HELD && !l->wanted)
+	if (!l->wanted)
 		return LEASE_NOTHING;
 	if (l->state == LEASE_HELD) {
 		prepare(l, l->self, l->row.fencing, nonce);
 		return write_out(l, now, out);
 	}
-	if (l->wanted && is_free(l, now)) {
+	if (is_free(l, now)) {
 		prepare(l, l->self, l->row.fencing + 1, nonce);
 		return write_out(l, now, out);
 	}
--- a/regress/unit/test_lease.c
+++ b/regress/unit/test_lease.c
@@ -30,6 +30,7 @@
 	struct lease_write late;
 	bool has_late;
 	unsigned int n_writes;
+	unsigned int n_reads;
 };
 
 static enum lease_result apply(struct world *w, const struct lease_write *write)
@@ -80,6 +81,7 @@
 	case LEASE_NOTHING:
 		break;
 	case LEASE_READ:
+		w->n_reads++;
 		if (w->down)
 			lease_read_failed(l, w->now);
 		else
@@ -136,6 +138,25 @@
 	assert_true(w.n_writes <= 1 + 60000 / LEASE_RENEW_MS);
 }
 
+/* Whoever doesn't want the lease doesn't read its row again and again. */
+static void test_unwanted(void **state)
+{
+	struct world w = { .now = 1000 };
+	struct lease a;
+	struct lease b;
+
+	(void)state;
+	start(&a, 1);
+	lease_init(&b, 2);
+	run(&w, &a, &b, 60000);
+	assert_int_equal(w.n_reads, 2);
+	/* What it last read is old by now, but it does no harm. */
+	b.wanted = true;
+	run(&w, &a, &b, 20000);
+	assert_true(orders(&w, &a, false));
+	assert_int_equal(w.row.fencing, 1);
+}
+
 /* The holder is paused; it wakes and believes nothing. */
 static void test_paused_holder(void **state)
 {
@@ -358,6 +379,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_acquire_and_keep),
+		cmocka_unit_test(test_unwanted),
 		cmocka_unit_test(test_paused_holder),
 		cmocka_unit_test(test_briefly_paused_holder),
 		cmocka_unit_test(test_order_that_would_end_late),
