--- a/entryd/api.c
+++ b/entryd/api.c
@@ -55,10 +55,10 @@
 		return;
 	if (httpd_query_get(req, "zone", name, sizeof(name)))
 		zone = zone_id(name);
-	json = json_pack(
-		"{s:s, s:I, s:o}", "organisation", org_at(e, org)->name,
-		"ttl_s", (json_int_t)e->config->entries_ttl_s, "entries",
-		members_entries(e, org_at(e, org)->config_index, zone));
+	json = json_pack("{s:s, s:I, s:o}", "organisation",
+			 org_at(e, org)->name, "ttl_s",
+			 (json_int_t)e->config->entries_ttl_s, "entries",
+			 members_entries(e, org_at(e, org), zone));
 	text = json_dumps(json, JSON_COMPACT);
 	httpd_reply(req, 200, "application/json", text, strlen(text));
 	free(text);
--- a/entryd/endpoints.c
+++ b/entryd/endpoints.c
@@ -21,6 +21,7 @@
 
 struct endpoints {
 	struct slots table; /* of struct endpoint * */
+	size_t assign_next; /* index of the service whose choice is due */
 };
 
 static struct endpoint *endpoint_add(struct entryd *e, uint64_t id);
@@ -79,16 +80,26 @@
 		endpoint_configure(ep, from, service->kind == SERVICE_MODEL);
 	}
 	drop_unused(e);
-	endpoints_assign(e);
+	endpoints_reassign(e);
+	endpoints_assign_step(e);
 }
 
-/* Chooses, for each service, the endpoints that this instance uses. */
-void endpoints_assign(struct entryd *e)
+/* The instances or the endpoints have changed: which ones this instance uses
+ * is to be chosen anew. */
+void endpoints_reassign(struct entryd *e)
 {
-	size_t i;
+	e->endpoints->assign_next = 0;
+}
+
+/* Chooses the endpoints of one service, if a choice is due; one a tick, since
+ * the choice for all would hold the loop up in a large fleet. */
+void endpoints_assign_step(struct entryd *e)
+{
+	struct endpoints *t = e->endpoints;
 
-	for (i = 0; e->config && i < e->config->n_services; i++)
-		assign_service(e, name_id(e->config->services[i].name));
+	if (e->config && t->assign_next < e->config->n_services)
+		assign_service(
+			e, name_id(e->config->services[t->assign_next++].name));
 }
 
 /* Takes states from cdmfleetd. */
--- a/entryd/endpoints.h
+++ b/entryd/endpoints.h
@@ -50,7 +50,8 @@
 struct endpoints *endpoints_new(void);
 void endpoints_free(struct endpoints *t);
 void endpoints_configure(struct entryd *e);
-void endpoints_assign(struct entryd *e);
+void endpoints_reassign(struct entryd *e);
+void endpoints_assign_step(struct entryd *e);
 void endpoints_tick(struct entryd *e, uint64_t now, uint32_t stall_ms);
 void endpoints_heard(struct entryd *e, Cdm__EndpointState **states, size_t n);
 struct endpoint *endpoint_get(const struct entryd *e, struct handle h);
--- a/entryd/entryd.c
+++ b/entryd/entryd.c
@@ -25,7 +25,6 @@
 #include "lib/ident.h"
 #include "lib/log.h"
 
-#define ASSIGN_MS 1000 /* between choices of the endpoints to use */
 #define CLOSE_ROUNDS 50 /* of the loop, for handles to close */
 #define MAX_BODY_BYTES (4u << 20)
 #define ENTRIES_TTL_MS 5000 /* until the configuration says otherwise */
@@ -90,6 +89,7 @@
 		e->drain.settings.entries_ttl_ms =
 			(uint64_t)config->entries_ttl_s * 1000;
 	members_configured(e);
+	members_tick(e);
 	services_configure(e);
 	orgs_configure(e);
 	endpoints_configure(e);
@@ -185,8 +185,8 @@
 	uint64_t gap = now - e->ticked_at;
 	uint32_t stall = gap > ENTRYD_STALL_MS ? (uint32_t)gap : 0;
 
-	if (now / ASSIGN_MS != e->ticked_at / ASSIGN_MS)
-		endpoints_assign(e);
+	members_tick(e);
+	endpoints_assign_step(e);
 	e->ticked_at = now;
 	fleet_tick(e, now);
 	suspects_tick(e, now);
--- a/entryd/members.c
+++ b/entryd/members.c
@@ -7,11 +7,14 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "entryd/endpoints.h"
+#include "entryd/orgs.h"
 #include "lib/ident.h"
 #include "lib/log.h"
 #include "lib/xalloc.h"
 
 #define WEIGHT_UNIT 1000 /* of a configured weight of 1 */
+#define PLAN_STEPS 16 /* of a plan in one tick */
 
 struct instance {
 	uint64_t id;
@@ -22,20 +25,34 @@
 	size_t n_addresses;
 };
 
+/* A plan and the organisations that it was built for. */
+struct shards {
+	struct shard_plan plan;
+	struct shard_org *orgs;
+	size_t n_orgs;
+};
+
 struct members {
 	struct instance *all;
 	size_t n;
 	struct shard_member *serving; /* sorted by zone and id */
 	size_t n_serving;
-	struct shard_plan plan;
-	bool changed;
+	struct shards now; /* in use */
+	struct shards next; /* being built */
+	bool changed; /* instances or organisations */
+	bool building;
+	bool replan; /* once what is being built is complete */
 };
 
 static struct instance *instance_find(struct members *m, uint64_t id);
 static void instance_update(struct instance *member, const Cdm__Member *from);
 static void instance_release(struct instance *member);
 static enum member_state state_of(const Cdm__Member *from);
-static void rebuild(struct entryd *e);
+static void list_serving(struct members *m);
+static void plan_begin(struct entryd *e);
+static void plan_step(struct members *m, unsigned steps);
+static void shards_release(struct shards *s);
+static size_t shards_index(const struct shards *s, const struct org *org);
 static int compare_serving(const void *a, const void *b);
 static void add_addresses(json_t *list, const struct instance *member);
 
@@ -44,7 +61,8 @@
 {
 	struct members *m = xcalloc(1, sizeof(*m));
 
-	shard_plan_init(&m->plan);
+	shard_plan_init(&m->now.plan);
+	shard_plan_init(&m->next.plan);
 	return m;
 }
 
@@ -55,7 +73,8 @@
 
 	for (i = 0; i < m->n; i++)
 		instance_release(&m->all[i]);
-	shard_plan_free(&m->plan);
+	shards_release(&m->now);
+	shards_release(&m->next);
 	free(m->all);
 	free(m->serving);
 	free(m);
@@ -88,6 +107,24 @@
 	e->members->changed = true;
 }
 
+/* Takes changes in, and builds the next plan on by a few steps, so that the
+ * loop never stands still for a whole plan of a large fleet. */
+void members_tick(struct entryd *e)
+{
+	struct members *m = e->members;
+
+	if (m->changed) {
+		m->changed = false;
+		m->replan = true;
+		list_serving(m);
+		endpoints_reassign(e);
+	}
+	if (m->replan && !m->building)
+		plan_begin(e);
+	if (m->building)
+		plan_step(m, PLAN_STEPS);
+}
+
 /* Returns the serving instances sorted by zone and id; *self is the index of
  * this one, or *n. */
 const struct shard_member *members_serving(struct entryd *e, size_t *n,
@@ -95,7 +132,6 @@
 {
 	struct members *m = e->members;
 
-	rebuild(e);
 	*n = m->n_serving;
 	for (*self = 0; *self < *n && m->serving[*self].id != e->self;
 	     (*self)++)
@@ -105,41 +141,44 @@
 
 /* Writes the ids of an organisation's shard, in the same order at every
  * instance that knows the same members; returns their number. */
-size_t members_shard(struct entryd *e, size_t org, uint64_t *ids, size_t max)
+size_t members_shard(struct entryd *e, const struct org *org, uint64_t *ids,
+		     size_t max)
 {
+	const struct shards *s = &e->members->now;
 	const struct shard_entry *entries;
+	size_t index = shards_index(s, org);
 	size_t n = 0;
 	size_t i;
 
-	rebuild(e);
-	if (org >= e->members->plan.n_orgs)
+	if (index >= s->plan.n_orgs)
 		return 0;
-	entries = shard_of(&e->members->plan, org, &n);
+	entries = shard_of(&s->plan, index, &n);
 	if (n > max)
 		n = max;
 	for (i = 0; i < n; i++)
-		ids[i] = e->members->plan.members[entries[i].member].id;
+		ids[i] = s->plan.members[entries[i].member].id;
 	return n;
 }
 
 /* Returns the addresses that callers of an organisation should try, in order;
  * empty while the fleet is not known. */
-json_t *members_entries(struct entryd *e, size_t org, uint16_t zone)
+json_t *members_entries(struct entryd *e, const struct org *org, uint16_t zone)
 {
 	struct members *m = e->members;
+	const struct shard_plan *plan = &m->now.plan;
+	size_t index = shards_index(&m->now, org);
 	uint16_t order[SHARD_ORDER_MAX];
 	json_t *list = json_array();
 	size_t n;
 	size_t i;
 
-	rebuild(e);
-	if (org >= m->plan.n_orgs)
+	if (index >= plan->n_orgs)
 		return list;
-	n = shard_order(&m->plan, org, zone, 0, entryd_random(), order,
+	n = shard_order(plan, index, zone, 0, entryd_random(), order,
 			SHARD_ORDER_MAX);
 	for (i = 0; i < n; i++)
 		add_addresses(list,
-			      instance_find(m, m->plan.members[order[i]].id));
+			      instance_find(m, plan->members[order[i]].id));
 	return list;
 }
 
@@ -197,49 +236,99 @@
 	}
 }
 
-/* Works out the serving instances and the shards anew, if anything changed. */
-static void rebuild(struct entryd *e)
+/* Lists the instances that serve callers. */
+static void list_serving(struct members *m)
 {
-	struct members *m = e->members;
-	const struct config *c = e->config;
-	struct shard_org *orgs;
-	size_t n_orgs = c ? c->n_organisations : 0;
 	size_t i;
 
-	if (!m->changed)
-		return;
-	m->changed = false;
 	m->serving = xreallocarray(m->serving, m->n, sizeof(*m->serving));
 	m->n_serving = 0;
 	for (i = 0; i < m->n; i++) {
-		const struct instance *member = &m->all[i];
+		const struct instance *in = &m->all[i];
 
-		if ((member->state != MEMBER_ALIVE &&
-		     member->state != MEMBER_SUSPECT) ||
-		    !member->n_addresses)
+		if ((in->state != MEMBER_ALIVE &&
+		     in->state != MEMBER_SUSPECT) ||
+		    !in->n_addresses)
 			continue;
 		m->serving[m->n_serving++] = (struct shard_member){
-			.id = member->id,
-			.zone = zone_id(member->zone),
-			.state = member->state,
+			.id = in->id,
+			.zone = zone_id(in->zone),
+			.state = in->state,
 		};
 	}
 	qsort(m->serving, m->n_serving, sizeof(*m->serving), compare_serving);
-	orgs = xcalloc(n_orgs, sizeof(*orgs));
-	for (i = 0; i < n_orgs; i++) {
+}
+
+/* Begins the next plan. */
+static void plan_begin(struct entryd *e)
+{
+	struct members *m = e->members;
+	struct shards *s = &m->next;
+	const struct config *c = e->config;
+	size_t i;
+
+	m->replan = false;
+	s->n_orgs = c ? c->n_organisations : 0;
+	s->orgs = xreallocarray(s->orgs, s->n_orgs, sizeof(*s->orgs));
+	for (i = 0; i < s->n_orgs; i++) {
 		const struct config_organisation *o = &c->organisations[i];
 
-		orgs[i].key = name_id(o->name);
-		orgs[i].weight = (uint32_t)(o->weight * WEIGHT_UNIT);
-		orgs[i].size = (uint16_t)o->shard_size;
+		s->orgs[i] = (struct shard_org){
+			.key = name_id(o->name),
+			.weight = (uint32_t)(o->weight * WEIGHT_UNIT),
+			.size = (uint16_t)o->shard_size,
+		};
 	}
-	if (shard_plan_build(&m->plan, m->serving, m->n_serving, orgs,
-			     n_orgs) == SHARD_TOO_LARGE)
+	switch (shard_plan_begin(&s->plan, m->serving, m->n_serving, s->orgs,
+				 s->n_orgs)) {
+	case SHARD_OK:
+		m->building = true;
+		return;
+	case SHARD_NO_MEMBERS:
+		return; /* callers go on with the plan that was there */
+	case SHARD_TOO_LARGE:
 		log_msg(LOG_ERR, "shards", NULL,
 			"%zu instances are too many for the shards to be "
-			"worked out; callers get no entries",
+			"worked out; the ones before stay",
 			m->n_serving);
-	free(orgs);
+		return;
+	}
+}
+
+/* Builds the next plan on; once complete it is the one in use. */
+static void plan_step(struct members *m, unsigned steps)
+{
+	struct shards swap;
+
+	while (steps--) {
+		if (!shard_plan_step(&m->next.plan, m->next.orgs))
+			continue;
+		swap = m->now;
+		m->now = m->next;
+		m->next = swap;
+		m->building = false;
+		return;
+	}
+}
+
+/* Frees what a plan and its organisations take. */
+static void shards_release(struct shards *s)
+{
+	shard_plan_free(&s->plan);
+	free(s->orgs);
+}
+
+/* Returns the index of an organisation in a plan, which may be older than the
+ * configuration; n_orgs if it is not there. */
+static size_t shards_index(const struct shards *s, const struct org *org)
+{
+	size_t i = org->config_index;
+
+	if (i < s->n_orgs && s->orgs[i].key == org->id)
+		return i;
+	for (i = 0; i < s->n_orgs && s->orgs[i].key != org->id; i++)
+		;
+	return i;
 }
 
 /* Orders by zone, then id. */
--- a/entryd/orgs.c
+++ b/entryd/orgs.c
@@ -201,7 +201,7 @@
 			struct share_member *members, size_t *self)
 {
 	uint64_t ids[ORG_PEERS_MAX];
-	size_t n = members_shard(e, o->config_index, ids, ORG_PEERS_MAX);
+	size_t n = members_shard(e, o, ids, ORG_PEERS_MAX);
 	size_t i;
 
 	*self = n;
