emulator: smaller files

The settings' table has a file of its own, and a mapping of the fault proxy is apart from the connections through it. cdmload reads its numbers by a table. No change of behaviour; contract and integration tests pass, those of the engine, the proxy, the caller and the load tool under sanitizers too.

--- a/emulator/caller.c
+++ b/emulator/caller.c
@@ -28,6 +28,9 @@
 	const struct caller_ops *ops;
 	void *arg;
 	struct caller_options options;
+	char *key; /* the options' own copies */
+	char *model;
+	char *prompt;
 	struct caller_result result;
 	uv_timer_t timer;
 	struct httpc_req *req;
@@ -71,7 +74,7 @@
 static void begin_exchange(struct caller *c);
 static void refused(struct caller *c);
 static void cut(struct caller *c);
-static void wait_then(struct caller *c, uv_timer_cb then, uint64_t ms);
+static void try_again(struct caller *c, uint64_t ms);
 static void on_retry(uv_timer_t *timer);
 static void finish(struct caller *c, enum caller_outcome outcome);
 static void release(uv_handle_t *timer);
@@ -100,9 +103,9 @@
 	c->ops = ops;
 	c->arg = arg;
 	c->options = *options;
-	c->options.key = xstrdup(options->key);
-	c->options.model = xstrdup(options->model);
-	c->options.prompt = xstrdup(options->prompt);
+	c->options.key = c->key = xstrdup(options->key);
+	c->options.model = c->model = xstrdup(options->model);
+	c->options.prompt = c->prompt = xstrdup(options->prompt);
 	c->next_address = options->first_address;
 	c->result.first_token_ms = -1;
 	c->result.prompt_tokens =
@@ -444,8 +447,7 @@
 		return;
 	}
 	c->result.refusals++;
-	wait_then(c, on_retry,
-		  (uint64_t)(wait < RETRY_MAX_MS ? wait : RETRY_MAX_MS));
+	try_again(c, (uint64_t)(wait < RETRY_MAX_MS ? wait : RETRY_MAX_MS));
 }
 
 /* The connection broke: goes on at another address, or ends. */
@@ -456,13 +458,13 @@
 		return;
 	}
 	c->result.reconnects++;
-	wait_then(c, on_retry, RECONNECT_WAIT_MS);
+	try_again(c, RECONNECT_WAIT_MS);
 }
 
-/* Does something later. */
-static void wait_then(struct caller *c, uv_timer_cb then, uint64_t ms)
+/* Tries again later. */
+static void try_again(struct caller *c, uint64_t ms)
 {
-	uv_timer_start(&c->timer, then, ms, 0);
+	uv_timer_start(&c->timer, on_retry, ms, 0);
 }
 
 /* Tries the next address; when all were tried, asks for the entries anew. */
@@ -496,9 +498,9 @@
 
 	drop_entries(c);
 	sse_release(&c->sse);
-	free((char *)c->options.key);
-	free((char *)c->options.model);
-	free((char *)c->options.prompt);
+	free(c->key);
+	free(c->model);
+	free(c->prompt);
 	free(c->cursor);
 	free(c->text);
 	free(c->error);
--- a/emulator/fault_link.c
+++ b/emulator/fault_link.c
@@ -7,30 +7,14 @@
  */
 #include "emulator/fault_link.h"
 
-#include <limits.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/queue.h>
 
 #include "lib/settings.h"
 #include "lib/xalloc.h"
 
 #define READ_BYTES 65536
 #define QUEUE_MAX_BYTES (1u << 20) /* a direction reads no more than this */
-#define TICK_MS 1
-
-enum fault_mode {
-	MODE_PASS,
-	MODE_CUT,
-	MODE_FREEZE,
-	MODE_DROP_UP,
-	MODE_DROP_DOWN,
-};
-
-static const char *const mode_names[] = {
-	"pass", "cut", "freeze", "drop-up", "drop-down", NULL,
-};
 
 /* Bytes on their way; a chunk of no bytes is the end of the stream. */
 struct chunk {
@@ -42,57 +26,9 @@
 	char data[];
 };
 
-struct direction {
-	struct fault_link *owner;
-	uv_tcp_t *from;
-	uv_tcp_t *to;
-	bool down; /* towards the caller */
-	bool reading;
-	bool ended; /* its end was read */
-	bool shut; /* its end was passed on */
-	size_t queued; /* bytes kept or being written */
-	size_t writing; /* writes not finished */
-	uv_shutdown_t shutdown;
-	STAILQ_HEAD(chunk_queue, chunk) chunks;
-};
-
-struct fault_link {
-	TAILQ_ENTRY(fault_link) link;
-	struct fault_mapping *mapping;
-	uv_tcp_t caller;
-	uv_tcp_t target;
-	uv_connect_t connect;
-	struct direction directions[2]; /* up, down */
-	bool connecting;
-	bool connected;
-	bool closing;
-	bool reset_when_written;
-	int open_handles;
-};
-
-struct fault_mapping {
-	char *address;
-	char *target;
-	uv_loop_t *loop;
-	uv_tcp_t *listener; /* NULL while connections are refused */
-	uv_timer_t tick;
-	enum fault_mode mode;
-	double delay_ms;
-	int64_t reset_after; /* bytes down that are left; 0: never */
-	uint64_t accepted;
-	uint64_t bytes_up;
-	uint64_t bytes_down;
-	TAILQ_HEAD(link_list, fault_link) links;
-};
-
-static bool listen_now(struct fault_mapping *m, char *err, size_t err_size);
-static void stop_listening(struct fault_mapping *m);
-static void on_listener_closed(uv_handle_t *h);
-static void on_connection(uv_stream_t *server, int status);
 static void connect_target(struct fault_link *l);
 static void on_connected(uv_connect_t *connect, int status);
 static bool is_silent(const struct direction *d);
-static void update(struct fault_link *l);
 static void update_direction(struct direction *d);
 static void on_alloc(uv_handle_t *h, size_t size, uv_buf_t *buf);
 static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf);
@@ -101,190 +37,16 @@
 static void write_chunk(struct direction *d, struct chunk *c);
 static void limit_down(struct direction *d, struct chunk *c);
 static void on_written(uv_write_t *write, int status);
-static void reset_link(struct fault_link *l);
 static void close_link(struct fault_link *l);
 static void on_end_closed(uv_handle_t *h);
 static void drop_chunks(struct direction *d);
-static void reset_all(struct fault_mapping *m);
-static void on_tick(uv_timer_t *timer);
-static int mode_of(const json_t *value);
-
-/* Makes a mapping; NULL if an address is malformed. */
-struct fault_mapping *fault_mapping_new(const char *address, const char *target)
-{
-	struct fault_mapping *m;
-	char host[64];
-	uint16_t port;
-
-	if (!address_parse(address, host, sizeof(host), &port) ||
-	    !address_parse(target, host, sizeof(host), &port))
-		return NULL;
-	m = xcalloc(1, sizeof(*m));
-	m->address = xstrdup(address);
-	m->target = xstrdup(target);
-	TAILQ_INIT(&m->links);
-	return m;
-}
-
-/* Begins to listen. */
-bool fault_mapping_open(struct fault_mapping *m, uv_loop_t *loop, char *err,
-			size_t err_size)
-{
-	m->loop = loop;
-	uv_timer_init(loop, &m->tick);
-	m->tick.data = m;
-	return listen_now(m, err, err_size);
-}
-
-/* Closes the listener and all connections. */
-void fault_mapping_close(struct fault_mapping *m)
-{
-	if (!m->loop)
-		return;
-	stop_listening(m);
-	reset_all(m);
-	uv_close((uv_handle_t *)&m->tick, NULL);
-}
-
-/* Frees a mapping whose handles the loop has closed. */
-void fault_mapping_free(struct fault_mapping *m)
-{
-	free(m->address);
-	free(m->target);
-	free(m);
-}
 
-/* Returns the address that a mapping listens at. */
-const char *fault_mapping_address(const struct fault_mapping *m)
+/* Accepts a connection of a mapping. */
+void fault_link_accept(struct fault_mapping *m)
 {
-	return m->address;
-}
-
-/* Checks settings before any of them is put in force. */
-bool fault_settings_check(const json_t *settings, char *err, size_t err_size)
-{
-	json_t *copy = json_is_object(settings) ? json_deep_copy(settings)
-						: NULL;
-	const char *name;
-	json_t *value;
-	bool good = copy != NULL;
-
-	if (!good)
-		snprintf(err, err_size, "a mapping's settings are an object");
-	json_object_foreach(copy, name, value)
-	{
-		bool allowed = json_is_number(value) &&
-			       json_number_value(value) >= 0;
-
-		if (strcmp(name, "mode") == 0)
-			allowed = mode_of(value) >= 0;
-		else if (strcmp(name, "reset") == 0)
-			allowed = json_is_boolean(value);
-		else if (strcmp(name, "delay_ms") != 0 &&
-			 strcmp(name, "reset_after_bytes") != 0)
-			allowed = false;
-		if (!allowed)
-			snprintf(err, err_size,
-				 "%s: no such setting, or not such a value",
-				 name);
-		good = good && allowed;
-	}
-	json_decref(copy);
-	return good;
-}
-
-/* Puts checked settings in force. */
-void fault_mapping_apply(struct fault_mapping *m, const json_t *settings)
-{
-	const json_t *mode = json_object_get(settings, "mode");
-	const json_t *delay = json_object_get(settings, "delay_ms");
-	const json_t *after = json_object_get(settings, "reset_after_bytes");
-	struct fault_link *l;
-	char err[256];
-
-	if (delay)
-		m->delay_ms = json_number_value(delay);
-	if (after)
-		m->reset_after = (int64_t)json_number_value(after);
-	if (mode)
-		m->mode = (enum fault_mode)mode_of(mode);
-	if (json_is_true(json_object_get(settings, "reset")) ||
-	    m->mode == MODE_CUT)
-		reset_all(m);
-	if (m->mode == MODE_CUT)
-		stop_listening(m);
-	else
-		listen_now(m, err, sizeof(err));
-	TAILQ_FOREACH(l, &m->links, link)
-	update(l);
-}
-
-/* Returns a mapping's settings and counts. */
-json_t *fault_mapping_state(const struct fault_mapping *m)
-{
-	const struct fault_link *l;
-	json_int_t open = 0;
-
-	TAILQ_FOREACH(l, &m->links, link)
-	open += !l->closing;
-	return json_pack("{s:s, s:s, s:f, s:I, s:I, s:I, s:I, s:I}", "target",
-			 m->target, "mode", mode_names[m->mode], "delay_ms",
-			 m->delay_ms, "reset_after_bytes",
-			 (json_int_t)m->reset_after, "accepted",
-			 (json_int_t)m->accepted, "open", open, "bytes_up",
-			 (json_int_t)m->bytes_up, "bytes_down",
-			 (json_int_t)m->bytes_down);
-}
-
-/* Listens, unless the mapping does so already. */
-static bool listen_now(struct fault_mapping *m, char *err, size_t err_size)
-{
-	struct sockaddr_in sin;
-	char host[64];
-	uint16_t port;
-	int rc;
-
-	if (m->listener)
-		return true;
-	address_parse(m->address, host, sizeof(host), &port);
-	uv_ip4_addr(host, port, &sin);
-	m->listener = xcalloc(1, sizeof(*m->listener));
-	uv_tcp_init(m->loop, m->listener);
-	m->listener->data = m;
-	rc = uv_tcp_bind(m->listener, (const struct sockaddr *)&sin, 0);
-	if (!rc)
-		rc = uv_listen((uv_stream_t *)m->listener, 1024, on_connection);
-	if (!rc)
-		return true;
-	snprintf(err, err_size, "listening on %s: %s", m->address,
-		 uv_strerror(rc));
-	stop_listening(m);
-	return false;
-}
-
-/* Refuses connections from now on. */
-static void stop_listening(struct fault_mapping *m)
-{
-	if (m->listener)
-		uv_close((uv_handle_t *)m->listener, on_listener_closed);
-	m->listener = NULL;
-}
-
-/* Frees a listener. */
-static void on_listener_closed(uv_handle_t *h)
-{
-	free(h);
-}
-
-/* Accepts a connection. */
-static void on_connection(uv_stream_t *server, int status)
-{
-	struct fault_mapping *m = server->data;
 	struct fault_link *l;
 	int i;
 
-	if (status < 0)
-		return;
 	l = xcalloc(1, sizeof(*l));
 	l->mapping = m;
 	uv_tcp_init(m->loop, &l->caller);
@@ -300,12 +62,13 @@
 	}
 	TAILQ_INSERT_TAIL(&m->links, l, link);
 	m->accepted++;
-	if (uv_accept(server, (uv_stream_t *)&l->caller) < 0) {
+	if (uv_accept((uv_stream_t *)m->listener, (uv_stream_t *)&l->caller) <
+	    0) {
 		close_link(l);
 		return;
 	}
 	uv_tcp_nodelay(&l->caller, 1);
-	update(l);
+	fault_link_update(l);
 }
 
 /* Begins the connection to the target. */
@@ -320,7 +83,7 @@
 	uv_ip4_addr(host, port, &sin);
 	if (uv_tcp_connect(&l->connect, &l->target,
 			   (const struct sockaddr *)&sin, on_connected) < 0)
-		reset_link(l);
+		fault_link_reset(l);
 }
 
 /* The connection to the target stands or failed. */
@@ -331,12 +94,12 @@
 	if (l->closing)
 		return;
 	if (status < 0) {
-		reset_link(l);
+		fault_link_reset(l);
 		return;
 	}
 	l->connected = true;
 	uv_tcp_nodelay(&l->target, 1);
-	update(l);
+	fault_link_update(l);
 }
 
 /* Tells whether a direction passes nothing on now. */
@@ -357,7 +120,7 @@
 }
 
 /* Brings a connection in line with the mapping's mode. */
-static void update(struct fault_link *l)
+void fault_link_update(struct fault_link *l)
 {
 	if (l->closing)
 		return;
@@ -403,7 +166,7 @@
 	if (n == 0 || l->closing)
 		return;
 	if (n < 0 && n != UV_EOF) {
-		reset_link(l);
+		fault_link_reset(l);
 		return;
 	}
 	if (n == UV_EOF) {
@@ -427,8 +190,8 @@
 	memcpy(c->data, data, len);
 	STAILQ_INSERT_TAIL(&d->chunks, c, link);
 	d->queued += len;
-	if (m->delay_ms > 0 && !uv_is_active((uv_handle_t *)&m->tick))
-		uv_timer_start(&m->tick, on_tick, TICK_MS, TICK_MS);
+	if (m->delay_ms > 0)
+		fault_mapping_tick(m);
 }
 
 /* Writes the chunks that are due. */
@@ -470,7 +233,7 @@
 	    0) {
 		d->writing--;
 		free(c);
-		reset_link(d->owner);
+		fault_link_reset(d->owner);
 	}
 }
 
@@ -504,7 +267,7 @@
 	if (l->closing)
 		return;
 	if (status < 0 || (l->reset_when_written && d->down && !d->writing)) {
-		reset_link(l);
+		fault_link_reset(l);
 		return;
 	}
 	if (l->directions[0].shut && l->directions[1].shut &&
@@ -515,7 +278,7 @@
 }
 
 /* Resets both ends. */
-static void reset_link(struct fault_link *l)
+void fault_link_reset(struct fault_link *l)
 {
 	if (l->closing)
 		return;
@@ -559,40 +322,3 @@
 		free(c);
 	}
 }
-
-/* Resets every connection of a mapping. */
-static void reset_all(struct fault_mapping *m)
-{
-	struct fault_link *l;
-
-	TAILQ_FOREACH(l, &m->links, link)
-	reset_link(l);
-}
-
-/* Passes on what was delayed. */
-static void on_tick(uv_timer_t *timer)
-{
-	struct fault_mapping *m = timer->data;
-	struct fault_link *l;
-	bool waiting = false;
-
-	TAILQ_FOREACH(l, &m->links, link)
-	{
-		update(l);
-		waiting = waiting || !STAILQ_EMPTY(&l->directions[0].chunks) ||
-			  !STAILQ_EMPTY(&l->directions[1].chunks);
-	}
-	if (!waiting && m->delay_ms <= 0)
-		uv_timer_stop(timer);
-}
-
-/* Returns the mode that a value names, or -1. */
-static int mode_of(const json_t *value)
-{
-	int i;
-
-	for (i = 0; json_is_string(value) && mode_names[i]; i++)
-		if (strcmp(json_string_value(value), mode_names[i]) == 0)
-			return i;
-	return -1;
-}
--- a/emulator/fault_link.h
+++ b/emulator/fault_link.h
@@ -3,23 +3,68 @@
 
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
+#include <sys/queue.h>
 
-#include <jansson.h>
 #include <uv.h>
 
-/* A listening address whose connections are carried on to a target, and the
- * faults that they meet. */
-struct fault_mapping;
-
-struct fault_mapping *fault_mapping_new(const char *address,
-					const char *target);
-bool fault_mapping_open(struct fault_mapping *m, uv_loop_t *loop, char *err,
-			size_t err_size);
-void fault_mapping_close(struct fault_mapping *m);
-void fault_mapping_free(struct fault_mapping *m);
-const char *fault_mapping_address(const struct fault_mapping *m);
-bool fault_settings_check(const json_t *settings, char *err, size_t err_size);
-void fault_mapping_apply(struct fault_mapping *m, const json_t *settings);
-json_t *fault_mapping_state(const struct fault_mapping *m);
+struct chunk;
+struct fault_link;
+
+enum fault_mode {
+	MODE_PASS,
+	MODE_CUT,
+	MODE_FREEZE,
+	MODE_DROP_UP,
+	MODE_DROP_DOWN,
+};
+
+struct direction {
+	struct fault_link *owner;
+	uv_tcp_t *from;
+	uv_tcp_t *to;
+	bool down; /* towards the caller */
+	bool reading;
+	bool ended; /* its end was read */
+	bool shut; /* its end was passed on */
+	size_t queued; /* bytes kept or being written */
+	size_t writing; /* writes not finished */
+	uv_shutdown_t shutdown;
+	STAILQ_HEAD(chunk_queue, chunk) chunks;
+};
+
+struct fault_link {
+	TAILQ_ENTRY(fault_link) link;
+	struct fault_mapping *mapping;
+	uv_tcp_t caller;
+	uv_tcp_t target;
+	uv_connect_t connect;
+	struct direction directions[2]; /* up, down */
+	bool connecting;
+	bool connected;
+	bool closing;
+	bool reset_when_written;
+	int open_handles;
+};
+
+struct fault_mapping {
+	char *address;
+	char *target;
+	uv_loop_t *loop;
+	uv_tcp_t *listener; /* NULL while connections are refused */
+	uv_timer_t tick;
+	enum fault_mode mode;
+	double delay_ms;
+	int64_t reset_after; /* bytes down that are left; 0: never */
+	uint64_t accepted;
+	uint64_t bytes_up;
+	uint64_t bytes_down;
+	TAILQ_HEAD(link_list, fault_link) links;
+};
+
+void fault_link_accept(struct fault_mapping *m);
+void fault_link_update(struct fault_link *l);
+void fault_link_reset(struct fault_link *l);
+void fault_mapping_tick(struct fault_mapping *m);
 
 #endif /* EMULATOR_FAULT_LINK_H */
--- /dev/null
+++ b/emulator/fault_mapping.c
@@ -0,0 +1,244 @@
+/*
+ * Mappings of the fault proxy: their listeners, and the faults that are set.
+ */
+#include "emulator/fault_mapping.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "emulator/fault_link.h"
+#include "lib/settings.h"
+#include "lib/xalloc.h"
+
+#define TICK_MS 1
+
+static const char *const mode_names[] = {
+	"pass", "cut", "freeze", "drop-up", "drop-down", NULL,
+};
+
+static bool listen_now(struct fault_mapping *m, char *err, size_t err_size);
+static void stop_listening(struct fault_mapping *m);
+static void on_listener_closed(uv_handle_t *h);
+static void on_connection(uv_stream_t *server, int status);
+static void reset_all(struct fault_mapping *m);
+static void on_tick(uv_timer_t *timer);
+static int mode_of(const json_t *value);
+
+/* Makes a mapping; NULL if an address is malformed. */
+struct fault_mapping *fault_mapping_new(const char *address, const char *target)
+{
+	struct fault_mapping *m;
+	char host[64];
+	uint16_t port;
+
+	if (!address_parse(address, host, sizeof(host), &port) ||
+	    !address_parse(target, host, sizeof(host), &port))
+		return NULL;
+	m = xcalloc(1, sizeof(*m));
+	m->address = xstrdup(address);
+	m->target = xstrdup(target);
+	TAILQ_INIT(&m->links);
+	return m;
+}
+
+/* Begins to listen. */
+bool fault_mapping_open(struct fault_mapping *m, uv_loop_t *loop, char *err,
+			size_t err_size)
+{
+	m->loop = loop;
+	uv_timer_init(loop, &m->tick);
+	m->tick.data = m;
+	return listen_now(m, err, err_size);
+}
+
+/* Closes the listener and all connections. */
+void fault_mapping_close(struct fault_mapping *m)
+{
+	if (!m->loop)
+		return;
+	stop_listening(m);
+	reset_all(m);
+	uv_close((uv_handle_t *)&m->tick, NULL);
+}
+
+/* Frees a mapping whose handles the loop has closed. */
+void fault_mapping_free(struct fault_mapping *m)
+{
+	free(m->address);
+	free(m->target);
+	free(m);
+}
+
+/* Returns the address that a mapping listens at. */
+const char *fault_mapping_address(const struct fault_mapping *m)
+{
+	return m->address;
+}
+
+/* Checks settings before any of them is put in force. */
+bool fault_settings_check(const json_t *settings, char *err, size_t err_size)
+{
+	json_t *copy = json_is_object(settings) ? json_deep_copy(settings)
+						: NULL;
+	const char *name;
+	json_t *value;
+	bool good = copy != NULL;
+
+	if (!good)
+		snprintf(err, err_size, "a mapping's settings are an object");
+	json_object_foreach(copy, name, value)
+	{
+		bool allowed = json_is_number(value) &&
+			       json_number_value(value) >= 0;
+
+		if (strcmp(name, "mode") == 0)
+			allowed = mode_of(value) >= 0;
+		else if (strcmp(name, "reset") == 0)
+			allowed = json_is_boolean(value);
+		else if (strcmp(name, "delay_ms") != 0 &&
+			 strcmp(name, "reset_after_bytes") != 0)
+			allowed = false;
+		if (!allowed)
+			snprintf(err, err_size,
+				 "%s: no such setting, or not such a value",
+				 name);
+		good = good && allowed;
+	}
+	json_decref(copy);
+	return good;
+}
+
+/* Puts checked settings in force. */
+void fault_mapping_apply(struct fault_mapping *m, const json_t *settings)
+{
+	const json_t *mode = json_object_get(settings, "mode");
+	const json_t *delay = json_object_get(settings, "delay_ms");
+	const json_t *after = json_object_get(settings, "reset_after_bytes");
+	struct fault_link *l;
+	char err[256];
+
+	if (delay)
+		m->delay_ms = json_number_value(delay);
+	if (after)
+		m->reset_after = (int64_t)json_number_value(after);
+	if (mode)
+		m->mode = (enum fault_mode)mode_of(mode);
+	if (json_is_true(json_object_get(settings, "reset")) ||
+	    m->mode == MODE_CUT)
+		reset_all(m);
+	if (m->mode == MODE_CUT)
+		stop_listening(m);
+	else
+		listen_now(m, err, sizeof(err));
+	TAILQ_FOREACH(l, &m->links, link)
+	fault_link_update(l);
+}
+
+/* Returns a mapping's settings and counts. */
+json_t *fault_mapping_state(const struct fault_mapping *m)
+{
+	const struct fault_link *l;
+	json_int_t open = 0;
+
+	TAILQ_FOREACH(l, &m->links, link)
+	open += !l->closing;
+	return json_pack("{s:s, s:s, s:f, s:I, s:I, s:I, s:I, s:I}", "target",
+			 m->target, "mode", mode_names[m->mode], "delay_ms",
+			 m->delay_ms, "reset_after_bytes",
+			 (json_int_t)m->reset_after, "accepted",
+			 (json_int_t)m->accepted, "open", open, "bytes_up",
+			 (json_int_t)m->bytes_up, "bytes_down",
+			 (json_int_t)m->bytes_down);
+}
+
+/* Listens, unless the mapping does so already. */
+static bool listen_now(struct fault_mapping *m, char *err, size_t err_size)
+{
+	struct sockaddr_in sin;
+	char host[64];
+	uint16_t port;
+	int rc;
+
+	if (m->listener)
+		return true;
+	address_parse(m->address, host, sizeof(host), &port);
+	uv_ip4_addr(host, port, &sin);
+	m->listener = xcalloc(1, sizeof(*m->listener));
+	uv_tcp_init(m->loop, m->listener);
+	m->listener->data = m;
+	rc = uv_tcp_bind(m->listener, (const struct sockaddr *)&sin, 0);
+	if (!rc)
+		rc = uv_listen((uv_stream_t *)m->listener, 1024, on_connection);
+	if (!rc)
+		return true;
+	snprintf(err, err_size, "listening on %s: %s", m->address,
+		 uv_strerror(rc));
+	stop_listening(m);
+	return false;
+}
+
+/* Refuses connections from now on. */
+static void stop_listening(struct fault_mapping *m)
+{
+	if (m->listener)
+		uv_close((uv_handle_t *)m->listener, on_listener_closed);
+	m->listener = NULL;
+}
+
+/* Frees a listener. */
+static void on_listener_closed(uv_handle_t *h)
+{
+	free(h);
+}
+
+/* Somebody connects. */
+static void on_connection(uv_stream_t *server, int status)
+{
+	if (status == 0)
+		fault_link_accept(server->data);
+}
+
+/* Looks again and again for bytes whose delay is over. */
+void fault_mapping_tick(struct fault_mapping *m)
+{
+	if (!uv_is_active((uv_handle_t *)&m->tick))
+		uv_timer_start(&m->tick, on_tick, TICK_MS, TICK_MS);
+}
+
+/* Resets every connection of a mapping. */
+static void reset_all(struct fault_mapping *m)
+{
+	struct fault_link *l;
+
+	TAILQ_FOREACH(l, &m->links, link)
+	fault_link_reset(l);
+}
+
+/* Passes on what was delayed. */
+static void on_tick(uv_timer_t *timer)
+{
+	struct fault_mapping *m = timer->data;
+	struct fault_link *l;
+	bool waiting = false;
+
+	TAILQ_FOREACH(l, &m->links, link)
+	{
+		fault_link_update(l);
+		waiting = waiting || !STAILQ_EMPTY(&l->directions[0].chunks) ||
+			  !STAILQ_EMPTY(&l->directions[1].chunks);
+	}
+	if (!waiting && m->delay_ms <= 0)
+		uv_timer_stop(timer);
+}
+
+/* Returns the mode that a value names, or -1. */
+static int mode_of(const json_t *value)
+{
+	int i;
+
+	for (i = 0; json_is_string(value) && mode_names[i]; i++)
+		if (strcmp(json_string_value(value), mode_names[i]) == 0)
+			return i;
+	return -1;
+}
--- a/emulator/faultd.c
+++ b/emulator/faultd.c
@@ -13,7 +13,7 @@
 #include <jansson.h>
 #include <uv.h>
 
-#include "emulator/fault_link.h"
+#include "emulator/fault_mapping.h"
 #include "lib/httpd.h"
 #include "lib/log.h"
 #include "lib/xalloc.h"
--- a/emulator/loadgen.c
+++ b/emulator/loadgen.c
@@ -78,6 +78,7 @@
 };
 
 static error_t parse_option(int key, char *arg, struct argp_state *state);
+static error_t parse_number(int key, char *arg, struct argp_state *state);
 static uint64_t number(const char *arg, struct argp_state *state);
 static void add_name(const char **names, size_t *n, const char *name,
 		     struct argp_state *state);
@@ -142,36 +143,6 @@
 	case 'm':
 		l->model = arg;
 		break;
-	case 'n':
-		l->callers = number(arg, state);
-		break;
-	case 'r':
-		l->requests = number(arg, state);
-		break;
-	case 'd':
-		l->duration_ms = number(arg, state);
-		break;
-	case KEY_MAX_TOKENS:
-		l->max_tokens = number(arg, state);
-		break;
-	case KEY_PROMPT_BYTES:
-		l->prompt_bytes = number(arg, state);
-		break;
-	case KEY_REFUSALS:
-		l->refusals_max = number(arg, state);
-		break;
-	case KEY_RECONNECTS:
-		l->reconnects_max = number(arg, state);
-		break;
-	case KEY_SILENCE_MS:
-		l->silence_ms = number(arg, state);
-		break;
-	case KEY_RAMP_MS:
-		l->ramp_ms = number(arg, state);
-		break;
-	case KEY_SEED:
-		l->seed = number(arg, state);
-		break;
 	case KEY_AT:
 		if (!experiment_add_action(&l->experiment, arg))
 			argp_error(state, "%s: not MS,ADDRESS,JSON", arg);
@@ -186,11 +157,42 @@
 					  "needed (-e, -k, -m)");
 		break;
 	default:
-		return ARGP_ERR_UNKNOWN;
+		return parse_number(key, arg, state);
 	}
 	return 0;
 }
 
+/* Handles an option whose value is a whole number. */
+static error_t parse_number(int key, char *arg, struct argp_state *state)
+{
+#define FIELD(name) offsetof(struct load, name)
+	static const struct {
+		int key;
+		size_t offset;
+	} numbers[] = {
+		{ 'n', FIELD(callers) },
+		{ 'r', FIELD(requests) },
+		{ 'd', FIELD(duration_ms) },
+		{ KEY_MAX_TOKENS, FIELD(max_tokens) },
+		{ KEY_PROMPT_BYTES, FIELD(prompt_bytes) },
+		{ KEY_REFUSALS, FIELD(refusals_max) },
+		{ KEY_RECONNECTS, FIELD(reconnects_max) },
+		{ KEY_SILENCE_MS, FIELD(silence_ms) },
+		{ KEY_RAMP_MS, FIELD(ramp_ms) },
+		{ KEY_SEED, FIELD(seed) },
+	};
+	char *load = state->input;
+	size_t i;
+
+	for (i = 0; i < sizeof(numbers) / sizeof(numbers[0]); i++) {
+		if (numbers[i].key != key)
+			continue;
+		*(uint64_t *)(load + numbers[i].offset) = number(arg, state);
+		return 0;
+	}
+	return ARGP_ERR_UNKNOWN;
+}
+
 /* Reads a whole number, or ends with a message. */
 static uint64_t number(const char *arg, struct argp_state *state)
 {
--- a/emulator/standin.c
+++ b/emulator/standin.c
@@ -1,7 +1,6 @@
 /*
- * What all stand-ins share: their command line, their control interface and
- * their life.  One table of settings serves as long options at the start and
- * as the keys of POST /control afterwards.
+ * What all stand-ins share: their command line, their control interface,
+ * requests that wait, and a graceful stop.
  */
 #include "emulator/standin.h"
 
@@ -12,6 +11,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "emulator/standin_settings.h"
 #include "lib/counters.h"
 #include "lib/log.h"
 #include "lib/xalloc.h"
@@ -19,7 +19,6 @@
 #define MAX_BODY_BYTES (8u << 20)
 #define STOP_POLL_MS 20
 #define HELD_POLL_MS 1
-#define FIRST_SETTING_KEY 0x200
 
 const char *argp_program_version = "cardamomknot 0.1";
 
@@ -33,18 +32,6 @@
 };
 
 static error_t parse_option(int key, char *arg, struct argp_state *state);
-static struct argp_option *make_options(const struct standin *s);
-static void free_options(struct argp_option *options);
-static json_t *value_of_argument(const struct standin_setting *d,
-				 const char *arg);
-static const struct standin_setting *find_setting(const struct standin *s,
-						  const char *name);
-static bool value_allowed(const struct standin_setting *d, const json_t *value);
-static bool set_value(const struct standin *s, const struct standin_setting *d,
-		      const json_t *value, char *err, size_t err_size);
-static int choice_index(const struct standin_setting *d, const json_t *value);
-static json_t *get_value(const struct standin *s,
-			 const struct standin_setting *d);
 static void gather_routes(struct standin *s);
 static struct httpd *open_server(struct standin *s, const char *address);
 static void handle_control(struct httpd_req *req, void *arg);
@@ -71,7 +58,7 @@
 int standin_run(struct standin *s, int argc, char **argv)
 {
 	struct argp argp = { .parser = parse_option, .doc = s->doc };
-	struct argp_option *options = make_options(s);
+	struct argp_option *options = standin_make_options(s);
 	uv_loop_t *loop = uv_default_loop();
 	size_t i;
 
@@ -79,7 +66,7 @@
 	signal(SIGPIPE, SIG_IGN);
 	log_open(s->program, LOG_INFO);
 	argp_parse(&argp, argc, argv, 0, NULL, s);
-	free_options(options);
+	standin_free_options(options);
 	s->loop = loop;
 	for (i = 0; i < 2; i++) {
 		uv_signal_init(loop, &s->signals[i]);
@@ -275,175 +262,15 @@
 	if (key < FIRST_SETTING_KEY || key >= FIRST_SETTING_KEY + 0x100)
 		return ARGP_ERR_UNKNOWN;
 	d = &s->settings[key - FIRST_SETTING_KEY];
-	value = value_of_argument(d, arg);
-	good = value && value_allowed(d, value) &&
-	       set_value(s, d, value, err, sizeof(err));
+	value = standin_argument(d, arg);
+	good = value && standin_allows(d, value) &&
+	       standin_set(s, d, value, err, sizeof(err));
 	json_decref(value);
 	if (!good)
 		argp_error(state, "%s: \"%s\" is not allowed", d->name, arg);
 	return 0;
 }
 
-/* Makes the table of options: the addresses, then the settings. */
-static struct argp_option *make_options(const struct standin *s)
-{
-	static const struct argp_option fixed[] = {
-		{ "listen", 'l', "ADDRESS", 0, "Serve at a.b.c.d:port", 0 },
-		{ "control", 'c', "ADDRESS", 0,
-		  "Take control requests also at a.b.c.d:port", 0 },
-	};
-	size_t n = 0;
-	size_t used = sizeof(fixed) / sizeof(fixed[0]);
-	struct argp_option *options;
-	size_t i;
-
-	while (s->settings[n].name)
-		n++;
-	options = xcalloc(n + used + 1, sizeof(*options));
-	memcpy(options, fixed, sizeof(fixed));
-	for (i = 0; i < n; i++) {
-		char *name;
-		char *p;
-
-		if (s->settings[i].type == STANDIN_ACTION)
-			continue;
-		name = xstrdup(s->settings[i].name);
-		for (p = name; *p; p++)
-			if (*p == '_')
-				*p = '-';
-		options[used++] = (struct argp_option){
-			.name = name,
-			.key = FIRST_SETTING_KEY + (int)i,
-			.arg = "VALUE",
-			.doc = s->settings[i].help,
-		};
-	}
-	return options;
-}
-
-/* Frees the table; its names are copies, but for those of the addresses. */
-static void free_options(struct argp_option *options)
-{
-	size_t i;
-
-	for (i = 0; options[i].key; i++)
-		if (options[i].key >= FIRST_SETTING_KEY)
-			free((char *)options[i].name);
-	free(options);
-}
-
-/* Turns an option's argument into the JSON value that it stands for, or
- * returns NULL. */
-static json_t *value_of_argument(const struct standin_setting *d,
-				 const char *arg)
-{
-	if (d->type == STANDIN_STRING || d->type == STANDIN_CHOICE)
-		return json_string(arg);
-	return json_loads(arg, JSON_DECODE_ANY, NULL);
-}
-
-/* Finds a setting by its name. */
-static const struct standin_setting *find_setting(const struct standin *s,
-						  const char *name)
-{
-	const struct standin_setting *d;
-
-	for (d = s->settings; d->name; d++)
-		if (strcmp(d->name, name) == 0)
-			return d;
-	return NULL;
-}
-
-/* Tells whether a value has the type and range of a setting. */
-static bool value_allowed(const struct standin_setting *d, const json_t *value)
-{
-	double number = json_number_value(value);
-
-	switch (d->type) {
-	case STANDIN_INTEGER:
-		return json_is_integer(value) && number >= d->min &&
-		       number <= d->max;
-	case STANDIN_DECIMAL:
-		return json_is_number(value) && number >= d->min &&
-		       number <= d->max;
-	case STANDIN_BOOLEAN:
-		return json_is_boolean(value);
-	case STANDIN_STRING:
-		return json_is_string(value);
-	case STANDIN_CHOICE:
-		return choice_index(d, value) >= 0;
-	case STANDIN_ACTION:
-		return true;
-	}
-	return false;
-}
-
-/* Returns the index of a choice, or -1. */
-static int choice_index(const struct standin_setting *d, const json_t *value)
-{
-	int i;
-
-	for (i = 0; json_is_string(value) && d->choices[i]; i++)
-		if (strcmp(d->choices[i], json_string_value(value)) == 0)
-			return i;
-	return -1;
-}
-
-/* Puts an allowed value in force; only an action can still refuse. */
-static bool set_value(const struct standin *s, const struct standin_setting *d,
-		      const json_t *value, char *err, size_t err_size)
-{
-	void *field = (char *)s->target + d->offset;
-	char **string = field;
-
-	switch (d->type) {
-	case STANDIN_INTEGER:
-		*(int64_t *)field = json_integer_value(value);
-		break;
-	case STANDIN_DECIMAL:
-		*(double *)field = json_number_value(value);
-		break;
-	case STANDIN_BOOLEAN:
-		*(bool *)field = json_is_true(value);
-		break;
-	case STANDIN_STRING:
-		free(*string);
-		*string = xstrdup(json_string_value(value));
-		break;
-	case STANDIN_CHOICE:
-		*(int *)field = choice_index(d, value);
-		break;
-	case STANDIN_ACTION:
-		return d->act(s->target, value, err, err_size);
-	}
-	return true;
-}
-
-/* Returns a setting's value as JSON. */
-static json_t *get_value(const struct standin *s,
-			 const struct standin_setting *d)
-{
-	const void *field = (const char *)s->target + d->offset;
-	const char *string;
-
-	switch (d->type) {
-	case STANDIN_INTEGER:
-		return json_integer(*(const int64_t *)field);
-	case STANDIN_DECIMAL:
-		return json_real(*(const double *)field);
-	case STANDIN_BOOLEAN:
-		return json_boolean(*(const bool *)field);
-	case STANDIN_STRING:
-		string = *(const char *const *)field;
-		return json_string(string ? string : "");
-	case STANDIN_CHOICE:
-		return json_string(d->choices[*(const int *)field]);
-	case STANDIN_ACTION:
-		break;
-	}
-	return NULL;
-}
-
 /* Gathers the routes of every stand-in and those of this one. */
 static void gather_routes(struct standin *s)
 {
@@ -487,7 +314,7 @@
 	all = json_object();
 	for (d = s->settings; d->name; d++)
 		if (d->type != STANDIN_ACTION)
-			json_object_set_new(all, d->name, get_value(s, d));
+			json_object_set_new(all, d->name, standin_get(s, d));
 	standin_reply(req, 200, all);
 }
 
@@ -509,7 +336,7 @@
 	}
 	json_object_foreach(body, name, value) good =
 		good &&
-		set_value(s, find_setting(s, name), value, err, sizeof(err));
+		standin_set(s, standin_find(s, name), value, err, sizeof(err));
 	json_decref(body);
 	if (s->changed)
 		s->changed(s->target);
@@ -529,12 +356,12 @@
 
 	json_object_foreach(body, name, value)
 	{
-		d = find_setting(s, name);
+		d = standin_find(s, name);
 		if (!d) {
 			snprintf(err, err_size, "no setting is named %s", name);
 			return false;
 		}
-		if (!value_allowed(d, value)) {
+		if (!standin_allows(d, value)) {
 			snprintf(err, err_size, "%s cannot have this value",
 				 name);
 			return false;
