regress: cache events that come late and with gaps

The contract says so, and only events told at once were tested. Five runs of eight new blocks each, with loss and lag set in turn, and the count of events told after each.

--- a/regress/contract/test_engine.c
+++ b/regress/contract/test_engine.c
@@ -364,6 +364,49 @@
 	assert_true(load_value(f, "prefilled") >= 2 * first);
 }
 
+static size_t told_events(struct fixture *f)
+{
+	json_t *answer =
+		harness_get(f->h, f->address, "/v1/cache-events?since=0");
+	size_t n = json_array_size(json_object_get(answer, "events"));
+
+	json_decref(answer);
+	return n;
+}
+
+/* Each run of a prompt of eight blocks that the cache does not have. */
+static void test_cache_events_come_late_and_with_gaps(void **state)
+{
+	static const struct {
+		const char *control;
+		size_t told; /* events in all afterwards */
+	} cases[] = {
+		{ "{\"cache_event_loss\":0}", 8 },
+		{ "{\"cache_event_loss\":1}", 8 },
+		{ "{\"cache_event_loss\":0}", 16 },
+		{ "{\"cache_event_lag_ms\":100000}", 0 },
+		{ "{\"cache_event_lag_ms\":0}", 32 },
+	};
+	struct fixture *f = *state;
+	struct stream_reader *s;
+	char prompt[513];
+	size_t i;
+
+	memset(prompt, 'p', 512);
+	prompt[512] = '\0';
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		harness_control(f->h, f->control, "%s", cases[i].control);
+		prompt[0] = (char)('a' + i);
+		s = start_stream(f,
+				 "{\"stream\":\"s%zu\",\"prompt\":\"%s\","
+				 "\"max_tokens\":1}",
+				 i, prompt);
+		stream_wait_end(s);
+		stream_close(s);
+		assert_int_equal(told_events(f), cases[i].told);
+	}
+}
+
 /* Orders in turn, to an engine that checks fencing numbers or does not. */
 static void test_orders(void **state)
 {
@@ -559,6 +602,7 @@
 		TEST(test_full_queue_runs_nothing),
 		TEST(test_higher_priority_runs_first),
 		TEST(test_prefix_cache_saves_prefill),
+		TEST(test_cache_events_come_late_and_with_gaps),
 		TEST(test_orders),
 		TEST(test_refuses_malformed_starts),
 		TEST(test_taken_name_is_refused),
