fleetd: a newcomer is told of suspect requests and troubled endpoints

The exchange of whole tables now carries every suspect request and every endpoint that is lost or leaving. test_control_suspects plays a cdmentryd that reports a conviction, then starts and restarts instances; it passes plain and under ASan and UBSan. It may pass without the change by what still spreads at the time.

--- a/fleetd/digest.c
+++ b/fleetd/digest.c
@@ -11,8 +11,6 @@
 #include "fleetd/roster.h"
 #include "lib/xalloc.h"
 
-static void add_rumours(struct fleetd *f, struct digest *d);
-
 /* Begins a digest with this instance's own record. */
 void digest_init(struct fleetd *f, struct digest *d, Cdm__DigestKind kind,
 		 size_t max_updates)
@@ -28,7 +26,6 @@
 	d->updates = xcalloc(max_updates + 1, sizeof(Cdm__Member *));
 	d->message.updates = d->updates;
 	digest_add(f, d, &self->u);
-	add_rumours(f, d);
 }
 
 /* Adds one update; an instance whose name isn't known can't be told of. */
@@ -48,7 +45,7 @@
 }
 
 /* Adds what spreads about endpoints and requests. */
-static void add_rumours(struct fleetd *f, struct digest *d)
+void digest_add_rumours(struct fleetd *f, struct digest *d)
 {
 	size_t i;
 
@@ -64,9 +61,38 @@
 	d->message.suspicions = d->suspicion_list;
 }
 
+/* Adds all other instances, every endpoint that is lost or leaving and every
+ * suspect request; in place of digest_add_rumours(). */
+void digest_add_table(struct fleetd *f, struct digest *d)
+{
+	const struct member_table *t = gossip_members(f);
+	Cdm__Digest *m = &d->message;
+	size_t i;
+
+	for (i = 0; i < t->n; i++)
+		if (t->members[i].u.id != f->self)
+			digest_add(f, d, &t->members[i].u);
+	d->all_states = endpoints_troubled(f, &m->n_endpoints);
+	d->all_endpoints =
+		xcalloc(m->n_endpoints, sizeof(Cdm__EndpointState *));
+	for (i = 0; i < m->n_endpoints; i++)
+		d->all_endpoints[i] = &d->all_states[i];
+	m->endpoints = d->all_endpoints;
+	d->all_suspicions = suspects_changes(f, 0, &m->n_suspicions);
+	d->all_suspicion_list =
+		xcalloc(m->n_suspicions, sizeof(Cdm__Suspicion *));
+	for (i = 0; i < m->n_suspicions; i++)
+		d->all_suspicion_list[i] = &d->all_suspicions[i];
+	m->suspicions = d->all_suspicion_list;
+}
+
 /* Frees the storage. */
 void digest_release(struct digest *d)
 {
 	free(d->members);
 	free(d->updates);
+	free(d->all_states);
+	free(d->all_endpoints);
+	free(d->all_suspicions);
+	free(d->all_suspicion_list);
 }
--- a/fleetd/digest.h
+++ b/fleetd/digest.h
@@ -15,12 +15,19 @@
 	Cdm__EndpointState *endpoints[ENDPOINT_RUMOURS_MAX];
 	Cdm__Suspicion suspicions[SUSPECT_RUMOURS_MAX];
 	Cdm__Suspicion *suspicion_list[SUSPECT_RUMOURS_MAX];
+	/* for a whole table: everything that a newcomer has missed */
+	Cdm__EndpointState *all_states;
+	Cdm__EndpointState **all_endpoints;
+	Cdm__Suspicion *all_suspicions;
+	Cdm__Suspicion **all_suspicion_list;
 };
 
 void digest_init(struct fleetd *f, struct digest *d, Cdm__DigestKind kind,
 		 size_t max_updates);
 void digest_add(struct fleetd *f, struct digest *d,
 		const struct member_update *u);
+void digest_add_rumours(struct fleetd *f, struct digest *d);
+void digest_add_table(struct fleetd *f, struct digest *d);
 void digest_release(struct digest *d);
 
 #endif /* FLEETD_DIGEST_H */
--- a/fleetd/endpoint_hearsay.c
+++ b/fleetd/endpoint_hearsay.c
@@ -75,6 +75,24 @@
 	return n;
 }
 
+/* Returns the states of endpoints that are lost or leaving; the caller frees
+ * the array, whose names belong to the configuration. */
+Cdm__EndpointState *endpoints_troubled(struct fleetd *f, size_t *n)
+{
+	const struct endpoints *t = f->endpoints;
+	Cdm__EndpointState *out = xcalloc(t->n, sizeof(*out));
+	const struct endpoint *e;
+	size_t i;
+
+	*n = 0;
+	for (i = 0; i < t->n; i++) {
+		e = &t->all[i];
+		if (!e->up || endpoint_leaving(f, e))
+			fill_state(f, e, &out[(*n)++]);
+	}
+	return out;
+}
+
 /* Returns the states changed after since; the caller frees the array, whose
  * names belong to the configuration. */
 Cdm__EndpointState *endpoints_changes(struct fleetd *f, uint64_t since,
--- a/fleetd/endpoints.h
+++ b/fleetd/endpoints.h
@@ -76,6 +76,7 @@
 			size_t n);
 void endpoints_heard(struct fleetd *f, Cdm__EndpointState **states, size_t n);
 size_t endpoints_rumours(struct fleetd *f, Cdm__EndpointState *out, size_t max);
+Cdm__EndpointState *endpoints_troubled(struct fleetd *f, size_t *n);
 Cdm__EndpointState *endpoints_changes(struct fleetd *f, uint64_t since,
 				      size_t *n);
 json_t *endpoints_status(const struct fleetd *f);
--- a/fleetd/gossip.c
+++ b/fleetd/gossip.c
@@ -158,6 +158,7 @@
 	struct digest d;
 
 	digest_init(f, &d, CDM__DIGEST_KIND__DIGEST_PUSH, 0);
+	digest_add_rumours(f, &d);
 	d.message.sequence = PUSH_TELLS;
 	frame_send(c, CDM__FRAME_TYPE__FRAME_DIGEST, &d.message.base);
 	digest_release(&d);
@@ -208,6 +209,7 @@
 	u = m->u;
 	u.state = MEMBER_LEAVING;
 	digest_init(f, &d, CDM__DIGEST_KIND__DIGEST_PUSH, 1);
+	digest_add_rumours(f, &d);
 	digest_add(f, &d, &u);
 	d.message.sequence = PUSH_TELLS;
 	peers_send(f, id, to->control_address, CDM__FRAME_TYPE__FRAME_DIGEST,
@@ -274,6 +276,7 @@
 	if (!to)
 		return;
 	digest_init(f, &d, kinds[msg->kind], MEMBER_PIGGYBACK_MAX);
+	digest_add_rumours(f, &d);
 	d.message.sequence = msg->seq;
 	d.message.has_to = 1;
 	d.message.to = msg->to;
@@ -286,19 +289,16 @@
 	digest_release(&d);
 }
 
-/* Sends the whole table; sequence is PUSH_ASKS or PUSH_TELLS. */
+/* Sends all that is known of instances, endpoints and requests; sequence is
+ * PUSH_ASKS or PUSH_TELLS. */
 static void send_table(struct fleetd *f, uint64_t id, const char *address,
 		       uint64_t sequence)
 {
-	const struct member_table *t = &f->gossip->members;
 	struct digest d;
-	size_t i;
 
-	digest_init(f, &d, CDM__DIGEST_KIND__DIGEST_PUSH, t->n);
+	digest_init(f, &d, CDM__DIGEST_KIND__DIGEST_PUSH, f->gossip->members.n);
 	d.message.sequence = sequence;
-	for (i = 0; i < t->n; i++)
-		if (t->members[i].u.id != f->self)
-			digest_add(f, &d, &t->members[i].u);
+	digest_add_table(f, &d);
 	peers_send(f, id, address, CDM__FRAME_TYPE__FRAME_DIGEST,
 		   &d.message.base);
 	digest_release(&d);
@@ -339,6 +339,7 @@
 	if (!to)
 		return;
 	digest_init(f, &d, CDM__DIGEST_KIND__DIGEST_PUSH, 0);
+	digest_add_rumours(f, &d);
 	d.message.sequence = PUSH_TELLS;
 	peers_send(f, to->id, to->control_address,
 		   CDM__FRAME_TYPE__FRAME_DIGEST, &d.message.base);
--- /dev/null
+++ b/regress/integration/test_control_suspects.c
@@ -0,0 +1,149 @@
+/*
+ * Crash records of requests: what one cdmentryd reports is known to every
+ * instance, also to one that is started later.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "lib/frame.h"
+#include "proto/control.pb-c.h"
+#include "regress/control_fleet.h"
+
+#define REQUEST 0xfeedfacecafebeefull
+
+/* A connection as a cdmentryd has it. */
+struct entryd {
+	struct control_fleet *f;
+	struct frame_conn *conn;
+	bool snapshot; /* has come */
+	bool closed;
+	json_int_t deaths; /* waited for everywhere */
+	bool convicted;
+};
+
+static void on_open(struct frame_conn *c, void *arg)
+{
+	Cdm__Hello m = CDM__HELLO__INIT;
+
+	(void)arg;
+	m.instance = "instance-1";
+	frame_send(c, CDM__FRAME_TYPE__FRAME_HELLO, &m.base);
+}
+
+static bool on_message(struct frame_conn *c, void *arg, uint8_t type,
+		       const uint8_t *data, size_t len)
+{
+	struct entryd *e = arg;
+
+	(void)c;
+	(void)data;
+	(void)len;
+	if (type == CDM__FRAME_TYPE__FRAME_SNAPSHOT)
+		e->snapshot = true;
+	return true;
+}
+
+static void on_close(struct frame_conn *c, void *arg, const char *why)
+{
+	struct entryd *e = arg;
+
+	(void)c;
+	(void)why;
+	e->closed = true;
+}
+
+static const struct frame_ops ops = {
+	.on_open = on_open,
+	.on_message = on_message,
+	.on_close = on_close,
+};
+
+static bool has_snapshot(void *arg)
+{
+	return ((struct entryd *)arg)->snapshot;
+}
+
+static bool is_closed(void *arg)
+{
+	return ((struct entryd *)arg)->closed;
+}
+
+/* Every instance has the record that is waited for. */
+static bool all_know(void *arg)
+{
+	struct entryd *e = arg;
+	json_t *status;
+	json_t *record;
+	bool same;
+	size_t i;
+
+	for (i = 0; i < e->f->n; i++) {
+		status = control_status(e->f, i);
+		record = json_array_get(json_object_get(status, "suspects"), 0);
+		same = record &&
+		       json_integer_value(json_object_get(record, "deaths")) ==
+			       e->deaths &&
+		       json_is_true(json_object_get(record, "convicted")) ==
+			       e->convicted;
+		json_decref(status);
+		if (!same)
+			return false;
+	}
+	return true;
+}
+
+static void report(struct entryd *e, uint64_t death, bool convicted)
+{
+	Cdm__Observation m = CDM__OBSERVATION__INIT;
+	Cdm__Suspicion s = CDM__SUSPICION__INIT;
+	Cdm__Suspicion *list = &s;
+
+	s.digest = REQUEST;
+	s.deaths = &death;
+	s.n_deaths = 1;
+	s.has_convicted = 1;
+	s.convicted = convicted;
+	m.suspicions = &list;
+	m.n_suspicions = 1;
+	assert_true(frame_send(e->conn, CDM__FRAME_TYPE__FRAME_OBSERVATION,
+			       &m.base));
+}
+
+static void test_spread(void **state)
+{
+	struct entryd e = { .f = control_fleet_new(3, 2) };
+
+	(void)state;
+	e.conn = frame_connect(harness_loop(e.f->h), e.f->instances[0].control,
+			       &ops, &e);
+	harness_until(e.f->h, has_snapshot, &e, "a snapshot comes");
+	report(&e, 1, false);
+	e.deaths = 1;
+	harness_until(e.f->h, all_know, &e, "all know of one death");
+	report(&e, 1, false); /* nothing new */
+	report(&e, 2, true);
+	e.deaths = 2;
+	e.convicted = true;
+	harness_until(e.f->h, all_know, &e, "all know of the conviction");
+	control_start(e.f, 3);
+	proc_kill(e.f->instances[1].proc);
+	control_start(e.f, 1);
+	harness_until(e.f->h, all_know, &e, "newcomers know of it");
+	frame_close(e.conn);
+	harness_until(e.f->h, is_closed, &e, "the connection is closed");
+	control_fleet_free(e.f);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_spread),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
