--- a/regress/integration/test_control_config.c
+++ b/regress/integration/test_control_config.c
@@ -167,6 +167,45 @@
 	control_fleet_free(f);
 }
 
+/* The version's own row is there. */
+static bool is_committed(void *arg)
+{
+	struct control_fleet *f = arg;
+	struct answer a;
+	bool there;
+
+	harness_call(f->h, "GET", f->platform,
+		     "/table/row?key=config/version/2", NULL, &a);
+	there = a.status == 200;
+	answer_release(&a);
+	return there;
+}
+
+/* The instance that has the file accepted is killed before it can say so:
+ * cdmctl finds out from another one. */
+static void test_accepting_instance_dies(void **state)
+{
+	struct control_fleet *f = control_fleet_new(3, 2);
+	const char *file = file_with_queue(f, 2);
+	const char *args[] = { "-s",	f->instances[1].operator_address,
+			       "-w",	"25",
+			       "apply", file,
+			       NULL };
+	struct proc *ctl;
+
+	(void)state;
+	assert_int_equal(control_apply(f, 0, file_with_queue(f, 1), "20"), 0);
+	control_platform(f, "{\"slow_ms\":400}");
+	ctl = control_ctl(f, 0, args);
+	harness_until(f->h, is_committed, f, "the file is accepted");
+	proc_kill(f->instances[0].proc);
+	assert_int_equal(proc_wait(ctl), 0);
+	control_platform(f, "{\"slow_ms\":0}");
+	control_start(f, 0);
+	control_wait_version(f, 2);
+	control_fleet_free(f);
+}
+
 /* A zone is cut from the others and from the platform: it keeps what it has,
  * and takes the later version when the cut heals. */
 static void test_partition(void **state)
@@ -207,6 +246,7 @@
 		cmocka_unit_test(test_outage_after),
 		cmocka_unit_test(test_paused),
 		cmocka_unit_test(test_newcomer_in_outage),
+		cmocka_unit_test(test_accepting_instance_dies),
 		cmocka_unit_test(test_partition),
 	};
 
