--- a/entryd/generation.c
+++ b/entryd/generation.c
@@ -241,10 +241,13 @@
 	XXH3_64bits_update(g->hash, text, len);
 }
 
-/* Returns the hash of the text that is known. */
+/* Returns the hash of the text that is known and of its number of tokens, so
+ * that a cursor with another position does not match its text. */
 uint64_t generation_hash(const struct generation *g)
 {
-	return XXH3_64bits_digest(g->hash);
+	uint64_t digest = XXH3_64bits_digest(g->hash);
+
+	return XXH3_64bits_withSeed(&digest, sizeof(digest), g->text_tokens);
 }
 
 /* Lists the requests on an endpoint, those included that it just lost. */
--- a/entryd/generation.h
+++ b/entryd/generation.h
@@ -75,7 +75,7 @@
 	uint64_t first_token_at; /* ms */
 	struct resume_stream resume;
 	struct attempt *attempts[2];
-	unsigned tries; /* attempts that used the retry budget */
+	unsigned tries; /* attempts in a row that gave no token */
 	struct endpoint_list avoid;
 	uint64_t seek_at; /* ms; not before */
 	uint64_t lost_at; /* ms, since when nothing is heard; 0: heard */
