"Not-run" against the engines' and services' counts; refusals that arrive and end

- After engines were silent for a while, requests with a deadline shorter than the mean time to a first token were refused for ever on an idle fleet ("requests do not go through again", Retry-After 143 s): nothing ran, so nothing measured anew.
Admission's copy of the mean now halves in each second without a first token.
Silence is judged by the mean as before.
- The refusal that ends a begun answer was lost: the connection was cut right after it, and a client that reads both at once drops the event ("has no verdict: connection broken").
The answer now ends in order, without [DONE].
- An attempt whose engine could not be reached, or had no room, made a refusal say may-have-run; it is certain that nothing ran.

--- a/entryd/attempt.c
+++ b/entryd/attempt.c
@@ -114,6 +114,7 @@
 	for (i = 0; i < 2; i++)
 		if (g->attempts[i] == a)
 			g->attempts[i] = NULL;
+	g->may_have_run |= !a->unsent;
 	if (ep) {
 		if (a->decoding)
 			resume_endpoint_decoding(&ep->silence, -1,
@@ -287,6 +288,7 @@
 
 	journal_add(a->e->journal, g->request, "engine %s %s",
 		    ep ? ep->name : "(removed)", engine_failure_text(failure));
+	a->unsent = failure == ENGINE_UNREACHABLE || failure == ENGINE_BUSY;
 	if (ep && failure == ENGINE_UNREACHABLE)
 		endpoint_unreachable(a->e, ep);
 	if (ep && failure == ENGINE_BUSY)
--- a/entryd/generation.c
+++ b/entryd/generation.c
@@ -128,7 +128,7 @@
 {
 	const struct problem problem = {
 		.status = status,
-		.run = g->resume.last_attempt || g->may_have_run
+		.run = g->may_have_run || g->attempts[0] || g->attempts[1]
 			       ? RUN_MAY_HAVE_RUN
 			       : RUN_NOT_RUN,
 		.title = title,
@@ -207,7 +207,6 @@
 void generation_restart(struct entryd *e, struct generation *g, const char *why)
 {
 	end_attempts(e, g, false);
-	g->may_have_run |= g->resume.last_attempt != 0;
 	if (!g->ask.stream) {
 		generation_refuse(e, g, 409, "cannot-resume", why, 1);
 		return;
@@ -452,7 +451,7 @@
 		.kind = kind,
 		.priority = g->ask.priority,
 		.deadline_ms = g->ask.deadline_ms,
-		.need_ms = (uint32_t)service->first_token_ms,
+		.need_ms = (uint32_t)service->need_ms,
 	};
 	struct admit_verdict v = service_arrive(e, service, &request);
 
--- a/entryd/generation.h
+++ b/entryd/generation.h
@@ -51,6 +51,7 @@
 	struct engine_stream *stream;
 	char name[STREAM_NAME_SIZE];
 	char prefix[CURSOR_PREFIX_SIZE];
+	bool unsent; /* it is certain that the engine began nothing */
 };
 
 /* One generation, from its admission to its last token. */
@@ -58,7 +59,7 @@
 	struct handle self;
 	struct httpd_req *req; /* NULL once the caller has left */
 	struct generation_ask ask;
-	bool may_have_run; /* before what resume knows of */
+	bool may_have_run; /* an engine may have begun it */
 	char request[REQUEST_ID_SIZE]; /* for people: "cmpl-" and the id */
 	char id[GENERATION_ID_SIZE];
 	uint32_t org; /* index */
--- a/entryd/relay.c
+++ b/entryd/relay.c
@@ -91,8 +91,9 @@
 	httpd_stream_end(g->req);
 }
 
-/* Refuses, or ends a begun answer with the refusal as its last event; the
- * answer is then cut, so that nobody takes it for whole. */
+/* Refuses, or ends a begun answer with the refusal as its last event.  The
+ * connection ends in order, since a cut would lose the event; without [DONE]
+ * nobody takes the answer for whole. */
 void relay_problem(struct generation *g, const struct problem *problem)
 {
 	json_t *json;
@@ -112,7 +113,7 @@
 	free(text);
 	json_decref(json);
 	relay_flush(g);
-	httpd_stream_abort(g->req);
+	httpd_stream_end(g->req);
 }
 
 /* Ends the caller's connection in order: it goes on at another address of its
--- a/entryd/services.c
+++ b/entryd/services.c
@@ -18,6 +18,7 @@
 
 #define FIRST_TOKEN_PRIOR_MS 200
 #define FIRST_TOKEN_SHIFT 16 /* weight of a new value: 1 / this */
+#define NEED_FADE_MS 1000 /* without a first token, the need halves in it */
 
 struct services {
 	struct slots table; /* of struct service * */
@@ -26,6 +27,7 @@
 static struct service *service_add(struct entryd *e, const char *name);
 static void set_profile(struct service *s,
 			const struct resume_profile *profile);
+static void fade_need(struct service *s, uint64_t now);
 static void set_slots(struct entryd *e, struct service *s, uint64_t now);
 static void run_queue(struct entryd *e, struct service *s, uint64_t now);
 static void dispatch(struct entryd *e, const struct admit_verdict *v);
@@ -87,6 +89,7 @@
 	uint32_t index = 0;
 
 	while ((s = services_next(e, &index))) {
+		fade_need(s, now);
 		set_slots(e, s, now);
 		run_queue(e, s, now);
 	}
@@ -180,6 +183,24 @@
 void service_first_token(struct service *s, uint32_t ms)
 {
 	s->first_token_ms += (ms - s->first_token_ms) / FIRST_TOKEN_SHIFT;
+	s->need_ms += (ms - s->need_ms) / FIRST_TOKEN_SHIFT;
+	s->need_heard = true;
+}
+
+/*
+ * Halves what admission takes a first token to need while none comes.
+ * Requests whose deadline is shorter are refused, so nothing else would ever
+ * show that the engines are fast again.
+ */
+static void fade_need(struct service *s, uint64_t now)
+{
+	if (s->need_heard)
+		s->need_fades_at = now + NEED_FADE_MS;
+	s->need_heard = false;
+	if (now < s->need_fades_at)
+		return;
+	s->need_ms /= 2;
+	s->need_fades_at = now + NEED_FADE_MS;
 }
 
 /* Judges silence by a profile from now on, with its budget for hedges. */
@@ -203,6 +224,8 @@
 	s->name = xstrdup(name);
 	s->admit = admit_new(&admit_defaults, now);
 	s->first_token_ms = FIRST_TOKEN_PRIOR_MS;
+	s->need_ms = FIRST_TOKEN_PRIOR_MS;
+	s->need_fades_at = now + NEED_FADE_MS;
 	retry_init(&s->retry, &retry_defaults, now);
 	return s;
 }
--- a/entryd/services.h
+++ b/entryd/services.h
@@ -24,6 +24,9 @@
 	struct resume_budget hedges;
 	struct retry_budget retry;
 	double first_token_ms; /* moving mean */
+	double need_ms; /* the same as admission takes it: fades with time */
+	bool need_heard; /* since the last tick */
+	uint64_t need_fades_at; /* ms */
 };
 
 struct services *services_new(void);
