--- a/lib/settings.c
+++ b/lib/settings.c
@@ -135,6 +135,8 @@
 	host[len] = '\0';
 	if (inet_pton(AF_INET, host, &in) != 1)
 		return false;
+	if (colon[1 + strspn(colon + 1, "0123456789")] != '\0')
+		return false; /* strtonum() takes blanks and signs */
 	*port = (uint16_t)strtonum(colon + 1, 0, UINT16_MAX, &why);
 	return !why;
 }
