--- a/regress/integration/test_rolling.c
+++ b/regress/integration/test_rolling.c
@@ -188,6 +188,56 @@
 			       "engine_running_streams") == 0;
 }
 
+/* What every instance has to see of an engine. */
+struct sight {
+	const struct fleet_endpoint *engine;
+	bool leaving; /* else up and in use */
+};
+
+/* Tells whether an instance sees it. */
+static bool sees(const struct fleet_instance *in, const struct sight *s)
+{
+	json_t *all = harness_get(fleet->harness, in->entry_operator,
+				  "/v1/endpoints");
+	json_t *list = json_object_get(all, "endpoints");
+	json_t *item;
+	bool found = false;
+	size_t i;
+
+	json_array_foreach(list, i, item)
+	{
+		const char *name =
+			json_string_value(json_object_get(item, "name"));
+		bool leaving = json_is_true(json_object_get(item, "leaving"));
+		bool up = json_is_true(json_object_get(item, "up"));
+
+		if (strcmp(name, s->engine->name) == 0)
+			found = s->leaving ? leaving : up && !leaving;
+	}
+	json_decref(all);
+	return found;
+}
+
+static bool all_see(void *arg)
+{
+	size_t i;
+
+	attend();
+	for (i = 0; i < N_INSTANCES; i++)
+		if (!sees(&fleet->instances[i], arg))
+			return false;
+	return true;
+}
+
+static void wait_seen(const struct fleet_endpoint *e, bool leaving)
+{
+	struct sight s = { e, leaving };
+
+	harness_until(fleet->harness, all_see, &s,
+		      leaving ? "all instances know that an engine leaves"
+			      : "all instances use an engine again");
+}
+
 /* Tells the platform's list that an engine is leaving, or has come back. */
 static void list_engine(const struct fleet_endpoint *e, bool leaving)
 {
@@ -225,6 +275,7 @@
 			list_engine(e, true);
 		else
 			order("drain", e);
+		wait_seen(e, true);
 		harness_until(fleet->harness, is_idle, e,
 			      "a leaving engine runs out of work");
 		proc_kill(e->proc);
@@ -233,6 +284,7 @@
 			list_engine(e, false);
 		else
 			order("undrain", e);
+		wait_seen(e, false);
 	}
 	wait_whole(N_CALLERS);
 }
