--- a/entryd/attempt.c
+++ b/entryd/attempt.c
@@ -46,6 +46,7 @@
 			  uint32_t position, const char *text, size_t len);
 static void relay(struct attempt *a, struct generation *g, uint32_t position,
 		  const char *text, size_t len, uint64_t now);
+static void cancel_orphan(struct entryd *e, struct generation *g);
 static void lose(struct attempt *a, struct generation *g, bool cancel,
 		 bool broken);
 
@@ -85,6 +86,7 @@
 	attempt_fill_prefix(a, g, ep->id);
 	a->stream =
 		e->engine->ops->start(e->engine, &start, &attempt_events, a);
+	cancel_orphan(e, g);
 	return true;
 }
 
@@ -364,6 +366,18 @@
 	}
 }
 
+/* Cancels the stream whose connection broke: its engine may live and go on.
+ * This waits until the generation goes on elsewhere, since another instance
+ * may have taken the stream over, and the caller with it. */
+static void cancel_orphan(struct entryd *e, struct generation *g)
+{
+	struct endpoint *ep = endpoint_get(e, g->orphan_endpoint);
+
+	if (g->orphan[0] && ep && !ep->lost)
+		e->engine->ops->cancel(e->engine, ep->address, g->orphan);
+	g->orphan[0] = '\0';
+}
+
 /* Ends an attempt that gave less than it should have. */
 static void lose(struct attempt *a, struct generation *g, bool cancel,
 		 bool broken)
@@ -373,6 +387,10 @@
 	uint32_t left =
 		resume_attempt_lost(&g->resume, a->number, entryd_now(e));
 
+	if (broken) {
+		g->orphan_endpoint = a->endpoint;
+		strlcpy(g->orphan, a->name, sizeof(g->orphan));
+	}
 	attempt_end(e, g, a, cancel);
 	if (left != RESUME_NO_ATTEMPT)
 		return;
--- a/entryd/generation.h
+++ b/entryd/generation.h
@@ -76,6 +76,8 @@
 	uint64_t first_token_at; /* ms */
 	struct resume_stream resume;
 	struct attempt *attempts[2];
+	struct handle orphan_endpoint; /* where a broken attempt may run on */
+	char orphan[STREAM_NAME_SIZE]; /* its stream; empty for none */
 	unsigned tries; /* attempts in a row that gave no token */
 	struct endpoint_list avoid;
 	uint64_t seek_at; /* ms; not before */
--- a/regress/integration/test_rolling.c
+++ b/regress/integration/test_rolling.c
@@ -26,6 +26,7 @@
 static unsigned handed_over;
 static unsigned redirected; /* refused by an instance that leaves */
 static bool closing; /* no new requests */
+static bool starting[N_INSTANCES]; /* not among the entries yet */
 
 static int set_up_all(void **state)
 {
@@ -59,11 +60,10 @@
 {
 	size_t k;
 
-	for (k = 0; k < N_INSTANCES; k++) {
-		struct fleet_instance *in =
-			&fleet->instances[(i + k) % N_INSTANCES];
+	for (k = i; k < i + N_INSTANCES; k++) {
+		struct fleet_instance *in = &fleet->instances[k % N_INSTANCES];
 
-		if (proc_running(in->entryd))
+		if (!starting[k % N_INSTANCES] && proc_running(in->entryd))
 			return in->entry;
 	}
 	fail_msg("no instance serves");
@@ -169,11 +169,13 @@
 		harness_until(fleet->harness, has_ended, in->fleetd,
 			      "a control process stops");
 		assert_int_equal(in->fleetd->exit_code, 0);
+		starting[i] = true;
 		fleet_start_fleetd(fleet, i);
 		fleet_start_entryd(fleet, i);
 		harness_until(fleet->harness, is_serving,
 			      (void *)(uintptr_t)in->entry_operator,
 			      "an instance serves again");
+		starting[i] = false;
 	}
 	wait_whole(N_CALLERS);
 }
