--- a/entryd/endpoints.c
+++ b/entryd/endpoints.c
@@ -52,6 +52,7 @@
 	while ((item = slots_next(&t->table, &i, NULL))) {
 		free((*item)->name);
 		free((*item)->address);
+		free((*item)->broken);
 		free(*item);
 	}
 	slots_release(&t->table);
