--- a/entryd/generation.h
+++ b/entryd/generation.h
@@ -51,6 +51,7 @@
 	struct engine_stream *stream;
 	char name[STREAM_NAME_SIZE];
 	char prefix[CURSOR_PREFIX_SIZE];
+	bool unsent; /* it is certain that the engine began nothing */
 };
 
 /* One generation, from its admission to its last token. */
@@ -58,7 +59,7 @@
 	struct handle self;
 	struct httpd_req *req; /* NULL once the caller has left */
 	struct generation_ask ask;
-	bool may_have_run; /* before what resume knows of */
+	bool may_have_run; /* an engine may have begun it */
 	char request[REQUEST_ID_SIZE]; /* for people: "cmpl-" and the id */
 	char id[GENERATION_ID_SIZE];
 	uint32_t org; /* index */
@@ -75,7 +76,7 @@
 	uint64_t first_token_at; /* ms */
 	struct resume_stream resume;
 	struct attempt *attempts[2];
-	unsigned tries; /* attempts that used the retry budget */
+	unsigned tries; /* attempts in a row that gave no token */
 	struct endpoint_list avoid;
 	uint64_t seek_at; /* ms; not before */
 	uint64_t lost_at; /* ms, since when nothing is heard; 0: heard */
