--- a/entryd/claim_row.c
+++ b/entryd/claim_row.c
@@ -80,7 +80,8 @@
 {
 	const char *text = json_string_value(json_object_get(json, key));
 
-	if (!text || strlen(text) != 16)
+	if (!text || strlen(text) != 16 ||
+	    strspn(text, "0123456789abcdef") != 16)
 		return false;
 	*out = strtoull(text, NULL, 16);
 	return true;
