--- a/Makefile
+++ b/Makefile
@@ -126,7 +126,7 @@
 format-check:
 	@clang-format --dry-run -Werror $(SRC_FILES)
 
-lint: tidy cppcheck man-check
+lint: tidy cppcheck man-check docs-check
 
 tidy:
 	@printf '%s\n' $(C_FILES) | xargs -P 8 -n 4 sh -c \
@@ -145,8 +145,13 @@
 man-check:
 	@test -z "$(MAN_PAGES)" || mandoc -Tlint -Wwarning $(MAN_PAGES)
 
+# Every sentence that the programs say is explained to operators.
+docs-check:
+	@sh regress/docs_check.sh
+
 clean:
 	rm -rf build build-san build-fuzz
 
 .PHONY: all programs tests benches fuzzers check check-built bench demo fuzz \
-	prove format format-check lint tidy cppcheck man-check clean setup proto-gen
+	prove format format-check lint tidy cppcheck man-check docs-check \
+	clean setup proto-gen
