--- a/fleetd/endpoints.c
+++ b/fleetd/endpoints.c
@@ -15,6 +15,7 @@
 #include "lib/xalloc.h"
 #include "policy/subset.h"
 
+#define ENDPOINTS_TICK_MS 500
 #define REPEAT_MS 4000 /* between tellings of what lasts */
 
 static struct counter endpoints_up = {
@@ -35,7 +36,7 @@
 static int compare_endpoints(const void *a, const void *b);
 static void touch(struct fleetd *f, struct endpoint *e);
 static bool knows_itself(const struct endpoint *e);
-static void assign_service(struct fleetd *f, const struct config_service *s,
+static void assign_service(struct fleetd *f, size_t service,
 			   const struct shard_member *members, size_t n,
 			   size_t self);
 static struct shard_member *serving_members(struct fleetd *f, size_t *n,
@@ -63,6 +64,7 @@
 	struct endpoints *t = f->endpoints;
 	const struct config *c = f->config;
 	struct endpoints old = *t;
+	const struct config_service *service;
 	const struct endpoint *before;
 	struct endpoint *e;
 	size_t i;
@@ -78,8 +80,9 @@
 			*e = *before;
 		e->index = i;
 		e->zone = zone_id(c->endpoints[i].zone);
-		e->model = config_service_by_name(c, c->endpoints[i].service)
-				   ->kind == SERVICE_MODEL;
+		service = config_service_by_name(c, c->endpoints[i].service);
+		e->service = (size_t)(service - c->services);
+		e->model = service->kind == SERVICE_MODEL;
 		e->poll_at = 0;
 		e->changed = fleetd_touch(f);
 	}
@@ -110,8 +113,7 @@
 	members = serving_members(f, &n_members, &self);
 	if (self < n_members)
 		for (i = 0; i < f->config->n_services; i++)
-			assign_service(f, &f->config->services[i], members,
-				       n_members, self);
+			assign_service(f, i, members, n_members, self);
 	free(members);
 }
 
@@ -123,6 +125,9 @@
 	size_t up = 0;
 	size_t i;
 
+	if (now < f->endpoints->tick_at)
+		return;
+	f->endpoints->tick_at = now + ENDPOINTS_TICK_MS;
 	for (i = 0; i < f->endpoints->n; i++) {
 		e = &f->endpoints->all[i];
 		watched += e->watched;
@@ -278,7 +283,7 @@
 }
 
 /* Marks the endpoints of one service that this instance uses and watches. */
-static void assign_service(struct fleetd *f, const struct config_service *s,
+static void assign_service(struct fleetd *f, size_t service,
 			   const struct shard_member *members, size_t n,
 			   size_t self)
 {
@@ -292,8 +297,7 @@
 
 	for (i = 0; i < t->n; i++) {
 		e = &t->all[i];
-		if (strcmp(f->config->endpoints[e->index].service, s->name) !=
-		    0)
+		if (e->service != service)
 			continue;
 		list[n_list].id = e->id;
 		list[n_list++].zone = e->zone;
--- a/fleetd/endpoints.h
+++ b/fleetd/endpoints.h
@@ -14,6 +14,7 @@
 struct endpoint {
 	uint64_t id;
 	size_t index; /* into the configuration's endpoints */
+	size_t service; /* index into the configuration's services */
 	uint16_t zone;
 	bool model; /* a model engine, not a plain service */
 	bool used; /* by this instance */
@@ -47,6 +48,7 @@
 struct endpoints {
 	struct endpoint *all; /* by id */
 	size_t n;
+	uint64_t tick_at; /* ms */
 };
 
 /* An answer to GET /v1/load. */
--- a/fleetd/fleetd.c
+++ b/fleetd/fleetd.c
@@ -197,6 +197,7 @@
 	if (f->members_changed) {
 		endpoints_assign(f);
 		demands_changed(f);
+		leases_members_changed(f);
 	}
 	f->members_changed = false;
 	leases_tick(f);
--- a/fleetd/leases.c
+++ b/fleetd/leases.c
@@ -29,6 +29,7 @@
 	char *service;
 	char *key;
 	struct lease lease;
+	bool candidate; /* this instance stands by for it */
 	bool was_held;
 	bool calling; /* a call to the platform is in progress */
 	bool dropped; /* the service is gone; freed when the call ends */
@@ -106,6 +107,30 @@
 		    !leases_of_service(f, service->name))
 			lease_add(f, service->name);
 	}
+	leases_members_changed(f);
+}
+
+/* Works out anew which leases this instance stands by for. */
+void leases_members_changed(struct fleetd *f)
+{
+	struct service_lease *s;
+	size_t i;
+
+	for (i = 0; i < f->leases->n; i++) {
+		s = f->leases->all[i];
+		s->candidate = is_candidate(f, s->service);
+	}
+}
+
+/* True if this instance holds a lease. */
+bool leases_any_held(const struct fleetd *f)
+{
+	size_t i;
+
+	for (i = 0; i < f->leases->n; i++)
+		if (f->leases->all[i]->lease.state == LEASE_HELD)
+			return true;
+	return false;
 }
 
 /* Reads and writes the rows that are due.  A leaving instance gives its leases
@@ -118,7 +143,7 @@
 
 	for (i = 0; i < f->leases->n; i++) {
 		s = f->leases->all[i];
-		s->lease.wanted = !f->leaving && is_candidate(f, s->service);
+		s->lease.wanted = !f->leaving && s->candidate;
 		/* no order may be under way, since the next holder won't wait */
 		if (f->leaving && s->lease.state == LEASE_HELD &&
 		    !orders_outstanding(f))
--- a/fleetd/leases.h
+++ b/fleetd/leases.h
@@ -10,6 +10,8 @@
 void leases_free(struct leases *l);
 void leases_configure(struct fleetd *f);
 void leases_tick(struct fleetd *f);
+void leases_members_changed(struct fleetd *f);
+bool leases_any_held(const struct fleetd *f);
 const struct lease *leases_of_service(const struct fleetd *f,
 				      const char *service);
 enum lease_verdict leases_check(const struct fleetd *f, const char *service,
--- a/fleetd/orders.c
+++ b/fleetd/orders.c
@@ -49,8 +49,9 @@
 	.help = "Orders that an engine refused for their fencing number.",
 };
 
+static const struct lease **held_leases(const struct fleetd *f);
 static bool order_due(const struct fleetd *f, const struct endpoint *e,
-		      uint64_t now);
+		      const struct lease *l, uint64_t now);
 static void order_start(struct fleetd *f, struct endpoint *e);
 static bool on_connected(void *arg);
 static void on_head(void *arg, int status, const struct httpc_header *headers,
@@ -79,27 +80,48 @@
 /* Starts the orders that are due. */
 void orders_tick(struct fleetd *f, uint64_t now)
 {
+	const struct lease **held;
 	struct endpoint *e;
 	size_t i;
 
-	for (i = 0; i < f->endpoints->n && !f->leaving; i++) {
+	if (f->leaving || !leases_any_held(f))
+		return;
+	held = held_leases(f);
+	for (i = 0; i < f->endpoints->n; i++) {
 		e = &f->endpoints->all[i];
 		if (f->orders->outstanding >= ORDERS_MAX)
-			return;
-		if (e->model && !e->ordering && now >= e->order_at &&
-		    order_due(f, e, now))
+			break;
+		if (held[e->service] && order_due(f, e, held[e->service], now))
 			order_start(f, e);
 	}
+	free(held);
 }
 
-/* True if the lease is ours and the engine hasn't obeyed since it began. */
+/* Returns the leases held here by service, NULL for others; the caller frees
+ * the array. */
+static const struct lease **held_leases(const struct fleetd *f)
+{
+	const struct config *c = f->config;
+	size_t size = sizeof(struct lease *);
+	const struct lease **held = xcalloc(c->n_services, size);
+	const struct lease *l;
+	size_t i;
+
+	for (i = 0; i < c->n_services; i++) {
+		l = leases_of_service(f, c->services[i].name);
+		if (l && l->state == LEASE_HELD)
+			held[i] = l;
+	}
+	return held;
+}
+
+/* True if the engine hasn't obeyed the lease's holder since it began. */
 static bool order_due(const struct fleetd *f, const struct endpoint *e,
-		      uint64_t now)
+		      const struct lease *l, uint64_t now)
 {
 	const struct config_endpoint *ce = &f->config->endpoints[e->index];
-	const struct lease *l = leases_of_service(f, ce->service);
 
-	if (!l || l->state != LEASE_HELD || !e->up)
+	if (!e->up || e->ordering || now < e->order_at)
 		return false;
 	if (e->order_fence == lease_fencing(l) && e->order_salt == e->salt &&
 	    now < e->order_at + ORDER_REPEAT_MS)
--- a/fleetd/roster.c
+++ b/fleetd/roster.c
@@ -140,11 +140,13 @@
 		e = roster_find(f->roster, m->u.id);
 		if (!e)
 			continue;
+		if (e->serves != member_serves(m)) {
+			e->serves = member_serves(m);
+			fleetd_members_changed(f);
+		}
 		if (e->state == m->u.state &&
 		    e->config_version == m->u.config_version)
 			continue;
-		if (e->state != m->u.state)
-			fleetd_members_changed(f);
 		if (m->u.state == MEMBER_SUSPECT || m->u.state == MEMBER_DEAD)
 			peers_drop(f, e->id);
 		e->state = m->u.state;
--- a/fleetd/roster.h
+++ b/fleetd/roster.h
@@ -16,6 +16,7 @@
 	struct string_list entry_addresses;
 	uint64_t incarnation; /* of the record above */
 	enum member_state state; /* as last told to the cdmentryds */
+	bool serves; /* as endpoints and shards were last dealt out */
 	uint64_t config_version;
 	uint64_t changed; /* sequence of the last change */
 };
--- a/regress/bench/bench_control.c
+++ b/regress/bench/bench_control.c
@@ -18,7 +18,10 @@
 
 #include "lib/config.h"
 #include "lib/deflate.h"
+#include "lib/frame.h"
+#include "lib/ident.h"
 #include "lib/xalloc.h"
+#include "proto/control.pb-c.h"
 #include "regress/control_fleet.h"
 
 #define SETTLE_MS 6000
@@ -28,6 +31,7 @@
 #define TARGET_ENDPOINTS 6600
 #define TARGET_ORGANISATIONS 1300
 #define TARGET_MODELS 29
+#define TARGET_INSTANCES 920
 #define PARSES 10
 #define READS "platform_reads_total"
 #define WRITES "platform_writes_total"
@@ -315,10 +319,110 @@
 	free(text);
 }
 
+/* Tells the instance of all others of the target as if they lived. */
+static void tell_members(struct frame_conn *c, void *arg)
+{
+	Cdm__Member *members = xcalloc(TARGET_INSTANCES, sizeof(*members));
+	Cdm__Member **list = xcalloc(TARGET_INSTANCES, sizeof(Cdm__Member *));
+	Cdm__Digest m = CDM__DIGEST__INIT;
+	size_t i;
+
+	(void)arg;
+	for (i = 0; i < TARGET_INSTANCES - 1; i++) {
+		cdm__member__init(&members[i]);
+		members[i].name = xasprintf("other-%zu", i);
+		members[i].id = name_id(members[i].name);
+		members[i].zone = xasprintf("zone-%zu", i % 13);
+		members[i].control_address = "127.0.0.1:7";
+		members[i].state = CDM__MEMBER_STATE__MEMBER_ALIVE;
+		members[i].incarnation = 1;
+		list[i] = &members[i];
+	}
+	m.kind = CDM__DIGEST_KIND__DIGEST_PUSH;
+	m.from = members[0].id;
+	m.updates = list;
+	m.n_updates = TARGET_INSTANCES - 1;
+	frame_send(c, CDM__FRAME_TYPE__FRAME_DIGEST, &m.base);
+	for (i = 0; i < TARGET_INSTANCES - 1; i++) {
+		free(members[i].name);
+		free(members[i].zone);
+	}
+	free(members);
+	free(list);
+}
+
+static bool ignore_message(struct frame_conn *c, void *arg, uint8_t type,
+			   const uint8_t *data, size_t len)
+{
+	(void)c;
+	(void)arg;
+	(void)type;
+	(void)data;
+	(void)len;
+	return true;
+}
+
+static void note_closed(struct frame_conn *c, void *arg, const char *why)
+{
+	(void)c;
+	(void)why;
+	*(bool *)arg = true;
+}
+
+static bool is_set(void *arg)
+{
+	return *(bool *)arg;
+}
+
+/* One instance with tables of the target size.  The others and the endpoints
+ * refuse connections, so that it keeps on probing and telling of losses,
+ * which is more than a fleet at rest does. */
+static void bench_target(void **state)
+{
+	static const struct frame_ops ops = {
+		.on_open = tell_members,
+		.on_message = ignore_message,
+		.on_close = note_closed,
+	};
+	struct control_fleet *f = control_fleet_new(1, 1);
+	size_t len;
+	char *text = target_file(&len);
+	const char *file = harness_file(f->h, "target.toml", "%s", text);
+	struct reading before;
+	struct reading after;
+	struct frame_conn *c;
+	bool closed = false;
+
+	(void)state;
+	c = frame_connect(harness_loop(f->h), f->instances[0].control, &ops,
+			  &closed);
+	harness_run(f->h, 1000);
+	control_apply(f, 0, file, "0");
+	control_wait_version(f, 1);
+	harness_run(f->h, SETTLE_MS);
+	before = read_fleet(f);
+	harness_run(f->h, MEASURE_MS);
+	after = read_fleet(f);
+	printf("control_target_serving %.0f instances\n",
+	       control_counter(f, 0, "cdmfleetd_members_serving"));
+	printf("control_target_watched %.0f endpoints\n",
+	       control_counter(f, 0, "cdmfleetd_endpoints_watched"));
+	printf("control_target_cpu %.3f percent\n",
+	       (after.cpu_s - before.cpu_s) * 1e5 / MEASURE_MS);
+	printf("control_target_bytes %.0f B/s\n",
+	       (after.bytes - before.bytes) * 1e3 / MEASURE_MS);
+	printf("control_target_rss %.2f MiB\n", after.rss_bytes / (1 << 20));
+	frame_close(c);
+	harness_until(f->h, is_set, &closed, "the connection is closed");
+	free(text);
+	control_fleet_free(f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(bench_config),
+		cmocka_unit_test(bench_target),
 		cmocka_unit_test(bench_fleet),
 	};
 
