--- a/entryd/generation.c
+++ b/entryd/generation.c
@@ -128,7 +128,7 @@
 {
 	const struct problem problem = {
 		.status = status,
-		.run = g->resume.last_attempt || g->may_have_run
+		.run = g->may_have_run || g->attempts[0] || g->attempts[1]
 			       ? RUN_MAY_HAVE_RUN
 			       : RUN_NOT_RUN,
 		.title = title,
@@ -207,7 +207,6 @@
 void generation_restart(struct entryd *e, struct generation *g, const char *why)
 {
 	end_attempts(e, g, false);
-	g->may_have_run |= g->resume.last_attempt != 0;
 	if (!g->ask.stream) {
 		generation_refuse(e, g, 409, "cannot-resume", why, 1);
 		return;
@@ -241,10 +240,13 @@
 	XXH3_64bits_update(g->hash, text, len);
 }
 
-/* Returns the hash of the text that is known. */
+/* Returns the hash of the text that is known and of its number of tokens, so
+ * that a cursor with another position does not match its text. */
 uint64_t generation_hash(const struct generation *g)
 {
-	return XXH3_64bits_digest(g->hash);
+	uint64_t digest = XXH3_64bits_digest(g->hash);
+
+	return XXH3_64bits_withSeed(&digest, sizeof(digest), g->text_tokens);
 }
 
 /* Lists the requests on an endpoint, those included that it just lost. */
@@ -452,7 +454,7 @@
 		.kind = kind,
 		.priority = g->ask.priority,
 		.deadline_ms = g->ask.deadline_ms,
-		.need_ms = (uint32_t)service->first_token_ms,
+		.need_ms = (uint32_t)service->need_ms,
 	};
 	struct admit_verdict v = service_arrive(e, service, &request);
 
