fleetd: the table keeps the rows of 32 versions

The row settles lost answers, which a commit looks for within 8 s; the instance that has a version accepted now removes the row of 32 versions before. Files in the object store stay, as the platform has no way to delete them. test_many_versions; all of test_control_config under ASan.

--- a/fleetd/commit.c
+++ b/fleetd/commit.c
@@ -16,6 +16,7 @@
 
 #define COMMIT_RETRY_MS 300
 #define COMMIT_LIMIT_MS 8000 /* then the operator is told what is known */
+#define VERSIONS_KEPT 32 /* own rows; a lost answer is settled long before */
 
 struct commit {
 	struct fleetd *f;
@@ -37,6 +38,12 @@
 	struct commit *first;
 };
 
+/* The removal of an old version's own row. */
+struct removal {
+	struct fleetd *f;
+	char *key;
+};
+
 static struct counter commits_accepted = {
 	.name = "cdmfleetd_commits_accepted",
 	.help = "Configurations that this instance had accepted.",
@@ -63,6 +70,12 @@
 static void give_up(struct commit *c);
 static void accepted(struct commit *c);
 static void lost(struct commit *c, uint64_t version, const char *author);
+static void remove_old_row(struct fleetd *f, uint64_t version);
+static void on_old_row(void *arg, enum platform_outcome outcome,
+		       const struct platform_row *row);
+static void on_removed(void *arg, enum platform_outcome outcome,
+		       uint64_t version, const struct platform_row *row);
+static void removal_free(struct removal *r);
 static void finish(struct commit *c, const struct commit_result *result);
 static void commit_free(struct commit *c);
 static uint64_t nonce_number(const char *nonce);
@@ -299,9 +312,56 @@
 
 	counter_add(&commits_accepted, 1);
 	confsync_accepted(c->f, config_ref(c->config), c->head.author);
+	remove_old_row(c->f, c->head.version);
 	finish(c, &result);
 }
 
+/* Removes the row of the version VERSIONS_KEPT before, so that the table
+ * doesn't grow with each change.  A removal that fails leaves a row behind. */
+static void remove_old_row(struct fleetd *f, uint64_t version)
+{
+	struct removal *r;
+
+	if (version <= VERSIONS_KEPT)
+		return;
+	r = xcalloc(1, sizeof(*r));
+	r->f = f;
+	r->key = config_version_key(version - VERSIONS_KEPT);
+	f->platform->ops->read(f->platform, r->key, on_old_row, r);
+}
+
+static void on_old_row(void *arg, enum platform_outcome outcome,
+		       const struct platform_row *row)
+{
+	struct removal *r = arg;
+	struct platform *p = r->f->platform;
+	struct platform_write write = { .key = r->key };
+	char nonce[PLATFORM_NONCE_SIZE];
+
+	if (outcome != PLATFORM_OK) {
+		removal_free(r);
+		return;
+	}
+	write.if_version = row->version;
+	platform_nonce(nonce);
+	p->ops->write(p, nonce, &write, 1, on_removed, r);
+}
+
+static void on_removed(void *arg, enum platform_outcome outcome,
+		       uint64_t version, const struct platform_row *row)
+{
+	(void)outcome;
+	(void)version;
+	(void)row;
+	removal_free(arg);
+}
+
+static void removal_free(struct removal *r)
+{
+	free(r->key);
+	free(r);
+}
+
 static void lost(struct commit *c, uint64_t version, const char *author)
 {
 	struct commit_result result = {
--- a/regress/integration/test_control_config.c
+++ b/regress/integration/test_control_config.c
@@ -206,6 +206,54 @@
 	control_fleet_free(f);
 }
 
+#define MANY_VERSIONS 36 /* more than have rows of their own */
+
+/* The first version's own row is gone. */
+static bool first_row_gone(void *arg)
+{
+	struct control_fleet *f = arg;
+	struct answer a;
+	bool gone;
+
+	harness_call(f->h, "GET", f->platform,
+		     "/table/row?key=config/version/1", NULL, &a);
+	gone = a.status == 404;
+	answer_release(&a);
+	return gone;
+}
+
+/* Many changes in a row are each accepted, the table keeps few rows of them,
+ * and a late base is still told who won. */
+static void test_many_versions(void **state)
+{
+	struct control_fleet *f = control_fleet_new(2, 2);
+	const char *server = f->instances[0].operator_address;
+	struct answer a;
+	char path[64];
+	char body[256];
+	int i;
+
+	(void)state;
+	for (i = 0; i < MANY_VERSIONS; i++) {
+		snprintf(path, sizeof(path), "/v1/config?base=%d&author=x", i);
+		snprintf(body, sizeof(body),
+			 "[cluster]\ncursor_key = \"0123456789abcdef\"\n"
+			 "entries_ttl_s = %d\n",
+			 i + 1);
+		harness_call(f->h, "POST", server, path, body, &a);
+		assert_int_equal(a.status, 200);
+		answer_release(&a);
+	}
+	harness_until(f->h, first_row_gone, f, "an old row is removed");
+	harness_call(f->h, "POST", server, "/v1/config?base=0", body, &a);
+	assert_int_equal(a.status, 409);
+	assert_int_equal(json_integer_value(json_object_get(a.json, "version")),
+			 MANY_VERSIONS);
+	answer_release(&a);
+	control_wait_version(f, MANY_VERSIONS);
+	control_fleet_free(f);
+}
+
 /* A zone is cut from the others and from the platform: it keeps what it has,
  * and takes the later version when the cut heals. */
 static void test_partition(void **state)
@@ -247,6 +295,7 @@
 		cmocka_unit_test(test_paused),
 		cmocka_unit_test(test_newcomer_in_outage),
 		cmocka_unit_test(test_accepting_instance_dies),
+		cmocka_unit_test(test_many_versions),
 		cmocka_unit_test(test_partition),
 	};
 
