--- a/entryd/attempt.c
+++ b/entryd/attempt.c
@@ -18,6 +18,7 @@
 #include "lib/xalloc.h"
 
 #define PENDING_HIGH (256u << 10) /* bytes unsent to a caller: stop reading */
+#define ORPHAN_WAIT_MS 500 /* before a broken attempt is cancelled */
 #define PRIORITY_NEW 5
 #define PRIORITY_RESUME 9
 
@@ -46,7 +47,6 @@
 			  uint32_t position, const char *text, size_t len);
 static void relay(struct attempt *a, struct generation *g, uint32_t position,
 		  const char *text, size_t len, uint64_t now);
-static void cancel_orphan(struct entryd *e, struct generation *g);
 static void lose(struct attempt *a, struct generation *g, bool cancel,
 		 bool broken);
 
@@ -86,7 +86,6 @@
 	attempt_fill_prefix(a, g, ep->id);
 	a->stream =
 		e->engine->ops->start(e->engine, &start, &attempt_events, a);
-	cancel_orphan(e, g);
 	return true;
 }
 
@@ -367,13 +366,13 @@
 }
 
 /* Cancels the stream whose connection broke: its engine may live and go on.
- * This waits until the generation goes on elsewhere, since another instance
- * may have taken the stream over, and the caller with it. */
-static void cancel_orphan(struct entryd *e, struct generation *g)
+ * Another instance may have taken the stream over, and the caller with it; so
+ * this waits until tokens from elsewhere have shown that the caller is here. */
+void attempt_cancel_orphan(struct entryd *e, struct generation *g)
 {
 	struct endpoint *ep = endpoint_get(e, g->orphan_endpoint);
 
-	if (g->orphan[0] && ep && !ep->lost)
+	if (ep && !ep->lost)
 		e->engine->ops->cancel(e->engine, ep->address, g->orphan);
 	g->orphan[0] = '\0';
 }
@@ -389,6 +388,7 @@
 
 	if (broken) {
 		g->orphan_endpoint = a->endpoint;
+		g->orphan_at = entryd_now(e) + ORPHAN_WAIT_MS;
 		strlcpy(g->orphan, a->name, sizeof(g->orphan));
 	}
 	attempt_end(e, g, a, cancel);
--- a/entryd/generation.c
+++ b/entryd/generation.c
@@ -433,13 +433,15 @@
 }
 
 /* Hears the stream at its engine, if that is still there.  It holds its slot
- * there already, so admission is asked only if it has to move. */
+ * there already, so admission is asked only if it has to move.  Where only the
+ * engine has the text before the caller's position, one that is taken for down
+ * is asked too: that may be hearsay or over, and the answer would start anew. */
 static void attach(struct entryd *e, struct generation *g,
 		   const struct cursor *cursor)
 {
 	struct endpoint *ep = endpoint_by_id(e, cursor->endpoint);
 
-	if (ep && endpoint_up(ep))
+	if (ep && (endpoint_up(ep) || g->text_tokens < g->resume.next_pos))
 		attempt_attach(e, g, ep, cursor);
 	else
 		generation_lost(e, g, NULL, false);
--- a/entryd/generation.h
+++ b/entryd/generation.h
@@ -78,6 +78,7 @@
 	struct attempt *attempts[2];
 	struct handle orphan_endpoint; /* where a broken attempt may run on */
 	char orphan[STREAM_NAME_SIZE]; /* its stream; empty for none */
+	uint64_t orphan_at; /* ms, when it is cancelled */
 	unsigned tries; /* attempts in a row that gave no token */
 	struct endpoint_list avoid;
 	uint64_t seek_at; /* ms; not before */
@@ -139,6 +140,7 @@
 		    const struct cursor *cursor);
 void attempt_end(struct entryd *e, struct generation *g, struct attempt *a,
 		 bool cancel);
+void attempt_cancel_orphan(struct entryd *e, struct generation *g);
 void attempt_pause(struct generation *g, struct attempt *a, bool paused);
 struct attempt *attempt_by_number(const struct generation *g, uint32_t number);
 
--- a/entryd/seek.c
+++ b/entryd/seek.c
@@ -282,6 +282,8 @@
 	struct endpoint *ep = a ? endpoint_get(e, a->endpoint) : NULL;
 	enum resume_health health;
 
+	if (g->orphan[0] && now >= g->orphan_at)
+		attempt_cancel_orphan(e, g);
 	if (stall_ms)
 		resume_stream_excuse(&g->resume, stall_ms);
 	if (g->paused) {
--- a/regress/harness_fleet.c
+++ b/regress/harness_fleet.c
@@ -295,8 +295,12 @@
 		"[[model]]\nname = \"" FLEET_MODEL "\"\n\n"
 		"[[service]]\nname = \"" FLEET_MODEL_SERVICE "\"\n"
 		"kind = \"model\"\nmodel = \"" FLEET_MODEL "\"\n"
-		"resume = \"%s\"\n\n",
+		"resume = \"%s\"\n",
 		o->resume ? o->resume : "latency");
+	if (o->model_timeout_ms)
+		fprintf(out, "timeout_ms = %lld\n",
+			(long long)o->model_timeout_ms);
+	fprintf(out, "\n");
 	fprintf(out, "[[service]]\nname = \"" FLEET_PLAIN_SERVICE "\"\n"
 		     "kind = \"plain\"\nidempotent = [\"GET /\"]\n\n");
 	for (i = 0; i < o->n_organisations; i++)
--- a/regress/harness_fleet.h
+++ b/regress/harness_fleet.h
@@ -20,6 +20,7 @@
 	bool faults; /* put faultd before each link */
 	int64_t slots; /* of an engine; 0: 8 */
 	const char *resume; /* "latency" (NULL) or "work" */
+	int64_t model_timeout_ms; /* of the model's service; 0: the default */
 	const char *engine_args[8]; /* more options; ends with NULL */
 	const char *service_args[8];
 	const char *platform_args[8];
--- a/regress/integration/test_generations_apart.c
+++ b/regress/integration/test_generations_apart.c
@@ -25,6 +25,7 @@
 		.n_zones = 2,
 		.n_engines = 6,
 		.n_organisations = 2,
+		.model_timeout_ms = 3000,
 		.engine_args = { "--token-ms=4", "--load-lag-ms=50" },
 	};
 
@@ -287,6 +288,10 @@
 	assert_int_equal(stream_status(c->stream), cc->status);
 	if (cc->status == 200)
 		caller_expect_whole(c, cc->name);
+	else
+		assert_string_equal(
+			json_string_value(json_object_get(c->problem, "run")),
+			"may-have-run");
 	if (c->restarts != cc->restarts)
 		fail_msg("%s: %u restarts", cc->name, c->restarts);
 	caller_close(c);
