A leaving endpoint gets no new work, also with a lagging list and a cut-off part

test_leaving_endpoint lets one engine leave by drain, one by the configuration and one by a list that lags 1 s, under 24 long answers, while one instance reaches the platform no more and hears of it from the others. After 5 s (and the lag) none of them gets a request, and no running answer is cut. With all gossip cut too, the instances that reach the platform keep the bound by themselves; the one that reaches nobody goes on using the engine (nothing tells it), serves its callers, and keeps the bound from the end of the cut.

Found by it: what ran on at leaving engines counted against the slots of those that stay, so an instance refused new requests for lack of room ("would not have started in time") beside idle slots. The slots now come on top of what leaving engines still hold.

Seen failing: with the word of cdmfleetd ignored ("engine-1 is leaving and got 6 requests") and with the slots as they were (503 at an idle engine).

--- a/entryd/services.c
+++ b/entryd/services.c
@@ -233,7 +233,8 @@
 /*
  * Sets how many requests may run here at once: an even part of the endpoints'
  * slots, or what runs here now and an even part of the slots that the load
- * reports show free, whichever is more.
+ * reports show free, whichever is more.  What still runs at endpoints that get
+ * no new work takes nothing from that.
  */
 static void set_slots(struct entryd *e, struct service *s, uint64_t now)
 {
@@ -242,6 +243,7 @@
 	uint32_t all = 0;
 	uint32_t free_slots = 0;
 	uint32_t own = 0;
+	uint32_t held = 0;
 	uint32_t n = 0;
 	size_t users;
 	size_t self;
@@ -250,9 +252,12 @@
 	while ((ep = endpoints_next(e, &index))) {
 		uint32_t busy;
 
-		if (ep->service != s->id || !ep->used || !endpoint_up(ep) ||
-		    endpoint_leaving(ep))
+		if (ep->service != s->id || !endpoint_up(ep))
 			continue;
+		if (!ep->used || endpoint_leaving(ep)) {
+			held += ep->own_now;
+			continue;
+		}
 		n++;
 		all += ep->slots;
 		own += ep->own_now;
@@ -266,8 +271,11 @@
 	users = users ? users : 1;
 	even = (uint32_t)((all + users - 1) / users);
 	own += (uint32_t)(free_slots / users);
-	admit_set_slots(s->admit, s->configured ? (own > even ? own : even) : 0,
-			now);
+	if (even > own)
+		own = even;
+	if (own)
+		own += held;
+	admit_set_slots(s->admit, s->configured ? own : 0, now);
 }
 
 /* Starts, or refuses, requests that wait. */
