--- a/entryd/attempt.c
+++ b/entryd/attempt.c
@@ -339,6 +339,7 @@
 	struct entryd *e = a->e;
 	struct service *service = service_get(e, g->service);
 
+	g->tries = 0;
 	generation_add_text(g, text, len);
 	relay_token(g, a, position, text, len);
 	counter_add(&relayed, 1);
--- a/entryd/generation.c
+++ b/entryd/generation.c
@@ -21,7 +21,7 @@
 #include "lib/log.h"
 #include "lib/xalloc.h"
 
-#define PROBE_WAIT_MS 50 /* longest wait for a probe before moving on */
+#define PROBE_WAIT_MS 100 /* longest wait for a probe before moving on */
 
 struct generations {
 	struct slots table; /* of struct generation * */
@@ -191,7 +191,8 @@
 	if (ep && broken) {
 		g->probing = true;
 		g->seek_at = now + PROBE_WAIT_MS;
-		endpoint_check(e, ep, true);
+		suspects_broke(ep, &g->digest);
+		endpoint_check(e, ep);
 		return;
 	}
 	generation_seek(e, g);
@@ -240,10 +241,13 @@
 	XXH3_64bits_update(g->hash, text, len);
 }
 
-/* Returns the hash of the text that is known. */
+/* Returns the hash of the text that is known and of its number of tokens, so
+ * that a cursor with another position does not match its text. */
 uint64_t generation_hash(const struct generation *g)
 {
-	return XXH3_64bits_digest(g->hash);
+	uint64_t digest = XXH3_64bits_digest(g->hash);
+
+	return XXH3_64bits_withSeed(&digest, sizeof(digest), g->text_tokens);
 }
 
 /* Lists the requests on an endpoint, those included that it just lost. */
@@ -283,6 +287,7 @@
 		relay_hand_over(g);
 		journal_add(e->journal, g->request,
 			    "handed over: this instance is leaving");
+		end_attempts(e, g, false);
 		generation_free(e, g);
 	}
 }
--- a/entryd/seek.c
+++ b/entryd/seek.c
@@ -13,7 +13,8 @@
 #include "lib/log.h"
 
 #define SEEK_AGAIN_MS 20 /* before an endpoint is sought again */
-#define ATTEMPTS_MAX 12 /* of one generation */
+#define ATTEMPTS_MAX 12 /* in a row that give no token */
+#define FREE_TRIES 2 /* of these, outside the retry budgets */
 #define PENDING_LOW (64u << 10) /* bytes unsent: read again */
 #define NO_ENDPOINT_RETRY_S 3
 #define SECONDS_MS 1000
@@ -198,7 +199,9 @@
 }
 
 /* Takes an attempt out of the retry budgets; false if the generation is given
- * up instead. */
+ * up instead.  An attempt is free where the one before gave tokens, and once
+ * where it gave none: an engine that dies takes hundreds of generations with
+ * it, and to refuse these costs more work than their moves. */
 static bool check_budget(struct entryd *e, struct generation *g, uint64_t now)
 {
 	struct service *service = service_get(e, g->service);
@@ -206,7 +209,7 @@
 	enum retry_outcome outcome;
 
 	params.attempts_max = ATTEMPTS_MAX;
-	if (!g->tries++)
+	if (g->tries++ < FREE_TRIES)
 		return true;
 	outcome = retry_take(&org_at(e, g->org)->retry, &service->retry,
 			     &params, g->tries, now);
@@ -325,7 +328,7 @@
 	journal_add(e->journal, g->request,
 		    "the second attempt at engine %s is silent too", ep->name);
 	endpoint_list_add(&g->avoid, ep->id);
-	endpoint_check(e, ep, false);
+	endpoint_check(e, ep);
 	resume_attempt_lost(&g->resume, a->number, now);
 	attempt_end(e, g, a, true);
 	return true;
@@ -388,7 +391,7 @@
 	journal_add(e->journal, g->request, "engine %s is silent for too long",
 		    ep->name);
 	resume_attempt_lost(&g->resume, a->number, entryd_now(e));
-	endpoint_check(e, ep, false);
+	endpoint_check(e, ep);
 	attempt_end(e, g, a, true);
 	generation_lost(e, g, ep, false);
 }
--- a/fleetd/endpoints.h
+++ b/fleetd/endpoints.h
@@ -14,6 +14,7 @@
 struct endpoint {
 	uint64_t id;
 	size_t index; /* into the configuration's endpoints */
+	size_t service; /* index into the configuration's services */
 	uint16_t zone;
 	bool model; /* a model engine, not a plain service */
 	bool used; /* by this instance */
@@ -47,6 +48,7 @@
 struct endpoints {
 	struct endpoint *all; /* by id */
 	size_t n;
+	uint64_t tick_at; /* ms */
 };
 
 /* An answer to GET /v1/load. */
@@ -76,6 +78,7 @@
 			size_t n);
 void endpoints_heard(struct fleetd *f, Cdm__EndpointState **states, size_t n);
 size_t endpoints_rumours(struct fleetd *f, Cdm__EndpointState *out, size_t max);
+Cdm__EndpointState *endpoints_troubled(struct fleetd *f, size_t *n);
 Cdm__EndpointState *endpoints_changes(struct fleetd *f, uint64_t since,
 				      size_t *n);
 json_t *endpoints_status(const struct fleetd *f);
