A refused request no longer takes a waiting one out of the queue

A generation that was refused at its arrival was still in phase "waiting" with ticket 0, and its clean-up cancelled whichever request held that ticket: the first that waited. The phase now says "waiting" only while the request is in the queue.

--- a/entryd/generation.c
+++ b/entryd/generation.c
@@ -105,6 +105,7 @@
 
 	if (!g)
 		return;
+	g->phase = GENERATION_SEEKING; /* it has left the queue, if it was in */
 	if (v->outcome == ADMIT_REFUSE) {
 		journal_add(e->journal, g->request, "refused: %s",
 			    admit_reason_text(v->reason));
@@ -115,7 +116,6 @@
 	}
 	g->run = *v;
 	g->admitted_at = entryd_now(e);
-	g->phase = GENERATION_SEEKING;
 	journal_add(e->journal, g->request, "admitted after %" PRIu64 " ms",
 		    g->admitted_at - g->arrived_at);
 	generation_seek(e, g);
@@ -313,6 +313,7 @@
 	const struct org *o = org_at(e, org);
 
 	*item = g;
+	g->phase = GENERATION_SEEKING;
 	g->req = req;
 	g->ask = *ask;
 	memset(ask, 0, sizeof(*ask));
