cdmentryd: limits of organisations with large shards

Change: shards of up to 16 instances exchange demands; a larger one splits the limit as the plan splits its load. A share is raised only on news younger than a round, as policy/share.c asks.

--- a/entryd/members.c
+++ b/entryd/members.c
@@ -139,10 +139,14 @@
 	return m->serving;
 }
 
-/* Writes the ids of an organisation's shard, in the same order at every
- * instance that knows the same members; returns their number. */
+/*
+ * Writes the first max ids of an organisation's shard, in the same order at
+ * every instance that knows the same members, and this instance's part of the
+ * load, of SHARD_SHARE_ONE; 0 if it is not of the shard.  Returns the number of
+ * all its members.
+ */
 size_t members_shard(struct entryd *e, const struct org *org, uint64_t *ids,
-		     size_t max)
+		     size_t max, uint16_t *part)
 {
 	const struct shards *s = &e->members->now;
 	const struct shard_entry *entries;
@@ -150,13 +154,18 @@
 	size_t n = 0;
 	size_t i;
 
+	*part = 0;
 	if (index >= s->plan.n_orgs)
 		return 0;
 	entries = shard_of(&s->plan, index, &n);
-	if (n > max)
-		n = max;
-	for (i = 0; i < n; i++)
-		ids[i] = s->plan.members[entries[i].member].id;
+	for (i = 0; i < n; i++) {
+		uint64_t id = s->plan.members[entries[i].member].id;
+
+		if (id == e->self)
+			*part = entries[i].share;
+		if (i < max)
+			ids[i] = id;
+	}
 	return n;
 }
 
--- a/entryd/members.h
+++ b/entryd/members.h
@@ -17,7 +17,7 @@
 					   size_t *self);
 void members_tick(struct entryd *e);
 size_t members_shard(struct entryd *e, const struct org *org, uint64_t *ids,
-		     size_t max);
+		     size_t max, uint16_t *part);
 json_t *members_entries(struct entryd *e, const struct org *org, uint16_t zone);
 
 #endif /* ENTRYD_MEMBERS_H */
--- a/entryd/orgs.c
+++ b/entryd/orgs.c
@@ -18,10 +18,11 @@
 #define ROUND_MS 500 /* between exchanges of demands */
 #define QUIET_MS 3000 /* an organisation without requests is not published */
 #define WEIGHT_UNIT 1000
+#define STRANGER_PART 8 /* of a limit, where this instance is not its shard's */
 #define DEMANDS_MAX 512 /* of one message */
 
 static const struct share_params share_params = {
-	.fresh_ms = 2 * ROUND_MS,
+	.fresh_ms = ROUND_MS,
 	.hold_ms = 6 * ROUND_MS,
 };
 
@@ -33,8 +34,10 @@
 
 static struct org *org_add(struct entryd *e, const char *name);
 static void org_round(struct entryd *e, struct org *o, uint64_t now);
-static size_t org_shard(struct entryd *e, struct org *o, uint64_t now,
-			struct share_member *members, size_t *self);
+static size_t list_shard(const struct entryd *e, const struct org *o,
+			 const uint64_t *ids, size_t n, uint64_t now,
+			 struct share_member *members);
+static bool must_publish(const struct org *o, uint64_t now);
 static const struct org_peer *peer_find(const struct org *o, uint64_t id);
 static void publish(struct entryd *e, uint64_t now);
 
@@ -173,51 +176,67 @@
 	return o;
 }
 
-/* Puts the organisation's next share in force. */
+/*
+ * Puts the organisation's next share in force.  A large shard does not exchange
+ * demands, whose cost grows with its square: its limit is split as its load
+ * is, and many callers spread evenly over it.
+ */
 static void org_round(struct entryd *e, struct org *o, uint64_t now)
 {
-	struct share_member members[ORG_PEERS_MAX];
+	struct share_member members[ORG_EXCHANGE_MAX];
+	uint64_t ids[ORG_EXCHANGE_MAX];
+	uint16_t part;
+	size_t n = members_shard(e, o, ids, ORG_EXCHANGE_MAX, &part);
 	size_t self;
-	size_t n = org_shard(e, o, now, members, &self);
 
-	if (!n) {
+	o->exchanges = part && n <= ORG_EXCHANGE_MAX;
+	if (!part) {
 		/* not of its shard: callers come here by an old answer only */
-		o->share = o->limit / 8 + 1;
-	} else if (!o->share) {
-		o->share = share_start(o->limit, self, n);
+		o->share = o->limit / STRANGER_PART;
+	} else if (!o->exchanges) {
+		o->share =
+			(uint32_t)((uint64_t)o->limit * part / SHARD_SHARE_ONE);
 	} else {
+		self = list_shard(e, o, ids, n, now, members);
 		members[self].share = o->share;
-		o->share = share_next(o->limit, members, n, self, now,
-				      &share_params);
+		o->share = o->share ? share_next(o->limit, members, n, self,
+						 now, &share_params)
+				    : share_start(o->limit, self, n);
 	}
 	if (!o->share)
 		o->share = 1;
 	services_set_org(e, org_index(e, o->id));
 }
 
-/* Lists the shard's members with what they published; 0 if this instance is
- * not one of them. */
-static size_t org_shard(struct entryd *e, struct org *o, uint64_t now,
-			struct share_member *members, size_t *self)
+/* Lists the shard's members with what they published; returns the index of
+ * this instance, which is one of them. */
+static size_t list_shard(const struct entryd *e, const struct org *o,
+			 const uint64_t *ids, size_t n, uint64_t now,
+			 struct share_member *members)
 {
-	uint64_t ids[ORG_PEERS_MAX];
-	size_t n = members_shard(e, o, ids, ORG_PEERS_MAX);
+	size_t self = 0;
 	size_t i;
 
-	*self = n;
 	for (i = 0; i < n; i++) {
 		const struct org_peer *peer = peer_find(o, ids[i]);
 
 		memset(&members[i], 0, sizeof(members[i]));
 		if (ids[i] == e->self) {
-			*self = i;
+			self = i;
 			members[i].demand = o->running + o->waiting;
 			members[i].heard_ms = now;
 		} else if (peer) {
 			members[i] = peer->member;
 		}
 	}
-	return *self < n ? n : 0;
+	return self;
+}
+
+/* Tells whether the other instances of the shard must hear of its demand. */
+static bool must_publish(const struct org *o, uint64_t now)
+{
+	return o->configured && o->exchanges && o->active_at &&
+	       now - o->active_at <= QUIET_MS;
 }
 
 /* Returns what an instance published, or NULL. */
@@ -243,8 +262,7 @@
 	for (i = 0; i < e->orgs->n && n < DEMANDS_MAX; i++) {
 		const struct org *o = e->orgs->all[i];
 
-		if (!o->configured || !o->active_at ||
-		    now - o->active_at > QUIET_MS)
+		if (!must_publish(o, now))
 			continue;
 		cdm__demand__init(&demands[n]);
 		demands[n].organisation = o->name;
--- a/entryd/orgs.h
+++ b/entryd/orgs.h
@@ -1,6 +1,7 @@
 #ifndef ENTRYD_ORGS_H
 #define ENTRYD_ORGS_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -10,6 +11,7 @@
 #include "proto/control.pb-c.h"
 
 #define ORGS_MAX 2048 /* over the life of the process */
+#define ORG_EXCHANGE_MAX 16 /* instances of a shard that exchange demands */
 #define ORG_PEERS_MAX SHARE_MEMBERS_MAX
 
 /* What another instance of the shard published. */
@@ -27,6 +29,7 @@
 	uint32_t weight; /* thousandths */
 	uint32_t limit; /* of the whole fleet */
 	uint32_t share; /* of the limit, in force here */
+	bool exchanges; /* its shard is small enough to exchange demands */
 	uint32_t running; /* here, over all services */
 	uint32_t waiting;
 	uint64_t active_at; /* ms, when it last had requests or was heard */
--- a/lib/counters.c
+++ b/lib/counters.c
@@ -23,14 +23,17 @@
 			  const struct counter *before);
 static void print_histogram(FILE *f, const struct histogram *h);
 
-/* Adds a counter that the caller keeps for the life of the process.  Those of
- * one name are kept together, as the text format asks. */
+/* Adds a counter that the caller keeps for the life of the process; a second
+ * time changes nothing.  Those of one name are kept together, as the text
+ * format asks. */
 void counter_register(struct counter *c)
 {
 	struct counter **p = &counters;
 
-	while (*p && strcmp((*p)->name, c->name) != 0)
+	while (*p && *p != c && strcmp((*p)->name, c->name) != 0)
 		p = &(*p)->next;
+	if (*p == c)
+		return;
 	c->next = *p;
 	*p = c;
 }
