--- a/entryd/orgs.c
+++ b/entryd/orgs.c
@@ -18,7 +18,6 @@
 #define ROUND_MS 500 /* between exchanges of demands */
 #define QUIET_MS 3000 /* an organisation without requests is not published */
 #define WEIGHT_UNIT 1000
-#define STRANGER_PART 8 /* of a limit, where this instance is not its shard's */
 #define DEMANDS_MAX 512 /* of one message */
 
 static const struct share_params share_params = {
@@ -183,16 +182,16 @@
  */
 static void org_round(struct entryd *e, struct org *o, uint64_t now)
 {
-	struct share_member members[ORG_EXCHANGE_MAX];
-	uint64_t ids[ORG_EXCHANGE_MAX];
+	struct share_member members[SHARE_EXCHANGE_MAX];
+	uint64_t ids[SHARE_EXCHANGE_MAX];
 	uint16_t part;
-	size_t n = members_shard(e, o, ids, ORG_EXCHANGE_MAX, &part);
+	size_t n = members_shard(e, o, ids, SHARE_EXCHANGE_MAX, &part);
 	size_t self;
 
-	o->exchanges = part && n <= ORG_EXCHANGE_MAX;
+	o->exchanges = part && n <= SHARE_EXCHANGE_MAX;
 	if (!part) {
 		/* not of its shard: callers come here by an old answer only */
-		o->share = o->limit / STRANGER_PART;
+		o->share = share_stranger(o->limit);
 	} else if (!o->exchanges) {
 		o->share =
 			(uint32_t)((uint64_t)o->limit * part / SHARD_SHARE_ONE);
--- a/entryd/orgs.h
+++ b/entryd/orgs.h
@@ -11,7 +11,6 @@
 #include "proto/control.pb-c.h"
 
 #define ORGS_MAX 2048 /* over the life of the process */
-#define ORG_EXCHANGE_MAX 16 /* instances of a shard that exchange demands */
 #define ORG_PEERS_MAX SHARE_MEMBERS_MAX
 
 /* What another instance of the shard published. */
--- a/policy/share.c
+++ b/policy/share.c
@@ -76,6 +76,23 @@
 	return even_part(limit, self, n);
 }
 
+/*
+ * The share of a member of a shard of more than SHARE_EXCHANGE_MAX members,
+ * among which exchanging demands would cost messages with the square of their
+ * number: the limit is split as the load is, by the member's part of whole.
+ */
+uint32_t share_fixed(uint32_t limit, uint32_t part, uint32_t whole)
+{
+	return (uint32_t)((uint64_t)limit * part / whole);
+}
+
+/* The share of an instance that is no member: callers come to it only by an
+ * answer that is no longer right. */
+uint32_t share_stranger(uint32_t limit)
+{
+	return limit / SHARE_STRANGER_PART;
+}
+
 /* Says whether the member has fallen back to its even part for certain. */
 static bool is_gone(const struct share_member *m, uint64_t now,
 		    uint32_t hold_ms)
--- a/policy/share.h
+++ b/policy/share.h
@@ -17,11 +17,17 @@
 	uint32_t hold_ms; /* a member not heard for longer is cut off */
 };
 
-enum { SHARE_MEMBERS_MAX = 64 };
+enum {
+	SHARE_MEMBERS_MAX = 64,
+	SHARE_EXCHANGE_MAX = 16, /* members that exchange demands */
+	SHARE_STRANGER_PART = 8, /* of a limit, at no member of the shard */
+};
 
 void share_split(uint32_t limit, const uint32_t *demand, size_t n,
 		 uint32_t *share);
 uint32_t share_start(uint32_t limit, size_t self, size_t n);
+uint32_t share_fixed(uint32_t limit, uint32_t part, uint32_t whole);
+uint32_t share_stranger(uint32_t limit);
 uint32_t share_next(uint32_t limit, const struct share_member *members,
 		    size_t n, size_t self, uint64_t now,
 		    const struct share_params *params);
--- a/regress/unit/test_share.c
+++ b/regress/unit/test_share.c
@@ -8,6 +8,7 @@
 #include <cmocka.h>
 
 #include "policy/share.h"
+#include "regress/fleet_tables.h"
 #include "regress/random.h"
 
 enum {
@@ -228,6 +229,45 @@
 	}
 }
 
+/* In a fleet of the target size, the members of a shard too large for the
+ * exchange hold no more than the limit together, and no member all of it. */
+static void test_large_shards(void **state)
+{
+	static struct fleet f;
+	const uint32_t limit = 40000;
+	struct shard_plan plan;
+	size_t large = 0;
+	size_t org;
+
+	(void)state;
+	fleet_resize(&f, FLEET_SIZES - 1, 1);
+	shard_plan_init(&plan);
+	assert_int_equal(shard_plan_build(&plan, f.instances, f.n_instances,
+					  f.orgs, f.n_orgs),
+			 SHARD_OK);
+	for (org = 0; org < f.n_orgs; org++) {
+		size_t n;
+		const struct shard_entry *e = shard_of(&plan, org, &n);
+		uint64_t held = 0;
+		size_t i;
+
+		if (n <= SHARE_EXCHANGE_MAX)
+			continue;
+		large++;
+		for (i = 0; i < n; i++) {
+			uint32_t share =
+				share_fixed(limit, e[i].share, SHARD_SHARE_ONE);
+
+			assert_true(share < limit / 4);
+			held += share;
+		}
+		assert_true(held <= limit);
+		assert_true(held >= limit - limit / 10);
+	}
+	assert_true(large > 0);
+	shard_plan_free(&plan);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -237,6 +277,7 @@
 		cmocka_unit_test(test_converges),
 		cmocka_unit_test(test_one_cut_off),
 		cmocka_unit_test(test_partitions),
+		cmocka_unit_test(test_large_shards),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
