--- a/entryd/engine_http.c
+++ b/entryd/engine_http.c
@@ -58,6 +58,7 @@
 static bool keep(struct engine_stream *s, const char *data, size_t len);
 static void take_line(struct engine_stream *s, const char *line, size_t len);
 static void take_event(struct engine_stream *s, json_t *event);
+static bool read_position(const json_t *event, const char *key, uint32_t *out);
 static void over(struct engine_stream *s, enum engine_failure failure);
 static enum engine_failure failure_of_status(const struct engine_stream *s);
 
@@ -328,24 +329,33 @@
 /* Takes one event. */
 static void take_event(struct engine_stream *s, json_t *event)
 {
-	const json_t *position = json_object_get(event, "p");
 	const json_t *text = json_object_get(event, "t");
-	const json_t *n = json_object_get(event, "n");
+	uint32_t n;
 
-	if (json_is_integer(position) && json_is_string(text))
-		s->events->on_token(s->arg,
-				    (uint32_t)json_integer_value(position),
-				    json_string_value(text),
+	if (json_is_string(text) && read_position(event, "p", &n))
+		s->events->on_token(s->arg, n, json_string_value(text),
 				    json_string_length(text));
 	else if (json_is_true(json_object_get(event, "done")) &&
-		 json_is_integer(n))
-		s->events->on_done(s->arg, (uint32_t)json_integer_value(n));
+		 read_position(event, "n", &n))
+		s->events->on_done(s->arg, n);
 	else if (json_object_get(event, "error"))
 		over(s, ENGINE_REFUSED);
 	else
 		over(s, ENGINE_MALFORMED);
 }
 
+/* Reads a position in an answer; false if it is none. */
+static bool read_position(const json_t *event, const char *key, uint32_t *out)
+{
+	const json_t *value = json_object_get(event, key);
+	json_int_t n = json_integer_value(value);
+
+	if (!json_is_integer(value) || n < 0 || n > UINT32_MAX)
+		return false;
+	*out = (uint32_t)n;
+	return true;
+}
+
 /* Tells that the stream failed, once. */
 static void over(struct engine_stream *s, enum engine_failure failure)
 {
--- a/regress/integration/test_control_ctl.c
+++ b/regress/integration/test_control_ctl.c
@@ -130,21 +130,33 @@
 	harness_free(h);
 }
 
-/* A bad file is refused with file, line and key, and changes nothing. */
+/* A bad file is refused with file and line, and changes nothing; the second
+ * one makes the library that parses it assert. */
 static void test_bad_file(void **state)
 {
-	static const struct ctl_case bad = {
-		{ "apply", "FILE" },
-		1,
-		NULL,
-		"bad.toml:9: queue_mox: unknown key, did you mean queue_max?",
+	static const struct {
+		const char *text;
+		const char *error;
+	} files[] = {
+		{ "queue_mox = 1\n",
+		  "bad.toml:9: queue_mox: unknown key, did you mean "
+		  "queue_max?" },
+		{ "queue_max = [1,}\n", "bad.toml:9: malformed value" },
 	};
 	struct control_fleet *f = control_fleet_new(2, 2);
+	size_t i;
 
 	(void)state;
-	run_case(f, &bad, control_config(f, "bad.toml", "queue_mox = 1\n"), "");
-	control_sample(f);
-	assert_true(f->instances[0].version == 0);
+	for (i = 0; i < sizeof(files) / sizeof(files[0]); i++) {
+		const struct ctl_case bad = {
+			{ "apply", "FILE" }, 1, NULL, files[i].error
+		};
+
+		run_case(f, &bad, control_config(f, "bad.toml", files[i].text),
+			 "");
+		control_sample(f);
+		assert_true(f->instances[0].version == 0);
+	}
 	control_fleet_free(f);
 }
 
