--- a/entryd/orgs.h
+++ b/entryd/orgs.h
@@ -1,6 +1,7 @@
 #ifndef ENTRYD_ORGS_H
 #define ENTRYD_ORGS_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -27,6 +28,7 @@
 	uint32_t weight; /* thousandths */
 	uint32_t limit; /* of the whole fleet */
 	uint32_t share; /* of the limit, in force here */
+	bool exchanges; /* its shard is small enough to exchange demands */
 	uint32_t running; /* here, over all services */
 	uint32_t waiting;
 	uint64_t active_at; /* ms, when it last had requests or was heard */
