--- a/regress/integration/test_overload.c
+++ b/regress/integration/test_overload.c
@@ -165,7 +165,11 @@
 
 	assert_true(g->n < REQUESTS_MAX);
 	*r = (struct request){
-		.f = g->f, .org = org, .promised = true, .sent_ms = now_ms()
+		.f = g->f,
+		.org = org,
+		.promised = true,
+		.deadline_ms = deadline_ms,
+		.sent_ms = now_ms(),
 	};
 	snprintf(r->prompt, sizeof(r->prompt), "overload %u", number++);
 	snprintf(deadline, sizeof(deadline), "%u", deadline_ms);
