--- a/entryd/endpoints.c
+++ b/entryd/endpoints.c
@@ -52,6 +52,7 @@
 	while ((item = slots_next(&t->table, &i, NULL))) {
 		free((*item)->name);
 		free((*item)->address);
+		free((*item)->broken);
 		free(*item);
 	}
 	slots_release(&t->table);
@@ -284,6 +285,7 @@
 		slots_free(&e->endpoints->table, ep->self);
 		free(ep->name);
 		free(ep->address);
+		free(ep->broken);
 		free(ep);
 	}
 }
--- a/entryd/generation.c
+++ b/entryd/generation.c
@@ -21,7 +21,7 @@
 #include "lib/log.h"
 #include "lib/xalloc.h"
 
-#define PROBE_WAIT_MS 50 /* longest wait for a probe before moving on */
+#define PROBE_WAIT_MS 100 /* longest wait for a probe before moving on */
 
 struct generations {
 	struct slots table; /* of struct generation * */
@@ -105,6 +105,7 @@
 
 	if (!g)
 		return;
+	g->phase = GENERATION_SEEKING; /* it has left the queue, if it was in */
 	if (v->outcome == ADMIT_REFUSE) {
 		journal_add(e->journal, g->request, "refused: %s",
 			    admit_reason_text(v->reason));
@@ -115,7 +116,6 @@
 	}
 	g->run = *v;
 	g->admitted_at = entryd_now(e);
-	g->phase = GENERATION_SEEKING;
 	journal_add(e->journal, g->request, "admitted after %" PRIu64 " ms",
 		    g->admitted_at - g->arrived_at);
 	generation_seek(e, g);
@@ -191,7 +191,8 @@
 	if (ep && broken) {
 		g->probing = true;
 		g->seek_at = now + PROBE_WAIT_MS;
-		endpoint_check(e, ep, true);
+		suspects_broke(ep, &g->digest);
+		endpoint_check(e, ep);
 		return;
 	}
 	generation_seek(e, g);
@@ -286,6 +287,7 @@
 		relay_hand_over(g);
 		journal_add(e->journal, g->request,
 			    "handed over: this instance is leaving");
+		end_attempts(e, g, false);
 		generation_free(e, g);
 	}
 }
@@ -311,6 +313,7 @@
 	const struct org *o = org_at(e, org);
 
 	*item = g;
+	g->phase = GENERATION_SEEKING;
 	g->req = req;
 	g->ask = *ask;
 	memset(ask, 0, sizeof(*ask));
