cdmfleetd: an author that isn't UTF-8 no longer deletes the head row

cdmctl -a $'in\xff' apply FILE: jansson makes no JSON of such a name, so the head row's value was NULL, and a write of no value deletes the row. Trial with platformd and one cdmfleetd: "version 2 accepted; in force in 0 of 0 instances", GET /table/row?key=config/head then answers 404, and no later apply is accepted, since the base is compared with the head row.

The author is checked before anything is read or written: 400. A row to be written without text now ends the process.

--- a/fleetd/config_head.c
+++ b/fleetd/config_head.c
@@ -6,6 +6,7 @@
  */
 #include "fleetd/confsync.h"
 
+#include <assert.h>
 #include <bsd/string.h>
 #include <inttypes.h>
 #include <openssl/sha.h>
@@ -29,8 +30,9 @@
 				  &digest, "object", &object);
 	if (ok) {
 		out->version = (uint64_t)version;
-		strlcpy(out->author, author, sizeof(out->author));
 		ok = version > 0 &&
+		     strlcpy(out->author, author, sizeof(out->author)) <
+			     sizeof(out->author) &&
 		     strlcpy(out->digest, digest, sizeof(out->digest)) ==
 			     sizeof(out->digest) - 1 &&
 		     strlcpy(out->object, object, sizeof(out->object)) <
@@ -40,7 +42,7 @@
 	return ok;
 }
 
-/* Returns a row's value, which the caller frees. */
+/* Returns a row's value, which the caller frees; the author is UTF-8. */
 char *config_head_format(const struct config_head *head)
 {
 	json_t *root = json_pack("{s:I, s:s, s:s, s:s}", "version",
@@ -50,6 +52,7 @@
 	char *text = json_dumps(root, JSON_COMPACT);
 
 	json_decref(root);
+	assert(text); /* a write of no value would delete the row */
 	return text;
 }
 
--- a/fleetd/operator.c
+++ b/fleetd/operator.c
@@ -43,6 +43,7 @@
 static void handle_drain(struct httpd_req *req, void *arg);
 static void get_config(struct fleetd *f, struct httpd_req *req);
 static void post_config(struct fleetd *f, struct httpd_req *req);
+static bool is_utf8(const char *text);
 static struct config *parse_body(struct httpd_req *req);
 static void on_committed(void *arg, const struct commit_result *result);
 static void reply_lost(struct httpd_req *req,
@@ -154,6 +155,10 @@
 	int64_t number = 0;
 
 	httpd_query_get(req, "author", author, sizeof(author));
+	if (!is_utf8(author)) {
+		reply_error(req, 400, "the query's author= is not UTF-8");
+		return;
+	}
 	if (httpd_query_get(req, "base", base, sizeof(base)))
 		number = strtonum(base, 0, INT64_MAX - 1, &why);
 	if (why) {
@@ -168,6 +173,16 @@
 			     defer(f, req));
 }
 
+/* Tells whether JSON can carry a text. */
+static bool is_utf8(const char *text)
+{
+	json_t *json = json_string(text);
+	bool ok = json != NULL;
+
+	json_decref(json);
+	return ok;
+}
+
 /* Reads the body as an operators' file; NULL after an answer that says what
  * is wrong. */
 static struct config *parse_body(struct httpd_req *req)
