--- /dev/null
+++ b/regress/bench/bench_overload.c
@@ -0,0 +1,120 @@
+/*
+ * Goodput under overload with real processes: callers that come back as they
+ * are told, at 1, 2 and 5 times the engines' slots, and an organisation that
+ * floods beside one that does not.  Prints `name value unit`.
+ */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "lib/xalloc.h"
+#include "regress/harness_fleet.h"
+
+#define ENGINES 4
+#define SLOTS 8
+#define CAPACITY (ENGINES * SLOTS)
+#define LOAD_MS "8000"
+
+static struct harness *h;
+static struct fleet *f;
+
+/* Starts a load tool with so many callers of an organisation. */
+static struct proc *load_start(const char *name, const char *key,
+			       unsigned callers)
+{
+	char n[16];
+
+	snprintf(n, sizeof(n), "%u", callers);
+	return HARNESS_START(h, name, "cdmload", "-e", f->instances[0].entry,
+			     "-e", f->instances[1].entry, "-k", key, "-m",
+			     FLEET_MODEL, "-n", n, "-d", LOAD_MS,
+			     "--max-tokens=50", "--refusals=100");
+}
+
+/* Returns a figure that a load tool printed. */
+static double figure(struct proc *p, const char *name)
+{
+	char *out;
+	char *line;
+	char *pattern = xasprintf("%s ", name);
+	double value = 0;
+
+	proc_wait(p);
+	out = proc_output(p);
+	for (line = strtok(out, "\n"); line; line = strtok(NULL, "\n"))
+		if (!strncmp(line, pattern, strlen(pattern)))
+			value = strtod(line + strlen(pattern), NULL);
+	free(out);
+	free(pattern);
+	return value;
+}
+
+static double rate(struct proc *p)
+{
+	return figure(p, "completed") / figure(p, "elapsed");
+}
+
+/* Load of one organisation alone. */
+static double alone(const char *name, const char *key, unsigned callers)
+{
+	struct proc *p = load_start(name, key, callers);
+	double per_s = rate(p);
+
+	printf("overload_%s_completed_per_s %.1f requests/s\n", name, per_s);
+	printf("overload_%s_refusals_per_completed %.3f ratio\n", name,
+	       figure(p, "refusals") / figure(p, "completed"));
+	printf("overload_%s_wrong %.0f requests\n", name, figure(p, "wrong"));
+	return per_s;
+}
+
+static void bench(void **state)
+{
+	const struct fleet_options options = {
+		.n_instances = 3,
+		.n_zones = 2,
+		.n_engines = ENGINES,
+		.n_organisations = 2,
+		.slots = SLOTS,
+		.engine_args = { "--token-ms=10", "--slots=8",
+				 "--load-lag-ms=100" },
+	};
+	struct proc *flood;
+	struct proc *quiet;
+	double one;
+	double quiet_alone;
+
+	(void)state;
+	h = harness_new();
+	f = harness_fleet(h, &options);
+	harness_run(h, 4000);
+	alone("warm", "key-org-1", CAPACITY);
+	one = alone("x1", "key-org-1", CAPACITY);
+	printf("overload_goodput_x2 %.3f of_x1\n",
+	       alone("x2", "key-org-1", 2 * CAPACITY) / one);
+	printf("overload_goodput_x5 %.3f of_x1\n",
+	       alone("x5", "key-org-1", 5 * CAPACITY) / one);
+	quiet_alone = alone("quiet", "key-org-2", CAPACITY / 4);
+	flood = load_start("flood", "key-org-1", 5 * CAPACITY);
+	quiet = load_start("beside", "key-org-2", CAPACITY / 4);
+	printf("overload_quiet_beside_flood %.3f of_alone\n",
+	       rate(quiet) / quiet_alone);
+	printf("overload_flood_and_quiet %.3f of_x1\n",
+	       (rate(flood) + rate(quiet)) / one);
+	fleet_free(f);
+	harness_free(h);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(bench),
+	};
+
+	setvbuf(stdout, NULL, _IOLBF, 0);
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
