--- a/entryd/services.c
+++ b/entryd/services.c
@@ -233,8 +233,10 @@
 /*
  * Sets how many requests may run here at once: an even part of the endpoints'
  * slots, or what runs here now and an even part of the slots that the load
- * reports show free, whichever is more.  What still runs at endpoints that get
- * no new work takes nothing from that.
+ * reports show free, whichever is more.  What waits at the endpoints is taken
+ * off the latter: more was admitted over all instances than there is room for,
+ * and an endpoint's queue knows no fair shares.  What still runs at endpoints
+ * that get no new work takes nothing from that.
  */
 static void set_slots(struct entryd *e, struct service *s, uint64_t now)
 {
@@ -244,6 +246,7 @@
 	uint32_t free_slots = 0;
 	uint32_t own = 0;
 	uint32_t held = 0;
+	uint32_t queued = 0;
 	uint32_t n = 0;
 	size_t users;
 	size_t self;
@@ -261,6 +264,7 @@
 		n++;
 		all += ep->slots;
 		own += ep->own_now;
+		queued += ep->queued;
 		busy = ep->running + ep->queued + ep->own_now;
 		busy -= busy < ep->own_reported ? busy : ep->own_reported;
 		if (busy < ep->slots)
@@ -271,6 +275,7 @@
 	users = users ? users : 1;
 	even = (uint32_t)((all + users - 1) / users);
 	own += (uint32_t)(free_slots / users);
+	own -= queued < own ? queued : own;
 	if (even > own)
 		own = even;
 	if (own)
