--- a/regress/run.sh
+++ b/regress/run.sh
@@ -14,6 +14,7 @@
 		timeout -k 5 "$limit" "$root/$out/bin/$t" >"$log" 2>&1 </dev/null; then
 		passed=$((passed + 1))
 		echo "ok    $t: $(grep -c '^\[       OK' "$log") cases"
+		grep '^\[  PASSED' "$log"
 	elif grep -q "^red: $t\$" "$root/KNOWN-RED.txt" 2>/dev/null; then
 		red=$((red + 1))
 		echo "RED   $t (known, see KNOWN-RED.txt)"
