One way to write a time; dead results and a doubled allocation go

Behaviour is the same. test_claim_row, test_whole_path, test_at_most_once, test_control_ctl and test_tokens pass plain; format, clang-tidy on the changed files and cppcheck are clean. The whole check and the sanitizers were not run again.

--- a/entryd/attempt.c
+++ b/entryd/attempt.c
@@ -66,7 +66,7 @@
 }
 
 /* Starts an attempt, or a second one beside it, at the position reached. */
-bool attempt_start(struct entryd *e, struct generation *g, struct endpoint *ep,
+void attempt_start(struct entryd *e, struct generation *g, struct endpoint *ep,
 		   bool hedge)
 {
 	struct attempt *a = attempt_new(e, g, ep);
@@ -93,12 +93,11 @@
 	attempt_fill_prefix(a, g, ep->id);
 	a->stream =
 		e->engine->ops->start(e->engine, &start, &attempt_events, a);
-	return true;
 }
 
 /* Hears a stream that another instance started, from the cursor's position,
  * or from its first token where the text before is not known. */
-bool attempt_attach(struct entryd *e, struct generation *g, struct endpoint *ep,
+void attempt_attach(struct entryd *e, struct generation *g, struct endpoint *ep,
 		    const struct cursor *cursor)
 {
 	struct attempt *a = attempt_new(e, g, ep);
@@ -109,7 +108,6 @@
 	attempt_fill_prefix(a, g, ep->id);
 	a->stream = e->engine->ops->attach(e->engine, ep->address, a->name,
 					   g->text_tokens, &attempt_events, a);
-	return true;
 }
 
 /* Ends an attempt; cancel tells the engine to stop it too. */
--- a/entryd/claim_row.c
+++ b/entryd/claim_row.c
@@ -31,8 +31,7 @@
 			 body, "by", instance, "answered", r->row.answered,
 			 "kept", r->row.answer_kept);
 	if (r->row.answer_kept) {
-		encoded = xcalloc(r->answer_len / 3 + 1, 4);
-		encoded = xreallocarray(encoded, r->answer_len / 3 + 2, 4);
+		encoded = xcalloc(r->answer_len / 3 + 2, 4);
 		EVP_EncodeBlock((unsigned char *)encoded,
 				(unsigned char *)r->answer, (int)r->answer_len);
 		json_object_set_new(json, "status", json_integer(r->status));
--- a/entryd/generation.h
+++ b/entryd/generation.h
@@ -138,9 +138,9 @@
 
 /* Attempts (attempt.c). */
 void attempts_init(void);
-bool attempt_start(struct entryd *e, struct generation *g, struct endpoint *ep,
+void attempt_start(struct entryd *e, struct generation *g, struct endpoint *ep,
 		   bool hedge);
-bool attempt_attach(struct entryd *e, struct generation *g, struct endpoint *ep,
+void attempt_attach(struct entryd *e, struct generation *g, struct endpoint *ep,
 		    const struct cursor *cursor);
 void attempt_end(struct entryd *e, struct generation *g, struct attempt *a,
 		 bool cancel);
--- a/entryd/journal.c
+++ b/entryd/journal.c
@@ -10,6 +10,7 @@
 #include <time.h>
 #include <bsd/string.h>
 
+#include "lib/timestamp.h"
 #include "lib/xalloc.h"
 
 #define EVENTS_MAX 24 /* of one request; later ones push out the middle */
@@ -33,7 +34,6 @@
 
 static struct entry *entry_find(struct journal *j, const char *request);
 static void entry_clear(struct entry *entry);
-static void format_time(const struct timespec *at, char *buf, size_t size);
 
 /* Makes an empty journal. */
 struct journal *journal_new(void)
@@ -83,7 +83,7 @@
 json_t *journal_events(const struct journal *j, const char *request)
 {
 	json_t *list = json_array();
-	char when[40];
+	char when[TIMESTAMP_SIZE];
 	size_t i;
 	size_t k;
 
@@ -93,7 +93,8 @@
 		if (strcmp(entry->request, request) != 0)
 			continue;
 		for (k = 0; k < entry->n; k++) {
-			format_time(&entry->events[k].at, when, sizeof(when));
+			timestamp_format(&entry->events[k].at, when,
+					 sizeof(when));
 			json_array_append_new(
 				list, json_pack("{s:s, s:s}", "time", when,
 						"text", entry->events[k].text));
@@ -124,14 +125,3 @@
 		free(entry->events[--entry->n].text);
 	entry->request[0] = '\0';
 }
-
-/* Writes a time as RFC 3339 has it, UTC with milliseconds. */
-static void format_time(const struct timespec *at, char *buf, size_t size)
-{
-	struct tm tm;
-	size_t n;
-
-	gmtime_r(&at->tv_sec, &tm);
-	n = strftime(buf, size, "%Y-%m-%dT%H:%M:%S", &tm);
-	snprintf(buf + n, size - n, ".%03ldZ", at->tv_nsec / 1000000);
-}
--- a/entryd/orgs.c
+++ b/entryd/orgs.c
@@ -153,12 +153,6 @@
 	return ORGS_MAX;
 }
 
-/* Returns the number of organisations ever seen. */
-size_t orgs_count(const struct entryd *e)
-{
-	return e->orgs->n;
-}
-
 /* Makes an organisation that is new; NULL if there are too many. */
 static struct org *org_add(struct entryd *e, const char *name)
 {
--- a/entryd/orgs.h
+++ b/entryd/orgs.h
@@ -45,6 +45,5 @@
 		size_t n);
 struct org *org_at(const struct entryd *e, uint32_t index);
 uint32_t org_index(const struct entryd *e, uint64_t id);
-size_t orgs_count(const struct entryd *e);
 
 #endif /* ENTRYD_ORGS_H */
--- a/entryd/seek.c
+++ b/entryd/seek.c
@@ -4,6 +4,7 @@
  */
 #include <inttypes.h>
 #include <stdio.h>
+#include <string.h>
 
 #include "entryd/generation.h"
 #include "entryd/journal.h"
@@ -405,9 +406,5 @@
  * are taken to be four bytes each. */
 static uint32_t prefill_of(const struct generation *g)
 {
-	size_t prompt = 0;
-
-	while (g->ask.prompt[prompt])
-		prompt++;
-	return (uint32_t)(prompt / 4) + g->text_tokens;
+	return (uint32_t)(strlen(g->ask.prompt) / 4) + g->text_tokens;
 }
--- a/lib/log.c
+++ b/lib/log.c
@@ -13,6 +13,8 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "lib/timestamp.h"
+
 #define LOG_TEXT_MAX 1024 /* bytes of one message */
 
 static const char *const severity_names[] = {
@@ -22,8 +24,6 @@
 static const char *log_program = "cardamomknot";
 static int log_max_priority = LOG_INFO;
 
-static void format_time(char *buf, size_t size);
-
 /* Names the program in later lines and drops those above max_priority. */
 void log_open(const char *program, int max_priority)
 {
@@ -50,7 +50,8 @@
 	     const char *fmt, ...)
 {
 	char text[LOG_TEXT_MAX];
-	char when[40];
+	char when[TIMESTAMP_SIZE];
+	struct timespec now;
 	va_list ap;
 	json_t *line;
 	char *dump;
@@ -60,7 +61,8 @@
 	va_start(ap, fmt);
 	vsnprintf(text, sizeof(text), fmt, ap);
 	va_end(ap);
-	format_time(when, sizeof(when));
+	clock_gettime(CLOCK_REALTIME, &now);
+	timestamp_format(&now, when, sizeof(when));
 	line = json_pack("{s:s, s:s, s:s, s:s, s:i, s:s}", "time", when,
 			 "facility", "daemon", "severity",
 			 severity_names[priority], "program", log_program,
@@ -78,16 +80,3 @@
 	fprintf(stderr, "%s\n", dump);
 	free(dump);
 }
-
-/* Writes the time of day, UTC with milliseconds, as RFC 3339 has it. */
-static void format_time(char *buf, size_t size)
-{
-	struct timespec ts;
-	struct tm tm;
-	size_t n;
-
-	clock_gettime(CLOCK_REALTIME, &ts);
-	gmtime_r(&ts.tv_sec, &tm);
-	n = strftime(buf, size, "%Y-%m-%dT%H:%M:%S", &tm);
-	snprintf(buf + n, size - n, ".%03ldZ", ts.tv_nsec / 1000000);
-}
