--- /dev/null
+++ b/lib/event_stream.h
@@ -0,0 +1,28 @@
+#ifndef LIB_EVENT_STREAM_H
+#define LIB_EVENT_STREAM_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "lib/bytes.h"
+
+/* Splits a stream of server-sent events; all zero begins one. */
+struct event_stream {
+	struct bytes pending; /* begins with an event, whole or not */
+};
+
+struct stream_event {
+	const char *data; /* with the empty line that ends it */
+	size_t len;
+	bool has_id;
+	uint64_t id;
+};
+
+void event_stream_add(struct event_stream *s, const char *data, size_t len);
+bool event_stream_next(const struct event_stream *s, size_t offset,
+		       struct stream_event *event);
+void event_stream_consume(struct event_stream *s, size_t len);
+void event_stream_release(struct event_stream *s);
+
+#endif /* LIB_EVENT_STREAM_H */
--- /dev/null
+++ b/lib/http1.c
@@ -0,0 +1,308 @@
+/*
+ * Messages of HTTP/1.1: heads and the framing of bodies, by the parser inside
+ * libh2o.  h2o's own server and client are not used where a byte that is not
+ * part of an answer, a connection's age or the exact moment of a write matter.
+ */
+#include "lib/http1.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/types.h>
+
+#define LENGTH_DIGITS_MAX 18 /* no overflow of 64 bits */
+
+/* libh2o exports its parser but installs no header for it. */
+int phr_parse_request(const char *buf, size_t len, const char **method,
+		      size_t *method_len, const char **path, size_t *path_len,
+		      int *minor_version, struct http1_header *headers,
+		      size_t *num_headers, size_t last_len);
+int phr_parse_response(const char *buf, size_t len, int *minor_version,
+		       int *status, const char **msg, size_t *msg_len,
+		       struct http1_header *headers, size_t *num_headers,
+		       size_t last_len);
+ssize_t phr_decode_chunked(void *decoder, char *buf, size_t *bufsz);
+
+/* The first members of the parser's decoder; the rest is its own. */
+struct chunk_decoder {
+	size_t bytes_left_in_chunk;
+	char consume_trailer;
+};
+
+static enum http1_result result_of(int rc, size_t *used);
+static bool well_formed(const struct http1_head *head);
+static int content_length(const struct http1_head *head, uint64_t *length);
+static void begin_chunked(struct http1_body *body);
+static bool name_equal(const char *name, size_t len, const char *other);
+
+/* Parses the head of a request; used is its length when it is whole. */
+enum http1_result http1_parse_request(const char *data, size_t len,
+				      struct http1_head *head, size_t *used)
+{
+	enum http1_result result;
+	int rc;
+
+	head->n_headers = HTTP1_HEADERS_MAX;
+	head->status = 0;
+	rc = phr_parse_request(data, len, &head->method, &head->method_len,
+			       &head->target, &head->target_len,
+			       &head->minor_version, head->headers,
+			       &head->n_headers, 0);
+	result = result_of(rc, used);
+	if (result == HTTP1_DONE && !well_formed(head))
+		return HTTP1_BAD;
+	return result;
+}
+
+/* Parses the head of an answer; used is its length when it is whole. */
+enum http1_result http1_parse_response(const char *data, size_t len,
+				       struct http1_head *head, size_t *used)
+{
+	enum http1_result result;
+	const char *reason;
+	size_t reason_len;
+	int rc;
+
+	head->n_headers = HTTP1_HEADERS_MAX;
+	head->method = NULL;
+	head->target = NULL;
+	rc = phr_parse_response(data, len, &head->minor_version, &head->status,
+				&reason, &reason_len, head->headers,
+				&head->n_headers, 0);
+	result = result_of(rc, used);
+	if (result == HTTP1_DONE && !well_formed(head))
+		return HTTP1_BAD;
+	return result;
+}
+
+/* Finds how the body of a request is framed; false if that is ambiguous, as
+ * in a request that hides another one. */
+bool http1_body_of_request(const struct http1_head *head,
+			   struct http1_body *body)
+{
+	int lengths = content_length(head, &body->left);
+
+	if (lengths < 0)
+		return false;
+	body->framing = lengths ? HTTP1_LENGTH : HTTP1_EMPTY;
+	if (http1_find(head, "transfer-encoding")) {
+		if (lengths ||
+		    !http1_has_token(head, "transfer-encoding", "chunked"))
+			return false;
+		begin_chunked(body);
+	}
+	if (body->framing == HTTP1_LENGTH && !body->left)
+		body->framing = HTTP1_EMPTY;
+	return true;
+}
+
+/* Finds how the body of an answer is framed; false if that is ambiguous. */
+bool http1_body_of_response(const struct http1_head *head, bool to_head_request,
+			    struct http1_body *body)
+{
+	int lengths = content_length(head, &body->left);
+
+	if (lengths < 0)
+		return false;
+	body->framing = lengths ? HTTP1_LENGTH : HTTP1_UNTIL_CLOSE;
+	if (to_head_request || head->status == 204 || head->status == 304 ||
+	    (lengths && !body->left))
+		body->framing = HTTP1_EMPTY;
+	else if (http1_find(head, "transfer-encoding")) {
+		if (lengths ||
+		    !http1_has_token(head, "transfer-encoding", "chunked"))
+			return false;
+		begin_chunked(body);
+	}
+	return true;
+}
+
+/*
+ * Reads on in a body.  Decoded bytes end up at data, in place; what follows
+ * the end of the body lies behind them and is rest bytes long.
+ */
+enum http1_result http1_body_take(struct http1_body *body, char *data,
+				  size_t len, size_t *decoded, size_t *rest)
+{
+	ssize_t rc;
+
+	*rest = 0;
+	*decoded = len;
+	switch (body->framing) {
+	case HTTP1_EMPTY:
+		*decoded = 0;
+		*rest = len;
+		return HTTP1_DONE;
+	case HTTP1_LENGTH:
+		if (*decoded > body->left)
+			*decoded = body->left;
+		body->left -= *decoded;
+		*rest = len - *decoded;
+		return body->left ? HTTP1_MORE : HTTP1_DONE;
+	case HTTP1_CHUNKED:
+		rc = phr_decode_chunked(body->decoder, data, decoded);
+		if (rc == -2)
+			return HTTP1_MORE;
+		if (rc < 0)
+			return HTTP1_BAD;
+		*rest = (size_t)rc;
+		return HTTP1_DONE;
+	case HTTP1_UNTIL_CLOSE:
+		break;
+	}
+	return HTTP1_MORE;
+}
+
+/* Returns the first header of a lower-case name, or NULL. */
+const struct http1_header *http1_find(const struct http1_head *head,
+				      const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < head->n_headers; i++)
+		if (http1_is(&head->headers[i], name))
+			return &head->headers[i];
+	return NULL;
+}
+
+/* Tells whether a header has that name, in any case. */
+bool http1_is(const struct http1_header *h, const char *name)
+{
+	return name_equal(h->name, h->name_len, name);
+}
+
+/* Tells whether a comma-separated token stands in any header of that name. */
+bool http1_has_token(const struct http1_head *head, const char *name,
+		     const char *token)
+{
+	size_t i;
+
+	for (i = 0; i < head->n_headers; i++) {
+		const struct http1_header *h = &head->headers[i];
+		const char *p = h->value;
+		const char *end = p + h->value_len;
+
+		if (!http1_is(h, name))
+			continue;
+		while (p < end) {
+			const char *comma = memchr(p, ',', (size_t)(end - p));
+			const char *stop = comma ? comma : end;
+			size_t n;
+
+			while (p < stop && (*p == ' ' || *p == '\t'))
+				p++;
+			n = (size_t)(stop - p);
+			while (n && (p[n - 1] == ' ' || p[n - 1] == '\t'))
+				n--;
+			if (name_equal(p, n, token))
+				return true;
+			p = comma ? comma + 1 : end;
+		}
+	}
+	return false;
+}
+
+/* Tells whether a header concerns one connection only and is not passed on. */
+bool http1_hop_by_hop(const struct http1_head *head,
+		      const struct http1_header *h)
+{
+	static const char *const names[] = {
+		"connection",	       "keep-alive", "proxy-authenticate",
+		"proxy-authorization", "te",	     "trailer",
+		"transfer-encoding",   "upgrade",    "proxy-connection",
+		"content-length",      "expect",
+	};
+	char name[64];
+	size_t i;
+
+	for (i = 0; i < sizeof(names) / sizeof(names[0]); i++)
+		if (http1_is(h, names[i]))
+			return true;
+	if (h->name_len >= sizeof(name))
+		return false;
+	memcpy(name, h->name, h->name_len);
+	name[h->name_len] = '\0';
+	return http1_has_token(head, "connection", name);
+}
+
+/* Tells whether the connection may be used again after this message. */
+bool http1_keeps_alive(const struct http1_head *head)
+{
+	return head->minor_version >= 1 &&
+	       !http1_has_token(head, "connection", "close");
+}
+
+/* Reads a header's value as a decimal number of at most 18 digits. */
+bool http1_uint(const struct http1_header *h, uint64_t *value)
+{
+	size_t i;
+
+	if (!h || !h->value_len || h->value_len > LENGTH_DIGITS_MAX)
+		return false;
+	*value = 0;
+	for (i = 0; i < h->value_len; i++) {
+		if (h->value[i] < '0' || h->value[i] > '9')
+			return false;
+		*value = *value * 10 + (uint64_t)(h->value[i] - '0');
+	}
+	return true;
+}
+
+/* Translates what the parser returned. */
+static enum http1_result result_of(int rc, size_t *used)
+{
+	if (rc == -2)
+		return HTTP1_MORE;
+	if (rc < 0)
+		return HTTP1_BAD;
+	*used = (size_t)rc;
+	return HTTP1_DONE;
+}
+
+/* Tells whether no header is continued on a line of its own, a form that
+ * programs read differently. */
+static bool well_formed(const struct http1_head *head)
+{
+	size_t i;
+
+	for (i = 0; i < head->n_headers; i++)
+		if (!head->headers[i].name)
+			return false;
+	return true;
+}
+
+/* Counts the lengths given, 0 or 1; -1 if they are malformed or differ. */
+static int content_length(const struct http1_head *head, uint64_t *length)
+{
+	int found = 0;
+	uint64_t value;
+	size_t i;
+
+	*length = 0;
+	for (i = 0; i < head->n_headers; i++) {
+		if (!http1_is(&head->headers[i], "content-length"))
+			continue;
+		if (!http1_uint(&head->headers[i], &value) ||
+		    (found && value != *length))
+			return -1;
+		*length = value;
+		found = 1;
+	}
+	return found;
+}
+
+/* Prepares to decode chunks, trailers included. */
+static void begin_chunked(struct http1_body *body)
+{
+	struct chunk_decoder *decoder = (void *)body->decoder;
+
+	memset(body->decoder, 0, sizeof(body->decoder));
+	decoder->consume_trailer = 1;
+	body->framing = HTTP1_CHUNKED;
+}
+
+/* Compares a name that is not terminated with one that is, in any case. */
+static bool name_equal(const char *name, size_t len, const char *other)
+{
+	return strlen(other) == len && !strncasecmp(name, other, len);
+}
--- /dev/null
+++ b/lib/http1_server.c
@@ -0,0 +1,538 @@
+/*
+ * HTTP/1.1 server.  A request is handed over once it is whole.  The connection
+ * is read while its request is being answered, so that a caller that leaves is
+ * noticed at once.
+ */
+#include "lib/http1_server.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+#include "lib/bytes.h"
+#include "lib/settings.h"
+#include "lib/xalloc.h"
+
+#define BACKLOG 1024
+#define READ_BYTES 65536 /* one buffer for all reads of the loop */
+#define LISTENERS_MAX 4
+
+enum conn_state {
+	CONN_HEAD, /* between requests, or reading a head */
+	CONN_BODY,
+	CONN_ANSWERING,
+	CONN_CLOSING, /* what was written is still being sent */
+	CONN_CLOSED,
+};
+
+struct http1_conn {
+	uv_tcp_t tcp;
+	struct http1_server *server;
+	TAILQ_ENTRY(http1_conn) link;
+	enum conn_state state;
+	struct bytes input; /* not yet consumed */
+	struct bytes head; /* of the current request */
+	struct bytes body;
+	struct http1_request request;
+	struct http1_body framing;
+	void *owner;
+	uint64_t since_ms; /* idle, or reading a request */
+	bool keep; /* the connection may be used again */
+	bool chunked; /* the answer is sent in chunks */
+	bool parsing;
+	bool ended; /* by the other side */
+};
+
+TAILQ_HEAD(conn_list, http1_conn);
+
+struct http1_server {
+	uv_loop_t *loop;
+	const struct http1_server_ops *ops;
+	void *arg;
+	struct http1_limits limits;
+	uv_tcp_t *listeners[LISTENERS_MAX];
+	size_t n_listeners;
+	struct conn_list conns;
+	size_t n_conns;
+	bool closing; /* answers end their connections */
+};
+
+struct write {
+	uv_write_t req;
+	char data[];
+};
+
+static char read_buffer[READ_BYTES];
+
+static void on_connection(uv_stream_t *stream, int status);
+static void on_alloc(uv_handle_t *h, size_t suggested, uv_buf_t *buf);
+static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf);
+static void on_written(uv_write_t *req, int status);
+static void on_conn_closed(uv_handle_t *h);
+static void on_listener_closed(uv_handle_t *h);
+static void parse(struct http1_conn *c);
+static bool parse_head(struct http1_conn *c);
+static bool parse_body(struct http1_conn *c);
+static void hand_over(struct http1_conn *c);
+static void refuse(struct http1_conn *c, int status);
+static void finish(struct http1_conn *c);
+static void conn_close(struct http1_conn *c);
+static void send_bytes(struct http1_conn *c, const void *data, size_t len);
+static const char *reason_of(int status);
+
+/* Makes a server; it serves nothing until http1_server_listen(). */
+struct http1_server *http1_server_new(uv_loop_t *loop,
+				      const struct http1_server_ops *ops,
+				      void *arg)
+{
+	struct http1_server *s = xcalloc(1, sizeof(*s));
+
+	s->loop = loop;
+	s->ops = ops;
+	s->arg = arg;
+	s->limits = (struct http1_limits){
+		.header_bytes = 16384,
+		.body_bytes = 4u << 20,
+		.header_ms = 3000,
+		.idle_ms = 15000,
+	};
+	TAILQ_INIT(&s->conns);
+	return s;
+}
+
+/* Listens on a numeric address; -1 with a message in err on failure. */
+int http1_server_listen(struct http1_server *s, const char *address, char *err,
+			size_t err_size)
+{
+	struct sockaddr_in sin;
+	char host[64];
+	uint16_t port;
+	uv_tcp_t *l;
+	int rc;
+
+	if (s->n_listeners == LISTENERS_MAX ||
+	    !address_parse(address, host, sizeof(host), &port)) {
+		snprintf(err, err_size, "%s: not a numeric address", address);
+		return -1;
+	}
+	l = xcalloc(1, sizeof(*l));
+	uv_tcp_init(s->loop, l);
+	l->data = s;
+	uv_ip4_addr(host, port, &sin);
+	rc = uv_tcp_bind(l, (const struct sockaddr *)&sin, 0);
+	if (!rc)
+		rc = uv_listen((uv_stream_t *)l, BACKLOG, on_connection);
+	if (rc) {
+		snprintf(err, err_size, "listening on %s: %s", address,
+			 uv_strerror(rc));
+		uv_close((uv_handle_t *)l, on_listener_closed);
+		return -1;
+	}
+	s->listeners[s->n_listeners++] = l;
+	return 0;
+}
+
+/* Sets what callers may send from now on. */
+void http1_server_limits(struct http1_server *s,
+			 const struct http1_limits *limits)
+{
+	s->limits = *limits;
+}
+
+/* From now on answers end their connections. */
+void http1_server_close_idle(struct http1_server *s)
+{
+	s->closing = true;
+}
+
+/* Closes connections that were idle, or slow with a head, for too long. */
+void http1_server_tick(struct http1_server *s)
+{
+	uint64_t now = uv_now(s->loop);
+	struct http1_conn *c = TAILQ_FIRST(&s->conns);
+
+	while (c) {
+		struct http1_conn *next = TAILQ_NEXT(c, link);
+		uint64_t age = now - c->since_ms;
+
+		if (c->state == CONN_HEAD && !c->input.len &&
+		    age > s->limits.idle_ms)
+			conn_close(c);
+		else if (c->state == CONN_HEAD && c->input.len &&
+			 age > s->limits.header_ms)
+			refuse(c, 408);
+		else if (c->state == CONN_BODY && age > s->limits.idle_ms)
+			refuse(c, 408);
+		c = next;
+	}
+}
+
+/* Closes listeners and connections; the server is freed with the last. */
+void http1_server_free(struct http1_server *s)
+{
+	struct http1_conn *c;
+
+	while (s->n_listeners)
+		uv_close((uv_handle_t *)s->listeners[--s->n_listeners],
+			 on_listener_closed);
+	while ((c = TAILQ_FIRST(&s->conns)))
+		conn_close(c);
+}
+
+/* Returns the number of open connections. */
+size_t http1_server_connections(const struct http1_server *s)
+{
+	return s->n_conns;
+}
+
+/* Names the owner of the request in progress, for on_gone and on_sent. */
+void http1_own(struct http1_conn *c, void *owner)
+{
+	c->owner = owner;
+}
+
+/* Sends a whole answer; headers are lines that end in CRLF, or NULL. */
+void http1_reply(struct http1_conn *c, int status, const char *headers,
+		 const void *body, size_t len)
+{
+	struct bytes out = { 0 };
+
+	if (c->server->closing)
+		c->keep = false;
+	bytes_addf(&out, "HTTP/1.1 %d %s\r\n%scontent-length: %zu\r\n%s\r\n",
+		   status, reason_of(status), headers ? headers : "", len,
+		   c->keep ? "" : "connection: close\r\n");
+	bytes_add(&out, body, len);
+	send_bytes(c, out.data, out.len);
+	bytes_release(&out);
+	finish(c);
+}
+
+/* Begins an answer of unknown length. */
+void http1_stream_begin(struct http1_conn *c, int status, const char *headers)
+{
+	struct bytes out = { 0 };
+
+	c->chunked = c->request.head.minor_version >= 1;
+	if (c->server->closing || !c->chunked)
+		c->keep = false;
+	bytes_addf(&out, "HTTP/1.1 %d %s\r\n%s%s%s\r\n", status,
+		   reason_of(status), headers ? headers : "",
+		   c->chunked ? "transfer-encoding: chunked\r\n" : "",
+		   c->keep ? "" : "connection: close\r\n");
+	send_bytes(c, out.data, out.len);
+	bytes_release(&out);
+}
+
+/* Adds bytes to an answer that was begun. */
+void http1_stream_write(struct http1_conn *c, const void *data, size_t len)
+{
+	struct bytes out = { 0 };
+
+	if (!len)
+		return;
+	if (c->chunked)
+		bytes_addf(&out, "%zx\r\n", len);
+	bytes_add(&out, data, len);
+	if (c->chunked)
+		bytes_add(&out, "\r\n", 2);
+	send_bytes(c, out.data, out.len);
+	bytes_release(&out);
+}
+
+/* Ends an answer that was begun. */
+void http1_stream_end(struct http1_conn *c)
+{
+	if (c->chunked)
+		send_bytes(c, "0\r\n\r\n", 5);
+	finish(c);
+}
+
+/* Breaks the connection off, so that the answer is visibly not whole. */
+void http1_abort(struct http1_conn *c)
+{
+	c->owner = NULL;
+	conn_close(c);
+}
+
+/* Returns the bytes that were written and not yet sent. */
+size_t http1_pending(const struct http1_conn *c)
+{
+	return uv_stream_get_write_queue_size((const uv_stream_t *)&c->tcp);
+}
+
+/* Accepts a connection. */
+static void on_connection(uv_stream_t *stream, int status)
+{
+	struct http1_server *s = stream->data;
+	struct http1_conn *c;
+
+	if (status < 0)
+		return;
+	c = xcalloc(1, sizeof(*c));
+	uv_tcp_init(s->loop, &c->tcp);
+	c->tcp.data = c;
+	c->server = s;
+	c->keep = true;
+	c->since_ms = uv_now(s->loop);
+	TAILQ_INSERT_TAIL(&s->conns, c, link);
+	s->n_conns++;
+	if (uv_accept(stream, (uv_stream_t *)&c->tcp) < 0) {
+		conn_close(c);
+		return;
+	}
+	uv_tcp_nodelay(&c->tcp, 1);
+	uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
+}
+
+/* Lends the loop's one read buffer. */
+static void on_alloc(uv_handle_t *h, size_t suggested, uv_buf_t *buf)
+{
+	(void)h;
+	(void)suggested;
+	*buf = uv_buf_init(read_buffer, sizeof(read_buffer));
+}
+
+/* Takes what a caller sent, or its leaving. */
+static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+{
+	struct http1_conn *c = stream->data;
+	size_t most = c->server->limits.header_bytes +
+		      c->server->limits.body_bytes + READ_BYTES;
+
+	if (n == 0)
+		return;
+	if (n < 0) {
+		c->ended = true;
+		conn_close(c);
+		return;
+	}
+	if (c->state == CONN_CLOSING)
+		return;
+	if (c->state == CONN_HEAD && !c->input.len)
+		c->since_ms = uv_now(c->server->loop);
+	bytes_add(&c->input, buf->base, (size_t)n);
+	if (c->state == CONN_ANSWERING && c->input.len > most) {
+		uv_read_stop(stream); /* sends far ahead; read on later */
+		return;
+	}
+	parse(c);
+}
+
+/* Consumes input until a request is handed over or more is needed. */
+static void parse(struct http1_conn *c)
+{
+	if (c->parsing)
+		return;
+	c->parsing = true;
+	while (c->input.len) {
+		if (c->state == CONN_HEAD && parse_head(c))
+			continue;
+		if (c->state == CONN_BODY && parse_body(c))
+			continue;
+		break;
+	}
+	c->parsing = false;
+}
+
+/* Reads a head; true if the state moved on. */
+static bool parse_head(struct http1_conn *c)
+{
+	struct http1_head *head = &c->request.head;
+	enum http1_result result;
+	size_t used = 0;
+
+	result = http1_parse_request(c->input.data, c->input.len, head, &used);
+	if (result == HTTP1_MORE) {
+		if (c->input.len > c->server->limits.header_bytes)
+			refuse(c, 431);
+		return false;
+	}
+	if (result == HTTP1_DONE && used > c->server->limits.header_bytes) {
+		refuse(c, 431);
+		return false;
+	}
+	if (result == HTTP1_BAD || !http1_body_of_request(head, &c->framing)) {
+		refuse(c, 400);
+		return false;
+	}
+	c->head.len = 0;
+	bytes_add(&c->head, c->input.data, used);
+	bytes_consume(&c->input, used);
+	http1_parse_request(c->head.data, c->head.len, head, &used);
+	c->body.len = 0;
+	c->keep = http1_keeps_alive(head);
+	c->request.received_ms = c->since_ms;
+	c->state = CONN_BODY;
+	if (http1_has_token(head, "expect", "100-continue"))
+		send_bytes(c, "HTTP/1.1 100 Continue\r\n\r\n", 25);
+	if (c->framing.framing == HTTP1_EMPTY)
+		hand_over(c);
+	return true;
+}
+
+/* Reads on in a body; true if the state moved on. */
+static bool parse_body(struct http1_conn *c)
+{
+	size_t decoded;
+	size_t rest;
+	enum http1_result result = http1_body_take(
+		&c->framing, c->input.data, c->input.len, &decoded, &rest);
+
+	if (result == HTTP1_BAD) {
+		refuse(c, 400);
+		return false;
+	}
+	if (c->body.len + decoded > c->server->limits.body_bytes) {
+		refuse(c, 413);
+		return false;
+	}
+	bytes_add(&c->body, c->input.data, decoded);
+	memmove(c->input.data, c->input.data + decoded, rest);
+	c->input.len = rest;
+	if (result == HTTP1_DONE)
+		hand_over(c);
+	return result == HTTP1_DONE;
+}
+
+/* Gives a whole request to its handler. */
+static void hand_over(struct http1_conn *c)
+{
+	c->state = CONN_ANSWERING;
+	c->request.body = c->body.data;
+	c->request.body_len = c->body.len;
+	c->server->ops->on_request(c, &c->request, c->server->arg);
+}
+
+/* Refuses a request that cannot be read and ends the connection. */
+static void refuse(struct http1_conn *c, int status)
+{
+	c->keep = false;
+	c->state = CONN_ANSWERING;
+	http1_reply(c, status, NULL, "", 0);
+}
+
+/* The answer is complete: goes on with the next request or closes. */
+static void finish(struct http1_conn *c)
+{
+	if (c->state != CONN_ANSWERING)
+		return;
+	c->owner = NULL;
+	c->since_ms = uv_now(c->server->loop);
+	bytes_release(&c->body);
+	if (!c->keep) {
+		c->state = CONN_CLOSING;
+		if (!http1_pending(c))
+			conn_close(c);
+		return;
+	}
+	c->state = CONN_HEAD;
+	uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
+	parse(c);
+}
+
+/* Closes a connection and tells its owner, if it still has one. */
+static void conn_close(struct http1_conn *c)
+{
+	void *owner = c->owner;
+
+	if (c->state == CONN_CLOSED)
+		return;
+	c->state = CONN_CLOSED;
+	c->owner = NULL;
+	TAILQ_REMOVE(&c->server->conns, c, link);
+	c->server->n_conns--;
+	uv_close((uv_handle_t *)&c->tcp, on_conn_closed);
+	if (owner)
+		c->server->ops->on_gone(owner);
+}
+
+/* Sends bytes at once as far as the socket takes them, and queues the rest. */
+static void send_bytes(struct http1_conn *c, const void *data, size_t len)
+{
+	uv_stream_t *stream = (uv_stream_t *)&c->tcp;
+	const char *rest = data;
+	uv_buf_t buf;
+	struct write *w;
+	int sent = 0;
+
+	if (c->state == CONN_CLOSED)
+		return;
+	if (!http1_pending(c)) {
+		buf = uv_buf_init((char *)rest, (unsigned int)len);
+		sent = uv_try_write(stream, &buf, 1);
+		if (sent < 0)
+			sent = 0;
+	}
+	if ((size_t)sent == len)
+		return;
+	rest += sent;
+	len -= (size_t)sent;
+	w = xcalloc(1, sizeof(*w) + len);
+	memcpy(w->data, rest, len);
+	w->req.data = c;
+	buf = uv_buf_init(w->data, (unsigned int)len);
+	if (uv_write(&w->req, stream, &buf, 1, on_written))
+		free(w); /* the read side tells of the broken connection */
+}
+
+/* Queued bytes were sent, or will never be. */
+static void on_written(uv_write_t *req, int status)
+{
+	struct http1_conn *c = req->data;
+
+	free((struct write *)req);
+	if (c->state == CONN_CLOSED)
+		return;
+	if (status < 0 || (c->state == CONN_CLOSING && !http1_pending(c)))
+		conn_close(c);
+	else if (c->owner && c->server->ops->on_sent && !http1_pending(c))
+		c->server->ops->on_sent(c->owner);
+}
+
+/* Frees a connection. */
+static void on_conn_closed(uv_handle_t *h)
+{
+	struct http1_conn *c = h->data;
+
+	bytes_release(&c->input);
+	bytes_release(&c->head);
+	bytes_release(&c->body);
+	free(c);
+}
+
+/* Frees a listener. */
+static void on_listener_closed(uv_handle_t *h)
+{
+	free(h);
+}
+
+/* Returns the reason phrase of a status. */
+static const char *reason_of(int status)
+{
+	static const struct {
+		int status;
+		const char *text;
+	} reasons[] = {
+		{ 200, "OK" },
+		{ 400, "Bad Request" },
+		{ 401, "Unauthorized" },
+		{ 404, "Not Found" },
+		{ 408, "Request Timeout" },
+		{ 413, "Content Too Large" },
+		{ 421, "Misdirected Request" },
+		{ 429, "Too Many Requests" },
+		{ 431, "Request Header Fields Too Large" },
+		{ 500, "Internal Server Error" },
+		{ 502, "Bad Gateway" },
+		{ 503, "Service Unavailable" },
+		{ 504, "Gateway Timeout" },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(reasons) / sizeof(reasons[0]); i++)
+		if (reasons[i].status == status)
+			return reasons[i].text;
+	return "Status";
+}
--- /dev/null
+++ b/lib/http1_server.h
@@ -0,0 +1,61 @@
+#ifndef LIB_HTTP1_SERVER_H
+#define LIB_HTTP1_SERVER_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <uv.h>
+
+#include "lib/http1.h"
+
+struct http1_server;
+struct http1_conn;
+
+/* A whole request; valid until it is answered or its caller leaves. */
+struct http1_request {
+	struct http1_head head;
+	const char *body;
+	size_t body_len;
+	uint64_t received_ms; /* loop time at which its first byte was read */
+};
+
+/* What a caller may send, and how long it may take or stay idle. */
+struct http1_limits {
+	size_t header_bytes;
+	size_t body_bytes;
+	uint32_t header_ms;
+	uint32_t idle_ms;
+};
+
+struct http1_server_ops {
+	void (*on_request)(struct http1_conn *c, struct http1_request *r,
+			   void *arg);
+	/* the caller left before its answer was complete; the owner that was
+	 * given with http1_own() must not use the connection again */
+	void (*on_gone)(void *owner);
+	/* what was written has been sent; may be NULL */
+	void (*on_sent)(void *owner);
+};
+
+struct http1_server *http1_server_new(uv_loop_t *loop,
+				      const struct http1_server_ops *ops,
+				      void *arg);
+int http1_server_listen(struct http1_server *s, const char *address, char *err,
+			size_t err_size);
+void http1_server_limits(struct http1_server *s,
+			 const struct http1_limits *limits);
+void http1_server_close_idle(struct http1_server *s);
+void http1_server_tick(struct http1_server *s);
+void http1_server_free(struct http1_server *s);
+size_t http1_server_connections(const struct http1_server *s);
+
+void http1_own(struct http1_conn *c, void *owner);
+void http1_reply(struct http1_conn *c, int status, const char *headers,
+		 const void *body, size_t len);
+void http1_stream_begin(struct http1_conn *c, int status, const char *headers);
+void http1_stream_write(struct http1_conn *c, const void *data, size_t len);
+void http1_stream_end(struct http1_conn *c);
+void http1_abort(struct http1_conn *c);
+size_t http1_pending(const struct http1_conn *c);
+
+#endif /* LIB_HTTP1_SERVER_H */
--- /dev/null
+++ b/policy/place.c
@@ -0,0 +1,187 @@
+/*
+ * Where work is placed: runs of generations, the copies of their memory, and
+ * calls of plain services.  Many instances choose on views that are some
+ * hundred milliseconds old, so equal candidates are told apart by chance and
+ * not by their order.
+ */
+#include "policy/place.h"
+
+/* A prompt being read delays the first event of the next one, and the events
+ * of all runs beside it; tokens at rest only lengthen each step a little. */
+#define PREFILL_WEIGHT 8
+
+/* A crossing costs bytes between zones; it decides between equal loads. */
+#define CROSSING_TOKENS 400
+
+/* Copies yield to runs: none is made where it would leave less free. */
+#define COPY_FREE_PERMILLE 150
+
+/* Requests at a plain endpoint count as if each took at least so long. */
+#define LATENCY_FLOOR_MS 5
+
+/* Four in ten failures make an endpoint look five times as loaded. */
+#define FAILING_WEIGHT 10
+
+#define PERMILLE 1000
+
+static bool fits(const struct place_candidate *c, uint32_t tokens,
+		 uint32_t keep_free);
+static uint64_t run_cost(const struct place_request *r,
+			 const struct place_candidate *c);
+static uint64_t plain_cost(const struct place_request *r,
+			   const struct place_candidate *c);
+static uint32_t start_of(uint64_t rnd, size_t n);
+
+/*
+ * Chooses the endpoint of a run: one with room for all its tokens, with the
+ * fewest prompts being read, then the least memory used.  Answers the pattern
+ * of many prompts of a second each at the moment when a zone's engines have
+ * gone and the rest take its streams.
+ */
+struct place_choice place_run(const struct place_request *r,
+			      const struct place_candidate *c, size_t n,
+			      uint64_t rnd)
+{
+	struct place_choice choice = { .outcome = PLACE_NONE_USABLE };
+	uint64_t best = UINT64_MAX;
+	uint32_t start = start_of(rnd, n);
+	size_t k;
+
+	for (k = 0; k < n; k++) {
+		uint32_t i = (uint32_t)((start + k) % n);
+		uint64_t cost;
+
+		if (!c[i].usable)
+			continue;
+		if (c[i].avoided) {
+			if (choice.outcome == PLACE_NONE_USABLE)
+				choice.outcome = PLACE_ALL_AVOIDED;
+			continue;
+		}
+		if (!fits(&c[i], r->tokens, 0)) {
+			if (choice.outcome != PLACE_OK)
+				choice.outcome = PLACE_FULL;
+			continue;
+		}
+		cost = run_cost(r, &c[i]);
+		if (cost >= best)
+			continue;
+		best = cost;
+		choice.outcome = PLACE_OK;
+		choice.index = i;
+	}
+	return choice;
+}
+
+/*
+ * Chooses where the copy of a run's memory is kept: in another zone, so that
+ * one event does not take both, and where room is left for runs; PLACE_NONE
+ * if there is no such endpoint.
+ */
+uint32_t place_copy(const struct place_request *r,
+		    const struct place_candidate *c, size_t n, uint32_t run_at,
+		    uint64_t rnd)
+{
+	uint64_t best = UINT64_MAX;
+	uint32_t chosen = PLACE_NONE;
+	uint32_t start = start_of(rnd, n);
+	size_t k;
+
+	for (k = 0; k < n; k++) {
+		uint32_t i = (uint32_t)((start + k) % n);
+		uint32_t keep =
+			c[i].memory_tokens / PERMILLE * COPY_FREE_PERMILLE;
+
+		if (i == run_at || !c[i].usable || c[i].avoided ||
+		    c[i].zone == c[run_at].zone ||
+		    !fits(&c[i], r->tokens, keep))
+			continue;
+		if (run_cost(r, &c[i]) >= best)
+			continue;
+		best = run_cost(r, &c[i]);
+		chosen = i;
+	}
+	return chosen;
+}
+
+/*
+ * Chooses the endpoint of a plain call: the least work waiting, reckoned by
+ * how long its answers take and how often they fail.  Answers the pattern of
+ * one of three endpoints turning slow, or failing while it says it is well.
+ */
+struct place_choice place_plain(const struct place_request *r,
+				const struct place_candidate *c, size_t n,
+				uint64_t rnd)
+{
+	struct place_choice choice = { .outcome = PLACE_NONE_USABLE };
+	uint64_t best = UINT64_MAX;
+	uint32_t start = start_of(rnd, n);
+	size_t k;
+
+	for (k = 0; k < n; k++) {
+		uint32_t i = (uint32_t)((start + k) % n);
+
+		if (!c[i].usable)
+			continue;
+		if (c[i].avoided) {
+			if (choice.outcome == PLACE_NONE_USABLE)
+				choice.outcome = PLACE_ALL_AVOIDED;
+			continue;
+		}
+		if (plain_cost(r, &c[i]) >= best)
+			continue;
+		best = plain_cost(r, &c[i]);
+		choice.outcome = PLACE_OK;
+		choice.index = i;
+	}
+	return choice;
+}
+
+/* Returns a phrase for an outcome, for logs. */
+const char *place_outcome_text(enum place_outcome outcome)
+{
+	static const char *const texts[] = {
+		[PLACE_OK] = "placed",
+		[PLACE_NONE_USABLE] = "no endpoint is up",
+		[PLACE_ALL_AVOIDED] = "it failed at each endpoint that is up",
+		[PLACE_FULL] = "no endpoint has room",
+	};
+
+	return texts[outcome];
+}
+
+/* Tells whether a run of so many tokens finds memory and a slot. */
+static bool fits(const struct place_candidate *c, uint32_t tokens,
+		 uint32_t keep_free)
+{
+	if (c->slots && c->requests >= c->slots)
+		return false;
+	return (uint64_t)c->used_tokens + tokens + keep_free <=
+	       c->memory_tokens;
+}
+
+/* Reckons the load at an engine in tokens. */
+static uint64_t run_cost(const struct place_request *r,
+			 const struct place_candidate *c)
+{
+	return (uint64_t)c->prefill_tokens * PREFILL_WEIGHT + c->used_tokens +
+	       (c->zone == r->zone ? 0 : CROSSING_TOKENS);
+}
+
+/* Reckons the work before a new call, in thousandths of a millisecond. */
+static uint64_t plain_cost(const struct place_request *r,
+			   const struct place_candidate *c)
+{
+	uint64_t ms = c->latency_ms > LATENCY_FLOOR_MS ? c->latency_ms
+						       : LATENCY_FLOOR_MS;
+	uint64_t cost = (c->requests + 1) * ms *
+			(PERMILLE + c->failing_permille * FAILING_WEIGHT);
+
+	return c->zone == r->zone ? cost : cost + cost / 4;
+}
+
+/* Returns the candidate to begin with. */
+static uint32_t start_of(uint64_t rnd, size_t n)
+{
+	return n ? (uint32_t)(rnd % n) : 0;
+}
--- /dev/null
+++ b/policy/place.h
@@ -0,0 +1,53 @@
+#ifndef POLICY_PLACE_H
+#define POLICY_PLACE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#define PLACE_NONE UINT32_MAX
+
+/* An endpoint as this instance sees it; loads include what other instances
+ * last said that they have there. */
+struct place_candidate {
+	uint16_t zone;
+	bool usable; /* up, not leaving, not under suspicion */
+	bool avoided; /* this request has failed there */
+	uint32_t memory_tokens; /* 0: a plain service without such memory */
+	uint32_t used_tokens; /* of runs and of copies */
+	uint32_t prefill_tokens; /* prompts that have no first event yet */
+	uint32_t requests;
+	uint32_t slots;
+	uint32_t latency_ms; /* usual time of a plain answer; 0: not known */
+	uint32_t failing_permille; /* recent answers that were failures */
+};
+
+struct place_request {
+	uint32_t tokens; /* memory at the end of the run; 0: plain */
+	uint16_t zone; /* of this instance */
+};
+
+enum place_outcome {
+	PLACE_OK,
+	PLACE_NONE_USABLE, /* no endpoint is up */
+	PLACE_ALL_AVOIDED, /* the request has failed at each that is up */
+	PLACE_FULL, /* no endpoint has room */
+};
+
+struct place_choice {
+	enum place_outcome outcome;
+	uint32_t index; /* of the candidate */
+};
+
+struct place_choice place_run(const struct place_request *r,
+			      const struct place_candidate *c, size_t n,
+			      uint64_t rnd);
+uint32_t place_copy(const struct place_request *r,
+		    const struct place_candidate *c, size_t n, uint32_t run_at,
+		    uint64_t rnd);
+struct place_choice place_plain(const struct place_request *r,
+				const struct place_candidate *c, size_t n,
+				uint64_t rnd);
+const char *place_outcome_text(enum place_outcome outcome);
+
+#endif /* POLICY_PLACE_H */
--- /dev/null
+++ b/policy/repeat.h
@@ -0,0 +1,30 @@
+#ifndef POLICY_REPEAT_H
+#define POLICY_REPEAT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define REPEAT_SLOTS 20
+
+/* What may be sent again over all instances within a window. */
+struct repeat_params {
+	uint32_t window_ms;
+	uint32_t ratio_permille; /* repeats for each request */
+	uint32_t slack; /* repeats beyond that, all instances together */
+};
+
+/* Requests and repeats of one service at one instance, by parts of a window. */
+struct repeat_budget {
+	uint32_t requests[REPEAT_SLOTS];
+	uint32_t repeats[REPEAT_SLOTS];
+	uint64_t slot; /* number of the current part */
+};
+
+void repeat_request(struct repeat_budget *b, const struct repeat_params *p,
+		    uint64_t now);
+bool repeat_take(struct repeat_budget *b, const struct repeat_params *p,
+		 uint32_t instances, uint64_t now);
+uint32_t repeat_left(struct repeat_budget *b, const struct repeat_params *p,
+		     uint32_t instances, uint64_t now);
+
+#endif /* POLICY_REPEAT_H */
--- /dev/null
+++ b/policy/silence.c
@@ -0,0 +1,45 @@
+/*
+ * What the silence of a run means.  Engines fall silent by zones, half of the
+ * times without a reset.  A probe tells a dead engine from a busy one within
+ * a few milliseconds, so that it is sent early; a run whose engine answers
+ * probes is given up only when its next event would be late anyway.
+ */
+#include "policy/silence.h"
+
+/* Events come every 30 to 60 ms; a prompt that is read beside them stretches
+ * a pause to some 250 ms.  A probe costs little, a late stream all its worth. */
+#define SUSPECT_MS 120
+#define PROBE_AGAIN_MS 150
+
+/* A run that moves to its copy goes on within 100 ms; without one it reads
+ * its prompt again, which takes a second and more. */
+#define MOVE_MARGIN_MS 150
+#define MOVE_WITHOUT_COPY_FACTOR 3
+
+/* Beyond the expected first event, an engine has lost or starved the run. */
+#define FIRST_EVENT_GRACE_MS 400
+
+/* Says what to do about a run now. */
+enum silence_action silence_judge(const struct silence_run *run, uint64_t now)
+{
+	uint64_t silent = now > run->heard_ms ? now - run->heard_ms : 0;
+	uint64_t patience = run->gap_max_ms;
+
+	if (run->first_by_ms) {
+		if (now > run->first_by_ms + FIRST_EVENT_GRACE_MS &&
+		    run->can_move)
+			return SILENCE_MOVE;
+	} else {
+		if (run->has_copy && patience > 2 * MOVE_MARGIN_MS)
+			patience -= MOVE_MARGIN_MS;
+		else
+			patience *= MOVE_WITHOUT_COPY_FACTOR;
+		if (silent > patience && run->can_move)
+			return SILENCE_MOVE;
+	}
+	if (silent < SUSPECT_MS)
+		return SILENCE_WAIT;
+	if (run->probed_ms && now - run->probed_ms < PROBE_AGAIN_MS)
+		return SILENCE_WAIT;
+	return SILENCE_PROBE;
+}
--- /dev/null
+++ b/proxyd/attempt.c
@@ -0,0 +1,352 @@
+/*
+ * One sending of a request to an endpoint, and what its answer means.
+ */
+#include <string.h>
+
+#include "lib/event_log.h"
+#include "policy/room.h"
+#include "proxyd/exchange.h"
+
+/* A live endpoint completes a connection within 4 ms; a lost packet takes a
+ * second, by which another endpoint has answered. */
+#define CONNECT_MS 60
+#define CONNECT_LAST_MS 400 /* when others have failed already */
+
+/* Idle times after which a kept connection is not used again: one that broke
+ * unnoticed loses a call, which matters more where it can't be repeated. */
+#define REUSE_ONCE_MS 1000
+#define REUSE_MS 4000
+
+/* Time to the first event of a run that goes on from a copy, at most. */
+#define COPY_FIRST_MS 400
+
+#define ANSWER_MAX (8u << 20) /* bytes; the largest that is passed on */
+
+static void load_add(struct exchange *x);
+static void load_remove(struct exchange *x);
+static void choose_copy(struct exchange *x, struct forward_fields *f);
+static void say_sent(const struct exchange *x, const struct endpoint *e);
+static enum http1_verdict on_head(void *arg, const struct http1_head *head);
+static void on_body(void *arg, const char *data, size_t len);
+static void on_end(void *arg, enum http1_outcome outcome);
+static void plain_not_sent(struct exchange *x, struct handle at);
+static void plain_broken(struct exchange *x, struct handle at,
+			 enum http1_outcome outcome);
+static void plain_answered(struct exchange *x, struct handle at);
+static void answer_not_run(struct exchange *x, struct handle at);
+static void pass_on(struct exchange *x, struct handle at);
+
+static const struct http1_call_ops call_ops = {
+	.on_head = on_head,
+	.on_body = on_body,
+	.on_end = on_end,
+};
+
+/* Sends the request to an endpoint; from_copy if it holds a copy of the run. */
+void attempt_start(struct exchange *x, struct handle at, bool from_copy)
+{
+	struct proxyd *p = x->proxyd;
+	struct endpoint *e = endpoint_get(p->endpoints, at);
+	uint64_t now = proxyd_now(p);
+	struct http1_call_options options = {
+		.address = e->address,
+		.connect_ms = x->connects ? CONNECT_LAST_MS : CONNECT_MS,
+	};
+	struct forward_fields f = {
+		.endpoint = e->id,
+		.organisation =
+			x->organisation ? x->organisation->name : NULL,
+		.deadline_ms = x->end_ms - now,
+		.resumes = x->has_last_event || x->fields.resumes,
+		.resume_after = x->has_last_event ? x->last_event
+						  : x->fields.resume_after,
+	};
+	struct bytes out = { 0 };
+
+	if (x->phase == EXCHANGE_WAITING && x->wait_until_ms)
+		p->exchanges->waiting_tokens -= x->tokens;
+	x->wait_until_ms = 0;
+	if (from_copy) {
+		f.copy_at = e->address;
+		f.copy_id = x->fields.id;
+	}
+	if (x->route->kind == KIND_AT_MOST_ONCE)
+		options.reuse_ms = REUSE_ONCE_MS;
+	else if (x->route->kind == KIND_IDEMPOTENT)
+		options.reuse_ms = REUSE_MS;
+	x->phase = EXCHANGE_SENT;
+	x->at = at;
+	x->from_copy = from_copy;
+	x->sends++;
+	x->sent_ms = now;
+	x->heard_ms = now;
+	x->first_by_ms =
+		now +
+		(from_copy ? COPY_FIRST_MS
+			   : room_first_ms(x->fields.prompt_tokens,
+					   e->own.prefill + e->others.prefill,
+					   p->exchanges->prefill_ms_per_token));
+	x->events = false;
+	x->status = 0;
+	x->headers.len = 0;
+	x->body.len = 0;
+	event_stream_consume(&x->stream, x->stream.pending.len);
+	load_add(x);
+	choose_copy(x, &f);
+	p->protocol->encode_request(&out, x->request, &f);
+	say_sent(x, e);
+	x->call = http1_call_start(p->client, &options, out.data, out.len,
+				   &call_ops, x);
+}
+
+/* Gives the current sending up; its endpoint stops when the connection ends. */
+void attempt_cancel(struct exchange *x)
+{
+	if (x->call)
+		http1_call_cancel(x->call);
+	x->call = NULL;
+	load_remove(x);
+}
+
+/* Counts the request into the load of its endpoint. */
+static void load_add(struct exchange *x)
+{
+	struct endpoint *e = endpoint_get(x->proxyd->endpoints, x->at);
+
+	x->loaded = true;
+	x->prefilling = x->engine && !x->from_copy;
+	e->own.requests++;
+	e->own.tokens += x->tokens;
+	if (x->prefilling)
+		e->own.prefill += x->fields.prompt_tokens;
+}
+
+/* Takes the request out of the load of its endpoint, and its copy. */
+static void load_remove(struct exchange *x)
+{
+	struct endpoint *e = endpoint_get(x->proxyd->endpoints, x->at);
+	struct endpoint *copy = endpoint_get(x->proxyd->endpoints, x->copy_at);
+
+	if (!x->loaded)
+		return;
+	x->loaded = false;
+	if (copy)
+		copy->own.tokens -= x->tokens;
+	if (!e)
+		return;
+	e->own.requests--;
+	e->own.tokens -= x->tokens;
+	if (x->prefilling)
+		e->own.prefill -= x->fields.prompt_tokens;
+	x->prefilling = false;
+}
+
+/* Chooses where the copy of a run is kept. */
+static void choose_copy(struct exchange *x, struct forward_fields *f)
+{
+	const struct handle none = { 0 };
+	const struct endpoint_wish wish = {
+		.service = x->service,
+		.tokens = x->tokens,
+		.avoided = x->avoided,
+		.n_avoided = x->n_avoided,
+	};
+	struct endpoint *copy;
+
+	x->copy_at = none;
+	if (!x->engine || !x->engine->copies || x->route->kind != KIND_STREAM ||
+	    !x->route->resumable)
+		return;
+	x->copy_at = endpoints_place_copy(x->proxyd->endpoints, &wish, x->at);
+	copy = endpoint_get(x->proxyd->endpoints, x->copy_at);
+	if (!copy)
+		return;
+	copy->own.tokens += x->tokens;
+	f->copy_to = copy->address;
+}
+
+/* Logs the choice of an endpoint with what it was made by. */
+static void say_sent(const struct exchange *x, const struct endpoint *e)
+{
+	const struct endpoint *copy =
+		endpoint_get(x->proxyd->endpoints, x->copy_at);
+
+	event_log(EVENT_ROUTINE, "sent", x->fields.id,
+		  "{s:s, s:s, s:s, s:i, s:b, s:s, s:I, s:I, s:I, s:I, s:I}",
+		  "route", x->route->name, "endpoint", e->id, "address",
+		  e->address, "send", (int)x->sends, "from_copy", x->from_copy,
+		  "copy_to", copy ? copy->id : "", "version",
+		  (json_int_t)x->routes->version, "tokens_there",
+		  (json_int_t)(e->own.tokens + e->others.tokens),
+		  "prefill_there",
+		  (json_int_t)(e->own.prefill + e->others.prefill),
+		  "heard_ms_ago", (json_int_t)(x->sent_ms - e->heard_ms),
+		  "left_ms", (json_int_t)(x->end_ms - x->sent_ms));
+}
+
+/* The head of an answer. */
+static enum http1_verdict on_head(void *arg, const struct http1_head *head)
+{
+	struct exchange *x = arg;
+	struct proxyd *p = x->proxyd;
+
+	p->protocol->decode_answer(head, &x->answer);
+	endpoint_alive(p->endpoints, x->at);
+	if (x->answer.id && (strlen(x->fields.id) != x->answer.id_len ||
+			     memcmp(x->fields.id, x->answer.id,
+				    x->answer.id_len) != 0)) {
+		event_log(EVENT_NOTABLE, "answer-of-other-request",
+			  x->fields.id, "{s:i}", "status", head->status);
+		return HTTP1_SKIP;
+	}
+	x->status = head->status;
+	x->headers.len = 0;
+	p->protocol->encode_answer(&x->headers, head);
+	x->events = x->route->kind == KIND_STREAM && head->status == 200 &&
+		    x->answer.authentic && !x->answer.encoded;
+	return HTTP1_TAKE;
+}
+
+/* A part of an answer's body. */
+static void on_body(void *arg, const char *data, size_t len)
+{
+	struct exchange *x = arg;
+
+	if (x->events)
+		stream_take(x, data, len);
+	else if (x->body.len + len <= ANSWER_MAX)
+		bytes_add(&x->body, data, len);
+	else
+		x->status = 0; /* too large to pass on */
+}
+
+/* The answer is whole, or broke. */
+static void on_end(void *arg, enum http1_outcome outcome)
+{
+	struct exchange *x = arg;
+	struct handle at = x->at;
+
+	x->call = NULL;
+	if (x->events) {
+		stream_ended(x, outcome);
+		return;
+	}
+	load_remove(x);
+	switch (outcome) {
+	case HTTP1_NOT_SENT:
+		plain_not_sent(x, at);
+		break;
+	case HTTP1_COMPLETE:
+		plain_answered(x, at);
+		break;
+	default:
+		plain_broken(x, at, outcome);
+		break;
+	}
+}
+
+/* No connection: nothing has run, and another endpoint may have it. */
+static void plain_not_sent(struct exchange *x, struct handle at)
+{
+	x->sends--;
+	x->connects++;
+	exchange_avoid(x, at);
+	endpoint_lost(x->proxyd->endpoints, at, x->fields.id, "no connection",
+		      true);
+	if (!x->caller)
+		exchange_over(x, "left by caller");
+	else if (x->connects > ENDPOINT_AVOID_MAX)
+		exchange_refuse(x, 503, 300, "no endpoint can be reached");
+	else
+		exchange_seek(x);
+}
+
+/* The connection broke, or what came is no answer: the request may have run. */
+static void plain_broken(struct exchange *x, struct handle at,
+			 enum http1_outcome outcome)
+{
+	event_log(EVENT_NOTABLE, "answer-lost", x->fields.id, "{s:s, s:I}",
+		  "how", http1_outcome_name(outcome), "sent_ms_ago",
+		  (json_int_t)(proxyd_now(x->proxyd) - x->sent_ms));
+	endpoint_answered(x->proxyd->endpoints, at,
+			  proxyd_now(x->proxyd) - x->sent_ms, true);
+	if (x->engine)
+		endpoint_probe(x->proxyd->endpoints, at, x->fields.id, 0);
+	exchange_avoid(x, at);
+	if (!x->caller)
+		exchange_over(x, "left by caller");
+	else if (x->route->kind != KIND_AT_MOST_ONCE &&
+		 exchange_repeat_allowed(x))
+		exchange_seek(x);
+	else
+		exchange_fail(x, 502, "the endpoint's answer was lost");
+}
+
+/* A whole answer that is no stream of events. */
+static void plain_answered(struct exchange *x, struct handle at)
+{
+	bool success = x->status >= 200 && x->status < 300;
+	bool promise = x->status == 408 || x->status == 429 ||
+		       x->status == 503;
+
+	if (!x->caller) {
+		exchange_over(x, "left by caller");
+		return;
+	}
+	if (x->answer.other_endpoint) {
+		x->sends--;
+		exchange_avoid(x, at);
+		endpoint_misdirected(x->proxyd->endpoints, at, x->fields.id);
+		if (++x->connects > ENDPOINT_AVOID_MAX)
+			exchange_refuse(x, 503, 300,
+					"no endpoint can be reached");
+		else
+			exchange_seek(x);
+		return;
+	}
+	if (x->answer.not_run) {
+		answer_not_run(x, at);
+		return;
+	}
+	if (!x->status || x->answer.encoded ||
+	    (success && !x->answer.authentic) || promise) {
+		plain_broken(x, at, HTTP1_MALFORMED);
+		return;
+	}
+	pass_on(x, at);
+}
+
+/* The endpoint states that it has not run the request. */
+static void answer_not_run(struct exchange *x, struct handle at)
+{
+	event_log(EVENT_NOTABLE, "endpoint-refused", x->fields.id,
+		  "{s:i, s:b}", "status", x->status, "from_copy", x->from_copy);
+	if (!x->from_copy)
+		exchange_avoid(x, at);
+	if (exchange_repeat_allowed(x))
+		exchange_seek(x);
+	else
+		exchange_refuse(x, 503, 300, "endpoints are full");
+}
+
+/* Passes the endpoint's answer on to the caller. */
+static void pass_on(struct exchange *x, struct handle at)
+{
+	struct http1_conn *caller = x->caller;
+	uint64_t now = proxyd_now(x->proxyd);
+
+	endpoint_answered(x->proxyd->endpoints, at, now - x->sent_ms,
+			  x->status >= 500);
+	if (x->begun) { /* the rest of a stream is no answer of this kind */
+		exchange_fail(x, 502, "the stream cannot be resumed");
+		return;
+	}
+	histogram_add(&x->proxyd->exchanges->plain_answer,
+		      (double)(now - x->received_ms));
+	x->caller = NULL;
+	http1_own(caller, NULL);
+	bytes_add(&x->headers, "", 1);
+	http1_reply(caller, x->status, x->headers.data, x->body.data,
+		    x->body.len);
+	exchange_over(x, "served");
+}
--- /dev/null
+++ b/proxyd/desk.c
@@ -0,0 +1,184 @@
+/*
+ * The addresses that are listened on: requests of callers, readiness, the
+ * directory that says where to connect, and metrics.
+ */
+#include "proxyd/desk.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "lib/bytes.h"
+#include "lib/counters.h"
+#include "lib/event_log.h"
+#include "lib/xalloc.h"
+#include "proxyd/exchange.h"
+#include "proxyd/peers.h"
+#include "proxyd/proxyd.h"
+
+#define ADDRESSES_MAX 64 /* callers read no more */
+#define DIRECTORY_TTL_S 2 /* callers learn of a stop within this time */
+
+struct desk {
+	struct proxyd *proxyd;
+	struct http1_server *callers;
+	struct http1_server *services; /* readiness, directory, metrics */
+	struct counter *directory;
+};
+
+static void on_caller(struct http1_conn *c, struct http1_request *r, void *arg);
+static void on_service(struct http1_conn *c, struct http1_request *r,
+		       void *arg);
+static void on_service_gone(void *owner);
+static bool path_is(const struct http1_head *head, const char *path);
+static void serve_ready(struct desk *d, struct http1_conn *c);
+static void serve_directory(struct desk *d, struct http1_conn *c,
+			    const struct http1_head *head);
+static void serve_metrics(struct http1_conn *c);
+
+static const struct http1_server_ops caller_ops = {
+	.on_request = on_caller,
+	.on_gone = exchange_caller_left,
+};
+
+static const struct http1_server_ops service_ops = {
+	.on_request = on_service,
+	.on_gone = on_service_gone,
+};
+
+/* Listens on all addresses; NULL with a message in err. */
+struct desk *desk_new(struct proxyd *p, char *err, size_t err_size)
+{
+	struct desk *d = xcalloc(1, sizeof(*d));
+
+	d->proxyd = p;
+	d->callers = http1_server_new(p->loop, &caller_ops, p);
+	d->services = http1_server_new(p->loop, &service_ops, d);
+	d->directory = counter_labelled("cdm_directory_answers_total",
+					"Callers told where to connect",
+					COUNTER_TOTAL, "kind", "all");
+	if (http1_server_listen(d->callers, p->settings.callers, err,
+				err_size) ||
+	    http1_server_listen(d->services, p->settings.readiness, err,
+				err_size) ||
+	    http1_server_listen(d->services, p->settings.directory, err,
+				err_size) ||
+	    http1_server_listen(d->services, p->settings.metrics, err,
+				err_size))
+		return NULL; /* the process ends */
+	return d;
+}
+
+/* Closes all addresses and connections. */
+void desk_free(struct desk *d)
+{
+	http1_server_free(d->callers);
+	http1_server_free(d->services);
+	free(d);
+}
+
+/* Closes connections that were idle for too long. */
+void desk_tick(struct desk *d)
+{
+	http1_server_tick(d->callers);
+	http1_server_tick(d->services);
+}
+
+/* Applies the limits of the configuration in force. */
+void desk_limits(struct desk *d)
+{
+	http1_server_limits(d->callers, &d->proxyd->routes->limits);
+}
+
+/* From now on answers end the connections of callers. */
+void desk_leave(struct desk *d)
+{
+	http1_server_close_idle(d->callers);
+}
+
+/* A request of a caller. */
+static void on_caller(struct http1_conn *c, struct http1_request *r, void *arg)
+{
+	struct proxyd *p = arg;
+
+	exchanges_start(p->exchanges, c, r);
+}
+
+/* A question to this instance itself. */
+static void on_service(struct http1_conn *c, struct http1_request *r, void *arg)
+{
+	struct desk *d = arg;
+
+	if (path_is(&r->head, d->proxyd->protocol->ready_path))
+		serve_ready(d, c);
+	else if (path_is(&r->head, d->proxyd->protocol->directory_path))
+		serve_directory(d, c, &r->head);
+	else if (path_is(&r->head, "/metrics"))
+		serve_metrics(c);
+	else
+		http1_reply(c, 404, NULL, "", 0);
+}
+
+/* Answers are given at once, so that none is left open. */
+static void on_service_gone(void *owner)
+{
+	(void)owner;
+}
+
+/* Tells whether the target's path, without its query, is this one. */
+static bool path_is(const struct http1_head *head, const char *path)
+{
+	size_t len = strlen(path);
+
+	return head->target_len >= len && !memcmp(head->target, path, len) &&
+	       (head->target_len == len || head->target[len] == '?');
+}
+
+/* Says whether callers may be sent here. */
+static void serve_ready(struct desk *d, struct http1_conn *c)
+{
+	bool ready = d->proxyd->routes && stop_ready(&d->proxyd->stop);
+
+	http1_reply(c, ready ? 200 : 503, NULL, "", 0);
+}
+
+/* Says where to connect: all instances that live. */
+static void serve_directory(struct desk *d, struct http1_conn *c,
+			    const struct http1_head *head)
+{
+	struct proxyd *p = d->proxyd;
+	const char *addresses[ADDRESSES_MAX];
+	struct bytes body = { 0 };
+	char zone[64];
+	uint32_t ttl_s = DIRECTORY_TTL_S;
+	size_t n = 0;
+
+	if (ttl_s > p->settings.directory_ttl_s)
+		ttl_s = (uint32_t)p->settings.directory_ttl_s;
+	p->protocol->decode_directory(head, zone, sizeof(zone));
+	if (stop_ready(&p->stop) && p->routes)
+		addresses[n++] = p->settings.callers;
+	n += peers_addresses(p->peers, addresses + n, ADDRESSES_MAX - n);
+	if (!n) {
+		event_log(EVENT_NOTABLE, "directory-empty", NULL, "{s:s}",
+			  "zone", zone);
+		http1_reply(c, 503, NULL, "", 0);
+		return;
+	}
+	counter_add(d->directory, 1);
+	p->protocol->encode_directory(&body, addresses, n, ttl_s);
+	http1_reply(c, 200, "content-type: application/json\r\n", body.data,
+		    body.len);
+	bytes_release(&body);
+}
+
+/* Gives counters and histograms. */
+static void serve_metrics(struct http1_conn *c)
+{
+	size_t len;
+	char *text = counters_text(&len);
+
+	http1_reply(c, 200, "content-type: text/plain; version=0.0.4\r\n", text,
+		    len);
+	free(text);
+}
--- /dev/null
+++ b/proxyd/endpoints.c
@@ -0,0 +1,516 @@
+/*
+ * The endpoints: what the store says of them, what this instance finds out by
+ * its own calls and probes, and how loaded they are.
+ */
+#include "proxyd/endpoints.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "lib/counters.h"
+#include "lib/event_log.h"
+#include "lib/xalloc.h"
+#include "proxyd/exchange.h"
+#include "proxyd/peers.h"
+#include "proxyd/proxyd.h"
+
+/* A live endpoint completes a connection within 2 ms, 4 ms across zones. */
+#define PROBE_MS 40
+
+/* Endpoints that are down and still listed are probed this often. */
+#define PROBE_DOWN_MS 1000
+
+/* An entry that was removed is kept this long for the runs that end there. */
+#define FORGET_MS 30000
+
+/* Weight of the newest answer in the moving means. */
+#define MEAN_WEIGHT 0.2F
+#define FAILING_WEIGHT 0.1F
+
+#define ZONES_MAX 64
+#define CANDIDATES_MAX 8192
+#define PERMILLE 1000
+
+struct service_budget {
+	char *service;
+	struct repeat_budget budget;
+};
+
+struct endpoints {
+	struct proxyd *proxyd;
+	struct slots table; /* of struct endpoint * */
+	char *zones[ZONES_MAX];
+	uint16_t n_zones;
+	uint16_t own_zone;
+	struct service_budget *budgets;
+	size_t n_budgets;
+	struct place_candidate *candidates; /* of one choice */
+	struct handle *candidate_handles;
+	size_t candidates_size;
+	struct counter *probes;
+	struct counter *losses;
+};
+
+static void entry_changed(struct endpoint *e, const struct endpoint_entry *n);
+static void entry_removed(struct endpoints *t, struct endpoint *e,
+			  uint64_t outage_end_ms);
+static struct endpoint *add(struct endpoints *t, const char *id);
+static void supersede(struct endpoints *t, const struct endpoint *newer);
+static void forget(struct endpoints *t, struct endpoint *e);
+static uint16_t zone_index(struct endpoints *t, const char *zone);
+static size_t gather(struct endpoints *t, const struct endpoint_wish *wish);
+static void fill(const struct endpoints *t, struct place_candidate *c,
+		 const struct endpoint *e, const struct route_service *s,
+		 const struct endpoint_wish *wish);
+static void probe_start(struct endpoints *t, struct endpoint *e);
+static void on_probe_end(void *arg, enum http1_outcome outcome);
+
+/* A probe is a connection and no request: what is sent ends it. */
+static const struct http1_call_ops probe_ops = {
+	.on_end = on_probe_end,
+};
+
+/* Makes an empty table. */
+struct endpoints *endpoints_new(struct proxyd *p)
+{
+	struct endpoints *t = xcalloc(1, sizeof(*t));
+
+	t->proxyd = p;
+	slots_init(&t->table, sizeof(struct endpoint *));
+	t->own_zone = zone_index(t, p->settings.zone);
+	t->probes = counter_labelled("cdm_probes_total",
+				     "Connections made only to see whether an "
+				     "endpoint lives",
+				     COUNTER_TOTAL, "kind", "endpoint");
+	t->losses = counter_labelled("cdm_endpoint_losses_total",
+				     "Endpoints found dead", COUNTER_TOTAL,
+				     "by", "self");
+	return t;
+}
+
+/* Frees the table; no probe may be open any more. */
+void endpoints_free(struct endpoints *t)
+{
+	struct endpoint *e;
+	uint32_t i = 0;
+	size_t k;
+
+	while ((e = endpoint_next(t, &i)))
+		forget(t, e);
+	for (k = 0; k < t->n_zones; k++)
+		free(t->zones[k]);
+	for (k = 0; k < t->n_budgets; k++)
+		free(t->budgets[k].service);
+	free(t->budgets);
+	free(t->candidates);
+	free(t->candidate_handles);
+	slots_release(&t->table);
+	free(t);
+}
+
+/* Probes what is down, ends probes that hang, forgets what is long gone. */
+void endpoints_tick(struct endpoints *t)
+{
+	uint64_t now = proxyd_now(t->proxyd);
+	struct endpoint *e;
+	uint32_t i = 0;
+
+	while ((e = endpoint_next(t, &i))) {
+		if (e->lapse.removed && now - e->lapse.removed_ms > FORGET_MS &&
+		    !e->own.requests && !e->own.tokens) {
+			forget(t, e);
+			continue;
+		}
+		if (e->state == ENDPOINT_DOWN && !e->probe &&
+		    lapse_takes_work(&e->lapse, now) && !e->leaving &&
+		    now - e->probed_ms >= PROBE_DOWN_MS)
+			probe_start(t, e);
+	}
+}
+
+/* Takes a row of the store. */
+void endpoints_take_row(struct endpoints *t, const struct store_row *row,
+			uint64_t outage_end_ms)
+{
+	struct endpoint *e = endpoint_by_id(t, row->key);
+
+	if (!row->endpoint) {
+		if (row->problem[0])
+			event_log(EVENT_NOTABLE, "entry-unreadable", NULL,
+				  "{s:s, s:s}", "endpoint", row->key, "problem",
+				  row->problem);
+		if (e)
+			entry_removed(t, e, outage_end_ms);
+		return;
+	}
+	if (strlen(row->key) >= ENDPOINT_ID_SIZE ||
+	    strlen(row->endpoint->address) >= ENDPOINT_ADDRESS_SIZE)
+		return;
+	if (!e)
+		e = add(t, row->key);
+	e->zone = zone_index(t, row->endpoint->zone);
+	entry_changed(e, row->endpoint);
+	supersede(t, e);
+}
+
+/* After a full listing: removes the entries that are not in it. */
+void endpoints_keep_only(struct endpoints *t, const struct store_row *rows,
+			 size_t n, uint64_t outage_end_ms)
+{
+	struct endpoint *e;
+	uint32_t i = 0;
+	size_t k;
+
+	while ((e = endpoint_next(t, &i))) {
+		for (k = 0; k < n; k++)
+			if (!strcmp(rows[k].key, e->id))
+				break;
+		if (k == n && !e->lapse.removed)
+			entry_removed(t, e, outage_end_ms);
+	}
+}
+
+/* Returns the endpoint of a handle, or NULL. */
+struct endpoint *endpoint_get(const struct endpoints *t, struct handle h)
+{
+	struct endpoint **item = slots_get(&t->table, h);
+
+	return item ? *item : NULL;
+}
+
+/* Goes through the table; begin with *index 0. */
+struct endpoint *endpoint_next(const struct endpoints *t, uint32_t *index)
+{
+	struct handle h;
+	struct endpoint **item = slots_next(&t->table, index, &h);
+
+	return item ? *item : NULL;
+}
+
+/* Returns the endpoint whose id has this hash, or NULL. */
+struct endpoint *endpoint_by_hash(const struct endpoints *t, uint64_t hash)
+{
+	struct endpoint *e;
+	uint32_t i = 0;
+
+	while ((e = endpoint_next(t, &i)))
+		if (e->hash == hash)
+			return e;
+	return NULL;
+}
+
+/* Returns the endpoint with an id, or NULL. */
+struct endpoint *endpoint_by_id(const struct endpoints *t, const char *id)
+{
+	return endpoint_by_hash(t, XXH3_64bits(id, strlen(id)));
+}
+
+/* Chooses an endpoint for a run or for a plain call. */
+struct place_choice endpoints_place(struct endpoints *t,
+				    const struct endpoint_wish *wish, bool run,
+				    struct handle *chosen)
+{
+	const struct place_request r = {
+		.tokens = wish->tokens,
+		.zone = t->own_zone,
+	};
+	size_t n = gather(t, wish);
+	struct place_choice choice =
+		run ? place_run(&r, t->candidates, n, proxyd_random())
+		    : place_plain(&r, t->candidates, n, proxyd_random());
+
+	if (choice.outcome == PLACE_OK)
+		*chosen = t->candidate_handles[choice.index];
+	return choice;
+}
+
+/* Chooses where the copy of a run is kept; the handle may name none. */
+struct handle endpoints_place_copy(struct endpoints *t,
+				   const struct endpoint_wish *wish,
+				   struct handle run_at)
+{
+	const struct place_request r = {
+		.tokens = wish->tokens,
+		.zone = t->own_zone,
+	};
+	const struct handle none = { 0 };
+	size_t n = gather(t, wish);
+	uint32_t chosen;
+	uint32_t i;
+
+	for (i = 0; i < n; i++)
+		if (handle_equal(t->candidate_handles[i], run_at))
+			break;
+	if (i == n)
+		return none;
+	chosen = place_copy(&r, t->candidates, n, i, proxyd_random());
+	return chosen == PLACE_NONE ? none : t->candidate_handles[chosen];
+}
+
+/* Takes an endpoint for dead: its runs move, nothing goes there until a probe
+ * is answered or its entry changes.  tell passes it on to other instances. */
+void endpoint_lost(struct endpoints *t, struct handle h, const char *request,
+		   const char *why, bool tell)
+{
+	struct endpoint *e = endpoint_get(t, h);
+
+	if (!e || e->state != ENDPOINT_UP)
+		return;
+	e->state = ENDPOINT_DOWN;
+	e->down_ms = proxyd_now(t->proxyd);
+	e->probed_ms = e->down_ms;
+	counter_add(t->losses, 1);
+	event_log(EVENT_NOTABLE, "endpoint-lost", request,
+		  "{s:s, s:s, s:s, s:I}", "endpoint", e->id, "address",
+		  e->address, "why", why, "heard_ms_ago",
+		  (json_int_t)(e->down_ms - e->heard_ms));
+	if (tell)
+		peers_tell_lost(t->proxyd->peers, e->id);
+	exchanges_endpoint_lost(t->proxyd->exchanges, h);
+}
+
+/* Another endpoint answered at the address: the entry is out of date. */
+void endpoint_misdirected(struct endpoints *t, struct handle h,
+			  const char *request)
+{
+	struct endpoint *e = endpoint_get(t, h);
+
+	if (!e || e->state == ENDPOINT_OTHER)
+		return;
+	e->state = ENDPOINT_OTHER;
+	event_log(EVENT_NOTABLE, "endpoint-replaced", request, "{s:s, s:s}",
+		  "endpoint", e->id, "address", e->address);
+	exchanges_endpoint_lost(t->proxyd->exchanges, h);
+}
+
+/* The endpoint gave a sign of life. */
+void endpoint_alive(struct endpoints *t, struct handle h)
+{
+	struct endpoint *e = endpoint_get(t, h);
+
+	if (!e)
+		return;
+	e->heard_ms = proxyd_now(t->proxyd);
+	if (e->state != ENDPOINT_DOWN)
+		return;
+	e->state = ENDPOINT_UP;
+	event_log(EVENT_NOTABLE, "endpoint-back", NULL, "{s:s, s:I}",
+		  "endpoint", e->id, "down_ms",
+		  (json_int_t)(e->heard_ms - e->down_ms));
+}
+
+/* Asks the endpoint for a connection, on suspicion by a silent run. */
+void endpoint_probe(struct endpoints *t, struct handle h, const char *request,
+		    uint64_t silent_ms)
+{
+	struct endpoint *e = endpoint_get(t, h);
+
+	if (!e || e->probe || e->state != ENDPOINT_UP)
+		return;
+	event_log(EVENT_ROUTINE, "probe", request, "{s:s, s:I}", "endpoint",
+		  e->id, "silent_ms", (json_int_t)silent_ms);
+	probe_start(t, e);
+}
+
+/* Counts a plain answer into the endpoint's means. */
+void endpoint_answered(struct endpoints *t, struct handle h, uint64_t took_ms,
+		       bool failed)
+{
+	struct endpoint *e = endpoint_get(t, h);
+
+	if (!e)
+		return;
+	e->latency_ms = e->latency_ms > 0
+				? e->latency_ms +
+					  MEAN_WEIGHT * ((float)took_ms -
+							 e->latency_ms)
+				: (float)took_ms;
+	e->failing += FAILING_WEIGHT * ((failed ? 1.0F : 0.0F) - e->failing);
+}
+
+/* Returns the budget of repeats of a service. */
+struct repeat_budget *endpoints_budget(struct endpoints *t, const char *service)
+{
+	struct service_budget *b;
+	size_t i;
+
+	for (i = 0; i < t->n_budgets; i++)
+		if (!strcmp(t->budgets[i].service, service))
+			return &t->budgets[i].budget;
+	t->budgets = xreallocarray(t->budgets, t->n_budgets + 1,
+				   sizeof(*t->budgets));
+	b = &t->budgets[t->n_budgets++];
+	memset(b, 0, sizeof(*b));
+	b->service = xstrdup(service);
+	return &b->budget;
+}
+
+/* The entry was written: a new start of the endpoint, another state. */
+static void entry_changed(struct endpoint *e, const struct endpoint_entry *n)
+{
+	bool first = !e->service;
+	bool restarted = !first && n->born_ms && n->born_ms != e->born_ms;
+
+	if (first || strcmp(e->service, n->service) != 0) {
+		free(e->service);
+		e->service = xstrdup(n->service);
+	}
+	if (first || restarted || strcmp(e->address, n->address) != 0 ||
+	    e->lapse.removed)
+		e->state = ENDPOINT_UP;
+	if (first || restarted || e->leaving != n->leaving || e->lapse.removed)
+		event_log(EVENT_NOTABLE, "endpoint-entry", NULL,
+			  "{s:s, s:s, s:s, s:b, s:b}", "endpoint", e->id,
+			  "service", n->service, "address", n->address,
+			  "leaving", n->leaving, "restarted", restarted);
+	snprintf(e->address, sizeof(e->address), "%s", n->address);
+	e->slots = n->slots;
+	e->born_ms = n->born_ms;
+	e->leaving = n->leaving;
+	lapse_returned(&e->lapse);
+}
+
+/* The entry was removed from the store. */
+static void entry_removed(struct endpoints *t, struct endpoint *e,
+			  uint64_t outage_end_ms)
+{
+	if (e->lapse.removed)
+		return;
+	lapse_removed(&e->lapse, outage_end_ms, proxyd_now(t->proxyd));
+	event_log(EVENT_NOTABLE, "endpoint-entry-removed", NULL, "{s:s, s:b}",
+		  "endpoint", e->id, "held", e->lapse.hold_until_ms != 0);
+}
+
+/* Adds an endpoint. */
+static struct endpoint *add(struct endpoints *t, const char *id)
+{
+	struct endpoint *e = xcalloc(1, sizeof(*e));
+	struct endpoint **item = slots_alloc(&t->table, &e->self);
+
+	*item = e;
+	e->proxyd = t->proxyd;
+	snprintf(e->id, sizeof(e->id), "%s", id);
+	e->hash = XXH3_64bits(id, strlen(id));
+	e->heard_ms = proxyd_now(t->proxyd);
+	return e;
+}
+
+/* An endpoint that starts at an address takes it over from those before. */
+static void supersede(struct endpoints *t, const struct endpoint *newer)
+{
+	struct endpoint *e;
+	uint32_t i = 0;
+
+	while ((e = endpoint_next(t, &i)))
+		if (e != newer && !strcmp(e->address, newer->address) &&
+		    e->born_ms < newer->born_ms)
+			endpoint_misdirected(t, e->self, NULL);
+}
+
+/* Frees an endpoint. */
+static void forget(struct endpoints *t, struct endpoint *e)
+{
+	struct handle h = e->self;
+
+	if (e->probe)
+		http1_call_cancel(e->probe);
+	free(e->service);
+	free(e);
+	slots_free(&t->table, h);
+}
+
+/* Returns a zone's number. */
+static uint16_t zone_index(struct endpoints *t, const char *zone)
+{
+	uint16_t i;
+
+	for (i = 0; i < t->n_zones; i++)
+		if (!strcmp(t->zones[i], zone))
+			return i;
+	if (t->n_zones == ZONES_MAX)
+		return ZONES_MAX - 1;
+	t->zones[t->n_zones] = xstrdup(zone);
+	return t->n_zones++;
+}
+
+/* Gathers the candidates of a choice and returns their number. */
+static size_t gather(struct endpoints *t, const struct endpoint_wish *wish)
+{
+	const struct route_service *s =
+		routes_service(t->proxyd->routes, wish->service);
+	struct endpoint *e;
+	uint32_t i = 0;
+	size_t n = 0;
+
+	while ((e = endpoint_next(t, &i)) && n < CANDIDATES_MAX) {
+		if (strcmp(e->service, wish->service) != 0)
+			continue;
+		if (n == t->candidates_size) {
+			t->candidates_size = n ? 2 * n : 64;
+			t->candidates =
+				xreallocarray(t->candidates, t->candidates_size,
+					      sizeof(*t->candidates));
+			t->candidate_handles = xreallocarray(
+				t->candidate_handles, t->candidates_size,
+				sizeof(*t->candidate_handles));
+		}
+		fill(t, &t->candidates[n], e, s, wish);
+		t->candidate_handles[n++] = e->self;
+	}
+	return n;
+}
+
+/* Describes an endpoint to the policy. */
+static void fill(const struct endpoints *t, struct place_candidate *c,
+		 const struct endpoint *e, const struct route_service *s,
+		 const struct endpoint_wish *wish)
+{
+	uint64_t now = proxyd_now(t->proxyd);
+	size_t i;
+
+	*c = (struct place_candidate){
+		.zone = e->zone,
+		.usable = e->state == ENDPOINT_UP && !e->leaving &&
+			  lapse_takes_work(&e->lapse, now),
+		.memory_tokens = s ? s->memory_tokens : 0,
+		.used_tokens = e->own.tokens + e->others.tokens,
+		.prefill_tokens = e->own.prefill + e->others.prefill,
+		.requests = e->own.requests + e->others.requests,
+		.slots = e->slots,
+		.latency_ms = (uint32_t)e->latency_ms,
+		.failing_permille = (uint32_t)(e->failing * PERMILLE),
+	};
+	for (i = 0; i < wish->n_avoided; i++)
+		if (handle_equal(wish->avoided[i], e->self))
+			c->avoided = true;
+}
+
+/* Starts a probe: a connection that is closed as soon as it stands. */
+static void probe_start(struct endpoints *t, struct endpoint *e)
+{
+	const struct http1_call_options options = {
+		.address = e->address,
+		.connect_ms = PROBE_MS,
+	};
+
+	counter_add(t->probes, 1);
+	e->probed_ms = proxyd_now(t->proxyd);
+	e->probe = http1_call_start(t->proxyd->client, &options, NULL, 0,
+				    &probe_ops, e);
+}
+
+/* A probe is answered or not. */
+static void on_probe_end(void *arg, enum http1_outcome outcome)
+{
+	struct endpoint *e = arg;
+	struct endpoints *t = e->proxyd->endpoints;
+
+	e->probe = NULL;
+	if (outcome == HTTP1_NOT_SENT)
+		endpoint_lost(t, e->self, NULL, "no connection", true);
+	else
+		endpoint_alive(t, e->self);
+}
--- /dev/null
+++ b/proxyd/endpoints.h
@@ -0,0 +1,95 @@
+#ifndef PROXYD_ENDPOINTS_H
+#define PROXYD_ENDPOINTS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "lib/slots.h"
+#include "policy/lapse.h"
+#include "policy/place.h"
+#include "policy/repeat.h"
+#include "proxyd/store.h"
+
+#define ENDPOINT_ID_SIZE 64
+#define ENDPOINT_ADDRESS_SIZE 32
+#define ENDPOINT_AVOID_MAX 8
+
+struct endpoints;
+struct http1_call;
+struct proxyd;
+
+/* Work at an endpoint. */
+struct endpoint_load {
+	uint32_t tokens; /* memory of runs and of copies */
+	uint32_t prefill; /* prompts that have no first event yet */
+	uint32_t requests;
+};
+
+enum endpoint_state {
+	ENDPOINT_UP,
+	ENDPOINT_DOWN, /* found dead: nothing goes there until a probe does */
+	ENDPOINT_OTHER, /* its address belongs to another one */
+};
+
+struct endpoint {
+	struct handle self;
+	char id[ENDPOINT_ID_SIZE];
+	char address[ENDPOINT_ADDRESS_SIZE];
+	uint64_t hash; /* of the id */
+	char *service;
+	uint16_t zone;
+	uint32_t slots;
+	uint64_t born_ms;
+	bool leaving;
+	struct lapse lapse;
+	enum endpoint_state state;
+	uint64_t down_ms; /* when it was found dead */
+	uint64_t heard_ms; /* last sign of life */
+	uint64_t probed_ms; /* start of the last probe */
+	struct http1_call *probe;
+	struct proxyd *proxyd;
+	struct endpoint_load own;
+	struct endpoint_load others; /* of the other instances */
+	float latency_ms; /* moving mean of plain answers; 0: none yet */
+	float failing; /* moving share of failures, 0 to 1 */
+};
+
+/* Which endpoint to choose, and which not. */
+struct endpoint_wish {
+	const char *service;
+	uint32_t tokens;
+	const struct handle *avoided;
+	size_t n_avoided;
+};
+
+struct endpoints *endpoints_new(struct proxyd *p);
+void endpoints_free(struct endpoints *t);
+void endpoints_tick(struct endpoints *t);
+void endpoints_take_row(struct endpoints *t, const struct store_row *row,
+			uint64_t outage_end_ms);
+void endpoints_keep_only(struct endpoints *t, const struct store_row *rows,
+			 size_t n, uint64_t outage_end_ms);
+struct endpoint *endpoint_get(const struct endpoints *t, struct handle h);
+struct endpoint *endpoint_next(const struct endpoints *t, uint32_t *index);
+struct endpoint *endpoint_by_hash(const struct endpoints *t, uint64_t hash);
+struct endpoint *endpoint_by_id(const struct endpoints *t, const char *id);
+struct place_choice endpoints_place(struct endpoints *t,
+				    const struct endpoint_wish *wish, bool run,
+				    struct handle *chosen);
+struct handle endpoints_place_copy(struct endpoints *t,
+				   const struct endpoint_wish *wish,
+				   struct handle run_at);
+void endpoint_lost(struct endpoints *t, struct handle h, const char *request,
+		   const char *why, bool tell);
+void endpoint_misdirected(struct endpoints *t, struct handle h,
+			  const char *request);
+void endpoint_alive(struct endpoints *t, struct handle h);
+void endpoint_probe(struct endpoints *t, struct handle h, const char *request,
+		    uint64_t silent_ms);
+void endpoint_answered(struct endpoints *t, struct handle h, uint64_t took_ms,
+		       bool failed);
+struct repeat_budget *endpoints_budget(struct endpoints *t,
+				       const char *service);
+
+#endif /* PROXYD_ENDPOINTS_H */
--- /dev/null
+++ b/proxyd/exchange.c
@@ -0,0 +1,505 @@
+/*
+ * A request of a caller from its arrival to its answer: which route and
+ * organisation it has, which endpoint gets it, and what becomes of it.
+ */
+#include "proxyd/exchange.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "lib/event_log.h"
+#include "lib/xalloc.h"
+#include "policy/room.h"
+#include "proxyd/peers.h"
+
+/* Until the first runs have ended. */
+#define RUN_PRIOR_MS 6000.0F
+#define PREFILL_PRIOR_MS 0.22F
+
+/* A caller that finds no endpoint may come back after this: one that vanished
+ * is known to be dead, or back, by then. */
+#define RETRY_NONE_UP_MS 300
+
+/* Callers of a process that knows no configuration yet, or that is stopping,
+ * go to another instance at once. */
+#define RETRY_ELSEWHERE_MS 100
+
+/* A stream that lost its engine waits this long for another one. */
+#define STREAM_WAIT_MS 1500
+
+/* Failed connections of one request before it is given up. */
+#define CONNECTS_MAX 4
+
+/* An answer of a plain call takes about this long. */
+#define PLAIN_MS 200
+
+/* Runs write about this part of the output that they may write at most. */
+#define OUTPUT_PERCENT 100
+
+static bool find_route(struct exchange *x);
+static bool find_organisation(struct exchange *x);
+static bool takes_now(struct exchange *x);
+static void seek_failed(struct exchange *x, enum place_outcome outcome);
+static void wait_for_room(struct exchange *x);
+static uint64_t used_tokens(const struct exchange *x);
+static void reply_error(struct exchange *x, int status, uint32_t retry_ms,
+			const char *why);
+static void tick_one(struct exchange *x, uint64_t now);
+static void free_exchange(struct exchanges *t, struct exchange *x);
+static struct counter *outcome_counter(const char *outcome);
+
+/* Makes the table. */
+struct exchanges *exchanges_new(struct proxyd *p)
+{
+	struct exchanges *t = xcalloc(1, sizeof(*t));
+
+	t->proxyd = p;
+	TAILQ_INIT(&t->list);
+	t->run_ms = RUN_PRIOR_MS;
+	t->prefill_ms_per_token = PREFILL_PRIOR_MS;
+	t->served = outcome_counter("served");
+	t->refused = outcome_counter("refused");
+	t->failed = outcome_counter("failed");
+	t->left = outcome_counter("left by caller");
+	t->moved = counter_labelled("cdm_moves_total",
+				    "Runs that went on at another endpoint",
+				    COUNTER_TOTAL, "from", "prompt");
+	t->moved_copy = counter_labelled("cdm_moves_total",
+					 "Runs that went on at another "
+					 "endpoint",
+					 COUNTER_TOTAL, "from", "copy");
+	t->repeats = counter_labelled("cdm_repeats_total",
+				      "Requests sent to an endpoint once more",
+				      COUNTER_TOTAL, "kind", "all");
+	t->first_event.name = "cdm_first_event_ms";
+	t->first_event.help = "Arrival to first event of a stream, ms";
+	histogram_register(&t->first_event);
+	t->plain_answer.name = "cdm_plain_answer_ms";
+	t->plain_answer.help = "Arrival to answer of a plain call, ms";
+	histogram_register(&t->plain_answer);
+	t->pause_moved.name = "cdm_moved_pause_ms";
+	t->pause_moved.help = "Pause of a stream that moved, ms";
+	histogram_register(&t->pause_moved);
+	return t;
+}
+
+/* Frees the table and what is still in it. */
+void exchanges_free(struct exchanges *t)
+{
+	struct exchange *x;
+
+	while ((x = TAILQ_FIRST(&t->list))) {
+		attempt_cancel(x);
+		free_exchange(t, x);
+	}
+	free(t);
+}
+
+/* Ends what is late, starts what waits, judges silence. */
+void exchanges_tick(struct exchanges *t)
+{
+	uint64_t now = proxyd_now(t->proxyd);
+	struct exchange *x = TAILQ_FIRST(&t->list);
+
+	while (x) {
+		struct exchange *next;
+
+		if (x->phase != EXCHANGE_OVER)
+			tick_one(x, now);
+		next = TAILQ_NEXT(x, link);
+		if (x->phase == EXCHANGE_OVER)
+			free_exchange(t, x);
+		x = next;
+	}
+}
+
+/* Returns the number of requests that are not over. */
+uint32_t exchanges_open(const struct exchanges *t)
+{
+	return t->open;
+}
+
+/* Takes a request of a caller. */
+void exchanges_start(struct exchanges *t, struct http1_conn *caller,
+		     struct http1_request *r)
+{
+	struct proxyd *p = t->proxyd;
+	struct exchange *x = xcalloc(1, sizeof(*x));
+
+	x->proxyd = p;
+	x->caller = caller;
+	x->request = r;
+	x->received_ms = r->received_ms;
+	x->phase = EXCHANGE_WAITING;
+	TAILQ_INSERT_TAIL(&t->list, x, link);
+	t->open++;
+	http1_own(caller, x);
+	if (!p->protocol->decode_request(&r->head, &x->fields)) {
+		exchange_fail(x, 400, "malformed header");
+		return;
+	}
+	if (!p->routes) {
+		exchange_refuse(x, 503, RETRY_ELSEWHERE_MS,
+				"no configuration is known yet");
+		return;
+	}
+	if (!find_route(x) || !find_organisation(x) || !takes_now(x))
+		return;
+	repeat_request(endpoints_budget(p->endpoints, x->service), &p->repeat,
+		       proxyd_now(p));
+	exchange_seek(x);
+}
+
+/* An endpoint is dead: its runs move, its idempotent calls are repeated, and
+ * calls that it has not got yet go elsewhere. */
+void exchanges_endpoint_lost(struct exchanges *t, struct handle endpoint)
+{
+	const struct handle none = { 0 };
+	struct exchange *x;
+
+	TAILQ_FOREACH(x, &t->list, link) {
+		if (x->phase == EXCHANGE_OVER)
+			continue;
+		if (handle_equal(x->copy_at, endpoint))
+			x->copy_at = none;
+		if (!x->call || !handle_equal(x->at, endpoint))
+			continue;
+		if (x->route->kind == KIND_STREAM) {
+			stream_move(x, "endpoint lost");
+			continue;
+		}
+		if (x->route->kind == KIND_AT_MOST_ONCE &&
+		    http1_call_connected(x->call))
+			continue;
+		if (http1_call_connected(x->call) &&
+		    !exchange_repeat_allowed(x))
+			continue;
+		attempt_cancel(x);
+		exchange_avoid(x, endpoint);
+		exchange_seek(x);
+	}
+}
+
+/* The caller left before its answer was complete.  What may run once only is
+ * seen through; all else is cancelled, so that its endpoint stops. */
+void exchange_caller_left(void *owner)
+{
+	struct exchange *x = owner;
+
+	x->caller = NULL;
+	x->request = NULL;
+	if (x->phase == EXCHANGE_SENT &&
+	    x->route->kind == KIND_AT_MOST_ONCE && x->call &&
+	    http1_call_connected(x->call))
+		return;
+	attempt_cancel(x);
+	exchange_over(x, "left by caller");
+}
+
+/* Looks for an endpoint, and sends the request to it or waits or refuses. */
+void exchange_seek(struct exchange *x)
+{
+	const struct endpoint_wish wish = {
+		.service = x->service,
+		.tokens = x->tokens,
+		.avoided = x->avoided,
+		.n_avoided = x->n_avoided,
+	};
+	struct handle at = { 0 };
+	struct place_choice choice;
+
+	choice = endpoints_place(x->proxyd->endpoints, &wish,
+				 x->engine != NULL, &at);
+	if (choice.outcome == PLACE_ALL_AVOIDED && x->n_avoided &&
+	    x->route->kind == KIND_STREAM) {
+		x->n_avoided = 0; /* any is better than none */
+		choice = endpoints_place(x->proxyd->endpoints, &wish,
+					 x->engine != NULL, &at);
+	}
+	if (choice.outcome == PLACE_OK)
+		attempt_start(x, at, false);
+	else
+		seek_failed(x, choice.outcome);
+}
+
+/* Leaves an endpoint out of later choices. */
+void exchange_avoid(struct exchange *x, struct handle h)
+{
+	if (x->n_avoided == ENDPOINT_AVOID_MAX) {
+		memmove(x->avoided, x->avoided + 1,
+			sizeof(h) * (ENDPOINT_AVOID_MAX - 1));
+		x->n_avoided--;
+	}
+	x->avoided[x->n_avoided++] = h;
+}
+
+/* Tells whether the request may be sent to an endpoint once more, and takes
+ * that from the budget. */
+bool exchange_repeat_allowed(struct exchange *x)
+{
+	struct proxyd *p = x->proxyd;
+
+	if (x->sends >= x->route->attempts_max)
+		return false;
+	if (!repeat_take(endpoints_budget(p->endpoints, x->service), &p->repeat,
+			 (uint32_t)peers_alive(p->peers) + 1, proxyd_now(p)))
+		return false;
+	counter_add(p->exchanges->repeats, 1);
+	return true;
+}
+
+/* Refuses a request that has not run; the caller may come back. */
+void exchange_refuse(struct exchange *x, int status, uint32_t retry_after_ms,
+		     const char *why)
+{
+	event_log(EVENT_NOTABLE, "refused", x->fields.id,
+		  "{s:i, s:s, s:I, s:I, s:I, s:s}", "status", status, "why",
+		  why, "retry_after_ms", (json_int_t)retry_after_ms, "age_ms",
+		  (json_int_t)(proxyd_now(x->proxyd) - x->received_ms),
+		  "version",
+		  (json_int_t)(x->routes ? x->routes->version : 0), "route",
+		  x->route ? x->route->name : "");
+	counter_add(x->proxyd->exchanges->refused, 1);
+	reply_error(x, status, retry_after_ms, why);
+	exchange_over(x, "refused");
+}
+
+/* Fails a request; nothing is promised about whether it has run. */
+void exchange_fail(struct exchange *x, int status, const char *why)
+{
+	event_log(EVENT_NOTABLE, "failed", x->fields.id,
+		  "{s:i, s:s, s:i, s:I, s:I, s:s, s:b}", "status", status,
+		  "why", why, "sends", (int)x->sends, "age_ms",
+		  (json_int_t)(proxyd_now(x->proxyd) - x->received_ms),
+		  "version",
+		  (json_int_t)(x->routes ? x->routes->version : 0), "route",
+		  x->route ? x->route->name : "", "begun", x->begun);
+	counter_add(x->proxyd->exchanges->failed, 1);
+	attempt_cancel(x);
+	reply_error(x, status, 0, why);
+	exchange_over(x, "failed");
+}
+
+/* The request is over; it is freed at the next tick. */
+void exchange_over(struct exchange *x, const char *outcome)
+{
+	struct exchanges *t = x->proxyd->exchanges;
+	uint64_t now = proxyd_now(x->proxyd);
+
+	if (x->phase == EXCHANGE_OVER)
+		return;
+	if (x->phase == EXCHANGE_WAITING && x->wait_until_ms)
+		t->waiting_tokens -= x->tokens;
+	x->phase = EXCHANGE_OVER;
+	t->open--;
+	if (!strcmp(outcome, "served"))
+		counter_add(t->served, 1);
+	if (!strcmp(outcome, "left by caller"))
+		counter_add(t->left, 1);
+	event_log(EVENT_ROUTINE, "over", x->fields.id,
+		  "{s:s, s:I, s:i, s:I, s:I, s:i}", "outcome", outcome,
+		  "age_ms", (json_int_t)(now - x->received_ms), "status",
+		  x->status, "first_event_ms", (json_int_t)x->first_ms,
+		  "longest_gap_ms", (json_int_t)x->longest_gap_ms, "moves",
+		  (int)x->moves);
+}
+
+/* Finds the route and what follows from it; false if the request is over. */
+static bool find_route(struct exchange *x)
+{
+	const struct http1_head *head = &x->request->head;
+	struct proxyd *p = x->proxyd;
+	uint64_t limit;
+
+	x->routes = routes_ref(p->routes);
+	x->route = routes_find(p->routes, x->fields.host, x->fields.host_len,
+			       head->target, head->target_len);
+	if (!x->route) {
+		exchange_fail(x, 404, "no such route");
+		return false;
+	}
+	x->service = route_pick(x->route, proxyd_random());
+	x->engine = routes_service(x->routes, x->service);
+	if (x->engine && !x->engine->engine)
+		x->engine = NULL;
+	limit = x->route->timeout_ms;
+	if (x->fields.deadline_ms && x->fields.deadline_ms < limit)
+		limit = x->fields.deadline_ms;
+	x->end_ms = x->received_ms + limit;
+	if (x->engine)
+		x->tokens = x->fields.prompt_tokens +
+			    x->fields.output_tokens / 100 * OUTPUT_PERCENT;
+	return true;
+}
+
+/* Finds the organisation by the key; false if the request is over. */
+static bool find_organisation(struct exchange *x)
+{
+	if (!x->routes->keys_needed || x->route->open)
+		return true;
+	if (x->fields.key)
+		x->organisation = routes_organisation(
+			x->routes, x->fields.key, x->fields.key_len);
+	if (!x->organisation)
+		exchange_fail(x, 401, "unknown key");
+	return x->organisation != NULL;
+}
+
+/* Refuses a request that would not end before this process does. */
+static bool takes_now(struct exchange *x)
+{
+	struct exchanges *t = x->proxyd->exchanges;
+	uint64_t expected = x->engine ? (uint64_t)t->run_ms : PLAIN_MS;
+
+	if (stop_takes(&x->proxyd->stop, expected, proxyd_now(x->proxyd)))
+		return true;
+	exchange_refuse(x, 503, RETRY_ELSEWHERE_MS, "this instance is stopping");
+	return false;
+}
+
+/* No endpoint takes the request now. */
+static void seek_failed(struct exchange *x, enum place_outcome outcome)
+{
+	uint64_t now = proxyd_now(x->proxyd);
+
+	if (x->begun || x->moves) { /* a run that lost its engine */
+		if (!x->wait_until_ms) {
+			x->wait_until_ms = now + STREAM_WAIT_MS;
+			x->proxyd->exchanges->waiting_tokens += x->tokens;
+		}
+		x->phase = EXCHANGE_WAITING;
+		return;
+	}
+	if (outcome == PLACE_FULL && x->engine) {
+		wait_for_room(x);
+		return;
+	}
+	if (x->sends)
+		exchange_fail(x, 502, place_outcome_text(outcome));
+	else
+		exchange_refuse(x, 503, RETRY_NONE_UP_MS,
+				place_outcome_text(outcome));
+}
+
+/* No endpoint has room: waits if that makes sense. */
+static void wait_for_room(struct exchange *x)
+{
+	struct exchanges *t = x->proxyd->exchanges;
+	uint64_t now = proxyd_now(x->proxyd);
+	const struct room room = {
+		.used_tokens = used_tokens(x),
+		.run_ms = (uint64_t)t->run_ms,
+		.waiting_tokens =
+			t->waiting_tokens - (x->wait_until_ms ? x->tokens : 0),
+		.need_tokens = x->tokens,
+		.first_ms = room_first_ms(x->fields.prompt_tokens, 0,
+					  t->prefill_ms_per_token),
+		.target_ms = x->route->target_ms,
+		.waited_ms = (uint32_t)(now - x->received_ms),
+	};
+	struct room_verdict v = room_judge(&room);
+
+	if (!v.wait) {
+		exchange_refuse(x, 503, v.retry_after_ms,
+				"no endpoint has room in time");
+		return;
+	}
+	if (x->wait_until_ms)
+		return;
+	x->wait_until_ms = now + v.wait_ms;
+	t->waiting_tokens += x->tokens;
+	event_log(EVENT_NOTABLE, "waits", x->fields.id, "{s:I, s:I, s:I}",
+		  "at_most_ms", (json_int_t)v.wait_ms, "used_tokens",
+		  (json_int_t)room.used_tokens, "waiting_tokens",
+		  (json_int_t)t->waiting_tokens);
+}
+
+/* Returns the memory in use at all endpoints of the request's service. */
+static uint64_t used_tokens(const struct exchange *x)
+{
+	const struct endpoints *t = x->proxyd->endpoints;
+	const struct endpoint *e;
+	uint64_t sum = 0;
+	uint32_t i = 0;
+
+	while ((e = endpoint_next(t, &i)))
+		if (e->state == ENDPOINT_UP && !strcmp(e->service, x->service))
+			sum += e->own.tokens + e->others.tokens;
+	return sum;
+}
+
+/* Answers a caller that is still there with an error of this system's own, or
+ * breaks off a stream that was begun. */
+static void reply_error(struct exchange *x, int status, uint32_t retry_ms,
+			const char *why)
+{
+	struct http1_conn *caller = x->caller;
+	char headers[128] = "content-type: application/json\r\n";
+	char body[256];
+	size_t len;
+
+	if (!caller)
+		return;
+	x->caller = NULL;
+	http1_own(caller, NULL);
+	if (x->begun) {
+		http1_abort(caller);
+		return;
+	}
+	len = strlen(headers);
+	if (retry_ms)
+		snprintf(headers + len, sizeof(headers) - len,
+			 "retry-after: %u.%03u\r\n", retry_ms / 1000,
+			 retry_ms % 1000);
+	snprintf(body, sizeof(body), "{\"error\":\"%s\"}\n", why);
+	x->status = status;
+	http1_reply(caller, status, headers, body, strlen(body));
+}
+
+/* What a request needs at a tick. */
+static void tick_one(struct exchange *x, uint64_t now)
+{
+	if (now >= x->end_ms) {
+		exchange_fail(x, 504, "its time is up");
+		return;
+	}
+	if (x->phase == EXCHANGE_WAITING) {
+		if (x->wait_until_ms && now >= x->wait_until_ms) {
+			if (x->sends)
+				exchange_fail(x, 502, "no endpoint in time");
+			else
+				exchange_refuse(x, 503, RETRY_NONE_UP_MS,
+						"no endpoint has room");
+			return;
+		}
+		exchange_seek(x);
+		return;
+	}
+	if (stop_cuts(&x->proxyd->stop, now)) {
+		exchange_fail(x, 502, "this instance ends");
+		return;
+	}
+	if (x->route->kind == KIND_STREAM)
+		stream_watch(x, now);
+}
+
+/* Frees an exchange that is over. */
+static void free_exchange(struct exchanges *t, struct exchange *x)
+{
+	TAILQ_REMOVE(&t->list, x, link);
+	if (x->caller)
+		http1_own(x->caller, NULL);
+	bytes_release(&x->headers);
+	bytes_release(&x->body);
+	event_stream_release(&x->stream);
+	routes_unref(x->routes);
+	free(x);
+}
+
+/* Returns the counter of requests with an outcome. */
+static struct counter *outcome_counter(const char *outcome)
+{
+	return counter_labelled("cdm_requests_total", "Requests of callers",
+				COUNTER_TOTAL, "outcome", outcome);
+}
--- /dev/null
+++ b/proxyd/exchange.h
@@ -0,0 +1,125 @@
+#ifndef PROXYD_EXCHANGE_H
+#define PROXYD_EXCHANGE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <sys/queue.h>
+
+#include "lib/bytes.h"
+#include "lib/counters.h"
+#include "lib/event_stream.h"
+#include "lib/http1_client.h"
+#include "proxyd/endpoints.h"
+#include "proxyd/protocol.h"
+#include "proxyd/proxyd.h"
+#include "proxyd/routes.h"
+
+enum exchange_phase {
+	EXCHANGE_WAITING, /* for an endpoint with room */
+	EXCHANGE_SENT,
+	EXCHANGE_OVER, /* freed at the next tick */
+};
+
+/* One request of a caller, from its arrival to its answer. */
+struct exchange {
+	struct proxyd *proxyd;
+	TAILQ_ENTRY(exchange) link;
+	struct http1_conn *caller; /* NULL once it has left */
+	const struct http1_request *request; /* as long as the caller is there */
+	struct request_fields fields;
+	struct routes *routes; /* the version that the request came under */
+	const struct route *route;
+	const char *service;
+	const struct route_service *engine; /* NULL: a plain service */
+	const struct organisation *organisation; /* NULL: needs no key */
+	enum exchange_phase phase;
+	uint64_t received_ms;
+	uint64_t end_ms; /* the caller has its answer by then */
+	uint64_t wait_until_ms; /* while EXCHANGE_WAITING */
+	uint32_t tokens; /* memory at the end of the run */
+
+	/* the endpoint that it was sent to last */
+	struct http1_call *call;
+	struct handle at;
+	uint64_t sent_ms;
+	uint32_t sends; /* endpoints that were sent it, or may have been */
+	uint32_t connects; /* that failed in a row */
+	struct handle avoided[ENDPOINT_AVOID_MAX];
+	size_t n_avoided;
+	bool loaded; /* its load counts at the endpoint */
+	bool prefilling; /* so does its prompt */
+	bool from_copy; /* sent to go on from a copy */
+	struct handle copy_at; /* endpoint that gets a copy of the run */
+
+	/* the endpoint's answer */
+	int status;
+	struct answer_fields answer; /* its strings are not kept */
+	struct bytes headers;
+	struct bytes body;
+
+	/* a stream of events */
+	bool events; /* the current answer is one */
+	bool begun; /* events have been passed on */
+	struct event_stream stream;
+	uint64_t last_event;
+	bool has_last_event;
+	uint64_t heard_ms; /* last event, or start of the attempt */
+	uint64_t first_by_ms; /* first event of the attempt expected; 0: came */
+	uint64_t lost_ms; /* when the run was lost; 0: it is not */
+	uint64_t longest_gap_ms;
+	uint64_t passed_ms; /* when the caller got its last event */
+	uint64_t first_ms; /* from arrival to the first event */
+	uint32_t moves;
+};
+
+TAILQ_HEAD(exchange_list, exchange);
+
+struct exchanges {
+	struct proxyd *proxyd;
+	struct exchange_list list;
+	uint32_t open;
+	uint64_t waiting_tokens; /* of runs that wait for room */
+	float run_ms; /* moving mean of the time of a whole run */
+	float prefill_ms_per_token; /* moving mean */
+	struct counter *served;
+	struct counter *refused;
+	struct counter *failed;
+	struct counter *left; /* by their callers */
+	struct counter *moved;
+	struct counter *moved_copy;
+	struct counter *repeats;
+	struct histogram first_event;
+	struct histogram plain_answer;
+	struct histogram pause_moved;
+};
+
+struct exchanges *exchanges_new(struct proxyd *p);
+void exchanges_free(struct exchanges *t);
+void exchanges_tick(struct exchanges *t);
+void exchanges_start(struct exchanges *t, struct http1_conn *caller,
+		     struct http1_request *r);
+void exchanges_endpoint_lost(struct exchanges *t, struct handle endpoint);
+uint32_t exchanges_open(const struct exchanges *t);
+void exchange_caller_left(void *owner);
+
+/* exchange.c */
+void exchange_seek(struct exchange *x);
+void exchange_avoid(struct exchange *x, struct handle h);
+bool exchange_repeat_allowed(struct exchange *x);
+void exchange_refuse(struct exchange *x, int status, uint32_t retry_after_ms,
+		     const char *why);
+void exchange_fail(struct exchange *x, int status, const char *why);
+void exchange_over(struct exchange *x, const char *outcome);
+
+/* attempt.c */
+void attempt_start(struct exchange *x, struct handle at, bool from_copy);
+void attempt_cancel(struct exchange *x);
+
+/* stream.c */
+void stream_take(struct exchange *x, const char *data, size_t len);
+void stream_ended(struct exchange *x, enum http1_outcome outcome);
+void stream_move(struct exchange *x, const char *why);
+void stream_watch(struct exchange *x, uint64_t now);
+
+#endif /* PROXYD_EXCHANGE_H */
--- /dev/null
+++ b/proxyd/peers.c
@@ -0,0 +1,447 @@
+/*
+ * The other instances: found in the store, heard by datagrams.  A datagram
+ * says that its sender lives, where it has work, and which endpoints it has
+ * just found dead.
+ */
+#include "proxyd/peers.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+#include <xxhash.h>
+
+#include "lib/counters.h"
+#include "lib/event_log.h"
+#include "lib/settings.h"
+#include "lib/xalloc.h"
+#include "policy/presence.h"
+#include "proto/peer.pb-c.h"
+#include "proxyd/endpoints.h"
+#include "proxyd/proxyd.h"
+
+#define LOADS_MAX 48 /* of one datagram, which fits one packet */
+#define LOST_MAX 16 /* ids of one datagram */
+#define DATAGRAM_MAX 2048
+#define TELL_LOST_MS 2000 /* a loss is repeated in datagrams for so long */
+
+/* Losses are told at once, gathered over this time. */
+#define URGENT_MS 20
+
+struct peer_load {
+	uint64_t endpoint; /* hash of its id */
+	struct endpoint_load load;
+};
+
+struct peer {
+	TAILQ_ENTRY(peer) link;
+	char *name;
+	char *callers;
+	struct sockaddr_in address;
+	struct presence presence;
+	bool alive; /* as it was last judged, for the log */
+	uint64_t born_ms;
+	struct peer_load loads[LOADS_MAX];
+	size_t n_loads;
+};
+
+struct lost_endpoint {
+	char id[ENDPOINT_ID_SIZE];
+	uint64_t at_ms;
+};
+
+struct peers {
+	struct proxyd *proxyd;
+	uv_udp_t udp;
+	TAILQ_HEAD(peer_list, peer) list;
+	size_t n;
+	uint64_t told_ms;
+	uint64_t urgent_ms; /* a datagram is due then; 0: none */
+	struct lost_endpoint lost[LOST_MAX];
+	size_t n_lost;
+	struct counter *sent;
+	struct counter *heard;
+};
+
+static void on_alloc(uv_handle_t *h, size_t suggested, uv_buf_t *buf);
+static void on_datagram(uv_udp_t *udp, ssize_t n, const uv_buf_t *buf,
+			const struct sockaddr *from, unsigned int flags);
+static struct peer *find(const struct peers *t, const char *name);
+static void take_pulse(struct peers *t, const PeerPulse *pulse);
+static void take_loads(struct peers *t, struct peer *peer,
+		       const PeerPulse *pulse);
+static void add_loads(struct peers *t, const struct peer *peer, int sign);
+static uint32_t shifted(uint32_t value, uint32_t by, int sign);
+static void forget(struct peers *t, struct peer *peer);
+static void tell(struct peers *t);
+static size_t gather_loads(struct peers *t, PeerLoad *loads);
+static void judge(struct peers *t);
+
+static char datagram[DATAGRAM_MAX];
+
+/* Opens the address for datagrams; NULL with a message in err. */
+struct peers *peers_new(struct proxyd *p, char *err, size_t err_size)
+{
+	struct peers *t = xcalloc(1, sizeof(*t));
+	struct sockaddr_in sin;
+	char host[64];
+	uint16_t port;
+	int rc;
+
+	t->proxyd = p;
+	TAILQ_INIT(&t->list);
+	uv_udp_init(p->loop, &t->udp);
+	t->udp.data = t;
+	address_parse(p->settings.peers, host, sizeof(host), &port);
+	uv_ip4_addr(host, port, &sin);
+	rc = uv_udp_bind(&t->udp, (const struct sockaddr *)&sin, 0);
+	if (!rc)
+		rc = uv_udp_recv_start(&t->udp, on_alloc, on_datagram);
+	if (rc) {
+		snprintf(err, err_size, "%s: %s", p->settings.peers,
+			 uv_strerror(rc));
+		return NULL; /* the process ends */
+	}
+	t->sent = counter_labelled("cdm_peer_datagrams_total",
+				   "Datagrams between instances", COUNTER_TOTAL,
+				   "direction", "sent");
+	t->heard = counter_labelled("cdm_peer_datagrams_total",
+				    "Datagrams between instances",
+				    COUNTER_TOTAL, "direction", "heard");
+	return t;
+}
+
+/* Forgets all instances; the loop closes the address. */
+void peers_free(struct peers *t)
+{
+	struct peer *peer;
+
+	while ((peer = TAILQ_FIRST(&t->list)))
+		forget(t, peer);
+	free(t);
+}
+
+/* Tells the others at intervals, or at once of a loss; judges who lives. */
+void peers_tick(struct peers *t)
+{
+	uint64_t now = proxyd_now(t->proxyd);
+
+	if ((t->urgent_ms && now >= t->urgent_ms) ||
+	    now - t->told_ms >= presence_interval_ms(t->n + 1))
+		tell(t);
+	judge(t);
+}
+
+/* Takes a row of the store. */
+void peers_take_row(struct peers *t, const struct store_row *row)
+{
+	struct peer *peer = find(t, row->key);
+	char host[64];
+	uint16_t port;
+
+	if (!strcmp(row->key, t->proxyd->settings.name))
+		return;
+	if (!row->instance ||
+	    !address_parse(row->instance->peers, host, sizeof(host), &port)) {
+		if (row->problem[0])
+			event_log(EVENT_NOTABLE, "entry-unreadable", NULL,
+				  "{s:s, s:s}", "instance", row->key, "problem",
+				  row->problem);
+		if (peer)
+			forget(t, peer);
+		return;
+	}
+	if (!peer) {
+		peer = xcalloc(1, sizeof(*peer));
+		peer->name = xstrdup(row->key);
+		TAILQ_INSERT_TAIL(&t->list, peer, link);
+		t->n++;
+	}
+	free(peer->callers);
+	peer->callers = xstrdup(row->instance->callers);
+	uv_ip4_addr(host, port, &peer->address);
+	peer->presence.leaving = false;
+	peer->presence.listed_ms = proxyd_now(t->proxyd);
+	if (!peer->presence.heard_ms)
+		event_log(EVENT_NOTABLE, "instance-listed", NULL, "{s:s, s:s}",
+			  "peer", peer->name, "address", peer->callers);
+}
+
+/* After a full listing: forgets the instances that are not in it. */
+void peers_keep_only(struct peers *t, const struct store_row *rows, size_t n)
+{
+	struct peer *peer = TAILQ_FIRST(&t->list);
+	size_t k;
+
+	while (peer) {
+		struct peer *next = TAILQ_NEXT(peer, link);
+
+		for (k = 0; k < n; k++)
+			if (!strcmp(rows[k].key, peer->name))
+				break;
+		if (k == n)
+			forget(t, peer);
+		peer = next;
+	}
+}
+
+/* Passes on that an endpoint was found dead. */
+void peers_tell_lost(struct peers *t, const char *endpoint)
+{
+	uint64_t now = proxyd_now(t->proxyd);
+	struct lost_endpoint *l;
+
+	if (t->n_lost == LOST_MAX) {
+		memmove(t->lost, t->lost + 1, sizeof(*l) * (LOST_MAX - 1));
+		t->n_lost--;
+	}
+	l = &t->lost[t->n_lost++];
+	snprintf(l->id, sizeof(l->id), "%s", endpoint);
+	l->at_ms = now;
+	if (!t->urgent_ms)
+		t->urgent_ms = now + URGENT_MS;
+}
+
+/* Tells the others without waiting, as when this instance leaves. */
+void peers_tell_now(struct peers *t)
+{
+	tell(t);
+}
+
+/* Returns how many other instances live. */
+size_t peers_alive(const struct peers *t)
+{
+	const struct peer *peer;
+	size_t n = 0;
+
+	TAILQ_FOREACH(peer, &t->list, link)
+		n += peer->alive;
+	return n;
+}
+
+/* Lists the addresses for callers of the other instances that live, or of all
+ * if this instance is cut off from them; returns their number. */
+size_t peers_addresses(const struct peers *t, const char **addresses,
+		       size_t most)
+{
+	bool all = presence_cut_off(peers_alive(t), t->n);
+	const struct peer *peer;
+	size_t n = 0;
+
+	TAILQ_FOREACH(peer, &t->list, link)
+		if (n < most && !peer->presence.leaving && (all || peer->alive))
+			addresses[n++] = peer->callers;
+	return n;
+}
+
+/* Lends the buffer of datagrams. */
+static void on_alloc(uv_handle_t *h, size_t suggested, uv_buf_t *buf)
+{
+	(void)h;
+	(void)suggested;
+	*buf = uv_buf_init(datagram, sizeof(datagram));
+}
+
+/* Takes a datagram. */
+static void on_datagram(uv_udp_t *udp, ssize_t n, const uv_buf_t *buf,
+			const struct sockaddr *from, unsigned int flags)
+{
+	struct peers *t = udp->data;
+	PeerPulse *pulse;
+
+	if (n <= 0 || !from || (flags & UV_UDP_PARTIAL))
+		return;
+	counter_add(t->heard, 1);
+	pulse = peer_pulse__unpack(NULL, (size_t)n, (const uint8_t *)buf->base);
+	if (!pulse) {
+		event_log(EVENT_NOTABLE, "datagram-unreadable", NULL, "{s:I}",
+			  "bytes", (json_int_t)n);
+		return;
+	}
+	take_pulse(t, pulse);
+	peer_pulse__free_unpacked(pulse, NULL);
+}
+
+/* Returns an instance by name, or NULL. */
+static struct peer *find(const struct peers *t, const char *name)
+{
+	struct peer *peer;
+
+	TAILQ_FOREACH(peer, &t->list, link)
+		if (!strcmp(peer->name, name))
+			return peer;
+	return NULL;
+}
+
+/* Takes what an instance says. */
+static void take_pulse(struct peers *t, const PeerPulse *pulse)
+{
+	struct peer *peer = find(t, pulse->instance);
+	size_t i;
+
+	if (!peer || pulse->born < peer->born_ms)
+		return;
+	if (pulse->leaving != peer->presence.leaving)
+		event_log(EVENT_NOTABLE,
+			  pulse->leaving ? "instance-leaving"
+					 : "instance-staying",
+			  NULL, "{s:s}", "peer", peer->name);
+	peer->born_ms = pulse->born;
+	peer->presence.heard_ms = proxyd_now(t->proxyd);
+	peer->presence.leaving = pulse->leaving;
+	take_loads(t, peer, pulse);
+	for (i = 0; i < pulse->n_lost; i++) {
+		struct endpoint *e =
+			endpoint_by_id(t->proxyd->endpoints, pulse->lost[i]);
+
+		if (e && peer->presence.heard_ms - e->heard_ms > TELL_LOST_MS / 4)
+			endpoint_probe(t->proxyd->endpoints, e->self, NULL, 0);
+	}
+}
+
+/* Replaces what an instance has at the endpoints. */
+static void take_loads(struct peers *t, struct peer *peer,
+		       const PeerPulse *pulse)
+{
+	size_t i;
+
+	add_loads(t, peer, -1);
+	peer->n_loads = pulse->n_loads < LOADS_MAX ? pulse->n_loads : LOADS_MAX;
+	for (i = 0; i < peer->n_loads; i++) {
+		const PeerLoad *l = pulse->loads[i];
+
+		peer->loads[i] = (struct peer_load){
+			.endpoint = l->endpoint,
+			.load = { .tokens = l->tokens,
+				  .prefill = l->prefill,
+				  .requests = l->requests },
+		};
+	}
+	add_loads(t, peer, 1);
+}
+
+/* Adds an instance's loads to those of the endpoints, or takes them off. */
+static void add_loads(struct peers *t, const struct peer *peer, int sign)
+{
+	size_t i;
+
+	for (i = 0; i < peer->n_loads; i++) {
+		const struct endpoint_load *l = &peer->loads[i].load;
+		struct endpoint *e = endpoint_by_hash(t->proxyd->endpoints,
+						      peer->loads[i].endpoint);
+
+		if (!e)
+			continue;
+		e->others.tokens = shifted(e->others.tokens, l->tokens, sign);
+		e->others.prefill =
+			shifted(e->others.prefill, l->prefill, sign);
+		e->others.requests =
+			shifted(e->others.requests, l->requests, sign);
+	}
+}
+
+/* Adds or takes off; an endpoint that was forgotten in between has lost what
+ * was added to it, so that the result stops at 0. */
+static uint32_t shifted(uint32_t value, uint32_t by, int sign)
+{
+	if (sign > 0)
+		return value + by;
+	return value > by ? value - by : 0;
+}
+
+/* Forgets an instance. */
+static void forget(struct peers *t, struct peer *peer)
+{
+	add_loads(t, peer, -1);
+	TAILQ_REMOVE(&t->list, peer, link);
+	t->n--;
+	free(peer->name);
+	free(peer->callers);
+	free(peer);
+}
+
+/* Sends a datagram to every other instance. */
+static void tell(struct peers *t)
+{
+	struct proxyd *p = t->proxyd;
+	PeerPulse pulse = PEER_PULSE__INIT;
+	PeerLoad loads[LOADS_MAX];
+	PeerLoad *load_list[LOADS_MAX];
+	char *lost[LOST_MAX];
+	uint8_t out[DATAGRAM_MAX];
+	struct peer *peer;
+	uv_buf_t buf;
+	size_t i;
+
+	t->told_ms = proxyd_now(p);
+	t->urgent_ms = 0;
+	while (t->n_lost && t->told_ms - t->lost[0].at_ms > TELL_LOST_MS)
+		memmove(t->lost, t->lost + 1, sizeof(t->lost[0]) * --t->n_lost);
+	for (i = 0; i < t->n_lost; i++)
+		lost[i] = t->lost[i].id;
+	pulse.instance = p->settings.name;
+	pulse.born = p->born_ms;
+	pulse.leaving = !stop_ready(&p->stop);
+	pulse.version = p->routes ? p->routes->version : 0;
+	pulse.n_loads = gather_loads(t, loads);
+	for (i = 0; i < pulse.n_loads; i++)
+		load_list[i] = &loads[i];
+	pulse.loads = load_list;
+	pulse.n_lost = t->n_lost;
+	pulse.lost = lost;
+	if (peer_pulse__get_packed_size(&pulse) > sizeof(out))
+		pulse.n_loads = LOADS_MAX / 4;
+	buf = uv_buf_init((char *)out,
+			  (unsigned int)peer_pulse__pack(&pulse, out));
+	TAILQ_FOREACH(peer, &t->list, link) {
+		/* a datagram may be lost: what is not sent now comes again */
+		if (uv_udp_try_send(&t->udp, &buf, 1,
+				    (const struct sockaddr *)&peer->address) > 0)
+			counter_add(t->sent, 1);
+	}
+}
+
+/* Fills in where this instance has work; returns the number. */
+static size_t gather_loads(struct peers *t, PeerLoad *loads)
+{
+	struct endpoint *e;
+	uint32_t i = 0;
+	size_t n = 0;
+
+	while (n < LOADS_MAX && (e = endpoint_next(t->proxyd->endpoints, &i))) {
+		if (!e->own.tokens && !e->own.requests)
+			continue;
+		peer_load__init(&loads[n]);
+		loads[n].endpoint = e->hash;
+		loads[n].tokens = e->own.tokens;
+		loads[n].prefill = e->own.prefill;
+		loads[n++].requests = e->own.requests;
+	}
+	return n;
+}
+
+/* Notes which instances live now; a dead one has no work anywhere. */
+static void judge(struct peers *t)
+{
+	uint64_t now = proxyd_now(t->proxyd);
+	struct peer *peer;
+
+	TAILQ_FOREACH(peer, &t->list, link) {
+		bool alive = presence_alive(&peer->presence, t->n + 1, now);
+
+		if (alive == peer->alive)
+			continue;
+		peer->alive = alive;
+		if (!alive) {
+			add_loads(t, peer, -1);
+			peer->n_loads = 0;
+		}
+		event_log(EVENT_NOTABLE,
+			  alive ? "instance-alive" : "instance-silent", NULL,
+			  "{s:s, s:I}", "peer", peer->name, "heard_ms_ago",
+			  (json_int_t)(peer->presence.heard_ms
+					       ? now - peer->presence.heard_ms
+					       : 0));
+	}
+}
--- /dev/null
+++ b/proxyd/peers.h
@@ -0,0 +1,24 @@
+#ifndef PROXYD_PEERS_H
+#define PROXYD_PEERS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "proxyd/store.h"
+
+struct peers;
+struct proxyd;
+
+struct peers *peers_new(struct proxyd *p, char *err, size_t err_size);
+void peers_free(struct peers *t);
+void peers_tick(struct peers *t);
+void peers_take_row(struct peers *t, const struct store_row *row);
+void peers_keep_only(struct peers *t, const struct store_row *rows, size_t n);
+void peers_tell_lost(struct peers *t, const char *endpoint);
+void peers_tell_now(struct peers *t);
+size_t peers_alive(const struct peers *t);
+size_t peers_addresses(const struct peers *t, const char **addresses,
+		       size_t most);
+
+#endif /* PROXYD_PEERS_H */
--- /dev/null
+++ b/proxyd/settings.c
@@ -0,0 +1,59 @@
+/*
+ * The settings file of cdmproxyd.
+ */
+#include "proxyd/settings.h"
+
+#include <string.h>
+
+#include "lib/settings.h"
+
+#define FIELD(name) \
+	.key = #name, .offset = offsetof(struct proxyd_settings, name)
+
+static const struct setting settings[] = {
+	{ FIELD(name), .type = SETTING_STRING, .required = true },
+	{ FIELD(zone), .type = SETTING_STRING, .required = true },
+	{ FIELD(region), .type = SETTING_STRING, .required = true },
+	{ FIELD(callers), .type = SETTING_ADDRESS, .required = true },
+	{ FIELD(readiness), .type = SETTING_ADDRESS, .required = true },
+	{ FIELD(directory), .type = SETTING_ADDRESS, .required = true },
+	{ FIELD(metrics), .type = SETTING_ADDRESS, .required = true },
+	{ FIELD(peers), .type = SETTING_ADDRESS, .required = true },
+	{ FIELD(store), .type = SETTING_ADDRESS, .required = true },
+	{ FIELD(grace_s), .type = SETTING_DECIMAL, .min = 1, .max = 3600 },
+	{ FIELD(directory_ttl_s), .type = SETTING_DECIMAL, .min = 1,
+	  .max = 3600 },
+	{ FIELD(repeat_window_s), .type = SETTING_DECIMAL, .min = 0.1,
+	  .max = 600 },
+	{ FIELD(repeat_ratio), .type = SETTING_DECIMAL, .min = 0, .max = 10 },
+	{ FIELD(repeat_slack), .type = SETTING_DECIMAL, .min = 0,
+	  .max = 1000000 },
+	{ .key = NULL },
+};
+
+/* Reads and checks the file.  Returns false with a message that names file,
+ * line and key; the settings are then empty. */
+bool proxyd_settings_load(struct proxyd_settings *s, const char *file,
+			  char *err, size_t err_size)
+{
+	struct toml_node *root = toml_parse_file(file, err, err_size);
+	bool ok;
+
+	memset(s, 0, sizeof(*s));
+	s->grace_s = 8;
+	s->directory_ttl_s = 2;
+	s->repeat_window_s = 10;
+	s->repeat_ratio = 0.8;
+	s->repeat_slack = 150;
+	ok = root && settings_read(root, file, settings, s, err, err_size);
+	toml_free(root);
+	if (!ok)
+		proxyd_settings_release(s);
+	return ok;
+}
+
+/* Frees the strings. */
+void proxyd_settings_release(struct proxyd_settings *s)
+{
+	settings_release(settings, s);
+}
--- /dev/null
+++ b/proxyd/settings.h
@@ -0,0 +1,30 @@
+#ifndef PROXYD_SETTINGS_H
+#define PROXYD_SETTINGS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* Settings of an instance, from a file in TOML (cdmproxyd.toml(5)). */
+struct proxyd_settings {
+	char *name; /* of the instance */
+	char *zone;
+	char *region;
+	char *callers; /* address for requests */
+	char *readiness; /* address */
+	char *directory; /* address that says where to connect */
+	char *metrics; /* address */
+	char *peers; /* address for datagrams of other instances */
+	char *store; /* address of the platform's store */
+	double grace_s; /* from a stop signal to the kill */
+	double directory_ttl_s; /* callers keep an answer at most so long */
+	double repeat_window_s;
+	double repeat_ratio; /* repeats for each request in a window */
+	double repeat_slack; /* repeats beyond that, all instances together */
+};
+
+bool proxyd_settings_load(struct proxyd_settings *s, const char *file,
+			  char *err, size_t err_size);
+void proxyd_settings_release(struct proxyd_settings *s);
+
+#endif /* PROXYD_SETTINGS_H */
--- /dev/null
+++ b/proxyd/store.c
@@ -0,0 +1,30 @@
+/*
+ * Names of the store's tables and outcomes, for logs and metrics.
+ */
+#include "proxyd/store.h"
+
+/* Returns a word for an outcome. */
+const char *store_outcome_name(enum store_outcome outcome)
+{
+	static const char *const names[] = {
+		[STORE_OK] = "ok",
+		[STORE_HISTORY_LOST] = "history lost",
+		[STORE_REFUSED] = "refused",
+		[STORE_UNREACHABLE] = "unreachable",
+		[STORE_MALFORMED] = "malformed answer",
+	};
+
+	return names[outcome];
+}
+
+/* Returns a word for a table. */
+const char *store_table_name(enum store_table table)
+{
+	static const char *const names[] = {
+		[STORE_CONFIGURATION] = "configuration",
+		[STORE_ENDPOINTS] = "endpoints",
+		[STORE_INSTANCES] = "instances",
+	};
+
+	return names[table];
+}
--- /dev/null
+++ b/proxyd/store.h
@@ -0,0 +1,88 @@
+#ifndef PROXYD_STORE_H
+#define PROXYD_STORE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "proxyd/routes.h"
+
+enum store_table {
+	STORE_CONFIGURATION,
+	STORE_ENDPOINTS, /* written by the endpoints */
+	STORE_INSTANCES, /* written by this system */
+	STORE_TABLES,
+};
+
+enum store_outcome {
+	STORE_OK,
+	STORE_HISTORY_LOST, /* changes were missed: read the table again */
+	STORE_REFUSED, /* it answers, but does not serve us now */
+	STORE_UNREACHABLE,
+	STORE_MALFORMED, /* the answer cannot be read */
+};
+
+struct endpoint_entry {
+	const char *service;
+	const char *address;
+	const char *zone;
+	bool leaving;
+	uint64_t born_ms; /* Unix time of its start; 0: not said */
+	uint32_t slots;
+};
+
+struct instance_entry {
+	const char *callers; /* address */
+	const char *peers; /* address */
+	const char *zone;
+};
+
+/* One row.  Which member is set follows from the table; none is set in a row
+ * that was removed or cannot be read. */
+struct store_row {
+	const char *key;
+	bool removed;
+	struct routes *routes; /* one reference, for the callback's time */
+	const struct endpoint_entry *endpoint;
+	const struct instance_entry *instance;
+	char problem[160]; /* why it cannot be read */
+};
+
+struct store;
+
+/* Each call ends by one call of done, from the loop. */
+struct store_ops {
+	/* all rows of a table, and the version that they are of */
+	void (*list)(struct store *s, enum store_table table,
+		     void (*done)(void *arg, enum store_outcome outcome,
+				  const struct store_row *rows, size_t n,
+				  uint64_t version),
+		     void *arg);
+	/* rows that changed after a version, as soon as there are any */
+	void (*follow)(struct store *s, enum store_table table, uint64_t after,
+		       uint32_t wait_ms,
+		       void (*done)(void *arg, enum store_outcome outcome,
+				    const struct store_row *rows, size_t n,
+				    uint64_t version),
+		       void *arg);
+	void (*put_instance)(struct store *s, const char *key,
+			     const struct instance_entry *entry,
+			     void (*done)(void *arg,
+					  enum store_outcome outcome),
+			     void *arg);
+	void (*remove_instance)(struct store *s, const char *key,
+				void (*done)(void *arg,
+					     enum store_outcome outcome),
+				void *arg);
+	void (*tick)(struct store *s); /* ends calls whose time is up */
+	void (*free)(struct store *s);
+};
+
+struct store {
+	const struct store_ops *ops;
+};
+
+const char *store_outcome_name(enum store_outcome outcome);
+const char *store_table_name(enum store_table table);
+
+#endif /* PROXYD_STORE_H */
--- /dev/null
+++ b/proxyd/stream.c
@@ -0,0 +1,248 @@
+/*
+ * Streams of events: passed on as they come, and gone on with at another
+ * endpoint when theirs is lost.
+ */
+#include "proxyd/exchange.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "lib/event_log.h"
+#include "policy/silence.h"
+
+/* A caller that reads slowly stops the reading from its engine. */
+#define PENDING_MAX (256u << 10) /* bytes */
+
+/* Weight of the newest run in the moving means. */
+#define MEAN_WEIGHT 0.1F
+
+static size_t whole_events(struct exchange *x);
+static bool take_event(struct exchange *x, const struct stream_event *event);
+static void begin(struct exchange *x);
+static void first_event(struct exchange *x, uint64_t now);
+static void heard(struct exchange *x, uint64_t now);
+static void complete(struct exchange *x);
+static bool copy_usable(const struct exchange *x);
+
+/* Passes on the events that are whole. */
+void stream_take(struct exchange *x, const char *data, size_t len)
+{
+	uint64_t now = proxyd_now(x->proxyd);
+	size_t n;
+
+	event_stream_add(&x->stream, data, len);
+	endpoint_alive(x->proxyd->endpoints, x->at);
+	n = whole_events(x);
+	if (!n || !x->caller)
+		return;
+	if (x->first_by_ms)
+		first_event(x, now);
+	if (!x->begun)
+		begin(x);
+	heard(x, now);
+	http1_stream_write(x->caller, x->stream.pending.data, n);
+	event_stream_consume(&x->stream, n);
+	if (x->call && http1_pending(x->caller) > PENDING_MAX)
+		http1_call_pause(x->call, true);
+}
+
+/* The engine's answer is over. */
+void stream_ended(struct exchange *x, enum http1_outcome outcome)
+{
+	struct handle at = x->at;
+	bool whole = outcome == HTTP1_COMPLETE && !x->stream.pending.len;
+
+	if (whole && x->caller) {
+		complete(x);
+		return;
+	}
+	if (!x->caller) {
+		attempt_cancel(x);
+		exchange_over(x, "left by caller");
+		return;
+	}
+	endpoint_probe(x->proxyd->endpoints, at, x->fields.id, 0);
+	stream_move(x, http1_outcome_name(outcome));
+}
+
+/* The run's engine is lost: the old run is cancelled, and the stream goes on
+ * from its copy, or from its prompt where there is none. */
+void stream_move(struct exchange *x, const char *why)
+{
+	struct handle from = x->at;
+	struct handle copy = x->copy_at;
+	bool by_copy = copy_usable(x) && (x->begun || x->has_last_event);
+	uint64_t now = proxyd_now(x->proxyd);
+
+	attempt_cancel(x);
+	exchange_avoid(x, from);
+	if (!x->lost_ms)
+		x->lost_ms = now;
+	event_log(EVENT_NOTABLE, "move", x->fields.id,
+		  "{s:s, s:b, s:I, s:i, s:I}", "why", why, "by_copy", by_copy,
+		  "silent_ms", (json_int_t)(now - x->heard_ms), "sends",
+		  (int)x->sends, "last_event",
+		  (json_int_t)(x->has_last_event ? (int64_t)x->last_event : -1));
+	if (!x->caller) {
+		exchange_over(x, "left by caller");
+		return;
+	}
+	if ((x->begun && !x->route->resumable) || !exchange_repeat_allowed(x)) {
+		exchange_fail(x, 502, "the run was lost and may not move");
+		return;
+	}
+	x->moves++;
+	counter_add(by_copy ? x->proxyd->exchanges->moved_copy
+			    : x->proxyd->exchanges->moved,
+		    1);
+	if (by_copy)
+		attempt_start(x, copy, true);
+	else
+		exchange_seek(x);
+}
+
+/* Judges the silence of a run. */
+void stream_watch(struct exchange *x, uint64_t now)
+{
+	const struct endpoint *e = endpoint_get(x->proxyd->endpoints, x->at);
+	const struct silence_run run = {
+		.heard_ms = x->heard_ms,
+		.probed_ms = e ? e->probed_ms : 0,
+		.first_by_ms = x->first_by_ms,
+		.gap_max_ms = x->route->gap_ms,
+		.can_move = x->sends < x->route->attempts_max,
+		.has_copy = copy_usable(x),
+	};
+
+	if (!x->call || !http1_call_connected(x->call))
+		return;
+	if (x->caller && http1_pending(x->caller)) {
+		x->heard_ms = now; /* the caller reads slowly */
+		return;
+	}
+	http1_call_pause(x->call, false);
+	switch (silence_judge(&run, now)) {
+	case SILENCE_WAIT:
+		break;
+	case SILENCE_PROBE:
+		endpoint_probe(x->proxyd->endpoints, x->at, x->fields.id,
+			       now - x->heard_ms);
+		break;
+	case SILENCE_MOVE:
+		stream_move(x, "silent beyond what is on time");
+		break;
+	}
+}
+
+/* Returns the length of the whole events that are to be passed on; those that
+ * the caller has are dropped. */
+static size_t whole_events(struct exchange *x)
+{
+	struct stream_event event;
+	size_t n = 0;
+
+	while (event_stream_next(&x->stream, n, &event)) {
+		size_t len = event.len;
+
+		if (take_event(x, &event)) {
+			n += len;
+			continue;
+		}
+		memmove(x->stream.pending.data + n,
+			x->stream.pending.data + n + len,
+			x->stream.pending.len - n - len);
+		x->stream.pending.len -= len;
+	}
+	return n;
+}
+
+/* Notes an event's position; false if the caller has it already. */
+static bool take_event(struct exchange *x, const struct stream_event *event)
+{
+	if (!event->has_id)
+		return true;
+	if (x->has_last_event && event->id <= x->last_event)
+		return false;
+	x->has_last_event = true;
+	x->last_event = event->id;
+	return true;
+}
+
+/* Begins the answer to the caller with the head of the first engine's. */
+static void begin(struct exchange *x)
+{
+	x->begun = true;
+	bytes_add(&x->headers, "", 1);
+	http1_stream_begin(x->caller, x->status, x->headers.data);
+}
+
+/* The first event of an attempt: its prompt has been read. */
+static void first_event(struct exchange *x, uint64_t now)
+{
+	struct exchanges *t = x->proxyd->exchanges;
+	struct endpoint *e = endpoint_get(x->proxyd->endpoints, x->at);
+	float took = (float)(now - x->sent_ms);
+
+	x->first_by_ms = 0;
+	if (x->prefilling && e) {
+		e->own.prefill -= x->fields.prompt_tokens;
+		x->prefilling = false;
+		if (x->fields.prompt_tokens && !e->own.prefill)
+			t->prefill_ms_per_token +=
+				MEAN_WEIGHT *
+				(took / (float)x->fields.prompt_tokens -
+				 t->prefill_ms_per_token);
+	}
+	if (!x->begun) {
+		x->first_ms = now - x->received_ms;
+		histogram_add(&t->first_event, (double)x->first_ms);
+	}
+	if (x->lost_ms) {
+		event_log(EVENT_NOTABLE, "resumed", x->fields.id,
+			  "{s:I, s:b, s:I}", "after_ms",
+			  (json_int_t)(now - x->lost_ms), "from_copy",
+			  x->from_copy, "pause_ms",
+			  (json_int_t)(x->passed_ms ? now - x->passed_ms : 0));
+		if (x->passed_ms)
+			histogram_add(&t->pause_moved,
+				      (double)(now - x->passed_ms));
+		x->lost_ms = 0;
+	}
+}
+
+/* Notes that the run is heard. */
+static void heard(struct exchange *x, uint64_t now)
+{
+	if (x->passed_ms && now - x->passed_ms > x->longest_gap_ms)
+		x->longest_gap_ms = now - x->passed_ms;
+	x->heard_ms = now;
+	x->passed_ms = now;
+}
+
+/* The stream is whole. */
+static void complete(struct exchange *x)
+{
+	struct exchanges *t = x->proxyd->exchanges;
+	struct http1_conn *caller = x->caller;
+
+	if (!x->moves)
+		t->run_ms += MEAN_WEIGHT * ((float)(proxyd_now(x->proxyd) -
+						    x->sent_ms) -
+					    t->run_ms);
+	if (!x->begun)
+		begin(x);
+	attempt_cancel(x);
+	x->caller = NULL;
+	http1_own(caller, NULL);
+	http1_stream_end(caller);
+	exchange_over(x, "served");
+}
+
+/* Tells whether a copy of the run lies at an endpoint that lives. */
+static bool copy_usable(const struct exchange *x)
+{
+	const struct endpoint *e =
+		endpoint_get(x->proxyd->endpoints, x->copy_at);
+
+	return e && e->state == ENDPOINT_UP;
+}
