Endpoints in doubt, patience before a first event, lookups repeated

A lookup that failed was passed on as failed.

Change: a run without its first event is probed every 500 ms and moved only far beyond the expected time; an endpoint not heard since others beside it were lost is chosen last; a failed lookup goes to one more endpoint if there is time.

--- a/policy/place.c
+++ b/policy/place.c
@@ -22,6 +22,11 @@
 /* Four in ten failures make an endpoint look five times as loaded. */
 #define FAILING_WEIGHT 10
 
+/* Endpoints fail by zones: one that is in doubt is chosen only if the others
+ * are loaded beyond all use. */
+#define DOUBT_TOKENS 400000
+#define DOUBT_FACTOR 4
+
 #define PERMILLE 1000
 
 static bool fits(const struct place_candidate *c, uint32_t tokens,
@@ -165,7 +170,8 @@
 			 const struct place_candidate *c)
 {
 	return (uint64_t)c->prefill_tokens * PREFILL_WEIGHT + c->used_tokens +
-	       (c->zone == r->zone ? 0 : CROSSING_TOKENS);
+	       (c->zone == r->zone ? 0 : CROSSING_TOKENS) +
+	       (c->doubtful ? DOUBT_TOKENS : 0);
 }
 
 /* Reckons the work before a new call, in thousandths of a millisecond. */
@@ -175,7 +181,8 @@
 	uint64_t ms = c->latency_ms > LATENCY_FLOOR_MS ? c->latency_ms
 						       : LATENCY_FLOOR_MS;
 	uint64_t cost = (c->requests + 1) * ms *
-			(PERMILLE + c->failing_permille * FAILING_WEIGHT);
+			(PERMILLE + c->failing_permille * FAILING_WEIGHT) *
+			(c->doubtful ? DOUBT_FACTOR : 1);
 
 	return c->zone == r->zone ? cost : cost + cost / 4;
 }
--- a/policy/place.h
+++ b/policy/place.h
@@ -13,6 +13,8 @@
 	uint16_t zone;
 	bool usable; /* up, not leaving, not under suspicion */
 	bool avoided; /* this request has failed there */
+	bool doubtful; /* not heard since others beside it were lost, or back
+			* from the dead without an answer yet */
 	uint32_t memory_tokens; /* 0: a plain service without such memory */
 	uint32_t used_tokens; /* of runs and of copies */
 	uint32_t prefill_tokens; /* prompts that have no first event yet */
--- a/policy/reread.c
+++ b/policy/reread.c
@@ -8,7 +8,7 @@
 
 /* Changes are gathered for this time; with many instances longer, since each
  * asks for itself, and the platform bills every call. */
-#define GATHER_MS 150
+#define GATHER_MS 400
 #define GATHER_PER_INSTANCE_MS 8
 #define GATHER_MAX_MS 700
 
--- a/policy/silence.c
+++ b/policy/silence.c
@@ -11,22 +11,31 @@
 #define SUSPECT_MS 120
 #define PROBE_AGAIN_MS 150
 
+/* Before its first event a run is silent for a second and more as its prompt
+ * is read, and a loss costs it that time only. */
+#define PROBE_FIRST_MS 500
+
 /* A run that moves to its copy goes on within 100 ms; without one it reads
  * its prompt again, which takes a second and more. */
 #define MOVE_MARGIN_MS 150
 #define MOVE_WITHOUT_COPY_FACTOR 3
 
-/* Beyond the expected first event, an engine has lost or starved the run. */
-#define FIRST_EVENT_GRACE_MS 400
+/* A prompt takes longer beside others; one that starts again elsewhere loses
+ * what was read.  An engine that answers probes is given this much more. */
+#define FIRST_EVENT_GRACE_MS 1200
 
 /* Says what to do about a run now. */
 enum silence_action silence_judge(const struct silence_run *run, uint64_t now)
 {
 	uint64_t silent = now > run->heard_ms ? now - run->heard_ms : 0;
 	uint64_t patience = run->gap_max_ms;
+	uint64_t probe_after = run->first_by_ms ? PROBE_FIRST_MS : SUSPECT_MS;
+	uint64_t probe_again =
+		run->first_by_ms ? PROBE_FIRST_MS : PROBE_AGAIN_MS;
 
 	if (run->first_by_ms) {
-		if (now > run->first_by_ms + FIRST_EVENT_GRACE_MS &&
+		if (now > run->first_by_ms + run->expected_first_ms +
+				  FIRST_EVENT_GRACE_MS &&
 		    run->can_move)
 			return SILENCE_MOVE;
 	} else {
@@ -37,9 +46,9 @@
 		if (silent > patience && run->can_move)
 			return SILENCE_MOVE;
 	}
-	if (silent < SUSPECT_MS)
+	if (silent < probe_after)
 		return SILENCE_WAIT;
-	if (run->probed_ms && now - run->probed_ms < PROBE_AGAIN_MS)
+	if (run->probed_ms && now - run->probed_ms < probe_again)
 		return SILENCE_WAIT;
 	return SILENCE_PROBE;
 }
--- a/policy/silence.h
+++ b/policy/silence.h
@@ -18,6 +18,7 @@
 	uint32_t gap_max_ms; /* longest pause that is still on time */
 	bool can_move; /* attempts are left, and budget */
 	bool has_copy; /* its memory is kept elsewhere */
+	uint32_t expected_first_ms; /* from the start of the run */
 };
 
 enum silence_action silence_judge(const struct silence_run *run, uint64_t now);
--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -20,6 +20,9 @@
 /* Time to the first event of a run that goes on from a copy, at most. */
 #define COPY_FIRST_MS 400
 
+/* Part of the target time after which a failed call is not repeated. */
+#define REPEAT_FAILED_PERCENT 65
+
 #define ANSWER_MAX (8u << 20) /* bytes; the largest that is passed on */
 
 static void load_add(struct exchange *x);
@@ -33,6 +36,7 @@
 static void plain_broken(struct exchange *x, struct handle at,
 			 enum http1_outcome outcome);
 static void plain_answered(struct exchange *x, struct handle at);
+static bool repeat_failed(struct exchange *x);
 static void answer_not_run(struct exchange *x, struct handle at);
 static void pass_on(struct exchange *x, struct handle at);
 
@@ -199,6 +203,8 @@
 			  x->fields.id, "{s:i}", "status", head->status);
 		return HTTP1_SKIP;
 	}
+	if (!x->answer.other_endpoint)
+		endpoint_proven(p->endpoints, x->at);
 	x->status = head->status;
 	x->headers.len = 0;
 	p->protocol->encode_answer(&x->headers, head);
@@ -308,6 +314,13 @@
 		answer_not_run(x, at);
 		return;
 	}
+	if (x->status >= 500 && !promise && repeat_failed(x)) {
+		endpoint_answered(x->proxyd->endpoints, at,
+				  proxyd_now(x->proxyd) - x->sent_ms, true);
+		exchange_avoid(x, at);
+		exchange_seek(x);
+		return;
+	}
 	if (!x->status || x->answer.encoded ||
 	    (success && !x->answer.authentic) || promise) {
 		plain_broken(x, at, HTTP1_MALFORMED);
@@ -316,6 +329,17 @@
 	pass_on(x, at);
 }
 
+/* Tells whether a call that an endpoint failed goes to another one: it may be
+ * repeated, and there is time to answer within the target. */
+static bool repeat_failed(struct exchange *x)
+{
+	uint64_t age = proxyd_now(x->proxyd) - x->received_ms;
+
+	return x->route->kind == KIND_IDEMPOTENT &&
+	       age < x->route->target_ms * REPEAT_FAILED_PERCENT / 100 &&
+	       exchange_repeat_allowed(x);
+}
+
 /* The endpoint states that it has not run the request. */
 static void answer_not_run(struct exchange *x, struct handle at)
 {
--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -30,13 +30,19 @@
 #define MEAN_WEIGHT 0.2F
 #define FAILING_WEIGHT 0.1F
 
+
 #define ZONES_MAX 64
 #define CANDIDATES_MAX 8192
 #define PERMILLE 1000
 
-struct service_budget {
+/* A loss puts the endpoints beside it in doubt for this time. */
+#define DOUBT_MS 1500
+
+/* What is known of a service as a whole. */
+struct service_state {
 	char *service;
 	struct repeat_budget budget;
+	uint64_t lost_ms[ZONES_MAX]; /* last loss in each zone; 0: none */
 };
 
 struct endpoints {
@@ -45,8 +51,8 @@
 	char *zones[ZONES_MAX];
 	uint16_t n_zones;
 	uint16_t own_zone;
-	struct service_budget *budgets;
-	size_t n_budgets;
+	struct service_state *services;
+	size_t n_services;
 	struct place_candidate *candidates; /* of one choice */
 	struct handle *candidate_handles;
 	size_t candidates_size;
@@ -54,6 +60,10 @@
 	struct counter *losses;
 };
 
+static struct service_state *service_state(struct endpoints *t,
+					   const char *service);
+static bool doubtful(const struct endpoint *e, const struct service_state *s,
+		     uint64_t now);
 static void entry_changed(struct endpoint *e, const struct endpoint_entry *n);
 static void entry_removed(struct endpoints *t, struct endpoint *e,
 			  uint64_t outage_end_ms);
@@ -62,7 +72,7 @@
 static void forget(struct endpoints *t, struct endpoint *e);
 static uint16_t zone_index(struct endpoints *t, const char *zone);
 static size_t gather(struct endpoints *t, const struct endpoint_wish *wish);
-static void fill(const struct endpoints *t, struct place_candidate *c,
+static void fill(struct endpoints *t, struct place_candidate *c,
 		 const struct endpoint *e, const struct route_service *s,
 		 const struct endpoint_wish *wish);
 static void probe_start(struct endpoints *t, struct endpoint *e);
@@ -102,9 +112,9 @@
 		forget(t, e);
 	for (k = 0; k < t->n_zones; k++)
 		free(t->zones[k]);
-	for (k = 0; k < t->n_budgets; k++)
-		free(t->budgets[k].service);
-	free(t->budgets);
+	for (k = 0; k < t->n_services; k++)
+		free(t->services[k].service);
+	free(t->services);
 	free(t->candidates);
 	free(t->candidate_handles);
 	slots_release(&t->table);
@@ -262,6 +272,7 @@
 	e->state = ENDPOINT_DOWN;
 	e->down_ms = proxyd_now(t->proxyd);
 	e->probed_ms = e->down_ms;
+	service_state(t, e->service)->lost_ms[e->zone] = e->down_ms;
 	counter_add(t->losses, 1);
 	event_log(EVENT_NOTABLE, "endpoint-lost", request,
 		  "{s:s, s:s, s:s, s:I}", "endpoint", e->id, "address",
@@ -297,11 +308,21 @@
 	if (e->state != ENDPOINT_DOWN)
 		return;
 	e->state = ENDPOINT_UP;
+	e->unproven = true;
 	event_log(EVENT_NOTABLE, "endpoint-back", NULL, "{s:s, s:I}",
 		  "endpoint", e->id, "down_ms",
 		  (json_int_t)(e->heard_ms - e->down_ms));
 }
 
+/* The endpoint answered a request under its own name. */
+void endpoint_proven(struct endpoints *t, struct handle h)
+{
+	struct endpoint *e = endpoint_get(t, h);
+
+	if (e)
+		e->unproven = false;
+}
+
 /* Asks the endpoint for a connection, on suspicion by a silent run. */
 void endpoint_probe(struct endpoints *t, struct handle h, const char *request,
 		    uint64_t silent_ms)
@@ -334,21 +355,32 @@
 /* Returns the budget of repeats of a service. */
 struct repeat_budget *endpoints_budget(struct endpoints *t, const char *service)
 {
-	struct service_budget *b;
+	return &service_state(t, service)->budget;
+}
+
+/* Returns what is known of a service. */
+static struct service_state *service_state(struct endpoints *t,
+					   const char *service)
+{
+	struct service_state *s;
 	size_t i;
 
-	for (i = 0; i < t->n_budgets; i++)
-		if (!strcmp(t->budgets[i].service, service))
-			return &t->budgets[i].budget;
-	t->budgets = xreallocarray(t->budgets, t->n_budgets + 1,
-				   sizeof(*t->budgets));
-	b = &t->budgets[t->n_budgets++];
-	memset(b, 0, sizeof(*b));
-	b->service = xstrdup(service);
-	return &b->budget;
+	for (i = 0; i < t->n_services; i++)
+		if (!strcmp(t->services[i].service, service))
+			return &t->services[i];
+	t->services = xreallocarray(t->services, t->n_services + 1,
+				    sizeof(*t->services));
+	s = &t->services[t->n_services++];
+	memset(s, 0, sizeof(*s));
+	s->service = xstrdup(service);
+	return s;
 }
 
 /* The entry was written: a new start of the endpoint, another state. */
+static struct service_state *service_state(struct endpoints *t,
+					   const char *service);
+static bool doubtful(const struct endpoint *e, const struct service_state *s,
+		     uint64_t now);
 static void entry_changed(struct endpoint *e, const struct endpoint_entry *n)
 {
 	bool first = !e->service;
@@ -359,8 +391,10 @@
 		e->service = xstrdup(n->service);
 	}
 	if (first || restarted || strcmp(e->address, n->address) != 0 ||
-	    e->lapse.removed)
+	    e->lapse.removed) {
 		e->state = ENDPOINT_UP;
+		e->unproven = false;
+	}
 	if (first || restarted || e->leaving != n->leaving || e->lapse.removed)
 		event_log(EVENT_NOTABLE, "endpoint-entry", NULL,
 			  "{s:s, s:s, s:s, s:b, s:b}", "endpoint", e->id,
@@ -464,7 +498,7 @@
 }
 
 /* Describes an endpoint to the policy. */
-static void fill(const struct endpoints *t, struct place_candidate *c,
+static void fill(struct endpoints *t, struct place_candidate *c,
 		 const struct endpoint *e, const struct route_service *s,
 		 const struct endpoint_wish *wish)
 {
@@ -475,6 +509,7 @@
 		.zone = e->zone,
 		.usable = e->state == ENDPOINT_UP && !e->leaving &&
 			  lapse_takes_work(&e->lapse, now),
+		.doubtful = doubtful(e, service_state(t, e->service), now),
 		.memory_tokens = s ? s->memory_tokens : 0,
 		.used_tokens = e->own.tokens + e->others.tokens,
 		.prefill_tokens = e->own.prefill + e->others.prefill,
@@ -488,6 +523,16 @@
 			c->avoided = true;
 }
 
+/* Tells whether an endpoint may be dead without our knowing it. */
+static bool doubtful(const struct endpoint *e, const struct service_state *s,
+		     uint64_t now)
+{
+	uint64_t lost = s->lost_ms[e->zone];
+
+	return e->unproven ||
+	       (lost && e->heard_ms <= lost && now - lost < DOUBT_MS);
+}
+
 /* Starts a probe: a connection that is closed as soon as it stands. */
 static void probe_start(struct endpoints *t, struct endpoint *e)
 {
--- a/proxyd/endpoints.h
+++ b/proxyd/endpoints.h
@@ -47,6 +47,7 @@
 	uint64_t down_ms; /* when it was found dead */
 	uint64_t heard_ms; /* last sign of life */
 	uint64_t probed_ms; /* start of the last probe */
+	bool unproven; /* back by a probe, without an answer since */
 	struct http1_call *probe;
 	struct proxyd *proxyd;
 	struct endpoint_load own;
@@ -85,6 +86,7 @@
 void endpoint_misdirected(struct endpoints *t, struct handle h,
 			  const char *request);
 void endpoint_alive(struct endpoints *t, struct handle h);
+void endpoint_proven(struct endpoints *t, struct handle h);
 void endpoint_probe(struct endpoints *t, struct handle h, const char *request,
 		    uint64_t silent_ms);
 void endpoint_answered(struct endpoints *t, struct handle h, uint64_t took_ms,
--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -112,6 +112,9 @@
 		.gap_max_ms = x->route->gap_ms,
 		.can_move = x->sends < x->route->attempts_max,
 		.has_copy = copy_usable(x),
+		.expected_first_ms =
+			x->first_by_ms ? (uint32_t)(x->first_by_ms - x->sent_ms)
+				       : 0,
 	};
 
 	if (!x->call || !http1_call_connected(x->call))
