--- a/lib/http1_client.c
+++ b/lib/http1_client.c
@@ -225,6 +225,13 @@
 	return call->conn && call->conn->state != CONN_CONNECTING;
 }
 
+/* Tells whether only the end of the connection ends the answer's body; valid
+ * once its head has come. */
+bool http1_call_unframed(const struct http1_call *call)
+{
+	return call->conn && call->conn->body.framing == HTTP1_UNTIL_CLOSE;
+}
+
 /* Tells whether the call went out on a connection used before. */
 bool http1_call_reused(const struct http1_call *call)
 {
--- a/lib/http1_client.h
+++ b/lib/http1_client.h
@@ -61,6 +61,7 @@
 void http1_call_cancel(struct http1_call *call);
 void http1_call_pause(struct http1_call *call, bool paused);
 bool http1_call_connected(const struct http1_call *call);
+bool http1_call_unframed(const struct http1_call *call);
 bool http1_call_reused(const struct http1_call *call);
 const char *http1_outcome_name(enum http1_outcome outcome);
 
--- a/lib/http1_server.c
+++ b/lib/http1_server.c
@@ -209,6 +209,23 @@
 	finish(c);
 }
 
+/* Sends an answer whose end only the end of its connection shows, as that of
+ * an endpoint which gave no length: whether it is whole cannot be told, so it
+ * is not framed as if it were. */
+void http1_reply_unframed(struct http1_conn *c, int status,
+			  const char *headers, const void *body, size_t len)
+{
+	struct bytes out = { 0 };
+
+	c->keep = false;
+	bytes_addf(&out, "HTTP/1.1 %d %s\r\n%sconnection: close\r\n\r\n",
+		   status, reason_of(status), headers ? headers : "");
+	bytes_add(&out, body, len);
+	send_bytes(c, out.data, out.len);
+	bytes_release(&out);
+	finish(c);
+}
+
 /* Begins an answer of unknown length. */
 void http1_stream_begin(struct http1_conn *c, int status, const char *headers)
 {
--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -206,6 +206,7 @@
 	if (!x->answer.other_endpoint)
 		endpoint_proven(p->endpoints, x->at);
 	x->status = head->status;
+	x->unframed = http1_call_unframed(x->call);
 	x->headers.len = 0;
 	p->protocol->encode_answer(&x->headers, head);
 	x->events = x->route->kind == KIND_STREAM && head->status == 200 &&
@@ -370,7 +371,11 @@
 	x->caller = NULL;
 	http1_own(caller, NULL);
 	bytes_add(&x->headers, "", 1);
-	http1_reply(caller, x->status, x->headers.data, x->body.data,
-		    x->body.len);
+	if (x->unframed)
+		http1_reply_unframed(caller, x->status, x->headers.data,
+				     x->body.data, x->body.len);
+	else
+		http1_reply(caller, x->status, x->headers.data, x->body.data,
+			    x->body.len);
 	exchange_over(x, "served");
 }
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -55,6 +55,7 @@
 	/* the endpoint's answer */
 	int status;
 	struct answer_fields answer; /* its strings are not kept */
+	bool unframed; /* only the connection's end ended it */
 	struct bytes headers;
 	struct bytes body;
 
