Prompts drawn to their engines; new runs told at once; held while starting

Cause: after a kill of all, 60 streams come back within 300 ms.

Change: among engines about equally loaded the prompt's own part decides; new runs are told to the others within 20 ms; requests wait up to 500 ms for the first configuration; an instance without one is not named to callers.

--- a/policy/place.c
+++ b/policy/place.c
@@ -22,6 +22,12 @@
 /* Four in ten failures make an endpoint look five times as loaded. */
 #define FAILING_WEIGHT 10
 
+/* Loads that differ by less than this count as equal, and the prompt decides:
+ * one that comes again then finds its memory where it ran.  A prompt being
+ * read elsewhere outweighs it, unless this one has been read already. */
+#define EQUAL_TOKENS 20000
+#define EQUAL_RESUMED_TOKENS 60000
+
 /* Endpoints fail by zones: one that is in doubt is chosen only if the others
  * are loaded beyond all use. */
 #define DOUBT_TOKENS 400000
@@ -35,13 +41,18 @@
 			 const struct place_candidate *c);
 static uint64_t plain_cost(const struct place_request *r,
 			   const struct place_candidate *c);
+static uint32_t most_drawn(const struct place_request *r,
+			   const struct place_candidate *c, size_t n,
+			   uint64_t cost_max, uint32_t least);
 static uint32_t start_of(uint64_t rnd, size_t n);
 
 /*
  * Chooses the endpoint of a run: one with room for all its tokens, with the
- * fewest prompts being read, then the least memory used.  Answers the pattern
- * of many prompts of a second each at the moment when a zone's engines have
- * gone and the rest take its streams.
+ * fewest prompts being read, then the least memory used; among such as are
+ * about equal the one that the prompt is drawn to.  Answers two patterns: many
+ * prompts of a second each at the moment when a zone's engines have gone and
+ * the rest take its streams; and all streams coming back at once when the
+ * instances have been killed, to engines that still hold their prompts.
  */
 struct place_choice place_run(const struct place_request *r,
 			      const struct place_candidate *c, size_t n,
@@ -49,12 +60,12 @@
 {
 	struct place_choice choice = { .outcome = PLACE_NONE_USABLE };
 	uint64_t best = UINT64_MAX;
+	uint64_t equal = r->resumes ? EQUAL_RESUMED_TOKENS : EQUAL_TOKENS;
 	uint32_t start = start_of(rnd, n);
 	size_t k;
 
 	for (k = 0; k < n; k++) {
 		uint32_t i = (uint32_t)((start + k) % n);
-		uint64_t cost;
 
 		if (!c[i].usable)
 			continue;
@@ -68,13 +79,14 @@
 				choice.outcome = PLACE_FULL;
 			continue;
 		}
-		cost = run_cost(r, &c[i]);
-		if (cost >= best)
+		if (run_cost(r, &c[i]) >= best)
 			continue;
-		best = cost;
+		best = run_cost(r, &c[i]);
 		choice.outcome = PLACE_OK;
 		choice.index = i;
 	}
+	if (choice.outcome == PLACE_OK)
+		choice.index = most_drawn(r, c, n, best + equal, choice.index);
 	return choice;
 }
 
@@ -174,6 +186,23 @@
 	       (c->doubtful ? DOUBT_TOKENS : 0);
 }
 
+/* Returns the candidate, among those that cost at most so much, to which the
+ * prompt is drawn most; least is the one of the least cost. */
+static uint32_t most_drawn(const struct place_request *r,
+			   const struct place_candidate *c, size_t n,
+			   uint64_t cost_max, uint32_t least)
+{
+	uint32_t chosen = least;
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		if (c[i].usable && !c[i].avoided && fits(&c[i], r->tokens, 0) &&
+		    run_cost(r, &c[i]) <= cost_max &&
+		    c[i].affinity > c[chosen].affinity)
+			chosen = (uint32_t)i;
+	return chosen;
+}
+
 /* Reckons the work before a new call, in thousandths of a millisecond. */
 static uint64_t plain_cost(const struct place_request *r,
 			   const struct place_candidate *c)
--- a/policy/place.h
+++ b/policy/place.h
@@ -22,11 +22,13 @@
 	uint32_t slots;
 	uint32_t latency_ms; /* usual time of a plain answer; 0: not known */
 	uint32_t failing_permille; /* recent answers that were failures */
+	uint64_t affinity; /* of the request's prompt to this endpoint */
 };
 
 struct place_request {
 	uint32_t tokens; /* memory at the end of the run; 0: plain */
 	uint16_t zone; /* of this instance */
+	bool resumes; /* its prompt was read before, where it ran */
 };
 
 enum place_outcome {
--- a/policy/presence.c
+++ b/policy/presence.c
@@ -39,6 +39,8 @@
 		return false;
 	if (!p->heard_ms)
 		return now - p->listed_ms < NEW_MS;
+	if (!p->configured)
+		return false;
 	return now - p->heard_ms < patience;
 }
 
--- a/policy/presence.h
+++ b/policy/presence.h
@@ -10,6 +10,7 @@
 	uint64_t listed_ms; /* when its entry was first seen */
 	uint64_t heard_ms; /* its last datagram; 0: none yet */
 	bool leaving;
+	bool configured; /* it knows a configuration */
 };
 
 uint32_t presence_interval_ms(size_t instances);
--- a/policy/silence.c
+++ b/policy/silence.c
@@ -23,6 +23,7 @@
 /* A prompt takes longer beside others; one that starts again elsewhere loses
  * what was read.  An engine that answers probes is given this much more. */
 #define FIRST_EVENT_GRACE_MS 1200
+#define FIRST_EVENT_FACTOR 2
 
 /* Says what to do about a run now. */
 enum silence_action silence_judge(const struct silence_run *run, uint64_t now)
@@ -34,7 +35,9 @@
 		run->first_by_ms ? PROBE_FIRST_MS : PROBE_AGAIN_MS;
 
 	if (run->first_by_ms) {
-		if (now > run->first_by_ms + run->expected_first_ms +
+		if (now > run->first_by_ms +
+				  (uint64_t)run->expected_first_ms *
+					  FIRST_EVENT_FACTOR +
 				  FIRST_EVENT_GRACE_MS &&
 		    run->can_move)
 			return SILENCE_MOVE;
--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -6,6 +6,7 @@
 #include "lib/event_log.h"
 #include "policy/room.h"
 #include "proxyd/exchange.h"
+#include "proxyd/peers.h"
 
 /* A live endpoint completes a connection within 4 ms; a lost packet takes a
  * second, by which another endpoint has answered. */
@@ -121,8 +122,10 @@
 	x->prefilling = x->engine && !x->from_copy;
 	e->own.requests++;
 	e->own.tokens += x->tokens;
-	if (x->prefilling)
+	if (x->prefilling) {
 		e->own.prefill += x->fields.prompt_tokens;
+		peers_tell_soon(x->proxyd->peers);
+	}
 }
 
 /* Takes the request out of the load of its endpoint, and its copy. */
--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -226,6 +226,7 @@
 	const struct place_request r = {
 		.tokens = wish->tokens,
 		.zone = t->own_zone,
+		.resumes = wish->resumes,
 	};
 	size_t n = gather(t, wish);
 	struct place_choice choice =
@@ -401,6 +402,7 @@
 			  "service", n->service, "address", n->address,
 			  "leaving", n->leaving, "restarted", restarted);
 	snprintf(e->address, sizeof(e->address), "%s", n->address);
+	e->address_hash = XXH3_64bits(e->address, strlen(e->address));
 	e->slots = n->slots;
 	e->born_ms = n->born_ms;
 	e->leaving = n->leaving;
@@ -518,6 +520,11 @@
 		.latency_ms = (uint32_t)e->latency_ms,
 		.failing_permille = (uint32_t)(e->failing * PERMILLE),
 	};
+	if (wish->session) {
+		const uint64_t pair[2] = { wish->session, e->address_hash };
+
+		c->affinity = XXH3_64bits(pair, sizeof(pair));
+	}
 	for (i = 0; i < wish->n_avoided; i++)
 		if (handle_equal(wish->avoided[i], e->self))
 			c->avoided = true;
--- a/proxyd/endpoints.h
+++ b/proxyd/endpoints.h
@@ -37,6 +37,7 @@
 	char id[ENDPOINT_ID_SIZE];
 	char address[ENDPOINT_ADDRESS_SIZE];
 	uint64_t hash; /* of the id */
+	uint64_t address_hash;
 	char *service;
 	uint16_t zone;
 	uint32_t slots;
@@ -60,6 +61,8 @@
 struct endpoint_wish {
 	const char *service;
 	uint32_t tokens;
+	uint64_t session; /* hash of the prompt's own part; 0: none */
+	bool resumes; /* the prompt was read before */
 	const struct handle *avoided;
 	size_t n_avoided;
 };
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -12,6 +12,7 @@
 #include "lib/xalloc.h"
 #include "policy/room.h"
 #include "proxyd/peers.h"
+#include "proxyd/watch.h"
 
 /* Until the first runs have ended. */
 #define RUN_PRIOR_MS 6000.0F
@@ -31,12 +32,17 @@
 /* Failed connections of one request before it is given up. */
 #define CONNECTS_MAX 4
 
+/* A process that has just started has read its configuration within this. */
+#define START_WAIT_MS 500
+
 /* An answer of a plain call takes about this long. */
 #define PLAIN_MS 200
 
 /* Runs write about this part of the output that they may write at most. */
 #define OUTPUT_PERCENT 100
 
+static void begin(struct exchange *x);
+static void refuse_unconfigured(struct exchange *x);
 static bool find_route(struct exchange *x);
 static bool find_organisation(struct exchange *x);
 static bool takes_now(struct exchange *x);
@@ -139,11 +145,20 @@
 		exchange_fail(x, 400, "malformed header");
 		return;
 	}
-	if (!p->routes) {
-		exchange_refuse(x, 503, RETRY_ELSEWHERE_MS,
-				"no configuration is known yet");
-		return;
-	}
+	if (p->routes)
+		begin(x);
+	else if (watches_starting(p->watches))
+		x->wait_until_ms = proxyd_now(p) + START_WAIT_MS;
+	else
+		refuse_unconfigured(x);
+}
+
+/* Begins on a request now that there is a configuration. */
+static void begin(struct exchange *x)
+{
+	struct proxyd *p = x->proxyd;
+
+	x->wait_until_ms = 0;
 	if (!find_route(x) || !find_organisation(x) || !takes_now(x))
 		return;
 	repeat_request(endpoints_budget(p->endpoints, x->service), &p->repeat,
@@ -151,6 +166,13 @@
 	exchange_seek(x);
 }
 
+/* Refuses a request that came before any configuration. */
+static void refuse_unconfigured(struct exchange *x)
+{
+	exchange_refuse(x, 503, RETRY_ELSEWHERE_MS,
+			"no configuration is known yet");
+}
+
 /* An endpoint is dead: its runs move, its idempotent calls are repeated, and
  * calls that it has not got yet go elsewhere. */
 void exchanges_endpoint_lost(struct exchanges *t, struct handle endpoint)
@@ -203,6 +225,8 @@
 	const struct endpoint_wish wish = {
 		.service = x->service,
 		.tokens = x->tokens,
+		.session = x->fields.session,
+		.resumes = x->fields.resumes,
 		.avoided = x->avoided,
 		.n_avoided = x->n_avoided,
 	};
@@ -290,7 +314,7 @@
 	if (x->phase == EXCHANGE_OVER)
 		return;
 	if (x->phase == EXCHANGE_WAITING && x->wait_until_ms)
-		t->waiting_tokens -= x->tokens;
+		t->waiting_tokens -= x->tokens; /* 0 before its route is known */
 	x->phase = EXCHANGE_OVER;
 	t->open--;
 	if (!strcmp(outcome, "served"))
@@ -460,6 +484,14 @@
 /* What a request needs at a tick. */
 static void tick_one(struct exchange *x, uint64_t now)
 {
+	if (!x->routes) { /* came before the configuration */
+		if (x->proxyd->routes)
+			begin(x);
+		else if (now >= x->wait_until_ms ||
+			 !watches_starting(x->proxyd->watches))
+			refuse_unconfigured(x);
+		return;
+	}
 	if (now >= x->end_ms) {
 		exchange_fail(x, 504, "its time is up");
 		return;
--- a/proxyd/peers.c
+++ b/proxyd/peers.c
@@ -26,8 +26,10 @@
 #define DATAGRAM_MAX 2048
 #define TELL_LOST_MS 2000 /* a loss is repeated in datagrams for so long */
 
-/* Losses are told at once, gathered over this time. */
+/* Losses and new runs are told at once, gathered over this time; new runs only
+ * among so few that it costs little. */
 #define URGENT_MS 20
+#define URGENT_PEERS_MAX 16
 
 struct peer_load {
 	uint64_t endpoint; /* hash of its id */
@@ -203,6 +205,15 @@
 		t->urgent_ms = now + URGENT_MS;
 }
 
+/* Tells the others soon of a load that was just added. */
+void peers_tell_soon(struct peers *t)
+{
+	uint64_t now = proxyd_now(t->proxyd);
+
+	if (!t->urgent_ms && t->n <= URGENT_PEERS_MAX)
+		t->urgent_ms = now + URGENT_MS;
+}
+
 /* Tells the others without waiting, as when this instance leaves. */
 void peers_tell_now(struct peers *t)
 {
@@ -290,6 +301,7 @@
 	peer->born_ms = pulse->born;
 	peer->presence.heard_ms = proxyd_now(t->proxyd);
 	peer->presence.leaving = pulse->leaving;
+	peer->presence.configured = pulse->version != 0;
 	take_loads(t, peer, pulse);
 	for (i = 0; i < pulse->n_lost; i++) {
 		struct endpoint *e =
--- a/proxyd/peers.h
+++ b/proxyd/peers.h
@@ -16,6 +16,7 @@
 void peers_take_row(struct peers *t, const struct store_row *row);
 void peers_keep_only(struct peers *t, const struct store_row *rows, size_t n);
 void peers_tell_lost(struct peers *t, const char *endpoint);
+void peers_tell_soon(struct peers *t);
 void peers_tell_now(struct peers *t);
 size_t peers_alive(const struct peers *t);
 size_t peers_addresses(const struct peers *t, const char **addresses,
--- a/proxyd/protocol.h
+++ b/proxyd/protocol.h
@@ -23,6 +23,7 @@
 	uint32_t output_tokens; /* at most */
 	bool resumes; /* the caller goes on after an event that it has */
 	uint64_t resume_after;
+	uint64_t session; /* hash of the prompt's own part; 0: none */
 };
 
 /* What this system tells an endpoint beside the caller's own words. */
--- a/proxyd/watch.c
+++ b/proxyd/watch.c
@@ -101,6 +101,14 @@
 	s->ops->remove_instance(s, w->proxyd->settings.name, on_removed, w);
 }
 
+/* Tells whether the first reading of the configuration is still under way. */
+bool watches_starting(const struct watches *w)
+{
+	const struct watch *c = &w->watch[STORE_CONFIGURATION];
+
+	return !c->loaded && !c->reread.failures;
+}
+
 /* Reads a table, or waits for its changes. */
 static void call(struct watch *w)
 {
