Copies are ordered again when the endpoint that held one is lost

Change: a run without a copy has its engine asked for one, which is renewed before it lapses and freed when it is not needed.

--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -28,7 +28,6 @@
 
 static void load_add(struct exchange *x);
 static void load_remove(struct exchange *x);
-static void choose_copy(struct exchange *x, struct forward_fields *f);
 static void say_sent(const struct exchange *x, const struct endpoint *e);
 static enum http1_verdict on_head(void *arg, const struct http1_head *head);
 static void on_body(void *arg, const char *data, size_t len);
@@ -47,8 +46,10 @@
 	.on_end = on_end,
 };
 
-/* Sends the request to an endpoint; from_copy if it holds a copy of the run. */
-void attempt_start(struct exchange *x, struct handle at, bool from_copy)
+/* Sends the request to an endpoint, which holds the copy from unless that is
+ * NULL. */
+void attempt_start(struct exchange *x, struct handle at,
+		   const struct run_copy *from)
 {
 	struct proxyd *p = x->proxyd;
 	struct endpoint *e = endpoint_get(p->endpoints, at);
@@ -66,14 +67,15 @@
 		.resume_after = x->has_last_event ? x->last_event
 						  : x->fields.resume_after,
 	};
+	const struct endpoint *copy;
 	struct bytes out = { 0 };
 
 	if (x->phase == EXCHANGE_WAITING && x->wait_until_ms)
 		p->exchanges->waiting_tokens -= x->tokens;
 	x->wait_until_ms = 0;
-	if (from_copy) {
-		f.copy_at = e->address;
-		f.copy_id = x->fields.id;
+	if (from) {
+		f.copy_at = from->source;
+		f.copy_id = from->id[0] ? from->id : x->fields.id;
 	}
 	if (x->route->kind == KIND_AT_MOST_ONCE)
 		options.reuse_ms = REUSE_ONCE_MS;
@@ -81,13 +83,13 @@
 		options.reuse_ms = REUSE_MS;
 	x->phase = EXCHANGE_SENT;
 	x->at = at;
-	x->from_copy = from_copy;
+	x->from_copy = from != NULL;
 	x->sends++;
 	x->sent_ms = now;
 	x->heard_ms = now;
 	x->first_by_ms =
 		now +
-		(from_copy ? COPY_FIRST_MS
+		(from ? COPY_FIRST_MS
 			   : room_first_ms(x->fields.prompt_tokens,
 					   e->own.prefill + e->others.prefill,
 					   p->exchanges->prefill_ms_per_token));
@@ -97,7 +99,9 @@
 	x->body.len = 0;
 	event_stream_consume(&x->stream, x->stream.pending.len);
 	load_add(x);
-	choose_copy(x, &f);
+	copy_set(x, copy_choose(x), "");
+	copy = endpoint_get(p->endpoints, x->copy.at);
+	f.copy_to = copy ? copy->address : NULL;
 	p->protocol->encode_request(&out, x->request, &f);
 	say_sent(x, e);
 	x->call = http1_call_start(p->client, &options, out.data, out.len,
@@ -110,6 +114,7 @@
 	if (x->call)
 		http1_call_cancel(x->call);
 	x->call = NULL;
+	copy_end(x, false);
 	load_remove(x);
 }
 
@@ -128,17 +133,14 @@
 	}
 }
 
-/* Takes the request out of the load of its endpoint, and its copy. */
+/* Takes the request out of the load of its endpoint. */
 static void load_remove(struct exchange *x)
 {
 	struct endpoint *e = endpoint_get(x->proxyd->endpoints, x->at);
-	struct endpoint *copy = endpoint_get(x->proxyd->endpoints, x->copy_at);
 
 	if (!x->loaded)
 		return;
 	x->loaded = false;
-	if (copy)
-		copy->own.tokens -= x->tokens;
 	if (!e)
 		return;
 	e->own.requests--;
@@ -148,38 +150,15 @@
 	x->prefilling = false;
 }
 
-/* Chooses where the copy of a run is kept. */
-static void choose_copy(struct exchange *x, struct forward_fields *f)
-{
-	const struct handle none = { 0 };
-	const struct endpoint_wish wish = {
-		.service = x->service,
-		.tokens = x->tokens,
-		.avoided = x->avoided,
-		.n_avoided = x->n_avoided,
-	};
-	struct endpoint *copy;
-
-	x->copy_at = none;
-	if (!x->engine || !x->engine->copies || x->route->kind != KIND_STREAM ||
-	    !x->route->resumable)
-		return;
-	x->copy_at = endpoints_place_copy(x->proxyd->endpoints, &wish, x->at);
-	copy = endpoint_get(x->proxyd->endpoints, x->copy_at);
-	if (!copy)
-		return;
-	copy->own.tokens += x->tokens;
-	f->copy_to = copy->address;
-}
-
 /* Logs the choice of an endpoint with what it was made by. */
 static void say_sent(const struct exchange *x, const struct endpoint *e)
 {
 	const struct endpoint *copy =
-		endpoint_get(x->proxyd->endpoints, x->copy_at);
+		endpoint_get(x->proxyd->endpoints, x->copy.at);
 
 	event_log(EVENT_ROUTINE, "sent", x->fields.id,
-		  "{s:s, s:s, s:s, s:i, s:b, s:s, s:I, s:I, s:I, s:I, s:I}",
+		  "{s:s, s:s, s:s, s:i, s:b, s:s, s:I, s:I, s:I, s:I, s:I, "
+		  "s:I, s:b}",
 		  "route", x->route->name, "endpoint", e->id, "address",
 		  e->address, "send", (int)x->sends, "from_copy", x->from_copy,
 		  "copy_to", copy ? copy->id : "", "version",
@@ -188,7 +167,9 @@
 		  "prefill_there",
 		  (json_int_t)(e->own.prefill + e->others.prefill),
 		  "heard_ms_ago", (json_int_t)(x->sent_ms - e->heard_ms),
-		  "left_ms", (json_int_t)(x->end_ms - x->sent_ms));
+		  "left_ms", (json_int_t)(x->end_ms - x->sent_ms), "session",
+		  (json_int_t)x->fields.session, "resumes",
+		  x->fields.resumes || x->has_last_event);
 }
 
 /* The head of an answer. */
@@ -241,6 +222,7 @@
 		stream_ended(x, outcome);
 		return;
 	}
+	copy_end(x, false);
 	load_remove(x);
 	switch (outcome) {
 	case HTTP1_NOT_SENT:
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -177,14 +177,13 @@
  * calls that it has not got yet go elsewhere. */
 void exchanges_endpoint_lost(struct exchanges *t, struct handle endpoint)
 {
-	const struct handle none = { 0 };
 	struct exchange *x;
 
 	TAILQ_FOREACH(x, &t->list, link) {
 		if (x->phase == EXCHANGE_OVER)
 			continue;
-		if (handle_equal(x->copy_at, endpoint))
-			x->copy_at = none;
+		if (handle_equal(x->copy.at, endpoint))
+			copy_forget(x);
 		if (!x->call || !handle_equal(x->at, endpoint))
 			continue;
 		if (x->route->kind == KIND_STREAM) {
@@ -242,7 +241,7 @@
 					 x->engine != NULL, &at);
 	}
 	if (choice.outcome == PLACE_OK)
-		attempt_start(x, at, false);
+		attempt_start(x, at, NULL);
 	else
 		seek_failed(x, choice.outcome);
 }
@@ -512,8 +511,10 @@
 		exchange_fail(x, 502, "this instance ends");
 		return;
 	}
-	if (x->route->kind == KIND_STREAM)
-		stream_watch(x, now);
+	if (x->route->kind != KIND_STREAM)
+		return;
+	copy_tick(x, now);
+	stream_watch(x, now);
 }
 
 /* Frees an exchange that is over. */
@@ -522,6 +523,7 @@
 	TAILQ_REMOVE(&t->list, x, link);
 	if (x->caller)
 		http1_own(x->caller, NULL);
+	bytes_release(&x->copy.answer);
 	bytes_release(&x->headers);
 	bytes_release(&x->body);
 	event_stream_release(&x->stream);
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -21,6 +21,22 @@
 	EXCHANGE_OVER, /* freed at the next tick */
 };
 
+#define COPY_ID_SIZE 96
+#define COPY_ANSWER_MAX 4096 /* bytes */
+
+/* The copy of a run's memory, at another endpoint. */
+struct run_copy {
+	struct handle at; /* may name none */
+	char id[COPY_ID_SIZE]; /* of one that was ordered; empty: the run's */
+	char source[ENDPOINT_ADDRESS_SIZE]; /* address under which it is known */
+	uint64_t made_ms;
+	uint64_t tried_ms; /* last order */
+	struct handle ordered_at;
+	struct http1_call *call; /* order under way */
+	int status; /* of its answer */
+	struct bytes answer;
+};
+
 /* One request of a caller, from its arrival to its answer. */
 struct exchange {
 	struct proxyd *proxyd;
@@ -50,7 +66,7 @@
 	bool loaded; /* its load counts at the endpoint */
 	bool prefilling; /* so does its prompt */
 	bool from_copy; /* sent to go on from a copy */
-	struct handle copy_at; /* endpoint that gets a copy of the run */
+	struct run_copy copy;
 
 	/* the endpoint's answer */
 	int status;
@@ -114,9 +130,18 @@
 void exchange_over(struct exchange *x, const char *outcome);
 
 /* attempt.c */
-void attempt_start(struct exchange *x, struct handle at, bool from_copy);
+void attempt_start(struct exchange *x, struct handle at,
+		   const struct run_copy *from);
 void attempt_cancel(struct exchange *x);
 
+/* copy.c */
+struct handle copy_choose(struct exchange *x);
+void copy_set(struct exchange *x, struct handle at, const char *id);
+void copy_forget(struct exchange *x);
+void copy_end(struct exchange *x, bool used);
+bool copy_usable(const struct exchange *x);
+void copy_tick(struct exchange *x, uint64_t now);
+
 /* stream.c */
 void stream_take(struct exchange *x, const char *data, size_t len);
 void stream_ended(struct exchange *x, enum http1_outcome outcome);
--- a/proxyd/protocol.h
+++ b/proxyd/protocol.h
@@ -59,6 +59,14 @@
 	/* lines that end in CRLF, for http1_reply() */
 	void (*encode_answer)(struct bytes *headers,
 			      const struct http1_head *head);
+	/* asks a run's engine for a copy of its memory at another endpoint */
+	void (*encode_copy_order)(struct bytes *out, const char *engine,
+				  const char *run, const char *to);
+	bool (*decode_copy_answer)(const char *text, size_t len, char *id,
+				   size_t id_size);
+	/* tells the engine that a copy is not needed any more */
+	void (*encode_copy_free)(struct bytes *out, const char *engine,
+				 const char *id);
 	/* the paths of the readiness and directory addresses */
 	const char *ready_path;
 	const char *directory_path;
--- a/proxyd/routes.h
+++ b/proxyd/routes.h
@@ -42,7 +42,8 @@
 	bool engine; /* a model engine, which has the fields below */
 	uint32_t slots;
 	uint32_t memory_tokens;
-	bool copies; /* engines keep copies of each other's runs */
+	bool copies; /* engines send copies of runs as they go */
+	bool moves; /* engines make copies of runs when they are asked */
 };
 
 struct organisation {
--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -22,7 +22,6 @@
 static void first_event(struct exchange *x, uint64_t now);
 static void heard(struct exchange *x, uint64_t now);
 static void complete(struct exchange *x);
-static bool copy_usable(const struct exchange *x);
 
 /* Passes on the events that are whole. */
 void stream_take(struct exchange *x, const char *data, size_t len)
@@ -70,10 +69,11 @@
 void stream_move(struct exchange *x, const char *why)
 {
 	struct handle from = x->at;
-	struct handle copy = x->copy_at;
+	struct run_copy copy = x->copy; /* its order and answer stay behind */
 	bool by_copy = copy_usable(x) && (x->begun || x->has_last_event);
 	uint64_t now = proxyd_now(x->proxyd);
 
+	copy_end(x, by_copy);
 	attempt_cancel(x);
 	exchange_avoid(x, from);
 	if (!x->lost_ms)
@@ -96,7 +96,7 @@
 			    : x->proxyd->exchanges->moved,
 		    1);
 	if (by_copy)
-		attempt_start(x, copy, true);
+		attempt_start(x, copy.at, &copy);
 	else
 		exchange_seek(x);
 }
@@ -240,12 +240,3 @@
 	http1_stream_end(caller);
 	exchange_over(x, "served");
 }
-
-/* Tells whether a copy of the run lies at an endpoint that lives. */
-static bool copy_usable(const struct exchange *x)
-{
-	const struct endpoint *e =
-		endpoint_get(x->proxyd->endpoints, x->copy_at);
-
-	return e && e->state == ENDPOINT_UP;
-}
