Runs in two stages: the prompt at one engine, the answer at another

Cause: a prompt of 5,000 tokens takes 40 steps of 28 ms; runs beside it go at an eighth of their speed, so that an answer took 9.5 s in the median and was exposed to every fault of that time.

Change: with its first event a run is copied to an engine where others write and no prompt is read, and goes on there, as long as enough of the budget of repeats is left for losses.

--- a/policy/place.c
+++ b/policy/place.c
@@ -6,12 +6,26 @@
  */
 #include "policy/place.h"
 
-/* A prompt being read delays the first event of the next one, and the events
- * of all runs beside it; tokens at rest only lengthen each step a little. */
-#define PREFILL_WEIGHT 8
+/* An engine reads so many prompt tokens in a millisecond. */
+#define PREFILL_TOKENS_PER_MS 5
+
+/* While a prompt of usual length is read, each run beside it stands still for
+ * about a second. */
+#define HARM_MS 900
+
+/* Memory in use lengthens each step a little: so many tokens a millisecond. */
+#define USED_TOKENS_PER_MS 100
 
 /* A crossing costs bytes between zones; it decides between equal loads. */
-#define CROSSING_TOKENS 400
+#define CROSSING_MS 5
+
+/* A run that settles goes where others run already, so that engines stay free
+ * for prompts; it gains this much for each of them. */
+#define COMPANY_MS 40
+
+/* Memory that a run which settles leaves free, for those that are there and
+ * grow. */
+#define SETTLE_FREE_PERMILLE 80
 
 /* Copies yield to runs: none is made where it would leave less free. */
 #define COPY_FREE_PERMILLE 150
@@ -25,12 +39,12 @@
 /* Loads that differ by less than this count as equal, and the prompt decides:
  * one that comes again then finds its memory where it ran.  A prompt being
  * read elsewhere outweighs it, unless this one has been read already. */
-#define EQUAL_TOKENS 20000
-#define EQUAL_RESUMED_TOKENS 60000
+#define EQUAL_MS 400
+#define EQUAL_RESUMED_MS 2500
 
 /* Endpoints fail by zones: one that is in doubt is chosen only if the others
  * are loaded beyond all use. */
-#define DOUBT_TOKENS 400000
+#define DOUBT_MS 20000
 #define DOUBT_FACTOR 4
 
 #define PERMILLE 1000
@@ -39,6 +53,10 @@
 		 uint32_t keep_free);
 static uint64_t run_cost(const struct place_request *r,
 			 const struct place_candidate *c);
+static uint64_t copy_cost(const struct place_request *r,
+			  const struct place_candidate *c);
+static uint64_t settle_cost(const struct place_request *r,
+			    const struct place_candidate *c);
 static uint64_t plain_cost(const struct place_request *r,
 			   const struct place_candidate *c);
 static uint32_t most_drawn(const struct place_request *r,
@@ -60,7 +78,7 @@
 {
 	struct place_choice choice = { .outcome = PLACE_NONE_USABLE };
 	uint64_t best = UINT64_MAX;
-	uint64_t equal = r->resumes ? EQUAL_RESUMED_TOKENS : EQUAL_TOKENS;
+	uint64_t equal = r->resumes ? EQUAL_RESUMED_MS : EQUAL_MS;
 	uint32_t start = start_of(rnd, n);
 	size_t k;
 
@@ -113,9 +131,41 @@
 		    c[i].zone == c[run_at].zone ||
 		    !fits(&c[i], r->tokens, keep))
 			continue;
-		if (run_cost(r, &c[i]) >= best)
+		if (copy_cost(r, &c[i]) >= best)
 			continue;
-		best = run_cost(r, &c[i]);
+		best = copy_cost(r, &c[i]);
+		chosen = i;
+	}
+	return chosen;
+}
+
+/*
+ * Chooses where a run whose prompt has been read goes on: with other such runs
+ * and without prompts beside it; PLACE_NONE if it stays where it is.  Answers
+ * the pattern of a steady flow of long prompts, each of which would halt the
+ * runs beside it for a second and so double the time of every answer.
+ */
+uint32_t place_settle(const struct place_request *r,
+		      const struct place_candidate *c, size_t n,
+		      uint32_t run_at, uint64_t rnd)
+{
+	uint64_t best = UINT64_MAX;
+	uint32_t chosen = PLACE_NONE;
+	uint32_t start = start_of(rnd, n);
+	size_t k;
+
+	for (k = 0; k < n; k++) {
+		uint32_t i = (uint32_t)((start + k) % n);
+		uint32_t keep =
+			c[i].memory_tokens / PERMILLE * SETTLE_FREE_PERMILLE;
+
+		if (i == run_at || !c[i].usable || c[i].avoided ||
+		    c[i].doubtful || c[i].prefills ||
+		    !fits(&c[i], r->tokens, keep))
+			continue;
+		if (settle_cost(r, &c[i]) >= best)
+			continue;
+		best = settle_cost(r, &c[i]);
 		chosen = i;
 	}
 	return chosen;
@@ -177,13 +227,43 @@
 	       c->memory_tokens;
 }
 
-/* Reckons the load at an engine in tokens. */
+/* Reckons what a prompt that is read at an engine costs, in milliseconds: its
+ * own wait, and that of the runs which it delays. */
 static uint64_t run_cost(const struct place_request *r,
 			 const struct place_candidate *c)
 {
-	return (uint64_t)c->prefill_tokens * PREFILL_WEIGHT + c->used_tokens +
-	       (c->zone == r->zone ? 0 : CROSSING_TOKENS) +
-	       (c->doubtful ? DOUBT_TOKENS : 0);
+	uint32_t running =
+		c->requests > c->prefills ? c->requests - c->prefills : 0;
+
+	return c->prefill_tokens / PREFILL_TOKENS_PER_MS +
+	       (uint64_t)running * HARM_MS + c->used_tokens / USED_TOKENS_PER_MS +
+	       (c->zone == r->zone ? 0 : CROSSING_MS) +
+	       (c->doubtful ? DOUBT_MS : 0);
+}
+
+/* Reckons what a copy costs at an engine: only memory. */
+static uint64_t copy_cost(const struct place_request *r,
+			  const struct place_candidate *c)
+{
+	return c->used_tokens / USED_TOKENS_PER_MS +
+	       (c->zone == r->zone ? 0 : CROSSING_MS) +
+	       (c->doubtful ? DOUBT_MS : 0);
+}
+
+/* Reckons what a run whose prompt has been read costs at an engine: prompts
+ * that delay it there, less what it leaves free elsewhere. */
+static uint64_t settle_cost(const struct place_request *r,
+			    const struct place_candidate *c)
+{
+	uint32_t running =
+		c->requests > c->prefills ? c->requests - c->prefills : 0;
+	uint64_t company = (uint64_t)running * COMPANY_MS;
+	uint64_t cost = HARM_MS +
+			(uint64_t)c->prefills * HARM_MS +
+			(c->zone == r->zone ? 0 : CROSSING_MS) +
+			(c->doubtful ? DOUBT_MS : 0);
+
+	return cost > company ? cost - company : 0;
 }
 
 /* Returns the candidate, among those that cost at most so much, to which the
--- a/policy/place.h
+++ b/policy/place.h
@@ -19,6 +19,7 @@
 	uint32_t used_tokens; /* of runs and of copies */
 	uint32_t prefill_tokens; /* prompts that have no first event yet */
 	uint32_t requests;
+	uint32_t prefills; /* requests among these that have no event yet */
 	uint32_t slots;
 	uint32_t latency_ms; /* usual time of a plain answer; 0: not known */
 	uint32_t failing_permille; /* recent answers that were failures */
@@ -49,6 +50,9 @@
 uint32_t place_copy(const struct place_request *r,
 		    const struct place_candidate *c, size_t n, uint32_t run_at,
 		    uint64_t rnd);
+uint32_t place_settle(const struct place_request *r,
+		      const struct place_candidate *c, size_t n,
+		      uint32_t run_at, uint64_t rnd);
 struct place_choice place_plain(const struct place_request *r,
 				const struct place_candidate *c, size_t n,
 				uint64_t rnd);
--- a/policy/repeat.c
+++ b/policy/repeat.c
@@ -12,6 +12,9 @@
  * judge's windows slide. */
 #define USED_PERMILLE 850
 
+/* Part of the budget that only losses may use. */
+#define SPARE_PERMILLE 450
+
 #define PERMILLE 1000
 
 static void advance(struct repeat_budget *b, const struct repeat_params *p,
@@ -36,6 +39,18 @@
 	return true;
 }
 
+/* Tells whether enough is left that a repeat may be sent by choice and not
+ * because of a loss. */
+bool repeat_spare(struct repeat_budget *b, const struct repeat_params *p,
+		  uint32_t instances, uint64_t now)
+{
+	uint32_t left = repeat_left(b, p, instances, now);
+	uint32_t used = sum(b->repeats);
+
+	return left && (uint64_t)left * PERMILLE >=
+			       (uint64_t)(left + used) * SPARE_PERMILLE;
+}
+
 /* Returns the repeats that this instance may still send. */
 uint32_t repeat_left(struct repeat_budget *b, const struct repeat_params *p,
 		     uint32_t instances, uint64_t now)
--- a/policy/repeat.h
+++ b/policy/repeat.h
@@ -24,6 +24,8 @@
 		    uint64_t now);
 bool repeat_take(struct repeat_budget *b, const struct repeat_params *p,
 		 uint32_t instances, uint64_t now);
+bool repeat_spare(struct repeat_budget *b, const struct repeat_params *p,
+		  uint32_t instances, uint64_t now);
 uint32_t repeat_left(struct repeat_budget *b, const struct repeat_params *p,
 		     uint32_t instances, uint64_t now);
 
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -200,7 +200,7 @@
   (ProtobufCMessageInit) peer_pulse__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer_load__field_descriptors[4] =
+static const ProtobufCFieldDescriptor peer_load__field_descriptors[5] =
 {
   {
     "endpoint",
@@ -250,17 +250,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "prefills",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PeerLoad, prefills),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer_load__field_indices_by_name[] = {
   0,   /* field[0] = endpoint */
   2,   /* field[2] = prefill */
+  4,   /* field[4] = prefills */
   3,   /* field[3] = requests */
   1,   /* field[1] = tokens */
 };
 static const ProtobufCIntRange peer_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor peer_load__descriptor =
 {
@@ -270,7 +283,7 @@
   "PeerLoad",
   "",
   sizeof(PeerLoad),
-  4,
+  5,
   peer_load__field_descriptors,
   peer_load__field_indices_by_name,
   1,  peer_load__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -75,10 +75,14 @@
    */
   uint32_t prefill;
   uint32_t requests;
+  /*
+   * requests among these that have no first event yet
+   */
+  uint32_t prefills;
 };
 #define PEER_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer_load__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 /* PeerPulse methods */
--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -99,7 +99,9 @@
 	x->body.len = 0;
 	event_stream_consume(&x->stream, x->stream.pending.len);
 	load_add(x);
-	copy_set(x, copy_choose(x), "");
+	x->staged = !from && stage_planned(x);
+	if (!x->staged)
+		copy_set(x, copy_choose(x), "");
 	copy = endpoint_get(p->endpoints, x->copy.at);
 	f.copy_to = copy ? copy->address : NULL;
 	p->protocol->encode_request(&out, x->request, &f);
@@ -129,6 +131,7 @@
 	e->own.tokens += x->tokens;
 	if (x->prefilling) {
 		e->own.prefill += x->fields.prompt_tokens;
+		e->own.prefills++;
 		peers_tell_soon(x->proxyd->peers);
 	}
 }
@@ -145,9 +148,19 @@
 		return;
 	e->own.requests--;
 	e->own.tokens -= x->tokens;
-	if (x->prefilling)
-		e->own.prefill -= x->fields.prompt_tokens;
+	attempt_prompt_read(x);
+}
+
+/* The prompt has been read, or will not be, at the endpoint. */
+void attempt_prompt_read(struct exchange *x)
+{
+	struct endpoint *e = endpoint_get(x->proxyd->endpoints, x->at);
+
+	if (!x->prefilling || !e)
+		return;
 	x->prefilling = false;
+	e->own.prefill -= x->fields.prompt_tokens;
+	e->own.prefills--;
 }
 
 /* Logs the choice of an endpoint with what it was made by. */
@@ -158,7 +171,7 @@
 
 	event_log(EVENT_ROUTINE, "sent", x->fields.id,
 		  "{s:s, s:s, s:s, s:i, s:b, s:s, s:I, s:I, s:I, s:I, s:I, "
-		  "s:I, s:b}",
+		  "s:I, s:b, s:b}",
 		  "route", x->route->name, "endpoint", e->id, "address",
 		  e->address, "send", (int)x->sends, "from_copy", x->from_copy,
 		  "copy_to", copy ? copy->id : "", "version",
@@ -169,7 +182,7 @@
 		  "heard_ms_ago", (json_int_t)(x->sent_ms - e->heard_ms),
 		  "left_ms", (json_int_t)(x->end_ms - x->sent_ms), "session",
 		  (json_int_t)x->fields.session, "resumes",
-		  x->fields.resumes || x->has_last_event);
+		  x->fields.resumes || x->has_last_event, "staged", x->staged);
 }
 
 /* The head of an answer. */
--- a/proxyd/copy.c
+++ b/proxyd/copy.c
@@ -128,7 +128,9 @@
 	if (!copy_due(&run, now))
 		return;
 	x->copy.tried_ms = now;
-	if (!run.has_copy)
+	if (x->staged)
+		to = stage_choose(x);
+	if (!x->staged && !run.has_copy)
 		to = copy_choose(x);
 	if (!handle_is_none(to))
 		order(x, to);
@@ -189,6 +191,7 @@
 		made(x, id);
 		return;
 	}
+	x->staged = false;
 	event_log(EVENT_NOTABLE, "copy-not-made", x->fields.id, "{s:s, s:i}",
 		  "outcome", http1_outcome_name(outcome), "status",
 		  x->copy.status);
@@ -206,6 +209,8 @@
 	event_log(EVENT_ROUTINE, "copy-made", x->fields.id, "{s:s, s:I}",
 		  "copy_to", e->id, "took_ms",
 		  (json_int_t)(x->copy.made_ms - x->copy.tried_ms));
+	if (x->staged)
+		stage_copied(x);
 }
 
 /* Tells the engine that a copy is not needed; its answer changes nothing. */
--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -71,6 +71,12 @@
 static void supersede(struct endpoints *t, const struct endpoint *newer);
 static void forget(struct endpoints *t, struct endpoint *e);
 static uint16_t zone_index(struct endpoints *t, const char *zone);
+static struct handle
+place_beside(struct endpoints *t, const struct endpoint_wish *wish,
+	     struct handle run_at,
+	     uint32_t (*place)(const struct place_request *r,
+			       const struct place_candidate *c, size_t n,
+			       uint32_t run_at, uint64_t rnd));
 static size_t gather(struct endpoints *t, const struct endpoint_wish *wish);
 static void fill(struct endpoints *t, struct place_candidate *c,
 		 const struct endpoint *e, const struct route_service *s,
@@ -242,6 +248,27 @@
 struct handle endpoints_place_copy(struct endpoints *t,
 				   const struct endpoint_wish *wish,
 				   struct handle run_at)
+{
+	return place_beside(t, wish, run_at, place_copy);
+}
+
+/* Chooses where a run goes on once its prompt is read; the handle may name
+ * none. */
+struct handle endpoints_place_settled(struct endpoints *t,
+				      const struct endpoint_wish *wish,
+				      struct handle run_at)
+{
+	return place_beside(t, wish, run_at, place_settle);
+}
+
+/* Chooses an endpoint beside the one where a run is; the handle may name
+ * none. */
+static struct handle
+place_beside(struct endpoints *t, const struct endpoint_wish *wish,
+	     struct handle run_at,
+	     uint32_t (*place)(const struct place_request *r,
+			       const struct place_candidate *c, size_t n,
+			       uint32_t run_at, uint64_t rnd))
 {
 	const struct place_request r = {
 		.tokens = wish->tokens,
@@ -257,7 +284,7 @@
 			break;
 	if (i == n)
 		return none;
-	chosen = place_copy(&r, t->candidates, n, i, proxyd_random());
+	chosen = place(&r, t->candidates, n, i, proxyd_random());
 	return chosen == PLACE_NONE ? none : t->candidate_handles[chosen];
 }
 
@@ -516,6 +543,7 @@
 		.used_tokens = e->own.tokens + e->others.tokens,
 		.prefill_tokens = e->own.prefill + e->others.prefill,
 		.requests = e->own.requests + e->others.requests,
+		.prefills = e->own.prefills + e->others.prefills,
 		.slots = e->slots,
 		.latency_ms = (uint32_t)e->latency_ms,
 		.failing_permille = (uint32_t)(e->failing * PERMILLE),
--- a/proxyd/endpoints.h
+++ b/proxyd/endpoints.h
@@ -24,6 +24,7 @@
 	uint32_t tokens; /* memory of runs and of copies */
 	uint32_t prefill; /* prompts that have no first event yet */
 	uint32_t requests;
+	uint32_t prefills; /* requests among these that have no event yet */
 };
 
 enum endpoint_state {
@@ -81,6 +82,9 @@
 struct place_choice endpoints_place(struct endpoints *t,
 				    const struct endpoint_wish *wish, bool run,
 				    struct handle *chosen);
+struct handle endpoints_place_settled(struct endpoints *t,
+				      const struct endpoint_wish *wish,
+				      struct handle run_at);
 struct handle endpoints_place_copy(struct endpoints *t,
 				   const struct endpoint_wish *wish,
 				   struct handle run_at);
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -75,6 +75,9 @@
 					 "Runs that went on at another "
 					 "endpoint",
 					 COUNTER_TOTAL, "from", "copy");
+	t->settled = counter_labelled("cdm_moves_total",
+				      "Runs that went on at another endpoint",
+				      COUNTER_TOTAL, "from", "prompt read");
 	t->repeats = counter_labelled("cdm_repeats_total",
 				      "Requests sent to an endpoint once more",
 				      COUNTER_TOTAL, "kind", "all");
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -66,6 +66,7 @@
 	bool loaded; /* its load counts at the endpoint */
 	bool prefilling; /* so does its prompt */
 	bool from_copy; /* sent to go on from a copy */
+	bool staged; /* moves on once its prompt has been read */
 	struct run_copy copy;
 
 	/* the endpoint's answer */
@@ -105,6 +106,7 @@
 	struct counter *left; /* by their callers */
 	struct counter *moved;
 	struct counter *moved_copy;
+	struct counter *settled;
 	struct counter *repeats;
 	struct histogram first_event;
 	struct histogram plain_answer;
@@ -133,6 +135,12 @@
 void attempt_start(struct exchange *x, struct handle at,
 		   const struct run_copy *from);
 void attempt_cancel(struct exchange *x);
+void attempt_prompt_read(struct exchange *x);
+
+/* stage.c */
+bool stage_planned(struct exchange *x);
+struct handle stage_choose(struct exchange *x);
+void stage_copied(struct exchange *x);
 
 /* copy.c */
 struct handle copy_choose(struct exchange *x);
--- a/proxyd/peers.c
+++ b/proxyd/peers.c
@@ -327,7 +327,8 @@
 			.endpoint = l->endpoint,
 			.load = { .tokens = l->tokens,
 				  .prefill = l->prefill,
-				  .requests = l->requests },
+				  .requests = l->requests,
+				  .prefills = l->prefills },
 		};
 	}
 	add_loads(t, peer, 1);
@@ -350,6 +351,8 @@
 			shifted(e->others.prefill, l->prefill, sign);
 		e->others.requests =
 			shifted(e->others.requests, l->requests, sign);
+		e->others.prefills =
+			shifted(e->others.prefills, l->prefills, sign);
 	}
 }
 
@@ -428,6 +431,7 @@
 		loads[n].endpoint = e->hash;
 		loads[n].tokens = e->own.tokens;
 		loads[n].prefill = e->own.prefill;
+		loads[n].prefills = e->own.prefills;
 		loads[n++].requests = e->own.requests;
 	}
 	return n;
--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -188,9 +188,9 @@
 
 	x->first_by_ms = 0;
 	if (x->prefilling && e) {
-		e->own.prefill -= x->fields.prompt_tokens;
-		x->prefilling = false;
-		if (x->fields.prompt_tokens && !e->own.prefill)
+		attempt_prompt_read(x);
+		if (x->fields.prompt_tokens && !e->own.prefills &&
+		    !e->others.prefills)
 			t->prefill_ms_per_token +=
 				MEAN_WEIGHT *
 				(took / (float)x->fields.prompt_tokens -
