--- a/lib/http1_client.c
+++ b/lib/http1_client.c
@@ -125,6 +125,16 @@
 	}
 }
 
+/* Gives connections under way the time that this process stood still. */
+void http1_client_excuse(struct http1_client *c, uint64_t stall_ms)
+{
+	struct kept_conn *k;
+
+	TAILQ_FOREACH(k, &c->conns, link)
+		if (k->state == CONN_CONNECTING && k->call)
+			k->call->connect_by_ms += stall_ms;
+}
+
 /* Ends calls that found no connection in time, and old idle connections. */
 void http1_client_tick(struct http1_client *c)
 {
--- a/lib/http1_client.h
+++ b/lib/http1_client.h
@@ -47,6 +47,7 @@
 
 struct http1_client *http1_client_new(uv_loop_t *loop);
 void http1_client_free(struct http1_client *c);
+void http1_client_excuse(struct http1_client *c, uint64_t stall_ms);
 void http1_client_tick(struct http1_client *c);
 struct http1_client_stats http1_client_stats(const struct http1_client *c);
 
--- a/policy/repeat.c
+++ b/policy/repeat.c
@@ -1,22 +1,38 @@
 /*
  * The budget of repeats: what all instances together send to a service beyond
- * the first time.  Each keeps to its part of it without asking anyone, by its
- * own requests and an equal part of the slack.  Answers the pattern of a zone
- * that is lost at a busy moment, when every stream of it is sent again.
+ * the first time.  Each knows its own use and what the others last said of
+ * theirs.  While much is left anyone may repeat; what is left at the end is
+ * dealt out in equal parts, as the others' words are up to a second old.
+ * Answers the pattern of a zone that is lost at a busy moment, when a few
+ * instances have most of its streams and each is sent again.
  */
 #include "policy/repeat.h"
 
 #include <string.h>
 
-/* Part of the budget that is used: requests are counted at their arrival, the
- * judge's windows slide. */
-#define USED_PERMILLE 850
+/* Part of the budget that is used at all: windows slide, and others repeat at
+ * the same moment without our knowing it yet. */
+#define USED_PERMILLE 880
+
+/* Below this part of the budget each instance keeps to its own share. */
+#define COMMON_PERMILLE 200
 
 /* Part of the budget that only losses may use. */
 #define SPARE_PERMILLE 450
 
 #define PERMILLE 1000
 
+struct balance {
+	uint64_t allowed; /* all instances */
+	uint64_t used; /* all instances */
+	uint64_t share; /* of this instance */
+	uint64_t own; /* used of it */
+};
+
+static struct balance balance_of(struct repeat_budget *b,
+				 const struct repeat_params *p,
+				 const struct repeat_others *others,
+				 uint64_t now);
 static void advance(struct repeat_budget *b, const struct repeat_params *p,
 		    uint64_t now);
 static uint32_t sum(const uint32_t *counts);
@@ -29,43 +45,73 @@
 	b->requests[b->slot % REPEAT_SLOTS]++;
 }
 
-/* Takes one repeat; false if none is left. */
-bool repeat_take(struct repeat_budget *b, const struct repeat_params *p,
-		 uint32_t instances, uint64_t now)
+/* Counts a request that was sent to an endpoint once more. */
+void repeat_sent(struct repeat_budget *b, const struct repeat_params *p,
+		 uint64_t now)
 {
-	if (!repeat_left(b, p, instances, now))
-		return false;
+	advance(b, p, now);
 	b->repeats[b->slot % REPEAT_SLOTS]++;
-	return true;
 }
 
-/* Tells whether enough is left that a repeat may be sent by choice and not
- * because of a loss. */
+/* The request that was counted last found no connection. */
+void repeat_not_sent(struct repeat_budget *b)
+{
+	if (b->repeats[b->slot % REPEAT_SLOTS])
+		b->repeats[b->slot % REPEAT_SLOTS]--;
+}
+
+/* Tells whether a request that was lost may be sent once more. */
+bool repeat_allowed(struct repeat_budget *b, const struct repeat_params *p,
+		    const struct repeat_others *others, uint64_t now)
+{
+	struct balance s = balance_of(b, p, others, now);
+
+	if (s.used >= s.allowed)
+		return false;
+	return s.own < s.share || (s.allowed - s.used) * PERMILLE >=
+					  s.allowed * COMMON_PERMILLE;
+}
+
+/* Tells whether enough is left that a request may be sent once more by choice
+ * and not because of a loss. */
 bool repeat_spare(struct repeat_budget *b, const struct repeat_params *p,
-		  uint32_t instances, uint64_t now)
+		  const struct repeat_others *others, uint64_t now)
 {
-	uint32_t left = repeat_left(b, p, instances, now);
-	uint32_t used = sum(b->repeats);
+	struct balance s = balance_of(b, p, others, now);
 
-	return left && (uint64_t)left * PERMILLE >=
-			       (uint64_t)(left + used) * SPARE_PERMILLE;
+	return s.used < s.allowed && (s.allowed - s.used) * PERMILLE >=
+					     s.allowed * SPARE_PERMILLE;
+}
+
+/* Gives this instance's own counts within the window, for the others. */
+void repeat_counts(struct repeat_budget *b, const struct repeat_params *p,
+		   uint64_t now, uint32_t *requests, uint32_t *repeats)
+{
+	advance(b, p, now);
+	*requests = sum(b->requests);
+	*repeats = sum(b->repeats);
 }
 
-/* Returns the repeats that this instance may still send. */
-uint32_t repeat_left(struct repeat_budget *b, const struct repeat_params *p,
-		     uint32_t instances, uint64_t now)
+/* Reckons what is allowed and used. */
+static struct balance balance_of(struct repeat_budget *b,
+				 const struct repeat_params *p,
+				 const struct repeat_others *others,
+				 uint64_t now)
 {
-	uint64_t allowed;
-	uint32_t used;
+	struct balance s;
+	uint64_t slack = (uint64_t)p->slack * PERMILLE;
 
 	advance(b, p, now);
-	if (!instances)
-		instances = 1;
-	allowed = (uint64_t)sum(b->requests) * p->ratio_permille +
-		  (uint64_t)p->slack * PERMILLE / instances;
-	allowed = allowed * USED_PERMILLE / PERMILLE / PERMILLE;
-	used = sum(b->repeats);
-	return allowed > used ? (uint32_t)(allowed - used) : 0;
+	s.own = sum(b->repeats);
+	s.used = s.own + others->repeats;
+	s.allowed = ((uint64_t)sum(b->requests) + others->requests) *
+			    p->ratio_permille +
+		    slack;
+	s.allowed = s.allowed * USED_PERMILLE / PERMILLE / PERMILLE;
+	s.share = (uint64_t)sum(b->requests) * p->ratio_permille +
+		  slack / (others->instances + 1);
+	s.share = s.share * USED_PERMILLE / PERMILLE / PERMILLE;
+	return s;
 }
 
 /* Forgets the parts that have left the window. */
--- a/policy/repeat.h
+++ b/policy/repeat.h
@@ -20,13 +20,23 @@
 	uint64_t slot; /* number of the current part */
 };
 
+/* What all other instances together last said of a window. */
+struct repeat_others {
+	uint32_t instances;
+	uint32_t requests;
+	uint32_t repeats;
+};
+
 void repeat_request(struct repeat_budget *b, const struct repeat_params *p,
 		    uint64_t now);
-bool repeat_take(struct repeat_budget *b, const struct repeat_params *p,
-		 uint32_t instances, uint64_t now);
+void repeat_sent(struct repeat_budget *b, const struct repeat_params *p,
+		 uint64_t now);
+void repeat_not_sent(struct repeat_budget *b);
+bool repeat_allowed(struct repeat_budget *b, const struct repeat_params *p,
+		    const struct repeat_others *others, uint64_t now);
 bool repeat_spare(struct repeat_budget *b, const struct repeat_params *p,
-		  uint32_t instances, uint64_t now);
-uint32_t repeat_left(struct repeat_budget *b, const struct repeat_params *p,
-		     uint32_t instances, uint64_t now);
+		  const struct repeat_others *others, uint64_t now);
+void repeat_counts(struct repeat_budget *b, const struct repeat_params *p,
+		   uint64_t now, uint32_t *requests, uint32_t *repeats);
 
 #endif /* POLICY_REPEAT_H */
--- a/policy/reread.c
+++ b/policy/reread.c
@@ -1,5 +1,8 @@
 /*
- * How often the store is asked.  Changes come in bursts, as when a zone's
+ * Who asks the store, and how often.  A few instances read it and pass the
+ * changes on, since the platform bills every call; the others read for
+ * themselves as soon as they hear nothing of those, or have missed a change.
+ * Changes come in bursts, as when a zone's
  * endpoints vanish; a short wait after each answer gathers them into one more
  * answer.  During an outage instances ask less and less often, and not at the
  * same moment.
@@ -9,15 +12,47 @@
 /* Changes are gathered for this time; with many instances longer, since each
  * asks for itself, and the platform bills every call. */
 #define GATHER_MS 400
+#define GATHER_FOR_OTHERS_MS 150
 #define GATHER_PER_INSTANCE_MS 8
 #define GATHER_MAX_MS 700
 
+/* Instances that read for the others: two, as one may be lost. */
+#define READERS 2
+
+/* Without a word of a reader for this time, about three of its datagrams, an
+ * instance reads for itself. */
+#define SILENT_MS 800
+#define SILENT_PER_INSTANCE_MS 20
+
+/* A change that others have and this instance has not is on its way for this
+ * time; then its datagram counts as lost. */
+#define BEHIND_MS 100
+
 #define RETRY_MIN_MS 150
 #define RETRY_MAX_MS 800
 
 /* A single failed call is not an outage. */
 #define OUTAGE_FAILURES 2
 
+/* Tells whether an instance reads the store for the others. */
+bool reread_designated(size_t before)
+{
+	return before < READERS;
+}
+
+/* Tells whether an instance asks the store now. */
+bool reread_itself(const struct reread_others *others, uint64_t now)
+{
+	uint64_t silence = SILENT_MS + (uint64_t)others->instances *
+					       SILENT_PER_INSTANCE_MS;
+
+	if (reread_designated(others->before) || !others->reading_ms)
+		return true;
+	if (others->behind_ms && now - others->behind_ms > BEHIND_MS)
+		return true;
+	return now - others->reading_ms > silence;
+}
+
 /* Returns how long to wait before the next call, ms. */
 uint32_t reread_after_failure(struct reread *r, uint64_t now, uint64_t rnd)
 {
@@ -32,10 +67,13 @@
 
 /* The store answered; returns how long to gather changes, ms. */
 uint32_t reread_after_success(struct reread *r, size_t instances,
-			      uint64_t now)
+			      bool for_others, uint64_t now)
 {
 	size_t wait = GATHER_MS + instances * GATHER_PER_INSTANCE_MS;
 
+	if (for_others)
+		wait = GATHER_FOR_OTHERS_MS;
+
 	if (r->failures >= OUTAGE_FAILURES)
 		r->back_ms = now;
 	r->failures = 0;
--- a/policy/reread.h
+++ b/policy/reread.h
@@ -12,8 +12,18 @@
 	uint64_t back_ms; /* when the store last came back; 0: never away */
 };
 
+/* What this instance knows of the others that read the store. */
+struct reread_others {
+	size_t before; /* instances that live and come before it in order */
+	size_t instances; /* that live, itself included */
+	uint64_t reading_ms; /* when one last said that it reads; 0: none */
+	uint64_t behind_ms; /* since when one has newer rows; 0: none has */
+};
+
+bool reread_designated(size_t before);
+bool reread_itself(const struct reread_others *others, uint64_t now);
 uint32_t reread_after_failure(struct reread *r, uint64_t now, uint64_t rnd);
 uint32_t reread_after_success(struct reread *r, size_t instances,
-			      uint64_t now);
+			      bool for_others, uint64_t now);
 
 #endif /* POLICY_REREAD_H */
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -52,6 +52,186 @@
   assert(message->base.descriptor == &peer_pulse__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer_use__init
+                     (PeerUse         *message)
+{
+  static const PeerUse init_value = PEER_USE__INIT;
+  *message = init_value;
+}
+size_t peer_use__get_packed_size
+                     (const PeerUse *message)
+{
+  assert(message->base.descriptor == &peer_use__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer_use__pack
+                     (const PeerUse *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer_use__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer_use__pack_to_buffer
+                     (const PeerUse *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer_use__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PeerUse *
+       peer_use__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PeerUse *)
+     protobuf_c_message_unpack (&peer_use__descriptor,
+                                allocator, len, data);
+}
+void   peer_use__free_unpacked
+                     (PeerUse *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer_use__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer_rows__init
+                     (PeerRows         *message)
+{
+  static const PeerRows init_value = PEER_ROWS__INIT;
+  *message = init_value;
+}
+size_t peer_rows__get_packed_size
+                     (const PeerRows *message)
+{
+  assert(message->base.descriptor == &peer_rows__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer_rows__pack
+                     (const PeerRows *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer_rows__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer_rows__pack_to_buffer
+                     (const PeerRows *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer_rows__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PeerRows *
+       peer_rows__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PeerRows *)
+     protobuf_c_message_unpack (&peer_rows__descriptor,
+                                allocator, len, data);
+}
+void   peer_rows__free_unpacked
+                     (PeerRows *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer_rows__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer_row__init
+                     (PeerRow         *message)
+{
+  static const PeerRow init_value = PEER_ROW__INIT;
+  *message = init_value;
+}
+size_t peer_row__get_packed_size
+                     (const PeerRow *message)
+{
+  assert(message->base.descriptor == &peer_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer_row__pack
+                     (const PeerRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer_row__pack_to_buffer
+                     (const PeerRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PeerRow *
+       peer_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PeerRow *)
+     protobuf_c_message_unpack (&peer_row__descriptor,
+                                allocator, len, data);
+}
+void   peer_row__free_unpacked
+                     (PeerRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer_datagram__init
+                     (PeerDatagram         *message)
+{
+  static const PeerDatagram init_value = PEER_DATAGRAM__INIT;
+  *message = init_value;
+}
+size_t peer_datagram__get_packed_size
+                     (const PeerDatagram *message)
+{
+  assert(message->base.descriptor == &peer_datagram__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer_datagram__pack
+                     (const PeerDatagram *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer_datagram__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer_datagram__pack_to_buffer
+                     (const PeerDatagram *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer_datagram__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PeerDatagram *
+       peer_datagram__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PeerDatagram *)
+     protobuf_c_message_unpack (&peer_datagram__descriptor,
+                                allocator, len, data);
+}
+void   peer_datagram__free_unpacked
+                     (PeerDatagram *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer_datagram__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer_load__init
                      (PeerLoad         *message)
 {
@@ -97,7 +277,7 @@
   assert(message->base.descriptor == &peer_load__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor peer_pulse__field_descriptors[6] =
+static const ProtobufCFieldDescriptor peer_pulse__field_descriptors[9] =
 {
   {
     "instance",
@@ -171,19 +351,58 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "uses",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PeerPulse, n_uses),
+    offsetof(PeerPulse, uses),
+    &peer_use__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoints_version",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PeerPulse, endpoints_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reading",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PeerPulse, reading),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer_pulse__field_indices_by_name[] = {
   1,   /* field[1] = born */
+  7,   /* field[7] = endpoints_version */
   0,   /* field[0] = instance */
   2,   /* field[2] = leaving */
   4,   /* field[4] = loads */
   5,   /* field[5] = lost */
+  8,   /* field[8] = reading */
+  6,   /* field[6] = uses */
   3,   /* field[3] = version */
 };
 static const ProtobufCIntRange peer_pulse__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor peer_pulse__descriptor =
 {
@@ -193,13 +412,295 @@
   "PeerPulse",
   "",
   sizeof(PeerPulse),
-  6,
+  9,
   peer_pulse__field_descriptors,
   peer_pulse__field_indices_by_name,
   1,  peer_pulse__number_ranges,
   (ProtobufCMessageInit) peer_pulse__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor peer_use__field_descriptors[3] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(PeerUse, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "requests",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PeerUse, requests),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "repeats",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PeerUse, repeats),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer_use__field_indices_by_name[] = {
+  2,   /* field[2] = repeats */
+  1,   /* field[1] = requests */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange peer_use__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor peer_use__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PeerUse",
+  "PeerUse",
+  "PeerUse",
+  "",
+  sizeof(PeerUse),
+  3,
+  peer_use__field_descriptors,
+  peer_use__field_indices_by_name,
+  1,  peer_use__number_ranges,
+  (ProtobufCMessageInit) peer_use__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer_rows__field_descriptors[6] =
+{
+  {
+    "instance",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PeerRows, instance),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "table",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PeerRows, table),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "after",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PeerRows, after),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PeerRows, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rows",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PeerRows, n_rows),
+    offsetof(PeerRows, rows),
+    &peer_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "back_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PeerRows, back_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer_rows__field_indices_by_name[] = {
+  2,   /* field[2] = after */
+  5,   /* field[5] = back_ms */
+  0,   /* field[0] = instance */
+  4,   /* field[4] = rows */
+  1,   /* field[1] = table */
+  3,   /* field[3] = version */
+};
+static const ProtobufCIntRange peer_rows__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor peer_rows__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PeerRows",
+  "PeerRows",
+  "PeerRows",
+  "",
+  sizeof(PeerRows),
+  6,
+  peer_rows__field_descriptors,
+  peer_rows__field_indices_by_name,
+  1,  peer_rows__number_ranges,
+  (ProtobufCMessageInit) peer_rows__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer_row__field_descriptors[3] =
+{
+  {
+    "key",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PeerRow, key),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "removed",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PeerRow, removed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "value",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(PeerRow, value),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer_row__field_indices_by_name[] = {
+  0,   /* field[0] = key */
+  1,   /* field[1] = removed */
+  2,   /* field[2] = value */
+};
+static const ProtobufCIntRange peer_row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor peer_row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PeerRow",
+  "PeerRow",
+  "PeerRow",
+  "",
+  sizeof(PeerRow),
+  3,
+  peer_row__field_descriptors,
+  peer_row__field_indices_by_name,
+  1,  peer_row__number_ranges,
+  (ProtobufCMessageInit) peer_row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer_datagram__field_descriptors[2] =
+{
+  {
+    "pulse",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(PeerDatagram, pulse),
+    &peer_pulse__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rows",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(PeerDatagram, rows),
+    &peer_rows__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer_datagram__field_indices_by_name[] = {
+  0,   /* field[0] = pulse */
+  1,   /* field[1] = rows */
+};
+static const ProtobufCIntRange peer_datagram__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer_datagram__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PeerDatagram",
+  "PeerDatagram",
+  "PeerDatagram",
+  "",
+  sizeof(PeerDatagram),
+  2,
+  peer_datagram__field_descriptors,
+  peer_datagram__field_indices_by_name,
+  1,  peer_datagram__number_ranges,
+  (ProtobufCMessageInit) peer_datagram__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor peer_load__field_descriptors[5] =
 {
   {
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -16,6 +16,10 @@
 
 
 typedef struct PeerPulse PeerPulse;
+typedef struct PeerUse PeerUse;
+typedef struct PeerRows PeerRows;
+typedef struct PeerRow PeerRow;
+typedef struct PeerDatagram PeerDatagram;
 typedef struct PeerLoad PeerLoad;
 
 
@@ -50,10 +54,95 @@
    */
   size_t n_lost;
   char **lost;
+  size_t n_uses;
+  PeerUse **uses;
+  /*
+   * of the endpoints' table, as read from the store; 0: not read
+   */
+  uint64_t endpoints_version;
+  /*
+   * the sender reads the store for others, and it answers
+   */
+  protobuf_c_boolean reading;
 };
 #define PEER_PULSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer_pulse__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
+
+
+/*
+ * Requests and repeats of one service at one instance, within the window.
+ */
+struct  PeerUse
+{
+  ProtobufCMessage base;
+  /*
+   * hash of its name
+   */
+  uint64_t service;
+  uint32_t requests;
+  uint32_t repeats;
+};
+#define PEER_USE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer_use__descriptor) \
+    , 0, 0, 0 }
+
+
+/*
+ * Changes of a table of the store, passed on by an instance that reads it.
+ */
+struct  PeerRows
+{
+  ProtobufCMessage base;
+  char *instance;
+  uint32_t table;
+  /*
+   * version before these changes
+   */
+  uint64_t after;
+  /*
+   * version with them
+   */
+  uint64_t version;
+  size_t n_rows;
+  PeerRow **rows;
+  /*
+   * how long ago the store came back from an outage, ms; 0: it was not away
+   */
+  uint32_t back_ms;
+};
+#define PEER_ROWS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer_rows__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0 }
+
+
+struct  PeerRow
+{
+  ProtobufCMessage base;
+  char *key;
+  protobuf_c_boolean removed;
+  /*
+   * as the store has it
+   */
+  ProtobufCBinaryData value;
+};
+#define PEER_ROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer_row__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, {0,NULL} }
+
+
+/*
+ * One datagram.
+ */
+struct  PeerDatagram
+{
+  ProtobufCMessage base;
+  PeerPulse *pulse;
+  PeerRows *rows;
+};
+#define PEER_DATAGRAM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer_datagram__descriptor) \
+    , NULL, NULL }
 
 
 /*
@@ -104,6 +193,82 @@
 void   peer_pulse__free_unpacked
                      (PeerPulse *message,
                       ProtobufCAllocator *allocator);
+/* PeerUse methods */
+void   peer_use__init
+                     (PeerUse         *message);
+size_t peer_use__get_packed_size
+                     (const PeerUse   *message);
+size_t peer_use__pack
+                     (const PeerUse   *message,
+                      uint8_t             *out);
+size_t peer_use__pack_to_buffer
+                     (const PeerUse   *message,
+                      ProtobufCBuffer     *buffer);
+PeerUse *
+       peer_use__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer_use__free_unpacked
+                     (PeerUse *message,
+                      ProtobufCAllocator *allocator);
+/* PeerRows methods */
+void   peer_rows__init
+                     (PeerRows         *message);
+size_t peer_rows__get_packed_size
+                     (const PeerRows   *message);
+size_t peer_rows__pack
+                     (const PeerRows   *message,
+                      uint8_t             *out);
+size_t peer_rows__pack_to_buffer
+                     (const PeerRows   *message,
+                      ProtobufCBuffer     *buffer);
+PeerRows *
+       peer_rows__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer_rows__free_unpacked
+                     (PeerRows *message,
+                      ProtobufCAllocator *allocator);
+/* PeerRow methods */
+void   peer_row__init
+                     (PeerRow         *message);
+size_t peer_row__get_packed_size
+                     (const PeerRow   *message);
+size_t peer_row__pack
+                     (const PeerRow   *message,
+                      uint8_t             *out);
+size_t peer_row__pack_to_buffer
+                     (const PeerRow   *message,
+                      ProtobufCBuffer     *buffer);
+PeerRow *
+       peer_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer_row__free_unpacked
+                     (PeerRow *message,
+                      ProtobufCAllocator *allocator);
+/* PeerDatagram methods */
+void   peer_datagram__init
+                     (PeerDatagram         *message);
+size_t peer_datagram__get_packed_size
+                     (const PeerDatagram   *message);
+size_t peer_datagram__pack
+                     (const PeerDatagram   *message,
+                      uint8_t             *out);
+size_t peer_datagram__pack_to_buffer
+                     (const PeerDatagram   *message,
+                      ProtobufCBuffer     *buffer);
+PeerDatagram *
+       peer_datagram__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer_datagram__free_unpacked
+                     (PeerDatagram *message,
+                      ProtobufCAllocator *allocator);
 /* PeerLoad methods */
 void   peer_load__init
                      (PeerLoad         *message);
@@ -128,6 +293,18 @@
 typedef void (*PeerPulse_Closure)
                  (const PeerPulse *message,
                   void *closure_data);
+typedef void (*PeerUse_Closure)
+                 (const PeerUse *message,
+                  void *closure_data);
+typedef void (*PeerRows_Closure)
+                 (const PeerRows *message,
+                  void *closure_data);
+typedef void (*PeerRow_Closure)
+                 (const PeerRow *message,
+                  void *closure_data);
+typedef void (*PeerDatagram_Closure)
+                 (const PeerDatagram *message,
+                  void *closure_data);
 typedef void (*PeerLoad_Closure)
                  (const PeerLoad *message,
                   void *closure_data);
@@ -138,6 +315,10 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor peer_pulse__descriptor;
+extern const ProtobufCMessageDescriptor peer_use__descriptor;
+extern const ProtobufCMessageDescriptor peer_rows__descriptor;
+extern const ProtobufCMessageDescriptor peer_row__descriptor;
+extern const ProtobufCMessageDescriptor peer_datagram__descriptor;
 extern const ProtobufCMessageDescriptor peer_load__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -85,6 +85,9 @@
 	x->at = at;
 	x->from_copy = from != NULL;
 	x->sends++;
+	if (x->arrivals++)
+		repeat_sent(endpoints_budget(p->endpoints, x->service),
+			    &p->repeat, now);
 	x->sent_ms = now;
 	x->heard_ms = now;
 	x->first_by_ms =
@@ -255,6 +258,9 @@
 {
 	x->sends--;
 	x->connects++;
+	if (--x->arrivals)
+		repeat_not_sent(
+			endpoints_budget(x->proxyd->endpoints, x->service));
 	exchange_avoid(x, at);
 	endpoint_lost(x->proxyd->endpoints, at, x->fields.id, "no connection",
 		      true);
--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -20,8 +20,13 @@
 /* A live endpoint completes a connection within 2 ms, 4 ms across zones. */
 #define PROBE_MS 40
 
-/* Endpoints that are down and still listed are probed this often. */
+/* Endpoints that are down and still listed are probed this often; with many
+ * instances less, since each probes for itself. */
 #define PROBE_DOWN_MS 1000
+#define PROBE_DOWN_PER_INSTANCE_MS 150
+
+/* An endpoint that was heard this lately lives, whatever others say. */
+#define RUMOUR_MS 100
 
 /* An entry that was removed is kept this long for the runs that end there. */
 #define FORGET_MS 30000
@@ -41,7 +46,9 @@
 /* What is known of a service as a whole. */
 struct service_state {
 	char *service;
+	uint64_t hash; /* of its name */
 	struct repeat_budget budget;
+	struct repeat_others others;
 	uint64_t lost_ms[ZONES_MAX]; /* last loss in each zone; 0: none */
 };
 
@@ -131,6 +138,8 @@
 void endpoints_tick(struct endpoints *t)
 {
 	uint64_t now = proxyd_now(t->proxyd);
+	uint64_t again = PROBE_DOWN_MS + peers_alive(t->proxyd->peers) *
+						 PROBE_DOWN_PER_INSTANCE_MS;
 	struct endpoint *e;
 	uint32_t i = 0;
 
@@ -142,7 +151,7 @@
 		}
 		if (e->state == ENDPOINT_DOWN && !e->probe &&
 		    lapse_takes_work(&e->lapse, now) && !e->leaving &&
-		    now - e->probed_ms >= PROBE_DOWN_MS)
+		    now - e->probed_ms >= again)
 			probe_start(t, e);
 	}
 }
@@ -386,6 +395,49 @@
 	return &service_state(t, service)->budget;
 }
 
+/* Returns what the other instances say of a service's repeats. */
+struct repeat_others *endpoints_others(struct endpoints *t, const char *service)
+{
+	return &service_state(t, service)->others;
+}
+
+/* The same by the hash of the service's name; NULL if it is not known. */
+struct repeat_others *endpoints_others_by_hash(struct endpoints *t,
+					       uint64_t hash)
+{
+	size_t i;
+
+	for (i = 0; i < t->n_services; i++)
+		if (t->services[i].hash == hash)
+			return &t->services[i].others;
+	return NULL;
+}
+
+/* Goes through the budgets of all services; begin with *index 0. */
+bool endpoints_next_budget(struct endpoints *t, size_t *index, uint64_t *hash,
+			   struct repeat_budget **budget)
+{
+	if (*index >= t->n_services)
+		return false;
+	*hash = t->services[*index].hash;
+	*budget = &t->services[(*index)++].budget;
+	return true;
+}
+
+/* Another instance has found an endpoint dead: it is in doubt here, and asked
+ * for a connection if this instance has runs there. */
+void endpoint_rumoured(struct endpoints *t, const char *id)
+{
+	struct endpoint *e = endpoint_by_id(t, id);
+	uint64_t now = proxyd_now(t->proxyd);
+
+	if (!e || e->state != ENDPOINT_UP || now - e->heard_ms < RUMOUR_MS)
+		return;
+	e->rumoured_ms = now;
+	if (e->own.requests)
+		endpoint_probe(t, e->self, NULL, now - e->heard_ms);
+}
+
 /* Returns what is known of a service. */
 static struct service_state *service_state(struct endpoints *t,
 					   const char *service)
@@ -401,6 +453,7 @@
 	s = &t->services[t->n_services++];
 	memset(s, 0, sizeof(*s));
 	s->service = xstrdup(service);
+	s->hash = XXH3_64bits(service, strlen(service));
 	return s;
 }
 
@@ -564,6 +617,8 @@
 {
 	uint64_t lost = s->lost_ms[e->zone];
 
+	if (e->rumoured_ms > lost)
+		lost = e->rumoured_ms;
 	return e->unproven ||
 	       (lost && e->heard_ms <= lost && now - lost < DOUBT_MS);
 }
--- a/proxyd/endpoints.h
+++ b/proxyd/endpoints.h
@@ -49,6 +49,7 @@
 	uint64_t down_ms; /* when it was found dead */
 	uint64_t heard_ms; /* last sign of life */
 	uint64_t probed_ms; /* start of the last probe */
+	uint64_t rumoured_ms; /* another instance said that it is dead */
 	bool unproven; /* back by a probe, without an answer since */
 	struct http1_call *probe;
 	struct proxyd *proxyd;
@@ -100,5 +101,11 @@
 		       bool failed);
 struct repeat_budget *endpoints_budget(struct endpoints *t,
 				       const char *service);
+struct repeat_others *endpoints_others(struct endpoints *t, const char *service);
+struct repeat_others *endpoints_others_by_hash(struct endpoints *t,
+					       uint64_t hash);
+bool endpoints_next_budget(struct endpoints *t, size_t *index, uint64_t *hash,
+			   struct repeat_budget **budget);
+void endpoint_rumoured(struct endpoints *t, const char *id);
 
 #endif /* PROXYD_ENDPOINTS_H */
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -123,6 +123,18 @@
 	}
 }
 
+/* Takes time in which this process stood still out of the silence of runs. */
+void exchanges_excuse(struct exchanges *t, uint64_t stall_ms)
+{
+	struct exchange *x;
+
+	TAILQ_FOREACH(x, &t->list, link) {
+		x->heard_ms += stall_ms;
+		if (x->first_by_ms)
+			x->first_by_ms += stall_ms;
+	}
+}
+
 /* Returns the number of requests that are not over. */
 uint32_t exchanges_open(const struct exchanges *t)
 {
@@ -260,16 +272,17 @@
 	x->avoided[x->n_avoided++] = h;
 }
 
-/* Tells whether the request may be sent to an endpoint once more, and takes
- * that from the budget. */
+/* Tells whether the request may be sent to an endpoint once more. */
 bool exchange_repeat_allowed(struct exchange *x)
 {
 	struct proxyd *p = x->proxyd;
 
 	if (x->sends >= x->route->attempts_max)
 		return false;
-	if (!repeat_take(endpoints_budget(p->endpoints, x->service), &p->repeat,
-			 (uint32_t)peers_alive(p->peers) + 1, proxyd_now(p)))
+	if (!repeat_allowed(endpoints_budget(p->endpoints, x->service),
+			    &p->repeat,
+			    endpoints_others(p->endpoints, x->service),
+			    proxyd_now(p)))
 		return false;
 	counter_add(p->exchanges->repeats, 1);
 	return true;
@@ -507,7 +520,10 @@
 						"no endpoint has room");
 			return;
 		}
-		exchange_seek(x);
+		if (!x->repeat_due || exchange_repeat_allowed(x)) {
+			x->repeat_due = false;
+			exchange_seek(x);
+		}
 		return;
 	}
 	if (stop_cuts(&x->proxyd->stop, now)) {
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -61,6 +61,8 @@
 	uint64_t sent_ms;
 	uint32_t sends; /* endpoints that were sent it, or may have been */
 	uint32_t connects; /* that failed in a row */
+	uint32_t arrivals; /* endpoints that got it, refusals included */
+	bool repeat_due; /* waits until the budget allows it once more */
 	struct handle avoided[ENDPOINT_AVOID_MAX];
 	size_t n_avoided;
 	bool loaded; /* its load counts at the endpoint */
@@ -116,6 +118,7 @@
 struct exchanges *exchanges_new(struct proxyd *p);
 void exchanges_free(struct exchanges *t);
 void exchanges_tick(struct exchanges *t);
+void exchanges_excuse(struct exchanges *t, uint64_t stall_ms);
 void exchanges_start(struct exchanges *t, struct http1_conn *caller,
 		     struct http1_request *r);
 void exchanges_endpoint_lost(struct exchanges *t, struct handle endpoint);
--- a/proxyd/peers.c
+++ b/proxyd/peers.c
@@ -20,10 +20,15 @@
 #include "proto/peer.pb-c.h"
 #include "proxyd/endpoints.h"
 #include "proxyd/proxyd.h"
+#include "proxyd/watch.h"
 
 #define LOADS_MAX 48 /* of one datagram, which fits one packet */
 #define LOST_MAX 16 /* ids of one datagram */
+#define USES_MAX 8 /* services of one datagram */
 #define DATAGRAM_MAX 2048
+#define ROWS_MAX 16 /* rows of one datagram */
+#define ROWS_BYTES 1300 /* of rows in one datagram, which fits one packet */
+#define ROW_BYTES 24 /* of a row beside its key and value, at most */
 #define TELL_LOST_MS 2000 /* a loss is repeated in datagrams for so long */
 
 /* Losses and new runs are told at once, gathered over this time; new runs only
@@ -36,6 +41,13 @@
 	struct endpoint_load load;
 };
 
+/* What an instance says of a service's repeats. */
+struct peer_use {
+	uint64_t service; /* hash of its name */
+	uint32_t requests;
+	uint32_t repeats;
+};
+
 struct peer {
 	TAILQ_ENTRY(peer) link;
 	char *name;
@@ -46,6 +58,9 @@
 	uint64_t born_ms;
 	struct peer_load loads[LOADS_MAX];
 	size_t n_loads;
+	struct peer_use uses[USES_MAX];
+	size_t n_uses;
+	uint64_t reading_ms; /* when it last said that it reads the store */
 };
 
 struct lost_endpoint {
@@ -71,6 +86,12 @@
 			const struct sockaddr *from, unsigned int flags);
 static struct peer *find(const struct peers *t, const char *name);
 static void take_pulse(struct peers *t, const PeerPulse *pulse);
+static void take_rows(struct peers *t, const PeerRows *rows);
+static void take_uses(struct peers *t, struct peer *peer,
+		      const PeerPulse *pulse);
+static void add_uses(struct peers *t, const struct peer *peer, int sign);
+static void send_all(struct peers *t, const PeerDatagram *d);
+static size_t gather_uses(struct peers *t, PeerUse *uses);
 static void take_loads(struct peers *t, struct peer *peer,
 		       const PeerPulse *pulse);
 static void add_loads(struct peers *t, const struct peer *peer, int sign);
@@ -259,19 +280,22 @@
 			const struct sockaddr *from, unsigned int flags)
 {
 	struct peers *t = udp->data;
-	PeerPulse *pulse;
+	PeerDatagram *d;
 
 	if (n <= 0 || !from || (flags & UV_UDP_PARTIAL))
 		return;
 	counter_add(t->heard, 1);
-	pulse = peer_pulse__unpack(NULL, (size_t)n, (const uint8_t *)buf->base);
-	if (!pulse) {
+	d = peer_datagram__unpack(NULL, (size_t)n, (const uint8_t *)buf->base);
+	if (!d) {
 		event_log(EVENT_NOTABLE, "datagram-unreadable", NULL, "{s:I}",
 			  "bytes", (json_int_t)n);
 		return;
 	}
-	take_pulse(t, pulse);
-	peer_pulse__free_unpacked(pulse, NULL);
+	if (d->pulse)
+		take_pulse(t, d->pulse);
+	if (d->rows)
+		take_rows(t, d->rows);
+	peer_datagram__free_unpacked(d, NULL);
 }
 
 /* Returns an instance by name, or NULL. */
@@ -303,12 +327,73 @@
 	peer->presence.leaving = pulse->leaving;
 	peer->presence.configured = pulse->version != 0;
 	take_loads(t, peer, pulse);
-	for (i = 0; i < pulse->n_lost; i++) {
-		struct endpoint *e =
-			endpoint_by_id(t->proxyd->endpoints, pulse->lost[i]);
+	take_uses(t, peer, pulse);
+	for (i = 0; i < pulse->n_lost; i++)
+		endpoint_rumoured(t->proxyd->endpoints, pulse->lost[i]);
+	if (pulse->reading) {
+		peer->reading_ms = peer->presence.heard_ms;
+		watches_hear(t->proxyd->watches, STORE_ENDPOINTS,
+			     pulse->endpoints_version);
+	}
+}
+
+/* Takes changes of a table that another instance has read. */
+static void take_rows(struct peers *t, const PeerRows *rows)
+{
+	struct store_change change = {
+		.after = rows->after,
+		.version = rows->version,
+		.back_ms = rows->back_ms,
+		.n = rows->n_rows,
+	};
+	size_t i;
+
+	if (!find(t, rows->instance) || rows->table >= STORE_TABLES)
+		return;
+	change.rows = xcalloc(rows->n_rows, sizeof(*change.rows));
+	for (i = 0; i < rows->n_rows; i++) {
+		change.rows[i].key = rows->rows[i]->key;
+		change.rows[i].removed = rows->rows[i]->removed;
+		change.rows[i].raw = (const char *)rows->rows[i]->value.data;
+		change.rows[i].raw_len = rows->rows[i]->value.len;
+	}
+	watches_take_change(t->proxyd->watches, (enum store_table)rows->table,
+			    &change);
+	free(change.rows);
+}
+
+/* Replaces what an instance says of the repeats. */
+static void take_uses(struct peers *t, struct peer *peer,
+		      const PeerPulse *pulse)
+{
+	size_t i;
+
+	add_uses(t, peer, -1);
+	peer->n_uses = pulse->n_uses < USES_MAX ? pulse->n_uses : USES_MAX;
+	for (i = 0; i < peer->n_uses; i++)
+		peer->uses[i] = (struct peer_use){
+			.service = pulse->uses[i]->service,
+			.requests = pulse->uses[i]->requests,
+			.repeats = pulse->uses[i]->repeats,
+		};
+	add_uses(t, peer, 1);
+}
+
+/* Adds an instance's uses to the sums by service, or takes them off. */
+static void add_uses(struct peers *t, const struct peer *peer, int sign)
+{
+	size_t i;
 
-		if (e && peer->presence.heard_ms - e->heard_ms > TELL_LOST_MS / 4)
-			endpoint_probe(t->proxyd->endpoints, e->self, NULL, 0);
+	for (i = 0; i < peer->n_uses; i++) {
+		const struct peer_use *u = &peer->uses[i];
+		struct repeat_others *o = endpoints_others_by_hash(
+			t->proxyd->endpoints, u->service);
+
+		if (!o)
+			continue;
+		o->requests = shifted(o->requests, u->requests, sign);
+		o->repeats = shifted(o->repeats, u->repeats, sign);
+		o->instances = shifted(o->instances, 1, sign);
 	}
 }
 
@@ -369,6 +454,7 @@
 static void forget(struct peers *t, struct peer *peer)
 {
 	add_loads(t, peer, -1);
+	add_uses(t, peer, -1);
 	TAILQ_REMOVE(&t->list, peer, link);
 	t->n--;
 	free(peer->name);
@@ -383,10 +469,10 @@
 	PeerPulse pulse = PEER_PULSE__INIT;
 	PeerLoad loads[LOADS_MAX];
 	PeerLoad *load_list[LOADS_MAX];
+	PeerUse uses[USES_MAX];
+	PeerUse *use_list[USES_MAX];
+	PeerDatagram d = PEER_DATAGRAM__INIT;
 	char *lost[LOST_MAX];
-	uint8_t out[DATAGRAM_MAX];
-	struct peer *peer;
-	uv_buf_t buf;
 	size_t i;
 
 	t->told_ms = proxyd_now(p);
@@ -405,16 +491,121 @@
 	pulse.loads = load_list;
 	pulse.n_lost = t->n_lost;
 	pulse.lost = lost;
-	if (peer_pulse__get_packed_size(&pulse) > sizeof(out))
+	pulse.n_uses = gather_uses(t, uses);
+	for (i = 0; i < pulse.n_uses; i++)
+		use_list[i] = &uses[i];
+	pulse.uses = use_list;
+	pulse.reading = watches_reading(p->watches);
+	pulse.endpoints_version =
+		watches_version(p->watches, STORE_ENDPOINTS);
+	d.pulse = &pulse;
+	if (peer_datagram__get_packed_size(&d) > DATAGRAM_MAX)
 		pulse.n_loads = LOADS_MAX / 4;
+	send_all(t, &d);
+}
+
+/* Passes changes of a table on, in as many datagrams as they need. */
+void peers_tell_rows(struct peers *t, enum store_table table, uint64_t after,
+		     uint64_t version, const struct store_row *rows, size_t n)
+{
+	PeerDatagram d = PEER_DATAGRAM__INIT;
+	PeerRows change = PEER_ROWS__INIT;
+	PeerRow row[ROWS_MAX];
+	PeerRow *list[ROWS_MAX];
+	size_t bytes = 0;
+	size_t i;
+
+	change.instance = t->proxyd->settings.name;
+	change.table = table;
+	change.after = after;
+	change.rows = list;
+	change.back_ms = watches_back_ms(t->proxyd->watches, table);
+	d.rows = &change;
+	for (i = 0; i < n; i++) {
+		PeerRow *r = &row[change.n_rows];
+
+		peer_row__init(r);
+		r->key = (char *)rows[i].key;
+		r->removed = rows[i].removed;
+		r->value.data = (uint8_t *)rows[i].raw;
+		r->value.len = rows[i].raw_len;
+		list[change.n_rows++] = r;
+		bytes += rows[i].raw_len + strlen(rows[i].key) + ROW_BYTES;
+		if (i + 1 < n && change.n_rows < ROWS_MAX &&
+		    bytes + rows[i + 1].raw_len + ROW_BYTES < ROWS_BYTES)
+			continue;
+		change.version = i + 1 < n ? rows[i].version : version;
+		send_all(t, &d);
+		change.after = change.version;
+		change.n_rows = 0;
+		bytes = 0;
+	}
+}
+
+/* Returns when another instance last said that it reads the store, 0 if none
+ * did. */
+uint64_t peers_reading_ms(const struct peers *t)
+{
+	const struct peer *peer;
+	uint64_t last = 0;
+
+	TAILQ_FOREACH(peer, &t->list, link)
+		if (peer->reading_ms > last)
+			last = peer->reading_ms;
+	return last;
+}
+
+/* Returns how many of the instances that live come before this one in the
+ * order of their names. */
+size_t peers_before(const struct peers *t)
+{
+	const struct peer *peer;
+	size_t n = 0;
+
+	TAILQ_FOREACH(peer, &t->list, link)
+		n += peer->alive &&
+		     strcmp(peer->name, t->proxyd->settings.name) < 0;
+	return n;
+}
+
+/* Sends a datagram to every other instance.  One may be lost: what it says
+ * comes again, or is missed by its version. */
+static void send_all(struct peers *t, const PeerDatagram *d)
+{
+	uint8_t out[DATAGRAM_MAX];
+	struct peer *peer;
+	uv_buf_t buf;
+
+	if (peer_datagram__get_packed_size(d) > sizeof(out)) {
+		event_log(EVENT_NOTABLE, "datagram-too-large", NULL, "{}");
+		return;
+	}
 	buf = uv_buf_init((char *)out,
-			  (unsigned int)peer_pulse__pack(&pulse, out));
-	TAILQ_FOREACH(peer, &t->list, link) {
-		/* a datagram may be lost: what is not sent now comes again */
+			  (unsigned int)peer_datagram__pack(d, out));
+	TAILQ_FOREACH(peer, &t->list, link)
 		if (uv_udp_try_send(&t->udp, &buf, 1,
 				    (const struct sockaddr *)&peer->address) > 0)
 			counter_add(t->sent, 1);
+}
+
+/* Fills in this instance's own requests and repeats; returns the number. */
+static size_t gather_uses(struct peers *t, PeerUse *uses)
+{
+	struct proxyd *p = t->proxyd;
+	struct repeat_budget *budget;
+	uint64_t hash;
+	size_t i = 0;
+	size_t n = 0;
+
+	while (n < USES_MAX &&
+	       endpoints_next_budget(p->endpoints, &i, &hash, &budget)) {
+		peer_use__init(&uses[n]);
+		uses[n].service = hash;
+		repeat_counts(budget, &p->repeat, proxyd_now(p),
+			      &uses[n].requests, &uses[n].repeats);
+		n += uses[n].requests || uses[n].repeats;
 	}
+	return n;
 }
 
 /* Fills in where this instance has work; returns the number. */
@@ -452,6 +643,8 @@
 		if (!alive) {
 			add_loads(t, peer, -1);
 			peer->n_loads = 0;
+			add_uses(t, peer, -1);
+			peer->n_uses = 0;
 		}
 		event_log(EVENT_NOTABLE,
 			  alive ? "instance-alive" : "instance-silent", NULL,
--- a/proxyd/peers.h
+++ b/proxyd/peers.h
@@ -18,6 +18,10 @@
 void peers_tell_lost(struct peers *t, const char *endpoint);
 void peers_tell_soon(struct peers *t);
 void peers_tell_now(struct peers *t);
+void peers_tell_rows(struct peers *t, enum store_table table, uint64_t after,
+		     uint64_t version, const struct store_row *rows, size_t n);
+uint64_t peers_reading_ms(const struct peers *t);
+size_t peers_before(const struct peers *t);
 size_t peers_alive(const struct peers *t);
 size_t peers_addresses(const struct peers *t, const char **addresses,
 		       size_t most);
--- a/proxyd/proxyd.c
+++ b/proxyd/proxyd.c
@@ -21,12 +21,17 @@
 #include "proxyd/peers.h"
 #include "proxyd/watch.h"
 
+/* A tick that comes later than this: the process itself stood still, and the
+ * silence of others in that time says nothing. */
+#define STALL_MS 60
+
 #define TICKS_PER_LOG 5 /* the log is written every 100 ms */
 
 static bool start(struct proxyd *p, const struct proxyd_world *world, char *err,
 		  size_t err_size);
 static void set_bounds(struct proxyd *p);
 static void on_tick(uv_timer_t *timer);
+static void excuse(struct proxyd *p, uint64_t stall_ms);
 static void on_stop_signal(uv_signal_t *signal, int number);
 static void on_reload_signal(uv_signal_t *signal, int number);
 static uint64_t unix_ms(void);
@@ -143,6 +148,12 @@
 	struct proxyd *p = timer->data;
 	uint64_t now = proxyd_now(p);
 
+	if (p->ticked_ms && now - p->ticked_ms > STALL_MS) {
+		excuse(p, now - p->ticked_ms);
+		p->ticked_ms = now;
+		return; /* what has come meanwhile is read first */
+	}
+	p->ticked_ms = now;
 	http1_client_tick(p->client);
 	p->store->ops->tick(p->store);
 	watches_tick(p->watches);
@@ -157,6 +168,15 @@
 		uv_stop(p->loop);
 }
 
+/* Takes the time that this process stood still out of every silence. */
+static void excuse(struct proxyd *p, uint64_t stall_ms)
+{
+	event_log(EVENT_NOTABLE, "stood-still", NULL, "{s:I}", "ms",
+		  (json_int_t)stall_ms);
+	http1_client_excuse(p->client, stall_ms);
+	exchanges_excuse(p->exchanges, stall_ms);
+}
+
 /* Begins a planned stop. */
 static void on_stop_signal(uv_signal_t *signal, int number)
 {
--- a/proxyd/proxyd.h
+++ b/proxyd/proxyd.h
@@ -45,6 +45,7 @@
 	struct http1_client *client;
 	struct routes *routes; /* in force, or NULL */
 	struct stop stop;
+	uint64_t ticked_ms; /* last tick */
 	uint64_t born_ms; /* Unix time of the start */
 	struct endpoints *endpoints;
 	struct peers *peers;
--- a/proxyd/stage.c
+++ b/proxyd/stage.c
@@ -18,7 +18,8 @@
 	    !x->route->resumable || x->sends + 1 >= x->route->attempts_max)
 		return false;
 	return repeat_spare(endpoints_budget(p->endpoints, x->service),
-			    &p->repeat, (uint32_t)peers_alive(p->peers) + 1,
+			    &p->repeat,
+			    endpoints_others(p->endpoints, x->service),
 			    proxyd_now(p));
 }
 
--- a/proxyd/store.h
+++ b/proxyd/store.h
@@ -46,6 +46,18 @@
 	const struct endpoint_entry *endpoint;
 	const struct instance_entry *instance;
 	char problem[160]; /* why it cannot be read */
+	uint64_t version; /* of this row */
+	const char *raw; /* the value as the store has it */
+	size_t raw_len;
+};
+
+/* Changes of a table that another instance has read. */
+struct store_change {
+	uint64_t after; /* version before them */
+	uint64_t version; /* version with them */
+	uint32_t back_ms; /* since the store came back, 0: it was not away */
+	struct store_row *rows; /* only key, removed, raw and raw_len are set */
+	size_t n;
 };
 
 struct store;
@@ -65,6 +77,11 @@
 				    const struct store_row *rows, size_t n,
 				    uint64_t version),
 		       void *arg);
+	/* decodes the raw values of rows and hands them to done at once */
+	void (*decode)(enum store_table table, const struct store_change *change,
+		       void (*done)(void *arg, const struct store_row *rows,
+				    size_t n),
+		       void *arg);
 	void (*put_instance)(struct store *s, const char *key,
 			     const struct instance_entry *entry,
 			     void (*done)(void *arg,
--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -13,9 +13,13 @@
 /* A caller that reads slowly stops the reading from its engine. */
 #define PENDING_MAX (256u << 10) /* bytes */
 
+/* Part of the target by which a run that was lost must begin again. */
+#define MOVE_LATER_PERCENT 65
+
 /* Weight of the newest run in the moving means. */
 #define MEAN_WEIGHT 0.1F
 
+static void move_later(struct exchange *x);
 static size_t whole_events(struct exchange *x);
 static bool take_event(struct exchange *x, const struct stream_event *event);
 static void begin(struct exchange *x);
@@ -88,7 +92,7 @@
 		return;
 	}
 	if ((x->begun && !x->route->resumable) || !exchange_repeat_allowed(x)) {
-		exchange_fail(x, 502, "the run was lost and may not move");
+		move_later(x);
 		return;
 	}
 	x->moves++;
@@ -101,6 +105,25 @@
 		exchange_seek(x);
 }
 
+/* The budget of repeats is used up.  A stream without any event waits for it
+ * while its first event may still be in time; one that was begun is broken off,
+ * and its caller goes on from its last event. */
+static void move_later(struct exchange *x)
+{
+	uint64_t until = x->received_ms +
+			 x->route->target_ms * MOVE_LATER_PERCENT / 100;
+
+	if (x->begun || x->sends >= x->route->attempts_max ||
+	    proxyd_now(x->proxyd) >= until) {
+		exchange_fail(x, 502, "the run was lost and may not move");
+		return;
+	}
+	x->phase = EXCHANGE_WAITING;
+	x->repeat_due = true;
+	x->wait_until_ms = until;
+	x->proxyd->exchanges->waiting_tokens += x->tokens;
+}
+
 /* Judges the silence of a run. */
 void stream_watch(struct exchange *x, uint64_t now)
 {
--- a/proxyd/watch.c
+++ b/proxyd/watch.c
@@ -27,6 +27,7 @@
 	struct reread reread;
 	uint64_t next_ms; /* when to call */
 	uint64_t version;
+	uint64_t behind_ms; /* since when others have a newer version; 0: no */
 	bool loaded; /* version is known, changes are followed */
 	bool busy;
 };
@@ -42,6 +43,8 @@
 	struct counter *writes;
 };
 
+static bool reads_itself(const struct watch *w, uint64_t now);
+static void take_decoded(void *arg, const struct store_row *rows, size_t n);
 static void call(struct watch *w);
 static void on_rows(void *arg, enum store_outcome outcome,
 		    const struct store_row *rows, size_t n, uint64_t version);
@@ -85,7 +88,8 @@
 	int i;
 
 	for (i = 0; i < STORE_TABLES; i++)
-		if (!w->watch[i].busy && now >= w->watch[i].next_ms)
+		if (!w->watch[i].busy && now >= w->watch[i].next_ms &&
+		    reads_itself(&w->watch[i], now))
 			call(&w->watch[i]);
 	if (!w->put && !w->put_busy && !w->leaving && now >= w->put_next_ms)
 		put_entry(w);
@@ -109,6 +113,86 @@
 	return !c->loaded && !c->reread.failures;
 }
 
+/* Tells whether this instance reads the store for others, and it answers. */
+bool watches_reading(const struct watches *w)
+{
+	const struct watch *e = &w->watch[STORE_ENDPOINTS];
+
+	return e->loaded && !e->reread.failures &&
+	       reread_designated(peers_before(w->proxyd->peers));
+}
+
+/* Returns the version of a table that is known here, 0 if none is. */
+uint64_t watches_version(const struct watches *w, enum store_table table)
+{
+	return w->watch[table].loaded ? w->watch[table].version : 0;
+}
+
+/* Returns how long ago the store came back from an outage, ms; 0 if it was not
+ * away. */
+uint32_t watches_back_ms(const struct watches *w, enum store_table table)
+{
+	uint64_t back = w->watch[table].reread.back_ms;
+
+	return back ? (uint32_t)(proxyd_now(w->proxyd) - back) + 1 : 0;
+}
+
+/* An instance that reads the store has a version of a table. */
+void watches_hear(struct watches *w, enum store_table table, uint64_t version)
+{
+	struct watch *t = &w->watch[table];
+
+	if (version <= t->version)
+		t->behind_ms = 0;
+	else if (!t->behind_ms)
+		t->behind_ms = proxyd_now(w->proxyd);
+}
+
+/* Takes changes that another instance has read, if they follow on what is
+ * known here. */
+void watches_take_change(struct watches *w, enum store_table table,
+			 const struct store_change *change)
+{
+	struct watch *t = &w->watch[table];
+
+	if (!t->loaded || change->version <= t->version ||
+	    table == STORE_CONFIGURATION)
+		return;
+	if (change->after > t->version) { /* a datagram was lost */
+		watches_hear(w, table, change->version);
+		return;
+	}
+	if (change->back_ms)
+		t->reread.back_ms =
+			proxyd_now(w->proxyd) - change->back_ms + 1;
+	w->proxyd->store->ops->decode(table, change, take_decoded, t);
+	t->version = change->version;
+	t->behind_ms = 0;
+}
+
+/* Takes rows that were decoded. */
+static void take_decoded(void *arg, const struct store_row *rows, size_t n)
+{
+	take(arg, rows, n);
+}
+
+/* Tells whether this instance asks the store for a table now, or leaves that
+ * to others who tell it. */
+static bool reads_itself(const struct watch *w, uint64_t now)
+{
+	struct proxyd *p = w->watches->proxyd;
+	const struct reread_others others = {
+		.before = peers_before(p->peers),
+		.reading_ms = peers_reading_ms(p->peers),
+		.behind_ms = w->behind_ms,
+		.instances = peers_alive(p->peers) + 1,
+	};
+
+	if (!w->loaded || w->table == STORE_CONFIGURATION)
+		return true;
+	return reread_itself(&others, now);
+}
+
 /* Reads a table, or waits for its changes. */
 static void call(struct watch *w)
 {
@@ -117,7 +201,8 @@
 	w->busy = true;
 	counter_add(w->watches->calls[w->table], 1);
 	if (w->loaded)
-		s->ops->follow(s, w->table, w->version, FOLLOW_MS, on_rows, w);
+		s->ops->follow(s, w->table, w->version,
+			       w->behind_ms ? 0 : FOLLOW_MS, on_rows, w);
 	else
 		s->ops->list(s, w->table, on_rows, w);
 }
@@ -147,10 +232,17 @@
 		event_log(EVENT_ALWAYS, "store-regained", NULL, "{s:s, s:I}",
 			  "table", store_table_name(w->table), "away_ms",
 			  (json_int_t)(now - w->reread.failed_ms));
-	w->next_ms = now + reread_after_success(&w->reread,
-						peers_alive(p->peers) + 1, now);
+	w->next_ms = now + reread_after_success(
+				   &w->reread, peers_alive(p->peers) + 1,
+				   reread_designated(peers_before(p->peers)),
+				   now);
+	if (w->loaded && n && w->table != STORE_CONFIGURATION &&
+	    reread_designated(peers_before(p->peers)))
+		peers_tell_rows(p->peers, w->table, w->version, version, rows,
+				n);
 	take(w, rows, n);
 	w->version = version;
+	w->behind_ms = 0;
 	w->loaded = true;
 }
 
