--- a/lib/http1_client.c
+++ b/lib/http1_client.c
@@ -88,6 +88,7 @@
 static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf);
 static void on_written(uv_write_t *req, int status);
 static void on_closed(uv_handle_t *h);
+static bool was_reset(const struct kept_conn *k);
 static void on_eof(struct kept_conn *k, bool orderly);
 static bool take_head(struct kept_conn *k);
 static void take_body(struct kept_conn *k, char *data, size_t len);
@@ -411,7 +412,7 @@
 	if (n == 0 || k->state == CONN_CLOSED)
 		return;
 	if (n < 0) {
-		on_eof(k, n == UV_EOF);
+		on_eof(k, n == UV_EOF && !was_reset(k));
 		return;
 	}
 	if (k->state == CONN_IDLE) { /* bytes that belong to no call */
@@ -428,6 +429,21 @@
 			return;
 }
 
+/* Tells whether a connection that seems to have ended in order was reset.
+ * libuv reports an end when a reset arrives together with the last bytes; the
+ * socket still knows better. */
+static bool was_reset(const struct kept_conn *k)
+{
+	int error = 0;
+	socklen_t len = sizeof(error);
+	uv_os_fd_t fd;
+
+	if (uv_fileno((const uv_handle_t *)&k->tcp, &fd) ||
+	    getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &len))
+		return true;
+	return error != 0;
+}
+
 /* The connection ended, in order or broken. */
 static void on_eof(struct kept_conn *k, bool orderly)
 {
--- a/policy/repeat.c
+++ b/policy/repeat.c
@@ -15,10 +15,10 @@
 #define USED_PERMILLE 880
 
 /* Below this part of the budget each instance keeps to its own share. */
-#define COMMON_PERMILLE 200
+#define COMMON_PERMILLE 350
 
 /* Part of the budget that only losses may use. */
-#define SPARE_PERMILLE 450
+#define SPARE_PERMILLE 550
 
 #define PERMILLE 1000
 
--- a/policy/reread.c
+++ b/policy/reread.c
@@ -30,6 +30,8 @@
 
 #define RETRY_MIN_MS 150
 #define RETRY_MAX_MS 800
+#define RETRY_PER_INSTANCE_MS 30
+#define RETRY_LIMIT_MS 2500 /* a change is in force within a few seconds */
 
 /* A single failed call is not an outage. */
 #define OUTAGE_FAILURES 2
@@ -54,10 +56,14 @@
 }
 
 /* Returns how long to wait before the next call, ms. */
-uint32_t reread_after_failure(struct reread *r, uint64_t now, uint64_t rnd)
+uint32_t reread_after_failure(struct reread *r, size_t instances, uint64_t now,
+			      uint64_t rnd)
 {
-	uint32_t wait = RETRY_MAX_MS;
+	uint32_t wait = RETRY_MAX_MS +
+			(uint32_t)instances * RETRY_PER_INSTANCE_MS;
 
+	if (wait > RETRY_LIMIT_MS)
+		wait = RETRY_LIMIT_MS;
 	if (!r->failures++)
 		r->failed_ms = now;
 	if (r->failures < 3)
--- a/policy/reread.h
+++ b/policy/reread.h
@@ -22,7 +22,8 @@
 
 bool reread_designated(size_t before);
 bool reread_itself(const struct reread_others *others, uint64_t now);
-uint32_t reread_after_failure(struct reread *r, uint64_t now, uint64_t rnd);
+uint32_t reread_after_failure(struct reread *r, size_t instances, uint64_t now,
+			      uint64_t rnd);
 uint32_t reread_after_success(struct reread *r, size_t instances,
 			      bool for_others, uint64_t now);
 
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -52,6 +52,51 @@
   assert(message->base.descriptor == &peer_pulse__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer_found__init
+                     (PeerFound         *message)
+{
+  static const PeerFound init_value = PEER_FOUND__INIT;
+  *message = init_value;
+}
+size_t peer_found__get_packed_size
+                     (const PeerFound *message)
+{
+  assert(message->base.descriptor == &peer_found__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer_found__pack
+                     (const PeerFound *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer_found__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer_found__pack_to_buffer
+                     (const PeerFound *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer_found__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PeerFound *
+       peer_found__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PeerFound *)
+     protobuf_c_message_unpack (&peer_found__descriptor,
+                                allocator, len, data);
+}
+void   peer_found__free_unpacked
+                     (PeerFound *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer_found__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer_use__init
                      (PeerUse         *message)
 {
@@ -277,7 +322,7 @@
   assert(message->base.descriptor == &peer_load__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor peer_pulse__field_descriptors[9] =
+static const ProtobufCFieldDescriptor peer_pulse__field_descriptors[10] =
 {
   {
     "instance",
@@ -387,10 +432,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "found",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PeerPulse, n_found),
+    offsetof(PeerPulse, found),
+    &peer_found__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer_pulse__field_indices_by_name[] = {
   1,   /* field[1] = born */
   7,   /* field[7] = endpoints_version */
+  9,   /* field[9] = found */
   0,   /* field[0] = instance */
   2,   /* field[2] = leaving */
   4,   /* field[4] = loads */
@@ -402,7 +460,7 @@
 static const ProtobufCIntRange peer_pulse__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor peer_pulse__descriptor =
 {
@@ -412,13 +470,90 @@
   "PeerPulse",
   "",
   sizeof(PeerPulse),
-  9,
+  10,
   peer_pulse__field_descriptors,
   peer_pulse__field_indices_by_name,
   1,  peer_pulse__number_ranges,
   (ProtobufCMessageInit) peer_pulse__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor peer_found__field_descriptors[4] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PeerFound, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PeerFound, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PeerFound, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zone",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PeerFound, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer_found__field_indices_by_name[] = {
+  1,   /* field[1] = address */
+  0,   /* field[0] = id */
+  2,   /* field[2] = service */
+  3,   /* field[3] = zone */
+};
+static const ProtobufCIntRange peer_found__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor peer_found__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PeerFound",
+  "PeerFound",
+  "PeerFound",
+  "",
+  sizeof(PeerFound),
+  4,
+  peer_found__field_descriptors,
+  peer_found__field_indices_by_name,
+  1,  peer_found__number_ranges,
+  (ProtobufCMessageInit) peer_found__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor peer_use__field_descriptors[3] =
 {
   {
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -16,6 +16,7 @@
 
 
 typedef struct PeerPulse PeerPulse;
+typedef struct PeerFound PeerFound;
 typedef struct PeerUse PeerUse;
 typedef struct PeerRows PeerRows;
 typedef struct PeerRow PeerRow;
@@ -64,10 +65,28 @@
    * the sender reads the store for others, and it answers
    */
   protobuf_c_boolean reading;
+  /*
+   * endpoints that the sender found without the store's word
+   */
+  size_t n_found;
+  PeerFound **found;
 };
 #define PEER_PULSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer_pulse__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL }
+
+
+struct  PeerFound
+{
+  ProtobufCMessage base;
+  char *id;
+  char *address;
+  char *service;
+  char *zone;
+};
+#define PEER_FOUND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer_found__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -193,6 +212,25 @@
 void   peer_pulse__free_unpacked
                      (PeerPulse *message,
                       ProtobufCAllocator *allocator);
+/* PeerFound methods */
+void   peer_found__init
+                     (PeerFound         *message);
+size_t peer_found__get_packed_size
+                     (const PeerFound   *message);
+size_t peer_found__pack
+                     (const PeerFound   *message,
+                      uint8_t             *out);
+size_t peer_found__pack_to_buffer
+                     (const PeerFound   *message,
+                      ProtobufCBuffer     *buffer);
+PeerFound *
+       peer_found__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer_found__free_unpacked
+                     (PeerFound *message,
+                      ProtobufCAllocator *allocator);
 /* PeerUse methods */
 void   peer_use__init
                      (PeerUse         *message);
@@ -293,6 +331,9 @@
 typedef void (*PeerPulse_Closure)
                  (const PeerPulse *message,
                   void *closure_data);
+typedef void (*PeerFound_Closure)
+                 (const PeerFound *message,
+                  void *closure_data);
 typedef void (*PeerUse_Closure)
                  (const PeerUse *message,
                   void *closure_data);
@@ -315,6 +356,7 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor peer_pulse__descriptor;
+extern const ProtobufCMessageDescriptor peer_found__descriptor;
 extern const ProtobufCMessageDescriptor peer_use__descriptor;
 extern const ProtobufCMessageDescriptor peer_rows__descriptor;
 extern const ProtobufCMessageDescriptor peer_row__descriptor;
--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -7,6 +7,7 @@
 #include "policy/room.h"
 #include "proxyd/exchange.h"
 #include "proxyd/peers.h"
+#include "proxyd/rediscover.h"
 
 /* A live endpoint completes a connection within 4 ms; a lost packet takes a
  * second, by which another endpoint has answered. */
@@ -30,6 +31,7 @@
 static void load_remove(struct exchange *x);
 static void say_sent(const struct exchange *x, const struct endpoint *e);
 static enum http1_verdict on_head(void *arg, const struct http1_head *head);
+static void note_other(struct exchange *x);
 static void on_body(void *arg, const char *data, size_t len);
 static void on_end(void *arg, enum http1_outcome outcome);
 static void plain_not_sent(struct exchange *x, struct handle at);
@@ -85,9 +87,12 @@
 	x->at = at;
 	x->from_copy = from != NULL;
 	x->sends++;
-	if (x->arrivals++)
+	if (x->arrivals++) {
 		repeat_sent(endpoints_budget(p->endpoints, x->service),
 			    &p->repeat, now);
+		if (x->engine && x->lost_ms)
+			peers_tell_urgent(p->peers);
+	}
 	x->sent_ms = now;
 	x->heard_ms = now;
 	x->first_by_ms =
@@ -205,6 +210,8 @@
 	}
 	if (!x->answer.other_endpoint)
 		endpoint_proven(p->endpoints, x->at);
+	else
+		note_other(x);
 	x->status = head->status;
 	x->unframed = http1_call_unframed(x->call);
 	x->headers.len = 0;
@@ -214,6 +221,18 @@
 	return HTTP1_TAKE;
 }
 
+/* Keeps the id of the endpoint that has the address now. */
+static void note_other(struct exchange *x)
+{
+	size_t len = x->answer.endpoint_len;
+
+	x->other_id[0] = '\0';
+	if (!x->answer.endpoint || len >= sizeof(x->other_id))
+		return;
+	memcpy(x->other_id, x->answer.endpoint, len);
+	x->other_id[len] = '\0';
+}
+
 /* A part of an answer's body. */
 static void on_body(void *arg, const char *data, size_t len)
 {
@@ -308,6 +327,8 @@
 		x->sends--;
 		exchange_avoid(x, at);
 		endpoint_misdirected(x->proxyd->endpoints, at, x->fields.id);
+		rediscover_known(x->proxyd, at, x->other_id,
+				 strlen(x->other_id));
 		if (++x->connects > ENDPOINT_AVOID_MAX)
 			exchange_refuse(x, 503, 300,
 					"no endpoint can be reached");
--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -14,16 +14,18 @@
 #include "lib/event_log.h"
 #include "lib/xalloc.h"
 #include "proxyd/exchange.h"
+#include "policy/reborn.h"
 #include "proxyd/peers.h"
 #include "proxyd/proxyd.h"
+#include "proxyd/rediscover.h"
+#include "proxyd/watch.h"
 
 /* A live endpoint completes a connection within 2 ms, 4 ms across zones. */
 #define PROBE_MS 40
 
-/* Endpoints that are down and still listed are probed this often; with many
- * instances less, since each probes for itself. */
-#define PROBE_DOWN_MS 1000
-#define PROBE_DOWN_PER_INSTANCE_MS 150
+/* An endpoint that was taken on without the store's word is listed there
+ * within this time, if the store answers and the endpoint lives. */
+#define CONFIRM_MS 4000
 
 /* An endpoint that was heard this lately lives, whatever others say. */
 #define RUMOUR_MS 100
@@ -69,6 +71,9 @@
 
 static struct service_state *service_state(struct endpoints *t,
 					   const char *service);
+static uint32_t slots_at(const struct endpoints *t, const char *address);
+static bool probe_due(const struct endpoints *t, const struct endpoint *e,
+		      bool store_answers);
 static bool doubtful(const struct endpoint *e, const struct service_state *s,
 		     uint64_t now);
 static void entry_changed(struct endpoint *e, const struct endpoint_entry *n);
@@ -138,8 +143,7 @@
 void endpoints_tick(struct endpoints *t)
 {
 	uint64_t now = proxyd_now(t->proxyd);
-	uint64_t again = PROBE_DOWN_MS + peers_alive(t->proxyd->peers) *
-						 PROBE_DOWN_PER_INSTANCE_MS;
+	bool store_answers = watches_answered(t->proxyd->watches);
 	struct endpoint *e;
 	uint32_t i = 0;
 
@@ -149,10 +153,16 @@
 			forget(t, e);
 			continue;
 		}
-		if (e->state == ENDPOINT_DOWN && !e->probe &&
+		if (e->adopted_ms && store_answers &&
+		    now - e->adopted_ms > CONFIRM_MS)
+			entry_removed(t, e, 0);
+		if (e->state == ENDPOINT_DOWN && !e->rediscovering &&
 		    lapse_takes_work(&e->lapse, now) && !e->leaving &&
-		    now - e->probed_ms >= again)
-			probe_start(t, e);
+		    probe_due(t, e, store_answers)) {
+			e->probed_ms = now;
+			counter_add(t->probes, 1);
+			rediscover(t->proxyd, e->self);
+		}
 	}
 }
 
@@ -193,11 +203,57 @@
 		for (k = 0; k < n; k++)
 			if (!strcmp(rows[k].key, e->id))
 				break;
-		if (k == n && !e->lapse.removed)
+		if (k == n && !e->lapse.removed && !e->adopted_ms)
 			entry_removed(t, e, outage_end_ms);
 	}
 }
 
+/* Takes on an endpoint that was found at an address without the store's word;
+ * those that were known there are not there any more. */
+void endpoints_adopt(struct endpoints *t, const char *id, const char *address,
+		     const char *service, const char *zone)
+{
+	struct endpoint *e = endpoint_by_id(t, id);
+	const struct endpoint_entry entry = {
+		.service = service,
+		.address = address,
+		.zone = zone,
+		.slots = slots_at(t, address),
+	};
+	struct endpoint *other;
+	uint32_t i = 0;
+
+	if (e || strlen(id) >= ENDPOINT_ID_SIZE ||
+	    strlen(address) >= ENDPOINT_ADDRESS_SIZE)
+		return;
+	e = add(t, id);
+	e->zone = zone_index(t, zone);
+	entry_changed(e, &entry);
+	e->adopted_ms = proxyd_now(t->proxyd);
+	while ((other = endpoint_next(t, &i)))
+		if (other != e && !strcmp(other->address, address))
+			endpoint_misdirected(t, other->self, NULL);
+}
+
+/* Returns the slots of an endpoint that was known at an address; 0 if none
+ * was, which bounds nothing. */
+static uint32_t slots_at(const struct endpoints *t, const char *address)
+{
+	const struct endpoint *e;
+	uint32_t i = 0;
+
+	while ((e = endpoint_next(t, &i)))
+		if (!strcmp(e->address, address))
+			return e->slots;
+	return 0;
+}
+
+/* Returns the name of a zone. */
+const char *endpoints_zone_name(const struct endpoints *t, uint16_t zone)
+{
+	return t->zones[zone];
+}
+
 /* Returns the endpoint of a handle, or NULL. */
 struct endpoint *endpoint_get(const struct endpoints *t, struct handle h)
 {
@@ -486,6 +542,7 @@
 	e->slots = n->slots;
 	e->born_ms = n->born_ms;
 	e->leaving = n->leaving;
+	e->adopted_ms = 0;
 	lapse_returned(&e->lapse);
 }
 
@@ -611,6 +668,21 @@
 			c->avoided = true;
 }
 
+/* Tells whether this instance asks the address of a dead endpoint now. */
+static bool probe_due(const struct endpoints *t, const struct endpoint *e,
+		      bool store_answers)
+{
+	uint64_t now = proxyd_now(t->proxyd);
+	const struct reborn_probe probe = {
+		.down_ms = now - e->down_ms,
+		.probed_ms_ago = now - e->probed_ms,
+		.instances = peers_alive(t->proxyd->peers) + 1,
+		.answers = store_answers,
+	};
+
+	return reborn_probe_due(&probe, proxyd_random());
+}
+
 /* Tells whether an endpoint may be dead without our knowing it. */
 static bool doubtful(const struct endpoint *e, const struct service_state *s,
 		     uint64_t now)
--- a/proxyd/endpoints.h
+++ b/proxyd/endpoints.h
@@ -52,6 +52,8 @@
 	uint64_t rumoured_ms; /* another instance said that it is dead */
 	bool unproven; /* back by a probe, without an answer since */
 	struct http1_call *probe;
+	bool rediscovering; /* its address is being asked who answers */
+	uint64_t adopted_ms; /* taken on without the store's word; 0: not */
 	struct proxyd *proxyd;
 	struct endpoint_load own;
 	struct endpoint_load others; /* of the other instances */
@@ -89,6 +91,9 @@
 struct handle endpoints_place_copy(struct endpoints *t,
 				   const struct endpoint_wish *wish,
 				   struct handle run_at);
+void endpoints_adopt(struct endpoints *t, const char *id, const char *address,
+		     const char *service, const char *zone);
+const char *endpoints_zone_name(const struct endpoints *t, uint16_t zone);
 void endpoint_lost(struct endpoints *t, struct handle h, const char *request,
 		   const char *why, bool tell);
 void endpoint_misdirected(struct endpoints *t, struct handle h,
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -74,6 +74,7 @@
 	/* the endpoint's answer */
 	int status;
 	struct answer_fields answer; /* its strings are not kept */
+	char other_id[ENDPOINT_ID_SIZE]; /* who has the address instead */
 	bool unframed; /* only the connection's end ended it */
 	struct bytes headers;
 	struct bytes body;
--- a/proxyd/peers.c
+++ b/proxyd/peers.c
@@ -23,13 +23,13 @@
 #include "proxyd/watch.h"
 
 #define LOADS_MAX 48 /* of one datagram, which fits one packet */
-#define LOST_MAX 16 /* ids of one datagram */
+#define TOLD_MAX 8 /* endpoints lost, and found, of one datagram */
 #define USES_MAX 8 /* services of one datagram */
 #define DATAGRAM_MAX 2048
 #define ROWS_MAX 16 /* rows of one datagram */
 #define ROWS_BYTES 1300 /* of rows in one datagram, which fits one packet */
 #define ROW_BYTES 24 /* of a row beside its key and value, at most */
-#define TELL_LOST_MS 2000 /* a loss is repeated in datagrams for so long */
+#define TELL_MS 2000 /* what is told is repeated in datagrams for so long */
 
 /* Losses and new runs are told at once, gathered over this time; new runs only
  * among so few that it costs little. */
@@ -63,11 +63,17 @@
 	uint64_t reading_ms; /* when it last said that it reads the store */
 };
 
-struct lost_endpoint {
+struct told_endpoint {
 	char id[ENDPOINT_ID_SIZE];
 	uint64_t at_ms;
 };
 
+/* Endpoints that datagrams speak of for a while. */
+struct told {
+	struct told_endpoint list[TOLD_MAX];
+	size_t n;
+};
+
 struct peers {
 	struct proxyd *proxyd;
 	uv_udp_t udp;
@@ -75,8 +81,8 @@
 	size_t n;
 	uint64_t told_ms;
 	uint64_t urgent_ms; /* a datagram is due then; 0: none */
-	struct lost_endpoint lost[LOST_MAX];
-	size_t n_lost;
+	struct told lost;
+	struct told found;
 	struct counter *sent;
 	struct counter *heard;
 };
@@ -90,6 +96,9 @@
 static void take_uses(struct peers *t, struct peer *peer,
 		      const PeerPulse *pulse);
 static void add_uses(struct peers *t, const struct peer *peer, int sign);
+static void tell_of(struct peers *t, struct told *told, const char *endpoint);
+static void told_expire(struct told *told, uint64_t now);
+static size_t gather_found(struct peers *t, PeerFound *found);
 static void send_all(struct peers *t, const PeerDatagram *d);
 static size_t gather_uses(struct peers *t, PeerUse *uses);
 static void take_loads(struct peers *t, struct peer *peer,
@@ -211,21 +220,41 @@
 
 /* Passes on that an endpoint was found dead. */
 void peers_tell_lost(struct peers *t, const char *endpoint)
+{
+	tell_of(t, &t->lost, endpoint);
+}
+
+/* Passes on that an endpoint was found without the store's word. */
+void peers_tell_found(struct peers *t, const char *endpoint)
+{
+	tell_of(t, &t->found, endpoint);
+}
+
+/* Adds an endpoint to what the next datagrams say. */
+static void tell_of(struct peers *t, struct told *told, const char *endpoint)
 {
 	uint64_t now = proxyd_now(t->proxyd);
-	struct lost_endpoint *l;
+	struct told_endpoint *e;
 
-	if (t->n_lost == LOST_MAX) {
-		memmove(t->lost, t->lost + 1, sizeof(*l) * (LOST_MAX - 1));
-		t->n_lost--;
+	if (told->n == TOLD_MAX) {
+		memmove(told->list, told->list + 1, sizeof(*e) * (TOLD_MAX - 1));
+		told->n--;
 	}
-	l = &t->lost[t->n_lost++];
-	snprintf(l->id, sizeof(l->id), "%s", endpoint);
-	l->at_ms = now;
+	e = &told->list[told->n++];
+	snprintf(e->id, sizeof(e->id), "%s", endpoint);
+	e->at_ms = now;
 	if (!t->urgent_ms)
 		t->urgent_ms = now + URGENT_MS;
 }
 
+/* Forgets what has been said for long enough. */
+static void told_expire(struct told *told, uint64_t now)
+{
+	while (told->n && now - told->list[0].at_ms > TELL_MS)
+		memmove(told->list, told->list + 1,
+			sizeof(told->list[0]) * --told->n);
+}
+
 /* Tells the others soon of a load that was just added. */
 void peers_tell_soon(struct peers *t)
 {
@@ -235,6 +264,14 @@
 		t->urgent_ms = now + URGENT_MS;
 }
 
+/* Tells the others within a moment: a request was sent once more after a loss,
+ * and all draw on one budget; or a configuration came into force. */
+void peers_tell_urgent(struct peers *t)
+{
+	if (!t->urgent_ms)
+		t->urgent_ms = proxyd_now(t->proxyd) + URGENT_MS;
+}
+
 /* Tells the others without waiting, as when this instance leaves. */
 void peers_tell_now(struct peers *t)
 {
@@ -330,10 +367,16 @@
 	take_uses(t, peer, pulse);
 	for (i = 0; i < pulse->n_lost; i++)
 		endpoint_rumoured(t->proxyd->endpoints, pulse->lost[i]);
+	for (i = 0; i < pulse->n_found; i++)
+		endpoints_adopt(t->proxyd->endpoints, pulse->found[i]->id,
+				pulse->found[i]->address,
+				pulse->found[i]->service,
+				pulse->found[i]->zone);
 	if (pulse->reading) {
 		peer->reading_ms = peer->presence.heard_ms;
 		watches_hear(t->proxyd->watches, STORE_ENDPOINTS,
 			     pulse->endpoints_version);
+		watches_hear_configuration(t->proxyd->watches, pulse->version);
 	}
 }
 
@@ -472,15 +515,21 @@
 	PeerUse uses[USES_MAX];
 	PeerUse *use_list[USES_MAX];
 	PeerDatagram d = PEER_DATAGRAM__INIT;
-	char *lost[LOST_MAX];
+	PeerFound found[TOLD_MAX];
+	PeerFound *found_list[TOLD_MAX];
+	char *lost[TOLD_MAX];
 	size_t i;
 
 	t->told_ms = proxyd_now(p);
 	t->urgent_ms = 0;
-	while (t->n_lost && t->told_ms - t->lost[0].at_ms > TELL_LOST_MS)
-		memmove(t->lost, t->lost + 1, sizeof(t->lost[0]) * --t->n_lost);
-	for (i = 0; i < t->n_lost; i++)
-		lost[i] = t->lost[i].id;
+	told_expire(&t->lost, t->told_ms);
+	told_expire(&t->found, t->told_ms);
+	for (i = 0; i < t->lost.n; i++)
+		lost[i] = t->lost.list[i].id;
+	pulse.n_found = gather_found(t, found);
+	for (i = 0; i < pulse.n_found; i++)
+		found_list[i] = &found[i];
+	pulse.found = found_list;
 	pulse.instance = p->settings.name;
 	pulse.born = p->born_ms;
 	pulse.leaving = !stop_ready(&p->stop);
@@ -489,7 +538,7 @@
 	for (i = 0; i < pulse.n_loads; i++)
 		load_list[i] = &loads[i];
 	pulse.loads = load_list;
-	pulse.n_lost = t->n_lost;
+	pulse.n_lost = t->lost.n;
 	pulse.lost = lost;
 	pulse.n_uses = gather_uses(t, uses);
 	for (i = 0; i < pulse.n_uses; i++)
@@ -500,7 +549,7 @@
 		watches_version(p->watches, STORE_ENDPOINTS);
 	d.pulse = &pulse;
 	if (peer_datagram__get_packed_size(&d) > DATAGRAM_MAX)
-		pulse.n_loads = LOADS_MAX / 4;
+		pulse.n_loads /= 4;
 	send_all(t, &d);
 }
 
@@ -588,6 +637,29 @@
 			counter_add(t->sent, 1);
 }
 
+/* Fills in the endpoints that were found; returns the number. */
+static size_t gather_found(struct peers *t, PeerFound *found)
+{
+	struct endpoints *endpoints = t->proxyd->endpoints;
+	size_t n = 0;
+	size_t i;
+
+	for (i = 0; i < t->found.n; i++) {
+		struct endpoint *e =
+			endpoint_by_id(endpoints, t->found.list[i].id);
+
+		if (!e)
+			continue;
+		peer_found__init(&found[n]);
+		found[n].id = e->id;
+		found[n].address = e->address;
+		found[n].service = e->service;
+		found[n++].zone =
+			(char *)endpoints_zone_name(endpoints, e->zone);
+	}
+	return n;
+}
+
 /* Fills in this instance's own requests and repeats; returns the number. */
 static size_t gather_uses(struct peers *t, PeerUse *uses)
 {
--- a/proxyd/protocol.h
+++ b/proxyd/protocol.h
@@ -45,6 +45,8 @@
 	bool authentic; /* bears the endpoint's mark */
 	bool not_run; /* the endpoint states that nothing has run */
 	bool other_endpoint; /* the address belongs to another one now */
+	const char *endpoint; /* id of who answers, or NULL */
+	size_t endpoint_len;
 	bool encoded; /* the body is not the endpoint's own bytes */
 };
 
@@ -67,6 +69,9 @@
 	/* tells the engine that a copy is not needed any more */
 	void (*encode_copy_free)(struct bytes *out, const char *engine,
 				 const char *id);
+	/* the path of an engine's report, and whether a body is one */
+	const char *report_path;
+	bool (*decode_report)(const char *text, size_t len);
 	/* the paths of the readiness and directory addresses */
 	const char *ready_path;
 	const char *directory_path;
--- a/proxyd/proxyd.c
+++ b/proxyd/proxyd.c
@@ -94,6 +94,7 @@
 		  (json_int_t)routes->n_organisations);
 	routes_unref(p->routes);
 	p->routes = routes;
+	peers_tell_urgent(p->peers);
 	desk_limits(p->desk);
 }
 
@@ -208,6 +209,7 @@
 		return;
 	}
 	p->settings.grace_s = fresh.grace_s;
+	p->settings.reuse_after_s = fresh.reuse_after_s;
 	p->settings.directory_ttl_s = fresh.directory_ttl_s;
 	p->settings.repeat_window_s = fresh.repeat_window_s;
 	p->settings.repeat_ratio = fresh.repeat_ratio;
--- a/proxyd/routes.c
+++ b/proxyd/routes.c
@@ -28,8 +28,10 @@
 		return;
 	for (i = 0; i < r->n_routes; i++)
 		route_release(&r->routes[i]);
-	for (i = 0; i < r->n_services; i++)
+	for (i = 0; i < r->n_services; i++) {
 		free(r->services[i].name);
+		free(r->services[i].health_path);
+	}
 	for (i = 0; i < r->n_organisations; i++)
 		free(r->organisations[i].name);
 	for (i = 0; i < r->n_keys; i++)
@@ -91,6 +93,17 @@
 	return NULL;
 }
 
+/* Returns how many services have engines. */
+size_t routes_engine_services(const struct routes *r)
+{
+	size_t n = 0;
+	size_t i;
+
+	for (i = 0; i < r->n_services; i++)
+		n += r->services[i].engine;
+	return n;
+}
+
 /* Draws the service of a request by the route's weights; NULL if it has
  * none. */
 const char *route_pick(const struct route *route, uint64_t rnd)
--- a/proxyd/routes.h
+++ b/proxyd/routes.h
@@ -39,6 +39,7 @@
 
 struct route_service {
 	char *name;
+	char *health_path; /* or NULL */
 	bool engine; /* a model engine, which has the fields below */
 	uint32_t slots;
 	uint32_t memory_tokens;
@@ -81,6 +82,7 @@
 					       const char *key, size_t len);
 const struct route_service *routes_service(const struct routes *r,
 					   const char *name);
+size_t routes_engine_services(const struct routes *r);
 const char *route_pick(const struct route *route, uint64_t rnd);
 
 #endif /* PROXYD_ROUTES_H */
--- a/proxyd/settings.c
+++ b/proxyd/settings.c
@@ -21,6 +21,8 @@
 	{ FIELD(peers), .type = SETTING_ADDRESS, .required = true },
 	{ FIELD(store), .type = SETTING_ADDRESS, .required = true },
 	{ FIELD(grace_s), .type = SETTING_DECIMAL, .min = 1, .max = 3600 },
+	{ FIELD(reuse_after_s), .type = SETTING_DECIMAL, .min = 0,
+	  .max = 3600 },
 	{ FIELD(directory_ttl_s), .type = SETTING_DECIMAL, .min = 1,
 	  .max = 3600 },
 	{ FIELD(repeat_window_s), .type = SETTING_DECIMAL, .min = 0.1,
@@ -41,6 +43,7 @@
 
 	memset(s, 0, sizeof(*s));
 	s->grace_s = 8;
+	s->reuse_after_s = 2;
 	s->directory_ttl_s = 2;
 	s->repeat_window_s = 10;
 	s->repeat_ratio = 0.8;
--- a/proxyd/settings.h
+++ b/proxyd/settings.h
@@ -17,6 +17,7 @@
 	char *peers; /* address for datagrams of other instances */
 	char *store; /* address of the platform's store */
 	double grace_s; /* from a stop signal to the kill */
+	double reuse_after_s; /* an endpoint's address may serve others then */
 	double directory_ttl_s; /* callers keep an answer at most so long */
 	double repeat_window_s;
 	double repeat_ratio; /* repeats for each request in a window */
--- a/proxyd/watch.c
+++ b/proxyd/watch.c
@@ -113,6 +113,16 @@
 	return !c->loaded && !c->reread.failures;
 }
 
+/* Tells whether the store answers, as far as this instance or one that reads
+ * for it knows. */
+bool watches_answered(const struct watches *w)
+{
+	const struct watch *e = &w->watch[STORE_ENDPOINTS];
+
+	return e->loaded && (!e->reread.failures ||
+			     !reads_itself(e, proxyd_now(w->proxyd)));
+}
+
 /* Tells whether this instance reads the store for others, and it answers. */
 bool watches_reading(const struct watches *w)
 {
@@ -148,6 +158,16 @@
 		t->behind_ms = proxyd_now(w->proxyd);
 }
 
+/* An instance that reads the store has a configuration of this version. */
+void watches_hear_configuration(struct watches *w, uint64_t version)
+{
+	struct watch *t = &w->watch[STORE_CONFIGURATION];
+	const struct routes *routes = w->proxyd->routes;
+
+	if (routes && version > routes->version && !t->behind_ms)
+		t->behind_ms = proxyd_now(w->proxyd);
+}
+
 /* Takes changes that another instance has read, if they follow on what is
  * known here. */
 void watches_take_change(struct watches *w, enum store_table table,
@@ -188,7 +208,7 @@
 		.instances = peers_alive(p->peers) + 1,
 	};
 
-	if (!w->loaded || w->table == STORE_CONFIGURATION)
+	if (!w->loaded)
 		return true;
 	return reread_itself(&others, now);
 }
@@ -256,8 +276,9 @@
 		event_log(EVENT_ALWAYS, "store-lost", NULL, "{s:s, s:s}",
 			  "table", store_table_name(w->table), "outcome",
 			  store_outcome_name(outcome));
-	w->next_ms = now +
-		     reread_after_failure(&w->reread, now, proxyd_random());
+	w->next_ms = now + reread_after_failure(&w->reread,
+						peers_alive(p->peers) + 1, now,
+						proxyd_random());
 }
 
 /* Takes rows into the tables. */
--- /dev/null
+++ b/regress/contract/test_http1_client.c
@@ -0,0 +1,324 @@
+/* The client with kept connections against a server that answers with scripted
+ * bytes: what counts as a whole answer, and when a connection is used again. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <setjmp.h>
+#include <cmocka.h>
+
+#include "lib/bytes.h"
+#include "lib/http1_client.h"
+#include "lib/xalloc.h"
+#include "regress/harness.h"
+
+#define HEAD "HTTP/1.1 200 OK\r\n"
+
+/* How the server ends a connection after what it wrote. */
+enum ending {
+	KEEP,
+	FIN,
+	RESET,
+};
+
+struct script {
+	const char *bytes;
+	enum ending ending;
+};
+
+struct server {
+	struct harness *harness;
+	uv_tcp_t listener;
+	const char *address;
+	struct script script;
+	unsigned accepted;
+};
+
+struct connection {
+	uv_tcp_t tcp;
+	struct server *server;
+	uv_write_t write;
+	char in[4096];
+};
+
+struct result {
+	bool over;
+	enum http1_outcome outcome;
+	int status;
+	struct bytes body;
+	const char *skip_id; /* answers with this id are skipped */
+};
+
+static struct harness *harness;
+static struct http1_client *client;
+static struct server server;
+
+static void on_closed(uv_handle_t *h)
+{
+	free(h->data);
+}
+
+static void on_written(uv_write_t *req, int status)
+{
+	struct connection *c = req->data;
+
+	(void)status;
+	if (c->server->script.ending == FIN)
+		uv_close((uv_handle_t *)&c->tcp, on_closed);
+	else if (c->server->script.ending == RESET)
+		uv_tcp_close_reset(&c->tcp, on_closed);
+}
+
+static void on_alloc(uv_handle_t *h, size_t suggested, uv_buf_t *buf)
+{
+	struct connection *c = h->data;
+
+	(void)suggested;
+	*buf = uv_buf_init(c->in, sizeof(c->in));
+}
+
+static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
+{
+	struct connection *c = stream->data;
+	uv_buf_t out;
+
+	(void)buf;
+	if (n < 0) {
+		if (!uv_is_closing((uv_handle_t *)stream))
+			uv_close((uv_handle_t *)stream, on_closed);
+		return;
+	}
+	out = uv_buf_init((char *)c->server->script.bytes,
+			  (unsigned int)strlen(c->server->script.bytes));
+	c->write.data = c;
+	uv_write(&c->write, stream, &out, 1, on_written);
+}
+
+static void on_connection(uv_stream_t *stream, int status)
+{
+	struct server *s = stream->data;
+	struct connection *c = xcalloc(1, sizeof(*c));
+
+	assert_int_equal(status, 0);
+	s->accepted++;
+	c->server = s;
+	uv_tcp_init(stream->loop, &c->tcp);
+	c->tcp.data = c;
+	assert_int_equal(uv_accept(stream, (uv_stream_t *)&c->tcp), 0);
+	uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
+}
+
+static int set_up(void **state)
+{
+	struct sockaddr_in sin;
+	unsigned port;
+
+	(void)state;
+	harness = harness_new();
+	client = http1_client_new(harness_loop(harness));
+	memset(&server, 0, sizeof(server));
+	server.address = harness_address(harness);
+	assert_int_equal(sscanf(server.address, "127.0.0.1:%u", &port), 1);
+	uv_tcp_init(harness_loop(harness), &server.listener);
+	server.listener.data = &server;
+	uv_ip4_addr("127.0.0.1", (int)port, &sin);
+	assert_int_equal(uv_tcp_bind(&server.listener,
+				     (const struct sockaddr *)&sin, 0),
+			 0);
+	assert_int_equal(uv_listen((uv_stream_t *)&server.listener, 16,
+				   on_connection),
+			 0);
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	(void)state;
+	http1_client_free(client);
+	uv_close((uv_handle_t *)&server.listener, NULL);
+	harness_run(harness, 20);
+	free(client);
+	harness_free(harness);
+	return 0;
+}
+
+static enum http1_verdict take_head(void *arg, const struct http1_head *head)
+{
+	struct result *r = arg;
+	const struct http1_header *id = http1_find(head, "id");
+
+	if (r->skip_id && id && !memcmp(id->value, r->skip_id, id->value_len))
+		return HTTP1_SKIP;
+	r->status = head->status;
+	return HTTP1_TAKE;
+}
+
+static void take_body(void *arg, const char *data, size_t len)
+{
+	bytes_add(&((struct result *)arg)->body, data, len);
+}
+
+static void take_end(void *arg, enum http1_outcome outcome)
+{
+	struct result *r = arg;
+
+	r->outcome = outcome;
+	r->over = true;
+}
+
+static bool is_over(void *arg)
+{
+	http1_client_tick(client);
+	return ((struct result *)arg)->over;
+}
+
+static void call(struct result *r, const char *address, uint32_t reuse_ms)
+{
+	static const struct http1_call_ops ops = {
+		.on_head = take_head,
+		.on_body = take_body,
+		.on_end = take_end,
+	};
+	const struct http1_call_options options = {
+		.address = address,
+		.connect_ms = 1000,
+		.reuse_ms = reuse_ms,
+	};
+	char *request = xstrdup("GET / HTTP/1.1\r\nhost: h\r\n\r\n");
+
+	http1_call_start(client, &options, request, strlen(request), &ops, r);
+	harness_until(harness, is_over, r, "the call ends");
+}
+
+static void whole_or_not(void **state)
+{
+	static const struct {
+		const char *what;
+		struct script script;
+		enum http1_outcome outcome;
+		const char *body;
+		unsigned connections; /* made by two calls in a row */
+	} cases[] = {
+		{ "sized", { HEAD "content-length: 2\r\n\r\nab", KEEP },
+		  HTTP1_COMPLETE, "ab", 1 },
+		{ "chunked",
+		  { HEAD "transfer-encoding: chunked\r\n\r\n"
+			 "1\r\na\r\n1\r\nb\r\n0\r\n\r\n",
+		    KEEP },
+		  HTTP1_COMPLETE, "ab", 1 },
+		{ "no body", { "HTTP/1.1 204 No Content\r\n\r\n", KEEP },
+		  HTTP1_COMPLETE, "", 1 },
+		{ "informational heads before the answer",
+		  { "HTTP/1.1 103 Early Hints\r\nconnection: close\r\n\r\n"
+		    "HTTP/1.1 100 Continue\r\n\r\n" HEAD
+		    "content-length: 2\r\n\r\nab",
+		    KEEP },
+		  HTTP1_COMPLETE, "ab", 1 },
+		{ "ended by the connection", { HEAD "\r\nab", FIN },
+		  HTTP1_COMPLETE, "ab", 2 },
+		{ "the same, but reset", { HEAD "\r\nab", RESET },
+		  HTTP1_BROKEN, NULL, 2 },
+		{ "sized and cut", { HEAD "content-length: 3\r\n\r\nab", FIN },
+		  HTTP1_BROKEN, NULL, 2 },
+		{ "cut between two chunks",
+		  { HEAD "transfer-encoding: chunked\r\n\r\n1\r\na\r\n", FIN },
+		  HTTP1_BROKEN, NULL, 2 },
+		{ "no answer", { "", RESET }, HTTP1_BROKEN, NULL, 2 },
+		{ "closed without an answer", { "", FIN }, HTTP1_BROKEN, NULL,
+		  2 },
+		{ "no HTTP", { "\x16\x03\x01 hello\r\n\r\n", KEEP },
+		  HTTP1_MALFORMED, NULL, 2 },
+		{ "two lengths",
+		  { HEAD "content-length: 2\r\ncontent-length: 3\r\n\r\nab",
+		    KEEP },
+		  HTTP1_MALFORMED, NULL, 2 },
+		{ "more bytes than the answer has",
+		  { HEAD "content-length: 2\r\n\r\nabEXTRA", KEEP },
+		  HTTP1_COMPLETE, "ab", 2 },
+		{ "it says that it closes",
+		  { HEAD "connection: close\r\ncontent-length: 2\r\n\r\nab",
+		    KEEP },
+		  HTTP1_COMPLETE, "ab", 2 },
+		{ "idle for less than a second only",
+		  { HEAD "keep-alive: timeout=1\r\ncontent-length: 2\r\n\r\nab",
+		    KEEP },
+		  HTTP1_COMPLETE, "ab", 2 },
+	};
+	size_t i;
+	int again;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		http1_client_free(client); /* closes what the last one kept */
+		server.accepted = 0;
+		server.script = cases[i].script;
+		for (again = 0; again < 2; again++) {
+			struct result r = { .over = false };
+
+			call(&r, server.address, 60000);
+			if (r.outcome != cases[i].outcome)
+				fail_msg("%s: %s", cases[i].what,
+					 http1_outcome_name(r.outcome));
+			if (cases[i].body) {
+				assert_int_equal(r.body.len,
+						 strlen(cases[i].body));
+				if (r.body.len)
+					assert_memory_equal(r.body.data,
+							    cases[i].body,
+							    r.body.len);
+			}
+			bytes_release(&r.body);
+			harness_run(harness, 5);
+		}
+		if (server.accepted != cases[i].connections)
+			fail_msg("%s: %u connections", cases[i].what,
+				 server.accepted);
+	}
+}
+
+/* The late answer to an earlier request stands before the one that is due. */
+static void answer_of_another_request(void **state)
+{
+	struct result r = { .skip_id = "old" };
+
+	(void)state;
+	server.script = (struct script){
+		HEAD "id: old\r\ncontent-length: 3\r\n\r\nOLD" HEAD
+		     "id: new\r\ncontent-length: 3\r\n\r\nNEW",
+		KEEP,
+	};
+	call(&r, server.address, 0);
+	assert_int_equal(r.outcome, HTTP1_COMPLETE);
+	assert_int_equal(r.body.len, 3);
+	assert_memory_equal(r.body.data, "NEW", 3);
+	bytes_release(&r.body);
+}
+
+static void nothing_sent(void **state)
+{
+	struct result refused = { .over = false };
+	struct result malformed = { .over = false };
+
+	(void)state;
+	call(&refused, harness_address(harness), 0);
+	assert_int_equal(refused.outcome, HTTP1_NOT_SENT);
+	call(&malformed, "not an address", 0);
+	assert_int_equal(malformed.outcome, HTTP1_NOT_SENT);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(whole_or_not, set_up,
+						tear_down),
+		cmocka_unit_test_setup_teardown(answer_of_another_request,
+						set_up, tear_down),
+		cmocka_unit_test_setup_teardown(nothing_sent, set_up,
+						tear_down),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/regress/unit/test_event_stream.c
@@ -0,0 +1,71 @@
+/* Streams of events are cut into whole events, however they were read. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <setjmp.h>
+#include <cmocka.h>
+
+#include "lib/event_stream.h"
+
+static const char wire[] = "id: 1\ndata: a\n\n"
+			   "weight-versions: 7\nid: 2\ndata: b\n\n"
+			   "id:3\r\ndata: c\r\n\r\n"
+			   "data: no id\n\n"
+			   "id: 4\ndata: cut";
+
+static void every_cut(void **state)
+{
+	static const int64_t ids[] = { 1, 2, 3, -1 };
+	size_t len = sizeof(wire) - 1;
+	size_t cut;
+
+	(void)state;
+	for (cut = 0; cut <= len; cut++) {
+		struct event_stream s = { 0 };
+		struct stream_event e;
+		size_t offset = 0;
+		size_t n = 0;
+
+		event_stream_add(&s, wire, cut);
+		event_stream_add(&s, wire + cut, len - cut);
+		while (event_stream_next(&s, offset, &e)) {
+			assert_true(n < 4);
+			assert_int_equal(e.has_id, ids[n] >= 0);
+			if (e.has_id)
+				assert_int_equal(e.id, ids[n]);
+			offset += e.len;
+			n++;
+		}
+		assert_int_equal(n, 4);
+		event_stream_consume(&s, offset);
+		/* the event that its endpoint left half-way stays behind */
+		assert_int_equal(s.pending.len, strlen("id: 4\ndata: cut"));
+		event_stream_release(&s);
+	}
+}
+
+static void empty(void **state)
+{
+	struct event_stream s = { 0 };
+	struct stream_event e;
+
+	(void)state;
+	assert_false(event_stream_next(&s, 0, &e));
+	event_stream_add(&s, "\n", 1);
+	assert_true(event_stream_next(&s, 0, &e));
+	assert_int_equal(e.len, 1);
+	assert_false(e.has_id);
+	event_stream_release(&s);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(every_cut),
+		cmocka_unit_test(empty),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/regress/unit/test_place.c
@@ -0,0 +1,339 @@
+/* Where runs, copies and plain calls are placed: single cases, then the load
+ * patterns that the policy answers, replayed. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <setjmp.h>
+#include <cmocka.h>
+
+#include "policy/place.h"
+#include "regress/random.h"
+
+#define ENGINES 18
+#define ZONES 3
+#define MEMORY 55000
+#define PROMPT 5200
+#define RUN_TOKENS 6400
+#define SLOTS 48
+#define PROMPT_MS 1100 /* to read a prompt alone */
+#define ANSWER_MS 4000 /* to write an answer with no prompt beside it */
+#define ALONE_MS (PROMPT_MS + ANSWER_MS)
+
+static void make_engines(struct place_candidate *c, size_t n)
+{
+	size_t i;
+
+	memset(c, 0, n * sizeof(*c));
+	for (i = 0; i < n; i++)
+		c[i] = (struct place_candidate){
+			.zone = (uint16_t)(i % ZONES),
+			.usable = true,
+			.memory_tokens = MEMORY,
+			.slots = SLOTS,
+		};
+}
+
+static void outcomes(void **state)
+{
+	const struct place_request r = { .tokens = RUN_TOKENS };
+	struct place_candidate c[2];
+
+	(void)state;
+	make_engines(c, 2);
+	c[0].usable = false;
+	c[1].usable = false;
+	assert_int_equal(place_run(&r, c, 2, 1).outcome, PLACE_NONE_USABLE);
+	c[0].usable = true;
+	c[0].avoided = true;
+	assert_int_equal(place_run(&r, c, 2, 1).outcome, PLACE_ALL_AVOIDED);
+	c[1].usable = true;
+	c[1].used_tokens = MEMORY - RUN_TOKENS + 1;
+	assert_int_equal(place_run(&r, c, 2, 1).outcome, PLACE_FULL);
+	c[1].used_tokens = MEMORY - RUN_TOKENS;
+	assert_int_equal(place_run(&r, c, 2, 1).outcome, PLACE_OK);
+	c[1].requests = SLOTS;
+	assert_int_equal(place_run(&r, c, 2, 1).outcome, PLACE_FULL);
+	assert_int_equal(place_run(&r, c, 0, 1).outcome, PLACE_NONE_USABLE);
+}
+
+/* A prompt goes where none is read and nothing runs; one in doubt is last. */
+static void prompts_keep_apart(void **state)
+{
+	const struct place_request r = { .tokens = RUN_TOKENS };
+	struct place_candidate c[3];
+	uint64_t rnd;
+
+	(void)state;
+	make_engines(c, 3);
+	c[0].requests = c[0].prefills = 1;
+	c[0].prefill_tokens = PROMPT;
+	c[1].requests = 2;
+	for (rnd = 0; rnd < 9; rnd++)
+		assert_int_equal(place_run(&r, c, 3, rnd).index, 2);
+	c[2].doubtful = true;
+	for (rnd = 0; rnd < 9; rnd++)
+		assert_int_not_equal(place_run(&r, c, 3, rnd).index, 2);
+	c[0].doubtful = c[1].doubtful = true;
+	assert_int_equal(place_run(&r, c, 3, 1).index, 2);
+}
+
+/* Copies lie in another zone and leave room for runs. */
+static void copies(void **state)
+{
+	const struct place_request r = { .tokens = RUN_TOKENS };
+	struct place_candidate c[ENGINES];
+	uint64_t rnd;
+	size_t i;
+
+	(void)state;
+	make_engines(c, ENGINES);
+	for (rnd = 0; rnd < 50; rnd++) {
+		uint32_t at = place_copy(&r, c, ENGINES, 4, rnd);
+
+		assert_true(at < ENGINES);
+		assert_int_not_equal(c[at].zone, c[4].zone);
+	}
+	for (i = 0; i < ENGINES; i++)
+		c[i].used_tokens = MEMORY - RUN_TOKENS - 1;
+	assert_int_equal(place_copy(&r, c, ENGINES, 4, 1), PLACE_NONE);
+	assert_int_equal(place_run(&r, c, ENGINES, 1).outcome, PLACE_OK);
+}
+
+/* A run settles where others run and no prompt is read. */
+static void settles_in_company(void **state)
+{
+	const struct place_request r = { .tokens = RUN_TOKENS };
+	struct place_candidate c[4];
+
+	(void)state;
+	make_engines(c, 4);
+	c[1].requests = 3;
+	c[1].used_tokens = 3 * RUN_TOKENS;
+	c[2].requests = c[2].prefills = 1;
+	assert_int_equal(place_settle(&r, c, 4, 0, 1), 1);
+	c[1].used_tokens = MEMORY - RUN_TOKENS; /* no room to grow */
+	assert_int_equal(place_settle(&r, c, 4, 0, 1), 3);
+	c[3].doubtful = true;
+	assert_int_equal(place_settle(&r, c, 4, 0, 1), PLACE_NONE);
+}
+
+/* Plain calls leave an endpoint that turned slow, or fails while it says that
+ * it is well, to the others. */
+static void plain_calls(void **state)
+{
+	const struct place_request r = { .zone = 0 };
+	struct place_candidate c[3];
+	uint64_t rnd;
+
+	(void)state;
+	make_engines(c, 3);
+	c[0].latency_ms = 80;
+	c[1].latency_ms = c[2].latency_ms = 16;
+	for (rnd = 0; rnd < 9; rnd++)
+		assert_int_not_equal(place_plain(&r, c, 3, rnd).index, 0);
+	c[0].latency_ms = 16;
+	c[0].failing_permille = 400;
+	for (rnd = 0; rnd < 9; rnd++)
+		assert_int_not_equal(place_plain(&r, c, 3, rnd).index, 0);
+	c[1].requests = c[2].requests = 9; /* better that than a long wait */
+	assert_int_equal(place_plain(&r, c, 3, 1).index, 0);
+}
+
+/* Load pattern: an instance that knows nothing yet gets the streams of a
+ * killed one.  Prompts reach the engines that they were drawn to before, in
+ * most cases, though others were loaded then. */
+static void streams_come_back(void **state)
+{
+	const struct place_request first = { .tokens = RUN_TOKENS };
+	const struct place_request again = { .tokens = RUN_TOKENS,
+					     .resumes = true };
+	struct place_candidate c[ENGINES];
+	uint64_t affinity[40][ENGINES];
+	uint32_t at[40];
+	uint32_t hits = 0;
+	struct random_source random = { .seed = 7 };
+	size_t s;
+	size_t i;
+
+	(void)state;
+	make_engines(c, ENGINES);
+	for (s = 0; s < 40; s++) {
+		for (i = 0; i < ENGINES; i++)
+			c[i].affinity = affinity[s][i] = random_next(&random);
+		at[s] = place_run(&first, c, ENGINES, s).index;
+		/* it settles elsewhere before the next one comes */
+		c[at[s]].used_tokens = 0;
+	}
+	make_engines(c, ENGINES);
+	for (s = 0; s < 40; s++) {
+		struct place_choice choice;
+
+		for (i = 0; i < ENGINES; i++)
+			c[i].affinity = affinity[s][i];
+		choice = place_run(&again, c, ENGINES, s + 99);
+		assert_int_equal(choice.outcome, PLACE_OK);
+		hits += choice.index == at[s];
+		c[choice.index].requests++;
+		c[choice.index].used_tokens += RUN_TOKENS;
+	}
+	assert_true(hits >= 20);
+}
+
+/* Load pattern: five prompts a second, each a second to read, with answers of
+ * four seconds alone; a run beside a prompt goes at an eighth of its speed.
+ * Plays a minute in steps of 10 ms and returns the mean time of an answer, in
+ * ms; settle moves runs once their prompt is read. */
+static double play(bool settle)
+{
+	enum { RUNS = 300, STEP_MS = 10 };
+	static struct {
+		uint32_t at;
+		int prompt_ms;
+		double answer_ms;
+		int begun;
+		bool over;
+	} run[RUNS];
+	const struct place_request r = { .tokens = RUN_TOKENS };
+	struct place_candidate c[ENGINES];
+	double total = 0;
+	int over = 0;
+	int now;
+	size_t n = 0;
+	size_t i;
+
+	make_engines(c, ENGINES);
+	memset(run, 0, sizeof(run));
+	for (now = 0; over < RUNS && now < 600000; now += STEP_MS) {
+		if (now % 200 == 0 && n < RUNS) {
+			struct place_choice choice =
+				place_run(&r, c, ENGINES, n);
+
+			assert_int_equal(choice.outcome, PLACE_OK);
+			run[n].at = choice.index;
+			run[n].prompt_ms = PROMPT_MS;
+			run[n].answer_ms = ANSWER_MS;
+			run[n].begun = now;
+			c[choice.index].requests++;
+			c[choice.index].prefills++;
+			c[choice.index].prefill_tokens += PROMPT;
+			c[choice.index].used_tokens += RUN_TOKENS;
+			n++;
+		}
+		for (i = 0; i < n; i++) {
+			struct place_candidate *e = &c[run[i].at];
+
+			if (run[i].over)
+				continue;
+			if (run[i].prompt_ms > 0) {
+				run[i].prompt_ms -= STEP_MS / (int)e->prefills;
+				if (run[i].prompt_ms > 0)
+					continue;
+				e->prefills--;
+				e->prefill_tokens -= PROMPT;
+				if (settle) {
+					uint32_t to = place_settle(
+						&r, c, ENGINES, run[i].at, i);
+
+					if (to != PLACE_NONE) {
+						e->requests--;
+						e->used_tokens -= RUN_TOKENS;
+						run[i].at = to;
+						c[to].requests++;
+						c[to].used_tokens += RUN_TOKENS;
+					}
+				}
+				continue;
+			}
+			run[i].answer_ms -=
+				e->prefills ? STEP_MS / 8.0 : STEP_MS;
+			if (run[i].answer_ms > 0)
+				continue;
+			run[i].over = true;
+			e->requests--;
+			e->used_tokens -= RUN_TOKENS;
+			total += now - run[i].begun;
+			over++;
+		}
+	}
+	assert_int_equal(over, RUNS);
+	return total / RUNS;
+}
+
+/* Answers of runs that settle take at most a tenth longer than alone; those of
+ * runs that stay beside prompts do not keep to that. */
+static void prompts_halt_fewer_runs(void **state)
+{
+	(void)state;
+	assert_true(play(true) < ALONE_MS * 1.1);
+	assert_true(play(false) > ALONE_MS * 1.1);
+}
+
+/* Load pattern: a zone is gone, and its streams come to the other two thirds
+ * at once from six instances, each of which knows what the others placed but
+ * for the last few.  Returns how many get an engine that is reading so many
+ * prompts already that their first event would be late. */
+static uint32_t zone_gone(uint64_t seed)
+{
+	enum { STREAMS = 24, KNOWN_AFTER = 6, IN_TIME = 4 };
+	const struct place_request r = { .tokens = RUN_TOKENS };
+	struct place_candidate known[ENGINES];
+	uint32_t placed[STREAMS];
+	uint32_t prompts[ENGINES] = { 0 };
+	struct random_source random = { .seed = seed };
+	uint32_t late = 0;
+	size_t s;
+	size_t i;
+
+	make_engines(known, ENGINES);
+	for (i = 0; i < ENGINES; i++)
+		known[i].usable = known[i].zone != 1;
+	for (s = 0; s < STREAMS; s++) {
+		if (s >= KNOWN_AFTER) {
+			struct place_candidate *e =
+				&known[placed[s - KNOWN_AFTER]];
+
+			e->requests++;
+			e->prefills++;
+			e->prefill_tokens += PROMPT;
+			e->used_tokens += RUN_TOKENS;
+		}
+		for (i = 0; i < ENGINES; i++)
+			known[i].affinity = random_next(&random);
+		placed[s] = place_run(&r, known, ENGINES, s).index;
+		assert_int_not_equal(known[placed[s]].zone, 1);
+		if (++prompts[placed[s]] > IN_TIME)
+			late++;
+	}
+	return late;
+}
+
+/* 95 in 100 of the streams of a zone that is lost stay in time. */
+static void zones_gone(void **state)
+{
+	enum { ROUNDS = 100, STREAMS = 24 };
+	uint32_t late = 0;
+	uint64_t seed;
+
+	(void)state;
+	for (seed = 1; seed <= ROUNDS; seed++)
+		late += zone_gone(seed);
+	assert_true(late * 100 <= ROUNDS * STREAMS * 5);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(outcomes),
+		cmocka_unit_test(prompts_keep_apart),
+		cmocka_unit_test(copies),
+		cmocka_unit_test(settles_in_company),
+		cmocka_unit_test(plain_calls),
+		cmocka_unit_test(streams_come_back),
+		cmocka_unit_test(prompts_halt_fewer_runs),
+		cmocka_unit_test(zones_gone),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/regress/unit/test_room.c
@@ -0,0 +1,119 @@
+/* Runs without room, planned stops, lapsed entries. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <setjmp.h>
+#include <cmocka.h>
+
+#include "policy/lapse.h"
+#include "policy/room.h"
+#include "policy/stop.h"
+
+/* Load pattern: a burst of long prompts while a zone's engines are gone.  The
+ * first wait; those that would get their first event late are refused at once,
+ * with a time to come back that grows with the queue. */
+static void burst(void **state)
+{
+	struct room r = {
+		.used_tokens = 12 * 50000,
+		.run_ms = 6000,
+		.need_tokens = 6400,
+		.first_ms = 1100,
+		.target_ms = 4500,
+	};
+	uint32_t waiting = 0;
+	uint32_t last = 0;
+	int i;
+
+	(void)state;
+	for (i = 0; i < 100; i++) {
+		struct room_verdict v;
+
+		r.waiting_tokens = (uint64_t)waiting * r.need_tokens;
+		v = room_judge(&r);
+		if (v.wait) {
+			assert_true(waiting == (uint32_t)i);
+			waiting++;
+			continue;
+		}
+		assert_true(v.retry_after_ms >= last);
+		last = v.retry_after_ms;
+	}
+	/* what waits starts in time at the rate at which runs end */
+	assert_true(waiting > 10);
+	assert_true((uint64_t)waiting * r.need_tokens * r.run_ms /
+				    r.used_tokens +
+			    r.first_ms <=
+		    r.target_ms);
+}
+
+static void no_time_left(void **state)
+{
+	const struct room late = {
+		.used_tokens = 600000,
+		.run_ms = 6000,
+		.need_tokens = 6400,
+		.first_ms = 1100,
+		.target_ms = 4500,
+		.waited_ms = 3400,
+	};
+	const struct room none_up = { .need_tokens = 6400, .target_ms = 4500 };
+
+	(void)state;
+	assert_false(room_judge(&late).wait);
+	assert_false(room_judge(&none_up).wait);
+	assert_true(room_judge(&none_up).retry_after_ms > 0);
+}
+
+static void planned_stop(void **state)
+{
+	struct stop s = { .grace_ms = 8000 };
+
+	(void)state;
+	assert_true(stop_ready(&s));
+	assert_true(stop_takes(&s, 1000000, 500));
+	assert_false(stop_ends(&s, 500, 0));
+	s.told_ms = 1000;
+	assert_false(stop_ready(&s));
+	assert_true(stop_takes(&s, 6000, 1100)); /* it ends in time */
+	assert_false(stop_takes(&s, 6000, 3000));
+	assert_true(stop_takes(&s, 200, 8000)); /* short ones still do */
+	assert_false(stop_ends(&s, 5000, 0)); /* callers keep the address */
+	assert_true(stop_ends(&s, 8500, 0));
+	assert_false(stop_ends(&s, 8500, 1));
+	assert_false(stop_cuts(&s, 8500));
+	assert_true(stop_cuts(&s, 8700)); /* before the kill */
+	assert_true(stop_ends(&s, 8700, 1));
+}
+
+static void lapsed_entries(void **state)
+{
+	struct lapse l = { 0 };
+
+	(void)state;
+	assert_true(lapse_takes_work(&l, 1000));
+	lapse_removed(&l, 0, 1000); /* the store works: it is gone */
+	assert_false(lapse_takes_work(&l, 1000));
+	lapse_returned(&l);
+	assert_true(lapse_takes_work(&l, 1100));
+	lapse_removed(&l, 5000, 5200); /* lapsed in an outage */
+	assert_true(lapse_takes_work(&l, 5300));
+	assert_true(lapse_takes_work(&l, 6900));
+	assert_false(lapse_takes_work(&l, 7100)); /* it did not come back */
+	lapse_returned(&l);
+	lapse_removed(&l, 5000, 9000); /* long after the outage */
+	assert_false(lapse_takes_work(&l, 9000));
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(burst),
+		cmocka_unit_test(no_time_left),
+		cmocka_unit_test(planned_stop),
+		cmocka_unit_test(lapsed_entries),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
