--- a/lib/http1_client.c
+++ b/lib/http1_client.c
@@ -154,7 +154,7 @@
 		    now >= k->call->connect_by_ms) {
 			call = k->call;
 			conn_close(k);
-			call_end(call, HTTP1_NOT_SENT);
+			call_end(call, HTTP1_NO_ANSWER);
 			next = TAILQ_FIRST(&c->conns); /* may have changed */
 		} else if (k->state == CONN_IDLE &&
 			   now - k->idle_since_ms >= k->idle_limit_ms) {
@@ -255,6 +255,7 @@
 	static const char *const names[] = {
 		[HTTP1_COMPLETE] = "complete",
 		[HTTP1_NOT_SENT] = "not sent",
+		[HTTP1_NO_ANSWER] = "no connection in time",
 		[HTTP1_BROKEN] = "connection broken",
 		[HTTP1_MALFORMED] = "malformed answer",
 	};
--- a/lib/http1_client.h
+++ b/lib/http1_client.h
@@ -15,6 +15,7 @@
 enum http1_outcome {
 	HTTP1_COMPLETE, /* the answer is whole */
 	HTTP1_NOT_SENT, /* no connection; the other side got nothing */
+	HTTP1_NO_ANSWER, /* the same, and nothing came within connect_ms */
 	HTTP1_BROKEN, /* the connection broke after something was sent */
 	HTTP1_MALFORMED, /* what came is no answer */
 };
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -322,7 +322,97 @@
   assert(message->base.descriptor == &peer_load__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor peer_pulse__field_descriptors[10] =
+void   peer_snapshot__init
+                     (PeerSnapshot         *message)
+{
+  static const PeerSnapshot init_value = PEER_SNAPSHOT__INIT;
+  *message = init_value;
+}
+size_t peer_snapshot__get_packed_size
+                     (const PeerSnapshot *message)
+{
+  assert(message->base.descriptor == &peer_snapshot__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer_snapshot__pack
+                     (const PeerSnapshot *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer_snapshot__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer_snapshot__pack_to_buffer
+                     (const PeerSnapshot *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer_snapshot__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PeerSnapshot *
+       peer_snapshot__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PeerSnapshot *)
+     protobuf_c_message_unpack (&peer_snapshot__descriptor,
+                                allocator, len, data);
+}
+void   peer_snapshot__free_unpacked
+                     (PeerSnapshot *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer_snapshot__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer_instance__init
+                     (PeerInstance         *message)
+{
+  static const PeerInstance init_value = PEER_INSTANCE__INIT;
+  *message = init_value;
+}
+size_t peer_instance__get_packed_size
+                     (const PeerInstance *message)
+{
+  assert(message->base.descriptor == &peer_instance__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer_instance__pack
+                     (const PeerInstance *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer_instance__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer_instance__pack_to_buffer
+                     (const PeerInstance *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer_instance__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PeerInstance *
+       peer_instance__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PeerInstance *)
+     protobuf_c_message_unpack (&peer_instance__descriptor,
+                                allocator, len, data);
+}
+void   peer_instance__free_unpacked
+                     (PeerInstance *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer_instance__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor peer_pulse__field_descriptors[11] =
 {
   {
     "instance",
@@ -444,9 +534,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "capacity",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PeerPulse, capacity),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer_pulse__field_indices_by_name[] = {
   1,   /* field[1] = born */
+  10,   /* field[10] = capacity */
   7,   /* field[7] = endpoints_version */
   9,   /* field[9] = found */
   0,   /* field[0] = instance */
@@ -460,7 +563,7 @@
 static const ProtobufCIntRange peer_pulse__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor peer_pulse__descriptor =
 {
@@ -470,7 +573,7 @@
   "PeerPulse",
   "",
   sizeof(PeerPulse),
-  10,
+  11,
   peer_pulse__field_descriptors,
   peer_pulse__field_indices_by_name,
   1,  peer_pulse__number_ranges,
@@ -926,3 +1029,157 @@
   (ProtobufCMessageInit) peer_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor peer_snapshot__field_descriptors[3] =
+{
+  {
+    "routes",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(PeerSnapshot, routes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoints",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PeerSnapshot, n_endpoints),
+    offsetof(PeerSnapshot, endpoints),
+    &peer_found__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "instances",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PeerSnapshot, n_instances),
+    offsetof(PeerSnapshot, instances),
+    &peer_instance__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer_snapshot__field_indices_by_name[] = {
+  1,   /* field[1] = endpoints */
+  2,   /* field[2] = instances */
+  0,   /* field[0] = routes */
+};
+static const ProtobufCIntRange peer_snapshot__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor peer_snapshot__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PeerSnapshot",
+  "PeerSnapshot",
+  "PeerSnapshot",
+  "",
+  sizeof(PeerSnapshot),
+  3,
+  peer_snapshot__field_descriptors,
+  peer_snapshot__field_indices_by_name,
+  1,  peer_snapshot__number_ranges,
+  (ProtobufCMessageInit) peer_snapshot__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer_instance__field_descriptors[5] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PeerInstance, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "callers",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PeerInstance, callers),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "peers",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PeerInstance, peers),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "control",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PeerInstance, control),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "zone",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PeerInstance, zone),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer_instance__field_indices_by_name[] = {
+  1,   /* field[1] = callers */
+  3,   /* field[3] = control */
+  0,   /* field[0] = name */
+  2,   /* field[2] = peers */
+  4,   /* field[4] = zone */
+};
+static const ProtobufCIntRange peer_instance__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor peer_instance__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PeerInstance",
+  "PeerInstance",
+  "PeerInstance",
+  "",
+  sizeof(PeerInstance),
+  5,
+  peer_instance__field_descriptors,
+  peer_instance__field_indices_by_name,
+  1,  peer_instance__number_ranges,
+  (ProtobufCMessageInit) peer_instance__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -22,6 +22,8 @@
 typedef struct PeerRow PeerRow;
 typedef struct PeerDatagram PeerDatagram;
 typedef struct PeerLoad PeerLoad;
+typedef struct PeerSnapshot PeerSnapshot;
+typedef struct PeerInstance PeerInstance;
 
 
 /* --- enums --- */
@@ -70,10 +72,14 @@
    */
   size_t n_found;
   PeerFound **found;
+  /*
+   * share of a core, in thousandths; the largest read the store for others
+   */
+  uint32_t capacity;
 };
 #define PEER_PULSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer_pulse__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0 }
 
 
 struct  PeerFound
@@ -193,6 +199,40 @@
     , 0, 0, 0, 0, 0 }
 
 
+/*
+ * What an instance that starts gets from another one while the store is away.
+ */
+struct  PeerSnapshot
+{
+  ProtobufCMessage base;
+  /*
+   * RoutePacked; empty: none is known
+   */
+  ProtobufCBinaryData routes;
+  size_t n_endpoints;
+  PeerFound **endpoints;
+  size_t n_instances;
+  PeerInstance **instances;
+};
+#define PEER_SNAPSHOT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer_snapshot__descriptor) \
+    , {0,NULL}, 0,NULL, 0,NULL }
+
+
+struct  PeerInstance
+{
+  ProtobufCMessage base;
+  char *name;
+  char *callers;
+  char *peers;
+  char *control;
+  char *zone;
+};
+#define PEER_INSTANCE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer_instance__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
 /* PeerPulse methods */
 void   peer_pulse__init
                      (PeerPulse         *message);
@@ -326,6 +366,44 @@
 void   peer_load__free_unpacked
                      (PeerLoad *message,
                       ProtobufCAllocator *allocator);
+/* PeerSnapshot methods */
+void   peer_snapshot__init
+                     (PeerSnapshot         *message);
+size_t peer_snapshot__get_packed_size
+                     (const PeerSnapshot   *message);
+size_t peer_snapshot__pack
+                     (const PeerSnapshot   *message,
+                      uint8_t             *out);
+size_t peer_snapshot__pack_to_buffer
+                     (const PeerSnapshot   *message,
+                      ProtobufCBuffer     *buffer);
+PeerSnapshot *
+       peer_snapshot__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer_snapshot__free_unpacked
+                     (PeerSnapshot *message,
+                      ProtobufCAllocator *allocator);
+/* PeerInstance methods */
+void   peer_instance__init
+                     (PeerInstance         *message);
+size_t peer_instance__get_packed_size
+                     (const PeerInstance   *message);
+size_t peer_instance__pack
+                     (const PeerInstance   *message,
+                      uint8_t             *out);
+size_t peer_instance__pack_to_buffer
+                     (const PeerInstance   *message,
+                      ProtobufCBuffer     *buffer);
+PeerInstance *
+       peer_instance__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer_instance__free_unpacked
+                     (PeerInstance *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*PeerPulse_Closure)
@@ -349,6 +427,12 @@
 typedef void (*PeerLoad_Closure)
                  (const PeerLoad *message,
                   void *closure_data);
+typedef void (*PeerSnapshot_Closure)
+                 (const PeerSnapshot *message,
+                  void *closure_data);
+typedef void (*PeerInstance_Closure)
+                 (const PeerInstance *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -362,6 +446,8 @@
 extern const ProtobufCMessageDescriptor peer_row__descriptor;
 extern const ProtobufCMessageDescriptor peer_datagram__descriptor;
 extern const ProtobufCMessageDescriptor peer_load__descriptor;
+extern const ProtobufCMessageDescriptor peer_snapshot__descriptor;
+extern const ProtobufCMessageDescriptor peer_instance__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -34,7 +34,8 @@
 static void note_other(struct exchange *x);
 static void on_body(void *arg, const char *data, size_t len);
 static void on_end(void *arg, enum http1_outcome outcome);
-static void plain_not_sent(struct exchange *x, struct handle at);
+static void plain_not_sent(struct exchange *x, struct handle at,
+			   enum http1_outcome outcome);
 static void plain_broken(struct exchange *x, struct handle at,
 			 enum http1_outcome outcome);
 static void plain_answered(struct exchange *x, struct handle at);
@@ -261,7 +262,8 @@
 	load_remove(x);
 	switch (outcome) {
 	case HTTP1_NOT_SENT:
-		plain_not_sent(x, at);
+	case HTTP1_NO_ANSWER:
+		plain_not_sent(x, at, outcome);
 		break;
 	case HTTP1_COMPLETE:
 		plain_answered(x, at);
@@ -273,7 +275,8 @@
 }
 
 /* No connection: nothing has run, and another endpoint may have it. */
-static void plain_not_sent(struct exchange *x, struct handle at)
+static void plain_not_sent(struct exchange *x, struct handle at,
+			   enum http1_outcome outcome)
 {
 	x->sends--;
 	x->connects++;
@@ -281,8 +284,7 @@
 		repeat_not_sent(
 			endpoints_budget(x->proxyd->endpoints, x->service));
 	exchange_avoid(x, at);
-	endpoint_lost(x->proxyd->endpoints, at, x->fields.id, "no connection",
-		      true);
+	endpoint_unreachable(x->proxyd->endpoints, at, x->fields.id, outcome);
 	if (!x->caller)
 		exchange_over(x, "left by caller");
 	else if (x->connects > ENDPOINT_AVOID_MAX)
--- a/proxyd/desk.c
+++ b/proxyd/desk.c
@@ -15,6 +15,7 @@
 #include "proxyd/exchange.h"
 #include "proxyd/peers.h"
 #include "proxyd/proxyd.h"
+#include "proxyd/snapshot.h"
 
 #define ADDRESSES_MAX 64 /* callers read no more */
 #define DIRECTORY_TTL_S 2 /* callers learn of a stop within this time */
@@ -63,6 +64,8 @@
 				err_size) ||
 	    http1_server_listen(d->services, p->settings.directory, err,
 				err_size) ||
+	    http1_server_listen(d->services, p->settings.control, err,
+				err_size) ||
 	    http1_server_listen(d->services, p->settings.metrics, err,
 				err_size))
 		return NULL; /* the process ends */
@@ -115,6 +118,10 @@
 		serve_directory(d, c, &r->head);
 	else if (path_is(&r->head, "/metrics"))
 		serve_metrics(c);
+	else if (path_is(&r->head, SNAPSHOT_CONFIGURATION_PATH))
+		snapshot_serve_configuration(d->proxyd->snapshots, c);
+	else if (path_is(&r->head, SNAPSHOT_ALL_PATH))
+		snapshot_serve_all(d->proxyd->snapshots, c);
 	else
 		http1_reply(c, 404, NULL, "", 0);
 }
--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -14,6 +14,7 @@
 #include "lib/event_log.h"
 #include "lib/xalloc.h"
 #include "proxyd/exchange.h"
+#include "policy/own_fault.h"
 #include "policy/reborn.h"
 #include "proxyd/peers.h"
 #include "proxyd/proxyd.h"
@@ -65,6 +66,7 @@
 	struct place_candidate *candidates; /* of one choice */
 	struct handle *candidate_handles;
 	size_t candidates_size;
+	struct own_fault own_fault;
 	struct counter *probes;
 	struct counter *losses;
 };
@@ -353,10 +355,33 @@
 	return chosen == PLACE_NONE ? none : t->candidate_handles[chosen];
 }
 
-/* Takes an endpoint for dead: its runs move, nothing goes there until a probe
- * is answered or its entry changes.  tell passes it on to other instances. */
+/* No connection to an endpoint could be had.  It is taken for dead, unless
+ * others fell silent with it in a way that points to this instance. */
+void endpoint_unreachable(struct endpoints *t, struct handle h,
+			  const char *request, enum http1_outcome outcome)
+{
+	struct endpoint *e = endpoint_get(t, h);
+	uint64_t now = proxyd_now(t->proxyd);
+
+	if (!e)
+		return;
+	if (outcome == HTTP1_NO_ANSWER) {
+		own_fault_silence(&t->own_fault, e->zone, now);
+		if (own_fault_likely(&t->own_fault, now)) {
+			event_log(EVENT_NOTABLE, "own-fault", request,
+				  "{s:s, s:I}", "endpoint", e->id,
+				  "heard_ms_ago",
+				  (json_int_t)(now - e->heard_ms));
+			return;
+		}
+	}
+	endpoint_lost(t, h, request, http1_outcome_name(outcome));
+}
+
+/* Takes an endpoint for dead: its runs move, nothing goes there until it is
+ * heard again or its entry changes.  Other instances are told. */
 void endpoint_lost(struct endpoints *t, struct handle h, const char *request,
-		   const char *why, bool tell)
+		   const char *why)
 {
 	struct endpoint *e = endpoint_get(t, h);
 
@@ -371,8 +396,7 @@
 		  "{s:s, s:s, s:s, s:I}", "endpoint", e->id, "address",
 		  e->address, "why", why, "heard_ms_ago",
 		  (json_int_t)(e->down_ms - e->heard_ms));
-	if (tell)
-		peers_tell_lost(t->proxyd->peers, e->id);
+	peers_tell_lost(t->proxyd->peers, e->id);
 	exchanges_endpoint_lost(t->proxyd->exchanges, h);
 }
 
@@ -716,8 +740,8 @@
 	struct endpoints *t = e->proxyd->endpoints;
 
 	e->probe = NULL;
-	if (outcome == HTTP1_NOT_SENT)
-		endpoint_lost(t, e->self, NULL, "no connection", true);
+	if (outcome == HTTP1_NOT_SENT || outcome == HTTP1_NO_ANSWER)
+		endpoint_unreachable(t, e->self, NULL, outcome);
 	else
 		endpoint_alive(t, e->self);
 }
--- a/proxyd/endpoints.h
+++ b/proxyd/endpoints.h
@@ -5,6 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "lib/http1_client.h"
 #include "lib/slots.h"
 #include "policy/lapse.h"
 #include "policy/place.h"
@@ -95,7 +96,9 @@
 		     const char *service, const char *zone);
 const char *endpoints_zone_name(const struct endpoints *t, uint16_t zone);
 void endpoint_lost(struct endpoints *t, struct handle h, const char *request,
-		   const char *why, bool tell);
+		   const char *why);
+void endpoint_unreachable(struct endpoints *t, struct handle h,
+			  const char *request, enum http1_outcome outcome);
 void endpoint_misdirected(struct endpoints *t, struct handle h,
 			  const char *request);
 void endpoint_alive(struct endpoints *t, struct handle h);
--- a/proxyd/peers.c
+++ b/proxyd/peers.c
@@ -51,7 +51,11 @@
 struct peer {
 	TAILQ_ENTRY(peer) link;
 	char *name;
-	char *callers;
+	char *callers; /* addresses */
+	char *control;
+	char *peers;
+	char *zone;
+	uint32_t capacity; /* share of a core, in thousandths */
 	struct sockaddr_in address;
 	struct presence presence;
 	bool alive; /* as it was last judged, for the log */
@@ -96,6 +100,8 @@
 static void take_uses(struct peers *t, struct peer *peer,
 		      const PeerPulse *pulse);
 static void add_uses(struct peers *t, const struct peer *peer, int sign);
+static bool comes_before(const struct peers *t, const struct peer *peer);
+static uint32_t own_capacity(const struct peers *t);
 static void tell_of(struct peers *t, struct told *told, const char *endpoint);
 static void told_expire(struct told *told, uint64_t now);
 static size_t gather_found(struct peers *t, PeerFound *found);
@@ -191,7 +197,13 @@
 		t->n++;
 	}
 	free(peer->callers);
+	free(peer->control);
+	free(peer->peers);
+	free(peer->zone);
 	peer->callers = xstrdup(row->instance->callers);
+	peer->control = xstrdup(row->instance->control);
+	peer->peers = xstrdup(row->instance->peers);
+	peer->zone = xstrdup(row->instance->zone);
 	uv_ip4_addr(host, port, &peer->address);
 	peer->presence.leaving = false;
 	peer->presence.listed_ms = proxyd_now(t->proxyd);
@@ -362,6 +374,7 @@
 	peer->born_ms = pulse->born;
 	peer->presence.heard_ms = proxyd_now(t->proxyd);
 	peer->presence.leaving = pulse->leaving;
+	peer->capacity = pulse->capacity;
 	peer->presence.configured = pulse->version != 0;
 	take_loads(t, peer, pulse);
 	take_uses(t, peer, pulse);
@@ -376,7 +389,8 @@
 		peer->reading_ms = peer->presence.heard_ms;
 		watches_hear(t->proxyd->watches, STORE_ENDPOINTS,
 			     pulse->endpoints_version);
-		watches_hear_configuration(t->proxyd->watches, pulse->version);
+		watches_hear_configuration(t->proxyd->watches, pulse->version,
+					   peer->control);
 	}
 }
 
@@ -502,6 +516,9 @@
 	t->n--;
 	free(peer->name);
 	free(peer->callers);
+	free(peer->control);
+	free(peer->peers);
+	free(peer->zone);
 	free(peer);
 }
 
@@ -544,6 +561,7 @@
 	for (i = 0; i < pulse.n_uses; i++)
 		use_list[i] = &uses[i];
 	pulse.uses = use_list;
+	pulse.capacity = own_capacity(t);
 	pulse.reading = watches_reading(p->watches);
 	pulse.endpoints_version =
 		watches_version(p->watches, STORE_ENDPOINTS);
@@ -605,18 +623,60 @@
 }
 
 /* Returns how many of the instances that live come before this one in the
- * order of their names. */
+ * order in which they read the store. */
 size_t peers_before(const struct peers *t)
 {
 	const struct peer *peer;
 	size_t n = 0;
 
 	TAILQ_FOREACH(peer, &t->list, link)
-		n += peer->alive &&
-		     strcmp(peer->name, t->proxyd->settings.name) < 0;
+		n += peer->alive && comes_before(t, peer);
 	return n;
 }
 
+/* Fills in all instances that are known, this one too, for one that starts;
+ * the strings are lent.  Returns the number. */
+size_t peers_list(const struct peers *t, struct peer_info *list, size_t most)
+{
+	const struct proxyd_settings *s = &t->proxyd->settings;
+	const struct peer *peer;
+	size_t n = 0;
+
+	if (most)
+		list[n++] = (struct peer_info){
+			.name = s->name,
+			.entry = { .callers = s->callers,
+				   .peers = s->peers,
+				   .control = s->control,
+				   .zone = s->zone },
+		};
+	TAILQ_FOREACH(peer, &t->list, link)
+		if (n < most && peer->alive)
+			list[n++] = (struct peer_info){
+				.name = peer->name,
+				.entry = { .callers = peer->callers,
+					   .peers = peer->peers,
+					   .control = peer->control,
+					   .zone = peer->zone },
+			};
+	return n;
+}
+
+/* Tells whether another instance is to read the store rather than this one:
+ * those with the largest share of a core come first. */
+static bool comes_before(const struct peers *t, const struct peer *peer)
+{
+	if (peer->capacity != own_capacity(t))
+		return peer->capacity > own_capacity(t);
+	return strcmp(peer->name, t->proxyd->settings.name) < 0;
+}
+
+/* Returns this instance's share of a core, in thousandths. */
+static uint32_t own_capacity(const struct peers *t)
+{
+	return (uint32_t)(t->proxyd->settings.capacity * 1000);
+}
+
 /* Sends a datagram to every other instance.  One may be lost: what it says
  * comes again, or is missed by its version. */
 static void send_all(struct peers *t, const PeerDatagram *d)
--- a/proxyd/peers.h
+++ b/proxyd/peers.h
@@ -10,6 +10,12 @@
 struct peers;
 struct proxyd;
 
+/* An instance as others tell of it. */
+struct peer_info {
+	const char *name;
+	struct instance_entry entry;
+};
+
 struct peers *peers_new(struct proxyd *p, char *err, size_t err_size);
 void peers_free(struct peers *t);
 void peers_tick(struct peers *t);
@@ -23,6 +29,7 @@
 void peers_tell_rows(struct peers *t, enum store_table table, uint64_t after,
 		     uint64_t version, const struct store_row *rows, size_t n);
 uint64_t peers_reading_ms(const struct peers *t);
+size_t peers_list(const struct peers *t, struct peer_info *list, size_t most);
 size_t peers_before(const struct peers *t);
 size_t peers_alive(const struct peers *t);
 size_t peers_addresses(const struct peers *t, const char **addresses,
--- a/proxyd/proxyd.c
+++ b/proxyd/proxyd.c
@@ -19,6 +19,7 @@
 #include "proxyd/endpoints.h"
 #include "proxyd/exchange.h"
 #include "proxyd/peers.h"
+#include "proxyd/snapshot.h"
 #include "proxyd/watch.h"
 
 /* A tick that comes later than this: the process itself stood still, and the
@@ -94,6 +95,7 @@
 		  (json_int_t)routes->n_organisations);
 	routes_unref(p->routes);
 	p->routes = routes;
+	snapshots_changed(p->snapshots);
 	peers_tell_urgent(p->peers);
 	desk_limits(p->desk);
 }
@@ -109,6 +111,7 @@
 	p->endpoints = endpoints_new(p);
 	p->exchanges = exchanges_new(p);
 	p->watches = watches_new(p);
+	p->snapshots = snapshots_new(p);
 	p->peers = peers_new(p, err, err_size);
 	if (!p->peers)
 		return false;
--- a/proxyd/proxyd.h
+++ b/proxyd/proxyd.h
@@ -20,6 +20,7 @@
 struct endpoints;
 struct exchanges;
 struct peers;
+struct snapshots;
 struct watches;
 
 /* How the process speaks with the world outside of it. */
@@ -50,6 +51,7 @@
 	struct endpoints *endpoints;
 	struct peers *peers;
 	struct watches *watches;
+	struct snapshots *snapshots;
 	struct exchanges *exchanges;
 	struct desk *desk;
 	bool ending;
--- a/proxyd/settings.c
+++ b/proxyd/settings.c
@@ -5,8 +5,6 @@
 
 #include <string.h>
 
-#include "lib/settings.h"
-
 #define FIELD(name) \
 	.key = #name, .offset = offsetof(struct proxyd_settings, name)
 
@@ -19,6 +17,9 @@
 	{ FIELD(directory), .type = SETTING_ADDRESS, .required = true },
 	{ FIELD(metrics), .type = SETTING_ADDRESS, .required = true },
 	{ FIELD(peers), .type = SETTING_ADDRESS, .required = true },
+	{ FIELD(control), .type = SETTING_ADDRESS, .required = true },
+	{ FIELD(seeds), .type = SETTING_STRINGS },
+	{ FIELD(capacity), .type = SETTING_DECIMAL, .min = 0, .max = 1024 },
 	{ FIELD(store), .type = SETTING_ADDRESS, .required = true },
 	{ FIELD(grace_s), .type = SETTING_DECIMAL, .min = 1, .max = 3600 },
 	{ FIELD(reuse_after_s), .type = SETTING_DECIMAL, .min = 0,
@@ -43,6 +44,7 @@
 
 	memset(s, 0, sizeof(*s));
 	s->grace_s = 8;
+	s->capacity = 1;
 	s->reuse_after_s = 2;
 	s->directory_ttl_s = 2;
 	s->repeat_window_s = 10;
--- a/proxyd/settings.h
+++ b/proxyd/settings.h
@@ -5,6 +5,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "lib/settings.h"
+
 /* Settings of an instance, from a file in TOML (cdmproxyd.toml(5)). */
 struct proxyd_settings {
 	char *name; /* of the instance */
@@ -15,6 +17,9 @@
 	char *directory; /* address that says where to connect */
 	char *metrics; /* address */
 	char *peers; /* address for datagrams of other instances */
+	char *control; /* address for whole answers to other instances */
+	struct string_list seeds; /* control addresses of some instances */
+	double capacity; /* share of a core that the process has */
 	char *store; /* address of the platform's store */
 	double grace_s; /* from a stop signal to the kill */
 	double reuse_after_s; /* an endpoint's address may serve others then */
--- /dev/null
+++ b/proxyd/snapshot.c
@@ -0,0 +1,296 @@
+/*
+ * What instances hand to each other whole: the configuration, and to one that
+ * starts while the store is away all that they know.
+ */
+#include "proxyd/snapshot.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "lib/bytes.h"
+#include "lib/event_log.h"
+#include "lib/http1_client.h"
+#include "lib/http1_server.h"
+#include "lib/xalloc.h"
+#include "proto/peer.pb-c.h"
+#include "proxyd/endpoints.h"
+#include "proxyd/peers.h"
+#include "proxyd/proxyd.h"
+#include "proxyd/routes_wire.h"
+#include "proxyd/watch.h"
+
+#define CONNECT_MS 300
+#define ANSWER_MAX (16u << 20) /* bytes */
+#define ENDPOINTS_MAX 8192
+#define INSTANCES_MAX 1024
+
+struct fetch {
+	struct snapshots *snapshots;
+	struct http1_call *call; /* NULL: none under way */
+	int status;
+	struct bytes body;
+	bool all; /* a snapshot, not the configuration alone */
+};
+
+struct snapshots {
+	struct proxyd *proxyd;
+	struct bytes packed; /* the configuration in force, once asked for */
+	struct fetch fetch;
+	size_t next_seed;
+};
+
+static void packed_make(struct snapshots *s);
+static void fetch_start(struct snapshots *s, const char *address,
+			const char *path, bool all);
+static enum http1_verdict on_head(void *arg, const struct http1_head *head);
+static void on_body(void *arg, const char *data, size_t len);
+static void on_end(void *arg, enum http1_outcome outcome);
+static bool take_configuration(struct snapshots *s, const void *data,
+			       size_t len);
+static bool take_all(struct snapshots *s, const void *data, size_t len);
+static size_t fill_endpoints(struct proxyd *p, PeerFound *list);
+static size_t fill_instances(struct proxyd *p, PeerInstance *list);
+
+static const struct http1_call_ops ops = {
+	.on_head = on_head,
+	.on_body = on_body,
+	.on_end = on_end,
+};
+
+/* Makes the part. */
+struct snapshots *snapshots_new(struct proxyd *p)
+{
+	struct snapshots *s = xcalloc(1, sizeof(*s));
+
+	s->proxyd = p;
+	s->fetch.snapshots = s;
+	return s;
+}
+
+/* Another configuration is in force. */
+void snapshots_changed(struct snapshots *s)
+{
+	s->packed.len = 0;
+}
+
+/* Answers another instance with the configuration in force. */
+void snapshot_serve_configuration(struct snapshots *s, struct http1_conn *c)
+{
+	packed_make(s);
+	http1_reply(c, s->packed.len ? 200 : 503, NULL, s->packed.data,
+		    s->packed.len);
+}
+
+/* Answers an instance that starts with all that is known here. */
+void snapshot_serve_all(struct snapshots *s, struct http1_conn *c)
+{
+	PeerSnapshot all = PEER_SNAPSHOT__INIT;
+	PeerFound *endpoints = xcalloc(ENDPOINTS_MAX, sizeof(*endpoints));
+	PeerInstance *instances = xcalloc(INSTANCES_MAX, sizeof(*instances));
+	PeerFound **endpoint_list =
+		xcalloc(ENDPOINTS_MAX, sizeof(*endpoint_list));
+	PeerInstance **instance_list =
+		xcalloc(INSTANCES_MAX, sizeof(*instance_list));
+	uint8_t *out;
+	size_t len;
+	size_t i;
+
+	packed_make(s);
+	all.routes.data = (uint8_t *)s->packed.data;
+	all.routes.len = s->packed.len;
+	all.n_endpoints = fill_endpoints(s->proxyd, endpoints);
+	for (i = 0; i < all.n_endpoints; i++)
+		endpoint_list[i] = &endpoints[i];
+	all.endpoints = endpoint_list;
+	all.n_instances = fill_instances(s->proxyd, instances);
+	for (i = 0; i < all.n_instances; i++)
+		instance_list[i] = &instances[i];
+	all.instances = instance_list;
+	len = peer_snapshot__get_packed_size(&all);
+	out = xcalloc(len, 1);
+	peer_snapshot__pack(&all, out);
+	http1_reply(c, s->packed.len ? 200 : 503, NULL, out, len);
+	free(out);
+	free(instance_list);
+	free(endpoint_list);
+	free(instances);
+	free(endpoints);
+}
+
+/* Fetches the configuration of another instance, which has a newer one. */
+void snapshot_fetch_configuration(struct snapshots *s, const char *control)
+{
+	if (!s->fetch.call)
+		fetch_start(s, control, SNAPSHOT_CONFIGURATION_PATH, false);
+}
+
+/* Fetches all from another instance, as the store does not answer and nothing
+ * is known yet; each call asks the next one of the seeds. */
+void snapshot_fetch_all(struct snapshots *s)
+{
+	const struct string_list *seeds = &s->proxyd->settings.seeds;
+	const char *seed;
+
+	if (s->fetch.call || !seeds->n)
+		return;
+	seed = seeds->items[s->next_seed++ % seeds->n];
+	if (strcmp(seed, s->proxyd->settings.control) != 0)
+		fetch_start(s, seed, SNAPSHOT_ALL_PATH, true);
+}
+
+/* Packs the configuration in force, unless that was done. */
+static void packed_make(struct snapshots *s)
+{
+	if (!s->packed.len && s->proxyd->routes)
+		routes_pack(s->proxyd->routes, &s->packed);
+}
+
+/* Sends a request to another instance. */
+static void fetch_start(struct snapshots *s, const char *address,
+			const char *path, bool all)
+{
+	const struct http1_call_options options = {
+		.address = address,
+		.connect_ms = CONNECT_MS,
+		.silent_s = 1,
+	};
+	struct bytes out = { 0 };
+
+	bytes_addf(&out, "GET %s HTTP/1.1\r\nhost: %s\r\nconnection: close\r\n\r\n",
+		   path, address);
+	s->fetch.status = 0;
+	s->fetch.all = all;
+	s->fetch.body.len = 0;
+	s->fetch.call = http1_call_start(s->proxyd->client, &options, out.data,
+					 out.len, &ops, &s->fetch);
+}
+
+/* The head of an answer. */
+static enum http1_verdict on_head(void *arg, const struct http1_head *head)
+{
+	struct fetch *f = arg;
+
+	f->status = head->status;
+	return HTTP1_TAKE;
+}
+
+/* A part of an answer. */
+static void on_body(void *arg, const char *data, size_t len)
+{
+	struct fetch *f = arg;
+
+	if (f->body.len + len <= ANSWER_MAX)
+		bytes_add(&f->body, data, len);
+}
+
+/* An answer is whole, or none came. */
+static void on_end(void *arg, enum http1_outcome outcome)
+{
+	struct fetch *f = arg;
+	struct snapshots *s = f->snapshots;
+	bool taken = false;
+
+	f->call = NULL;
+	if (outcome == HTTP1_COMPLETE && f->status == 200)
+		taken = f->all ? take_all(s, f->body.data, f->body.len)
+			       : take_configuration(s, f->body.data,
+						    f->body.len);
+	if (!taken)
+		event_log(EVENT_NOTABLE, "fetch-failed", NULL,
+			  "{s:s, s:i, s:b}", "outcome",
+			  http1_outcome_name(outcome), "status", f->status,
+			  "all", f->all);
+	if (!taken && !f->all)
+		watches_configuration_missed(s->proxyd->watches);
+	bytes_release(&f->body);
+}
+
+/* Takes a configuration; false if the bytes are not one. */
+static bool take_configuration(struct snapshots *s, const void *data,
+			       size_t len)
+{
+	struct routes *routes = routes_unpack(data, len);
+
+	if (routes)
+		proxyd_adopt(s->proxyd, routes);
+	return routes != NULL;
+}
+
+/* Takes all that another instance knows; false if the bytes are not that. */
+static bool take_all(struct snapshots *s, const void *data, size_t len)
+{
+	struct proxyd *p = s->proxyd;
+	PeerSnapshot *all = peer_snapshot__unpack(NULL, len, data);
+	bool taken = all && take_configuration(s, all->routes.data,
+					       all->routes.len);
+	size_t i;
+
+	if (!taken) {
+		if (all)
+			peer_snapshot__free_unpacked(all, NULL);
+		return false;
+	}
+	for (i = 0; i < all->n_endpoints; i++)
+		endpoints_adopt(p->endpoints, all->endpoints[i]->id,
+				all->endpoints[i]->address,
+				all->endpoints[i]->service,
+				all->endpoints[i]->zone);
+	for (i = 0; i < all->n_instances; i++) {
+		const struct instance_entry entry = {
+			.callers = all->instances[i]->callers,
+			.peers = all->instances[i]->peers,
+			.control = all->instances[i]->control,
+			.zone = all->instances[i]->zone,
+		};
+		const struct store_row row = {
+			.key = all->instances[i]->name,
+			.instance = &entry,
+		};
+
+		peers_take_row(p->peers, &row);
+	}
+	event_log(EVENT_ALWAYS, "started-from-peer", NULL, "{s:I, s:I}",
+		  "endpoints", (json_int_t)all->n_endpoints, "instances",
+		  (json_int_t)all->n_instances);
+	peer_snapshot__free_unpacked(all, NULL);
+	return true;
+}
+
+/* Fills in the endpoints that take work; returns the number. */
+static size_t fill_endpoints(struct proxyd *p, PeerFound *list)
+{
+	struct endpoint *e;
+	uint32_t i = 0;
+	size_t n = 0;
+
+	while (n < ENDPOINTS_MAX && (e = endpoint_next(p->endpoints, &i))) {
+		if (e->state == ENDPOINT_OTHER || e->leaving ||
+		    !lapse_takes_work(&e->lapse, proxyd_now(p)))
+			continue;
+		peer_found__init(&list[n]);
+		list[n].id = e->id;
+		list[n].address = e->address;
+		list[n].service = e->service;
+		list[n++].zone =
+			(char *)endpoints_zone_name(p->endpoints, e->zone);
+	}
+	return n;
+}
+
+/* Fills in the instances that live; returns the number. */
+static size_t fill_instances(struct proxyd *p, PeerInstance *list)
+{
+	static struct peer_info known[INSTANCES_MAX];
+	size_t n = peers_list(p->peers, known, INSTANCES_MAX);
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		peer_instance__init(&list[i]);
+		list[i].name = (char *)known[i].name;
+		list[i].callers = (char *)known[i].entry.callers;
+		list[i].peers = (char *)known[i].entry.peers;
+		list[i].control = (char *)known[i].entry.control;
+		list[i].zone = (char *)known[i].entry.zone;
+	}
+	return n;
+}
--- a/proxyd/store.h
+++ b/proxyd/store.h
@@ -34,6 +34,7 @@
 struct instance_entry {
 	const char *callers; /* address */
 	const char *peers; /* address */
+	const char *control; /* address */
 	const char *zone;
 };
 
--- a/proxyd/watch.c
+++ b/proxyd/watch.c
@@ -15,6 +15,7 @@
 #include "proxyd/endpoints.h"
 #include "proxyd/peers.h"
 #include "proxyd/proxyd.h"
+#include "proxyd/snapshot.h"
 
 #define FOLLOW_MS 25000 /* the store keeps a call waiting for 30 s at most */
 
@@ -158,13 +159,23 @@
 		t->behind_ms = proxyd_now(w->proxyd);
 }
 
-/* An instance that reads the store has a configuration of this version. */
-void watches_hear_configuration(struct watches *w, uint64_t version)
+/* An instance that reads the store has a configuration of this version; it is
+ * fetched from there, or read from the store if that fails. */
+void watches_hear_configuration(struct watches *w, uint64_t version,
+				const char *control)
 {
-	struct watch *t = &w->watch[STORE_CONFIGURATION];
 	const struct routes *routes = w->proxyd->routes;
 
-	if (routes && version > routes->version && !t->behind_ms)
+	if (routes && version > routes->version)
+		snapshot_fetch_configuration(w->proxyd->snapshots, control);
+}
+
+/* The configuration that another instance has could not be fetched. */
+void watches_configuration_missed(struct watches *w)
+{
+	struct watch *t = &w->watch[STORE_CONFIGURATION];
+
+	if (t->loaded && !t->behind_ms)
 		t->behind_ms = proxyd_now(w->proxyd);
 }
 
@@ -276,6 +287,8 @@
 		event_log(EVENT_ALWAYS, "store-lost", NULL, "{s:s, s:s}",
 			  "table", store_table_name(w->table), "outcome",
 			  store_outcome_name(outcome));
+	if (w->table == STORE_CONFIGURATION && !p->routes)
+		snapshot_fetch_all(p->snapshots);
 	w->next_ms = now + reread_after_failure(&w->reread,
 						peers_alive(p->peers) + 1, now,
 						proxyd_random());
@@ -329,6 +342,7 @@
 	const struct instance_entry entry = {
 		.callers = p->settings.callers,
 		.peers = p->settings.peers,
+		.control = p->settings.control,
 		.zone = p->settings.zone,
 	};
 
--- a/proxyd/watch.h
+++ b/proxyd/watch.h
@@ -19,7 +19,9 @@
 uint64_t watches_version(const struct watches *w, enum store_table table);
 uint32_t watches_back_ms(const struct watches *w, enum store_table table);
 void watches_hear(struct watches *w, enum store_table table, uint64_t version);
-void watches_hear_configuration(struct watches *w, uint64_t version);
+void watches_hear_configuration(struct watches *w, uint64_t version,
+				const char *control);
+void watches_configuration_missed(struct watches *w);
 void watches_take_change(struct watches *w, enum store_table table,
 			 const struct store_change *change);
 
