--- a/lib/http1_client.c
+++ b/lib/http1_client.c
@@ -117,11 +117,11 @@
 	struct kept_conn *k;
 	struct http1_call *call;
 
-	while ((call = TAILQ_FIRST(&c->stillborn))) /* NOLINT */
-		http1_call_cancel(call);
-	while ((k = TAILQ_FIRST(&c->conns))) { /* NOLINT */
+	while ((call = TAILQ_FIRST(&c->stillborn)))
+		http1_call_cancel(call); /* NOLINT */
+	while ((k = TAILQ_FIRST(&c->conns))) {
 		if (k->call)
-			http1_call_cancel(k->call);
+			http1_call_cancel(k->call); /* NOLINT */
 		else
 			conn_close(k);
 	}
--- a/proxyd/desk.c
+++ b/proxyd/desk.c
@@ -72,14 +72,6 @@
 	return d;
 }
 
-/* Closes all addresses and connections. */
-void desk_free(struct desk *d)
-{
-	http1_server_free(d->callers);
-	http1_server_free(d->services);
-	free(d);
-}
-
 /* Closes connections that were idle for too long. */
 void desk_tick(struct desk *d)
 {
--- a/proxyd/desk.h
+++ b/proxyd/desk.h
@@ -7,7 +7,6 @@
 struct proxyd;
 
 struct desk *desk_new(struct proxyd *p, char *err, size_t err_size);
-void desk_free(struct desk *d);
 void desk_tick(struct desk *d);
 void desk_limits(struct desk *d);
 void desk_leave(struct desk *d);
--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -120,26 +120,6 @@
 	return t;
 }
 
-/* Frees the table; no probe may be open any more. */
-void endpoints_free(struct endpoints *t)
-{
-	struct endpoint *e;
-	uint32_t i = 0;
-	size_t k;
-
-	while ((e = endpoint_next(t, &i)))
-		forget(t, e);
-	for (k = 0; k < t->n_zones; k++)
-		free(t->zones[k]);
-	for (k = 0; k < t->n_services; k++)
-		free(t->services[k].service);
-	free(t->services);
-	free(t->candidates);
-	free(t->candidate_handles);
-	slots_release(&t->table);
-	free(t);
-}
-
 /* Probes what is down, ends probes that hang, forgets what is long gone. */
 void endpoints_tick(struct endpoints *t)
 {
--- a/proxyd/endpoints.h
+++ b/proxyd/endpoints.h
@@ -73,7 +73,6 @@
 };
 
 struct endpoints *endpoints_new(struct proxyd *p);
-void endpoints_free(struct endpoints *t);
 void endpoints_tick(struct endpoints *t);
 void endpoints_take_row(struct endpoints *t, const struct store_row *row,
 			uint64_t outage_end_ms);
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -93,19 +93,6 @@
 	return t;
 }
 
-/* Frees the table and what is still in it.  The analyzer does not see that a
- * freed item is out of the list. */
-void exchanges_free(struct exchanges *t)
-{
-	struct exchange *x;
-
-	while ((x = TAILQ_FIRST(&t->list))) { /* NOLINT */
-		attempt_cancel(x);
-		free_exchange(t, x);
-	}
-	free(t);
-}
-
 /* Ends what is late, starts what waits, judges silence. */
 void exchanges_tick(struct exchanges *t)
 {
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -119,7 +119,6 @@
 };
 
 struct exchanges *exchanges_new(struct proxyd *p);
-void exchanges_free(struct exchanges *t);
 void exchanges_tick(struct exchanges *t);
 void exchanges_excuse(struct exchanges *t, uint64_t stall_ms);
 void exchanges_start(struct exchanges *t, struct http1_conn *caller,
--- a/proxyd/peers.c
+++ b/proxyd/peers.c
@@ -150,16 +150,6 @@
 	return t;
 }
 
-/* Forgets all instances; the loop closes the address. */
-void peers_free(struct peers *t)
-{
-	struct peer *peer;
-
-	while ((peer = TAILQ_FIRST(&t->list)))
-		forget(t, peer);
-	free(t);
-}
-
 /* Tells the others at intervals, or at once of a loss; judges who lives. */
 void peers_tick(struct peers *t)
 {
--- a/proxyd/peers.h
+++ b/proxyd/peers.h
@@ -17,7 +17,6 @@
 };
 
 struct peers *peers_new(struct proxyd *p, char *err, size_t err_size);
-void peers_free(struct peers *t);
 void peers_tick(struct peers *t);
 void peers_take_row(struct peers *t, const struct store_row *row);
 void peers_keep_only(struct peers *t, const struct store_row *rows, size_t n);
--- a/proxyd/store.h
+++ b/proxyd/store.h
@@ -94,7 +94,6 @@
 					     enum store_outcome outcome),
 				void *arg);
 	void (*tick)(struct store *s); /* ends calls whose time is up */
-	void (*free)(struct store *s);
 };
 
 struct store {
--- a/proxyd/watch.c
+++ b/proxyd/watch.c
@@ -77,12 +77,6 @@
 	return w;
 }
 
-/* Frees the watches; the store's calls must have been cancelled. */
-void watches_free(struct watches *w)
-{
-	free(w);
-}
-
 /* Makes the calls that are due. */
 void watches_tick(struct watches *w)
 {
