New runs are told at once among up to 128 instances

Cause: at 91 instances loads were up to 1.3 s old, in which 56 prompts were placed unseen: first event in the median after 2.5 to 2.95 s.

--- a/proxyd/peers.c
+++ b/proxyd/peers.c
@@ -34,7 +34,7 @@
 /* Losses and new runs are told at once, gathered over this time; new runs only
  * among so few that it costs little. */
 #define URGENT_MS 20
-#define URGENT_PEERS_MAX 16
+#define URGENT_PEERS_MAX 128
 
 struct peer_load {
 	uint64_t endpoint; /* hash of its id */
