A fault soak of cdmproxyd: real processes, faults from outside, seeds

Three instances, a store and seven workers behind the fault proxy; kills, pauses, stops, cut, frozen and one-way links, resets, lying workers, store outages, new configurations, in series and overlapping. Promises are checked from what callers and workers see.

--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 TESTS =
 BENCHES =
 FUZZERS =
+SOAKS =
 
 all: programs
 
@@ -48,7 +49,7 @@
 ALL_OBJS += $$($(1)_OBJS)
 endef
 
-$(foreach p,$(sort $(PROGS) $(TESTS) $(BENCHES) $(FUZZERS)),\
+$(foreach p,$(sort $(PROGS) $(TESTS) $(BENCHES) $(FUZZERS) $(SOAKS)),\
 	$(eval $(call PROGRAM,$(p))))
 
 programs: $(addprefix $(O)/bin/,$(PROGS))
@@ -111,6 +112,15 @@
 
 fuzzers: $(addprefix $(O)/bin/,$(FUZZERS))
 
+# The fault soak: seeds 1 to SEEDS, or those named in SEED, each for SECONDS;
+# and every seed that ever failed.
+SEEDS = 4
+SECONDS = 10
+SEED = $(shell seq 1 $(SEEDS)) $(shell sed -n 's/^\([0-9]*\).*/\1/p' \
+	regress/soak/seeds)
+soak: programs $(addprefix $(O)/bin/,$(SOAKS))
+	@sh regress/soak/run.sh $(O) $(SECONDS) $(sort $(SEED))
+
 # Proofs under failure: all, or `make prove T=name`.
 T = $(basename $(notdir $(wildcard regress/integration/test_*.c)))
 prove: programs tests
@@ -158,5 +168,5 @@
 
 .PHONY: all programs tests benches fuzzers check check-built bench demo fuzz \
 	prove format format-check lint tidy cppcheck man-check docs-check \
-	platform-check \
+	platform-check soak \
 	clean setup proto-gen
--- a/lib/event_stream.c
+++ b/lib/event_stream.c
@@ -9,7 +9,7 @@
 #define ID_DIGITS_MAX 18 /* no overflow of 64 bits */
 
 static size_t event_length(const char *data, size_t len);
-static void read_id(struct stream_event *event);
+static void read_id(struct whole_event *event);
 
 /* Adds bytes as they were read. */
 void event_stream_add(struct event_stream *s, const char *data, size_t len)
@@ -19,7 +19,7 @@
 
 /* Finds the whole event that begins at an offset; false if there is none. */
 bool event_stream_next(const struct event_stream *s, size_t offset,
-		       struct stream_event *event)
+		       struct whole_event *event)
 {
 	if (offset >= s->pending.len)
 		return false;
@@ -61,7 +61,7 @@
 }
 
 /* Reads the number in the event's id line, if it has one. */
-static void read_id(struct stream_event *event)
+static void read_id(struct whole_event *event)
 {
 	const char *p = event->data;
 	const char *end = p + event->len;
--- a/lib/event_stream.h
+++ b/lib/event_stream.h
@@ -12,7 +12,7 @@
 	struct bytes pending; /* begins with an event, whole or not */
 };
 
-struct stream_event {
+struct whole_event {
 	const char *data; /* with the empty line that ends it */
 	size_t len;
 	bool has_id;
@@ -21,7 +21,7 @@
 
 void event_stream_add(struct event_stream *s, const char *data, size_t len);
 bool event_stream_next(const struct event_stream *s, size_t offset,
-		       struct stream_event *event);
+		       struct whole_event *event);
 void event_stream_consume(struct event_stream *s, size_t len);
 void event_stream_release(struct event_stream *s);
 
--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -21,7 +21,7 @@
 
 static void move_later(struct exchange *x);
 static size_t whole_events(struct exchange *x);
-static bool take_event(struct exchange *x, const struct stream_event *event);
+static bool take_event(struct exchange *x, const struct whole_event *event);
 static void begin(struct exchange *x);
 static void first_event(struct exchange *x, uint64_t now);
 static void heard(struct exchange *x, uint64_t now);
@@ -181,7 +181,7 @@
  * the caller has are dropped. */
 static size_t whole_events(struct exchange *x)
 {
-	struct stream_event event;
+	struct whole_event event;
 	size_t n = 0;
 
 	while (event_stream_next(&x->stream, n, &event)) {
@@ -200,7 +200,7 @@
 }
 
 /* Notes an event's position; false if the caller has it already. */
-static bool take_event(struct exchange *x, const struct stream_event *event)
+static bool take_event(struct exchange *x, const struct whole_event *event)
 {
 	if (!event->has_id)
 		return true;
--- a/regress/fuzz/fuzz_event_stream.c
+++ b/regress/fuzz/fuzz_event_stream.c
@@ -7,7 +7,7 @@
 /* Returns the number of whole events and the sum of their lengths. */
 static size_t read_all(const struct event_stream *s, size_t *length)
 {
-	struct stream_event e;
+	struct whole_event e;
 	size_t n = 0;
 
 	*length = 0;
--- a/regress/integration/test_proxyd.c
+++ b/regress/integration/test_proxyd.c
@@ -306,8 +306,8 @@
 	size_t i = world->n_arrivals;
 
 	while (i--)
-		if (!strcmp(world->arrivals[i].target, "/write/a"))
-			return world->arrivals[i].worker;
+		if (!strcmp(world->arrivals[i]->target, "/write/a"))
+			return world->arrivals[i]->worker;
 	fail_msg("no stream has arrived");
 	return NULL;
 }
@@ -372,8 +372,8 @@
 		harness_run(harness, 10);
 		for (i = 0; i < world->n_arrivals; i++)
 			closed = closed ||
-				 (world->arrivals[i].worker == engine &&
-				  world->arrivals[i].closed);
+				 (world->arrivals[i]->worker == engine &&
+				  world->arrivals[i]->closed);
 	}
 	assert_true(closed);
 }
@@ -439,7 +439,7 @@
 	for (i = 0; i < 12; i++)
 		assert_int_equal(status_of("GET", "/look/a", key, 1), 200);
 	for (i = before; i < world->n_arrivals; i++)
-		assert_ptr_equal(world->arrivals[i].worker, stays);
+		assert_ptr_equal(world->arrivals[i]->worker, stays);
 }
 
 /* The store is away: requests are served on, and an instance that starts gets
--- a/regress/platform_standin.c
+++ b/regress/platform_standin.c
@@ -50,7 +50,7 @@
 static struct standin_arrival *record(struct standin_worker *worker,
 				      const struct http1_request *r);
 static void serve_plain(struct standin_worker *worker, struct http1_conn *c,
-			const char *id);
+			struct standin_arrival *a, const char *id);
 static void serve_stream(struct standin_worker *worker, struct http1_conn *c,
 			 struct standin_arrival *a, const char *id);
 static void on_event(uv_timer_t *timer);
@@ -71,16 +71,24 @@
 struct standin_world *standin_new(struct harness *h)
 {
 	struct standin_world *w = xcalloc(1, sizeof(*w));
-	char err[256];
 
 	w->harness = h;
 	w->rows = json_array();
 	w->version = 1;
 	w->store_address = harness_address(h);
-	w->store = http1_server_new(harness_loop(h), &store_ops, w);
+	w->store_public = w->store_address;
+	standin_start_store(w);
+	return w;
+}
+
+/* The store listens, with the rows that it had. */
+void standin_start_store(struct standin_world *w)
+{
+	char err[256];
+
+	w->store = http1_server_new(harness_loop(w->harness), &store_ops, w);
 	if (http1_server_listen(w->store, w->store_address, err, sizeof(err)))
 		fail_msg("%s", err);
-	return w;
 }
 
 /* Frees a world; the processes that use it must have ended. */
@@ -93,10 +101,12 @@
 		standin_kill(&w->workers[i]);
 	harness_run(w->harness, 20);
 	for (i = 0; i < w->n_arrivals; i++) {
-		free(w->arrivals[i].head);
-		free(w->arrivals[i].target);
-		free(w->arrivals[i].body);
+		free(w->arrivals[i]->head);
+		free(w->arrivals[i]->target);
+		free(w->arrivals[i]->body);
+		free(w->arrivals[i]);
 	}
+	free(w->arrivals);
 	json_decref(w->rows);
 	free(w);
 }
@@ -180,7 +190,6 @@
 				      const char *service, const char *zone)
 {
 	struct standin_worker *worker = &w->workers[w->n_workers];
-	char err[256];
 
 	assert_true(w->n_workers < STANDIN_WORKERS_MAX);
 	worker->world = w;
@@ -188,13 +197,25 @@
 	worker->service = service;
 	worker->zone = zone;
 	worker->address = harness_address(w->harness);
-	worker->server =
-		http1_server_new(harness_loop(w->harness), &worker_ops, worker);
+	worker->public_address = worker->address;
+	standin_restart(worker, worker->id);
+	return worker;
+}
+
+/* Starts a worker, again if it was killed, and announces it as ready. */
+void standin_restart(struct standin_worker *worker, const char *id)
+{
+	char copy[sizeof(worker->id)];
+	char err[256];
+
+	snprintf(copy, sizeof(copy), "%s", id);
+	memcpy(worker->id, copy, sizeof(copy));
+	worker->server = http1_server_new(harness_loop(worker->world->harness),
+					  &worker_ops, worker);
 	if (http1_server_listen(worker->server, worker->address, err,
 				sizeof(err)))
 		fail_msg("%s", err);
 	standin_announce(worker, "ready");
-	return worker;
 }
 
 /* Writes the worker's entry. */
@@ -204,7 +225,7 @@
 		"{\"backend\":\"%s\",\"address\":\"%s\","
 		"\"zone\":\"%s\",\"version\":\"v1\",\"slots\":16,"
 		"\"state\":\"%s\",\"born\":1000}",
-		worker->service, worker->address, worker->zone, state);
+		worker->service, worker->public_address, worker->zone, state);
 
 	standin_put(worker->world, "servers", worker->id, text);
 	free(text);
@@ -250,7 +271,7 @@
 const struct standin_arrival *standin_last(const struct standin_world *w)
 {
 	assert_true(w->n_arrivals > 0);
-	return &w->arrivals[w->n_arrivals - 1];
+	return w->arrivals[w->n_arrivals - 1];
 }
 
 /* Tells whether a header line, in lower case, came with a request. */
@@ -284,7 +305,7 @@
 		"metrics = \"%s\"\ncontrol = \"%s\"\npeers = \"%s\"\n"
 		"store = \"%s\"\nseeds = [\"%s\"]\ngrace_s = 2\n",
 		name, in->callers, in->readiness, in->directory, in->metrics,
-		in->control, in->peers, w->store_address,
+		in->control, in->peers, w->store_public,
 		seed ? seed : in->control);
 }
 
@@ -529,7 +550,7 @@
 		 worker->mood == STANDIN_SERVES)
 		serve_stream(worker, c, a, id);
 	else
-		serve_plain(worker, c, id);
+		serve_plain(worker, c, a, id);
 	free(expected);
 	free(id);
 }
@@ -551,11 +572,13 @@
 				      const struct http1_request *r)
 {
 	struct standin_world *w = worker->world;
-	struct standin_arrival *a = &w->arrivals[w->n_arrivals++];
+	struct standin_arrival *a = xcalloc(1, sizeof(*a));
 	struct bytes head = { 0 };
 	size_t i;
 
-	assert_true(w->n_arrivals < STANDIN_ARRIVALS_MAX);
+	w->arrivals = xreallocarray(w->arrivals, w->n_arrivals + 1,
+				    sizeof(a)); /* NOLINT: of pointers */
+	w->arrivals[w->n_arrivals++] = a;
 	bytes_add(&head, "\n", 1);
 	for (i = 0; i < r->head.n_headers; i++) {
 		const struct http1_header *h = &r->head.headers[i];
@@ -576,13 +599,14 @@
 
 /* Answers a plain call as the worker's mood is. */
 static void serve_plain(struct standin_worker *worker, struct http1_conn *c,
-			const char *id)
+			struct standin_arrival *a, const char *id)
 {
 	char headers[512];
 	const char *body = "plain answer";
 
 	snprintf(headers, sizeof(headers),
 		 MARK "request-id: %s\r\nx-own: 1\r\n", id);
+	a->ran = worker->mood != STANDIN_FULL && worker->mood != STANDIN_OTHER;
 	switch (worker->mood) {
 	case STANDIN_SERVES:
 		http1_reply(c, 200, headers, body, strlen(body));
@@ -625,6 +649,7 @@
 	const char *after = strstr(a->head, "\nlast-event-id: ");
 	char headers[256];
 
+	a->ran = true;
 	s->conn = c;
 	s->worker = worker;
 	s->arrival = a;
--- a/regress/platform_standin.h
+++ b/regress/platform_standin.h
@@ -12,7 +12,6 @@
  * workers of one engine service and one plain service. */
 
 #define STANDIN_WORKERS_MAX 8
-#define STANDIN_ARRIVALS_MAX 256
 #define STANDIN_EVENTS 30 /* of a whole stream */
 #define STANDIN_EVENT_MS 15
 
@@ -34,7 +33,8 @@
 struct standin_worker {
 	struct standin_world *world;
 	char id[32];
-	const char *address;
+	const char *address; /* where it listens */
+	const char *public_address; /* in its entry; a proxy may lie between */
 	const char *service; /* "engine" or "plain" */
 	const char *zone;
 	enum standin_mood mood;
@@ -48,12 +48,14 @@
 	char *target;
 	char *body;
 	size_t body_len;
+	bool ran; /* the worker began to work on it */
 	bool closed; /* the caller's side left before the end */
 };
 
 struct standin_world {
 	struct harness *harness;
-	const char *store_address;
+	const char *store_address; /* where it listens */
+	const char *store_public; /* in settings; a proxy may lie between */
 	struct http1_server *store;
 	bool store_refuses; /* 503 to everything */
 	json_t *rows; /* of all tables */
@@ -63,7 +65,7 @@
 	json_int_t waiting_after[64];
 	struct standin_worker workers[STANDIN_WORKERS_MAX];
 	size_t n_workers;
-	struct standin_arrival arrivals[STANDIN_ARRIVALS_MAX];
+	struct standin_arrival **arrivals;
 	size_t n_arrivals;
 	struct standin_stream *streams;
 };
@@ -82,7 +84,9 @@
 				      const char *service, const char *zone);
 void standin_announce(struct standin_worker *worker, const char *state);
 void standin_kill(struct standin_worker *worker);
+void standin_restart(struct standin_worker *worker, const char *id);
 void standin_stop_store(struct standin_world *w);
+void standin_start_store(struct standin_world *w);
 const struct standin_arrival *standin_last(const struct standin_world *w);
 bool standin_head_has(const struct standin_arrival *a, const char *line);
 
--- /dev/null
+++ b/regress/soak/soak_proxyd.c
@@ -0,0 +1,519 @@
+/*
+ * The fault soak of cdmproxyd: three instances as separate processes, a store
+ * and workers behind a fault proxy, callers that keep coming, and faults from
+ * outside in series and overlapping, drawn from a seed.  Meanwhile and at the
+ * end the promises are checked from what callers and workers saw.
+ *
+ * usage: soak_proxyd SEED SECONDS
+ */
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <setjmp.h>
+#include <cmocka.h>
+
+#include "lib/bytes.h"
+#include "lib/event_stream.h"
+#include "lib/http1_client.h"
+#include "lib/xalloc.h"
+#include "regress/platform_standin.h"
+#include "regress/random.h"
+
+#define INSTANCES 3
+#define WORKERS 7
+#define STEP_MS 20
+#define CALLS_MAX 64 /* open at once */
+#define FAULT_MS 350 /* between two faults, about */
+#define SETTLE_MS 3000 /* without faults, at the end */
+#define FAULT_MAPPINGS (WORKERS + 1)
+
+enum call_kind {
+	CALL_BOOKING,
+	CALL_LOOKUP,
+	CALL_STREAM,
+	CALL_KINDS,
+};
+
+/* A request of a caller. */
+struct call {
+	bool open;
+	char id[24];
+	enum call_kind kind;
+	struct http1_call *http;
+	int status;
+	struct bytes body;
+	struct event_stream stream;
+	uint64_t last_event;
+	uint64_t started_ms;
+};
+
+/* A fault that ends later. */
+struct ending {
+	uint64_t at_ms;
+	void (*end)(size_t what);
+	size_t what;
+};
+
+static struct harness *harness;
+static struct standin_world *world;
+static struct http1_client *client;
+static struct random_source random_numbers;
+static struct standin_instance instances[INSTANCES];
+static bool running[INSTANCES]; /* and not paused or told to stop */
+static const char *fault_control;
+static const char *mapped[FAULT_MAPPINGS]; /* addresses that it listens at */
+static struct ending endings[64];
+static struct call calls[CALLS_MAX];
+static unsigned n_calls;
+static unsigned served[CALL_KINDS];
+static unsigned faults;
+static int version = 2;
+
+static uint64_t now_ms(void)
+{
+	return uv_now(harness_loop(harness));
+}
+
+static uint32_t draw(uint32_t n)
+{
+	return random_below(&random_numbers, n);
+}
+
+/* Notes that a fault ends after some time. */
+static void later(uint32_t ms, void (*end)(size_t what), size_t what)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(endings) / sizeof(endings[0]); i++) {
+		if (endings[i].end)
+			continue;
+		endings[i] = (struct ending){ now_ms() + ms, end, what };
+		return;
+	}
+	end(what);
+}
+
+static void end_faults(bool all)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(endings) / sizeof(endings[0]); i++) {
+		struct ending e = endings[i];
+
+		if (!e.end || (!all && now_ms() < e.at_ms))
+			continue;
+		endings[i].end = NULL;
+		e.end(e.what);
+	}
+}
+
+static void worker_returns(size_t i)
+{
+	static unsigned start;
+	char id[24];
+
+	if (world->workers[i].server)
+		return;
+	snprintf(id, sizeof(id), "i-again-%u", ++start);
+	standin_remove(world, "servers", world->workers[i].id);
+	standin_restart(&world->workers[i], id);
+}
+
+static void mood_ends(size_t i)
+{
+	world->workers[i].mood = STANDIN_SERVES;
+}
+
+static void link_heals(size_t i)
+{
+	harness_control(harness, fault_control, "{\"%s\":{\"mode\":\"pass\"}}",
+			mapped[i]);
+}
+
+static void store_answers(size_t i)
+{
+	(void)i;
+	world->store_refuses = false;
+}
+
+static void instance_wakes(size_t i)
+{
+	proc_signal(instances[i].proc, SIGCONT);
+	running[i] = true;
+}
+
+static void instance_starts(size_t i)
+{
+	if (proc_running(instances[i].proc))
+		return; /* it is still stopping */
+	instances[i].proc = HARNESS_START(harness, instances[i].name,
+					  "cdmproxyd", "-f",
+					  instances[i].settings);
+	running[i] = true;
+}
+
+/* A planned stop: the process ends by itself, in order. */
+static void instance_stopped(size_t i)
+{
+	assert_int_equal(proc_wait(instances[i].proc), 0);
+	instance_starts(i);
+}
+
+static void fault_of_worker(void)
+{
+	static const enum standin_mood moods[] = {
+		STANDIN_FULL,	  STANDIN_FAILS,  STANDIN_BUSY_LIAR,
+		STANDIN_UNMARKED, STANDIN_BREAKS, STANDIN_SILENT,
+	};
+	size_t i = draw(WORKERS);
+
+	if (draw(2)) {
+		standin_kill(&world->workers[i]);
+		later(300 + draw(1500), worker_returns, i);
+	} else {
+		world->workers[i].mood = moods[draw(6)];
+		later(200 + draw(800), mood_ends, i);
+	}
+}
+
+static void fault_of_link(void)
+{
+	static const char *const modes[] = { "cut", "freeze", "drop-up",
+					     "drop-down" };
+	size_t i = draw(FAULT_MAPPINGS);
+
+	if (draw(3)) {
+		harness_control(harness, fault_control,
+				"{\"%s\":{\"mode\":\"%s\"}}", mapped[i],
+				modes[draw(4)]);
+		later(200 + draw(1200), link_heals, i);
+	} else {
+		harness_control(harness, fault_control,
+				"{\"%s\":{\"reset\":true}}", mapped[i]);
+	}
+}
+
+static void fault_of_instance(void)
+{
+	size_t i = draw(INSTANCES);
+
+	if (!running[i] || !proc_running(instances[i].proc))
+		return;
+	running[i] = false;
+	switch (draw(3)) {
+	case 0:
+		proc_signal(instances[i].proc, SIGSTOP);
+		later(100 + draw(900), instance_wakes, i);
+		break;
+	case 1:
+		proc_kill(instances[i].proc);
+		later(50 + draw(500), instance_starts, i);
+		break;
+	default:
+		proc_signal(instances[i].proc, SIGTERM);
+		later(2200, instance_stopped, i);
+		break;
+	}
+}
+
+static void fault(void)
+{
+	faults++;
+	switch (draw(5)) {
+	case 0:
+	case 1:
+		fault_of_worker();
+		break;
+	case 2:
+		fault_of_link();
+		break;
+	case 3:
+		fault_of_instance();
+		break;
+	default:
+		if (draw(2)) {
+			world->store_refuses = true;
+			later(200 + draw(2500), store_answers, 0);
+		} else {
+			standin_configuration(world, ++version, NULL);
+		}
+		break;
+	}
+}
+
+/* Counts how often a request ran at workers. */
+static unsigned runs_of(const char *id)
+{
+	char line[64];
+	unsigned n = 0;
+	size_t i;
+
+	snprintf(line, sizeof(line), "\nrequest-id: %s\n", id);
+	for (i = 0; i < world->n_arrivals; i++)
+		n += world->arrivals[i]->ran &&
+		     standin_head_has(world->arrivals[i], line);
+	return n;
+}
+
+static enum http1_verdict on_head(void *arg, const struct http1_head *head)
+{
+	struct call *c = arg;
+
+	c->status = head->status;
+	return HTTP1_TAKE;
+}
+
+/* Events of a stream come once each and in order. */
+static void on_body(void *arg, const char *data, size_t len)
+{
+	struct call *c = arg;
+	struct whole_event e;
+
+	if (c->kind != CALL_STREAM || c->status != 200) {
+		bytes_add(&c->body, data, len);
+		return;
+	}
+	event_stream_add(&c->stream, data, len);
+	while (event_stream_next(&c->stream, 0, &e)) {
+		if (!e.has_id || e.id != c->last_event + 1)
+			fail_msg("stream %s: event %llu after %llu", c->id,
+				 (unsigned long long)e.id,
+				 (unsigned long long)c->last_event);
+		c->last_event = e.id;
+		event_stream_consume(&c->stream, e.len);
+	}
+}
+
+/* What an answer says is true, and what it carries is whole. */
+static void check(const struct call *c, enum http1_outcome outcome)
+{
+	unsigned runs = runs_of(c->id);
+
+	if (c->kind == CALL_BOOKING && runs > 1)
+		fail_msg("booking %s ran %u times", c->id, runs);
+	if (outcome != HTTP1_COMPLETE)
+		return;
+	if (c->kind == CALL_BOOKING && c->status == 503 && runs)
+		fail_msg("booking %s was refused and had run", c->id);
+	if (c->status == 404 || c->status == 401 || c->status == 400)
+		fail_msg("request %s was answered %d", c->id, c->status);
+	if (c->status != 200)
+		return;
+	served[c->kind]++;
+	if (c->kind == CALL_STREAM && c->last_event != STANDIN_EVENTS)
+		fail_msg("stream %s ended after event %llu", c->id,
+			 (unsigned long long)c->last_event);
+	if (c->kind != CALL_STREAM &&
+	    (c->body.len != 12 || memcmp(c->body.data, "plain answer", 12) != 0))
+		fail_msg("request %s: not its worker's answer", c->id);
+}
+
+static void on_end(void *arg, enum http1_outcome outcome)
+{
+	struct call *c = arg;
+
+	check(c, outcome);
+	bytes_release(&c->body);
+	event_stream_release(&c->stream);
+	c->open = false;
+}
+
+/* A caller comes to an instance, whatever state that is in. */
+static void start_call(void)
+{
+	static const struct http1_call_ops ops = {
+		.on_head = on_head,
+		.on_body = on_body,
+		.on_end = on_end,
+	};
+	static const char *const lines[CALL_KINDS] = {
+		"POST /book/a HTTP/1.1\r\ncontent-length: 1\r\n",
+		"GET /look/a HTTP/1.1\r\n",
+		"POST /write/a HTTP/1.1\r\ncontent-length: 1\r\n"
+		"token-usage: 1000,300\r\nprompt-prefix: a:1000\r\n",
+	};
+	const struct http1_call_options options = {
+		.address = instances[draw(INSTANCES)].callers,
+		.connect_ms = 500,
+		.reuse_ms = draw(2) ? 5000 : 0,
+	};
+	struct bytes out = { 0 };
+	struct call *c = NULL;
+	size_t i;
+
+	for (i = 0; i < CALLS_MAX && !c; i++)
+		if (!calls[i].open)
+			c = &calls[i];
+	if (!c)
+		return;
+	memset(c, 0, sizeof(*c));
+	c->open = true;
+	c->kind = (enum call_kind)draw(CALL_KINDS);
+	c->started_ms = now_ms();
+	snprintf(c->id, sizeof(c->id), "r-%u", ++n_calls);
+	bytes_addf(&out,
+		   "%shost: 127.0.0.1\r\ncredential: k1\r\nrequest-id: %s\r\n"
+		   "deadline-ms: %u\r\n\r\n%s",
+		   lines[c->kind], c->id, c->kind == CALL_STREAM ? 8000 : 900,
+		   c->kind == CALL_LOOKUP ? "" : "x");
+	c->http = http1_call_start(client, &options, out.data, out.len, &ops,
+				   c);
+}
+
+/* Ends calls whose callers would have left. */
+static void leave(void)
+{
+	size_t i;
+
+	for (i = 0; i < CALLS_MAX; i++) {
+		struct call *c = &calls[i];
+
+		if (!c->open || now_ms() - c->started_ms < 9000)
+			continue;
+		http1_call_cancel(c->http);
+		on_end(c, HTTP1_BROKEN);
+	}
+}
+
+static void step(bool with_faults)
+{
+	start_call();
+	if (with_faults && draw(FAULT_MS) < STEP_MS)
+		fault();
+	end_faults(false);
+	leave();
+	http1_client_tick(client);
+	harness_run(harness, STEP_MS);
+}
+
+/* The configuration never goes back in one process: versions in its log. */
+static void check_log(const struct standin_instance *in)
+{
+	char *log = proc_output(in->proc);
+	const char *p = log;
+	long last = 0;
+
+	while ((p = strstr(p, "\"event\":\""))) {
+		long v;
+
+		p += strlen("\"event\":\"");
+		if (!strncmp(p, "start\"", 6))
+			last = 0; /* another process */
+		if (strncmp(p, "configuration\"", 14) != 0)
+			continue;
+		v = strtol(strstr(p, "\"version\":") + 10, NULL, 10);
+		if (v <= last)
+			fail_msg("%s: version %ld after %ld", in->name, v,
+				 last);
+		last = v;
+	}
+	free(log);
+}
+
+static void set_up(void)
+{
+	const char *args[2 * FAULT_MAPPINGS + 3];
+	const char *targets[FAULT_MAPPINGS];
+	size_t n = 0;
+	size_t i;
+
+	harness = harness_new();
+	world = standin_new(harness);
+	client = http1_client_new(harness_loop(harness));
+	standin_configuration(world, version, NULL);
+	for (i = 0; i < WORKERS; i++) {
+		static const char *const zones[] = { "z1", "z2", "z3" };
+		struct standin_worker *w = standin_worker(
+			world, i < 2 ? "plain" : "engine", zones[i % 3]);
+
+		targets[i] = w->address;
+		mapped[i] = harness_address(harness);
+		w->public_address = mapped[i];
+		standin_announce(w, "ready");
+	}
+	targets[WORKERS] = world->store_address;
+	mapped[WORKERS] = harness_address(harness);
+	world->store_public = mapped[WORKERS];
+	fault_control = harness_address(harness);
+	args[n++] = "-c";
+	args[n++] = fault_control;
+	for (i = 0; i < FAULT_MAPPINGS; i++) {
+		args[n++] = "-m";
+		args[n++] = xasprintf("%s=%s", mapped[i], targets[i]);
+	}
+	args[n] = NULL;
+	proc_wait_listening(harness_startv(harness, "faultd", "faultd", args),
+			    fault_control);
+	for (i = 3; i < n; i += 2)
+		free((char *)args[i]);
+	for (i = 0; i < INSTANCES; i++) {
+		static const char *const names[] = { "one", "two", "three" };
+
+		standin_instance(world, &instances[i], names[i],
+				 i ? instances[0].control : NULL);
+		standin_start(world, &instances[i]);
+		standin_wait_status(world, instances[i].readiness, "/readyz",
+				    200);
+		running[i] = true;
+	}
+}
+
+static uint64_t seed;
+static unsigned seconds;
+
+static void soak(void **state)
+{
+	uint64_t end;
+	size_t i;
+
+	(void)state;
+	random_numbers = (struct random_source){ .seed = seed };
+	set_up();
+	for (end = now_ms() + seconds * 1000; now_ms() < end;)
+		step(true);
+	end_faults(true);
+	for (i = 0; i < WORKERS; i++)
+		world->workers[i].mood = STANDIN_SERVES;
+	for (i = 0; i < INSTANCES; i++)
+		if (!proc_running(instances[i].proc))
+			instance_starts(i);
+	for (end = now_ms() + SETTLE_MS; now_ms() < end;)
+		step(false);
+	/* after the faults all is served again */
+	memset(served, 0, sizeof(served));
+	for (end = now_ms() + SETTLE_MS; now_ms() < end;)
+		step(false);
+	for (i = 0; i < CALL_KINDS; i++)
+		assert_true(served[i] > 0);
+	for (i = 0; i < CALLS_MAX; i++)
+		if (calls[i].open) {
+			http1_call_cancel(calls[i].http);
+			on_end(&calls[i], HTTP1_BROKEN);
+		}
+	print_message("seed %llu: %u requests, %u faults\n",
+		      (unsigned long long)seed, n_calls, faults);
+	for (i = 0; i < INSTANCES; i++) {
+		check_log(&instances[i]);
+		proc_kill(instances[i].proc);
+	}
+	http1_client_free(client);
+	standin_free(world);
+	harness_free(harness);
+	free(client);
+}
+
+int main(int argc, char **argv)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(soak),
+	};
+
+	seed = argc > 1 ? strtoull(argv[1], NULL, 10) : 1;
+	seconds = argc > 2 ? (unsigned)strtoul(argv[2], NULL, 10) : 10;
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/regress/unit/test_event_stream.c
+++ b/regress/unit/test_event_stream.c
@@ -24,7 +24,7 @@
 	(void)state;
 	for (cut = 0; cut <= len; cut++) {
 		struct event_stream s = { 0 };
-		struct stream_event e;
+		struct whole_event e;
 		size_t offset = 0;
 		size_t n = 0;
 
@@ -49,7 +49,7 @@
 static void empty(void **state)
 {
 	struct event_stream s = { 0 };
-	struct stream_event e;
+	struct whole_event e;
 
 	(void)state;
 	assert_false(event_stream_next(&s, 0, &e));
