Readers only among many instances, and only while the store answers them

Change: up to 16 instances each read for themselves; a reader says so only if the store answered within 0.9 s. Test: readers_cut_off in test_presence.

--- a/policy/reread.c
+++ b/policy/reread.c
@@ -16,13 +16,25 @@
 #define GATHER_PER_INSTANCE_MS 8
 #define GATHER_MAX_MS 700
 
+/* So few instances read the store each for itself: that costs little, and
+ * none depends on another one's link. */
+#define ALL_READ_MAX 16
+
 /* Instances that read for the others: two, as one may be lost. */
 #define READERS 2
 
-/* Without a word of a reader for this time, about three of its datagrams, an
- * instance reads for itself. */
-#define SILENT_MS 800
-#define SILENT_PER_INSTANCE_MS 20
+/* The store keeps a call waiting for 30 s at most. */
+#define FOLLOW_MS 25000
+
+/* A reader that is cut off must notice within a second, so that the others
+ * still learn of a change within three. */
+#define FOLLOW_FOR_OTHERS_MS 400
+#define FRESH_MS 900
+
+/* Without a word of a reader for this time, somewhat more than between two of
+ * its datagrams, an instance reads for itself. */
+#define SILENT_MS 400
+#define SILENT_PER_INSTANCE_MS 14
 
 /* A change that others have and this instance has not is on its way for this
  * time; then its datagram counts as lost. */
@@ -37,9 +49,22 @@
 #define OUTAGE_FAILURES 2
 
 /* Tells whether an instance reads the store for the others. */
-bool reread_designated(size_t before)
+bool reread_designated(size_t before, size_t instances)
+{
+	return instances > ALL_READ_MAX && before < READERS;
+}
+
+/* Returns how long a call waits for changes, ms.  One that reads for others
+ * must know that the store still answers it. */
+uint32_t reread_follow_ms(bool for_others)
+{
+	return for_others ? FOLLOW_FOR_OTHERS_MS : FOLLOW_MS;
+}
+
+/* Tells whether the store answered so lately that others may rely on it. */
+bool reread_fresh(uint64_t answered_ms, uint64_t now)
 {
-	return before < READERS;
+	return answered_ms && now - answered_ms < FRESH_MS;
 }
 
 /* Tells whether an instance asks the store now. */
@@ -48,7 +73,9 @@
 	uint64_t silence = SILENT_MS +
 			   (uint64_t)others->instances * SILENT_PER_INSTANCE_MS;
 
-	if (reread_designated(others->before) || !others->reading_ms)
+	if (others->instances <= ALL_READ_MAX ||
+	    reread_designated(others->before, others->instances) ||
+	    !others->reading_ms)
 		return true;
 	if (others->behind_ms && now - others->behind_ms > BEHIND_MS)
 		return true;
--- a/policy/reread.h
+++ b/policy/reread.h
@@ -20,7 +20,9 @@
 	uint64_t behind_ms; /* since when one has newer rows; 0: none has */
 };
 
-bool reread_designated(size_t before);
+bool reread_designated(size_t before, size_t instances);
+uint32_t reread_follow_ms(bool for_others);
+bool reread_fresh(uint64_t answered_ms, uint64_t now);
 bool reread_itself(const struct reread_others *others, uint64_t now);
 uint32_t reread_after_failure(struct reread *r, size_t instances, uint64_t now,
 			      uint64_t rnd);
--- a/proxyd/peers.c
+++ b/proxyd/peers.c
@@ -380,9 +380,9 @@
 		peer->reading_ms = peer->presence.heard_ms;
 		watches_hear(t->proxyd->watches, STORE_ENDPOINTS,
 			     pulse->endpoints_version);
-		watches_hear_configuration(t->proxyd->watches, pulse->version,
-					   peer->control);
 	}
+	watches_hear_configuration(t->proxyd->watches, pulse->version,
+				   peer->control);
 }
 
 /* Takes changes of a table that another instance has read. */
--- a/proxyd/watch.c
+++ b/proxyd/watch.c
@@ -17,8 +17,6 @@
 #include "proxyd/proxyd.h"
 #include "proxyd/snapshot.h"
 
-#define FOLLOW_MS 25000 /* the store keeps a call waiting for 30 s at most */
-
 /* The own entry is written again this long after a failure. */
 #define PUT_AGAIN_MS 500
 
@@ -28,6 +26,7 @@
 	struct reread reread;
 	uint64_t next_ms; /* when to call */
 	uint64_t version;
+	uint64_t answered_ms; /* when the store last answered; 0: never */
 	uint64_t behind_ms; /* since when others have a newer version; 0: no */
 	bool loaded; /* version is known, changes are followed */
 	bool busy;
@@ -44,6 +43,7 @@
 	struct counter *writes;
 };
 
+static bool designated(const struct watches *w);
 static bool reads_itself(const struct watch *w, uint64_t now);
 static void take_decoded(void *arg, const struct store_row *rows, size_t n);
 static void call(struct watch *w);
@@ -119,13 +119,21 @@
 	       (!e->reread.failures || !reads_itself(e, proxyd_now(w->proxyd)));
 }
 
+/* Tells whether this instance is to read the store for others. */
+static bool designated(const struct watches *w)
+{
+	return reread_designated(peers_before(w->proxyd->peers),
+				 peers_alive(w->proxyd->peers) + 1);
+}
+
 /* Tells whether this instance reads the store for others, and it answers. */
 bool watches_reading(const struct watches *w)
 {
-	const struct watch *e = &w->watch[STORE_ENDPOINTS];
+	uint64_t now = proxyd_now(w->proxyd);
 
-	return e->loaded && !e->reread.failures &&
-	       reread_designated(peers_before(w->proxyd->peers));
+	return designated(w) &&
+	       reread_fresh(w->watch[STORE_ENDPOINTS].answered_ms, now) &&
+	       reread_fresh(w->watch[STORE_CONFIGURATION].answered_ms, now);
 }
 
 /* Returns the version of a table that is known here, 0 if none is. */
@@ -154,8 +162,8 @@
 		t->behind_ms = proxyd_now(w->proxyd);
 }
 
-/* An instance that reads the store has a configuration of this version; it is
- * fetched from there, or read from the store if that fails. */
+/* Another instance has a configuration of this version; it is fetched from
+ * there, or read from the store if that fails. */
 void watches_hear_configuration(struct watches *w, uint64_t version,
 				const char *control)
 {
@@ -226,8 +234,11 @@
 	w->busy = true;
 	counter_add(w->watches->calls[w->table], 1);
 	if (w->loaded)
-		s->ops->follow(s, w->table, w->version,
-			       w->behind_ms ? 0 : FOLLOW_MS, on_rows, w);
+		s->ops->follow(
+			s, w->table, w->version,
+			w->behind_ms ? 0
+				     : reread_follow_ms(designated(w->watches)),
+			on_rows, w);
 	else
 		s->ops->list(s, w->table, on_rows, w);
 }
@@ -257,17 +268,17 @@
 		event_log(EVENT_ALWAYS, "store-regained", NULL, "{s:s, s:I}",
 			  "table", store_table_name(w->table), "away_ms",
 			  (json_int_t)(now - w->reread.failed_ms));
-	w->next_ms = now + reread_after_success(
-				   &w->reread, peers_alive(p->peers) + 1,
-				   reread_designated(peers_before(p->peers)),
-				   now);
+	w->next_ms = now + reread_after_success(&w->reread,
+						peers_alive(p->peers) + 1,
+						designated(w->watches), now);
 	if (w->loaded && n && w->table != STORE_CONFIGURATION &&
-	    reread_designated(peers_before(p->peers)))
+	    designated(w->watches))
 		peers_tell_rows(p->peers, w->table, w->version, version, rows,
 				n);
 	take(w, rows, n);
 	w->version = version;
 	w->behind_ms = 0;
+	w->answered_ms = now;
 	w->loaded = true;
 }
 
--- a/regress/unit/test_presence.c
+++ b/regress/unit/test_presence.c
@@ -47,12 +47,38 @@
 	assert_true(reread_itself(&o, 10000)); /* nobody reads yet */
 	o.reading_ms = 9800;
 	assert_false(reread_itself(&o, 10000));
+	o.instances = 9; /* so few read each for itself */
+	assert_true(reread_itself(&o, 10000));
+	o.instances = 64;
 	o.behind_ms = 9850; /* a change was lost on its way */
 	assert_true(reread_itself(&o, 10000));
 	o.behind_ms = 0;
 	assert_true(reread_itself(&o, 12500)); /* the readers fell silent */
 	o.before = 1;
 	assert_true(reread_itself(&o, 10000)); /* it is one of them */
+	assert_true(reread_designated(1, 64));
+	assert_false(reread_designated(2, 64));
+	assert_false(reread_designated(0, 9));
+}
+
+/* Fault of the hunt (austral-despacho, scale-2, seed 309577313026): both
+ * readers are cut off from the store without a word, and a key is taken away
+ * right after.  The others read for themselves before the bound of three
+ * seconds, in which they have to act on it. */
+static void readers_cut_off(void **state)
+{
+	enum { BOUND_MS = 3000, INSTANCES = 64, CUT_MS = 100000 };
+	struct reread_others o = { .before = 5, .instances = INSTANCES };
+	uint64_t now;
+
+	(void)state;
+	assert_true(reread_fresh(CUT_MS, CUT_MS + reread_follow_ms(true)));
+	/* the last word of a reader that still says that it reads */
+	for (now = CUT_MS; reread_fresh(CUT_MS, now); now++)
+		o.reading_ms = now;
+	while (!reread_itself(&o, now))
+		now++;
+	assert_true(now + 200 <= CUT_MS + BOUND_MS);
 }
 
 /* Load pattern: 64 instances and a store that is away for eight seconds.  Each
@@ -87,6 +113,7 @@
 		cmocka_unit_test(presence),
 		cmocka_unit_test(datagrams_bounded),
 		cmocka_unit_test(who_asks_the_store),
+		cmocka_unit_test(readers_cut_off),
 		cmocka_unit_test(outage),
 	};
 
