--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -2,7 +2,7 @@
  * The endpoints: what the store says of them, what this instance finds out by
  * its own calls and probes, and how loaded they are.
  */
-#include "proxyd/endpoints.h"
+#include "proxyd/endpoints_table.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -10,12 +10,10 @@
 
 #include <xxhash.h>
 
-#include "lib/counters.h"
 #include "lib/event_log.h"
 #include "lib/xalloc.h"
-#include "proxyd/exchange.h"
-#include "policy/own_fault.h"
 #include "policy/reborn.h"
+#include "proxyd/exchange.h"
 #include "proxyd/peers.h"
 #include "proxyd/proxyd.h"
 #include "proxyd/rediscover.h"
@@ -38,45 +36,9 @@
 #define MEAN_WEIGHT 0.2F
 #define FAILING_WEIGHT 0.1F
 
-#define ZONES_MAX 64
-#define CANDIDATES_MAX 8192
-#define PERMILLE 1000
-
-/* A loss puts the endpoints beside it in doubt for this time. */
-#define DOUBT_MS 1500
-
-/* What is known of a service as a whole. */
-struct service_state {
-	char *service;
-	uint64_t hash; /* of its name */
-	struct repeat_budget budget;
-	struct repeat_others others;
-	uint64_t lost_ms[ZONES_MAX]; /* last loss in each zone; 0: none */
-};
-
-struct endpoints {
-	struct proxyd *proxyd;
-	struct slots table; /* of struct endpoint * */
-	char *zones[ZONES_MAX];
-	uint16_t n_zones;
-	uint16_t own_zone;
-	struct service_state *services;
-	size_t n_services;
-	struct place_candidate *candidates; /* of one choice */
-	struct handle *candidate_handles;
-	size_t candidates_size;
-	struct own_fault own_fault;
-	struct counter *probes;
-	struct counter *losses;
-};
-
-static struct service_state *service_state(struct endpoints *t,
-					   const char *service);
 static uint32_t slots_at(const struct endpoints *t, const char *address);
 static bool probe_due(const struct endpoints *t, const struct endpoint *e,
 		      bool store_answers);
-static bool doubtful(const struct endpoint *e, const struct service_state *s,
-		     uint64_t now);
 static void entry_changed(struct endpoint *e, const struct endpoint_entry *n);
 static void entry_removed(struct endpoints *t, struct endpoint *e,
 			  uint64_t outage_end_ms);
@@ -84,16 +46,6 @@
 static void supersede(struct endpoints *t, const struct endpoint *newer);
 static void forget(struct endpoints *t, struct endpoint *e);
 static uint16_t zone_index(struct endpoints *t, const char *zone);
-static struct handle place_beside(
-	struct endpoints *t, const struct endpoint_wish *wish,
-	struct handle run_at,
-	uint32_t (*place)(const struct place_request *r,
-			  const struct place_candidate *c, size_t n,
-			  uint32_t run_at, uint64_t rnd));
-static size_t gather(struct endpoints *t, const struct endpoint_wish *wish);
-static void fill(struct endpoints *t, struct place_candidate *c,
-		 const struct endpoint *e, const struct route_service *s,
-		 const struct endpoint_wish *wish);
 static void probe_start(struct endpoints *t, struct endpoint *e);
 static void on_probe_end(void *arg, enum http1_outcome outcome);
 
@@ -270,70 +222,6 @@
 	return endpoint_by_hash(t, XXH3_64bits(id, strlen(id)));
 }
 
-/* Chooses an endpoint for a run or for a plain call. */
-struct place_choice endpoints_place(struct endpoints *t,
-				    const struct endpoint_wish *wish, bool run,
-				    struct handle *chosen)
-{
-	const struct place_request r = {
-		.tokens = wish->tokens,
-		.zone = t->own_zone,
-		.resumes = wish->resumes,
-	};
-	size_t n = gather(t, wish);
-	struct place_choice choice =
-		run ? place_run(&r, t->candidates, n, proxyd_random())
-		    : place_plain(&r, t->candidates, n, proxyd_random());
-
-	if (choice.outcome == PLACE_OK)
-		*chosen = t->candidate_handles[choice.index];
-	return choice;
-}
-
-/* Chooses where the copy of a run is kept; the handle may name none. */
-struct handle endpoints_place_copy(struct endpoints *t,
-				   const struct endpoint_wish *wish,
-				   struct handle run_at)
-{
-	return place_beside(t, wish, run_at, place_copy);
-}
-
-/* Chooses where a run goes on once its prompt is read; the handle may name
- * none. */
-struct handle endpoints_place_settled(struct endpoints *t,
-				      const struct endpoint_wish *wish,
-				      struct handle run_at)
-{
-	return place_beside(t, wish, run_at, place_settle);
-}
-
-/* Chooses an endpoint beside the one where a run is; the handle may name
- * none. */
-static struct handle place_beside(
-	struct endpoints *t, const struct endpoint_wish *wish,
-	struct handle run_at,
-	uint32_t (*place)(const struct place_request *r,
-			  const struct place_candidate *c, size_t n,
-			  uint32_t run_at, uint64_t rnd))
-{
-	const struct place_request r = {
-		.tokens = wish->tokens,
-		.zone = t->own_zone,
-	};
-	const struct handle none = { 0 };
-	size_t n = gather(t, wish);
-	uint32_t chosen;
-	uint32_t i;
-
-	for (i = 0; i < n; i++)
-		if (handle_equal(t->candidate_handles[i], run_at))
-			break;
-	if (i == n)
-		return none;
-	chosen = place(&r, t->candidates, n, i, proxyd_random());
-	return chosen == PLACE_NONE ? none : t->candidate_handles[chosen];
-}
-
 /* No connection to an endpoint could be had.  It is taken for dead, unless
  * others fell silent with it in a way that points to this instance. */
 void endpoint_unreachable(struct endpoints *t, struct handle h,
@@ -369,7 +257,7 @@
 	e->state = ENDPOINT_DOWN;
 	e->down_ms = proxyd_now(t->proxyd);
 	e->probed_ms = e->down_ms;
-	service_state(t, e->service)->lost_ms[e->zone] = e->down_ms;
+	endpoints_service(t, e->service)->lost_ms[e->zone] = e->down_ms;
 	counter_add(t->losses, 1);
 	event_log(EVENT_NOTABLE, "endpoint-lost", request,
 		  "{s:s, s:s, s:s, s:I}", "endpoint", e->id, "address",
@@ -451,13 +339,13 @@
 /* Returns the budget of repeats of a service. */
 struct repeat_budget *endpoints_budget(struct endpoints *t, const char *service)
 {
-	return &service_state(t, service)->budget;
+	return &endpoints_service(t, service)->budget;
 }
 
 /* Returns what the other instances say of a service's repeats. */
 struct repeat_others *endpoints_others(struct endpoints *t, const char *service)
 {
-	return &service_state(t, service)->others;
+	return &endpoints_service(t, service)->others;
 }
 
 /* The same by the hash of the service's name; NULL if it is not known. */
@@ -498,8 +386,8 @@
 }
 
 /* Returns what is known of a service. */
-static struct service_state *service_state(struct endpoints *t,
-					   const char *service)
+struct service_state *endpoints_service(struct endpoints *t,
+					const char *service)
 {
 	struct service_state *s;
 	size_t i;
@@ -608,65 +496,6 @@
 	return t->n_zones++;
 }
 
-/* Gathers the candidates of a choice and returns their number. */
-static size_t gather(struct endpoints *t, const struct endpoint_wish *wish)
-{
-	const struct route_service *s =
-		routes_service(t->proxyd->routes, wish->service);
-	struct endpoint *e;
-	uint32_t i = 0;
-	size_t n = 0;
-
-	while ((e = endpoint_next(t, &i)) && n < CANDIDATES_MAX) {
-		if (strcmp(e->service, wish->service) != 0)
-			continue;
-		if (n == t->candidates_size) {
-			t->candidates_size = n ? 2 * n : 64;
-			t->candidates = xreallocarray(t->candidates,
-						      t->candidates_size,
-						      sizeof(*t->candidates));
-			t->candidate_handles = xreallocarray(
-				t->candidate_handles, t->candidates_size,
-				sizeof(*t->candidate_handles));
-		}
-		fill(t, &t->candidates[n], e, s, wish);
-		t->candidate_handles[n++] = e->self;
-	}
-	return n;
-}
-
-/* Describes an endpoint to the policy. */
-static void fill(struct endpoints *t, struct place_candidate *c,
-		 const struct endpoint *e, const struct route_service *s,
-		 const struct endpoint_wish *wish)
-{
-	uint64_t now = proxyd_now(t->proxyd);
-	size_t i;
-
-	*c = (struct place_candidate){
-		.zone = e->zone,
-		.usable = e->state == ENDPOINT_UP && !e->leaving &&
-			  lapse_takes_work(&e->lapse, now),
-		.doubtful = doubtful(e, service_state(t, e->service), now),
-		.memory_tokens = s ? s->memory_tokens : 0,
-		.used_tokens = e->own.tokens + e->others.tokens,
-		.prefill_tokens = e->own.prefill + e->others.prefill,
-		.requests = e->own.requests + e->others.requests,
-		.prefills = e->own.prefills + e->others.prefills,
-		.slots = e->slots,
-		.latency_ms = (uint32_t)e->latency_ms,
-		.failing_permille = (uint32_t)(e->failing * PERMILLE),
-	};
-	if (wish->session) {
-		const uint64_t pair[2] = { wish->session, e->address_hash };
-
-		c->affinity = XXH3_64bits(pair, sizeof(pair));
-	}
-	for (i = 0; i < wish->n_avoided; i++)
-		if (handle_equal(wish->avoided[i], e->self))
-			c->avoided = true;
-}
-
 /* Tells whether this instance asks the address of a dead endpoint now. */
 static bool probe_due(const struct endpoints *t, const struct endpoint *e,
 		      bool store_answers)
@@ -682,18 +511,6 @@
 	return reborn_probe_due(&probe, proxyd_random());
 }
 
-/* Tells whether an endpoint may be dead without our knowing it. */
-static bool doubtful(const struct endpoint *e, const struct service_state *s,
-		     uint64_t now)
-{
-	uint64_t lost = s->lost_ms[e->zone];
-
-	if (e->rumoured_ms > lost)
-		lost = e->rumoured_ms;
-	return e->unproven ||
-	       (lost && e->heard_ms <= lost && now - lost < DOUBT_MS);
-}
-
 /* Starts a probe: a connection that is closed as soon as it stands. */
 static void probe_start(struct endpoints *t, struct endpoint *e)
 {
--- /dev/null
+++ b/proxyd/endpoints_table.h
@@ -0,0 +1,40 @@
+#ifndef PROXYD_ENDPOINTS_TABLE_H
+#define PROXYD_ENDPOINTS_TABLE_H
+
+/* The table of endpoints from within: for endpoints.c and endpoints_place.c. */
+
+#include "lib/counters.h"
+#include "policy/own_fault.h"
+#include "proxyd/endpoints.h"
+
+#define ZONES_MAX 64
+
+/* What is known of a service as a whole. */
+struct service_state {
+	char *service;
+	uint64_t hash; /* of its name */
+	struct repeat_budget budget;
+	struct repeat_others others;
+	uint64_t lost_ms[ZONES_MAX]; /* last loss in each zone; 0: none */
+};
+
+struct endpoints {
+	struct proxyd *proxyd;
+	struct slots table; /* of struct endpoint * */
+	char *zones[ZONES_MAX];
+	uint16_t n_zones;
+	uint16_t own_zone;
+	struct service_state *services;
+	size_t n_services;
+	struct place_candidate *candidates; /* of one choice */
+	struct handle *candidate_handles;
+	size_t candidates_size;
+	struct own_fault own_fault;
+	struct counter *probes;
+	struct counter *losses;
+};
+
+struct service_state *endpoints_service(struct endpoints *t,
+					const char *service);
+
+#endif /* PROXYD_ENDPOINTS_TABLE_H */
--- a/proxyd/peers.c
+++ b/proxyd/peers.c
@@ -3,94 +3,19 @@
  * says that its sender lives, where it has work, and which endpoints it has
  * just found dead.
  */
-#include "proxyd/peers.h"
+#include "proxyd/peers_table.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/queue.h>
 
-#include <xxhash.h>
-
-#include "lib/counters.h"
 #include "lib/event_log.h"
 #include "lib/settings.h"
 #include "lib/xalloc.h"
-#include "policy/presence.h"
 #include "proto/peer.pb-c.h"
-#include "proxyd/endpoints.h"
 #include "proxyd/proxyd.h"
 #include "proxyd/watch.h"
 
-#define LOADS_MAX 48 /* of one datagram, which fits one packet */
-#define TOLD_MAX 8 /* endpoints lost, and found, of one datagram */
-#define USES_MAX 8 /* services of one datagram */
-#define DATAGRAM_MAX 2048
-#define ROWS_MAX 16 /* rows of one datagram */
-#define ROWS_BYTES 1300 /* of rows in one datagram, which fits one packet */
-#define ROW_BYTES 24 /* of a row beside its key and value, at most */
-#define TELL_MS 2000 /* what is told is repeated in datagrams for so long */
-
-/* Losses and new runs are told at once, gathered over this time; new runs only
- * among so few that it costs little. */
-#define URGENT_MS 20
-#define URGENT_PEERS_MAX 128
-
-struct peer_load {
-	uint64_t endpoint; /* hash of its id */
-	struct endpoint_load load;
-};
-
-/* What an instance says of a service's repeats. */
-struct peer_use {
-	uint64_t service; /* hash of its name */
-	uint32_t requests;
-	uint32_t repeats;
-};
-
-struct peer {
-	TAILQ_ENTRY(peer) link;
-	char *name;
-	char *callers; /* addresses */
-	char *control;
-	char *peers;
-	char *zone;
-	uint32_t capacity; /* share of a core, in thousandths */
-	struct sockaddr_in address;
-	struct presence presence;
-	bool alive; /* as it was last judged, for the log */
-	uint64_t born_ms;
-	struct peer_load loads[LOADS_MAX];
-	size_t n_loads;
-	struct peer_use uses[USES_MAX];
-	size_t n_uses;
-	uint64_t reading_ms; /* when it last said that it reads the store */
-};
-
-struct told_endpoint {
-	char id[ENDPOINT_ID_SIZE];
-	uint64_t at_ms;
-};
-
-/* Endpoints that datagrams speak of for a while. */
-struct told {
-	struct told_endpoint list[TOLD_MAX];
-	size_t n;
-};
-
-struct peers {
-	struct proxyd *proxyd;
-	uv_udp_t udp;
-	TAILQ_HEAD(peer_list, peer) list;
-	size_t n;
-	uint64_t told_ms;
-	uint64_t urgent_ms; /* a datagram is due then; 0: none */
-	struct told lost;
-	struct told found;
-	struct counter *sent;
-	struct counter *heard;
-};
-
 static void on_alloc(uv_handle_t *h, size_t suggested, uv_buf_t *buf);
 static void on_datagram(uv_udp_t *udp, ssize_t n, const uv_buf_t *buf,
 			const struct sockaddr *from, unsigned int flags);
@@ -101,19 +26,11 @@
 		      const PeerPulse *pulse);
 static void add_uses(struct peers *t, const struct peer *peer, int sign);
 static bool comes_before(const struct peers *t, const struct peer *peer);
-static uint32_t own_capacity(const struct peers *t);
-static void tell_of(struct peers *t, struct told *told, const char *endpoint);
-static void told_expire(struct told *told, uint64_t now);
-static size_t gather_found(struct peers *t, PeerFound *found);
-static void send_all(struct peers *t, const PeerDatagram *d);
-static size_t gather_uses(struct peers *t, PeerUse *uses);
 static void take_loads(struct peers *t, struct peer *peer,
 		       const PeerPulse *pulse);
 static void add_loads(struct peers *t, const struct peer *peer, int sign);
 static uint32_t shifted(uint32_t value, uint32_t by, int sign);
 static void forget(struct peers *t, struct peer *peer);
-static void tell(struct peers *t);
-static size_t gather_loads(struct peers *t, PeerLoad *loads);
 static void judge(struct peers *t);
 
 static char datagram[DATAGRAM_MAX];
@@ -157,7 +74,7 @@
 
 	if ((t->urgent_ms && now >= t->urgent_ms) ||
 	    now - t->told_ms >= presence_interval_ms(t->n + 1))
-		tell(t);
+		peers_tell_now(t);
 	judge(t);
 }
 
@@ -220,67 +137,6 @@
 	}
 }
 
-/* Passes on that an endpoint was found dead. */
-void peers_tell_lost(struct peers *t, const char *endpoint)
-{
-	tell_of(t, &t->lost, endpoint);
-}
-
-/* Passes on that an endpoint was found without the store's word. */
-void peers_tell_found(struct peers *t, const char *endpoint)
-{
-	tell_of(t, &t->found, endpoint);
-}
-
-/* Adds an endpoint to what the next datagrams say. */
-static void tell_of(struct peers *t, struct told *told, const char *endpoint)
-{
-	uint64_t now = proxyd_now(t->proxyd);
-	struct told_endpoint *e;
-
-	if (told->n == TOLD_MAX) {
-		memmove(told->list, told->list + 1,
-			sizeof(*e) * (TOLD_MAX - 1));
-		told->n--;
-	}
-	e = &told->list[told->n++];
-	snprintf(e->id, sizeof(e->id), "%s", endpoint);
-	e->at_ms = now;
-	if (!t->urgent_ms)
-		t->urgent_ms = now + URGENT_MS;
-}
-
-/* Forgets what has been said for long enough. */
-static void told_expire(struct told *told, uint64_t now)
-{
-	while (told->n && now - told->list[0].at_ms > TELL_MS)
-		memmove(told->list, told->list + 1,
-			sizeof(told->list[0]) * --told->n);
-}
-
-/* Tells the others soon of a load that was just added. */
-void peers_tell_soon(struct peers *t)
-{
-	uint64_t now = proxyd_now(t->proxyd);
-
-	if (!t->urgent_ms && t->n <= URGENT_PEERS_MAX)
-		t->urgent_ms = now + URGENT_MS;
-}
-
-/* Tells the others within a moment: a request was sent once more after a loss,
- * and all draw on one budget; or a configuration came into force. */
-void peers_tell_urgent(struct peers *t)
-{
-	if (!t->urgent_ms)
-		t->urgent_ms = proxyd_now(t->proxyd) + URGENT_MS;
-}
-
-/* Tells the others without waiting, as when this instance leaves. */
-void peers_tell_now(struct peers *t)
-{
-	tell(t);
-}
-
 /* Returns how many other instances live. */
 size_t peers_alive(const struct peers *t)
 {
@@ -513,92 +369,6 @@
 	free(peer);
 }
 
-/* Sends a datagram to every other instance. */
-static void tell(struct peers *t)
-{
-	struct proxyd *p = t->proxyd;
-	PeerPulse pulse = PEER_PULSE__INIT;
-	PeerLoad loads[LOADS_MAX];
-	PeerLoad *load_list[LOADS_MAX];
-	PeerUse uses[USES_MAX];
-	PeerUse *use_list[USES_MAX];
-	PeerDatagram d = PEER_DATAGRAM__INIT;
-	PeerFound found[TOLD_MAX];
-	PeerFound *found_list[TOLD_MAX];
-	char *lost[TOLD_MAX];
-	size_t i;
-
-	t->told_ms = proxyd_now(p);
-	t->urgent_ms = 0;
-	told_expire(&t->lost, t->told_ms);
-	told_expire(&t->found, t->told_ms);
-	for (i = 0; i < t->lost.n; i++)
-		lost[i] = t->lost.list[i].id;
-	pulse.n_found = gather_found(t, found);
-	for (i = 0; i < pulse.n_found; i++)
-		found_list[i] = &found[i];
-	pulse.found = found_list;
-	pulse.instance = p->settings.name;
-	pulse.born = p->born_ms;
-	pulse.leaving = !stop_ready(&p->stop);
-	pulse.version = p->routes ? p->routes->version : 0;
-	pulse.n_loads = gather_loads(t, loads);
-	for (i = 0; i < pulse.n_loads; i++)
-		load_list[i] = &loads[i];
-	pulse.loads = load_list;
-	pulse.n_lost = t->lost.n;
-	pulse.lost = lost;
-	pulse.n_uses = gather_uses(t, uses);
-	for (i = 0; i < pulse.n_uses; i++)
-		use_list[i] = &uses[i];
-	pulse.uses = use_list;
-	pulse.capacity = own_capacity(t);
-	pulse.reading = watches_reading(p->watches);
-	pulse.endpoints_version = watches_version(p->watches, STORE_ENDPOINTS);
-	d.pulse = &pulse;
-	if (peer_datagram__get_packed_size(&d) > DATAGRAM_MAX)
-		pulse.n_loads /= 4;
-	send_all(t, &d);
-}
-
-/* Passes changes of a table on, in as many datagrams as they need. */
-void peers_tell_rows(struct peers *t, enum store_table table, uint64_t after,
-		     uint64_t version, const struct store_row *rows, size_t n)
-{
-	PeerDatagram d = PEER_DATAGRAM__INIT;
-	PeerRows change = PEER_ROWS__INIT;
-	PeerRow row[ROWS_MAX];
-	PeerRow *list[ROWS_MAX];
-	size_t bytes = 0;
-	size_t i;
-
-	change.instance = t->proxyd->settings.name;
-	change.table = table;
-	change.after = after;
-	change.rows = list;
-	change.back_ms = watches_back_ms(t->proxyd->watches, table);
-	d.rows = &change;
-	for (i = 0; i < n; i++) {
-		PeerRow *r = &row[change.n_rows];
-
-		peer_row__init(r);
-		r->key = (char *)rows[i].key;
-		r->removed = rows[i].removed;
-		r->value.data = (uint8_t *)rows[i].raw;
-		r->value.len = rows[i].raw_len;
-		list[change.n_rows++] = r;
-		bytes += rows[i].raw_len + strlen(rows[i].key) + ROW_BYTES;
-		if (i + 1 < n && change.n_rows < ROWS_MAX &&
-		    bytes + rows[i + 1].raw_len + ROW_BYTES < ROWS_BYTES)
-			continue;
-		change.version = i + 1 < n ? rows[i].version : version;
-		send_all(t, &d);
-		change.after = change.version;
-		change.n_rows = 0;
-		bytes = 0;
-	}
-}
-
 /* Returns when another instance last said that it reads the store, 0 if none
  * did. */
 uint64_t peers_reading_ms(const struct peers *t)
@@ -656,100 +426,11 @@
  * those with the largest share of a core come first. */
 static bool comes_before(const struct peers *t, const struct peer *peer)
 {
-	if (peer->capacity != own_capacity(t))
-		return peer->capacity > own_capacity(t);
+	if (peer->capacity != peers_own_capacity(t))
+		return peer->capacity > peers_own_capacity(t);
 	return strcmp(peer->name, t->proxyd->settings.name) < 0;
 }
 
-/* Returns this instance's share of a core, in thousandths. */
-static uint32_t own_capacity(const struct peers *t)
-{
-	return (uint32_t)(t->proxyd->settings.capacity * 1000);
-}
-
-/* Sends a datagram to every other instance.  One may be lost: what it says
- * comes again, or is missed by its version. */
-static void send_all(struct peers *t, const PeerDatagram *d)
-{
-	uint8_t out[DATAGRAM_MAX];
-	struct peer *peer;
-	uv_buf_t buf;
-
-	if (peer_datagram__get_packed_size(d) > sizeof(out)) {
-		event_log(EVENT_NOTABLE, "datagram-too-large", NULL, "{}");
-		return;
-	}
-	buf = uv_buf_init((char *)out,
-			  (unsigned int)peer_datagram__pack(d, out));
-	TAILQ_FOREACH(peer, &t->list, link)
-	if (uv_udp_try_send(&t->udp, &buf, 1,
-			    (const struct sockaddr *)&peer->address) > 0)
-		counter_add(t->sent, 1);
-}
-
-/* Fills in the endpoints that were found; returns the number. */
-static size_t gather_found(struct peers *t, PeerFound *found)
-{
-	struct endpoints *endpoints = t->proxyd->endpoints;
-	size_t n = 0;
-	size_t i;
-
-	for (i = 0; i < t->found.n; i++) {
-		struct endpoint *e =
-			endpoint_by_id(endpoints, t->found.list[i].id);
-
-		if (!e)
-			continue;
-		peer_found__init(&found[n]);
-		found[n].id = e->id;
-		found[n].address = e->address;
-		found[n].service = e->service;
-		found[n++].zone =
-			(char *)endpoints_zone_name(endpoints, e->zone);
-	}
-	return n;
-}
-
-/* Fills in this instance's own requests and repeats; returns the number. */
-static size_t gather_uses(struct peers *t, PeerUse *uses)
-{
-	struct proxyd *p = t->proxyd;
-	struct repeat_budget *budget;
-	uint64_t hash;
-	size_t i = 0;
-	size_t n = 0;
-
-	while (n < USES_MAX &&
-	       endpoints_next_budget(p->endpoints, &i, &hash, &budget)) {
-		peer_use__init(&uses[n]);
-		uses[n].service = hash;
-		repeat_counts(budget, &p->repeat, proxyd_now(p),
-			      &uses[n].requests, &uses[n].repeats);
-		n += uses[n].requests || uses[n].repeats;
-	}
-	return n;
-}
-
-/* Fills in where this instance has work; returns the number. */
-static size_t gather_loads(struct peers *t, PeerLoad *loads)
-{
-	struct endpoint *e;
-	uint32_t i = 0;
-	size_t n = 0;
-
-	while (n < LOADS_MAX && (e = endpoint_next(t->proxyd->endpoints, &i))) {
-		if (!e->own.tokens && !e->own.requests)
-			continue;
-		peer_load__init(&loads[n]);
-		loads[n].endpoint = e->hash;
-		loads[n].tokens = e->own.tokens;
-		loads[n].prefill = e->own.prefill;
-		loads[n].prefills = e->own.prefills;
-		loads[n++].requests = e->own.requests;
-	}
-	return n;
-}
-
 /* Notes which instances live now; a dead one has no work anywhere. */
 static void judge(struct peers *t)
 {
--- /dev/null
+++ b/proxyd/peers_table.h
@@ -0,0 +1,76 @@
+#ifndef PROXYD_PEERS_TABLE_H
+#define PROXYD_PEERS_TABLE_H
+
+/* The table of instances from within: for peers.c and peers_tell.c. */
+
+#include <sys/queue.h>
+#include <uv.h>
+
+#include "lib/counters.h"
+#include "policy/presence.h"
+#include "proxyd/endpoints.h"
+#include "proxyd/peers.h"
+
+#define LOADS_MAX 48 /* of one datagram, which fits one packet */
+#define TOLD_MAX 8 /* endpoints lost, and found, of one datagram */
+#define USES_MAX 8 /* services of one datagram */
+#define DATAGRAM_MAX 2048
+
+struct peer_load {
+	uint64_t endpoint; /* hash of its id */
+	struct endpoint_load load;
+};
+
+/* What an instance says of a service's repeats. */
+struct peer_use {
+	uint64_t service; /* hash of its name */
+	uint32_t requests;
+	uint32_t repeats;
+};
+
+struct peer {
+	TAILQ_ENTRY(peer) link;
+	char *name;
+	char *callers; /* addresses */
+	char *control;
+	char *peers;
+	char *zone;
+	uint32_t capacity; /* share of a core, in thousandths */
+	struct sockaddr_in address;
+	struct presence presence;
+	bool alive; /* as it was last judged, for the log */
+	uint64_t born_ms;
+	struct peer_load loads[LOADS_MAX];
+	size_t n_loads;
+	struct peer_use uses[USES_MAX];
+	size_t n_uses;
+	uint64_t reading_ms; /* when it last said that it reads the store */
+};
+
+struct told_endpoint {
+	char id[ENDPOINT_ID_SIZE];
+	uint64_t at_ms;
+};
+
+/* Endpoints that datagrams speak of for a while. */
+struct told {
+	struct told_endpoint list[TOLD_MAX];
+	size_t n;
+};
+
+struct peers {
+	struct proxyd *proxyd;
+	uv_udp_t udp;
+	TAILQ_HEAD(peer_list, peer) list;
+	size_t n;
+	uint64_t told_ms;
+	uint64_t urgent_ms; /* a datagram is due then; 0: none */
+	struct told lost;
+	struct told found;
+	struct counter *sent;
+	struct counter *heard;
+};
+
+uint32_t peers_own_capacity(const struct peers *t);
+
+#endif /* PROXYD_PEERS_TABLE_H */
--- /dev/null
+++ b/proxyd/peers_tell.c
@@ -0,0 +1,259 @@
+/*
+ * What this instance tells the others, in datagrams.
+ */
+#include "proxyd/peers_table.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "lib/event_log.h"
+#include "proto/peer.pb-c.h"
+#include "proxyd/proxyd.h"
+#include "proxyd/watch.h"
+
+#define ROWS_MAX 16 /* rows of one datagram */
+#define ROWS_BYTES 1300 /* of rows in one datagram, which fits one packet */
+#define ROW_BYTES 24 /* of a row beside its key and value, at most */
+#define TELL_MS 2000 /* what is told is repeated in datagrams for so long */
+
+/* Losses and new runs are told at once, gathered over this time; new runs only
+ * among so few that it costs little. */
+#define URGENT_MS 20
+#define URGENT_PEERS_MAX 128
+
+static void tell_of(struct peers *t, struct told *told, const char *endpoint);
+static void told_expire(struct told *told, uint64_t now);
+static size_t gather_loads(struct peers *t, PeerLoad *loads);
+static size_t gather_found(struct peers *t, PeerFound *found);
+static size_t gather_uses(struct peers *t, PeerUse *uses);
+static void send_all(struct peers *t, const PeerDatagram *d);
+
+/* Passes on that an endpoint was found dead. */
+void peers_tell_lost(struct peers *t, const char *endpoint)
+{
+	tell_of(t, &t->lost, endpoint);
+}
+
+/* Passes on that an endpoint was found without the store's word. */
+void peers_tell_found(struct peers *t, const char *endpoint)
+{
+	tell_of(t, &t->found, endpoint);
+}
+
+/* Tells the others soon of a load that was just added. */
+void peers_tell_soon(struct peers *t)
+{
+	uint64_t now = proxyd_now(t->proxyd);
+
+	if (!t->urgent_ms && t->n <= URGENT_PEERS_MAX)
+		t->urgent_ms = now + URGENT_MS;
+}
+
+/* Tells the others within a moment: a request was sent once more after a loss,
+ * and all draw on one budget; or a configuration came into force. */
+void peers_tell_urgent(struct peers *t)
+{
+	if (!t->urgent_ms)
+		t->urgent_ms = proxyd_now(t->proxyd) + URGENT_MS;
+}
+
+/* Passes changes of a table on, in as many datagrams as they need. */
+void peers_tell_rows(struct peers *t, enum store_table table, uint64_t after,
+		     uint64_t version, const struct store_row *rows, size_t n)
+{
+	PeerDatagram d = PEER_DATAGRAM__INIT;
+	PeerRows change = PEER_ROWS__INIT;
+	PeerRow row[ROWS_MAX];
+	PeerRow *list[ROWS_MAX];
+	size_t bytes = 0;
+	size_t i;
+
+	change.instance = t->proxyd->settings.name;
+	change.table = table;
+	change.after = after;
+	change.rows = list;
+	change.back_ms = watches_back_ms(t->proxyd->watches, table);
+	d.rows = &change;
+	for (i = 0; i < n; i++) {
+		PeerRow *r = &row[change.n_rows];
+
+		peer_row__init(r);
+		r->key = (char *)rows[i].key;
+		r->removed = rows[i].removed;
+		r->value.data = (uint8_t *)rows[i].raw;
+		r->value.len = rows[i].raw_len;
+		list[change.n_rows++] = r;
+		bytes += rows[i].raw_len + strlen(rows[i].key) + ROW_BYTES;
+		if (i + 1 < n && change.n_rows < ROWS_MAX &&
+		    bytes + rows[i + 1].raw_len + ROW_BYTES < ROWS_BYTES)
+			continue;
+		change.version = i + 1 < n ? rows[i].version : version;
+		send_all(t, &d);
+		change.after = change.version;
+		change.n_rows = 0;
+		bytes = 0;
+	}
+}
+
+/* Adds an endpoint to what the next datagrams say. */
+static void tell_of(struct peers *t, struct told *told, const char *endpoint)
+{
+	uint64_t now = proxyd_now(t->proxyd);
+	struct told_endpoint *e;
+
+	if (told->n == TOLD_MAX) {
+		memmove(told->list, told->list + 1,
+			sizeof(*e) * (TOLD_MAX - 1));
+		told->n--;
+	}
+	e = &told->list[told->n++];
+	snprintf(e->id, sizeof(e->id), "%s", endpoint);
+	e->at_ms = now;
+	if (!t->urgent_ms)
+		t->urgent_ms = now + URGENT_MS;
+}
+
+/* Forgets what has been said for long enough. */
+static void told_expire(struct told *told, uint64_t now)
+{
+	while (told->n && now - told->list[0].at_ms > TELL_MS)
+		memmove(told->list, told->list + 1,
+			sizeof(told->list[0]) * --told->n);
+}
+
+/* Sends a datagram to every other instance now. */
+void peers_tell_now(struct peers *t)
+{
+	struct proxyd *p = t->proxyd;
+	PeerPulse pulse = PEER_PULSE__INIT;
+	PeerLoad loads[LOADS_MAX];
+	PeerLoad *load_list[LOADS_MAX];
+	PeerUse uses[USES_MAX];
+	PeerUse *use_list[USES_MAX];
+	PeerDatagram d = PEER_DATAGRAM__INIT;
+	PeerFound found[TOLD_MAX];
+	PeerFound *found_list[TOLD_MAX];
+	char *lost[TOLD_MAX];
+	size_t i;
+
+	t->told_ms = proxyd_now(p);
+	t->urgent_ms = 0;
+	told_expire(&t->lost, t->told_ms);
+	told_expire(&t->found, t->told_ms);
+	for (i = 0; i < t->lost.n; i++)
+		lost[i] = t->lost.list[i].id;
+	pulse.n_found = gather_found(t, found);
+	for (i = 0; i < pulse.n_found; i++)
+		found_list[i] = &found[i];
+	pulse.found = found_list;
+	pulse.instance = p->settings.name;
+	pulse.born = p->born_ms;
+	pulse.leaving = !stop_ready(&p->stop);
+	pulse.version = p->routes ? p->routes->version : 0;
+	pulse.n_loads = gather_loads(t, loads);
+	for (i = 0; i < pulse.n_loads; i++)
+		load_list[i] = &loads[i];
+	pulse.loads = load_list;
+	pulse.n_lost = t->lost.n;
+	pulse.lost = lost;
+	pulse.n_uses = gather_uses(t, uses);
+	for (i = 0; i < pulse.n_uses; i++)
+		use_list[i] = &uses[i];
+	pulse.uses = use_list;
+	pulse.capacity = peers_own_capacity(t);
+	pulse.reading = watches_reading(p->watches);
+	pulse.endpoints_version = watches_version(p->watches, STORE_ENDPOINTS);
+	d.pulse = &pulse;
+	if (peer_datagram__get_packed_size(&d) > DATAGRAM_MAX)
+		pulse.n_loads /= 4;
+	send_all(t, &d);
+}
+
+/* Fills in where this instance has work; returns the number. */
+static size_t gather_loads(struct peers *t, PeerLoad *loads)
+{
+	struct endpoint *e;
+	uint32_t i = 0;
+	size_t n = 0;
+
+	while (n < LOADS_MAX && (e = endpoint_next(t->proxyd->endpoints, &i))) {
+		if (!e->own.tokens && !e->own.requests)
+			continue;
+		peer_load__init(&loads[n]);
+		loads[n].endpoint = e->hash;
+		loads[n].tokens = e->own.tokens;
+		loads[n].prefill = e->own.prefill;
+		loads[n].prefills = e->own.prefills;
+		loads[n++].requests = e->own.requests;
+	}
+	return n;
+}
+
+/* Fills in the endpoints that were found; returns the number. */
+static size_t gather_found(struct peers *t, PeerFound *found)
+{
+	struct endpoints *endpoints = t->proxyd->endpoints;
+	size_t n = 0;
+	size_t i;
+
+	for (i = 0; i < t->found.n; i++) {
+		struct endpoint *e =
+			endpoint_by_id(endpoints, t->found.list[i].id);
+
+		if (!e)
+			continue;
+		peer_found__init(&found[n]);
+		found[n].id = e->id;
+		found[n].address = e->address;
+		found[n].service = e->service;
+		found[n++].zone =
+			(char *)endpoints_zone_name(endpoints, e->zone);
+	}
+	return n;
+}
+
+/* Fills in this instance's own requests and repeats; returns the number. */
+static size_t gather_uses(struct peers *t, PeerUse *uses)
+{
+	struct proxyd *p = t->proxyd;
+	struct repeat_budget *budget;
+	uint64_t hash;
+	size_t i = 0;
+	size_t n = 0;
+
+	while (n < USES_MAX &&
+	       endpoints_next_budget(p->endpoints, &i, &hash, &budget)) {
+		peer_use__init(&uses[n]);
+		uses[n].service = hash;
+		repeat_counts(budget, &p->repeat, proxyd_now(p),
+			      &uses[n].requests, &uses[n].repeats);
+		n += uses[n].requests || uses[n].repeats;
+	}
+	return n;
+}
+
+/* Sends a datagram to every other instance.  One may be lost: what it says
+ * comes again, or is missed by its version. */
+static void send_all(struct peers *t, const PeerDatagram *d)
+{
+	uint8_t out[DATAGRAM_MAX];
+	struct peer *peer;
+	uv_buf_t buf;
+
+	if (peer_datagram__get_packed_size(d) > sizeof(out)) {
+		event_log(EVENT_NOTABLE, "datagram-too-large", NULL, "{}");
+		return;
+	}
+	buf = uv_buf_init((char *)out,
+			  (unsigned int)peer_datagram__pack(d, out));
+	TAILQ_FOREACH(peer, &t->list, link)
+	if (uv_udp_try_send(&t->udp, &buf, 1,
+			    (const struct sockaddr *)&peer->address) > 0)
+		counter_add(t->sent, 1);
+}
+
+/* Returns this instance's share of a core, in thousandths. */
+uint32_t peers_own_capacity(const struct peers *t)
+{
+	return (uint32_t)(t->proxyd->settings.capacity * 1000);
+}
--- a/regress/integration/test_settings.c
+++ b/regress/integration/test_settings.c
@@ -107,7 +107,8 @@
 
 static void test_examples_are_accepted(void **state)
 {
-	static const char *const programs[] = { "cdmentryd", "cdmfleetd" };
+	static const char *const programs[] = { "cdmentryd", "cdmfleetd",
+						"cdmproxyd" };
 	const char *root = getenv("CDM_ROOT");
 	struct harness *h = harness_new();
 	size_t i;
