--- a/regress/soak/soak_proxyd.c
+++ b/regress/soak/soak_proxyd.c
@@ -309,7 +309,8 @@
 		fail_msg("stream %s ended after event %llu", c->id,
 			 (unsigned long long)c->last_event);
 	if (c->kind != CALL_STREAM &&
-	    (c->body.len != 12 || memcmp(c->body.data, "plain answer", 12) != 0))
+	    (c->body.len != 12 ||
+	     memcmp(c->body.data, "plain answer", 12) != 0))
 		fail_msg("request %s: not its worker's answer", c->id);
 }
 
@@ -361,8 +362,8 @@
 		   "deadline-ms: %u\r\n\r\n%s",
 		   lines[c->kind], c->id, c->kind == CALL_STREAM ? 8000 : 900,
 		   c->kind == CALL_LOOKUP ? "" : "x");
-	c->http = http1_call_start(client, &options, out.data, out.len, &ops,
-				   c);
+	c->http =
+		http1_call_start(client, &options, out.data, out.len, &ops, c);
 }
 
 /* Ends calls whose callers would have left. */
