--- a/policy/reread.c
+++ b/policy/reread.c
@@ -34,7 +34,7 @@
 /* Without a word of a reader for this time, somewhat more than between two of
  * its datagrams, an instance reads for itself. */
 #define SILENT_MS 400
-#define SILENT_PER_INSTANCE_MS 20
+#define SILENT_PER_INSTANCE_MS 14
 
 /* A change that others have and this instance has not is on its way for this
  * time; then its datagram counts as lost. */
