HEAD: the answer has no body

Cause, by reading: a call with HEAD waited for the body whose length its answer names. Test: head_has_no_body of the client; the attempt sets it by method.

--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -63,6 +63,8 @@
 	uint64_t now = proxyd_now(p);
 	struct http1_call_options options = {
 		.address = e->address,
+		.head = x->request->head.method_len == 4 &&
+			!memcmp(x->request->head.method, "HEAD", 4),
 		.connect_ms = x->connects ? CONNECT_LAST_MS : CONNECT_MS,
 	};
 	struct forward_fields f = {
--- a/regress/contract/test_http1_client.c
+++ b/regress/contract/test_http1_client.c
@@ -332,6 +332,32 @@
 	bytes_release(&r.body);
 }
 
+/* The answer to HEAD has the length of a body that does not come. */
+static void head_has_no_body(void **state)
+{
+	static const struct http1_call_ops ops = {
+		.on_head = take_head,
+		.on_body = take_body,
+		.on_end = take_end,
+	};
+	const struct http1_call_options options = {
+		.address = server.address,
+		.head = true,
+		.connect_ms = 1000,
+	};
+	char *request = xstrdup("HEAD / HTTP/1.1\r\nhost: h\r\n\r\n");
+	struct result r = { .over = false };
+
+	(void)state;
+	server.script =
+		(struct script){ HEAD "content-length: 2\r\n\r\n", KEEP };
+	http1_call_start(client, &options, request, strlen(request), &ops, &r);
+	harness_until(harness, is_over, &r, "the call ends");
+	assert_int_equal(r.outcome, HTTP1_COMPLETE);
+	assert_int_equal(r.status, 200);
+	assert_int_equal(r.body.len, 0);
+}
+
 static void nothing_sent(void **state)
 {
 	struct result refused = { .over = false };
@@ -351,6 +377,8 @@
 						tear_down),
 		cmocka_unit_test_setup_teardown(answer_of_another_request,
 						set_up, tear_down),
+		cmocka_unit_test_setup_teardown(head_has_no_body, set_up,
+						tear_down),
 		cmocka_unit_test_setup_teardown(nothing_sent, set_up,
 						tear_down),
 	};
