Servers and clients are freed with their last handle; contract test of the store

Cause: test_proxyd and test_platform_store under ASan: 5,600 and 696 bytes of servers and clients that nobody owned any more. The product never frees them. The store's client has a contract test of its own, with its fault cases in tables.

--- a/lib/http1_client.c
+++ b/lib/http1_client.c
@@ -68,6 +68,8 @@
 	struct kept_list conns; /* the most recently used first */
 	struct call_list stillborn; /* their failure is told at the next tick */
 	struct http1_client_stats stats;
+	size_t n_handles; /* of the loop, not closed yet */
+	bool freed; /* when the last handle is closed */
 };
 
 struct write {
@@ -109,9 +111,9 @@
 	return c;
 }
 
-/* Closes all connections; calls in progress are cancelled.  The client itself
- * stays, as its connections are freed by the loop.  The analyzer does not see
- * that a freed call is out of its list. */
+/* Closes all connections; calls in progress are cancelled.  The client is
+ * freed with its last connection, by the loop.  The analyzer does not see that
+ * a freed call is out of its list. */
 void http1_client_free(struct http1_client *c)
 {
 	struct kept_conn *k;
@@ -125,6 +127,9 @@
 		else
 			conn_close(k);
 	}
+	c->freed = true;
+	if (!c->n_handles)
+		free(c);
 }
 
 /* Gives connections under way the time that this process stood still. */
@@ -301,6 +306,7 @@
 	k->state = CONN_CONNECTING;
 	strcpy(k->address, o->address);
 	uv_tcp_init(c->loop, &k->tcp);
+	c->n_handles++;
 	k->tcp.data = k;
 	k->connect.data = k;
 	TAILQ_INSERT_HEAD(&c->conns, k, link);
@@ -587,6 +593,8 @@
 	struct kept_conn *k = h->data;
 
 	bytes_release(&k->input);
+	if (!--k->client->n_handles && k->client->freed)
+		free(k->client);
 	free(k);
 }
 
--- a/lib/http1_server.c
+++ b/lib/http1_server.c
@@ -54,7 +54,9 @@
 	uv_tcp_t *listeners[LISTENERS_MAX];
 	size_t n_listeners;
 	struct conn_list conns;
+	size_t n_handles; /* of the loop, not closed yet */
 	bool closing; /* answers end their connections */
+	bool freed; /* when the last handle is closed */
 };
 
 struct write {
@@ -70,6 +72,7 @@
 static void on_written(uv_write_t *req, int status);
 static void on_conn_closed(uv_handle_t *h);
 static void on_listener_closed(uv_handle_t *h);
+static void handle_closed(struct http1_server *s);
 static void parse(struct http1_conn *c);
 static bool parse_head(struct http1_conn *c);
 static bool parse_body(struct http1_conn *c);
@@ -117,6 +120,7 @@
 	}
 	l = xcalloc(1, sizeof(*l));
 	uv_tcp_init(s->loop, l);
+	s->n_handles++;
 	l->data = s;
 	uv_ip4_addr(host, port, &sin);
 	rc = uv_tcp_bind(l, (const struct sockaddr *)&sin, 0);
@@ -176,6 +180,9 @@
 			 on_listener_closed);
 	while ((c = TAILQ_FIRST(&s->conns)))
 		conn_close(c);
+	s->freed = true;
+	if (!s->n_handles)
+		free(s);
 }
 
 /* Names the owner of the request in progress, for on_gone and on_sent. */
@@ -281,6 +288,7 @@
 		return;
 	c = xcalloc(1, sizeof(*c));
 	uv_tcp_init(s->loop, &c->tcp);
+	s->n_handles++;
 	c->tcp.data = c;
 	c->server = s;
 	c->keep = true;
@@ -503,6 +511,7 @@
 {
 	struct http1_conn *c = h->data;
 
+	handle_closed(c->server);
 	bytes_release(&c->input);
 	bytes_release(&c->head);
 	bytes_release(&c->body);
@@ -512,9 +521,17 @@
 /* Frees a listener. */
 static void on_listener_closed(uv_handle_t *h)
 {
+	handle_closed(h->data);
 	free(h);
 }
 
+/* The loop holds one handle of the server less. */
+static void handle_closed(struct http1_server *s)
+{
+	if (!--s->n_handles && s->freed)
+		free(s);
+}
+
 /* Returns the reason phrase of a status. */
 static const char *reason_of(int status)
 {
--- a/regress/contract/test_http1_client.c
+++ b/regress/contract/test_http1_client.c
@@ -138,9 +138,9 @@
 {
 	(void)state;
 	http1_client_free(client);
+	client = NULL;
 	uv_close((uv_handle_t *)&server.listener, NULL);
 	harness_run(harness, 20);
-	free(client);
 	harness_free(harness);
 	return 0;
 }
@@ -288,6 +288,7 @@
 	(void)state;
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
 		http1_client_free(client); /* closes what the last one kept */
+		client = http1_client_new(harness_loop(harness));
 		server.accepted = 0;
 		server.script = cases[i].script;
 		for (again = 0; again < 2; again++) {
--- /dev/null
+++ b/regress/contract/test_platform_store.c
@@ -0,0 +1,293 @@
+/* The client of the platform's store against a server of scripted answers:
+ * what each answer becomes, pages, rows that cannot be read, and what is sent
+ * to it. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <setjmp.h>
+#include <cmocka.h>
+
+#include "lib/http1_server.h"
+#include "lib/xalloc.h"
+#include "platform/platform.h"
+#include "regress/harness.h"
+
+#define N(list) (sizeof(list) / sizeof((list)[0]))
+
+/* {"backend":"s","address":"1.2.3.4:5","zone":"z","state":"ready"} */
+#define GOOD                                                               \
+	"eyJiYWNrZW5kIjoicyIsImFkZHJlc3MiOiIxLjIuMy40OjUiLCJ6b25lIjoieiIs" \
+	"InN0YXRlIjoicmVhZHkifQ=="
+
+/* How the server treats a call. */
+enum manner {
+	ANSWERS,
+	BREAKS,
+	IS_SILENT,
+};
+
+struct script {
+	enum manner manner;
+	int status;
+	const char *body;
+};
+
+struct result {
+	bool over;
+	enum store_outcome outcome;
+	size_t n;
+	uint64_t version;
+	char keys[8][16];
+	bool removed[8];
+	bool endpoint[8];
+	bool problem[8];
+};
+
+static struct harness *harness;
+static struct http1_server *server;
+static struct http1_client *client;
+static struct store *store;
+static struct script script[4];
+static char targets[4][128];
+static char last_body[512];
+static size_t n_calls;
+
+static void on_request(struct http1_conn *c, struct http1_request *r, void *arg)
+{
+	const struct script *s = &script[n_calls];
+
+	(void)arg;
+	assert_true(n_calls < N(script));
+	snprintf(targets[n_calls++], sizeof(targets[0]), "%.*s",
+		 (int)r->head.target_len, r->head.target);
+	snprintf(last_body, sizeof(last_body), "%.*s", (int)r->body_len,
+		 r->body_len ? r->body : "");
+	if (s->manner == ANSWERS)
+		http1_reply(c, s->status, NULL, s->body, strlen(s->body));
+	else if (s->manner == BREAKS)
+		http1_abort(c);
+}
+
+static void on_gone(void *owner)
+{
+	(void)owner;
+}
+
+static int set_up(void **state)
+{
+	static const struct http1_server_ops ops = {
+		.on_request = on_request,
+		.on_gone = on_gone,
+	};
+	const char *address;
+	char err[128];
+
+	(void)state;
+	harness = harness_new();
+	address = harness_address(harness);
+	server = http1_server_new(harness_loop(harness), &ops, NULL);
+	assert_int_equal(http1_server_listen(server, address, err, sizeof(err)),
+			 0);
+	client = http1_client_new(harness_loop(harness));
+	store = platform_store_new(client, harness_loop(harness), address);
+	return 0;
+}
+
+static int reset(void **state)
+{
+	(void)state;
+	n_calls = 0;
+	memset(script, 0, sizeof(script));
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	(void)state;
+	http1_client_free(client);
+	http1_server_free(server);
+	harness_run(harness, 20);
+	harness_free(harness);
+	return 0;
+}
+
+static void take_rows(void *arg, enum store_outcome outcome,
+		      const struct store_row *rows, size_t n, uint64_t version)
+{
+	struct result *r = arg;
+	size_t i;
+
+	r->over = true;
+	r->outcome = outcome;
+	r->n = n;
+	r->version = version;
+	for (i = 0; i < n && i < N(r->keys); i++) {
+		snprintf(r->keys[i], sizeof(r->keys[i]), "%s", rows[i].key);
+		r->removed[i] = rows[i].removed;
+		r->endpoint[i] = rows[i].endpoint != NULL;
+		r->problem[i] = rows[i].problem[0] != '\0';
+	}
+}
+
+static void take_outcome(void *arg, enum store_outcome outcome)
+{
+	struct result *r = arg;
+
+	r->over = true;
+	r->outcome = outcome;
+}
+
+static bool is_over(void *arg)
+{
+	http1_client_tick(client);
+	store->ops->tick(store);
+	return ((struct result *)arg)->over;
+}
+
+static void wait_for(struct result *r)
+{
+	harness_until(harness, is_over, r, "the call ends");
+}
+
+static void outcomes(void **state)
+{
+	static const struct {
+		struct script script;
+		enum store_outcome outcome;
+	} cases[] = {
+		{ { ANSWERS, 200, "{\"rows\":[],\"ver\":5}" }, STORE_OK },
+		{ { ANSWERS, 410, "{}" }, STORE_HISTORY_LOST },
+		{ { ANSWERS, 429, "" }, STORE_REFUSED },
+		{ { ANSWERS, 503, "" }, STORE_REFUSED },
+		{ { ANSWERS, 200, "" }, STORE_MALFORMED },
+		{ { ANSWERS, 200, "{\"rows\":7}" }, STORE_MALFORMED },
+		{ { ANSWERS, 200, "<html>" }, STORE_MALFORMED },
+		{ { BREAKS, 0, NULL }, STORE_UNREACHABLE },
+		{ { IS_SILENT, 0, NULL }, STORE_UNREACHABLE },
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < N(cases); i++) {
+		struct result r = { .over = false };
+
+		n_calls = 0;
+		script[0] = cases[i].script;
+		store->ops->follow(store, STORE_ENDPOINTS, 4, 10, take_rows,
+				   &r);
+		wait_for(&r);
+		if (r.outcome != cases[i].outcome)
+			fail_msg("case %zu: %s", i,
+				 store_outcome_name(r.outcome));
+		assert_string_equal(
+			targets[0],
+			"/rows-feed?table=servers&after=4&waitMs=10");
+	}
+}
+
+/* Pages are asked for until there are no more; the key at which one begins
+ * anew is not given twice, and the version is that of the first page. */
+static void pages(void **state)
+{
+	struct result r = { .over = false };
+
+	(void)state;
+	script[0] = (struct script){
+		ANSWERS, 200,
+		"{\"rows\":[{\"key\":\"a\",\"value\":\"" GOOD "\",\"ver\":1},"
+		"{\"key\":\"b\",\"value\":\"" GOOD "\",\"ver\":2}],"
+		"\"hasMore\":true,\"ver\":7}"
+	};
+	script[1] = (struct script){
+		ANSWERS, 200,
+		"{\"rows\":[{\"key\":\"b\",\"value\":\"" GOOD "\",\"ver\":2},"
+		"{\"key\":\"c\",\"value\":\"" GOOD "\",\"ver\":9}],"
+		"\"hasMore\":false,\"ver\":9}"
+	};
+	store->ops->list(store, STORE_ENDPOINTS, take_rows, &r);
+	wait_for(&r);
+	assert_int_equal(r.outcome, STORE_OK);
+	assert_int_equal(r.n, 3);
+	assert_int_equal(r.version, 7);
+	assert_string_equal(r.keys[0], "a");
+	assert_string_equal(r.keys[1], "b");
+	assert_string_equal(r.keys[2], "c");
+	assert_non_null(strstr(targets[1], "&from=b"));
+}
+
+/* Rows that cannot be read are told as such and the others hold. */
+static void unreadable_rows(void **state)
+{
+	struct result r = { .over = false };
+
+	(void)state;
+	script[0] = (struct script){
+		ANSWERS, 200,
+		"{\"rows\":[{\"key\":\"gone\",\"deleted\":true,\"ver\":3},"
+		"{\"key\":\"base64\",\"value\":\"!\",\"ver\":4},"
+		"{\"key\":\"json\",\"value\":\"AAAA\",\"ver\":5},"
+		"{\"key\":\"none\",\"ver\":6},"
+		"{\"key\":\"good\",\"value\":\"" GOOD "\",\"ver\":7}],"
+		"\"ver\":8}"
+	};
+	store->ops->follow(store, STORE_ENDPOINTS, 2, 10, take_rows, &r);
+	wait_for(&r);
+	assert_int_equal(r.outcome, STORE_OK);
+	assert_int_equal(r.n, 5);
+	assert_true(r.removed[0]);
+	assert_false(r.problem[0]);
+	assert_true(r.problem[1] && r.problem[2] && r.problem[3]);
+	assert_false(r.endpoint[1] || r.endpoint[2] || r.endpoint[3]);
+	assert_true(r.endpoint[4]);
+	assert_int_equal(r.version, 8);
+}
+
+/* The own entry is written and removed without a condition: it has one writer,
+ * and a lost answer is written again. */
+static void own_entry(void **state)
+{
+	const struct instance_entry entry = {
+		.callers = "1.2.3.4:5",
+		.peers = "1.2.3.4:6",
+		.control = "1.2.3.4:7",
+		.zone = "z",
+	};
+	struct result r = { .over = false };
+	json_t *root;
+
+	(void)state;
+	script[0] = script[1] =
+		(struct script){ ANSWERS, 200, "{\"ver\":1,\"nowMs\":2}" };
+	store->ops->put_instance(store, "me", &entry, take_outcome, &r);
+	wait_for(&r);
+	assert_int_equal(r.outcome, STORE_OK);
+	assert_string_equal(targets[0], "/rows-tx");
+	root = json_loads(last_body, 0, NULL);
+	assert_int_equal(json_array_size(json_object_get(root, "puts")), 1);
+	assert_int_equal(json_array_size(json_object_get(root, "expectedRev")),
+			 0);
+	json_decref(root);
+	r.over = false;
+	store->ops->remove_instance(store, "me", take_outcome, &r);
+	wait_for(&r);
+	assert_int_equal(r.outcome, STORE_OK);
+	root = json_loads(last_body, 0, NULL);
+	assert_int_equal(json_array_size(json_object_get(root, "remove")), 1);
+	json_decref(root);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup(outcomes, reset),
+		cmocka_unit_test_setup(pages, reset),
+		cmocka_unit_test_setup(unreadable_rows, reset),
+		cmocka_unit_test_setup(own_entry, reset),
+	};
+
+	return cmocka_run_group_tests(tests, set_up, tear_down);
+}
--- a/regress/soak/soak_proxyd.c
+++ b/regress/soak/soak_proxyd.c
@@ -505,7 +505,6 @@
 	http1_client_free(client);
 	standin_free(world);
 	harness_free(harness);
-	free(client);
 }
 
 int main(int argc, char **argv)
