--- a/regress/platform_standin.c
+++ b/regress/platform_standin.c
@@ -45,6 +45,8 @@
 static void reply_rows(struct standin_world *w, struct http1_conn *c,
 		       json_t *rows);
 static char *parameter(const char *target, const char *name);
+static void reply_text(struct http1_conn *c, const char *headers,
+		       const char *text);
 static void on_worker(struct http1_conn *c, struct http1_request *r, void *arg);
 static void on_worker_gone(void *owner);
 static struct standin_arrival *record(struct standin_worker *worker,
@@ -523,6 +525,13 @@
 	return value;
 }
 
+/* Answers with a text. */
+static void reply_text(struct http1_conn *c, const char *headers,
+		       const char *text)
+{
+	http1_reply(c, 200, headers, text, strlen(text));
+}
+
 /* A request to a worker. */
 static void on_worker(struct http1_conn *c, struct http1_request *r, void *arg)
 {
@@ -539,11 +548,9 @@
 	else if (!strcmp(a->target, "/healthz"))
 		http1_reply(c, 200, headers, "", 0);
 	else if (!strcmp(a->target, "/report"))
-		http1_reply(c, 200, headers, "{\"models\":[{\"name\":\"m\"}]}",
-			    27);
+		reply_text(c, headers, "{\"models\":[{\"name\":\"m\"}]}");
 	else if (!strcmp(a->target, "/kv-move"))
-		http1_reply(c, 200, NULL, "{\"handle\":\"h1\",\"created\":3}",
-			    27);
+		reply_text(c, NULL, "{\"handle\":\"h1\",\"created\":3}");
 	else if (!strncmp(a->target, "/kv-handle/", 11))
 		http1_reply(c, 200, NULL, "", 0);
 	else if (!strcmp(worker->service, "engine") &&
