--- a/regress/contract/test_http1_client.c
+++ b/regress/contract/test_http1_client.c
@@ -31,6 +31,8 @@
 
 struct server {
 	struct harness *harness;
+	struct bytes *record; /* all bytes that came, or NULL */
+	size_t answer_at; /* bytes after which the next answer is sent */
 	uv_tcp_t listener;
 	const char *address;
 	struct script script;
@@ -85,12 +87,17 @@
 	struct connection *c = stream->data;
 	uv_buf_t out;
 
-	(void)buf;
 	if (n < 0) {
 		if (!uv_is_closing((uv_handle_t *)stream))
 			uv_close((uv_handle_t *)stream, on_closed);
 		return;
 	}
+	if (c->server->record) {
+		bytes_add(c->server->record, buf->base, (size_t)n);
+		if (c->server->record->len < c->server->answer_at)
+			return;
+		c->server->answer_at = SIZE_MAX; /* one answer */
+	}
 	out = uv_buf_init((char *)c->server->script.bytes,
 			  (unsigned int)strlen(c->server->script.bytes));
 	c->write.data = c;
@@ -315,6 +322,66 @@
 	}
 }
 
+static bool all_came(void *arg)
+{
+	return server.record->len >= *(const size_t *)arg;
+}
+
+/* The answer comes before a long body has been read: what follows on the
+ * connection is the rest of that body, and then the next request. */
+static void answer_before_the_body(void **state)
+{
+	static const struct http1_call_ops ops = {
+		.on_head = take_head,
+		.on_body = take_body,
+		.on_end = take_end,
+	};
+	const struct http1_call_options options = {
+		.address = server.address,
+		.connect_ms = 1000,
+		.reuse_ms = 60000,
+	};
+	enum { BODY = 4 << 20 };
+	struct result first = { .over = false };
+	struct result second = { .over = false };
+	struct bytes expected = { 0 };
+	struct bytes record = { 0 };
+	char *body = xcalloc(BODY, 1);
+
+	(void)state;
+	memset(body, 'b', BODY);
+	bytes_addf(&expected, "POST / HTTP/1.1\r\ncontent-length: %d\r\n\r\n",
+		   BODY);
+	bytes_add(&expected, body, BODY);
+	server.record = &record;
+	server.answer_at = 1;
+	server.script = (struct script){
+		HEAD "content-length: 2\r\n\r\nab",
+		KEEP,
+	};
+	http1_call_start(client, &options, xmemdup(expected.data, expected.len),
+			 expected.len, &ops, &first);
+	harness_until(harness, is_over, &first, "the first call ends");
+	assert_int_equal(first.outcome, HTTP1_COMPLETE);
+	bytes_addf(&expected, "GET /next HTTP/1.1\r\n\r\n");
+	server.answer_at = expected.len;
+	http1_call_start(client, &options,
+			 xstrdup("GET /next HTTP/1.1\r\n\r\n"), 22, &ops,
+			 &second);
+	harness_until(harness, all_came, &expected.len, "all bytes come");
+	harness_until(harness, is_over, &second, "the second call ends");
+	assert_int_equal(second.outcome, HTTP1_COMPLETE);
+	assert_int_equal(server.accepted, 1);
+	assert_int_equal(record.len, expected.len);
+	assert_memory_equal(record.data, expected.data, expected.len);
+	server.record = NULL;
+	free(body);
+	bytes_release(&record);
+	bytes_release(&expected);
+	bytes_release(&first.body);
+	bytes_release(&second.body);
+}
+
 /* The late answer to an earlier request stands before the one that is due. */
 static void answer_of_another_request(void **state)
 {
@@ -376,6 +443,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(whole_or_not, set_up,
 						tear_down),
+		cmocka_unit_test_setup_teardown(answer_before_the_body, set_up,
+						tear_down),
 		cmocka_unit_test_setup_teardown(answer_of_another_request,
 						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(head_has_no_body, set_up,
