An endpoint is heard only by its own word; an address may belong to others

An entry that was just read counted as heard, too, though its endpoint may have ended long ago.

Change: being reached and being heard are told apart; only answers to requests that name the endpoint, and its own id, count as heard.

--- a/policy/reborn.c
+++ b/policy/reborn.c
@@ -23,7 +23,8 @@
 /* Says whether an address still belongs to the same service. */
 enum reborn_verdict reborn_judge(const struct reborn *r)
 {
-	if (r->silent_ms + REUSE_MARGIN_MS < r->reuse_after_ms)
+	if (r->heard_ms_ago >= 0 &&
+	    (uint64_t)r->heard_ms_ago + REUSE_MARGIN_MS < r->reuse_after_ms)
 		return REBORN_BELIEVE;
 	return r->engine && r->engine_services == 1 ? REBORN_ASK : REBORN_LEAVE;
 }
--- a/policy/reborn.h
+++ b/policy/reborn.h
@@ -7,7 +7,7 @@
 
 /* Another id answers at the address of an endpoint that was found dead. */
 struct reborn {
-	uint64_t silent_ms; /* since the endpoint was last heard */
+	int64_t heard_ms_ago; /* of the endpoint that was known; -1: never */
 	uint64_t reuse_after_ms; /* another service may have the address then */
 	size_t engine_services; /* services that have engines */
 	bool engine; /* the endpoint was one */
--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -194,7 +194,7 @@
 		  (json_int_t)x->routes->version, "tokens_there",
 		  (json_int_t)e->own.tokens + e->others.tokens, "prefill_there",
 		  (json_int_t)e->own.prefill + e->others.prefill,
-		  "heard_ms_ago", (json_int_t)(x->sent_ms - e->heard_ms),
+		  "heard_ms_ago", (json_int_t)endpoint_heard_ago(e, x->sent_ms),
 		  "left_ms", (json_int_t)(x->end_ms - x->sent_ms), "session",
 		  (json_int_t)x->fields.session, "resumes",
 		  x->fields.resumes || x->has_last_event, "staged", x->staged,
@@ -208,7 +208,6 @@
 	struct proxyd *p = x->proxyd;
 
 	p->protocol->decode_answer(head, &x->answer);
-	endpoint_alive(p->endpoints, x->at);
 	if (x->answer.id &&
 	    (strlen(x->fields.id) != x->answer.id_len ||
 	     memcmp(x->fields.id, x->answer.id, x->answer.id_len) != 0)) {
@@ -216,10 +215,10 @@
 			  x->fields.id, "{s:i}", "status", head->status);
 		return HTTP1_SKIP;
 	}
-	if (!x->answer.other_endpoint)
-		endpoint_proven(p->endpoints, x->at);
-	else
+	if (x->answer.other_endpoint)
 		note_other(x);
+	else
+		endpoint_heard(p->endpoints, x->at);
 	x->status = head->status;
 	x->unframed = http1_call_unframed(x->call);
 	x->headers.len = 0;
--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -238,7 +238,7 @@
 			event_log(EVENT_NOTABLE, "own-fault", request,
 				  "{s:s, s:I}", "endpoint", e->id,
 				  "heard_ms_ago",
-				  (json_int_t)(now - e->heard_ms));
+				  (json_int_t)endpoint_heard_ago(e, now));
 			return;
 		}
 	}
@@ -262,7 +262,7 @@
 	event_log(EVENT_NOTABLE, "endpoint-lost", request,
 		  "{s:s, s:s, s:s, s:I}", "endpoint", e->id, "address",
 		  e->address, "why", why, "heard_ms_ago",
-		  (json_int_t)(e->down_ms - e->heard_ms));
+		  (json_int_t)endpoint_heard_ago(e, e->down_ms));
 	peers_tell_lost(t->proxyd->peers, e->id);
 	exchanges_endpoint_lost(t->proxyd->exchanges, h);
 }
@@ -281,30 +281,40 @@
 	exchanges_endpoint_lost(t->proxyd->exchanges, h);
 }
 
-/* The endpoint gave a sign of life. */
-void endpoint_alive(struct endpoints *t, struct handle h)
+/* Returns how long ago the endpoint itself was heard, ms; -1 if never. */
+int64_t endpoint_heard_ago(const struct endpoint *e, uint64_t now)
+{
+	return e->heard_ms ? (int64_t)(now - e->heard_ms) : -1;
+}
+
+/* Someone answered at the endpoint's address; whether it is the same one is
+ * not said. */
+void endpoint_reached(struct endpoints *t, struct handle h)
 {
 	struct endpoint *e = endpoint_get(t, h);
 
 	if (!e)
 		return;
-	e->heard_ms = proxyd_now(t->proxyd);
+	e->reached_ms = proxyd_now(t->proxyd);
 	if (e->state != ENDPOINT_DOWN)
 		return;
 	e->state = ENDPOINT_UP;
 	e->unproven = true;
 	event_log(EVENT_NOTABLE, "endpoint-back", NULL, "{s:s, s:I}",
 		  "endpoint", e->id, "down_ms",
-		  (json_int_t)(e->heard_ms - e->down_ms));
+		  (json_int_t)(e->reached_ms - e->down_ms));
 }
 
-/* The endpoint answered a request under its own name. */
-void endpoint_proven(struct endpoints *t, struct handle h)
+/* The endpoint itself was heard: only it answers requests that name it. */
+void endpoint_heard(struct endpoints *t, struct handle h)
 {
 	struct endpoint *e = endpoint_get(t, h);
 
-	if (e)
-		e->unproven = false;
+	endpoint_reached(t, h);
+	if (!e)
+		return;
+	e->heard_ms = e->reached_ms;
+	e->unproven = false;
 }
 
 /* Asks the endpoint for a connection, on suspicion by a silent run. */
@@ -379,11 +389,11 @@
 	struct endpoint *e = endpoint_by_id(t, id);
 	uint64_t now = proxyd_now(t->proxyd);
 
-	if (!e || e->state != ENDPOINT_UP || now - e->heard_ms < RUMOUR_MS)
+	if (!e || e->state != ENDPOINT_UP || now - e->reached_ms < RUMOUR_MS)
 		return;
 	e->rumoured_ms = now;
 	if (e->own.requests)
-		endpoint_probe(t, e->self, NULL, now - e->heard_ms);
+		endpoint_probe(t, e->self, NULL, now - e->reached_ms);
 }
 
 /* Returns what is known of a service. */
@@ -455,7 +465,7 @@
 	e->proxyd = t->proxyd;
 	snprintf(e->id, sizeof(e->id), "%s", id);
 	e->hash = XXH3_64bits(id, strlen(id));
-	e->heard_ms = proxyd_now(t->proxyd);
+	e->reached_ms = proxyd_now(t->proxyd);
 	return e;
 }
 
@@ -536,5 +546,5 @@
 	if (outcome == HTTP1_NOT_SENT || outcome == HTTP1_NO_ANSWER)
 		endpoint_unreachable(t, e->self, NULL, outcome);
 	else
-		endpoint_alive(t, e->self);
+		endpoint_reached(t, e->self);
 }
--- a/proxyd/endpoints.h
+++ b/proxyd/endpoints.h
@@ -48,7 +48,8 @@
 	struct lapse lapse;
 	enum endpoint_state state;
 	uint64_t down_ms; /* when it was found dead */
-	uint64_t heard_ms; /* last sign of life */
+	uint64_t heard_ms; /* last word of its own; 0: none yet */
+	uint64_t reached_ms; /* last time anyone answered at its address */
 	uint64_t probed_ms; /* start of the last probe */
 	uint64_t rumoured_ms; /* another instance said that it is dead */
 	bool unproven; /* back by a probe, without an answer since */
@@ -95,14 +96,15 @@
 void endpoints_adopt(struct endpoints *t, const char *id, const char *address,
 		     const char *service, const char *zone);
 const char *endpoints_zone_name(const struct endpoints *t, uint16_t zone);
+int64_t endpoint_heard_ago(const struct endpoint *e, uint64_t now);
 void endpoint_lost(struct endpoints *t, struct handle h, const char *request,
 		   const char *why);
 void endpoint_unreachable(struct endpoints *t, struct handle h,
 			  const char *request, enum http1_outcome outcome);
 void endpoint_misdirected(struct endpoints *t, struct handle h,
 			  const char *request);
-void endpoint_alive(struct endpoints *t, struct handle h);
-void endpoint_proven(struct endpoints *t, struct handle h);
+void endpoint_reached(struct endpoints *t, struct handle h);
+void endpoint_heard(struct endpoints *t, struct handle h);
 void endpoint_probe(struct endpoints *t, struct handle h, const char *request,
 		    uint64_t silent_ms);
 void endpoint_answered(struct endpoints *t, struct handle h, uint64_t took_ms,
--- a/proxyd/endpoints_place.c
+++ b/proxyd/endpoints_place.c
@@ -170,5 +170,5 @@
 	if (e->rumoured_ms > lost)
 		lost = e->rumoured_ms;
 	return e->unproven ||
-	       (lost && e->heard_ms <= lost && now - lost < DOUBT_MS);
+	       (lost && e->reached_ms <= lost && now - lost < DOUBT_MS);
 }
--- a/proxyd/rediscover.c
+++ b/proxyd/rediscover.c
@@ -149,13 +149,12 @@
 	struct reborn known;
 
 	if (!strcmp(r->id, e->id)) {
-		endpoint_alive(p->endpoints, r->old);
-		endpoint_proven(p->endpoints, r->old);
+		endpoint_heard(p->endpoints, r->old);
 		finish(r);
 		return;
 	}
 	known = (struct reborn){
-		.silent_ms = proxyd_now(p) - e->heard_ms,
+		.heard_ms_ago = endpoint_heard_ago(e, proxyd_now(p)),
 		.reuse_after_ms = (uint64_t)(p->settings.reuse_after_s * 1000),
 		.engine_services = routes_engine_services(p->routes),
 		.engine = routes_service(p->routes, e->service) &&
@@ -187,8 +186,8 @@
 {
 	event_log(EVENT_NOTABLE, "endpoint-rediscovered", NULL,
 		  "{s:s, s:s, s:s, s:I, s:b}", "endpoint", r->id, "before",
-		  old->id, "address", old->address, "silent_ms",
-		  (json_int_t)(proxyd_now(r->proxyd) - old->heard_ms),
+		  old->id, "address", old->address, "heard_ms_ago",
+		  (json_int_t)endpoint_heard_ago(old, proxyd_now(r->proxyd)),
 		  "by_report", r->reporting);
 	endpoints_adopt(r->proxyd->endpoints, r->id, old->address, old->service,
 			endpoints_zone_name(r->proxyd->endpoints, old->zone));
--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -34,7 +34,7 @@
 	size_t n;
 
 	event_stream_add(&x->stream, data, len);
-	endpoint_alive(x->proxyd->endpoints, x->at);
+	endpoint_heard(x->proxyd->endpoints, x->at);
 	n = whole_events(x);
 	if (!n || !x->caller)
 		return;
--- a/regress/integration/test_proxyd.c
+++ b/regress/integration/test_proxyd.c
@@ -505,6 +505,31 @@
 	assert_int_equal(status_of("GET", "/look/a", key, 1), 200);
 }
 
+/* An address that was silent for longer than others need to get it: who answers
+ * there now may be of another service, and gets nothing.  Fault of the hunt on
+ * deploy/days/addresses.toml (ajoke-assist, seed 747576017421). */
+static void address_of_another_service(void **state)
+{
+	enum { REUSE_MS = 2000 }; /* default of the settings */
+	struct standin_worker *worker;
+	size_t before;
+	size_t i;
+
+	(void)state;
+	worker = standin_worker(world, "plain", "z1");
+	start();
+	wait_served();
+	world->store_refuses = true;
+	harness_run(harness, REUSE_MS + 200);
+	snprintf(worker->id, sizeof(worker->id), "i-of-another");
+	before = world->n_arrivals;
+	for (i = 0; i < 3; i++)
+		assert_int_equal(status_of("GET", "/look/open/a", NULL, 0),
+				 503);
+	for (i = before; i < world->n_arrivals; i++)
+		assert_false(world->arrivals[i]->ran);
+}
+
 /* Two instances know each other; callers are sent to those that live. */
 static void directory(void **state)
 {
@@ -674,14 +699,23 @@
 {
 #define CASE(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
 	const struct CMUnitTest tests[] = {
-		CASE(passed_on),	 CASE(refusals),
-		CASE(bad_answers),	 CASE(no_false_refusal),
-		CASE(silent_endpoint),	 CASE(stream_whole),
-		CASE(engine_dies),	 CASE(caller_leaves),
-		CASE(configurations),	 CASE(entries),
-		CASE(store_away),	 CASE(rediscovered),
-		CASE(directory),	 CASE(planned_stop),
-		CASE(malformed_callers), CASE(explained),
+		CASE(passed_on),
+		CASE(refusals),
+		CASE(bad_answers),
+		CASE(no_false_refusal),
+		CASE(silent_endpoint),
+		CASE(stream_whole),
+		CASE(engine_dies),
+		CASE(caller_leaves),
+		CASE(configurations),
+		CASE(entries),
+		CASE(store_away),
+		CASE(rediscovered),
+		CASE(address_of_another_service),
+		CASE(directory),
+		CASE(planned_stop),
+		CASE(malformed_callers),
+		CASE(explained),
 		CASE(settings),
 	};
 
--- a/regress/unit/test_reborn.c
+++ b/regress/unit/test_reborn.c
@@ -17,7 +17,7 @@
 static void identity(void **state)
 {
 	static const struct {
-		uint64_t silent_ms;
+		int64_t heard_ms_ago;
 		bool engine;
 		size_t engine_services;
 		enum reborn_verdict verdict;
@@ -28,13 +28,16 @@
 		{ 5000, true, 1, REBORN_ASK },
 		{ 5000, true, 2, REBORN_LEAVE },
 		{ 5000, false, 1, REBORN_LEAVE },
+		/* listed, but never heard: it may have ended long ago */
+		{ -1, false, 1, REBORN_LEAVE },
+		{ -1, true, 1, REBORN_ASK },
 	};
 	size_t i;
 
 	(void)state;
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
 		const struct reborn r = {
-			.silent_ms = cases[i].silent_ms,
+			.heard_ms_ago = cases[i].heard_ms_ago,
 			.reuse_after_ms = 2000,
 			.engine = cases[i].engine,
 			.engine_services = cases[i].engine_services,
