--- a/regress/integration/test_proxyd.c
+++ b/regress/integration/test_proxyd.c
@@ -497,8 +497,22 @@
 	engine = standin_worker(world, "engine", "z1");
 	start();
 	wait_served();
+	s = open_stream(NULL);
+	expect_whole(s, 1);
+	stream_close(s);
 	world->store_refuses = true;
 	snprintf(engine->id, sizeof(engine->id), "i-new");
+	s = open_stream(NULL); /* the engine was heard just now */
+	expect_whole(s, 1);
+	stream_close(s);
+	harness_run(harness, 2200);
+	snprintf(engine->id, sizeof(engine->id), "i-newer");
+	s = open_stream(NULL); /* refused while the engine is asked */
+	stream_wait_end(s);
+	stream_close(s);
+	while (strcmp(standin_last(world)->target, "/report") != 0)
+		harness_run(harness, 20);
+	harness_run(harness, 100);
 	s = open_stream(NULL);
 	expect_whole(s, 1);
 	stream_close(s);
