One way to say what is asked of an endpoint; an unread field goes

Seen on reading the change: exchange.c, copy.c and stage.c each wrote the same wish; exchange_wish() serves all. Nothing read reborn_probe.down_ms.

--- a/policy/reborn.h
+++ b/policy/reborn.h
@@ -21,7 +21,6 @@
 
 /* What is done about an endpoint that is down. */
 struct reborn_probe {
-	uint64_t down_ms; /* since it was found dead */
 	uint64_t probed_ms_ago;
 	size_t instances;
 	bool answers; /* the store does */
--- a/proxyd/copy.c
+++ b/proxyd/copy.c
@@ -35,12 +35,7 @@
  * name none. */
 struct handle copy_choose(struct exchange *x)
 {
-	const struct endpoint_wish wish = {
-		.service = x->service,
-		.tokens = x->tokens,
-		.avoided = x->avoided,
-		.n_avoided = x->n_avoided,
-	};
+	const struct endpoint_wish wish = exchange_wish(x);
 	const struct handle none = { 0 };
 
 	if (!x->engine || !x->engine->copies || x->route->kind != KIND_STREAM ||
--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -513,7 +513,6 @@
 {
 	uint64_t now = proxyd_now(t->proxyd);
 	const struct reborn_probe probe = {
-		.down_ms = now - e->down_ms,
 		.probed_ms_ago = now - e->probed_ms,
 		.instances = peers_alive(t->proxyd->peers) + 1,
 		.answers = store_answers,
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -221,10 +221,10 @@
 	exchange_over(x, "left by caller");
 }
 
-/* Looks for an endpoint, and sends the request to it or waits or refuses. */
-void exchange_seek(struct exchange *x)
+/* Returns what is asked of an endpoint for the request. */
+struct endpoint_wish exchange_wish(const struct exchange *x)
 {
-	const struct endpoint_wish wish = {
+	return (struct endpoint_wish){
 		.service = x->service,
 		.tokens = x->tokens,
 		.session = x->fields.session,
@@ -232,6 +232,12 @@
 		.avoided = x->avoided,
 		.n_avoided = x->n_avoided,
 	};
+}
+
+/* Looks for an endpoint, and sends the request to it or waits or refuses. */
+void exchange_seek(struct exchange *x)
+{
+	const struct endpoint_wish wish = exchange_wish(x);
 	struct handle at = { 0 };
 	struct place_choice choice;
 
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -129,6 +129,7 @@
 void exchange_caller_left(void *owner);
 
 /* exchange.c */
+struct endpoint_wish exchange_wish(const struct exchange *x);
 void exchange_seek(struct exchange *x);
 void exchange_avoid(struct exchange *x, struct handle h);
 bool exchange_repeat_allowed(struct exchange *x);
--- a/proxyd/stage.c
+++ b/proxyd/stage.c
@@ -27,12 +27,7 @@
  * none. */
 struct handle stage_choose(struct exchange *x)
 {
-	const struct endpoint_wish wish = {
-		.service = x->service,
-		.tokens = x->tokens,
-		.avoided = x->avoided,
-		.n_avoided = x->n_avoided,
-	};
+	const struct endpoint_wish wish = exchange_wish(x);
 	const struct handle none = { 0 };
 	struct handle to = none;
 
