--- a/policy/presence.c
+++ b/policy/presence.c
@@ -44,6 +44,17 @@
 	return now - p->heard_ms < patience;
 }
 
+/* Tells whether an instance is stopping and still takes what ends in time:
+ * callers are sent there only if there is no other. */
+bool presence_stopping(const struct presence *p, size_t instances, uint64_t now)
+{
+	struct presence as_if = *p;
+
+	as_if.leaving = false;
+	return p->leaving && p->heard_ms &&
+	       presence_alive(&as_if, instances, now);
+}
+
 /* Tells whether this instance hears so few that it is the one cut off, and
  * its view of the others is worth nothing. */
 bool presence_cut_off(size_t alive, size_t listed)
--- a/policy/presence.h
+++ b/policy/presence.h
@@ -15,6 +15,8 @@
 
 uint32_t presence_interval_ms(size_t instances);
 bool presence_alive(const struct presence *p, size_t instances, uint64_t now);
+bool presence_stopping(const struct presence *p, size_t instances,
+		       uint64_t now);
 bool presence_cut_off(size_t alive, size_t listed);
 
 #endif /* POLICY_PRESENCE_H */
--- a/proxyd/desk.c
+++ b/proxyd/desk.c
@@ -18,7 +18,7 @@
 #include "proxyd/snapshot.h"
 
 #define ADDRESSES_MAX 64 /* callers read no more */
-#define DIRECTORY_TTL_S 2 /* callers learn of a stop within this time */
+#define MS_PER_S 1000
 
 struct desk {
 	struct proxyd *proxyd;
@@ -38,6 +38,7 @@
 static void serve_ready(struct desk *d, struct http1_conn *c);
 static void serve_directory(struct desk *d, struct http1_conn *c,
 			    const struct http1_head *head);
+static size_t list_stopping(const struct desk *d, const char **addresses);
 static void serve_metrics(struct desk *d, struct http1_conn *c);
 
 static const struct http1_server_ops caller_ops = {
@@ -161,15 +162,14 @@
 	const char *addresses[ADDRESSES_MAX];
 	struct bytes body = { 0 };
 	char zone[64];
-	uint32_t ttl_s = DIRECTORY_TTL_S;
 	size_t n = 0;
 
-	if (ttl_s > p->settings.directory_ttl_s)
-		ttl_s = (uint32_t)p->settings.directory_ttl_s;
 	p->protocol->decode_directory(head, zone, sizeof(zone));
 	if (stop_ready(&p->stop) && p->routes)
 		addresses[n++] = p->settings.callers;
 	n += peers_addresses(p->peers, addresses + n, ADDRESSES_MAX - n);
+	if (!n && p->routes)
+		n = list_stopping(d, addresses);
 	if (!n) {
 		event_log(EVENT_NOTABLE, "directory-empty", NULL, "{s:s}",
 			  "zone", zone);
@@ -177,12 +177,26 @@
 		return;
 	}
 	counter_add(d->directory, 1);
-	p->protocol->encode_directory(&body, addresses, n, ttl_s);
+	p->protocol->encode_directory(&body, addresses, n,
+				      (uint32_t)(p->stop.named_ms / MS_PER_S));
 	http1_reply(c, 200, "content-type: application/json\r\n", body.data,
 		    body.len);
 	bytes_release(&body);
 }
 
+/* Lists the instances that are stopping, this one first: with no other there
+ * they still take what ends in time.  Returns the number. */
+static size_t list_stopping(const struct desk *d, const char **addresses)
+{
+	struct proxyd *p = d->proxyd;
+	size_t n = 0;
+
+	if (!stop_ready(&p->stop))
+		addresses[n++] = p->settings.callers;
+	return n + peers_addresses_stopping(p->peers, addresses + n,
+					    ADDRESSES_MAX - n);
+}
+
 /* Gives counters and histograms. */
 static void serve_metrics(struct desk *d, struct http1_conn *c)
 {
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -22,8 +22,8 @@
  * is known to be dead, or back, by then. */
 #define RETRY_NONE_UP_MS 300
 
-/* Callers of a process that knows no configuration yet, or that is stopping,
- * go to another instance at once. */
+/* Callers of a process that knows no configuration yet go to another instance
+ * at once. */
 #define RETRY_ELSEWHERE_MS 100
 
 /* A stream that lost its engine waits this long for another one. */
@@ -387,9 +387,11 @@
 	struct exchanges *t = x->proxyd->exchanges;
 	uint64_t expected = x->engine ? (uint64_t)t->run_ms : PLAIN_MS;
 
-	if (stop_takes(&x->proxyd->stop, expected, proxyd_now(x->proxyd)))
+	if (stop_takes(&x->proxyd->stop, expected,
+		       peers_alive(x->proxyd->peers) != 0,
+		       proxyd_now(x->proxyd)))
 		return true;
-	exchange_refuse(x, 503, RETRY_ELSEWHERE_MS,
+	exchange_refuse(x, 503, stop_retry_ms(&x->proxyd->stop),
 			"this instance is stopping");
 	return false;
 }
--- a/proxyd/peers.c
+++ b/proxyd/peers.c
@@ -163,6 +163,21 @@
 	return n;
 }
 
+/* Lists the addresses for callers of the other instances that are stopping;
+ * returns their number. */
+size_t peers_addresses_stopping(const struct peers *t, const char **addresses,
+				size_t most)
+{
+	uint64_t now = proxyd_now(t->proxyd);
+	const struct peer *peer;
+	size_t n = 0;
+
+	TAILQ_FOREACH(peer, &t->list, link)
+	if (n < most && presence_stopping(&peer->presence, t->n + 1, now))
+		addresses[n++] = peer->callers;
+	return n;
+}
+
 /* Lends the buffer of datagrams. */
 static void on_alloc(uv_handle_t *h, size_t suggested, uv_buf_t *buf)
 {
--- a/proxyd/peers.h
+++ b/proxyd/peers.h
@@ -33,5 +33,7 @@
 size_t peers_alive(const struct peers *t);
 size_t peers_addresses(const struct peers *t, const char **addresses,
 		       size_t most);
+size_t peers_addresses_stopping(const struct peers *t, const char **addresses,
+				size_t most);
 
 #endif /* PROXYD_PEERS_H */
--- a/proxyd/proxyd.c
+++ b/proxyd/proxyd.c
@@ -26,6 +26,9 @@
  * silence of others in that time says nothing. */
 #define STALL_MS 60
 
+/* Callers learn of a stop within this time; they ask again for little. */
+#define DIRECTORY_TTL_S 1
+
 #define TICKS_PER_LOG 5 /* the log is written every 100 ms */
 
 static bool start(struct proxyd *p, const struct proxyd_world *world, char *err,
@@ -136,7 +139,12 @@
 /* Derives from the settings what the parts use. */
 static void set_bounds(struct proxyd *p)
 {
+	double ttl_s = p->settings.directory_ttl_s;
+
 	p->stop.grace_ms = (uint64_t)(p->settings.grace_s * 1000);
+	p->stop.named_ms =
+		(uint64_t)(ttl_s < DIRECTORY_TTL_S ? ttl_s : DIRECTORY_TTL_S) *
+		1000;
 	p->repeat = (struct repeat_params){
 		.window_ms = (uint32_t)(p->settings.repeat_window_s * 1000),
 		.ratio_permille = (uint32_t)(p->settings.repeat_ratio * 1000),
