--- a/lib/toml.cc
+++ b/lib/toml.cc
@@ -1,6 +1,6 @@
 /*
  * Reads TOML by toml++ into a plain tree that C code walks.  No C library for
- * TOML is packaged; this file is the whole of our C++.
+ * TOML is packaged.
  */
 #define TOML_EXCEPTIONS 0
 
--- a/regress/fuzz/fuzz_platform_rows.c
+++ b/regress/fuzz/fuzz_platform_rows.c
@@ -12,7 +12,7 @@
 	char err[160] = "";
 	struct routes *routes =
 		platform_routes_decode(text, size, err, sizeof(err));
-	json_t *root;
+	struct json_document *root;
 	char id[32];
 
 	if (!routes && !err[0])
@@ -23,13 +23,13 @@
 					sizeof(err));
 	if (!root && !err[0])
 		abort();
-	json_decref(root);
+	json_document_free(root);
 	err[0] = '\0';
 	root = platform_instance_decode(text, size, &instance, err,
 					sizeof(err));
 	if (!root && !err[0])
 		abort();
-	json_decref(root);
+	json_document_free(root);
 	platform_protocol.decode_copy_answer(text, size, id, sizeof(id));
 	platform_protocol.decode_report(text, size);
 	return 0;
