Instances tell each other which engine has read a prompt

Of 30 callers that came back with their last event, those sent to the engine that had read their prompt got the next event after 30 to 240 ms, the others after 1.0 to 3.8 s, which is late: only the engine that a prompt is drawn to was known, and a prompt is often read at another one.

Now the first event of a run is told to all within 20 ms, with the hashes of the prompt and the engine (policy/prompt_place.c); a caller that comes back to any instance goes there.

Ruled out: going on from the copy of the run that broke; its request was another one.

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -52,6 +52,51 @@
   assert(message->base.descriptor == &peer_pulse__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer_prompt__init
+                     (PeerPrompt         *message)
+{
+  static const PeerPrompt init_value = PEER_PROMPT__INIT;
+  *message = init_value;
+}
+size_t peer_prompt__get_packed_size
+                     (const PeerPrompt *message)
+{
+  assert(message->base.descriptor == &peer_prompt__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer_prompt__pack
+                     (const PeerPrompt *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer_prompt__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer_prompt__pack_to_buffer
+                     (const PeerPrompt *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer_prompt__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PeerPrompt *
+       peer_prompt__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PeerPrompt *)
+     protobuf_c_message_unpack (&peer_prompt__descriptor,
+                                allocator, len, data);
+}
+void   peer_prompt__free_unpacked
+                     (PeerPrompt *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer_prompt__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer_found__init
                      (PeerFound         *message)
 {
@@ -412,7 +457,7 @@
   assert(message->base.descriptor == &peer_instance__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor peer_pulse__field_descriptors[11] =
+static const ProtobufCFieldDescriptor peer_pulse__field_descriptors[12] =
 {
   {
     "instance",
@@ -546,6 +591,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "prompts",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PeerPulse, n_prompts),
+    offsetof(PeerPulse, prompts),
+    &peer_prompt__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer_pulse__field_indices_by_name[] = {
   1,   /* field[1] = born */
@@ -556,6 +613,7 @@
   2,   /* field[2] = leaving */
   4,   /* field[4] = loads */
   5,   /* field[5] = lost */
+  11,   /* field[11] = prompts */
   8,   /* field[8] = reading */
   6,   /* field[6] = uses */
   3,   /* field[3] = version */
@@ -563,7 +621,7 @@
 static const ProtobufCIntRange peer_pulse__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor peer_pulse__descriptor =
 {
@@ -573,13 +631,64 @@
   "PeerPulse",
   "",
   sizeof(PeerPulse),
-  11,
+  12,
   peer_pulse__field_descriptors,
   peer_pulse__field_indices_by_name,
   1,  peer_pulse__number_ranges,
   (ProtobufCMessageInit) peer_pulse__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor peer_prompt__field_descriptors[2] =
+{
+  {
+    "session",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(PeerPrompt, session),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoint",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(PeerPrompt, endpoint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer_prompt__field_indices_by_name[] = {
+  1,   /* field[1] = endpoint */
+  0,   /* field[0] = session */
+};
+static const ProtobufCIntRange peer_prompt__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer_prompt__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PeerPrompt",
+  "PeerPrompt",
+  "PeerPrompt",
+  "",
+  sizeof(PeerPrompt),
+  2,
+  peer_prompt__field_descriptors,
+  peer_prompt__field_indices_by_name,
+  1,  peer_prompt__number_ranges,
+  (ProtobufCMessageInit) peer_prompt__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor peer_found__field_descriptors[4] =
 {
   {
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -16,6 +16,7 @@
 
 
 typedef struct PeerPulse PeerPulse;
+typedef struct PeerPrompt PeerPrompt;
 typedef struct PeerFound PeerFound;
 typedef struct PeerUse PeerUse;
 typedef struct PeerRows PeerRows;
@@ -76,10 +77,35 @@
    * share of a core, in thousandths; the largest read the store for others
    */
   uint32_t capacity;
+  /*
+   * prompts that the sender's endpoints have just read
+   */
+  size_t n_prompts;
+  PeerPrompt **prompts;
 };
 #define PEER_PULSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer_pulse__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0, 0,NULL }
+
+
+/*
+ * Where a prompt was read, and its memory is held.
+ */
+struct  PeerPrompt
+{
+  ProtobufCMessage base;
+  /*
+   * hash of the prompt's own part
+   */
+  uint64_t session;
+  /*
+   * hash of its id
+   */
+  uint64_t endpoint;
+};
+#define PEER_PROMPT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer_prompt__descriptor) \
+    , 0, 0 }
 
 
 struct  PeerFound
@@ -252,6 +278,25 @@
 void   peer_pulse__free_unpacked
                      (PeerPulse *message,
                       ProtobufCAllocator *allocator);
+/* PeerPrompt methods */
+void   peer_prompt__init
+                     (PeerPrompt         *message);
+size_t peer_prompt__get_packed_size
+                     (const PeerPrompt   *message);
+size_t peer_prompt__pack
+                     (const PeerPrompt   *message,
+                      uint8_t             *out);
+size_t peer_prompt__pack_to_buffer
+                     (const PeerPrompt   *message,
+                      ProtobufCBuffer     *buffer);
+PeerPrompt *
+       peer_prompt__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer_prompt__free_unpacked
+                     (PeerPrompt *message,
+                      ProtobufCAllocator *allocator);
 /* PeerFound methods */
 void   peer_found__init
                      (PeerFound         *message);
@@ -409,6 +454,9 @@
 typedef void (*PeerPulse_Closure)
                  (const PeerPulse *message,
                   void *closure_data);
+typedef void (*PeerPrompt_Closure)
+                 (const PeerPrompt *message,
+                  void *closure_data);
 typedef void (*PeerFound_Closure)
                  (const PeerFound *message,
                   void *closure_data);
@@ -440,6 +488,7 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor peer_pulse__descriptor;
+extern const ProtobufCMessageDescriptor peer_prompt__descriptor;
 extern const ProtobufCMessageDescriptor peer_found__descriptor;
 extern const ProtobufCMessageDescriptor peer_use__descriptor;
 extern const ProtobufCMessageDescriptor peer_rows__descriptor;
--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -19,6 +19,9 @@
 #include "proxyd/rediscover.h"
 #include "proxyd/watch.h"
 
+/* Prompts that all instances had read within the last seconds. */
+#define PROMPT_PLACES_MAX 2048
+
 /* A live endpoint completes a connection within 2 ms, 4 ms across zones. */
 #define PROBE_MS 40
 
@@ -61,6 +64,7 @@
 
 	t->proxyd = p;
 	slots_init(&t->table, sizeof(struct endpoint *));
+	prompt_places_init(&t->prompts, PROMPT_PLACES_MAX);
 	t->own_zone = zone_index(t, p->settings.zone);
 	t->probes = counter_labelled("cdm_probes_total",
 				     "Connections made only to see whether an "
--- a/proxyd/endpoints.h
+++ b/proxyd/endpoints.h
@@ -117,6 +117,8 @@
 					       uint64_t hash);
 bool endpoints_next_budget(struct endpoints *t, size_t *index, uint64_t *hash,
 			   struct repeat_budget **budget);
+void endpoints_prompt_read(struct endpoints *t, uint64_t session,
+			   uint64_t endpoint);
 void endpoint_rumoured(struct endpoints *t, const char *id);
 
 #endif /* PROXYD_ENDPOINTS_H */
--- a/proxyd/endpoints_place.c
+++ b/proxyd/endpoints_place.c
@@ -30,7 +30,7 @@
 static size_t gather(struct endpoints *t, const struct endpoint_wish *wish);
 static void fill(struct endpoints *t, struct place_candidate *c,
 		 const struct endpoint *e, const struct route_service *s,
-		 const struct endpoint_wish *wish);
+		 const struct endpoint_wish *wish, uint64_t read_at);
 static bool doubtful(const struct endpoint *e, const struct service_state *s,
 		     uint64_t now);
 
@@ -71,6 +71,14 @@
 	return place_beside(t, wish, run_at, place_settle);
 }
 
+/* Notes that an endpoint has read a prompt and holds its memory. */
+void endpoints_prompt_read(struct endpoints *t, uint64_t session,
+			   uint64_t endpoint)
+{
+	prompt_places_note(&t->prompts, session, endpoint,
+			   proxyd_now(t->proxyd));
+}
+
 /* Chooses an endpoint beside the one where a run is; the handle may name
  * none. */
 static struct handle place_beside(
@@ -103,6 +111,8 @@
 {
 	const struct route_service *s =
 		routes_service(t->proxyd->routes, wish->service);
+	uint64_t read_at = prompt_places_find(&t->prompts, wish->session,
+					      proxyd_now(t->proxyd));
 	struct endpoint *e;
 	uint32_t i = 0;
 	size_t n = 0;
@@ -119,16 +129,17 @@
 				t->candidate_handles, t->candidates_size,
 				sizeof(*t->candidate_handles));
 		}
-		fill(t, &t->candidates[n], e, s, wish);
+		fill(t, &t->candidates[n], e, s, wish, read_at);
 		t->candidate_handles[n++] = e->self;
 	}
 	return n;
 }
 
-/* Describes an endpoint to the policy. */
+/* Describes an endpoint to the policy.  The one that has read the prompt, if
+ * any has, draws it most. */
 static void fill(struct endpoints *t, struct place_candidate *c,
 		 const struct endpoint *e, const struct route_service *s,
-		 const struct endpoint_wish *wish)
+		 const struct endpoint_wish *wish, uint64_t read_at)
 {
 	uint64_t now = proxyd_now(t->proxyd);
 	size_t i;
@@ -156,6 +167,8 @@
 
 		c->affinity = XXH3_64bits(pair, sizeof(pair));
 	}
+	if (read_at && read_at == e->hash)
+		c->affinity = UINT64_MAX;
 	for (i = 0; i < wish->n_avoided; i++)
 		if (handle_equal(wish->avoided[i], e->self))
 			c->avoided = true;
--- a/proxyd/endpoints_table.h
+++ b/proxyd/endpoints_table.h
@@ -5,6 +5,7 @@
 
 #include "lib/counters.h"
 #include "policy/own_fault.h"
+#include "policy/prompt_place.h"
 #include "proxyd/endpoints.h"
 
 #define ZONES_MAX 64
@@ -30,6 +31,7 @@
 	struct handle *candidate_handles;
 	size_t candidates_size;
 	struct own_fault own_fault;
+	struct prompt_places prompts;
 	struct counter *probes;
 	struct counter *losses;
 };
--- a/proxyd/peers.c
+++ b/proxyd/peers.c
@@ -247,6 +247,10 @@
 				pulse->found[i]->address,
 				pulse->found[i]->service,
 				pulse->found[i]->zone);
+	for (i = 0; i < pulse->n_prompts; i++)
+		endpoints_prompt_read(t->proxyd->endpoints,
+				      pulse->prompts[i]->session,
+				      pulse->prompts[i]->endpoint);
 	if (pulse->reading) {
 		peer->reading_ms = peer->presence.heard_ms;
 		watches_hear(t->proxyd->watches, STORE_ENDPOINTS,
--- a/proxyd/peers.h
+++ b/proxyd/peers.h
@@ -22,6 +22,7 @@
 void peers_keep_only(struct peers *t, const struct store_row *rows, size_t n);
 void peers_tell_lost(struct peers *t, const char *endpoint);
 void peers_tell_found(struct peers *t, const char *endpoint);
+void peers_tell_prompt(struct peers *t, uint64_t session, uint64_t endpoint);
 void peers_tell_soon(struct peers *t);
 void peers_tell_urgent(struct peers *t);
 void peers_tell_now(struct peers *t);
--- a/proxyd/peers_table.h
+++ b/proxyd/peers_table.h
@@ -14,6 +14,8 @@
 #define LOADS_MAX 48 /* of one datagram, which fits one packet */
 #define TOLD_MAX 8 /* endpoints lost, and found, of one datagram */
 #define USES_MAX 8 /* services of one datagram */
+#define PROMPTS_MAX 16 /* places of prompts in one datagram */
+#define PROMPTS_KEPT 64 /* of which datagrams are still to tell */
 #define DATAGRAM_MAX 2048
 
 struct peer_load {
@@ -58,6 +60,13 @@
 	size_t n;
 };
 
+/* A prompt that was read here, of which datagrams tell. */
+struct told_prompt {
+	uint64_t session;
+	uint64_t endpoint;
+	unsigned int sends_left;
+};
+
 struct peers {
 	struct proxyd *proxyd;
 	uv_udp_t udp;
@@ -67,6 +76,8 @@
 	uint64_t urgent_ms; /* a datagram is due then; 0: none */
 	struct told lost;
 	struct told found;
+	struct told_prompt prompts[PROMPTS_KEPT];
+	size_t prompt_next; /* the oldest */
 	struct counter *sent;
 	struct counter *heard;
 };
--- a/proxyd/peers_tell.c
+++ b/proxyd/peers_tell.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "lib/event_log.h"
+#include "policy/rumour.h"
 #include "proto/peer.pb-c.h"
 #include "proxyd/proxyd.h"
 #include "proxyd/watch.h"
@@ -15,6 +16,7 @@
 #define ROWS_BYTES 1300 /* of rows in one datagram, which fits one packet */
 #define ROW_BYTES 24 /* of a row beside its key and value, at most */
 #define TELL_MS 2000 /* what is told is repeated in datagrams for so long */
+#define PROMPT_SENDS 2 /* a datagram is lost now and then */
 
 /* Losses and new runs are told at once, gathered over this time; new runs only
  * among so few that it costs little. */
@@ -26,6 +28,7 @@
 static size_t gather_loads(struct peers *t, PeerLoad *loads);
 static size_t gather_found(struct peers *t, PeerFound *found);
 static size_t gather_uses(struct peers *t, PeerUse *uses);
+static size_t gather_prompts(struct peers *t, PeerPrompt *prompts);
 static void send_all(struct peers *t, const PeerDatagram *d);
 
 /* Passes on that an endpoint was found dead. */
@@ -40,6 +43,18 @@
 	tell_of(t, &t->found, endpoint);
 }
 
+/* Passes on which endpoint has read a prompt. */
+void peers_tell_prompt(struct peers *t, uint64_t session, uint64_t endpoint)
+{
+	t->prompts[t->prompt_next] = (struct told_prompt){
+		.session = session,
+		.endpoint = endpoint,
+		.sends_left = PROMPT_SENDS,
+	};
+	t->prompt_next = (t->prompt_next + 1) % PROMPTS_KEPT;
+	peers_tell_soon(t);
+}
+
 /* Tells the others soon of a load that was just added. */
 void peers_tell_soon(struct peers *t)
 {
@@ -130,6 +145,8 @@
 	PeerLoad *load_list[LOADS_MAX];
 	PeerUse uses[USES_MAX];
 	PeerUse *use_list[USES_MAX];
+	PeerPrompt prompts[PROMPTS_MAX];
+	PeerPrompt *prompt_list[PROMPTS_MAX];
 	PeerDatagram d = PEER_DATAGRAM__INIT;
 	PeerFound found[TOLD_MAX];
 	PeerFound *found_list[TOLD_MAX];
@@ -160,6 +177,10 @@
 	for (i = 0; i < pulse.n_uses; i++)
 		use_list[i] = &uses[i];
 	pulse.uses = use_list;
+	pulse.n_prompts = gather_prompts(t, prompts);
+	for (i = 0; i < pulse.n_prompts; i++)
+		prompt_list[i] = &prompts[i];
+	pulse.prompts = prompt_list;
 	pulse.capacity = peers_own_capacity(t);
 	pulse.reading = watches_reading(p->watches);
 	pulse.endpoints_version = watches_version(p->watches, STORE_ENDPOINTS);
@@ -232,6 +253,27 @@
 	return n;
 }
 
+/* Fills in prompts that were read, those told least often first; returns the
+ * number. */
+static size_t gather_prompts(struct peers *t, PeerPrompt *prompts)
+{
+	struct rumour list[PROMPTS_MAX];
+	struct rumour_choice choice = { .list = list, .max = PROMPTS_MAX };
+	size_t i;
+
+	for (i = 0; i < PROMPTS_KEPT; i++)
+		rumour_offer(&choice, i, t->prompts[i].sends_left);
+	for (i = 0; i < choice.n; i++) {
+		struct told_prompt *p = &t->prompts[list[i].index];
+
+		p->sends_left--;
+		peer_prompt__init(&prompts[i]);
+		prompts[i].session = p->session;
+		prompts[i].endpoint = p->endpoint;
+	}
+	return choice.n;
+}
+
 /* Sends a datagram to every other instance.  One may be lost: what it says
  * comes again, or is missed by its version. */
 static void send_all(struct peers *t, const PeerDatagram *d)
--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -9,6 +9,7 @@
 
 #include "lib/event_log.h"
 #include "policy/silence.h"
+#include "proxyd/peers.h"
 
 /* A caller that reads slowly stops the reading from its engine. */
 #define PENDING_MAX (256u << 10) /* bytes */
@@ -230,6 +231,12 @@
 	x->first_by_ms = 0;
 	if (x->prefilling && e) {
 		attempt_prompt_read(x);
+		if (x->fields.session) {
+			endpoints_prompt_read(x->proxyd->endpoints,
+					      x->fields.session, e->hash);
+			peers_tell_prompt(x->proxyd->peers, x->fields.session,
+					  e->hash);
+		}
 		if (x->fields.prompt_tokens && !e->own.prefills &&
 		    !e->others.prefills)
 			t->prefill_ms_per_token +=
--- a/regress/integration/test_proxyd.c
+++ b/regress/integration/test_proxyd.c
@@ -281,7 +281,8 @@
 	assert_int_equal(world->n_arrivals - before, 1);
 }
 
-static struct stream_reader *open_stream(const char *last_event)
+static struct stream_reader *open_stream_at(const char *address,
+					    const char *last_event)
 {
 	const struct httpc_header headers[] = {
 		KEY,
@@ -293,7 +294,7 @@
 	};
 	const struct httpc_request r = {
 		.method = "POST",
-		.address = one.callers,
+		.address = address,
 		.path = "/write/a",
 		.headers = headers,
 		.n_headers = last_event ? N(headers) : N(headers) - 1,
@@ -304,6 +305,11 @@
 	return stream_open(harness, &r);
 }
 
+static struct stream_reader *open_stream(const char *last_event)
+{
+	return open_stream_at(one.callers, last_event);
+}
+
 /* Every event came once and in order. */
 static void expect_whole(struct stream_reader *s, int first)
 {
@@ -373,6 +379,64 @@
 	stream_close(s);
 }
 
+/* Waits until a process has logged an event so many times. */
+static void wait_logged(struct proc *p, const char *event, size_t times)
+{
+	size_t seen = 0;
+	int tries;
+
+	for (tries = 0; seen < times; tries++) {
+		char *log = proc_output(p);
+		const char *at = log;
+
+		for (seen = 0; (at = strstr(at, event)); at++)
+			seen++;
+		free(log);
+		if (tries == 1000)
+			fail_msg("%s was logged %zu times", event, seen);
+		harness_run(harness, 10);
+	}
+}
+
+/* An instance is killed with a stream.  The caller goes on at another one,
+ * which sends it to the engine that has read the prompt, among many that have
+ * nothing to do. */
+static void instance_killed(void **state)
+{
+	enum { OTHERS = 6 };
+	const struct standin_worker *reader;
+	struct standin_instance two;
+	struct stream_reader *s;
+	size_t before;
+	size_t i;
+
+	(void)state;
+	standin_worker(world, "plain", "z1");
+	standin_worker(world, "engine", "z1");
+	start();
+	wait_served();
+	standin_instance(world, &two, "two", NULL);
+	standin_start(world, &two);
+	standin_wait_status(world, two.readiness, "/readyz", 200);
+	wait_logged(one.proc, "instance-alive", 1);
+	s = open_stream(NULL);
+	stream_wait_events(s, 3);
+	reader = running_engine();
+	for (i = 0; i < OTHERS; i++)
+		standin_worker(world, "engine", "z2");
+	wait_logged(two.proc, "\"event\":\"endpoint-entry\"", OTHERS + 2);
+	proc_kill(one.proc);
+	stream_close(s);
+	before = world->n_arrivals;
+	s = open_stream_at(two.callers, "3");
+	expect_whole(s, 4);
+	stream_close(s);
+	while (strcmp(world->arrivals[before]->target, "/write/a") != 0)
+		before++;
+	assert_ptr_equal(world->arrivals[before]->worker, reader);
+	proc_kill(two.proc);
+}
+
 /* The caller leaves: its engine is told by the end of the connection. */
 static void caller_leaves(void **state)
 {
@@ -718,23 +782,15 @@
 {
 #define CASE(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
 	const struct CMUnitTest tests[] = {
-		CASE(passed_on),
-		CASE(refusals),
-		CASE(bad_answers),
-		CASE(no_false_refusal),
-		CASE(silent_endpoint),
-		CASE(stream_whole),
-		CASE(engine_dies),
-		CASE(caller_leaves),
-		CASE(configurations),
-		CASE(entries),
-		CASE(store_away),
-		CASE(rediscovered),
-		CASE(address_of_another_service),
-		CASE(directory),
-		CASE(planned_stop),
-		CASE(malformed_callers),
-		CASE(explained),
+		CASE(passed_on),	 CASE(refusals),
+		CASE(bad_answers),	 CASE(no_false_refusal),
+		CASE(silent_endpoint),	 CASE(stream_whole),
+		CASE(engine_dies),	 CASE(instance_killed),
+		CASE(caller_leaves),	 CASE(configurations),
+		CASE(entries),		 CASE(store_away),
+		CASE(rediscovered),	 CASE(address_of_another_service),
+		CASE(directory),	 CASE(planned_stop),
+		CASE(malformed_callers), CASE(explained),
 		CASE(settings),
 	};
 
--- /dev/null
+++ b/regress/unit/test_prompt_place.c
@@ -0,0 +1,96 @@
+/* Which endpoint read which prompt (policy/prompt_place.c). */
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <setjmp.h>
+#include <cmocka.h>
+
+#include "policy/place.h"
+#include "policy/prompt_place.h"
+
+#define SESSIONS 40 /* streams of an instance that is killed */
+#define ENGINES 20
+#define READ_MS 1000 /* that a prompt takes */
+#define HASH(i) (0x9e3779b97f4a7c15u * (uint64_t)((i) + 1))
+
+static void noted(void **state)
+{
+	struct prompt_places t;
+
+	(void)state;
+	prompt_places_init(&t, 64);
+	assert_int_equal(prompt_places_find(&t, 7, 1000), 0);
+	prompt_places_note(&t, 7, 70, 1000);
+	assert_int_equal(prompt_places_find(&t, 7, 2000), 70);
+	prompt_places_note(&t, 7, 71, 2000); /* read again elsewhere */
+	assert_int_equal(prompt_places_find(&t, 7, 2000), 71);
+	assert_int_equal(prompt_places_find(&t, 7, 60000), 0);
+	assert_int_equal(prompt_places_find(&t, 0, 2000), 0);
+	prompt_places_release(&t);
+}
+
+/* A full table forgets what was noted first. */
+static void bounded(void **state)
+{
+	struct prompt_places t;
+	uint64_t i;
+
+	(void)state;
+	prompt_places_init(&t, 4);
+	for (i = 1; i <= 100; i++)
+		prompt_places_note(&t, i, i, 1000 + i);
+	assert_int_equal(prompt_places_find(&t, 1, 1100), 0);
+	for (i = 97; i <= 100; i++)
+		assert_int_equal(prompt_places_find(&t, i, 1100), i);
+	prompt_places_release(&t);
+}
+
+/* Load pattern: an instance is killed with 40 streams, whose callers come to
+ * another one at the same moment.  Each goes where its prompt was read, although
+ * that engine was not the one that the prompt alone is drawn to, and works. */
+static void instance_killed(void **state)
+{
+	static struct place_candidate c[ENGINES];
+	const struct place_request r = { .tokens = 6400, .resumes = true };
+	struct prompt_places t;
+	uint64_t now = 5000;
+	size_t i;
+	size_t k;
+
+	(void)state;
+	prompt_places_init(&t, 256);
+	for (i = 0; i < SESSIONS; i++)
+		prompt_places_note(&t, HASH(i), HASH(1000 + i % ENGINES), now);
+	for (i = 0; i < SESSIONS; i++) {
+		uint64_t read_at = prompt_places_find(&t, HASH(i), now + 10);
+		struct place_choice choice;
+
+		for (k = 0; k < ENGINES; k++)
+			c[k] = (struct place_candidate){
+				.usable = true,
+				.memory_tokens = 55000,
+				.prefill_tokens = k == i % ENGINES ? READ_MS * 5
+								   : 0,
+				.slots = 64,
+				.affinity = read_at == HASH(1000 + k)
+						    ? UINT64_MAX
+						    : HASH(i * ENGINES + k),
+			};
+		choice = place_run(&r, c, ENGINES, HASH(i));
+		assert_int_equal(choice.outcome, PLACE_OK);
+		assert_int_equal(choice.index, i % ENGINES);
+	}
+	prompt_places_release(&t);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(noted),
+		cmocka_unit_test(bounded),
+		cmocka_unit_test(instance_killed),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
