--- a/regress/unit/test_place.c
+++ b/regress/unit/test_place.c
@@ -125,28 +125,28 @@
  * in it. */
 static void lossy_links(void **state)
 {
-	enum { OWN = 1, ENGINES = 12, ZONES = 4 };
+	enum { OWN = 1, N = 12, ZONES = 4 };
 	const struct place_request r = { .tokens = RUN_TOKENS, .zone = OWN };
-	struct place_candidate c[ENGINES];
+	struct place_candidate c[N];
 	uint64_t rnd;
 	uint32_t to;
 	size_t i;
 
 	(void)state;
-	make_engines(c, ENGINES);
-	for (i = 0; i < ENGINES; i++) {
+	make_engines(c, N);
+	for (i = 0; i < N; i++) {
 		c[i].zone = (uint16_t)(i % ZONES);
 		c[i].requests = c[i].zone == OWN ? 1 : 3;
 	}
 	for (rnd = 0; rnd < 200; rnd++) {
-		to = place_settle(&r, c, ENGINES, 0, rnd * 0x9e3779b97f4a7c15u);
+		to = place_settle(&r, c, N, 0, rnd * 0x9e3779b97f4a7c15u);
 		assert_int_not_equal(to, PLACE_NONE);
 		assert_int_equal(c[to].zone, OWN);
 	}
-	for (i = 0; i < ENGINES; i++)
+	for (i = 0; i < N; i++)
 		if (c[i].zone == OWN)
 			c[i].used_tokens = MEMORY;
-	to = place_settle(&r, c, ENGINES, 0, 1);
+	to = place_settle(&r, c, N, 0, 1);
 	assert_int_not_equal(to, PLACE_NONE);
 	assert_int_not_equal(c[to].zone, OWN);
 }
