--- a/regress/unit/test_place.c
+++ b/regress/unit/test_place.c
@@ -125,7 +125,7 @@
  * in it. */
 static void lossy_links(void **state)
 {
-	enum { OWN = 1, N = 12, ZONES = 4 };
+	enum { OWN = 1, N = 12, N_ZONES = 4 };
 	const struct place_request r = { .tokens = RUN_TOKENS, .zone = OWN };
 	struct place_candidate c[N];
 	uint64_t rnd;
@@ -135,7 +135,7 @@
 	(void)state;
 	make_engines(c, N);
 	for (i = 0; i < N; i++) {
-		c[i].zone = (uint16_t)(i % ZONES);
+		c[i].zone = (uint16_t)(i % N_ZONES);
 		c[i].requests = c[i].zone == OWN ? 1 : 3;
 	}
 	for (rnd = 0; rnd < 200; rnd++) {
