test_place: company is weighed within a zone

Runs settle in the own zone first, so that the engines of settles_in_company, which lay in three zones, now lie in the own one; what is asserted is as before.

--- a/regress/unit/test_place.c
+++ b/regress/unit/test_place.c
@@ -106,9 +106,12 @@
 {
 	const struct place_request r = { .tokens = RUN_TOKENS };
 	struct place_candidate c[4];
+	size_t i;
 
 	(void)state;
 	make_engines(c, 4);
+	for (i = 0; i < 4; i++)
+		c[i].zone = r.zone; /* the own zone goes first */
 	c[1].requests = 3;
 	c[1].used_tokens = 3 * RUN_TOKENS;
 	c[2].requests = c[2].prefills = 1;
