--- a/policy/silence.c
+++ b/policy/silence.c
@@ -25,6 +25,23 @@
 #define FIRST_EVENT_GRACE_MS 1200
 #define FIRST_EVENT_FACTOR 2
 
+/* A run that goes on from a copy gives its next event within 100 ms.  Half of
+ * the pause that is on time is left to go on where its prompt was read. */
+#define COPY_SILENT_PERCENT 50
+
+/*
+ * Tells whether a run that was to go on from a copy is given up while its caller
+ * has not waited too long.  Answers the pattern of engines that take a part of
+ * their requests and never begin them, while their health check is good.  A run
+ * whose prompt is being read is not given up early: when a zone is lost many are
+ * slow, and each that is read anew delays the others.
+ */
+static bool hangs(const struct silence_run *run, uint64_t silent)
+{
+	return run->from_copy && run->can_move && run->spare &&
+	       silent * 100 > (uint64_t)run->gap_max_ms * COPY_SILENT_PERCENT;
+}
+
 /* Says what to do about a run now. */
 enum silence_action silence_judge(const struct silence_run *run, uint64_t now)
 {
@@ -35,6 +52,8 @@
 						: PROBE_AGAIN_MS;
 
 	if (run->first_by_ms) {
+		if (hangs(run, silent))
+			return SILENCE_MOVE;
 		if (now > run->first_by_ms +
 				    (uint64_t)run->expected_first_ms *
 					    FIRST_EVENT_FACTOR +
--- a/policy/silence.h
+++ b/policy/silence.h
@@ -18,6 +18,8 @@
 	uint32_t gap_max_ms; /* longest pause that is still on time */
 	bool can_move; /* attempts are left, and budget */
 	bool has_copy; /* its memory is kept elsewhere */
+	bool from_copy; /* it was to go on at once from a copy */
+	bool spare; /* enough budget is left to move by choice */
 	uint32_t expected_first_ms; /* from the start of the run */
 };
 
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -228,7 +228,7 @@
 		.service = x->service,
 		.tokens = x->tokens,
 		.session = x->fields.session,
-		.resumes = x->fields.resumes,
+		.resumes = x->fields.resumes || x->has_last_event,
 		.avoided = x->avoided,
 		.n_avoided = x->n_avoided,
 	};
--- a/regress/unit/test_silence.c
+++ b/regress/unit/test_silence.c
@@ -64,6 +64,35 @@
 	}
 }
 
+/* Load pattern: engines take four in ten requests and never begin them, while
+ * their health check is good.  A run that was to go on from a copy is left in
+ * time for the pause that its caller allows, if there is budget; a prompt that
+ * is slow is left alone. */
+static void hanging_engines(void **state)
+{
+	enum { PAUSE_MS = 700 };
+	struct silence_run run = {
+		.heard_ms = NOW,
+		.first_by_ms = NOW + 400,
+		.expected_first_ms = 400,
+		.gap_max_ms = PAUSE_MS,
+		.from_copy = true,
+		.can_move = true,
+		.spare = true,
+	};
+	uint64_t now;
+
+	(void)state;
+	for (now = NOW; silence_judge(&run, now) != SILENCE_MOVE; now += 20)
+		assert_true(now < NOW + PAUSE_MS);
+	assert_in_range(now, NOW + 300, NOW + PAUSE_MS - 300);
+	run.spare = false; /* the budget is kept for losses */
+	assert_int_not_equal(silence_judge(&run, now), SILENCE_MOVE);
+	run.spare = true;
+	run.from_copy = false;
+	assert_int_not_equal(silence_judge(&run, now), SILENCE_MOVE);
+}
+
 /* Load pattern: zones are lost one after another, every six seconds, and a
  * stream lives for nine.  The loss that takes only its copy is followed by an
  * order, so that the next loss finds one. */
@@ -92,6 +121,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(silences),
+		cmocka_unit_test(hanging_engines),
 		cmocka_unit_test(copies),
 	};
 
