Instances that start read the store as before

What an instance reads in its first second is worth its price.

The version that a reader passes on is that of the last answer with rows, or of its first reading, so that a removal that was missed shows too; and its changes follow on that.

--- a/policy/reread.c
+++ b/policy/reread.c
@@ -74,13 +74,11 @@
 			   (uint64_t)others->instances * SILENT_PER_INSTANCE_MS;
 
 	if (others->instances <= ALL_READ_MAX ||
-	    reread_designated(others->before, others->instances))
+	    reread_designated(others->before, others->instances) ||
+	    !others->reading_ms)
 		return true;
 	if (others->behind_ms && now - others->behind_ms > BEHIND_MS)
 		return true;
-	/* one that has just read a table hears of those that read it soon */
-	if (!others->reading_ms)
-		return now - others->answered_ms > silence;
 	return now - others->reading_ms > silence;
 }
 
--- a/policy/reread.h
+++ b/policy/reread.h
@@ -17,7 +17,6 @@
 	size_t before; /* instances that live and come before it in order */
 	size_t instances; /* that live, itself included */
 	uint64_t reading_ms; /* when one last said that it reads; 0: none */
-	uint64_t answered_ms; /* when the store last answered this instance */
 	uint64_t behind_ms; /* since when one has newer rows; 0: none has */
 };
 
--- a/proxyd/peers.c
+++ b/proxyd/peers.c
@@ -442,13 +442,9 @@
 }
 
 /* Tells whether another instance is to read the store rather than this one:
- * those with the largest share of a core come first.  One that was just listed
- * and not heard yet may have it: an instance that starts leaves the store to
- * those that were there. */
+ * those with the largest share of a core come first. */
 static bool comes_before(const struct peers *t, const struct peer *peer)
 {
-	if (!peer->presence.heard_ms)
-		return true;
 	if (peer->capacity != peers_own_capacity(t))
 		return peer->capacity > peers_own_capacity(t);
 	return strcmp(peer->name, t->proxyd->settings.name) < 0;
--- a/proxyd/watch.c
+++ b/proxyd/watch.c
@@ -220,7 +220,6 @@
 	const struct reread_others others = {
 		.before = peers_before(p->peers),
 		.reading_ms = peers_reading_ms(p->peers),
-		.answered_ms = w->answered_ms,
 		.behind_ms = w->behind_ms,
 		.instances = peers_alive(p->peers) + 1,
 	};
@@ -277,10 +276,10 @@
 						designated(w->watches), now);
 	if (w->loaded && n && w->table != STORE_CONFIGURATION &&
 	    designated(w->watches))
-		peers_tell_rows(p->peers, w->table, w->version, version, rows,
+		peers_tell_rows(p->peers, w->table, w->changed, version, rows,
 				n);
 	take(w, rows, n);
-	if (w->loaded && n)
+	if (!w->loaded || n)
 		w->changed = version;
 	w->version = version;
 	w->behind_ms = 0;
@@ -312,8 +311,6 @@
 	size_t i;
 
 	for (i = 0; i < n; i++) {
-		if (!w->loaded && rows[i].version > w->changed)
-			w->changed = rows[i].version;
 		switch (w->table) {
 		case STORE_CONFIGURATION:
 			take_configuration(w, &rows[i]);
