--- a/regress/unit/test_rumour.c
+++ b/regress/unit/test_rumour.c
@@ -15,7 +15,7 @@
 /* Sends one message and counts who was told. */
 static size_t send_one(unsigned int *left, unsigned int *told)
 {
-	struct rumour list[ROOM];
+	struct rumour list[ROOM] = { { 0 } };
 	struct rumour_choice choice = { .list = list, .max = ROOM };
 	size_t i;
 
