Each decision about a repeat is logged with what it was made by

A `repeat` line now gives the allowance and use over all instances as this one knows them, its own share and use, how many of the listed instances were counted, how old the oldest word is, and how old the process is; `sent` says whether it is a repeat. cdm_repeats_total has steps allowed, denied and sent, so that permissions without a sending show as a difference. No decision changes.

test_proxyd and test_repeat pass.

--- a/policy/repeat.c
+++ b/policy/repeat.c
@@ -22,17 +22,10 @@
 
 #define PERMILLE 1000
 
-struct balance {
-	uint64_t allowed; /* all instances */
-	uint64_t used; /* all instances */
-	uint64_t share; /* of this instance */
-	uint64_t own; /* used of it */
-};
-
-static struct balance balance_of(struct repeat_budget *b,
-				 const struct repeat_params *p,
-				 const struct repeat_others *others,
-				 uint64_t now);
+static struct repeat_balance balance_of(struct repeat_budget *b,
+					const struct repeat_params *p,
+					const struct repeat_others *others,
+					uint64_t now);
 static void advance(struct repeat_budget *b, const struct repeat_params *p,
 		    uint64_t now);
 static uint32_t sum(const uint32_t *counts);
@@ -60,12 +53,15 @@
 		b->repeats[b->slot % REPEAT_SLOTS]--;
 }
 
-/* Tells whether a request that was lost may be sent once more. */
+/* Tells whether a request that was lost may be sent once more, and by which
+ * figures. */
 bool repeat_allowed(struct repeat_budget *b, const struct repeat_params *p,
-		    const struct repeat_others *others, uint64_t now)
+		    const struct repeat_others *others, uint64_t now,
+		    struct repeat_balance *seen)
 {
-	struct balance s = balance_of(b, p, others, now);
+	struct repeat_balance s = balance_of(b, p, others, now);
 
+	*seen = s;
 	if (s.used >= s.allowed)
 		return false;
 	return s.own < s.share ||
@@ -77,7 +73,7 @@
 bool repeat_spare(struct repeat_budget *b, const struct repeat_params *p,
 		  const struct repeat_others *others, uint64_t now)
 {
-	struct balance s = balance_of(b, p, others, now);
+	struct repeat_balance s = balance_of(b, p, others, now);
 
 	return s.used < s.allowed &&
 	       (s.allowed - s.used) * PERMILLE >= s.allowed * SPARE_PERMILLE;
@@ -93,12 +89,12 @@
 }
 
 /* Reckons what is allowed and used. */
-static struct balance balance_of(struct repeat_budget *b,
-				 const struct repeat_params *p,
-				 const struct repeat_others *others,
-				 uint64_t now)
+static struct repeat_balance balance_of(struct repeat_budget *b,
+					const struct repeat_params *p,
+					const struct repeat_others *others,
+					uint64_t now)
 {
-	struct balance s;
+	struct repeat_balance s;
 	uint64_t slack = (uint64_t)p->slack * PERMILLE;
 
 	advance(b, p, now);
--- a/policy/repeat.h
+++ b/policy/repeat.h
@@ -27,13 +27,22 @@
 	uint32_t repeats;
 };
 
+/* What a decision was made by: repeats within the window. */
+struct repeat_balance {
+	uint64_t allowed; /* all instances */
+	uint64_t used; /* all instances, as far as they were heard */
+	uint64_t share; /* of this instance */
+	uint64_t own; /* used of it */
+};
+
 void repeat_request(struct repeat_budget *b, const struct repeat_params *p,
 		    uint64_t now);
 void repeat_sent(struct repeat_budget *b, const struct repeat_params *p,
 		 uint64_t now);
 void repeat_not_sent(struct repeat_budget *b);
 bool repeat_allowed(struct repeat_budget *b, const struct repeat_params *p,
-		    const struct repeat_others *others, uint64_t now);
+		    const struct repeat_others *others, uint64_t now,
+		    struct repeat_balance *seen);
 bool repeat_spare(struct repeat_budget *b, const struct repeat_params *p,
 		  const struct repeat_others *others, uint64_t now);
 void repeat_counts(struct repeat_budget *b, const struct repeat_params *p,
--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -97,6 +97,7 @@
 	if (x->arrivals++) {
 		repeat_sent(endpoints_budget(p->endpoints, x->service),
 			    &p->repeat, now);
+		counter_add(p->exchanges->repeats_sent, 1);
 		if (x->engine && x->lost_ms)
 			peers_tell_urgent(p->peers);
 	}
@@ -187,7 +188,7 @@
 
 	event_log(EVENT_ROUTINE, "sent", x->fields.id,
 		  "{s:s, s:s, s:s, s:i, s:b, s:s, s:I, s:I, s:I, s:I, s:I, "
-		  "s:I, s:b, s:b, s:b}",
+		  "s:I, s:b, s:b, s:b, s:b}",
 		  "route", x->route->name, "endpoint", e->id, "address",
 		  e->address, "send", (int)x->sends, "from_copy", x->from_copy,
 		  "copy_to", copy ? copy->id : "", "version",
@@ -198,7 +199,8 @@
 		  "left_ms", (json_int_t)(x->end_ms - x->sent_ms), "session",
 		  (json_int_t)x->fields.session, "resumes",
 		  x->fields.resumes || x->has_last_event, "staged", x->staged,
-		  "kept_connection", http1_call_reused(x->call));
+		  "repeat", x->arrivals > 1, "kept_connection",
+		  http1_call_reused(x->call));
 }
 
 /* The head of an answer. */
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -45,12 +45,16 @@
 static bool takes_now(struct exchange *x);
 static void seek_failed(struct exchange *x, enum place_outcome outcome);
 static void wait_for_room(struct exchange *x);
+static void say_repeat(const struct exchange *x, bool allowed,
+		       const struct repeat_balance *seen,
+		       const struct repeat_others *others);
 static uint64_t used_tokens(const struct exchange *x);
 static void reply_error(struct exchange *x, int status, uint32_t retry_ms,
 			const char *why);
 static void tick_one(struct exchange *x, uint64_t now);
 static void free_exchange(struct exchanges *t, struct exchange *x);
 static struct counter *outcome_counter(const char *outcome);
+static struct counter *repeat_counter(const char *step);
 
 /* Makes the table. */
 struct exchanges *exchanges_new(struct proxyd *p)
@@ -75,9 +79,9 @@
 	t->settled = counter_labelled("cdm_moves_total",
 				      "Runs that went on at another endpoint",
 				      COUNTER_TOTAL, "from", "prompt read");
-	t->repeats = counter_labelled("cdm_repeats_total",
-				      "Requests sent to an endpoint once more",
-				      COUNTER_TOTAL, "kind", "all");
+	t->repeats_allowed = repeat_counter("allowed");
+	t->repeats_denied = repeat_counter("denied");
+	t->repeats_sent = repeat_counter("sent");
 	t->first_event.name = "cdm_first_event_ms";
 	t->first_event.help = "Arrival to first event of a stream, ms";
 	histogram_register(&t->first_event);
@@ -270,15 +274,40 @@
 bool exchange_repeat_allowed(struct exchange *x)
 {
 	struct proxyd *p = x->proxyd;
+	const struct repeat_others *others =
+		endpoints_others(p->endpoints, x->service);
+	struct repeat_balance seen;
+	bool allowed;
 
 	if (x->sends >= x->route->attempts_max)
 		return false;
-	if (!repeat_allowed(
-		    endpoints_budget(p->endpoints, x->service), &p->repeat,
-		    endpoints_others(p->endpoints, x->service), proxyd_now(p)))
-		return false;
-	counter_add(p->exchanges->repeats, 1);
-	return true;
+	allowed = repeat_allowed(endpoints_budget(p->endpoints, x->service),
+				 &p->repeat, others, proxyd_now(p), &seen);
+	counter_add(allowed ? p->exchanges->repeats_allowed
+			    : p->exchanges->repeats_denied,
+		    1);
+	say_repeat(x, allowed, &seen, others);
+	return allowed;
+}
+
+/* Logs whether a request may be sent once more, with what decided it. */
+static void say_repeat(const struct exchange *x, bool allowed,
+		       const struct repeat_balance *seen,
+		       const struct repeat_others *others)
+{
+	const struct proxyd *p = x->proxyd;
+
+	event_log(allowed ? EVENT_ROUTINE : EVENT_NOTABLE, "repeat",
+		  x->fields.id,
+		  "{s:b, s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}",
+		  "allowed", allowed, "service", x->service, "all_allowed",
+		  (json_int_t)seen->allowed, "all_used", (json_int_t)seen->used,
+		  "own_share", (json_int_t)seen->share, "own_used",
+		  (json_int_t)seen->own, "others_counted",
+		  (json_int_t)others->instances, "others_listed",
+		  (json_int_t)peers_listed(p->peers), "oldest_word_ms",
+		  (json_int_t)peers_oldest_word_ms(p->peers), "process_ms",
+		  (json_int_t)(proxyd_now(p) - p->started_ms));
 }
 
 /* Tells whether enough budget is left to send the request once more by choice
@@ -560,3 +589,11 @@
 	return counter_labelled("cdm_requests_total", "Requests of callers",
 				COUNTER_TOTAL, "outcome", outcome);
 }
+
+/* Returns the counter of requests that are to be sent once more, by step. */
+static struct counter *repeat_counter(const char *step)
+{
+	return counter_labelled("cdm_repeats_total",
+				"Requests to be sent to an endpoint once more",
+				COUNTER_TOTAL, "step", step);
+}
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -113,7 +113,9 @@
 	struct counter *moved;
 	struct counter *moved_copy;
 	struct counter *settled;
-	struct counter *repeats;
+	struct counter *repeats_allowed; /* by the budget */
+	struct counter *repeats_denied;
+	struct counter *repeats_sent;
 	struct histogram first_event;
 	struct histogram plain_answer;
 	struct histogram pause_moved;
--- a/proxyd/peers.c
+++ b/proxyd/peers.c
@@ -148,6 +148,27 @@
 	return n;
 }
 
+/* Returns how many other instances are listed, heard or not. */
+size_t peers_listed(const struct peers *t)
+{
+	return t->n;
+}
+
+/* Returns the age of the oldest last word of another instance that lives, ms;
+ * 0 if there is none. */
+uint64_t peers_oldest_word_ms(const struct peers *t)
+{
+	uint64_t now = proxyd_now(t->proxyd);
+	const struct peer *peer;
+	uint64_t age = 0;
+
+	TAILQ_FOREACH(peer, &t->list, link)
+	if (peer->alive && peer->presence.heard_ms &&
+	    now - peer->presence.heard_ms > age)
+		age = now - peer->presence.heard_ms;
+	return age;
+}
+
 /* Lists the addresses for callers of the other instances that live, or of all
  * if this instance is cut off from them; returns their number. */
 size_t peers_addresses(const struct peers *t, const char **addresses,
--- a/proxyd/peers.h
+++ b/proxyd/peers.h
@@ -32,6 +32,8 @@
 size_t peers_list(const struct peers *t, struct peer_info *list, size_t most);
 size_t peers_before(const struct peers *t);
 size_t peers_alive(const struct peers *t);
+size_t peers_listed(const struct peers *t);
+uint64_t peers_oldest_word_ms(const struct peers *t);
 size_t peers_addresses(const struct peers *t, const char **addresses,
 		       size_t most);
 size_t peers_addresses_stopping(const struct peers *t, const char **addresses,
--- a/proxyd/proxyd.c
+++ b/proxyd/proxyd.c
@@ -53,6 +53,7 @@
 	p->settings_file = settings_file;
 	p->settings = *settings;
 	p->born_ms = unix_ms();
+	p->started_ms = proxyd_now(p);
 	event_log_open("cdmproxyd", p->settings.name, STDOUT_FILENO);
 	if (!start(p, world, err, sizeof(err))) {
 		event_log(EVENT_ALWAYS, "start-failed", NULL, "{s:s}", "why",
--- a/proxyd/proxyd.h
+++ b/proxyd/proxyd.h
@@ -48,6 +48,7 @@
 	struct stop stop;
 	uint64_t ticked_ms; /* last tick */
 	uint64_t born_ms; /* Unix time of the start */
+	uint64_t started_ms; /* the same by the loop's clock */
 	struct endpoints *endpoints;
 	struct peers *peers;
 	struct watches *watches;
--- a/regress/unit/test_repeat.c
+++ b/regress/unit/test_repeat.c
@@ -20,20 +20,21 @@
 {
 	const struct repeat_others alone = { 0 };
 	struct repeat_budget b = { 0 };
+	struct repeat_balance seen;
 	uint32_t n = 0;
 	int i;
 
 	(void)state;
 	for (i = 0; i < 100; i++)
 		repeat_request(&b, &params, 1000);
-	while (repeat_allowed(&b, &params, &alone, 1000)) {
+	while (repeat_allowed(&b, &params, &alone, 1000, &seen)) {
 		repeat_sent(&b, &params, 1000);
 		n++;
 	}
 	assert_true(n <= 100 * 0.8 + 150);
 	assert_true(n >= (100 * 0.8 + 150) * 0.8);
 	/* the window slides on */
-	assert_true(repeat_allowed(&b, &params, &alone, 12000));
+	assert_true(repeat_allowed(&b, &params, &alone, 12000, &seen));
 }
 
 /* Moves by choice leave two fifths of the budget for losses. */
@@ -41,6 +42,7 @@
 {
 	const struct repeat_others alone = { 0 };
 	struct repeat_budget b = { 0 };
+	struct repeat_balance seen;
 	uint32_t choices = 0;
 	uint32_t losses = 0;
 
@@ -50,7 +52,7 @@
 		choices++;
 	}
 	assert_true(choices > 0);
-	while (repeat_allowed(&b, &params, &alone, 1000)) {
+	while (repeat_allowed(&b, &params, &alone, 1000, &seen)) {
 		repeat_sent(&b, &params, 1000);
 		losses++;
 	}
@@ -82,6 +84,7 @@
 {
 	enum { INSTANCES = 64, ROUNDS = 10, HIT = 10, RUNS = 6 };
 	static struct repeat_budget b[INSTANCES];
+	struct repeat_balance seen;
 	uint32_t wanted = 0;
 	uint32_t made = 0;
 	int round;
@@ -112,7 +115,8 @@
 
 			for (k = 0; k < RUNS; k++) {
 				wanted++;
-				if (!repeat_allowed(own, &params, &others, now))
+				if (!repeat_allowed(own, &params, &others, now,
+						    &seen))
 					continue;
 				repeat_sent(own, &params, now);
 				made++;
