Tests that fail: repeats beyond the budget, on real processes

test_repeat_budget runs cdmproxyd as processes with a budget small enough that a few streams reach it. regress/repeat_rule.c counts, from outside, arrivals at the workers against what callers sent, as the users' rule says, sliding windows included.

--- /dev/null
+++ b/regress/integration/test_repeat_budget.c
@@ -0,0 +1,355 @@
+/* cdmproxyd as processes: what all instances together send to a service beyond
+ * the first time stays within the budget, as counted at the workers. */
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <setjmp.h>
+#include <cmocka.h>
+
+#include "lib/bytes.h"
+#include "lib/http1_client.h"
+#include "lib/xalloc.h"
+#include "regress/platform_standin.h"
+#include "regress/repeat_rule.h"
+
+#define INSTANCES 3
+#define ENGINES 4
+#define CALLS_MAX 256
+#define STEP_MS 20
+#define SERVED 200
+
+/* Figures small enough that a few streams reach them. */
+#define WINDOW_MS 2000
+#define SLACK 10
+
+/* A stream lasts for three windows, so that its request has left them when its
+ * engine is lost. */
+#define EVENT_MS 250
+
+/* A request of a caller. */
+struct call {
+	bool open;
+	bool begun;
+	int status;
+	struct http1_call *http;
+};
+
+static struct harness *harness;
+static struct standin_world *world;
+static struct standin_instance instances[INSTANCES];
+static size_t n_instances;
+static struct http1_client *client;
+static struct repeat_rule rule;
+static struct call calls[CALLS_MAX];
+static size_t n_calls;
+static unsigned n_starts; /* of engines */
+
+static uint64_t now_ms(void)
+{
+	return uv_now(harness_loop(harness));
+}
+
+static int set_up(void **state)
+{
+	(void)state;
+	harness = harness_new();
+	world = standin_new(harness);
+	world->event_ms = EVENT_MS;
+	world->settings = "repeat_window_s = 2\nrepeat_ratio = 0.8\n"
+			  "repeat_slack = 10\n";
+	client = http1_client_new(harness_loop(harness));
+	rule = (struct repeat_rule){
+		.window_ms = WINDOW_MS,
+		.ratio = 0.8,
+		.slack = SLACK,
+	};
+	memset(calls, 0, sizeof(calls));
+	n_calls = 0;
+	n_instances = 0;
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < n_calls; i++)
+		if (calls[i].open)
+			http1_call_cancel(calls[i].http);
+	for (i = 0; i < n_instances; i++)
+		proc_kill(instances[i].proc);
+	http1_client_free(client);
+	standin_free(world);
+	harness_free(harness);
+	repeat_rule_release(&rule);
+	return 0;
+}
+
+/* Starts instances that are ready, and waits until the slack of a process that
+ * has just started is due. */
+static void start(size_t n)
+{
+	static const char *const names[] = { "one", "two", "three" };
+
+	standin_configuration(world, 2, NULL);
+	for (n_instances = 0; n_instances < n; n_instances++) {
+		struct standin_instance *in = &instances[n_instances];
+
+		standin_instance(world, in, names[n_instances],
+				 n_instances ? instances[0].control : NULL);
+		standin_start(world, in);
+		standin_wait_status(world, in->readiness, "/readyz", 200);
+	}
+	harness_run(harness, 2 * WINDOW_MS);
+}
+
+/* New requests allow no repeats. */
+static void no_ratio(void)
+{
+	world->settings = "repeat_window_s = 2\nrepeat_ratio = 0\n"
+			  "repeat_slack = 10\n";
+	rule.ratio = 0;
+}
+
+static void start_engines(size_t n)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		standin_worker(world, "engine", "z1");
+}
+
+static void kill_engines(size_t n)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		standin_kill(&world->workers[i]);
+}
+
+/* Engines that were killed start again, under other ids. */
+static void engines_return(void)
+{
+	size_t i;
+
+	for (i = 0; i < world->n_workers; i++) {
+		char id[24];
+
+		if (world->workers[i].server)
+			continue;
+		snprintf(id, sizeof(id), "i-again-%u", ++n_starts);
+		standin_remove(world, "servers", world->workers[i].id);
+		standin_restart(&world->workers[i], id);
+	}
+}
+
+static enum http1_verdict on_head(void *arg, const struct http1_head *head)
+{
+	struct call *c = arg;
+
+	c->status = head->status;
+	return HTTP1_TAKE;
+}
+
+static void on_body(void *arg, const char *data, size_t len)
+{
+	struct call *c = arg;
+
+	(void)data;
+	c->begun = c->begun || len;
+}
+
+static void on_end(void *arg, enum http1_outcome outcome)
+{
+	struct call *c = arg;
+
+	(void)outcome;
+	c->open = false;
+}
+
+/* Callers send requests to an instance. */
+static void send_calls(const struct standin_instance *in, size_t n,
+		       const char *service, const char *head)
+{
+	static const struct http1_call_ops ops = {
+		.on_head = on_head,
+		.on_body = on_body,
+		.on_end = on_end,
+	};
+	const struct http1_call_options options = {
+		.address = in->callers,
+		.connect_ms = 5000,
+	};
+
+	for (; n; n--) {
+		struct call *c = &calls[n_calls];
+		struct bytes out = { 0 };
+
+		assert_true(n_calls < CALLS_MAX);
+		bytes_addf(&out,
+			   "%shost: 127.0.0.1\r\ncredential: k1\r\n"
+			   "request-id: r-%zu\r\ndeadline-ms: 20000\r\n\r\n",
+			   head, n_calls++);
+		c->open = true;
+		c->http = http1_call_start(client, &options, out.data, out.len,
+					   &ops, c);
+		repeat_rule_sent(&rule, service, now_ms());
+	}
+}
+
+static void send_streams(const struct standin_instance *in, size_t n)
+{
+	send_calls(in, n, "engine",
+		   "GET /write/a HTTP/1.1\r\n"
+		   "token-usage: 100,30\r\nprompt-prefix: a:100\r\n");
+}
+
+static void run(uint64_t ms)
+{
+	uint64_t end;
+
+	for (end = now_ms() + ms; now_ms() < end;) {
+		http1_client_tick(client);
+		harness_run(harness, STEP_MS);
+	}
+}
+
+/* Waits until all streams have begun and their requests have left every window
+ * that counts. */
+static void wait_old(void)
+{
+	uint64_t tries;
+	size_t i = 0;
+
+	for (tries = 0; tries < HARNESS_WAIT_MS / STEP_MS; tries++) {
+		while (i < n_calls && calls[i].begun)
+			i++;
+		if (i == n_calls)
+			break;
+		run(STEP_MS);
+	}
+	assert_int_equal(i, n_calls);
+	run(2 * WINDOW_MS);
+}
+
+/* The workers got no more repeats than the rule allows, and some. */
+static void check_repeats(const char *service)
+{
+	const struct repeat_excess e = repeat_rule_worst(&rule, world, service);
+
+	print_message("%s: %zu repeats in a window, %.1f are allowed\n",
+		      service, e.repeats, e.allowed);
+	if (e.excess > 0)
+		fail_msg("%zu repeats in a window, %.1f are allowed", e.repeats,
+			 e.allowed);
+	assert_true(e.repeats > 0);
+}
+
+/* Runs that are lost while no other engine is up may move, wait for one, and go
+ * out together when it comes. */
+static void allowed_while_no_engine_is_up(void **state)
+{
+	(void)state;
+	start_engines(1);
+	start(1);
+	send_streams(&instances[0], 16);
+	wait_old();
+	standin_announce(&world->workers[0], "draining");
+	run(300);
+	kill_engines(1);
+	run(300);
+	start_engines(1);
+	run(3000);
+	check_repeats("engine");
+}
+
+/* Instances whose datagrams don't arrive know nothing of each other's use. */
+static void instances_that_hear_nothing(void **state)
+{
+	size_t i;
+
+	(void)state;
+	start_engines(ENGINES);
+	start(INSTANCES);
+	for (i = 0; i < INSTANCES; i++) {
+		char *text = xasprintf("{\"callers\":\"%s\",\"peers\":\"%s\","
+				       "\"control\":\"%s\",\"zone\":\"z1\"}",
+				       instances[i].callers,
+				       harness_address(harness),
+				       instances[i].control);
+
+		standin_put(world, "instances", instances[i].name, text);
+		free(text);
+	}
+	run(2 * WINDOW_MS);
+	for (i = 0; i < INSTANCES; i++)
+		send_streams(&instances[i], 20);
+	wait_old();
+	kill_engines(ENGINES / 2);
+	run(2000);
+	check_repeats("engine");
+}
+
+/* A process that is killed after it has used its part of the budget, and the
+ * one that takes its place. */
+static void process_that_starts_again(void **state)
+{
+	struct standin_instance *in = &instances[0];
+
+	(void)state;
+	no_ratio();
+	start_engines(ENGINES);
+	start(1);
+	send_streams(in, 20);
+	wait_old();
+	kill_engines(ENGINES / 2);
+	run(200);
+	engines_return();
+	proc_kill(in->proc);
+	standin_start(world, in);
+	standin_wait_status(world, in->readiness, "/readyz", 200);
+	send_streams(in, 20);
+	run(600);
+	kill_engines(ENGINES / 2);
+	run(2000);
+	check_repeats("engine");
+}
+
+/* The addresses of workers are others' now: each request that goes to one is
+ * answered 421 and goes on to the next. */
+static void addresses_of_others(void **state)
+{
+	size_t i;
+
+	(void)state;
+	no_ratio();
+	for (i = 0; i < STANDIN_WORKERS_MAX; i++)
+		standin_worker(world, "plain", "z1");
+	start(1);
+	for (i = 0; i < STANDIN_WORKERS_MAX - 1; i++)
+		world->workers[i].mood = STANDIN_OTHER;
+	send_calls(&instances[0], 120, "plain", "GET /look/a HTTP/1.1\r\n");
+	run(1500);
+	check_repeats("plain");
+}
+
+int main(int argc, char **argv)
+{
+#define CASE(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
+	const struct CMUnitTest tests[] = {
+		CASE(allowed_while_no_engine_is_up),
+		CASE(instances_that_hear_nothing),
+		CASE(process_that_starts_again),
+		CASE(addresses_of_others),
+	};
+
+	if (argc > 1) /* one case */
+		cmocka_set_test_filter(argv[1]);
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/regress/platform_standin.c
+++ b/regress/platform_standin.c
@@ -75,6 +75,7 @@
 	struct standin_world *w = xcalloc(1, sizeof(*w));
 
 	w->harness = h;
+	w->event_ms = STANDIN_EVENT_MS;
 	w->rows = json_array();
 	w->version = 1;
 	w->store_address = harness_address(h);
@@ -305,10 +306,10 @@
 		"name = \"%s\"\nzone = \"z1\"\n"
 		"callers = \"%s\"\nreadiness = \"%s\"\ndirectory = \"%s\"\n"
 		"metrics = \"%s\"\ncontrol = \"%s\"\npeers = \"%s\"\n"
-		"store = \"%s\"\nseeds = [\"%s\"]\ngrace_s = 2\n",
+		"store = \"%s\"\nseeds = [\"%s\"]\ngrace_s = 2\n%s",
 		name, in->callers, in->readiness, in->directory, in->metrics,
 		in->control, in->peers, w->store_public,
-		seed ? seed : in->control);
+		seed ? seed : in->control, w->settings ? w->settings : "");
 }
 
 /* Starts the instance's process. */
@@ -597,6 +598,7 @@
 	for (i = 0; i < head.len; i++)
 		head.data[i] = (char)tolower((unsigned char)head.data[i]);
 	a->worker = worker;
+	a->at_ms = uv_now(harness_loop(w->harness));
 	a->head = head.data;
 	a->target = xstrndup(r->head.target, r->head.target_len);
 	a->body = xmemdup(r->body_len ? r->body : "", r->body_len);
@@ -670,7 +672,8 @@
 	http1_stream_begin(c, 200, headers);
 	uv_timer_init(harness_loop(worker->world->harness), &s->timer);
 	s->timer.data = s;
-	uv_timer_start(&s->timer, on_event, STANDIN_EVENT_MS, STANDIN_EVENT_MS);
+	uv_timer_start(&s->timer, on_event, worker->world->event_ms,
+		       worker->world->event_ms);
 }
 
 /* The next event of a stream, or its end. */
--- a/regress/platform_standin.h
+++ b/regress/platform_standin.h
@@ -13,7 +13,7 @@
 
 #define STANDIN_WORKERS_MAX 8
 #define STANDIN_EVENTS 30 /* of a whole stream */
-#define STANDIN_EVENT_MS 15
+#define STANDIN_EVENT_MS 15 /* between two, unless the test sets another */
 
 enum standin_mood {
 	STANDIN_SERVES,
@@ -48,6 +48,7 @@
 	char *target;
 	char *body;
 	size_t body_len;
+	uint64_t at_ms; /* by the clock of the test's loop */
 	bool ran; /* the worker began to work on it */
 	bool closed; /* the caller's side left before the end */
 };
@@ -58,6 +59,8 @@
 	const char *store_public; /* in settings; a proxy may lie between */
 	struct http1_server *store;
 	bool store_refuses; /* 503 to everything */
+	const char *settings; /* further lines of each instance's, or NULL */
+	uint64_t event_ms; /* between two events of a stream */
 	json_t *rows; /* of all tables */
 	json_int_t version;
 	struct http1_conn *waiting[64];
