A repeat that is allowed counts as used until it is sent or given up

What callers saw: after a moment without any engine up, all lost runs went out together, more than the budget of repeats holds (rule BUDGET).

Cause: permission and charge were apart. A lost run asked the budget when it was lost, and was counted when it was sent; while it waited for an engine, up to 1.5 s, it counted nowhere, and any number was allowed on the same figures. Likewise a repeat that found no connection gave its place back, to another run, and was sent again without asking.

repeat_take() now moves a repeat from the budget to the request, which holds it until it is sent, or returns it when it is over. What is held counts as used, here and in what the others are told. A sending that did not arrive is held again, out of the part of the window that it was counted in; one that is cancelled before its connection stood was never undone before. A request that no endpoint has got asks for nothing. A run that waits for the budget is logged once, not at each tick.

--- a/policy/repeat.c
+++ b/policy/repeat.c
@@ -26,6 +26,7 @@
 					const struct repeat_params *p,
 					const struct repeat_others *others,
 					uint64_t now);
+static uint64_t slot_of(const struct repeat_params *p, uint64_t now);
 static void advance(struct repeat_budget *b, const struct repeat_params *p,
 		    uint64_t now);
 static uint32_t sum(const uint32_t *counts);
@@ -38,34 +39,52 @@
 	b->requests[b->slot % REPEAT_SLOTS]++;
 }
 
-/* Counts a request that was sent to an endpoint once more. */
+/* Takes one repeat out of the budget: it is held until it is sent or returned,
+ * and counts as used meanwhile.  Returns false if none is left; seen says by
+ * which figures. */
+bool repeat_take(struct repeat_budget *b, const struct repeat_params *p,
+		 const struct repeat_others *others, uint64_t now,
+		 struct repeat_balance *seen)
+{
+	struct repeat_balance s = balance_of(b, p, others, now);
+
+	*seen = s;
+	if (s.used >= s.allowed)
+		return false;
+	if (s.own >= s.share &&
+	    (s.allowed - s.used) * PERMILLE < s.allowed * COMMON_PERMILLE)
+		return false;
+	b->held++;
+	return true;
+}
+
+/* Gives back a repeat that was taken and will not be sent. */
+void repeat_return(struct repeat_budget *b)
+{
+	if (b->held)
+		b->held--;
+}
+
+/* A repeat that was taken is sent: it counts until it leaves the window. */
 void repeat_sent(struct repeat_budget *b, const struct repeat_params *p,
 		 uint64_t now)
 {
 	advance(b, p, now);
+	repeat_return(b);
 	b->repeats[b->slot % REPEAT_SLOTS]++;
 }
 
-/* The request that was counted last found no connection. */
-void repeat_not_sent(struct repeat_budget *b)
+/* A repeat that was sent at sent_ms found no connection: it is held again. */
+void repeat_not_sent(struct repeat_budget *b, const struct repeat_params *p,
+		     uint64_t sent_ms, uint64_t now)
 {
-	if (b->repeats[b->slot % REPEAT_SLOTS])
-		b->repeats[b->slot % REPEAT_SLOTS]--;
-}
-
-/* Tells whether a request that was lost may be sent once more, and by which
- * figures. */
-bool repeat_allowed(struct repeat_budget *b, const struct repeat_params *p,
-		    const struct repeat_others *others, uint64_t now,
-		    struct repeat_balance *seen)
-{
-	struct repeat_balance s = balance_of(b, p, others, now);
+	uint64_t slot = slot_of(p, sent_ms);
+	uint32_t *repeats = &b->repeats[slot % REPEAT_SLOTS];
 
-	*seen = s;
-	if (s.used >= s.allowed)
-		return false;
-	return s.own < s.share ||
-	       (s.allowed - s.used) * PERMILLE >= s.allowed * COMMON_PERMILLE;
+	advance(b, p, now);
+	if (slot + REPEAT_SLOTS > b->slot && *repeats)
+		--*repeats;
+	b->held++;
 }
 
 /* Tells whether enough is left that a request may be sent once more by choice
@@ -85,7 +104,7 @@
 {
 	advance(b, p, now);
 	*requests = sum(b->requests);
-	*repeats = sum(b->repeats);
+	*repeats = sum(b->repeats) + b->held;
 }
 
 /* Reckons what is allowed and used. */
@@ -98,7 +117,7 @@
 	uint64_t slack = (uint64_t)p->slack * PERMILLE;
 
 	advance(b, p, now);
-	s.own = sum(b->repeats);
+	s.own = sum(b->repeats) + b->held;
 	s.used = s.own + others->repeats;
 	s.allowed = ((uint64_t)sum(b->requests) + others->requests) *
 			    p->ratio_permille +
@@ -110,11 +129,17 @@
 	return s;
 }
 
+/* Returns the number of the part of a window that a time lies in. */
+static uint64_t slot_of(const struct repeat_params *p, uint64_t now)
+{
+	return now / (p->window_ms / REPEAT_SLOTS + 1);
+}
+
 /* Forgets the parts that have left the window. */
 static void advance(struct repeat_budget *b, const struct repeat_params *p,
 		    uint64_t now)
 {
-	uint64_t slot = now / (p->window_ms / REPEAT_SLOTS + 1);
+	uint64_t slot = slot_of(p, now);
 
 	if (slot >= b->slot + REPEAT_SLOTS) {
 		memset(b->requests, 0, sizeof(b->requests));
--- a/policy/repeat.h
+++ b/policy/repeat.h
@@ -17,6 +17,7 @@
 struct repeat_budget {
 	uint32_t requests[REPEAT_SLOTS];
 	uint32_t repeats[REPEAT_SLOTS];
+	uint32_t held; /* allowed, not sent yet */
 	uint64_t slot; /* number of the current part */
 };
 
@@ -39,10 +40,12 @@
 		    uint64_t now);
 void repeat_sent(struct repeat_budget *b, const struct repeat_params *p,
 		 uint64_t now);
-void repeat_not_sent(struct repeat_budget *b);
-bool repeat_allowed(struct repeat_budget *b, const struct repeat_params *p,
-		    const struct repeat_others *others, uint64_t now,
-		    struct repeat_balance *seen);
+void repeat_not_sent(struct repeat_budget *b, const struct repeat_params *p,
+		     uint64_t sent_ms, uint64_t now);
+bool repeat_take(struct repeat_budget *b, const struct repeat_params *p,
+		 const struct repeat_others *others, uint64_t now,
+		 struct repeat_balance *seen);
+void repeat_return(struct repeat_budget *b);
 bool repeat_spare(struct repeat_budget *b, const struct repeat_params *p,
 		  const struct repeat_others *others, uint64_t now);
 void repeat_counts(struct repeat_budget *b, const struct repeat_params *p,
--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -31,6 +31,7 @@
 
 #define ANSWER_MAX (8u << 20) /* bytes; the largest that is passed on */
 
+static void not_arrived(struct exchange *x);
 static void load_add(struct exchange *x);
 static void load_remove(struct exchange *x);
 static void say_sent(const struct exchange *x, const struct endpoint *e);
@@ -97,6 +98,7 @@
 	if (x->arrivals++) {
 		repeat_sent(endpoints_budget(p->endpoints, x->service),
 			    &p->repeat, now);
+		x->may_repeat = false;
 		counter_add(p->exchanges->repeats_sent, 1);
 		if (x->engine && x->lost_ms)
 			peers_tell_urgent(p->peers);
@@ -129,13 +131,29 @@
 /* Gives the current sending up; its endpoint stops when the connection ends. */
 void attempt_cancel(struct exchange *x)
 {
-	if (x->call)
+	if (x->call) {
+		if (!http1_call_connected(x->call))
+			not_arrived(x);
 		http1_call_cancel(x->call);
+	}
 	x->call = NULL;
 	copy_end(x, false);
 	load_remove(x);
 }
 
+/* The endpoint did not get the request: if that was a repeat, it is still to be
+ * sent. */
+static void not_arrived(struct exchange *x)
+{
+	struct proxyd *p = x->proxyd;
+
+	if (!--x->arrivals)
+		return;
+	repeat_not_sent(endpoints_budget(p->endpoints, x->service), &p->repeat,
+			x->sent_ms, proxyd_now(p));
+	x->may_repeat = true;
+}
+
 /* Counts the request into the load of its endpoint. */
 static void load_add(struct exchange *x)
 {
@@ -288,9 +306,7 @@
 {
 	x->sends--;
 	x->connects++;
-	if (--x->arrivals)
-		repeat_not_sent(
-			endpoints_budget(x->proxyd->endpoints, x->service));
+	not_arrived(x);
 	exchange_avoid(x, at);
 	endpoint_unreachable(x->proxyd->endpoints, at, x->fields.id, outcome);
 	if (!x->caller)
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -270,7 +270,8 @@
 	x->avoided[x->n_avoided++] = h;
 }
 
-/* Tells whether the request may be sent to an endpoint once more. */
+/* Tells whether the request may be sent to an endpoint once more; it holds the
+ * repeat until it is sent or over. */
 bool exchange_repeat_allowed(struct exchange *x)
 {
 	struct proxyd *p = x->proxyd;
@@ -281,8 +282,13 @@
 
 	if (x->sends >= x->route->attempts_max)
 		return false;
-	allowed = repeat_allowed(endpoints_budget(p->endpoints, x->service),
-				 &p->repeat, others, proxyd_now(p), &seen);
+	if (!x->arrivals || x->may_repeat)
+		return true;
+	allowed = repeat_take(endpoints_budget(p->endpoints, x->service),
+			      &p->repeat, others, proxyd_now(p), &seen);
+	x->may_repeat = allowed;
+	if (!allowed && x->repeat_due) /* asks at each tick */
+		return false;
 	counter_add(allowed ? p->exchanges->repeats_allowed
 			    : p->exchanges->repeats_denied,
 		    1);
@@ -368,6 +374,10 @@
 	if (x->phase == EXCHANGE_WAITING && x->wait_until_ms)
 		t->waiting_tokens -=
 			x->tokens; /* 0 before its route is known */
+	if (x->may_repeat)
+		repeat_return(
+			endpoints_budget(x->proxyd->endpoints, x->service));
+	x->may_repeat = false;
 	x->phase = EXCHANGE_OVER;
 	t->open--;
 	if (!strcmp(outcome, "served"))
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -65,6 +65,7 @@
 	uint32_t connects; /* that failed in a row */
 	uint32_t arrivals; /* endpoints that got it, refusals included */
 	bool may_have_run; /* an endpoint had it and gave no whole answer */
+	bool may_repeat; /* holds a repeat of the budget, to be sent */
 	bool repeat_due; /* waits until the budget allows it once more */
 	struct handle avoided[ENDPOINT_AVOID_MAX];
 	size_t n_avoided;
--- a/regress/unit/test_repeat.c
+++ b/regress/unit/test_repeat.c
@@ -27,14 +27,14 @@
 	(void)state;
 	for (i = 0; i < 100; i++)
 		repeat_request(&b, &params, 1000);
-	while (repeat_allowed(&b, &params, &alone, 1000, &seen)) {
+	while (repeat_take(&b, &params, &alone, 1000, &seen)) {
 		repeat_sent(&b, &params, 1000);
 		n++;
 	}
 	assert_true(n <= 100 * 0.8 + 150);
 	assert_true(n >= (100 * 0.8 + 150) * 0.8);
 	/* the window slides on */
-	assert_true(repeat_allowed(&b, &params, &alone, 12000, &seen));
+	assert_true(repeat_take(&b, &params, &alone, 12000, &seen));
 }
 
 /* Moves by choice leave two fifths of the budget for losses. */
@@ -52,14 +52,42 @@
 		choices++;
 	}
 	assert_true(choices > 0);
-	while (repeat_allowed(&b, &params, &alone, 1000, &seen)) {
+	while (repeat_take(&b, &params, &alone, 1000, &seen)) {
 		repeat_sent(&b, &params, 1000);
 		losses++;
 	}
 	assert_true(losses * 5 >= (choices + losses) * 2);
 }
 
-static void connection_that_failed(void **state)
+/* A repeat that was taken counts until it is returned, or has left the window
+ * after it was sent: however long it waits, and whether or not it found a
+ * connection at first. */
+static void taken_counts_as_used(void **state)
+{
+	const struct repeat_others alone = { 0 };
+	struct repeat_budget b = { 0 };
+	struct repeat_balance seen;
+	uint32_t requests;
+	uint32_t repeats;
+	uint32_t n = 0;
+
+	(void)state;
+	while (repeat_take(&b, &params, &alone, 1000, &seen))
+		n++;
+	assert_true(n > 0);
+	assert_false(repeat_take(&b, &params, &alone, 30000, &seen));
+	repeat_sent(&b, &params, 30000);
+	repeat_not_sent(&b, &params, 30000, 30600);
+	assert_false(repeat_take(&b, &params, &alone, 30600, &seen));
+	repeat_sent(&b, &params, 30700);
+	repeat_counts(&b, &params, 30700, &requests, &repeats);
+	assert_int_equal(repeats, n);
+	repeat_return(&b);
+	assert_true(repeat_take(&b, &params, &alone, 30700, &seen));
+}
+
+/* What is returned more often than it was taken gives nothing. */
+static void returned_twice(void **state)
 {
 	struct repeat_budget b = { 0 };
 	uint32_t requests;
@@ -68,8 +96,9 @@
 	(void)state;
 	repeat_request(&b, &params, 0);
 	repeat_sent(&b, &params, 0);
-	repeat_not_sent(&b);
-	repeat_not_sent(&b); /* never below none */
+	repeat_not_sent(&b, &params, 0, 0);
+	repeat_return(&b);
+	repeat_return(&b); /* never below none */
 	repeat_counts(&b, &params, 0, &requests, &repeats);
 	assert_int_equal(requests, 1);
 	assert_int_equal(repeats, 0);
@@ -115,8 +144,8 @@
 
 			for (k = 0; k < RUNS; k++) {
 				wanted++;
-				if (!repeat_allowed(own, &params, &others, now,
-						    &seen))
+				if (!repeat_take(own, &params, &others, now,
+						 &seen))
 					continue;
 				repeat_sent(own, &params, now);
 				made++;
@@ -137,7 +166,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(one_instance),
 		cmocka_unit_test(choice_yields_to_losses),
-		cmocka_unit_test(connection_that_failed),
+		cmocka_unit_test(taken_counts_as_used),
+		cmocka_unit_test(returned_twice),
 		cmocka_unit_test(zones_lost),
 	};
 
