A request that reached another endpoint's address asks before it goes on

What callers saw: when addresses of endpoints had gone to others, each request to one of them was sent on without asking the budget of repeats, so that its service got more arrivals than the rule allows (BUDGET).

Cause: an answer 421 says that nothing has run, and plain_answered() took that for leave to send once more; but the rule counts arrivals that an endpoint rejects. The next arrival was counted and not asked for, so that all others had to pay for it.

Evidence: test_repeat_budget, case addresses_of_others, before: 13 to 45 repeats in most runs where 10 are allowed, none with a `repeat` line. After: 8 in 3 of 3 runs.

The request now asks, and is refused with 503, which is true, when none is left. test_proxyd passes, rediscovery after 421 included.

--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -359,6 +359,10 @@
 		if (++x->connects > ENDPOINT_AVOID_MAX)
 			exchange_refuse(x, 503, RETRY_FULL_MS,
 					"no endpoint can be reached");
+		else if (!exchange_repeat_allowed(x))
+			exchange_refuse(x, 503, RETRY_FULL_MS,
+					"addresses of endpoints are others', "
+					"and no repeat is left");
 		else
 			exchange_seek(x);
 		return;
