--- a/policy/repeat.c
+++ b/policy/repeat.c
@@ -1,68 +1,177 @@
 /*
  * The budget of repeats: what all instances together send to a service beyond
- * the first time.  Each knows its own use and what the others last said of
- * theirs.  While much is left anyone may repeat; what is left at the end is
- * dealt out in equal parts, as the others' words are up to a second old.
+ * the first time, in any window.  It is divided, so that nobody needs another's
+ * word: a request allows repeats at the instance that it came to, and the slack
+ * is shared equally by the instances that are listed, heard or not.  The parts
+ * of all add up to no more than the whole, whatever is lost between instances.
+ *
+ * What an instance does not use it lends to one that asks.  A loan counts as used
+ * at its lender from then on, as if it were sent at the last moment at which the
+ * borrower may send it; a loan that is lost on the way is used by nobody.  The
+ * borrower reckons that moment from when it asked, by its own clock, so that a
+ * late answer lends for less time, not more.
+ *
  * Answers the pattern of a zone that is lost at a busy moment, when a few
- * instances have most of its streams and each is sent again.
+ * instances have most of its streams and each is to be sent again.
+ *
+ * A process that has just started may have taken the place of one whose repeats
+ * lie in the window still.  Its part of the slack is due when they have left it;
+ * until then it has what its own requests allow, and little more.
  */
 #include "policy/repeat.h"
 
 #include <string.h>
 
-/* Part of the budget that is used at all: windows slide, and others repeat at
- * the same moment without our knowing it yet. */
-#define USED_PERMILLE 880
+/* Parts of the window that the rule speaks of. */
+#define WINDOW_PARTS 20
 
-/* Below this part of the budget each instance keeps to its own share. */
-#define COMMON_PERMILLE 350
+/* A repeat counts for two parts more than the window: it may take so long to
+ * arrive. */
+#define COUNTED_PARTS (WINDOW_PARTS + 3)
 
-/* Part of the budget that only losses may use. */
+/* A loan is taken within the first of these after it was asked for, and sent
+ * within the second; the difference is how long a run waits for an endpoint. */
+#define LOAN_TAKEN_PARTS 2
+#define LOAN_PARTS 6
+
+/* Part of what it has left that an instance lends. */
+#define LENT_PERMILLE 500
+
+/* Part of its share that an instance uses.  The rest is for processes that have
+ * just started, two in a window in each place, so that a run which is lost there
+ * may move. */
+#define USED_PERMILLE 900
+#define STARTING_PERMILLE 50
+
+/* Part of the share that only losses may use. */
 #define SPARE_PERMILLE 550
 
 #define PERMILLE 1000
 
-static struct repeat_balance balance_of(struct repeat_budget *b,
-					const struct repeat_params *p,
-					const struct repeat_others *others,
-					uint64_t now);
-static uint64_t slot_of(const struct repeat_params *p, uint64_t now);
+static struct repeat_share share_of(struct repeat_budget *b,
+				    const struct repeat_params *p,
+				    const struct repeat_sharers *sharers,
+				    uint64_t now);
+static uint32_t part_ms(const struct repeat_params *p);
+static uint32_t settle_ms(const struct repeat_params *p);
 static void advance(struct repeat_budget *b, const struct repeat_params *p,
 		    uint64_t now);
-static uint32_t sum(const uint32_t *counts);
+static uint32_t sum(const struct repeat_budget *b, const uint32_t *counts,
+		    uint32_t parts);
+
+/* Notes how many instances are listed, this one included.  One that left counts
+ * until what it sent has left the window. */
+void repeat_sharers_listed(struct repeat_sharers *s,
+			   const struct repeat_params *p, uint32_t instances,
+			   uint64_t now)
+{
+	uint64_t hold_ms = p->grace_ms + (uint64_t)settle_ms(p);
+
+	if (!s->known_ms)
+		s->known_ms = now;
+	if (instances < s->instances && now - s->seen_ms <= hold_ms)
+		return;
+	s->instances = instances;
+	s->seen_ms = now;
+}
 
 /* Counts a request that arrived for the service. */
 void repeat_request(struct repeat_budget *b, const struct repeat_params *p,
 		    uint64_t now)
 {
 	advance(b, p, now);
-	b->requests[b->slot % REPEAT_SLOTS]++;
+	b->requests[b->part % REPEAT_PARTS]++;
 }
 
 /* Takes one repeat out of the budget: it is held until it is sent or returned,
- * and counts as used meanwhile.  Returns false if none is left; seen says by
+ * and counts as used meanwhile.  A loan goes first, as it lapses.  seen says by
  * which figures. */
-bool repeat_take(struct repeat_budget *b, const struct repeat_params *p,
-		 const struct repeat_others *others, uint64_t now,
-		 struct repeat_balance *seen)
+enum repeat_token repeat_take(struct repeat_budget *b,
+			      const struct repeat_params *p,
+			      const struct repeat_sharers *sharers,
+			      uint64_t now, struct repeat_share *seen)
 {
-	struct repeat_balance s = balance_of(b, p, others, now);
-
-	*seen = s;
-	if (s.used >= s.allowed)
-		return false;
-	if (s.own >= s.share &&
-	    (s.allowed - s.used) * PERMILLE < s.allowed * COMMON_PERMILLE)
-		return false;
+	*seen = share_of(b, p, sharers, now);
+	if (b->unused) {
+		b->unused--;
+		b->held++;
+		return REPEAT_LENT;
+	}
+	if (seen->used >= seen->repeats)
+		return REPEAT_NONE;
 	b->held++;
-	return true;
+	return REPEAT_OWN;
 }
 
-/* Gives back a repeat that was taken and will not be sent. */
-void repeat_return(struct repeat_budget *b)
+/* Tells whether enough is left that a request may be sent once more by choice
+ * and not because of a loss. */
+bool repeat_spare(struct repeat_budget *b, const struct repeat_params *p,
+		  const struct repeat_sharers *sharers, uint64_t now)
 {
+	struct repeat_share s = share_of(b, p, sharers, now);
+	uint32_t own = s.repeats - s.borrowed;
+
+	return s.used < own && (uint64_t)(own - s.used) * PERMILLE >=
+				       (uint64_t)own * SPARE_PERMILLE;
+}
+
+/* Lends what another instance wants, as far as this one can spare it; returns
+ * how many repeats. */
+uint32_t repeat_lend(struct repeat_budget *b, const struct repeat_params *p,
+		     const struct repeat_sharers *sharers, uint32_t wanted,
+		     uint64_t now)
+{
+	struct repeat_share s = share_of(b, p, sharers, now);
+	uint32_t own = s.repeats - s.borrowed;
+	uint32_t most = 0;
+
+	if (s.used < own)
+		most = ((own - s.used) * LENT_PERMILLE + PERMILLE / 2) /
+		       PERMILLE;
+	if (wanted > most)
+		wanted = most;
+	b->repeats[(b->part + LOAN_PARTS) % REPEAT_PARTS] += wanted;
+	return wanted;
+}
+
+/* Takes a loan that was asked for at asked_ms; one that comes too late is of no
+ * use. */
+void repeat_borrowed(struct repeat_budget *b, const struct repeat_params *p,
+		     uint32_t repeats, uint64_t asked_ms, uint64_t now)
+{
+	uint64_t until_ms = asked_ms + (uint64_t)LOAN_TAKEN_PARTS * part_ms(p);
+
+	advance(b, p, now);
+	if (now >= until_ms)
+		return;
+	if (b->unused) { /* goes with the new one, for the shorter time */
+		b->borrowed[b->unused_part % REPEAT_PARTS] -= b->unused;
+		if (b->unused_until_ms < until_ms)
+			until_ms = b->unused_until_ms;
+	}
+	b->unused += repeats;
+	b->unused_part = b->part;
+	b->unused_until_ms = until_ms;
+	b->borrowed[b->part % REPEAT_PARTS] += b->unused;
+}
+
+/* Gives back a repeat that was taken and will not be sent.  One of a loan is not
+ * to be had again. */
+void repeat_return(struct repeat_budget *b, enum repeat_token token)
+{
+	uint64_t i;
+
 	if (b->held)
 		b->held--;
+	for (i = 0; token == REPEAT_LENT && i < COUNTED_PARTS && i <= b->part;
+	     i++) {
+		uint32_t *borrowed = &b->borrowed[(b->part - i) % REPEAT_PARTS];
+
+		if (!*borrowed)
+			continue;
+		--*borrowed;
+		return;
+	}
 }
 
 /* A repeat that was taken is sent: it counts until it leaves the window. */
@@ -70,96 +179,99 @@
 		 uint64_t now)
 {
 	advance(b, p, now);
-	repeat_return(b);
-	b->repeats[b->slot % REPEAT_SLOTS]++;
+	repeat_return(b, REPEAT_OWN);
+	b->repeats[b->part % REPEAT_PARTS]++;
 }
 
 /* A repeat that was sent at sent_ms found no connection: it is held again. */
 void repeat_not_sent(struct repeat_budget *b, const struct repeat_params *p,
 		     uint64_t sent_ms, uint64_t now)
 {
-	uint64_t slot = slot_of(p, sent_ms);
-	uint32_t *repeats = &b->repeats[slot % REPEAT_SLOTS];
+	uint64_t part = sent_ms / part_ms(p);
+	uint32_t *repeats = &b->repeats[part % REPEAT_PARTS];
 
 	advance(b, p, now);
-	if (slot + REPEAT_SLOTS > b->slot && *repeats)
+	if (part + REPEAT_PARTS - LOAN_PARTS > b->part && *repeats)
 		--*repeats;
 	b->held++;
 }
 
-/* Tells whether enough is left that a request may be sent once more by choice
- * and not because of a loss. */
-bool repeat_spare(struct repeat_budget *b, const struct repeat_params *p,
-		  const struct repeat_others *others, uint64_t now)
+/* Reckons what is this instance's, and used. */
+static struct repeat_share share_of(struct repeat_budget *b,
+				    const struct repeat_params *p,
+				    const struct repeat_sharers *sharers,
+				    uint64_t now)
 {
-	struct repeat_balance s = balance_of(b, p, others, now);
+	struct repeat_share s = { 0 };
+	uint64_t slack = 0;
+	uint64_t own;
 
-	return s.used < s.allowed &&
-	       (s.allowed - s.used) * PERMILLE >= s.allowed * SPARE_PERMILLE;
-}
-
-/* Gives this instance's own counts within the window, for the others. */
-void repeat_counts(struct repeat_budget *b, const struct repeat_params *p,
-		   uint64_t now, uint32_t *requests, uint32_t *repeats)
-{
 	advance(b, p, now);
-	*requests = sum(b->requests);
-	*repeats = sum(b->repeats) + b->held;
+	if (sharers->known_ms) {
+		s.instances = sharers->instances;
+		s.settled = now - sharers->known_ms >= settle_ms(p);
+		slack = (uint64_t)p->slack *
+			(s.settled ? USED_PERMILLE : STARTING_PERMILLE) /
+			s.instances;
+	}
+	s.requests = sum(b, b->requests, WINDOW_PARTS);
+	s.used = sum(b, b->repeats, COUNTED_PARTS) + b->held;
+	s.borrowed = sum(b, b->borrowed, COUNTED_PARTS);
+	own = (uint64_t)s.requests * p->ratio_permille * USED_PERMILLE /
+		      PERMILLE +
+	      slack;
+	s.repeats = (uint32_t)(own / PERMILLE) + s.borrowed;
+	return s;
 }
 
-/* Reckons what is allowed and used. */
-static struct repeat_balance balance_of(struct repeat_budget *b,
-					const struct repeat_params *p,
-					const struct repeat_others *others,
-					uint64_t now)
+/* Returns the length of a part of a window, ms. */
+static uint32_t part_ms(const struct repeat_params *p)
 {
-	struct repeat_balance s;
-	uint64_t slack = (uint64_t)p->slack * PERMILLE;
-
-	advance(b, p, now);
-	s.own = sum(b->repeats) + b->held;
-	s.used = s.own + others->repeats;
-	s.allowed = ((uint64_t)sum(b->requests) + others->requests) *
-			    p->ratio_permille +
-		    slack;
-	s.allowed = s.allowed * USED_PERMILLE / PERMILLE / PERMILLE;
-	s.share = (uint64_t)sum(b->requests) * p->ratio_permille +
-		  slack / (others->instances + 1);
-	s.share = s.share * USED_PERMILLE / PERMILLE / PERMILLE;
-	return s;
+	return p->window_ms < WINDOW_PARTS ? 1 : p->window_ms / WINDOW_PARTS;
 }
 
-/* Returns the number of the part of a window that a time lies in. */
-static uint64_t slot_of(const struct repeat_params *p, uint64_t now)
+/* Returns the time after which nothing counts of what an instance may send and
+ * has lent now, ms. */
+static uint32_t settle_ms(const struct repeat_params *p)
 {
-	return now / (p->window_ms / REPEAT_SLOTS + 1);
+	return (COUNTED_PARTS + LOAN_PARTS) * part_ms(p);
 }
 
-/* Forgets the parts that have left the window. */
+/* Forgets the parts that are not kept any more, and a loan that was not taken in
+ * time.  Parts ahead of the current one hold what was lent. */
 static void advance(struct repeat_budget *b, const struct repeat_params *p,
 		    uint64_t now)
 {
-	uint64_t slot = slot_of(p, now);
+	uint64_t part = now / part_ms(p);
 
-	if (slot >= b->slot + REPEAT_SLOTS) {
+	if (b->unused && now >= b->unused_until_ms) {
+		b->borrowed[b->unused_part % REPEAT_PARTS] -= b->unused;
+		b->unused = 0;
+	}
+	if (part >= b->part + REPEAT_PARTS) {
 		memset(b->requests, 0, sizeof(b->requests));
 		memset(b->repeats, 0, sizeof(b->repeats));
-		b->slot = slot;
+		memset(b->borrowed, 0, sizeof(b->borrowed));
+		b->part = part;
 	}
-	while (b->slot < slot) {
-		b->slot++;
-		b->requests[b->slot % REPEAT_SLOTS] = 0;
-		b->repeats[b->slot % REPEAT_SLOTS] = 0;
+	while (b->part < part) {
+		uint64_t ahead = ++b->part + LOAN_PARTS;
+
+		b->requests[ahead % REPEAT_PARTS] = 0;
+		b->repeats[ahead % REPEAT_PARTS] = 0;
+		b->borrowed[ahead % REPEAT_PARTS] = 0;
 	}
 }
 
-/* Adds the parts of a window up. */
-static uint32_t sum(const uint32_t *counts)
+/* Adds up the newest parts, those ahead and the current one included. */
+static uint32_t sum(const struct repeat_budget *b, const uint32_t *counts,
+		    uint32_t parts)
 {
+	uint64_t last = b->part + LOAN_PARTS;
 	uint32_t total = 0;
-	int i;
+	uint64_t i;
 
-	for (i = 0; i < REPEAT_SLOTS; i++)
-		total += counts[i];
+	for (i = 0; i < parts + LOAN_PARTS && i <= last; i++)
+		total += counts[(last - i) % REPEAT_PARTS];
 	return total;
 }
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -142,49 +142,94 @@
   assert(message->base.descriptor == &peer_found__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   peer_use__init
-                     (PeerUse         *message)
+void   peer_borrow__init
+                     (PeerBorrow         *message)
 {
-  static const PeerUse init_value = PEER_USE__INIT;
+  static const PeerBorrow init_value = PEER_BORROW__INIT;
   *message = init_value;
 }
-size_t peer_use__get_packed_size
-                     (const PeerUse *message)
+size_t peer_borrow__get_packed_size
+                     (const PeerBorrow *message)
 {
-  assert(message->base.descriptor == &peer_use__descriptor);
+  assert(message->base.descriptor == &peer_borrow__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t peer_use__pack
-                     (const PeerUse *message,
+size_t peer_borrow__pack
+                     (const PeerBorrow *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &peer_use__descriptor);
+  assert(message->base.descriptor == &peer_borrow__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t peer_use__pack_to_buffer
-                     (const PeerUse *message,
+size_t peer_borrow__pack_to_buffer
+                     (const PeerBorrow *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &peer_use__descriptor);
+  assert(message->base.descriptor == &peer_borrow__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-PeerUse *
-       peer_use__unpack
+PeerBorrow *
+       peer_borrow__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (PeerUse *)
-     protobuf_c_message_unpack (&peer_use__descriptor,
+  return (PeerBorrow *)
+     protobuf_c_message_unpack (&peer_borrow__descriptor,
                                 allocator, len, data);
 }
-void   peer_use__free_unpacked
-                     (PeerUse *message,
+void   peer_borrow__free_unpacked
+                     (PeerBorrow *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &peer_use__descriptor);
+  assert(message->base.descriptor == &peer_borrow__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer_loan__init
+                     (PeerLoan         *message)
+{
+  static const PeerLoan init_value = PEER_LOAN__INIT;
+  *message = init_value;
+}
+size_t peer_loan__get_packed_size
+                     (const PeerLoan *message)
+{
+  assert(message->base.descriptor == &peer_loan__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer_loan__pack
+                     (const PeerLoan *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer_loan__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer_loan__pack_to_buffer
+                     (const PeerLoan *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer_loan__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PeerLoan *
+       peer_loan__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PeerLoan *)
+     protobuf_c_message_unpack (&peer_loan__descriptor,
+                                allocator, len, data);
+}
+void   peer_loan__free_unpacked
+                     (PeerLoan *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer_loan__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   peer_rows__init
@@ -457,7 +502,7 @@
   assert(message->base.descriptor == &peer_instance__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor peer_pulse__field_descriptors[12] =
+static const ProtobufCFieldDescriptor peer_pulse__field_descriptors[11] =
 {
   {
     "instance",
@@ -531,18 +576,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "uses",
-    7,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(PeerPulse, n_uses),
-    offsetof(PeerPulse, uses),
-    &peer_use__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "endpoints_version",
     8,
@@ -606,22 +639,22 @@
 };
 static const unsigned peer_pulse__field_indices_by_name[] = {
   1,   /* field[1] = born */
-  10,   /* field[10] = capacity */
-  7,   /* field[7] = endpoints_version */
-  9,   /* field[9] = found */
+  9,   /* field[9] = capacity */
+  6,   /* field[6] = endpoints_version */
+  8,   /* field[8] = found */
   0,   /* field[0] = instance */
   2,   /* field[2] = leaving */
   4,   /* field[4] = loads */
   5,   /* field[5] = lost */
-  11,   /* field[11] = prompts */
-  8,   /* field[8] = reading */
-  6,   /* field[6] = uses */
+  10,   /* field[10] = prompts */
+  7,   /* field[7] = reading */
   3,   /* field[3] = version */
 };
-static const ProtobufCIntRange peer_pulse__number_ranges[1 + 1] =
+static const ProtobufCIntRange peer_pulse__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 8, 6 },
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor peer_pulse__descriptor =
 {
@@ -631,10 +664,10 @@
   "PeerPulse",
   "",
   sizeof(PeerPulse),
-  12,
+  11,
   peer_pulse__field_descriptors,
   peer_pulse__field_indices_by_name,
-  1,  peer_pulse__number_ranges,
+  2,  peer_pulse__number_ranges,
   (ProtobufCMessageInit) peer_pulse__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
@@ -766,27 +799,27 @@
   (ProtobufCMessageInit) peer_found__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer_use__field_descriptors[3] =
+static const ProtobufCFieldDescriptor peer_borrow__field_descriptors[5] =
 {
   {
-    "service",
+    "instance",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_FIXED64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(PeerUse, service),
-    NULL,
+    offsetof(PeerBorrow, instance),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "requests",
+    "service",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(PeerUse, requests),
+    offsetof(PeerBorrow, service),
     NULL,
     NULL,
     0,             /* flags */
@@ -798,36 +831,152 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(PeerUse, repeats),
+    offsetof(PeerBorrow, repeats),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "asked_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PeerBorrow, asked_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PeerBorrow, born),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned peer_use__field_indices_by_name[] = {
+static const unsigned peer_borrow__field_indices_by_name[] = {
+  3,   /* field[3] = asked_ms */
+  4,   /* field[4] = born */
+  0,   /* field[0] = instance */
   2,   /* field[2] = repeats */
-  1,   /* field[1] = requests */
-  0,   /* field[0] = service */
+  1,   /* field[1] = service */
 };
-static const ProtobufCIntRange peer_use__number_ranges[1 + 1] =
+static const ProtobufCIntRange peer_borrow__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
-const ProtobufCMessageDescriptor peer_use__descriptor =
+const ProtobufCMessageDescriptor peer_borrow__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "PeerUse",
-  "PeerUse",
-  "PeerUse",
+  "PeerBorrow",
+  "PeerBorrow",
+  "PeerBorrow",
   "",
-  sizeof(PeerUse),
-  3,
-  peer_use__field_descriptors,
-  peer_use__field_indices_by_name,
-  1,  peer_use__number_ranges,
-  (ProtobufCMessageInit) peer_use__init,
+  sizeof(PeerBorrow),
+  5,
+  peer_borrow__field_descriptors,
+  peer_borrow__field_indices_by_name,
+  1,  peer_borrow__number_ranges,
+  (ProtobufCMessageInit) peer_borrow__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer_loan__field_descriptors[5] =
+{
+  {
+    "instance",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PeerLoan, instance),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PeerLoan, born),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(PeerLoan, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "repeats",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PeerLoan, repeats),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "asked_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PeerLoan, asked_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer_loan__field_indices_by_name[] = {
+  4,   /* field[4] = asked_ms */
+  1,   /* field[1] = born */
+  0,   /* field[0] = instance */
+  3,   /* field[3] = repeats */
+  2,   /* field[2] = service */
+};
+static const ProtobufCIntRange peer_loan__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor peer_loan__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PeerLoan",
+  "PeerLoan",
+  "PeerLoan",
+  "",
+  sizeof(PeerLoan),
+  5,
+  peer_loan__field_descriptors,
+  peer_loan__field_indices_by_name,
+  1,  peer_loan__number_ranges,
+  (ProtobufCMessageInit) peer_loan__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor peer_rows__field_descriptors[6] =
@@ -997,7 +1146,7 @@
   (ProtobufCMessageInit) peer_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer_datagram__field_descriptors[2] =
+static const ProtobufCFieldDescriptor peer_datagram__field_descriptors[4] =
 {
   {
     "pulse",
@@ -1023,15 +1172,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "borrow",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(PeerDatagram, borrow),
+    &peer_borrow__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "loan",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(PeerDatagram, loan),
+    &peer_loan__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer_datagram__field_indices_by_name[] = {
+  2,   /* field[2] = borrow */
+  3,   /* field[3] = loan */
   0,   /* field[0] = pulse */
   1,   /* field[1] = rows */
 };
 static const ProtobufCIntRange peer_datagram__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor peer_datagram__descriptor =
 {
@@ -1041,7 +1216,7 @@
   "PeerDatagram",
   "",
   sizeof(PeerDatagram),
-  2,
+  4,
   peer_datagram__field_descriptors,
   peer_datagram__field_indices_by_name,
   1,  peer_datagram__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -18,7 +18,8 @@
 typedef struct PeerPulse PeerPulse;
 typedef struct PeerPrompt PeerPrompt;
 typedef struct PeerFound PeerFound;
-typedef struct PeerUse PeerUse;
+typedef struct PeerBorrow PeerBorrow;
+typedef struct PeerLoan PeerLoan;
 typedef struct PeerRows PeerRows;
 typedef struct PeerRow PeerRow;
 typedef struct PeerDatagram PeerDatagram;
@@ -58,8 +59,6 @@
    */
   size_t n_lost;
   char **lost;
-  size_t n_uses;
-  PeerUse **uses;
   /*
    * of the endpoints' table, as read from the store; 0: not read
    */
@@ -85,7 +84,7 @@
 };
 #define PEER_PULSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer_pulse__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0, 0,NULL }
 
 
 /*
@@ -122,21 +121,61 @@
 
 
 /*
- * Requests and repeats of one service at one instance, within the window.
+ * Asks another instance for repeats that it does not use.
  */
-struct  PeerUse
+struct  PeerBorrow
 {
   ProtobufCMessage base;
+  /*
+   * who asks
+   */
+  char *instance;
   /*
    * hash of its name
    */
   uint64_t service;
-  uint32_t requests;
+  /*
+   * that are wanted
+   */
   uint32_t repeats;
+  /*
+   * by the clock of who asks; tells the question
+   */
+  uint64_t asked_ms;
+  /*
+   * of the process that asks
+   */
+  uint64_t born;
 };
-#define PEER_USE__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&peer_use__descriptor) \
-    , 0, 0, 0 }
+#define PEER_BORROW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer_borrow__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+
+
+/*
+ * The answer to it.
+ */
+struct  PeerLoan
+{
+  ProtobufCMessage base;
+  /*
+   * who lends
+   */
+  char *instance;
+  /*
+   * as in the question
+   */
+  uint64_t born;
+  uint64_t service;
+  uint32_t repeats;
+  /*
+   * the same
+   */
+  uint64_t asked_ms;
+};
+#define PEER_LOAN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer_loan__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
@@ -190,10 +229,12 @@
   ProtobufCMessage base;
   PeerPulse *pulse;
   PeerRows *rows;
+  PeerBorrow *borrow;
+  PeerLoan *loan;
 };
 #define PEER_DATAGRAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer_datagram__descriptor) \
-    , NULL, NULL }
+    , NULL, NULL, NULL, NULL }
 
 
 /*
@@ -316,24 +357,43 @@
 void   peer_found__free_unpacked
                      (PeerFound *message,
                       ProtobufCAllocator *allocator);
-/* PeerUse methods */
-void   peer_use__init
-                     (PeerUse         *message);
-size_t peer_use__get_packed_size
-                     (const PeerUse   *message);
-size_t peer_use__pack
-                     (const PeerUse   *message,
+/* PeerBorrow methods */
+void   peer_borrow__init
+                     (PeerBorrow         *message);
+size_t peer_borrow__get_packed_size
+                     (const PeerBorrow   *message);
+size_t peer_borrow__pack
+                     (const PeerBorrow   *message,
+                      uint8_t             *out);
+size_t peer_borrow__pack_to_buffer
+                     (const PeerBorrow   *message,
+                      ProtobufCBuffer     *buffer);
+PeerBorrow *
+       peer_borrow__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer_borrow__free_unpacked
+                     (PeerBorrow *message,
+                      ProtobufCAllocator *allocator);
+/* PeerLoan methods */
+void   peer_loan__init
+                     (PeerLoan         *message);
+size_t peer_loan__get_packed_size
+                     (const PeerLoan   *message);
+size_t peer_loan__pack
+                     (const PeerLoan   *message,
                       uint8_t             *out);
-size_t peer_use__pack_to_buffer
-                     (const PeerUse   *message,
+size_t peer_loan__pack_to_buffer
+                     (const PeerLoan   *message,
                       ProtobufCBuffer     *buffer);
-PeerUse *
-       peer_use__unpack
+PeerLoan *
+       peer_loan__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   peer_use__free_unpacked
-                     (PeerUse *message,
+void   peer_loan__free_unpacked
+                     (PeerLoan *message,
                       ProtobufCAllocator *allocator);
 /* PeerRows methods */
 void   peer_rows__init
@@ -460,8 +520,11 @@
 typedef void (*PeerFound_Closure)
                  (const PeerFound *message,
                   void *closure_data);
-typedef void (*PeerUse_Closure)
-                 (const PeerUse *message,
+typedef void (*PeerBorrow_Closure)
+                 (const PeerBorrow *message,
+                  void *closure_data);
+typedef void (*PeerLoan_Closure)
+                 (const PeerLoan *message,
                   void *closure_data);
 typedef void (*PeerRows_Closure)
                  (const PeerRows *message,
@@ -490,7 +553,8 @@
 extern const ProtobufCMessageDescriptor peer_pulse__descriptor;
 extern const ProtobufCMessageDescriptor peer_prompt__descriptor;
 extern const ProtobufCMessageDescriptor peer_found__descriptor;
-extern const ProtobufCMessageDescriptor peer_use__descriptor;
+extern const ProtobufCMessageDescriptor peer_borrow__descriptor;
+extern const ProtobufCMessageDescriptor peer_loan__descriptor;
 extern const ProtobufCMessageDescriptor peer_rows__descriptor;
 extern const ProtobufCMessageDescriptor peer_row__descriptor;
 extern const ProtobufCMessageDescriptor peer_datagram__descriptor;
--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -100,8 +100,6 @@
 			    &p->repeat, now);
 		x->may_repeat = false;
 		counter_add(p->exchanges->repeats_sent, 1);
-		if (x->engine && x->lost_ms)
-			peers_tell_urgent(p->peers);
 	}
 	x->sent_ms = now;
 	x->heard_ms = now;
--- a/proxyd/copy.c
+++ b/proxyd/copy.c
@@ -21,7 +21,7 @@
 static void on_body(void *arg, const char *data, size_t len);
 static void on_end(void *arg, enum http1_outcome outcome);
 static void made(struct exchange *x, const char *id);
-static void free_copy(struct exchange *x);
+static void free_copy(struct proxyd *p, const struct run_copy *copy);
 
 static const struct http1_call_ops order_ops = {
 	.on_head = on_head,
@@ -84,10 +84,28 @@
 		http1_call_cancel(x->copy.call);
 	x->copy.call = NULL;
 	if (!used && x->copy.id[0])
-		free_copy(x);
+		free_copy(x->proxyd, &x->copy);
 	copy_forget(x);
 }
 
+/* The run that made the copy is lost; it may go on from there later. */
+void copy_leave(struct exchange *x, const struct run_copy *copy)
+{
+	x->left_copy = *copy;
+	x->left_copy.call = NULL;
+	x->left_copy.answer = (struct bytes){ 0 };
+}
+
+/* The lost run will not go on from the copy that it left. */
+void copy_drop_left(struct exchange *x)
+{
+	const struct handle none = { 0 };
+
+	if (!handle_is_none(x->left_copy.at) && x->left_copy.id[0])
+		free_copy(x->proxyd, &x->left_copy);
+	x->left_copy.at = none;
+}
+
 /* Tells whether a copy lies at an endpoint that lives. */
 bool copy_usable(const struct exchange *x)
 {
@@ -206,15 +224,14 @@
 }
 
 /* Tells the engine that a copy is not needed; its answer changes nothing. */
-static void free_copy(struct exchange *x)
+static void free_copy(struct proxyd *p, const struct run_copy *copy)
 {
-	struct proxyd *p = x->proxyd;
 	const struct http1_call_options options = {
-		.address = x->copy.source,
+		.address = copy->source,
 		.connect_ms = CONNECT_MS,
 	};
 	struct bytes out = { 0 };
 
-	p->protocol->encode_copy_free(&out, x->copy.source, x->copy.id);
+	p->protocol->encode_copy_free(&out, copy->source, copy->id);
 	http1_call_start(p->client, &options, out.data, out.len, &no_ops, NULL);
 }
--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -361,35 +361,24 @@
 	return &endpoints_service(t, service)->budget;
 }
 
-/* Returns what the other instances say of a service's repeats. */
-struct repeat_others *endpoints_others(struct endpoints *t, const char *service)
+/* Returns the hash by which other instances know a service. */
+uint64_t endpoints_service_hash(struct endpoints *t, const char *service)
 {
-	return &endpoints_service(t, service)->others;
+	return endpoints_service(t, service)->hash;
 }
 
-/* The same by the hash of the service's name; NULL if it is not known. */
-struct repeat_others *endpoints_others_by_hash(struct endpoints *t,
+/* Returns the budget of repeats of the service with a hash, or NULL. */
+struct repeat_budget *endpoints_budget_by_hash(struct endpoints *t,
 					       uint64_t hash)
 {
 	size_t i;
 
 	for (i = 0; i < t->n_services; i++)
 		if (t->services[i].hash == hash)
-			return &t->services[i].others;
+			return &t->services[i].budget;
 	return NULL;
 }
 
-/* Goes through the budgets of all services; begin with *index 0. */
-bool endpoints_next_budget(struct endpoints *t, size_t *index, uint64_t *hash,
-			   struct repeat_budget **budget)
-{
-	if (*index >= t->n_services)
-		return false;
-	*hash = t->services[*index].hash;
-	*budget = &t->services[(*index)++].budget;
-	return true;
-}
-
 /* Another instance has found an endpoint dead: it is in doubt here, and asked
  * for a connection if this instance has runs there. */
 void endpoint_rumoured(struct endpoints *t, const char *id)
--- a/proxyd/endpoints.h
+++ b/proxyd/endpoints.h
@@ -109,14 +109,11 @@
 		    uint64_t silent_ms);
 void endpoint_answered(struct endpoints *t, struct handle h, uint64_t took_ms,
 		       bool failed);
+struct repeat_budget *endpoints_budget_by_hash(struct endpoints *t,
+					       uint64_t hash);
+uint64_t endpoints_service_hash(struct endpoints *t, const char *service);
 struct repeat_budget *endpoints_budget(struct endpoints *t,
 				       const char *service);
-struct repeat_others *endpoints_others(struct endpoints *t,
-				       const char *service);
-struct repeat_others *endpoints_others_by_hash(struct endpoints *t,
-					       uint64_t hash);
-bool endpoints_next_budget(struct endpoints *t, size_t *index, uint64_t *hash,
-			   struct repeat_budget **budget);
 void endpoints_prompt_read(struct endpoints *t, uint64_t session,
 			   uint64_t endpoint);
 void endpoint_rumoured(struct endpoints *t, const char *id);
--- a/proxyd/endpoints_table.h
+++ b/proxyd/endpoints_table.h
@@ -15,7 +15,6 @@
 	char *service;
 	uint64_t hash; /* of its name */
 	struct repeat_budget budget;
-	struct repeat_others others;
 	uint64_t lost_ms[ZONES_MAX]; /* last loss in each zone; 0: none */
 };
 
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -35,6 +35,10 @@
 /* A process that has just started has read its configuration within this. */
 #define START_WAIT_MS 500
 
+/* Loans are asked for so often: one is answered within a few milliseconds, and
+ * read at the next tick. */
+#define BORROW_MS 40
+
 /* An answer of a plain call takes about this long. */
 #define PLAIN_MS 200
 
@@ -46,8 +50,7 @@
 static void seek_failed(struct exchange *x, enum place_outcome outcome);
 static void wait_for_room(struct exchange *x);
 static void say_repeat(const struct exchange *x, bool allowed,
-		       const struct repeat_balance *seen,
-		       const struct repeat_others *others);
+		       const struct repeat_share *seen);
 static uint64_t used_tokens(const struct exchange *x);
 static void reply_error(struct exchange *x, int status, uint32_t retry_ms,
 			const char *why);
@@ -82,6 +85,7 @@
 	t->repeats_allowed = repeat_counter("allowed");
 	t->repeats_denied = repeat_counter("denied");
 	t->repeats_sent = repeat_counter("sent");
+	t->repeats_lent = repeat_counter("lent");
 	t->first_event.name = "cdm_first_event_ms";
 	t->first_event.help = "Arrival to first event of a stream, ms";
 	histogram_register(&t->first_event);
@@ -112,6 +116,30 @@
 	}
 }
 
+/* Asks other instances for the repeats that lost runs wait for. */
+void exchanges_borrow(struct exchanges *t)
+{
+	uint64_t now = proxyd_now(t->proxyd);
+	const char *service = NULL;
+	const struct exchange *x;
+	uint32_t wanted = 0;
+
+	if (now - t->borrowed_ms < BORROW_MS)
+		return;
+	TAILQ_FOREACH(x, &t->list, link)
+	{
+		if (x->phase != EXCHANGE_WAITING || !x->repeat_due)
+			continue;
+		if (!service)
+			service = x->service;
+		wanted += !strcmp(x->service, service);
+	}
+	if (!service)
+		return;
+	t->borrowed_ms = now;
+	peers_borrow(t->proxyd->peers, service, wanted);
+}
+
 /* Takes time in which this process stood still out of the silence of runs. */
 void exchanges_excuse(struct exchanges *t, uint64_t stall_ms)
 {
@@ -275,44 +303,40 @@
 bool exchange_repeat_allowed(struct exchange *x)
 {
 	struct proxyd *p = x->proxyd;
-	const struct repeat_others *others =
-		endpoints_others(p->endpoints, x->service);
-	struct repeat_balance seen;
+	struct repeat_share seen;
 	bool allowed;
 
 	if (x->sends >= x->route->attempts_max)
 		return false;
 	if (!x->arrivals || x->may_repeat)
 		return true;
-	allowed = repeat_take(endpoints_budget(p->endpoints, x->service),
-			      &p->repeat, others, proxyd_now(p), &seen);
+	x->token = repeat_take(endpoints_budget(p->endpoints, x->service),
+			       &p->repeat, &p->sharers, proxyd_now(p), &seen);
+	allowed = x->token != REPEAT_NONE;
 	x->may_repeat = allowed;
 	if (!allowed && x->repeat_due) /* asks at each tick */
 		return false;
 	counter_add(allowed ? p->exchanges->repeats_allowed
 			    : p->exchanges->repeats_denied,
 		    1);
-	say_repeat(x, allowed, &seen, others);
+	say_repeat(x, allowed, &seen);
 	return allowed;
 }
 
 /* Logs whether a request may be sent once more, with what decided it. */
 static void say_repeat(const struct exchange *x, bool allowed,
-		       const struct repeat_balance *seen,
-		       const struct repeat_others *others)
+		       const struct repeat_share *seen)
 {
 	const struct proxyd *p = x->proxyd;
 
 	event_log(allowed ? EVENT_ROUTINE : EVENT_NOTABLE, "repeat",
 		  x->fields.id,
-		  "{s:b, s:s, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I}",
-		  "allowed", allowed, "service", x->service, "all_allowed",
-		  (json_int_t)seen->allowed, "all_used", (json_int_t)seen->used,
-		  "own_share", (json_int_t)seen->share, "own_used",
-		  (json_int_t)seen->own, "others_counted",
-		  (json_int_t)others->instances, "others_listed",
-		  (json_int_t)peers_listed(p->peers), "oldest_word_ms",
-		  (json_int_t)peers_oldest_word_ms(p->peers), "process_ms",
+		  "{s:b, s:s, s:i, s:i, s:i, s:i, s:i, s:b, s:i, s:I}",
+		  "allowed", allowed, "service", x->service, "share",
+		  (int)seen->repeats, "borrowed", (int)seen->borrowed, "used",
+		  (int)seen->used, "requests", (int)seen->requests,
+		  "slack_among", (int)seen->instances, "settled", seen->settled,
+		  "listed", (int)peers_listed(p->peers) + 1, "process_ms",
 		  (json_int_t)(proxyd_now(p) - p->started_ms));
 }
 
@@ -323,9 +347,7 @@
 	struct proxyd *p = x->proxyd;
 
 	return repeat_spare(endpoints_budget(p->endpoints, x->service),
-			    &p->repeat,
-			    endpoints_others(p->endpoints, x->service),
-			    proxyd_now(p));
+			    &p->repeat, &p->sharers, proxyd_now(p));
 }
 
 /* Refuses a request that has not run; the caller may come back.  One that an
@@ -375,9 +397,11 @@
 		t->waiting_tokens -=
 			x->tokens; /* 0 before its route is known */
 	if (x->may_repeat)
-		repeat_return(
-			endpoints_budget(x->proxyd->endpoints, x->service));
+		repeat_return(endpoints_budget(x->proxyd->endpoints,
+					       x->service),
+			      x->token);
 	x->may_repeat = false;
+	copy_drop_left(x);
 	x->phase = EXCHANGE_OVER;
 	t->open--;
 	if (!strcmp(outcome, "served"))
@@ -563,10 +587,10 @@
 					"no endpoint in time");
 			return;
 		}
-		if (!x->repeat_due || exchange_repeat_allowed(x)) {
-			x->repeat_due = false;
+		if (!x->repeat_due)
 			exchange_seek(x);
-		}
+		else if (exchange_repeat_allowed(x))
+			stream_go_on(x);
 		return;
 	}
 	if (stop_cuts(&x->proxyd->stop, now)) {
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -66,6 +66,7 @@
 	uint32_t arrivals; /* endpoints that got it, refusals included */
 	bool may_have_run; /* an endpoint had it and gave no whole answer */
 	bool may_repeat; /* holds a repeat of the budget, to be sent */
+	enum repeat_token token; /* its kind, or of the one sent last */
 	bool repeat_due; /* waits until the budget allows it once more */
 	struct handle avoided[ENDPOINT_AVOID_MAX];
 	size_t n_avoided;
@@ -74,6 +75,7 @@
 	bool from_copy; /* sent to go on from a copy */
 	bool staged; /* moves on once its prompt has been read */
 	struct run_copy copy;
+	struct run_copy left_copy; /* of a lost run that waits to go on */
 
 	/* the endpoint's answer */
 	int status;
@@ -104,6 +106,7 @@
 	struct proxyd *proxyd;
 	struct exchange_list list;
 	uint32_t open;
+	uint64_t borrowed_ms; /* when others were last asked for repeats */
 	uint64_t waiting_tokens; /* of runs that wait for room */
 	float run_ms; /* moving mean of the time of a whole run */
 	float prefill_ms_per_token; /* moving mean */
@@ -117,6 +120,7 @@
 	struct counter *repeats_allowed; /* by the budget */
 	struct counter *repeats_denied;
 	struct counter *repeats_sent;
+	struct counter *repeats_lent; /* to other instances */
 	struct histogram first_event;
 	struct histogram plain_answer;
 	struct histogram pause_moved;
@@ -137,6 +141,7 @@
 void exchange_avoid(struct exchange *x, struct handle h);
 bool exchange_repeat_allowed(struct exchange *x);
 bool exchange_repeat_spare(struct exchange *x);
+void exchanges_borrow(struct exchanges *t);
 void exchange_refuse(struct exchange *x, int status, uint32_t retry_after_ms,
 		     const char *why);
 void exchange_fail(struct exchange *x, int status, const char *why);
@@ -158,6 +163,8 @@
 void copy_set(struct exchange *x, struct handle at, const char *id);
 void copy_forget(struct exchange *x);
 void copy_end(struct exchange *x, bool used);
+void copy_leave(struct exchange *x, const struct run_copy *copy);
+void copy_drop_left(struct exchange *x);
 bool copy_usable(const struct exchange *x);
 void copy_tick(struct exchange *x, uint64_t now);
 
@@ -165,6 +172,7 @@
 void stream_take(struct exchange *x, const char *data, size_t len);
 void stream_ended(struct exchange *x, enum http1_outcome outcome);
 void stream_move(struct exchange *x, const char *why);
+void stream_go_on(struct exchange *x);
 void stream_watch(struct exchange *x, uint64_t now);
 bool stream_is_late(const struct exchange *x);
 
--- a/proxyd/peers.c
+++ b/proxyd/peers.c
@@ -19,12 +19,8 @@
 static void on_alloc(uv_handle_t *h, size_t suggested, uv_buf_t *buf);
 static void on_datagram(uv_udp_t *udp, ssize_t n, const uv_buf_t *buf,
 			const struct sockaddr *from, unsigned int flags);
-static struct peer *find(const struct peers *t, const char *name);
 static void take_pulse(struct peers *t, const PeerPulse *pulse);
 static void take_rows(struct peers *t, const PeerRows *rows);
-static void take_uses(struct peers *t, struct peer *peer,
-		      const PeerPulse *pulse);
-static void add_uses(struct peers *t, const struct peer *peer, int sign);
 static bool comes_before(const struct peers *t, const struct peer *peer);
 static void take_loads(struct peers *t, struct peer *peer,
 		       const PeerPulse *pulse);
@@ -81,7 +77,7 @@
 /* Takes a row of the store. */
 void peers_take_row(struct peers *t, const struct store_row *row)
 {
-	struct peer *peer = find(t, row->key);
+	struct peer *peer = peers_find(t, row->key);
 	char host[64];
 	uint16_t port;
 
@@ -154,21 +150,6 @@
 	return t->n;
 }
 
-/* Returns the age of the oldest last word of another instance that lives, ms;
- * 0 if there is none. */
-uint64_t peers_oldest_word_ms(const struct peers *t)
-{
-	uint64_t now = proxyd_now(t->proxyd);
-	const struct peer *peer;
-	uint64_t age = 0;
-
-	TAILQ_FOREACH(peer, &t->list, link)
-	if (peer->alive && peer->presence.heard_ms &&
-	    now - peer->presence.heard_ms > age)
-		age = now - peer->presence.heard_ms;
-	return age;
-}
-
 /* Lists the addresses for callers of the other instances that live, or of all
  * if this instance is cut off from them; returns their number. */
 size_t peers_addresses(const struct peers *t, const char **addresses,
@@ -227,11 +208,15 @@
 		take_pulse(t, d->pulse);
 	if (d->rows)
 		take_rows(t, d->rows);
+	if (d->borrow)
+		peers_lend(t, d->borrow);
+	if (d->loan)
+		peers_take_loan(t, d->loan);
 	peer_datagram__free_unpacked(d, NULL);
 }
 
 /* Returns an instance by name, or NULL. */
-static struct peer *find(const struct peers *t, const char *name)
+struct peer *peers_find(const struct peers *t, const char *name)
 {
 	struct peer *peer;
 
@@ -244,7 +229,7 @@
 /* Takes what an instance says. */
 static void take_pulse(struct peers *t, const PeerPulse *pulse)
 {
-	struct peer *peer = find(t, pulse->instance);
+	struct peer *peer = peers_find(t, pulse->instance);
 	size_t i;
 
 	if (!peer || pulse->born < peer->born_ms)
@@ -260,7 +245,6 @@
 	peer->capacity = pulse->capacity;
 	peer->presence.configured = pulse->version != 0;
 	take_loads(t, peer, pulse);
-	take_uses(t, peer, pulse);
 	for (i = 0; i < pulse->n_lost; i++)
 		endpoint_rumoured(t->proxyd->endpoints, pulse->lost[i]);
 	for (i = 0; i < pulse->n_found; i++)
@@ -292,7 +276,7 @@
 	};
 	size_t i;
 
-	if (!find(t, rows->instance) || rows->table >= STORE_TABLES)
+	if (!peers_find(t, rows->instance) || rows->table >= STORE_TABLES)
 		return;
 	change.rows = xcalloc(rows->n_rows, sizeof(*change.rows));
 	for (i = 0; i < rows->n_rows; i++) {
@@ -306,41 +290,6 @@
 	free(change.rows);
 }
 
-/* Replaces what an instance says of the repeats. */
-static void take_uses(struct peers *t, struct peer *peer,
-		      const PeerPulse *pulse)
-{
-	size_t i;
-
-	add_uses(t, peer, -1);
-	peer->n_uses = pulse->n_uses < USES_MAX ? pulse->n_uses : USES_MAX;
-	for (i = 0; i < peer->n_uses; i++)
-		peer->uses[i] = (struct peer_use){
-			.service = pulse->uses[i]->service,
-			.requests = pulse->uses[i]->requests,
-			.repeats = pulse->uses[i]->repeats,
-		};
-	add_uses(t, peer, 1);
-}
-
-/* Adds an instance's uses to the sums by service, or takes them off. */
-static void add_uses(struct peers *t, const struct peer *peer, int sign)
-{
-	size_t i;
-
-	for (i = 0; i < peer->n_uses; i++) {
-		const struct peer_use *u = &peer->uses[i];
-		struct repeat_others *o = endpoints_others_by_hash(
-			t->proxyd->endpoints, u->service);
-
-		if (!o)
-			continue;
-		o->requests = shifted(o->requests, u->requests, sign);
-		o->repeats = shifted(o->repeats, u->repeats, sign);
-		o->instances = shifted(o->instances, 1, sign);
-	}
-}
-
 /* Replaces what an instance has at the endpoints. */
 static void take_loads(struct peers *t, struct peer *peer,
 		       const PeerPulse *pulse)
@@ -398,7 +347,6 @@
 static void forget(struct peers *t, struct peer *peer)
 {
 	add_loads(t, peer, -1);
-	add_uses(t, peer, -1);
 	TAILQ_REMOVE(&t->list, peer, link);
 	t->n--;
 	free(peer->name);
@@ -487,8 +435,6 @@
 		if (!alive) {
 			add_loads(t, peer, -1);
 			peer->n_loads = 0;
-			add_uses(t, peer, -1);
-			peer->n_uses = 0;
 		}
 		event_log(EVENT_NOTABLE,
 			  alive ? "instance-alive" : "instance-silent", NULL,
--- a/proxyd/peers.h
+++ b/proxyd/peers.h
@@ -23,6 +23,7 @@
 void peers_tell_lost(struct peers *t, const char *endpoint);
 void peers_tell_found(struct peers *t, const char *endpoint);
 void peers_tell_prompt(struct peers *t, uint64_t session, uint64_t endpoint);
+void peers_borrow(struct peers *t, const char *service, uint32_t repeats);
 void peers_tell_soon(struct peers *t);
 void peers_tell_urgent(struct peers *t);
 void peers_tell_now(struct peers *t);
@@ -33,7 +34,6 @@
 size_t peers_before(const struct peers *t);
 size_t peers_alive(const struct peers *t);
 size_t peers_listed(const struct peers *t);
-uint64_t peers_oldest_word_ms(const struct peers *t);
 size_t peers_addresses(const struct peers *t, const char **addresses,
 		       size_t most);
 size_t peers_addresses_stopping(const struct peers *t, const char **addresses,
--- a/proxyd/peers_table.h
+++ b/proxyd/peers_table.h
@@ -8,12 +8,12 @@
 
 #include "lib/counters.h"
 #include "policy/presence.h"
+#include "proto/peer.pb-c.h"
 #include "proxyd/endpoints.h"
 #include "proxyd/peers.h"
 
 #define LOADS_MAX 48 /* of one datagram, which fits one packet */
 #define TOLD_MAX 8 /* endpoints lost, and found, of one datagram */
-#define USES_MAX 8 /* services of one datagram */
 #define PROMPTS_MAX 16 /* places of prompts in one datagram */
 #define PROMPTS_KEPT 64 /* of which datagrams are still to tell */
 #define DATAGRAM_MAX 2048
@@ -23,13 +23,6 @@
 	struct endpoint_load load;
 };
 
-/* What an instance says of a service's repeats. */
-struct peer_use {
-	uint64_t service; /* hash of its name */
-	uint32_t requests;
-	uint32_t repeats;
-};
-
 struct peer {
 	TAILQ_ENTRY(peer) link;
 	char *name;
@@ -44,9 +37,8 @@
 	uint64_t born_ms;
 	struct peer_load loads[LOADS_MAX];
 	size_t n_loads;
-	struct peer_use uses[USES_MAX];
-	size_t n_uses;
 	uint64_t reading_ms; /* when it last said that it reads the store */
+	uint64_t asked_ms; /* for a loan that has not come yet; 0: none */
 };
 
 struct told_endpoint {
@@ -83,5 +75,9 @@
 };
 
 uint32_t peers_own_capacity(const struct peers *t);
+struct peer *peers_find(const struct peers *t, const char *name);
+bool peers_send(struct peers *t, const struct peer *to, const PeerDatagram *d);
+void peers_lend(struct peers *t, const PeerBorrow *borrow);
+void peers_take_loan(struct peers *t, const PeerLoan *loan);
 
 #endif /* PROXYD_PEERS_TABLE_H */
--- a/proxyd/peers_tell.c
+++ b/proxyd/peers_tell.c
@@ -27,7 +27,6 @@
 static void told_expire(struct told *told, uint64_t now);
 static size_t gather_loads(struct peers *t, PeerLoad *loads);
 static size_t gather_found(struct peers *t, PeerFound *found);
-static size_t gather_uses(struct peers *t, PeerUse *uses);
 static size_t gather_prompts(struct peers *t, PeerPrompt *prompts);
 static void send_all(struct peers *t, const PeerDatagram *d);
 
@@ -64,8 +63,7 @@
 		t->urgent_ms = now + URGENT_MS;
 }
 
-/* Tells the others within a moment: a request was sent once more after a loss,
- * and all draw on one budget; or a configuration came into force. */
+/* Tells the others within a moment: a configuration came into force. */
 void peers_tell_urgent(struct peers *t)
 {
 	if (!t->urgent_ms)
@@ -143,8 +141,6 @@
 	PeerPulse pulse = PEER_PULSE__INIT;
 	PeerLoad loads[LOADS_MAX];
 	PeerLoad *load_list[LOADS_MAX];
-	PeerUse uses[USES_MAX];
-	PeerUse *use_list[USES_MAX];
 	PeerPrompt prompts[PROMPTS_MAX];
 	PeerPrompt *prompt_list[PROMPTS_MAX];
 	PeerDatagram d = PEER_DATAGRAM__INIT;
@@ -173,10 +169,6 @@
 	pulse.loads = load_list;
 	pulse.n_lost = t->lost.n;
 	pulse.lost = lost;
-	pulse.n_uses = gather_uses(t, uses);
-	for (i = 0; i < pulse.n_uses; i++)
-		use_list[i] = &uses[i];
-	pulse.uses = use_list;
 	pulse.n_prompts = gather_prompts(t, prompts);
 	for (i = 0; i < pulse.n_prompts; i++)
 		prompt_list[i] = &prompts[i];
@@ -233,26 +225,6 @@
 	return n;
 }
 
-/* Fills in this instance's own requests and repeats; returns the number. */
-static size_t gather_uses(struct peers *t, PeerUse *uses)
-{
-	struct proxyd *p = t->proxyd;
-	struct repeat_budget *budget;
-	uint64_t hash;
-	size_t i = 0;
-	size_t n = 0;
-
-	while (n < USES_MAX &&
-	       endpoints_next_budget(p->endpoints, &i, &hash, &budget)) {
-		peer_use__init(&uses[n]);
-		uses[n].service = hash;
-		repeat_counts(budget, &p->repeat, proxyd_now(p),
-			      &uses[n].requests, &uses[n].repeats);
-		n += uses[n].requests || uses[n].repeats;
-	}
-	return n;
-}
-
 /* Fills in prompts that were read, those told least often first; returns the
  * number. */
 static size_t gather_prompts(struct peers *t, PeerPrompt *prompts)
@@ -277,21 +249,30 @@
 /* Sends a datagram to every other instance.  One may be lost: what it says
  * comes again, or is missed by its version. */
 static void send_all(struct peers *t, const PeerDatagram *d)
+{
+	const struct peer *peer;
+
+	TAILQ_FOREACH(peer, &t->list, link)
+	if (!peers_send(t, peer, d))
+		return;
+}
+
+/* Sends a datagram to an instance; false if it is too large for any. */
+bool peers_send(struct peers *t, const struct peer *to, const PeerDatagram *d)
 {
 	uint8_t out[DATAGRAM_MAX];
-	struct peer *peer;
 	uv_buf_t buf;
 
 	if (peer_datagram__get_packed_size(d) > sizeof(out)) {
 		event_log(EVENT_NOTABLE, "datagram-too-large", NULL, "{}");
-		return;
+		return false;
 	}
 	buf = uv_buf_init((char *)out,
 			  (unsigned int)peer_datagram__pack(d, out));
-	TAILQ_FOREACH(peer, &t->list, link)
 	if (uv_udp_try_send(&t->udp, &buf, 1,
-			    (const struct sockaddr *)&peer->address) > 0)
+			    (const struct sockaddr *)&to->address) > 0)
 		counter_add(t->sent, 1);
+	return true;
 }
 
 /* Returns this instance's share of a core, in thousandths. */
--- a/proxyd/proxyd.c
+++ b/proxyd/proxyd.c
@@ -150,6 +150,7 @@
 		.window_ms = (uint32_t)(p->settings.repeat_window_s * 1000),
 		.ratio_permille = (uint32_t)(p->settings.repeat_ratio * 1000),
 		.slack = (uint32_t)p->settings.repeat_slack,
+		.grace_ms = (uint32_t)p->stop.grace_ms,
 	};
 }
 
@@ -169,8 +170,13 @@
 	http1_client_tick(p->client);
 	p->store->ops->tick(p->store);
 	watches_tick(p->watches);
+	if (watches_listed(p->watches))
+		repeat_sharers_listed(&p->sharers, &p->repeat,
+				      (uint32_t)peers_listed(p->peers) + 1,
+				      now);
 	endpoints_tick(p->endpoints);
 	exchanges_tick(p->exchanges);
+	exchanges_borrow(p->exchanges);
 	peers_tick(p->peers);
 	if (++count % TICKS_PER_LOG == 0) {
 		desk_tick(p->desk);
--- a/proxyd/proxyd.h
+++ b/proxyd/proxyd.h
@@ -41,6 +41,7 @@
 	const char *settings_file;
 	struct proxyd_settings settings;
 	struct repeat_params repeat;
+	struct repeat_sharers sharers; /* of the slack of repeats */
 	const struct protocol_ops *protocol;
 	struct store *store;
 	struct http1_client *client;
--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -14,6 +14,10 @@
 /* A caller that reads slowly stops the reading from its engine. */
 #define PENDING_MAX (256u << 10) /* bytes */
 
+/* A stream that was begun waits so long for a loan of another instance: others
+ * are asked a few times, and the pause is still one that routes allow. */
+#define LOAN_WAIT_MS 200
+
 /* Part of the target by which a run that was lost must begin again. */
 #define MOVE_LATER_PERCENT 65
 
@@ -94,30 +98,53 @@
 		exchange_over(x, "left by caller");
 		return;
 	}
-	if ((x->begun && !x->route->resumable) || !exchange_repeat_allowed(x)) {
+	if (by_copy)
+		copy_leave(x, &copy);
+	if (x->begun && !x->route->resumable)
+		exchange_fail(x, 502, "the run was lost and may not move");
+	else if (exchange_repeat_allowed(x))
+		stream_go_on(x);
+	else
 		move_later(x);
-		return;
-	}
+}
+
+/* A run that was lost goes on elsewhere, from its copy if that is still there. */
+void stream_go_on(struct exchange *x)
+{
+	const struct handle none = { 0 };
+	struct exchanges *t = x->proxyd->exchanges;
+	struct run_copy copy = x->left_copy;
+	const struct endpoint *e = endpoint_get(x->proxyd->endpoints, copy.at);
+	bool by_copy = e && e->state == ENDPOINT_UP;
+
+	x->left_copy.at = none;
+	x->repeat_due = false;
+	if (x->wait_until_ms)
+		t->waiting_tokens -= x->tokens;
+	x->wait_until_ms = 0;
 	x->moves++;
-	counter_add(by_copy ? x->proxyd->exchanges->moved_copy
-			    : x->proxyd->exchanges->moved,
-		    1);
+	counter_add(by_copy ? t->moved_copy : t->moved, 1);
 	if (by_copy)
 		attempt_start(x, copy.at, &copy);
 	else
 		exchange_seek(x);
 }
 
-/* The budget of repeats is used up.  A stream without any event waits for it
- * while its first event may still be in time; one that was begun is broken off,
- * and its caller goes on from its last event. */
+/* No repeat is left: the run waits for one, of its instance or lent by another.
+ * A stream without any event waits while its first event may still be in time;
+ * one that was begun only while the pause is short, then it is broken off, and
+ * its caller goes on from its last event. */
 static void move_later(struct exchange *x)
 {
+	uint64_t now = proxyd_now(x->proxyd);
 	uint64_t until =
-		x->received_ms + x->route->target_ms * MOVE_LATER_PERCENT / 100;
+		x->begun ? now + LOAN_WAIT_MS
+			 : x->received_ms + x->route->target_ms *
+						    MOVE_LATER_PERCENT / 100;
+	bool alone = !peers_alive(x->proxyd->peers);
 
-	if (x->begun || x->sends >= x->route->attempts_max ||
-	    proxyd_now(x->proxyd) >= until) {
+	if ((x->begun && alone) || x->sends >= x->route->attempts_max ||
+	    now >= until) {
 		exchange_fail(x, 502, "the run was lost and may not move");
 		return;
 	}
--- a/proxyd/watch.c
+++ b/proxyd/watch.c
@@ -110,6 +110,12 @@
 	return !c->loaded && !c->reread.failures;
 }
 
+/* Tells whether the list of instances is known. */
+bool watches_listed(const struct watches *w)
+{
+	return w->watch[STORE_INSTANCES].loaded;
+}
+
 /* Tells whether the store answers, as far as this instance or one that reads
  * for it knows. */
 bool watches_answered(const struct watches *w)
--- a/proxyd/watch.h
+++ b/proxyd/watch.h
@@ -13,6 +13,7 @@
 void watches_tick(struct watches *w);
 void watches_leave(struct watches *w);
 bool watches_starting(const struct watches *w);
+bool watches_listed(const struct watches *w);
 bool watches_answered(const struct watches *w);
 bool watches_reading(const struct watches *w);
 uint64_t watches_changed(const struct watches *w, enum store_table table);
--- a/regress/integration/test_repeat_budget.c
+++ b/regress/integration/test_repeat_budget.c
@@ -241,11 +241,11 @@
 /* The workers got no more repeats than the rule allows, and some. */
 static void check_repeats(const char *service)
 {
-	const struct repeat_excess e = repeat_rule_worst(&rule, world, service);
+	const struct repeat_use e = repeat_rule_worst(&rule, world, service);
 
 	print_message("%s: %zu repeats in a window, %.1f are allowed\n",
 		      service, e.repeats, e.allowed);
-	if (e.excess > 0)
+	if (e.used > 1)
 		fail_msg("%zu repeats in a window, %.1f are allowed", e.repeats,
 			 e.allowed);
 	assert_true(e.repeats > 0);
--- a/regress/repeat_rule.c
+++ b/regress/repeat_rule.c
@@ -43,21 +43,22 @@
 		(struct repeat_rule_sent){ service, at_ms };
 }
 
-/* Returns the worst window of a service; windows end at a repeat. */
-struct repeat_excess repeat_rule_worst(const struct repeat_rule *rule,
-				       const struct standin_world *world,
-				       const char *service)
+/* Returns the worst window of a service, the one that uses the largest part of
+ * what is allowed; windows end at a repeat. */
+struct repeat_use repeat_rule_worst(const struct repeat_rule *rule,
+				    const struct standin_world *world,
+				    const char *service)
 {
 	struct arrival *list = xcalloc(world->n_arrivals + 1, sizeof(*list));
 	uint64_t *at_ms = xcalloc(world->n_arrivals + 1, sizeof(*at_ms));
-	struct repeat_excess worst = { .excess = -INFINITY };
+	struct repeat_use worst = { .allowed = rule->slack };
 	size_t n =
 		list_repeats(list, list_arrivals(world, service, list), at_ms);
 	size_t first = 0;
 	size_t i;
 
 	for (i = 0; i < n; i++) {
-		struct repeat_excess e = { .end_ms = at_ms[i] };
+		struct repeat_use e = { .end_ms = at_ms[i] };
 		uint64_t half = rule->window_ms / 2;
 		int back;
 
@@ -72,8 +73,9 @@
 				e.requests = k;
 		}
 		e.allowed = rule->ratio * (double)e.requests + rule->slack;
-		e.excess = (double)e.repeats - e.allowed;
-		if (e.excess > worst.excess)
+		e.used = e.allowed > 0 ? (double)e.repeats / e.allowed
+				       : INFINITY;
+		if (e.used > worst.used)
 			worst = e;
 	}
 	free(at_ms);
--- a/regress/repeat_rule.h
+++ b/regress/repeat_rule.h
@@ -18,20 +18,20 @@
 	size_t n_sent;
 };
 
-/* The window of a service with most repeats beyond what is allowed. */
-struct repeat_excess {
+/* A window of a service. */
+struct repeat_use {
 	size_t repeats;
 	size_t requests; /* of the window that has most */
 	double allowed;
-	double excess; /* above 0: the rule is broken */
+	double used; /* part of what is allowed; above 1: the rule is broken */
 	uint64_t end_ms;
 };
 
 void repeat_rule_sent(struct repeat_rule *rule, const char *service,
 		      uint64_t at_ms);
-struct repeat_excess repeat_rule_worst(const struct repeat_rule *rule,
-				       const struct standin_world *world,
-				       const char *service);
+struct repeat_use repeat_rule_worst(const struct repeat_rule *rule,
+				    const struct standin_world *world,
+				    const char *service);
 void repeat_rule_release(struct repeat_rule *rule);
 
 #endif /* REGRESS_REPEAT_RULE_H */
--- a/regress/soak/soak_proxyd.c
+++ b/regress/soak/soak_proxyd.c
@@ -23,15 +23,27 @@
 #include "lib/xalloc.h"
 #include "regress/platform_standin.h"
 #include "regress/random.h"
+#include "regress/repeat_rule.h"
 
 #define INSTANCES 3
 #define WORKERS 7
+#define PLAIN_WORKERS 2 /* of these, the first */
 #define STEP_MS 20
-#define CALLS_MAX 64 /* open at once */
+#define CALLS_MAX 256 /* open at once */
 #define FAULT_MS 350 /* between two faults, about */
 #define SETTLE_MS 3000 /* without faults, at the end */
 #define FAULT_MAPPINGS (WORKERS + 1)
 
+/* Seeds of the one half press so that the budget of repeats is reached: more
+ * callers, streams that last, engines that are lost all at once. */
+#define PRESSING_CALLS 4 /* in a step */
+#define PRESSING_EVENT_MS 100
+#define ENGINES_LOST_MS 700 /* between two losses of all engines, about */
+
+/* Of these, seeds of the one half have a smaller budget than the users'. */
+#define SMALL_BUDGET \
+	"repeat_window_s = 4\nrepeat_ratio = 0.8\nrepeat_slack = 20\n"
+
 enum call_kind {
 	CALL_BOOKING,
 	CALL_LOOKUP,
@@ -66,6 +78,7 @@
 static struct standin_instance instances[INSTANCES];
 static bool running[INSTANCES]; /* and not paused or told to stop */
 static const char *fault_control;
+static const char *nobody; /* an address that nobody listens at */
 static const char *mapped[FAULT_MAPPINGS]; /* addresses that it listens at */
 static struct ending endings[64];
 static struct call calls[CALLS_MAX];
@@ -73,6 +86,14 @@
 static unsigned served[CALL_KINDS];
 static unsigned faults;
 static int version = 2;
+static bool pressing;
+static uint64_t seed;
+static unsigned seconds;
+static struct repeat_rule rule = {
+	.window_ms = 10000,
+	.ratio = 0.8,
+	.slack = 150,
+};
 
 static uint64_t now_ms(void)
 {
@@ -181,6 +202,12 @@
 	}
 }
 
+static void reset_link(size_t i)
+{
+	harness_control(harness, fault_control, "{\"%s\":{\"reset\":true}}",
+			mapped[i]);
+}
+
 static void fault_of_link(void)
 {
 	static const char *const modes[] = { "cut", "freeze", "drop-up",
@@ -193,8 +220,7 @@
 				modes[draw(4)]);
 		later(200 + draw(1200), link_heals, i);
 	} else {
-		harness_control(harness, fault_control,
-				"{\"%s\":{\"reset\":true}}", mapped[i]);
+		reset_link(i);
 	}
 }
 
@@ -221,9 +247,56 @@
 	}
 }
 
+/* All engines lose their connections at the same moment, or end. */
+static void fault_of_all_engines(void)
+{
+	uint32_t ms = 50 + draw(250);
+	bool ends = !draw(3);
+	size_t i;
+
+	for (i = PLAIN_WORKERS; i < WORKERS; i++) {
+		if (!ends) {
+			reset_link(i);
+			continue;
+		}
+		standin_kill(&world->workers[i]);
+		later(ms, worker_returns, i);
+	}
+}
+
+/* Says where the others send an instance's datagrams. */
+static void say_peers(size_t i, const char *address)
+{
+	char *text = xasprintf("{\"callers\":\"%s\",\"peers\":\"%s\","
+			       "\"control\":\"%s\",\"zone\":\"z1\"}",
+			       instances[i].callers, address,
+			       instances[i].control);
+
+	standin_put(world, "instances", instances[i].name, text);
+	free(text);
+}
+
+static void datagrams_arrive(size_t i)
+{
+	say_peers(i, instances[i].peers);
+}
+
+/* Nothing that the others say reaches an instance. */
+static void fault_of_datagrams(void)
+{
+	size_t i = draw(INSTANCES);
+
+	say_peers(i, nobody);
+	later(1000 + draw(3000), datagrams_arrive, i);
+}
+
 static void fault(void)
 {
 	faults++;
+	if (pressing && !draw(3)) {
+		fault_of_datagrams();
+		return;
+	}
 	switch (draw(5)) {
 	case 0:
 	case 1:
@@ -336,7 +409,7 @@
 		"POST /book/a HTTP/1.1\r\ncontent-length: 1\r\n",
 		"GET /look/a HTTP/1.1\r\n",
 		"POST /write/a HTTP/1.1\r\ncontent-length: 1\r\n"
-		"token-usage: 1000,300\r\nprompt-prefix: a:1000\r\n",
+		"token-usage: 300,100\r\nprompt-prefix: a:300\r\n",
 	};
 	const struct http1_call_options options = {
 		.address = instances[draw(INSTANCES)].callers,
@@ -362,6 +435,8 @@
 		   "deadline-ms: %u\r\n\r\n%s",
 		   lines[c->kind], c->id, c->kind == CALL_STREAM ? 8000 : 900,
 		   c->kind == CALL_LOOKUP ? "" : "x");
+	repeat_rule_sent(&rule, c->kind == CALL_STREAM ? "engine" : "plain",
+			 c->started_ms);
 	c->http =
 		http1_call_start(client, &options, out.data, out.len, &ops, c);
 }
@@ -383,9 +458,14 @@
 
 static void step(bool with_faults)
 {
-	start_call();
+	int i;
+
+	for (i = 0; i < (pressing ? PRESSING_CALLS : 1); i++)
+		start_call();
 	if (with_faults && draw(FAULT_MS) < STEP_MS)
 		fault();
+	if (with_faults && pressing && draw(ENGINES_LOST_MS) < STEP_MS)
+		fault_of_all_engines();
 	end_faults(false);
 	leave();
 	http1_client_tick(client);
@@ -416,6 +496,20 @@
 	free(log);
 }
 
+/* Workers get no more repeats than all instances together may send. */
+static void check_repeats(const char *service)
+{
+	const struct repeat_use e = repeat_rule_worst(&rule, world, service);
+
+	print_message("seed %llu: %s%s: at most %zu repeats in %llu ms, "
+		      "%.1f are allowed\n",
+		      (unsigned long long)seed, pressing ? "pressing, " : "",
+		      service, e.repeats, (unsigned long long)rule.window_ms,
+		      e.allowed);
+	if (e.used > 1)
+		fail_msg("too many repeats");
+}
+
 static void set_up(void)
 {
 	const char *args[2 * FAULT_MAPPINGS + 3];
@@ -426,11 +520,21 @@
 	harness = harness_new();
 	world = standin_new(harness);
 	client = http1_client_new(harness_loop(harness));
+	nobody = harness_address(harness);
+	pressing = draw(2);
+	if (pressing)
+		world->event_ms = PRESSING_EVENT_MS;
+	if (pressing && draw(2)) {
+		world->settings = SMALL_BUDGET;
+		rule.window_ms = 4000;
+		rule.slack = 20;
+	}
 	standin_configuration(world, version, NULL);
 	for (i = 0; i < WORKERS; i++) {
 		static const char *const zones[] = { "z1", "z2", "z3" };
 		struct standin_worker *w = standin_worker(
-			world, i < 2 ? "plain" : "engine", zones[i % 3]);
+			world, i < PLAIN_WORKERS ? "plain" : "engine",
+			zones[i % 3]);
 
 		targets[i] = w->address;
 		mapped[i] = harness_address(harness);
@@ -464,9 +568,6 @@
 	}
 }
 
-static uint64_t seed;
-static unsigned seconds;
-
 static void soak(void **state)
 {
 	uint64_t end;
@@ -498,6 +599,9 @@
 		}
 	print_message("seed %llu: %u requests, %u faults\n",
 		      (unsigned long long)seed, n_calls, faults);
+	check_repeats("plain");
+	check_repeats("engine");
+	repeat_rule_release(&rule);
 	for (i = 0; i < INSTANCES; i++) {
 		check_log(&instances[i]);
 		proc_kill(instances[i].proc);
