A planned move by choice asks again for budget to spare when it is made

What callers saw: right after many runs had begun together, lost runs of the same service were broken off, as moves by choice had used up the budget of which they are to leave two fifths for losses.

Whether budget is to spare was asked when a run began and when its copy was ordered; the move itself, a second later, asked only whether any was left. All runs that began together planned on the same figures.

The move now asks for budget to spare too; a run for which none is left stays where it is and keeps its copy.

--- a/proxyd/stage.c
+++ b/proxyd/stage.c
@@ -40,7 +40,8 @@
 	struct run_copy copy = x->copy; /* its order and answer stay behind */
 
 	x->staged = false;
-	if (!x->caller || !copy_usable(x) || !exchange_repeat_allowed(x))
+	if (!x->caller || !copy_usable(x) || !exchange_repeat_spare(x) ||
+	    !exchange_repeat_allowed(x))
 		return;
 	counter_add(x->proxyd->exchanges->settled, 1);
 	event_log(EVENT_ROUTINE, "settle", x->fields.id, "{s:I, s:I}",
--- a/regress/integration/test_repeat_budget.c
+++ b/regress/integration/test_repeat_budget.c
@@ -339,6 +339,24 @@
 	check_repeats("plain");
 }
 
+/* Runs that begin together all plan to move by choice while little is used; of
+ * those moves only so many are made that two fifths are left for losses. */
+static void choices_that_were_planned_together(void **state)
+{
+	struct repeat_use use;
+
+	(void)state;
+	no_ratio();
+	start_engines(ENGINES);
+	start(1);
+	send_streams(&instances[0], 20);
+	run(2 * WINDOW_MS);
+	use = repeat_rule_worst(&rule, world, "engine");
+	print_message("%zu moves by choice\n", use.repeats);
+	assert_true(use.repeats > 0);
+	assert_true(use.repeats * 5 <= SLACK * 3);
+}
+
 int main(int argc, char **argv)
 {
 #define CASE(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
@@ -347,6 +365,7 @@
 		CASE(instances_that_hear_nothing),
 		CASE(process_that_starts_again),
 		CASE(addresses_of_others),
+		CASE(choices_that_were_planned_together),
 	};
 
 	if (argc > 1) /* one case */
