Loads of others are taken off where they were added

What callers saw: nothing that could be traced to it; runs may be placed at an engine that has more to do than this instance reckons.

What an instance tells of its work at an endpoint that is not known yet was not added, and was taken off later, from what others had there; as each word takes off the one before it, the sum stayed too low for as long as both had work there, and stopping at 0 hid it.

A load now keeps the handle of the endpoint that it was added to, and is taken off there only. An endpoint that was forgotten and comes again is another handle.

--- a/proxyd/peers.c
+++ b/proxyd/peers.c
@@ -24,8 +24,8 @@
 static bool comes_before(const struct peers *t, const struct peer *peer);
 static void take_loads(struct peers *t, struct peer *peer,
 		       const PeerPulse *pulse);
-static void add_loads(struct peers *t, const struct peer *peer, int sign);
-static uint32_t shifted(uint32_t value, uint32_t by, int sign);
+static void add_loads(struct peers *t, struct peer *peer);
+static void remove_loads(struct peers *t, struct peer *peer);
 static void forget(struct peers *t, struct peer *peer);
 static void judge(struct peers *t);
 
@@ -296,7 +296,7 @@
 {
 	size_t i;
 
-	add_loads(t, peer, -1);
+	remove_loads(t, peer);
 	peer->n_loads = pulse->n_loads < LOADS_MAX ? pulse->n_loads : LOADS_MAX;
 	for (i = 0; i < peer->n_loads; i++) {
 		const PeerLoad *l = pulse->loads[i];
@@ -309,44 +309,54 @@
 				  .prefills = l->prefills },
 		};
 	}
-	add_loads(t, peer, 1);
+	add_loads(t, peer);
 }
 
-/* Adds an instance's loads to those of the endpoints, or takes them off. */
-static void add_loads(struct peers *t, const struct peer *peer, int sign)
+/* Adds an instance's loads to those of the endpoints that are known. */
+static void add_loads(struct peers *t, struct peer *peer)
 {
 	size_t i;
 
 	for (i = 0; i < peer->n_loads; i++) {
-		const struct endpoint_load *l = &peer->loads[i].load;
-		struct endpoint *e = endpoint_by_hash(t->proxyd->endpoints,
-						      peer->loads[i].endpoint);
+		struct peer_load *l = &peer->loads[i];
+		struct endpoint *e =
+			endpoint_by_hash(t->proxyd->endpoints, l->endpoint);
 
 		if (!e)
 			continue;
-		e->others.tokens = shifted(e->others.tokens, l->tokens, sign);
-		e->others.prefill =
-			shifted(e->others.prefill, l->prefill, sign);
-		e->others.requests =
-			shifted(e->others.requests, l->requests, sign);
-		e->others.prefills =
-			shifted(e->others.prefills, l->prefills, sign);
+		l->at = e->self;
+		e->others.tokens += l->load.tokens;
+		e->others.prefill += l->load.prefill;
+		e->others.requests += l->load.requests;
+		e->others.prefills += l->load.prefills;
 	}
 }
 
-/* Adds or takes off; an endpoint that was forgotten in between has lost what
- * was added to it, so that the result stops at 0. */
-static uint32_t shifted(uint32_t value, uint32_t by, int sign)
+/* Takes an instance's loads off where they were added, unless the endpoint was
+ * forgotten since. */
+static void remove_loads(struct peers *t, struct peer *peer)
 {
-	if (sign > 0)
-		return value + by;
-	return value > by ? value - by : 0;
+	size_t i;
+
+	for (i = 0; i < peer->n_loads; i++) {
+		const struct endpoint_load *l = &peer->loads[i].load;
+		struct endpoint *e =
+			endpoint_get(t->proxyd->endpoints, peer->loads[i].at);
+
+		if (!e)
+			continue;
+		e->others.tokens -= l->tokens;
+		e->others.prefill -= l->prefill;
+		e->others.requests -= l->requests;
+		e->others.prefills -= l->prefills;
+	}
+	peer->n_loads = 0;
 }
 
 /* Forgets an instance. */
 static void forget(struct peers *t, struct peer *peer)
 {
-	add_loads(t, peer, -1);
+	remove_loads(t, peer);
 	TAILQ_REMOVE(&t->list, peer, link);
 	t->n--;
 	free(peer->name);
@@ -433,8 +443,7 @@
 			continue;
 		peer->alive = alive;
 		if (!alive) {
-			add_loads(t, peer, -1);
-			peer->n_loads = 0;
+			remove_loads(t, peer);
 		}
 		event_log(EVENT_NOTABLE,
 			  alive ? "instance-alive" : "instance-silent", NULL,
--- a/proxyd/peers_table.h
+++ b/proxyd/peers_table.h
@@ -20,6 +20,7 @@
 
 struct peer_load {
 	uint64_t endpoint; /* hash of its id */
+	struct handle at; /* where the load was added; may name none */
 	struct endpoint_load load;
 };
 
