--- a/regress/harness.c
+++ b/regress/harness.c
@@ -25,7 +25,7 @@
 /* Below the range that the system gives to outgoing connections. */
 #define FIRST_PORT 20000
 #define N_PORTS 12000
-#define MAX_ADDRESSES 512
+#define MAX_ADDRESSES 1024
 #define MAX_ARGS 256
 #define POLL_MS 2
 #define LOG_TAIL_BYTES 2000
--- a/regress/platform_standin.c
+++ b/regress/platform_standin.c
@@ -261,7 +261,7 @@
 
 	if (!w->store)
 		return;
-	for (i = 0; i < 64; i++) {
+	for (i = 0; i < STANDIN_WAITING_MAX; i++) {
 		if (w->waiting[i])
 			http1_own(w->waiting[i], NULL);
 		w->waiting[i] = NULL;
@@ -394,7 +394,7 @@
 	size_t i;
 
 	if (!answer_feed(w, c, table, strtoll(after, NULL, 10))) {
-		for (i = 0; i < 63 && w->waiting[i]; i++)
+		for (i = 0; i < STANDIN_WAITING_MAX - 1 && w->waiting[i]; i++)
 			;
 		w->waiting[i] = c;
 		snprintf(w->waiting_table[i], 32, "%s", table);
@@ -456,7 +456,7 @@
 {
 	size_t i;
 
-	for (i = 0; i < 64; i++) {
+	for (i = 0; i < STANDIN_WAITING_MAX; i++) {
 		struct http1_conn *c = w->waiting[i];
 
 		if (!c)
--- a/regress/platform_standin.h
+++ b/regress/platform_standin.h
@@ -12,6 +12,7 @@
  * workers of one engine service and one plain service. */
 
 #define STANDIN_WORKERS_MAX 8
+#define STANDIN_WAITING_MAX 1024 /* calls to the store that wait for changes */
 #define STANDIN_EVENTS 30 /* of a whole stream */
 #define STANDIN_EVENT_MS 15 /* between two, unless the test sets another */
 
@@ -63,9 +64,9 @@
 	uint64_t event_ms; /* between two events of a stream */
 	json_t *rows; /* of all tables */
 	json_int_t version;
-	struct http1_conn *waiting[64];
-	char waiting_table[64][32];
-	json_int_t waiting_after[64];
+	struct http1_conn *waiting[STANDIN_WAITING_MAX];
+	char waiting_table[STANDIN_WAITING_MAX][32];
+	json_int_t waiting_after[STANDIN_WAITING_MAX];
 	struct standin_worker workers[STANDIN_WORKERS_MAX];
 	size_t n_workers;
 	struct standin_arrival **arrivals;
--- a/regress/soak/run.sh
+++ b/regress/soak/run.sh
@@ -1,6 +1,6 @@
-# Runs the fault soak over seeds, a line each, JOBS (4) at a
-# time; ends with 1 if a
-# seed failed, whose log is kept.  usage: run.sh BUILD-DIRECTORY SECONDS SEED ...
+# Runs the fault soak over seeds, JOBS (4) at a time, each with INSTANCES (3)
+# instances; ends with 1 if a seed failed, whose log is kept.
+# usage: run.sh BUILD-DIRECTORY SECONDS SEED ...
 out=$1
 seconds=$2
 shift 2
@@ -9,11 +9,11 @@
 printf '%s\n' "$@" | xargs -P "${JOBS:-4}" -I{} sh -c '
 	log="$1/$2/soak/seed-$4.log"
 	if CDM_BIN="$1/$2/bin" CDM_ROOT="$1" timeout -k 5 300 \
-		"$1/$2/bin/soak_proxyd" "$4" "$3" >"$log" 2>&1 </dev/null; then
+		"$1/$2/bin/soak_proxyd" "$4" "$3" "$5" >"$log" 2>&1 </dev/null; then
 		grep "^seed" "$log"
 		rm -f "$log"
 	else
 		echo "FAIL  seed $4, see $log"
 		tail -n 30 "$log"
 		exit 1
-	fi' sh "$root" "$out" "$seconds" {}
+	fi' sh "$root" "$out" "$seconds" {} "${INSTANCES:-3}"
--- a/regress/soak/soak_proxyd.c
+++ b/regress/soak/soak_proxyd.c
@@ -1,10 +1,10 @@
 /*
- * The fault soak of cdmproxyd: three instances as separate processes, a store
+ * The fault soak of cdmproxyd: instances as separate processes, a store
  * and workers behind a fault proxy, callers that keep coming, and faults from
  * outside in series and overlapping, drawn from a seed.  Meanwhile and at the
  * end the promises are checked from what callers and workers saw.
  *
- * usage: soak_proxyd SEED SECONDS
+ * usage: soak_proxyd SEED SECONDS [INSTANCES]
  */
 #include <signal.h>
 #include <stdarg.h>
@@ -25,7 +25,8 @@
 #include "regress/random.h"
 #include "regress/repeat_rule.h"
 
-#define INSTANCES 3
+#define INSTANCES 3 /* unless the command says otherwise */
+#define INSTANCES_MAX 256
 #define WORKERS 7
 #define PLAIN_WORKERS 2 /* of these, the first */
 #define STEP_MS 20
@@ -34,6 +35,11 @@
 #define SETTLE_MS 3000 /* without faults, at the end */
 #define FAULT_MAPPINGS (WORKERS + 1)
 
+/* The users' rule on the time that is handed on: so much more is none, and so
+ * many requests, if they are a fifth of all, break it. */
+#define DEADLINE_SLACK_MS 500
+#define DEADLINES_LATE_MAX 20
+
 /* Seeds of the one half press so that the budget of repeats is reached: more
  * callers, streams that last, engines that are lost all at once. */
 #define PRESSING_CALLS 4 /* in a step */
@@ -51,6 +57,16 @@
 	CALL_KINDS,
 };
 
+/* What callers give a request, and how many workers may run it. */
+static const struct {
+	unsigned deadline_ms;
+	unsigned attempts;
+} kinds[CALL_KINDS] = {
+	[CALL_BOOKING] = { 900, 1 },
+	[CALL_LOOKUP] = { 900, 2 },
+	[CALL_STREAM] = { 8000, 5 },
+};
+
 /* A request of a caller. */
 struct call {
 	bool open;
@@ -75,14 +91,16 @@
 static struct standin_world *world;
 static struct http1_client *client;
 static struct random_source random_numbers;
-static struct standin_instance instances[INSTANCES];
-static bool running[INSTANCES]; /* and not paused or told to stop */
+static struct standin_instance instances[INSTANCES_MAX];
+static uint32_t n_instances = INSTANCES;
+static bool running[INSTANCES_MAX]; /* and not paused or told to stop */
 static const char *fault_control;
 static const char *nobody; /* an address that nobody listens at */
 static const char *mapped[FAULT_MAPPINGS]; /* addresses that it listens at */
 static struct ending endings[64];
 static struct call calls[CALLS_MAX];
 static unsigned n_calls;
+static uint64_t *ends_ms; /* when the time of each request is over */
 static unsigned served[CALL_KINDS];
 static unsigned faults;
 static int version = 2;
@@ -226,7 +244,7 @@
 
 static void fault_of_instance(void)
 {
-	size_t i = draw(INSTANCES);
+	size_t i = draw(n_instances);
 
 	if (!running[i] || !proc_running(instances[i].proc))
 		return;
@@ -284,7 +302,7 @@
 /* Nothing that the others say reaches an instance. */
 static void fault_of_datagrams(void)
 {
-	size_t i = draw(INSTANCES);
+	size_t i = draw(n_instances);
 
 	say_peers(i, nobody);
 	later(1000 + draw(3000), datagrams_arrive, i);
@@ -367,8 +385,8 @@
 {
 	unsigned runs = runs_of(c->id);
 
-	if (c->kind == CALL_BOOKING && runs > 1)
-		fail_msg("booking %s ran %u times", c->id, runs);
+	if (runs > kinds[c->kind].attempts)
+		fail_msg("request %s ran %u times", c->id, runs);
 	if (outcome != HTTP1_COMPLETE)
 		return;
 	if (c->kind == CALL_BOOKING && c->status == 503 && runs)
@@ -412,7 +430,7 @@
 		"token-usage: 300,100\r\nprompt-prefix: a:300\r\n",
 	};
 	const struct http1_call_options options = {
-		.address = instances[draw(INSTANCES)].callers,
+		.address = instances[draw(n_instances)].callers,
 		.connect_ms = 500,
 		.reuse_ms = draw(2) ? 5000 : 0,
 	};
@@ -429,11 +447,13 @@
 	c->open = true;
 	c->kind = (enum call_kind)draw(CALL_KINDS);
 	c->started_ms = now_ms();
+	ends_ms = xreallocarray(ends_ms, n_calls + 2, sizeof(*ends_ms));
 	snprintf(c->id, sizeof(c->id), "r-%u", ++n_calls);
+	ends_ms[n_calls] = c->started_ms + kinds[c->kind].deadline_ms;
 	bytes_addf(&out,
 		   "%shost: 127.0.0.1\r\ncredential: k1\r\nrequest-id: %s\r\n"
 		   "deadline-ms: %u\r\n\r\n%s",
-		   lines[c->kind], c->id, c->kind == CALL_STREAM ? 8000 : 900,
+		   lines[c->kind], c->id, kinds[c->kind].deadline_ms,
 		   c->kind == CALL_LOOKUP ? "" : "x");
 	repeat_rule_sent(&rule, c->kind == CALL_STREAM ? "engine" : "plain",
 			 c->started_ms);
@@ -510,6 +530,36 @@
 		fail_msg("too many repeats");
 }
 
+/* Few requests are handed on with more time than their callers give them. */
+static void check_deadlines(void)
+{
+	static const char id_key[] = "\nrequest-id: r-";
+	static const char key[] = "\ndeadline-ms: ";
+	size_t late = 0;
+	size_t all = 0;
+	size_t i;
+
+	for (i = 0; i < world->n_arrivals; i++) {
+		const struct standin_arrival *a = world->arrivals[i];
+		const char *id = strstr(a->head, id_key);
+		const char *left = strstr(a->head, key);
+
+		if (!id)
+			continue;
+		all++;
+		late += !left ||
+			a->at_ms + strtoul(left + sizeof(key) - 1, NULL, 10) >
+				ends_ms[strtoul(id + sizeof(id_key) - 1, NULL,
+						10)] +
+					DEADLINE_SLACK_MS;
+	}
+	print_message("seed %llu: %zu of %zu arrivals with more time than is "
+		      "left\n",
+		      (unsigned long long)seed, late, all);
+	if (late > DEADLINES_LATE_MAX && late > all / 5)
+		fail_msg("too many deadlines that are too long");
+}
+
 static void set_up(void)
 {
 	const char *args[2 * FAULT_MAPPINGS + 3];
@@ -556,10 +606,8 @@
 			    fault_control);
 	for (i = 3; i < n; i += 2)
 		free((char *)args[i]);
-	for (i = 0; i < INSTANCES; i++) {
-		static const char *const names[] = { "one", "two", "three" };
-
-		standin_instance(world, &instances[i], names[i],
+	for (i = 0; i < n_instances; i++) {
+		standin_instance(world, &instances[i], xasprintf("n%zu", i),
 				 i ? instances[0].control : NULL);
 		standin_start(world, &instances[i]);
 		standin_wait_status(world, instances[i].readiness, "/readyz",
@@ -581,7 +629,7 @@
 	end_faults(true);
 	for (i = 0; i < WORKERS; i++)
 		world->workers[i].mood = STANDIN_SERVES;
-	for (i = 0; i < INSTANCES; i++)
+	for (i = 0; i < n_instances; i++)
 		if (!proc_running(instances[i].proc))
 			instance_starts(i);
 	for (end = now_ms() + SETTLE_MS; now_ms() < end;)
@@ -601,10 +649,13 @@
 		      (unsigned long long)seed, n_calls, faults);
 	check_repeats("plain");
 	check_repeats("engine");
+	check_deadlines();
+	free(ends_ms);
 	repeat_rule_release(&rule);
-	for (i = 0; i < INSTANCES; i++) {
+	for (i = 0; i < n_instances; i++) {
 		check_log(&instances[i]);
 		proc_kill(instances[i].proc);
+		free((char *)instances[i].name);
 	}
 	http1_client_free(client);
 	standin_free(world);
@@ -619,5 +670,9 @@
 
 	seed = argc > 1 ? strtoull(argv[1], NULL, 10) : 1;
 	seconds = argc > 2 ? (unsigned)strtoul(argv[2], NULL, 10) : 10;
+	if (argc > 3)
+		n_instances = (uint32_t)strtoul(argv[3], NULL, 10);
+	if (!n_instances || n_instances > INSTANCES_MAX)
+		return 2;
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
