A reload that changes the window of repeats begins to count anew

What callers saw: nothing yet; found by reading what else the counts depend on. After a reload with a longer window, requests would have allowed repeats for ever.

Cause: parts of a window are numbered by its length. With a longer one the current number was behind the newest that had counts, so that nothing left the window any more until the clock had caught up.

Evidence: test_repeat, window_that_grows, before: 100 requests counted 100 s after the last one; after: none.

The counts remember the length of their parts and begin anew when it changes; the instance then has its part of the slack as one that has just started.

--- a/policy/repeat.c
+++ b/policy/repeat.c
@@ -238,7 +238,8 @@
 }
 
 /* Forgets the parts that are not kept any more, and a loan that was not taken in
- * time.  Parts ahead of the current one hold what was lent. */
+ * time.  Parts ahead of the current one hold what was lent.  Counts of a window
+ * of another length say nothing. */
 static void advance(struct repeat_budget *b, const struct repeat_params *p,
 		    uint64_t now)
 {
@@ -248,11 +249,13 @@
 		b->borrowed[b->unused_part % REPEAT_PARTS] -= b->unused;
 		b->unused = 0;
 	}
-	if (part >= b->part + REPEAT_PARTS) {
+	if (part >= b->part + REPEAT_PARTS || b->part_ms != part_ms(p)) {
 		memset(b->requests, 0, sizeof(b->requests));
 		memset(b->repeats, 0, sizeof(b->repeats));
 		memset(b->borrowed, 0, sizeof(b->borrowed));
+		b->unused = 0;
 		b->part = part;
+		b->part_ms = part_ms(p);
 	}
 	while (b->part < part) {
 		uint64_t ahead = ++b->part + LOAN_PARTS;
--- a/policy/repeat.h
+++ b/policy/repeat.h
@@ -27,6 +27,7 @@
 	uint64_t unused_part; /* where that loan is counted */
 	uint64_t unused_until_ms; /* it is to be taken by then */
 	uint64_t part; /* number of the current part */
+	uint32_t part_ms; /* its length; a reload may change it */
 };
 
 /* The instances that the slack is divided among. */
--- a/proxyd/proxyd.c
+++ b/proxyd/proxyd.c
@@ -225,6 +225,8 @@
 			  err);
 		return;
 	}
+	if (p->settings.repeat_window_s != fresh.repeat_window_s)
+		p->sharers.known_ms = 0; /* counts anew, as after a start */
 	p->settings.grace_s = fresh.grace_s;
 	p->settings.reuse_after_s = fresh.reuse_after_s;
 	p->settings.directory_ttl_s = fresh.directory_ttl_s;
--- a/regress/unit/test_repeat.c
+++ b/regress/unit/test_repeat.c
@@ -185,6 +185,32 @@
 	assert_true(take(&b, &s, SETTLED_MS + 200));
 }
 
+/* A window that a reload of the settings makes longer: what was counted by the
+ * shorter one leaves it too. */
+static void window_that_grows(void **state)
+{
+	const struct repeat_params longer = {
+		.window_ms = 20000,
+		.ratio_permille = 800,
+		.slack = 150,
+	};
+	const struct repeat_sharers alone = among(1);
+	struct repeat_budget b = { 0 };
+	struct repeat_share seen;
+	uint64_t now = 1000000;
+	int i;
+
+	(void)state;
+	for (i = 0; i < 100; i++)
+		repeat_request(&b, &params, now);
+	now += 100000;
+	repeat_take(&b, &longer, &alone, now, &seen);
+	assert_int_equal(seen.requests, 0);
+	repeat_request(&b, &longer, now);
+	repeat_take(&b, &longer, &alone, now, &seen);
+	assert_int_equal(seen.requests, 1);
+}
+
 /* A loan is used at its lender from then on, and lapses at the borrower. */
 static void loans(void **state)
 {
@@ -396,6 +422,7 @@
 		cmocka_unit_test(instances_that_are_not_heard),
 		cmocka_unit_test(processes_that_start_again),
 		cmocka_unit_test(lone_run_at_a_start),
+		cmocka_unit_test(window_that_grows),
 		cmocka_unit_test(loans),
 		cmocka_unit_test(zones_lost),
 		cmocka_unit_test(within_the_rule_whatever_is_lost),
