Loans are asked for by all services whose lost runs wait

Only the service of the oldest run that waited was asked for, so that the runs of another engine service could wait in vain for as long as it had some. Which service is asked for is drawn by how many wait for each.

--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -42,6 +42,7 @@
 /* An answer of a plain call takes about this long. */
 #define PLAIN_MS 200
 
+static bool waits_for_repeat(const struct exchange *x);
 static void begin(struct exchange *x);
 static void refuse_unconfigured(struct exchange *x);
 static bool find_route(struct exchange *x);
@@ -116,30 +117,35 @@
 	}
 }
 
-/* Asks other instances for the repeats that lost runs wait for. */
+/* Asks other instances for the repeats that lost runs wait for: for one service
+ * at a time, drawn by how many wait for each. */
 void exchanges_borrow(struct exchanges *t)
 {
 	uint64_t now = proxyd_now(t->proxyd);
 	const char *service = NULL;
 	const struct exchange *x;
+	uint32_t waiting = 0;
 	uint32_t wanted = 0;
 
 	if (now - t->borrowed_ms < BORROW_MS)
 		return;
 	TAILQ_FOREACH(x, &t->list, link)
-	{
-		if (x->phase != EXCHANGE_WAITING || !x->repeat_due)
-			continue;
-		if (!service)
-			service = x->service;
-		wanted += !strcmp(x->service, service);
-	}
+	if (waits_for_repeat(x) && proxyd_random() % ++waiting == 0)
+		service = x->service;
 	if (!service)
 		return;
+	TAILQ_FOREACH(x, &t->list, link)
+	wanted += waits_for_repeat(x) && !strcmp(x->service, service);
 	t->borrowed_ms = now;
 	peers_borrow(t->proxyd->peers, service, wanted);
 }
 
+/* Tells whether a lost run waits until it may be sent once more. */
+static bool waits_for_repeat(const struct exchange *x)
+{
+	return x->phase == EXCHANGE_WAITING && x->repeat_due;
+}
+
 /* Takes time in which this process stood still out of the silence of runs. */
 void exchanges_excuse(struct exchanges *t, uint64_t stall_ms)
 {
