Repeats of a process that stood still count from when it goes on

What callers saw: nothing that is traced to it; on real processes, which stand still for seconds, one more way to more arrivals than the budget.

Cause: a repeat is counted when its connection is begun. A process that stands still then writes the request only when it goes on, seconds later; the count left the window that much before the arrival did.

When a tick shows that the process stood still for longer than the second that a repeat is given to arrive, what was counted within that second before counts from now on. Shorter stalls change nothing, so that a slow machine does not keep its counts for ever.

--- a/policy/repeat.c
+++ b/policy/repeat.c
@@ -25,9 +25,10 @@
 /* Parts of the window that the rule speaks of. */
 #define WINDOW_PARTS 20
 
-/* A repeat counts for two parts more than the window: it may take so long to
- * arrive. */
-#define COUNTED_PARTS (WINDOW_PARTS + 3)
+/* A repeat counts for so many parts more than the window: it may take so long to
+ * arrive.  The current part is not over yet. */
+#define ARRIVAL_PARTS 2
+#define COUNTED_PARTS (WINDOW_PARTS + ARRIVAL_PARTS + 1)
 
 /* A loan is taken within the first of these after it was asked for, and sent
  * within the second; the difference is how long a run waits for an endpoint. */
@@ -196,6 +197,30 @@
 	b->held++;
 }
 
+/* This process stood still until now, for longer than a repeat is given to
+ * arrive: what it sent shortly before may arrive only now and counts from now
+ * on. */
+void repeat_stood_still(struct repeat_budget *b, const struct repeat_params *p,
+			uint64_t stall_ms, uint64_t now)
+{
+	uint64_t still = stall_ms / part_ms(p) + 1;
+	uint32_t late = 0;
+	uint64_t i;
+
+	if (stall_ms <= ARRIVAL_PARTS * part_ms(p))
+		return;
+	advance(b, p, now);
+	for (i = 0; i < still + ARRIVAL_PARTS &&
+		    i < REPEAT_PARTS - LOAN_PARTS && i <= b->part;
+	     i++) {
+		uint32_t *repeats = &b->repeats[(b->part - i) % REPEAT_PARTS];
+
+		late += *repeats;
+		*repeats = 0;
+	}
+	b->repeats[b->part % REPEAT_PARTS] += late;
+}
+
 /* Reckons what is this instance's, and used. */
 static struct repeat_share share_of(struct repeat_budget *b,
 				    const struct repeat_params *p,
--- a/policy/repeat.h
+++ b/policy/repeat.h
@@ -76,4 +76,7 @@
 void repeat_not_sent(struct repeat_budget *b, const struct repeat_params *p,
 		     uint64_t sent_ms, uint64_t now);
 
+void repeat_stood_still(struct repeat_budget *b, const struct repeat_params *p,
+			uint64_t stall_ms, uint64_t now);
+
 #endif /* POLICY_REPEAT_H */
--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -361,6 +361,17 @@
 	return &endpoints_service(t, service)->budget;
 }
 
+/* This process stood still: repeats that it sent may arrive only now. */
+void endpoints_stood_still(struct endpoints *t, uint64_t stall_ms)
+{
+	uint64_t now = proxyd_now(t->proxyd);
+	size_t i;
+
+	for (i = 0; i < t->n_services; i++)
+		repeat_stood_still(&t->services[i].budget, &t->proxyd->repeat,
+				   stall_ms, now);
+}
+
 /* Returns the hash by which other instances know a service. */
 uint64_t endpoints_service_hash(struct endpoints *t, const char *service)
 {
--- a/proxyd/endpoints.h
+++ b/proxyd/endpoints.h
@@ -109,6 +109,7 @@
 		    uint64_t silent_ms);
 void endpoint_answered(struct endpoints *t, struct handle h, uint64_t took_ms,
 		       bool failed);
+void endpoints_stood_still(struct endpoints *t, uint64_t stall_ms);
 struct repeat_budget *endpoints_budget_by_hash(struct endpoints *t,
 					       uint64_t hash);
 uint64_t endpoints_service_hash(struct endpoints *t, const char *service);
--- a/regress/unit/test_repeat.c
+++ b/regress/unit/test_repeat.c
@@ -185,6 +185,25 @@
 	assert_true(take(&b, &s, SETTLED_MS + 200));
 }
 
+/* A process that stands still right after it has counted what it sends, before
+ * the connections stand: all arrives when it goes on, and counts from then. */
+static void process_that_stood_still(void **state)
+{
+	const struct repeat_sharers alone = among(1);
+	struct repeat_budget b = { 0 };
+	uint64_t now = SETTLED_MS;
+	uint64_t arrived = now + 5000;
+
+	(void)state;
+	assert_true(use_up(&b, &alone, now) > 100);
+	repeat_stood_still(&b, &params, 4900, arrived);
+	assert_false(take(&b, &alone, arrived + params.window_ms));
+	/* short ones, again and again, keep nothing in the window */
+	for (now = arrived; now < arrived + params.window_ms + 2000; now += 300)
+		repeat_stood_still(&b, &params, 200, now);
+	assert_true(take(&b, &alone, now));
+}
+
 /* A window that a reload of the settings makes longer: what was counted by the
  * shorter one leaves it too. */
 static void window_that_grows(void **state)
@@ -422,6 +441,7 @@
 		cmocka_unit_test(instances_that_are_not_heard),
 		cmocka_unit_test(processes_that_start_again),
 		cmocka_unit_test(lone_run_at_a_start),
+		cmocka_unit_test(process_that_stood_still),
 		cmocka_unit_test(window_that_grows),
 		cmocka_unit_test(loans),
 		cmocka_unit_test(zones_lost),
