Repeats of requests have a file of their own

exchange.c had grown by what the budget of repeats needs; it moves to proxyd/repeats.c, with what attempt.c counted.

--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -31,7 +31,6 @@
 
 #define ANSWER_MAX (8u << 20) /* bytes; the largest that is passed on */
 
-static void not_arrived(struct exchange *x);
 static void load_add(struct exchange *x);
 static void load_remove(struct exchange *x);
 static void say_sent(const struct exchange *x, const struct endpoint *e);
@@ -95,12 +94,7 @@
 	x->at = at;
 	x->from_copy = from != NULL;
 	x->sends++;
-	if (x->arrivals++) {
-		repeat_sent(endpoints_budget(p->endpoints, x->service),
-			    &p->repeat, now);
-		x->may_repeat = false;
-		counter_add(p->exchanges->repeats_sent, 1);
-	}
+	exchange_arrives(x);
 	x->sent_ms = now;
 	x->heard_ms = now;
 	x->first_by_ms =
@@ -131,7 +125,7 @@
 {
 	if (x->call) {
 		if (!http1_call_connected(x->call))
-			not_arrived(x);
+			exchange_not_arrived(x);
 		http1_call_cancel(x->call);
 	}
 	x->call = NULL;
@@ -139,19 +133,6 @@
 	load_remove(x);
 }
 
-/* The endpoint did not get the request: if that was a repeat, it is still to be
- * sent. */
-static void not_arrived(struct exchange *x)
-{
-	struct proxyd *p = x->proxyd;
-
-	if (!--x->arrivals)
-		return;
-	repeat_not_sent(endpoints_budget(p->endpoints, x->service), &p->repeat,
-			x->sent_ms, proxyd_now(p));
-	x->may_repeat = true;
-}
-
 /* Counts the request into the load of its endpoint. */
 static void load_add(struct exchange *x)
 {
@@ -304,7 +285,7 @@
 {
 	x->sends--;
 	x->connects++;
-	not_arrived(x);
+	exchange_not_arrived(x);
 	exchange_avoid(x, at);
 	endpoint_unreachable(x->proxyd->endpoints, at, x->fields.id, outcome);
 	if (!x->caller)
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -35,14 +35,9 @@
 /* A process that has just started has read its configuration within this. */
 #define START_WAIT_MS 500
 
-/* Loans are asked for so often: one is answered within a few milliseconds, and
- * read at the next tick. */
-#define BORROW_MS 40
-
 /* An answer of a plain call takes about this long. */
 #define PLAIN_MS 200
 
-static bool waits_for_repeat(const struct exchange *x);
 static void begin(struct exchange *x);
 static void refuse_unconfigured(struct exchange *x);
 static bool find_route(struct exchange *x);
@@ -50,15 +45,12 @@
 static bool takes_now(struct exchange *x);
 static void seek_failed(struct exchange *x, enum place_outcome outcome);
 static void wait_for_room(struct exchange *x);
-static void say_repeat(const struct exchange *x, bool allowed,
-		       const struct repeat_share *seen);
 static uint64_t used_tokens(const struct exchange *x);
 static void reply_error(struct exchange *x, int status, uint32_t retry_ms,
 			const char *why);
 static void tick_one(struct exchange *x, uint64_t now);
 static void free_exchange(struct exchanges *t, struct exchange *x);
 static struct counter *outcome_counter(const char *outcome);
-static struct counter *repeat_counter(const char *step);
 
 /* Makes the table. */
 struct exchanges *exchanges_new(struct proxyd *p)
@@ -83,10 +75,7 @@
 	t->settled = counter_labelled("cdm_moves_total",
 				      "Runs that went on at another endpoint",
 				      COUNTER_TOTAL, "from", "prompt read");
-	t->repeats_allowed = repeat_counter("allowed");
-	t->repeats_denied = repeat_counter("denied");
-	t->repeats_sent = repeat_counter("sent");
-	t->repeats_lent = repeat_counter("lent");
+	exchange_repeats_init(t);
 	t->first_event.name = "cdm_first_event_ms";
 	t->first_event.help = "Arrival to first event of a stream, ms";
 	histogram_register(&t->first_event);
@@ -117,35 +106,6 @@
 	}
 }
 
-/* Asks other instances for the repeats that lost runs wait for: for one service
- * at a time, drawn by how many wait for each. */
-void exchanges_borrow(struct exchanges *t)
-{
-	uint64_t now = proxyd_now(t->proxyd);
-	const char *service = NULL;
-	const struct exchange *x;
-	uint32_t waiting = 0;
-	uint32_t wanted = 0;
-
-	if (now - t->borrowed_ms < BORROW_MS)
-		return;
-	TAILQ_FOREACH(x, &t->list, link)
-	if (waits_for_repeat(x) && proxyd_random() % ++waiting == 0)
-		service = x->service;
-	if (!service)
-		return;
-	TAILQ_FOREACH(x, &t->list, link)
-	wanted += waits_for_repeat(x) && !strcmp(x->service, service);
-	t->borrowed_ms = now;
-	peers_borrow(t->proxyd->peers, service, wanted);
-}
-
-/* Tells whether a lost run waits until it may be sent once more. */
-static bool waits_for_repeat(const struct exchange *x)
-{
-	return x->phase == EXCHANGE_WAITING && x->repeat_due;
-}
-
 /* Takes time in which this process stood still out of the silence of runs. */
 void exchanges_excuse(struct exchanges *t, uint64_t stall_ms)
 {
@@ -304,58 +264,6 @@
 	x->avoided[x->n_avoided++] = h;
 }
 
-/* Tells whether the request may be sent to an endpoint once more; it holds the
- * repeat until it is sent or over. */
-bool exchange_repeat_allowed(struct exchange *x)
-{
-	struct proxyd *p = x->proxyd;
-	struct repeat_share seen;
-	bool allowed;
-
-	if (x->sends >= x->route->attempts_max)
-		return false;
-	if (!x->arrivals || x->may_repeat)
-		return true;
-	x->token = repeat_take(endpoints_budget(p->endpoints, x->service),
-			       &p->repeat, &p->sharers, proxyd_now(p), &seen);
-	allowed = x->token != REPEAT_NONE;
-	x->may_repeat = allowed;
-	if (!allowed && x->repeat_due) /* asks at each tick */
-		return false;
-	counter_add(allowed ? p->exchanges->repeats_allowed
-			    : p->exchanges->repeats_denied,
-		    1);
-	say_repeat(x, allowed, &seen);
-	return allowed;
-}
-
-/* Logs whether a request may be sent once more, with what decided it. */
-static void say_repeat(const struct exchange *x, bool allowed,
-		       const struct repeat_share *seen)
-{
-	const struct proxyd *p = x->proxyd;
-
-	event_log(allowed ? EVENT_ROUTINE : EVENT_NOTABLE, "repeat",
-		  x->fields.id,
-		  "{s:b, s:s, s:i, s:i, s:i, s:i, s:i, s:b, s:i, s:I}",
-		  "allowed", allowed, "service", x->service, "share",
-		  (int)seen->repeats, "borrowed", (int)seen->borrowed, "used",
-		  (int)seen->used, "requests", (int)seen->requests,
-		  "slack_among", (int)seen->instances, "settled", seen->settled,
-		  "listed", (int)peers_listed(p->peers) + 1, "process_ms",
-		  (json_int_t)(proxyd_now(p) - p->started_ms));
-}
-
-/* Tells whether enough budget is left to send the request once more by choice
- * and not because of a loss. */
-bool exchange_repeat_spare(struct exchange *x)
-{
-	struct proxyd *p = x->proxyd;
-
-	return repeat_spare(endpoints_budget(p->endpoints, x->service),
-			    &p->repeat, &p->sharers, proxyd_now(p));
-}
-
 /* Refuses a request that has not run; the caller may come back.  One that an
  * endpoint may have run fails instead, as the refusal would be false. */
 void exchange_refuse(struct exchange *x, int status, uint32_t retry_after_ms,
@@ -629,11 +537,3 @@
 	return counter_labelled("cdm_requests_total", "Requests of callers",
 				COUNTER_TOTAL, "outcome", outcome);
 }
-
-/* Returns the counter of requests that are to be sent once more, by step. */
-static struct counter *repeat_counter(const char *step)
-{
-	return counter_labelled("cdm_repeats_total",
-				"Requests to be sent to an endpoint once more",
-				COUNTER_TOTAL, "step", step);
-}
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -139,14 +139,20 @@
 struct endpoint_wish exchange_wish(const struct exchange *x);
 void exchange_seek(struct exchange *x);
 void exchange_avoid(struct exchange *x, struct handle h);
-bool exchange_repeat_allowed(struct exchange *x);
-bool exchange_repeat_spare(struct exchange *x);
-void exchanges_borrow(struct exchanges *t);
 void exchange_refuse(struct exchange *x, int status, uint32_t retry_after_ms,
 		     const char *why);
 void exchange_fail(struct exchange *x, int status, const char *why);
 void exchange_over(struct exchange *x, const char *outcome);
 
+/* repeats.c */
+void exchange_repeats_init(struct exchanges *t);
+bool exchange_repeat_allowed(struct exchange *x);
+bool exchange_repeat_spare(struct exchange *x);
+void exchange_arrives(struct exchange *x);
+void exchange_not_arrived(struct exchange *x);
+void exchange_repeat_unused(struct exchange *x);
+void exchanges_borrow(struct exchanges *t);
+
 /* attempt.c */
 void attempt_start(struct exchange *x, struct handle at,
 		   const struct run_copy *from);
