--- a/regress/soak/soak_proxyd.c
+++ b/regress/soak/soak_proxyd.c
@@ -476,6 +476,16 @@
 	}
 }
 
+/* No instance ends but by a signal of the soak's. */
+static void check_running(void)
+{
+	size_t i;
+
+	for (i = 0; i < n_instances; i++)
+		if (running[i] && !proc_running(instances[i].proc))
+			fail_msg("%s ended by itself", instances[i].name);
+}
+
 static void step(bool with_faults)
 {
 	int i;
@@ -486,6 +496,7 @@
 		fault();
 	if (with_faults && pressing && draw(ENGINES_LOST_MS) < STEP_MS)
 		fault_of_all_engines();
+	check_running();
 	end_faults(false);
 	leave();
 	http1_client_tick(client);
