An instance that the others don't list has no part of the slack

What callers saw: nothing that is traced to it; one more way to more repeats than the budget, by reading.

Cause: an instance that reads the list of instances, but whose own entry the store does not take, divides the slack by one more than the others do, and adds its part to theirs.

--- a/proxyd/watch.c
+++ b/proxyd/watch.c
@@ -110,10 +110,10 @@
 	return !c->loaded && !c->reread.failures;
 }
 
-/* Tells whether the list of instances is known. */
+/* Tells whether the list of instances is known, and this one is on it. */
 bool watches_listed(const struct watches *w)
 {
-	return w->watch[STORE_INSTANCES].loaded;
+	return w->watch[STORE_INSTANCES].loaded && w->put;
 }
 
 /* Tells whether the store answers, as far as this instance or one that reads
--- a/regress/integration/test_repeat_budget.c
+++ b/regress/integration/test_repeat_budget.c
@@ -296,6 +296,30 @@
 	check_repeats("engine");
 }
 
+/* An instance whose entry the store does not take knows the others, and they
+ * don't know it. */
+static void instance_that_is_not_listed(void **state)
+{
+	struct standin_instance *two = &instances[1];
+
+	(void)state;
+	no_ratio();
+	start_engines(STANDIN_WORKERS_MAX);
+	start(1);
+	world->store_refuses_writes = true;
+	standin_instance(world, two, "two", NULL);
+	standin_start(world, two);
+	n_instances = 2;
+	standin_wait_status(world, two->readiness, "/readyz", 200);
+	run(2 * WINDOW_MS);
+	send_streams(&instances[0], 20);
+	send_streams(two, 20);
+	wait_old();
+	kill_engines(STANDIN_WORKERS_MAX / 2);
+	run(2000);
+	check_repeats("engine");
+}
+
 /* A process that is killed after it has used its part of the budget, and the
  * one that takes its place. */
 static void process_that_starts_again(void **state)
@@ -363,6 +387,7 @@
 	const struct CMUnitTest tests[] = {
 		CASE(allowed_while_no_engine_is_up),
 		CASE(instances_that_hear_nothing),
+		CASE(instance_that_is_not_listed),
 		CASE(process_that_starts_again),
 		CASE(addresses_of_others),
 		CASE(choices_that_were_planned_together),
--- a/regress/platform_standin.c
+++ b/regress/platform_standin.c
@@ -352,6 +352,8 @@
 		serve_get(w, c, target);
 	else if (!strncmp(target, "/rows-feed", 10))
 		serve_feed(w, c, target);
+	else if (w->store_refuses_writes)
+		http1_reply(c, 503, NULL, "", 0);
 	else
 		serve_tx(w, c, r);
 	free(target);
--- a/regress/platform_standin.h
+++ b/regress/platform_standin.h
@@ -60,6 +60,7 @@
 	const char *store_public; /* in settings; a proxy may lie between */
 	struct http1_server *store;
 	bool store_refuses; /* 503 to everything */
+	bool store_refuses_writes; /* 503 to them */
 	const char *settings; /* further lines of each instance's, or NULL */
 	uint64_t event_ms; /* between two events of a stream */
 	json_t *rows; /* of all tables */
