--- a/regress/platform_standin.c
+++ b/regress/platform_standin.c
@@ -345,15 +345,15 @@
 {
 	struct standin_world *w = arg;
 	char *target = xstrndup(r->head.target, r->head.target_len);
+	bool reads = !strncmp(target, "/rows-get", 9);
+	bool follows = !strncmp(target, "/rows-feed", 10);
 
-	if (w->store_refuses)
+	if (w->store_refuses || (w->store_refuses_writes && !reads && !follows))
 		http1_reply(c, 503, NULL, "", 0);
-	else if (!strncmp(target, "/rows-get", 9))
+	else if (reads)
 		serve_get(w, c, target);
-	else if (!strncmp(target, "/rows-feed", 10))
+	else if (follows)
 		serve_feed(w, c, target);
-	else if (w->store_refuses_writes)
-		http1_reply(c, 503, NULL, "", 0);
 	else
 		serve_tx(w, c, r);
 	free(target);
