Tests: one way to write an instance's entry

The soak, test_repeat_budget and test_peer_words each wrote the row by hand; standin_list_instance() does it. No assertion changes.

--- a/regress/integration/test_peer_words.c
+++ b/regress/integration/test_peer_words.c
@@ -15,7 +15,6 @@
 
 #include <xxhash.h>
 
-#include "lib/xalloc.h"
 #include "proto/peer.pb-c.h"
 #include "regress/platform_standin.h"
 
@@ -45,14 +44,9 @@
 /* Writes the entry of an instance that the test plays. */
 static void list_instance(const char *name)
 {
-	char *text = xasprintf(
-		"{\"callers\":\"%s\",\"peers\":\"%s\",\"control\":\"%s\","
-		"\"zone\":\"z1\"}",
-		harness_address(harness), harness_address(harness),
-		harness_address(harness));
-
-	standin_put(world, "instances", name, text);
-	free(text);
+	standin_list_instance(world, name, harness_address(harness),
+			      harness_address(harness),
+			      harness_address(harness));
 }
 
 /* An instance tells of its work at an endpoint; 0 tokens: it has none. */
--- a/regress/integration/test_repeat_budget.c
+++ b/regress/integration/test_repeat_budget.c
@@ -277,16 +277,11 @@
 	(void)state;
 	start_engines(ENGINES);
 	start(INSTANCES);
-	for (i = 0; i < INSTANCES; i++) {
-		char *text = xasprintf("{\"callers\":\"%s\",\"peers\":\"%s\","
-				       "\"control\":\"%s\",\"zone\":\"z1\"}",
-				       instances[i].callers,
-				       harness_address(harness),
-				       instances[i].control);
-
-		standin_put(world, "instances", instances[i].name, text);
-		free(text);
-	}
+	for (i = 0; i < INSTANCES; i++)
+		standin_list_instance(world, instances[i].name,
+				      instances[i].callers,
+				      instances[i].control,
+				      harness_address(harness));
 	run(2 * WINDOW_MS);
 	for (i = 0; i < INSTANCES; i++)
 		send_streams(&instances[i], 20);
--- a/regress/platform_standin.c
+++ b/regress/platform_standin.c
@@ -320,6 +320,19 @@
 	proc_wait_listening(in->proc, in->callers);
 }
 
+/* Writes an instance's entry; peers says where others send its datagrams. */
+void standin_list_instance(struct standin_world *w, const char *name,
+			   const char *callers, const char *control,
+			   const char *peers)
+{
+	char *text = xasprintf("{\"callers\":\"%s\",\"peers\":\"%s\","
+			       "\"control\":\"%s\",\"zone\":\"z1\"}",
+			       callers, peers, control);
+
+	standin_put(w, "instances", name, text);
+	free(text);
+}
+
 /* Waits until a GET is answered with a status. */
 void standin_wait_status(struct standin_world *w, const char *address,
 			 const char *path, int status)
--- a/regress/platform_standin.h
+++ b/regress/platform_standin.h
@@ -111,6 +111,9 @@
 void standin_instance(struct standin_world *w, struct standin_instance *in,
 		      const char *name, const char *seed);
 void standin_start(struct standin_world *w, struct standin_instance *in);
+void standin_list_instance(struct standin_world *w, const char *name,
+			   const char *callers, const char *control,
+			   const char *peers);
 void standin_wait_status(struct standin_world *w, const char *address,
 			 const char *path, int status);
 
--- a/regress/soak/soak_proxyd.c
+++ b/regress/soak/soak_proxyd.c
@@ -285,13 +285,8 @@
 /* Says where the others send an instance's datagrams. */
 static void say_peers(size_t i, const char *address)
 {
-	char *text = xasprintf("{\"callers\":\"%s\",\"peers\":\"%s\","
-			       "\"control\":\"%s\",\"zone\":\"z1\"}",
-			       instances[i].callers, address,
-			       instances[i].control);
-
-	standin_put(world, "instances", instances[i].name, text);
-	free(text);
+	standin_list_instance(world, instances[i].name, instances[i].callers,
+			      instances[i].control, address);
 }
 
 static void datagrams_arrive(size_t i)
