--- a/proxyd/peers_table.h
+++ b/proxyd/peers_table.h
@@ -77,7 +77,7 @@
 
 uint32_t peers_own_capacity(const struct peers *t);
 struct peer *peers_find(const struct peers *t, const char *name);
-bool peers_send(struct peers *t, const struct peer *to, const PeerDatagram *d);
+void peers_send(struct peers *t, const struct peer *to, const PeerDatagram *d);
 void peers_lend(struct peers *t, const PeerBorrow *borrow);
 void peers_take_loan(struct peers *t, const PeerLoan *loan);
 
--- a/proxyd/peers_tell.c
+++ b/proxyd/peers_tell.c
@@ -29,6 +29,9 @@
 static size_t gather_found(struct peers *t, PeerFound *found);
 static size_t gather_prompts(struct peers *t, PeerPrompt *prompts);
 static void send_all(struct peers *t, const PeerDatagram *d);
+static size_t pack(const PeerDatagram *d, uint8_t *out);
+static void send_packed(struct peers *t, const struct peer *to, uint8_t *out,
+			size_t len);
 
 /* Passes on that an endpoint was found dead. */
 void peers_tell_lost(struct peers *t, const char *endpoint)
@@ -250,29 +253,45 @@
  * comes again, or is missed by its version. */
 static void send_all(struct peers *t, const PeerDatagram *d)
 {
+	uint8_t out[DATAGRAM_MAX];
+	size_t len = pack(d, out);
 	const struct peer *peer;
 
-	TAILQ_FOREACH(peer, &t->list, link)
-	if (!peers_send(t, peer, d))
+	if (!len)
 		return;
+	TAILQ_FOREACH(peer, &t->list, link)
+	send_packed(t, peer, out, len);
 }
 
-/* Sends a datagram to an instance; false if it is too large for any. */
-bool peers_send(struct peers *t, const struct peer *to, const PeerDatagram *d)
+/* Sends a datagram to one instance. */
+void peers_send(struct peers *t, const struct peer *to, const PeerDatagram *d)
 {
 	uint8_t out[DATAGRAM_MAX];
-	uv_buf_t buf;
+	size_t len = pack(d, out);
+
+	if (len)
+		send_packed(t, to, out, len);
+}
+
+/* Packs a datagram into DATAGRAM_MAX bytes; returns its length, 0 if it is too
+ * large. */
+static size_t pack(const PeerDatagram *d, uint8_t *out)
+{
+	if (peer_datagram__get_packed_size(d) <= DATAGRAM_MAX)
+		return peer_datagram__pack(d, out);
+	event_log(EVENT_NOTABLE, "datagram-too-large", NULL, "{}");
+	return 0;
+}
+
+/* Sends what was packed to an instance. */
+static void send_packed(struct peers *t, const struct peer *to, uint8_t *out,
+			size_t len)
+{
+	const uv_buf_t buf = uv_buf_init((char *)out, (unsigned int)len);
 
-	if (peer_datagram__get_packed_size(d) > sizeof(out)) {
-		event_log(EVENT_NOTABLE, "datagram-too-large", NULL, "{}");
-		return false;
-	}
-	buf = uv_buf_init((char *)out,
-			  (unsigned int)peer_datagram__pack(d, out));
 	if (uv_udp_try_send(&t->udp, &buf, 1,
 			    (const struct sockaddr *)&to->address) > 0)
 		counter_add(t->sent, 1);
-	return true;
 }
 
 /* Returns this instance's share of a core, in thousandths. */
