Endpoint that refused as full counts as full for a time

test_not_run failed once: all requests were refused for 120 s since every endpoint looked full. cdmentryd noted a refusal as a long queue until the next load report; cdmfleetd passes on only reports that differ from the one before, and a load that the reports never showed is none of these. A refusal is now forgotten after 1.2 s, by when the load was polled again.

Ruled out: a request counted at an endpoint for ever (own_now returns to 0), admission (the sentence is the router's).

--- a/entryd/attempt.c
+++ b/entryd/attempt.c
@@ -292,7 +292,7 @@
 	if (ep && failure == ENGINE_UNREACHABLE)
 		endpoint_unreachable(a->e, ep);
 	if (ep && failure == ENGINE_BUSY)
-		ep->queued = ep->slots * 2; /* until the next report */
+		endpoint_is_full(a->e, ep);
 	lose(a, g, failure == ENGINE_MALFORMED, failure == ENGINE_BROKEN);
 }
 
--- a/entryd/endpoints.c
+++ b/entryd/endpoints.c
@@ -19,6 +19,11 @@
 #define SAME_ZONE_US 200 /* one-way latency assumed */
 #define OTHER_ZONE_US 1000
 
+/* An endpoint that refused a request as full counts as full for this time: its
+ * load is polled about once a second. */
+#define FULL_MS 1200
+#define FULL_QUEUE_PER_SLOT 2 /* requests that it then counts as having */
+
 struct endpoints {
 	struct slots table; /* of struct endpoint * */
 	size_t assign_next; /* index of the service whose choice is due */
@@ -132,6 +137,12 @@
 	}
 }
 
+/* The endpoint refused a request as it has no room. */
+void endpoint_is_full(struct entryd *e, struct endpoint *ep)
+{
+	ep->full_until = entryd_now(e) + FULL_MS;
+}
+
 /* Returns an endpoint, or NULL if it is forgotten. */
 struct endpoint *endpoint_get(const struct entryd *e, struct handle h)
 {
@@ -349,7 +360,7 @@
 		c->flags |= ROUTE_RUNS_ALONE;
 	c->slots = (uint16_t)ep->slots;
 	c->running = (uint16_t)ep->running;
-	c->queued = (uint16_t)ep->queued;
+	c->queued = (uint16_t)endpoint_queued(ep, now);
 	c->own_now = (uint16_t)ep->own_now;
 	c->own_reported = (uint16_t)ep->own_reported;
 	c->report_age_ms = ep->reported_at ? (uint32_t)(now - ep->reported_at)
@@ -357,6 +368,16 @@
 	c->zone_us = ep->zone == e->zone ? SAME_ZONE_US : OTHER_ZONE_US;
 }
 
+/* Returns the requests that wait at an endpoint.  A refusal is newer than the
+ * last report, and is forgotten by time: no report follows it if the load that
+ * is reported does not change. */
+uint32_t endpoint_queued(const struct endpoint *ep, uint64_t now)
+{
+	uint32_t full = ep->slots * FULL_QUEUE_PER_SLOT;
+
+	return now < ep->full_until && ep->queued < full ? full : ep->queued;
+}
+
 /* Tells whether a list names an endpoint. */
 static bool list_has(const struct endpoint_list *list, uint64_t id)
 {
--- a/entryd/endpoints.h
+++ b/entryd/endpoints.h
@@ -35,6 +35,7 @@
 	uint32_t running; /* of the last report */
 	uint32_t queued;
 	uint64_t reported_at; /* ms; 0: never */
+	uint64_t full_until; /* ms; it refused a request as it has no room */
 	uint64_t salt; /* of the engine's start, last seen; 0: unknown */
 	uint32_t own_now; /* this process's requests there */
 	uint32_t own_reported;
@@ -70,6 +71,8 @@
 void endpoint_release(struct entryd *e, struct endpoint *ep);
 void endpoint_check(struct entryd *e, struct endpoint *ep);
 void endpoint_unreachable(struct entryd *e, struct endpoint *ep);
+void endpoint_is_full(struct entryd *e, struct endpoint *ep);
+uint32_t endpoint_queued(const struct endpoint *ep, uint64_t now);
 json_t *endpoints_status(const struct entryd *e);
 
 #endif /* ENTRYD_ENDPOINTS_H */
--- a/regress/integration/test_not_run.c
+++ b/regress/integration/test_not_run.c
@@ -344,10 +344,44 @@
 	fleet_free(g.f);
 }
 
+/* Engines refuse requests as they are full, while their load reports say all
+ * the time that they are idle: once they have room they are used again. */
+static void test_full_engines_are_used_again(void **state)
+{
+	static const struct fleet_options options = {
+		.n_instances = 2,
+		.n_zones = 1,
+		.n_engines = 2,
+		.n_services = 2,
+		.n_organisations = 1,
+		.faults = true,
+		.slots = 4,
+		.engine_args = { "--token-ms=5", "--load-lag-ms=3600000" },
+	};
+	static const struct fault_case full = {
+		.engines = "{\"queue_max\":0,\"slots\":1,\"token_ms\":40}",
+	};
+	struct harness *h = harness_new();
+	struct group g = { .f = harness_fleet(h, &options) };
+	size_t i;
+
+	(void)state;
+	control_all(g.f, &full);
+	send_all(&g, "full", 0);
+	harness_until(h, all_ended, &g, "all requests end");
+	for (i = 0; i < REQUESTS; i++)
+		stream_close(g.requests[i].reader);
+	control_all(g.f, &well);
+	wait_well(g.f, 0);
+	harness_free(h);
+	fleet_free(g.f);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_refusals_are_true),
+		cmocka_unit_test(test_full_engines_are_used_again),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/regress/integration/test_own_answer.c
+++ b/regress/integration/test_own_answer.c
@@ -67,8 +67,9 @@
 	if (c->done || !stream_ended(c->stream))
 		return;
 	if (!c->problem && !c->handovers)
-		fail_msg("caller %zu: cut at token %u, status %d", i, c->tokens,
-			 stream_status(c->stream));
+		fail_msg("caller %zu: cut at token %u, status %d, %s", i,
+			 c->tokens, stream_status(c->stream),
+			 httpc_outcome_name(stream_outcome(c->stream)));
 	c->handovers = 0;
 	caller_go_on(c,
 		     fleet->instances[i % (N_INSTANCES - 1)].entry_advertised,
