Endpoints that leave or ask for a pause are held to their own word

Ruled out: a pause for the whole service, one that all instances keep, and an entry 'ready' of the store that takes leaving back.

--- a/policy/place.c
+++ b/policy/place.c
@@ -81,6 +81,8 @@
 static uint32_t most_drawn(const struct place_request *r,
 			   const struct place_candidate *c, size_t n,
 			   uint64_t cost_max, uint32_t least);
+static void left_out(struct place_choice *choice,
+		     const struct place_candidate *c);
 static uint32_t start_of(uint64_t rnd, size_t n);
 
 /*
@@ -104,8 +106,10 @@
 	for (k = 0; k < n; k++) {
 		uint32_t i = (uint32_t)((start + k) % n);
 
-		if (!c[i].usable)
+		if (!c[i].usable) {
+			left_out(&choice, &c[i]);
 			continue;
+		}
 		if (c[i].avoided) {
 			if (choice.outcome == PLACE_NONE_USABLE)
 				choice.outcome = PLACE_ALL_AVOIDED;
@@ -124,6 +128,8 @@
 	}
 	if (choice.outcome == PLACE_OK)
 		choice.index = most_drawn(r, c, n, best + equal, choice.index);
+	if (choice.outcome == PLACE_NONE_USABLE && choice.paused)
+		choice.outcome = PLACE_PAUSED;
 	return choice;
 }
 
@@ -176,8 +182,10 @@
 	for (k = 0; k < n; k++) {
 		uint32_t i = (uint32_t)((start + k) % n);
 
-		if (!c[i].usable)
+		if (!c[i].usable) {
+			left_out(&choice, &c[i]);
 			continue;
+		}
 		if (c[i].avoided) {
 			if (choice.outcome == PLACE_NONE_USABLE)
 				choice.outcome = PLACE_ALL_AVOIDED;
@@ -189,6 +197,8 @@
 		choice.outcome = PLACE_OK;
 		choice.index = i;
 	}
+	if (choice.outcome == PLACE_NONE_USABLE && choice.paused)
+		choice.outcome = PLACE_PAUSED;
 	return choice;
 }
 
@@ -208,11 +218,23 @@
 		[PLACE_NONE_USABLE] = "no endpoint is up",
 		[PLACE_ALL_AVOIDED] = "it failed at each endpoint that is up",
 		[PLACE_FULL] = "no endpoint has room",
+		[PLACE_PAUSED] = "all endpoints asked for a pause",
 	};
 
 	return texts[outcome];
 }
 
+/* Counts an endpoint that is not usable by why it is not. */
+static void left_out(struct place_choice *choice,
+		     const struct place_candidate *c)
+{
+	choice->leaving += c->leaving;
+	if (c->leaving || !c->paused_ms)
+		return;
+	if (!choice->paused++ || c->paused_ms < choice->pause_ms)
+		choice->pause_ms = c->paused_ms;
+}
+
 /* Tells whether a run of so many tokens finds memory and a slot. */
 static bool fits(const struct place_candidate *c, uint32_t tokens,
 		 uint32_t keep_free)
--- a/policy/place.h
+++ b/policy/place.h
@@ -11,7 +11,9 @@
  * last said that they have there. */
 struct place_candidate {
 	uint16_t zone;
-	bool usable; /* up, not leaving, not under suspicion */
+	bool usable; /* up, listed, and takes work */
+	bool leaving; /* up, but gets no new work any more */
+	uint32_t paused_ms; /* up, but wants nothing for so long; 0: no */
 	bool avoided; /* this request has failed there */
 	bool doubtful; /* not heard since others beside it were lost, or back
 			* from the dead without an answer yet */
@@ -37,11 +39,15 @@
 	PLACE_NONE_USABLE, /* no endpoint is up */
 	PLACE_ALL_AVOIDED, /* the request has failed at each that is up */
 	PLACE_FULL, /* no endpoint has room */
+	PLACE_PAUSED, /* all that are up want nothing for a while */
 };
 
 struct place_choice {
 	enum place_outcome outcome;
 	uint32_t index; /* of the candidate */
+	uint32_t leaving; /* endpoints left out as they leave */
+	uint32_t paused; /* and as they asked for a pause */
+	uint32_t pause_ms; /* until the first of these is over */
 };
 
 struct place_choice place_run(const struct place_request *r,
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -52,6 +52,51 @@
   assert(message->base.descriptor == &peer_pulse__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer_leaving__init
+                     (PeerLeaving         *message)
+{
+  static const PeerLeaving init_value = PEER_LEAVING__INIT;
+  *message = init_value;
+}
+size_t peer_leaving__get_packed_size
+                     (const PeerLeaving *message)
+{
+  assert(message->base.descriptor == &peer_leaving__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer_leaving__pack
+                     (const PeerLeaving *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer_leaving__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer_leaving__pack_to_buffer
+                     (const PeerLeaving *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer_leaving__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PeerLeaving *
+       peer_leaving__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PeerLeaving *)
+     protobuf_c_message_unpack (&peer_leaving__descriptor,
+                                allocator, len, data);
+}
+void   peer_leaving__free_unpacked
+                     (PeerLeaving *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer_leaving__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer_prompt__init
                      (PeerPrompt         *message)
 {
@@ -502,7 +547,7 @@
   assert(message->base.descriptor == &peer_instance__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor peer_pulse__field_descriptors[11] =
+static const ProtobufCFieldDescriptor peer_pulse__field_descriptors[12] =
 {
   {
     "instance",
@@ -636,6 +681,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaving_endpoints",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PeerPulse, n_leaving_endpoints),
+    offsetof(PeerPulse, leaving_endpoints),
+    &peer_leaving__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer_pulse__field_indices_by_name[] = {
   1,   /* field[1] = born */
@@ -644,6 +701,7 @@
   8,   /* field[8] = found */
   0,   /* field[0] = instance */
   2,   /* field[2] = leaving */
+  11,   /* field[11] = leaving_endpoints */
   4,   /* field[4] = loads */
   5,   /* field[5] = lost */
   10,   /* field[10] = prompts */
@@ -654,7 +712,7 @@
 {
   { 1, 0 },
   { 8, 6 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor peer_pulse__descriptor =
 {
@@ -664,13 +722,64 @@
   "PeerPulse",
   "",
   sizeof(PeerPulse),
-  11,
+  12,
   peer_pulse__field_descriptors,
   peer_pulse__field_indices_by_name,
   2,  peer_pulse__number_ranges,
   (ProtobufCMessageInit) peer_pulse__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor peer_leaving__field_descriptors[2] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PeerLeaving, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PeerLeaving, born),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer_leaving__field_indices_by_name[] = {
+  1,   /* field[1] = born */
+  0,   /* field[0] = id */
+};
+static const ProtobufCIntRange peer_leaving__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer_leaving__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PeerLeaving",
+  "PeerLeaving",
+  "PeerLeaving",
+  "",
+  sizeof(PeerLeaving),
+  2,
+  peer_leaving__field_descriptors,
+  peer_leaving__field_indices_by_name,
+  1,  peer_leaving__number_ranges,
+  (ProtobufCMessageInit) peer_leaving__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor peer_prompt__field_descriptors[2] =
 {
   {
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -16,6 +16,7 @@
 
 
 typedef struct PeerPulse PeerPulse;
+typedef struct PeerLeaving PeerLeaving;
 typedef struct PeerPrompt PeerPrompt;
 typedef struct PeerFound PeerFound;
 typedef struct PeerBorrow PeerBorrow;
@@ -81,10 +82,32 @@
    */
   size_t n_prompts;
   PeerPrompt **prompts;
+  /*
+   * endpoints that told the sender that they leave
+   */
+  size_t n_leaving_endpoints;
+  PeerLeaving **leaving_endpoints;
 };
 #define PEER_PULSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer_pulse__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL }
+
+
+/*
+ * An endpoint that leaves.
+ */
+struct  PeerLeaving
+{
+  ProtobufCMessage base;
+  char *id;
+  /*
+   * Unix time of its start, ms; 0: not known
+   */
+  uint64_t born;
+};
+#define PEER_LEAVING__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer_leaving__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -319,6 +342,25 @@
 void   peer_pulse__free_unpacked
                      (PeerPulse *message,
                       ProtobufCAllocator *allocator);
+/* PeerLeaving methods */
+void   peer_leaving__init
+                     (PeerLeaving         *message);
+size_t peer_leaving__get_packed_size
+                     (const PeerLeaving   *message);
+size_t peer_leaving__pack
+                     (const PeerLeaving   *message,
+                      uint8_t             *out);
+size_t peer_leaving__pack_to_buffer
+                     (const PeerLeaving   *message,
+                      ProtobufCBuffer     *buffer);
+PeerLeaving *
+       peer_leaving__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer_leaving__free_unpacked
+                     (PeerLeaving *message,
+                      ProtobufCAllocator *allocator);
 /* PeerPrompt methods */
 void   peer_prompt__init
                      (PeerPrompt         *message);
@@ -514,6 +556,9 @@
 typedef void (*PeerPulse_Closure)
                  (const PeerPulse *message,
                   void *closure_data);
+typedef void (*PeerLeaving_Closure)
+                 (const PeerLeaving *message,
+                  void *closure_data);
 typedef void (*PeerPrompt_Closure)
                  (const PeerPrompt *message,
                   void *closure_data);
@@ -551,6 +596,7 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor peer_pulse__descriptor;
+extern const ProtobufCMessageDescriptor peer_leaving__descriptor;
 extern const ProtobufCMessageDescriptor peer_prompt__descriptor;
 extern const ProtobufCMessageDescriptor peer_found__descriptor;
 extern const ProtobufCMessageDescriptor peer_borrow__descriptor;
--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -185,7 +185,7 @@
 
 	event_log(EVENT_ROUTINE, "sent", x->fields.id,
 		  "{s:s, s:s, s:s, s:i, s:b, s:s, s:I, s:I, s:I, s:I, s:I, "
-		  "s:I, s:b, s:b, s:b, s:b}",
+		  "s:I, s:b, s:b, s:b, s:b, s:i, s:i}",
 		  "route", x->route->name, "endpoint", e->id, "address",
 		  e->address, "send", (int)x->sends, "from_copy", x->from_copy,
 		  "copy_to", copy ? copy->id : "", "version",
@@ -197,7 +197,9 @@
 		  (json_int_t)x->fields.session, "resumes",
 		  x->fields.resumes || x->has_last_event, "staged", x->staged,
 		  "repeat", x->arrivals > 1, "kept_connection",
-		  http1_call_reused(x->call));
+		  http1_call_reused(x->call), "leaving_left_out",
+		  (int)x->left_out_leaving, "paused_left_out",
+		  (int)x->left_out_paused);
 }
 
 /* The head of an answer. */
@@ -214,10 +216,12 @@
 			  x->fields.id, "{s:i}", "status", head->status);
 		return HTTP1_SKIP;
 	}
-	if (x->answer.other_endpoint)
+	if (x->answer.other_endpoint) {
 		note_other(x);
-	else
+	} else {
 		endpoint_heard(p->endpoints, x->at);
+		endpoint_said(p->endpoints, x->at, &x->answer, x->fields.id);
+	}
 	x->status = head->status;
 	x->unframed = http1_call_unframed(x->call);
 	x->headers.len = 0;
--- a/proxyd/copy.c
+++ b/proxyd/copy.c
@@ -106,13 +106,19 @@
 	x->left_copy.at = none;
 }
 
-/* Tells whether a copy lies at an endpoint that lives. */
+/* Tells whether a copy lies at an endpoint that lives and takes work. */
 bool copy_usable(const struct exchange *x)
 {
-	const struct endpoint *e =
-		endpoint_get(x->proxyd->endpoints, x->copy.at);
+	return copy_lies_well(x->proxyd, &x->copy);
+}
 
-	return e && e->state == ENDPOINT_UP;
+/* Tells whether a run may go on from a copy where it lies now. */
+bool copy_lies_well(const struct proxyd *p, const struct run_copy *copy)
+{
+	const struct endpoint *e = endpoint_get(p->endpoints, copy->at);
+
+	return e && e->state == ENDPOINT_UP &&
+	       endpoint_takes_work(e, proxyd_now(p));
 }
 
 /* Orders a copy if the run needs one. */
@@ -156,7 +162,7 @@
 	struct http1_call_options options = { .connect_ms = CONNECT_MS };
 	struct bytes out = { 0 };
 
-	if (!source || !e)
+	if (!source || !e || holdoff_left_ms(&source->holdoff, proxyd_now(p)))
 		return;
 	options.address = source->address;
 	x->copy.ordered_at = to;
@@ -174,8 +180,13 @@
 static enum http1_verdict on_head(void *arg, const struct http1_head *head)
 {
 	struct exchange *x = arg;
+	struct proxyd *p = x->proxyd;
+	struct answer_fields answer;
 
 	x->copy.status = head->status;
+	p->protocol->decode_answer(head, &answer);
+	if (!answer.other_endpoint)
+		endpoint_said(p->endpoints, x->at, &answer, x->fields.id);
 	return HTTP1_TAKE;
 }
 
--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -95,7 +95,7 @@
 		    now - e->adopted_ms > CONFIRM_MS)
 			entry_removed(t, e, 0);
 		if (e->state == ENDPOINT_DOWN && !e->rediscovering &&
-		    lapse_takes_work(&e->lapse, now) && !e->leaving &&
+		    endpoint_takes_work(e, now) &&
 		    probe_due(t, e, store_answers)) {
 			e->probed_ms = now;
 			counter_add(t->probes, 1);
@@ -325,6 +325,58 @@
 	e->unproven = false;
 }
 
+/* Takes what the endpoint says of itself in an answer. */
+void endpoint_said(struct endpoints *t, struct handle h,
+		   const struct answer_fields *answer, const char *request)
+{
+	struct endpoint *e = endpoint_get(t, h);
+	uint64_t now = proxyd_now(t->proxyd);
+
+	if (!e)
+		return;
+	if (answer->pauses) {
+		holdoff_pause(&e->holdoff, answer->pause_ms, now);
+		event_log(EVENT_NOTABLE, "endpoint-pauses", request,
+			  "{s:s, s:I, s:I}", "endpoint", e->id, "asked_ms",
+			  (json_int_t)answer->pause_ms, "left_ms",
+			  (json_int_t)holdoff_left_ms(&e->holdoff, now));
+	}
+	if (!answer->leaving || !holdoff_leaving(&e->holdoff, now))
+		return;
+	event_log(EVENT_NOTABLE, "endpoint-leaves", request, "{s:s, s:s, s:b}",
+		  "endpoint", e->id, "by", "itself", "listed_leaving",
+		  e->leaving);
+	if (!e->leaving)
+		peers_tell_leaving(t->proxyd->peers, e->id, e->born_ms);
+}
+
+/* Another instance says that an endpoint, in a certain start, leaves. */
+void endpoint_hinted_leaving(struct endpoints *t, const char *id,
+			     uint64_t born_ms)
+{
+	struct endpoint *e = endpoint_by_id(t, id);
+
+	if (e && e->born_ms == born_ms &&
+	    holdoff_leaving(&e->holdoff, proxyd_now(t->proxyd)))
+		event_log(EVENT_NOTABLE, "endpoint-leaves", NULL,
+			  "{s:s, s:s, s:b}", "endpoint", e->id, "by",
+			  "another instance", "listed_leaving", e->leaving);
+}
+
+/* Tells whether the endpoint leaves, by its own word or its entry's. */
+bool endpoint_leaves(const struct endpoint *e)
+{
+	return e->leaving || e->holdoff.leaving_ms;
+}
+
+/* Tells whether the endpoint, if it is up, may be given work: new runs, those
+ * that go on, repeats, and questions of this system's own. */
+bool endpoint_takes_work(const struct endpoint *e, uint64_t now)
+{
+	return !e->leaving && lapse_takes_work(&e->lapse, now) &&
+	       holdoff_takes_work(&e->holdoff, now);
+}
+
 /* Asks the endpoint for a connection, on suspicion by a silent run. */
 void endpoint_probe(struct endpoints *t, struct handle h, const char *request,
 		    uint64_t silent_ms)
@@ -444,6 +496,8 @@
 			  "{s:s, s:s, s:s, s:b, s:b}", "endpoint", e->id,
 			  "service", n->service, "address", n->address,
 			  "leaving", n->leaving, "restarted", restarted);
+	if (restarted)
+		e->holdoff = (struct holdoff){ 0 };
 	snprintf(e->address, sizeof(e->address), "%s", n->address);
 	e->address_hash = XXH3_64bits(e->address, strlen(e->address));
 	e->slots = n->slots;
--- a/proxyd/endpoints.h
+++ b/proxyd/endpoints.h
@@ -7,6 +7,7 @@
 
 #include "lib/http1_client.h"
 #include "lib/slots.h"
+#include "policy/holdoff.h"
 #include "policy/lapse.h"
 #include "policy/place.h"
 #include "policy/repeat.h"
@@ -16,6 +17,7 @@
 #define ENDPOINT_ADDRESS_SIZE 32
 #define ENDPOINT_AVOID_MAX 8
 
+struct answer_fields;
 struct endpoints;
 struct http1_call;
 struct proxyd;
@@ -44,7 +46,8 @@
 	uint16_t zone;
 	uint32_t slots;
 	uint64_t born_ms;
-	bool leaving;
+	bool leaving; /* so its entry says */
+	struct holdoff holdoff; /* its own word */
 	struct lapse lapse;
 	enum endpoint_state state;
 	uint64_t down_ms; /* when it was found dead */
@@ -105,6 +108,12 @@
 			  const char *request);
 void endpoint_reached(struct endpoints *t, struct handle h);
 void endpoint_heard(struct endpoints *t, struct handle h);
+void endpoint_said(struct endpoints *t, struct handle h,
+		   const struct answer_fields *answer, const char *request);
+void endpoint_hinted_leaving(struct endpoints *t, const char *id,
+			     uint64_t born_ms);
+bool endpoint_leaves(const struct endpoint *e);
+bool endpoint_takes_work(const struct endpoint *e, uint64_t now);
 void endpoint_probe(struct endpoints *t, struct handle h, const char *request,
 		    uint64_t silent_ms);
 void endpoint_answered(struct endpoints *t, struct handle h, uint64_t took_ms,
--- a/proxyd/endpoints_place.c
+++ b/proxyd/endpoints_place.c
@@ -142,12 +142,14 @@
 		 const struct endpoint_wish *wish, uint64_t read_at)
 {
 	uint64_t now = proxyd_now(t->proxyd);
+	bool up = e->state == ENDPOINT_UP && lapse_takes_work(&e->lapse, now);
 	size_t i;
 
 	*c = (struct place_candidate){
 		.zone = e->zone,
-		.usable = e->state == ENDPOINT_UP && !e->leaving &&
-			  lapse_takes_work(&e->lapse, now),
+		.usable = up && endpoint_takes_work(e, now),
+		.leaving = up && endpoint_leaves(e),
+		.paused_ms = up ? holdoff_left_ms(&e->holdoff, now) : 0,
 		.doubtful = doubtful(e, endpoints_service(t, e->service), now),
 		.memory_tokens = s ? s->memory_tokens : 0,
 		.used_tokens = e->own.tokens + e->others.tokens,
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -43,7 +43,9 @@
 static bool find_route(struct exchange *x);
 static bool find_organisation(struct exchange *x);
 static bool takes_now(struct exchange *x);
-static void seek_failed(struct exchange *x, enum place_outcome outcome);
+static void seek_failed(struct exchange *x, const struct place_choice *choice);
+static void wait_elsewhere(struct exchange *x,
+			   const struct place_choice *choice);
 static void wait_for_room(struct exchange *x);
 static uint64_t used_tokens(const struct exchange *x);
 static void reply_error(struct exchange *x, int status, uint32_t retry_ms,
@@ -247,10 +249,12 @@
 		choice = endpoints_place(x->proxyd->endpoints, &wish,
 					 x->engine != NULL, &at);
 	}
+	x->left_out_leaving = choice.leaving;
+	x->left_out_paused = choice.paused;
 	if (choice.outcome == PLACE_OK)
 		attempt_start(x, at, NULL);
 	else
-		seek_failed(x, choice.outcome);
+		seek_failed(x, &choice);
 }
 
 /* Leaves an endpoint out of later choices. */
@@ -386,23 +390,40 @@
 }
 
 /* No endpoint takes the request now. */
-static void seek_failed(struct exchange *x, enum place_outcome outcome)
+static void seek_failed(struct exchange *x, const struct place_choice *choice)
 {
-	uint64_t now = proxyd_now(x->proxyd);
-
-	if (x->begun || x->moves) { /* a run that lost its engine */
-		if (!x->wait_until_ms) {
-			x->wait_until_ms = now + STREAM_WAIT_MS;
-			x->proxyd->exchanges->waiting_tokens += x->tokens;
-		}
-		x->phase = EXCHANGE_WAITING;
-		return;
-	}
-	if (outcome == PLACE_FULL && x->engine) {
+	const char *why = place_outcome_text(choice->outcome);
+	uint32_t retry_ms = RETRY_NONE_UP_MS;
+
+	if (choice->leaving || choice->paused)
+		event_log(EVENT_NOTABLE, "left-out", x->fields.id,
+			  "{s:s, s:i, s:i, s:I}", "outcome", why, "leaving",
+			  (int)choice->leaving, "paused", (int)choice->paused,
+			  "first_pause_left_ms", (json_int_t)choice->pause_ms);
+	if (choice->outcome == PLACE_PAUSED)
+		retry_ms = holdoff_retry_ms(choice->pause_ms, proxyd_random());
+	if (x->begun || x->moves)
+		wait_elsewhere(x, choice);
+	else if (choice->outcome == PLACE_FULL && x->engine)
 		wait_for_room(x);
-		return;
+	else
+		exchange_refuse(x, 503, retry_ms, why);
+}
+
+/* A run that lost its engine waits for another one, unless it is known that
+ * there will be none in time. */
+static void wait_elsewhere(struct exchange *x,
+			   const struct place_choice *choice)
+{
+	if (!x->wait_until_ms) {
+		x->wait_until_ms = proxyd_now(x->proxyd) + STREAM_WAIT_MS;
+		x->proxyd->exchanges->waiting_tokens += x->tokens;
 	}
-	exchange_refuse(x, 503, RETRY_NONE_UP_MS, place_outcome_text(outcome));
+	x->phase = EXCHANGE_WAITING;
+	if (choice->outcome == PLACE_PAUSED &&
+	    proxyd_now(x->proxyd) + choice->pause_ms > x->wait_until_ms)
+		exchange_refuse(x, 503, choice->pause_ms,
+				place_outcome_text(choice->outcome));
 }
 
 /* No endpoint has room: waits if that makes sense. */
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -63,6 +63,8 @@
 	uint64_t sent_ms;
 	uint32_t sends; /* endpoints that were sent it, or may have been */
 	uint32_t connects; /* that failed in a row */
+	uint32_t left_out_leaving; /* endpoints, at the last choice */
+	uint32_t left_out_paused;
 	uint32_t arrivals; /* endpoints that got it, refusals included */
 	bool may_have_run; /* an endpoint had it and gave no whole answer */
 	bool may_repeat; /* holds a repeat of the budget, to be sent */
@@ -172,6 +174,7 @@
 void copy_leave(struct exchange *x, const struct run_copy *copy);
 void copy_drop_left(struct exchange *x);
 bool copy_usable(const struct exchange *x);
+bool copy_lies_well(const struct proxyd *p, const struct run_copy *copy);
 void copy_tick(struct exchange *x, uint64_t now);
 
 /* stream.c */
--- a/proxyd/peers.c
+++ b/proxyd/peers.c
@@ -247,6 +247,10 @@
 	take_loads(t, peer, pulse);
 	for (i = 0; i < pulse->n_lost; i++)
 		endpoint_rumoured(t->proxyd->endpoints, pulse->lost[i]);
+	for (i = 0; i < pulse->n_leaving_endpoints; i++)
+		endpoint_hinted_leaving(t->proxyd->endpoints,
+					pulse->leaving_endpoints[i]->id,
+					pulse->leaving_endpoints[i]->born);
 	for (i = 0; i < pulse->n_found; i++)
 		endpoints_adopt(t->proxyd->endpoints, pulse->found[i]->id,
 				pulse->found[i]->address,
--- a/proxyd/peers.h
+++ b/proxyd/peers.h
@@ -22,6 +22,8 @@
 void peers_keep_only(struct peers *t, const struct store_row *rows, size_t n);
 void peers_tell_lost(struct peers *t, const char *endpoint);
 void peers_tell_found(struct peers *t, const char *endpoint);
+void peers_tell_leaving(struct peers *t, const char *endpoint,
+			uint64_t born_ms);
 void peers_tell_prompt(struct peers *t, uint64_t session, uint64_t endpoint);
 void peers_borrow(struct peers *t, const char *service, uint32_t repeats);
 void peers_tell_soon(struct peers *t);
--- a/proxyd/peers_table.h
+++ b/proxyd/peers_table.h
@@ -44,6 +44,7 @@
 
 struct told_endpoint {
 	char id[ENDPOINT_ID_SIZE];
+	uint64_t born_ms; /* of the start that is spoken of; 0: any */
 	uint64_t at_ms;
 };
 
@@ -69,6 +70,7 @@
 	uint64_t urgent_ms; /* a datagram is due then; 0: none */
 	struct told lost;
 	struct told found;
+	struct told leaving;
 	struct told_prompt prompts[PROMPTS_KEPT];
 	size_t prompt_next; /* the oldest */
 	struct counter *sent;
--- a/proxyd/peers_tell.c
+++ b/proxyd/peers_tell.c
@@ -23,7 +23,8 @@
 #define URGENT_MS 20
 #define URGENT_PEERS_MAX 128
 
-static void tell_of(struct peers *t, struct told *told, const char *endpoint);
+static void tell_of(struct peers *t, struct told *told, const char *endpoint,
+		    uint64_t born_ms);
 static void told_expire(struct told *told, uint64_t now);
 static size_t gather_loads(struct peers *t, PeerLoad *loads);
 static size_t gather_found(struct peers *t, PeerFound *found);
@@ -36,13 +37,19 @@
 /* Passes on that an endpoint was found dead. */
 void peers_tell_lost(struct peers *t, const char *endpoint)
 {
-	tell_of(t, &t->lost, endpoint);
+	tell_of(t, &t->lost, endpoint, 0);
 }
 
 /* Passes on that an endpoint was found without the store's word. */
 void peers_tell_found(struct peers *t, const char *endpoint)
 {
-	tell_of(t, &t->found, endpoint);
+	tell_of(t, &t->found, endpoint, 0);
+}
+
+/* Passes on that an endpoint, in a certain start, said that it leaves. */
+void peers_tell_leaving(struct peers *t, const char *endpoint, uint64_t born_ms)
+{
+	tell_of(t, &t->leaving, endpoint, born_ms);
 }
 
 /* Passes on which endpoint has read a prompt. */
@@ -112,7 +119,8 @@
 }
 
 /* Adds an endpoint to what the next datagrams say. */
-static void tell_of(struct peers *t, struct told *told, const char *endpoint)
+static void tell_of(struct peers *t, struct told *told, const char *endpoint,
+		    uint64_t born_ms)
 {
 	uint64_t now = proxyd_now(t->proxyd);
 	struct told_endpoint *e;
@@ -124,6 +132,7 @@
 	}
 	e = &told->list[told->n++];
 	snprintf(e->id, sizeof(e->id), "%s", endpoint);
+	e->born_ms = born_ms;
 	e->at_ms = now;
 	if (!t->urgent_ms)
 		t->urgent_ms = now + URGENT_MS;
@@ -149,6 +158,8 @@
 	PeerDatagram d = PEER_DATAGRAM__INIT;
 	PeerFound found[TOLD_MAX];
 	PeerFound *found_list[TOLD_MAX];
+	PeerLeaving leaving[TOLD_MAX];
+	PeerLeaving *leaving_list[TOLD_MAX];
 	char *lost[TOLD_MAX];
 	size_t i;
 
@@ -156,12 +167,21 @@
 	t->urgent_ms = 0;
 	told_expire(&t->lost, t->told_ms);
 	told_expire(&t->found, t->told_ms);
+	told_expire(&t->leaving, t->told_ms);
 	for (i = 0; i < t->lost.n; i++)
 		lost[i] = t->lost.list[i].id;
 	pulse.n_found = gather_found(t, found);
 	for (i = 0; i < pulse.n_found; i++)
 		found_list[i] = &found[i];
 	pulse.found = found_list;
+	for (i = 0; i < t->leaving.n; i++) {
+		peer_leaving__init(&leaving[i]);
+		leaving[i].id = t->leaving.list[i].id;
+		leaving[i].born = t->leaving.list[i].born_ms;
+		leaving_list[i] = &leaving[i];
+	}
+	pulse.n_leaving_endpoints = t->leaving.n;
+	pulse.leaving_endpoints = leaving_list;
 	pulse.instance = p->settings.name;
 	pulse.born = p->born_ms;
 	pulse.leaving = !stop_ready(&p->stop);
--- a/proxyd/protocol.h
+++ b/proxyd/protocol.h
@@ -49,6 +49,9 @@
 	const char *endpoint; /* id of who answers, or NULL */
 	size_t endpoint_len;
 	bool encoded; /* the body is not the endpoint's own bytes */
+	bool leaving; /* the endpoint gets no new work from now on */
+	bool pauses; /* it wants nothing for pause_ms */
+	uint64_t pause_ms;
 };
 
 /* The protocol between callers, this system and endpoints. */
--- a/proxyd/rediscover.c
+++ b/proxyd/rediscover.c
@@ -35,6 +35,7 @@
 static enum http1_verdict on_head(void *arg, const struct http1_head *head);
 static void on_body(void *arg, const char *data, size_t len);
 static void on_end(void *arg, enum http1_outcome outcome);
+static bool answers_as(const struct rediscovery *r, const struct endpoint *e);
 static void identified(struct rediscovery *r);
 static bool reports_engine(const struct rediscovery *r);
 static void adopt(struct rediscovery *r, const struct endpoint *old);
@@ -110,9 +111,17 @@
 		memcpy(r->id, fields.endpoint, fields.endpoint_len);
 		r->id[fields.endpoint_len] = '\0';
 	}
+	if (answers_as(r, endpoint_get(r->proxyd->endpoints, r->old)))
+		endpoint_said(r->proxyd->endpoints, r->old, &fields, NULL);
 	return HTTP1_TAKE;
 }
 
+/* Tells whether it is the endpoint that was asked for that answers. */
+static bool answers_as(const struct rediscovery *r, const struct endpoint *e)
+{
+	return e && !strcmp(r->id, e->id);
+}
+
 /* A part of an answer. */
 static void on_body(void *arg, const char *data, size_t len)
 {
@@ -148,7 +157,7 @@
 	struct endpoint *e = endpoint_get(p->endpoints, r->old);
 	struct reborn known;
 
-	if (!strcmp(r->id, e->id)) {
+	if (answers_as(r, e)) {
 		endpoint_heard(p->endpoints, r->old);
 		finish(r);
 		return;
--- a/proxyd/snapshot.c
+++ b/proxyd/snapshot.c
@@ -266,7 +266,7 @@
 	size_t n = 0;
 
 	while (n < ENDPOINTS_MAX && (e = endpoint_next(p->endpoints, &i))) {
-		if (e->state == ENDPOINT_OTHER || e->leaving ||
+		if (e->state == ENDPOINT_OTHER || endpoint_leaves(e) ||
 		    !lapse_takes_work(&e->lapse, proxyd_now(p)))
 			continue;
 		peer_found__init(&list[n]);
--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -114,8 +114,7 @@
 	const struct handle none = { 0 };
 	struct exchanges *t = x->proxyd->exchanges;
 	struct run_copy copy = x->left_copy;
-	const struct endpoint *e = endpoint_get(x->proxyd->endpoints, copy.at);
-	bool by_copy = e && e->state == ENDPOINT_UP;
+	bool by_copy = copy_lies_well(x->proxyd, &copy);
 
 	x->left_copy.at = none;
 	x->repeat_due = false;
--- a/regress/platform_standin.c
+++ b/regress/platform_standin.c
@@ -48,6 +48,7 @@
 static void reply_text(struct http1_conn *c, const char *headers,
 		       const char *text);
 static void on_worker(struct http1_conn *c, struct http1_request *r, void *arg);
+static const char *words_of(const struct standin_worker *worker);
 static void on_worker_gone(void *owner);
 static struct standin_arrival *record(struct standin_worker *worker,
 				      const struct http1_request *r);
@@ -201,6 +202,7 @@
 	worker->zone = zone;
 	worker->address = harness_address(w->harness);
 	worker->public_address = worker->address;
+	worker->born_ms = 1000;
 	standin_restart(worker, worker->id);
 	return worker;
 }
@@ -224,11 +226,12 @@
 /* Writes the worker's entry. */
 void standin_announce(struct standin_worker *worker, const char *state)
 {
-	char *text = xasprintf(
-		"{\"backend\":\"%s\",\"address\":\"%s\","
-		"\"zone\":\"%s\",\"version\":\"v1\",\"slots\":16,"
-		"\"state\":\"%s\",\"born\":1000}",
-		worker->service, worker->public_address, worker->zone, state);
+	char *text =
+		xasprintf("{\"backend\":\"%s\",\"address\":\"%s\","
+			  "\"zone\":\"%s\",\"version\":\"v1\",\"slots\":16,"
+			  "\"state\":\"%s\",\"born\":%u}",
+			  worker->service, worker->public_address, worker->zone,
+			  state, worker->born_ms);
 
 	standin_put(worker->world, "servers", worker->id, text);
 	free(text);
@@ -558,7 +561,8 @@
 
 	char *expected = header_value(r, "expected-instance");
 
-	snprintf(headers, sizeof(headers), "instance-id: %s\r\n", worker->id);
+	snprintf(headers, sizeof(headers), "instance-id: %s\r\n%s", worker->id,
+		 words_of(worker));
 	if (expected[0] && strcmp(expected, worker->id) != 0)
 		http1_reply(c, 421, headers, "", 0);
 	else if (!strcmp(a->target, "/healthz"))
@@ -566,9 +570,10 @@
 	else if (!strcmp(a->target, "/report"))
 		reply_text(c, headers, "{\"models\":[{\"name\":\"m\"}]}");
 	else if (!strcmp(a->target, "/kv-move"))
-		reply_text(c, NULL, "{\"handle\":\"h1\",\"created\":3}");
+		reply_text(c, words_of(worker),
+			   "{\"handle\":\"h1\",\"created\":3}");
 	else if (!strncmp(a->target, "/kv-handle/", 11))
-		http1_reply(c, 200, NULL, "", 0);
+		http1_reply(c, 200, words_of(worker), "", 0);
 	else if (!strcmp(worker->service, "engine") &&
 		 worker->mood == STANDIN_SERVES)
 		serve_stream(worker, c, a, id);
@@ -578,6 +583,12 @@
 	free(id);
 }
 
+/* Returns the header lines that all answers of a worker have. */
+static const char *words_of(const struct standin_worker *worker)
+{
+	return worker->words ? worker->words : "";
+}
+
 /* The other side of a stream left. */
 static void on_worker_gone(void *owner)
 {
@@ -613,6 +624,8 @@
 	for (i = 0; i < head.len; i++)
 		head.data[i] = (char)tolower((unsigned char)head.data[i]);
 	a->worker = worker;
+	memcpy(a->worker_id, worker->id, sizeof(a->worker_id));
+	a->words = worker->words;
 	a->at_ms = uv_now(harness_loop(w->harness));
 	a->head = head.data;
 	a->target = xstrndup(r->head.target, r->head.target_len);
@@ -626,17 +639,20 @@
 			struct standin_arrival *a, const char *id)
 {
 	char headers[512];
+	char refusal[256];
 	const char *body = "plain answer";
 
 	snprintf(headers, sizeof(headers),
-		 MARK "request-id: %s\r\nx-own: 1\r\n", id);
+		 MARK "request-id: %s\r\nx-own: 1\r\n%s", id, words_of(worker));
+	snprintf(refusal, sizeof(refusal), "not-executed: 1\r\n%s",
+		 words_of(worker));
 	a->ran = worker->mood != STANDIN_FULL && worker->mood != STANDIN_OTHER;
 	switch (worker->mood) {
 	case STANDIN_SERVES:
 		http1_reply(c, 200, headers, body, strlen(body));
 		break;
 	case STANDIN_FULL:
-		http1_reply(c, 503, "not-executed: 1\r\n", "", 0);
+		http1_reply(c, 503, refusal, "", 0);
 		break;
 	case STANDIN_FAILS:
 		http1_reply(c, 500, headers, "failed", 6);
@@ -681,8 +697,8 @@
 	s->next = worker->world->streams;
 	worker->world->streams = s;
 	snprintf(headers, sizeof(headers),
-		 MARK "content-type: text/event-stream\r\nrequest-id: %s\r\n",
-		 id);
+		 MARK "content-type: text/event-stream\r\nrequest-id: %s\r\n%s",
+		 id, words_of(worker));
 	http1_own(c, s);
 	http1_stream_begin(c, 200, headers);
 	uv_timer_init(harness_loop(worker->world->harness), &s->timer);
--- a/regress/platform_standin.h
+++ b/regress/platform_standin.h
@@ -39,6 +39,8 @@
 	const char *service; /* "engine" or "plain" */
 	const char *zone;
 	enum standin_mood mood;
+	const char *words; /* header lines of all its answers, or NULL */
+	unsigned int born_ms; /* Unix time of its start */
 	struct http1_server *server; /* NULL: it is down */
 };
 
@@ -50,6 +52,8 @@
 	char *body;
 	size_t body_len;
 	uint64_t at_ms; /* by the clock of the test's loop */
+	char worker_id[32]; /* as it was then */
+	const char *words; /* as the worker's when it answered, or NULL */
 	bool ran; /* the worker began to work on it */
 	bool closed; /* the caller's side left before the end */
 };
--- a/regress/soak/soak_proxyd.c
+++ b/regress/soak/soak_proxyd.c
@@ -24,6 +24,7 @@
 #include "regress/platform_standin.h"
 #include "regress/random.h"
 #include "regress/repeat_rule.h"
+#include "regress/soak/holdoff_rule.h"
 
 #define INSTANCES 3 /* unless the command says otherwise */
 #define INSTANCES_MAX 256
@@ -71,6 +72,7 @@
 struct call {
 	bool open;
 	char id[24];
+	unsigned number; /* as in its id */
 	enum call_kind kind;
 	struct http1_call *http;
 	int status;
@@ -101,6 +103,7 @@
 static struct call calls[CALLS_MAX];
 static unsigned n_calls;
 static uint64_t *ends_ms; /* when the time of each request is over */
+static struct holdoff_rule holdoffs;
 static unsigned served[CALL_KINDS];
 static unsigned faults;
 static int version = 2;
@@ -166,10 +169,20 @@
 static void mood_ends(size_t i)
 {
 	world->workers[i].mood = STANDIN_SERVES;
+	world->workers[i].words = NULL;
+}
+
+/* A worker that said it leaves has left; another one takes its place. */
+static void worker_left(size_t i)
+{
+	standin_kill(&world->workers[i]);
+	world->workers[i].words = NULL;
+	worker_returns(i);
 }
 
 static void link_heals(size_t i)
 {
+	holdoff_rule_link_fault(&holdoffs, i, now_ms());
 	harness_control(harness, fault_control, "{\"%s\":{\"mode\":\"pass\"}}",
 			mapped[i]);
 }
@@ -182,6 +195,7 @@
 
 static void instance_wakes(size_t i)
 {
+	holdoff_rule_excuse(&holdoffs, i, now_ms());
 	proc_signal(instances[i].proc, SIGCONT);
 	running[i] = true;
 }
@@ -193,6 +207,7 @@
 	instances[i].proc = HARNESS_START(harness, instances[i].name,
 					  "cdmproxyd", "-f",
 					  instances[i].settings);
+	holdoff_rule_excuse(&holdoffs, i, now_ms());
 	running[i] = true;
 }
 
@@ -211,7 +226,16 @@
 	};
 	size_t i = draw(WORKERS);
 
-	if (draw(2)) {
+	if (world->workers[i].words)
+		return; /* it says something already */
+	if (!draw(4)) {
+		world->workers[i].words = HOLDOFF_LEAVES;
+		later(2500 + draw(2000), worker_left, i);
+	} else if (!draw(4)) {
+		world->workers[i].words = HOLDOFF_PAUSES;
+		world->workers[i].mood = STANDIN_FULL;
+		later(100 + draw(300), mood_ends, i);
+	} else if (draw(2)) {
 		standin_kill(&world->workers[i]);
 		later(300 + draw(1500), worker_returns, i);
 	} else {
@@ -222,6 +246,7 @@
 
 static void reset_link(size_t i)
 {
+	holdoff_rule_link_fault(&holdoffs, i, now_ms());
 	harness_control(harness, fault_control, "{\"%s\":{\"reset\":true}}",
 			mapped[i]);
 }
@@ -233,6 +258,7 @@
 	size_t i = draw(FAULT_MAPPINGS);
 
 	if (draw(3)) {
+		holdoff_rule_link_fault(&holdoffs, i, now_ms());
 		harness_control(harness, fault_control,
 				"{\"%s\":{\"mode\":\"%s\"}}", mapped[i],
 				modes[draw(4)]);
@@ -351,6 +377,8 @@
 	struct call *c = arg;
 
 	c->status = head->status;
+	if (http1_find(head, "server-leaving"))
+		holdoff_rule_passed_on(&holdoffs, world, c->number, now_ms());
 	return HTTP1_TAKE;
 }
 
@@ -424,8 +452,9 @@
 		"POST /write/a HTTP/1.1\r\ncontent-length: 1\r\n"
 		"token-usage: 300,100\r\nprompt-prefix: a:300\r\n",
 	};
+	size_t instance = draw(n_instances);
 	const struct http1_call_options options = {
-		.address = instances[draw(n_instances)].callers,
+		.address = instances[instance].callers,
 		.connect_ms = 500,
 		.reuse_ms = draw(2) ? 5000 : 0,
 	};
@@ -444,6 +473,8 @@
 	c->started_ms = now_ms();
 	ends_ms = xreallocarray(ends_ms, n_calls + 2, sizeof(*ends_ms));
 	snprintf(c->id, sizeof(c->id), "r-%u", ++n_calls);
+	c->number = n_calls;
+	holdoff_rule_sent(&holdoffs, n_calls, instance, c->started_ms);
 	ends_ms[n_calls] = c->started_ms + kinds[c->kind].deadline_ms;
 	bytes_addf(&out,
 		   "%shost: 127.0.0.1\r\ncredential: k1\r\nrequest-id: %s\r\n"
@@ -656,6 +687,8 @@
 	check_repeats("plain");
 	check_repeats("engine");
 	check_deadlines();
+	holdoff_rule_check(&holdoffs, seed, world);
+	holdoff_rule_release(&holdoffs);
 	free(ends_ms);
 	repeat_rule_release(&rule);
 	for (i = 0; i < n_instances; i++) {
