--- a/policy/place.c
+++ b/policy/place.c
@@ -35,6 +35,14 @@
 /* Requests at a plain endpoint count as if each took at least so long. */
 #define LATENCY_FLOOR_MS 5
 
+/* What others said of their plain calls longer ago than this tells nothing of
+ * where calls are now, and all instances would go by the same old words. */
+#define PLAIN_VIEW_MS 1000
+
+/* Drawn by weight, an endpoint whose answers are not known for lately counts as
+ * if each took so long. */
+#define DRAWN_FLOOR_MS 40
+
 /* Four in ten failures make an endpoint look five times as loaded. */
 #define FAILING_WEIGHT 10
 
@@ -61,6 +69,14 @@
 			    const struct place_candidate *c);
 static uint64_t plain_cost(const struct place_request *r,
 			   const struct place_candidate *c);
+static uint64_t plain_work(const struct place_request *r,
+			   const struct place_candidate *c, uint32_t requests,
+			   uint32_t floor_ms);
+static uint64_t plain_weight(const struct place_request *r,
+			     const struct place_candidate *c);
+static uint32_t draw_plain(const struct place_request *r,
+			   const struct place_candidate *c, size_t n,
+			   uint64_t rnd);
 static bool takes_copy(const struct place_request *r,
 		       const struct place_candidate *c,
 		       const struct place_candidate *run_at);
@@ -167,8 +183,11 @@
 
 /*
  * Chooses the endpoint of a plain call: the least work waiting, reckoned by
- * how long its answers take and how often they fail.  Answers the pattern of
- * one of three endpoints turning slow, or failing while it says it is well.
+ * how long its answers take and how often they fail; or, where what is known of
+ * the others' calls is old, one drawn with a weight that falls with the work
+ * known here.  Answers two patterns: one of three endpoints turning slow, or
+ * failing while it says it is well; and hundreds of instances that would all
+ * send their calls to the endpoint that had the least seconds ago.
  */
 struct place_choice place_plain(const struct place_request *r,
 				const struct place_candidate *c, size_t n,
@@ -197,11 +216,39 @@
 		choice.outcome = PLACE_OK;
 		choice.index = i;
 	}
+	if (choice.outcome == PLACE_OK && r->view_age_ms > PLAIN_VIEW_MS)
+		choice.index = draw_plain(r, c, n, rnd);
 	if (choice.outcome == PLACE_NONE_USABLE && choice.paused)
 		choice.outcome = PLACE_PAUSED;
 	return choice;
 }
 
+/* Draws one of the candidates that take a plain call, of which there is one at
+ * least, by weight. */
+static uint32_t draw_plain(const struct place_request *r,
+			   const struct place_candidate *c, size_t n,
+			   uint64_t rnd)
+{
+	uint64_t sum = 0;
+	uint32_t last = 0;
+	uint64_t left;
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		if (c[i].usable && !c[i].avoided)
+			sum += plain_weight(r, &c[i]);
+	left = rnd % sum;
+	for (i = 0; i < n; i++) {
+		if (!c[i].usable || c[i].avoided)
+			continue;
+		last = (uint32_t)i;
+		if (left < plain_weight(r, &c[i]))
+			break;
+		left -= plain_weight(r, &c[i]);
+	}
+	return last;
+}
+
 /* Returns what an old observation still counts for: half of it after half_ms.
  * An endpoint that was slow or failed gets nothing while others are better, so
  * that only time can tell that it has recovered. */
@@ -366,9 +413,25 @@
 static uint64_t plain_cost(const struct place_request *r,
 			   const struct place_candidate *c)
 {
-	uint64_t ms = c->latency_ms > LATENCY_FLOOR_MS ? c->latency_ms
-						       : LATENCY_FLOOR_MS;
-	uint64_t cost = (c->requests + 1) * ms *
+	return plain_work(r, c, c->requests, LATENCY_FLOOR_MS);
+}
+
+/* Returns the weight of a candidate that is drawn, 1 or more. */
+static uint64_t plain_weight(const struct place_request *r,
+			     const struct place_candidate *c)
+{
+	return UINT32_MAX / plain_work(r, c, c->own_requests, DRAWN_FLOOR_MS) +
+	       1;
+}
+
+/* Reckons the work before a new call with so many others there, each of which
+ * takes floor_ms at least, in thousandths of a millisecond. */
+static uint64_t plain_work(const struct place_request *r,
+			   const struct place_candidate *c, uint32_t requests,
+			   uint32_t floor_ms)
+{
+	uint64_t ms = c->latency_ms > floor_ms ? c->latency_ms : floor_ms;
+	uint64_t cost = (requests + 1) * ms *
 			(PERMILLE + c->failing_permille * FAILING_WEIGHT) *
 			(c->doubtful ? DOUBT_FACTOR : 1);
 
--- a/policy/place.h
+++ b/policy/place.h
@@ -21,6 +21,7 @@
 	uint32_t used_tokens; /* of runs and of copies */
 	uint32_t prefill_tokens; /* prompts that have no first event yet */
 	uint32_t requests;
+	uint32_t own_requests; /* of these, this instance's */
 	uint32_t prefills; /* requests among these that have no event yet */
 	uint32_t slots;
 	uint32_t latency_ms; /* usual time of a plain answer; 0: not known */
@@ -32,6 +33,7 @@
 	uint32_t tokens; /* memory at the end of the run; 0: plain */
 	uint16_t zone; /* of this instance */
 	bool resumes; /* its prompt was read before, where it ran */
+	uint32_t view_age_ms; /* of the others' plain calls, at most */
 };
 
 enum place_outcome {
--- a/policy/reread.c
+++ b/policy/reread.c
@@ -20,8 +20,11 @@
  * none depends on another one's link. */
 #define ALL_READ_MAX 16
 
-/* Instances that read for the others: two, as one may be lost. */
+/* Instances that read for the others: two, as one may be lost; and one more for
+ * each that the store does not answer, up to so many.  If it answers none of
+ * these it is away for all. */
 #define READERS 2
+#define READERS_MAX 16
 
 /* The store keeps a call waiting for 30 s at most. */
 #define FOLLOW_MS 25000
@@ -31,14 +34,15 @@
 #define FOLLOW_FOR_OTHERS_MS 400
 #define FRESH_MS 900
 
-/* Without a word of a reader for this time, somewhat more than between two of
- * its datagrams, an instance reads for itself. */
-#define SILENT_MS 400
-#define SILENT_PER_INSTANCE_MS 14
+/* Without a word of any reader for this time, in which others step in for one
+ * that was lost, an instance is cut off from them and reads for itself; so it
+ * does if the store has answered none for the longer time. */
+#define SILENT_MS 1800
+#define AWAY_MS 5000
 
 /* A change that others have and this instance has not is on its way for this
- * time; then its datagram counts as lost. */
-#define BEHIND_MS 100
+ * time, in which a second reader tells it too; then it counts as lost. */
+#define BEHIND_MS 300
 
 #define RETRY_MIN_MS 150
 #define RETRY_MAX_MS 800
@@ -49,9 +53,11 @@
 #define OUTAGE_FAILURES 2
 
 /* Tells whether an instance reads the store for the others. */
-bool reread_designated(size_t before, size_t instances)
+bool reread_designated(const struct reread_others *others)
 {
-	return instances > ALL_READ_MAX && before < READERS;
+	return others->instances > ALL_READ_MAX &&
+	       others->before < READERS + others->unable &&
+	       others->before + others->unable < READERS_MAX;
 }
 
 /* Returns how long a call waits for changes, ms.  One that reads for others
@@ -70,16 +76,13 @@
 /* Tells whether an instance asks the store now. */
 bool reread_itself(const struct reread_others *others, uint64_t now)
 {
-	uint64_t silence = SILENT_MS +
-			   (uint64_t)others->instances * SILENT_PER_INSTANCE_MS;
-
-	if (others->instances <= ALL_READ_MAX ||
-	    reread_designated(others->before, others->instances) ||
+	if (others->instances <= ALL_READ_MAX || reread_designated(others) ||
 	    !others->reading_ms)
 		return true;
 	if (others->behind_ms && now - others->behind_ms > BEHIND_MS)
 		return true;
-	return now - others->reading_ms > silence;
+	return now - others->said_ms > SILENT_MS ||
+	       now - others->reading_ms > AWAY_MS;
 }
 
 /* Returns how long to wait before the next call, ms. */
--- a/policy/reread.h
+++ b/policy/reread.h
@@ -14,13 +14,15 @@
 
 /* What this instance knows of the others that read the store. */
 struct reread_others {
-	size_t before; /* instances that live and come before it in order */
+	size_t before; /* instances that live, come before it and could read */
+	size_t unable; /* that are to read, but the store answers none of them */
 	size_t instances; /* that live, itself included */
-	uint64_t reading_ms; /* when one last said that it reads; 0: none */
+	uint64_t said_ms; /* when one that is to read was last heard; 0: none */
+	uint64_t reading_ms; /* when the store last answered one; 0: never */
 	uint64_t behind_ms; /* since when one has newer rows; 0: none has */
 };
 
-bool reread_designated(size_t before, size_t instances);
+bool reread_designated(const struct reread_others *others);
 uint32_t reread_follow_ms(bool for_others);
 bool reread_fresh(uint64_t answered_ms, uint64_t now);
 bool reread_itself(const struct reread_others *others, uint64_t now);
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -367,6 +367,96 @@
   assert(message->base.descriptor == &peer_row__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer_reader__init
+                     (PeerReader         *message)
+{
+  static const PeerReader init_value = PEER_READER__INIT;
+  *message = init_value;
+}
+size_t peer_reader__get_packed_size
+                     (const PeerReader *message)
+{
+  assert(message->base.descriptor == &peer_reader__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer_reader__pack
+                     (const PeerReader *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer_reader__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer_reader__pack_to_buffer
+                     (const PeerReader *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer_reader__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PeerReader *
+       peer_reader__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PeerReader *)
+     protobuf_c_message_unpack (&peer_reader__descriptor,
+                                allocator, len, data);
+}
+void   peer_reader__free_unpacked
+                     (PeerReader *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer_reader__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer_work__init
+                     (PeerWork         *message)
+{
+  static const PeerWork init_value = PEER_WORK__INIT;
+  *message = init_value;
+}
+size_t peer_work__get_packed_size
+                     (const PeerWork *message)
+{
+  assert(message->base.descriptor == &peer_work__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer_work__pack
+                     (const PeerWork *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer_work__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer_work__pack_to_buffer
+                     (const PeerWork *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer_work__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PeerWork *
+       peer_work__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PeerWork *)
+     protobuf_c_message_unpack (&peer_work__descriptor,
+                                allocator, len, data);
+}
+void   peer_work__free_unpacked
+                     (PeerWork *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer_work__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer_datagram__init
                      (PeerDatagram         *message)
 {
@@ -1255,7 +1345,174 @@
   (ProtobufCMessageInit) peer_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer_datagram__field_descriptors[4] =
+static const ProtobufCFieldDescriptor peer_reader__field_descriptors[6] =
+{
+  {
+    "instance",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PeerReader, instance),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PeerReader, born),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answers",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PeerReader, answers),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ends",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PeerReader, ends),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoints_version",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PeerReader, endpoints_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PeerReader, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer_reader__field_indices_by_name[] = {
+  2,   /* field[2] = answers */
+  1,   /* field[1] = born */
+  4,   /* field[4] = endpoints_version */
+  3,   /* field[3] = ends */
+  0,   /* field[0] = instance */
+  5,   /* field[5] = version */
+};
+static const ProtobufCIntRange peer_reader__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor peer_reader__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PeerReader",
+  "PeerReader",
+  "PeerReader",
+  "",
+  sizeof(PeerReader),
+  6,
+  peer_reader__field_descriptors,
+  peer_reader__field_indices_by_name,
+  1,  peer_reader__number_ranges,
+  (ProtobufCMessageInit) peer_reader__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer_work__field_descriptors[3] =
+{
+  {
+    "instance",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(PeerWork, instance),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "loads",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PeerWork, n_loads),
+    offsetof(PeerWork, loads),
+    &peer_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "prompts",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PeerWork, n_prompts),
+    offsetof(PeerWork, prompts),
+    &peer_prompt__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer_work__field_indices_by_name[] = {
+  0,   /* field[0] = instance */
+  1,   /* field[1] = loads */
+  2,   /* field[2] = prompts */
+};
+static const ProtobufCIntRange peer_work__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor peer_work__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PeerWork",
+  "PeerWork",
+  "PeerWork",
+  "",
+  sizeof(PeerWork),
+  3,
+  peer_work__field_descriptors,
+  peer_work__field_indices_by_name,
+  1,  peer_work__number_ranges,
+  (ProtobufCMessageInit) peer_work__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer_datagram__field_descriptors[6] =
 {
   {
     "pulse",
@@ -1305,17 +1562,43 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reader",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(PeerDatagram, reader),
+    &peer_reader__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "work",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(PeerDatagram, work),
+    &peer_work__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer_datagram__field_indices_by_name[] = {
   2,   /* field[2] = borrow */
   3,   /* field[3] = loan */
   0,   /* field[0] = pulse */
+  4,   /* field[4] = reader */
   1,   /* field[1] = rows */
+  5,   /* field[5] = work */
 };
 static const ProtobufCIntRange peer_datagram__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor peer_datagram__descriptor =
 {
@@ -1325,7 +1608,7 @@
   "PeerDatagram",
   "",
   sizeof(PeerDatagram),
-  4,
+  6,
   peer_datagram__field_descriptors,
   peer_datagram__field_indices_by_name,
   1,  peer_datagram__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -23,6 +23,8 @@
 typedef struct PeerLoan PeerLoan;
 typedef struct PeerRows PeerRows;
 typedef struct PeerRow PeerRow;
+typedef struct PeerReader PeerReader;
+typedef struct PeerWork PeerWork;
 typedef struct PeerDatagram PeerDatagram;
 typedef struct PeerLoad PeerLoad;
 typedef struct PeerSnapshot PeerSnapshot;
@@ -244,6 +246,65 @@
     , (char *)protobuf_c_empty_string, 0, {0,NULL} }
 
 
+/*
+ * Said often by an instance that is to read the store for others.
+ */
+struct  PeerReader
+{
+  ProtobufCMessage base;
+  char *instance;
+  /*
+   * as in its pulse
+   */
+  uint64_t born;
+  /*
+   * the store answers it
+   */
+  protobuf_c_boolean answers;
+  /*
+   * it reads no more
+   */
+  protobuf_c_boolean ends;
+  /*
+   * as in its pulse
+   */
+  uint64_t endpoints_version;
+  /*
+   * of the configuration in force; 0: none
+   */
+  uint64_t version;
+};
+#define PEER_READER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer_reader__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+
+
+/*
+ * What has changed of an instance's work since it last spoke of it.
+ */
+struct  PeerWork
+{
+  ProtobufCMessage base;
+  /*
+   * hash of its name
+   */
+  uint64_t instance;
+  /*
+   * whole, of the endpoints where they changed
+   */
+  size_t n_loads;
+  PeerLoad **loads;
+  /*
+   * as in a pulse
+   */
+  size_t n_prompts;
+  PeerPrompt **prompts;
+};
+#define PEER_WORK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer_work__descriptor) \
+    , 0, 0,NULL, 0,NULL }
+
+
 /*
  * One datagram.
  */
@@ -254,10 +315,12 @@
   PeerRows *rows;
   PeerBorrow *borrow;
   PeerLoan *loan;
+  PeerReader *reader;
+  PeerWork *work;
 };
 #define PEER_DATAGRAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer_datagram__descriptor) \
-    , NULL, NULL, NULL, NULL }
+    , NULL, NULL, NULL, NULL, NULL, NULL }
 
 
 /*
@@ -475,6 +538,44 @@
 void   peer_row__free_unpacked
                      (PeerRow *message,
                       ProtobufCAllocator *allocator);
+/* PeerReader methods */
+void   peer_reader__init
+                     (PeerReader         *message);
+size_t peer_reader__get_packed_size
+                     (const PeerReader   *message);
+size_t peer_reader__pack
+                     (const PeerReader   *message,
+                      uint8_t             *out);
+size_t peer_reader__pack_to_buffer
+                     (const PeerReader   *message,
+                      ProtobufCBuffer     *buffer);
+PeerReader *
+       peer_reader__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer_reader__free_unpacked
+                     (PeerReader *message,
+                      ProtobufCAllocator *allocator);
+/* PeerWork methods */
+void   peer_work__init
+                     (PeerWork         *message);
+size_t peer_work__get_packed_size
+                     (const PeerWork   *message);
+size_t peer_work__pack
+                     (const PeerWork   *message,
+                      uint8_t             *out);
+size_t peer_work__pack_to_buffer
+                     (const PeerWork   *message,
+                      ProtobufCBuffer     *buffer);
+PeerWork *
+       peer_work__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer_work__free_unpacked
+                     (PeerWork *message,
+                      ProtobufCAllocator *allocator);
 /* PeerDatagram methods */
 void   peer_datagram__init
                      (PeerDatagram         *message);
@@ -577,6 +678,12 @@
 typedef void (*PeerRow_Closure)
                  (const PeerRow *message,
                   void *closure_data);
+typedef void (*PeerReader_Closure)
+                 (const PeerReader *message,
+                  void *closure_data);
+typedef void (*PeerWork_Closure)
+                 (const PeerWork *message,
+                  void *closure_data);
 typedef void (*PeerDatagram_Closure)
                  (const PeerDatagram *message,
                   void *closure_data);
@@ -603,6 +710,8 @@
 extern const ProtobufCMessageDescriptor peer_loan__descriptor;
 extern const ProtobufCMessageDescriptor peer_rows__descriptor;
 extern const ProtobufCMessageDescriptor peer_row__descriptor;
+extern const ProtobufCMessageDescriptor peer_reader__descriptor;
+extern const ProtobufCMessageDescriptor peer_work__descriptor;
 extern const ProtobufCMessageDescriptor peer_datagram__descriptor;
 extern const ProtobufCMessageDescriptor peer_load__descriptor;
 extern const ProtobufCMessageDescriptor peer_snapshot__descriptor;
--- a/proxyd/endpoints.h
+++ b/proxyd/endpoints.h
@@ -62,6 +62,7 @@
 	struct proxyd *proxyd;
 	struct endpoint_load own;
 	struct endpoint_load others; /* of the other instances */
+	bool work_news; /* the own load has changed since it was told */
 	float latency_ms; /* moving mean of plain answers; 0: none yet */
 	float failing; /* moving share of failures, 0 to 1 */
 	uint64_t answered_ms; /* when these two were last told */
--- a/proxyd/endpoints_place.c
+++ b/proxyd/endpoints_place.c
@@ -8,6 +8,8 @@
 #include <xxhash.h>
 
 #include "lib/xalloc.h"
+#include "policy/presence.h"
+#include "proxyd/peers.h"
 #include "proxyd/proxyd.h"
 
 /* A loss puts the endpoints beside it in doubt for this time. */
@@ -43,6 +45,8 @@
 		.tokens = wish->tokens,
 		.zone = t->own_zone,
 		.resumes = wish->resumes,
+		.view_age_ms = presence_interval_ms(
+			peers_listed(t->proxyd->peers) + 1),
 	};
 	size_t n = gather(t, wish);
 	struct place_choice choice =
@@ -155,6 +159,7 @@
 		.used_tokens = e->own.tokens + e->others.tokens,
 		.prefill_tokens = e->own.prefill + e->others.prefill,
 		.requests = e->own.requests + e->others.requests,
+		.own_requests = e->own.requests,
 		.prefills = e->own.prefills + e->others.prefills,
 		.slots = e->slots,
 		.latency_ms = (uint32_t)place_faded(
--- a/proxyd/peers.c
+++ b/proxyd/peers.c
@@ -9,6 +9,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "lib/event_log.h"
 #include "lib/settings.h"
 #include "lib/xalloc.h"
@@ -20,11 +22,17 @@
 static void on_datagram(uv_udp_t *udp, ssize_t n, const uv_buf_t *buf,
 			const struct sockaddr *from, unsigned int flags);
 static void take_pulse(struct peers *t, const PeerPulse *pulse);
+static void take_reader(struct peers *t, const PeerReader *said);
+static void take_work(struct peers *t, const PeerWork *work);
+static void take_prompts(struct peers *t, PeerPrompt **prompts, size_t n);
+static struct peer_load load_of(const PeerLoad *l);
 static void take_rows(struct peers *t, const PeerRows *rows);
 static bool comes_before(const struct peers *t, const struct peer *peer);
 static void take_loads(struct peers *t, struct peer *peer,
 		       const PeerPulse *pulse);
 static void add_loads(struct peers *t, struct peer *peer);
+static void load_add(struct peers *t, struct peer_load *l);
+static void load_take_off(struct peers *t, const struct peer_load *l);
 static void remove_loads(struct peers *t, struct peer *peer);
 static void forget(struct peers *t, struct peer *peer);
 static void judge(struct peers *t);
@@ -68,6 +76,8 @@
 {
 	uint64_t now = proxyd_now(t->proxyd);
 
+	peers_tell_reader(t);
+	peers_tell_changed_work(t);
 	if ((t->urgent_ms && now >= t->urgent_ms) ||
 	    now - t->told_ms >= presence_interval_ms(t->n + 1))
 		peers_tell_now(t);
@@ -96,6 +106,7 @@
 	if (!peer) {
 		peer = xcalloc(1, sizeof(*peer));
 		peer->name = xstrdup(row->key);
+		peer->hash = peers_name_hash(row->key);
 		TAILQ_INSERT_TAIL(&t->list, peer, link);
 		t->n++;
 	}
@@ -208,6 +219,10 @@
 		take_pulse(t, d->pulse);
 	if (d->rows)
 		take_rows(t, d->rows);
+	if (d->work)
+		take_work(t, d->work);
+	if (d->reader)
+		take_reader(t, d->reader);
 	if (d->borrow)
 		peers_lend(t, d->borrow);
 	if (d->loan)
@@ -226,6 +241,12 @@
 	return NULL;
 }
 
+/* Returns the hash by which short datagrams name an instance. */
+uint64_t peers_name_hash(const char *name)
+{
+	return XXH3_64bits(name, strlen(name));
+}
+
 /* Takes what an instance says. */
 static void take_pulse(struct peers *t, const PeerPulse *pulse)
 {
@@ -256,19 +277,44 @@
 				pulse->found[i]->address,
 				pulse->found[i]->service,
 				pulse->found[i]->zone);
-	for (i = 0; i < pulse->n_prompts; i++)
-		endpoints_prompt_read(t->proxyd->endpoints,
-				      pulse->prompts[i]->session,
-				      pulse->prompts[i]->endpoint);
+	take_prompts(t, pulse->prompts, pulse->n_prompts);
 	if (pulse->reading) {
-		peer->reading_ms = peer->presence.heard_ms;
+		reader_says(&peer->reader, true, peer->presence.heard_ms);
 		watches_hear(t->proxyd->watches, STORE_ENDPOINTS,
 			     pulse->endpoints_version);
+	} else {
+		reader_lives(&peer->reader, peer->presence.heard_ms);
 	}
 	watches_hear_configuration(t->proxyd->watches, pulse->version,
 				   peer->control);
 }
 
+/* Takes what an instance says of reading the store for others. */
+static void take_reader(struct peers *t, const PeerReader *said)
+{
+	struct peer *peer = peers_find(t, said->instance);
+	uint64_t now = proxyd_now(t->proxyd);
+	bool could;
+
+	if (!peer || said->born < peer->born_ms)
+		return;
+	could = peer->reader.said_ms && !peer->reader.unable;
+	peer->presence.heard_ms = now;
+	if (said->ends)
+		reader_ends(&peer->reader);
+	else
+		reader_says(&peer->reader, said->answers, now);
+	if (could != (peer->reader.said_ms && !peer->reader.unable))
+		event_log(EVENT_NOTABLE, "reader", NULL, "{s:s, s:b, s:b}",
+			  "peer", peer->name, "answers", said->answers, "ends",
+			  said->ends);
+	if (said->answers && !said->ends)
+		watches_hear(t->proxyd->watches, STORE_ENDPOINTS,
+			     said->endpoints_version);
+	watches_hear_configuration(t->proxyd->watches, said->version,
+				   peer->control);
+}
+
 /* Takes changes of a table that another instance has read. */
 static void take_rows(struct peers *t, const PeerRows *rows)
 {
@@ -305,58 +351,116 @@
 	for (i = 0; i < peer->n_loads; i++) {
 		const PeerLoad *l = pulse->loads[i];
 
-		peer->loads[i] = (struct peer_load){
-			.endpoint = l->endpoint,
-			.load = { .tokens = l->tokens,
-				  .prefill = l->prefill,
-				  .requests = l->requests,
-				  .prefills = l->prefills },
-		};
+		peer->loads[i] = load_of(l);
 	}
 	add_loads(t, peer);
 }
 
-/* Adds an instance's loads to those of the endpoints that are known. */
-static void add_loads(struct peers *t, struct peer *peer)
+/* Takes what has changed of an instance's work: an endpoint's load takes the
+ * place of the one that was told before. */
+static void take_work(struct peers *t, const PeerWork *work)
 {
+	struct peer *peer;
 	size_t i;
+	size_t k;
 
-	for (i = 0; i < peer->n_loads; i++) {
-		struct peer_load *l = &peer->loads[i];
-		struct endpoint *e =
-			endpoint_by_hash(t->proxyd->endpoints, l->endpoint);
+	TAILQ_FOREACH(peer, &t->list, link)
+	if (peer->hash == work->instance)
+		break;
+	if (!peer)
+		return;
+	peer->presence.heard_ms = proxyd_now(t->proxyd);
+	for (i = 0; i < work->n_loads; i++) {
+		const PeerLoad *l = work->loads[i];
 
-		if (!e)
+		for (k = 0; k < peer->n_loads; k++)
+			if (peer->loads[k].endpoint == l->endpoint)
+				break;
+		if (k < peer->n_loads)
+			load_take_off(t, &peer->loads[k]);
+		else if (k < LOADS_MAX)
+			peer->n_loads++;
+		else
 			continue;
-		l->at = e->self;
-		e->others.tokens += l->load.tokens;
-		e->others.prefill += l->load.prefill;
-		e->others.requests += l->load.requests;
-		e->others.prefills += l->load.prefills;
+		peer->loads[k] = load_of(l);
+		load_add(t, &peer->loads[k]);
+		if (!l->requests && !l->tokens) {
+			peer->loads[k] = peer->loads[--peer->n_loads];
+		}
 	}
+	take_prompts(t, work->prompts, work->n_prompts);
 }
 
-/* Takes an instance's loads off where they were added, unless the endpoint was
- * forgotten since. */
-static void remove_loads(struct peers *t, struct peer *peer)
+/* Takes where prompts were read. */
+static void take_prompts(struct peers *t, PeerPrompt **prompts, size_t n)
 {
 	size_t i;
 
-	for (i = 0; i < peer->n_loads; i++) {
-		const struct endpoint_load *l = &peer->loads[i].load;
-		struct endpoint *e =
-			endpoint_get(t->proxyd->endpoints, peer->loads[i].at);
+	for (i = 0; i < n; i++)
+		endpoints_prompt_read(t->proxyd->endpoints, prompts[i]->session,
+				      prompts[i]->endpoint);
+}
 
-		if (!e)
-			continue;
-		e->others.tokens -= l->tokens;
-		e->others.prefill -= l->prefill;
-		e->others.requests -= l->requests;
-		e->others.prefills -= l->prefills;
-	}
+/* Returns a load as another instance tells of it. */
+static struct peer_load load_of(const PeerLoad *l)
+{
+	return (struct peer_load){
+		.endpoint = l->endpoint,
+		.load = { .tokens = l->tokens,
+			  .prefill = l->prefill,
+			  .requests = l->requests,
+			  .prefills = l->prefills },
+	};
+}
+
+/* Adds an instance's loads to those of the endpoints that are known. */
+static void add_loads(struct peers *t, struct peer *peer)
+{
+	size_t i;
+
+	for (i = 0; i < peer->n_loads; i++)
+		load_add(t, &peer->loads[i]);
+}
+
+/* Adds a load to that of its endpoint, if that is known. */
+static void load_add(struct peers *t, struct peer_load *l)
+{
+	struct endpoint *e =
+		endpoint_by_hash(t->proxyd->endpoints, l->endpoint);
+
+	if (!e)
+		return;
+	l->at = e->self;
+	e->others.tokens += l->load.tokens;
+	e->others.prefill += l->load.prefill;
+	e->others.requests += l->load.requests;
+	e->others.prefills += l->load.prefills;
+}
+
+/* Takes an instance's loads off. */
+static void remove_loads(struct peers *t, struct peer *peer)
+{
+	size_t i;
+
+	for (i = 0; i < peer->n_loads; i++)
+		load_take_off(t, &peer->loads[i]);
 	peer->n_loads = 0;
 }
 
+/* Takes a load off where it was added, unless the endpoint was forgotten
+ * since. */
+static void load_take_off(struct peers *t, const struct peer_load *l)
+{
+	struct endpoint *e = endpoint_get(t->proxyd->endpoints, l->at);
+
+	if (!e)
+		return;
+	e->others.tokens -= l->load.tokens;
+	e->others.prefill -= l->load.prefill;
+	e->others.requests -= l->load.requests;
+	e->others.prefills -= l->load.prefills;
+}
+
 /* Forgets an instance. */
 static void forget(struct peers *t, struct peer *peer)
 {
@@ -371,29 +475,33 @@
 	free(peer);
 }
 
-/* Returns when another instance last said that it reads the store, 0 if none
- * did. */
-uint64_t peers_reading_ms(const struct peers *t)
+/* Returns what is known of the instances that read the store for others, and of
+ * those that would before this one does; behind_ms is left to the caller. */
+struct reread_others peers_readers(const struct peers *t)
 {
+	struct reread_others o = { .instances = 1 };
+	uint64_t now = proxyd_now(t->proxyd);
 	const struct peer *peer;
-	uint64_t last = 0;
 
 	TAILQ_FOREACH(peer, &t->list, link)
-	if (peer->reading_ms > last)
-		last = peer->reading_ms;
-	return last;
-}
-
-/* Returns how many of the instances that live come before this one in the
- * order in which they read the store. */
-size_t peers_before(const struct peers *t)
-{
-	const struct peer *peer;
-	size_t n = 0;
+	{
+		const struct reader *r = &peer->reader;
 
-	TAILQ_FOREACH(peer, &t->list, link)
-	n += peer->alive && comes_before(t, peer);
-	return n;
+		if (r->said_ms > o.said_ms)
+			o.said_ms = r->said_ms;
+		if (r->answered_ms > o.reading_ms)
+			o.reading_ms = r->answered_ms;
+		if (!peer->alive)
+			continue;
+		o.instances++;
+		if (reader_silent(r, now))
+			continue;
+		if (r->unable)
+			o.unable++;
+		else
+			o.before += comes_before(t, peer);
+	}
+	return o;
 }
 
 /* Fills in all instances that are known, this one too, for one that starts;
--- a/proxyd/peers.h
+++ b/proxyd/peers.h
@@ -5,6 +5,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "policy/reread.h"
 #include "proxyd/store.h"
 
 struct peers;
@@ -26,14 +27,13 @@
 			uint64_t born_ms);
 void peers_tell_prompt(struct peers *t, uint64_t session, uint64_t endpoint);
 void peers_borrow(struct peers *t, const char *service, uint32_t repeats);
-void peers_tell_soon(struct peers *t);
+void peers_tell_work(struct peers *t, struct endpoint *e, bool begins);
 void peers_tell_urgent(struct peers *t);
 void peers_tell_now(struct peers *t);
 void peers_tell_rows(struct peers *t, enum store_table table, uint64_t after,
 		     uint64_t version, const struct store_row *rows, size_t n);
-uint64_t peers_reading_ms(const struct peers *t);
 size_t peers_list(const struct peers *t, struct peer_info *list, size_t most);
-size_t peers_before(const struct peers *t);
+struct reread_others peers_readers(const struct peers *t);
 size_t peers_alive(const struct peers *t);
 size_t peers_listed(const struct peers *t);
 size_t peers_addresses(const struct peers *t, const char **addresses,
--- a/proxyd/peers_table.h
+++ b/proxyd/peers_table.h
@@ -8,6 +8,7 @@
 
 #include "lib/counters.h"
 #include "policy/presence.h"
+#include "policy/reader.h"
 #include "proto/peer.pb-c.h"
 #include "proxyd/endpoints.h"
 #include "proxyd/peers.h"
@@ -27,6 +28,7 @@
 struct peer {
 	TAILQ_ENTRY(peer) link;
 	char *name;
+	uint64_t hash; /* of the name */
 	char *callers; /* addresses */
 	char *control;
 	char *peers;
@@ -38,7 +40,7 @@
 	uint64_t born_ms;
 	struct peer_load loads[LOADS_MAX];
 	size_t n_loads;
-	uint64_t reading_ms; /* when it last said that it reads the store */
+	struct reader reader;
 	uint64_t asked_ms; /* for a loan that has not come yet; 0: none */
 };
 
@@ -68,6 +70,8 @@
 	size_t n;
 	uint64_t told_ms;
 	uint64_t urgent_ms; /* a datagram is due then; 0: none */
+	uint64_t work_ms; /* a datagram on changed work is due; 0: none */
+	uint64_t reader_told_ms; /* that this one is to read; 0: it is not */
 	struct told lost;
 	struct told found;
 	struct told leaving;
@@ -79,7 +83,10 @@
 
 uint32_t peers_own_capacity(const struct peers *t);
 struct peer *peers_find(const struct peers *t, const char *name);
+uint64_t peers_name_hash(const char *name);
 void peers_send(struct peers *t, const struct peer *to, const PeerDatagram *d);
+void peers_tell_reader(struct peers *t);
+void peers_tell_changed_work(struct peers *t);
 void peers_lend(struct peers *t, const PeerBorrow *borrow);
 void peers_take_loan(struct peers *t, const PeerLoan *loan);
 
--- a/proxyd/peers_tell.c
+++ b/proxyd/peers_tell.c
@@ -18,15 +18,20 @@
 #define TELL_MS 2000 /* what is told is repeated in datagrams for so long */
 #define PROMPT_SENDS 2 /* a datagram is lost now and then */
 
-/* Losses and new runs are told at once, gathered over this time; new runs only
- * among so few that it costs little. */
+/* Losses and new runs are told at once, gathered over this time.  Among more
+ * instances than this only what has changed is told of the work, and that runs
+ * have ended or read their prompts a little later. */
 #define URGENT_MS 20
 #define URGENT_PEERS_MAX 128
+#define ENDED_MS 200
 
+static void tell_work_by(struct peers *t, uint64_t by_ms);
 static void tell_of(struct peers *t, struct told *told, const char *endpoint,
 		    uint64_t born_ms);
 static void told_expire(struct told *told, uint64_t now);
 static size_t gather_loads(struct peers *t, PeerLoad *loads);
+static size_t gather_changed(struct peers *t, PeerLoad *loads);
+static void fill_load(PeerLoad *load, struct endpoint *e);
 static size_t gather_found(struct peers *t, PeerFound *found);
 static size_t gather_prompts(struct peers *t, PeerPrompt *prompts);
 static void send_all(struct peers *t, const PeerDatagram *d);
@@ -61,16 +66,32 @@
 		.sends_left = PROMPT_SENDS,
 	};
 	t->prompt_next = (t->prompt_next + 1) % PROMPTS_KEPT;
-	peers_tell_soon(t);
+	if (t->n <= URGENT_PEERS_MAX)
+		peers_tell_urgent(t);
+	else
+		tell_work_by(t, proxyd_now(t->proxyd) + ENDED_MS);
 }
 
-/* Tells the others soon of a load that was just added. */
-void peers_tell_soon(struct peers *t)
+/* Tells the others soon that the work at an endpoint has changed: that some begins
+ * there, or that some is done. */
+void peers_tell_work(struct peers *t, struct endpoint *e, bool begins)
 {
 	uint64_t now = proxyd_now(t->proxyd);
 
-	if (!t->urgent_ms && t->n <= URGENT_PEERS_MAX)
-		t->urgent_ms = now + URGENT_MS;
+	if (t->n <= URGENT_PEERS_MAX) {
+		if (begins)
+			peers_tell_urgent(t);
+		return;
+	}
+	e->work_news = true;
+	tell_work_by(t, now + (begins ? URGENT_MS : ENDED_MS));
+}
+
+/* Sets the time by which changed work is told. */
+static void tell_work_by(struct peers *t, uint64_t by_ms)
+{
+	if (!t->work_ms || by_ms < t->work_ms)
+		t->work_ms = by_ms;
 }
 
 /* Tells the others within a moment: a configuration came into force. */
@@ -205,6 +226,34 @@
 	send_all(t, &d);
 }
 
+/* Tells the others, often, that this instance is to read the store for them; and
+ * once that it does so no more. */
+void peers_tell_reader(struct peers *t)
+{
+	struct proxyd *p = t->proxyd;
+	uint64_t now = proxyd_now(p);
+	bool reads = watches_designated(p->watches) && stop_ready(&p->stop);
+	PeerReader said = PEER_READER__INIT;
+	PeerDatagram d = PEER_DATAGRAM__INIT;
+
+	if (!reads && !t->reader_told_ms)
+		return;
+	if (reads && now - t->reader_told_ms < reader_tell_ms())
+		return;
+	if (!reads || !t->reader_told_ms)
+		event_log(EVENT_NOTABLE, "reads-for-others", NULL, "{s:b}",
+			  "reads", reads);
+	t->reader_told_ms = reads ? now : 0;
+	said.instance = p->settings.name;
+	said.born = p->born_ms;
+	said.ends = !reads;
+	said.answers = watches_reading(p->watches);
+	said.endpoints_version = watches_changed(p->watches, STORE_ENDPOINTS);
+	said.version = p->routes ? p->routes->version : 0;
+	d.reader = &said;
+	send_all(t, &d);
+}
+
 /* Fills in where this instance has work; returns the number. */
 static size_t gather_loads(struct peers *t, PeerLoad *loads)
 {
@@ -215,16 +264,66 @@
 	while (n < LOADS_MAX && (e = endpoint_next(t->proxyd->endpoints, &i))) {
 		if (!e->own.tokens && !e->own.requests)
 			continue;
-		peer_load__init(&loads[n]);
-		loads[n].endpoint = e->hash;
-		loads[n].tokens = e->own.tokens;
-		loads[n].prefill = e->own.prefill;
-		loads[n].prefills = e->own.prefills;
-		loads[n++].requests = e->own.requests;
+		fill_load(&loads[n++], e);
 	}
 	return n;
 }
 
+/* Fills in the loads that have changed since they were told; returns the
+ * number. */
+static size_t gather_changed(struct peers *t, PeerLoad *loads)
+{
+	struct endpoint *e;
+	uint32_t i = 0;
+	size_t n = 0;
+
+	while (n < LOADS_MAX && (e = endpoint_next(t->proxyd->endpoints, &i)))
+		if (e->work_news)
+			fill_load(&loads[n++], e);
+	return n;
+}
+
+/* Fills in this instance's load of an endpoint, which is told with it. */
+static void fill_load(PeerLoad *load, struct endpoint *e)
+{
+	peer_load__init(load);
+	load->endpoint = e->hash;
+	load->tokens = e->own.tokens;
+	load->prefill = e->own.prefill;
+	load->prefills = e->own.prefills;
+	load->requests = e->own.requests;
+	e->work_news = false;
+}
+
+/* Tells the others of work that has changed, if that is due. */
+void peers_tell_changed_work(struct peers *t)
+{
+	PeerWork work = PEER_WORK__INIT;
+	PeerDatagram d = PEER_DATAGRAM__INIT;
+	PeerLoad loads[LOADS_MAX];
+	PeerLoad *load_list[LOADS_MAX];
+	PeerPrompt prompts[PROMPTS_MAX];
+	PeerPrompt *prompt_list[PROMPTS_MAX];
+	size_t i;
+
+	if (!t->work_ms || proxyd_now(t->proxyd) < t->work_ms)
+		return;
+	t->work_ms = 0;
+	work.instance = peers_name_hash(t->proxyd->settings.name);
+	work.n_loads = gather_changed(t, loads);
+	for (i = 0; i < work.n_loads; i++)
+		load_list[i] = &loads[i];
+	work.loads = load_list;
+	work.n_prompts = gather_prompts(t, prompts);
+	for (i = 0; i < work.n_prompts; i++)
+		prompt_list[i] = &prompts[i];
+	work.prompts = prompt_list;
+	if (!work.n_loads && !work.n_prompts)
+		return;
+	d.work = &work;
+	send_all(t, &d);
+}
+
 /* Fills in the endpoints that were found; returns the number. */
 static size_t gather_found(struct peers *t, PeerFound *found)
 {
--- a/proxyd/watch.c
+++ b/proxyd/watch.c
@@ -17,8 +17,15 @@
 #include "proxyd/proxyd.h"
 #include "proxyd/snapshot.h"
 
-/* The own entry is written again this long after a failure. */
+/* The own entry is written again this long after a failure, and up to as long
+ * again; and first within the spread, as a fleet that starts at once would ask the
+ * store for more writes than it takes. */
 #define PUT_AGAIN_MS 500
+#define PUT_SPREAD_MS 1000
+
+/* After a table was read whole its changes are asked for this much later: in a
+ * fleet that starts at once the others are listed by then, and readers found. */
+#define FIRST_FOLLOW_MS 1500
 
 struct watch {
 	struct watches *watches;
@@ -44,7 +51,7 @@
 	struct counter *writes;
 };
 
-static bool designated(const struct watches *w);
+static bool waits_for_another(const struct watches *w, int table);
 static bool reads_itself(const struct watch *w, uint64_t now);
 static void take_decoded(void *arg, const struct store_row *rows, size_t n);
 static void call(struct watch *w);
@@ -64,6 +71,7 @@
 	int i;
 
 	w->proxyd = p;
+	w->put_next_ms = proxyd_now(p) + proxyd_random() % PUT_SPREAD_MS;
 	for (i = 0; i < STORE_TABLES; i++) {
 		w->watch[i].watches = w;
 		w->watch[i].table = (enum store_table)i;
@@ -86,12 +94,24 @@
 
 	for (i = 0; i < STORE_TABLES; i++)
 		if (!w->watch[i].busy && now >= w->watch[i].next_ms &&
-		    reads_itself(&w->watch[i], now))
+		    !waits_for_another(w, i) && reads_itself(&w->watch[i], now))
 			call(&w->watch[i]);
 	if (!w->put && !w->put_busy && !w->leaving && now >= w->put_next_ms)
 		put_entry(w);
 }
 
+/* Tells whether a table waits until the store answers for one before it: while
+ * it is away, one call shows as much as three. */
+static bool waits_for_another(const struct watches *w, int table)
+{
+	int i;
+
+	for (i = 0; i < table; i++)
+		if (w->watch[i].reread.failures)
+			return true;
+	return false;
+}
+
 /* Removes the own entry, so that instances which start later don't name it. */
 void watches_leave(struct watches *w)
 {
@@ -127,10 +147,11 @@
 }
 
 /* Tells whether this instance is to read the store for others. */
-static bool designated(const struct watches *w)
+bool watches_designated(const struct watches *w)
 {
-	return reread_designated(peers_before(w->proxyd->peers),
-				 peers_alive(w->proxyd->peers) + 1);
+	const struct reread_others others = peers_readers(w->proxyd->peers);
+
+	return reread_designated(&others);
 }
 
 /* Tells whether this instance reads the store for others, and it answers. */
@@ -138,7 +159,7 @@
 {
 	uint64_t now = proxyd_now(w->proxyd);
 
-	return designated(w) &&
+	return watches_designated(w) &&
 	       reread_fresh(w->watch[STORE_ENDPOINTS].answered_ms, now) &&
 	       reread_fresh(w->watch[STORE_CONFIGURATION].answered_ms, now);
 }
@@ -222,16 +243,12 @@
  * to others who tell it. */
 static bool reads_itself(const struct watch *w, uint64_t now)
 {
-	struct proxyd *p = w->watches->proxyd;
-	const struct reread_others others = {
-		.before = peers_before(p->peers),
-		.reading_ms = peers_reading_ms(p->peers),
-		.behind_ms = w->behind_ms,
-		.instances = peers_alive(p->peers) + 1,
-	};
+	struct reread_others others;
 
 	if (!w->loaded)
 		return true;
+	others = peers_readers(w->watches->proxyd->peers);
+	others.behind_ms = w->behind_ms;
 	return reread_itself(&others, now);
 }
 
@@ -243,11 +260,12 @@
 	w->busy = true;
 	counter_add(w->watches->calls[w->table], 1);
 	if (w->loaded)
-		s->ops->follow(
-			s, w->table, w->version,
-			w->behind_ms ? 0
-				     : reread_follow_ms(designated(w->watches)),
-			on_rows, w);
+		s->ops->follow(s, w->table, w->version,
+			       w->behind_ms
+				       ? 0
+				       : reread_follow_ms(watches_designated(
+						 w->watches)),
+			       on_rows, w);
 	else
 		s->ops->list(s, w->table, on_rows, w);
 }
@@ -277,11 +295,13 @@
 		event_log(EVENT_ALWAYS, "store-regained", NULL, "{s:s, s:I}",
 			  "table", store_table_name(w->table), "away_ms",
 			  (json_int_t)(now - w->reread.failed_ms));
-	w->next_ms = now + reread_after_success(&w->reread,
-						peers_alive(p->peers) + 1,
-						designated(w->watches), now);
+	w->next_ms = now +
+		     reread_after_success(&w->reread, peers_alive(p->peers) + 1,
+					  watches_designated(w->watches), now);
+	if (!w->loaded)
+		w->next_ms = now + FIRST_FOLLOW_MS;
 	if (w->loaded && n && w->table != STORE_CONFIGURATION &&
-	    designated(w->watches))
+	    watches_designated(w->watches))
 		peers_tell_rows(p->peers, w->table, w->changed, version, rows,
 				n);
 	take(w, rows, n);
@@ -376,7 +396,8 @@
 
 	w->put_busy = false;
 	w->put = outcome == STORE_OK;
-	w->put_next_ms = proxyd_now(w->proxyd) + PUT_AGAIN_MS;
+	w->put_next_ms = proxyd_now(w->proxyd) + PUT_AGAIN_MS +
+			 proxyd_random() % PUT_AGAIN_MS;
 	event_log(EVENT_ALWAYS, "own-entry", NULL, "{s:s}", "outcome",
 		  store_outcome_name(outcome));
 }
--- a/proxyd/watch.h
+++ b/proxyd/watch.h
@@ -15,6 +15,7 @@
 bool watches_starting(const struct watches *w);
 bool watches_listed(const struct watches *w);
 bool watches_answered(const struct watches *w);
+bool watches_designated(const struct watches *w);
 bool watches_reading(const struct watches *w);
 uint64_t watches_changed(const struct watches *w, enum store_table table);
 uint32_t watches_back_ms(const struct watches *w, enum store_table table);
--- /dev/null
+++ b/regress/integration/test_stalled_streams.c
@@ -0,0 +1,146 @@
+/* Streams through cdmproxyd as a process that are slow but sound, and such as are
+ * stalled though a byte comes now and then. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <setjmp.h>
+#include <cmocka.h>
+
+#include "regress/platform_standin.h"
+
+#define N(list) (sizeof(list) / sizeof((list)[0]))
+#define SLOW_MS 500 /* between events; the route takes pauses of 700 */
+
+static struct harness *harness;
+static struct standin_world *world;
+static struct standin_instance one;
+
+static int set_up(void **state)
+{
+	(void)state;
+	harness = harness_new();
+	world = standin_new(harness);
+	standin_instance(world, &one, "one", NULL);
+	standin_worker(world, "engine", "z1");
+	standin_worker(world, "engine", "z2");
+	standin_configuration(world, 2, NULL);
+	standin_start(world, &one);
+	standin_wait_status(world, one.readiness, "/readyz", 200);
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	(void)state;
+	proc_kill(one.proc);
+	standin_free(world);
+	harness_free(harness);
+	return 0;
+}
+
+/* Asks for a stream that may take so long. */
+static struct stream_reader *ask(const char *deadline_ms)
+{
+	const struct httpc_header headers[] = {
+		{ "credential", "k1" },
+		{ "request-id", "r-1" },
+		{ "deadline-ms", deadline_ms },
+	};
+	const struct httpc_request r = {
+		.method = "POST",
+		.address = one.callers,
+		.path = "/write/a",
+		.headers = headers,
+		.n_headers = N(headers),
+		.body = "x",
+		.body_len = 1,
+	};
+
+	return stream_open(harness, &r);
+}
+
+/* Counts the endpoints that the stream was sent to. */
+static size_t sendings(void)
+{
+	size_t n = 0;
+	size_t i;
+
+	for (i = 0; i < world->n_arrivals; i++)
+		n += standin_head_has(world->arrivals[i],
+				      "\nrequest-id: r-1\n") &&
+		     !strcmp(world->arrivals[i]->target, "/write/a");
+	return n;
+}
+
+/* A stream with long pauses, all shorter than its route's, is not touched. */
+static void slow_stream_is_left_alone(void **state)
+{
+	struct stream_reader *s;
+
+	(void)state;
+	world->event_ms = SLOW_MS;
+	s = ask("19000");
+	stream_wait_end(s);
+	assert_int_equal(stream_outcome(s), HTTPC_OK);
+	assert_int_equal(stream_n_events(s), STANDIN_EVENTS);
+	assert_true(sendings() <= 2); /* it may settle once */
+	stream_close(s);
+}
+
+static bool sent_twice(void *arg)
+{
+	(void)arg;
+	return sendings() >= 2;
+}
+
+/* A stream of which only single bytes come goes on at another engine, whole. */
+static void stalled_stream_moves(void **state)
+{
+	struct stream_reader *s;
+
+	(void)state;
+	world->workers[0].mood = STANDIN_TRICKLES;
+	world->workers[1].mood = STANDIN_TRICKLES;
+	s = ask("15000");
+	harness_until(harness, sent_twice, NULL, "the stream moves");
+	world->workers[0].mood = STANDIN_SERVES;
+	world->workers[1].mood = STANDIN_SERVES;
+	stream_wait_end(s);
+	assert_int_equal(stream_outcome(s), HTTPC_OK);
+	assert_int_equal(stream_n_events(s), STANDIN_EVENTS);
+	stream_close(s);
+}
+
+/* Where all engines stall, the stream ends at its deadline, and is not passed as
+ * whole. */
+static void stalled_stream_ends(void **state)
+{
+	struct stream_reader *s;
+
+	(void)state;
+	world->workers[0].mood = STANDIN_TRICKLES;
+	world->workers[1].mood = STANDIN_TRICKLES;
+	s = ask("3000");
+	stream_wait_end(s);
+	assert_int_not_equal(stream_outcome(s), HTTPC_OK);
+	assert_true(stream_n_events(s) < STANDIN_EVENTS);
+	stream_close(s);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(slow_stream_is_left_alone,
+						set_up, tear_down),
+		cmocka_unit_test_setup_teardown(stalled_stream_moves, set_up,
+						tear_down),
+		cmocka_unit_test_setup_teardown(stalled_stream_ends, set_up,
+						tear_down),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/regress/platform_standin.h
+++ b/regress/platform_standin.h
@@ -27,6 +27,7 @@
 	STANDIN_BREAKS, /* closes the connection once it has the request */
 	STANDIN_SILENT, /* never answers */
 	STANDIN_OTHER, /* 421: another worker has the address */
+	STANDIN_TRICKLES, /* streams: one event, then single bytes for ever */
 };
 
 struct standin_world;
--- a/regress/unit/test_place.c
+++ b/regress/unit/test_place.c
@@ -380,6 +380,116 @@
 	assert_true(late * 100 <= ROUNDS * STREAMS * 5);
 }
 
+/* Load pattern (ajoke-assist-large): 295 instances send 550 plain calls a second
+ * to 12 endpoints of six slots and a queue of 24, each call 60 ms of work; what
+ * an instance has there is told every four seconds.  Plays ten seconds and returns
+ * how many in a thousand are turned away. */
+static unsigned int turned_away(uint32_t view_age_ms)
+{
+	enum {
+		INSTANCES = 295,
+		PLAIN = 12,
+		AT_ONCE = 6,
+		QUEUE = 24,
+		WORK_MS = 60,
+		TOLD_MS = 4000,
+		PLAY_MS = 10000,
+		CALLS_PER_S = 550,
+	};
+	static uint32_t told[INSTANCES][PLAIN];
+	static uint32_t own[INSTANCES][PLAIN];
+	static struct {
+		uint32_t instance;
+		int end_ms;
+	} queue[PLAIN][AT_ONCE + QUEUE];
+	const struct place_request r = { .view_age_ms = view_age_ms };
+	struct random_source random = { .seed = 11 };
+	struct place_candidate c[PLAIN];
+	uint32_t n[PLAIN] = { 0 };
+	uint32_t sum[PLAIN] = { 0 };
+	unsigned int calls = 0;
+	unsigned int refused = 0;
+	uint32_t i;
+	uint32_t k;
+	int now;
+
+	memset(told, 0, sizeof(told));
+	memset(own, 0, sizeof(own));
+	for (now = 0; now < PLAY_MS; now++) {
+		for (k = 0; k < PLAIN; k++)
+			while (n[k] && queue[k][0].end_ms <= now) {
+				own[queue[k][0].instance][k]--;
+				memmove(&queue[k][0], &queue[k][1],
+					sizeof(queue[k][0]) * --n[k]);
+			}
+		for (i = 0; i < INSTANCES; i++) {
+			if (now % TOLD_MS != (int)(i * TOLD_MS / INSTANCES))
+				continue;
+			for (k = 0; k < PLAIN; k++) {
+				sum[k] += own[i][k] - told[i][k];
+				told[i][k] = own[i][k];
+			}
+		}
+		if (random_below(&random, 1000) >= CALLS_PER_S)
+			continue;
+		calls++;
+		i = random_below(&random, INSTANCES);
+		for (k = 0; k < PLAIN; k++)
+			c[k] = (struct place_candidate){
+				.usable = true,
+				.zone = (uint16_t)(k % 5),
+				.latency_ms = WORK_MS,
+				.requests = sum[k] - told[i][k] + own[i][k],
+				.own_requests = own[i][k],
+			};
+		k = place_plain(&r, c, PLAIN, random_next(&random)).index;
+		if (n[k] == AT_ONCE + QUEUE) {
+			refused++;
+			continue;
+		}
+		own[i][k]++;
+		queue[k][n[k]].instance = i;
+		queue[k][n[k]].end_ms =
+			n[k] < AT_ONCE
+				? now + WORK_MS
+				: queue[k][n[k] - AT_ONCE].end_ms + WORK_MS;
+		n[k]++;
+	}
+	return refused * 1000 / calls;
+}
+
+/* Hundreds of instances don't send their calls to one endpoint. */
+static void calls_of_many_instances_spread(void **state)
+{
+	(void)state;
+	print_message("turned away: %u in 1,000 by the least work as told, %u "
+		      "drawn by weight\n",
+		      turned_away(0), turned_away(4000));
+	assert_true(turned_away(4000) <= 5);
+}
+
+/* A slow or failing endpoint is drawn seldom, and never one that is avoided. */
+static void drawn_calls_keep_from_bad_endpoints(void **state)
+{
+	const struct place_request r = { .view_age_ms = 4000 };
+	struct place_candidate c[4] = {
+		{ .usable = true, .latency_ms = 60 },
+		{ .usable = true, .latency_ms = 600 },
+		{ .usable = true, .latency_ms = 60, .failing_permille = 900 },
+		{ .usable = true, .latency_ms = 60, .avoided = true },
+	};
+	struct random_source random = { .seed = 5 };
+	unsigned int n[4] = { 0 };
+	int i;
+
+	(void)state;
+	for (i = 0; i < 10000; i++)
+		n[place_plain(&r, c, 4, random_next(&random)).index]++;
+	assert_true(n[0] > 8000 && n[1] < 1000 && n[2] < 1100);
+	assert_true(n[1] > 0 && n[2] > 0);
+	assert_int_equal(n[3], 0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -393,6 +503,8 @@
 		cmocka_unit_test(streams_come_back),
 		cmocka_unit_test(prompts_halt_fewer_runs),
 		cmocka_unit_test(zones_gone),
+		cmocka_unit_test(calls_of_many_instances_spread),
+		cmocka_unit_test(drawn_calls_keep_from_bad_endpoints),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
