Callers of a fleet without any configuration come back when the store may be back

The time now grows with the caller's deadline, 3 s at most, unless another instance that lives knows a configuration.

--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -11,6 +11,7 @@
 #include "lib/event_log.h"
 #include "lib/xalloc.h"
 #include "policy/room.h"
+#include "policy/unconfigured.h"
 #include "proxyd/peers.h"
 #include "proxyd/watch.h"
 
@@ -22,10 +23,6 @@
  * is known to be dead, or back, by then. */
 #define RETRY_NONE_UP_MS 300
 
-/* Callers of a process that knows no configuration yet go to another instance
- * at once. */
-#define RETRY_ELSEWHERE_MS 100
-
 /* A stream that lost its engine waits this long for another one. */
 #define STREAM_WAIT_MS 1500
 
@@ -170,8 +167,11 @@
 /* Refuses a request that came before any configuration. */
 static void refuse_unconfigured(struct exchange *x)
 {
-	exchange_refuse(x, 503, RETRY_ELSEWHERE_MS,
-			"no configuration is known yet");
+	uint32_t retry_ms = unconfigured_retry_ms(
+		x->fields.deadline_ms, peers_configured(x->proxyd->peers),
+		proxyd_random());
+
+	exchange_refuse(x, 503, retry_ms, "no configuration is known yet");
 }
 
 /* An endpoint is dead: its runs move, its idempotent calls are repeated, and
--- a/proxyd/peers.c
+++ b/proxyd/peers.c
@@ -161,6 +161,17 @@
 	return t->n;
 }
 
+/* Tells whether another instance lives that knows a configuration. */
+bool peers_configured(const struct peers *t)
+{
+	const struct peer *peer;
+
+	TAILQ_FOREACH(peer, &t->list, link)
+	if (peer->alive && peer->presence.configured)
+		return true;
+	return false;
+}
+
 /* Lists the addresses for callers of the other instances that live, or of all
  * if this instance is cut off from them; returns their number. */
 size_t peers_addresses(const struct peers *t, const char **addresses,
--- a/proxyd/peers.h
+++ b/proxyd/peers.h
@@ -36,6 +36,7 @@
 struct reread_others peers_readers(const struct peers *t);
 size_t peers_alive(const struct peers *t);
 size_t peers_listed(const struct peers *t);
+bool peers_configured(const struct peers *t);
 size_t peers_addresses(const struct peers *t, const char **addresses,
 		       size_t most);
 size_t peers_addresses_stopping(const struct peers *t, const char **addresses,
