--- a/policy/reread.c
+++ b/policy/reread.c
@@ -73,16 +73,37 @@
 	return answered_ms && now - answered_ms < FRESH_MS;
 }
 
-/* Tells whether an instance asks the store now. */
-bool reread_itself(const struct reread_others *others, uint64_t now)
+/* Tells whether, and why, an instance asks the store now. */
+enum reread_reason reread_itself(const struct reread_others *others,
+				 uint64_t now)
 {
-	if (others->instances <= ALL_READ_MAX || reread_designated(others) ||
-	    !others->reading_ms)
-		return true;
+	if (others->instances <= ALL_READ_MAX)
+		return REREAD_FEW;
+	if (reread_designated(others))
+		return REREAD_FOR_OTHERS;
+	if (!others->reading_ms)
+		return REREAD_NONE_READS;
 	if (others->behind_ms && now - others->behind_ms > BEHIND_MS)
-		return true;
-	return now - others->said_ms > SILENT_MS ||
-	       now - others->reading_ms > AWAY_MS;
+		return REREAD_BEHIND;
+	if (now - others->said_ms > SILENT_MS)
+		return REREAD_SILENT;
+	return now - others->reading_ms > AWAY_MS ? REREAD_AWAY : REREAD_NOT;
+}
+
+/* Returns a phrase for a reason, for logs. */
+const char *reread_reason_text(enum reread_reason reason)
+{
+	static const char *const texts[] = {
+		[REREAD_NOT] = "left to others",
+		[REREAD_FEW] = "few instances",
+		[REREAD_FOR_OTHERS] = "reads for others",
+		[REREAD_NONE_READS] = "none is known to read",
+		[REREAD_BEHIND] = "a change was missed",
+		[REREAD_SILENT] = "the readers are silent",
+		[REREAD_AWAY] = "the store answers no reader",
+	};
+
+	return texts[reason];
 }
 
 /* Returns how long to wait before the next call, ms. */
--- a/policy/reread.h
+++ b/policy/reread.h
@@ -22,10 +22,23 @@
 	uint64_t behind_ms; /* since when one has newer rows; 0: none has */
 };
 
+/* Why an instance asks the store. */
+enum reread_reason {
+	REREAD_NOT, /* it leaves that to others */
+	REREAD_FEW, /* instances, of which each reads for itself */
+	REREAD_FOR_OTHERS,
+	REREAD_NONE_READS, /* as far as it has heard */
+	REREAD_BEHIND, /* it has missed a change */
+	REREAD_SILENT, /* it hears none of those that read */
+	REREAD_AWAY, /* the store answers none of those that read */
+};
+
 bool reread_designated(const struct reread_others *others);
 uint32_t reread_follow_ms(bool for_others);
 bool reread_fresh(uint64_t answered_ms, uint64_t now);
-bool reread_itself(const struct reread_others *others, uint64_t now);
+enum reread_reason reread_itself(const struct reread_others *others,
+				 uint64_t now);
+const char *reread_reason_text(enum reread_reason reason);
 uint32_t reread_after_failure(struct reread *r, size_t instances, uint64_t now,
 			      uint64_t rnd);
 uint32_t reread_after_success(struct reread *r, size_t instances,
--- a/proxyd/watch.c
+++ b/proxyd/watch.c
@@ -38,6 +38,7 @@
 	uint64_t behind_ms; /* since when others have a newer version; 0: no */
 	bool loaded; /* version is known, changes are followed */
 	bool busy;
+	enum reread_reason reason; /* of the last call */
 };
 
 struct watches {
@@ -52,8 +53,9 @@
 };
 
 static bool waits_for_another(const struct watches *w, int table);
-static bool reads_itself(const struct watch *w, uint64_t now);
+static enum reread_reason reads_itself(const struct watch *w, uint64_t now);
 static void take_decoded(void *arg, const struct store_row *rows, size_t n);
+static void call_if_due(struct watch *w, uint64_t now);
 static void call(struct watch *w);
 static void on_rows(void *arg, enum store_outcome outcome,
 		    const struct store_row *rows, size_t n, uint64_t version);
@@ -94,8 +96,8 @@
 
 	for (i = 0; i < STORE_TABLES; i++)
 		if (!w->watch[i].busy && now >= w->watch[i].next_ms &&
-		    !waits_for_another(w, i) && reads_itself(&w->watch[i], now))
-			call(&w->watch[i]);
+		    !waits_for_another(w, i))
+			call_if_due(&w->watch[i], now);
 	if (!w->put && !w->put_busy && !w->leaving && now >= w->put_next_ms)
 		put_entry(w);
 }
@@ -239,19 +241,37 @@
 	take(arg, rows, n);
 }
 
-/* Tells whether this instance asks the store for a table now, or leaves that
- * to others who tell it. */
-static bool reads_itself(const struct watch *w, uint64_t now)
+/* Tells whether, and why, this instance asks the store for a table now, or leaves
+ * that to others who tell it. */
+static enum reread_reason reads_itself(const struct watch *w, uint64_t now)
 {
 	struct reread_others others;
 
 	if (!w->loaded)
-		return true;
+		return REREAD_NONE_READS;
 	others = peers_readers(w->watches->proxyd->peers);
 	others.behind_ms = w->behind_ms;
 	return reread_itself(&others, now);
 }
 
+/* Asks the store if this instance has to. */
+static void call_if_due(struct watch *w, uint64_t now)
+{
+	enum reread_reason reason = reads_itself(w, now);
+
+	if (reason == REREAD_NOT)
+		return;
+	if (reason != w->reason || reason == REREAD_BEHIND)
+		event_log(
+			EVENT_ROUTINE, "store-asked", NULL,
+			"{s:s, s:s, s:b, s:I}", "table",
+			store_table_name(w->table), "why",
+			w->loaded ? reread_reason_text(reason) : "not read yet",
+			"whole", !w->loaded, "version", (json_int_t)w->version);
+	w->reason = reason;
+	call(w);
+}
+
 /* Reads a table, or waits for its changes. */
 static void call(struct watch *w)
 {
--- a/regress/platform_standin.c
+++ b/regress/platform_standin.c
@@ -77,6 +77,7 @@
 
 	w->harness = h;
 	w->event_ms = STANDIN_EVENT_MS;
+	w->key = "k1";
 	w->rows = json_array();
 	w->version = 1;
 	w->store_address = harness_address(h);
@@ -181,9 +182,9 @@
 		"\"moves\":true}}],"
 		"\"limits\":{\"maxHeaderBytes\":4096,\"maxBodyBytes\":10000,"
 		"\"headerTimeoutMs\":2000,\"idleTimeoutMs\":15000},"
-		"\"tenants\":[{\"name\":\"ajoke\",\"apiKeys\":[\"k1\"]}]}",
+		"\"tenants\":[{\"name\":\"ajoke\",\"apiKeys\":[\"%s\"]}]}",
 		version, extra_routes ? "," : "",
-		extra_routes ? extra_routes : "");
+		extra_routes ? extra_routes : "", w->key);
 
 	standin_put(w, "op", "config", text);
 	free(text);
--- a/regress/platform_standin.h
+++ b/regress/platform_standin.h
@@ -68,6 +68,7 @@
 	bool store_refuses_writes; /* 503 to them */
 	const char *settings; /* further lines of each instance's, or NULL */
 	uint64_t event_ms; /* between two events of a stream */
+	const char *key; /* of the organisation in configurations */
 	json_t *rows; /* of all tables */
 	json_int_t version;
 	struct http1_conn *waiting[STANDIN_WAITING_MAX];
--- a/regress/unit/test_presence.c
+++ b/regress/unit/test_presence.c
@@ -127,7 +127,7 @@
 		struct reread_others o = others_of(i, now);
 
 		reads[i] = reread_designated(&o);
-		asking += reread_itself(&o, now);
+		asking += reread_itself(&o, now) != REREAD_NOT;
 	}
 	for (i = first; i < FLEET; i++)
 		if (reads[i])
