Changes of tables travel compressed; many instances ask for them once readers have spoken

Rows are now compressed, 48 to a datagram.

Undone: the first writing of the own entry, spread over a second, kept an instance that starts from its part of the repeats; test_proxyd's engine_dies failed over it three times of three, and passes three of three again.

--- a/policy/reread.c
+++ b/policy/reread.c
@@ -52,10 +52,16 @@
 /* A single failed call is not an outage. */
 #define OUTAGE_FAILURES 2
 
+/* Tells whether there are so few instances that each reads for itself. */
+bool reread_few(size_t instances)
+{
+	return instances <= ALL_READ_MAX;
+}
+
 /* Tells whether an instance reads the store for the others. */
 bool reread_designated(const struct reread_others *others)
 {
-	return others->instances > ALL_READ_MAX &&
+	return !reread_few(others->instances) &&
 	       others->before < READERS + others->unable &&
 	       others->before + others->unable < READERS_MAX;
 }
@@ -77,7 +83,7 @@
 enum reread_reason reread_itself(const struct reread_others *others,
 				 uint64_t now)
 {
-	if (others->instances <= ALL_READ_MAX)
+	if (reread_few(others->instances))
 		return REREAD_FEW;
 	if (reread_designated(others))
 		return REREAD_FOR_OTHERS;
--- a/policy/reread.h
+++ b/policy/reread.h
@@ -33,6 +33,7 @@
 	REREAD_AWAY, /* the store answers none of those that read */
 };
 
+bool reread_few(size_t instances);
 bool reread_designated(const struct reread_others *others);
 uint32_t reread_follow_ms(bool for_others);
 bool reread_fresh(uint64_t answered_ms, uint64_t now);
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -277,6 +277,51 @@
   assert(message->base.descriptor == &peer_loan__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer_packed__init
+                     (PeerPacked         *message)
+{
+  static const PeerPacked init_value = PEER_PACKED__INIT;
+  *message = init_value;
+}
+size_t peer_packed__get_packed_size
+                     (const PeerPacked *message)
+{
+  assert(message->base.descriptor == &peer_packed__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer_packed__pack
+                     (const PeerPacked *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer_packed__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer_packed__pack_to_buffer
+                     (const PeerPacked *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer_packed__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PeerPacked *
+       peer_packed__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PeerPacked *)
+     protobuf_c_message_unpack (&peer_packed__descriptor,
+                                allocator, len, data);
+}
+void   peer_packed__free_unpacked
+                     (PeerPacked *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer_packed__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer_rows__init
                      (PeerRows         *message)
 {
@@ -1178,6 +1223,57 @@
   (ProtobufCMessageInit) peer_loan__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor peer_packed__field_descriptors[2] =
+{
+  {
+    "message",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(PeerPacked, message),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "len",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PeerPacked, len),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer_packed__field_indices_by_name[] = {
+  1,   /* field[1] = len */
+  0,   /* field[0] = message */
+};
+static const ProtobufCIntRange peer_packed__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer_packed__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PeerPacked",
+  "PeerPacked",
+  "PeerPacked",
+  "",
+  sizeof(PeerPacked),
+  2,
+  peer_packed__field_descriptors,
+  peer_packed__field_indices_by_name,
+  1,  peer_packed__number_ranges,
+  (ProtobufCMessageInit) peer_packed__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor peer_rows__field_descriptors[6] =
 {
   {
@@ -1526,18 +1622,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "rows",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(PeerDatagram, rows),
-    &peer_rows__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "borrow",
     3,
@@ -1586,18 +1670,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rows",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(PeerDatagram, rows),
+    &peer_packed__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer_datagram__field_indices_by_name[] = {
-  2,   /* field[2] = borrow */
-  3,   /* field[3] = loan */
+  1,   /* field[1] = borrow */
+  2,   /* field[2] = loan */
   0,   /* field[0] = pulse */
-  4,   /* field[4] = reader */
-  1,   /* field[1] = rows */
-  5,   /* field[5] = work */
+  3,   /* field[3] = reader */
+  5,   /* field[5] = rows */
+  4,   /* field[4] = work */
 };
-static const ProtobufCIntRange peer_datagram__number_ranges[1 + 1] =
+static const ProtobufCIntRange peer_datagram__number_ranges[2 + 1] =
 {
   { 1, 0 },
+  { 3, 1 },
   { 0, 6 }
 };
 const ProtobufCMessageDescriptor peer_datagram__descriptor =
@@ -1611,7 +1708,7 @@
   6,
   peer_datagram__field_descriptors,
   peer_datagram__field_indices_by_name,
-  1,  peer_datagram__number_ranges,
+  2,  peer_datagram__number_ranges,
   (ProtobufCMessageInit) peer_datagram__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -21,6 +21,7 @@
 typedef struct PeerFound PeerFound;
 typedef struct PeerBorrow PeerBorrow;
 typedef struct PeerLoan PeerLoan;
+typedef struct PeerPacked PeerPacked;
 typedef struct PeerRows PeerRows;
 typedef struct PeerRow PeerRow;
 typedef struct PeerReader PeerReader;
@@ -203,6 +204,23 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
+/*
+ * A message, compressed.
+ */
+struct  PeerPacked
+{
+  ProtobufCMessage base;
+  ProtobufCBinaryData message;
+  /*
+   * of what was compressed
+   */
+  uint32_t len;
+};
+#define PEER_PACKED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer_packed__descriptor) \
+    , {0,NULL}, 0 }
+
+
 /*
  * Changes of a table of the store, passed on by an instance that reads it.
  */
@@ -312,11 +330,14 @@
 {
   ProtobufCMessage base;
   PeerPulse *pulse;
-  PeerRows *rows;
   PeerBorrow *borrow;
   PeerLoan *loan;
   PeerReader *reader;
   PeerWork *work;
+  /*
+   * PeerRows
+   */
+  PeerPacked *rows;
 };
 #define PEER_DATAGRAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer_datagram__descriptor) \
@@ -500,6 +521,25 @@
 void   peer_loan__free_unpacked
                      (PeerLoan *message,
                       ProtobufCAllocator *allocator);
+/* PeerPacked methods */
+void   peer_packed__init
+                     (PeerPacked         *message);
+size_t peer_packed__get_packed_size
+                     (const PeerPacked   *message);
+size_t peer_packed__pack
+                     (const PeerPacked   *message,
+                      uint8_t             *out);
+size_t peer_packed__pack_to_buffer
+                     (const PeerPacked   *message,
+                      ProtobufCBuffer     *buffer);
+PeerPacked *
+       peer_packed__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer_packed__free_unpacked
+                     (PeerPacked *message,
+                      ProtobufCAllocator *allocator);
 /* PeerRows methods */
 void   peer_rows__init
                      (PeerRows         *message);
@@ -672,6 +712,9 @@
 typedef void (*PeerLoan_Closure)
                  (const PeerLoan *message,
                   void *closure_data);
+typedef void (*PeerPacked_Closure)
+                 (const PeerPacked *message,
+                  void *closure_data);
 typedef void (*PeerRows_Closure)
                  (const PeerRows *message,
                   void *closure_data);
@@ -708,6 +751,7 @@
 extern const ProtobufCMessageDescriptor peer_found__descriptor;
 extern const ProtobufCMessageDescriptor peer_borrow__descriptor;
 extern const ProtobufCMessageDescriptor peer_loan__descriptor;
+extern const ProtobufCMessageDescriptor peer_packed__descriptor;
 extern const ProtobufCMessageDescriptor peer_rows__descriptor;
 extern const ProtobufCMessageDescriptor peer_row__descriptor;
 extern const ProtobufCMessageDescriptor peer_reader__descriptor;
--- a/proxyd/peers.c
+++ b/proxyd/peers.c
@@ -11,6 +11,7 @@
 
 #include <xxhash.h>
 
+#include "lib/deflate.h"
 #include "lib/event_log.h"
 #include "lib/settings.h"
 #include "lib/xalloc.h"
@@ -26,6 +27,7 @@
 static void take_work(struct peers *t, const PeerWork *work);
 static void take_prompts(struct peers *t, PeerPrompt **prompts, size_t n);
 static struct peer_load load_of(const PeerLoad *l);
+static void take_packed_rows(struct peers *t, const PeerPacked *packed);
 static void take_rows(struct peers *t, const PeerRows *rows);
 static bool comes_before(const struct peers *t, const struct peer *peer);
 static void take_loads(struct peers *t, struct peer *peer,
@@ -229,7 +231,7 @@
 	if (d->pulse)
 		take_pulse(t, d->pulse);
 	if (d->rows)
-		take_rows(t, d->rows);
+		take_packed_rows(t, d->rows);
 	if (d->work)
 		take_work(t, d->work);
 	if (d->reader)
@@ -326,6 +328,25 @@
 				   peer->control);
 }
 
+/* Takes changes of a table as they were sent. */
+static void take_packed_rows(struct peers *t, const PeerPacked *packed)
+{
+	char *plain = inflate_bytes(packed->message.data, packed->message.len,
+				    packed->len);
+	PeerRows *rows =
+		plain ? peer_rows__unpack(NULL, packed->len, (uint8_t *)plain)
+		      : NULL;
+
+	if (rows)
+		take_rows(t, rows);
+	else
+		event_log(EVENT_NOTABLE, "datagram-unreadable", NULL, "{s:I}",
+			  "bytes", (json_int_t)packed->message.len);
+	if (rows)
+		peer_rows__free_unpacked(rows, NULL);
+	free(plain);
+}
+
 /* Takes changes of a table that another instance has read. */
 static void take_rows(struct peers *t, const PeerRows *rows)
 {
--- a/proxyd/peers_tell.c
+++ b/proxyd/peers_tell.c
@@ -4,16 +4,19 @@
 #include "proxyd/peers_table.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
+#include "lib/deflate.h"
 #include "lib/event_log.h"
+#include "lib/xalloc.h"
 #include "policy/rumour.h"
 #include "proto/peer.pb-c.h"
 #include "proxyd/proxyd.h"
 #include "proxyd/watch.h"
 
-#define ROWS_MAX 16 /* rows of one datagram */
-#define ROWS_BYTES 1300 /* of rows in one datagram, which fits one packet */
+#define ROWS_MAX 48 /* rows of one datagram */
+#define ROWS_BYTES 4000 /* of these; compressed they fit one packet */
 #define ROW_BYTES 24 /* of a row beside its key and value, at most */
 #define TELL_MS 2000 /* what is told is repeated in datagrams for so long */
 #define PROMPT_SENDS 2 /* a datagram is lost now and then */
@@ -34,6 +37,7 @@
 static void fill_load(PeerLoad *load, struct endpoint *e);
 static size_t gather_found(struct peers *t, PeerFound *found);
 static size_t gather_prompts(struct peers *t, PeerPrompt *prompts);
+static void send_rows(struct peers *t, const PeerRows *rows);
 static void send_all(struct peers *t, const PeerDatagram *d);
 static size_t pack(const PeerDatagram *d, uint8_t *out);
 static void send_packed(struct peers *t, const struct peer *to, uint8_t *out,
@@ -105,7 +109,6 @@
 void peers_tell_rows(struct peers *t, enum store_table table, uint64_t after,
 		     uint64_t version, const struct store_row *rows, size_t n)
 {
-	PeerDatagram d = PEER_DATAGRAM__INIT;
 	PeerRows change = PEER_ROWS__INIT;
 	PeerRow row[ROWS_MAX];
 	PeerRow *list[ROWS_MAX];
@@ -117,7 +120,6 @@
 	change.after = after;
 	change.rows = list;
 	change.back_ms = watches_back_ms(t->proxyd->watches, table);
-	d.rows = &change;
 	for (i = 0; i < n; i++) {
 		PeerRow *r = &row[change.n_rows];
 
@@ -132,13 +134,31 @@
 		    bytes + rows[i + 1].raw_len + ROW_BYTES < ROWS_BYTES)
 			continue;
 		change.version = i + 1 < n ? rows[i].version : version;
-		send_all(t, &d);
+		send_rows(t, &change);
 		change.after = change.version;
 		change.n_rows = 0;
 		bytes = 0;
 	}
 }
 
+/* Sends changes to every other instance, compressed: whole zones of endpoints
+ * change at once, and what is sent to hundreds in one moment fills the link. */
+static void send_rows(struct peers *t, const PeerRows *rows)
+{
+	PeerPacked packed = PEER_PACKED__INIT;
+	PeerDatagram d = PEER_DATAGRAM__INIT;
+	size_t len = peer_rows__get_packed_size(rows);
+	uint8_t *plain = xcalloc(len, 1);
+
+	peer_rows__pack(rows, plain);
+	packed.len = (uint32_t)len;
+	packed.message.data = deflate_bytes(plain, len, &packed.message.len);
+	d.rows = &packed;
+	send_all(t, &d);
+	free(packed.message.data);
+	free(plain);
+}
+
 /* Adds an endpoint to what the next datagrams say. */
 static void tell_of(struct peers *t, struct told *told, const char *endpoint,
 		    uint64_t born_ms)
--- a/proxyd/watch.c
+++ b/proxyd/watch.c
@@ -18,13 +18,11 @@
 #include "proxyd/snapshot.h"
 
 /* The own entry is written again this long after a failure, and up to as long
- * again; and first within the spread, as a fleet that starts at once would ask the
- * store for more writes than it takes. */
+ * again: a fleet that starts at once asks for more writes than the store takes. */
 #define PUT_AGAIN_MS 500
-#define PUT_SPREAD_MS 1000
 
-/* After a table was read whole its changes are asked for this much later: in a
- * fleet that starts at once the others are listed by then, and readers found. */
+/* In a fleet of many the changes of tables are asked for only this long after they
+ * were read whole, when the instances that read for others have spoken. */
 #define FIRST_FOLLOW_MS 1500
 
 struct watch {
@@ -60,7 +58,9 @@
 static void on_rows(void *arg, enum store_outcome outcome,
 		    const struct store_row *rows, size_t n, uint64_t version);
 static void failed(struct watch *w, enum store_outcome outcome);
-static void take(struct watch *w, const struct store_row *rows, size_t n);
+static void instances_read(struct watches *w, uint64_t now);
+static void take(struct watch *w, const struct store_row *rows, size_t n,
+		 bool whole);
 static void take_configuration(struct watch *w, const struct store_row *row);
 static void put_entry(struct watches *w);
 static void on_put(void *arg, enum store_outcome outcome);
@@ -73,7 +73,6 @@
 	int i;
 
 	w->proxyd = p;
-	w->put_next_ms = proxyd_now(p) + proxyd_random() % PUT_SPREAD_MS;
 	for (i = 0; i < STORE_TABLES; i++) {
 		w->watch[i].watches = w;
 		w->watch[i].table = (enum store_table)i;
@@ -238,7 +237,7 @@
 /* Takes rows that were decoded. */
 static void take_decoded(void *arg, const struct store_row *rows, size_t n)
 {
-	take(arg, rows, n);
+	take(arg, rows, n, false);
 }
 
 /* Tells whether, and why, this instance asks the store for a table now, or leaves
@@ -297,6 +296,7 @@
 	struct watch *w = arg;
 	struct proxyd *p = w->watches->proxyd;
 	uint64_t now = proxyd_now(p);
+	bool whole = !w->loaded;
 
 	w->busy = false;
 	if (outcome == STORE_HISTORY_LOST) {
@@ -318,19 +318,32 @@
 	w->next_ms = now +
 		     reread_after_success(&w->reread, peers_alive(p->peers) + 1,
 					  watches_designated(w->watches), now);
-	if (!w->loaded)
-		w->next_ms = now + FIRST_FOLLOW_MS;
-	if (w->loaded && n && w->table != STORE_CONFIGURATION &&
+	if (!whole && n && w->table != STORE_CONFIGURATION &&
 	    watches_designated(w->watches))
 		peers_tell_rows(p->peers, w->table, w->changed, version, rows,
 				n);
-	take(w, rows, n);
-	if (!w->loaded || n)
+	take(w, rows, n, whole);
+	if (whole || n)
 		w->changed = version;
 	w->version = version;
 	w->behind_ms = 0;
 	w->answered_ms = now;
 	w->loaded = true;
+	if (whole && w->table == STORE_INSTANCES)
+		instances_read(w->watches, now);
+}
+
+/* The instances were read whole: among many, what reads for others is heard of
+ * before this one asks for changes. */
+static void instances_read(struct watches *w, uint64_t now)
+{
+	int i;
+
+	if (reread_few(peers_listed(w->proxyd->peers) + 1))
+		return;
+	for (i = 0; i < STORE_TABLES; i++)
+		if (w->watch[i].next_ms < now + FIRST_FOLLOW_MS)
+			w->watch[i].next_ms = now + FIRST_FOLLOW_MS;
 }
 
 /* A call failed: the next one waits. */
@@ -350,8 +363,9 @@
 						proxyd_random());
 }
 
-/* Takes rows into the tables. */
-static void take(struct watch *w, const struct store_row *rows, size_t n)
+/* Takes rows into the tables; of a whole table what is not among them is gone. */
+static void take(struct watch *w, const struct store_row *rows, size_t n,
+		 bool whole)
 {
 	struct proxyd *p = w->watches->proxyd;
 	size_t i;
@@ -370,7 +384,7 @@
 			break;
 		}
 	}
-	if (w->loaded)
+	if (!whole)
 		return;
 	if (w->table == STORE_ENDPOINTS)
 		endpoints_keep_only(p->endpoints, rows, n, w->reread.back_ms);
