--- a/entryd/services.c
+++ b/entryd/services.c
@@ -265,8 +265,7 @@
 		all += ep->slots;
 		own += ep->own_now;
 		queued += endpoint_queued(ep, now);
-		busy = ep->running + endpoint_queued(ep, now) +
-		       ep->own_now;
+		busy = ep->running + endpoint_queued(ep, now) + ep->own_now;
 		busy -= busy < ep->own_reported ? busy : ep->own_reported;
 		if (busy < ep->slots)
 			free_slots += ep->slots - busy;
--- a/policy/place.c
+++ b/policy/place.c
@@ -76,7 +76,7 @@
 			     const struct place_candidate *c);
 static uint32_t draw_plain(const struct place_request *r,
 			   const struct place_candidate *c, size_t n,
-			   uint64_t rnd);
+			   uint32_t least, uint64_t rnd);
 static bool takes_copy(const struct place_request *r,
 		       const struct place_candidate *c,
 		       const struct place_candidate *run_at);
@@ -217,36 +217,34 @@
 		choice.index = i;
 	}
 	if (choice.outcome == PLACE_OK && r->view_age_ms > PLAIN_VIEW_MS)
-		choice.index = draw_plain(r, c, n, rnd);
+		choice.index = draw_plain(r, c, n, choice.index, rnd);
 	if (choice.outcome == PLACE_NONE_USABLE && choice.paused)
 		choice.outcome = PLACE_PAUSED;
 	return choice;
 }
 
-/* Draws one of the candidates that take a plain call, of which there is one at
- * least, by weight. */
+/* Draws one of the candidates that take a plain call, by weight; least is one of
+ * them. */
 static uint32_t draw_plain(const struct place_request *r,
 			   const struct place_candidate *c, size_t n,
-			   uint64_t rnd)
+			   uint32_t least, uint64_t rnd)
 {
-	uint64_t sum = 0;
-	uint32_t last = 0;
+	uint64_t sum = plain_weight(r, &c[least]);
 	uint64_t left;
 	size_t i;
 
 	for (i = 0; i < n; i++)
-		if (c[i].usable && !c[i].avoided)
+		if (i != least && c[i].usable && !c[i].avoided)
 			sum += plain_weight(r, &c[i]);
 	left = rnd % sum;
 	for (i = 0; i < n; i++) {
-		if (!c[i].usable || c[i].avoided)
+		if (i == least || !c[i].usable || c[i].avoided)
 			continue;
-		last = (uint32_t)i;
 		if (left < plain_weight(r, &c[i]))
-			break;
+			return (uint32_t)i;
 		left -= plain_weight(r, &c[i]);
 	}
-	return last;
+	return least;
 }
 
 /* Returns what an old observation still counts for: half of it after half_ms.
