--- a/proxyd/watch.c
+++ b/proxyd/watch.c
@@ -55,6 +55,7 @@
 static void take_decoded(void *arg, const struct store_row *rows, size_t n);
 static void call_if_due(struct watch *w, uint64_t now);
 static void call(struct watch *w);
+static uint32_t follow_ms(const struct watch *w);
 static void on_rows(void *arg, enum store_outcome outcome,
 		    const struct store_row *rows, size_t n, uint64_t version);
 static void failed(struct watch *w, enum store_outcome outcome);
@@ -101,16 +102,12 @@
 		put_entry(w);
 }
 
-/* Tells whether a table waits until the store answers for one before it: while
- * it is away, one call shows as much as three. */
+/* Tells whether the list of instances waits until the store answers for another
+ * table: while it is away, two calls show as much as three. */
 static bool waits_for_another(const struct watches *w, int table)
 {
-	int i;
-
-	for (i = 0; i < table; i++)
-		if (w->watch[i].reread.failures)
-			return true;
-	return false;
+	return table == STORE_INSTANCES &&
+	       w->watch[STORE_CONFIGURATION].reread.failures;
 }
 
 /* Removes the own entry, so that instances which start later don't name it. */
@@ -279,16 +276,21 @@
 	w->busy = true;
 	counter_add(w->watches->calls[w->table], 1);
 	if (w->loaded)
-		s->ops->follow(s, w->table, w->version,
-			       w->behind_ms
-				       ? 0
-				       : reread_follow_ms(watches_designated(
-						 w->watches)),
-			       on_rows, w);
+		s->ops->follow(s, w->table, w->version, follow_ms(w), on_rows,
+			       w);
 	else
 		s->ops->list(s, w->table, on_rows, w);
 }
 
+/* Returns how long a call waits for changes, ms: not at all where some are known
+ * to be there, or after a failure, as the answer tells that the store is back. */
+static uint32_t follow_ms(const struct watch *w)
+{
+	if (w->behind_ms || w->reread.failures)
+		return 0;
+	return reread_follow_ms(watches_designated(w->watches));
+}
+
 /* The store answered, or did not. */
 static void on_rows(void *arg, enum store_outcome outcome,
 		    const struct store_row *rows, size_t n, uint64_t version)
--- a/regress/integration/test_restart.c
+++ b/regress/integration/test_restart.c
@@ -158,6 +158,21 @@
 	assert_int_equal(status_at(&two, "k2"), 200);
 }
 
+/* Finding of the hunt (bula-passes, pair-release-and-cuts, seed 951508215479): the
+ * store was out of reach for a moment.  Afterwards changes of the endpoints are
+ * followed, though the configuration does not change for long. */
+static void endpoints_are_followed_after_an_outage(void **state)
+{
+	(void)state;
+	start();
+	standin_stop_store(world);
+	harness_run(harness, 1000);
+	standin_start_store(world);
+	harness_run(harness, 1000);
+	standin_remove(world, "servers", world->workers[0].id);
+	wait_unused(&one, &world->workers[0]);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -167,6 +182,9 @@
 						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(withdrawn_key_stays_out, set_up,
 						tear_down),
+		cmocka_unit_test_setup_teardown(
+			endpoints_are_followed_after_an_outage, set_up,
+			tear_down),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
