test_stalled_streams: a stand-in that stood still is not a slow engine

Its pauses of 500 ms were 50 ms short of those after which a run with a copy moves by design, and the stand-in, in the test's own loop, was late.

--- a/regress/platform_standin.c
+++ b/regress/platform_standin.c
@@ -27,6 +27,7 @@
 	struct standin_arrival *arrival;
 	uv_timer_t timer;
 	int next_event;
+	uint64_t written_ms; /* when its last event was; 0: none yet */
 };
 
 static void on_store(struct http1_conn *c, struct http1_request *r, void *arg);
@@ -56,6 +57,7 @@
 			struct standin_arrival *a, const char *id);
 static void serve_stream(struct standin_worker *worker, struct http1_conn *c,
 			 struct standin_arrival *a, const char *id);
+static void note_gap(struct standin_stream *s);
 static void on_event(uv_timer_t *timer);
 static void stream_end(struct standin_stream *s);
 static char *header_value(const struct http1_request *r, const char *name);
@@ -710,6 +712,17 @@
 		       worker->world->event_ms);
 }
 
+/* Notes how long ago the event before was written. */
+static void note_gap(struct standin_stream *s)
+{
+	struct standin_world *w = s->worker->world;
+	uint64_t now = uv_now(harness_loop(w->harness));
+
+	if (s->written_ms && now - s->written_ms > w->longest_gap_ms)
+		w->longest_gap_ms = now - s->written_ms;
+	s->written_ms = now;
+}
+
 /* The next event of a stream, or its end. */
 static void on_event(uv_timer_t *timer)
 {
@@ -721,6 +734,7 @@
 		http1_stream_write(c, ":", 1);
 		return;
 	}
+	note_gap(s);
 	if (s->next_event <= STANDIN_EVENTS) {
 		snprintf(event, sizeof(event), "id: %d\ndata: e%d\n\n",
 			 s->next_event, s->next_event);
--- a/regress/platform_standin.h
+++ b/regress/platform_standin.h
@@ -69,6 +69,7 @@
 	const char *settings; /* further lines of each instance's, or NULL */
 	uint64_t event_ms; /* between two events of a stream */
 	const char *key; /* of the organisation in configurations */
+	uint64_t longest_gap_ms; /* between two events as they were written */
 	json_t *rows; /* of all tables */
 	json_int_t version;
 	struct http1_conn *waiting[STANDIN_WAITING_MAX];
