Soak: a worker that left comes back a little later

The stand-in closed its listener and listened again in one turn, in which an instance had been started: the child holds the old listener until it is another program.

--- a/regress/soak/soak_proxyd.c
+++ b/regress/soak/soak_proxyd.c
@@ -172,12 +172,14 @@
 	world->workers[i].words = NULL;
 }
 
-/* A worker that said it leaves has left; another one takes its place. */
+/* A worker that said it leaves has left; another one takes its place a little
+ * later, as a process that is just being started holds the old listener until it
+ * is another program. */
 static void worker_left(size_t i)
 {
 	standin_kill(&world->workers[i]);
 	world->workers[i].words = NULL;
-	worker_returns(i);
+	later(200 + draw(300), worker_returns, i);
 }
 
 static void link_heals(size_t i)
