Tables are followed at once again after they were read whole

Where the store drops its history again and again, each new reading of the instances put off the other tables by 1.5 s once more.

--- a/proxyd/watch.c
+++ b/proxyd/watch.c
@@ -21,10 +21,6 @@
  * again: a fleet that starts at once asks for more writes than the store takes. */
 #define PUT_AGAIN_MS 500
 
-/* In a fleet of many the changes of tables are asked for only this long after they
- * were read whole, when the instances that read for others have spoken. */
-#define FIRST_FOLLOW_MS 1500
-
 struct watch {
 	struct watches *watches;
 	enum store_table table;
@@ -59,7 +55,6 @@
 static void on_rows(void *arg, enum store_outcome outcome,
 		    const struct store_row *rows, size_t n, uint64_t version);
 static void failed(struct watch *w, enum store_outcome outcome);
-static void instances_read(struct watches *w, uint64_t now);
 static void take(struct watch *w, const struct store_row *rows, size_t n,
 		 bool whole);
 static void take_configuration(struct watch *w, const struct store_row *row);
@@ -331,21 +326,6 @@
 	w->behind_ms = 0;
 	w->answered_ms = now;
 	w->loaded = true;
-	if (whole && w->table == STORE_INSTANCES)
-		instances_read(w->watches, now);
-}
-
-/* The instances were read whole: among many, what reads for others is heard of
- * before this one asks for changes. */
-static void instances_read(struct watches *w, uint64_t now)
-{
-	int i;
-
-	if (reread_few(peers_listed(w->proxyd->peers) + 1))
-		return;
-	for (i = 0; i < STORE_TABLES; i++)
-		if (w->watch[i].next_ms < now + FIRST_FOLLOW_MS)
-			w->watch[i].next_ms = now + FIRST_FOLLOW_MS;
 }
 
 /* A call failed: the next one waits. */
