Reading of tables: one state says that a table was read whole

A time of the last pause that nothing read is gone, and braces round one statement. Behaviour is the same.

--- a/policy/holdoff.c
+++ b/policy/holdoff.c
@@ -32,7 +32,6 @@
 	uint64_t until =
 		now + (pause_ms < PAUSE_MAX_MS ? pause_ms : PAUSE_MAX_MS);
 
-	h->paused_ms = now;
 	if (until > h->until_ms)
 		h->until_ms = until;
 }
--- a/policy/holdoff.h
+++ b/policy/holdoff.h
@@ -7,7 +7,6 @@
 /* What an endpoint has said about work for it.  Times in ms. */
 struct holdoff {
 	uint64_t leaving_ms; /* since when it is known to leave; 0: not */
-	uint64_t paused_ms; /* when it last asked for a pause; 0: never */
 	uint64_t until_ms; /* the pause is over then */
 };
 
--- a/proxyd/peers.c
+++ b/proxyd/peers.c
@@ -416,9 +416,8 @@
 			continue;
 		peer->loads[k] = load_of(l);
 		load_add(t, &peer->loads[k]);
-		if (!l->requests && !l->tokens) {
+		if (!l->requests && !l->tokens)
 			peer->loads[k] = peer->loads[--peer->n_loads];
-		}
 	}
 	take_prompts(t, work->prompts, work->n_prompts);
 }
--- a/proxyd/watch.c
+++ b/proxyd/watch.c
@@ -55,8 +55,7 @@
 static void on_rows(void *arg, enum store_outcome outcome,
 		    const struct store_row *rows, size_t n, uint64_t version);
 static void failed(struct watch *w, enum store_outcome outcome);
-static void take(struct watch *w, const struct store_row *rows, size_t n,
-		 bool whole);
+static void take(struct watch *w, const struct store_row *rows, size_t n);
 static void take_configuration(struct watch *w, const struct store_row *row);
 static void put_entry(struct watches *w);
 static void on_put(void *arg, enum store_outcome outcome);
@@ -229,7 +228,7 @@
 /* Takes rows that were decoded. */
 static void take_decoded(void *arg, const struct store_row *rows, size_t n)
 {
-	take(arg, rows, n, false);
+	take(arg, rows, n);
 }
 
 /* Tells whether, and why, this instance asks the store for a table now, or leaves
@@ -293,7 +292,6 @@
 	struct watch *w = arg;
 	struct proxyd *p = w->watches->proxyd;
 	uint64_t now = proxyd_now(p);
-	bool whole = !w->loaded;
 
 	w->busy = false;
 	if (outcome == STORE_HISTORY_LOST) {
@@ -315,12 +313,12 @@
 	w->next_ms = now +
 		     reread_after_success(&w->reread, peers_alive(p->peers) + 1,
 					  watches_designated(w->watches), now);
-	if (!whole && n && w->table != STORE_CONFIGURATION &&
+	if (w->loaded && n && w->table != STORE_CONFIGURATION &&
 	    watches_designated(w->watches))
 		peers_tell_rows(p->peers, w->table, w->changed, version, rows,
 				n);
-	take(w, rows, n, whole);
-	if (whole || n)
+	take(w, rows, n);
+	if (!w->loaded || n)
 		w->changed = version;
 	w->version = version;
 	w->behind_ms = 0;
@@ -346,8 +344,7 @@
 }
 
 /* Takes rows into the tables; of a whole table what is not among them is gone. */
-static void take(struct watch *w, const struct store_row *rows, size_t n,
-		 bool whole)
+static void take(struct watch *w, const struct store_row *rows, size_t n)
 {
 	struct proxyd *p = w->watches->proxyd;
 	size_t i;
@@ -366,7 +363,7 @@
 			break;
 		}
 	}
-	if (!whole)
+	if (w->loaded)
 		return;
 	if (w->table == STORE_ENDPOINTS)
 		endpoints_keep_only(p->endpoints, rows, n, w->reread.back_ms);
