Logs tell which attempts have the same content, and what an endpoint was lost under

Without it two attempts of a caller for the same thing cannot be found together, and no line says which requests were at an endpoint when it ended.

--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "lib/event_log.h"
+#include "policy/content.h"
 #include "policy/room.h"
 #include "proxyd/exchange.h"
 #include "proxyd/peers.h"
@@ -185,14 +186,16 @@
 {
 	const struct endpoint *copy =
 		endpoint_get(x->proxyd->endpoints, x->copy.at);
+	char content[CONTENT_TEXT_SIZE];
 
+	content_text(x->content, content);
 	event_log(EVENT_ROUTINE, "sent", x->fields.id,
-		  "{s:s, s:s, s:s, s:i, s:b, s:s, s:I, s:I, s:I, s:I, s:I, "
-		  "s:I, s:b, s:b, s:b, s:b, s:i, s:i}",
-		  "route", x->route->name, "endpoint", e->id, "address",
-		  e->address, "send", (int)x->sends, "from_copy", x->from_copy,
-		  "copy_to", copy ? copy->id : "", "version",
-		  (json_int_t)x->routes->version, "tokens_there",
+		  "{s:s, s:s, s:s, s:s, s:i, s:b, s:s, s:I, s:I, s:I, s:I, "
+		  "s:I, s:I, s:b, s:b, s:b, s:b, s:i, s:i}",
+		  "route", x->route->name, "content", content, "endpoint",
+		  e->id, "address", e->address, "send", (int)x->sends,
+		  "from_copy", x->from_copy, "copy_to", copy ? copy->id : "",
+		  "version", (json_int_t)x->routes->version, "tokens_there",
 		  (json_int_t)e->own.tokens + e->others.tokens, "prefill_there",
 		  (json_int_t)e->own.prefill + e->others.prefill,
 		  "heard_ms_ago", (json_int_t)endpoint_heard_ago(e, x->sent_ms),
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -10,6 +10,7 @@
 
 #include "lib/event_log.h"
 #include "lib/xalloc.h"
+#include "policy/content.h"
 #include "policy/room.h"
 #include "policy/unconfigured.h"
 #include "proxyd/peers.h"
@@ -36,9 +37,11 @@
 #define PLAIN_MS 200
 
 static void begin(struct exchange *x);
+static void say_ended(const struct exchange *x);
 static void refuse_unconfigured(struct exchange *x);
 static bool find_route(struct exchange *x);
 static bool find_organisation(struct exchange *x);
+static uint64_t find_content(const struct exchange *x);
 static bool takes_now(struct exchange *x);
 static void seek_failed(struct exchange *x, const struct place_choice *choice);
 static void wait_elsewhere(struct exchange *x,
@@ -159,6 +162,7 @@
 	x->wait_until_ms = 0;
 	if (!find_route(x) || !find_organisation(x) || !takes_now(x))
 		return;
+	x->content = find_content(x);
 	repeat_request(endpoints_budget(p->endpoints, x->service), &p->repeat,
 		       proxyd_now(p));
 	exchange_seek(x);
@@ -188,6 +192,7 @@
 			copy_forget(x);
 		if (!x->call || !handle_equal(x->at, endpoint))
 			continue;
+		say_ended(x);
 		if (x->route->kind == KIND_STREAM) {
 			stream_move(x, "endpoint lost");
 			continue;
@@ -206,6 +211,20 @@
 	}
 }
 
+/* Logs a request that is at an endpoint which is lost. */
+static void say_ended(const struct exchange *x)
+{
+	const struct endpoint *e = endpoint_get(x->proxyd->endpoints, x->at);
+	char content[CONTENT_TEXT_SIZE];
+
+	content_text(x->content, content);
+	event_log(EVENT_NOTABLE, "endpoint-lost-under", x->fields.id,
+		  "{s:s, s:s, s:I, s:b}", "content", content, "endpoint",
+		  e ? e->id : "", "sent_ms_ago",
+		  (json_int_t)(proxyd_now(x->proxyd) - x->sent_ms), "connected",
+		  http1_call_connected(x->call));
+}
+
 /* The caller left before its answer was complete.  What may run once only is
  * seen through; all else is cancelled, so that its endpoint stops. */
 void exchange_caller_left(void *owner)
@@ -374,6 +393,20 @@
 	return x->organisation != NULL;
 }
 
+/* Returns the hash of the request's content. */
+static uint64_t find_content(const struct exchange *x)
+{
+	const struct content content = {
+		.caller = x->organisation ? x->organisation->name : "",
+		.target = x->request->head.target,
+		.target_len = x->request->head.target_len,
+		.body = x->request->body,
+		.body_len = x->request->body_len,
+	};
+
+	return content_hash(&content);
+}
+
 /* Refuses a request that would not end before this process does. */
 static bool takes_now(struct exchange *x)
 {
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -51,6 +51,7 @@
 	const char *service;
 	const struct route_service *engine; /* NULL: a plain service */
 	const struct organisation *organisation; /* NULL: needs no key */
+	uint64_t content; /* hash: the same when its caller comes again */
 	enum exchange_phase phase;
 	uint64_t received_ms;
 	uint64_t end_ms; /* the caller has its answer by then */
