--- a/regress/platform_standin.c
+++ b/regress/platform_standin.c
@@ -51,6 +51,9 @@
 static void on_worker(struct http1_conn *c, struct http1_request *r, void *arg);
 static const char *words_of(const struct standin_worker *worker);
 static void on_worker_gone(void *owner);
+static void begin_crash(struct standin_worker *worker, struct http1_conn *c,
+			struct standin_arrival *a, const char *id);
+static void on_crash(uv_timer_t *timer);
 static struct standin_arrival *record(struct standin_worker *worker,
 				      const struct http1_request *r);
 static void serve_plain(struct standin_worker *worker, struct http1_conn *c,
@@ -104,8 +107,11 @@
 	size_t i;
 
 	standin_stop_store(w);
-	for (i = 0; i < w->n_workers; i++)
+	for (i = 0; i < w->n_workers; i++) {
 		standin_kill(&w->workers[i]);
+		if (w->workers[i].timed)
+			uv_close((uv_handle_t *)&w->workers[i].crash, NULL);
+	}
 	harness_run(w->harness, 20);
 	for (i = 0; i < w->n_arrivals; i++) {
 		free(w->arrivals[i]->head);
@@ -568,6 +574,8 @@
 		 words_of(worker));
 	if (expected[0] && strcmp(expected, worker->id) != 0)
 		http1_reply(c, 421, headers, "", 0);
+	else if (standin_crashes(a))
+		begin_crash(worker, c, a, id);
 	else if (!strcmp(a->target, "/healthz"))
 		http1_reply(c, 200, headers, "", 0);
 	else if (!strcmp(a->target, "/report"))
@@ -605,6 +613,57 @@
 	stream_end(s);
 }
 
+/* Tells whether a request is the one that ends its worker. */
+bool standin_crashes(const struct standin_arrival *a)
+{
+	const char *body = a->worker->world->crash.body;
+
+	return body && a->body_len == strlen(body) &&
+	       !memcmp(a->body, body, a->body_len);
+}
+
+/* The worker begins to run a request that ends it; a stream may have events
+ * before. */
+static void begin_crash(struct standin_worker *worker, struct http1_conn *c,
+			struct standin_arrival *a, const char *id)
+{
+	a->ran = true;
+	if (!strcmp(worker->service, "engine"))
+		serve_stream(worker, c, a, id);
+	if (worker->crashing)
+		return;
+	if (!worker->timed)
+		uv_timer_init(harness_loop(worker->world->harness),
+			      &worker->crash);
+	worker->timed = true;
+	worker->crashing = true;
+	worker->crash.data = worker;
+	uv_timer_start(&worker->crash, on_crash, worker->world->crash.after_ms,
+		       0);
+}
+
+/* The worker ends, or is back. */
+static void on_crash(uv_timer_t *timer)
+{
+	static unsigned int start;
+	struct standin_worker *worker = timer->data;
+	struct standin_crash *crash = &worker->world->crash;
+	char id[24];
+
+	if (worker->server) {
+		standin_kill(worker);
+		if (crash->n < sizeof(crash->at_ms) / sizeof(crash->at_ms[0]))
+			crash->at_ms[crash->n] = uv_now(timer->loop);
+		crash->n++;
+		uv_timer_start(timer, on_crash, crash->down_ms, 0);
+		return;
+	}
+	worker->crashing = false;
+	snprintf(id, sizeof(id), "i-after-crash-%u", ++start);
+	standin_remove(worker->world, "servers", worker->id);
+	standin_restart(worker, id);
+}
+
 /* Keeps a request as it came. */
 static struct standin_arrival *record(struct standin_worker *worker,
 				      const struct http1_request *r)
--- a/regress/platform_standin.h
+++ b/regress/platform_standin.h
@@ -43,6 +43,18 @@
 	const char *words; /* header lines of all its answers, or NULL */
 	unsigned int born_ms; /* Unix time of its start */
 	struct http1_server *server; /* NULL: it is down */
+	uv_timer_t crash; /* its end by a request, then its new start */
+	bool crashing; /* the timer is in use */
+	bool timed; /* the timer is initialised */
+};
+
+/* A request that ends each worker that runs it. */
+struct standin_crash {
+	const char *body; /* of the request, or NULL */
+	uint64_t after_ms; /* from its arrival to the end */
+	uint64_t down_ms; /* until the worker is back, under another id */
+	uint64_t at_ms[64]; /* when workers ended, by the test's loop */
+	size_t n;
 };
 
 /* A request as it reached a worker. */
@@ -80,6 +92,7 @@
 	struct standin_arrival **arrivals;
 	size_t n_arrivals;
 	struct standin_stream *streams;
+	struct standin_crash crash;
 };
 
 struct standin_world *standin_new(struct harness *h);
@@ -100,6 +113,7 @@
 void standin_stop_store(struct standin_world *w);
 void standin_start_store(struct standin_world *w);
 const struct standin_arrival *standin_last(const struct standin_world *w);
+bool standin_crashes(const struct standin_arrival *a);
 bool standin_head_has(const struct standin_arrival *a, const char *line);
 
 /* An instance of cdmproxyd with its addresses. */
