--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -502,6 +502,96 @@
   assert(message->base.descriptor == &peer_work__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer_suspect__init
+                     (PeerSuspect         *message)
+{
+  static const PeerSuspect init_value = PEER_SUSPECT__INIT;
+  *message = init_value;
+}
+size_t peer_suspect__get_packed_size
+                     (const PeerSuspect *message)
+{
+  assert(message->base.descriptor == &peer_suspect__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer_suspect__pack
+                     (const PeerSuspect *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer_suspect__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer_suspect__pack_to_buffer
+                     (const PeerSuspect *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer_suspect__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PeerSuspect *
+       peer_suspect__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PeerSuspect *)
+     protobuf_c_message_unpack (&peer_suspect__descriptor,
+                                allocator, len, data);
+}
+void   peer_suspect__free_unpacked
+                     (PeerSuspect *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer_suspect__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer_suspects__init
+                     (PeerSuspects         *message)
+{
+  static const PeerSuspects init_value = PEER_SUSPECTS__INIT;
+  *message = init_value;
+}
+size_t peer_suspects__get_packed_size
+                     (const PeerSuspects *message)
+{
+  assert(message->base.descriptor == &peer_suspects__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer_suspects__pack
+                     (const PeerSuspects *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer_suspects__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer_suspects__pack_to_buffer
+                     (const PeerSuspects *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer_suspects__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PeerSuspects *
+       peer_suspects__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PeerSuspects *)
+     protobuf_c_message_unpack (&peer_suspects__descriptor,
+                                allocator, len, data);
+}
+void   peer_suspects__free_unpacked
+                     (PeerSuspects *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer_suspects__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer_datagram__init
                      (PeerDatagram         *message)
 {
@@ -1608,7 +1698,200 @@
   (ProtobufCMessageInit) peer_work__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer_datagram__field_descriptors[6] =
+static const ProtobufCFieldDescriptor peer_suspect__field_descriptors[9] =
+{
+  {
+    "content",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(PeerSuspect, content),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "strike",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(PeerSuspect, strike),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_ms_ago",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PeerSuspect, sent_ms_ago),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended_ms_ago",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PeerSuspect, ended_ms_ago),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refused_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PeerSuspect, refused_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "since_ms_ago",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PeerSuspect, since_ms_ago),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ran",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PeerSuspect, ran),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoint",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(PeerSuspect, endpoint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "beside",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PeerSuspect, beside),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer_suspect__field_indices_by_name[] = {
+  8,   /* field[8] = beside */
+  0,   /* field[0] = content */
+  3,   /* field[3] = ended_ms_ago */
+  7,   /* field[7] = endpoint */
+  6,   /* field[6] = ran */
+  4,   /* field[4] = refused_ms */
+  2,   /* field[2] = sent_ms_ago */
+  5,   /* field[5] = since_ms_ago */
+  1,   /* field[1] = strike */
+};
+static const ProtobufCIntRange peer_suspect__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor peer_suspect__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PeerSuspect",
+  "PeerSuspect",
+  "PeerSuspect",
+  "",
+  sizeof(PeerSuspect),
+  9,
+  peer_suspect__field_descriptors,
+  peer_suspect__field_indices_by_name,
+  1,  peer_suspect__number_ranges,
+  (ProtobufCMessageInit) peer_suspect__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer_suspects__field_descriptors[2] =
+{
+  {
+    "instance",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(PeerSuspects, instance),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "suspects",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PeerSuspects, n_suspects),
+    offsetof(PeerSuspects, suspects),
+    &peer_suspect__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer_suspects__field_indices_by_name[] = {
+  0,   /* field[0] = instance */
+  1,   /* field[1] = suspects */
+};
+static const ProtobufCIntRange peer_suspects__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer_suspects__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PeerSuspects",
+  "PeerSuspects",
+  "PeerSuspects",
+  "",
+  sizeof(PeerSuspects),
+  2,
+  peer_suspects__field_descriptors,
+  peer_suspects__field_indices_by_name,
+  1,  peer_suspects__number_ranges,
+  (ProtobufCMessageInit) peer_suspects__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer_datagram__field_descriptors[7] =
 {
   {
     "pulse",
@@ -1682,6 +1965,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "suspects",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(PeerDatagram, suspects),
+    &peer_suspects__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer_datagram__field_indices_by_name[] = {
   1,   /* field[1] = borrow */
@@ -1689,13 +1984,14 @@
   0,   /* field[0] = pulse */
   3,   /* field[3] = reader */
   5,   /* field[5] = rows */
+  6,   /* field[6] = suspects */
   4,   /* field[4] = work */
 };
 static const ProtobufCIntRange peer_datagram__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 3, 1 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor peer_datagram__descriptor =
 {
@@ -1705,7 +2001,7 @@
   "PeerDatagram",
   "",
   sizeof(PeerDatagram),
-  6,
+  7,
   peer_datagram__field_descriptors,
   peer_datagram__field_indices_by_name,
   2,  peer_datagram__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -26,6 +26,8 @@
 typedef struct PeerRow PeerRow;
 typedef struct PeerReader PeerReader;
 typedef struct PeerWork PeerWork;
+typedef struct PeerSuspect PeerSuspect;
+typedef struct PeerSuspects PeerSuspects;
 typedef struct PeerDatagram PeerDatagram;
 typedef struct PeerLoad PeerLoad;
 typedef struct PeerSnapshot PeerSnapshot;
@@ -323,6 +325,64 @@
     , 0, 0,NULL, 0,NULL }
 
 
+/*
+ * What is held against the content of a request.  Times are told as how long ago
+ * they were, ms.
+ */
+struct  PeerSuspect
+{
+  ProtobufCMessage base;
+  /*
+   * its hash
+   */
+  uint64_t content;
+  /*
+   * an endpoint ended under a run; 0: the rest says something else
+   */
+  /*
+   * drawn for the run
+   */
+  uint32_t strike;
+  uint32_t sent_ms_ago;
+  uint32_t ended_ms_ago;
+  /*
+   * it is refused for so long more, for runs since then; 0: it is not
+   */
+  uint32_t refused_ms;
+  uint32_t since_ms_ago;
+  /*
+   * a run of it has come to its end
+   */
+  protobuf_c_boolean ran;
+  /*
+   * hash of the id of the one that ended
+   */
+  uint64_t endpoint;
+  /*
+   * other requests for the same, at the sender
+   */
+  uint32_t beside;
+};
+#define PEER_SUSPECT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer_suspect__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
+struct  PeerSuspects
+{
+  ProtobufCMessage base;
+  /*
+   * hash of its name
+   */
+  uint64_t instance;
+  size_t n_suspects;
+  PeerSuspect **suspects;
+};
+#define PEER_SUSPECTS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer_suspects__descriptor) \
+    , 0, 0,NULL }
+
+
 /*
  * One datagram.
  */
@@ -338,10 +398,11 @@
    * PeerRows
    */
   PeerPacked *rows;
+  PeerSuspects *suspects;
 };
 #define PEER_DATAGRAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer_datagram__descriptor) \
-    , NULL, NULL, NULL, NULL, NULL, NULL }
+    , NULL, NULL, NULL, NULL, NULL, NULL, NULL }
 
 
 /*
@@ -616,6 +677,44 @@
 void   peer_work__free_unpacked
                      (PeerWork *message,
                       ProtobufCAllocator *allocator);
+/* PeerSuspect methods */
+void   peer_suspect__init
+                     (PeerSuspect         *message);
+size_t peer_suspect__get_packed_size
+                     (const PeerSuspect   *message);
+size_t peer_suspect__pack
+                     (const PeerSuspect   *message,
+                      uint8_t             *out);
+size_t peer_suspect__pack_to_buffer
+                     (const PeerSuspect   *message,
+                      ProtobufCBuffer     *buffer);
+PeerSuspect *
+       peer_suspect__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer_suspect__free_unpacked
+                     (PeerSuspect *message,
+                      ProtobufCAllocator *allocator);
+/* PeerSuspects methods */
+void   peer_suspects__init
+                     (PeerSuspects         *message);
+size_t peer_suspects__get_packed_size
+                     (const PeerSuspects   *message);
+size_t peer_suspects__pack
+                     (const PeerSuspects   *message,
+                      uint8_t             *out);
+size_t peer_suspects__pack_to_buffer
+                     (const PeerSuspects   *message,
+                      ProtobufCBuffer     *buffer);
+PeerSuspects *
+       peer_suspects__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer_suspects__free_unpacked
+                     (PeerSuspects *message,
+                      ProtobufCAllocator *allocator);
 /* PeerDatagram methods */
 void   peer_datagram__init
                      (PeerDatagram         *message);
@@ -727,6 +826,12 @@
 typedef void (*PeerWork_Closure)
                  (const PeerWork *message,
                   void *closure_data);
+typedef void (*PeerSuspect_Closure)
+                 (const PeerSuspect *message,
+                  void *closure_data);
+typedef void (*PeerSuspects_Closure)
+                 (const PeerSuspects *message,
+                  void *closure_data);
 typedef void (*PeerDatagram_Closure)
                  (const PeerDatagram *message,
                   void *closure_data);
@@ -756,6 +861,8 @@
 extern const ProtobufCMessageDescriptor peer_row__descriptor;
 extern const ProtobufCMessageDescriptor peer_reader__descriptor;
 extern const ProtobufCMessageDescriptor peer_work__descriptor;
+extern const ProtobufCMessageDescriptor peer_suspect__descriptor;
+extern const ProtobufCMessageDescriptor peer_suspects__descriptor;
 extern const ProtobufCMessageDescriptor peer_datagram__descriptor;
 extern const ProtobufCMessageDescriptor peer_load__descriptor;
 extern const ProtobufCMessageDescriptor peer_snapshot__descriptor;
--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -9,6 +9,7 @@
 #include "proxyd/exchange.h"
 #include "proxyd/peers.h"
 #include "proxyd/rediscover.h"
+#include "proxyd/suspects.h"
 
 /* A live endpoint completes a connection within 4 ms; a lost packet takes a
  * second, by which another endpoint has answered. */
@@ -87,7 +88,10 @@
 		f.copy_at = from->source;
 		f.copy_id = from->id[0] ? from->id : x->fields.id;
 	}
-	if (x->route->kind == KIND_AT_MOST_ONCE)
+	x->struck = false;
+	if (suspects_holds(x)) /* a fresh one shows that the endpoint lives */
+		options.reuse_ms = 0;
+	else if (x->route->kind == KIND_AT_MOST_ONCE)
 		options.reuse_ms = REUSE_ONCE_MS;
 	else if (x->route->kind == KIND_IDEMPOTENT)
 		options.reuse_ms = REUSE_MS;
@@ -110,7 +114,7 @@
 	x->body.len = 0;
 	event_stream_consume(&x->stream, x->stream.pending.len);
 	load_add(x);
-	x->staged = !from && stage_planned(x);
+	x->staged = !from && !suspects_holds(x) && stage_planned(x);
 	if (!x->staged)
 		copy_set(x, copy_choose(x), "");
 	copy = endpoint_get(p->endpoints, x->copy.at);
@@ -317,7 +321,9 @@
 		  (json_int_t)(proxyd_now(x->proxyd) - x->sent_ms));
 	endpoint_answered(x->proxyd->endpoints, at,
 			  proxyd_now(x->proxyd) - x->sent_ms, true);
-	if (x->engine)
+	if (outcome == HTTP1_BROKEN)
+		suspects_broke(x, endpoint_get(x->proxyd->endpoints, at));
+	if (x->engine || outcome == HTTP1_BROKEN)
 		endpoint_probe(x->proxyd->endpoints, at, x->fields.id, 0);
 	exchange_avoid(x, at);
 	if (!x->caller)
@@ -336,6 +342,8 @@
 	bool promise = x->status == 408 || x->status == 429 || x->status == 503;
 
 	if (!x->caller) {
+		if (!x->answer.not_run)
+			suspects_ran(x);
 		exchange_over(x, "left by caller");
 		return;
 	}
@@ -408,6 +416,7 @@
 
 	endpoint_answered(x->proxyd->endpoints, at, now - x->sent_ms,
 			  x->status >= 500);
+	suspects_ran(x);
 	if (x->begun) { /* the rest of a stream is no answer of this kind */
 		exchange_fail(x, 502, "the stream cannot be resumed");
 		return;
--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -18,6 +18,7 @@
 #include "proxyd/peers.h"
 #include "proxyd/proxyd.h"
 #include "proxyd/rediscover.h"
+#include "proxyd/suspects.h"
 #include "proxyd/watch.h"
 
 /* Prompts that all instances had read within the last seconds. */
@@ -272,6 +273,7 @@
 		  (json_int_t)endpoint_heard_ago(e, e->down_ms));
 	if (rumour_is_news(e->rumoured_ms, e->down_ms))
 		peers_tell_lost(t->proxyd->peers, e->id);
+	suspects_endpoint_ended(t->proxyd->suspects, e);
 	exchanges_endpoint_lost(t->proxyd->exchanges, h);
 }
 
@@ -286,6 +288,7 @@
 	e->state = ENDPOINT_OTHER;
 	event_log(EVENT_NOTABLE, "endpoint-replaced", request, "{s:s, s:s}",
 		  "endpoint", e->id, "address", e->address);
+	suspects_endpoint_ended(t->proxyd->suspects, e);
 	exchanges_endpoint_lost(t->proxyd->exchanges, h);
 }
 
@@ -497,8 +500,10 @@
 			  "{s:s, s:s, s:s, s:b, s:b}", "endpoint", e->id,
 			  "service", n->service, "address", n->address,
 			  "leaving", n->leaving, "restarted", restarted);
-	if (restarted)
+	if (restarted) {
+		suspects_endpoint_ended(e->proxyd->suspects, e);
 		e->holdoff = (struct holdoff){ 0 };
+	}
 	snprintf(e->address, sizeof(e->address), "%s", n->address);
 	e->address_hash = XXH3_64bits(e->address, strlen(e->address));
 	e->slots = n->slots;
@@ -514,6 +519,8 @@
 {
 	if (e->lapse.removed)
 		return;
+	if (!endpoint_leaves(e))
+		suspects_endpoint_ended(t->proxyd->suspects, e);
 	lapse_removed(&e->lapse, outage_end_ms, proxyd_now(t->proxyd));
 	event_log(EVENT_NOTABLE, "endpoint-entry-removed", NULL, "{s:s, s:b}",
 		  "endpoint", e->id, "held", e->lapse.hold_until_ms != 0);
@@ -559,6 +566,7 @@
 
 	if (e->probe)
 		http1_call_cancel(e->probe);
+	free(e->broken);
 	free(e->service);
 	free(e);
 	slots_free(&t->table, h);
@@ -615,6 +623,8 @@
 	e->probe = NULL;
 	if (outcome == HTTP1_NOT_SENT || outcome == HTTP1_NO_ANSWER)
 		endpoint_unreachable(t, e->self, NULL, outcome);
-	else
+	else {
+		suspects_endpoint_lives(e, e->probed_ms);
 		endpoint_reached(t, e->self);
+	}
 }
--- a/proxyd/endpoints.h
+++ b/proxyd/endpoints.h
@@ -16,6 +16,7 @@
 #define ENDPOINT_ID_SIZE 64
 #define ENDPOINT_ADDRESS_SIZE 32
 #define ENDPOINT_AVOID_MAX 8
+#define ENDPOINT_BROKEN_MAX 64 /* runs that broke lately; later ones replace */
 
 struct answer_fields;
 struct endpoints;
@@ -30,6 +31,15 @@
 	uint32_t prefills; /* requests among these that have no event yet */
 };
 
+/* A run whose connection broke: the endpoint may have ended. */
+struct broken_run {
+	uint64_t content;
+	uint64_t sent_ms;
+	uint64_t broke_ms;
+	uint32_t beside; /* other requests for the same were open then */
+	bool lived; /* its endpoint has taken a connection since */
+};
+
 enum endpoint_state {
 	ENDPOINT_UP,
 	ENDPOINT_DOWN, /* found dead: nothing goes there until a probe does */
@@ -62,6 +72,8 @@
 	struct proxyd *proxyd;
 	struct endpoint_load own;
 	struct endpoint_load others; /* of the other instances */
+	struct broken_run *broken; /* NULL until there is one */
+	size_t n_broken; /* all that were noted */
 	bool work_news; /* the own load has changed since it was told */
 	float latency_ms; /* moving mean of plain answers; 0: none yet */
 	float failing; /* moving share of failures, 0 to 1 */
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -14,6 +14,7 @@
 #include "policy/room.h"
 #include "policy/unconfigured.h"
 #include "proxyd/peers.h"
+#include "proxyd/suspects.h"
 #include "proxyd/watch.h"
 
 /* Until the first runs have ended. */
@@ -37,7 +38,6 @@
 #define PLAIN_MS 200
 
 static void begin(struct exchange *x);
-static void say_ended(const struct exchange *x);
 static void refuse_unconfigured(struct exchange *x);
 static bool find_route(struct exchange *x);
 static bool find_organisation(struct exchange *x);
@@ -192,7 +192,8 @@
 			copy_forget(x);
 		if (!x->call || !handle_equal(x->at, endpoint))
 			continue;
-		say_ended(x);
+		suspects_endpoint_lost(x, endpoint_get(t->proxyd->endpoints,
+						       endpoint));
 		if (x->route->kind == KIND_STREAM) {
 			stream_move(x, "endpoint lost");
 			continue;
@@ -211,20 +212,6 @@
 	}
 }
 
-/* Logs a request that is at an endpoint which is lost. */
-static void say_ended(const struct exchange *x)
-{
-	const struct endpoint *e = endpoint_get(x->proxyd->endpoints, x->at);
-	char content[CONTENT_TEXT_SIZE];
-
-	content_text(x->content, content);
-	event_log(EVENT_NOTABLE, "endpoint-lost-under", x->fields.id,
-		  "{s:s, s:s, s:I, s:b}", "content", content, "endpoint",
-		  e ? e->id : "", "sent_ms_ago",
-		  (json_int_t)(proxyd_now(x->proxyd) - x->sent_ms), "connected",
-		  http1_call_connected(x->call));
-}
-
 /* The caller left before its answer was complete.  What may run once only is
  * seen through; all else is cancelled, so that its endpoint stops. */
 void exchange_caller_left(void *owner)
@@ -260,6 +247,8 @@
 	struct handle at = { 0 };
 	struct place_choice choice;
 
+	if (suspects_stop(x))
+		return;
 	choice = endpoints_place(x->proxyd->endpoints, &wish, x->engine != NULL,
 				 &at);
 	if (choice.outcome == PLACE_ALL_AVOIDED && x->n_avoided &&
@@ -276,6 +265,16 @@
 		seek_failed(x, &choice);
 }
 
+/* The request waits, for a moment, until it is decided whether it may be sent. */
+void exchange_hold(struct exchange *x)
+{
+	if (!x->wait_until_ms) {
+		x->wait_until_ms = proxyd_now(x->proxyd) + STREAM_WAIT_MS;
+		x->proxyd->exchanges->waiting_tokens += x->tokens;
+	}
+	x->phase = EXCHANGE_WAITING;
+}
+
 /* Leaves an endpoint out of later choices. */
 void exchange_avoid(struct exchange *x, struct handle h)
 {
@@ -448,11 +447,7 @@
 static void wait_elsewhere(struct exchange *x,
 			   const struct place_choice *choice)
 {
-	if (!x->wait_until_ms) {
-		x->wait_until_ms = proxyd_now(x->proxyd) + STREAM_WAIT_MS;
-		x->proxyd->exchanges->waiting_tokens += x->tokens;
-	}
-	x->phase = EXCHANGE_WAITING;
+	exchange_hold(x);
 	if (choice->outcome == PLACE_PAUSED &&
 	    proxyd_now(x->proxyd) + choice->pause_ms > x->wait_until_ms)
 		exchange_refuse(x, 503, choice->pause_ms,
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -76,6 +76,7 @@
 	bool loaded; /* its load counts at the endpoint */
 	bool prefilling; /* so does its prompt */
 	bool from_copy; /* sent to go on from a copy */
+	bool struck; /* its end there is counted, or will be */
 	bool staged; /* moves on once its prompt has been read */
 	struct run_copy copy;
 	struct run_copy left_copy; /* of a lost run that waits to go on */
@@ -141,6 +142,7 @@
 /* exchange.c */
 struct endpoint_wish exchange_wish(const struct exchange *x);
 void exchange_seek(struct exchange *x);
+void exchange_hold(struct exchange *x);
 void exchange_avoid(struct exchange *x, struct handle h);
 void exchange_refuse(struct exchange *x, int status, uint32_t retry_after_ms,
 		     const char *why);
--- a/proxyd/peers.c
+++ b/proxyd/peers.c
@@ -80,6 +80,7 @@
 
 	peers_tell_reader(t);
 	peers_tell_changed_work(t);
+	peers_tell_suspects(t);
 	if ((t->urgent_ms && now >= t->urgent_ms) ||
 	    now - t->told_ms >= presence_interval_ms(t->n + 1))
 		peers_tell_now(t);
@@ -236,6 +237,8 @@
 		take_work(t, d->work);
 	if (d->reader)
 		take_reader(t, d->reader);
+	if (d->suspects)
+		peers_take_suspects(t, d->suspects);
 	if (d->borrow)
 		peers_lend(t, d->borrow);
 	if (d->loan)
@@ -254,6 +257,17 @@
 	return NULL;
 }
 
+/* Returns an instance by the hash of its name, or NULL. */
+struct peer *peers_find_hash(const struct peers *t, uint64_t hash)
+{
+	struct peer *peer;
+
+	TAILQ_FOREACH(peer, &t->list, link)
+	if (peer->hash == hash)
+		return peer;
+	return NULL;
+}
+
 /* Returns the hash by which short datagrams name an instance. */
 uint64_t peers_name_hash(const char *name)
 {
@@ -273,6 +287,8 @@
 			  pulse->leaving ? "instance-leaving"
 					 : "instance-staying",
 			  NULL, "{s:s}", "peer", peer->name);
+	if (pulse->born != peer->born_ms)
+		suspects_tell_newcomer(t->proxyd->suspects, peer);
 	peer->born_ms = pulse->born;
 	peer->presence.heard_ms = proxyd_now(t->proxyd);
 	peer->presence.leaving = pulse->leaving;
@@ -396,9 +412,7 @@
 	size_t i;
 	size_t k;
 
-	TAILQ_FOREACH(peer, &t->list, link)
-	if (peer->hash == work->instance)
-		break;
+	peer = peers_find_hash(t, work->instance);
 	if (!peer)
 		return;
 	peer->presence.heard_ms = proxyd_now(t->proxyd);
--- a/proxyd/peers.h
+++ b/proxyd/peers.h
@@ -8,8 +8,10 @@
 #include "policy/reread.h"
 #include "proxyd/store.h"
 
+struct peer;
 struct peers;
 struct proxyd;
+struct suspect_news;
 
 /* An instance as others tell of it. */
 struct peer_info {
@@ -28,6 +30,11 @@
 void peers_tell_prompt(struct peers *t, uint64_t session, uint64_t endpoint);
 void peers_borrow(struct peers *t, const char *service, uint32_t repeats);
 void peers_tell_work(struct peers *t, struct endpoint *e, bool begins);
+void peers_tell_suspect(struct peers *t, const struct suspect_news *news);
+void peers_tell_suspect_to(struct peers *t, const struct peer *peer,
+			   const struct suspect_news *news);
+bool peers_keep_record(const struct peers *t, uint64_t content);
+bool peers_keep_first(const struct peers *t, uint64_t content);
 void peers_tell_urgent(struct peers *t);
 void peers_tell_now(struct peers *t);
 void peers_tell_rows(struct peers *t, enum store_table table, uint64_t after,
--- a/proxyd/peers_table.h
+++ b/proxyd/peers_table.h
@@ -1,7 +1,7 @@
 #ifndef PROXYD_PEERS_TABLE_H
 #define PROXYD_PEERS_TABLE_H
 
-/* The table of instances from within: for peers.c and peers_tell.c. */
+/* The table of instances from within: for peers.c and peers_*.c. */
 
 #include <sys/queue.h>
 #include <uv.h>
@@ -12,11 +12,13 @@
 #include "proto/peer.pb-c.h"
 #include "proxyd/endpoints.h"
 #include "proxyd/peers.h"
+#include "proxyd/suspects.h"
 
 #define LOADS_MAX 48 /* of one datagram, which fits one packet */
 #define TOLD_MAX 8 /* endpoints lost, and found, of one datagram */
 #define PROMPTS_MAX 16 /* places of prompts in one datagram */
 #define PROMPTS_KEPT 64 /* of which datagrams are still to tell */
+#define SUSPECTS_KEPT 128 /* the same of suspected requests */
 #define DATAGRAM_MAX 2048
 
 struct peer_load {
@@ -63,6 +65,15 @@
 	unsigned int sends_left;
 };
 
+/* What is told of a suspected request. */
+struct told_suspect {
+	struct suspect_news news;
+	unsigned int sends_left;
+	uint64_t due_ms;
+	bool to_all; /* not only to those who keep its records */
+	uint64_t weakest_keeper; /* least weight of these */
+};
+
 struct peers {
 	struct proxyd *proxyd;
 	uv_udp_t udp;
@@ -77,16 +88,21 @@
 	struct told leaving;
 	struct told_prompt prompts[PROMPTS_KEPT];
 	size_t prompt_next; /* the oldest */
+	struct told_suspect suspects[SUSPECTS_KEPT];
+	size_t suspect_next; /* the oldest */
 	struct counter *sent;
 	struct counter *heard;
 };
 
 uint32_t peers_own_capacity(const struct peers *t);
 struct peer *peers_find(const struct peers *t, const char *name);
+struct peer *peers_find_hash(const struct peers *t, uint64_t hash);
 uint64_t peers_name_hash(const char *name);
 void peers_send(struct peers *t, const struct peer *to, const PeerDatagram *d);
 void peers_tell_reader(struct peers *t);
 void peers_tell_changed_work(struct peers *t);
+void peers_tell_suspects(struct peers *t);
+void peers_take_suspects(struct peers *t, const PeerSuspects *said);
 void peers_lend(struct peers *t, const PeerBorrow *borrow);
 void peers_take_loan(struct peers *t, const PeerLoan *loan);
 
--- a/proxyd/proxyd.c
+++ b/proxyd/proxyd.c
@@ -20,6 +20,7 @@
 #include "proxyd/exchange.h"
 #include "proxyd/peers.h"
 #include "proxyd/snapshot.h"
+#include "proxyd/suspects.h"
 #include "proxyd/watch.h"
 
 /* A tick that comes later than this: the process itself stood still, and the
@@ -114,6 +115,7 @@
 	p->store = world->store_new(p->client, p->loop, p->settings.store);
 	p->endpoints = endpoints_new(p);
 	p->exchanges = exchanges_new(p);
+	p->suspects = suspects_new(p);
 	p->watches = watches_new(p);
 	p->snapshots = snapshots_new(p);
 	p->peers = peers_new(p, err, err_size);
@@ -177,6 +179,7 @@
 	endpoints_tick(p->endpoints);
 	exchanges_tick(p->exchanges);
 	exchanges_borrow(p->exchanges);
+	suspects_tick(p->suspects);
 	peers_tick(p->peers);
 	if (++count % TICKS_PER_LOG == 0) {
 		desk_tick(p->desk);
--- a/proxyd/proxyd.h
+++ b/proxyd/proxyd.h
@@ -21,6 +21,7 @@
 struct exchanges;
 struct peers;
 struct snapshots;
+struct suspects;
 struct watches;
 
 /* How the process speaks with the world outside of it. */
@@ -55,6 +56,7 @@
 	struct watches *watches;
 	struct snapshots *snapshots;
 	struct exchanges *exchanges;
+	struct suspects *suspects;
 	struct desk *desk;
 	bool ending;
 };
--- a/proxyd/store.h
+++ b/proxyd/store.h
@@ -38,6 +38,13 @@
 	const char *zone;
 };
 
+/* A content of requests that is refused. */
+struct refusal_entry {
+	uint64_t content; /* its hash */
+	uint64_t until_ms; /* Unix time */
+	uint64_t since_ms; /* the first run that it is refused for; the same */
+};
+
 /* One row.  Which member is set follows from the table; none is set in a row
  * that was removed or cannot be read. */
 struct store_row {
@@ -46,6 +53,7 @@
 	struct routes *routes; /* one reference, for the callback's time */
 	const struct endpoint_entry *endpoint;
 	const struct instance_entry *instance;
+	const struct refusal_entry *refusal; /* among the instances' rows */
 	char problem[160]; /* why it cannot be read */
 	uint64_t version; /* of this row */
 	const char *raw; /* the value as the store has it */
@@ -61,6 +69,9 @@
 	size_t n;
 };
 
+/* Keys of refusals begin so; no instance has such a name. */
+#define STORE_REFUSAL_PREFIX "refused/"
+
 struct store;
 
 /* Each call ends by one call of done, from the loop. */
@@ -89,10 +100,15 @@
 			     void (*done)(void *arg,
 					  enum store_outcome outcome),
 			     void *arg);
-	void (*remove_instance)(struct store *s, const char *key,
-				void (*done)(void *arg,
-					     enum store_outcome outcome),
-				void *arg);
+	void (*put_refusal)(struct store *s, const char *key,
+			    const struct refusal_entry *entry,
+			    void (*done)(void *arg, enum store_outcome outcome),
+			    void *arg);
+	/* removes an entry of this system's */
+	void (*remove_entry)(struct store *s, const char *key,
+			     void (*done)(void *arg,
+					  enum store_outcome outcome),
+			     void *arg);
 	void (*tick)(struct store *s); /* ends calls whose time is up */
 };
 
--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -10,6 +10,7 @@
 #include "lib/event_log.h"
 #include "policy/silence.h"
 #include "proxyd/peers.h"
+#include "proxyd/suspects.h"
 
 /* A caller that reads slowly stops the reading from its engine. */
 #define PENDING_MAX (256u << 10) /* bytes */
@@ -69,6 +70,8 @@
 		exchange_over(x, "left by caller");
 		return;
 	}
+	if (outcome == HTTP1_BROKEN)
+		suspects_broke(x, endpoint_get(x->proxyd->endpoints, at));
 	endpoint_probe(x->proxyd->endpoints, at, x->fields.id, 0);
 	stream_move(x, http1_outcome_name(outcome));
 }
@@ -116,6 +119,10 @@
 	struct run_copy copy = x->left_copy;
 	bool by_copy = copy_lies_well(x->proxyd, &copy);
 
+	if (suspects_stop(x)) {
+		x->repeat_due = x->phase == EXCHANGE_WAITING;
+		return;
+	}
 	x->left_copy.at = none;
 	x->repeat_due = false;
 	if (x->wait_until_ms)
@@ -312,6 +319,7 @@
 	if (!x->begun)
 		begin(x);
 	attempt_cancel(x);
+	suspects_ran(x);
 	x->caller = NULL;
 	http1_own(caller, NULL);
 	http1_stream_end(caller);
--- /dev/null
+++ b/proxyd/suspects.c
@@ -0,0 +1,616 @@
+/*
+ * Requests that end the endpoints that run them: what this instance sees of it
+ * and hears of others, and what it refuses for it.  A refusal that stands for a
+ * while is written to the store, so that it outlives all instances; whoever
+ * removes its row there takes it back.
+ */
+#include "proxyd/suspects.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "lib/counters.h"
+#include "lib/event_log.h"
+#include "lib/xalloc.h"
+#include "policy/content.h"
+#include "proxyd/exchange.h"
+#include "proxyd/peers.h"
+#include "proxyd/proxyd.h"
+#include "proxyd/watch.h"
+
+/* A run that broke counts if its endpoint is found to have ended within this
+ * time: a probe tells within 40 ms, the store within some heartbeats. */
+#define BROKEN_MS 10000
+#define LIVED_MS 1500 /* the same, if its endpoint took a connection after it */
+
+/* Rows are compared with what is refused here so often; a refusal that another
+ * instance takes back at once is not written. */
+#define ROWS_MS 1000
+
+/* A refusal that is over sooner is not written. */
+#define ROW_LEAST_MS 20000
+
+#define ROWS_MAX 64 /* of refusals, in the store */
+#define KEY_SIZE 64
+
+/* A row of the store. */
+struct refusal_row {
+	uint64_t content;
+	uint64_t until_ms; /* Unix time */
+};
+
+struct suspects {
+	struct proxyd *proxyd;
+	struct poison *poison;
+	struct refusal_row rows[ROWS_MAX];
+	size_t n_rows;
+	uint64_t rows_ms; /* when they were compared last */
+	bool busy; /* a row is being written or removed */
+	struct counter *suspected;
+	struct counter *refused;
+	struct counter *cleared;
+	struct counter *turned_away;
+};
+
+static void strike(struct suspects *t, uint64_t content,
+		   const struct poison_strike *s, const char *endpoint,
+		   const char *request);
+static uint32_t beside(const struct exchange *x);
+static bool lasts(const struct suspects *t, uint64_t content, uint64_t ran_ms);
+static void take_strike(struct suspects *t, const struct suspect_news *news,
+			struct peer *from);
+static void decided(struct suspects *t, const struct poison_record *r);
+static void take_refusal(struct suspects *t, uint64_t content,
+			 uint64_t since_ms, uint64_t left_ms, const char *by);
+static struct suspect_news refusal_news(const struct poison_record *r);
+static void cleared(struct suspects *t, uint64_t content, const char *by);
+static uint64_t since(const struct poison_record *r);
+static void compare_rows(struct suspects *t);
+static bool remove_a_row(struct suspects *t);
+static void write_a_row(struct suspects *t);
+static void on_row(void *arg, enum store_outcome outcome);
+static struct refusal_row *find_row(struct suspects *t, uint64_t content);
+static void drop_row(struct suspects *t, struct refusal_row *row,
+		     const char *by);
+static void row_key(uint64_t content, char key[KEY_SIZE]);
+static uint64_t unix_ms(void);
+static struct counter *step_counter(const char *step);
+
+/* Makes the part. */
+struct suspects *suspects_new(struct proxyd *p)
+{
+	struct suspects *t = xcalloc(1, sizeof(*t));
+
+	t->proxyd = p;
+	t->poison = poison_new(&poison_defaults);
+	t->suspected = step_counter("suspected");
+	t->refused = step_counter("refused");
+	t->cleared = step_counter("cleared");
+	t->turned_away = step_counter("turned away");
+	return t;
+}
+
+/* Decides on what is suspected; keeps the rows of the store as what is refused. */
+void suspects_tick(struct suspects *t)
+{
+	uint64_t now = proxyd_now(t->proxyd);
+	const struct poison_record *r;
+
+	while ((r = poison_decide(t->poison, now)))
+		decided(t, r);
+	if (now - t->rows_ms < ROWS_MS)
+		return;
+	t->rows_ms = now;
+	compare_rows(t);
+}
+
+/* The connection of a run broke before its answer was whole.  That counts once
+ * its endpoint is known to have ended; for a content that lacks one strike only,
+ * at once, so that no further endpoint gets it meanwhile. */
+void suspects_broke(struct exchange *x, struct endpoint *e)
+{
+	struct suspects *t = x->proxyd->suspects;
+	uint64_t now = proxyd_now(x->proxyd);
+	const struct poison_record *r = poison_find(t->poison, x->content, now);
+	struct broken_run *run;
+
+	if (!e || x->struck || endpoint_leaves(e))
+		return;
+	x->struck = true;
+	if (r && r->n >= POISON_STRIKES - 1) {
+		const struct poison_strike s = {
+			.id = (uint32_t)proxyd_random() | 1,
+			.endpoint = e->hash,
+			.sent_ms = x->sent_ms,
+			.ended_ms = now,
+			.beside = beside(x),
+		};
+
+		strike(t, x->content, &s, e->id, x->fields.id);
+		return;
+	}
+	if (!e->broken)
+		e->broken = xcalloc(ENDPOINT_BROKEN_MAX, sizeof(*e->broken));
+	run = &e->broken[e->n_broken++ % ENDPOINT_BROKEN_MAX];
+	*run = (struct broken_run){
+		.content = x->content,
+		.sent_ms = x->sent_ms,
+		.broke_ms = now,
+		.beside = beside(x),
+	};
+}
+
+/* An endpoint is lost that has the request. */
+void suspects_endpoint_lost(struct exchange *x, struct endpoint *e)
+{
+	const struct poison_strike s = {
+		.id = (uint32_t)proxyd_random() | 1,
+		.endpoint = e->hash,
+		.sent_ms = x->sent_ms,
+		.ended_ms = proxyd_now(x->proxyd),
+		.beside = beside(x),
+	};
+
+	if (x->struck || !http1_call_connected(x->call) || endpoint_leaves(e))
+		return;
+	x->struck = true;
+	strike(x->proxyd->suspects, x->content, &s, e->id, x->fields.id);
+}
+
+/* An endpoint has ended: so it was its end that broke the last runs there. */
+void suspects_endpoint_ended(struct suspects *t, struct endpoint *e)
+{
+	uint64_t now = proxyd_now(t->proxyd);
+	size_t n = e->n_broken < ENDPOINT_BROKEN_MAX ? e->n_broken
+						     : ENDPOINT_BROKEN_MAX;
+	size_t i;
+
+	e->n_broken = 0;
+	for (i = 0; i < n; i++) {
+		const struct broken_run *run = &e->broken[i];
+		const struct poison_strike s = {
+			.id = (uint32_t)proxyd_random() | 1,
+			.endpoint = e->hash,
+			.sent_ms = run->sent_ms,
+			.ended_ms = run->broke_ms,
+			.beside = run->beside,
+		};
+
+		if (now - run->broke_ms < (run->lived ? LIVED_MS : BROKEN_MS))
+			strike(t, run->content, &s, e->id, NULL);
+	}
+}
+
+/* An endpoint takes connections that were asked for then: what broke before was
+ * hardly ended with it.  What forwards connections may take them for an endpoint
+ * that has ended; the store then tells soon. */
+void suspects_endpoint_lives(struct endpoint *e, uint64_t probed_ms)
+{
+	size_t i;
+
+	for (i = 0; i < e->n_broken && i < ENDPOINT_BROKEN_MAX; i++)
+		if (e->broken[i].broke_ms <= probed_ms)
+			e->broken[i].lived = true;
+}
+
+/* A run of the request has come to its end. */
+void suspects_ran(struct exchange *x)
+{
+	struct suspects *t = x->proxyd->suspects;
+	const struct suspect_news news = {
+		.word = SUSPECT_RAN,
+		.content = x->content,
+	};
+
+	if (!poison_ran(t->poison, x->content, proxyd_now(x->proxyd)))
+		return;
+	cleared(t, x->content, "run here");
+	peers_tell_suspect(x->proxyd->peers, &news);
+}
+
+/* Refuses a request whose content is refused, or lets it wait while that is being
+ * decided; false if it may be sent. */
+bool suspects_stop(struct exchange *x)
+{
+	struct suspects *t = x->proxyd->suspects;
+	uint64_t now = proxyd_now(x->proxyd);
+	uint64_t left_ms = poison_refused_ms(t->poison, x->content, now);
+	char content[CONTENT_TEXT_SIZE];
+
+	switch (poison_judge(t->poison, x->content, now)) {
+	case POISON_RUN:
+		return false;
+	case POISON_HOLD:
+		exchange_hold(x);
+		return true;
+	case POISON_REFUSE:
+		break;
+	}
+	content_text(x->content, content);
+	event_log(EVENT_NOTABLE, "turned-away", x->fields.id, "{s:s, s:I, s:b}",
+		  "content", content, "refused_ms", (json_int_t)left_ms,
+		  "may_have_run", x->may_have_run);
+	counter_add(t->turned_away, 1);
+	exchange_refuse(x, 503, (uint32_t)left_ms,
+			"endpoints have ended under this request");
+	return true;
+}
+
+/* Tells whether anything is held against the request's content. */
+bool suspects_holds(const struct exchange *x)
+{
+	return poison_find(x->proxyd->suspects->poison, x->content,
+			   proxyd_now(x->proxyd)) != NULL;
+}
+
+/* Takes what another instance tells. */
+void suspects_hear(struct suspects *t, const struct suspect_news *news,
+		   struct peer *from)
+{
+	uint64_t now = proxyd_now(t->proxyd);
+
+	switch (news->word) {
+	case SUSPECT_STRIKE:
+		take_strike(t, news, from);
+		break;
+	case SUSPECT_REFUSED:
+		take_refusal(t, news->content, news->since_ms,
+			     news->until_ms - now, "another instance");
+		break;
+	case SUSPECT_RAN:
+		if (poison_ran(t->poison, news->content, now))
+			cleared(t, news->content, "run elsewhere");
+		break;
+	}
+}
+
+/* Tells an instance that has just started what is refused, as far as this one
+ * keeps the records of it. */
+void suspects_tell_newcomer(struct suspects *t, struct peer *peer)
+{
+	uint64_t now = proxyd_now(t->proxyd);
+	const struct poison_record *r;
+	size_t i = 0;
+
+	while ((r = poison_next_refused(t->poison, now, &i))) {
+		const struct suspect_news news = refusal_news(r);
+
+		if (peers_keep_record(t->proxyd->peers, r->content))
+			peers_tell_suspect_to(t->proxyd->peers, peer, &news);
+	}
+}
+
+/* Takes a row of the store; false if it is none of a refusal. */
+bool suspects_take_row(struct suspects *t, const struct store_row *row)
+{
+	uint64_t now = proxyd_now(t->proxyd);
+	uint64_t unix_now = unix_ms();
+	struct refusal_row *known;
+	uint64_t left_ms;
+	uint64_t age_ms;
+
+	if (strncmp(row->key, STORE_REFUSAL_PREFIX,
+		    strlen(STORE_REFUSAL_PREFIX)) != 0)
+		return false;
+	if (!row->refusal) {
+		known = find_row(
+			t, strtoull(row->key + strlen(STORE_REFUSAL_PREFIX),
+				    NULL, 16));
+		if (known)
+			drop_row(t, known, "store");
+		else if (row->problem[0])
+			event_log(EVENT_NOTABLE, "entry-unreadable", NULL,
+				  "{s:s, s:s}", "refusal", row->key, "problem",
+				  row->problem);
+		return true;
+	}
+	known = find_row(t, row->refusal->content);
+	if (!known && t->n_rows < ROWS_MAX)
+		known = &t->rows[t->n_rows++];
+	if (known)
+		*known = (struct refusal_row){
+			.content = row->refusal->content,
+			.until_ms = row->refusal->until_ms,
+		};
+	left_ms = row->refusal->until_ms > unix_now
+			  ? row->refusal->until_ms - unix_now
+			  : 0;
+	age_ms = unix_now > row->refusal->since_ms
+			 ? unix_now - row->refusal->since_ms
+			 : 0;
+	if (left_ms)
+		take_refusal(t, row->refusal->content,
+			     now > age_ms ? now - age_ms : 0, left_ms, "store");
+	return true;
+}
+
+/* After a full listing: rows that are not in it were removed. */
+void suspects_keep_only(struct suspects *t, const struct store_row *rows,
+			size_t n)
+{
+	size_t i = t->n_rows;
+	size_t k;
+
+	while (i-- > 0) {
+		for (k = 0; k < n; k++)
+			if (rows[k].refusal &&
+			    rows[k].refusal->content == t->rows[i].content)
+				break;
+		if (k == n)
+			drop_row(t, &t->rows[i], "store");
+	}
+}
+
+/* Counts an end that was seen here, and tells who keeps the records. */
+static void strike(struct suspects *t, uint64_t content,
+		   const struct poison_strike *s, const char *endpoint,
+		   const char *request)
+{
+	const struct suspect_news news = {
+		.word = SUSPECT_STRIKE,
+		.content = content,
+		.strike = *s,
+	};
+	bool excused = lasts(t, content, s->ended_ms - s->sent_ms);
+	char text[CONTENT_TEXT_SIZE];
+
+	content_text(content, text);
+	event_log(EVENT_NOTABLE, "endpoint-ended-under", request,
+		  "{s:s, s:s, s:I, s:I, s:b}", "content", text, "endpoint",
+		  endpoint, "ran_ms", (json_int_t)(s->ended_ms - s->sent_ms),
+		  "ended_ms_ago",
+		  (json_int_t)(proxyd_now(t->proxyd) - s->ended_ms),
+		  "another_lasts", excused);
+	if (excused)
+		return;
+	take_strike(t, &news, NULL);
+	peers_tell_suspect(t->proxyd->peers, &news);
+}
+
+/* Counts the other requests for the same that are open here. */
+static uint32_t beside(const struct exchange *x)
+{
+	const struct exchange *o;
+	uint32_t n = 0;
+
+	TAILQ_FOREACH(o, &x->proxyd->exchanges->list, link)
+	n += o != x && o->content == x->content && o->phase != EXCHANGE_OVER;
+	return n;
+}
+
+/* Tells whether another run of the content is under way here, with events, that
+ * has lasted for longer than this: the content does not end its endpoint within
+ * that time. */
+static bool lasts(const struct suspects *t, uint64_t content, uint64_t ran_ms)
+{
+	uint64_t now = proxyd_now(t->proxyd);
+	const struct exchange *x;
+
+	TAILQ_FOREACH(x, &t->proxyd->exchanges->list, link)
+	{
+		const struct endpoint *e;
+
+		if (x->content != content || x->phase != EXCHANGE_SENT ||
+		    !x->begun || x->first_by_ms || x->struck)
+			continue;
+		e = endpoint_get(t->proxyd->endpoints, x->at);
+		if (e && e->state == ENDPOINT_UP && now - x->sent_ms > ran_ms)
+			return true;
+	}
+	return false;
+}
+
+/* Counts an end.  An instance that had run a refused content does not know that,
+ * and is told. */
+static void take_strike(struct suspects *t, const struct suspect_news *news,
+			struct peer *from)
+{
+	uint64_t now = proxyd_now(t->proxyd);
+	const struct poison_record *r;
+	struct suspect_news refusal;
+
+	if (poison_strike(t->poison, news->content, &news->strike, now)) {
+		counter_add(t->suspected, 1);
+		return;
+	}
+	r = poison_find(t->poison, news->content, now);
+	if (!r || !r->refused_until_ms || !from)
+		return;
+	refusal = refusal_news(r);
+	peers_tell_suspect_to(t->proxyd->peers, from, &refusal);
+}
+
+/* A content is refused from now on, and all are told. */
+static void decided(struct suspects *t, const struct poison_record *r)
+{
+	uint64_t now = proxyd_now(t->proxyd);
+	const struct suspect_news news = refusal_news(r);
+	char text[CONTENT_TEXT_SIZE];
+
+	content_text(r->content, text);
+	event_log(EVENT_ALWAYS, "content-refused", NULL,
+		  "{s:s, s:s, s:i, s:I, s:I, s:I}", "content", text, "by",
+		  "ends of endpoints", "strikes", (int)r->n, "for_ms",
+		  (json_int_t)(r->refused_until_ms - now), "since_ms_ago",
+		  (json_int_t)(now - since(r)), "last_ms_ago",
+		  (json_int_t)(now - r->strikes[r->n - 1].ended_ms));
+	counter_add(t->refused, 1);
+	peers_tell_suspect(t->proxyd->peers, &news);
+}
+
+/* Takes a refusal of another instance or of the store, or tells all that the
+ * content has run here. */
+static void take_refusal(struct suspects *t, uint64_t content,
+			 uint64_t since_ms, uint64_t left_ms, const char *by)
+{
+	uint64_t now = proxyd_now(t->proxyd);
+	const struct suspect_news ran = {
+		.word = SUSPECT_RAN,
+		.content = content,
+	};
+	bool news = !poison_refused_ms(t->poison, content, now);
+	char text[CONTENT_TEXT_SIZE];
+
+	if (lasts(t, content, now - since_ms))
+		poison_ran(t->poison, content, now);
+	if (!poison_refuse(t->poison, content, since_ms, left_ms, now)) {
+		cleared(t, content, "run here");
+		peers_tell_suspect(t->proxyd->peers, &ran);
+		return;
+	}
+	if (!news)
+		return;
+	content_text(content, text);
+	event_log(EVENT_ALWAYS, "content-refused", NULL, "{s:s, s:s, s:I, s:I}",
+		  "content", text, "by", by, "for_ms", (json_int_t)left_ms,
+		  "since_ms_ago", (json_int_t)(now - since_ms));
+	counter_add(t->refused, 1);
+}
+
+/* Returns what others are told of a refusal. */
+static struct suspect_news refusal_news(const struct poison_record *r)
+{
+	return (struct suspect_news){
+		.word = SUSPECT_REFUSED,
+		.content = r->content,
+		.until_ms = r->refused_until_ms,
+		.since_ms = since(r),
+	};
+}
+
+/* Notes that nothing is held against a content any more. */
+static void cleared(struct suspects *t, uint64_t content, const char *by)
+{
+	char text[CONTENT_TEXT_SIZE];
+
+	content_text(content, text);
+	event_log(EVENT_NOTABLE, "content-cleared", NULL, "{s:s, s:s}",
+		  "content", text, "by", by);
+	counter_add(t->cleared, 1);
+}
+
+/* Returns when the first run began that counts against a content. */
+static uint64_t since(const struct poison_record *r)
+{
+	return r->n ? r->strikes[0].sent_ms : 0;
+}
+
+/* Writes or removes one row that does not agree with what is refused here, if
+ * this instance is the one of all to do so. */
+static void compare_rows(struct suspects *t)
+{
+	if (!t->busy && watches_answered(t->proxyd->watches) &&
+	    !remove_a_row(t))
+		write_a_row(t);
+}
+
+/* Removes the row of a content that is not refused any more. */
+static bool remove_a_row(struct suspects *t)
+{
+	struct proxyd *p = t->proxyd;
+	char key[KEY_SIZE];
+	size_t i;
+
+	for (i = 0; i < t->n_rows; i++) {
+		if (poison_refused_ms(t->poison, t->rows[i].content,
+				      proxyd_now(p)) ||
+		    !peers_keep_first(p->peers, t->rows[i].content))
+			continue;
+		row_key(t->rows[i].content, key);
+		t->busy = true;
+		p->store->ops->remove_entry(p->store, key, on_row, t);
+		return true;
+	}
+	return false;
+}
+
+/* Writes the row of a content that is refused. */
+static void write_a_row(struct suspects *t)
+{
+	struct proxyd *p = t->proxyd;
+	uint64_t now = proxyd_now(p);
+	const struct poison_record *r;
+	char key[KEY_SIZE];
+	size_t i = 0;
+
+	if (t->n_rows == ROWS_MAX)
+		return;
+	while ((r = poison_next_refused(t->poison, now, &i))) {
+		const struct refusal_entry entry = {
+			.content = r->content,
+			.until_ms = unix_ms() + r->refused_until_ms - now,
+			.since_ms = unix_ms() - (now - since(r)),
+		};
+
+		if (r->refused_until_ms < now + ROW_LEAST_MS ||
+		    find_row(t, r->content) ||
+		    !peers_keep_first(p->peers, r->content))
+			continue;
+		row_key(r->content, key);
+		t->busy = true;
+		p->store->ops->put_refusal(p->store, key, &entry, on_row, t);
+		return;
+	}
+}
+
+/* A row was written or removed, or not; what the store has is heard from it. */
+static void on_row(void *arg, enum store_outcome outcome)
+{
+	struct suspects *t = arg;
+
+	t->busy = false;
+	event_log(EVENT_ALWAYS, "refusal-row", NULL, "{s:s}", "outcome",
+		  store_outcome_name(outcome));
+}
+
+/* Returns the row of a content, or NULL. */
+static struct refusal_row *find_row(struct suspects *t, uint64_t content)
+{
+	size_t i;
+
+	for (i = 0; i < t->n_rows; i++)
+		if (t->rows[i].content == content)
+			return &t->rows[i];
+	return NULL;
+}
+
+/* A row was removed; one whose time is not over takes its refusal back. */
+static void drop_row(struct suspects *t, struct refusal_row *row,
+		     const char *by)
+{
+	uint64_t content = row->content;
+	bool lapsed = row->until_ms <= unix_ms();
+
+	*row = t->rows[--t->n_rows];
+	if (!lapsed && poison_clear(t->poison, content))
+		cleared(t, content, by);
+}
+
+/* Writes the key of a content's row. */
+static void row_key(uint64_t content, char key[KEY_SIZE])
+{
+	char text[CONTENT_TEXT_SIZE];
+
+	content_text(content, text);
+	snprintf(key, KEY_SIZE, STORE_REFUSAL_PREFIX "%s", text);
+}
+
+/* Returns Unix time, ms. */
+static uint64_t unix_ms(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_REALTIME, &now);
+	return (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
+}
+
+/* Returns the counter of contents by what became of them. */
+static struct counter *step_counter(const char *step)
+{
+	return counter_labelled("cdm_suspects_total",
+				"Contents of requests under which endpoints "
+				"ended",
+				COUNTER_TOTAL, "step", step);
+}
--- a/proxyd/watch.c
+++ b/proxyd/watch.c
@@ -16,6 +16,7 @@
 #include "proxyd/peers.h"
 #include "proxyd/proxyd.h"
 #include "proxyd/snapshot.h"
+#include "proxyd/suspects.h"
 
 /* The own entry is written again this long after a failure, and up to as long
  * again: a fleet that starts at once asks for more writes than the store takes. */
@@ -111,7 +112,7 @@
 
 	w->leaving = true;
 	counter_add(w->writes, 1);
-	s->ops->remove_instance(s, w->proxyd->settings.name, on_removed, w);
+	s->ops->remove_entry(s, w->proxyd->settings.name, on_removed, w);
 }
 
 /* Tells whether the first reading of the configuration is still under way. */
@@ -359,7 +360,8 @@
 					   w->reread.back_ms);
 			break;
 		default:
-			peers_take_row(p->peers, &rows[i]);
+			if (!suspects_take_row(p->suspects, &rows[i]))
+				peers_take_row(p->peers, &rows[i]);
 			break;
 		}
 	}
@@ -367,8 +369,10 @@
 		return;
 	if (w->table == STORE_ENDPOINTS)
 		endpoints_keep_only(p->endpoints, rows, n, w->reread.back_ms);
-	if (w->table == STORE_INSTANCES)
+	if (w->table == STORE_INSTANCES) {
 		peers_keep_only(p->peers, rows, n);
+		suspects_keep_only(p->suspects, rows, n);
+	}
 }
 
 /* Adopts a configuration that is newer than the one in force. */
--- a/regress/contract/test_platform_store.c
+++ b/regress/contract/test_platform_store.c
@@ -272,7 +272,7 @@
 			 0);
 	json_decref(root);
 	r.over = false;
-	store->ops->remove_instance(store, "me", take_outcome, &r);
+	store->ops->remove_entry(store, "me", take_outcome, &r);
 	wait_for(&r);
 	assert_int_equal(r.outcome, STORE_OK);
 	root = json_loads(last_body, 0, NULL);
--- a/regress/integration/test_crashing_repeats.c
+++ b/regress/integration/test_crashing_repeats.c
@@ -10,6 +10,8 @@
 #include <setjmp.h>
 #include <cmocka.h>
 
+#include <jansson.h>
+
 #include "regress/platform_standin.h"
 
 #define N(list) (sizeof(list) / sizeof((list)[0]))
@@ -54,14 +56,14 @@
 	return 0;
 }
 
-/* Starts four endpoints of each service and the instances. */
-static void start(void)
+/* Starts endpoints, of which so many are engines, and the instances. */
+static void start_with(size_t engines)
 {
 	static const char *const names[INSTANCES] = { "one", "two", "three" };
 	size_t i;
 
 	for (i = 0; i < STANDIN_WORKERS_MAX; i++)
-		standin_worker(world, i % 2 ? "plain" : "engine", "z1");
+		standin_worker(world, i < engines ? "engine" : "plain", "z1");
 	standin_configuration(world, 2, NULL);
 	for (i = 0; i < INSTANCES; i++) {
 		standin_instance(world, &instances[i], names[i],
@@ -74,6 +76,12 @@
 	harness_run(harness, 500);
 }
 
+/* Starts four endpoints of each service. */
+static void start(void)
+{
+	start_with(STANDIN_WORKERS_MAX / 2);
+}
+
 /* A caller's attempt, with an id of its own; returns the answer's status, 0 if
  * there was none. */
 static int call(const struct standin_instance *in, const char *path,
@@ -177,6 +185,220 @@
 	check_late_arrivals();
 }
 
+/* Counts the arrivals of the crashing request from one on. */
+static size_t arrivals(size_t from)
+{
+	size_t n = 0;
+
+	for (; from < world->n_arrivals; from++)
+		n += standin_crashes(world->arrivals[from]);
+	return n;
+}
+
+/* The caller is refused at once, truthfully, and told not to come soon. */
+static void caller_is_told_not_to_come_soon(void **state)
+{
+	size_t from;
+	size_t i;
+
+	(void)state;
+	start();
+	come_again("/book/a", 6);
+	harness_run(harness, 500);
+	from = world->n_arrivals;
+	for (i = 0; i < INSTANCES; i++) {
+		double retry_s;
+
+		assert_int_equal(call(&instances[i], "/book/a", CRASHING,
+				      &retry_s),
+				 503);
+		assert_true(retry_s > 2);
+	}
+	assert_int_equal(arrivals(from), 0);
+}
+
+/* The store is away all the time. */
+static void lookup_that_ends_its_endpoints_without_the_store(void **state)
+{
+	(void)state;
+	start();
+	world->store_refuses = true;
+	come_again("/look/a", TRIES);
+	check_late_arrivals();
+}
+
+static void restart(struct standin_instance *in)
+{
+	proc_kill(in->proc);
+	standin_start(world, in);
+	standin_wait_status(world, in->readiness, "/readyz", 200);
+}
+
+/* A process that starts again hears from the others what is refused. */
+static void instance_that_starts_again_refuses(void **state)
+{
+	struct standin_instance *in = &instances[2];
+	size_t from;
+	size_t i;
+
+	(void)state;
+	start();
+	come_again("/look/a", 6);
+	assert_int_equal(call(in, "/look/a", CRASHING, NULL), 503);
+	world->store_refuses_writes = true; /* of the refusal as well */
+	restart(in);
+	harness_run(harness, CONTACT_MS);
+	from = world->n_arrivals;
+	for (i = 0; i < 6; i++)
+		assert_int_equal(call(in, "/look/a", CRASHING, NULL), 503);
+	assert_int_equal(arrivals(from), 0);
+}
+
+/* Returns whether the store has a refusal. */
+static bool refusal_is_stored(void *arg)
+{
+	json_t *row;
+	size_t i;
+
+	json_array_foreach(world->rows, i, row)
+	{
+		const char *key =
+			json_string_value(json_object_get(row, "key"));
+
+		if (strncmp(key, "refused/", 8) != 0 ||
+		    json_is_true(json_object_get(row, "deleted")))
+			continue;
+		if (arg)
+			snprintf(arg, 64, "%s", key);
+		return true;
+	}
+	return false;
+}
+
+/* The request comes until it is refused for longer: that is stored. */
+static void come_until_stored(char *key)
+{
+	int i;
+
+	for (i = 0; i < 80 && !refusal_is_stored(key); i++)
+		come_again("/look/a", 1);
+	assert_true(refusal_is_stored(key));
+	check_late_arrivals();
+}
+
+/* All processes are killed and start again: the store tells what is refused. */
+static void all_instances_that_start_again_refuse(void **state)
+{
+	size_t from;
+	size_t i;
+
+	(void)state;
+	start();
+	come_until_stored(NULL);
+	for (i = 0; i < INSTANCES; i++)
+		proc_kill(instances[i].proc);
+	for (i = 0; i < INSTANCES; i++)
+		standin_start(world, &instances[i]);
+	for (i = 0; i < INSTANCES; i++)
+		standin_wait_status(world, instances[i].readiness, "/readyz",
+				    200);
+	harness_run(harness, CONTACT_MS);
+	from = world->n_arrivals;
+	come_again("/look/a", 6);
+	assert_int_equal(arrivals(from), 0);
+}
+
+/* Whoever removes the row takes the refusal back. */
+static void refusal_whose_row_is_removed_is_taken_back(void **state)
+{
+	char key[64];
+	size_t i;
+
+	(void)state;
+	start();
+	come_until_stored(key);
+	world->crash.body = NULL; /* the endpoints were mended */
+	harness_run(harness, DOWN_MS);
+	assert_int_equal(call(&instances[0], "/look/a", CRASHING, NULL), 503);
+	standin_remove(world, "instances", key);
+	harness_run(harness, 500);
+	for (i = 0; i < INSTANCES; i++)
+		assert_int_equal(call(&instances[i], "/look/a", CRASHING, NULL),
+				 200);
+	harness_run(harness, 1500); /* nobody writes it again */
+	assert_false(refusal_is_stored(NULL));
+}
+
+/* A lookup that comes all the time, and is at every endpoint that ends, is not
+ * refused with the one that ends them. */
+static void popular_lookup_goes_on(void **state)
+{
+	size_t served = 0;
+	size_t i;
+
+	(void)state;
+	world->crash.after_ms = 30;
+	start();
+	for (i = 0; i < TRIES; i++) {
+		size_t k;
+
+		call(&instances[i % INSTANCES], "/look/a", CRASHING, NULL);
+		for (k = 0; k < 8; k++) {
+			double retry_s;
+
+			served += call(&instances[(i + k) % INSTANCES],
+				       "/look/a", "popular", &retry_s) == 200;
+			assert_true(retry_s < 2);
+		}
+		harness_run(harness, 50);
+	}
+	check_late_arrivals();
+	assert_true(served > (size_t)TRIES * 6);
+}
+
+/* Streams that were beside the crashing one go on, and end whole: about as many
+ * an engine as the users have, 24 on 18. */
+static void streams_beside_it_end_whole(void **state)
+{
+	static const struct httpc_header headers[] = {
+		{ "credential", "k1" },
+		{ "deadline-ms", "15000" },
+		{ "token-usage", "300,100" },
+	};
+	struct stream_reader *streams[10];
+	char bodies[N(streams)][24];
+	size_t i;
+
+	(void)state;
+	world->settings = "repeat_window_s = 2\n"; /* due after two windows */
+	world->event_ms = 100;
+	world->crash.after_ms = 50;
+	start_with(STANDIN_WORKERS_MAX);
+	harness_run(harness, 4000);
+	for (i = 0; i < N(streams); i++) {
+		struct httpc_request r = {
+			.method = "POST",
+			.address = instances[i % INSTANCES].callers,
+			.path = "/write/a",
+			.headers = headers,
+			.n_headers = N(headers),
+			.body = bodies[i],
+		};
+
+		snprintf(bodies[i], sizeof(bodies[i]), "innocent %zu", i);
+		r.body_len = strlen(bodies[i]);
+		streams[i] = stream_open(harness, &r);
+	}
+	harness_run(harness, 300);
+	come_again("/write/a", 6);
+	for (i = 0; i < N(streams); i++) {
+		stream_wait_end(streams[i]);
+		assert_int_equal(stream_n_events(streams[i]), STANDIN_EVENTS);
+		stream_close(streams[i]);
+	}
+	check_late_arrivals();
+}
+
 int main(int argc, char **argv)
 {
 #define CASE(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
@@ -185,6 +407,13 @@
 		CASE(booking_that_ends_its_endpoints),
 		CASE(stream_that_ends_its_endpoints),
 		CASE(stream_that_ends_its_endpoints_half_way),
+		CASE(caller_is_told_not_to_come_soon),
+		CASE(lookup_that_ends_its_endpoints_without_the_store),
+		CASE(instance_that_starts_again_refuses),
+		CASE(all_instances_that_start_again_refuse),
+		CASE(refusal_whose_row_is_removed_is_taken_back),
+		CASE(popular_lookup_goes_on),
+		CASE(streams_beside_it_end_whole),
 	};
 
 	if (argc > 1) /* one case */
--- a/regress/platform_standin.c
+++ b/regress/platform_standin.c
@@ -572,7 +572,8 @@
 
 	snprintf(headers, sizeof(headers), "instance-id: %s\r\n%s", worker->id,
 		 words_of(worker));
-	if (expected[0] && strcmp(expected, worker->id) != 0)
+	a->misdirected = expected[0] && strcmp(expected, worker->id) != 0;
+	if (a->misdirected)
 		http1_reply(c, 421, headers, "", 0);
 	else if (standin_crashes(a))
 		begin_crash(worker, c, a, id);
--- a/regress/platform_standin.h
+++ b/regress/platform_standin.h
@@ -68,6 +68,7 @@
 	char worker_id[32]; /* as it was then */
 	const char *words; /* as the worker's when it answered, or NULL */
 	bool ran; /* the worker began to work on it */
+	bool misdirected; /* it named another worker, and was answered 421 */
 	bool closed; /* the caller's side left before the end */
 };
 
--- /dev/null
+++ b/regress/soak/crash_rule.c
@@ -0,0 +1,107 @@
+/*
+ * The users' rule on requests that end the workers that run them, from what
+ * reached workers.
+ */
+#include "regress/soak/crash_rule.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <setjmp.h>
+#include <cmocka.h>
+
+#include "lib/xalloc.h"
+
+#define CONTACT_MS 3000 /* the users' bounds */
+#define LATE_MAX 3
+
+static bool sender(const struct crash_rule *r, const struct standin_arrival *a,
+		   size_t *instance);
+static bool excused(const struct crash_rule *r, size_t instance,
+		    uint64_t at_ms);
+
+/* A caller sends the request to an instance; returns the attempt's number, which
+ * stands in its id as "c-NUMBER". */
+unsigned int crash_rule_sent(struct crash_rule *r, size_t instance)
+{
+	r->instances =
+		xreallocarray(r->instances, r->n + 1, sizeof(*r->instances));
+	r->instances[r->n] = instance;
+	return (unsigned int)r->n++;
+}
+
+/* An instance was started or woke, or what the others say reaches it again. */
+void crash_rule_excuse(struct crash_rule *r, size_t instance, uint64_t now)
+{
+	r->excuses = xreallocarray(r->excuses, r->n_excuses + 1,
+				   sizeof(*r->excuses));
+	r->excuses[r->n_excuses++] = (struct crash_rule_excuse){
+		.instance = instance,
+		.at_ms = now,
+	};
+}
+
+/* Fails if the rule was broken; the message names the seed of the run. */
+void crash_rule_check(const struct crash_rule *r, uint64_t seed,
+		      const struct standin_world *w)
+{
+	unsigned int late = 0;
+	unsigned int all = 0;
+	size_t instance;
+	size_t i;
+
+	for (i = 0; i < w->n_arrivals; i++) {
+		const struct standin_arrival *a = w->arrivals[i];
+
+		if (!standin_crashes(a) || !sender(r, a, &instance))
+			continue;
+		all++;
+		late += w->crash.n >= 3 &&
+			a->at_ms > w->crash.at_ms[2] + CONTACT_MS &&
+			!excused(r, instance, a->at_ms);
+	}
+	print_message("seed %llu: a request that ends its workers came %zu "
+		      "times, arrived %u times, ended %zu, %u arrivals late\n",
+		      (unsigned long long)seed, r->n, all, w->crash.n, late);
+	if (late > LATE_MAX)
+		fail_msg("a request that ends its workers is sent to more");
+}
+
+/* Frees what was noted. */
+void crash_rule_release(struct crash_rule *r)
+{
+	free(r->instances);
+	free(r->excuses);
+}
+
+/* Finds the instance that an arrival came from; false if it is no attempt. */
+static bool sender(const struct crash_rule *r, const struct standin_arrival *a,
+		   size_t *instance)
+{
+	static const char key[] = "\nrequest-id: c-";
+	const char *id = strstr(a->head, key);
+	size_t number;
+
+	if (!id)
+		return false;
+	number = strtoul(id + sizeof(key) - 1, NULL, 10);
+	if (number >= r->n)
+		return false;
+	*instance = r->instances[number];
+	return true;
+}
+
+/* Tells whether an instance had an excuse shortly before. */
+static bool excused(const struct crash_rule *r, size_t instance, uint64_t at_ms)
+{
+	size_t i;
+
+	for (i = 0; i < r->n_excuses; i++)
+		if (r->excuses[i].instance == instance &&
+		    r->excuses[i].at_ms <= at_ms &&
+		    r->excuses[i].at_ms + CONTACT_MS >= at_ms)
+			return true;
+	return false;
+}
--- a/regress/soak/holdoff_rule.c
+++ b/regress/soak/holdoff_rule.c
@@ -95,7 +95,7 @@
 	for (i = 0; i < w->n_arrivals; i++) {
 		const struct standin_arrival *a = w->arrivals[i];
 
-		if (a->ran || !a->words ||
+		if (a->ran || a->misdirected || !a->words ||
 		    strcmp(a->words, HOLDOFF_PAUSES) != 0 || !request_of(r, a))
 			continue;
 		pauses++;
--- a/regress/soak/soak_proxyd.c
+++ b/regress/soak/soak_proxyd.c
@@ -24,6 +24,7 @@
 #include "regress/platform_standin.h"
 #include "regress/random.h"
 #include "regress/repeat_rule.h"
+#include "regress/soak/crash_rule.h"
 #include "regress/soak/holdoff_rule.h"
 
 #define INSTANCES 3 /* unless the command says otherwise */
@@ -35,6 +36,8 @@
 #define FAULT_MS 350 /* between two faults, about */
 #define SETTLE_MS 3000 /* without faults, at the end */
 #define FAULT_MAPPINGS (WORKERS + 1)
+#define CRASHING_MS \
+	300 /* between two attempts of the crashing request, about */
 
 /* The users' rule on the time that is handed on: so much more is none, and so
  * many requests, if they are a fifth of all, break it. */
@@ -56,6 +59,7 @@
 	CALL_LOOKUP,
 	CALL_STREAM,
 	CALL_KINDS,
+	CALL_CRASHING = CALL_KINDS, /* what becomes of it is not checked */
 };
 
 /* What callers give a request, and how many workers may run it. */
@@ -104,6 +108,7 @@
 static unsigned n_calls;
 static uint64_t *ends_ms; /* when the time of each request is over */
 static struct holdoff_rule holdoffs;
+static struct crash_rule crashes;
 static unsigned served[CALL_KINDS];
 static unsigned faults;
 static int version = 2;
@@ -198,6 +203,7 @@
 static void instance_wakes(size_t i)
 {
 	holdoff_rule_excuse(&holdoffs, i, now_ms());
+	crash_rule_excuse(&crashes, i, now_ms());
 	proc_signal(instances[i].proc, SIGCONT);
 	running[i] = true;
 }
@@ -210,6 +216,7 @@
 					  "cdmproxyd", "-f",
 					  instances[i].settings);
 	holdoff_rule_excuse(&holdoffs, i, now_ms());
+	crash_rule_excuse(&crashes, i, now_ms());
 	running[i] = true;
 }
 
@@ -320,6 +327,7 @@
 static void datagrams_arrive(size_t i)
 {
 	say_peers(i, instances[i].peers);
+	crash_rule_excuse(&crashes, i, now_ms());
 }
 
 /* Nothing that the others say reaches an instance. */
@@ -379,7 +387,7 @@
 	struct call *c = arg;
 
 	c->status = head->status;
-	if (http1_find(head, "server-leaving"))
+	if (c->kind != CALL_CRASHING && http1_find(head, "server-leaving"))
 		holdoff_rule_passed_on(&holdoffs, world, c->number, now_ms());
 	return HTTP1_TAKE;
 }
@@ -434,20 +442,65 @@
 {
 	struct call *c = arg;
 
-	check(c, outcome);
+	if (c->kind != CALL_CRASHING)
+		check(c, outcome);
 	bytes_release(&c->body);
 	event_stream_release(&c->stream);
 	c->open = false;
 }
 
+static const struct http1_call_ops call_ops = {
+	.on_head = on_head,
+	.on_body = on_body,
+	.on_end = on_end,
+};
+
+/* Returns a call that is not open, or NULL. */
+static struct call *free_call(void)
+{
+	size_t i;
+
+	for (i = 0; i < CALLS_MAX; i++) {
+		if (calls[i].open)
+			continue;
+		memset(&calls[i], 0, sizeof(calls[i]));
+		return &calls[i];
+	}
+	return NULL;
+}
+
+/* The request that ends its workers comes once more. */
+static void start_crashing_call(void)
+{
+	static const char *const paths[] = { "/book/c", "/look/c", "/write/c" };
+	size_t instance = draw(n_instances);
+	const struct http1_call_options options = {
+		.address = instances[instance].callers,
+		.connect_ms = 500,
+	};
+	struct call *c = free_call();
+	struct bytes out = { 0 };
+
+	if (!c)
+		return;
+	c->open = true;
+	c->kind = CALL_CRASHING;
+	c->started_ms = now_ms();
+	bytes_addf(&out,
+		   "POST %s HTTP/1.1\r\nhost: 127.0.0.1\r\ncredential: k1\r\n"
+		   "request-id: c-%u\r\ndeadline-ms: 2000\r\n"
+		   "content-length: %zu\r\n\r\n" CRASH_RULE_BODY,
+		   paths[seed % 3], crash_rule_sent(&crashes, instance),
+		   strlen(CRASH_RULE_BODY));
+	repeat_rule_sent(&rule, seed % 3 == 2 ? "engine" : "plain",
+			 c->started_ms);
+	c->http = http1_call_start(client, &options, out.data, out.len,
+				   &call_ops, c);
+}
+
 /* A caller comes to an instance, whatever state that is in. */
 static void start_call(void)
 {
-	static const struct http1_call_ops ops = {
-		.on_head = on_head,
-		.on_body = on_body,
-		.on_end = on_end,
-	};
 	static const char *const lines[CALL_KINDS] = {
 		"POST /book/a HTTP/1.1\r\ncontent-length: 1\r\n",
 		"GET /look/a HTTP/1.1\r\n",
@@ -461,15 +514,10 @@
 		.reuse_ms = draw(2) ? 5000 : 0,
 	};
 	struct bytes out = { 0 };
-	struct call *c = NULL;
-	size_t i;
+	struct call *c = free_call();
 
-	for (i = 0; i < CALLS_MAX && !c; i++)
-		if (!calls[i].open)
-			c = &calls[i];
 	if (!c)
 		return;
-	memset(c, 0, sizeof(*c));
 	c->open = true;
 	c->kind = (enum call_kind)draw(CALL_KINDS);
 	c->started_ms = now_ms();
@@ -485,8 +533,8 @@
 		   c->kind == CALL_LOOKUP ? "" : "x");
 	repeat_rule_sent(&rule, c->kind == CALL_STREAM ? "engine" : "plain",
 			 c->started_ms);
-	c->http =
-		http1_call_start(client, &options, out.data, out.len, &ops, c);
+	c->http = http1_call_start(client, &options, out.data, out.len,
+				   &call_ops, c);
 }
 
 /* Ends calls whose callers would have left. */
@@ -520,6 +568,8 @@
 
 	for (i = 0; i < (pressing ? PRESSING_CALLS : 1); i++)
 		start_call();
+	if (draw(CRASHING_MS) < STEP_MS)
+		start_crashing_call();
 	if (with_faults && draw(FAULT_MS) < STEP_MS)
 		fault();
 	if (with_faults && pressing && draw(ENGINES_LOST_MS) < STEP_MS)
@@ -608,6 +658,8 @@
 
 	harness = harness_new();
 	world = standin_new(harness);
+	world->crash.body = CRASH_RULE_BODY;
+	world->crash.down_ms = 500;
 	client = http1_client_new(harness_loop(harness));
 	nobody = harness_address(harness);
 	pressing = draw(2);
@@ -691,6 +743,8 @@
 	check_deadlines();
 	holdoff_rule_check(&holdoffs, seed, world);
 	holdoff_rule_release(&holdoffs);
+	crash_rule_check(&crashes, seed, world);
+	crash_rule_release(&crashes);
 	free(ends_ms);
 	repeat_rule_release(&rule);
 	for (i = 0; i < n_instances; i++) {
