Answers without end are bounded in bytes and time

An endpoint may send bytes that are no answer without end, in a head or a body. Callers waited until their time was up and got 504, while the instance read on; an event that never ended was kept whole in memory; a health check without end took its endpoint out of use for good, and what was asked to free a copy was read for ever.

The connection is closed, the endpoint counts as failing, and the caller gets 502 or its answer from another endpoint: the request may have run.

test_endless_answers: 14 cases with an endpoint that sends until it is closed; on the code before 9 failed (504 after the whole time, or not closed at all).

--- a/lib/http1_client.c
+++ b/lib/http1_client.c
@@ -17,7 +17,14 @@
 #include "lib/xalloc.h"
 
 #define READ_BYTES 65536
-#define HEAD_MAX 65536 /* bytes of an answer's head */
+#define HEAD_MAX 65536 /* bytes of an answer's heads, interim ones included */
+#define SKIP_MAX (1u << 20) /* bytes of answers that belong to no request */
+
+/* Bytes that frame chunks, trailers included: a chunk of one byte has five, and
+ * extensions are short. */
+#define FRAMING_MAX HEAD_MAX
+#define FRAMING_PER_BYTE 16
+
 #define IDLE_MAX_MS 30000 /* no connection is kept longer than this */
 #define KEEP_MARGIN_MS 1000 /* before the timeout that the other side states */
 #define ADDRESS_SIZE 32
@@ -44,6 +51,10 @@
 	uint64_t idle_limit_ms;
 	bool keep;
 	bool skipping; /* the answer belongs to an earlier request */
+	size_t head_bytes; /* of the call's heads that were read */
+	size_t skipped; /* bytes of answers that belong to no request */
+	uint64_t content; /* bytes of the body so far */
+	uint64_t framing; /* and those around them */
 };
 
 struct http1_call {
@@ -55,6 +66,7 @@
 	char *request;
 	size_t request_len;
 	uint64_t connect_by_ms;
+	uint64_t whole_by_ms; /* 0: any time */
 	bool head;
 	bool reused;
 	bool paused;
@@ -94,6 +106,8 @@
 static void on_eof(struct kept_conn *k, bool orderly);
 static bool take_head(struct kept_conn *k);
 static void take_body(struct kept_conn *k, char *data, size_t len);
+static bool is_bounded(struct kept_conn *k, size_t len, size_t decoded,
+		       size_t rest);
 static void answer_over(struct kept_conn *k, size_t rest);
 static uint64_t idle_limit(const struct http1_head *head);
 static void conn_close(struct kept_conn *k);
@@ -138,8 +152,12 @@
 	struct kept_conn *k;
 
 	TAILQ_FOREACH(k, &c->conns, link)
-	if (k->state == CONN_CONNECTING && k->call)
-		k->call->connect_by_ms += stall_ms;
+	{
+		if (k->state == CONN_CONNECTING && k->call)
+			k->call->connect_by_ms += stall_ms;
+		if (k->call && k->call->whole_by_ms)
+			k->call->whole_by_ms += stall_ms;
+	}
 }
 
 /* Ends calls that found no connection in time, and old idle connections. */
@@ -162,6 +180,12 @@
 			conn_close(k);
 			call_end(call, HTTP1_NO_ANSWER);
 			next = TAILQ_FIRST(&c->conns); /* may have changed */
+		} else if (k->call && k->call->whole_by_ms &&
+			   now >= k->call->whole_by_ms) {
+			call = k->call;
+			conn_close(k);
+			call_end(call, HTTP1_BROKEN);
+			next = TAILQ_FIRST(&c->conns);
 		} else if (k->state == CONN_IDLE &&
 			   now - k->idle_since_ms >= k->idle_limit_ms) {
 			conn_close(k);
@@ -192,6 +216,8 @@
 	call->request_len = len;
 	call->head = options->head;
 	call->connect_by_ms = uv_now(c->loop) + options->connect_ms;
+	if (options->whole_ms)
+		call->whole_by_ms = uv_now(c->loop) + options->whole_ms;
 	k = find_idle(c, options);
 	if (k) {
 		call->reused = true;
@@ -376,6 +402,8 @@
 
 	k->state = CONN_WAITING;
 	k->skipping = false;
+	k->head_bytes = 0;
+	k->skipped = 0;
 	sent = uv_try_write(stream, &buf, 1);
 	if (sent < 0)
 		sent = 0;
@@ -478,7 +506,8 @@
 		http1_parse_response(k->input.data, k->input.len, &head, &used);
 	if (result == HTTP1_MORE && k->input.len <= HEAD_MAX)
 		return false;
-	if (result != HTTP1_DONE) {
+	k->head_bytes += used;
+	if (result != HTTP1_DONE || k->head_bytes > HEAD_MAX) {
 		conn_close(k);
 		call_end(call, HTTP1_MALFORMED);
 		return false;
@@ -496,6 +525,8 @@
 		  k->body.framing != HTTP1_UNTIL_CLOSE;
 	k->idle_limit_ms = idle_limit(&head);
 	k->state = CONN_READING;
+	k->content = 0;
+	k->framing = 0;
 	k->skipping = call->ops->on_head &&
 		      call->ops->on_head(call->arg, &head) == HTTP1_SKIP;
 	if (k->state != CONN_READING) /* cancelled */
@@ -517,7 +548,7 @@
 	size_t rest;
 
 	result = http1_body_take(&k->body, data, len, &decoded, &rest);
-	if (result == HTTP1_BAD) {
+	if (result == HTTP1_BAD || !is_bounded(k, len, decoded, rest)) {
 		conn_close(k);
 		call_end(call, HTTP1_MALFORMED);
 		return;
@@ -535,6 +566,19 @@
 	answer_over(k, rest);
 }
 
+/* Counts what was read of a body; false if that has gone on for longer than any
+ * answer: bytes of a skipped one, or such as only frame chunks. */
+static bool is_bounded(struct kept_conn *k, size_t len, size_t decoded,
+		       size_t rest)
+{
+	if (k->skipping)
+		k->skipped += len - rest;
+	k->content += decoded;
+	k->framing += len - rest - decoded;
+	return k->skipped <= SKIP_MAX &&
+	       k->framing <= FRAMING_MAX + k->content * FRAMING_PER_BYTE;
+}
+
 /* The answer is whole; rest bytes that follow it belong to no call. */
 static void answer_over(struct kept_conn *k, size_t rest)
 {
--- a/lib/http1_client.h
+++ b/lib/http1_client.h
@@ -40,6 +40,7 @@
 	uint32_t
 		reuse_ms; /* longest idle time of a kept connection; 0: fresh */
 	uint32_t silent_s; /* TCP probes end a silent connection; 0: none */
+	uint32_t whole_ms; /* longest time to the end of the answer; 0: any */
 };
 
 struct http1_client_stats {
--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -32,6 +32,7 @@
 #define RETRY_FULL_MS 300
 
 #define ANSWER_MAX (8u << 20) /* bytes; the largest that is passed on */
+#define ANSWERS_MAX (24u << 20) /* bytes of all that are being read */
 
 static void load_add(struct exchange *x);
 static void load_remove(struct exchange *x);
@@ -39,6 +40,7 @@
 static enum http1_verdict on_head(void *arg, const struct http1_head *head);
 static void note_other(struct exchange *x);
 static void on_body(void *arg, const char *data, size_t len);
+static void answer_too_large(struct exchange *x);
 static void on_end(void *arg, enum http1_outcome outcome);
 static void plain_not_sent(struct exchange *x, struct handle at,
 			   enum http1_outcome outcome);
@@ -111,7 +113,7 @@
 	x->events = false;
 	x->status = 0;
 	x->headers.len = 0;
-	x->body.len = 0;
+	attempt_drop_answer(x);
 	event_stream_consume(&x->stream, x->stream.pending.len);
 	load_add(x);
 	x->staged = !from && !suspects_holds(x) && stage_planned(x);
@@ -258,12 +260,38 @@
 {
 	struct exchange *x = arg;
 
-	if (x->events)
+	struct exchanges *t = x->proxyd->exchanges;
+
+	if (x->events) {
 		stream_take(x, data, len);
-	else if (x->body.len + len <= ANSWER_MAX)
+	} else if (x->body.len + len <= ANSWER_MAX &&
+		   t->answer_bytes + len <= ANSWERS_MAX) {
 		bytes_add(&x->body, data, len);
-	else
-		x->status = 0; /* too large to pass on */
+		t->answer_bytes += len;
+	} else {
+		answer_too_large(x);
+	}
+}
+
+/* The answer is larger than can be passed on, or has no end: its connection is
+ * closed, and what the endpoint did is not known. */
+static void answer_too_large(struct exchange *x)
+{
+	struct handle at = x->at;
+
+	event_log(EVENT_NOTABLE, "answer-too-large", x->fields.id, "{s:I, s:I}",
+		  "bytes", (json_int_t)x->body.len, "all_bytes",
+		  (json_int_t)x->proxyd->exchanges->answer_bytes);
+	attempt_cancel(x);
+	attempt_drop_answer(x);
+	plain_broken(x, at, HTTP1_MALFORMED);
+}
+
+/* Forgets what was read of an answer. */
+void attempt_drop_answer(struct exchange *x)
+{
+	x->proxyd->exchanges->answer_bytes -= x->body.len;
+	bytes_release(&x->body);
 }
 
 /* The answer is whole, or broke. */
--- a/proxyd/copy.c
+++ b/proxyd/copy.c
@@ -240,6 +240,7 @@
 	const struct http1_call_options options = {
 		.address = copy->source,
 		.connect_ms = CONNECT_MS,
+		.whole_ms = ORDER_MS,
 	};
 	struct bytes out = { 0 };
 
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -574,7 +574,7 @@
 		http1_own(x->caller, NULL);
 	bytes_release(&x->copy.answer);
 	bytes_release(&x->headers);
-	bytes_release(&x->body);
+	attempt_drop_answer(x);
 	event_stream_release(&x->stream);
 	routes_unref(x->routes);
 	free(x);
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -111,6 +111,7 @@
 	struct exchange_list list;
 	uint32_t open;
 	uint64_t borrowed_ms; /* when others were last asked for repeats */
+	uint64_t answer_bytes; /* of answers that are being read */
 	uint64_t waiting_tokens; /* of runs that wait for room */
 	float run_ms; /* moving mean of the time of a whole run */
 	float prefill_ms_per_token; /* moving mean */
@@ -161,6 +162,7 @@
 /* attempt.c */
 void attempt_start(struct exchange *x, struct handle at,
 		   const struct run_copy *from);
+void attempt_drop_answer(struct exchange *x);
 void attempt_cancel(struct exchange *x);
 void attempt_prompt_read(struct exchange *x);
 
--- a/proxyd/rediscover.c
+++ b/proxyd/rediscover.c
@@ -20,6 +20,7 @@
 #include "proxyd/proxyd.h"
 
 #define CONNECT_MS 60
+#define ANSWER_MS 2000 /* a report takes some hundred at the most loaded */
 #define REPORT_MAX 65536 /* bytes */
 
 struct rediscovery {
@@ -88,6 +89,7 @@
 	const struct http1_call_options options = {
 		.address = address,
 		.connect_ms = CONNECT_MS,
+		.whole_ms = ANSWER_MS,
 	};
 	struct bytes out = { 0 };
 
--- a/proxyd/snapshot.c
+++ b/proxyd/snapshot.c
@@ -20,6 +20,7 @@
 #include "proxyd/watch.h"
 
 #define CONNECT_MS 300
+#define WHOLE_MS 10000 /* some MB over a slow link */
 #define ANSWER_MAX (16u << 20) /* bytes */
 #define ENDPOINTS_MAX 8192
 #define INSTANCES_MAX 1024
@@ -154,6 +155,7 @@
 		.address = address,
 		.connect_ms = CONNECT_MS,
 		.silent_s = 1,
+		.whole_ms = WHOLE_MS,
 	};
 	struct bytes out = { 0 };
 
--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -15,6 +15,8 @@
 /* A caller that reads slowly stops the reading from its engine. */
 #define PENDING_MAX (256u << 10) /* bytes */
 
+#define EVENT_MAX (256u << 10) /* bytes; an event holds a few tokens */
+
 /* A stream that was begun waits so long for a loan of another instance: others
  * are asked a few times, and the pause is still one that routes allow. */
 #define LOAN_WAIT_MS 200
@@ -25,6 +27,7 @@
 /* Weight of the newest run in the moving means. */
 #define MEAN_WEIGHT 0.1F
 
+static void event_without_end(struct exchange *x);
 static void move_later(struct exchange *x);
 static size_t whole_events(struct exchange *x);
 static bool take_event(struct exchange *x, const struct whole_event *event);
@@ -42,6 +45,10 @@
 	event_stream_add(&x->stream, data, len);
 	endpoint_heard(x->proxyd->endpoints, x->at);
 	n = whole_events(x);
+	if (x->stream.pending.len - n > EVENT_MAX) {
+		event_without_end(x);
+		return;
+	}
 	if (!n || !x->caller)
 		return;
 	if (x->first_by_ms)
@@ -55,6 +62,14 @@
 		http1_call_pause(x->call, true);
 }
 
+/* The engine sends an event that does not end: what follows it is none either. */
+static void event_without_end(struct exchange *x)
+{
+	endpoint_answered(x->proxyd->endpoints, x->at,
+			  proxyd_now(x->proxyd) - x->sent_ms, true);
+	stream_move(x, "event without end");
+}
+
 /* The engine's answer is over. */
 void stream_ended(struct exchange *x, enum http1_outcome outcome)
 {
