--- a/proxyd/peers_suspects.c
+++ b/proxyd/peers_suspects.c
@@ -25,8 +25,7 @@
 
 static size_t find_keepers(const struct peers *t, uint64_t content,
 			   uint64_t *weakest);
-static bool addressed(const struct peers *t, const struct told_suspect *told,
-		      const struct peer *peer);
+static bool addressed(const struct told_suspect *told, const struct peer *peer);
 static void fill(PeerSuspect *out, const struct suspect_news *news,
 		 uint64_t now);
 static void send_list(struct peers *t, const struct peer *to, PeerSuspect *list,
@@ -86,7 +85,7 @@
 		size_t n = 0;
 
 		for (i = 0; i < n_due; i++) {
-			if (!addressed(t, due[i], peer))
+			if (!addressed(due[i], peer))
 				continue;
 			fill(&list[n++], &due[i]->news, now);
 			if (n < PER_DATAGRAM)
@@ -189,10 +188,8 @@
 }
 
 /* Tells whether an instance is told something. */
-static bool addressed(const struct peers *t, const struct told_suspect *told,
-		      const struct peer *peer)
+static bool addressed(const struct told_suspect *told, const struct peer *peer)
 {
-	(void)t;
 	return told->to_all ||
 	       (peer->alive && poison_weight(told->news.content, peer->hash) >=
 				       told->weakest_keeper);
--- a/proxyd/suspects.c
+++ b/proxyd/suspects.c
@@ -1,59 +1,21 @@
 /*
  * Requests that end the endpoints that run them: what this instance sees of it
- * and hears of others, and what it refuses for it.  A refusal that stands for a
- * while is written to the store, so that it outlives all instances; whoever
- * removes its row there takes it back.
+ * and hears of others, and what it refuses for it.
  */
-#include "proxyd/suspects.h"
+#include "proxyd/suspects_table.h"
 
-#include <stdio.h>
-#include <stdlib.h>
-#include <string.h>
-#include <time.h>
-
-#include "lib/counters.h"
 #include "lib/event_log.h"
 #include "lib/xalloc.h"
 #include "policy/content.h"
 #include "proxyd/exchange.h"
 #include "proxyd/peers.h"
 #include "proxyd/proxyd.h"
-#include "proxyd/watch.h"
 
 /* A run that broke counts if its endpoint is found to have ended within this
  * time: a probe tells within 40 ms, the store within some heartbeats. */
 #define BROKEN_MS 10000
 #define LIVED_MS 1500 /* the same, if its endpoint took a connection after it */
 
-/* Rows are compared with what is refused here so often; a refusal that another
- * instance takes back at once is not written. */
-#define ROWS_MS 1000
-
-/* A refusal that is over sooner is not written. */
-#define ROW_LEAST_MS 20000
-
-#define ROWS_MAX 64 /* of refusals, in the store */
-#define KEY_SIZE 64
-
-/* A row of the store. */
-struct refusal_row {
-	uint64_t content;
-	uint64_t until_ms; /* Unix time */
-};
-
-struct suspects {
-	struct proxyd *proxyd;
-	struct poison *poison;
-	struct refusal_row rows[ROWS_MAX];
-	size_t n_rows;
-	uint64_t rows_ms; /* when they were compared last */
-	bool busy; /* a row is being written or removed */
-	struct counter *suspected;
-	struct counter *refused;
-	struct counter *cleared;
-	struct counter *turned_away;
-};
-
 static void strike(struct suspects *t, uint64_t content,
 		   const struct poison_strike *s, const char *endpoint,
 		   const char *request);
@@ -62,20 +24,8 @@
 static void take_strike(struct suspects *t, const struct suspect_news *news,
 			struct peer *from);
 static void decided(struct suspects *t, const struct poison_record *r);
-static void take_refusal(struct suspects *t, uint64_t content,
-			 uint64_t since_ms, uint64_t left_ms, const char *by);
 static struct suspect_news refusal_news(const struct poison_record *r);
-static void cleared(struct suspects *t, uint64_t content, const char *by);
 static uint64_t since(const struct poison_record *r);
-static void compare_rows(struct suspects *t);
-static bool remove_a_row(struct suspects *t);
-static void write_a_row(struct suspects *t);
-static void on_row(void *arg, enum store_outcome outcome);
-static struct refusal_row *find_row(struct suspects *t, uint64_t content);
-static void drop_row(struct suspects *t, struct refusal_row *row,
-		     const char *by);
-static void row_key(uint64_t content, char key[KEY_SIZE]);
-static uint64_t unix_ms(void);
 static struct counter *step_counter(const char *step);
 
 /* Makes the part. */
@@ -100,10 +50,7 @@
 
 	while ((r = poison_decide(t->poison, now)))
 		decided(t, r);
-	if (now - t->rows_ms < ROWS_MS)
-		return;
-	t->rows_ms = now;
-	compare_rows(t);
+	suspects_compare_rows(t);
 }
 
 /* The connection of a run broke before its answer was whole.  That counts once
@@ -206,7 +153,7 @@
 
 	if (!poison_ran(t->poison, x->content, proxyd_now(x->proxyd)))
 		return;
-	cleared(t, x->content, "run here");
+	suspects_cleared(t, x->content, "run here");
 	peers_tell_suspect(x->proxyd->peers, &news);
 }
 
@@ -256,12 +203,13 @@
 		take_strike(t, news, from);
 		break;
 	case SUSPECT_REFUSED:
-		take_refusal(t, news->content, news->since_ms,
-			     news->until_ms - now, "another instance");
+		suspects_refused_elsewhere(t, news->content, news->since_ms,
+					   news->until_ms - now,
+					   "another instance");
 		break;
 	case SUSPECT_RAN:
 		if (poison_ran(t->poison, news->content, now))
-			cleared(t, news->content, "run elsewhere");
+			suspects_cleared(t, news->content, "run elsewhere");
 		break;
 	}
 }
@@ -282,67 +230,6 @@
 	}
 }
 
-/* Takes a row of the store; false if it is none of a refusal. */
-bool suspects_take_row(struct suspects *t, const struct store_row *row)
-{
-	uint64_t now = proxyd_now(t->proxyd);
-	uint64_t unix_now = unix_ms();
-	struct refusal_row *known;
-	uint64_t left_ms;
-	uint64_t age_ms;
-
-	if (strncmp(row->key, STORE_REFUSAL_PREFIX,
-		    strlen(STORE_REFUSAL_PREFIX)) != 0)
-		return false;
-	if (!row->refusal) {
-		known = find_row(
-			t, strtoull(row->key + strlen(STORE_REFUSAL_PREFIX),
-				    NULL, 16));
-		if (known)
-			drop_row(t, known, "store");
-		else if (row->problem[0])
-			event_log(EVENT_NOTABLE, "entry-unreadable", NULL,
-				  "{s:s, s:s}", "refusal", row->key, "problem",
-				  row->problem);
-		return true;
-	}
-	known = find_row(t, row->refusal->content);
-	if (!known && t->n_rows < ROWS_MAX)
-		known = &t->rows[t->n_rows++];
-	if (known)
-		*known = (struct refusal_row){
-			.content = row->refusal->content,
-			.until_ms = row->refusal->until_ms,
-		};
-	left_ms = row->refusal->until_ms > unix_now
-			  ? row->refusal->until_ms - unix_now
-			  : 0;
-	age_ms = unix_now > row->refusal->since_ms
-			 ? unix_now - row->refusal->since_ms
-			 : 0;
-	if (left_ms)
-		take_refusal(t, row->refusal->content,
-			     now > age_ms ? now - age_ms : 0, left_ms, "store");
-	return true;
-}
-
-/* After a full listing: rows that are not in it were removed. */
-void suspects_keep_only(struct suspects *t, const struct store_row *rows,
-			size_t n)
-{
-	size_t i = t->n_rows;
-	size_t k;
-
-	while (i-- > 0) {
-		for (k = 0; k < n; k++)
-			if (rows[k].refusal &&
-			    rows[k].refusal->content == t->rows[i].content)
-				break;
-		if (k == n)
-			drop_row(t, &t->rows[i], "store");
-	}
-}
-
 /* Counts an end that was seen here, and tells who keeps the records. */
 static void strike(struct suspects *t, uint64_t content,
 		   const struct poison_strike *s, const char *endpoint,
@@ -442,8 +329,9 @@
 
 /* Takes a refusal of another instance or of the store, or tells all that the
  * content has run here. */
-static void take_refusal(struct suspects *t, uint64_t content,
-			 uint64_t since_ms, uint64_t left_ms, const char *by)
+void suspects_refused_elsewhere(struct suspects *t, uint64_t content,
+				uint64_t since_ms, uint64_t left_ms,
+				const char *by)
 {
 	uint64_t now = proxyd_now(t->proxyd);
 	const struct suspect_news ran = {
@@ -456,7 +344,7 @@
 	if (lasts(t, content, now - since_ms))
 		poison_ran(t->poison, content, now);
 	if (!poison_refuse(t->poison, content, since_ms, left_ms, now)) {
-		cleared(t, content, "run here");
+		suspects_cleared(t, content, "run here");
 		peers_tell_suspect(t->proxyd->peers, &ran);
 		return;
 	}
@@ -481,7 +369,7 @@
 }
 
 /* Notes that nothing is held against a content any more. */
-static void cleared(struct suspects *t, uint64_t content, const char *by)
+void suspects_cleared(struct suspects *t, uint64_t content, const char *by)
 {
 	char text[CONTENT_TEXT_SIZE];
 
@@ -497,115 +385,6 @@
 	return r->n ? r->strikes[0].sent_ms : 0;
 }
 
-/* Writes or removes one row that does not agree with what is refused here, if
- * this instance is the one of all to do so. */
-static void compare_rows(struct suspects *t)
-{
-	if (!t->busy && watches_answered(t->proxyd->watches) &&
-	    !remove_a_row(t))
-		write_a_row(t);
-}
-
-/* Removes the row of a content that is not refused any more. */
-static bool remove_a_row(struct suspects *t)
-{
-	struct proxyd *p = t->proxyd;
-	char key[KEY_SIZE];
-	size_t i;
-
-	for (i = 0; i < t->n_rows; i++) {
-		if (poison_refused_ms(t->poison, t->rows[i].content,
-				      proxyd_now(p)) ||
-		    !peers_keep_first(p->peers, t->rows[i].content))
-			continue;
-		row_key(t->rows[i].content, key);
-		t->busy = true;
-		p->store->ops->remove_entry(p->store, key, on_row, t);
-		return true;
-	}
-	return false;
-}
-
-/* Writes the row of a content that is refused. */
-static void write_a_row(struct suspects *t)
-{
-	struct proxyd *p = t->proxyd;
-	uint64_t now = proxyd_now(p);
-	const struct poison_record *r;
-	char key[KEY_SIZE];
-	size_t i = 0;
-
-	if (t->n_rows == ROWS_MAX)
-		return;
-	while ((r = poison_next_refused(t->poison, now, &i))) {
-		const struct refusal_entry entry = {
-			.content = r->content,
-			.until_ms = unix_ms() + r->refused_until_ms - now,
-			.since_ms = unix_ms() - (now - since(r)),
-		};
-
-		if (r->refused_until_ms < now + ROW_LEAST_MS ||
-		    find_row(t, r->content) ||
-		    !peers_keep_first(p->peers, r->content))
-			continue;
-		row_key(r->content, key);
-		t->busy = true;
-		p->store->ops->put_refusal(p->store, key, &entry, on_row, t);
-		return;
-	}
-}
-
-/* A row was written or removed, or not; what the store has is heard from it. */
-static void on_row(void *arg, enum store_outcome outcome)
-{
-	struct suspects *t = arg;
-
-	t->busy = false;
-	event_log(EVENT_ALWAYS, "refusal-row", NULL, "{s:s}", "outcome",
-		  store_outcome_name(outcome));
-}
-
-/* Returns the row of a content, or NULL. */
-static struct refusal_row *find_row(struct suspects *t, uint64_t content)
-{
-	size_t i;
-
-	for (i = 0; i < t->n_rows; i++)
-		if (t->rows[i].content == content)
-			return &t->rows[i];
-	return NULL;
-}
-
-/* A row was removed; one whose time is not over takes its refusal back. */
-static void drop_row(struct suspects *t, struct refusal_row *row,
-		     const char *by)
-{
-	uint64_t content = row->content;
-	bool lapsed = row->until_ms <= unix_ms();
-
-	*row = t->rows[--t->n_rows];
-	if (!lapsed && poison_clear(t->poison, content))
-		cleared(t, content, by);
-}
-
-/* Writes the key of a content's row. */
-static void row_key(uint64_t content, char key[KEY_SIZE])
-{
-	char text[CONTENT_TEXT_SIZE];
-
-	content_text(content, text);
-	snprintf(key, KEY_SIZE, STORE_REFUSAL_PREFIX "%s", text);
-}
-
-/* Returns Unix time, ms. */
-static uint64_t unix_ms(void)
-{
-	struct timespec now;
-
-	clock_gettime(CLOCK_REALTIME, &now);
-	return (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
-}
-
 /* Returns the counter of contents by what became of them. */
 static struct counter *step_counter(const char *step)
 {
--- /dev/null
+++ b/proxyd/suspects_rows.c
@@ -0,0 +1,211 @@
+/*
+ * Refusals that outlive all instances: their rows in the store.  One instance
+ * writes and removes the row of a content; whoever else removes it takes the
+ * refusal back.
+ */
+#include "proxyd/suspects_table.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "lib/event_log.h"
+#include "policy/content.h"
+#include "proxyd/peers.h"
+#include "proxyd/proxyd.h"
+#include "proxyd/watch.h"
+
+/* Rows are compared with what is refused here so often; a refusal that another
+ * instance takes back at once is not written. */
+#define ROWS_MS 1000
+
+/* A refusal that is over sooner is not written. */
+#define ROW_LEAST_MS 20000
+
+#define KEY_SIZE 64
+
+static bool remove_a_row(struct suspects *t);
+static void write_a_row(struct suspects *t);
+static void on_row(void *arg, enum store_outcome outcome);
+static struct refusal_row *find_row(struct suspects *t, uint64_t content);
+static void drop_row(struct suspects *t, struct refusal_row *row,
+		     const char *by);
+static void row_key(uint64_t content, char key[KEY_SIZE]);
+static uint64_t unix_ms(void);
+
+/* Takes a row of the store; false if it is none of a refusal. */
+bool suspects_take_row(struct suspects *t, const struct store_row *row)
+{
+	uint64_t now = proxyd_now(t->proxyd);
+	uint64_t unix_now = unix_ms();
+	struct refusal_row *known;
+	uint64_t left_ms;
+	uint64_t age_ms;
+
+	if (strncmp(row->key, STORE_REFUSAL_PREFIX,
+		    strlen(STORE_REFUSAL_PREFIX)) != 0)
+		return false;
+	if (!row->refusal) {
+		known = find_row(
+			t, strtoull(row->key + strlen(STORE_REFUSAL_PREFIX),
+				    NULL, 16));
+		if (known)
+			drop_row(t, known, "store");
+		else if (row->problem[0])
+			event_log(EVENT_NOTABLE, "entry-unreadable", NULL,
+				  "{s:s, s:s}", "refusal", row->key, "problem",
+				  row->problem);
+		return true;
+	}
+	known = find_row(t, row->refusal->content);
+	if (!known && t->n_rows < REFUSAL_ROWS_MAX)
+		known = &t->rows[t->n_rows++];
+	if (known)
+		*known = (struct refusal_row){
+			.content = row->refusal->content,
+			.until_ms = row->refusal->until_ms,
+		};
+	left_ms = row->refusal->until_ms > unix_now
+			  ? row->refusal->until_ms - unix_now
+			  : 0;
+	age_ms = unix_now > row->refusal->since_ms
+			 ? unix_now - row->refusal->since_ms
+			 : 0;
+	if (left_ms)
+		suspects_refused_elsewhere(t, row->refusal->content,
+					   now > age_ms ? now - age_ms : 0,
+					   left_ms, "store");
+	return true;
+}
+
+/* After a full listing: rows that are not in it were removed. */
+void suspects_keep_only(struct suspects *t, const struct store_row *rows,
+			size_t n)
+{
+	size_t i = t->n_rows;
+	size_t k;
+
+	while (i-- > 0) {
+		for (k = 0; k < n; k++)
+			if (rows[k].refusal &&
+			    rows[k].refusal->content == t->rows[i].content)
+				break;
+		if (k == n)
+			drop_row(t, &t->rows[i], "store");
+	}
+}
+
+/* Writes or removes one row that does not agree with what is refused here, if
+ * this instance is the one of all to do so. */
+void suspects_compare_rows(struct suspects *t)
+{
+	uint64_t now = proxyd_now(t->proxyd);
+
+	if (now - t->rows_ms < ROWS_MS)
+		return;
+	t->rows_ms = now;
+	if (!t->busy && watches_answered(t->proxyd->watches) &&
+	    !remove_a_row(t))
+		write_a_row(t);
+}
+
+/* Removes the row of a content that is not refused any more. */
+static bool remove_a_row(struct suspects *t)
+{
+	struct proxyd *p = t->proxyd;
+	char key[KEY_SIZE];
+	size_t i;
+
+	for (i = 0; i < t->n_rows; i++) {
+		if (poison_refused_ms(t->poison, t->rows[i].content,
+				      proxyd_now(p)) ||
+		    !peers_keep_first(p->peers, t->rows[i].content))
+			continue;
+		row_key(t->rows[i].content, key);
+		t->busy = true;
+		p->store->ops->remove_entry(p->store, key, on_row, t);
+		return true;
+	}
+	return false;
+}
+
+/* Writes the row of a content that is refused. */
+static void write_a_row(struct suspects *t)
+{
+	struct proxyd *p = t->proxyd;
+	uint64_t now = proxyd_now(p);
+	const struct poison_record *r;
+	char key[KEY_SIZE];
+	size_t i = 0;
+
+	if (t->n_rows == REFUSAL_ROWS_MAX)
+		return;
+	while ((r = poison_next_refused(t->poison, now, &i))) {
+		const struct refusal_entry entry = {
+			.content = r->content,
+			.until_ms = unix_ms() + r->refused_until_ms - now,
+			.since_ms = unix_ms() - (now - r->strikes[0].sent_ms),
+		};
+
+		if (r->refused_until_ms < now + ROW_LEAST_MS ||
+		    find_row(t, r->content) ||
+		    !peers_keep_first(p->peers, r->content))
+			continue;
+		row_key(r->content, key);
+		t->busy = true;
+		p->store->ops->put_refusal(p->store, key, &entry, on_row, t);
+		return;
+	}
+}
+
+/* A row was written or removed, or not; what the store has is heard from it. */
+static void on_row(void *arg, enum store_outcome outcome)
+{
+	struct suspects *t = arg;
+
+	t->busy = false;
+	event_log(EVENT_ALWAYS, "refusal-row", NULL, "{s:s}", "outcome",
+		  store_outcome_name(outcome));
+}
+
+/* Returns the row of a content, or NULL. */
+static struct refusal_row *find_row(struct suspects *t, uint64_t content)
+{
+	size_t i;
+
+	for (i = 0; i < t->n_rows; i++)
+		if (t->rows[i].content == content)
+			return &t->rows[i];
+	return NULL;
+}
+
+/* A row was removed; one whose time is not over takes its refusal back. */
+static void drop_row(struct suspects *t, struct refusal_row *row,
+		     const char *by)
+{
+	uint64_t content = row->content;
+	bool lapsed = row->until_ms <= unix_ms();
+
+	*row = t->rows[--t->n_rows];
+	if (!lapsed && poison_clear(t->poison, content))
+		suspects_cleared(t, content, by);
+}
+
+/* Writes the key of a content's row. */
+static void row_key(uint64_t content, char key[KEY_SIZE])
+{
+	char text[CONTENT_TEXT_SIZE];
+
+	content_text(content, text);
+	snprintf(key, KEY_SIZE, STORE_REFUSAL_PREFIX "%s", text);
+}
+
+/* Returns Unix time, ms. */
+static uint64_t unix_ms(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_REALTIME, &now);
+	return (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
+}
