A refusal that has lapsed is not told as one of weeks

Read while the diff was reviewed, not seen in a run: the time left of a refusal was told as the difference of two times, and a refusal told again after its end would have been taken for one of the longest that is believed.

--- a/policy/poison.c
+++ b/policy/poison.c
@@ -5,8 +5,8 @@
  * after the other, and no run of it has come to its end lately: neither since the
  * first of these began nor for a while before.  A run that ends well shows that the
  * content does not end each endpoint, so that a lookup which runs everywhere, and
- * is there whenever an endpoint ends, is not refused.  Of runs at the same time only one counts: a rack or zone that
- * is lost ends all of them at once.
+ * is there whenever an endpoint ends, is not refused.  Of runs at the same time
+ * only one counts: a rack or zone that is lost ends all of them at once.
  *
  * A suspected content is held until all ends of the moment are told.  If it then
  * stands out, as no other has as many strikes and was there at its last end, it is
--- a/proxyd/peers_suspects.c
+++ b/proxyd/peers_suspects.c
@@ -210,7 +210,8 @@
 		out->ended_ms_ago = (uint32_t)(now - news->strike.ended_ms);
 		break;
 	case SUSPECT_REFUSED:
-		out->refused_ms = (uint32_t)(news->until_ms - now);
+		if (news->until_ms > now) /* else it has lapsed */
+			out->refused_ms = (uint32_t)(news->until_ms - now);
 		out->since_ms_ago = (uint32_t)(now - news->since_ms);
 		break;
 	case SUSPECT_RAN:
--- a/proxyd/suspects.c
+++ b/proxyd/suspects.c
@@ -302,9 +302,9 @@
 		counter_add(t->suspected, 1);
 		return;
 	}
-	r = poison_find(t->poison, news->content, now);
-	if (!r || !r->refused_until_ms || !from)
+	if (!from || !poison_refused_ms(t->poison, news->content, now))
 		return;
+	r = poison_find(t->poison, news->content, now);
 	refusal = refusal_news(r);
 	peers_tell_suspect_to(t->proxyd->peers, from, &refusal);
 }
