Attempts that overlap are not what many callers ask for

Beside load an attempt lasts longer than its caller waits with the next, and other open requests for the same counted as a sign that many ask for it, so that it needed five ends a second apart and was tried again soon. What many ask for is told now by runs that end at several endpoints in the same moment. attempts_that_overlap_count of test_poison.

--- a/policy/poison.c
+++ b/policy/poison.c
@@ -41,6 +41,9 @@
 /* Instances learn of an endpoint's end within this time of each other. */
 #define SAME_END_MS 2000
 
+/* Endpoints that are lost together are found lost within this time. */
+#define MOMENT_MS 250
+
 /* When a run of a content ended well. */
 struct ran {
 	uint64_t content;
@@ -85,6 +88,8 @@
 			     const struct poison_strike *strike);
 static void insert(struct poison_record *r, const struct poison_strike *strike);
 static bool many_ask_for(const struct poison_record *r);
+static bool in_the_same_moment(const struct poison_record *r,
+			       const struct poison_strike *strike);
 static void drop_close(const struct poison *p, struct poison_record *r);
 static bool stands_out(const struct poison *p, const struct poison_record *r,
 		       uint64_t now);
@@ -135,9 +140,8 @@
 	if (r->refused_until_ms || r->n == POISON_STRIKES_MAX ||
 	    is_known(r, strike))
 		return false;
-	r->beside += strike->beside;
 	if (at_the_same_time(r, strike) || was_there(r, strike)) {
-		r->beside++;
+		r->beside += in_the_same_moment(r, strike);
 		return false;
 	}
 	insert(r, strike);
@@ -390,13 +394,27 @@
 	r->strikes[i] = *strike;
 }
 
-/* Tells whether there are other requests for the content whenever an endpoint ends
- * under it.  A caller that sends its request again waits for the answer. */
+/* Tells whether runs of the content end at several endpoints at once.  Those of a
+ * caller that sends its request again end one after the other. */
 static bool many_ask_for(const struct poison_record *r)
 {
 	return r->beside >= r->n;
 }
 
+/* Tells whether a run ended in the moment of a strike, at another endpoint. */
+static bool in_the_same_moment(const struct poison_record *r,
+			       const struct poison_strike *strike)
+{
+	uint32_t i;
+
+	for (i = 0; i < r->n; i++)
+		if (r->strikes[i].endpoint != strike->endpoint &&
+		    r->strikes[i].ended_ms < strike->ended_ms + MOMENT_MS &&
+		    strike->ended_ms < r->strikes[i].ended_ms + MOMENT_MS)
+			return true;
+	return false;
+}
+
 /* Leaves of strikes that are close to each other the first. */
 static void drop_close(const struct poison *p, struct poison_record *r)
 {
--- a/policy/poison.h
+++ b/policy/poison.h
@@ -17,7 +17,6 @@
 	uint64_t endpoint; /* hash of its id */
 	uint64_t sent_ms;
 	uint64_t ended_ms;
-	uint32_t beside; /* other requests for the same, at that instance */
 };
 
 /* What is held against a content. */
@@ -25,7 +24,7 @@
 	uint64_t content; /* its hash; 0: the record is free */
 	struct poison_strike strikes[POISON_STRIKES_MAX]; /* in order of time */
 	uint32_t n;
-	uint32_t beside; /* requests for the same at these times */
+	uint32_t beside; /* runs that ended elsewhere in the same moments */
 	uint64_t struck_ms; /* when the last of them was told */
 	bool decided; /* on what is known since then */
 	uint32_t refusals; /* how often it was refused for a while */
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1698,7 +1698,7 @@
   (ProtobufCMessageInit) peer_work__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer_suspect__field_descriptors[9] =
+static const ProtobufCFieldDescriptor peer_suspect__field_descriptors[8] =
 {
   {
     "content",
@@ -1796,21 +1796,8 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "beside",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(PeerSuspect, beside),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned peer_suspect__field_indices_by_name[] = {
-  8,   /* field[8] = beside */
   0,   /* field[0] = content */
   3,   /* field[3] = ended_ms_ago */
   7,   /* field[7] = endpoint */
@@ -1823,7 +1810,7 @@
 static const ProtobufCIntRange peer_suspect__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor peer_suspect__descriptor =
 {
@@ -1833,7 +1820,7 @@
   "PeerSuspect",
   "",
   sizeof(PeerSuspect),
-  9,
+  8,
   peer_suspect__field_descriptors,
   peer_suspect__field_indices_by_name,
   1,  peer_suspect__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -358,14 +358,10 @@
    * hash of the id of the one that ended
    */
   uint64_t endpoint;
-  /*
-   * other requests for the same, at the sender
-   */
-  uint32_t beside;
 };
 #define PEER_SUSPECT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer_suspect__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  PeerSuspects
--- a/proxyd/endpoints.h
+++ b/proxyd/endpoints.h
@@ -36,7 +36,6 @@
 	uint64_t content;
 	uint64_t sent_ms;
 	uint64_t broke_ms;
-	uint32_t beside; /* other requests for the same were open then */
 	bool lived; /* its endpoint has taken a connection since */
 };
 
--- a/proxyd/peers_suspects.c
+++ b/proxyd/peers_suspects.c
@@ -126,7 +126,6 @@
 		} else if (s->strike) {
 			news.strike.id = s->strike;
 			news.strike.endpoint = s->endpoint;
-			news.strike.beside = s->beside;
 			news.strike.sent_ms = now - s->sent_ms_ago;
 			news.strike.ended_ms = now - s->ended_ms_ago;
 		} else {
@@ -205,7 +204,6 @@
 	case SUSPECT_STRIKE:
 		out->strike = news->strike.id;
 		out->endpoint = news->strike.endpoint;
-		out->beside = news->strike.beside;
 		out->sent_ms_ago = (uint32_t)(now - news->strike.sent_ms);
 		out->ended_ms_ago = (uint32_t)(now - news->strike.ended_ms);
 		break;
--- a/proxyd/suspects.c
+++ b/proxyd/suspects.c
@@ -19,7 +19,6 @@
 static void strike(struct suspects *t, uint64_t content,
 		   const struct poison_strike *s, const char *endpoint,
 		   const char *request);
-static uint32_t beside(const struct exchange *x);
 static bool lasts(const struct suspects *t, uint64_t content, uint64_t ran_ms);
 static void take_strike(struct suspects *t, const struct suspect_news *news,
 			struct peer *from);
@@ -72,7 +71,6 @@
 			.endpoint = e->hash,
 			.sent_ms = x->sent_ms,
 			.ended_ms = now,
-			.beside = beside(x),
 		};
 
 		strike(t, x->content, &s, e->id, x->fields.id);
@@ -85,7 +83,6 @@
 		.content = x->content,
 		.sent_ms = x->sent_ms,
 		.broke_ms = now,
-		.beside = beside(x),
 	};
 }
 
@@ -97,7 +94,6 @@
 		.endpoint = e->hash,
 		.sent_ms = x->sent_ms,
 		.ended_ms = proxyd_now(x->proxyd),
-		.beside = beside(x),
 	};
 
 	if (x->struck || !http1_call_connected(x->call) || endpoint_leaves(e))
@@ -122,7 +118,6 @@
 			.endpoint = e->hash,
 			.sent_ms = run->sent_ms,
 			.ended_ms = run->broke_ms,
-			.beside = run->beside,
 		};
 
 		if (now - run->broke_ms < (run->lived ? LIVED_MS : BROKEN_MS))
@@ -256,17 +251,6 @@
 	peers_tell_suspect(t->proxyd->peers, &news);
 }
 
-/* Counts the other requests for the same that are open here. */
-static uint32_t beside(const struct exchange *x)
-{
-	const struct exchange *o;
-	uint32_t n = 0;
-
-	TAILQ_FOREACH(o, &x->proxyd->exchanges->list, link)
-	n += o != x && o->content == x->content && o->phase != EXCHANGE_OVER;
-	return n;
-}
-
 /* Tells whether another run of the content is under way here, with events, that
  * has lasted for longer than this: the content does not end its endpoint within
  * that time. */
--- a/regress/unit/test_poison.c
+++ b/regress/unit/test_poison.c
@@ -33,29 +33,20 @@
 	return 0;
 }
 
-/* An endpoint ends under a run of a content, while there are other requests for
- * the same. */
-static bool ends_beside(uint32_t beside, uint64_t endpoint, uint64_t content,
-			uint64_t sent_ms, uint64_t ended_ms)
+/* An endpoint ends under a run of a content. */
+static bool ends_at(uint64_t endpoint, uint64_t content, uint64_t sent_ms,
+		    uint64_t ended_ms)
 {
 	const struct poison_strike s = {
 		.id = ++n_ids,
 		.endpoint = endpoint,
 		.sent_ms = sent_ms,
 		.ended_ms = ended_ms,
-		.beside = beside,
 	};
 
 	return poison_strike(poison, content, &s, ended_ms);
 }
 
-/* The same, without any. */
-static bool ends_at(uint64_t endpoint, uint64_t content, uint64_t sent_ms,
-		    uint64_t ended_ms)
-{
-	return ends_beside(0, endpoint, content, sent_ms, ended_ms);
-}
-
 /* The same, of an endpoint that nothing else ran at. */
 static bool ends(uint64_t content, uint64_t sent_ms, uint64_t ended_ms)
 {
@@ -239,8 +230,8 @@
 	for (i = 0; i < POISON_STRIKES_MAX; i++, now += 2500) {
 		assert_false(refused(A, now));
 		for (k = 0; k < 5; k++)
-			ends_beside(2, (uint64_t)k, A, now + (uint64_t)k * 5,
-				    now + (uint64_t)k * 5 + 4);
+			ends_at((uint64_t)k, A, now + (uint64_t)k,
+				now + (uint64_t)k * 5 + 50);
 	}
 	assert_true(refused(A, now));
 	assert_true(poison_refused_ms(poison, A, now) <=
@@ -248,6 +239,21 @@
 			    poison_defaults.settle_ms);
 }
 
+/* A caller that comes before the end of its last attempt is known all the same. */
+static void attempts_that_overlap_count(void **state)
+{
+	uint64_t now = START_MS;
+	int i;
+
+	(void)state;
+	for (i = 0; i < 8; i++, now += 300)
+		ends(A, now, now + 500);
+	assert_true(refused(A, now));
+	assert_true(poison_refused_ms(poison, A, now) >
+		    poison_defaults.refused_many_ms +
+			    poison_defaults.settle_ms);
+}
+
 /* It has run well for long, and ends endpoints from some day on. */
 static void content_that_ran_well_before_is_refused(void **state)
 {
@@ -473,6 +479,7 @@
 		CASE(content_that_runs_to_its_end_is_cleared),
 		CASE(lost_service_does_not_refuse_what_it_served),
 		CASE(what_many_ask_for_needs_more_ends),
+		CASE(attempts_that_overlap_count),
 		CASE(content_that_ran_well_before_is_refused),
 		CASE(refusal_is_taken_back_where_it_ran),
 		CASE(refusal_lapses_into_a_trial),
