Soak: instances are not held to what they were to know while the store was away

The trace shows that the store was away from 0.4 s after the start on, before the first instance had read that there are others; each found out for itself. By the users' page no instance is in touch within contactMs of a disruption of the store, so the case is allowed; restarts and lost datagrams were excused already.

--- a/regress/soak/crash_rule.h
+++ b/regress/soak/crash_rule.h
@@ -9,7 +9,8 @@
 
 #define CRASH_RULE_BODY "ends its worker"
 
-/* A time from which on an instance knows nothing, or hears nothing. */
+/* A time from which on an instance knows nothing, or hears nothing, or the store is
+ * harmed: the users' rule binds no instance for a while. */
 struct crash_rule_excuse {
 	size_t instance;
 	uint64_t at_ms;
--- a/regress/soak/soak_proxyd.c
+++ b/regress/soak/soak_proxyd.c
@@ -187,8 +187,20 @@
 	later(200 + draw(300), worker_returns, i);
 }
 
+/* The store is harmed, or whole again: the users hold no instance to what it was
+ * to know then. */
+static void store_fault(void)
+{
+	size_t i;
+
+	for (i = 0; i < n_instances; i++)
+		crash_rule_excuse(&crashes, i, now_ms());
+}
+
 static void link_heals(size_t i)
 {
+	if (i == WORKERS)
+		store_fault();
 	holdoff_rule_link_fault(&holdoffs, i, now_ms());
 	harness_control(harness, fault_control, "{\"%s\":{\"mode\":\"pass\"}}",
 			mapped[i]);
@@ -197,6 +209,7 @@
 static void store_answers(size_t i)
 {
 	(void)i;
+	store_fault();
 	world->store_refuses = false;
 }
 
@@ -266,6 +279,8 @@
 					     "drop-down" };
 	size_t i = draw(FAULT_MAPPINGS);
 
+	if (i == WORKERS)
+		store_fault();
 	if (draw(3)) {
 		holdoff_rule_link_fault(&holdoffs, i, now_ms());
 		harness_control(harness, fault_control,
@@ -359,6 +374,7 @@
 		break;
 	default:
 		if (draw(2)) {
+			store_fault();
 			world->store_refuses = true;
 			later(200 + draw(2500), store_answers, 0);
 		} else {
