Refused requests: one record of a broken run, one search, the project's own hash

Read as a diff, without a change of behaviour. Three places built the same strike by hand: strike() makes it of the run. A content was looked up three times for each request and four times for a sending: once and twice now. The weight of an instance is pair_hash(), as all rendezvous choices; Unix time and the key of a refusal's row stood twice. test_poison, test_crashing_repeats and test_platform_store pass.

--- a/policy/poison.c
+++ b/policy/poison.c
@@ -28,9 +28,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <xxhash.h>
-
 #include "lib/xalloc.h"
+#include "policy/pair_hash.h"
 
 #define WAYS 8 /* records among which a content has its place */
 
@@ -74,6 +73,7 @@
 
 static size_t power_of_two(size_t least);
 static struct poison_record *set_of(const struct poison *p, uint64_t content);
+static struct poison_record *held(const struct poison *p, uint64_t content);
 static struct poison_record *find(const struct poison *p, uint64_t content,
 				  uint64_t now);
 static struct poison_record *find_or_add(struct poison *p, uint64_t content,
@@ -93,6 +93,8 @@
 static void drop_close(const struct poison *p, struct poison_record *r);
 static bool stands_out(const struct poison *p, const struct poison_record *r,
 		       uint64_t now);
+static uint64_t apart_ms(const struct poison_strike *a,
+			 const struct poison_strike *b);
 static bool same_end(const struct poison_strike *a,
 		     const struct poison_strike *b);
 static bool was_there(const struct poison_record *r,
@@ -187,12 +189,14 @@
 enum poison_verdict poison_judge(struct poison *p, uint64_t content,
 				 uint64_t now)
 {
-	const struct poison_record *r = find(p, content, now);
+	struct poison_record *r = find(p, content, now);
 
-	if (poison_refused_ms(p, content, now))
+	if (!r)
+		return POISON_RUN;
+	lapse(r, now);
+	if (r->refused_until_ms)
 		return POISON_REFUSE;
-	return r && r->n >= POISON_STRIKES && !r->decided ? POISON_HOLD
-							  : POISON_RUN;
+	return r->n >= POISON_STRIKES && !r->decided ? POISON_HOLD : POISON_RUN;
 }
 
 /* A run of the content has come to its end.  Returns true if something was held
@@ -233,16 +237,11 @@
 /* Forgets what is held against a content; true if there was something. */
 bool poison_clear(struct poison *p, uint64_t content)
 {
-	struct poison_record *set = set_of(p, content);
-	int i;
+	struct poison_record *r = held(p, content);
 
-	for (i = 0; i < WAYS; i++) {
-		if (set[i].content != content)
-			continue;
-		set[i] = (struct poison_record){ 0 };
-		return true;
-	}
-	return false;
+	if (r)
+		*r = (struct poison_record){ 0 };
+	return r != NULL;
 }
 
 /* Returns for how long the content is still refused, ms; 0 if it is not. */
@@ -280,7 +279,7 @@
  * of it, the same for all who know the same instances. */
 uint64_t poison_weight(uint64_t content, uint64_t instance)
 {
-	return XXH3_64bits_withSeed(&content, sizeof(content), instance);
+	return pair_hash(content, instance);
 }
 
 /* Returns the least power of two that is not below a number. */
@@ -299,19 +298,27 @@
 	return &p->records[(content & (p->n_sets - 1)) * WAYS];
 }
 
-/* Returns the record of a content, or NULL if there is none in force. */
-static struct poison_record *find(const struct poison *p, uint64_t content,
-				  uint64_t now)
+/* Returns the record of a content, in force or expired, or NULL. */
+static struct poison_record *held(const struct poison *p, uint64_t content)
 {
 	struct poison_record *set = set_of(p, content);
 	int i;
 
 	for (i = 0; i < WAYS; i++)
 		if (set[i].content == content)
-			return set[i].expires_ms > now ? &set[i] : NULL;
+			return &set[i];
 	return NULL;
 }
 
+/* Returns the record of a content, or NULL if there is none in force. */
+static struct poison_record *find(const struct poison *p, uint64_t content,
+				  uint64_t now)
+{
+	struct poison_record *r = held(p, content);
+
+	return r && r->expires_ms > now ? r : NULL;
+}
+
 /* Returns the record of a content; a new one takes the place of the one that is
  * missed least. */
 static struct poison_record *find_or_add(struct poison *p, uint64_t content,
@@ -409,8 +416,7 @@
 
 	for (i = 0; i < r->n; i++)
 		if (r->strikes[i].endpoint != strike->endpoint &&
-		    r->strikes[i].ended_ms < strike->ended_ms + MOMENT_MS &&
-		    strike->ended_ms < r->strikes[i].ended_ms + MOMENT_MS)
+		    apart_ms(&r->strikes[i], strike) < MOMENT_MS)
 			return true;
 	return false;
 }
@@ -444,14 +450,19 @@
 	return true;
 }
 
+/* Returns the time between the ends of two runs. */
+static uint64_t apart_ms(const struct poison_strike *a,
+			 const struct poison_strike *b)
+{
+	return a->ended_ms > b->ended_ms ? a->ended_ms - b->ended_ms
+					 : b->ended_ms - a->ended_ms;
+}
+
 /* Tells whether two runs were cut off by the same end of an endpoint. */
 static bool same_end(const struct poison_strike *a,
 		     const struct poison_strike *b)
 {
-	uint64_t apart = a->ended_ms > b->ended_ms ? a->ended_ms - b->ended_ms
-						   : b->ended_ms - a->ended_ms;
-
-	return a->endpoint == b->endpoint && apart < SAME_END_MS;
+	return a->endpoint == b->endpoint && apart_ms(a, b) < SAME_END_MS;
 }
 
 /* Tells whether a run of a content was cut off by an end. */
--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -80,6 +80,7 @@
 						  : x->fields.resume_after,
 		.yields = x->engine && stream_is_late(x),
 	};
+	bool suspected = suspects_holds(x);
 	const struct endpoint *copy;
 	struct bytes out = { 0 };
 
@@ -91,7 +92,7 @@
 		f.copy_id = from->id[0] ? from->id : x->fields.id;
 	}
 	x->struck = false;
-	if (suspects_holds(x)) /* a fresh one shows that the endpoint lives */
+	if (suspected) /* a fresh one shows that the endpoint lives */
 		options.reuse_ms = 0;
 	else if (x->route->kind == KIND_AT_MOST_ONCE)
 		options.reuse_ms = REUSE_ONCE_MS;
@@ -116,7 +117,7 @@
 	attempt_drop_answer(x);
 	event_stream_consume(&x->stream, x->stream.pending.len);
 	load_add(x);
-	x->staged = !from && !suspects_holds(x) && stage_planned(x);
+	x->staged = !from && !suspected && stage_planned(x);
 	if (!x->staged)
 		copy_set(x, copy_choose(x), "");
 	copy = endpoint_get(p->endpoints, x->copy.at);
--- a/proxyd/proxyd.c
+++ b/proxyd/proxyd.c
@@ -39,7 +39,6 @@
 static void excuse(struct proxyd *p, uint64_t stall_ms);
 static void on_stop_signal(uv_signal_t *signal, int number);
 static void on_reload_signal(uv_signal_t *signal, int number);
-static uint64_t unix_ms(void);
 
 /* Runs the process until it is told to stop; returns its exit status. */
 int proxyd_run(const struct proxyd_world *world, const char *settings_file,
@@ -53,7 +52,7 @@
 	p->loop = uv_default_loop();
 	p->settings_file = settings_file;
 	p->settings = *settings;
-	p->born_ms = unix_ms();
+	p->born_ms = proxyd_unix_ms();
 	p->started_ms = proxyd_now(p);
 	event_log_open("cdmproxyd", p->settings.name, STDOUT_FILENO);
 	if (!start(p, world, err, sizeof(err))) {
@@ -80,6 +79,15 @@
 	return uv_now(p->loop);
 }
 
+/* Returns Unix time, ms. */
+uint64_t proxyd_unix_ms(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_REALTIME, &now);
+	return (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
+}
+
 /* Returns a random number. */
 uint64_t proxyd_random(void)
 {
@@ -243,12 +251,3 @@
 		  p->settings.grace_s, "repeat_ratio", p->settings.repeat_ratio,
 		  "repeat_slack", p->settings.repeat_slack);
 }
-
-/* Returns Unix time, ms. */
-static uint64_t unix_ms(void)
-{
-	struct timespec now;
-
-	clock_gettime(CLOCK_REALTIME, &now);
-	return (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
-}
--- a/proxyd/proxyd.h
+++ b/proxyd/proxyd.h
@@ -64,6 +64,7 @@
 int proxyd_run(const struct proxyd_world *world, const char *settings_file,
 	       const struct proxyd_settings *settings);
 uint64_t proxyd_now(const struct proxyd *p);
+uint64_t proxyd_unix_ms(void);
 uint64_t proxyd_random(void);
 void proxyd_adopt(struct proxyd *p, struct routes *routes);
 
--- a/proxyd/store.h
+++ b/proxyd/store.h
@@ -4,6 +4,7 @@
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <string.h>
 
 #include "proxyd/routes.h"
 
@@ -116,6 +117,13 @@
 	const struct store_ops *ops;
 };
 
+/* Tells whether a row among the instances' is that of a refusal. */
+static inline bool store_is_refusal(const char *key)
+{
+	return !strncmp(key, STORE_REFUSAL_PREFIX,
+			sizeof(STORE_REFUSAL_PREFIX) - 1);
+}
+
 const char *store_outcome_name(enum store_outcome outcome);
 const char *store_table_name(enum store_table table);
 
--- a/proxyd/suspects.c
+++ b/proxyd/suspects.c
@@ -16,9 +16,9 @@
 #define BROKEN_MS 10000
 #define LIVED_MS 1500 /* the same, if its endpoint took a connection after it */
 
-static void strike(struct suspects *t, uint64_t content,
-		   const struct poison_strike *s, const char *endpoint,
-		   const char *request);
+static struct broken_run run_of(const struct exchange *x);
+static void strike(struct suspects *t, const struct endpoint *e,
+		   const struct broken_run *run, const char *request);
 static bool lasts(const struct suspects *t, uint64_t content, uint64_t ran_ms);
 static void take_strike(struct suspects *t, const struct suspect_news *news,
 			struct peer *from);
@@ -60,46 +60,30 @@
 	struct suspects *t = x->proxyd->suspects;
 	uint64_t now = proxyd_now(x->proxyd);
 	const struct poison_record *r = poison_find(t->poison, x->content, now);
-	struct broken_run *run;
 
 	if (!e || x->struck || endpoint_leaves(e))
 		return;
 	x->struck = true;
 	if (r && r->n >= POISON_STRIKES - 1) {
-		const struct poison_strike s = {
-			.id = (uint32_t)proxyd_random() | 1,
-			.endpoint = e->hash,
-			.sent_ms = x->sent_ms,
-			.ended_ms = now,
-		};
+		const struct broken_run run = run_of(x);
 
-		strike(t, x->content, &s, e->id, x->fields.id);
+		strike(t, e, &run, x->fields.id);
 		return;
 	}
 	if (!e->broken)
 		e->broken = xcalloc(ENDPOINT_BROKEN_MAX, sizeof(*e->broken));
-	run = &e->broken[e->n_broken++ % ENDPOINT_BROKEN_MAX];
-	*run = (struct broken_run){
-		.content = x->content,
-		.sent_ms = x->sent_ms,
-		.broke_ms = now,
-	};
+	e->broken[e->n_broken++ % ENDPOINT_BROKEN_MAX] = run_of(x);
 }
 
 /* An endpoint is lost that has the request. */
 void suspects_endpoint_lost(struct exchange *x, struct endpoint *e)
 {
-	const struct poison_strike s = {
-		.id = (uint32_t)proxyd_random() | 1,
-		.endpoint = e->hash,
-		.sent_ms = x->sent_ms,
-		.ended_ms = proxyd_now(x->proxyd),
-	};
+	const struct broken_run run = run_of(x);
 
 	if (x->struck || !http1_call_connected(x->call) || endpoint_leaves(e))
 		return;
 	x->struck = true;
-	strike(x->proxyd->suspects, x->content, &s, e->id, x->fields.id);
+	strike(x->proxyd->suspects, e, &run, x->fields.id);
 }
 
 /* An endpoint has ended: so it was its end that broke the last runs there. */
@@ -113,15 +97,9 @@
 	e->n_broken = 0;
 	for (i = 0; i < n; i++) {
 		const struct broken_run *run = &e->broken[i];
-		const struct poison_strike s = {
-			.id = (uint32_t)proxyd_random() | 1,
-			.endpoint = e->hash,
-			.sent_ms = run->sent_ms,
-			.ended_ms = run->broke_ms,
-		};
 
 		if (now - run->broke_ms < (run->lived ? LIVED_MS : BROKEN_MS))
-			strike(t, run->content, &s, e->id, NULL);
+			strike(t, e, run, NULL);
 	}
 }
 
@@ -158,8 +136,8 @@
 {
 	struct suspects *t = x->proxyd->suspects;
 	uint64_t now = proxyd_now(x->proxyd);
-	uint64_t left_ms = poison_refused_ms(t->poison, x->content, now);
 	char content[CONTENT_TEXT_SIZE];
+	uint64_t left_ms;
 
 	switch (poison_judge(t->poison, x->content, now)) {
 	case POISON_RUN:
@@ -170,6 +148,7 @@
 	case POISON_REFUSE:
 		break;
 	}
+	left_ms = poison_refused_ms(t->poison, x->content, now);
 	content_text(x->content, content);
 	event_log(EVENT_NOTABLE, "turned-away", x->fields.id, "{s:s, s:I, s:b}",
 		  "content", content, "refused_ms", (json_int_t)left_ms,
@@ -225,25 +204,39 @@
 	}
 }
 
+/* Returns the request's run as one that breaks now. */
+static struct broken_run run_of(const struct exchange *x)
+{
+	return (struct broken_run){
+		.content = x->content,
+		.sent_ms = x->sent_ms,
+		.broke_ms = proxyd_now(x->proxyd),
+	};
+}
+
 /* Counts an end that was seen here, and tells who keeps the records. */
-static void strike(struct suspects *t, uint64_t content,
-		   const struct poison_strike *s, const char *endpoint,
-		   const char *request)
+static void strike(struct suspects *t, const struct endpoint *e,
+		   const struct broken_run *run, const char *request)
 {
 	const struct suspect_news news = {
 		.word = SUSPECT_STRIKE,
-		.content = content,
-		.strike = *s,
+		.content = run->content,
+		.strike = {
+			.id = (uint32_t)proxyd_random() | 1, /* 0 is none */
+			.endpoint = e->hash,
+			.sent_ms = run->sent_ms,
+			.ended_ms = run->broke_ms,
+		},
 	};
-	bool excused = lasts(t, content, s->ended_ms - s->sent_ms);
+	uint64_t ran_ms = run->broke_ms - run->sent_ms;
+	bool excused = lasts(t, run->content, ran_ms);
 	char text[CONTENT_TEXT_SIZE];
 
-	content_text(content, text);
+	content_text(run->content, text);
 	event_log(EVENT_NOTABLE, "endpoint-ended-under", request,
 		  "{s:s, s:s, s:I, s:I, s:b}", "content", text, "endpoint",
-		  endpoint, "ran_ms", (json_int_t)(s->ended_ms - s->sent_ms),
-		  "ended_ms_ago",
-		  (json_int_t)(proxyd_now(t->proxyd) - s->ended_ms),
+		  e->id, "ran_ms", (json_int_t)ran_ms, "ended_ms_ago",
+		  (json_int_t)(proxyd_now(t->proxyd) - run->broke_ms),
 		  "another_lasts", excused);
 	if (excused)
 		return;
--- a/proxyd/suspects_rows.c
+++ b/proxyd/suspects_rows.c
@@ -8,7 +8,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 #include "lib/event_log.h"
 #include "policy/content.h"
@@ -32,19 +31,17 @@
 static void drop_row(struct suspects *t, struct refusal_row *row,
 		     const char *by);
 static void row_key(uint64_t content, char key[KEY_SIZE]);
-static uint64_t unix_ms(void);
 
 /* Takes a row of the store; false if it is none of a refusal. */
 bool suspects_take_row(struct suspects *t, const struct store_row *row)
 {
 	uint64_t now = proxyd_now(t->proxyd);
-	uint64_t unix_now = unix_ms();
+	uint64_t unix_now = proxyd_unix_ms();
 	struct refusal_row *known;
 	uint64_t left_ms;
 	uint64_t age_ms;
 
-	if (strncmp(row->key, STORE_REFUSAL_PREFIX,
-		    strlen(STORE_REFUSAL_PREFIX)) != 0)
+	if (!store_is_refusal(row->key))
 		return false;
 	if (!row->refusal) {
 		known = find_row(
@@ -144,8 +141,10 @@
 	while ((r = poison_next_refused(t->poison, now, &i))) {
 		const struct refusal_entry entry = {
 			.content = r->content,
-			.until_ms = unix_ms() + r->refused_until_ms - now,
-			.since_ms = unix_ms() - (now - r->strikes[0].sent_ms),
+			.until_ms =
+				proxyd_unix_ms() + r->refused_until_ms - now,
+			.since_ms = proxyd_unix_ms() -
+				    (now - r->strikes[0].sent_ms),
 		};
 
 		if (r->refused_until_ms < now + ROW_LEAST_MS ||
@@ -185,7 +184,7 @@
 		     const char *by)
 {
 	uint64_t content = row->content;
-	bool lapsed = row->until_ms <= unix_ms();
+	bool lapsed = row->until_ms <= proxyd_unix_ms();
 
 	*row = t->rows[--t->n_rows];
 	if (!lapsed && poison_clear(t->poison, content))
@@ -200,12 +199,3 @@
 	content_text(content, text);
 	snprintf(key, KEY_SIZE, STORE_REFUSAL_PREFIX "%s", text);
 }
-
-/* Returns Unix time, ms. */
-static uint64_t unix_ms(void)
-{
-	struct timespec now;
-
-	clock_gettime(CLOCK_REALTIME, &now);
-	return (uint64_t)now.tv_sec * 1000 + (uint64_t)now.tv_nsec / 1000000;
-}
