--- a/regress/soak/crash_rule.c
+++ b/regress/soak/crash_rule.c
@@ -19,8 +19,6 @@
 
 static bool sender(const struct crash_rule *r, const struct standin_arrival *a,
 		   size_t *instance);
-static bool excused(const struct crash_rule *r, size_t instance,
-		    uint64_t at_ms);
 
 /* A caller sends the request to an instance; returns the attempt's number, which
  * stands in its id as "c-NUMBER". */
@@ -32,15 +30,11 @@
 	return (unsigned int)r->n++;
 }
 
-/* An instance was started or woke, or what the others say reaches it again. */
+/* An instance was started or woke, or what the others say reaches it again, or the
+ * store is harmed. */
 void crash_rule_excuse(struct crash_rule *r, size_t instance, uint64_t now)
 {
-	r->excuses = xreallocarray(r->excuses, r->n_excuses + 1,
-				   sizeof(*r->excuses));
-	r->excuses[r->n_excuses++] = (struct crash_rule_excuse){
-		.instance = instance,
-		.at_ms = now,
-	};
+	excuses_add(&r->excuses, instance, now);
 }
 
 /* Fails if the rule was broken; the message names the seed of the run. */
@@ -60,7 +54,8 @@
 		all++;
 		late += w->crash.n >= 3 &&
 			a->at_ms > w->crash.at_ms[2] + CONTACT_MS &&
-			!excused(r, instance, a->at_ms);
+			!excuses_between(&r->excuses, instance,
+					 a->at_ms - CONTACT_MS, a->at_ms);
 	}
 	print_message("seed %llu: a request that ends its workers came %zu "
 		      "times, arrived %u times, ended %zu, %u arrivals late\n",
@@ -73,7 +68,7 @@
 void crash_rule_release(struct crash_rule *r)
 {
 	free(r->instances);
-	free(r->excuses);
+	excuses_release(&r->excuses);
 }
 
 /* Finds the instance that an arrival came from; false if it is no attempt. */
@@ -92,16 +87,3 @@
 	*instance = r->instances[number];
 	return true;
 }
-
-/* Tells whether an instance had an excuse shortly before. */
-static bool excused(const struct crash_rule *r, size_t instance, uint64_t at_ms)
-{
-	size_t i;
-
-	for (i = 0; i < r->n_excuses; i++)
-		if (r->excuses[i].instance == instance &&
-		    r->excuses[i].at_ms <= at_ms &&
-		    r->excuses[i].at_ms + CONTACT_MS >= at_ms)
-			return true;
-	return false;
-}
--- a/regress/soak/crash_rule.h
+++ b/regress/soak/crash_rule.h
@@ -2,6 +2,7 @@
 #define REGRESS_SOAK_CRASH_RULE_H
 
 #include "regress/platform_standin.h"
+#include "regress/soak/excuses.h"
 
 /* The users' rule on a request that ends the workers that run it, and comes
  * again: how often it reaches workers later than the time within which all
@@ -9,18 +10,10 @@
 
 #define CRASH_RULE_BODY "ends its worker"
 
-/* A time from which on an instance knows nothing, or hears nothing, or the store is
- * harmed: the users' rule binds no instance for a while. */
-struct crash_rule_excuse {
-	size_t instance;
-	uint64_t at_ms;
-};
-
 struct crash_rule {
 	size_t *instances; /* that the attempts were sent to, by their numbers */
 	size_t n;
-	struct crash_rule_excuse *excuses;
-	size_t n_excuses;
+	struct excuses excuses; /* of instances */
 };
 
 unsigned int crash_rule_sent(struct crash_rule *r, size_t instance);
--- a/regress/soak/holdoff_rule.c
+++ b/regress/soak/holdoff_rule.c
@@ -22,9 +22,6 @@
 
 static const struct holdoff_request *request_of(
 	const struct holdoff_rule *r, const struct standin_arrival *a);
-static bool excused(const struct holdoff_excuses *e, size_t of, uint64_t from,
-		    uint64_t to);
-static void add_excuse(struct holdoff_excuses *e, size_t of, uint64_t now);
 static void check_leaving(const struct holdoff_rule *r,
 			  const struct standin_world *w,
 			  const struct holdoff_leaving *l);
@@ -73,14 +70,14 @@
 /* An instance was started, or went on after it stood still. */
 void holdoff_rule_excuse(struct holdoff_rule *r, size_t instance, uint64_t now)
 {
-	add_excuse(&r->instances, instance, now);
+	excuses_add(&r->instances, instance, now);
 }
 
 /* The link to a worker was harmed, or is whole again. */
 void holdoff_rule_link_fault(struct holdoff_rule *r, size_t worker,
 			     uint64_t now)
 {
-	add_excuse(&r->links, worker, now);
+	excuses_add(&r->links, worker, now);
 }
 
 /* Fails if a rule was broken; the message names the seed of the run. */
@@ -112,8 +109,8 @@
 {
 	free(r->requests);
 	free(r->leaving);
-	free(r->instances.list);
-	free(r->links.list);
+	excuses_release(&r->instances);
+	excuses_release(&r->links);
 }
 
 /* No request that was sent DRAIN_MS after a worker's word reaches it. */
@@ -130,7 +127,8 @@
 		if (!q || q->instance != l->instance ||
 		    q->sent_ms <= l->at_ms + DRAIN_MS ||
 		    strcmp(a->worker_id, l->worker_id) != 0 ||
-		    excused(&r->instances, l->instance, l->at_ms, a->at_ms))
+		    excuses_between(&r->instances, l->instance, l->at_ms,
+				    a->at_ms))
 			continue;
 		fail_msg("a request reached %s %llu ms after instance %zu "
 			 "passed on that it leaves",
@@ -159,13 +157,13 @@
 		    a->at_ms >= first->at_ms + PAUSE_MS ||
 		    strcmp(a->worker_id, first->worker_id) != 0)
 			continue;
-		n += !excused(&r->instances, instance, first->at_ms,
-			      a->at_ms) &&
-		     !excused(&r->links, worker,
-			      first->at_ms > LINK_FAULT_MS
-				      ? first->at_ms - LINK_FAULT_MS
-				      : 0,
-			      a->at_ms);
+		n += !excuses_between(&r->instances, instance, first->at_ms,
+				      a->at_ms) &&
+		     !excuses_between(&r->links, worker,
+				      first->at_ms > LINK_FAULT_MS
+					      ? first->at_ms - LINK_FAULT_MS
+					      : 0,
+				      a->at_ms);
 	}
 	if (n > IN_PAUSE_MAX)
 		fail_msg("%u requests of instance %zu reached %s in its pause",
@@ -185,23 +183,3 @@
 	number = strtoul(id + sizeof(key) - 1, NULL, 10);
 	return number < r->n_requests ? &r->requests[number] : NULL;
 }
-
-/* Tells whether there was an excuse in a span. */
-static bool excused(const struct holdoff_excuses *e, size_t of, uint64_t from,
-		    uint64_t to)
-{
-	size_t i;
-
-	for (i = 0; i < e->n; i++)
-		if (e->list[i].of == of && e->list[i].at_ms >= from &&
-		    e->list[i].at_ms <= to)
-			return true;
-	return false;
-}
-
-/* Notes an excuse. */
-static void add_excuse(struct holdoff_excuses *e, size_t of, uint64_t now)
-{
-	e->list = xreallocarray(e->list, e->n + 1, sizeof(*e->list));
-	e->list[e->n++] = (struct holdoff_excuse){ .of = of, .at_ms = now };
-}
--- a/regress/soak/holdoff_rule.h
+++ b/regress/soak/holdoff_rule.h
@@ -2,6 +2,7 @@
 #define REGRESS_SOAK_HOLDOFF_RULE_H
 
 #include "regress/platform_standin.h"
+#include "regress/soak/excuses.h"
 
 /* The users' rules on what an instance sends to a worker that has told it that
  * it leaves, or that it wants nothing for a while, as seen from outside. */
@@ -22,24 +23,13 @@
 	uint64_t at_ms;
 };
 
-/* A time from which on an instance, or a worker's link, knows nothing of before. */
-struct holdoff_excuse {
-	size_t of;
-	uint64_t at_ms;
-};
-
-struct holdoff_excuses {
-	struct holdoff_excuse *list;
-	size_t n;
-};
-
 struct holdoff_rule {
 	struct holdoff_request *requests; /* [0] is none */
 	size_t n_requests;
 	struct holdoff_leaving *leaving;
 	size_t n_leaving;
-	struct holdoff_excuses instances; /* started or woke */
-	struct holdoff_excuses links; /* were harmed */
+	struct excuses instances; /* started or woke */
+	struct excuses links; /* were harmed */
 };
 
 void holdoff_rule_sent(struct holdoff_rule *r, unsigned int number,
