Stand-ins: one way for a worker that was killed to come back

The crashing worker had written again what the soak and test_repeat_budget do: another id, the old entry removed, the new one announced.

--- a/regress/integration/test_repeat_budget.c
+++ b/regress/integration/test_repeat_budget.c
@@ -47,7 +47,6 @@
 static struct repeat_rule rule;
 static struct call calls[CALLS_MAX];
 static size_t n_calls;
-static unsigned n_starts; /* of engines */
 
 static uint64_t now_ms(void)
 {
@@ -138,15 +137,8 @@
 {
 	size_t i;
 
-	for (i = 0; i < world->n_workers; i++) {
-		char id[24];
-
-		if (world->workers[i].server)
-			continue;
-		snprintf(id, sizeof(id), "i-again-%u", ++n_starts);
-		standin_remove(world, "servers", world->workers[i].id);
-		standin_restart(&world->workers[i], id);
-	}
+	for (i = 0; i < world->n_workers; i++)
+		standin_return(&world->workers[i]);
 }
 
 static enum http1_verdict on_head(void *arg, const struct http1_head *head)
--- a/regress/platform_standin.c
+++ b/regress/platform_standin.c
@@ -232,6 +232,19 @@
 	standin_announce(worker, "ready");
 }
 
+/* Starts a worker that was killed, under another id; its old entry goes. */
+void standin_return(struct standin_worker *worker)
+{
+	static unsigned int start;
+	char id[24];
+
+	if (worker->server)
+		return;
+	snprintf(id, sizeof(id), "i-again-%u", ++start);
+	standin_remove(worker->world, "servers", worker->id);
+	standin_restart(worker, id);
+}
+
 /* Writes the worker's entry. */
 void standin_announce(struct standin_worker *worker, const char *state)
 {
@@ -646,10 +659,8 @@
 /* The worker ends, or is back. */
 static void on_crash(uv_timer_t *timer)
 {
-	static unsigned int start;
 	struct standin_worker *worker = timer->data;
 	struct standin_crash *crash = &worker->world->crash;
-	char id[24];
 
 	if (worker->server) {
 		standin_kill(worker);
@@ -660,9 +671,7 @@
 		return;
 	}
 	worker->crashing = false;
-	snprintf(id, sizeof(id), "i-after-crash-%u", ++start);
-	standin_remove(worker->world, "servers", worker->id);
-	standin_restart(worker, id);
+	standin_return(worker);
 }
 
 /* Keeps a request as it came. */
--- a/regress/platform_standin.h
+++ b/regress/platform_standin.h
@@ -111,6 +111,7 @@
 void standin_announce(struct standin_worker *worker, const char *state);
 void standin_kill(struct standin_worker *worker);
 void standin_restart(struct standin_worker *worker, const char *id);
+void standin_return(struct standin_worker *worker);
 void standin_stop_store(struct standin_world *w);
 void standin_start_store(struct standin_world *w);
 const struct standin_arrival *standin_last(const struct standin_world *w);
--- a/regress/soak/soak_proxyd.c
+++ b/regress/soak/soak_proxyd.c
@@ -161,14 +161,7 @@
 
 static void worker_returns(size_t i)
 {
-	static unsigned start;
-	char id[24];
-
-	if (world->workers[i].server)
-		return;
-	snprintf(id, sizeof(id), "i-again-%u", ++start);
-	standin_remove(world, "servers", world->workers[i].id);
-	standin_restart(&world->workers[i], id);
+	standin_return(&world->workers[i]);
 }
 
 static void mood_ends(size_t i)
