HTTP client: both times of a call are judged in one place

The limit on the whole answer had copied the branch of the limit on the connection. test_http1_client, test_endless_answers and test_http pass.

--- a/lib/http1_client.c
+++ b/lib/http1_client.c
@@ -103,6 +103,7 @@
 static void on_written(uv_write_t *req, int status);
 static void on_closed(uv_handle_t *h);
 static bool was_reset(const struct kept_conn *k);
+static bool is_late(const struct kept_conn *k, uint64_t now);
 static void on_eof(struct kept_conn *k, bool orderly);
 static bool take_head(struct kept_conn *k);
 static void take_body(struct kept_conn *k, char *data, size_t len);
@@ -174,18 +175,15 @@
 	while (k) {
 		struct kept_conn *next = TAILQ_NEXT(k, link);
 
-		if (k->state == CONN_CONNECTING &&
-		    now >= k->call->connect_by_ms) {
+		if (is_late(k, now)) {
+			enum http1_outcome outcome = k->state == CONN_CONNECTING
+							     ? HTTP1_NO_ANSWER
+							     : HTTP1_BROKEN;
+
 			call = k->call;
 			conn_close(k);
-			call_end(call, HTTP1_NO_ANSWER);
+			call_end(call, outcome);
 			next = TAILQ_FIRST(&c->conns); /* may have changed */
-		} else if (k->call && k->call->whole_by_ms &&
-			   now >= k->call->whole_by_ms) {
-			call = k->call;
-			conn_close(k);
-			call_end(call, HTTP1_BROKEN);
-			next = TAILQ_FIRST(&c->conns);
 		} else if (k->state == CONN_IDLE &&
 			   now - k->idle_since_ms >= k->idle_limit_ms) {
 			conn_close(k);
@@ -194,6 +192,17 @@
 	}
 }
 
+/* Tells whether the time of a connection's call is up: to have the connection, or
+ * its whole answer. */
+static bool is_late(const struct kept_conn *k, uint64_t now)
+{
+	const struct http1_call *call = k->call;
+
+	if (k->state == CONN_CONNECTING)
+		return now >= call->connect_by_ms;
+	return call && call->whole_by_ms && now >= call->whole_by_ms;
+}
+
 /* Returns how often connections were made and used again. */
 struct http1_client_stats http1_client_stats(const struct http1_client *c)
 {
