Log the limits that endpoints name

The header with which an endpoint names its limit on requests a second was not decoded, and the headers of answers are not logged.

platform/ decodes it (the lowest of several lines; what is not a decimal number of 0 or more is reported as unreadable), and each instance logs when an endpoint names, changes or ends its limit, and counts such answers. Nothing acts on it yet.

The rest of the line about an answer's age, sent_ms_ago, tells an answer to an old request from a new one.

make prove T='platform_wire endpoint_words': 2 passed, 0 failed.

--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -246,7 +246,7 @@
 	} else {
 		endpoint_seen(p->endpoints, x->endpoint);
 		endpoint_apply_status(p->endpoints, x->endpoint, &x->answer,
-				      x->fields.id);
+				      x->sent_ms, x->fields.id);
 	}
 	x->status = head->status;
 	x->unframed = http1_call_unframed(x->call);
--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -15,6 +15,7 @@
 #include "policy/endpoint_restart.h"
 #include "policy/gossip_select.h"
 #include "proxyd/exchange.h"
+#include "proxyd/limits.h"
 #include "proxyd/peers.h"
 #include "proxyd/proxyd.h"
 #include "proxyd/rediscover.h"
@@ -75,6 +76,7 @@
 				     "Connections made only to see whether an "
 				     "endpoint lives",
 				     COUNTER_TOTAL, "kind", "endpoint");
+	limits_init();
 	t->losses = counter_labelled("cdm_endpoint_losses_total",
 				     "Endpoints found dead", COUNTER_TOTAL,
 				     "by", "self");
@@ -342,10 +344,11 @@
 	e->unconfirmed = false;
 }
 
-/* Applies the pause and leaving fields of an endpoint's answer.  Other
- * instances are informed if its entry does not list it as leaving. */
+/* Applies the limit, pause and leaving fields of an endpoint's answer to a
+ * request sent at sent_ms.  Other instances are informed if its entry does not
+ * list it as leaving. */
 void endpoint_apply_status(struct endpoints *t, struct handle h,
-			   const struct answer_fields *answer,
+			   const struct answer_fields *answer, uint64_t sent_ms,
 			   const char *request)
 {
 	struct endpoint *e = endpoint_get(t, h);
@@ -353,6 +356,7 @@
 
 	if (!e)
 		return;
+	limits_answer(e, answer, sent_ms, request);
 	if (answer->has_pause) {
 		holdoff_pause(&e->holdoff, answer->pause_ms, now);
 		event_log(EVENT_NOTABLE, "endpoint-pauses", request,
--- a/proxyd/endpoints.h
+++ b/proxyd/endpoints.h
@@ -57,6 +57,8 @@
 	uint64_t born_ms;
 	bool leaving; /* according to its entry */
 	struct holdoff holdoff; /* as its answers report */
+	bool has_limit; /* its newest answer names a limit */
+	double limit_per_s;
 	struct entry_expiry expiry;
 	enum endpoint_state state;
 	uint64_t down_ms; /* when it was found dead */
@@ -122,7 +124,7 @@
 void endpoint_reached(struct endpoints *t, struct handle h);
 void endpoint_seen(struct endpoints *t, struct handle h);
 void endpoint_apply_status(struct endpoints *t, struct handle h,
-			   const struct answer_fields *answer,
+			   const struct answer_fields *answer, uint64_t sent_ms,
 			   const char *request);
 void endpoint_reported_leaving(struct endpoints *t, const char *id,
 			       uint64_t born_ms);
--- a/proxyd/kv_copy.c
+++ b/proxyd/kv_copy.c
@@ -198,7 +198,7 @@
 	p->protocol->decode_answer(head, &answer);
 	if (!answer.misdirected)
 		endpoint_apply_status(p->endpoints, x->endpoint, &answer,
-				      x->fields.id);
+				      x->copy.last_order_ms, x->fields.id);
 	return HTTP1_ACCEPT;
 }
 
--- a/proxyd/protocol.h
+++ b/proxyd/protocol.h
@@ -54,6 +54,9 @@
 	bool leaving; /* the endpoint must get no new work */
 	bool has_pause; /* the endpoint must get no requests for pause_ms */
 	uint64_t pause_ms;
+	bool has_limit; /* the endpoint takes limit_per_s from all instances */
+	double limit_per_s; /* requests per second, 0 or more */
+	bool limit_unreadable; /* it names a limit that is not a number */
 };
 
 /* The protocol between callers, this system and endpoints. */
--- a/proxyd/rediscover.c
+++ b/proxyd/rediscover.c
@@ -28,6 +28,7 @@
 	struct handle old;
 	char id[ENDPOINT_ID_SIZE]; /* of the endpoint that answers now */
 	bool awaiting_report; /* the second of two requests */
+	uint64_t sent_ms;
 	int status;
 	struct bytes body;
 };
@@ -100,6 +101,7 @@
 
 	r->status = 0;
 	r->body.len = 0;
+	r->sent_ms = proxyd_now(r->proxyd);
 	bytes_addf(&out, "GET %s HTTP/1.1\r\nhost: %s\r\n\r\n", path, address);
 	http1_call_start(r->proxyd->client, &options, out.data, out.len, &ops,
 			 r);
@@ -121,7 +123,7 @@
 	}
 	if (is_same_endpoint(r, endpoint_get(r->proxyd->endpoints, r->old)))
 		endpoint_apply_status(r->proxyd->endpoints, r->old, &fields,
-				      NULL);
+				      r->sent_ms, NULL);
 	return HTTP1_ACCEPT;
 }
 
--- a/regress/platform_check.sh
+++ b/regress/platform_check.sh
@@ -4,7 +4,7 @@
 # with 1 if there are any.
 bad=$(git grep -nE '#include "platform/' -- '*.c' '*.h' ':!platform' \
 	':!regress' ':!proxyd/main.c')
-names='kv-backup|kv-from|kv-move|kv-handle|prompt-prefix|response-signature'
+names='server-limit|kv-backup|kv-from|kv-move|kv-handle|prompt-prefix|response-signature'
 names="$names|token-usage|expected-instance|tenant-id|not-executed|[^-]deadline-ms"
 names="$names|rows-feed|rows-get|rows-tx|expectedRev|apiKeys|pathPrefix"
 names="$names|trafficSplit|maxAttempts|kvCapacity|/readyz|/resolve"
--- a/regress/unit/test_platform_wire.c
+++ b/regress/unit/test_platform_wire.c
@@ -269,6 +269,66 @@
 	assert_int_equal(f.prompt_tokens, 0);
 }
 
+/* Decodes an answer with these header lines. */
+static void decode_answer(const char *lines, struct answer_fields *fields)
+{
+	static char text[2048];
+	static struct http1_head head;
+	size_t used;
+
+	snprintf(text, sizeof(text), "HTTP/1.1 200 OK\r\n%s\r\n", lines);
+	assert_int_equal(http1_parse_response(text, strlen(text), &head, &used),
+			 HTTP1_DONE);
+	platform_protocol.decode_answer(&head, fields);
+}
+
+/* A limit is a decimal number of 0 or more; of several, the lowest counts. */
+static void limits_in_answers(void **state)
+{
+	static const struct {
+		const char *lines;
+		bool has_limit;
+		double per_s;
+		bool unreadable;
+	} cases[] = {
+		{ "X-Own: 1\r\n", false, 0, false },
+		{ "Server-Limit: 5.7\r\n", true, 5.7, false },
+		{ "server-limit: 14\r\n", true, 14, false },
+		{ "Server-Limit: 0.25\r\n", true, 0.25, false },
+		{ "Server-Limit: 0\r\n", true, 0, false },
+		{ "Server-Limit: 1e300\r\n", true, 1e300, false },
+		{ "Server-Limit: 9\r\nServer-Limit: 4\r\n", true, 4, false },
+		{ "Server-Limit: x\r\nServer-Limit: 4\r\n", true, 4, false },
+		{ "Server-Limit: \r\n", false, 0, true },
+		{ "Server-Limit: -3\r\n", false, 0, true },
+		{ "Server-Limit: nan\r\n", false, 0, true },
+		{ "Server-Limit: inf\r\n", false, 0, true },
+		{ "Server-Limit: 0x10\r\n", false, 0, true },
+		{ "Server-Limit: 5.7/s\r\n", false, 0, true },
+		{ "Server-Limit: 5,7\r\n", false, 0, true },
+		{ "Server-Limit: 1e999\r\n", false, 0, true },
+	};
+	char lines[640];
+	struct answer_fields f;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < N(cases); i++) {
+		decode_answer(cases[i].lines, &f);
+		if (f.has_limit != cases[i].has_limit ||
+		    f.limit_unreadable != cases[i].unreadable ||
+		    (f.has_limit && f.limit_per_s != cases[i].per_s))
+			fail_msg("%s: %d %g %d", cases[i].lines, f.has_limit,
+				 f.limit_per_s, f.limit_unreadable);
+	}
+	snprintf(lines, sizeof(lines), "Server-Limit: %0400d\r\n", 7);
+	decode_answer(lines, &f);
+	assert_true(f.has_limit && f.limit_per_s == 7);
+	snprintf(lines, sizeof(lines), "Server-Limit: 1%0400d\r\n", 7);
+	decode_answer(lines, &f);
+	assert_true(!f.has_limit && f.limit_unreadable);
+}
+
 static bool decode_copy_answer(const char *text, char *id, size_t id_size)
 {
 	return platform_protocol.decode_copy_answer(text, strlen(text), id,
@@ -307,6 +367,7 @@
 		cmocka_unit_test(endpoint_entries),
 		cmocka_unit_test(instance_entries),
 		cmocka_unit_test(request_headers),
+		cmocka_unit_test(limits_in_answers),
 		cmocka_unit_test(copy_answers_and_reports),
 	};
 
