Test that endpoints get what their limits allow; it fails

Two of three endpoints name a limit on the requests a second of all instances together, and six instances send what they sent before: 398 arrivals in 4 s where 89 are allowed. One instance alone: 199 of 23. Without datagrams between the instances: 398 of 89. With instances suspended, killed and started: 405 of 29.

That one instance exceeds the limit rules out that the sum alone is at fault; that each lookup arrived once rules out repeats and the system's own calls. Nothing acts on the limit.

--- a/regress/platform_standin.c
+++ b/regress/platform_standin.c
@@ -19,6 +19,8 @@
 #include "lib/xalloc.h"
 
 #define SIGNATURE "response-signature: m.1\r\n"
+#define EXTRA_HEADERS_BYTES 160
+#define HEADERS_BYTES (EXTRA_HEADERS_BYTES + 352)
 
 /* A stream in progress. */
 struct standin_stream {
@@ -599,7 +601,7 @@
 	struct standin_worker *worker = arg;
 	struct standin_arrival *a = record_arrival(worker, r);
 	char *id = header_value(r, "request-id");
-	char headers[256];
+	char headers[HEADERS_BYTES];
 
 	char *expected = header_value(r, "expected-instance");
 
@@ -629,10 +631,18 @@
 	free(id);
 }
 
-/* Returns the header lines added to all answers of a worker, "" if none. */
+/* Returns the header lines added to all answers of a worker, "" if none; valid
+ * until the next call. */
 static const char *extra_headers_of(const struct standin_worker *worker)
 {
-	return worker->extra_headers ? worker->extra_headers : "";
+	static char lines[EXTRA_HEADERS_BYTES];
+
+	snprintf(lines, sizeof(lines), "%s%s%s%s",
+		 worker->extra_headers ? worker->extra_headers : "",
+		 worker->limit ? "server-limit: " : "",
+		 worker->limit ? worker->limit : "",
+		 worker->limit ? "\r\n" : "");
+	return lines;
 }
 
 /* Called when a client closes a connection to a worker: marks the arrival of
@@ -720,6 +730,8 @@
 	a->worker = worker;
 	memcpy(a->worker_id, worker->id, sizeof(a->worker_id));
 	a->extra_headers = worker->extra_headers;
+	snprintf(a->limit, sizeof(a->limit), "%s",
+		 worker->limit ? worker->limit : "");
 	a->at_ms = uv_now(harness_loop(w->harness));
 	a->head = head.data;
 	a->target = xstrndup(r->head.target, r->head.target_len);
@@ -732,8 +744,8 @@
 static void serve_plain(struct standin_worker *worker, struct http1_conn *c,
 			struct standin_arrival *a, const char *id)
 {
-	char headers[512];
-	char refusal[256];
+	char headers[HEADERS_BYTES];
+	char refusal[HEADERS_BYTES];
 	const char *body = "plain answer";
 
 	snprintf(headers, sizeof(headers),
@@ -784,7 +796,7 @@
 {
 	struct standin_stream *s = xcalloc(1, sizeof(*s));
 	const char *after = strstr(a->head, "\nlast-event-id: ");
-	char headers[256];
+	char headers[HEADERS_BYTES];
 
 	a->ran = true;
 	s->conn = c;
--- a/regress/platform_standin.h
+++ b/regress/platform_standin.h
@@ -42,6 +42,7 @@
 	const char *zone;
 	enum standin_behaviour behaviour;
 	const char *extra_headers; /* lines added to all answers, or NULL */
+	const char *limit; /* requests per second that answers name, or NULL */
 	unsigned int born_ms; /* start time in its entry */
 	struct http1_server *server; /* NULL while it is down */
 	uv_timer_t crash_timer; /* for its crash, then its restart */
@@ -68,6 +69,7 @@
 	uint64_t at_ms; /* by the clock of the loop */
 	char worker_id[32]; /* at that time */
 	const char *extra_headers; /* of the worker at that time, or NULL */
+	char limit[32]; /* that the answer names; empty: none */
 	bool ran; /* the worker started to execute it */
 	bool misdirected; /* names another worker; answered 421 */
 	bool closed; /* the client closed the stream before its end */
