limit_rule: what is no number names no limit

The check read "5,7" as 5 and "-1" as a limit below 0. The users' limit is a decimal number, so an answer that names none says nothing that could be broken. All other arrivals are counted as before.

--- a/regress/limit_rule.c
+++ b/regress/limit_rule.c
@@ -1,7 +1,7 @@
 /*
  * The users' rule on limits: a worker that names a limit of L requests per
  * second gets in no 4 s more than 1.5 x L x 4 + 5, from some time after it first
- * named the limit.
+ * named the limit.  What is no number names no limit.
  */
 #include "regress/limit_rule.h"
 
@@ -23,6 +23,7 @@
 			   uint64_t applied_ms,
 			   const struct limit_rule_filter *filter,
 			   struct counted *list);
+static bool names_limit(const struct standin_arrival *a);
 static double highest_limit(const struct counted *list, size_t n);
 
 /* Returns the worst window.  Windows begin applied_ms or later after the worker
@@ -82,10 +83,10 @@
 
 		if (a->worker != &w->workers[worker])
 			continue;
-		if (!a->limit[0] || strcmp(a->worker_id, id) != 0)
+		if (!names_limit(a) || strcmp(a->worker_id, id) != 0)
 			named_ms = 0;
 		id = a->worker_id;
-		if (!a->limit[0])
+		if (!names_limit(a))
 			continue;
 		if (!named_ms)
 			named_ms = a->at_ms;
@@ -98,6 +99,15 @@
 	return n;
 }
 
+/* Returns whether the answer to an arrival names a number as limit. */
+static bool names_limit(const struct standin_arrival *a)
+{
+	char *end;
+	double limit = strtod(a->limit, &end);
+
+	return a->limit[0] && !*end && limit >= 0;
+}
+
 /* Returns the highest limit that the answers to some arrivals name. */
 static double highest_limit(const struct counted *list, size_t n)
 {
