--- /dev/null
+++ b/policy/limit_wait.c
@@ -0,0 +1,56 @@
+/*
+ * Decides about a request when all endpoints of its service have named limits
+ * and this instance has no permit: it waits if a permit is expected while its
+ * answer would still be on time, and is refused at once otherwise, with the
+ * time at which a permit is expected for its caller.  Handles a service all of
+ * whose endpoints name limits far below the rate of requests.
+ */
+#include "policy/limit_wait.h"
+
+#include "policy/request_limit.h"
+
+/* Time in which other instances answer whether they lend a permit. */
+#define ASK_MS 60
+
+/* Of a Retry-After.  Later returns are not planned. */
+#define RETURN_MIN_MS 50
+#define RETURN_MAX_MS 30000
+
+#define MS_PER_S 1000
+
+/* Returns whether the request waits for a permit. */
+bool limit_wait_decide(const struct limit_wait *w)
+{
+	double turn_ms = w->per_s > 0
+				 ? ((double)w->ahead + 1) * MS_PER_S / w->per_s
+				 : REQUEST_LIMIT_NEVER;
+
+	if (w->own_ms <= w->left_ms)
+		return true;
+	if (!w->ask_ms)
+		return ASK_MS <= w->left_ms;
+	return (uint64_t)w->ask_ms + ASK_MS <= w->left_ms &&
+	       turn_ms <= w->left_ms;
+}
+
+/* Returns after how many ms the caller of a refused request returns.  Returns
+ * are planned at the rate at which permits come (per_s), so that callers don't
+ * return together; rnd spreads those of different instances.  A caller whose
+ * time (left_ms) ends before its return takes no place. */
+uint32_t limit_return_ms(struct limit_return *r, double per_s, uint32_t left_ms,
+			 uint64_t now, uint64_t rnd)
+{
+	double gap_ms = MS_PER_S / per_s;
+	double at_ms = r->next_ms > (double)now ? r->next_ms : (double)now;
+	double wait_ms;
+
+	if (!(gap_ms < RETURN_MAX_MS))
+		gap_ms = RETURN_MAX_MS;
+	wait_ms = at_ms - (double)now +
+		  gap_ms * (double)(rnd % MS_PER_S) / MS_PER_S;
+	if (wait_ms < left_ms)
+		r->next_ms = at_ms + gap_ms;
+	if (wait_ms < RETURN_MIN_MS)
+		return RETURN_MIN_MS;
+	return wait_ms < RETURN_MAX_MS ? (uint32_t)wait_ms : RETURN_MAX_MS;
+}
--- /dev/null
+++ b/policy/limit_wait.h
@@ -0,0 +1,27 @@
+#ifndef POLICY_LIMIT_WAIT_H
+#define POLICY_LIMIT_WAIT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* A request that finds no permit for any endpoint that is up.  Times in ms. */
+struct limit_wait {
+	uint32_t own_ms; /* until this instance has a permit for it;
+			  * REQUEST_LIMIT_NEVER: it has no part */
+	uint32_t ask_ms; /* until other instances may be asked for one; 0: they
+			  * are being asked */
+	double per_s; /* this instance's fair part of what all endpoints take */
+	uint32_t ahead; /* requests that get a permit before it */
+	uint32_t left_ms; /* of the time in which its answer is on time */
+};
+
+/* When the callers that were refused return, one after the other. */
+struct limit_return {
+	double next_ms;
+};
+
+bool limit_wait_decide(const struct limit_wait *w);
+uint32_t limit_return_ms(struct limit_return *r, double per_s, uint32_t left_ms,
+			 uint64_t now, uint64_t rnd);
+
+#endif /* POLICY_LIMIT_WAIT_H */
--- a/policy/placement.c
+++ b/policy/placement.c
@@ -102,7 +102,9 @@
 				 const struct placement_candidate *c, size_t n,
 				 uint64_t cost_max, uint32_t least);
 static void count_skipped(struct placement_choice *choice,
-			  const struct placement_candidate *c);
+			  const struct placement_candidate *c, uint32_t index);
+static enum placement_outcome skipped_outcome(
+	const struct placement_choice *choice);
 static uint32_t start_index(uint64_t rnd, size_t n);
 
 /*
@@ -128,7 +130,7 @@
 		uint32_t i = (uint32_t)((start + k) % n);
 
 		if (!c[i].usable) {
-			count_skipped(&choice, &c[i]);
+			count_skipped(&choice, c, i);
 			continue;
 		}
 		if (c[i].avoided) {
@@ -150,8 +152,8 @@
 	if (choice.outcome == PLACEMENT_OK)
 		choice.index =
 			highest_affinity(r, c, n, best + equal, choice.index);
-	if (choice.outcome == PLACEMENT_NONE_USABLE && choice.paused)
-		choice.outcome = PLACEMENT_PAUSED;
+	if (choice.outcome == PLACEMENT_NONE_USABLE)
+		choice.outcome = skipped_outcome(&choice);
 	return choice;
 }
 
@@ -211,7 +213,7 @@
 		uint32_t i = (uint32_t)((start + k) % n);
 
 		if (!c[i].usable) {
-			count_skipped(&choice, &c[i]);
+			count_skipped(&choice, c, i);
 			continue;
 		}
 		if (c[i].avoided) {
@@ -228,8 +230,8 @@
 	if (choice.outcome == PLACEMENT_OK &&
 	    r->view_age_ms > PLAIN_VIEW_MAX_MS)
 		choice.index = draw_weighted(r, c, n, choice.index, rnd);
-	if (choice.outcome == PLACEMENT_NONE_USABLE && choice.paused)
-		choice.outcome = PLACEMENT_PAUSED;
+	if (choice.outcome == PLACEMENT_NONE_USABLE)
+		choice.outcome = skipped_outcome(&choice);
 	return choice;
 }
 
@@ -275,20 +277,38 @@
 			"it failed at each endpoint that is up",
 		[PLACEMENT_FULL] = "no endpoint has room",
 		[PLACEMENT_PAUSED] = "all endpoints asked for a pause",
+		[PLACEMENT_LIMITED] = "the limits of all endpoints are reached",
 	};
 
 	return texts[outcome];
 }
 
-/* Counts a skipped endpoint by the reason why it is not usable. */
+/* Counts a skipped endpoint by the reason why it is not usable; one at which the
+ * request has failed is avoided whether or not its limit is reached. */
 static void count_skipped(struct placement_choice *choice,
-			  const struct placement_candidate *c)
+			  const struct placement_candidate *c, uint32_t index)
 {
-	choice->leaving += c->leaving;
-	if (c->leaving || !c->pause_ms)
+	choice->leaving += c[index].leaving;
+	if (c[index].limited && c[index].avoided &&
+	    choice->outcome == PLACEMENT_NONE_USABLE) {
+		choice->outcome = PLACEMENT_ALL_AVOIDED;
+	} else if (c[index].limited && !c[index].avoided) {
+		choice->limited++;
+		choice->limited_index = index;
+	}
+	if (c[index].leaving || !c[index].pause_ms)
 		return;
-	if (!choice->paused++ || c->pause_ms < choice->pause_ms)
-		choice->pause_ms = c->pause_ms;
+	if (!choice->paused++ || c[index].pause_ms < choice->pause_ms)
+		choice->pause_ms = c[index].pause_ms;
+}
+
+/* Returns why no endpoint that is up is usable. */
+static enum placement_outcome skipped_outcome(
+	const struct placement_choice *choice)
+{
+	if (choice->limited)
+		return PLACEMENT_LIMITED;
+	return choice->paused ? PLACEMENT_PAUSED : PLACEMENT_NONE_USABLE;
 }
 
 /* Returns whether a run of this many tokens finds KV-cache capacity and a slot,
@@ -342,14 +362,15 @@
 	return cost > gain ? cost - gain : 0;
 }
 
-/* Returns whether a run's copy may be kept at an endpoint. */
+/* Returns whether a run's copy may be kept at an endpoint.  One that has named
+ * a limit is in need, and a run could not resume there at once. */
 static bool accepts_copy(const struct placement_request *r,
 			 const struct placement_candidate *c,
 			 const struct placement_candidate *run_at)
 {
 	uint32_t keep = c->capacity_tokens / PERMILLE * COPY_FREE_PERMILLE;
 
-	return c != run_at && c->usable && !c->avoided &&
+	return c != run_at && c->usable && !c->limited && !c->avoided &&
 	       c->zone != run_at->zone && fits(c, r->tokens, keep);
 }
 
@@ -360,8 +381,8 @@
 {
 	uint32_t keep = c->capacity_tokens / PERMILLE * DECODE_FREE_PERMILLE;
 
-	return c != run_at && c->usable && !c->avoided && !c->suspected &&
-	       !c->prefills && fits(c, r->tokens, keep);
+	return c != run_at && c->usable && !c->limited && !c->avoided &&
+	       !c->suspected && !c->prefills && fits(c, r->tokens, keep);
 }
 
 /* Returns whether a run may be moved to an endpoint of this instance's zone. */
--- a/policy/placement.h
+++ b/policy/placement.h
@@ -11,7 +11,9 @@
  * load there as last reported by them. */
 struct placement_candidate {
 	uint16_t zone;
-	bool usable; /* up, listed, and accepts work */
+	bool usable; /* up, listed, and accepts work from this instance */
+	bool limited; /* has named a limit on requests; if it is not usable,
+		       * this instance has no permit to send one */
 	bool leaving; /* up, but gets no new work */
 	uint32_t pause_ms; /* asked for no work for this long; 0: no pause */
 	bool avoided; /* this request has failed there */
@@ -42,6 +44,7 @@
 	PLACEMENT_ALL_AVOIDED, /* it failed at each that is up */
 	PLACEMENT_FULL, /* no endpoint has enough capacity */
 	PLACEMENT_PAUSED, /* all that are up asked for a pause */
+	PLACEMENT_LIMITED, /* the limits of all that are up are reached */
 };
 
 struct placement_choice {
@@ -50,6 +53,8 @@
 	uint32_t leaving; /* endpoints skipped because they leave */
 	uint32_t paused; /* endpoints skipped because they paused */
 	uint32_t pause_ms; /* until the first pause is over */
+	uint32_t limited; /* endpoints skipped because of their limits */
+	uint32_t limited_index; /* index of one of these */
 };
 
 struct placement_choice placement_run(const struct placement_request *r,
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -592,6 +592,186 @@
   assert(message->base.descriptor == &peer_suspects__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer_limit__init
+                     (PeerLimit         *message)
+{
+  static const PeerLimit init_value = PEER_LIMIT__INIT;
+  *message = init_value;
+}
+size_t peer_limit__get_packed_size
+                     (const PeerLimit *message)
+{
+  assert(message->base.descriptor == &peer_limit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer_limit__pack
+                     (const PeerLimit *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer_limit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer_limit__pack_to_buffer
+                     (const PeerLimit *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer_limit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PeerLimit *
+       peer_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PeerLimit *)
+     protobuf_c_message_unpack (&peer_limit__descriptor,
+                                allocator, len, data);
+}
+void   peer_limit__free_unpacked
+                     (PeerLimit *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer_limit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer_limits__init
+                     (PeerLimits         *message)
+{
+  static const PeerLimits init_value = PEER_LIMITS__INIT;
+  *message = init_value;
+}
+size_t peer_limits__get_packed_size
+                     (const PeerLimits *message)
+{
+  assert(message->base.descriptor == &peer_limits__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer_limits__pack
+                     (const PeerLimits *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer_limits__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer_limits__pack_to_buffer
+                     (const PeerLimits *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer_limits__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PeerLimits *
+       peer_limits__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PeerLimits *)
+     protobuf_c_message_unpack (&peer_limits__descriptor,
+                                allocator, len, data);
+}
+void   peer_limits__free_unpacked
+                     (PeerLimits *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer_limits__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer_permit_request__init
+                     (PeerPermitRequest         *message)
+{
+  static const PeerPermitRequest init_value = PEER_PERMIT_REQUEST__INIT;
+  *message = init_value;
+}
+size_t peer_permit_request__get_packed_size
+                     (const PeerPermitRequest *message)
+{
+  assert(message->base.descriptor == &peer_permit_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer_permit_request__pack
+                     (const PeerPermitRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer_permit_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer_permit_request__pack_to_buffer
+                     (const PeerPermitRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer_permit_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PeerPermitRequest *
+       peer_permit_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PeerPermitRequest *)
+     protobuf_c_message_unpack (&peer_permit_request__descriptor,
+                                allocator, len, data);
+}
+void   peer_permit_request__free_unpacked
+                     (PeerPermitRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer_permit_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer_permits__init
+                     (PeerPermits         *message)
+{
+  static const PeerPermits init_value = PEER_PERMITS__INIT;
+  *message = init_value;
+}
+size_t peer_permits__get_packed_size
+                     (const PeerPermits *message)
+{
+  assert(message->base.descriptor == &peer_permits__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer_permits__pack
+                     (const PeerPermits *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer_permits__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer_permits__pack_to_buffer
+                     (const PeerPermits *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer_permits__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PeerPermits *
+       peer_permits__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PeerPermits *)
+     protobuf_c_message_unpack (&peer_permits__descriptor,
+                                allocator, len, data);
+}
+void   peer_permits__free_unpacked
+                     (PeerPermits *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer_permits__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer_datagram__init
                      (PeerDatagram         *message)
 {
@@ -1878,7 +2058,341 @@
   (ProtobufCMessageInit) peer_suspects__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer_datagram__field_descriptors[7] =
+static const ProtobufCFieldDescriptor peer_limit__field_descriptors[5] =
+{
+  {
+    "endpoint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(PeerLimit, endpoint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PeerLimit, born),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "per_s",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(PeerLimit, per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PeerLimit, ended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ms_ago",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PeerLimit, ms_ago),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer_limit__field_indices_by_name[] = {
+  1,   /* field[1] = born */
+  3,   /* field[3] = ended */
+  0,   /* field[0] = endpoint */
+  4,   /* field[4] = ms_ago */
+  2,   /* field[2] = per_s */
+};
+static const ProtobufCIntRange peer_limit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor peer_limit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PeerLimit",
+  "PeerLimit",
+  "PeerLimit",
+  "",
+  sizeof(PeerLimit),
+  5,
+  peer_limit__field_descriptors,
+  peer_limit__field_indices_by_name,
+  1,  peer_limit__number_ranges,
+  (ProtobufCMessageInit) peer_limit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer_limits__field_descriptors[2] =
+{
+  {
+    "instance",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(PeerLimits, instance),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limits",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PeerLimits, n_limits),
+    offsetof(PeerLimits, limits),
+    &peer_limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer_limits__field_indices_by_name[] = {
+  0,   /* field[0] = instance */
+  1,   /* field[1] = limits */
+};
+static const ProtobufCIntRange peer_limits__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer_limits__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PeerLimits",
+  "PeerLimits",
+  "PeerLimits",
+  "",
+  sizeof(PeerLimits),
+  2,
+  peer_limits__field_descriptors,
+  peer_limits__field_indices_by_name,
+  1,  peer_limits__number_ranges,
+  (ProtobufCMessageInit) peer_limits__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer_permit_request__field_descriptors[5] =
+{
+  {
+    "instance",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(PeerPermitRequest, instance),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PeerPermitRequest, born),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(PeerPermitRequest, limit),
+    &peer_limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "permits",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PeerPermitRequest, permits),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "asked_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PeerPermitRequest, asked_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer_permit_request__field_indices_by_name[] = {
+  4,   /* field[4] = asked_ms */
+  1,   /* field[1] = born */
+  0,   /* field[0] = instance */
+  2,   /* field[2] = limit */
+  3,   /* field[3] = permits */
+};
+static const ProtobufCIntRange peer_permit_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor peer_permit_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PeerPermitRequest",
+  "PeerPermitRequest",
+  "PeerPermitRequest",
+  "",
+  sizeof(PeerPermitRequest),
+  5,
+  peer_permit_request__field_descriptors,
+  peer_permit_request__field_indices_by_name,
+  1,  peer_permit_request__number_ranges,
+  (ProtobufCMessageInit) peer_permit_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer_permits__field_descriptors[6] =
+{
+  {
+    "instance",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(PeerPermits, instance),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PeerPermits, born),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(PeerPermits, limit),
+    &peer_limit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "permits",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PeerPermits, permits),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "asked_ms",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PeerPermits, asked_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PeerPermits, wait_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer_permits__field_indices_by_name[] = {
+  4,   /* field[4] = asked_ms */
+  1,   /* field[1] = born */
+  0,   /* field[0] = instance */
+  2,   /* field[2] = limit */
+  3,   /* field[3] = permits */
+  5,   /* field[5] = wait_ms */
+};
+static const ProtobufCIntRange peer_permits__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor peer_permits__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PeerPermits",
+  "PeerPermits",
+  "PeerPermits",
+  "",
+  sizeof(PeerPermits),
+  6,
+  peer_permits__field_descriptors,
+  peer_permits__field_indices_by_name,
+  1,  peer_permits__number_ranges,
+  (ProtobufCMessageInit) peer_permits__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer_datagram__field_descriptors[10] =
 {
   {
     "pulse",
@@ -1964,10 +2478,49 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limits",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(PeerDatagram, limits),
+    &peer_limits__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "permit_request",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(PeerDatagram, permit_request),
+    &peer_permit_request__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "permits",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(PeerDatagram, permits),
+    &peer_permits__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer_datagram__field_indices_by_name[] = {
   1,   /* field[1] = borrow */
+  7,   /* field[7] = limits */
   2,   /* field[2] = loan */
+  8,   /* field[8] = permit_request */
+  9,   /* field[9] = permits */
   0,   /* field[0] = pulse */
   3,   /* field[3] = reader */
   5,   /* field[5] = rows */
@@ -1978,7 +2531,7 @@
 {
   { 1, 0 },
   { 3, 1 },
-  { 0, 7 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor peer_datagram__descriptor =
 {
@@ -1988,7 +2541,7 @@
   "PeerDatagram",
   "",
   sizeof(PeerDatagram),
-  7,
+  10,
   peer_datagram__field_descriptors,
   peer_datagram__field_indices_by_name,
   2,  peer_datagram__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -28,6 +28,10 @@
 typedef struct PeerWork PeerWork;
 typedef struct PeerSuspect PeerSuspect;
 typedef struct PeerSuspects PeerSuspects;
+typedef struct PeerLimit PeerLimit;
+typedef struct PeerLimits PeerLimits;
+typedef struct PeerPermitRequest PeerPermitRequest;
+typedef struct PeerPermits PeerPermits;
 typedef struct PeerDatagram PeerDatagram;
 typedef struct PeerLoad PeerLoad;
 typedef struct PeerSnapshot PeerSnapshot;
@@ -383,6 +387,123 @@
     , 0, 0,NULL }
 
 
+/*
+ * What is known of an endpoint's limit on the requests per second from all
+ * instances together.
+ */
+struct  PeerLimit
+{
+  ProtobufCMessage base;
+  /*
+   * hash of its id
+   */
+  uint64_t endpoint;
+  /*
+   * Unix time of its start in ms; 0: unknown
+   */
+  uint64_t born;
+  /*
+   * as named last
+   */
+  double per_s;
+  /*
+   * an answer named no limit any more
+   */
+  protobuf_c_boolean ended;
+  /*
+   * age of the answer that named it, or, if it ended, of the request whose
+   * answer named none
+   */
+  uint32_t ms_ago;
+};
+#define PEER_LIMIT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer_limit__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
+struct  PeerLimits
+{
+  ProtobufCMessage base;
+  /*
+   * hash of its name
+   */
+  uint64_t instance;
+  size_t n_limits;
+  PeerLimit **limits;
+};
+#define PEER_LIMITS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer_limits__descriptor) \
+    , 0, 0,NULL }
+
+
+/*
+ * Asks another instance for permits to send requests to an endpoint.
+ */
+struct  PeerPermitRequest
+{
+  ProtobufCMessage base;
+  /*
+   * hash of the borrower's name
+   */
+  uint64_t instance;
+  /*
+   * of the borrower's process
+   */
+  uint64_t born;
+  /*
+   * as known to the borrower
+   */
+  PeerLimit *limit;
+  /*
+   * number wanted
+   */
+  uint32_t permits;
+  /*
+   * by the borrower's clock; identifies the request
+   */
+  uint64_t asked_ms;
+};
+#define PEER_PERMIT_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer_permit_request__descriptor) \
+    , 0, 0, NULL, 0, 0 }
+
+
+/*
+ * The response to a PeerPermitRequest.
+ */
+struct  PeerPermits
+{
+  ProtobufCMessage base;
+  /*
+   * hash of the lender's name
+   */
+  uint64_t instance;
+  /*
+   * from the request
+   */
+  uint64_t born;
+  /*
+   * as known to the lender
+   */
+  PeerLimit *limit;
+  /*
+   * number lent
+   */
+  uint32_t permits;
+  /*
+   * from the request
+   */
+  uint64_t asked_ms;
+  /*
+   * until the lender has a permit again
+   */
+  uint32_t wait_ms;
+};
+#define PEER_PERMITS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer_permits__descriptor) \
+    , 0, 0, NULL, 0, 0, 0 }
+
+
 /*
  * One datagram.
  */
@@ -399,10 +520,13 @@
    */
   PeerPacked *rows;
   PeerSuspects *suspects;
+  PeerLimits *limits;
+  PeerPermitRequest *permit_request;
+  PeerPermits *permits;
 };
 #define PEER_DATAGRAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer_datagram__descriptor) \
-    , NULL, NULL, NULL, NULL, NULL, NULL, NULL }
+    , NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL }
 
 
 /*
@@ -716,6 +840,82 @@
 void   peer_suspects__free_unpacked
                      (PeerSuspects *message,
                       ProtobufCAllocator *allocator);
+/* PeerLimit methods */
+void   peer_limit__init
+                     (PeerLimit         *message);
+size_t peer_limit__get_packed_size
+                     (const PeerLimit   *message);
+size_t peer_limit__pack
+                     (const PeerLimit   *message,
+                      uint8_t             *out);
+size_t peer_limit__pack_to_buffer
+                     (const PeerLimit   *message,
+                      ProtobufCBuffer     *buffer);
+PeerLimit *
+       peer_limit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer_limit__free_unpacked
+                     (PeerLimit *message,
+                      ProtobufCAllocator *allocator);
+/* PeerLimits methods */
+void   peer_limits__init
+                     (PeerLimits         *message);
+size_t peer_limits__get_packed_size
+                     (const PeerLimits   *message);
+size_t peer_limits__pack
+                     (const PeerLimits   *message,
+                      uint8_t             *out);
+size_t peer_limits__pack_to_buffer
+                     (const PeerLimits   *message,
+                      ProtobufCBuffer     *buffer);
+PeerLimits *
+       peer_limits__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer_limits__free_unpacked
+                     (PeerLimits *message,
+                      ProtobufCAllocator *allocator);
+/* PeerPermitRequest methods */
+void   peer_permit_request__init
+                     (PeerPermitRequest         *message);
+size_t peer_permit_request__get_packed_size
+                     (const PeerPermitRequest   *message);
+size_t peer_permit_request__pack
+                     (const PeerPermitRequest   *message,
+                      uint8_t             *out);
+size_t peer_permit_request__pack_to_buffer
+                     (const PeerPermitRequest   *message,
+                      ProtobufCBuffer     *buffer);
+PeerPermitRequest *
+       peer_permit_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer_permit_request__free_unpacked
+                     (PeerPermitRequest *message,
+                      ProtobufCAllocator *allocator);
+/* PeerPermits methods */
+void   peer_permits__init
+                     (PeerPermits         *message);
+size_t peer_permits__get_packed_size
+                     (const PeerPermits   *message);
+size_t peer_permits__pack
+                     (const PeerPermits   *message,
+                      uint8_t             *out);
+size_t peer_permits__pack_to_buffer
+                     (const PeerPermits   *message,
+                      ProtobufCBuffer     *buffer);
+PeerPermits *
+       peer_permits__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer_permits__free_unpacked
+                     (PeerPermits *message,
+                      ProtobufCAllocator *allocator);
 /* PeerDatagram methods */
 void   peer_datagram__init
                      (PeerDatagram         *message);
@@ -833,6 +1033,18 @@
 typedef void (*PeerSuspects_Closure)
                  (const PeerSuspects *message,
                   void *closure_data);
+typedef void (*PeerLimit_Closure)
+                 (const PeerLimit *message,
+                  void *closure_data);
+typedef void (*PeerLimits_Closure)
+                 (const PeerLimits *message,
+                  void *closure_data);
+typedef void (*PeerPermitRequest_Closure)
+                 (const PeerPermitRequest *message,
+                  void *closure_data);
+typedef void (*PeerPermits_Closure)
+                 (const PeerPermits *message,
+                  void *closure_data);
 typedef void (*PeerDatagram_Closure)
                  (const PeerDatagram *message,
                   void *closure_data);
@@ -864,6 +1076,10 @@
 extern const ProtobufCMessageDescriptor peer_work__descriptor;
 extern const ProtobufCMessageDescriptor peer_suspect__descriptor;
 extern const ProtobufCMessageDescriptor peer_suspects__descriptor;
+extern const ProtobufCMessageDescriptor peer_limit__descriptor;
+extern const ProtobufCMessageDescriptor peer_limits__descriptor;
+extern const ProtobufCMessageDescriptor peer_permit_request__descriptor;
+extern const ProtobufCMessageDescriptor peer_permits__descriptor;
 extern const ProtobufCMessageDescriptor peer_datagram__descriptor;
 extern const ProtobufCMessageDescriptor peer_load__descriptor;
 extern const ProtobufCMessageDescriptor peer_snapshot__descriptor;
--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -36,6 +36,7 @@
 #define ANSWER_MAX_BYTES (8u << 20) /* largest answer that is forwarded */
 #define ANSWERS_MAX_BYTES (24u << 20) /* all answers being read */
 
+static void return_permit(struct exchange *x);
 static void load_add(struct exchange *x);
 static void load_remove(struct exchange *x);
 static void log_sent(const struct exchange *x, const struct endpoint *e);
@@ -103,6 +104,8 @@
 		options.max_idle_ms = REUSE_AT_MOST_ONCE_MS;
 	else if (x->route->kind == KIND_IDEMPOTENT)
 		options.max_idle_ms = REUSE_IDEMPOTENT_MS;
+	limit_queue_leave(x);
+	x->permit = limits_take(e);
 	x->phase = EXCHANGE_SENT;
 	x->endpoint = endpoint;
 	x->from_copy = from != NULL;
@@ -139,8 +142,10 @@
 void attempt_cancel(struct exchange *x)
 {
 	if (x->call) {
-		if (!http1_call_connected(x->call))
+		if (!http1_call_connected(x->call)) {
 			exchange_delivery_failed(x);
+			return_permit(x);
+		}
 		http1_call_cancel(x->call);
 	}
 	x->call = NULL;
@@ -148,6 +153,16 @@
 	load_remove(x);
 }
 
+/* Returns the permit of an attempt that did not reach its endpoint. */
+static void return_permit(struct exchange *x)
+{
+	struct endpoint *e = endpoint_get(x->proxyd->endpoints, x->endpoint);
+
+	if (e)
+		limits_return(e, x->permit);
+	x->permit = PERMIT_NOT_NEEDED;
+}
+
 /* Adds the request to the load of its endpoint. */
 static void load_add(struct exchange *x)
 {
@@ -344,6 +359,7 @@
 	x->sends--;
 	x->failed_connects++;
 	exchange_delivery_failed(x);
+	return_permit(x);
 	exchange_avoid(x, endpoint);
 	endpoint_unreachable(x->proxyd->endpoints, endpoint, x->fields.id,
 			     outcome);
--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -76,7 +76,6 @@
 				     "Connections made only to see whether an "
 				     "endpoint lives",
 				     COUNTER_TOTAL, "kind", "endpoint");
-	limits_init();
 	t->losses = counter_labelled("cdm_endpoint_losses_total",
 				     "Endpoints found dead", COUNTER_TOTAL,
 				     "by", "self");
@@ -104,7 +103,9 @@
 			entry_removed(t, e, 0);
 		if (e->state == ENDPOINT_DOWN && !e->rediscovering &&
 		    endpoint_accepts_work(e, now) &&
-		    probe_due(t, e, store_answers)) {
+		    (limits_check_wanted(e) ||
+		     probe_due(t, e, store_answers)) &&
+		    limits_take_for_check(e)) {
 			e->probed_ms = now;
 			counter_add(t->probes, 1);
 			rediscover(t->proxyd, e->self);
@@ -241,6 +242,19 @@
 	return endpoint_by_hash(t, XXH3_64bits(id, strlen(id)));
 }
 
+/* Returns the endpoint that is up at an address, or NULL. */
+struct endpoint *endpoint_by_address(const struct endpoints *t,
+				     const char *address)
+{
+	struct endpoint *e;
+	uint32_t i = 0;
+
+	while ((e = endpoint_next(t, &i)))
+		if (e->state == ENDPOINT_UP && !strcmp(e->address, address))
+			return e;
+	return NULL;
+}
+
 /* Handles a failed connection attempt.  The endpoint is marked as lost, unless
  * timeouts of other endpoints suggest a network fault of this instance. */
 void endpoint_unreachable(struct endpoints *t, struct handle h,
@@ -438,6 +452,14 @@
 	return &endpoints_service(t, service)->budget;
 }
 
+/* Returns when the callers return that were refused because of the limits of a
+ * service's endpoints. */
+struct limit_return *endpoints_limit_return(struct endpoints *t,
+					    const char *service)
+{
+	return &endpoints_service(t, service)->limit_return;
+}
+
 /* Adjusts the repeat budgets after a stall of this process: repeats that it
  * sent before may arrive only now. */
 void endpoints_after_stall(struct endpoints *t, uint64_t stall_ms)
@@ -528,6 +550,7 @@
 	if (restarted) {
 		suspects_endpoint_crashed(e->proxyd->suspects, e);
 		e->holdoff = (struct holdoff){ 0 };
+		limits_release(e);
 	}
 	snprintf(e->address, sizeof(e->address), "%s", n->address);
 	e->address_hash = XXH3_64bits(e->address, strlen(e->address));
@@ -592,6 +615,7 @@
 
 	if (e->probe)
 		http1_call_cancel(e->probe);
+	limits_release(e);
 	free(e->broken_runs);
 	free(e->service);
 	free(e);
--- a/proxyd/endpoints.h
+++ b/proxyd/endpoints.h
@@ -8,6 +8,7 @@
 #include "lib/http1_client.h"
 #include "lib/slots.h"
 #include "policy/holdoff.h"
+#include "policy/limit_wait.h"
 #include "policy/entry_expiry.h"
 #include "policy/placement.h"
 #include "policy/repeat.h"
@@ -19,6 +20,7 @@
 #define ENDPOINT_BROKEN_RUNS_MAX 64 /* ring of recent broken runs */
 
 struct answer_fields;
+struct endpoint_limit;
 struct endpoints;
 struct http1_call;
 struct proxyd;
@@ -57,8 +59,7 @@
 	uint64_t born_ms;
 	bool leaving; /* according to its entry */
 	struct holdoff holdoff; /* as its answers report */
-	bool has_limit; /* its newest answer names a limit */
-	double limit_per_s;
+	struct endpoint_limit *limit; /* NULL until it names one */
 	struct entry_expiry expiry;
 	enum endpoint_state state;
 	uint64_t down_ms; /* when it was found dead */
@@ -89,6 +90,7 @@
 	bool resumes; /* the prompt was prefilled before */
 	const struct handle *avoided;
 	size_t n_avoided;
+	bool behind; /* other requests go first where a limit is named */
 };
 
 struct endpoints *endpoints_new(struct proxyd *p);
@@ -102,9 +104,12 @@
 struct endpoint *endpoint_next(const struct endpoints *t, uint32_t *index);
 struct endpoint *endpoint_by_hash(const struct endpoints *t, uint64_t hash);
 struct endpoint *endpoint_by_id(const struct endpoints *t, const char *id);
+struct endpoint *endpoint_by_address(const struct endpoints *t,
+				     const char *address);
 struct placement_choice endpoints_place(
 	struct endpoints *t, const struct endpoint_criteria *criteria, bool run,
 	struct handle *chosen);
+struct handle endpoints_candidate(const struct endpoints *t, uint32_t index);
 struct handle endpoints_place_decode_phase(
 	struct endpoints *t, const struct endpoint_criteria *criteria,
 	struct handle run_at);
@@ -140,6 +145,8 @@
 uint64_t endpoints_service_hash(struct endpoints *t, const char *service);
 struct repeat_budget *endpoints_budget(struct endpoints *t,
 				       const char *service);
+struct limit_return *endpoints_limit_return(struct endpoints *t,
+					    const char *service);
 void endpoints_record_prompt(struct endpoints *t, uint64_t session,
 			     uint64_t endpoint);
 void endpoint_reported_lost(struct endpoints *t, const char *id);
--- a/proxyd/endpoints_place.c
+++ b/proxyd/endpoints_place.c
@@ -10,6 +10,7 @@
 
 #include "lib/xalloc.h"
 #include "policy/heartbeat.h"
+#include "proxyd/limits.h"
 #include "proxyd/peers.h"
 #include "proxyd/proxyd.h"
 
@@ -36,7 +37,7 @@
 				 const struct endpoint_criteria *criteria);
 static void describe_candidate(struct endpoints *t,
 			       struct placement_candidate *c,
-			       const struct endpoint *e,
+			       struct endpoint *e,
 			       const struct route_service *s,
 			       const struct endpoint_criteria *criteria,
 			       uint64_t prompt_endpoint);
@@ -66,6 +67,13 @@
 	return choice;
 }
 
+/* Returns the endpoint that was a candidate, by its index, in the last
+ * choice. */
+struct handle endpoints_candidate(const struct endpoints *t, uint32_t index)
+{
+	return t->candidate_handles[index];
+}
+
 /* Chooses the endpoint that keeps the KV-cache copy of a run.  Returns an empty
  * handle if there is none. */
 struct handle endpoints_place_kv_copy(struct endpoints *t,
@@ -155,7 +163,7 @@
  * prompt, if any, gets the highest affinity. */
 static void describe_candidate(struct endpoints *t,
 			       struct placement_candidate *c,
-			       const struct endpoint *e,
+			       struct endpoint *e,
 			       const struct route_service *s,
 			       const struct endpoint_criteria *criteria,
 			       uint64_t prompt_endpoint)
@@ -163,11 +171,17 @@
 	uint64_t now = proxyd_now(t->proxyd);
 	bool up = e->state == ENDPOINT_UP &&
 		  entry_expiry_accepts_work(&e->expiry, now);
+	bool usable = up && endpoint_accepts_work(e, now);
+	bool limited = usable && limits_in_force(e);
+	bool permitted = !limited || (!criteria->behind && limits_available(e));
 	size_t i;
 
+	if (!permitted)
+		limits_check(e);
 	*c = (struct placement_candidate){
 		.zone = e->zone,
-		.usable = up && endpoint_accepts_work(e, now),
+		.usable = usable && permitted,
+		.limited = limited,
 		.leaving = up && endpoint_is_leaving(e),
 		.pause_ms = up ? holdoff_remaining_ms(&e->holdoff, now) : 0,
 		.suspected =
--- a/proxyd/endpoints_table.h
+++ b/proxyd/endpoints_table.h
@@ -16,6 +16,7 @@
 	char *service;
 	uint64_t hash; /* of its name */
 	struct repeat_budget budget;
+	struct limit_return limit_return; /* of callers refused by limits */
 	uint64_t lost_ms[ZONES_MAX]; /* last endpoint loss by zone; 0: none */
 };
 
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -239,6 +239,7 @@
 		.resumes = x->fields.resumes || x->has_last_event,
 		.avoided = x->avoided,
 		.n_avoided = x->n_avoided,
+		.behind = limit_queue_is_behind(x),
 	};
 }
 
@@ -262,17 +263,27 @@
 	}
 	x->skipped_leaving = choice.leaving;
 	x->skipped_paused = choice.paused;
-	if (choice.outcome == PLACEMENT_OK)
-		attempt_start(x, endpoint, NULL);
-	else
+	if (choice.outcome != PLACEMENT_OK) {
 		dispatch_failed(x, &choice);
+		return;
+	}
+	if (choice.limited)
+		limit_queue_elsewhere(x, &choice);
+	attempt_start(x, endpoint, NULL);
 }
 
 /* Makes the request wait, for up to STREAM_WAIT_MS, until it may be sent. */
 void exchange_wait(struct exchange *x)
+{
+	exchange_wait_for(x, STREAM_WAIT_MS);
+}
+
+/* Makes the request wait for up to ms until it may be sent.  One that waits
+ * already keeps its time. */
+void exchange_wait_for(struct exchange *x, uint32_t ms)
 {
 	if (!x->wait_until_ms) {
-		x->wait_until_ms = proxyd_now(x->proxyd) + STREAM_WAIT_MS;
+		x->wait_until_ms = proxyd_now(x->proxyd) + ms;
 		x->proxyd->exchanges->waiting_tokens += x->tokens;
 	}
 	x->phase = EXCHANGE_WAITING;
@@ -342,6 +353,7 @@
 					       x->service),
 			      x->repeat_kind);
 	x->repeat_reserved = false;
+	limit_queue_leave(x);
 	kv_copy_drop_kept(x);
 	x->phase = EXCHANGE_FINISHED;
 	t->n_open--;
@@ -442,10 +454,14 @@
 			  "first_pause_left_ms", (json_int_t)choice->pause_ms);
 	if (choice->outcome == PLACEMENT_PAUSED)
 		retry_ms = holdoff_retry_ms(choice->pause_ms, proxyd_random());
+	if (choice->limited && limit_queue_wait(x))
+		return;
 	if (x->response_started || x->moves)
 		wait_for_endpoint(x, choice);
 	else if (choice->outcome == PLACEMENT_FULL && x->engine)
 		wait_for_capacity(x);
+	else if (choice->limited)
+		limit_queue_refuse(x);
 	else
 		exchange_refuse(x, 503, retry_ms, why);
 }
@@ -556,8 +572,11 @@
 	}
 	if (x->phase == EXCHANGE_WAITING) {
 		if (x->wait_until_ms && now >= x->wait_until_ms) {
-			exchange_refuse(x, 503, RETRY_NONE_UP_MS,
-					"no endpoint in time");
+			if (x->awaits_permit)
+				limit_queue_refuse(x);
+			else
+				exchange_refuse(x, 503, RETRY_NONE_UP_MS,
+						"no endpoint in time");
 			return;
 		}
 		if (!x->awaits_repeat)
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -10,7 +10,9 @@
 #include "lib/counters.h"
 #include "lib/event_stream.h"
 #include "lib/http1_client.h"
+#include "policy/request_limit.h"
 #include "proxyd/endpoints.h"
+#include "proxyd/limits.h"
 #include "proxyd/protocol.h"
 #include "proxyd/proxyd.h"
 #include "proxyd/routes.h"
@@ -70,6 +72,8 @@
 	bool repeat_reserved; /* holds a repeat that is not sent yet */
 	enum repeat_token repeat_kind; /* of the repeat held or sent last */
 	bool awaits_repeat; /* waits for the budget to allow a repeat */
+	bool awaits_permit; /* waits for the limit of an endpoint */
+	enum request_permit permit; /* of the current or last attempt */
 	struct handle avoided[ENDPOINT_AVOID_MAX];
 	size_t n_avoided;
 	bool load_counted; /* included in the endpoint's load */
@@ -145,6 +149,7 @@
 struct endpoint_criteria exchange_endpoint_criteria(const struct exchange *x);
 void exchange_dispatch(struct exchange *x);
 void exchange_wait(struct exchange *x);
+void exchange_wait_for(struct exchange *x, uint32_t ms);
 void exchange_avoid(struct exchange *x, struct handle h);
 void exchange_refuse(struct exchange *x, int status, uint32_t retry_after_ms,
 		     const char *why);
--- a/proxyd/kv_copy.c
+++ b/proxyd/kv_copy.c
@@ -165,15 +165,17 @@
 static void order_copy(struct exchange *x, struct handle to)
 {
 	struct proxyd *p = x->proxyd;
-	const struct endpoint *source = endpoint_get(p->endpoints, x->endpoint);
+	struct endpoint *source = endpoint_get(p->endpoints, x->endpoint);
 	const struct endpoint *e = endpoint_get(p->endpoints, to);
 	struct http1_call_options options = { .connect_timeout_ms =
 						      CONNECT_MS };
 	struct bytes out = { 0 };
 
 	if (!source || !e ||
-	    holdoff_remaining_ms(&source->holdoff, proxyd_now(p)))
+	    holdoff_remaining_ms(&source->holdoff, proxyd_now(p)) ||
+	    !limits_available(source))
 		return;
+	limits_take(source);
 	options.address = source->address;
 	x->copy.ordered_endpoint = to;
 	x->copy.status = 0;
@@ -247,7 +249,8 @@
 		stage_copy_done(x);
 }
 
-/* Asks the engine to free a copy; the answer is ignored. */
+/* Asks the engine to free a copy; the answer is ignored.  If its limit allows
+ * no request now, the engine frees the copy itself, later. */
 static void free_copy(struct proxyd *p, const struct kv_copy *copy)
 {
 	const struct http1_call_options options = {
@@ -255,8 +258,13 @@
 		.connect_timeout_ms = CONNECT_MS,
 		.timeout_ms = ORDER_MS,
 	};
+	struct endpoint *e = endpoint_by_address(p->endpoints, copy->source);
 	struct bytes out = { 0 };
 
+	if (e && !limits_available(e))
+		return;
+	if (e)
+		limits_take(e);
 	p->protocol->encode_copy_free(&out, copy->source, copy->id);
 	http1_call_start(p->client, &options, out.data, out.len, &no_ops, NULL);
 }
--- a/proxyd/peers.c
+++ b/proxyd/peers.c
@@ -16,6 +16,7 @@
 #include "lib/settings.h"
 #include "lib/xalloc.h"
 #include "proto/peer.pb-c.h"
+#include "proxyd/limits.h"
 #include "proxyd/proxyd.h"
 #include "proxyd/watch.h"
 
@@ -113,6 +114,7 @@
 		peer->hash = peers_name_hash(row->key);
 		TAILQ_INSERT_TAIL(&t->list, peer, link);
 		t->n++;
+		t->version++;
 	}
 	free(peer->callers);
 	free(peer->control);
@@ -245,6 +247,12 @@
 		peers_lend(t, d->borrow);
 	if (d->loan)
 		peers_receive_loan(t, d->loan);
+	if (d->limits)
+		peers_receive_limits(t, d->limits);
+	if (d->permit_request)
+		peers_lend_permits(t, d->permit_request);
+	if (d->permits)
+		peers_receive_permits(t, d->permits);
 	peer_datagram__free_unpacked(d, NULL);
 }
 
@@ -290,8 +298,10 @@
 			  pulse->leaving ? "instance-leaving"
 					 : "instance-staying",
 			  NULL, "{s:s}", "peer", peer->name);
-	if (pulse->born != peer->start_unix_ms)
+	if (pulse->born != peer->start_unix_ms) {
 		suspects_send_refusals(t->proxyd->suspects, peer);
+		limits_tell(t->proxyd->limits, peer);
+	}
 	peer->start_unix_ms = pulse->born;
 	peer->heartbeat.last_seen_ms = proxyd_now(t->proxyd);
 	peer->heartbeat.leaving = pulse->leaving;
@@ -517,6 +527,7 @@
 	remove_loads(t, peer);
 	TAILQ_REMOVE(&t->list, peer, link);
 	t->n--;
+	t->version++;
 	free(peer->name);
 	free(peer->callers);
 	free(peer->control);
@@ -604,6 +615,7 @@
 		if (alive == peer->alive)
 			continue;
 		peer->alive = alive;
+		t->version++;
 		if (!alive) {
 			remove_loads(t, peer);
 		}
--- a/proxyd/peers.h
+++ b/proxyd/peers.h
@@ -5,9 +5,11 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "policy/request_limit.h"
 #include "policy/store_poll.h"
 #include "proxyd/store.h"
 
+struct endpoint;
 struct peer;
 struct peers;
 struct proxyd;
@@ -42,6 +44,13 @@
 void peers_announce_rows(struct peers *t, enum store_table table,
 			 uint64_t after, uint64_t version,
 			 const struct store_row *rows, size_t n);
+uint64_t peers_version(const struct peers *t);
+struct request_limit_instances peers_rank(const struct peers *t,
+					  uint64_t endpoint, uint32_t holders);
+void peers_announce_limits(struct peers *t, const struct peer *to,
+			   struct endpoint *const *endpoints, size_t n);
+size_t peers_ask_permits(struct peers *t, struct endpoint *e, uint32_t permits);
+bool peers_permits_pending(const struct endpoint *e);
 size_t peers_list(const struct peers *t, struct peer_info *list, size_t most);
 struct store_poll_others peers_store_readers(const struct peers *t);
 size_t peers_alive(const struct peers *t);
--- a/proxyd/peers_announce.c
+++ b/proxyd/peers_announce.c
@@ -38,7 +38,6 @@
 static size_t gather_found(struct peers *t, PeerFound *found);
 static size_t gather_prompts(struct peers *t, PeerPrompt *prompts);
 static void send_rows(struct peers *t, const PeerRows *rows);
-static void send_all(struct peers *t, const PeerDatagram *d);
 static size_t pack(const PeerDatagram *d, uint8_t *out);
 static void send_packed(struct peers *t, const struct peer *to, uint8_t *out,
 			size_t len);
@@ -161,7 +160,7 @@
 	packed.len = (uint32_t)len;
 	packed.message.data = deflate_bytes(plain, len, &packed.message.len);
 	d.rows = &packed;
-	send_all(t, &d);
+	peers_send_all(t, &d);
 	free(packed.message.data);
 	free(plain);
 }
@@ -252,7 +251,7 @@
 	d.pulse = &pulse;
 	if (peer_datagram__get_packed_size(&d) > DATAGRAM_MAX_BYTES)
 		pulse.n_loads /= 4;
-	send_all(t, &d);
+	peers_send_all(t, &d);
 }
 
 /* Announces, at short intervals, that this instance is designated to read the
@@ -282,7 +281,7 @@
 		watches_row_version(p->watches, STORE_ENDPOINTS);
 	msg.version = p->routes ? p->routes->version : 0;
 	d.reader = &msg;
-	send_all(t, &d);
+	peers_send_all(t, &d);
 }
 
 /* Fills in this instance's loads at the endpoints; returns the number. */
@@ -352,7 +351,7 @@
 	if (!work.n_loads && !work.n_prompts)
 		return;
 	d.work = &work;
-	send_all(t, &d);
+	peers_send_all(t, &d);
 }
 
 /* Fills in the found endpoints that are still known; returns the number. */
@@ -401,7 +400,7 @@
 
 /* Sends a datagram to every other instance.  It may be lost: its content is
  * repeated later, or the gap is detected by a version number. */
-static void send_all(struct peers *t, const PeerDatagram *d)
+void peers_send_all(struct peers *t, const PeerDatagram *d)
 {
 	uint8_t out[DATAGRAM_MAX_BYTES];
 	size_t len = pack(d, out);
--- a/proxyd/peers_table.h
+++ b/proxyd/peers_table.h
@@ -90,6 +90,7 @@
 	size_t prompt_next; /* the oldest */
 	struct announced_suspect suspects[SUSPECTS_QUEUED];
 	size_t suspect_next; /* the oldest */
+	uint64_t version; /* of the list, and of which instances are alive */
 	struct counter *sent;
 	struct counter *received;
 };
@@ -99,6 +100,10 @@
 struct peer *peers_find_hash(const struct peers *t, uint64_t hash);
 uint64_t peers_name_hash(const char *name);
 void peers_send(struct peers *t, const struct peer *to, const PeerDatagram *d);
+void peers_send_all(struct peers *t, const PeerDatagram *d);
+void peers_receive_limits(struct peers *t, const PeerLimits *msg);
+void peers_lend_permits(struct peers *t, const PeerPermitRequest *request);
+void peers_receive_permits(struct peers *t, const PeerPermits *answer);
 void peers_announce_reader(struct peers *t);
 void peers_send_changed_work(struct peers *t);
 void peers_send_suspects(struct peers *t);
--- a/proxyd/proxyd.c
+++ b/proxyd/proxyd.c
@@ -15,6 +15,7 @@
 
 #include "lib/counters.h"
 #include "lib/event_log.h"
+#include "proxyd/limits.h"
 #include "proxyd/listeners.h"
 #include "proxyd/endpoints.h"
 #include "proxyd/exchange.h"
@@ -126,6 +127,7 @@
 	apply_settings(p);
 	p->client = http1_client_new(p->loop);
 	p->store = platform->store_new(p->client, p->loop, p->settings.store);
+	p->limits = limits_new(p);
 	p->endpoints = endpoints_new(p);
 	p->exchanges = exchanges_new(p);
 	p->suspects = suspects_new(p);
@@ -190,6 +192,7 @@
 		repeat_group_update(&p->repeat_group, &p->repeat,
 				    (uint32_t)peers_listed(p->peers) + 1, now);
 	endpoints_tick(p->endpoints);
+	limits_tick(p->limits);
 	exchanges_tick(p->exchanges);
 	exchanges_borrow_repeats(p->exchanges);
 	suspects_tick(p->suspects);
--- a/proxyd/proxyd.h
+++ b/proxyd/proxyd.h
@@ -16,6 +16,7 @@
 
 #define PROXYD_TICK_MS 20
 
+struct limits;
 struct listeners;
 struct endpoints;
 struct exchanges;
@@ -58,6 +59,7 @@
 	struct snapshots *snapshots;
 	struct exchanges *exchanges;
 	struct suspects *suspects;
+	struct limits *limits; /* of endpoints */
 	struct listeners *listeners;
 	bool ending;
 };
--- a/proxyd/routes.h
+++ b/proxyd/routes.h
@@ -47,6 +47,8 @@
 	bool moves; /* engines make KV-cache copies on request */
 };
 
+#define ORGANISATION_NO_PRIORITY (-1) /* that of the route applies */
+
 struct organisation {
 	char *name;
 	int priority;
--- a/proxyd/stage.c
+++ b/proxyd/stage.c
@@ -38,9 +38,10 @@
 void stage_copy_done(struct exchange *x)
 {
 	struct kv_copy copy = x->copy; /* its call and answer are not used */
+	struct endpoint *to = endpoint_get(x->proxyd->endpoints, copy.endpoint);
 
 	x->staged = false;
-	if (!x->caller || !kv_copy_usable(x) ||
+	if (!x->caller || !kv_copy_usable(x) || limits_in_force(to) ||
 	    !exchange_optional_repeat_allowed(x) || !exchange_repeat_allowed(x))
 		return;
 	counter_add(x->proxyd->exchanges->moved_decode, 1);
--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -21,6 +21,9 @@
  * ask a few times, and short enough for the gaps that routes allow. */
 #define LOAN_WAIT_MS 200
 
+/* How long a lost run waits for a permit of the endpoint with its copy. */
+#define COPY_PERMIT_MS 200
+
 /* Part of the target latency within which a lost run without events must be
  * sent again. */
 #define DEFER_MOVE_PERCENT 65
@@ -29,6 +32,7 @@
 #define MEAN_WEIGHT 0.1F
 
 static void handle_oversized_event(struct exchange *x);
+static bool copy_awaits_permit(struct exchange *x);
 static void defer_move(struct exchange *x);
 static size_t filter_events(struct exchange *x);
 static bool record_event_id(struct exchange *x,
@@ -144,11 +148,15 @@
 		x->awaits_repeat = x->phase == EXCHANGE_WAITING;
 		return;
 	}
+	if (by_copy && copy_awaits_permit(x))
+		return;
 	x->kept_copy.endpoint = none;
 	x->awaits_repeat = false;
 	if (x->wait_until_ms)
 		t->waiting_tokens -= x->tokens;
 	x->wait_until_ms = 0;
+	by_copy = by_copy && limits_available(endpoint_get(x->proxyd->endpoints,
+							   copy.endpoint));
 	x->moves++;
 	counter_add(by_copy ? t->moved_copy : t->moved, 1);
 	if (by_copy)
@@ -157,6 +165,22 @@
 		exchange_dispatch(x);
 }
 
+/* Returns whether a run waits for a permit of the endpoint that holds its copy,
+ * for COPY_PERMIT_MS at most: reading the prompt again takes longer. */
+static bool copy_awaits_permit(struct exchange *x)
+{
+	struct endpoint *e =
+		endpoint_get(x->proxyd->endpoints, x->kept_copy.endpoint);
+
+	if (limits_available(e) ||
+	    proxyd_now(x->proxyd) - x->lost_ms >= COPY_PERMIT_MS)
+		return false;
+	limits_borrow(e, 1);
+	exchange_wait(x);
+	x->awaits_repeat = true;
+	return true;
+}
+
 /* Makes a run wait for a repeat of this instance or a loan of another one, as
  * the budget has none left.  A stream without any event waits while its first
  * event may still be in time.  A started stream waits only briefly; then it is
--- a/regress/integration/test_request_limit.c
+++ b/regress/integration/test_request_limit.c
@@ -287,6 +287,220 @@
 	check_limits();
 }
 
+/* Returns the number of arrivals at a worker since a time. */
+static size_t arrivals_since(const struct standin_worker *worker, uint64_t ms)
+{
+	size_t n = 0;
+	size_t i;
+
+	for (i = 0; i < world->n_arrivals; i++)
+		n += world->arrivals[i]->worker == worker &&
+		     world->arrivals[i]->at_ms >= ms;
+	return n;
+}
+
+/* All endpoints name limits far below the load: the excess is refused at once
+ * with different times to return, and what the limits allow is served. */
+static void refused_when_all_are_limited(void **state)
+{
+	struct tally t;
+	double first_s = 0;
+	size_t from;
+	size_t others = 0;
+	size_t i;
+
+	(void)state;
+	start_workers("plain", 3);
+	start(6);
+	world->workers[0].limit = "14";
+	world->workers[1].limit = "5.7";
+	world->workers[2].limit = "8";
+	load(1000, 6, 2);
+	from = n_calls;
+	load(6000, 6, 2);
+	harness_run(harness, 1000);
+	check_limits();
+	t = tally_from(from);
+	print_message("%zu served, %zu refused, %zu other\n", t.served,
+		      t.refused, t.other);
+	assert_int_equal(t.other, 0);
+	assert_true(t.refused > 0);
+	assert_true((double)t.served >= (14 + 5.7 + 8) * 6 * 0.7);
+	for (i = from; i < n_calls; i++) {
+		if (calls[i].status != 503)
+			continue;
+		if (calls[i].retry_after_s <= 0)
+			fail_msg("call %zu: no time to return", i);
+		if (first_s == 0)
+			first_s = calls[i].retry_after_s;
+		others += calls[i].retry_after_s != first_s;
+	}
+	assert_true(others * 10 >= t.refused * 9);
+}
+
+/* One instance has all requests: it borrows what the five others do not use. */
+static void idle_instances_lend(void **state)
+{
+	struct tally t;
+	size_t from;
+
+	(void)state;
+	start_workers("plain", 1);
+	start(6);
+	world->workers[0].limit = "14";
+	load(1000, 1, 2);
+	from = n_calls;
+	load(6000, 1, 2);
+	harness_run(harness, 1000);
+	check_limits();
+	t = tally_from(from);
+	print_message("%zu served, %zu refused\n", t.served, t.refused);
+	assert_true(t.served >= 14 * 6 * 7 / 10);
+}
+
+/* An instance that starts knows the limit from the others: the sum holds with
+ * it. */
+static void new_instance(void **state)
+{
+	(void)state;
+	start_workers("plain", 2);
+	start(3);
+	world->workers[0].limit = "2";
+	load(1500, 3, 2);
+	start_instance();
+	load(3500, 4, 2);
+	check_limits();
+}
+
+/* An endpoint names no limit any more: the requests come back in steps, and
+ * instances that had no part learn of it. */
+static void end_of_a_limit(void **state)
+{
+	uint64_t ended_ms;
+	size_t in_first_second;
+
+	(void)state;
+	start_workers("plain", 1);
+	start(6);
+	world->workers[0].limit = "3";
+	load(2000, 6, 2);
+	world->workers[0].limit = NULL;
+	ended_ms = now_ms();
+	load(1000, 6, 2);
+	in_first_second = arrivals_since(&world->workers[0], ended_ms);
+	load(4000, 6, 2);
+	ended_ms = now_ms();
+	load(2000, 6, 2);
+	print_message("%zu arrivals in the first second, %zu in the last two\n",
+		      in_first_second,
+		      arrivals_since(&world->workers[0], ended_ms));
+	assert_true(in_first_second <= 3 * 8);
+	assert_true(arrivals_since(&world->workers[0], ended_ms) >= 150);
+}
+
+/* A limit belongs to one start of an endpoint. */
+static void restarted_endpoint(void **state)
+{
+	struct standin_worker *w;
+	uint64_t from_ms;
+
+	(void)state;
+	start_workers("plain", 1);
+	w = &world->workers[0];
+	start(3);
+	w->limit = "1";
+	load(1500, 3, 2);
+	w->limit = NULL;
+	standin_kill_worker(w);
+	w->born_ms += 1000;
+	standin_start_worker(w, w->id);
+	harness_run(harness, 1000);
+	from_ms = now_ms();
+	load(1000, 3, 2);
+	assert_true(arrivals_since(w, from_ms) >= 80);
+}
+
+/* What is not a number of requests changes nothing. */
+static void invalid_limits(void **state)
+{
+	static const char *const limits[] = { "", "-1", "nan", "many", "5,7" };
+	size_t i;
+
+	(void)state;
+	start_workers("plain", 1);
+	start(2);
+	for (i = 0; i < sizeof(limits) / sizeof(limits[0]); i++) {
+		size_t from = n_calls;
+		struct tally t;
+
+		world->workers[0].limit = limits[i];
+		load(300, 2, 2);
+		harness_run(harness, 500);
+		t = tally_from(from);
+		if (t.refused || t.other)
+			fail_msg("limit \"%s\": %zu refused", limits[i],
+				 t.refused);
+	}
+	world->workers[0].limit = "1e300";
+	load(2000, 2, 2);
+	harness_run(harness, 500);
+	assert_int_equal(tally_from(0).refused, 0);
+}
+
+/* An endpoint that takes nothing gets few requests, by which its end of that is
+ * found out; another one has room for the rest. */
+static void limit_of_zero(void **state)
+{
+	uint64_t from_ms;
+
+	(void)state;
+	start_workers("plain", 2);
+	start(3);
+	world->workers[0].limit = "0";
+	load(5000, 3, 2);
+	check_limits();
+	assert_int_equal(tally_from(0).refused, 0);
+	world->workers[0].limit = NULL;
+	load(8000, 3, 2);
+	from_ms = now_ms();
+	load(2000, 3, 2);
+	assert_true(arrivals_since(&world->workers[0], from_ms) >= 60);
+}
+
+/* Engines name limits while streams run; one is killed.  Streams that run are
+ * completed, and copies and resumed runs count as requests. */
+static void streams(void **state)
+{
+	static const char line[] =
+		"GET /write/a HTTP/1.1\r\n"
+		"token-usage: 100,30\r\nprompt-prefix: a:100\r\n";
+	struct tally t;
+	size_t i;
+
+	(void)state;
+	world->event_ms = 60;
+	start_workers("engine", 4);
+	start(3);
+	for (i = 0; i < 12; i++)
+		send_call(&instances[i % 3], line, 15000);
+	harness_run(harness, 300);
+	for (i = 0; i < 4; i++)
+		world->workers[i].limit = i < 2 ? "2" : "1.5";
+	for (i = 0; i < 20; i++) {
+		send_call(&instances[i % 3], line, 15000);
+		load(200, 3, 0);
+		if (i == 8)
+			standin_kill_worker(&world->workers[0]);
+	}
+	load(4000, 3, 0);
+	check_limits();
+	t = tally_from(0);
+	print_message("%zu streams served, %zu refused, %zu other\n", t.served,
+		      t.refused, t.other);
+	assert_int_equal(t.other, 0);
+	assert_true(t.served >= 24);
+}
+
 int main(int argc, char **argv)
 {
 #define CASE(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
@@ -295,6 +509,14 @@
 		CASE(single_instance),
 		CASE(instances_without_datagrams),
 		CASE(suspended_and_restarted_instances),
+		CASE(refused_when_all_are_limited),
+		CASE(idle_instances_lend),
+		CASE(new_instance),
+		CASE(end_of_a_limit),
+		CASE(restarted_endpoint),
+		CASE(invalid_limits),
+		CASE(limit_of_zero),
+		CASE(streams),
 	};
 
 	if (argc > 1) /* one case */
--- a/regress/unit/test_placement.c
+++ b/regress/unit/test_placement.c
@@ -61,6 +61,44 @@
 			 PLACEMENT_NONE_USABLE);
 }
 
+/* An endpoint whose limit is reached is left out; it keeps no copies and is not
+ * chosen for the decode phase even if a request could be sent there. */
+static void endpoints_with_limits(void **state)
+{
+	const struct placement_request run = { .tokens = RUN_TOKENS };
+	const struct placement_request plain = { 0 };
+	struct placement_candidate c[3];
+	struct placement_choice choice;
+
+	(void)state;
+	make_engines(c, 3);
+	c[0].limited = true;
+	c[0].usable = false;
+	c[1].limited = true;
+	c[1].requests = 1;
+	choice = placement_run(&run, c, 3, 1);
+	assert_int_equal(choice.outcome, PLACEMENT_OK);
+	assert_int_equal(choice.index, 2);
+	assert_int_equal(choice.limited, 1);
+	assert_int_equal(choice.limited_index, 0);
+	c[2].usable = false;
+	assert_int_equal(placement_run(&run, c, 3, 1).index, 1);
+	assert_int_equal(placement_plain(&plain, c, 3, 1).index, 1);
+	assert_int_equal(placement_kv_copy(&run, c, 3, 0, 1), PLACEMENT_NONE);
+	assert_int_equal(placement_decode_phase(&run, c, 3, 0, 1),
+			 PLACEMENT_NONE);
+	c[1].usable = false;
+	assert_int_equal(placement_run(&run, c, 3, 1).outcome,
+			 PLACEMENT_LIMITED);
+	assert_int_equal(placement_plain(&plain, c, 3, 1).outcome,
+			 PLACEMENT_LIMITED);
+	c[0].avoided = true; /* the request has failed there */
+	c[1].avoided = true;
+	choice = placement_plain(&plain, c, 3, 1);
+	assert_int_equal(choice.outcome, PLACEMENT_ALL_AVOIDED);
+	assert_int_equal(choice.limited, 0);
+}
+
 /* A prompt goes to an engine that reads no prompt and runs nothing; a suspected
  * engine is chosen last. */
 static void prompts_spread_over_engines(void **state)
@@ -507,6 +545,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(outcomes),
+		cmocka_unit_test(endpoints_with_limits),
 		cmocka_unit_test(prompts_spread_over_engines),
 		cmocka_unit_test(kv_copies),
 		cmocka_unit_test(decode_joins_other_runs),
