soak: endpoints that name limits

Endpoints name limits, change and end them while other faults go on; some limits are no numbers, 0 or beyond all sense. The users' rule is checked for the instances that passed on such an answer half a second before, unless they were started or resumed since, or a fault of the link held the request up. This is stricter than the rule, which excuses 3 s after each of these.

--- a/regress/soak/holdoff_rule.c
+++ b/regress/soak/holdoff_rule.c
@@ -20,8 +20,6 @@
 #define LINK_FAULT_MAX_MS 1500 /* longest fault of a link */
 #define PAUSE_REQUESTS_MAX 2 /* requests allowed in a pause */
 
-static const struct holdoff_request *request_of(
-	const struct holdoff_rule *r, const struct standin_arrival *a);
 static void check_leaving(const struct holdoff_rule *r,
 			  const struct standin_world *w,
 			  const struct holdoff_leaving_answer *l);
@@ -53,7 +51,7 @@
 	struct holdoff_leaving_answer *l;
 	size_t i = w->n_arrivals;
 
-	while (i && request_of(r, w->arrivals[i - 1]) != request)
+	while (i && holdoff_rule_request(r, w->arrivals[i - 1]) != request)
 		i--;
 	if (!i || w->arrivals[i - 1]->extra_headers == NULL ||
 	    strcmp(w->arrivals[i - 1]->extra_headers, HOLDOFF_LEAVING_HEADER) !=
@@ -97,7 +95,7 @@
 
 		if (a->ran || a->misdirected || !a->extra_headers ||
 		    strcmp(a->extra_headers, HOLDOFF_PAUSE_HEADER) != 0 ||
-		    !request_of(r, a))
+		    !holdoff_rule_request(r, a))
 			continue;
 		pauses++;
 		check_pause(r, w, i);
@@ -127,7 +125,7 @@
 
 	for (i = 0; i < w->n_arrivals; i++) {
 		const struct standin_arrival *a = w->arrivals[i];
-		const struct holdoff_request *q = request_of(r, a);
+		const struct holdoff_request *q = holdoff_rule_request(r, a);
 
 		if (!q || q->instance != l->instance ||
 		    q->sent_ms <= l->at_ms + DRAIN_MS ||
@@ -151,14 +149,14 @@
 			const struct standin_world *w, size_t asked)
 {
 	const struct standin_arrival *first = w->arrivals[asked];
-	size_t instance = request_of(r, first)->instance;
+	size_t instance = holdoff_rule_request(r, first)->instance;
 	size_t worker = (size_t)(first->worker - w->workers);
 	unsigned int n = 0;
 	size_t i;
 
 	for (i = asked + 1; i < w->n_arrivals; i++) {
 		const struct standin_arrival *a = w->arrivals[i];
-		const struct holdoff_request *q = request_of(r, a);
+		const struct holdoff_request *q = holdoff_rule_request(r, a);
 
 		if (!q || q->instance != instance ||
 		    a->at_ms <= first->at_ms + PAUSE_APPLIED_MS ||
@@ -182,8 +180,8 @@
 
 /* Returns the caller's request that arrived at a worker, or NULL if the arrival
  * is of another kind. */
-static const struct holdoff_request *request_of(const struct holdoff_rule *r,
-						const struct standin_arrival *a)
+const struct holdoff_request *holdoff_rule_request(
+	const struct holdoff_rule *r, const struct standin_arrival *a)
 {
 	static const char key[] = "\nrequest-id: r-";
 	const char *id = strstr(a->head, key);
--- a/regress/soak/holdoff_rule.h
+++ b/regress/soak/holdoff_rule.h
@@ -39,6 +39,8 @@
 void holdoff_rule_answer_relayed(struct holdoff_rule *r,
 				 const struct standin_world *w,
 				 unsigned int number, uint64_t now);
+const struct holdoff_request *holdoff_rule_request(
+	const struct holdoff_rule *r, const struct standin_arrival *a);
 void holdoff_rule_exempt(struct holdoff_rule *r, size_t instance, uint64_t now);
 void holdoff_rule_link_fault(struct holdoff_rule *r, size_t worker,
 			     uint64_t now);
--- a/regress/soak/soak_proxyd.c
+++ b/regress/soak/soak_proxyd.c
@@ -25,6 +25,7 @@
 #include "regress/repeat_rule.h"
 #include "regress/soak/crash_rule.h"
 #include "regress/soak/holdoff_rule.h"
+#include "regress/soak/limit_check.h"
 
 #define INSTANCES 3 /* default of the third argument */
 #define INSTANCES_MAX 256
@@ -36,6 +37,7 @@
 #define SETTLE_MS 3000 /* each phase without faults at the end */
 #define FAULT_MAPPINGS (WORKERS + 1)
 #define CRASHING_INTERVAL_MS 300 /* mean, of the crashing request */
+#define LIMIT_INTERVAL_MS 700 /* mean, of a worker that names a limit */
 
 /* The users' rule on the deadlines that workers receive: an arrival counts as
  * late if it has no deadline or one that exceeds the caller's by more than
@@ -55,6 +57,9 @@
 #define SMALL_BUDGET \
 	"repeat_window_s = 4\nrepeat_ratio = 0.8\nrepeat_slack = 20\n"
 
+/* Limits are drawn apart, so that the faults of a seed stay the same. */
+#define LIMIT_SEED 1000003
+
 enum call_kind {
 	CALL_BOOKING,
 	CALL_LOOKUP,
@@ -110,6 +115,8 @@
 static uint64_t *deadlines_ms; /* of each request, by number */
 static struct holdoff_rule holdoffs;
 static struct crash_rule crashes;
+static struct limit_check limits;
+static struct random_source limit_numbers;
 static unsigned served[CALL_KINDS];
 static unsigned faults;
 static int version = 2;
@@ -194,6 +201,31 @@
 		crash_rule_exempt(&crashes, i, now_ms());
 }
 
+static void limit_ends(size_t i)
+{
+	world->workers[i].limit = NULL;
+}
+
+/* Draws the limit that a worker names, and for how long, or another value of one
+ * that it names already. */
+static void start_limit(void)
+{
+	static const char *const values[] = { "0",   "0.4",   "1",  "1",  "2.5",
+					      "7",   "7",     "14", "30", "30",
+					      "5,7", "1e300", "-1" };
+	size_t i = random_below(&limit_numbers, WORKERS);
+	bool changes = world->workers[i].limit != NULL;
+	uint32_t value = random_below(&limit_numbers,
+				      sizeof(values) / sizeof(values[0]));
+
+	if (changes && random_below(&limit_numbers, 4))
+		return;
+	world->workers[i].limit = values[value];
+	if (!changes)
+		schedule_end(4000 + random_below(&limit_numbers, 8000),
+			     limit_ends, i);
+}
+
 static void link_recovers(size_t i)
 {
 	if (i == WORKERS)
@@ -416,6 +448,8 @@
 	    http1_find_header(head, "server-leaving"))
 		holdoff_rule_answer_relayed(&holdoffs, world, c->number,
 					    now_ms());
+	if (c->kind != CALL_CRASHING && http1_find_header(head, "server-limit"))
+		limit_check_answer_relayed(&limits, world, c->number, now_ms());
 	return HTTP1_ACCEPT;
 }
 
@@ -606,6 +640,9 @@
 		fault();
 	if (with_faults && high_load && draw(ENGINE_LOSS_INTERVAL_MS) < STEP_MS)
 		fault_of_all_engines();
+	if (with_faults &&
+	    random_below(&limit_numbers, LIMIT_INTERVAL_MS) < STEP_MS)
+		start_limit();
 	check_running();
 	end_faults(false);
 	cancel_old_calls();
@@ -751,6 +788,8 @@
 
 	(void)state;
 	random_numbers = (struct random_source){ .seed = seed };
+	limit_numbers = (struct random_source){ .seed = seed + LIMIT_SEED };
+	limit_check_init(&limits, &holdoffs);
 	set_up();
 	for (end = now_ms() + seconds * 1000; now_ms() < end;)
 		step(true);
@@ -778,6 +817,8 @@
 	check_repeats("plain");
 	check_repeats("engine");
 	check_deadlines();
+	limit_check_all(&limits, seed, world);
+	limit_check_release(&limits);
 	holdoff_rule_check(&holdoffs, seed, world);
 	holdoff_rule_release(&holdoffs);
 	crash_rule_check(&crashes, seed, world);
