--- a/regress/integration/test_request_limit.c
+++ b/regress/integration/test_request_limit.c
@@ -16,7 +16,7 @@
 #include "lib/xalloc.h"
 #include "regress/limit_rule.h"
 
-#define INSTANCES_MAX 6
+#define INSTANCES_MAX 24
 #define CALLS_MAX 4096
 #define STEP_MS 20
 
@@ -91,11 +91,10 @@
 /* Adds an instance and waits until it is ready. */
 static void start_instance(void)
 {
-	static const char *const names[INSTANCES_MAX] = { "one",   "two",
-							  "three", "four",
-							  "five",  "six" };
+	static char names[INSTANCES_MAX][8];
 	struct standin_instance *in = &instances[n_instances];
 
+	snprintf(names[n_instances], sizeof(names[0]), "n%zu", n_instances);
 	standin_init_instance(world, in, names[n_instances],
 			      n_instances ? instances[0].control : NULL);
 	standin_start_instance(world, in);
@@ -358,6 +357,29 @@
 	assert_true(t.served >= 14 * 6 * 7 / 10);
 }
 
+/* Most of many instances have no part of the limits, and borrow. */
+static void many_instances(void **state)
+{
+	struct tally t;
+	size_t from;
+
+	(void)state;
+	start_workers("plain", 2);
+	start(INSTANCES_MAX);
+	world->workers[0].limit = "2";
+	world->workers[1].limit = "9";
+	load(1000, INSTANCES_MAX, 2);
+	from = n_calls;
+	load(6000, INSTANCES_MAX, 2);
+	harness_run(harness, 1000);
+	check_limits();
+	t = tally_from(from);
+	print_message("%zu served, %zu refused, %zu other\n", t.served,
+		      t.refused, t.other);
+	assert_int_equal(t.other, 0);
+	assert_true(t.served >= (2 + 9) * 6 * 6 / 10);
+}
+
 /* An instance that starts knows the limit from the others: the sum holds with
  * it. */
 static void new_instance(void **state)
@@ -511,6 +533,7 @@
 		CASE(suspended_and_restarted_instances),
 		CASE(refused_when_all_are_limited),
 		CASE(idle_instances_lend),
+		CASE(many_instances),
 		CASE(new_instance),
 		CASE(end_of_a_limit),
 		CASE(restarted_endpoint),
