Tell a lower limit sooner than a higher one

All changes of a limit's value were told once a second. An instance that has had no answer since sends by the old value for that long, which matters if the new one is lower: it is told after 0.3 s at most now, and a higher one after a second as before.

--- a/policy/request_limit.c
+++ b/policy/request_limit.c
@@ -47,6 +47,11 @@
 #define ASK_INTERVAL_MS 20
 #define ASK_INTERVAL_PER_INSTANCE_MS 4
 
+/* Least time between two messages that the value of a limit is lower, or
+ * higher. */
+#define TELL_LOWER_MS 300
+#define TELL_HIGHER_MS 1000
+
 /* A loan may be used until this time after it was asked for. */
 #define LOAN_MS 300
 
@@ -168,6 +173,18 @@
 	return true;
 }
 
+/* Returns after how many ms the other instances are told that the limit has
+ * another value than before.  A lower one concerns those that send more than
+ * they may; but an endpoint may name another value in each answer. */
+uint32_t request_limit_tell_ms(double before, double per_s,
+			       uint64_t told_ms_ago)
+{
+	uint32_t interval_ms = per_s < before ? TELL_LOWER_MS : TELL_HIGHER_MS;
+
+	return told_ms_ago < interval_ms ? interval_ms - (uint32_t)told_ms_ago
+					 : 0;
+}
+
 /* Lifts a limit that has risen for long enough. */
 void request_limit_tick(struct request_limit *l, uint64_t now)
 {
--- a/policy/request_limit.h
+++ b/policy/request_limit.h
@@ -60,6 +60,8 @@
 			 uint64_t named_ms, uint64_t now);
 bool request_limit_not_named(struct request_limit *l, uint64_t sent_ms,
 			     uint64_t now);
+uint32_t request_limit_tell_ms(double before, double per_s,
+			       uint64_t told_ms_ago);
 void request_limit_tick(struct request_limit *l, uint64_t now);
 double request_limit_per_s(const struct request_limit *l, uint64_t now);
 uint32_t request_limit_available(struct request_limit *l,
--- a/proxyd/limits.c
+++ b/proxyd/limits.c
@@ -22,10 +22,6 @@
 #define NEWS_SENDS 3 /* datagrams may be lost */
 #define NEWS_INTERVAL_MS 100
 
-/* Changes of the value alone are told this seldom: an endpoint may name another
- * one in each answer. */
-#define CHANGE_INTERVAL_MS 1000
-
 /* A limit that nobody was told to be still named for this long is checked with
  * a borrowed permit. */
 #define CHECK_MS 5000
@@ -37,7 +33,8 @@
 #define TELLERS 3
 
 static bool named(struct endpoint *e, double per_s, uint64_t named_ms);
-static void tell_others(struct endpoint *e, uint32_t delay_ms);
+static void tell_change(struct endpoint *e, double before);
+static void tell_others(struct endpoint *e, uint64_t due_ms, uint32_t sends);
 static void log_limit(const struct endpoint *e, const char *event,
 		      const char *request, const char *by, double before);
 static void log_ended(const struct endpoint *e, const char *request,
@@ -114,15 +111,15 @@
 			 request ? request : "health check");
 		log_limit(e, "endpoint-limit", request, "itself", before);
 		if (before >= 0 && !rising)
-			tell_others(e, CHANGE_INTERVAL_MS);
+			tell_change(e, before);
 		else if (gossip_is_new(l->told_ms, now))
-			tell_others(e, 0);
+			tell_others(e, now, NEWS_SENDS);
 	} else if (e->limit &&
 		   request_limit_not_named(&e->limit->limit, sent_ms, now)) {
 		counter_add(t->ended, 1);
 		e->limit->told_ms = 0;
 		log_ended(e, request, "itself");
-		tell_others(e, 0);
+		tell_others(e, now, NEWS_SENDS);
 	}
 }
 
@@ -340,16 +337,26 @@
 	return e->limit;
 }
 
-/* Schedules news of a limit for the other instances. */
-static void tell_others(struct endpoint *e, uint32_t delay_ms)
+/* Schedules the news that the limit has another value. */
+static void tell_change(struct endpoint *e, double before)
 {
-	struct endpoint_limit *l = e->limit;
-	uint64_t due = proxyd_now(e->proxyd) + delay_ms;
+	const struct endpoint_limit *l = e->limit;
+	uint64_t now = proxyd_now(e->proxyd);
+	uint64_t due_ms = now + request_limit_tell_ms(before, l->limit.per_s,
+						      now - l->sent_ms);
 
-	if (l->sends_left && delay_ms)
-		return; /* the news will carry the newest value */
-	l->sends_left = delay_ms ? 1 : NEWS_SENDS;
-	l->send_due_ms = due;
+	if (!l->sends_left)
+		tell_others(e, due_ms, 1);
+	else if (due_ms < l->send_due_ms)
+		tell_others(e, due_ms, l->sends_left);
+}
+
+/* Schedules news of a limit for the other instances; they carry the newest
+ * value. */
+static void tell_others(struct endpoint *e, uint64_t due_ms, uint32_t sends)
+{
+	e->limit->sends_left = sends;
+	e->limit->send_due_ms = due_ms;
 }
 
 /* Sends the news that are due. */
@@ -369,6 +376,7 @@
 			continue;
 		l->sends_left--;
 		l->send_due_ms = now + NEWS_INTERVAL_MS;
+		l->sent_ms = now;
 		list[n++] = e;
 	}
 	if (n)
--- a/proxyd/limits.h
+++ b/proxyd/limits.h
@@ -41,6 +41,7 @@
 	uint64_t told_ms; /* another instance told of it as it is now */
 	uint32_t sends_left; /* of news for the others */
 	uint64_t send_due_ms;
+	uint64_t sent_ms; /* last news sent */
 	bool named_here; /* an answer named it since the last refresh */
 	struct limit_ask asks[LIMIT_ASKS_MAX];
 	uint64_t asked_ms; /* last request for permits */
--- a/regress/integration/test_request_limit.c
+++ b/regress/integration/test_request_limit.c
@@ -1,5 +1,6 @@
 /* Endpoints name the requests per second that they take from all instances
- * together; what arrives there is counted as the users' rule counts. */
+ * together; what arrives there is counted as the users' rule counts.
+ * usage: test_request_limit [CASE [INSTANCES of many_instances]] */
 #include <signal.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -16,7 +17,8 @@
 #include "lib/xalloc.h"
 #include "regress/limit_rule.h"
 
-#define INSTANCES_MAX 24
+#define INSTANCES_MAX 256
+#define MANY_INSTANCES 24 /* default of the second argument */
 #define CALLS_MAX 4096
 #define STEP_MS 20
 
@@ -42,6 +44,7 @@
 static struct standin_world *world;
 static struct standin_instance instances[INSTANCES_MAX];
 static size_t n_instances;
+static size_t many = MANY_INSTANCES;
 static struct http1_client *client;
 static struct call calls[CALLS_MAX];
 static size_t n_calls;
@@ -365,12 +368,12 @@
 
 	(void)state;
 	start_workers("plain", 2);
-	start(INSTANCES_MAX);
+	start(many);
 	world->workers[0].limit = "2";
 	world->workers[1].limit = "9";
-	load(1000, INSTANCES_MAX, 2);
+	load(1000, many, 2);
 	from = n_calls;
-	load(6000, INSTANCES_MAX, 2);
+	load(6000, many, 2);
 	harness_run(harness, 1000);
 	check_limits();
 	t = tally_from(from);
@@ -544,5 +547,9 @@
 
 	if (argc > 1) /* one case */
 		cmocka_set_test_filter(argv[1]);
+	if (argc > 2)
+		many = strtoul(argv[2], NULL, 10);
+	if (!many || many > INSTANCES_MAX)
+		return 2;
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/regress/unit/test_limit_shares.c
+++ b/regress/unit/test_limit_shares.c
@@ -388,6 +388,17 @@
 			 UINT32_MAX);
 }
 
+/* A lower value is told soon, a higher one later, neither with each answer. */
+static void changes_are_told(void **state)
+{
+	(void)state;
+	assert_int_equal(request_limit_tell_ms(14, 2, 5000), 0);
+	assert_int_equal(request_limit_tell_ms(2, 14, 5000), 0);
+	assert_true(request_limit_tell_ms(14, 2, 10) > 0);
+	assert_true(request_limit_tell_ms(14, 2, 10) <
+		    request_limit_tell_ms(2, 14, 10));
+}
+
 /* A loan expires, is not returned, and is gone from its lender. */
 static void loans(void **state)
 {
@@ -507,6 +518,7 @@
 		cmocka_unit_test(limit_that_changes),
 		cmocka_unit_test(order_of_answers),
 		cmocka_unit_test(limit_rises_after_its_end),
+		cmocka_unit_test(changes_are_told),
 		cmocka_unit_test(loans),
 		cmocka_unit_test(returned_permit),
 		cmocka_unit_test(waiting_or_refused),
