limits: one ranking of instances, and the wait after a denial in policy/

peers_rank() and find_lenders() ranked the instances each for themselves. For how long an instance without a permit is not asked is a decision, so it moves to policy/limit_wait.c, with a test. No change of behaviour.

--- a/policy/limit_wait.c
+++ b/policy/limit_wait.c
@@ -9,8 +9,10 @@
 
 #include "policy/request_limit.h"
 
-/* Time in which other instances answer whether they lend a permit. */
-#define ASK_MS 60
+/* Bounds of the time for which an instance is not asked again after it had no
+ * permit: fewer of its permits may be used than it expects. */
+#define DENIED_MIN_MS 40
+#define DENIED_MAX_MS 1000
 
 /* Of a Retry-After.  Later returns are not planned. */
 #define RETURN_MIN_MS 50
@@ -18,6 +20,15 @@
 
 #define MS_PER_S 1000
 
+/* Returns for how long an instance is not asked again that had no permit and
+ * expects one after wait_ms. */
+uint32_t limit_wait_denied_ms(uint32_t wait_ms)
+{
+	if (wait_ms < DENIED_MIN_MS)
+		return DENIED_MIN_MS;
+	return wait_ms < DENIED_MAX_MS ? wait_ms : DENIED_MAX_MS;
+}
+
 /* Returns whether the request waits for a permit. */
 bool limit_wait_decide(const struct limit_wait *w)
 {
@@ -28,8 +39,8 @@
 	if (w->own_ms <= w->left_ms)
 		return true;
 	if (!w->ask_ms)
-		return ASK_MS <= w->left_ms;
-	return (uint64_t)w->ask_ms + ASK_MS <= w->left_ms &&
+		return LIMIT_ASK_MS <= w->left_ms;
+	return (uint64_t)w->ask_ms + LIMIT_ASK_MS <= w->left_ms &&
 	       turn_ms <= w->left_ms;
 }
 
--- a/policy/limit_wait.h
+++ b/policy/limit_wait.h
@@ -4,6 +4,9 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* Time in which other instances answer whether they lend a permit. */
+#define LIMIT_ASK_MS 60
+
 /* A request that finds no permit for any endpoint that is up.  Times in ms. */
 struct limit_wait {
 	uint32_t own_ms; /* until this instance has a permit for it;
@@ -20,6 +23,7 @@
 	double next_ms;
 };
 
+uint32_t limit_wait_denied_ms(uint32_t wait_ms);
 bool limit_wait_decide(const struct limit_wait *w);
 uint32_t limit_return_ms(struct limit_return *r, double per_s, uint32_t left_ms,
 			 uint64_t now, uint64_t rnd);
--- a/proxyd/peers_limits.c
+++ b/proxyd/peers_limits.c
@@ -14,18 +14,10 @@
 #include "proxyd/limits.h"
 #include "proxyd/proxyd.h"
 
-/* Instances answer a request for permits within this time. */
-#define ANSWER_MS 60
-
-/* Bounds of the time for which an instance is not asked again after it had no
- * permit. */
-#define DENIED_MIN_MS 40
-#define DENIED_MAX_MS 1000
-
+static uint32_t find_holders(const struct peers *t, uint64_t endpoint,
+			     uint32_t holders, struct peer **list);
 static size_t find_lenders(struct peers *t, const struct endpoint *e,
 			   struct peer **list, size_t most);
-static void record_denial(struct endpoint_limit *l, uint64_t lender,
-			  uint64_t until_ms, uint64_t now);
 static uint64_t denied_until(const struct endpoint_limit *l, uint64_t lender,
 			     uint64_t now);
 static void fill_limit(PeerLimit *out, const struct endpoint *e, uint64_t now);
@@ -47,27 +39,16 @@
 	struct request_limit_instances seen = { .holders = holders };
 	uint64_t own = request_limit_weight(
 		endpoint, peers_name_hash(t->proxyd->settings.name));
-	struct ranked *ranked = xcalloc(t->n + 1, sizeof(*ranked));
-	bool *alive = xcalloc(t->n + 1, sizeof(*alive));
+	struct peer **list = xcalloc(t->n + 1, sizeof(*list)); /* NOLINT */
+	uint32_t n = find_holders(t, endpoint, holders, list);
 	const struct peer *peer;
-	uint32_t n = 0;
 	uint32_t i;
 
-	ranked[n] = (struct ranked){ -pair_hash_unit(own), n };
-	alive[n++] = true;
 	TAILQ_FOREACH(peer, &t->list, link)
-	{
-		uint64_t weight = request_limit_weight(endpoint, peer->hash);
-
-		seen.rank += weight > own;
-		ranked[n] = (struct ranked){ -pair_hash_unit(weight), n };
-		alive[n++] = peer->alive;
-	}
-	select_smallest(ranked, n, holders);
-	for (i = 0; i < holders && i < n; i++)
-		seen.alive += alive[ranked[i].index];
-	free(alive);
-	free(ranked);
+	seen.rank += request_limit_weight(endpoint, peer->hash) > own;
+	for (i = 0; i < n; i++)
+		seen.alive += !list[i] || list[i]->alive;
+	free(list);
 	return seen;
 }
 
@@ -146,7 +127,7 @@
 
 	for (i = 0; i < LIMIT_ASKS_MAX; i++)
 		if (e->limit->asks[i].asked_ms &&
-		    now - e->limit->asks[i].asked_ms < ANSWER_MS)
+		    now - e->limit->asks[i].asked_ms < LIMIT_ASK_MS)
 			return true;
 	return false;
 }
@@ -217,24 +198,17 @@
 			  "asked_ms_ago", (json_int_t)(now - answer->asked_ms),
 			  "in_time", used);
 	} else {
-		record_denial(e->limit, answer->instance, now + answer->wait_ms,
-			      now);
+		struct endpoint_limit *l = e->limit;
+
+		l->denials[l->n_denials++ % LIMIT_DENIALS_MAX] =
+			(struct limit_denial){
+				.lender = answer->instance,
+				.until_ms = now + limit_wait_denied_ms(
+							  answer->wait_ms),
+			};
 	}
 }
 
-/* Records that an instance has no permit until a time, which is bounded: the
- * instance may be lent permits, or use fewer than it expects. */
-static void record_denial(struct endpoint_limit *l, uint64_t lender,
-			  uint64_t until_ms, uint64_t now)
-{
-	if (until_ms < now + DENIED_MIN_MS)
-		until_ms = now + DENIED_MIN_MS;
-	if (until_ms > now + DENIED_MAX_MS)
-		until_ms = now + DENIED_MAX_MS;
-	l->denials[l->n_denials++ % LIMIT_DENIALS_MAX] =
-		(struct limit_denial){ lender, until_ms };
-}
-
 /* Returns the time until which an instance is not asked; 0 if it may be. */
 static uint64_t denied_until(const struct endpoint_limit *l, uint64_t lender,
 			     uint64_t now)
@@ -250,61 +224,76 @@
 	return until;
 }
 
-/* Chooses live holders of the limit of an endpoint at random, other than this
- * instance and those that had no permit a moment ago; returns their number.  If
- * there is none, records until when that is so. */
-static size_t find_lenders(struct peers *t, const struct endpoint *e,
-			   struct peer **list, size_t most)
+/* Lists the holders of the limit of an endpoint, NULL for this instance; returns
+ * their number.  The list has room for all instances. */
+static uint32_t find_holders(const struct peers *t, uint64_t endpoint,
+			     uint32_t holders, struct peer **list)
 {
-	uint32_t holders = e->limit->part.holders;
-	uint64_t now = proxyd_now(t->proxyd);
-	uint64_t first_ms = 0;
 	struct ranked *ranked = xcalloc(t->n + 1, sizeof(*ranked));
 	struct peer **peers = xcalloc(t->n + 1, sizeof(*peers)); /* NOLINT */
-	uint64_t own = request_limit_weight(
-		e->hash, peers_name_hash(t->proxyd->settings.name));
-	struct peer *peer;
-	uint32_t seen = 0;
+	uint64_t weight = request_limit_weight(
+		endpoint, peers_name_hash(t->proxyd->settings.name));
+	struct peer *peer = NULL;
 	uint32_t n = 0;
-	size_t found = 0;
 	uint32_t i;
 
-	ranked[n] = (struct ranked){ -pair_hash_unit(own), n };
+	ranked[n] = (struct ranked){ -pair_hash_unit(weight), n };
 	peers[n++] = NULL;
 	TAILQ_FOREACH(peer, &t->list, link)
 	{
-		ranked[n] =
-			(struct ranked){ -pair_hash_unit(request_limit_weight(
-						 e->hash, peer->hash)),
-					 n };
+		weight = request_limit_weight(endpoint, peer->hash);
+		ranked[n] = (struct ranked){ -pair_hash_unit(weight), n };
 		peers[n++] = peer;
 	}
+	if (holders > n)
+		holders = n;
 	select_smallest(ranked, n, holders);
-	for (i = 0; i < holders && i < n; i++) {
+	for (i = 0; i < holders; i++)
+		list[i] = peers[ranked[i].index];
+	free(peers);
+	free(ranked);
+	return holders;
+}
+
+/* Chooses live holders of the limit of an endpoint at random, other than this
+ * instance and those that had no permit a moment ago; returns their number.  If
+ * there is none, records until when that is so. */
+static size_t find_lenders(struct peers *t, const struct endpoint *e,
+			   struct peer **list, size_t most)
+{
+	struct endpoint_limit *l = e->limit;
+	struct peer **holders =
+		xcalloc(t->n + 1, sizeof(*holders)); /* NOLINT */
+	uint32_t n = find_holders(t, e->hash, l->part.holders, holders);
+	uint64_t now = proxyd_now(t->proxyd);
+	uint64_t first_ms = 0;
+	uint32_t seen = 0;
+	size_t found = 0;
+	uint32_t i;
+
+	for (i = 0; i < n; i++) {
 		uint64_t until;
 		uint64_t at;
 
-		peer = peers[ranked[i].index];
-		if (!peer || !peer->alive)
+		if (!holders[i] || !holders[i]->alive)
 			continue;
-		until = denied_until(e->limit, peer->hash, now);
+		until = denied_until(l, holders[i]->hash, now);
 		if (until && (!first_ms || until < first_ms))
 			first_ms = until;
 		if (until)
 			continue;
 		seen++;
 		if (found < most) {
-			list[found++] = peer;
+			list[found++] = holders[i];
 			continue;
 		}
 		at = proxyd_random() % seen;
 		if (at < most)
-			list[at] = peer;
+			list[at] = holders[i];
 	}
 	if (!found)
-		e->limit->denied_until_ms = first_ms;
-	free(peers);
-	free(ranked);
+		l->denied_until_ms = first_ms;
+	free(holders);
 	return found;
 }
 
--- a/regress/unit/test_limit_shares.c
+++ b/regress/unit/test_limit_shares.c
@@ -471,6 +471,9 @@
 	w.left_ms = 4500;
 	w.own_ms = REQUEST_LIMIT_NEVER;
 	assert_true(limit_wait_decide(&w));
+	assert_true(limit_wait_denied_ms(0) > 0);
+	assert_int_equal(limit_wait_denied_ms(200), 200);
+	assert_true(limit_wait_denied_ms(REQUEST_LIMIT_NEVER) <= 1000);
 	w.ahead = 20; /* ten seconds of this instance's part */
 	assert_false(limit_wait_decide(&w));
 }
