A process that returns to its place in the list has its part of limits at once

After all instances were killed and started, an endpoint with a limit got nothing for two seconds: every process waited until the others had heard of it, and had nobody to borrow from. Callers of a service whose endpoints have all named limits were refused all that time. The wait protects against two holders of one part, and a process whose instance was listed when it started takes nobody's place: its predecessor's bucket is gone, its own starts empty.

--- a/policy/request_limit.c
+++ b/policy/request_limit.c
@@ -37,7 +37,8 @@
 
 #define TAKEOVER_PERCENT 125
 
-/* An instance that becomes a holder waits this long: until the others have heard
+/* An instance that becomes a holder, or has not been listed before, waits this
+ * long: until the others have heard
  * of the change that made it one, the one whose place it takes may still send
  * its part. */
 #define HANDOVER_MS 2000
@@ -109,11 +110,12 @@
 {
 	bool held = seen->counted && seen->rank < seen->holders;
 	bool first = !part->holders;
+	bool joined = !part->counted && !seen->returns;
 
 	if (first)
-		part->from_ms = seen->start_ms + HANDOVER_MS;
-	else if (held && !part->held &&
-		 (seen->rank < part->rank || !part->counted))
+		part->from_ms =
+			seen->start_ms + (seen->returns ? 0 : HANDOVER_MS);
+	else if (held && !part->held && (seen->rank < part->rank || joined))
 		part->from_ms = now + HANDOVER_MS;
 	part->held = held;
 	part->counted = seen->counted;
--- a/policy/request_limit.h
+++ b/policy/request_limit.h
@@ -40,6 +40,7 @@
 	uint32_t alive; /* of the holders */
 	bool counted; /* the others count this instance, and it stays */
 	uint64_t start_ms; /* when its process started */
+	bool returns; /* it was listed before: its part is nobody else's */
 };
 
 /* The source of a permit that was taken. */
--- a/proxyd/limits.c
+++ b/proxyd/limits.c
@@ -217,6 +217,7 @@
 	seen = peers_rank(p->peers, e->hash, holders);
 	seen.counted = counted;
 	seen.start_ms = p->start_ms;
+	seen.returns = peers_listed_before(p->peers);
 	request_limit_divide(&l->part, &seen, proxyd_now(p));
 	l->instances_version = peers_version(p->peers);
 	return &l->part;
--- a/proxyd/peers.c
+++ b/proxyd/peers.c
@@ -151,6 +151,24 @@
 	}
 }
 
+/* Records whether a full listing, made before this process has written its
+ * entry, has one of an earlier process of this instance. */
+void peers_note_own_row(struct peers *t, const struct store_row *rows, size_t n)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		if (!strcmp(rows[i].key, t->proxyd->settings.name))
+			t->listed_before = true;
+}
+
+/* Returns whether an earlier process of this instance is still listed, so that
+ * the others count it already. */
+bool peers_listed_before(const struct peers *t)
+{
+	return t->listed_before;
+}
+
 /* Returns the number of other instances that are alive. */
 size_t peers_alive(const struct peers *t)
 {
--- a/proxyd/peers.h
+++ b/proxyd/peers.h
@@ -26,6 +26,8 @@
 void peers_apply_row(struct peers *t, const struct store_row *row);
 void peers_remove_unlisted(struct peers *t, const struct store_row *rows,
 			   size_t n);
+void peers_note_own_row(struct peers *t, const struct store_row *rows,
+			size_t n);
 void peers_announce_lost(struct peers *t, const char *endpoint);
 void peers_announce_found(struct peers *t, const char *endpoint);
 void peers_announce_leaving(struct peers *t, const char *endpoint,
@@ -45,6 +47,7 @@
 			 uint64_t after, uint64_t version,
 			 const struct store_row *rows, size_t n);
 uint64_t peers_version(const struct peers *t);
+bool peers_listed_before(const struct peers *t);
 struct request_limit_instances peers_rank(const struct peers *t,
 					  uint64_t endpoint, uint32_t holders);
 void peers_announce_limits(struct peers *t, const struct peer *to,
--- a/proxyd/peers_table.h
+++ b/proxyd/peers_table.h
@@ -90,6 +90,7 @@
 	size_t prompt_next; /* the oldest */
 	struct announced_suspect suspects[SUSPECTS_QUEUED];
 	size_t suspect_next; /* the oldest */
+	bool listed_before; /* an earlier process of this instance was */
 	uint64_t version; /* of the list, and of which instances are alive */
 	struct counter *sent;
 	struct counter *received;
--- a/proxyd/watch.c
+++ b/proxyd/watch.c
@@ -387,6 +387,8 @@
 					  w->poll.recovered_ms);
 	if (w->table == STORE_INSTANCES) {
 		peers_remove_unlisted(p->peers, rows, n);
+		if (!w->watches->entry_written)
+			peers_note_own_row(p->peers, rows, n);
 		suspects_remove_unlisted(p->suspects, rows, n);
 	}
 }
--- a/regress/integration/test_request_limit.c
+++ b/regress/integration/test_request_limit.c
@@ -397,6 +397,36 @@
 	check_limits();
 }
 
+/* All processes are killed and started again, each at its place in the list:
+ * the only endpoint is used at its limit again at once. */
+static void all_instances_restarted(void **state)
+{
+	struct tally t;
+	size_t from;
+	size_t i;
+
+	(void)state;
+	start_workers("plain", 1);
+	start(4);
+	world->workers[0].limit = "12";
+	load(1500, 4, 2);
+	for (i = 0; i < 4; i++)
+		proc_kill(instances[i].proc);
+	for (i = 0; i < 4; i++)
+		standin_start_instance(world, &instances[i]);
+	for (i = 0; i < 4; i++)
+		standin_wait_status(world, instances[i].readiness, "/readyz",
+				    200);
+	load(300, 4, 2); /* all have heard of the limit */
+	from = n_calls;
+	load(1000, 4, 2);
+	harness_run(harness, 500);
+	t = tally_from(from);
+	print_message("%zu served\n", t.served);
+	assert_true(t.served >= 12 / 2);
+	check_limits();
+}
+
 /* An endpoint names no limit any more: the requests come back in steps, and
  * instances that had no part learn of it. */
 static void end_of_a_limit(void **state)
@@ -538,6 +568,7 @@
 		CASE(idle_instances_lend),
 		CASE(many_instances),
 		CASE(new_instance),
+		CASE(all_instances_restarted),
 		CASE(end_of_a_limit),
 		CASE(restarted_endpoint),
 		CASE(invalid_limits),
--- a/regress/unit/test_limit_shares.c
+++ b/regress/unit/test_limit_shares.c
@@ -27,6 +27,7 @@
 	struct request_limit limits[INSTANCES_MAX];
 	struct request_limit_part parts[INSTANCES_MAX];
 	bool alive[INSTANCES_MAX];
+	bool returns; /* instances were listed before they started */
 	bool lonely; /* every instance takes all others for silent */
 	uint64_t started[INSTANCES_MAX];
 	uint64_t sent[SENT_MAX]; /* times of all requests */
@@ -52,6 +53,7 @@
 static void divide(uint32_t instance, uint64_t now)
 {
 	struct request_limit_instances seen = {
+		.returns = fleet.returns,
 		.rank = rank_of(instance),
 		.holders = request_limit_holders(fleet.limits[instance].per_s,
 						 fleet.n),
@@ -256,6 +258,7 @@
 
 	(void)state;
 	make_fleet(6, 5.7, 100000);
+	fleet.returns = true;
 	for (now = 100000; now < 130000; now += STEP_MS)
 		for (i = 0; i < fleet.n; i++) {
 			send_some(i, 10, 2, now);
@@ -267,6 +270,7 @@
 			hear(i, 5.7, now);
 		}
 	check_sum(5.7, "restarts");
+	assert_true(fleet.n_sent >= 5.7 * 30 / 2);
 }
 
 /* No instance has a request for a long time, then all have many. */
