Copies may be kept at endpoints with limits, and runs wait longer for them

An endpoint that named a limit was left out for KV-cache copies and so made needless: if all engines of the other zones name one, no run had a copy, and the loss of its engine meant to read its prompt again. Endpoints without a limit are preferred now, and others taken if there is none.

A lost run waited 0.2 s for a permit of the endpoint with its copy; reading its prompt again takes about a second. It waits up to 0.8 s now, and permits are borrowed for all runs that wait there. Such a run holds its repeat, so that none is borrowed for it.

--- a/policy/placement.c
+++ b/policy/placement.c
@@ -84,6 +84,9 @@
 static bool accepts_copy(const struct placement_request *r,
 			 const struct placement_candidate *c,
 			 const struct placement_candidate *run_at);
+static bool accepts_copy_unlimited(const struct placement_request *r,
+				   const struct placement_candidate *c,
+				   const struct placement_candidate *run_at);
 static bool accepts_decode(const struct placement_request *r,
 			   const struct placement_candidate *c,
 			   const struct placement_candidate *run_at);
@@ -160,12 +163,19 @@
 /*
  * Chooses the endpoint that keeps the copy of a run's KV cache: in another
  * zone, so that one failure does not take both, and where capacity is left for
- * runs.  Returns PLACEMENT_NONE if there is no such endpoint.
+ * runs; if possible at one that has named no limit, which is not in need and
+ * where the run can resume at once.  Returns PLACEMENT_NONE if there is no such
+ * endpoint.
  */
 uint32_t placement_kv_copy(const struct placement_request *r,
 			   const struct placement_candidate *c, size_t n,
 			   uint32_t run_at, uint64_t rnd)
 {
+	uint32_t unlimited = cheaper_of_two(r, c, n, run_at, rnd,
+					    accepts_copy_unlimited, copy_cost);
+
+	if (unlimited != PLACEMENT_NONE)
+		return unlimited;
 	return cheaper_of_two(r, c, n, run_at, rnd, accepts_copy, copy_cost);
 }
 
@@ -362,18 +372,27 @@
 	return cost > gain ? cost - gain : 0;
 }
 
-/* Returns whether a run's copy may be kept at an endpoint.  One that has named
- * a limit is in need, and a run could not resume there at once. */
+/* Returns whether a run's copy may be kept at an endpoint.  A copy is no request
+ * of this instance, so that a limit that is reached does not matter. */
 static bool accepts_copy(const struct placement_request *r,
 			 const struct placement_candidate *c,
 			 const struct placement_candidate *run_at)
 {
 	uint32_t keep = c->capacity_tokens / PERMILLE * COPY_FREE_PERMILLE;
 
-	return c != run_at && c->usable && !c->limited && !c->avoided &&
+	return c != run_at && (c->usable || c->limited) && !c->avoided &&
 	       c->zone != run_at->zone && fits(c, r->tokens, keep);
 }
 
+/* Returns whether a run's copy may be kept at an endpoint that has named no
+ * limit. */
+static bool accepts_copy_unlimited(const struct placement_request *r,
+				   const struct placement_candidate *c,
+				   const struct placement_candidate *run_at)
+{
+	return !c->limited && accepts_copy(r, c, run_at);
+}
+
 /* Returns whether a run may be moved to an endpoint for its decode phase. */
 static bool accepts_decode(const struct placement_request *r,
 			   const struct placement_candidate *c,
--- a/proxyd/repeats.c
+++ b/proxyd/repeats.c
@@ -145,7 +145,8 @@
 /* Returns whether a lost run waits for a repeat. */
 static bool waits_for_repeat(const struct exchange *x)
 {
-	return x->phase == EXCHANGE_WAITING && x->awaits_repeat;
+	return x->phase == EXCHANGE_WAITING && x->awaits_repeat &&
+	       !x->repeat_reserved; /* else it waits for something else */
 }
 
 /* Returns the counter of repeats with a step label. */
--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -21,8 +21,9 @@
  * ask a few times, and short enough for the gaps that routes allow. */
 #define LOAN_WAIT_MS 200
 
-/* How long a lost run waits for a permit of the endpoint with its copy. */
-#define COPY_PERMIT_MS 200
+/* How long a lost run waits for a permit of the endpoint with its copy: reading
+ * its prompt again takes about as long. */
+#define COPY_PERMIT_MS 800
 
 /* Part of the target latency within which a lost run without events must be
  * sent again. */
@@ -166,16 +167,21 @@
 }
 
 /* Returns whether a run waits for a permit of the endpoint that holds its copy,
- * for COPY_PERMIT_MS at most: reading the prompt again takes longer. */
+ * for COPY_PERMIT_MS at most. */
 static bool copy_awaits_permit(struct exchange *x)
 {
-	struct endpoint *e =
-		endpoint_get(x->proxyd->endpoints, x->kept_copy.endpoint);
+	struct handle holder = x->kept_copy.endpoint;
+	struct endpoint *e = endpoint_get(x->proxyd->endpoints, holder);
+	const struct exchange *other;
+	uint32_t waiting = 1;
 
 	if (limits_available(e) ||
 	    proxyd_now(x->proxyd) - x->lost_ms >= COPY_PERMIT_MS)
 		return false;
-	limits_borrow(e, 1);
+	TAILQ_FOREACH(other, &x->proxyd->exchanges->list, link)
+	waiting += other != x && other->phase == EXCHANGE_WAITING &&
+		   handle_equal(other->kept_copy.endpoint, holder);
+	limits_borrow(e, waiting);
 	exchange_wait(x);
 	x->awaits_repeat = true;
 	return true;
