limits: the order of turns and the time to wait move to policy/

Which waiting request gets the next permit, and how long one waits, are decisions; they stood in proxyd/limit_queue.c and had no test. No change of behaviour. make prove T=limit_shares: order_of_turns is new.

--- a/policy/limit_wait.c
+++ b/policy/limit_wait.c
@@ -29,6 +29,33 @@
 	return wait_ms < DENIED_MAX_MS ? wait_ms : DENIED_MAX_MS;
 }
 
+/* Returns how much of the time is left in which the answer, or the first event,
+ * would be on time, ms: target_ms after the arrival, or half of the caller's
+ * time if that is shorter or there is no target (0). */
+uint32_t limit_wait_left_ms(const struct limit_turn *t, uint32_t target_ms,
+			    uint64_t now)
+{
+	uint64_t until = t->received_ms + target_ms;
+
+	if (!target_ms || until > t->deadline_ms)
+		until = t->received_ms + (t->deadline_ms - t->received_ms) / 2;
+	return until > now ? (uint32_t)(until - now) : 0;
+}
+
+/* Returns whether request a gets a permit before b: lost runs come first, as
+ * their callers have part of the answer, then the more urgent request, then the
+ * one that has less time. */
+bool limit_turn_before(const struct limit_turn *a, const struct limit_turn *b)
+{
+	if (a->lost != b->lost)
+		return a->lost;
+	if (a->priority != b->priority)
+		return a->priority < b->priority;
+	if (a->deadline_ms != b->deadline_ms)
+		return a->deadline_ms < b->deadline_ms;
+	return a->received_ms < b->received_ms;
+}
+
 /* Returns whether the request waits for a permit. */
 bool limit_wait_decide(const struct limit_wait *w)
 {
--- a/proxyd/limit_queue.c
+++ b/proxyd/limit_queue.c
@@ -22,9 +22,7 @@
 static struct supply supply_of(const struct exchange *x, uint32_t ahead);
 static bool is_avoided(const struct exchange *x, const struct endpoint *e);
 static uint32_t count_ahead(const struct exchange *x);
-static bool goes_before(const struct exchange *a, const struct exchange *b);
-static int urgency(const struct exchange *x);
-static uint32_t target_left_ms(const struct exchange *x);
+static struct limit_turn turn_of(const struct exchange *x);
 static void log_limited(const struct exchange *x, const struct endpoint *e,
 			const char *outcome, uint32_t ahead);
 static struct counter *outcome_counter(const char *outcome);
@@ -54,6 +52,7 @@
  * refused. */
 bool limit_queue_wait(struct exchange *x)
 {
+	const struct limit_turn turn = turn_of(x);
 	struct proxyd *p = x->proxyd;
 	bool first = !x->awaits_permit;
 	uint32_t ahead = count_ahead(x);
@@ -63,23 +62,23 @@
 		.ask_ms = s.ask_ms,
 		.per_s = s.per_s / (double)(peers_alive(p->peers) + 1),
 		.ahead = ahead,
-		.left_ms = target_left_ms(x),
+		.left_ms = limit_wait_left_ms(&turn, x->route->target_ms,
+					      proxyd_now(p)),
 	};
-	bool lost = x->response_started || x->moves;
 
 	if (s.endpoint && (limits_borrow(s.endpoint, ahead + 1) ||
 			   peers_permits_pending(s.endpoint)))
 		w.ask_ms = 0;
 	else if (!w.ask_ms)
 		w.ask_ms = REQUEST_LIMIT_NEVER; /* there is nobody to ask */
-	if (!lost && !limit_wait_decide(&w))
+	if (!turn.lost && !limit_wait_decide(&w))
 		return false;
 	if (!first)
 		return true;
 	x->awaits_permit = true;
 	p->limits->n_waiting++;
 	counter_add(p->limits->waited, 1);
-	if (lost)
+	if (turn.lost)
 		exchange_wait(x);
 	else
 		exchange_wait_for(x, w.left_ms);
@@ -186,50 +185,39 @@
  * this one. */
 static uint32_t count_ahead(const struct exchange *x)
 {
+	const struct limit_turn own = turn_of(x);
 	const struct exchange *other;
 	uint32_t n = 0;
 
 	if (!x->proxyd->limits->n_waiting)
 		return 0;
 	TAILQ_FOREACH(other, &x->proxyd->exchanges->list, link)
-	n += other != x && other->awaits_permit &&
-	     !strcmp(other->service, x->service) && goes_before(other, x);
-	return n;
-}
-
-/* Returns whether request a gets a permit before b: the more urgent one, then
- * the one that has less time. */
-static bool goes_before(const struct exchange *a, const struct exchange *b)
-{
-	if (urgency(a) != urgency(b))
-		return urgency(a) < urgency(b);
-	if (a->deadline_ms != b->deadline_ms)
-		return a->deadline_ms < b->deadline_ms;
-	return a->received_ms < b->received_ms;
-}
+	{
+		struct limit_turn turn;
 
-/* Returns the rank of a request, lower is more urgent: runs that were lost come
- * first, then the priorities of the configuration. */
-static int urgency(const struct exchange *x)
-{
-	if (x->response_started || x->moves)
-		return -1;
-	if (x->organisation &&
-	    x->organisation->priority != ORGANISATION_NO_PRIORITY)
-		return x->organisation->priority;
-	return x->route->priority;
+		if (other == x || !other->awaits_permit ||
+		    strcmp(other->service, x->service) != 0)
+			continue;
+		turn = turn_of(other);
+		n += limit_turn_before(&turn, &own);
+	}
+	return n;
 }
 
-/* Returns how much of the time is left in which the answer, or the first event,
- * would be on time; half of the caller's time if the route sets no target. */
-static uint32_t target_left_ms(const struct exchange *x)
+/* Describes a request to the policy.  The priority of an organisation takes
+ * precedence over that of the route. */
+static struct limit_turn turn_of(const struct exchange *x)
 {
-	uint64_t now = proxyd_now(x->proxyd);
-	uint64_t until = x->received_ms + x->route->target_ms;
-
-	if (!x->route->target_ms || until > x->deadline_ms)
-		until = x->received_ms + (x->deadline_ms - x->received_ms) / 2;
-	return until > now ? (uint32_t)(until - now) : 0;
+	const struct organisation *o = x->organisation;
+
+	return (struct limit_turn){
+		.lost = x->response_started || x->moves,
+		.priority = o && o->priority != ORGANISATION_NO_PRIORITY
+				    ? o->priority
+				    : x->route->priority,
+		.deadline_ms = x->deadline_ms,
+		.received_ms = x->received_ms,
+	};
 }
 
 /* Logs what became of a request because of the limit of an endpoint. */
--- a/regress/unit/test_limit_shares.c
+++ b/regress/unit/test_limit_shares.c
@@ -482,6 +482,30 @@
 	assert_false(limit_wait_decide(&w));
 }
 
+/* Permits go to lost runs, then by priority, then to who has least time; a
+ * request waits as long as its answer can be on time. */
+static void order_of_turns(void **state)
+{
+	const struct limit_turn turns[] = {
+		{ true, 5, 9000, 100 },	 { false, 0, 5000, 300 },
+		{ false, 1, 1000, 500 }, { false, 1, 2000, 200 },
+		{ false, 1, 2000, 400 },
+	};
+	size_t i;
+	size_t k;
+
+	(void)state;
+	for (i = 0; i < N(turns); i++)
+		for (k = 0; k < N(turns); k++)
+			assert_int_equal(
+				limit_turn_before(&turns[i], &turns[k]), i < k);
+	assert_int_equal(limit_wait_left_ms(&turns[1], 100, 300), 100);
+	assert_int_equal(limit_wait_left_ms(&turns[1], 100, 390), 10);
+	assert_int_equal(limit_wait_left_ms(&turns[1], 100, 900), 0);
+	assert_int_equal(limit_wait_left_ms(&turns[1], 0, 300), 2350);
+	assert_int_equal(limit_wait_left_ms(&turns[2], 900, 500), 250);
+}
+
 /* Load pattern: 60 callers a second are refused for a minute while five places a
  * second come free.  Those who return in time do so at that rate, not together,
  * and not in step with other instances. */
@@ -529,6 +553,7 @@
 		cmocka_unit_test(loans),
 		cmocka_unit_test(returned_permit),
 		cmocka_unit_test(waiting_or_refused),
+		cmocka_unit_test(order_of_turns),
 		cmocka_unit_test(callers_return_at_the_rate_of_places),
 	};
 
