test_limit_shares: one loop over limits and sizes of fleets

Three cases repeated the same tables and loops around their load. The loads are functions now, run by run_all_sizes(); tables, bounds and assertions are the same. 16 cases pass; the faults put in by hand before (a larger take-over, more holders, a longer loan) still fail. No other file is touched.

--- a/regress/unit/test_limit_shares.c
+++ b/regress/unit/test_limit_shares.c
@@ -160,61 +160,66 @@
 			 what, fleet.n, per_s, most_in_window(), allowed);
 }
 
-/* All instances have any number of requests, and borrow from each other. */
-static void sum_of_all_instances(void **state)
+/* Runs a load for limits and fleets of all sizes, each with a new fleet, and
+ * checks the sum after each. */
+static void run_all_sizes(void (*run)(double per_s), const char *what)
 {
 	static const double limits[] = { 0, 0.3, 1, 5.7, 14, 100, 600 };
 	static const uint32_t instances[] = { 1, 2, 6, 64, 295 };
 	size_t k;
 	size_t j;
 
-	(void)state;
 	for (k = 0; k < N(limits); k++)
 		for (j = 0; j < N(instances); j++) {
-			uint64_t now;
-
 			make_fleet(instances[j], limits[k], 100000);
-			for (now = 100000; now < 112000; now += STEP_MS) {
-				uint32_t i = random_below(&fleet.random_numbers,
-							  fleet.n);
-				uint32_t n;
-
-				for (n = 0; n < fleet.n; n++)
-					send_some((i + n) % fleet.n, 10, 0,
-						  now);
-				send_some(i, 10, fleet.n, now);
-			}
-			check_sum(limits[k], "all borrow");
-			if (limits[k] >= 1)
-				assert_true((double)fleet.n_sent >=
-					    limits[k] * 12 * 0.9);
+			run(limits[k]);
+			check_sum(limits[k], what);
 		}
 }
 
+static void all_borrow(double per_s)
+{
+	uint64_t now;
+
+	for (now = 100000; now < 112000; now += STEP_MS) {
+		uint32_t i = random_below(&fleet.random_numbers, fleet.n);
+		uint32_t n;
+
+		for (n = 0; n < fleet.n; n++)
+			send_some((i + n) % fleet.n, 10, 0, now);
+		send_some(i, 10, fleet.n, now);
+	}
+	if (per_s >= 1)
+		assert_true((double)fleet.n_sent >= per_s * 12 * 0.9);
+}
+
+/* All instances have any number of requests, and borrow from each other. */
+static void sum_of_all_instances(void **state)
+{
+	(void)state;
+	run_all_sizes(all_borrow, "all borrow");
+}
+
+static void no_messages(double per_s)
+{
+	uint64_t now;
+	uint32_t i;
+
+	(void)per_s;
+	fleet.lonely = true;
+	for (i = 0; i < fleet.n; i++)
+		divide(i, 100000);
+	for (now = 100000; now < 112000; now += STEP_MS)
+		for (i = 0; i < fleet.n; i++)
+			send_some(i, 10, 0, now);
+}
+
 /* Instances hear nothing from each other, so that each takes the others for
  * silent. */
 static void sum_without_messages(void **state)
 {
-	static const double limits[] = { 0, 0.3, 1, 5.7, 14, 100, 600 };
-	static const uint32_t instances[] = { 1, 2, 6, 64, 295 };
-	size_t k;
-	size_t j;
-
 	(void)state;
-	for (k = 0; k < N(limits); k++)
-		for (j = 0; j < N(instances); j++) {
-			uint64_t now;
-			uint32_t i;
-
-			make_fleet(instances[j], limits[k], 100000);
-			fleet.lonely = true;
-			for (i = 0; i < fleet.n; i++)
-				divide(i, 100000);
-			for (now = 100000; now < 112000; now += STEP_MS)
-				for (i = 0; i < fleet.n; i++)
-					send_some(i, 10, 0, now);
-			check_sum(limits[k], "no messages");
-		}
+	run_all_sizes(no_messages, "no messages");
 }
 
 /* One instance has all requests: the parts of the others do not stay unused. */
@@ -273,26 +278,22 @@
 	assert_true(fleet.n_sent >= 5.7 * 30 / 2);
 }
 
+static void requests_after_a_minute(double per_s)
+{
+	uint64_t now;
+	uint32_t i;
+
+	(void)per_s;
+	for (now = 160000; now < 165000; now += STEP_MS)
+		for (i = 0; i < fleet.n; i++)
+			send_some(i, 10, 0, now);
+}
+
 /* No instance has a request for a long time, then all have many. */
 static void burst_after_idle_time(void **state)
 {
-	static const double limits[] = { 0, 0.3, 1, 5.7, 14, 100, 600 };
-	static const uint32_t instances[] = { 1, 2, 6, 64, 295 };
-	size_t k;
-	size_t j;
-
 	(void)state;
-	for (k = 0; k < N(limits); k++)
-		for (j = 0; j < N(instances); j++) {
-			uint64_t now;
-			uint32_t i;
-
-			make_fleet(instances[j], limits[k], 100000);
-			for (now = 160000; now < 165000; now += STEP_MS)
-				for (i = 0; i < fleet.n; i++)
-					send_some(i, 10, 0, now);
-			check_sum(limits[k], "after idle time");
-		}
+	run_all_sizes(requests_after_a_minute, "after idle time");
 }
 
 /* Many instances join at once, and those that were there are told 1.9 s
