Log the software version of endpoints and what a take-up names

'endpoint-entry' and 'sent' name the version of the entry (software), 'sent' the attempt (first_id). No choice changes.

--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -231,12 +231,13 @@
 	content_parts_text(x->fields.parts, x->fields.n_parts, parts);
 	event_log(
 		EVENT_ROUTINE, "sent", x->fields.id,
-		"{s:s, s:s, s:s, s:s, s:s, s:i, s:b, s:s, s:I, s:I, s:I, s:I, "
-		"s:I, s:I, s:b, s:b, s:b, s:b, s:i, s:i}",
+		"{s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:b, s:s, s:I, s:I, s:I, "
+		"s:I, s:I, s:I, s:b, s:s, s:b, s:b, s:b, s:i, s:i}",
 		"route", x->route->name, "content", content, "parts", parts,
-		"endpoint", e->id, "address", e->address, "send", (int)x->sends,
-		"from_copy", x->from_copy, "copy_to", copy ? copy->id : "",
-		"version", (json_int_t)x->routes->version, "tokens_there",
+		"endpoint", e->id, "address", e->address, "software",
+		e->version, "send", (int)x->sends, "from_copy", x->from_copy,
+		"copy_to", copy ? copy->id : "", "version",
+		(json_int_t)x->routes->version, "tokens_there",
 		(json_int_t)e->own_load.tokens + e->others_load.tokens,
 		"prefill_there",
 		(json_int_t)e->own_load.prefill_tokens +
@@ -245,8 +246,9 @@
 		(json_int_t)endpoint_last_seen_ms_ago(e, x->sent_ms), "left_ms",
 		(json_int_t)(x->deadline_ms - x->sent_ms), "session",
 		(json_int_t)x->fields.session, "resumes",
-		x->fields.resumes || x->has_last_event, "staged", x->staged,
-		"repeat", x->deliveries > 1, "kept_connection",
+		x->fields.resumes || x->has_last_event, "first_id",
+		x->fields.first_id, "staged", x->staged, "repeat",
+		x->deliveries > 1, "kept_connection",
 		http1_call_reused(x->call), "leaving_left_out",
 		(int)x->skipped_leaving, "paused_left_out",
 		(int)x->skipped_paused);
--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -581,15 +581,18 @@
 	}
 	if (first || restarted || e->leaving != n->leaving || e->expiry.removed)
 		event_log(EVENT_NOTABLE, "endpoint-entry", NULL,
-			  "{s:s, s:s, s:s, s:b, s:b}", "endpoint", e->id,
+			  "{s:s, s:s, s:s, s:s, s:b, s:b}", "endpoint", e->id,
 			  "service", n->service, "address", n->address,
-			  "leaving", n->leaving, "restarted", restarted);
+			  "software", n->version ? n->version : "", "leaving",
+			  n->leaving, "restarted", restarted);
 	if (restarted) {
 		suspects_endpoint_crashed(e->proxyd->suspects, e);
 		e->holdoff = (struct holdoff){ 0 };
 		limits_release(e);
 	}
 	snprintf(e->address, sizeof(e->address), "%s", n->address);
+	snprintf(e->version, sizeof(e->version), "%s",
+		 n->version ? n->version : "");
 	e->address_hash = XXH3_64bits(e->address, strlen(e->address));
 	e->slots = n->slots;
 	e->born_ms = n->born_ms;
--- a/proxyd/endpoints.h
+++ b/proxyd/endpoints.h
@@ -16,6 +16,7 @@
 
 #define ENDPOINT_ID_SIZE 64
 #define ENDPOINT_ADDRESS_SIZE 32
+#define ENDPOINT_VERSION_SIZE 32 /* longer ones are cut in logs */
 #define ENDPOINT_AVOID_MAX 8
 #define ENDPOINT_BROKEN_RUNS_MAX 64 /* ring of recent broken runs */
 
@@ -56,6 +57,7 @@
 	struct handle self;
 	char id[ENDPOINT_ID_SIZE];
 	char address[ENDPOINT_ADDRESS_SIZE];
+	char version[ENDPOINT_VERSION_SIZE]; /* of its software, for logs */
 	uint64_t hash; /* of the id */
 	uint64_t address_hash;
 	char *service;
--- a/proxyd/protocol.h
+++ b/proxyd/protocol.h
@@ -24,6 +24,9 @@
 	uint32_t output_tokens; /* maximum */
 	bool resumes; /* the caller resumes a stream after resume_after */
 	uint64_t resume_after;
+	/* id of the request that brought the stream's first event;
+	 * NUL-terminated, empty if it is unknown */
+	char first_id[REQUEST_ID_SIZE];
 	uint64_t session; /* hash of the prompt's last part; 0: none */
 	/* hashes of the prompt's other parts, each once */
 	uint64_t parts[REQUEST_PARTS_MAX];
--- a/proxyd/store.h
+++ b/proxyd/store.h
@@ -31,6 +31,7 @@
 	bool leaving;
 	uint64_t born_ms; /* Unix time of its start; 0: unknown */
 	uint32_t slots;
+	const char *version; /* of its software; NULL: unknown */
 };
 
 struct instance_entry {
