--- a/policy/placement.c
+++ b/policy/placement.c
@@ -61,10 +61,26 @@
 #define SUSPECTED_MS 20000
 #define SUSPECTED_FACTOR 4
 
+/* A stream can't leave the version that begins it.  One without another endpoint
+ * takes new streams only if the others are overloaded, and so does one that the
+ * store does not know: after the loss of all instances its streams could not be
+ * told from those of other versions. */
+#define VERSION_ALONE_MS 20000
+#define VERSION_UNRECORDED_MS 20000
+
+/* Versions of a service that are told apart when they are counted. */
+#define VERSIONS_COUNTED 16
+
 #define PERMILLE 1000
 
+static bool continues(const struct placement_request *r,
+		      const struct placement_candidate *c);
+static bool version_returns(const struct placement_request *r,
+			    const struct placement_candidate *c, size_t n);
 static bool fits(const struct placement_candidate *c, uint32_t tokens,
 		 uint32_t keep_free);
+static uint64_t version_cost(const struct placement_request *r,
+			     const struct placement_candidate *c);
 static uint64_t run_cost(const struct placement_request *r,
 			 const struct placement_candidate *c);
 static uint64_t copy_cost(const struct placement_request *r,
@@ -132,6 +148,8 @@
 	for (k = 0; k < n; k++) {
 		uint32_t i = (uint32_t)((start + k) % n);
 
+		if (!continues(r, &c[i]))
+			continue;
 		if (!c[i].usable) {
 			count_skipped(&choice, c, i);
 			continue;
@@ -156,7 +174,9 @@
 		choice.index =
 			highest_affinity(r, c, n, best + equal, choice.index);
 	if (choice.outcome == PLACEMENT_NONE_USABLE)
-		choice.outcome = skipped_outcome(&choice);
+		choice.outcome = version_returns(r, c, n)
+					 ? skipped_outcome(&choice)
+					 : PLACEMENT_VERSION_GONE;
 	return choice;
 }
 
@@ -222,6 +242,8 @@
 	for (k = 0; k < n; k++) {
 		uint32_t i = (uint32_t)((start + k) % n);
 
+		if (!continues(r, &c[i]))
+			continue;
 		if (!c[i].usable) {
 			count_skipped(&choice, c, i);
 			continue;
@@ -241,7 +263,9 @@
 	    r->view_age_ms > PLAIN_VIEW_MAX_MS)
 		choice.index = draw_weighted(r, c, n, choice.index, rnd);
 	if (choice.outcome == PLACEMENT_NONE_USABLE)
-		choice.outcome = skipped_outcome(&choice);
+		choice.outcome = version_returns(r, c, n)
+					 ? skipped_outcome(&choice)
+					 : PLACEMENT_VERSION_GONE;
 	return choice;
 }
 
@@ -256,11 +280,13 @@
 	size_t i;
 
 	for (i = 0; i < n; i++)
-		if (i != least && c[i].usable && !c[i].avoided)
+		if (i != least && continues(r, &c[i]) && c[i].usable &&
+		    !c[i].avoided)
 			sum += plain_weight(r, &c[i]);
 	left = rnd % sum;
 	for (i = 0; i < n; i++) {
-		if (i == least || !c[i].usable || c[i].avoided)
+		if (i == least || !continues(r, &c[i]) || !c[i].usable ||
+		    c[i].avoided)
 			continue;
 		if (left < plain_weight(r, &c[i]))
 			return (uint32_t)i;
@@ -288,11 +314,67 @@
 		[PLACEMENT_FULL] = "no endpoint has room",
 		[PLACEMENT_PAUSED] = "all endpoints asked for a pause",
 		[PLACEMENT_LIMITED] = "the limits of all endpoints are reached",
+		[PLACEMENT_VERSION_GONE] =
+			"no endpoint runs the stream's software version",
 	};
 
 	return texts[outcome];
 }
 
+/* Marks the endpoints that are the only usable ones of their version while there
+ * are others. */
+void placement_mark_alone(struct placement_candidate *c, size_t n)
+{
+	struct {
+		uint64_t software;
+		size_t n;
+	} counted[VERSIONS_COUNTED];
+	size_t n_counted = 0;
+	size_t i;
+	size_t k;
+
+	for (i = 0; i < n; i++) {
+		if (!c[i].usable)
+			continue;
+		for (k = 0; k < n_counted; k++)
+			if (counted[k].software == c[i].software)
+				break;
+		if (k == VERSIONS_COUNTED)
+			continue;
+		if (k == n_counted) {
+			counted[n_counted].software = c[i].software;
+			counted[n_counted++].n = 0;
+		}
+		counted[k].n++;
+	}
+	for (i = 0; n_counted > 1 && i < n; i++)
+		for (k = 0; k < n_counted; k++)
+			if (c[i].usable && counted[k].n == 1 &&
+			    counted[k].software == c[i].software)
+				c[i].alone = true;
+}
+
+/* Returns whether an endpoint runs the version that began the request's stream,
+ * if there is one. */
+static bool continues(const struct placement_request *r,
+		      const struct placement_candidate *c)
+{
+	return !r->software || c->software == r->software;
+}
+
+/* Returns whether an endpoint may serve the request, now or later; any may if no
+ * version began its stream. */
+static bool version_returns(const struct placement_request *r,
+			    const struct placement_candidate *c, size_t n)
+{
+	size_t i;
+
+	for (i = 0; r->software && i < n; i++)
+		if (continues(r, &c[i]) && (c[i].usable || c[i].returns))
+			return true;
+	return !r->software;
+}
+
 /* Counts a skipped endpoint by the reason why it is not usable; one at which the
  * request has failed is avoided whether or not its limit is reached. */
 static void count_skipped(struct placement_choice *choice,
@@ -332,6 +414,16 @@
 	       c->capacity_tokens;
 }
 
+/* Returns the cost of binding a new stream to the version of an engine, ms. */
+static uint64_t version_cost(const struct placement_request *r,
+			     const struct placement_candidate *c)
+{
+	if (r->software)
+		return 0;
+	return (c->alone ? VERSION_ALONE_MS : 0) +
+	       (c->unrecorded ? VERSION_UNRECORDED_MS : 0);
+}
+
 /* Estimates the cost of reading a prompt at an engine, in ms: its own wait, and
  * the delay of the runs there. */
 static uint64_t run_cost(const struct placement_request *r,
@@ -344,7 +436,7 @@
 	       (uint64_t)running * PREFILL_STALL_MS +
 	       c->used_tokens / USED_TOKENS_PER_MS +
 	       (c->zone == r->zone ? 0 : ZONE_CROSSING_MS) +
-	       (c->suspected ? SUSPECTED_MS : 0);
+	       (c->suspected ? SUSPECTED_MS : 0) + version_cost(r, c);
 }
 
 /* Estimates the cost of a copy at an engine, in ms: only KV cache. */
@@ -380,7 +472,8 @@
 {
 	uint32_t keep = c->capacity_tokens / PERMILLE * COPY_FREE_PERMILLE;
 
-	return c != run_at && (c->usable || c->limited) && !c->avoided &&
+	return c != run_at && c->software == run_at->software &&
+	       (c->usable || c->limited) && !c->avoided &&
 	       c->zone != run_at->zone && fits(c, r->tokens, keep);
 }
 
@@ -400,8 +493,9 @@
 {
 	uint32_t keep = c->capacity_tokens / PERMILLE * DECODE_FREE_PERMILLE;
 
-	return c != run_at && c->usable && !c->limited && !c->avoided &&
-	       !c->suspected && !c->prefills && fits(c, r->tokens, keep);
+	return c != run_at && c->software == run_at->software && c->usable &&
+	       !c->limited && !c->avoided && !c->suspected && !c->prefills &&
+	       fits(c, r->tokens, keep);
 }
 
 /* Returns whether a run may be moved to an endpoint of this instance's zone. */
@@ -453,7 +547,8 @@
 	size_t i;
 
 	for (i = 0; i < n; i++)
-		if (c[i].usable && !c[i].avoided && fits(&c[i], r->tokens, 0) &&
+		if (continues(r, &c[i]) && c[i].usable && !c[i].avoided &&
+		    fits(&c[i], r->tokens, 0) &&
 		    run_cost(r, &c[i]) <= cost_max &&
 		    c[i].affinity > c[chosen].affinity)
 			chosen = (uint32_t)i;
--- a/policy/placement.h
+++ b/policy/placement.h
@@ -29,11 +29,16 @@
 	uint32_t latency_ms; /* usual time of a plain call; 0: unknown */
 	uint32_t failing_permille; /* part of recent answers that failed */
 	uint64_t affinity; /* rendezvous weight of the prompt here */
+	uint64_t software; /* version of its software */
+	bool returns; /* if it is not usable: it may be again */
+	bool unrecorded; /* its version is not in the store yet */
+	bool alone; /* the only one of its version, beside others; set here */
 };
 
 struct placement_request {
 	uint32_t tokens; /* KV cache at the end of the run; 0: plain */
 	uint16_t zone; /* of this instance */
+	uint64_t software; /* version that began the stream; 0: any */
 	bool resumes; /* its prompt was read before, in an earlier run */
 	uint32_t view_age_ms; /* greatest age of the others' plain calls */
 };
@@ -45,6 +50,7 @@
 	PLACEMENT_FULL, /* no endpoint has enough capacity */
 	PLACEMENT_PAUSED, /* all that are up asked for a pause */
 	PLACEMENT_LIMITED, /* the limits of all that are up are reached */
+	PLACEMENT_VERSION_GONE, /* none runs the version, or will again */
 };
 
 struct placement_choice {
@@ -69,6 +75,7 @@
 struct placement_choice placement_plain(const struct placement_request *r,
 					const struct placement_candidate *c,
 					size_t n, uint64_t rnd);
+void placement_mark_alone(struct placement_candidate *c, size_t n);
 float placement_decayed(float value, uint64_t age_ms, uint32_t half_ms);
 const char *placement_outcome_text(enum placement_outcome outcome);
 
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -907,6 +907,51 @@
   assert(message->base.descriptor == &peer_snapshot__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer_software__init
+                     (PeerSoftware         *message)
+{
+  static const PeerSoftware init_value = PEER_SOFTWARE__INIT;
+  *message = init_value;
+}
+size_t peer_software__get_packed_size
+                     (const PeerSoftware *message)
+{
+  assert(message->base.descriptor == &peer_software__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer_software__pack
+                     (const PeerSoftware *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer_software__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer_software__pack_to_buffer
+                     (const PeerSoftware *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer_software__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PeerSoftware *
+       peer_software__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PeerSoftware *)
+     protobuf_c_message_unpack (&peer_software__descriptor,
+                                allocator, len, data);
+}
+void   peer_software__free_unpacked
+                     (PeerSoftware *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer_software__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer_instance__init
                      (PeerInstance         *message)
 {
@@ -1249,7 +1294,7 @@
   (ProtobufCMessageInit) peer_prompt__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer_found__field_descriptors[4] =
+static const ProtobufCFieldDescriptor peer_found__field_descriptors[5] =
 {
   {
     "id",
@@ -1299,17 +1344,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "version",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(PeerFound, version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer_found__field_indices_by_name[] = {
   1,   /* field[1] = address */
   0,   /* field[0] = id */
   2,   /* field[2] = service */
+  4,   /* field[4] = version */
   3,   /* field[3] = zone */
 };
 static const ProtobufCIntRange peer_found__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor peer_found__descriptor =
 {
@@ -1319,7 +1377,7 @@
   "PeerFound",
   "",
   sizeof(PeerFound),
-  4,
+  5,
   peer_found__field_descriptors,
   peer_found__field_indices_by_name,
   1,  peer_found__number_ranges,
@@ -2677,7 +2735,7 @@
   (ProtobufCMessageInit) peer_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer_snapshot__field_descriptors[4] =
+static const ProtobufCFieldDescriptor peer_snapshot__field_descriptors[6] =
 {
   {
     "routes",
@@ -2727,17 +2785,43 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "software",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PeerSnapshot, n_software),
+    offsetof(PeerSnapshot, software),
+    &peer_software__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "software_complete",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(PeerSnapshot, software_complete),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer_snapshot__field_indices_by_name[] = {
   1,   /* field[1] = endpoints */
   2,   /* field[2] = instances */
   0,   /* field[0] = routes */
+  4,   /* field[4] = software */
+  5,   /* field[5] = software_complete */
   3,   /* field[3] = store_era */
 };
 static const ProtobufCIntRange peer_snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor peer_snapshot__descriptor =
 {
@@ -2747,13 +2831,77 @@
   "PeerSnapshot",
   "",
   sizeof(PeerSnapshot),
-  4,
+  6,
   peer_snapshot__field_descriptors,
   peer_snapshot__field_indices_by_name,
   1,  peer_snapshot__number_ranges,
   (ProtobufCMessageInit) peer_snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor peer_software__field_descriptors[3] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(PeerSoftware, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "software",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(PeerSoftware, software),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "listed_ms_ago",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PeerSoftware, listed_ms_ago),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer_software__field_indices_by_name[] = {
+  2,   /* field[2] = listed_ms_ago */
+  0,   /* field[0] = service */
+  1,   /* field[1] = software */
+};
+static const ProtobufCIntRange peer_software__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor peer_software__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PeerSoftware",
+  "PeerSoftware",
+  "PeerSoftware",
+  "",
+  sizeof(PeerSoftware),
+  3,
+  peer_software__field_descriptors,
+  peer_software__field_indices_by_name,
+  1,  peer_software__number_ranges,
+  (ProtobufCMessageInit) peer_software__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor peer_instance__field_descriptors[5] =
 {
   {
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -35,6 +35,7 @@
 typedef struct PeerDatagram PeerDatagram;
 typedef struct PeerLoad PeerLoad;
 typedef struct PeerSnapshot PeerSnapshot;
+typedef struct PeerSoftware PeerSoftware;
 typedef struct PeerInstance PeerInstance;
 
 
@@ -154,10 +155,14 @@
   char *address;
   char *service;
   char *zone;
+  /*
+   * of its software, as listed; empty: unknown
+   */
+  char *version;
 };
 #define PEER_FOUND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer_found__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
 
 
 /*
@@ -589,10 +594,34 @@
    * the newest known; 0: unknown
    */
   uint64_t store_era;
+  /*
+   * software versions that serve or lately served
+   */
+  size_t n_software;
+  PeerSoftware **software;
+  /*
+   * none is missing
+   */
+  protobuf_c_boolean software_complete;
 };
 #define PEER_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer_snapshot__descriptor) \
-    , {0,NULL}, 0,NULL, 0,NULL, 0 }
+    , {0,NULL}, 0,NULL, 0,NULL, 0, 0,NULL, 0 }
+
+
+struct  PeerSoftware
+{
+  ProtobufCMessage base;
+  /*
+   * hash of its name
+   */
+  uint64_t service;
+  uint64_t software;
+  uint32_t listed_ms_ago;
+};
+#define PEER_SOFTWARE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer_software__descriptor) \
+    , 0, 0, 0 }
 
 
 struct  PeerInstance
@@ -989,6 +1018,25 @@
 void   peer_snapshot__free_unpacked
                      (PeerSnapshot *message,
                       ProtobufCAllocator *allocator);
+/* PeerSoftware methods */
+void   peer_software__init
+                     (PeerSoftware         *message);
+size_t peer_software__get_packed_size
+                     (const PeerSoftware   *message);
+size_t peer_software__pack
+                     (const PeerSoftware   *message,
+                      uint8_t             *out);
+size_t peer_software__pack_to_buffer
+                     (const PeerSoftware   *message,
+                      ProtobufCBuffer     *buffer);
+PeerSoftware *
+       peer_software__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer_software__free_unpacked
+                     (PeerSoftware *message,
+                      ProtobufCAllocator *allocator);
 /* PeerInstance methods */
 void   peer_instance__init
                      (PeerInstance         *message);
@@ -1070,6 +1118,9 @@
 typedef void (*PeerSnapshot_Closure)
                  (const PeerSnapshot *message,
                   void *closure_data);
+typedef void (*PeerSoftware_Closure)
+                 (const PeerSoftware *message,
+                  void *closure_data);
 typedef void (*PeerInstance_Closure)
                  (const PeerInstance *message,
                   void *closure_data);
@@ -1099,6 +1150,7 @@
 extern const ProtobufCMessageDescriptor peer_datagram__descriptor;
 extern const ProtobufCMessageDescriptor peer_load__descriptor;
 extern const ProtobufCMessageDescriptor peer_snapshot__descriptor;
+extern const ProtobufCMessageDescriptor peer_software__descriptor;
 extern const ProtobufCMessageDescriptor peer_instance__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -9,6 +9,7 @@
 #include "policy/content.h"
 #include "policy/capacity_wait.h"
 #include "proxyd/exchange.h"
+#include "proxyd/origins.h"
 #include "proxyd/peers.h"
 #include "proxyd/rediscover.h"
 #include "proxyd/suspects.h"
@@ -120,6 +121,8 @@
 	x->sends++;
 	exchange_count_delivery(x);
 	x->sent_ms = now;
+	x->sent_software = endpoint_software(e);
+	origins_note_sent(p->origins, x);
 	x->last_event_ms = now;
 	x->first_event_due_ms =
 		now + (from ? COPY_FIRST_EVENT_MS
--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -17,6 +17,7 @@
 #include "policy/gossip_select.h"
 #include "proxyd/exchange.h"
 #include "proxyd/limits.h"
+#include "proxyd/origins.h"
 #include "proxyd/peers.h"
 #include "proxyd/proxyd.h"
 #include "proxyd/rediscover.h"
@@ -40,6 +41,9 @@
 /* A removed entry is kept this long, for runs that finish there. */
 #define REMOVED_KEEP_MS 30000
 
+/* Between two questions to an endpoint that may have started again. */
+#define CONFIRM_START_MS 1000
+
 /* Weight of the newest answer in the exponential moving averages. */
 #define LATENCY_WEIGHT 0.2F
 #define FAILURE_WEIGHT 0.1F
@@ -50,6 +54,8 @@
 		      bool store_answers);
 static const char *row_problem(const struct store_row *row);
 static void entry_updated(struct endpoint *e, const struct endpoint_entry *n);
+static void software_updated(struct endpoint *e, const struct endpoint_entry *n,
+			     bool restarted);
 static void entry_removed(struct endpoints *t, struct endpoint *e,
 			  uint64_t outage_end_ms);
 static struct endpoint *endpoint_new(struct endpoints *t, const char *id);
@@ -96,6 +102,14 @@
 	uint32_t i = 0;
 
 	while ((e = endpoint_next(t, &i))) {
+		if (e->software_doubted && e->state == ENDPOINT_UP &&
+		    !e->rediscovering && endpoint_accepts_work(e, now) &&
+		    now - e->start_asked_ms >= CONFIRM_START_MS &&
+		    limits_take_for_check(e)) {
+			e->start_asked_ms = now;
+			counter_add(t->probes, 1);
+			rediscover_start(t->proxyd, e->self);
+		}
 		if (e->expiry.removed &&
 		    now - e->expiry.removed_ms > REMOVED_KEEP_MS &&
 		    !e->own_load.requests && !e->own_load.tokens) {
@@ -187,10 +201,11 @@
 	}
 }
 
-/* Adds an endpoint that was found at an address before the store lists it.
+/* Adds an endpoint that was found at an address before the store lists it; the
+ * version of its software may be NULL, unknown.
  * Endpoints that were known at this address are marked as replaced. */
 void endpoints_adopt(struct endpoints *t, const char *id, const char *address,
-		     const char *service, const char *zone)
+		     const char *service, const char *zone, const char *version)
 {
 	struct endpoint *e = endpoint_by_id(t, id);
 	const struct endpoint_entry entry = {
@@ -198,6 +213,7 @@
 		.address = address,
 		.zone = zone,
 		.slots = slots_at_address(t, address),
+		.version = version,
 	};
 	struct endpoint *other;
 	uint32_t i = 0;
@@ -323,6 +339,8 @@
 	if (e->state != ENDPOINT_UP)
 		return;
 	e->state = ENDPOINT_DOWN;
+	e->software_doubted = true;
+	e->start_asked_ms = 0;
 	e->down_ms = proxyd_now(t->proxyd);
 	e->probed_ms = e->down_ms;
 	endpoints_service(t, e->service)->lost_ms[e->zone] = e->down_ms;
@@ -591,8 +609,7 @@
 		limits_release(e);
 	}
 	snprintf(e->address, sizeof(e->address), "%s", n->address);
-	snprintf(e->version, sizeof(e->version), "%s",
-		 n->version ? n->version : "");
+	software_updated(e, n, restarted);
 	e->address_hash = XXH3_64bits(e->address, strlen(e->address));
 	e->slots = n->slots;
 	e->born_ms = n->born_ms;
@@ -601,6 +618,92 @@
 	entry_expiry_restored(&e->expiry);
 }
 
+/* Applies the software version in an entry.  An entry that names another
+ * version is of a later start; the same one proves nothing if the endpoint may
+ * have started again since. */
+static void software_updated(struct endpoint *e, const struct endpoint_entry *n,
+			     bool restarted)
+{
+	uint64_t service = XXH3_64bits(n->service, strlen(n->service));
+	uint64_t before = e->software;
+
+	if (!e->unlisted_software)
+		e->unlisted_software =
+			XXH3_64bits_withSeed(e->id, strlen(e->id), ~service);
+	e->software = n->version ? XXH3_64bits_withSeed(n->version,
+							strlen(n->version),
+							service)
+				 : SOFTWARE_UNKNOWN;
+	snprintf(e->version, sizeof(e->version), "%s",
+		 n->version ? n->version : "");
+	if (restarted || e->software != before)
+		e->software_doubted = false;
+	if (!before && e->software)
+		origins_endpoint_named(e->proxyd->origins,
+				       e->unlisted_software);
+	if (e->software != before || e->expiry.removed)
+		origins_endpoint_listed(e->proxyd->origins, e);
+}
+
+/* Returns the version of an endpoint's software; one that stands for this
+ * endpoint alone if it is not known for sure. */
+uint64_t endpoint_software(const struct endpoint *e)
+{
+	return e->software && !e->software_doubted ? e->software
+						   : e->unlisted_software;
+}
+
+/* Returns whether an endpoint may continue a stream that a version began. */
+bool endpoint_continues(const struct endpoint *e, uint64_t software)
+{
+	return software == SOFTWARE_UNKNOWN ||
+	       software == endpoint_software(e) ||
+	       software == e->unlisted_software;
+}
+
+/* Handles the start time that an endpoint itself states, Unix ms, 0 if it states
+ * none: if its entry has the same, it runs the version that is listed. */
+void endpoint_confirmed_start(struct endpoints *t, struct handle h,
+			      uint64_t born_ms)
+{
+	struct endpoint *e = endpoint_get(t, h);
+
+	if (!e || !e->software_doubted || (born_ms && born_ms != e->born_ms))
+		return;
+	e->software_doubted = false;
+	origins_endpoint_named(t->proxyd->origins, e->unlisted_software);
+	event_log(EVENT_NOTABLE, "endpoint-same-start", NULL, "{s:s, s:s, s:I}",
+		  "endpoint", e->id, "software", e->version, "born",
+		  (json_int_t)born_ms);
+}
+
+/* Returns whether an endpoint of a service runs a version. */
+bool endpoints_software_in_service(const struct endpoints *t, uint64_t software,
+				   const char *service)
+{
+	const struct endpoint *e;
+	uint32_t i = 0;
+
+	while ((e = endpoint_next(t, &i)))
+		if (!strcmp(e->service, service) &&
+		    endpoint_continues(e, software))
+			return true;
+	return false;
+}
+
+/* Returns the text of a version if an endpoint with it is known, else "". */
+const char *endpoints_software_text(const struct endpoints *t,
+				    uint64_t software)
+{
+	const struct endpoint *e;
+	uint32_t i = 0;
+
+	while ((e = endpoint_next(t, &i)))
+		if (e->software == software)
+			return e->version;
+	return "";
+}
+
 /* Handles the removal of the entry from the store.  Unless the endpoint was
  * leaving, its recent broken runs count as crashes. */
 static void entry_removed(struct endpoints *t, struct endpoint *e,
--- a/proxyd/endpoints.h
+++ b/proxyd/endpoints.h
@@ -58,6 +58,11 @@
 	char id[ENDPOINT_ID_SIZE];
 	char address[ENDPOINT_ADDRESS_SIZE];
 	char version[ENDPOINT_VERSION_SIZE]; /* of its software, for logs */
+	uint64_t software; /* its version as listed, or SOFTWARE_UNKNOWN */
+	uint64_t unlisted_software; /* stands for a version not known */
+	/* it may have started again since its entry was written */
+	bool software_doubted;
+	uint64_t start_asked_ms; /* when it was last asked for its start */
 	uint64_t hash; /* of the id */
 	uint64_t address_hash;
 	char *service;
@@ -94,6 +99,7 @@
 struct endpoint_criteria {
 	const char *service;
 	uint32_t tokens;
+	uint64_t software; /* that began the stream; SOFTWARE_UNKNOWN: any */
 	uint64_t session; /* hash of the prompt's own part; 0: none */
 	bool resumes; /* the prompt was prefilled before */
 	const struct handle *avoided;
@@ -125,8 +131,17 @@
 				      const struct endpoint_criteria *criteria,
 				      struct handle run_at);
 void endpoints_adopt(struct endpoints *t, const char *id, const char *address,
-		     const char *service, const char *zone);
+		     const char *service, const char *zone,
+		     const char *version);
 const char *endpoints_zone_name(const struct endpoints *t, uint16_t zone);
+uint64_t endpoint_software(const struct endpoint *e);
+bool endpoint_continues(const struct endpoint *e, uint64_t software);
+void endpoint_confirmed_start(struct endpoints *t, struct handle h,
+			      uint64_t born_ms);
+bool endpoints_software_in_service(const struct endpoints *t, uint64_t software,
+				   const char *service);
+const char *endpoints_software_text(const struct endpoints *t,
+				    uint64_t software);
 int64_t endpoint_last_seen_ms_ago(const struct endpoint *e, uint64_t now);
 void endpoint_lost(struct endpoints *t, struct handle h, const char *request,
 		   enum http1_outcome outcome);
--- a/proxyd/endpoints_place.c
+++ b/proxyd/endpoints_place.c
@@ -11,6 +11,7 @@
 #include "lib/xalloc.h"
 #include "policy/heartbeat.h"
 #include "proxyd/limits.h"
+#include "proxyd/origins.h"
 #include "proxyd/peers.h"
 #include "proxyd/proxyd.h"
 
@@ -53,15 +54,18 @@
 	const struct placement_request r = {
 		.tokens = criteria->tokens,
 		.zone = t->own_zone,
+		.software = criteria->software,
 		.resumes = criteria->resumes,
 		.view_age_ms = heartbeat_interval_ms(
 			peers_listed(t->proxyd->peers) + 1),
 	};
 	size_t n = collect_candidates(t, criteria);
-	struct placement_choice choice =
-		run ? placement_run(&r, t->candidates, n, proxyd_random())
-		    : placement_plain(&r, t->candidates, n, proxyd_random());
+	struct placement_choice choice;
 
+	if (run)
+		placement_mark_alone(t->candidates, n);
+	choice = run ? placement_run(&r, t->candidates, n, proxyd_random())
+		     : placement_plain(&r, t->candidates, n, proxyd_random());
 	if (choice.outcome == PLACEMENT_OK)
 		*chosen = t->candidate_handles[choice.index];
 	return choice;
@@ -210,6 +214,14 @@
 	}
 	if (prompt_endpoint && prompt_endpoint == e->hash)
 		c->affinity = UINT64_MAX;
+	c->software = criteria->software &&
+				      endpoint_continues(e, criteria->software)
+			      ? criteria->software
+			      : endpoint_software(e);
+	c->returns = entry_expiry_accepts_work(&e->expiry, now) &&
+		     !endpoint_is_leaving(e) && e->state != ENDPOINT_REPLACED;
+	c->unrecorded =
+		!origins_software_stored(t->proxyd->origins, c->software);
 	for (i = 0; i < criteria->n_avoided; i++)
 		if (handle_equal(criteria->avoided[i], e->self))
 			c->avoided = true;
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -13,6 +13,7 @@
 #include "policy/content.h"
 #include "policy/capacity_wait.h"
 #include "policy/unconfigured.h"
+#include "proxyd/origins.h"
 #include "proxyd/peers.h"
 #include "proxyd/suspects.h"
 #include "proxyd/watch.h"
@@ -25,6 +26,10 @@
  * detected as dead or is back. */
 #define RETRY_NONE_UP_MS 300
 
+/* Retry-After when no endpoint runs the version that began a stream: one that
+ * has crashed is listed again after some seconds, with the same version. */
+#define RETRY_VERSION_MS 1000
+
 /* How long a stream that lost its engine waits for another one. */
 #define STREAM_WAIT_MS 1500
 
@@ -39,15 +44,21 @@
 
 static void process_request(struct exchange *x);
 static void refuse_unconfigured(struct exchange *x);
+static void take_up(struct exchange *x);
+static void choose_service_of_origin(struct exchange *x);
+static void start(struct exchange *x);
 static bool find_route(struct exchange *x);
+static void set_service(struct exchange *x, const char *service);
 static bool find_organisation(struct exchange *x);
 static uint64_t hash_content(const struct exchange *x);
 static bool accept_or_refuse(struct exchange *x);
 static void dispatch_failed(struct exchange *x,
 			    const struct placement_choice *choice);
+static void refuse_version_gone(struct exchange *x);
 static void wait_for_endpoint(struct exchange *x,
 			      const struct placement_choice *choice);
 static void wait_for_capacity(struct exchange *x);
+static uint64_t waiting_tokens(const struct exchange *x);
 static uint64_t used_tokens(const struct exchange *x);
 static void reply_error(struct exchange *x, int status, uint32_t retry_ms,
 			const char *why);
@@ -159,12 +170,59 @@
 /* Processes a request once there is a configuration. */
 static void process_request(struct exchange *x)
 {
-	struct proxyd *p = x->proxyd;
-
 	x->wait_until_ms = 0;
 	if (!find_route(x) || !find_organisation(x) || !accept_or_refuse(x))
 		return;
 	x->content = hash_content(x);
+	if (x->fields.resumes && x->route->kind == KIND_STREAM) {
+		origins_arrived(x->proxyd->origins, x);
+		take_up(x);
+		return;
+	}
+	start(x);
+}
+
+/* Sends a stream that its caller resumes to the version that began it, once that
+ * is known. */
+static void take_up(struct exchange *x)
+{
+	x->awaits_origin = false;
+	switch (origins_find(x->proxyd->origins, x)) {
+	case TAKE_UP_BOUND:
+		choose_service_of_origin(x);
+		start(x);
+		break;
+	case TAKE_UP_WAIT:
+		x->awaits_origin = true;
+		break;
+	case TAKE_UP_REFUSE:
+		exchange_refuse(x, 503, RETRY_NONE_UP_MS,
+				"the stream's software version is unknown");
+		break;
+	}
+}
+
+/* Chooses the service that began the stream among those of the route; if it is
+ * none of these any more, no endpoint continues the stream. */
+static void choose_service_of_origin(struct exchange *x)
+{
+	struct endpoints *endpoints = x->proxyd->endpoints;
+	size_t i;
+
+	for (i = 0; i < x->route->n_shares; i++) {
+		const char *service = x->route->shares[i].service;
+
+		if (endpoints_software_in_service(endpoints, x->software,
+						  service))
+			set_service(x, service);
+	}
+}
+
+/* Counts a request and sends it. */
+static void start(struct exchange *x)
+{
+	struct proxyd *p = x->proxyd;
+
 	repeat_count_request(endpoints_budget(p->endpoints, x->service),
 			     &p->repeat, proxyd_now(p));
 	exchange_dispatch(x);
@@ -247,6 +305,7 @@
 	return (struct endpoint_criteria){
 		.service = x->service,
 		.tokens = x->tokens,
+		.software = x->software,
 		.session = x->fields.session,
 		.resumes = x->fields.resumes || x->has_last_event,
 		.avoided = x->avoided,
@@ -423,19 +482,26 @@
 		exchange_fail(x, 404, "no such route");
 		return false;
 	}
-	x->service = route_choose_service(x->route, proxyd_random());
-	x->engine = routes_service(x->routes, x->service);
-	if (x->engine && !x->engine->engine)
-		x->engine = NULL;
+	set_service(x, route_choose_service(x->route, proxyd_random()));
 	limit = x->route->timeout_ms;
 	if (x->fields.deadline_ms && x->fields.deadline_ms < limit)
 		limit = x->fields.deadline_ms;
 	x->deadline_ms = x->received_ms + limit;
-	if (x->engine)
-		x->tokens = x->fields.prompt_tokens + x->fields.output_tokens;
 	return true;
 }
 
+/* Sets the service whose endpoints get the request. */
+static void set_service(struct exchange *x, const char *service)
+{
+	x->service = service;
+	x->engine = routes_service(x->routes, service);
+	if (x->engine && !x->engine->engine)
+		x->engine = NULL;
+	x->tokens = x->engine
+			    ? x->fields.prompt_tokens + x->fields.output_tokens
+			    : 0;
+}
+
 /* Finds the organisation by the key; false if the request has failed. */
 static bool find_organisation(struct exchange *x)
 {
@@ -491,6 +557,11 @@
 			  "{s:s, s:i, s:i, s:I}", "outcome", why, "leaving",
 			  (int)choice->leaving, "paused", (int)choice->paused,
 			  "first_pause_left_ms", (json_int_t)choice->pause_ms);
+	if (choice->outcome == PLACEMENT_VERSION_GONE &&
+	    watches_endpoints_loaded(x->proxyd->watches)) {
+		refuse_version_gone(x);
+		return;
+	}
 	if (choice->outcome == PLACEMENT_PAUSED)
 		retry_ms = holdoff_retry_ms(choice->pause_ms, proxyd_random());
 	if (choice->limited && limit_queue_wait(x))
@@ -505,6 +576,18 @@
 		exchange_refuse(x, 503, retry_ms, why);
 }
 
+/* Ends a stream whose software version no endpoint runs any more: another
+ * version can't continue it. */
+static void refuse_version_gone(struct exchange *x)
+{
+	const char *why = placement_outcome_text(PLACEMENT_VERSION_GONE);
+
+	if (x->response_started)
+		exchange_fail(x, 502, why);
+	else
+		exchange_refuse(x, 503, RETRY_VERSION_MS, why);
+}
+
 /* Makes a run that lost its engine wait for another one; refuses it if all are
  * paused for longer than it may wait. */
 static void wait_for_endpoint(struct exchange *x,
@@ -526,8 +609,7 @@
 	const struct capacity_wait wait = {
 		.used_tokens = used_tokens(x),
 		.run_ms = (uint64_t)t->run_ms,
-		.waiting_tokens =
-			t->waiting_tokens - (x->wait_until_ms ? x->tokens : 0),
+		.waiting_tokens = waiting_tokens(x),
 		.need_tokens = x->tokens,
 		.first_event_ms = capacity_wait_first_event_ms(
 			x->fields.prompt_tokens, 0, t->prefill_ms_per_token),
@@ -551,8 +633,25 @@
 		  (json_int_t)t->waiting_tokens);
 }
 
-/* Returns the KV-cache tokens in use at all endpoints of the request's
- * service. */
+/* Returns the tokens of the other requests that wait for endpoints which this
+ * one may use: of its version, if it is bound to one. */
+static uint64_t waiting_tokens(const struct exchange *x)
+{
+	const struct exchanges *t = x->proxyd->exchanges;
+	const struct exchange *other;
+	uint64_t sum = 0;
+
+	if (x->software == SOFTWARE_UNKNOWN)
+		return t->waiting_tokens - (x->wait_until_ms ? x->tokens : 0);
+	TAILQ_FOREACH(other, &t->list, link)
+	if (other != x && other->phase == EXCHANGE_WAITING &&
+	    other->wait_until_ms && other->software == x->software)
+		sum += other->tokens;
+	return sum;
+}
+
+/* Returns the KV-cache tokens in use at all endpoints that the request may
+ * use. */
 static uint64_t used_tokens(const struct exchange *x)
 {
 	const struct endpoints *t = x->proxyd->endpoints;
@@ -561,7 +660,9 @@
 	uint32_t i = 0;
 
 	while ((e = endpoint_next(t, &i)))
-		if (e->state == ENDPOINT_UP && !strcmp(e->service, x->service))
+		if (e->state == ENDPOINT_UP &&
+		    !strcmp(e->service, x->service) &&
+		    endpoint_continues(e, x->software))
 			sum += e->own_load.tokens + e->others_load.tokens;
 	return sum;
 }
@@ -643,7 +744,9 @@
 					"no endpoint in time");
 		return;
 	}
-	if (!x->awaits_repeat)
+	if (x->awaits_origin)
+		take_up(x);
+	else if (!x->awaits_repeat)
 		exchange_dispatch(x);
 	else if (exchange_repeat_allowed(x))
 		stream_resume(x);
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -58,11 +58,16 @@
 	uint64_t deadline_ms; /* the answer must be complete by then */
 	uint64_t wait_until_ms; /* while EXCHANGE_WAITING */
 	uint32_t tokens; /* KV-cache size at the end of the run */
+	/* the version that began the stream; SOFTWARE_UNKNOWN before that */
+	uint64_t software;
+	bool awaits_origin; /* until that version is found */
+	uint64_t first_reading; /* of the store's records after the arrival */
 
 	/* the current or last attempt */
 	struct http1_call *call;
 	struct handle endpoint;
 	uint64_t sent_ms;
+	uint64_t sent_software; /* version of the endpoint then */
 	uint32_t sends; /* attempts that reached an endpoint, or may have */
 	uint32_t failed_connects; /* or misdirected attempts */
 	uint32_t skipped_leaving; /* endpoints skipped at the last choice */
@@ -191,7 +196,7 @@
 void kv_copy_keep(struct exchange *x, const struct kv_copy *copy);
 void kv_copy_drop_kept(struct exchange *x);
 bool kv_copy_usable(const struct exchange *x);
-bool kv_copy_endpoint_usable(const struct proxyd *p,
+bool kv_copy_endpoint_usable(const struct exchange *x,
 			     const struct kv_copy *copy);
 void kv_copy_tick(struct exchange *x, uint64_t now);
 
--- a/proxyd/kv_copy.c
+++ b/proxyd/kv_copy.c
@@ -115,16 +115,19 @@
 /* Returns whether the copy is at an endpoint that is up and accepts work. */
 bool kv_copy_usable(const struct exchange *x)
 {
-	return kv_copy_endpoint_usable(x->proxyd, &x->copy);
+	return kv_copy_endpoint_usable(x, &x->copy);
 }
 
-/* Returns whether the endpoint of a copy is up and accepts work, so that a run
- * may resume there. */
-bool kv_copy_endpoint_usable(const struct proxyd *p, const struct kv_copy *copy)
+/* Returns whether the endpoint of a copy is up, runs the version that began the
+ * stream and accepts work, so that a run may resume there. */
+bool kv_copy_endpoint_usable(const struct exchange *x,
+			     const struct kv_copy *copy)
 {
+	const struct proxyd *p = x->proxyd;
 	const struct endpoint *e = endpoint_get(p->endpoints, copy->endpoint);
 
 	return e && e->state == ENDPOINT_UP &&
+	       endpoint_continues(e, x->software) &&
 	       endpoint_accepts_work(e, proxyd_now(p));
 }
 
--- a/proxyd/peers.c
+++ b/proxyd/peers.c
@@ -375,8 +375,8 @@
 	for (i = 0; i < pulse->n_found; i++)
 		endpoints_adopt(t->proxyd->endpoints, pulse->found[i]->id,
 				pulse->found[i]->address,
-				pulse->found[i]->service,
-				pulse->found[i]->zone);
+				pulse->found[i]->service, pulse->found[i]->zone,
+				NULL);
 	record_prompts(t, pulse->prompts, pulse->n_prompts);
 	if (pulse->reading) {
 		store_reader_announced(&peer->reader, true,
--- a/proxyd/protocol.h
+++ b/proxyd/protocol.h
@@ -86,9 +86,10 @@
 	/* asks the engine to free a copy */
 	void (*encode_copy_free)(struct bytes *out, const char *engine,
 				 const char *id);
-	/* path of an engine's report, and check that a body is one */
+	/* path of an engine's report, and check that a body is one; sets born_ms
+	 * to the start of the engine, Unix ms, 0 if it states none */
 	const char *report_path;
-	bool (*decode_report)(const char *text, size_t len);
+	bool (*decode_report)(const char *text, size_t len, uint64_t *born_ms);
 	/* paths of readiness checks and of the directory */
 	const char *ready_path;
 	const char *directory_path;
--- a/proxyd/proxyd.c
+++ b/proxyd/proxyd.c
@@ -19,6 +19,7 @@
 #include "proxyd/listeners.h"
 #include "proxyd/endpoints.h"
 #include "proxyd/exchange.h"
+#include "proxyd/origins.h"
 #include "proxyd/peers.h"
 #include "proxyd/snapshot.h"
 #include "proxyd/suspects.h"
@@ -131,6 +132,7 @@
 	p->store = platform->store_new(p->client, p->loop, p->settings.store);
 	p->limits = limits_new(p);
 	p->endpoints = endpoints_new(p);
+	p->origins = origins_new(p);
 	p->exchanges = exchanges_new(p);
 	p->suspects = suspects_new(p);
 	p->watches = watches_new(p);
@@ -194,6 +196,7 @@
 		repeat_group_update(&p->repeat_group, &p->repeat,
 				    (uint32_t)peers_listed(p->peers) + 1, now);
 	endpoints_tick(p->endpoints);
+	origins_tick(p->origins);
 	limits_tick(p->limits);
 	exchanges_tick(p->exchanges);
 	exchanges_borrow_repeats(p->exchanges);
--- a/proxyd/proxyd.h
+++ b/proxyd/proxyd.h
@@ -17,6 +17,7 @@
 #define PROXYD_TICK_MS 20
 
 struct limits;
+struct origins;
 struct listeners;
 struct endpoints;
 struct exchanges;
@@ -54,6 +55,7 @@
 	uint64_t start_unix_ms; /* Unix time of the process start */
 	uint64_t start_ms; /* loop time of the process start */
 	struct endpoints *endpoints;
+	struct origins *origins; /* of streams */
 	struct peers *peers;
 	struct watches *watches;
 	struct snapshots *snapshots;
--- a/proxyd/rediscover.c
+++ b/proxyd/rediscover.c
@@ -28,6 +28,7 @@
 	struct handle old;
 	char id[ENDPOINT_ID_SIZE]; /* of the endpoint that answers now */
 	bool awaiting_report; /* the second of two requests */
+	bool awaiting_start; /* only the time of its start is of interest */
 	uint64_t sent_ms;
 	int status;
 	struct bytes body;
@@ -42,7 +43,6 @@
 static bool is_same_endpoint(const struct rediscovery *r,
 			     const struct endpoint *e);
 static void handle_id(struct rediscovery *r);
-static bool is_engine_report(const struct rediscovery *r);
 static void adopt(struct rediscovery *r, const struct endpoint *old);
 static void finish(struct rediscovery *r);
 
@@ -70,6 +70,28 @@
 	send_get(r, e->address, s->health_path);
 }
 
+/* Asks an endpoint that may have started again when it started, so that it is
+ * known whether it runs the listed version.  A service without engines has no
+ * reports; its endpoints are taken at the word of their entries. */
+void rediscover_start(struct proxyd *p, struct handle endpoint)
+{
+	struct endpoint *e = endpoint_get(p->endpoints, endpoint);
+	const struct route_service *s =
+		e && p->routes ? routes_service(p->routes, e->service) : NULL;
+	struct rediscovery *r;
+
+	if (!s || !s->engine) {
+		endpoint_confirmed_start(p->endpoints, endpoint, 0);
+		return;
+	}
+	r = xcalloc(1, sizeof(*r));
+	r->proxyd = p;
+	r->old = endpoint;
+	r->awaiting_start = true;
+	e->rediscovering = true;
+	send_get(r, e->address, p->protocol->report_path);
+}
+
 /* Handles an answer with another id at the address of an endpoint. */
 void rediscover_with_id(struct proxyd *p, struct handle endpoint,
 			const char *id, size_t id_len)
@@ -148,16 +170,22 @@
 {
 	struct rediscovery *r = arg;
 	struct endpoint *e = endpoint_get(r->proxyd->endpoints, r->old);
+	uint64_t born_ms = 0;
+	bool engine;
 
 	if (!e || outcome != HTTP1_COMPLETE || r->status != 200) {
 		finish(r);
 		return;
 	}
-	if (!r->awaiting_report) {
+	if (!r->awaiting_report && !r->awaiting_start) {
 		handle_id(r);
 		return;
 	}
-	if (is_engine_report(r))
+	engine = r->proxyd->protocol->decode_report(r->body.data, r->body.len,
+						    &born_ms);
+	if (engine && r->awaiting_start)
+		endpoint_confirmed_start(r->proxyd->endpoints, r->old, born_ms);
+	else if (engine)
 		adopt(r, e);
 	finish(r);
 }
@@ -202,12 +230,6 @@
 	}
 }
 
-/* Returns whether the answer is the report of an engine. */
-static bool is_engine_report(const struct rediscovery *r)
-{
-	return r->proxyd->protocol->decode_report(r->body.data, r->body.len);
-}
-
 /* Replaces the old endpoint by the one with the new id, and informs other
  * instances. */
 static void adopt(struct rediscovery *r, const struct endpoint *old)
@@ -219,7 +241,8 @@
 							proxyd_now(r->proxyd)),
 		  "by_report", r->awaiting_report);
 	endpoints_adopt(r->proxyd->endpoints, r->id, old->address, old->service,
-			endpoints_zone_name(r->proxyd->endpoints, old->zone));
+			endpoints_zone_name(r->proxyd->endpoints, old->zone),
+			NULL);
 	peers_announce_found(r->proxyd->peers, r->id);
 }
 
--- a/proxyd/snapshot.c
+++ b/proxyd/snapshot.c
@@ -15,6 +15,7 @@
 #include "lib/xalloc.h"
 #include "proto/peer.pb-c.h"
 #include "proxyd/endpoints.h"
+#include "proxyd/origins.h"
 #include "proxyd/peers.h"
 #include "proxyd/proxyd.h"
 #include "proxyd/routes_wire.h"
@@ -53,6 +54,7 @@
 static bool adopt_snapshot(struct snapshots *s, const void *data, size_t len);
 static size_t fill_endpoints(struct proxyd *p, PeerFound *list);
 static size_t fill_instances(struct proxyd *p, PeerInstance *list);
+static size_t fill_software(struct proxyd *p, PeerSoftware *list);
 
 static const struct http1_call_ops ops = {
 	.on_head = on_head,
@@ -96,6 +98,8 @@
 	PeerInstance **instance_list =
 		xcalloc(INSTANCES_MAX, sizeof(PeerInstance *)); /* NOLINT */
 	uint8_t *out;
+	PeerSoftware software[SOFTWARE_VERSIONS_MAX];
+	PeerSoftware *software_list[SOFTWARE_VERSIONS_MAX];
 	size_t len;
 	size_t i;
 
@@ -111,6 +115,11 @@
 		instance_list[i] = &instances[i];
 	all.instances = instance_list;
 	all.store_era = watches_era(s->proxyd->watches);
+	all.n_software = fill_software(s->proxyd, software);
+	for (i = 0; i < all.n_software; i++)
+		software_list[i] = &software[i];
+	all.software = software_list;
+	all.software_complete = origins_complete(s->proxyd->origins);
 	len = peer_snapshot__get_packed_size(&all);
 	out = xcalloc(len, 1);
 	peer_snapshot__pack(&all, out);
@@ -245,7 +254,16 @@
 		endpoints_adopt(p->endpoints, all->endpoints[i]->id,
 				all->endpoints[i]->address,
 				all->endpoints[i]->service,
-				all->endpoints[i]->zone);
+				all->endpoints[i]->zone,
+				all->endpoints[i]->version[0]
+					? all->endpoints[i]->version
+					: NULL);
+	for (i = 0; i < all->n_software; i++)
+		origins_adopt_version(p->origins, all->software[i]->service,
+				      all->software[i]->software,
+				      all->software[i]->listed_ms_ago);
+	if (all->software_complete)
+		origins_adopt_complete(p->origins);
 	for (i = 0; i < all->n_instances; i++) {
 		const struct instance_entry entry = {
 			.callers = all->instances[i]->callers,
@@ -282,6 +300,8 @@
 		list[n].id = e->id;
 		list[n].address = e->address;
 		list[n].service = e->service;
+		if (!e->software_doubted)
+			list[n].version = e->version;
 		list[n++].zone =
 			(char *)endpoints_zone_name(p->endpoints, e->zone);
 	}
@@ -305,3 +325,20 @@
 	}
 	return n;
 }
+
+/* Fills in the software versions that serve or served; returns the number. */
+static size_t fill_software(struct proxyd *p, PeerSoftware *list)
+{
+	const struct software_history *h = origins_history(p->origins);
+	uint64_t now = proxyd_now(p);
+	size_t i;
+
+	for (i = 0; i < h->n; i++) {
+		peer_software__init(&list[i]);
+		list[i].service = h->version[i].service;
+		list[i].software = h->version[i].software;
+		list[i].listed_ms_ago =
+			(uint32_t)(now - h->version[i].listed_ms);
+	}
+	return h->n;
+}
--- a/proxyd/store.h
+++ b/proxyd/store.h
@@ -12,7 +12,8 @@
 	STORE_CONFIGURATION,
 	STORE_ENDPOINTS, /* written by the endpoints */
 	STORE_INSTANCES, /* written by this system */
-	STORE_TABLES,
+	STORE_TABLES, /* the number of tables that are followed */
+	STORE_STREAMS = STORE_TABLES, /* written by this system, read at need */
 };
 
 enum store_outcome {
@@ -24,6 +25,9 @@
 	STORE_OLD_ERA, /* it answered before it returned from a copy */
 };
 
+#define STORE_STREAM_KEY_SIZE 160
+#define STORE_STREAM_ROWS_MAX 64 /* of one call */
+
 struct endpoint_entry {
 	const char *service;
 	const char *address;
@@ -48,8 +52,29 @@
 	uint64_t since_ms; /* start of its first run that counts, Unix time */
 };
 
-/* One row.  The table determines which of routes, endpoint, instance and
- * refusal is set; none is set in a row that was removed or cannot be
+/* Streams begun at endpoints of one software version. */
+struct origin_entry {
+	uint64_t software;
+	const uint64_t *streams; /* hashes of ids */
+	size_t n;
+};
+
+/* A software version that endpoints of a service run. */
+struct software_entry {
+	uint64_t service; /* hash of its name */
+	uint64_t software;
+	uint64_t era; /* of the store when it was written */
+};
+
+/* A row of STORE_STREAMS to be written, or removed if neither entry is set. */
+struct stream_row {
+	char key[STORE_STREAM_KEY_SIZE];
+	const struct origin_entry *origins;
+	const struct software_entry *software;
+};
+
+/* One row.  The table determines which of routes, endpoint, instance, refusal,
+ * origins and software is set; none is set in a row that was removed or cannot be
  * decoded. */
 struct store_row {
 	const char *key;
@@ -58,6 +83,8 @@
 	const struct endpoint_entry *endpoint;
 	const struct instance_entry *instance;
 	const struct refusal_entry *refusal; /* in STORE_INSTANCES */
+	const struct origin_entry *origins; /* in STORE_STREAMS */
+	const struct software_entry *software; /* in STORE_STREAMS */
 	char problem[160]; /* why it cannot be decoded */
 	uint64_t version; /* of this row */
 	const char *raw; /* the value as stored */
@@ -73,6 +100,10 @@
 	size_t n;
 };
 
+/* Key prefixes of the two kinds of rows in STORE_STREAMS. */
+#define STORE_ORIGINS_PREFIX "began/"
+#define STORE_SOFTWARE_PREFIX "version/"
+
 /* Key prefix of refusals in STORE_INSTANCES; no instance name begins so. */
 #define STORE_REFUSAL_PREFIX "refused/"
 
@@ -109,6 +140,11 @@
 			    const struct refusal_entry *entry,
 			    void (*done)(void *arg, enum store_outcome outcome),
 			    void *arg);
+	/* writes and removes rows of STORE_STREAMS, all or none */
+	void (*put_streams)(struct store *s, const struct stream_row *rows,
+			    size_t n,
+			    void (*done)(void *arg, enum store_outcome outcome),
+			    void *arg);
 	/* removes an instance's entry or a refusal */
 	void (*remove_entry)(struct store *s, const char *key,
 			     void (*done)(void *arg,
@@ -122,6 +158,13 @@
 	uint64_t era; /* newest one known; 0: none */
 };
 
+/* Returns whether a key of STORE_STREAMS is that of a software version. */
+static inline bool store_is_software(const char *key)
+{
+	return !strncmp(key, STORE_SOFTWARE_PREFIX,
+			sizeof(STORE_SOFTWARE_PREFIX) - 1);
+}
+
 /* Returns whether a key of STORE_INSTANCES is that of a refusal. */
 static inline bool store_is_refusal(const char *key)
 {
--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -32,6 +32,7 @@
 /* Weight of the newest run in the moving means. */
 #define MEAN_WEIGHT 0.1F
 
+static bool software_changed(const struct exchange *x);
 static void forward_events(struct exchange *x, size_t n);
 static void handle_invalid_event(struct exchange *x, const char *why);
 static bool copy_awaits_permit(struct exchange *x);
@@ -54,6 +55,10 @@
 
 	event_stream_add(&x->stream, data, len);
 	endpoint_seen(x->proxyd->endpoints, x->endpoint);
+	if (x->first_event_due_ms && software_changed(x)) {
+		handle_invalid_event(x, "endpoint started again");
+		return;
+	}
 	n = filter_events(x, &foreign);
 	if (!foreign && x->stream.pending.len - n > EVENT_MAX_BYTES) {
 		handle_invalid_event(x, "event without end");
@@ -65,6 +70,16 @@
 		handle_invalid_event(x, "bytes that are no event");
 }
 
+/* Returns whether the endpoint of an attempt without events runs another version
+ * than it was chosen for: its entry came after the choice. */
+static bool software_changed(const struct exchange *x)
+{
+	const struct endpoint *e =
+		endpoint_get(x->proxyd->endpoints, x->endpoint);
+
+	return e && !endpoint_continues(e, x->sent_software);
+}
+
 /* Forwards the first n pending bytes, which are complete events. */
 static void forward_events(struct exchange *x, size_t n)
 {
@@ -170,7 +185,7 @@
 	const struct handle none = { 0 };
 	struct exchanges *t = x->proxyd->exchanges;
 	struct kv_copy copy = x->kept_copy;
-	bool by_copy = kv_copy_endpoint_usable(x->proxyd, &copy);
+	bool by_copy = kv_copy_endpoint_usable(x, &copy);
 
 	if (suspects_hold_or_refuse(x)) {
 		x->awaits_repeat = x->phase == EXCHANGE_WAITING;
@@ -391,6 +406,7 @@
 	float took = (float)(now - x->sent_ms);
 
 	x->first_event_due_ms = 0;
+	x->software = x->sent_software;
 	suspects_run_began(x);
 	if (x->prefill_counted && e) {
 		attempt_prefill_done(x);
--- a/proxyd/watch.c
+++ b/proxyd/watch.c
@@ -15,6 +15,7 @@
 #include "policy/store_era.h"
 #include "policy/store_poll.h"
 #include "proxyd/endpoints.h"
+#include "proxyd/origins.h"
 #include "proxyd/peers.h"
 #include "proxyd/proxyd.h"
 #include "proxyd/snapshot.h"
@@ -25,6 +26,9 @@
  * request more writes than the store accepts. */
 #define ENTRY_RETRY_MS 500
 
+/* A broken connection is replaced, and the call answered, within this time. */
+#define STORE_LOST_MS 300
+
 struct watch {
 	struct watches *watches;
 	enum store_table table;
@@ -157,6 +161,22 @@
 	       (!e->poll.failures || !poll_reason(e, proxyd_now(w->proxyd)));
 }
 
+/* Returns whether the endpoints have been read since the start. */
+bool watches_endpoints_loaded(const struct watches *w)
+{
+	return w->watch[STORE_ENDPOINTS].answered_ms != 0;
+}
+
+/* Returns whether the store is away: calls of this instance have failed for some
+ * time.  A single failure may be that of a connection. */
+bool watches_store_lost(const struct watches *w)
+{
+	const struct store_poll *poll = &w->watch[STORE_ENDPOINTS].poll;
+
+	return poll->failures &&
+	       proxyd_now(w->proxyd) - poll->first_failure_ms >= STORE_LOST_MS;
+}
+
 /* Returns whether this instance is designated to read the store for others. */
 bool watches_designated(const struct watches *w)
 {
@@ -255,6 +275,7 @@
 	}
 	w->entry_written = false;
 	w->next_write_ms = now + delay_ms;
+	origins_era_began(w->proxyd->origins);
 }
 
 /* Records the version of a table that a store reader has announced. */
--- a/proxyd/watch.h
+++ b/proxyd/watch.h
@@ -15,6 +15,8 @@
 bool watches_starting(const struct watches *w);
 bool watches_listed(const struct watches *w);
 bool watches_store_reachable(const struct watches *w);
+bool watches_endpoints_loaded(const struct watches *w);
+bool watches_store_lost(const struct watches *w);
 bool watches_designated(const struct watches *w);
 bool watches_reading(const struct watches *w);
 uint64_t watches_row_version(const struct watches *w, enum store_table table);
--- a/regress/unit/test_platform_wire.c
+++ b/regress/unit/test_platform_wire.c
@@ -400,7 +400,9 @@
 
 static bool is_report(const char *text)
 {
-	return platform_protocol.decode_report(text, strlen(text));
+	uint64_t born_ms;
+
+	return platform_protocol.decode_report(text, strlen(text), &born_ms);
 }
 
 static void copy_answers_and_reports(void **state)
