--- a/policy/stream_origin.c
+++ b/policy/stream_origin.c
@@ -31,7 +31,7 @@
 
 /* The writes of all instances share one part of the store, which takes 150 a
  * second; half of these are left to others. */
-#define INTERVAL_PER_INSTANCE_MS 13
+#define INTERVAL_PER_INSTANCE_MS 14
 
 static struct stream_origin *set_of(const struct stream_origin_table *t,
 				    uint64_t stream);
--- a/regress/unit/test_placement.c
+++ b/regress/unit/test_placement.c
@@ -546,6 +546,114 @@
 	assert_int_equal(n[3], 0);
 }
 
+/* A stream goes on only at the version that began it, or waits, or is refused
+ * if that version is gone. */
+static void begun_streams_keep_their_version(void **state)
+{
+	const struct placement_request r = { .tokens = RUN_TOKENS,
+					     .software = 1 };
+	const struct placement_request plain = { .software = 1 };
+	struct placement_candidate c[3];
+	uint32_t i;
+
+	(void)state;
+	make_engines(c, 3);
+	for (i = 0; i < 3; i++)
+		c[i].software = i ? 2 : 1;
+	c[0].used_tokens = CAPACITY_TOKENS / 2; /* the dearest */
+	for (i = 0; i < 100; i++) {
+		assert_int_equal(placement_run(&r, c, 3, i).index, 0);
+		assert_int_equal(placement_plain(&plain, c, 3, i).index, 0);
+	}
+	c[0].avoided = true;
+	assert_int_equal(placement_run(&r, c, 3, 1).outcome,
+			 PLACEMENT_ALL_AVOIDED);
+	c[0].avoided = false;
+	c[0].used_tokens = CAPACITY_TOKENS;
+	assert_int_equal(placement_run(&r, c, 3, 1).outcome, PLACEMENT_FULL);
+	c[0].usable = false;
+	c[0].returns = true;
+	assert_int_equal(placement_run(&r, c, 3, 1).outcome,
+			 PLACEMENT_NONE_USABLE);
+	c[0].returns = false;
+	assert_int_equal(placement_run(&r, c, 3, 1).outcome,
+			 PLACEMENT_VERSION_GONE);
+	assert_int_equal(placement_plain(&plain, c, 3, 1).outcome,
+			 PLACEMENT_VERSION_GONE);
+}
+
+/* Copies, and runs that have read their prompt, go to endpoints of the same
+ * version. */
+static void copies_keep_their_version(void **state)
+{
+	const struct placement_request r = { .tokens = RUN_TOKENS };
+	struct placement_candidate c[6];
+	uint32_t i;
+
+	(void)state;
+	make_engines(c, 6);
+	for (i = 0; i < 6; i++)
+		c[i].software = i % 2 ? 2 : 1;
+	for (i = 0; i < 100; i++) {
+		uint32_t copy = placement_kv_copy(&r, c, 6, 0, i);
+		uint32_t decode = placement_decode_phase(&r, c, 6, 0, i);
+
+		assert_int_equal(c[copy].software, 1);
+		assert_int_equal(c[decode].software, 1);
+	}
+	for (i = 1; i < 6; i++)
+		c[i].software = 2;
+	assert_int_equal(placement_kv_copy(&r, c, 6, 0, 1), PLACEMENT_NONE);
+	assert_int_equal(placement_decode_phase(&r, c, 6, 0, 1),
+			 PLACEMENT_NONE);
+}
+
+/* A release that begins with one endpoint for a minute: no stream begins where
+ * it could not go on if that endpoint were lost, unless the others are full. */
+static void streams_begin_where_they_can_go_on(void **state)
+{
+	const struct placement_request r = { .tokens = RUN_TOKENS };
+	struct placement_candidate c[ENGINES];
+	struct random_source random = { .seed = 6 };
+	uint32_t i;
+
+	(void)state;
+	make_engines(c, ENGINES);
+	for (i = 0; i < ENGINES; i++) {
+		c[i].software = i ? 1 : 2;
+		c[i].used_tokens = i ? RUN_TOKENS : 0;
+	}
+	for (i = 0; i < 1000; i++) {
+		uint64_t rnd = random_next(&random);
+
+		placement_mark_alone(c, ENGINES);
+		assert_int_not_equal(placement_run(&r, c, ENGINES, rnd).index,
+				     0);
+	}
+	for (i = 1; i < ENGINES; i++)
+		c[i].used_tokens = CAPACITY_TOKENS;
+	assert_int_equal(placement_run(&r, c, ENGINES, 1).index, 0);
+	/* with a second endpoint the version takes its share */
+	make_engines(c, ENGINES);
+	for (i = 0; i < ENGINES; i++)
+		c[i].software = i > 1 ? 1 : 2;
+	placement_mark_alone(c, ENGINES);
+	for (i = 0; i < ENGINES; i++)
+		assert_false(c[i].alone);
+	/* one endpoint of the only version is not alone in this sense */
+	make_engines(c, 1);
+	placement_mark_alone(c, 1);
+	assert_false(c[0].alone);
+	/* a version that the store does not know gets no streams either */
+	make_engines(c, 4);
+	for (i = 0; i < 4; i++) {
+		c[i].software = i < 2 ? 1 : 2;
+		c[i].unrecorded = i < 2;
+	}
+	for (i = 0; i < 100; i++)
+		assert_true(placement_run(&r, c, 4, i).index >= 2);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -562,6 +670,9 @@
 		cmocka_unit_test(zone_loss_in_time),
 		cmocka_unit_test(calls_of_many_instances_spread),
 		cmocka_unit_test(weighted_draw_avoids_bad_endpoints),
+		cmocka_unit_test(begun_streams_keep_their_version),
+		cmocka_unit_test(copies_keep_their_version),
+		cmocka_unit_test(streams_begin_where_they_can_go_on),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
