Hold the old run of a stream until the new endpoint has not refused

Callers saw begun streams closed although their endpoint was sound: a stream that left a silent endpoint was cancelled there first, and closed when the next endpoint was full, silent too, or not found. The same held for a run that moves by choice to its KV-cache copy.

The old run is held now, its connection open and unread, until the new endpoint begins its answer or has had the request for 250 ms; refused or unreachable, the old run goes on ('move-undone').

--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -399,6 +399,8 @@
 			     outcome);
 	if (!x->caller)
 		exchange_finish(x, "left by caller");
+	else if (handover_restore(x, http1_outcome_name(outcome)))
+		return;
 	else if (x->failed_connects > ENDPOINT_AVOID_MAX)
 		exchange_refuse(x, 503, RETRY_FULL_MS,
 				"no endpoint can be reached");
@@ -424,6 +426,8 @@
 	exchange_avoid(x, endpoint);
 	if (!x->caller)
 		exchange_finish(x, "left by caller");
+	else if (handover_restore(x, http1_outcome_name(outcome)))
+		return;
 	else if (route_may_run_again(x->route) && exchange_repeat_allowed(x))
 		exchange_dispatch(x);
 	else
@@ -449,6 +453,8 @@
 		endpoint_replaced(x->proxyd->endpoints, endpoint, x->fields.id);
 		rediscover_with_id(x->proxyd, endpoint, x->current_endpoint_id,
 				   strlen(x->current_endpoint_id));
+		if (handover_restore(x, "misdirected"))
+			return;
 		if (++x->failed_connects > ENDPOINT_AVOID_MAX)
 			exchange_refuse(x, 503, RETRY_FULL_MS,
 					"no endpoint can be reached");
@@ -493,7 +499,7 @@
 	endpoint_record_answer(x->proxyd->endpoints, endpoint,
 			       proxyd_now(x->proxyd) - x->sent_ms,
 			       x->status >= 500);
-	stream_move(x, "no stream");
+	stream_move(x, "no stream", false);
 }
 
 /* Returns whether a call that failed at an endpoint is sent to another one: it
@@ -514,6 +520,8 @@
 		  "status", x->status, "from_copy", x->from_copy);
 	if (!x->from_copy)
 		exchange_avoid(x, endpoint);
+	if (handover_restore(x, "refused"))
+		return;
 	if (exchange_repeat_allowed(x))
 		exchange_dispatch(x);
 	else
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -203,7 +203,7 @@
 			if (http1_call_connected(x->call))
 				stream_check_silence(x, now);
 			else
-				stream_move(x, "endpoint lost");
+				stream_move(x, "endpoint lost", false);
 			continue;
 		}
 		if (x->route->kind == KIND_AT_MOST_ONCE &&
@@ -393,6 +393,7 @@
 			      x->repeat_kind);
 	x->repeat_reserved = false;
 	limit_queue_leave(x);
+	handover_end(x);
 	kv_copy_drop_kept(x);
 	x->phase = EXCHANGE_FINISHED;
 	t->n_open--;
@@ -486,6 +487,8 @@
 	const char *why = placement_outcome_text(choice->outcome);
 	uint32_t retry_ms = RETRY_NONE_UP_MS;
 
+	if (handover_restore(x, why))
+		return;
 	if (choice->leaving || choice->paused)
 		event_log(EVENT_NOTABLE, "left-out", x->fields.id,
 			  "{s:s, s:i, s:i, s:I}", "outcome", why, "leaving",
@@ -627,6 +630,7 @@
 	}
 	if (x->route->kind != KIND_STREAM)
 		return;
+	handover_tick(x, now);
 	kv_copy_tick(x, now);
 	stream_check_silence(x, now);
 }
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -40,6 +40,29 @@
 	struct bytes answer;
 };
 
+/* A run that is held while its request is offered to another endpoint.  The
+ * members are as in struct exchange. */
+struct held_run {
+	struct http1_call *call; /* NULL: none is held */
+	struct handle endpoint;
+	uint64_t sent_ms;
+	enum request_permit permit;
+	bool load_counted;
+	bool prefill_counted;
+	bool from_copy;
+	bool crash_counted;
+	struct kv_copy copy;
+	int status;
+	struct answer_fields answer;
+	bool unframed;
+	struct bytes headers;
+	struct bytes body;
+	bool is_event_stream;
+	struct event_stream stream;
+	uint64_t last_event_ms;
+	uint64_t first_event_due_ms;
+};
+
 /* One request of a caller, from its arrival until its answer is complete. */
 struct exchange {
 	struct proxyd *proxyd;
@@ -86,6 +109,7 @@
 	bool staged; /* moves to another endpoint after its prefill */
 	struct kv_copy copy;
 	struct kv_copy kept_copy; /* of a lost run that waits to resume */
+	struct held_run held;
 
 	/* the endpoint's answer */
 	int status;
@@ -178,6 +202,12 @@
 void attempt_cancel(struct exchange *x);
 void attempt_prefill_done(struct exchange *x);
 
+/* handover.c */
+bool handover_begin(struct exchange *x);
+bool handover_restore(struct exchange *x, const char *why);
+void handover_end(struct exchange *x);
+void handover_tick(struct exchange *x, uint64_t now);
+
 /* stage.c */
 bool stage_is_possible(struct exchange *x);
 struct handle stage_choose_endpoint(struct exchange *x);
@@ -198,7 +228,7 @@
 /* stream.c */
 void stream_receive(struct exchange *x, const char *data, size_t len);
 void stream_ended(struct exchange *x, enum http1_outcome outcome);
-void stream_move(struct exchange *x, const char *why);
+void stream_move(struct exchange *x, const char *why, bool may_go_on);
 void stream_resume(struct exchange *x);
 void stream_check_silence(struct exchange *x, uint64_t now);
 bool stream_is_late(const struct exchange *x);
--- /dev/null
+++ b/proxyd/handover.c
@@ -0,0 +1,113 @@
+/*
+ * Hand-over of a run that leaves an endpoint which may be sound: the old run is
+ * held, unread, until the new endpoint has taken the request.  If that refuses
+ * it or can't be reached, the old run goes on.
+ */
+#include "proxyd/exchange.h"
+
+#include "lib/event_log.h"
+#include "policy/handover.h"
+
+static void swap_runs(struct exchange *x);
+
+/* Holds the current run while another endpoint is tried.  Returns false if there
+ * is none, or its request has not reached its endpoint. */
+bool handover_begin(struct exchange *x)
+{
+	if (!x->call || !http1_call_connected(x->call) || x->held.call)
+		return false;
+	http1_call_pause(x->call, true);
+	swap_runs(x);
+	return true;
+}
+
+/* Goes on with the run that is held, as no other endpoint has taken the request.
+ * Returns false if none is held. */
+bool handover_restore(struct exchange *x, const char *why)
+{
+	uint64_t now = proxyd_now(x->proxyd);
+
+	if (!x->held.call)
+		return false;
+	if (x->phase == EXCHANGE_WAITING && x->wait_until_ms)
+		x->proxyd->exchanges->waiting_tokens -= x->tokens;
+	x->wait_until_ms = 0;
+	x->awaits_repeat = false;
+	limit_queue_leave(x);
+	attempt_cancel(x);
+	swap_runs(x);
+	x->phase = EXCHANGE_SENT;
+	x->move_tried_ms = now;
+	http1_call_pause(x->call, false);
+	event_log(EVENT_NOTABLE, "move-undone", x->fields.id,
+		  "{s:s, s:i, s:I, s:b}", "why", why, "sends", (int)x->sends,
+		  "silent_ms", (json_int_t)(now - x->last_event_ms), "begun",
+		  x->response_started);
+	return true;
+}
+
+/* Ends the run that is held, if there is one. */
+void handover_end(struct exchange *x)
+{
+	if (!x->held.call)
+		return;
+	swap_runs(x);
+	attempt_cancel(x);
+	attempt_discard_answer(x);
+	event_stream_release(&x->stream);
+	swap_runs(x);
+}
+
+/* Ends the run that is held once the new endpoint has had time to refuse the
+ * request. */
+void handover_tick(struct exchange *x, uint64_t now)
+{
+	if (x->held.call && x->call && http1_call_connected(x->call) &&
+	    handover_over(now - x->sent_ms, x->status != 0))
+		handover_end(x);
+}
+
+/* Exchanges the current run and the one that is held. */
+static void swap_runs(struct exchange *x)
+{
+	const struct held_run current = {
+		.call = x->call,
+		.endpoint = x->endpoint,
+		.sent_ms = x->sent_ms,
+		.permit = x->permit,
+		.load_counted = x->load_counted,
+		.prefill_counted = x->prefill_counted,
+		.from_copy = x->from_copy,
+		.crash_counted = x->crash_counted,
+		.copy = x->copy,
+		.status = x->status,
+		.answer = x->answer,
+		.unframed = x->unframed,
+		.headers = x->headers,
+		.body = x->body,
+		.is_event_stream = x->is_event_stream,
+		.stream = x->stream,
+		.last_event_ms = x->last_event_ms,
+		.first_event_due_ms = x->first_event_due_ms,
+	};
+
+	x->call = x->held.call;
+	x->endpoint = x->held.endpoint;
+	x->sent_ms = x->held.sent_ms;
+	x->permit = x->held.permit;
+	x->load_counted = x->held.load_counted;
+	x->prefill_counted = x->held.prefill_counted;
+	x->from_copy = x->held.from_copy;
+	x->crash_counted = x->held.crash_counted;
+	x->copy = x->held.copy;
+	x->status = x->held.status;
+	x->answer = x->held.answer;
+	x->unframed = x->held.unframed;
+	x->headers = x->held.headers;
+	x->body = x->held.body;
+	x->is_event_stream = x->held.is_event_stream;
+	x->stream = x->held.stream;
+	x->last_event_ms = x->held.last_event_ms;
+	x->first_event_due_ms = x->held.first_event_due_ms;
+	x->held = current;
+}
--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -88,7 +88,7 @@
 {
 	endpoint_record_answer(x->proxyd->endpoints, x->endpoint,
 			       proxyd_now(x->proxyd) - x->sent_ms, true);
-	stream_move(x, why);
+	stream_move(x, why, false);
 }
 
 /* Handles the end of the engine's answer, complete or not.  An answer that ends
@@ -118,13 +118,14 @@
 		suspects_run_broke(x, endpoint_get(x->proxyd->endpoints,
 						   endpoint));
 	endpoint_probe(x->proxyd->endpoints, endpoint, x->fields.id, 0);
-	stream_move(x, why);
+	stream_move(x, why, false);
 }
 
-/* Handles the loss of a run's engine: cancels the old run, and resumes the
- * stream from its KV-cache copy, or from its prompt if there is none.  A run
- * that may have started on a route that does not resume fails. */
-void stream_move(struct exchange *x, const char *why)
+/* Handles the loss of a run's engine: resumes the stream from its KV-cache copy,
+ * or from its prompt if there is none.  The old run is cancelled; one that may
+ * go on is held until the new endpoint has taken the request.  A run that may
+ * have started on a route that does not resume fails. */
+void stream_move(struct exchange *x, const char *why, bool may_go_on)
 {
 	struct handle from = x->endpoint;
 	struct kv_copy copy = x->copy; /* its call and answer are not used */
@@ -136,8 +137,16 @@
 	x->may_have_run = x->may_have_run || sent;
 	x->move_tried_ms = 0;
 	x->awaits_repeat = false;
+	if (x->held.call) {
+		exchange_avoid(x, from);
+		if (!sent)
+			x->sends--;
+		handover_restore(x, why);
+		return;
+	}
 	kv_copy_release(x, by_copy);
-	attempt_cancel(x);
+	if (!may_go_on || !handover_begin(x))
+		attempt_cancel(x);
 	if (!sent)
 		x->sends--;
 	exchange_avoid(x, from);
@@ -176,8 +185,10 @@
 		x->awaits_repeat = x->phase == EXCHANGE_WAITING;
 		return;
 	}
-	if (by_copy && copy_awaits_permit(x))
+	if (by_copy && copy_awaits_permit(x)) {
+		handover_restore(x, "the copy's endpoint has no permit left");
 		return;
+	}
 	x->kept_copy.endpoint = none;
 	x->awaits_repeat = false;
 	if (x->wait_until_ms)
@@ -312,7 +323,7 @@
 	if (!x->caller || is_taken_elsewhere(x)) {
 		if (endpoint_lost)
 			suspects_run_left(x);
-		stream_move(x, why);
+		stream_move(x, why, true);
 		return;
 	}
 	x->move_tried_ms = now;
@@ -391,6 +402,7 @@
 	float took = (float)(now - x->sent_ms);
 
 	x->first_event_due_ms = 0;
+	handover_end(x);
 	suspects_run_began(x);
 	if (x->prefill_counted && e) {
 		attempt_prefill_done(x);
