--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -54,7 +54,6 @@
 static bool accept_or_refuse(struct exchange *x);
 static void dispatch_failed(struct exchange *x,
 			    const struct placement_choice *choice);
-static void refuse_version_gone(struct exchange *x);
 static void wait_for_endpoint(struct exchange *x,
 			      const struct placement_choice *choice);
 static void wait_for_capacity(struct exchange *x);
@@ -561,10 +560,8 @@
 			  (int)choice->leaving, "paused", (int)choice->paused,
 			  "first_pause_left_ms", (json_int_t)choice->pause_ms);
 	if (choice->outcome == PLACEMENT_VERSION_GONE &&
-	    watches_endpoints_loaded(x->proxyd->watches)) {
-		refuse_version_gone(x);
-		return;
-	}
+	    watches_endpoints_loaded(x->proxyd->watches))
+		retry_ms = RETRY_VERSION_MS;
 	if (choice->outcome == PLACEMENT_PAUSED)
 		retry_ms = holdoff_retry_ms(choice->pause_ms, proxyd_random());
 	if (choice->limited && limit_queue_wait(x))
@@ -579,18 +576,6 @@
 		exchange_refuse(x, 503, retry_ms, why);
 }
 
-/* Ends a stream whose software version no endpoint runs any more: another
- * version can't continue it. */
-static void refuse_version_gone(struct exchange *x)
-{
-	const char *why = placement_outcome_text(PLACEMENT_VERSION_GONE);
-
-	if (x->response_started)
-		exchange_fail(x, 502, why);
-	else
-		exchange_refuse(x, 503, RETRY_VERSION_MS, why);
-}
-
 /* Makes a run that lost its engine wait for another one; refuses it if all are
  * paused for longer than it may wait. */
 static void wait_for_endpoint(struct exchange *x,
--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -77,7 +77,8 @@
 	const struct endpoint *e =
 		endpoint_get(x->proxyd->endpoints, x->endpoint);
 
-	return e && !endpoint_continues(e, x->sent_software);
+	return e && x->sent_software != e->software &&
+	       x->sent_software != e->unlisted_software;
 }
 
 /* Forwards the first n pending bytes, which are complete events. */
