Do not put streams that callers resume behind new ones

The engines read the prompts of all streams that came back at once; those of the take-ups, with 1 to 5 s left, were sent with the lowest priority, as late streams are. Class: a priority that follows what a request is worth and not what time it has.

Take-ups have the priority of new streams now.

--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -266,16 +266,14 @@
 	x->proxyd->exchanges->waiting_tokens += x->tokens;
 }
 
-/* Returns whether the caller's stream has already missed its targets: the
- * caller had to resume it, or its first event or a gap took longer than the
- * route allows.  It then has lower priority than streams that can still be on
- * time. */
+/* Returns whether the caller's stream has already missed its targets: its first
+ * event or a gap took longer than the route allows.  It then has lower priority
+ * than streams that can still be on time.  One that its caller resumes is not
+ * put behind new ones, as it has less time left than they. */
 bool stream_is_late(const struct exchange *x)
 {
 	uint64_t now = proxyd_now(x->proxyd);
 
-	if (x->fields.resumes)
-		return true;
 	if (!x->response_started)
 		return now - x->received_ms > x->route->target_ms;
 	return x->first_event_ms > x->route->target_ms ||
