regress: stand-ins that know software versions

Workers of the stand-in platform all had the version v1, and rows of its store were keyed without their part. Each worker now has a version of its own, in its entry and in the data of its events, so that a caller can tell which version wrote an event; a worker can start again under its id with another version before its entry says so; engines name the time of their start in their report. Rows are kept by table, part and key, and calls that list them name the part.

--- a/regress/integration/test_proxyd.c
+++ b/regress/integration/test_proxyd.c
@@ -326,9 +326,9 @@
 	assert_int_equal(stream_outcome(s), HTTPC_OK);
 	assert_int_equal(stream_n_events(s), STANDIN_EVENTS - first + 1);
 	for (i = 0; i < stream_n_events(s); i++) {
-		char data[16];
+		char data[24];
 
-		snprintf(data, sizeof(data), "e%zu", i + (size_t)first);
+		snprintf(data, sizeof(data), "e%zu v1", i + (size_t)first);
 		assert_string_equal(stream_event_at(s, i)->data, data);
 	}
 }
--- a/regress/platform_standin.c
+++ b/regress/platform_standin.c
@@ -28,6 +28,7 @@
 	struct http1_conn *conn;
 	struct standin_worker *worker;
 	struct standin_arrival *arrival;
+	const char *version; /* of the worker's software at its begin */
 	uv_timer_t timer;
 	int next_event;
 	uint64_t written_ms; /* time of the last event written; 0: none */
@@ -44,8 +45,11 @@
 static bool answer_feed(struct standin_world *w, struct http1_conn *c,
 			const char *table, json_int_t after);
 static void answer_pending_feeds(struct standin_world *w);
-static void set_row(struct standin_world *w, const char *table, const char *key,
-		    const char *value64);
+static void set_row(struct standin_world *w, const char *table,
+		    const char *part, const char *key, const char *value64);
+static void apply_entry(struct standin_world *w, const json_t *entry);
+static bool is_row(const json_t *row, const char *table, const char *part,
+		   const char *key);
 static void reply_rows(struct standin_world *w, struct http1_conn *c,
 		       json_t *rows);
 static void reply_store(struct standin_world *w, struct http1_conn *c,
@@ -54,6 +58,8 @@
 static void reply_text(struct http1_conn *c, const char *headers,
 		       const char *text);
 static void on_worker(struct http1_conn *c, struct http1_request *r, void *arg);
+static void reply_report(const struct standin_worker *worker,
+			 struct http1_conn *c, const char *headers);
 static const char *extra_headers_of(const struct standin_worker *worker);
 static void on_stream_closed(void *owner);
 static void begin_crash(struct standin_worker *worker, struct http1_conn *c,
@@ -146,7 +152,7 @@
 
 	EVP_EncodeBlock((unsigned char *)out, (const unsigned char *)value,
 			(int)n);
-	set_row(w, table, key, out);
+	set_row(w, table, "", key, out);
 	free(out);
 	answer_pending_feeds(w);
 }
@@ -154,7 +160,7 @@
 /* Marks a row as deleted and answers the feeds that wait for it. */
 void standin_remove(struct standin_world *w, const char *table, const char *key)
 {
-	set_row(w, table, key, NULL);
+	set_row(w, table, "", key, NULL);
 	answer_pending_feeds(w);
 }
 
@@ -167,15 +173,34 @@
 
 	json_array_foreach(w->rows, i, row)
 	{
-		if (!strcmp(json_string_value(json_object_get(row, "table")),
-			    table) &&
-		    !strcmp(json_string_value(json_object_get(row, "key")),
-			    key))
+		if (is_row(row, table, "", key))
 			return !json_is_true(json_object_get(row, "deleted"));
 	}
 	return false;
 }
 
+/* Returns the number of rows of a table, in all parts, whose keys begin with a
+ * prefix. */
+size_t standin_count_rows(const struct standin_world *w, const char *table,
+			  const char *prefix)
+{
+	json_t *row;
+	size_t n = 0;
+	size_t i;
+
+	json_array_foreach(w->rows, i, row)
+	{
+		const char *key =
+			json_string_value(json_object_get(row, "key"));
+
+		n += !strcmp(json_string_value(json_object_get(row, "table")),
+			     table) &&
+		     !strncmp(key, prefix, strlen(prefix)) &&
+		     !json_is_true(json_object_get(row, "deleted"));
+	}
+	return n;
+}
+
 /* Writes a configuration with the routes that tests use: /book/ may run once,
  * /look/ may be repeated, /look/open/ needs no key, /write/ streams.
  * extra_routes are further routes as JSON, or NULL. */
@@ -225,6 +250,7 @@
 	worker->zone = zone;
 	worker->address = harness_address(w->harness);
 	worker->public_address = worker->address;
+	worker->version = "v1";
 	worker->born_ms = 1000;
 	standin_start_worker(worker, worker->id);
 	return worker;
@@ -233,6 +259,24 @@
 /* Starts a worker that is down under an id, which may be its old one, and
  * writes its entry as ready. */
 void standin_start_worker(struct standin_worker *worker, const char *id)
+{
+	standin_start_unlisted(worker, id);
+	standin_put_worker_entry(worker, "ready");
+}
+
+/* Ends a worker and starts it under its id with another version of its software,
+ * and later by its entry, which the caller writes. */
+void standin_restart_worker(struct standin_worker *worker, const char *version)
+{
+	standin_kill_worker(worker);
+	worker->version = version;
+	worker->born_ms += 1000;
+	standin_start_unlisted(worker, worker->id);
+}
+
+/* Starts a worker that is down under an id.  Its entry, if there is one, stays
+ * as it was. */
+void standin_start_unlisted(struct standin_worker *worker, const char *id)
 {
 	char copy[sizeof(worker->id)];
 	char err[256];
@@ -244,7 +288,6 @@
 	if (http1_server_listen(worker->server, worker->address, err,
 				sizeof(err)))
 		fail_msg("%s", err);
-	standin_put_worker_entry(worker, "ready");
 }
 
 /* Starts a worker that was killed under a new id and removes its old entry.
@@ -266,10 +309,10 @@
 {
 	char *text =
 		xasprintf("{\"backend\":\"%s\",\"address\":\"%s\","
-			  "\"zone\":\"%s\",\"version\":\"v1\",\"slots\":16,"
+			  "\"zone\":\"%s\",\"version\":\"%s\",\"slots\":16,"
 			  "\"state\":\"%s\",\"born\":%u}",
 			  worker->service, worker->public_address, worker->zone,
-			  state, worker->born_ms);
+			  worker->version, state, worker->born_ms);
 
 	standin_put(worker->world, "servers", worker->id, text);
 	free(text);
@@ -451,23 +494,24 @@
 	*slot = NULL;
 }
 
-/* Answers with all rows of a table that are not deleted. */
+/* Answers with all rows of a part of a table that are not deleted. */
 static void serve_get(struct standin_world *w, struct http1_conn *c,
 		      const char *target)
 {
 	char *table = parameter(target, "table");
+	char *part = parameter(target, "part");
 	json_t *rows = json_array();
 	json_t *row;
 	size_t i;
 
 	json_array_foreach(w->rows, i, row)
 	{
-		if (!strcmp(json_string_value(json_object_get(row, "table")),
-			    table) &&
+		if (is_row(row, table, part, NULL) &&
 		    !json_is_true(json_object_get(row, "deleted")))
 			json_array_append(rows, row);
 	}
 	reply_rows(w, c, rows);
+	free(part);
 	free(table);
 }
 
@@ -512,12 +556,9 @@
 	size_t i;
 
 	json_array_foreach(json_object_get(root, "puts"), i, row)
-		set_row(w, json_string_value(json_object_get(row, "table")),
-			json_string_value(json_object_get(row, "key")),
-			json_string_value(json_object_get(row, "value")));
+		apply_entry(w, row);
 	json_array_foreach(json_object_get(root, "remove"), i, row)
-		set_row(w, json_string_value(json_object_get(row, "table")),
-			json_string_value(json_object_get(row, "key")), NULL);
+		apply_entry(w, row);
 	json_decref(root);
 	snprintf(answer, sizeof(answer), "{\"ver\":%lld}",
 		 (long long)w->version);
@@ -525,6 +566,28 @@
 	answer_pending_feeds(w);
 }
 
+/* Writes or removes the row that an entry of a transaction names. */
+static void apply_entry(struct standin_world *w, const json_t *entry)
+{
+	const char *part = json_string_value(json_object_get(entry, "part"));
+
+	set_row(w, json_string_value(json_object_get(entry, "table")),
+		part ? part : "",
+		json_string_value(json_object_get(entry, "key")),
+		json_string_value(json_object_get(entry, "value")));
+}
+
+/* Returns whether a row is in a part of a table and has a key; NULL: any. */
+static bool is_row(const json_t *row, const char *table, const char *part,
+		   const char *key)
+{
+	return !strcmp(json_string_value(json_object_get(row, "table")),
+		       table) &&
+	       !strcmp(json_string_value(json_object_get(row, "part")), part) &&
+	       (!key ||
+		!strcmp(json_string_value(json_object_get(row, "key")), key));
+}
+
 /* Answers a feed with the changes after a version; returns false if there are
  * none. */
 static bool answer_feed(struct standin_world *w, struct http1_conn *c,
@@ -570,23 +633,20 @@
 
 /* Writes a row with a new version; value64 is the value in base64, NULL marks
  * the row as deleted. */
-static void set_row(struct standin_world *w, const char *table, const char *key,
-		    const char *value64)
+static void set_row(struct standin_world *w, const char *table,
+		    const char *part, const char *key, const char *value64)
 {
 	json_t *row;
 	size_t i;
 
 	json_array_foreach(w->rows, i, row)
 	{
-		if (!strcmp(json_string_value(json_object_get(row, "table")),
-			    table) &&
-		    !strcmp(json_string_value(json_object_get(row, "key")),
-			    key)) {
+		if (is_row(row, table, part, key)) {
 			json_array_remove(w->rows, i);
 			break;
 		}
 	}
-	row = json_pack("{s:s, s:s, s:s, s:I}", "table", table, "part", "",
+	row = json_pack("{s:s, s:s, s:s, s:I}", "table", table, "part", part,
 			"key", key, "ver", ++w->version);
 	if (value64)
 		json_object_set_new(row, "value", json_string(value64));
@@ -664,7 +724,7 @@
 	else if (!strcmp(a->target, "/healthz"))
 		http1_reply(c, 200, headers, "", 0);
 	else if (!strcmp(a->target, "/report"))
-		reply_text(c, headers, "{\"models\":[{\"name\":\"m\"}]}");
+		reply_report(worker, c, headers);
 	else if (!strcmp(a->target, "/kv-move"))
 		reply_text(c, extra_headers_of(worker),
 			   "{\"handle\":\"h1\",\"created\":3}");
@@ -680,6 +740,18 @@
 	free(id);
 }
 
+/* Answers with an engine's report. */
+static void reply_report(const struct standin_worker *worker,
+			 struct http1_conn *c, const char *headers)
+{
+	char text[96];
+
+	snprintf(text, sizeof(text),
+		 "{\"models\":[{\"name\":\"m\"}],\"born\":%u}",
+		 worker->born_ms);
+	reply_text(c, headers, text);
+}
+
 /* Returns the header lines added to all answers of a worker, "" if none; valid
  * until the next call. */
 static const char *extra_headers_of(const struct standin_worker *worker)
@@ -803,6 +875,7 @@
 		head.data[i] = (char)tolower((unsigned char)head.data[i]);
 	a->worker = worker;
 	memcpy(a->worker_id, worker->id, sizeof(a->worker_id));
+	a->version = worker->version;
 	a->extra_headers = worker->extra_headers;
 	snprintf(a->limit, sizeof(a->limit), "%s",
 		 worker->limit ? worker->limit : "");
@@ -901,6 +974,7 @@
 	s->conn = c;
 	s->worker = worker;
 	s->arrival = a;
+	s->version = worker->version;
 	s->next_event = after ? atoi(after + 16) + 1 : 1;
 	s->next = worker->world->streams;
 	worker->world->streams = s;
@@ -932,7 +1006,7 @@
 {
 	struct standin_stream *s = timer->data;
 	struct http1_conn *c = s->conn;
-	char event[64];
+	char event[96];
 
 	if (s->worker->behaviour == STANDIN_TRICKLES && s->next_event > 1) {
 		http1_stream_write(c, ":", 1);
@@ -940,8 +1014,8 @@
 	}
 	update_longest_gap(s);
 	if (s->next_event <= STANDIN_EVENTS) {
-		snprintf(event, sizeof(event), "id: %d\ndata: e%d\n\n",
-			 s->next_event, s->next_event);
+		snprintf(event, sizeof(event), "id: %d\ndata: e%d %s\n\n",
+			 s->next_event, s->next_event, s->version);
 		s->next_event++;
 		http1_stream_write(c, event, strlen(event));
 		return;
--- a/regress/platform_standin.h
+++ b/regress/platform_standin.h
@@ -40,6 +40,7 @@
 	const char *public_address; /* in its entry; may be a fault proxy's */
 	const char *service; /* "engine" or "plain" */
 	const char *zone;
+	const char *version; /* of its software; events of streams name it */
 	enum standin_behaviour behaviour;
 	const char *extra_headers; /* lines added to all answers, or NULL */
 	const char *limit; /* requests per second that answers name, or NULL */
@@ -71,6 +72,7 @@
 	size_t body_len;
 	uint64_t at_ms; /* by the clock of the loop */
 	char worker_id[32]; /* at that time */
+	const char *version; /* of the worker's software at that time */
 	const char *extra_headers; /* of the worker at that time, or NULL */
 	char limit[32]; /* that the answer names; empty: none */
 	bool ran; /* the worker started to execute it */
@@ -114,6 +116,8 @@
 		 const char *value);
 void standin_remove(struct standin_world *w, const char *table,
 		    const char *key);
+size_t standin_count_rows(const struct standin_world *w, const char *table,
+			  const char *prefix);
 bool standin_row_exists(const struct standin_world *w, const char *table,
 			const char *key);
 void standin_put_configuration(struct standin_world *w, int version,
@@ -124,6 +128,8 @@
 void standin_put_worker_entry(struct standin_worker *worker, const char *state);
 void standin_kill_worker(struct standin_worker *worker);
 void standin_start_worker(struct standin_worker *worker, const char *id);
+void standin_start_unlisted(struct standin_worker *worker, const char *id);
+void standin_restart_worker(struct standin_worker *worker, const char *version);
 void standin_replace_worker(struct standin_worker *worker);
 void standin_stop_store(struct standin_world *w);
 void standin_start_store(struct standin_world *w);
