--- a/lib/http1_client.c
+++ b/lib/http1_client.c
@@ -272,6 +272,14 @@
 	call_free(call);
 }
 
+/* Has later callbacks of a call go elsewhere. */
+void http1_call_reassign(struct http1_call *call,
+			 const struct http1_call_ops *ops, void *arg)
+{
+	call->ops = ops;
+	call->arg = arg;
+}
+
 /* Pauses or resumes reading the answer. */
 void http1_call_pause(struct http1_call *call, bool paused)
 {
--- a/lib/http1_client.h
+++ b/lib/http1_client.h
@@ -68,6 +68,8 @@
 				    const struct http1_call_ops *ops,
 				    void *arg);
 void http1_call_cancel(struct http1_call *call);
+void http1_call_reassign(struct http1_call *call,
+			 const struct http1_call_ops *ops, void *arg);
 void http1_call_pause(struct http1_call *call, bool paused);
 bool http1_call_connected(const struct http1_call *call);
 bool http1_call_unframed(const struct http1_call *call);
--- a/policy/stream_origin.c
+++ b/policy/stream_origin.c
@@ -73,7 +73,8 @@
 	};
 }
 
-/* Applies a record of the store.  Own notes count more; two records with
+/* Applies a record of the store.  Own notes count more, and are not replaced
+ * before they are written; two records with
  * different versions, of a stream that was sent to both before it began, prove
  * nothing. */
 void stream_origin_read(struct stream_origin_table *t, uint64_t stream,
@@ -81,6 +82,9 @@
 {
 	struct stream_origin *slot = slot_for(t, stream);
 
+	if (slot->stream != stream && slot->stream && slot->own &&
+	    slot->stored != STORED)
+		return;
 	if (slot->stream == stream) {
 		if (!slot->own && slot->software != software)
 			slot->software = SOFTWARE_UNKNOWN;
@@ -123,6 +127,23 @@
 	return NULL;
 }
 
+/* Handles a version that was not known and is now: notes of streams that began at
+ * what stood for it name the version from now on. */
+void stream_origin_rename(struct stream_origin_table *t, uint64_t from,
+			  uint64_t to)
+{
+	size_t i;
+
+	for (i = 0; i < (size_t)t->n_sets * WAYS; i++) {
+		struct stream_origin *slot = &t->slot[i];
+
+		if (!slot->stream || slot->software != from)
+			continue;
+		slot->software = to;
+		slot->stored = STORED_NOT;
+	}
+}
+
 /* Handles the end of the call that wrote notes. */
 void stream_origin_written(struct stream_origin_table *t, bool success)
 {
@@ -167,7 +188,7 @@
 	return slot;
 }
 
-/* Notes that an endpoint with a version is listed now.  If there are too many
+/* Notes that an endpoint with a version is, or was, listed at a time.  If there are too many
  * versions, the one that was listed longest ago is forgotten. */
 void software_note(struct software_history *h, uint64_t service,
 		   uint64_t software, uint64_t now)
@@ -177,7 +198,8 @@
 
 	for (i = 0; i < h->n; i++) {
 		if (h->version[i].software == software) {
-			h->version[i].listed_ms = now;
+			if (now > h->version[i].listed_ms)
+				h->version[i].listed_ms = now;
 			return;
 		}
 		if (h->version[i].listed_ms < v->listed_ms)
--- a/policy/stream_origin.h
+++ b/policy/stream_origin.h
@@ -85,6 +85,8 @@
 struct stream_origin *stream_origin_next_unstored(struct stream_origin_table *t,
 						  uint64_t since,
 						  size_t *position);
+void stream_origin_rename(struct stream_origin_table *t, uint64_t from,
+			  uint64_t to);
 void stream_origin_written(struct stream_origin_table *t, bool success);
 void stream_origin_lost(struct stream_origin_table *t);
 
--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -164,6 +164,12 @@
 	load_remove(x);
 }
 
+/* Has the current call report to the exchange, after it was held. */
+void attempt_reassign(struct exchange *x)
+{
+	http1_call_reassign(x->call, &call_ops, x);
+}
+
 /* Returns the permit of an attempt that did not reach its endpoint. */
 static void return_permit(struct exchange *x)
 {
--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -639,8 +639,7 @@
 	if (restarted || e->software != before)
 		e->software_doubted = false;
 	if (!before && e->software)
-		origins_endpoint_named(e->proxyd->origins,
-				       e->unlisted_software);
+		origins_endpoint_named(e->proxyd->origins, e);
 	if (e->software != before || e->expiry.removed)
 		origins_endpoint_listed(e->proxyd->origins, e);
 }
@@ -671,7 +670,7 @@
 	if (!e || !e->software_doubted || (born_ms && born_ms != e->born_ms))
 		return;
 	e->software_doubted = false;
-	origins_endpoint_named(t->proxyd->origins, e->unlisted_software);
+	origins_endpoint_named(t->proxyd->origins, e);
 	event_log(EVENT_NOTABLE, "endpoint-same-start", NULL, "{s:s, s:s, s:I}",
 		  "endpoint", e->id, "software", e->version, "born",
 		  (json_int_t)born_ms);
--- a/proxyd/endpoints_place.c
+++ b/proxyd/endpoints_place.c
@@ -218,6 +218,11 @@
 				      endpoint_continues(e, criteria->software)
 			      ? criteria->software
 			      : endpoint_software(e);
+	if (criteria->software && e->software == criteria->software &&
+	    c->software != criteria->software) {
+		c->software = criteria->software; /* once it has confirmed it */
+		c->usable = false;
+	}
 	c->returns = entry_expiry_accepts_work(&e->expiry, now) &&
 		     !endpoint_is_leaving(e) && e->state != ENDPOINT_REPLACED;
 	c->unrecorded =
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -128,11 +128,29 @@
 	TAILQ_FOREACH(x, &t->list, link)
 	{
 		x->last_event_ms += stall_ms;
+		x->held.last_event_ms += stall_ms;
 		if (x->first_event_due_ms)
 			x->first_event_due_ms += stall_ms;
 	}
 }
 
+/* Handles a version that was not known and is now: streams that began at what
+ * stood for it are bound to it. */
+void exchanges_software_named(struct exchanges *t, uint64_t from, uint64_t to)
+{
+	struct exchange *x;
+
+	TAILQ_FOREACH(x, &t->list, link)
+	{
+		if (x->software == from)
+			x->software = to;
+		if (x->sent_software == from)
+			x->sent_software = to;
+		if (x->held.sent_software == from)
+			x->held.sent_software = to;
+	}
+}
+
 /* Returns the number of unfinished requests. */
 uint32_t exchanges_open(const struct exchanges *t)
 {
@@ -195,7 +213,8 @@
 		x->awaits_origin = true;
 		break;
 	case TAKE_UP_REFUSE:
-		exchange_refuse(x, 503, RETRY_NONE_UP_MS,
+		exchange_refuse(x, 503,
+				origins_write_interval_ms(x->proxyd->origins),
 				"the stream's software version is unknown");
 		break;
 	}
@@ -331,7 +350,8 @@
 				 x->engine != NULL, &endpoint);
 	if (choice.outcome == PLACEMENT_ALL_AVOIDED &&
 	    x->route->kind == KIND_STREAM) {
-		criteria.n_avoided = 0;
+		avoided[0] = x->endpoint;
+		criteria.n_avoided = 1;
 		choice = endpoints_place(x->proxyd->endpoints, &criteria,
 					 x->engine != NULL, &endpoint);
 	}
@@ -348,13 +368,18 @@
 	struct handle endpoint = { 0 };
 	struct placement_choice choice;
 
-	if (suspects_hold_or_refuse(x))
+	if (suspects_hold_or_refuse(x)) {
+		if (x->phase == EXCHANGE_WAITING)
+			handover_restore(x, "its content is held");
 		return;
+	}
 	choice = endpoints_place(x->proxyd->endpoints, &criteria,
 				 x->engine != NULL, &endpoint);
 	if (choice.outcome == PLACEMENT_ALL_AVOIDED && x->n_avoided &&
 	    x->route->kind == KIND_STREAM) {
 		x->n_avoided = 0; /* an avoided endpoint is better than none */
+		if (x->held.call)
+			exchange_avoid(x, x->held.endpoint);
 		choice = endpoints_place(x->proxyd->endpoints, &criteria,
 					 x->engine != NULL, &endpoint);
 	}
@@ -747,6 +772,7 @@
 	TAILQ_REMOVE(&t->list, x, link);
 	if (x->caller)
 		http1_set_owner(x->caller, NULL);
+	handover_release(x);
 	bytes_release(&x->copy.answer);
 	bytes_release(&x->headers);
 	attempt_discard_answer(x);
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -62,6 +62,7 @@
 	struct event_stream stream;
 	uint64_t last_event_ms;
 	uint64_t first_event_due_ms;
+	uint64_t offered_ms; /* to the other endpoint; 0: not connected yet */
 };
 
 /* One request of a caller, from its arrival until its answer is complete. */
@@ -85,7 +86,7 @@
 	/* the version that began the stream; SOFTWARE_UNKNOWN before that */
 	uint64_t software;
 	bool awaits_origin; /* until that version is found */
-	uint64_t first_reading; /* of the store's records after the arrival */
+	uint64_t readings_before; /* of the store's records, at the arrival */
 
 	/* the current or last attempt */
 	struct http1_call *call;
@@ -177,6 +178,7 @@
 void exchanges_start(struct exchanges *t, struct http1_conn *caller,
 		     struct http1_request *r);
 void exchanges_endpoint_lost(struct exchanges *t, struct handle endpoint);
+void exchanges_software_named(struct exchanges *t, uint64_t from, uint64_t to);
 uint32_t exchanges_open(const struct exchanges *t);
 void exchange_caller_left(void *owner);
 
@@ -206,12 +208,14 @@
 		   const struct kv_copy *from);
 void attempt_discard_answer(struct exchange *x);
 void attempt_cancel(struct exchange *x);
+void attempt_reassign(struct exchange *x);
 void attempt_prefill_done(struct exchange *x);
 
 /* handover.c */
 bool handover_begin(struct exchange *x);
 bool handover_restore(struct exchange *x, const char *why);
 void handover_end(struct exchange *x);
+void handover_release(struct exchange *x);
 void handover_tick(struct exchange *x, uint64_t now);
 
 /* stage.c */
--- a/proxyd/handover.c
+++ b/proxyd/handover.c
@@ -8,8 +8,14 @@
 #include "lib/event_log.h"
 #include "policy/handover.h"
 
+static void on_end(void *arg, enum http1_outcome outcome);
 static void swap_runs(struct exchange *x);
 
+/* A held call is not read; it only ends if its connection fails. */
+static const struct http1_call_ops held_ops = {
+	.on_end = on_end,
+};
+
 /* Holds the current run while another endpoint is tried.  Returns false if there
  * is none, or its request has not reached its endpoint. */
 bool handover_begin(struct exchange *x)
@@ -17,6 +23,7 @@
 	if (!x->call || !http1_call_connected(x->call) || x->held.call)
 		return false;
 	http1_call_pause(x->call, true);
+	http1_call_reassign(x->call, &held_ops, x);
 	swap_runs(x);
 	return true;
 }
@@ -34,10 +41,15 @@
 	x->wait_until_ms = 0;
 	x->awaits_repeat = false;
 	limit_queue_leave(x);
+	kv_copy_drop_kept(x);
 	attempt_cancel(x);
 	swap_runs(x);
+	handover_release(x);
 	x->phase = EXCHANGE_SENT;
+	x->staged = false;
+	x->lost_ms = 0;
 	x->move_tried_ms = now;
+	attempt_reassign(x);
 	http1_call_pause(x->call, false);
 	event_log(EVENT_NOTABLE, "move-undone", x->fields.id,
 		  "{s:s, s:i, s:I, s:b}", "why", why, "sends", (int)x->sends,
@@ -53,20 +65,47 @@
 		return;
 	swap_runs(x);
 	attempt_cancel(x);
-	attempt_discard_answer(x);
-	event_stream_release(&x->stream);
 	swap_runs(x);
+	handover_release(x);
+}
+
+/* Frees what a run that is not held any more has left. */
+void handover_release(struct exchange *x)
+{
+	x->proxyd->exchanges->answer_bytes -= x->held.body.len;
+	bytes_release(&x->held.body);
+	bytes_release(&x->held.headers);
+	bytes_release(&x->held.copy.answer);
+	event_stream_release(&x->held.stream);
+	x->held = (struct held_run){ .call = NULL };
 }
 
 /* Ends the run that is held once the new endpoint has had time to refuse the
  * request. */
 void handover_tick(struct exchange *x, uint64_t now)
 {
-	if (x->held.call && x->call && http1_call_connected(x->call) &&
-	    handover_over(now - x->sent_ms, x->status != 0))
+	if (!x->held.call || !x->call || !http1_call_connected(x->call))
+		return;
+	if (!x->held.offered_ms)
+		x->held.offered_ms = now;
+	if (handover_over(now - x->held.offered_ms, x->is_event_stream))
 		handover_end(x);
 }
 
+/* Handles the end of the connection of a run that is held. */
+static void on_end(void *arg, enum http1_outcome outcome)
+{
+	struct exchange *x = arg;
+
+	event_log(EVENT_NOTABLE, "held-run-ended", x->fields.id, "{s:s}",
+		  "outcome", http1_outcome_name(outcome));
+	x->held.call = NULL;
+	swap_runs(x);
+	attempt_cancel(x);
+	swap_runs(x);
+	handover_release(x);
+}
+
 /* Exchanges the current run and the one that is held. */
 static void swap_runs(struct exchange *x)
 {
--- a/proxyd/origins.c
+++ b/proxyd/origins.c
@@ -59,7 +59,7 @@
 
 	bool reading;
 	uint64_t readings_begun;
-	uint64_t readings_done; /* number of the last complete one */
+	uint64_t readings_done; /* successful ones */
 	uint64_t readings_wanted;
 	uint64_t next_reading_ms;
 	uint32_t failed_readings; /* consecutive */
@@ -98,6 +98,10 @@
 static size_t add_removals(struct origins *t, struct stream_row *rows,
 			   size_t most, bool mixed, uint64_t now);
 static void on_written(void *arg, enum store_outcome outcome);
+static struct software_recent recent_of_route(const struct origins *t,
+					      const struct route *route,
+					      uint64_t now);
+static bool hears_of_changes(const struct origins *t);
 static uint64_t stream_hash(const char *id);
 static void log_take_up(const struct origins *t, const struct exchange *x,
 			const struct stream_take_up *question,
@@ -158,11 +162,13 @@
 	const struct endpoint *e;
 	uint32_t i = 0;
 
+	uint64_t longest_ms = longest_timeout_ms(t->proxyd->routes);
+
 	t->listed_ms = now;
-	t->life_ms = longest_timeout_ms(t->proxyd->routes);
-	if (t->longest_deadline_ms > t->life_ms)
-		t->life_ms = t->longest_deadline_ms;
-	t->life_ms += LIFE_MARGIN_MS;
+	if (t->longest_deadline_ms > longest_ms)
+		longest_ms = t->longest_deadline_ms;
+	if (longest_ms + LIFE_MARGIN_MS > t->life_ms)
+		t->life_ms = longest_ms + LIFE_MARGIN_MS;
 	while ((e = endpoint_next(endpoints, &i)))
 		if (!e->expiry.removed)
 			origins_endpoint_listed(t, e);
@@ -202,19 +208,23 @@
 /* Notes that an endpoint is listed with its version. */
 void origins_endpoint_listed(struct origins *t, const struct endpoint *e)
 {
-	if (e->software != SOFTWARE_UNKNOWN &&
-	    serves_streams(t->proxyd->routes, e->service))
+	uint64_t software = e->software ? e->software : e->unlisted_software;
+
+	if (serves_streams(t->proxyd->routes, e->service))
 		software_note(&t->history,
 			      endpoints_service_hash(t->proxyd->endpoints,
 						     e->service),
-			      e->software, proxyd_now(t->proxyd));
+			      software, proxyd_now(t->proxyd));
 }
 
 /* Handles an endpoint whose version was not known until now: what stood for it
- * is no version of its own. */
-void origins_endpoint_named(struct origins *t, uint64_t unlisted_software)
+ * is no version of its own, and its streams are of the listed one. */
+void origins_endpoint_named(struct origins *t, const struct endpoint *e)
 {
-	software_forget(&t->history, unlisted_software);
+	software_forget(&t->history, e->unlisted_software);
+	stream_origin_rename(&t->streams, e->unlisted_software, e->software);
+	exchanges_software_named(t->proxyd->exchanges, e->unlisted_software,
+				 e->software);
 }
 
 /* Notes the version of the endpoint that a stream without events is sent to;
@@ -235,10 +245,17 @@
 		      x->sent_software, now);
 }
 
+/* Returns after how long the records of all instances that run are in the store,
+ * ms. */
+uint32_t origins_write_interval_ms(const struct origins *t)
+{
+	return stream_origin_interval_ms(peers_listed(t->proxyd->peers) + 1);
+}
+
 /* Handles the arrival of a stream that its caller resumes. */
 void origins_arrived(struct origins *t, struct exchange *x)
 {
-	x->first_reading = t->readings_begun + 1;
+	x->readings_before = t->readings_done + t->reading;
 }
 
 /* Finds the version that began a stream which its caller resumes, and binds the
@@ -251,16 +268,12 @@
 		x->fields.first_id[0] ? stream_hash(x->fields.first_id) : 0);
 	const struct stream_take_up question = {
 		.recorded = o ? o->software : SOFTWARE_UNKNOWN,
-		.recent = software_recent(
-			&t->history,
-			endpoints_service_hash(t->proxyd->endpoints,
-					       x->service),
-			t->life_ms, now),
-		.history_complete = t->complete,
+		.recent = recent_of_route(t, x->route, now),
+		.history_complete = t->complete && hears_of_changes(t),
 		.store_answers = store_answers(t, now),
-		.readings = t->readings_done >= x->first_reading
+		.readings = t->readings_done > x->readings_before
 				    ? (uint32_t)(t->readings_done -
-						 x->first_reading + 1)
+						 x->readings_before)
 				    : 0,
 		.waited_ms = now - x->received_ms,
 	};
@@ -269,7 +282,7 @@
 	struct counter *counter = t->refused;
 
 	if (d.action == TAKE_UP_WAIT) {
-		if (t->readings_wanted <= t->readings_done)
+		if (!t->reading)
 			t->readings_wanted = t->readings_begun + 1;
 		return d.action;
 	}
@@ -286,6 +299,40 @@
 	return d.action;
 }
 
+/* Returns the versions of all services of a route that may have begun a stream
+ * which is not over. */
+static struct software_recent recent_of_route(const struct origins *t,
+					      const struct route *route,
+					      uint64_t now)
+{
+	struct software_recent sum = { .only = SOFTWARE_UNKNOWN };
+	size_t i;
+
+	for (i = 0; i < route->n_shares; i++) {
+		struct software_recent r = software_recent(
+			&t->history,
+			endpoints_service_hash(t->proxyd->endpoints,
+					       route->shares[i].service),
+			t->life_ms, now);
+
+		sum.n += r.n;
+		sum.only = sum.n == 1 && r.n ? r.only : sum.only;
+	}
+	if (sum.n != 1)
+		sum.only = SOFTWARE_UNKNOWN;
+	return sum;
+}
+
+/* Returns whether this instance would hear of a new version: from the store, or
+ * from another instance. */
+static bool hears_of_changes(const struct origins *t)
+{
+	const struct proxyd *p = t->proxyd;
+
+	return watches_store_reachable(p->watches) || peers_alive(p->peers) ||
+	       !peers_listed(p->peers);
+}
+
 /* Logs how the version of a stream is known. */
 static void log_take_up(const struct origins *t, const struct exchange *x,
 			const struct stream_take_up *question,
@@ -400,7 +447,7 @@
 	for (i = 0; i < n; i++)
 		apply_row(t, &rows[i], now);
 	t->failed_readings = 0;
-	t->readings_done = t->readings_begun;
+	t->readings_done++;
 	t->complete = true;
 }
 
--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -9,6 +9,7 @@
 
 #include "lib/event_log.h"
 #include "policy/silence.h"
+#include "proxyd/origins.h"
 #include "proxyd/peers.h"
 #include "proxyd/suspects.h"
 
@@ -149,6 +150,7 @@
 		       (x->response_started || x->has_last_event);
 	bool sent = !x->call || http1_call_connected(x->call);
 	uint64_t now = proxyd_now(x->proxyd);
+	uint64_t silent_ms = now - x->last_event_ms;
 
 	x->may_have_run = x->may_have_run || sent;
 	x->move_tried_ms = 0;
@@ -170,8 +172,8 @@
 		x->lost_ms = now;
 	event_log(EVENT_NOTABLE, "move", x->fields.id,
 		  "{s:s, s:b, s:I, s:i, s:I}", "why", why, "by_copy", by_copy,
-		  "silent_ms", (json_int_t)(now - x->last_event_ms), "sends",
-		  (int)x->sends, "last_event",
+		  "silent_ms", (json_int_t)silent_ms, "sends", (int)x->sends,
+		  "last_event",
 		  (json_int_t)(x->has_last_event ? (int64_t)x->last_event_id
 						 : -1));
 	if (!x->caller) {
@@ -199,6 +201,8 @@
 
 	if (suspects_hold_or_refuse(x)) {
 		x->awaits_repeat = x->phase == EXCHANGE_WAITING;
+		if (x->awaits_repeat)
+			handover_restore(x, "its content is held");
 		return;
 	}
 	if (by_copy && copy_awaits_permit(x)) {
@@ -417,6 +421,7 @@
 
 	x->first_event_due_ms = 0;
 	handover_end(x);
+	origins_note_sent(x->proxyd->origins, x);
 	x->software = x->sent_software;
 	suspects_run_began(x);
 	if (x->prefill_counted && e) {
