Refuse during a planned stop what its end may cut

Cause: a request that arrived in the grace time was accepted if its expected duration fitted, 200 ms for any plain call and a mean for streams. At the end of the grace time what was still open was cut, also requests that may run once only. Requests that waited when the stop began were sent without the question.

Only one that may be repeated and came within 2.5 s of the signal may start by its expected duration. The question is asked again before each first sending, so that what waits is refused in time. The refusal is the 503 of before: not run, to be retried when the caller has a new list of instances.

Ruled out: refusing by the estimate alone with another percentage, as the estimate says nothing of the request at hand; closing the listener, as callers keep an address for some seconds.

A case of test_capacity_wait expected that a short run is accepted until 0.8 s before the abort by its estimate alone; that was the fault. It is now asked within the first 2.5 s, and the table of stop_cases asks for both sides of each limit.

--- a/policy/planned_stop.c
+++ b/policy/planned_stop.c
@@ -1,8 +1,8 @@
 /*
  * A planned stop.  From the signal on the process is neither ready nor listed
  * for callers, but it still serves new requests, because callers keep an
- * address for some seconds.  A request that would not end within the grace time
- * is refused at once, so that its caller goes to another instance.
+ * address for some seconds.  A request that may not end within the grace time is
+ * refused at once, so that its caller goes to another instance.
  */
 #include "policy/planned_stop.h"
 
@@ -10,6 +10,10 @@
  * time, when the process is killed. */
 #define ABORT_MARGIN_MS 200
 
+/* Callers that learn of the stop send elsewhere within this time.  Requests that
+ * arrive in it may be accepted by their expected duration. */
+#define ESTIMATE_MS 2500
+
 /* One run in twenty takes longer than the first percentage of the mean, one in
  * four longer than the second, used if no other instance can take the request.
  * A run that is aborted loses all its work; a refused one is served by another
@@ -28,6 +32,7 @@
  * directory. */
 #define RETRY_MARGIN_MS 50
 
+static uint64_t abort_ms(const struct planned_stop *s);
 static uint64_t linger_ms(const struct planned_stop *s);
 
 /* Returns whether callers may be sent to this process. */
@@ -36,18 +41,20 @@
 	return !s->signal_ms;
 }
 
-/* Returns whether a request with an expected mean duration of expected_ms may
- * still start; other_instance: another instance can take it. */
-bool planned_stop_accepts(const struct planned_stop *s, uint64_t expected_ms,
-			  bool other_instance, uint64_t now)
+/* Returns whether a request that has not run may start now: it ends by its own
+ * time limit before it would be aborted, or it may run again, came early in the
+ * grace time and is expected to end. */
+bool planned_stop_accepts(const struct planned_stop *s,
+			  const struct planned_stop_request *r, uint64_t now)
 {
-	uint64_t percent = other_instance ? DURATION_PERCENT
-					  : DURATION_ALONE_PERCENT;
+	uint64_t percent = r->other_instance ? DURATION_PERCENT
+					     : DURATION_ALONE_PERCENT;
 
-	if (!s->signal_ms)
+	if (!s->signal_ms || r->until_ms < abort_ms(s))
 		return true;
-	return now + expected_ms * percent / 100 + ABORT_MARGIN_MS <
-	       s->signal_ms + s->grace_ms;
+	if (!r->repeatable || r->received_ms >= s->signal_ms + ESTIMATE_MS)
+		return false;
+	return now + r->expected_ms * percent / 100 < abort_ms(s);
 }
 
 /* Returns the time after which a refused caller is to retry, in ms.  Until the
@@ -62,8 +69,7 @@
 /* Returns whether the requests that are still open are to be aborted now. */
 bool planned_stop_must_abort(const struct planned_stop *s, uint64_t now)
 {
-	return s->signal_ms &&
-	       now + ABORT_MARGIN_MS >= s->signal_ms + s->grace_ms;
+	return s->signal_ms && now >= abort_ms(s);
 }
 
 /* Returns whether the process is to exit, with this many open requests. */
@@ -77,6 +83,15 @@
 	return !open && now >= s->signal_ms + linger_ms(s);
 }
 
+/* Returns when the requests that are open are aborted. */
+static uint64_t abort_ms(const struct planned_stop *s)
+{
+	uint64_t margin = s->grace_ms < ABORT_MARGIN_MS ? s->grace_ms
+							: ABORT_MARGIN_MS;
+
+	return s->signal_ms + s->grace_ms - margin;
+}
+
 /* Returns how long callers may still arrive after the signal, in ms. */
 static uint64_t linger_ms(const struct planned_stop *s)
 {
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -43,6 +43,7 @@
 static bool find_organisation(struct exchange *x);
 static uint64_t hash_content(const struct exchange *x);
 static bool accept_or_refuse(struct exchange *x);
+static bool may_have_begun(const struct exchange *x);
 static void dispatch_failed(struct exchange *x,
 			    const struct placement_choice *choice);
 static void wait_for_endpoint(struct exchange *x,
@@ -283,13 +284,16 @@
 }
 
 /* Chooses an endpoint and sends the request to it; if none accepts it, the
- * request waits or is refused. */
+ * request waits or is refused.  One that has waited may be too late for a
+ * planned stop. */
 void exchange_dispatch(struct exchange *x)
 {
 	const struct endpoint_criteria criteria = exchange_endpoint_criteria(x);
 	struct handle endpoint = { 0 };
 	struct placement_choice choice;
 
+	if (!may_have_begun(x) && !accept_or_refuse(x))
+		return;
 	if (suspects_hold_or_refuse(x))
 		return;
 	choice = endpoints_place(x->proxyd->endpoints, &criteria,
@@ -464,22 +468,34 @@
 	return content_hash(&content);
 }
 
-/* Returns whether the request can complete before a planned stop; refuses it
- * otherwise. */
+/* Returns whether a request that has not run can complete before a planned stop
+ * ends; refuses it otherwise. */
 static bool accept_or_refuse(struct exchange *x)
 {
-	struct exchanges *t = x->proxyd->exchanges;
-	uint64_t expected = x->engine ? (uint64_t)t->run_ms : PLAIN_CALL_MS;
+	struct proxyd *p = x->proxyd;
+	const struct planned_stop_request r = {
+		.received_ms = x->received_ms,
+		.until_ms = x->deadline_ms,
+		.expected_ms = x->engine ? (uint64_t)p->exchanges->run_ms
+					 : PLAIN_CALL_MS,
+		.repeatable = route_may_run_again(x->route),
+		.other_instance = peers_alive(p->peers) != 0,
+	};
 
-	if (planned_stop_accepts(&x->proxyd->planned_stop, expected,
-				 peers_alive(x->proxyd->peers) != 0,
-				 proxyd_now(x->proxyd)))
+	if (planned_stop_accepts(&p->planned_stop, &r, proxyd_now(p)))
 		return true;
-	exchange_refuse(x, 503, planned_stop_retry_ms(&x->proxyd->planned_stop),
+	exchange_refuse(x, 503, planned_stop_retry_ms(&p->planned_stop),
 			"this instance is stopping");
 	return false;
 }
 
+/* Returns whether an endpoint may have run a part of the request, or runs it. */
+static bool may_have_begun(const struct exchange *x)
+{
+	return x->may_have_run || x->response_started || x->moves ||
+	       x->held.call;
+}
+
 /* Handles a request that no endpoint accepts now: waits or refuses. */
 static void dispatch_failed(struct exchange *x,
 			    const struct placement_choice *choice)
--- a/regress/unit/test_capacity_wait.c
+++ b/regress/unit/test_capacity_wait.c
@@ -67,21 +67,37 @@
 	assert_true(capacity_wait_decide(&none_up).retry_after_ms > 0);
 }
 
+/* Returns whether a run without a time limit that may be repeated is accepted
+ * when it arrives. */
+static bool accepts(const struct planned_stop *s, uint64_t expected_ms,
+		    bool other_instance, uint64_t now)
+{
+	const struct planned_stop_request r = {
+		.received_ms = now,
+		.until_ms = UINT64_MAX,
+		.expected_ms = expected_ms,
+		.repeatable = true,
+		.other_instance = other_instance,
+	};
+
+	return planned_stop_accepts(s, &r, now);
+}
+
 static void planned_stop(void **state)
 {
 	struct planned_stop s = { .grace_ms = 8000, .directory_ttl_ms = 2000 };
 
 	(void)state;
 	assert_true(planned_stop_ready(&s));
-	assert_true(planned_stop_accepts(&s, 1000000, false, 500));
+	assert_true(accepts(&s, 1000000, false, 500));
 	assert_false(planned_stop_should_exit(&s, 500, 0));
 	s.signal_ms = 1000;
 	assert_false(planned_stop_ready(&s));
 	/* it ends in time */
-	assert_true(planned_stop_accepts(&s, 6000, false, 1100));
-	assert_false(planned_stop_accepts(&s, 6000, false, 3000));
+	assert_true(accepts(&s, 6000, false, 1100));
+	assert_false(accepts(&s, 6000, false, 3000));
 	/* short requests are accepted for longer */
-	assert_true(planned_stop_accepts(&s, 200, true, 8000));
+	assert_true(accepts(&s, 200, true, 3400));
 	/* callers keep the address */
 	assert_false(planned_stop_should_exit(&s, 5000, 0));
 	assert_true(planned_stop_should_exit(&s, 8500, 0));
@@ -101,9 +117,79 @@
 					.signal_ms = 1000 };
 
 	(void)state;
-	assert_false(planned_stop_accepts(&s, 6000, true, 1100));
-	assert_true(planned_stop_accepts(&s, 6000, false, 1100));
-	assert_true(planned_stop_accepts(&s, 4000, true, 1100));
+	assert_false(accepts(&s, 6000, true, 1100));
+	assert_true(accepts(&s, 6000, false, 1100));
+	assert_true(accepts(&s, 4000, true, 1100));
+}
+
+/* Requests during a stop from 1000 to 9000 ms; open ones are aborted at 8800. */
+struct stop_case {
+	const char *what;
+	struct planned_stop_request request;
+	uint64_t now;
+	bool accepted;
+};
+
+static const struct stop_case stop_cases[] = {
+	{ "runs once, may outlast the stop",
+	  { 1100, 9100, 200, false, false },
+	  1100,
+	  false },
+	{ "runs once, alone, may outlast the stop",
+	  { 1100, 20000, 1, false, false },
+	  1100,
+	  false },
+	{ "runs once, ends with the stop",
+	  { 1100, 8800, 200, false, false },
+	  1100,
+	  false },
+	{ "runs once, ends before the stop",
+	  { 7000, 8799, 200, false, false },
+	  7000,
+	  true },
+	{ "runs once, came before the stop and waited",
+	  { 500, 15500, 200, false, true },
+	  1100,
+	  false },
+	{ "may be repeated, came early",
+	  { 3499, 20000, 200, true, true },
+	  3499,
+	  true },
+	{ "may be repeated, came late",
+	  { 3500, 20000, 200, true, true },
+	  3500,
+	  false },
+	{ "may be repeated, came late, ends before the stop",
+	  { 8000, 8500, 200, true, true },
+	  8000,
+	  true },
+	{ "may be repeated, came early and waited",
+	  { 1100, 20000, 200, true, true },
+	  8600,
+	  false },
+	{ "its limit ends it before the estimate does",
+	  { 7000, 8000, 6000, true, true },
+	  7000,
+	  true },
+};
+
+/* A guess of its duration is no reason to start a request that may be cut by
+ * the end of a planned stop without an answer. */
+static void limits_during_planned_stop(void **state)
+{
+	const struct planned_stop s = { .grace_ms = 8000,
+					.directory_ttl_ms = 1000,
+					.signal_ms = 1000 };
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(stop_cases) / sizeof(stop_cases[0]); i++) {
+		const struct stop_case *c = &stop_cases[i];
+
+		if (planned_stop_accepts(&s, &c->request, c->now) !=
+		    c->accepted)
+			fail_msg("%s", c->what);
+	}
 }
 
 /* Load pattern: six instances are stopped one second after another and start
@@ -154,6 +240,7 @@
 		cmocka_unit_test(no_time_left),
 		cmocka_unit_test(planned_stop),
 		cmocka_unit_test(run_during_planned_stop),
+		cmocka_unit_test(limits_during_planned_stop),
 		cmocka_unit_test(instances_stopped_in_turn),
 		cmocka_unit_test(expired_entries),
 	};
