Tell a want of descriptors apart from an ended endpoint

Cause: a connection that this process can't open, as it has no descriptor (EMFILE, ENFILE) or no port (EADDRNOTAVAIL), was reported as one that the server refuses. So the endpoint counted as ended, its requests as evidence against it, and other instances were told.

Change: HTTP1_NO_SOCKET. The request keeps its endpoint and tries again at each tick for 1.5 s; then it is refused with 503, not run. A probe without a socket shows nothing.

Ruled out: to avoid the endpoint and try another one, which fails as well.

--- a/lib/http1_client.c
+++ b/lib/http1_client.c
@@ -73,6 +73,7 @@
 	size_t request_len;
 	uint64_t connect_deadline_ms;
 	uint64_t deadline_ms; /* 0: none */
+	enum http1_outcome failure; /* while in failed_calls */
 	bool head;
 	bool reused;
 	bool paused;
@@ -100,7 +101,9 @@
 static struct client_conn *find_idle(struct http1_client *c,
 				     const struct http1_call_options *o);
 static struct client_conn *connect_to(struct http1_client *c,
-				      const struct http1_call_options *o);
+				      const struct http1_call_options *o,
+				      enum http1_outcome *failure);
+static enum http1_outcome connect_failure(int error);
 static void enable_keepalive(struct client_conn *k, uint32_t timeout_s);
 static bool was_refused(const struct client_conn *k, uint64_t tag);
 static void send_request(struct client_conn *k);
@@ -181,7 +184,7 @@
 
 	while ((call = TAILQ_FIRST(&c->failed_calls))) {
 		TAILQ_REMOVE(&c->failed_calls, call, link);
-		call_end(call, HTTP1_NOT_SENT);
+		call_end(call, call->failure);
 	}
 	while (k) {
 		struct client_conn *next = TAILQ_NEXT(k, link);
@@ -250,7 +253,7 @@
 		send_request(k);
 		return call;
 	}
-	k = connect_to(c, options);
+	k = connect_to(c, options, &call->failure);
 	if (k) {
 		call->conn = k;
 		k->call = call;
@@ -310,6 +313,7 @@
 	static const char *const names[] = {
 		[HTTP1_COMPLETE] = "complete",
 		[HTTP1_NOT_SENT] = "not sent",
+		[HTTP1_NO_SOCKET] = "no socket available",
 		[HTTP1_CONNECT_TIMEOUT] = "no connection in time",
 		[HTTP1_BROKEN] = "connection broken",
 		[HTTP1_MALFORMED] = "malformed answer",
@@ -350,16 +354,19 @@
 	return false;
 }
 
-/* Starts connecting.  Returns NULL if the address is malformed or no socket is
- * available. */
+/* Starts connecting.  Returns NULL and sets *failure if the address is malformed
+ * or no socket is available. */
 static struct client_conn *connect_to(struct http1_client *c,
-				      const struct http1_call_options *o)
+				      const struct http1_call_options *o,
+				      enum http1_outcome *failure)
 {
 	struct sockaddr_in sin;
 	struct client_conn *k;
 	char host[64];
 	uint16_t port;
+	int error;
 
+	*failure = HTTP1_NOT_SENT;
 	if (!address_parse(o->address, host, sizeof(host), &port) ||
 	    strlen(o->address) >= ADDRESS_SIZE)
 		return NULL;
@@ -374,8 +381,10 @@
 	TAILQ_INSERT_HEAD(&c->conns, k, link);
 	uv_ip4_addr(host, port, &sin);
 	c->stats.connects++;
-	if (uv_tcp_connect(&k->connect, &k->tcp, (const struct sockaddr *)&sin,
-			   on_connect)) {
+	error = uv_tcp_connect(&k->connect, &k->tcp,
+			       (const struct sockaddr *)&sin, on_connect);
+	if (error) {
+		*failure = connect_failure(error);
 		conn_close(k);
 		return NULL;
 	}
@@ -385,6 +394,23 @@
 	return k;
 }
 
+/* Returns the outcome that an error of connecting stands for: the server's, or a
+ * want of descriptors, ports or memory here, which shows nothing of the
+ * server. */
+static enum http1_outcome connect_failure(int error)
+{
+	switch (error) {
+	case UV_EMFILE:
+	case UV_ENFILE:
+	case UV_EADDRNOTAVAIL:
+	case UV_ENOBUFS:
+	case UV_ENOMEM:
+		return HTTP1_NO_SOCKET;
+	default:
+		return HTTP1_NOT_SENT;
+	}
+}
+
 /* Enables TCP keepalive to detect an unreachable server: probes every second
  * after one idle second; the connection fails after timeout_s unanswered ones,
  * or if sent data stays unacknowledged for timeout_s seconds. */
@@ -417,7 +443,7 @@
 	if (status < 0) {
 		conn_close(k);
 		if (call)
-			call_end(call, HTTP1_NOT_SENT);
+			call_end(call, connect_failure(status));
 		return;
 	}
 	if (!call->request_len) { /* the call only tests the connection */
--- a/lib/http1_client.h
+++ b/lib/http1_client.h
@@ -15,6 +15,7 @@
 enum http1_outcome {
 	HTTP1_COMPLETE, /* the whole answer was received */
 	HTTP1_NOT_SENT, /* connecting failed; the server received nothing */
+	HTTP1_NO_SOCKET, /* this process had no descriptor or port for it */
 	HTTP1_CONNECT_TIMEOUT, /* no connection within the time limit */
 	HTTP1_BROKEN, /* connection broken, or timeout, after sending */
 	HTTP1_MALFORMED, /* the received bytes are no valid answer */
--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -35,6 +35,9 @@
  * 20 ms, and a dead endpoint is detected within this time. */
 #define RETRY_FULL_MS 300
 
+/* How long a request waits for a socket of this process. */
+#define NO_SOCKET_WAIT_MS 1500
+
 #define ANSWER_MAX_BYTES (8u << 20) /* largest answer that is forwarded */
 #define ANSWERS_MAX_BYTES (24u << 20) /* all answers being read */
 
@@ -52,6 +55,7 @@
 static void on_end(void *arg, enum http1_outcome outcome);
 static void handle_not_sent(struct exchange *x, struct handle endpoint,
 			    enum http1_outcome outcome);
+static void handle_no_socket(struct exchange *x, struct handle endpoint);
 static void handle_broken_answer(struct exchange *x, struct handle endpoint,
 				 enum http1_outcome outcome);
 static void handle_answer(struct exchange *x, struct handle endpoint);
@@ -365,6 +369,8 @@
 	x->call = NULL;
 	x->awaits_repeat = false;
 	x->move_tried_ms = 0;
+	if (outcome != HTTP1_NO_SOCKET)
+		x->no_socket_ms = 0;
 	if (x->is_event_stream) {
 		stream_ended(x, outcome);
 		return;
@@ -376,6 +382,9 @@
 	case HTTP1_CONNECT_TIMEOUT:
 		handle_not_sent(x, endpoint, outcome);
 		break;
+	case HTTP1_NO_SOCKET:
+		handle_no_socket(x, endpoint);
+		break;
 	case HTTP1_COMPLETE:
 		handle_answer(x, endpoint);
 		break;
@@ -408,6 +417,33 @@
 		exchange_dispatch(x);
 }
 
+/* Handles a connection for which this process had no descriptor or port, which
+ * is no evidence against the endpoint or the request: tries again at each tick
+ * for NO_SOCKET_WAIT_MS. */
+static void handle_no_socket(struct exchange *x, struct handle endpoint)
+{
+	const struct endpoint *e = endpoint_get(x->proxyd->endpoints, endpoint);
+	uint64_t now = proxyd_now(x->proxyd);
+
+	x->sends--;
+	exchange_delivery_failed(x);
+	return_permit(x);
+	if (!x->no_socket_ms) {
+		x->no_socket_ms = now;
+		event_log(EVENT_NOTABLE, "no-socket", x->fields.id, "{s:s}",
+			  "endpoint", e ? e->id : "");
+	}
+	if (!x->caller)
+		exchange_finish(x, "left by caller");
+	else if (handover_restore(x, http1_outcome_name(HTTP1_NO_SOCKET)))
+		return;
+	else if (now - x->no_socket_ms >= NO_SOCKET_WAIT_MS)
+		exchange_refuse(x, 503, RETRY_FULL_MS,
+				"this instance can open no connection");
+	else
+		exchange_wait_for(x, NO_SOCKET_WAIT_MS);
+}
+
 /* Handles a broken connection or invalid answer: the request may have run. */
 static void handle_broken_answer(struct exchange *x, struct handle endpoint,
 				 enum http1_outcome outcome)
--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -755,6 +755,8 @@
 	struct endpoints *t = e->proxyd->endpoints;
 
 	e->probe = NULL;
+	if (outcome == HTTP1_NO_SOCKET)
+		return; /* shows nothing of the endpoint */
 	if (outcome == HTTP1_NOT_SENT || outcome == HTTP1_CONNECT_TIMEOUT)
 		endpoint_unreachable(t, e->self, NULL, outcome);
 	else {
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -88,6 +88,7 @@
 	uint64_t sent_ms;
 	uint32_t sends; /* attempts that reached an endpoint, or may have */
 	uint32_t failed_connects; /* or misdirected attempts */
+	uint64_t no_socket_ms; /* since when this process has none; 0: has */
 	uint32_t skipped_leaving; /* endpoints skipped at the last choice */
 	uint32_t skipped_paused;
 	uint32_t deliveries; /* endpoints that received it, even if refused */
--- a/regress/contract/test_http1_client.c
+++ b/regress/contract/test_http1_client.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #include <setjmp.h>
 #include <cmocka.h>
@@ -440,6 +441,24 @@
 	assert_int_equal(malformed.outcome, HTTP1_NOT_SENT);
 }
 
+/* A want of descriptors in this process is told apart from a server that
+ * refuses connections. */
+static void test_no_descriptor(void **state)
+{
+	struct result r = { .over = false };
+	struct rlimit before;
+	struct rlimit none;
+
+	(void)state;
+	assert_int_equal(getrlimit(RLIMIT_NOFILE, &before), 0);
+	none = before;
+	none.rlim_cur = 0;
+	assert_int_equal(setrlimit(RLIMIT_NOFILE, &none), 0);
+	call(&r, server.address, 0);
+	assert_int_equal(setrlimit(RLIMIT_NOFILE, &before), 0);
+	assert_int_equal(r.outcome, HTTP1_NO_SOCKET);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -453,6 +472,8 @@
 			tear_down),
 		cmocka_unit_test_setup_teardown(test_answer_to_head_has_no_body,
 						set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_no_descriptor, set_up,
+						tear_down),
 		cmocka_unit_test_setup_teardown(test_nothing_sent, set_up,
 						tear_down),
 	};
--- a/regress/integration/test_kept_connections.c
+++ b/regress/integration/test_kept_connections.c
@@ -13,6 +13,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -637,6 +638,45 @@
 	close_kept(&fresh);
 }
 
+/* Sets how many descriptors the process may have; those open stay. */
+static void limit_descriptors(rlim_t n)
+{
+	struct rlimit limit;
+
+	assert_int_equal(prlimit(one.proc->pid, RLIMIT_NOFILE, NULL, &limit),
+			 0);
+	limit.rlim_cur = n ? n : limit.rlim_max;
+	assert_int_equal(prlimit(one.proc->pid, RLIMIT_NOFILE, &limit, NULL),
+			 0);
+}
+
+/* A process that has no descriptor for a connection does not take its endpoint
+ * for dead: the request waits, or is refused, and later ones are served. */
+static void want_of_descriptors_is_no_lost_endpoint(void **state)
+{
+	struct kept k = open_kept();
+	struct kept other = open_kept();
+
+	(void)state;
+	assert_int_equal(call(&k, "/look/a"), 200);
+	assert_int_equal(call(&other, "/look/a"), 200);
+	limit_descriptors(1);
+	send_head(&k, "/write/a", "k1", 1);
+	send_text(&k, "x");
+	wait_logged("\"event\":\"no-socket\"");
+	limit_descriptors(0);
+	expect_answer(&k, "a stream that waits for a descriptor", 200);
+	limit_descriptors(1);
+	send_head(&other, "/write/b", "k1", 1);
+	send_text(&other, "x");
+	expect_answer(&other, "a stream without a descriptor", 503);
+	limit_descriptors(0);
+	assert_int_equal(call(&k, "/write/c"), 200);
+	assert_false(has_logged("\"event\":\"endpoint-lost\""));
+	close_kept(&k);
+	close_kept(&other);
+}
+
 #define TEST(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
 
 int main(void)
@@ -655,6 +695,7 @@
 		cmocka_unit_test_setup_teardown(stop_refuses_waiting_requests,
 						set_up_short_grace, tear_down),
 		TEST(stall_ends_no_request),
+		TEST(want_of_descriptors_is_no_lost_endpoint),
 	};
 
 	return cmocka_run_group_tests_name("kept connections", tests, NULL,
