Keep an endpoint in use whose 421 names the endpoint itself

Cause: a 421 was taken for the word of another endpoint at the address without a look at its Instance-Id. If that is the id which the request named, it shows no other endpoint, but the endpoint was out of use for good.

Change: such an answer is handled as any other that the request has not run.

Measured: misdirected_by_itself of test_endpoint_words fails on the program before (503 for the next request, 200 expected; 9 of 10 cases pass) and passes now (10 of 10).

--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -50,6 +50,7 @@
 static bool is_own_answer(const struct exchange *x,
 			  const struct http1_head *head);
 static void store_current_endpoint_id(struct exchange *x);
+static bool names_itself(const struct exchange *x, struct handle endpoint);
 static void on_body(void *arg, const char *data, size_t len);
 static void handle_oversized_answer(struct exchange *x);
 static void on_end(void *arg, enum http1_outcome outcome);
@@ -321,6 +322,15 @@
 	x->current_endpoint_id[len] = '\0';
 }
 
+/* Returns whether a misdirected request was refused by the very endpoint that it
+ * was for, which shows no other one at the address. */
+static bool names_itself(const struct exchange *x, struct handle endpoint)
+{
+	const struct endpoint *e = endpoint_get(x->proxyd->endpoints, endpoint);
+
+	return e && !strcmp(e->id, x->current_endpoint_id);
+}
+
 /* Handles a part of an answer's body. */
 static void on_body(void *arg, const char *data, size_t len)
 {
@@ -483,7 +493,7 @@
 		exchange_finish(x, "left by caller");
 		return;
 	}
-	if (x->answer.misdirected) {
+	if (x->answer.misdirected && !names_itself(x, endpoint)) {
 		x->sends--;
 		exchange_avoid(x, endpoint);
 		endpoint_replaced(x->proxyd->endpoints, endpoint, x->fields.id);
--- a/regress/integration/test_endpoint_words.c
+++ b/regress/integration/test_endpoint_words.c
@@ -403,6 +403,29 @@
 	}
 }
 
+/* A 421 that names the endpoint itself shows no other one at its address: the
+ * endpoint stays in use. */
+static void misdirected_by_itself(void **state)
+{
+	struct answer a;
+
+	(void)state;
+	start("plain");
+	call_until_received(first, "/look/a");
+	first->behaviour = STANDIN_MISDIRECTED_SELF;
+	second->behaviour = STANDIN_MISDIRECTED_SELF;
+	call("/look/a", &a);
+	assert_int_equal(a.status, 503); /* not run */
+	answer_release(&a);
+	first->behaviour = STANDIN_NORMAL;
+	second->behaviour = STANDIN_NORMAL;
+	call("/look/a", &a);
+	assert_int_equal(a.status, 200);
+	answer_release(&a);
+	call_until_received(first, "/look/a");
+	call_until_received(second, "/look/a");
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -428,6 +451,8 @@
 			tear_down),
 		cmocka_unit_test_setup_teardown(invalid_pause_is_ignored,
 						set_up, tear_down),
+		cmocka_unit_test_setup_teardown(misdirected_by_itself, set_up,
+						tear_down),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/regress/platform_standin.c
+++ b/regress/platform_standin.c
@@ -840,6 +840,7 @@
 	char refusal[HEADERS_BYTES];
 	char unsigned_headers[HEADERS_BYTES];
 	char other[HEADERS_BYTES];
+	char self[HEADERS_BYTES];
 	const char *body = "plain answer";
 
 	snprintf(headers, sizeof(headers),
@@ -852,8 +853,11 @@
 		 "request-id: %s\r\n", id);
 	snprintf(other, sizeof(other),
 		 "instance-id: i-else\r\nrequest-id: %s\r\n", id);
+	snprintf(self, sizeof(self), "instance-id: %s\r\nrequest-id: %s\r\n",
+		 worker->id, id);
 	a->ran = worker->behaviour != STANDIN_FULL &&
-		 worker->behaviour != STANDIN_MISDIRECTED;
+		 worker->behaviour != STANDIN_MISDIRECTED &&
+		 worker->behaviour != STANDIN_MISDIRECTED_SELF;
 	switch (worker->behaviour) {
 	case STANDIN_NORMAL:
 	case STANDIN_TRICKLES:
@@ -886,6 +890,9 @@
 	case STANDIN_MISDIRECTED:
 		http1_reply(c, 421, other, "", 0);
 		break;
+	case STANDIN_MISDIRECTED_SELF:
+		http1_reply(c, 421, self, "", 0);
+		break;
 	}
 }
 
--- a/regress/platform_standin.h
+++ b/regress/platform_standin.h
@@ -28,6 +28,7 @@
 	STANDIN_DISCONNECTS, /* closes the connection after the request */
 	STANDIN_SILENT, /* never answers */
 	STANDIN_MISDIRECTED, /* 421: another worker has this address */
+	STANDIN_MISDIRECTED_SELF, /* 421 that names the worker itself */
 	STANDIN_TRICKLES, /* streams: one event, then single bytes forever */
 };
 
