Test answers that are cut at each byte at the HTTP client

Cause: none here. No test cut a head anywhere but before its first byte.

Change: test_cut_answers_are_broken cuts ten answers at each byte: with a length, empty, 204, after interim heads, in chunks with an extension and a trailer, with bare line feeds, to HEAD, and without a length; each closed in order and reset, on a new and on a kept connection. A cut answer is broken, and no part of a cut head is reported.

Ruled out: a head without its blank line that lib/http1_client takes for complete, in each of these ways.

--- a/regress/contract/test_http1_client.c
+++ b/regress/contract/test_http1_client.c
@@ -17,6 +17,7 @@
 #include "regress/harness.h"
 
 #define HEAD "HTTP/1.1 200 OK\r\n"
+#define WAYS 4 /* closed in order or reset, on a new or a kept connection */
 
 /* What the server does with a connection after its answer. */
 enum ending {
@@ -184,7 +185,10 @@
 	return ((struct result *)arg)->over;
 }
 
-static void call(struct result *r, const char *address, uint32_t reuse_ms)
+/* Calls the server with a method, on a connection that was idle for reuse_ms at
+ * most, and waits for the end of the call. */
+static void call_with(struct result *r, const char *method, const char *address,
+		      uint32_t reuse_ms)
 {
 	static const struct http1_call_ops ops = {
 		.on_head = on_head,
@@ -193,15 +197,21 @@
 	};
 	const struct http1_call_options options = {
 		.address = address,
+		.head = !strcmp(method, "HEAD"),
 		.connect_timeout_ms = 1000,
 		.max_idle_ms = reuse_ms,
 	};
-	char *request = xstrdup("GET / HTTP/1.1\r\nhost: h\r\n\r\n");
+	char *request = xasprintf("%s / HTTP/1.1\r\nhost: h\r\n\r\n", method);
 
 	http1_call_start(client, &options, request, strlen(request), &ops, r);
 	harness_until(harness, is_over, r, "the call ends");
 }
 
+static void call(struct result *r, const char *address, uint32_t reuse_ms)
+{
+	call_with(r, "GET", address, reuse_ms);
+}
+
 static void test_answer_completeness(void **state)
 {
 	static const struct {
@@ -324,6 +334,95 @@
 	}
 }
 
+/* Calls the server, which ends the connection after the first n bytes of an
+ * answer; on a kept connection if kept is set. */
+static void call_cut(struct result *r, const char *method, const char *answer,
+		     size_t n, enum ending ending, bool kept)
+{
+	char *cut = xasprintf("%.*s", (int)n, answer);
+	struct result whole = { .over = false };
+	uint64_t reuses = http1_client_stats(client).reuses;
+
+	if (kept) {
+		server.script = (struct script){
+			HEAD "content-length: 0\r\n\r\n",
+			KEEP,
+		};
+		call(&whole, server.address, 0);
+		assert_int_equal(whole.outcome, HTTP1_COMPLETE);
+	}
+	server.script = (struct script){ cut, ending };
+	call_with(r, method, server.address, kept ? 60000 : 0);
+	assert_int_equal(http1_client_stats(client).reuses, reuses + kept);
+	free(cut);
+}
+
+/* Answers cut at each byte, also inside their heads, are not whole. */
+static void test_cut_answers_are_broken(void **state)
+{
+	static const struct {
+		const char *method;
+		const char *head;
+		const char *body;
+		bool unframed;
+	} answers[] = {
+		{ "GET", HEAD "id: 1\r\ncontent-length: 12\r\n\r\n",
+		  "abcdefghijkl", false },
+		{ "GET", HEAD "content-length: 0\r\nid: 1\r\n\r\n", "", false },
+		{ "GET", "HTTP/1.1 204 No Content\r\nid: 1\r\n\r\n", "",
+		  false },
+		{ "GET",
+		  "HTTP/1.1 103 Early Hints\r\nlink: a\r\n\r\n"
+		  "HTTP/1.1 100 Continue\r\n\r\n" HEAD
+		  "content-length: 2\r\n\r\n",
+		  "ab", false },
+		{ "GET", HEAD "transfer-encoding: chunked\r\n\r\n",
+		  "1\r\na\r\n10;x=y\r\n0123456789abcdef\r\n"
+		  "0\r\nsum: 1\r\n\r\n",
+		  false },
+		{ "GET", "HTTP/1.1 200 OK\ncontent-length: 2\n\n", "ab",
+		  false },
+		{ "HEAD", HEAD "content-length: 12\r\nid: 1\r\n\r\n", "",
+		  false },
+		{ "HEAD", HEAD "id: 1\r\n\r\n", "", false },
+		{ "GET", HEAD "id: 1\r\n\r\n", "abc", true },
+		{ "GET", "HTTP/1.0 200 OK\r\nid: 1\r\n\r\n", "abc", true },
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(answers) / sizeof(answers[0]); i++) {
+		size_t head = strlen(answers[i].head);
+		char *whole =
+			xasprintf("%s%s", answers[i].head, answers[i].body);
+		size_t len = strlen(whole);
+		size_t n;
+
+		for (n = 0; n < WAYS * len; n++) {
+			size_t cut = n / WAYS;
+			int way = (int)(n % WAYS);
+			enum ending ending = way < 2 ? FIN : RESET;
+			bool may_be_whole = answers[i].unframed &&
+					    cut >= head && ending == FIN;
+			struct result r = { .over = false };
+
+			call_cut(&r, answers[i].method, whole, cut, ending,
+				 way % 2);
+			if (r.outcome !=
+			    (may_be_whole ? HTTP1_COMPLETE : HTTP1_BROKEN))
+				fail_msg("answer %zu, %zu bytes, way %d: %s", i,
+					 cut, way,
+					 http1_outcome_name(r.outcome));
+			if (cut < head && (r.status || r.body.len))
+				fail_msg("answer %zu, %zu bytes, way %d: "
+					 "status %d, %zu bytes of body",
+					 i, cut, way, r.status, r.body.len);
+			bytes_release(&r.body);
+		}
+		free(whole);
+	}
+}
+
 static bool all_received(void *arg)
 {
 	return server.record->len >= *(const size_t *)arg;
@@ -445,6 +544,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(test_answer_completeness,
 						set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_cut_answers_are_broken,
+						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(
 			test_answer_before_request_body_is_read, set_up,
 			tear_down),
