--- a/regress/raw_endpoint.c
+++ b/regress/raw_endpoint.c
@@ -21,6 +21,8 @@
 #define HEALTHY "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
 #define CONNECT_MS 1000
 #define CLOSE_MS 50 /* for handles to be closed */
+#define EARLIER "w-" /* ids of requests that leave kept connections */
+#define EARLIER_MAX 200 /* enough that each endpoint gets one */
 
 struct raw_endpoint {
 	uv_tcp_t listener;
@@ -28,6 +30,8 @@
 
 struct raw_conn {
 	uv_tcp_t tcp;
+	size_t endpoint;
+	bool kept; /* has carried an earlier request */
 	char input[8192]; /* the head of a request fits */
 	size_t len;
 	struct raw_conn *next;
@@ -47,7 +51,9 @@
 static struct raw_endpoint endpoints[RAW_ENDPOINTS];
 static struct raw_conn *conns; /* freed at the end of the case */
 static const struct raw_case *current;
+static const struct raw_way *current_way;
 static size_t n_attempts;
+static bool first_kept; /* the first attempt came on a kept connection */
 
 static void on_alloc(uv_handle_t *h, size_t suggested, uv_buf_t *buf)
 {
@@ -82,6 +88,26 @@
 	return &current->answers[i];
 }
 
+/* Answers a request that came before that of the case, whose connection is
+ * kept.  Returns false if the request is no such one. */
+static bool answer_earlier(struct raw_conn *c)
+{
+	const char *id = memmem(c->input, c->len, ": " EARLIER, 4);
+	unsigned int number;
+	char *bytes;
+
+	if (!id || sscanf(id, ": " EARLIER "%u", &number) != 1)
+		return false;
+	bytes = xasprintf("HTTP/1.1 200 OK\r\nrequest-id: " EARLIER "%u\r\n"
+			  "response-signature: m.1\r\n"
+			  "content-length: 0\r\n\r\n",
+			  number);
+	c->kept = true;
+	answer(c, &(const struct raw_answer){ bytes, RAW_KEEP });
+	free(bytes);
+	return true;
+}
+
 /* Answers a request once it has arrived whole; its body is one byte. */
 static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
 {
@@ -105,8 +131,11 @@
 		answer(c, &healthy);
 	} else if (memcmp(c->input, "POST", 4) != 0 ||
 		   end + 4 < c->input + c->len) {
+		if (!answer_earlier(c)) {
+			first_kept = n_attempts ? first_kept : c->kept;
+			answer(c, next_answer());
+		}
 		c->len = 0;
-		answer(c, next_answer());
 	}
 out:
 	free(target);
@@ -118,6 +147,7 @@
 
 	assert_int_equal(status, 0);
 	c->tcp.data = c;
+	c->endpoint = (size_t)((struct raw_endpoint *)listener - endpoints);
 	c->next = conns;
 	conns = c;
 	uv_tcp_init(listener->loop, &c->tcp);
@@ -161,6 +191,7 @@
 	world = standin_new(harness);
 	world->extra_settings = REPEATS;
 	n_attempts = 0;
+	first_kept = false;
 	for (i = 0; i < RAW_ENDPOINTS; i++)
 		add_endpoint(i, stream ? "engine" : "plain");
 	standin_put_configuration(world, 2, NULL);
@@ -218,8 +249,10 @@
 	return ((struct raw_reply *)arg)->over;
 }
 
-/* Sends the request of the case and waits for the end of its answer. */
-static void call(struct http1_client *client, struct raw_reply *reply)
+/* Sends the request of the case, with an id, and waits for the end of its
+ * answer. */
+static void call(struct http1_client *client, const char *id,
+		 struct raw_reply *reply)
 {
 	static const struct http1_call_ops ops = {
 		.on_head = on_reply_head,
@@ -229,12 +262,17 @@
 	const struct http1_call_options options = {
 		.address = one.callers,
 		.connect_timeout_ms = CONNECT_MS,
+		.head = !strcmp(current_way->method, "HEAD"),
 	};
-	char *request = xasprintf("POST %s HTTP/%s\r\nhost: 127.0.0.1\r\n"
-				  "request-id: r-1\r\ncredential: k1\r\n"
-				  "deadline-ms: 15000\r\n"
-				  "content-length: 1\r\n\r\nx",
-				  current->target, current->version);
+	char *request = xasprintf("%s %s HTTP/%s\r\nhost: 127.0.0.1\r\n"
+				  "request-id: %s\r\ncredential: k1\r\n"
+				  "deadline-ms: 15000\r\n%s",
+				  current_way->method, current->target,
+				  current->version, id,
+				  strcmp(current_way->method, "POST")
+					  ? "\r\n"
+					  : "content-length: 1\r\n"
+					    "\r\nx");
 
 	http1_call_start(client, &options, request, strlen(request), &ops,
 			 reply);
@@ -242,16 +280,59 @@
 	bytes_add(&reply->body, "", 1);
 }
 
-/* Runs the case that is the test's state. */
+/* Returns whether each endpoint has a connection that has carried a request. */
+static bool all_have_kept(void)
+{
+	bool has[RAW_ENDPOINTS] = { false };
+	const struct raw_conn *c;
+	size_t n = 0;
+
+	for (c = conns; c; c = c->next) {
+		n += c->kept && !has[c->endpoint];
+		has[c->endpoint] = has[c->endpoint] || c->kept;
+	}
+	return n == RAW_ENDPOINTS;
+}
+
+/* Sends requests until each endpoint has a connection that is kept. */
+static void keep_connections(struct http1_client *client)
+{
+	size_t i;
+
+	for (i = 0; i < EARLIER_MAX && !all_have_kept(); i++) {
+		char *id = xasprintf(EARLIER "%zu", i);
+		struct raw_reply reply = { 0 };
+
+		call(client, id, &reply);
+		assert_int_equal(reply.status, 200);
+		bytes_release(&reply.body);
+		free(id);
+	}
+	assert_true(all_have_kept());
+}
+
+/* Runs the case that is the test's state, with a POST request on a new
+ * connection. */
 void raw_run_case(void **state)
+{
+	static const struct raw_way way = { "POST", false };
+
+	raw_run_case_in_way(*state, &way);
+}
+
+/* Runs a case whose request is sent in a given way. */
+void raw_run_case_in_way(const struct raw_case *c, const struct raw_way *way)
 {
 	struct raw_reply reply = { 0 };
 	struct http1_client *client;
 
-	current = *state;
+	current = c;
+	current_way = way;
 	start();
 	client = http1_client_new(harness_loop(harness));
-	call(client, &reply);
+	if (way->kept)
+		keep_connections(client);
+	call(client, "r-1", &reply);
 	print_message("%s: %s, %d, \"%s\", %zu attempts\n", current->what,
 		      http1_outcome_name(reply.outcome), reply.status,
 		      reply.body.data, n_attempts);
@@ -260,6 +341,7 @@
 	if (current->body)
 		assert_string_equal(reply.body.data, current->body);
 	assert_int_equal(n_attempts, current->n_attempts);
+	assert_int_equal(first_kept, way->kept);
 	bytes_release(&reply.body);
 	http1_client_free(client);
 	stop();
--- a/regress/raw_endpoint.h
+++ b/regress/raw_endpoint.h
@@ -1,6 +1,7 @@
 #ifndef REGRESS_RAW_ENDPOINT_H
 #define REGRESS_RAW_ENDPOINT_H
 
+#include <stdbool.h>
 #include <stddef.h>
 
 #include "lib/bytes.h"
@@ -36,6 +37,14 @@
 	size_t n_attempts;
 };
 
+/* How the request of a case is sent. */
+struct raw_way {
+	const char
+		*method; /* "POST" with a body of one byte, "GET" or "HEAD" */
+	bool kept; /* the first attempt arrives on a kept connection */
+};
+
 void raw_run_case(void **state);
+void raw_run_case_in_way(const struct raw_case *c, const struct raw_way *way);
 
 #endif /* REGRESS_RAW_ENDPOINT_H */
