--- a/proxyd/snapshot.c
+++ b/proxyd/snapshot.c
@@ -30,6 +30,7 @@
 	struct snapshots *snapshots;
 	struct http1_call *call; /* NULL: none in progress */
 	int status;
+	bool unframed; /* the response ends with its connection */
 	struct bytes body;
 	bool all; /* a snapshot, not only the configuration */
 };
@@ -167,19 +168,21 @@
 		   "GET %s HTTP/1.1\r\nhost: %s\r\nconnection: close\r\n\r\n",
 		   path, address);
 	s->fetch.status = 0;
+	s->fetch.unframed = false;
 	s->fetch.all = all;
 	s->fetch.body.len = 0;
 	s->fetch.call = http1_call_start(s->proxyd->client, &options, out.data,
 					 out.len, &ops, &s->fetch);
 }
 
-/* Stores the status of a response. */
+/* Stores the status of a response and how it ends. */
 static enum http1_head_decision on_head(void *arg,
 					const struct http1_head *head)
 {
 	struct fetch *f = arg;
 
 	f->status = head->status;
+	f->unframed = http1_call_unframed(f->call);
 	return HTTP1_ACCEPT;
 }
 
@@ -193,7 +196,8 @@
 		bytes_add(&f->body, data, len);
 }
 
-/* Applies a complete response; logs a failed fetch. */
+/* Applies a complete response; logs a failed fetch.  One that ends with its
+ * connection may have been cut between two entries, so it is not applied. */
 static void on_end(void *arg, enum http1_outcome outcome)
 {
 	struct fetch *f = arg;
@@ -201,15 +205,15 @@
 	bool taken = false;
 
 	f->call = NULL;
-	if (outcome == HTTP1_COMPLETE && f->status == 200)
+	if (outcome == HTTP1_COMPLETE && f->status == 200 && !f->unframed)
 		taken = f->all ? adopt_snapshot(s, f->body.data, f->body.len)
 			       : adopt_configuration(s, f->body.data,
 						     f->body.len);
 	if (!taken)
 		event_log(EVENT_NOTABLE, "fetch-failed", NULL,
-			  "{s:s, s:i, s:b}", "outcome",
+			  "{s:s, s:i, s:b, s:b}", "outcome",
 			  http1_outcome_name(outcome), "status", f->status,
-			  "all", f->all);
+			  "unframed", f->unframed, "all", f->all);
 	if (!taken && !f->all)
 		watches_configuration_fetch_failed(s->proxyd->watches);
 	bytes_release(&f->body);
