End calls to the store that wait while others know newer rows

Cause: a call that waits for changes and is made while the store is silent is never answered, though its connection stands. It looks like one without news for 27.5 s.

Change: pulses name the newest row of the endpoints that the sender has read. An instance that lacks it for 500 ms, all of which its call has waited, ends its waiting calls and makes them again (store-stale, cdm_store_stale_total). Up to 16 instances, the first one waits 1 s in place of 25 s for endpoints, so that it is noticed if all are blind. When a table's call is answered again after a failure, and in a new era, the waiting calls of the other tables are made again.

Ruled out: a shorter wait for all (price); comparing the version of the whole store, which grows with changes of other tables (read, not tried).

The stand-in store now answers a call that has waited as long as it may, and can lose the calls that wait. test_dead_calls: 0 of 2 cases on the code before, 2 of 2 after (4 runs: 3 plain, 1 with SAN=1). test_heartbeat gets the policy's cases.

Not measured at 295 instances.

--- a/policy/store_poll.c
+++ b/policy/store_poll.c
@@ -28,6 +28,15 @@
 /* Duration of a long poll; the store holds a call for 30 s at most. */
 #define WAIT_MS 25000
 
+/* The first instance of a small fleet asks more often, so that the loss of all
+ * instances' calls is noticed: with the time limit of a call, before a store
+ * that was silent counts as stable again. */
+#define WAIT_FIRST_MS 1000
+
+/* A call that waits is dead if others have newer rows for so long: the time of
+ * an answer and of the datagrams' delay. */
+#define DEAD_MS 500
+
 /* A reader that is cut off must detect it within a second, so that the others
  * still learn of a change within three seconds. */
 #define WAIT_FOR_OTHERS_MS 400
@@ -65,11 +74,26 @@
 	       others->preceding + others->unable < READERS_MAX;
 }
 
-/* Returns how long a call waits for changes, ms.  A reader uses the shorter
- * time, as it must know that the store still answers it. */
-uint32_t store_poll_wait_ms(bool for_others)
+/* Returns how long a call waits for changes, ms.  A reader uses a short time, as
+ * it must know that the store still answers it.  So does, for the table whose
+ * changes are urgent, the first of the instances that poll each for itself: the
+ * others compare their versions with its own. */
+uint32_t store_poll_wait_ms(const struct store_poll_others *others, bool urgent)
+{
+	if (store_poll_designated(others))
+		return WAIT_FOR_OTHERS_MS;
+	if (urgent && store_poll_all_read(others->instances) &&
+	    !others->preceding)
+		return WAIT_FIRST_MS;
+	return WAIT_MS;
+}
+
+/* Tells whether a call that waits for changes is dead though its connection
+ * stands: others have had newer rows for some time, all of which it waited.
+ * heard_ms is when that was heard first, called_ms when the call began. */
+bool store_poll_call_dead(uint64_t heard_ms, uint64_t called_ms, uint64_t now)
 {
-	return for_others ? WAIT_FOR_OTHERS_MS : WAIT_MS;
+	return now - heard_ms > DEAD_MS && now - called_ms > DEAD_MS;
 }
 
 /* Tells whether the store answered recently enough for others to rely on this
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -952,7 +952,7 @@
   assert(message->base.descriptor == &peer_instance__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor peer_pulse__field_descriptors[13] =
+static const ProtobufCFieldDescriptor peer_pulse__field_descriptors[14] =
 {
   {
     "instance",
@@ -1110,6 +1110,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "newest_endpoint",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PeerPulse, newest_endpoint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer_pulse__field_indices_by_name[] = {
   1,   /* field[1] = born */
@@ -1121,6 +1133,7 @@
   11,   /* field[11] = leaving_endpoints */
   4,   /* field[4] = loads */
   5,   /* field[5] = lost */
+  13,   /* field[13] = newest_endpoint */
   10,   /* field[10] = prompts */
   7,   /* field[7] = reading */
   12,   /* field[12] = store_era */
@@ -1130,7 +1143,7 @@
 {
   { 1, 0 },
   { 8, 6 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor peer_pulse__descriptor =
 {
@@ -1140,7 +1153,7 @@
   "PeerPulse",
   "",
   sizeof(PeerPulse),
-  13,
+  14,
   peer_pulse__field_descriptors,
   peer_pulse__field_indices_by_name,
   2,  peer_pulse__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -101,10 +101,15 @@
    * era of the store that endpoints_version belongs to; 0: unknown
    */
   uint64_t store_era;
+  /*
+   * of the newest row of the endpoint table that the sender has read itself;
+   * 0: none
+   */
+  uint64_t newest_endpoint;
 };
 #define PEER_PULSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer_pulse__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0 }
 
 
 /*
--- a/proxyd/peers.c
+++ b/proxyd/peers.c
@@ -378,16 +378,19 @@
 				pulse->found[i]->service,
 				pulse->found[i]->zone);
 	record_prompts(t, pulse->prompts, pulse->n_prompts);
-	if (pulse->reading) {
+	if (pulse->reading)
 		store_reader_announced(&peer->reader, true,
 				       peer->heartbeat.last_seen_ms);
-		if (watches_era_seen(t->proxyd->watches, pulse->store_era,
-				     peer->name))
+	else
+		store_reader_seen(&peer->reader, peer->heartbeat.last_seen_ms);
+	if (watches_era_seen(t->proxyd->watches, pulse->store_era,
+			     peer->name)) {
+		watches_row_seen(t->proxyd->watches, STORE_ENDPOINTS,
+				 pulse->newest_endpoint, peer->name);
+		if (pulse->reading)
 			watches_version_seen(t->proxyd->watches,
 					     STORE_ENDPOINTS,
 					     pulse->endpoints_version);
-	} else {
-		store_reader_seen(&peer->reader, peer->heartbeat.last_seen_ms);
 	}
 	watches_configuration_seen(t->proxyd->watches, pulse->version,
 				   peer->control);
--- a/proxyd/peers_announce.c
+++ b/proxyd/peers_announce.c
@@ -250,6 +250,7 @@
 	pulse.store_era = watches_era(p->watches);
 	pulse.endpoints_version =
 		watches_row_version(p->watches, STORE_ENDPOINTS);
+	pulse.newest_endpoint = watches_newest_row(p->watches, STORE_ENDPOINTS);
 	d.pulse = &pulse;
 	if (peer_datagram__get_packed_size(&d) > DATAGRAM_MAX_BYTES)
 		pulse.n_loads /= 4;
--- a/proxyd/store.h
+++ b/proxyd/store.h
@@ -22,6 +22,7 @@
 	STORE_UNREACHABLE,
 	STORE_MALFORMED, /* the answer cannot be decoded */
 	STORE_OLD_ERA, /* it answered before it returned from a copy */
+	STORE_ENDED, /* end_waiting() ended the call */
 };
 
 struct endpoint_entry {
@@ -114,6 +115,8 @@
 			     void (*done)(void *arg,
 					  enum store_outcome outcome),
 			     void *arg);
+	/* ends the calls that wait for changes of a table, with STORE_ENDED */
+	void (*end_waiting)(struct store *s, enum store_table table);
 	void (*tick)(struct store *s); /* ends calls that timed out */
 };
 
--- a/proxyd/watch.c
+++ b/proxyd/watch.c
@@ -9,6 +9,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <bsd/string.h>
+
 #include "lib/counters.h"
 #include "lib/event_log.h"
 #include "lib/xalloc.h"
@@ -34,6 +36,12 @@
 	uint64_t row_version; /* version of the newest rows received */
 	uint64_t answered_ms; /* when the store last answered; 0: never */
 	uint64_t behind_ms; /* others are ahead since then; 0: no */
+	uint64_t newest_row; /* version of the newest row that it read itself */
+	uint64_t heard_version; /* of the newest row that others know */
+	uint64_t heard_ms; /* since when they know rows that it lacks */
+	char heard_from[64]; /* the instance that named heard_version */
+	uint64_t called_ms; /* when the last call began */
+	bool waits; /* the call in progress waits for changes */
 	bool loaded; /* version is known, changes are followed */
 	bool busy;
 	bool listing; /* the call reads the table whole */
@@ -51,6 +59,7 @@
 	bool stopping;
 	uint64_t next_write_ms;
 	struct counter *calls[STORE_TABLES];
+	struct counter *stale[STORE_TABLES];
 	struct counter *writes;
 };
 
@@ -59,6 +68,9 @@
 static void apply_decoded(void *arg, const struct store_row *rows, size_t n);
 static void note_era(struct watches *w, const char *by, bool first_hand);
 static void begin_era(struct watches *w, uint64_t now, uint32_t delay_ms);
+static bool is_missing_rows(const struct watch *w);
+static void end_if_dead(struct watch *w, uint64_t now);
+static void end_waiting(struct watches *w, const struct watch *except);
 static void call_if_due(struct watch *w, uint64_t now);
 static void call_store(struct watch *w);
 static uint32_t follow_ms(const struct watch *w);
@@ -87,6 +99,10 @@
 					       "Calls to the store",
 					       COUNTER_TOTAL, "table",
 					       store_table_name(i));
+		w->stale[i] = counter_labelled(
+			"cdm_store_stale_total",
+			"Calls that waited while others had newer rows",
+			COUNTER_TOTAL, "table", store_table_name(i));
 	}
 	w->writes = counter_labelled("cdm_store_calls_total",
 				     "Calls to the store", COUNTER_TOTAL,
@@ -100,6 +116,8 @@
 	uint64_t now = proxyd_now(w->proxyd);
 	int i;
 
+	for (i = 0; i < STORE_TABLES; i++)
+		end_if_dead(&w->watch[i], now);
 	for (i = 0; i < STORE_TABLES; i++)
 		if (!w->watch[i].busy && now >= w->watch[i].next_call_ms &&
 		    !waits_for_configuration(w, i))
@@ -185,6 +203,14 @@
 	return w->watch[table].loaded ? w->watch[table].row_version : 0;
 }
 
+/* Returns the version of the newest row of a table that this instance has read
+ * itself, 0 if it is not loaded.  An instance with a lower version of the table
+ * lacks that row. */
+uint64_t watches_newest_row(const struct watches *w, enum store_table table)
+{
+	return w->watch[table].loaded ? w->watch[table].newest_row : 0;
+}
+
 /* Returns the time since the store recovered from an outage, in ms, plus 1; 0
  * if there was none. */
 uint32_t watches_since_recovery_ms(const struct watches *w,
@@ -242,6 +268,7 @@
 {
 	int i;
 
+	end_waiting(w, NULL);
 	for (i = 0; i < STORE_TABLES; i++) {
 		struct watch *t = &w->watch[i];
 
@@ -250,6 +277,8 @@
 		t->version = 0;
 		t->row_version = 0;
 		t->behind_ms = 0;
+		t->newest_row = 0;
+		t->heard_version = 0;
 		t->poll.recovered_ms = now;
 		t->next_call_ms = now + delay_ms;
 	}
@@ -269,6 +298,26 @@
 		t->behind_ms = proxyd_now(w->proxyd);
 }
 
+/* Records the version of a row of a table that another instance knows. */
+void watches_row_seen(struct watches *w, enum store_table table,
+		      uint64_t version, const char *peer)
+{
+	struct watch *t = &w->watch[table];
+
+	if (version <= t->version || version <= t->heard_version)
+		return;
+	if (!is_missing_rows(t))
+		t->heard_ms = proxyd_now(w->proxyd);
+	t->heard_version = version;
+	strlcpy(t->heard_from, peer, sizeof(t->heard_from));
+}
+
+/* Tells whether another instance has named a newer row than this one knows. */
+static bool is_missing_rows(const struct watch *w)
+{
+	return w->heard_version > w->version;
+}
+
 /* Fetches the configuration from another instance if its version is newer.  If
  * the fetch fails, it is read from the store. */
 void watches_configuration_seen(struct watches *w, uint64_t version,
@@ -330,6 +379,36 @@
 	return store_poll_decide(&others, now);
 }
 
+/* Ends the waiting calls of all tables if this one's is dead: they were made to
+ * the same store, and a new call returns at once what was missed. */
+static void end_if_dead(struct watch *w, uint64_t now)
+{
+	if (!w->busy || !w->waits || !is_missing_rows(w) ||
+	    !store_poll_call_dead(w->heard_ms, w->called_ms, now))
+		return;
+	counter_add(w->watches->stale[w->table], 1);
+	event_log(EVENT_ALWAYS, "store-stale", NULL,
+		  "{s:s, s:I, s:I, s:s, s:I, s:I}", "table",
+		  store_table_name(w->table), "version", (json_int_t)w->version,
+		  "heard", (json_int_t)w->heard_version, "from", w->heard_from,
+		  "age_ms", (json_int_t)(now - w->heard_ms), "waited_ms",
+		  (json_int_t)(now - w->called_ms));
+	end_waiting(w->watches, NULL);
+}
+
+/* Ends the calls that wait for changes, except that of one table; NULL: of
+ * none. */
+static void end_waiting(struct watches *w, const struct watch *except)
+{
+	struct store *s = w->proxyd->store;
+	int i;
+
+	for (i = 0; i < STORE_TABLES; i++)
+		if (&w->watch[i] != except && w->watch[i].busy &&
+		    w->watch[i].waits)
+			s->ops->end_waiting(s, (enum store_table)i);
+}
+
 /* Reads a table if this instance has to, and logs a change of the reason. */
 static void call_if_due(struct watch *w, uint64_t now)
 {
@@ -353,13 +432,15 @@
 static void call_store(struct watch *w)
 {
 	struct store *s = w->watches->proxyd->store;
+	uint32_t wait_ms = w->loaded ? follow_ms(w) : 0;
 
 	w->busy = true;
+	w->waits = wait_ms > 0;
+	w->called_ms = proxyd_now(w->watches->proxyd);
 	w->listing = !w->loaded;
 	counter_add(w->watches->calls[w->table], 1);
 	if (w->loaded)
-		s->ops->follow(s, w->table, w->version, follow_ms(w), on_rows,
-			       w);
+		s->ops->follow(s, w->table, w->version, wait_ms, on_rows, w);
 	else
 		s->ops->list(s, w->table, on_rows, w);
 }
@@ -369,9 +450,12 @@
  * noticed at once. */
 static uint32_t follow_ms(const struct watch *w)
 {
-	if (w->behind_ms || w->poll.failures)
+	struct store_poll_others others;
+
+	if (w->behind_ms || is_missing_rows(w) || w->poll.failures)
 		return 0;
-	return store_poll_wait_ms(watches_designated(w->watches));
+	others = peers_store_readers(w->watches->proxyd->peers);
+	return store_poll_wait_ms(&others, w->table == STORE_ENDPOINTS);
 }
 
 /* Handles the result of a call to the store. */
@@ -381,8 +465,13 @@
 	struct watch *w = arg;
 	struct proxyd *p = w->watches->proxyd;
 	uint64_t now = proxyd_now(p);
+	size_t i;
 
 	w->busy = false;
+	if (outcome == STORE_ENDED) {
+		w->next_call_ms = now;
+		return;
+	}
 	note_era(w->watches, "store", true);
 	if (outcome == STORE_OK && !w->loaded && !w->listing)
 		return; /* changes of an older era: the table is read whole */
@@ -398,10 +487,12 @@
 		on_failure(w, outcome);
 		return;
 	}
-	if (w->poll.failures)
+	if (w->poll.failures) {
 		event_log(EVENT_ALWAYS, "store-regained", NULL, "{s:s, s:I}",
 			  "table", store_table_name(w->table), "away_ms",
 			  (json_int_t)(now - w->poll.first_failure_ms));
+		end_waiting(w->watches, w);
+	}
 	w->next_call_ms = now + store_poll_after_success(
 					&w->poll, peers_alive(p->peers) + 1,
 					watches_designated(w->watches), now);
@@ -412,6 +503,9 @@
 	apply_rows(w, rows, n);
 	if (!w->loaded || n)
 		w->row_version = version;
+	for (i = 0; i < n; i++)
+		if (rows[i].version > w->newest_row)
+			w->newest_row = rows[i].version;
 	w->version = version;
 	w->behind_ms = 0;
 	w->answered_ms = now;
--- a/proxyd/watch.h
+++ b/proxyd/watch.h
@@ -18,12 +18,15 @@
 bool watches_designated(const struct watches *w);
 bool watches_reading(const struct watches *w);
 uint64_t watches_row_version(const struct watches *w, enum store_table table);
+uint64_t watches_newest_row(const struct watches *w, enum store_table table);
 uint32_t watches_since_recovery_ms(const struct watches *w,
 				   enum store_table table);
 uint64_t watches_era(const struct watches *w);
 bool watches_era_seen(struct watches *w, uint64_t era, const char *peer);
 void watches_version_seen(struct watches *w, enum store_table table,
 			  uint64_t version);
+void watches_row_seen(struct watches *w, enum store_table table,
+		      uint64_t version, const char *peer);
 void watches_configuration_seen(struct watches *w, uint64_t version,
 				const char *control);
 void watches_configuration_fetch_failed(struct watches *w);
--- /dev/null
+++ b/regress/integration/test_dead_calls.c
@@ -0,0 +1,162 @@
+/* A call that waits for changes of the store is never answered, though its
+ * connection stands: the instance learns of the changes all the same, before the
+ * call times out. */
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <setjmp.h>
+#include <cmocka.h>
+
+#include "regress/platform_standin.h"
+
+#define INSTANCES_MAX 3
+#define LONG_MS 10000 /* that the calls of most instances wait at least */
+
+static struct harness *harness;
+static struct standin_world *world;
+static struct standin_instance instances[INSTANCES_MAX];
+static size_t n_instances;
+
+static int set_up(void **state)
+{
+	(void)state;
+	harness = harness_new();
+	world = standin_new(harness);
+	n_instances = 0;
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < n_instances; i++)
+		if (instances[i].proc)
+			proc_kill(instances[i].proc);
+	memset(instances, 0, sizeof(instances));
+	standin_free(world);
+	harness_free(harness);
+	return 0;
+}
+
+/* A table, and how many calls wait for its changes, for how long. */
+struct waiting {
+	const char *table;
+	size_t n;
+	uint64_t least_ms;
+};
+
+static bool so_many_wait(void *arg)
+{
+	const struct waiting *w = arg;
+
+	return standin_waiting_feeds(world, w->table, w->least_ms) >= w->n;
+}
+
+/* Waits until n calls wait for changes of endpoints, all but one of them for
+ * long. */
+static void expect_waiting(size_t n)
+{
+	struct waiting all = { "servers", n, 0 };
+	struct waiting lengthy = { "servers", n - 1, LONG_MS };
+
+	harness_until(harness, so_many_wait, &lengthy, "calls that wait long");
+	harness_until(harness, so_many_wait, &all, "calls that wait");
+}
+
+/* Starts an instance. */
+static void start_instance(void)
+{
+	static char names[INSTANCES_MAX][32];
+	size_t i = n_instances++;
+
+	snprintf(names[i], sizeof(names[i]), "n-%02zu", i);
+	standin_init_instance(world, &instances[i], names[i],
+			      i ? instances[0].control : NULL);
+	standin_start_instance(world, &instances[i]);
+	standin_wait_status(world, instances[i].readiness, "/readyz", 200);
+}
+
+/* A text that the log of an instance has to contain. */
+struct logged {
+	const struct standin_instance *in;
+	const char *text;
+};
+
+static bool has_logged(void *arg)
+{
+	const struct logged *l = arg;
+	char *log = proc_output(l->in->proc);
+	bool found = strstr(log, l->text) != NULL;
+
+	free(log);
+	return found;
+}
+
+/* Waits until all instances know an endpoint; one call at most may time out. */
+static void expect_known_by_all(const char *text)
+{
+	size_t lost = 0;
+	size_t i;
+
+	for (i = 0; i < n_instances; i++) {
+		struct logged known = { &instances[i], text };
+		struct logged timeout = { &instances[i],
+					  "\"event\":\"store-lost\"" };
+
+		harness_until(harness, has_logged, &known, text);
+		lost += has_logged(&timeout);
+	}
+	assert_in_range(lost, 0, 1);
+}
+
+/* The calls of all instances are dead. */
+static void all_calls_are_lost(void **state)
+{
+	size_t i;
+
+	(void)state;
+	standin_add_worker(world, "plain", "z1");
+	standin_put_configuration(world, 2, NULL);
+	for (i = 0; i < INSTANCES_MAX; i++)
+		start_instance();
+	expect_waiting(INSTANCES_MAX);
+	standin_lose_feeds(world);
+	standin_add_worker(world, "plain", "z1");
+	expect_known_by_all("\"endpoint\":\"i-1\"");
+}
+
+/* The calls of some are dead, those of one that starts later are not. */
+static void some_calls_are_lost(void **state)
+{
+	size_t i;
+
+	(void)state;
+	standin_add_worker(world, "plain", "z1");
+	standin_put_configuration(world, 2, NULL);
+	for (i = 0; i + 1 < INSTANCES_MAX; i++)
+		start_instance();
+	expect_waiting(INSTANCES_MAX - 1);
+	standin_lose_feeds(world);
+	start_instance();
+	expect_waiting(1);
+	standin_add_worker(world, "plain", "z1");
+	expect_known_by_all("\"endpoint\":\"i-1\"");
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(all_calls_are_lost, set_up,
+						tear_down),
+		cmocka_unit_test_setup_teardown(some_calls_are_lost, set_up,
+						tear_down),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/regress/platform_standin.c
+++ b/regress/platform_standin.c
@@ -19,6 +19,7 @@
 #include "lib/xalloc.h"
 
 #define SIGNATURE "response-signature: m.1\r\n"
+#define FEEDS_TICK_MS 20 /* between looks at feeds that wait */
 #define EXTRA_HEADERS_BYTES 160
 #define HEADERS_BYTES (EXTRA_HEADERS_BYTES + 352)
 
@@ -44,6 +45,7 @@
 static bool answer_feed(struct standin_world *w, struct http1_conn *c,
 			const char *table, json_int_t after);
 static void answer_pending_feeds(struct standin_world *w);
+static void on_feeds_timer(uv_timer_t *timer);
 static void set_row(struct standin_world *w, const char *table, const char *key,
 		    const char *value64);
 static void reply_rows(struct standin_world *w, struct http1_conn *c,
@@ -96,6 +98,10 @@
 	w->era = 1;
 	w->store_address = harness_address(h);
 	w->store_public_address = w->store_address;
+	uv_timer_init(harness_loop(h), &w->feeds_timer);
+	w->feeds_timer.data = w;
+	uv_timer_start(&w->feeds_timer, on_feeds_timer, FEEDS_TICK_MS,
+		       FEEDS_TICK_MS);
 	standin_start_store(w);
 	return w;
 }
@@ -117,6 +123,7 @@
 	size_t i;
 
 	standin_stop_store(w);
+	uv_close((uv_handle_t *)&w->feeds_timer, NULL);
 	for (i = 0; i < w->n_workers; i++) {
 		standin_kill_worker(&w->workers[i]);
 		if (w->workers[i].crash_timer_initialised)
@@ -424,6 +431,35 @@
 		 status);
 }
 
+/* Forgets the calls that wait for changes: they are never answered, though their
+ * connections stand. */
+void standin_lose_feeds(struct standin_world *w)
+{
+	size_t i;
+
+	for (i = 0; i < STANDIN_PENDING_FEEDS_MAX; i++) {
+		if (w->pending_feeds[i])
+			http1_set_owner(w->pending_feeds[i], NULL);
+		w->pending_feeds[i] = NULL;
+	}
+}
+
+/* Returns the number of calls that wait for changes of a table and have at least
+ * least_ms left to wait. */
+size_t standin_waiting_feeds(const struct standin_world *w, const char *table,
+			     uint64_t least_ms)
+{
+	uint64_t until_ms = uv_now(harness_loop(w->harness)) + least_ms;
+	size_t n = 0;
+	size_t i;
+
+	for (i = 0; i < STANDIN_PENDING_FEEDS_MAX; i++)
+		n += w->pending_feeds[i] &&
+		     w->pending_until_ms[i] >= until_ms &&
+		     !strcmp(w->pending_table[i], table);
+	return n;
+}
+
 /* Handles a call to the store. */
 static void on_store(struct http1_conn *c, struct http1_request *r, void *arg)
 {
@@ -495,6 +531,8 @@
 		w->pending_feeds[i] = c;
 		snprintf(w->pending_table[i], 32, "%s", table);
 		w->pending_after[i] = strtoll(after, NULL, 10);
+		w->pending_until_ms[i] = uv_now(harness_loop(w->harness)) +
+					 strtoull(wait, NULL, 10);
 		http1_set_owner(c, &w->pending_feeds[i]);
 	}
 	free(wait);
@@ -568,6 +606,24 @@
 	}
 }
 
+/* Answers the feeds that have waited as long as they may, without rows. */
+static void on_feeds_timer(uv_timer_t *timer)
+{
+	struct standin_world *w = timer->data;
+	uint64_t now = uv_now(timer->loop);
+	size_t i;
+
+	for (i = 0; i < STANDIN_PENDING_FEEDS_MAX; i++) {
+		struct http1_conn *c = w->pending_feeds[i];
+
+		if (!c || now < w->pending_until_ms[i])
+			continue;
+		w->pending_feeds[i] = NULL;
+		http1_set_owner(c, NULL);
+		reply_rows(w, c, json_array());
+	}
+}
+
 /* Writes a row with a new version; value64 is the value in base64, NULL marks
  * the row as deleted. */
 static void set_row(struct standin_world *w, const char *table, const char *key,
--- a/regress/platform_standin.h
+++ b/regress/platform_standin.h
@@ -100,6 +100,8 @@
 	struct http1_conn *pending_feeds[STANDIN_PENDING_FEEDS_MAX];
 	char pending_table[STANDIN_PENDING_FEEDS_MAX][32];
 	json_int_t pending_after[STANDIN_PENDING_FEEDS_MAX];
+	uint64_t pending_until_ms[STANDIN_PENDING_FEEDS_MAX];
+	uv_timer_t feeds_timer; /* answers feeds that have waited long enough */
 	struct standin_worker workers[STANDIN_WORKERS_MAX];
 	size_t n_workers;
 	struct standin_arrival **arrivals;
@@ -129,6 +131,9 @@
 void standin_start_store(struct standin_world *w);
 void standin_copy_store(struct standin_world *w);
 void standin_restore_store(struct standin_world *w);
+void standin_lose_feeds(struct standin_world *w);
+size_t standin_waiting_feeds(const struct standin_world *w, const char *table,
+			     uint64_t least_ms);
 const struct standin_arrival *standin_last_arrival(
 	const struct standin_world *w);
 bool standin_has_part(const struct standin_arrival *a, const char *part);
--- a/regress/unit/test_heartbeat.c
+++ b/regress/unit/test_heartbeat.c
@@ -75,11 +75,12 @@
 {
 	enum { BOUND_MS = 3000, INSTANCES = 64, CUT_MS = 100000 };
 	struct store_poll_others o = { .preceding = 5, .instances = INSTANCES };
+	const struct store_poll_others reader = { .instances = INSTANCES };
 	uint64_t now;
 
 	(void)state;
-	assert_true(
-		store_poll_fresh(CUT_MS, CUT_MS + store_poll_wait_ms(true)));
+	assert_true(store_poll_fresh(
+		CUT_MS, CUT_MS + store_poll_wait_ms(&reader, true)));
 	/* last announcement of a reader that still counts as fresh */
 	for (now = CUT_MS; store_poll_fresh(CUT_MS, now); now++)
 		o.announced_ms = o.answered_ms = now;
@@ -215,6 +216,38 @@
 	assert_int_equal(r.recovered_ms, 0);
 }
 
+/* Instances that poll each for itself stayed without news for 25 s, as their
+ * calls were dead: of these the first one asks often, for the urgent table
+ * alone.  The others end a call that has waited while newer rows were known. */
+static void dead_calls(void **state)
+{
+	enum { LONG_MS = 20000, CALL_TIMEOUT_MS = 2500, STABLE_MS = 3000 };
+	enum { BOUND_MS = 2000, HEARD_MS = 50000 };
+	struct store_poll_others o = { .instances = 6 };
+
+	(void)state;
+	/* a call made at the end of a silence, and a change made as soon as the
+	 * store is stable: with the datagram and the others' calls */
+	assert_true(store_poll_wait_ms(&o, true) + CALL_TIMEOUT_MS + 1000 <=
+		    STABLE_MS + BOUND_MS);
+	assert_true(store_poll_wait_ms(&o, false) >= LONG_MS);
+	o.preceding = 1;
+	assert_true(store_poll_wait_ms(&o, true) >= LONG_MS);
+	o.instances = 1; /* alone */
+	o.preceding = 0;
+	assert_true(store_poll_wait_ms(&o, true) < BOUND_MS);
+	o.instances = 295; /* the readers ask for the others */
+	assert_true(store_poll_wait_ms(&o, false) < BOUND_MS);
+	o.preceding = 9;
+	assert_true(store_poll_wait_ms(&o, true) >= LONG_MS);
+
+	assert_false(store_poll_call_dead(HEARD_MS, 1000, HEARD_MS));
+	assert_true(store_poll_call_dead(HEARD_MS, 1000, HEARD_MS + 1000));
+	/* made after that was heard, and just now */
+	assert_false(store_poll_call_dead(HEARD_MS, HEARD_MS + 1000,
+					  HEARD_MS + 1000));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -225,6 +258,7 @@
 		cmocka_unit_test(readers_lost_among_many),
 		cmocka_unit_test(readers_refused_among_many),
 		cmocka_unit_test(outage),
+		cmocka_unit_test(dead_calls),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
