--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -36,6 +36,9 @@
  * 20 ms, and a dead endpoint is detected within this time. */
 #define RETRY_FULL_MS 300
 
+/* How long a request waits for a socket of this process. */
+#define NO_SOCKET_WAIT_MS 1500
+
 #define ANSWER_MAX_BYTES (8u << 20) /* largest answer that is forwarded */
 #define ANSWERS_MAX_BYTES (24u << 20) /* all answers being read */
 
@@ -48,11 +51,13 @@
 static bool is_own_answer(const struct exchange *x,
 			  const struct http1_head *head);
 static void store_current_endpoint_id(struct exchange *x);
+static bool names_itself(const struct exchange *x, struct handle endpoint);
 static void on_body(void *arg, const char *data, size_t len);
 static void handle_oversized_answer(struct exchange *x);
 static void on_end(void *arg, enum http1_outcome outcome);
 static void handle_not_sent(struct exchange *x, struct handle endpoint,
 			    enum http1_outcome outcome);
+static void handle_no_socket(struct exchange *x, struct handle endpoint);
 static void handle_broken_answer(struct exchange *x, struct handle endpoint,
 				 enum http1_outcome outcome);
 static void handle_answer(struct exchange *x, struct handle endpoint);
@@ -326,6 +331,15 @@
 	x->current_endpoint_id[len] = '\0';
 }
 
+/* Returns whether a misdirected request was refused by the very endpoint that it
+ * was for, which shows no other one at the address. */
+static bool names_itself(const struct exchange *x, struct handle endpoint)
+{
+	const struct endpoint *e = endpoint_get(x->proxyd->endpoints, endpoint);
+
+	return e && !strcmp(e->id, x->current_endpoint_id);
+}
+
 /* Handles a part of an answer's body. */
 static void on_body(void *arg, const char *data, size_t len)
 {
@@ -374,6 +388,8 @@
 	x->call = NULL;
 	x->awaits_repeat = false;
 	x->move_tried_ms = 0;
+	if (outcome != HTTP1_NO_SOCKET)
+		x->no_socket_ms = 0;
 	if (x->is_event_stream) {
 		stream_ended(x, outcome);
 		return;
@@ -385,6 +401,9 @@
 	case HTTP1_CONNECT_TIMEOUT:
 		handle_not_sent(x, endpoint, outcome);
 		break;
+	case HTTP1_NO_SOCKET:
+		handle_no_socket(x, endpoint);
+		break;
 	case HTTP1_COMPLETE:
 		handle_answer(x, endpoint);
 		break;
@@ -417,6 +436,33 @@
 		exchange_dispatch(x);
 }
 
+/* Handles a connection for which this process had no descriptor or port, which
+ * is no evidence against the endpoint or the request: tries again at each tick
+ * for NO_SOCKET_WAIT_MS. */
+static void handle_no_socket(struct exchange *x, struct handle endpoint)
+{
+	const struct endpoint *e = endpoint_get(x->proxyd->endpoints, endpoint);
+	uint64_t now = proxyd_now(x->proxyd);
+
+	x->sends--;
+	exchange_delivery_failed(x);
+	return_permit(x);
+	if (!x->no_socket_ms) {
+		x->no_socket_ms = now;
+		event_log(EVENT_NOTABLE, "no-socket", x->fields.id, "{s:s}",
+			  "endpoint", e ? e->id : "");
+	}
+	if (!x->caller)
+		exchange_finish(x, "left by caller");
+	else if (handover_restore(x, http1_outcome_name(HTTP1_NO_SOCKET)))
+		return;
+	else if (now - x->no_socket_ms >= NO_SOCKET_WAIT_MS)
+		exchange_refuse(x, 503, RETRY_FULL_MS,
+				"this instance can open no connection");
+	else
+		exchange_wait_for(x, NO_SOCKET_WAIT_MS);
+}
+
 /* Handles a broken connection or invalid answer: the request may have run. */
 static void handle_broken_answer(struct exchange *x, struct handle endpoint,
 				 enum http1_outcome outcome)
@@ -456,7 +502,7 @@
 		exchange_finish(x, "left by caller");
 		return;
 	}
-	if (x->answer.misdirected) {
+	if (x->answer.misdirected && !names_itself(x, endpoint)) {
 		x->sends--;
 		exchange_avoid(x, endpoint);
 		endpoint_replaced(x->proxyd->endpoints, endpoint, x->fields.id);
