--- a/regress/integration/test_software_versions.c
+++ b/regress/integration/test_software_versions.c
@@ -13,6 +13,7 @@
 #include <setjmp.h>
 #include <cmocka.h>
 
+#include "lib/xalloc.h"
 #include "regress/silence.h"
 
 #define N(list) (sizeof(list) / sizeof((list)[0]))
@@ -22,6 +23,9 @@
 #define EVENTS_BEFORE 10 /* received before a stream breaks off */
 #define CALLS 30
 
+/* Moves in these tests are never refused for want of repeats. */
+#define MANY_REPEATS "repeat_ratio = 10\n"
+
 /* A caller with its stream, over all its take-ups. */
 struct caller {
 	char first_id[24]; /* of the attempt that brought the first event */
@@ -43,6 +47,7 @@
 	harness = harness_new();
 	world = standin_new(harness);
 	world->event_ms = EVENT_MS;
+	world->extra_settings = MANY_REPEATS;
 	standin_init_instance(world, &one, "one", NULL);
 	standin_init_instance(world, &two, "two", one.control);
 	return 0;
@@ -212,6 +217,39 @@
 	standin_put_worker_entry(&world->workers[i], "ready");
 }
 
+/* An instance that has to have read n entries with a version. */
+struct listing {
+	const struct standin_instance *instance;
+	const char *version;
+	size_t n;
+};
+
+static bool has_read_entries(void *arg)
+{
+	const struct listing *l = arg;
+	char *log = proc_output(l->instance->proc);
+	char *entry = xasprintf("\"software\":\"%s\",\"leaving\"", l->version);
+	const char *p = log;
+	size_t n = 0;
+
+	while ((p = strstr(p, entry))) {
+		p++;
+		n++;
+	}
+	free(entry);
+	free(log);
+	return n >= l->n;
+}
+
+/* Waits until an instance has read n entries with a version since its start. */
+static void wait_entries(struct harness *h, const struct standin_instance *in,
+			 const char *version, size_t n)
+{
+	struct listing l = { in, version, n };
+
+	harness_until(h, has_read_entries, &l, "the entries are read");
+}
+
 static void kill_instances(void)
 {
 	proc_kill(one.proc);
@@ -256,6 +294,7 @@
 		standin_restart_worker(&silence_world->workers[i], "v2");
 		standin_put_worker_entry(&silence_world->workers[i], "ready");
 	}
+	wait_entries(silence_harness, &silence_instances[0], "v2", 2);
 	caller.stream = silence_open_stream();
 	for (silences = 0; silences < 3; silences++) {
 		size_t engine;
@@ -397,6 +436,7 @@
 	close_all();
 	for (i = 0; i < 4; i++)
 		release(i, "v2");
+	wait_entries(harness, &one, "v2", 4);
 	for (i = 0; i < CALLERS; i += 2) {
 		callers[i].received = 0;
 		open_stream(&callers[i], &one, NULL);
@@ -407,6 +447,8 @@
 		close_stream(&callers[i]);
 	for (i = 0; i < 2; i++)
 		release(i, "v1");
+	wait_entries(harness, &one, "v1", 6);
+	wait_entries(harness, &two, "v1", 6);
 	take_up_all();
 	expect_all_complete();
 }
