soak: a phase in which engines change their software version

The soak had engines of one version only. In a last phase of 6 s, with random numbers of its own, engines change between two versions, callers lose their connections and take their streams up at another instance with Resumes and Last-Event-Id, and all instances are killed at once while versions change, then started. ORDER is counted as the users' rule counts it (more than 2 streams with events of two versions), LOST by the share of take-ups that go on while two engines of their version have served for a second.

The phase comes after the checks of the others, whose draws stay the same.

--- a/regress/soak/soak_proxyd.c
+++ b/regress/soak/soak_proxyd.c
@@ -26,6 +26,7 @@
 #include "regress/soak/crash_rule.h"
 #include "regress/soak/holdoff_rule.h"
 #include "regress/soak/limit_check.h"
+#include "regress/soak/version_phase.h"
 
 #define INSTANCES 3 /* default of the third argument */
 #define INSTANCES_MAX 256
@@ -920,6 +921,15 @@
 	crash_rule_release(&crashes);
 	free(deadlines_ms);
 	repeat_rule_release(&rule);
+	version_phase_run(&(struct version_phase){
+		.harness = harness,
+		.world = world,
+		.client = client,
+		.instances = instances,
+		.n_instances = n_instances,
+		.first_engine = PLAIN_WORKERS,
+		.seed = seed,
+	});
 	for (i = 0; i < n_instances; i++) {
 		check_log(&instances[i]);
 		proc_kill(instances[i].proc);
