--- a/regress/soak/version_phase.c
+++ b/regress/soak/version_phase.c
@@ -192,7 +192,8 @@
 		;
 	if (i == STREAMS_MAX)
 		return;
-	streams[i] = (struct stream){ .open = true, .number = ++number };
+	number++;
+	streams[i] = (struct stream){ .open = true, .number = number };
 	send_attempt(&streams[i],
 		     random_below(&numbers, (uint32_t)phase->n_instances));
 }
