--- a/regress/fuzz/fuzz_platform_rows.c
+++ b/regress/fuzz/fuzz_platform_rows.c
@@ -14,6 +14,10 @@
 	struct routes *routes =
 		platform_routes_decode(text, size, err, sizeof(err));
 	struct json_document *root;
+	struct origin_entry origins;
+	struct software_entry software;
+	uint64_t *streams;
+	uint64_t born_ms;
 	char id[32];
 
 	if (!routes && !err[0])
@@ -32,6 +36,17 @@
 		abort();
 	json_document_free(root);
 	platform_protocol.decode_copy_answer(text, size, id, sizeof(id));
-	platform_protocol.decode_report(text, size);
+	platform_protocol.decode_report(text, size, &born_ms);
+	err[0] = '\0';
+	streams =
+		platform_origins_decode(text, size, &origins, err, sizeof(err));
+	if (!streams && !err[0])
+		abort();
+	free(streams);
+	err[0] = '\0';
+	if (!platform_software_decode(text, size, &software, err,
+				      sizeof(err)) &&
+	    !err[0])
+		abort();
 	return 0;
 }
