--- a/regress/unit/test_stream_origin.c
+++ b/regress/unit/test_stream_origin.c
@@ -81,6 +81,42 @@
 	stream_origin_release(&t);
 }
 
+/* Records of others do not replace own notes that are not written yet. */
+static void reading_keeps_unwritten_notes(void **state)
+{
+	struct stream_origin_table t;
+	uint64_t i;
+
+	(void)state;
+	stream_origin_init(&t, 64);
+	for (i = 1; i <= 16; i++)
+		stream_origin_note(&t, i, V1, 100);
+	for (i = 1000; i < 9000; i++)
+		stream_origin_read(&t, i, V2, 200);
+	for (i = 1; i <= 16; i++)
+		assert_non_null(stream_origin_find(&t, i));
+	stream_origin_release(&t);
+}
+
+/* A version that was not known when a stream began is named later. */
+static void named_versions(void **state)
+{
+	struct stream_origin_table t;
+	size_t position = 0;
+	struct stream_origin *o;
+
+	(void)state;
+	stream_origin_init(&t, 64);
+	stream_origin_note(&t, 1, V3, 100);
+	o = stream_origin_next_unstored(&t, 0, &position);
+	o->stored = STORED;
+	stream_origin_rename(&t, V3, V1);
+	assert_int_equal(stream_origin_find(&t, 1)->software, V1);
+	position = 0;
+	assert_non_null(stream_origin_next_unstored(&t, 0, &position));
+	stream_origin_release(&t);
+}
+
 static void versions_within_the_life_of_a_stream(void **state)
 {
 	struct software_history h = { .n = 0 };
@@ -95,6 +131,7 @@
 	assert_int_equal(r.only, V1);
 	assert_false(software_mixed(&h, LIFE_MS, 1000));
 	software_note(&h, SERVICE, V2, 2000);
+	software_note(&h, SERVICE, V2, 500); /* older news changes nothing */
 	assert_int_equal(software_recent(&h, SERVICE, LIFE_MS, 2000).n, 2);
 	assert_true(software_mixed(&h, LIFE_MS, 2000));
 	/* the first version has left; streams of it may still come */
@@ -214,6 +251,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(notes_and_records),
 		cmocka_unit_test(notes_are_bounded),
+		cmocka_unit_test(reading_keeps_unwritten_notes),
+		cmocka_unit_test(named_versions),
 		cmocka_unit_test(versions_within_the_life_of_a_stream),
 		cmocka_unit_test(forgotten_versions_prove_nothing),
 		cmocka_unit_test(take_ups),
