--- a/policy/stream_origin.c
+++ b/policy/stream_origin.c
@@ -37,6 +37,8 @@
 				    uint64_t stream);
 static struct stream_origin *slot_for(struct stream_origin_table *t,
 				      uint64_t stream);
+static size_t find_software(const struct software_history *h,
+			    uint64_t software);
 static bool is_recent(const struct software_version *v, uint64_t life_ms,
 		      uint64_t now);
 
@@ -216,6 +218,30 @@
 	};
 }
 
+/* Applies a row of the store that names a version; it is to be written again
+ * unless it is of the current era. */
+void software_read(struct software_history *h, uint64_t service,
+		   uint64_t software, bool current, uint64_t now)
+{
+	size_t i = find_software(h, software);
+
+	if (i == h->n)
+		software_note(h, service, software, now);
+	if (i < h->n)
+		h->version[i].stored = current ? STORED : STORED_NOT;
+}
+
+/* Returns the index of a version, h->n if it is not known. */
+static size_t find_software(const struct software_history *h, uint64_t software)
+{
+	size_t i;
+
+	for (i = 0; i < h->n; i++)
+		if (h->version[i].software == software)
+			break;
+	return i;
+}
+
 /* Forgets a version that no endpoint runs or ran. */
 void software_forget(struct software_history *h, uint64_t software)
 {
@@ -266,12 +292,9 @@
 /* Tells whether the store knows that a version serves. */
 bool software_stored(const struct software_history *h, uint64_t software)
 {
-	size_t i;
+	size_t i = find_software(h, software);
 
-	for (i = 0; i < h->n; i++)
-		if (h->version[i].software == software)
-			return h->version[i].stored == STORED;
-	return false;
+	return i < h->n && h->version[i].stored == STORED;
 }
 
 /* Returns whether a version may have begun a stream that is not over. */
--- a/policy/stream_origin.h
+++ b/policy/stream_origin.h
@@ -92,6 +92,8 @@
 
 void software_note(struct software_history *h, uint64_t service,
 		   uint64_t software, uint64_t now);
+void software_read(struct software_history *h, uint64_t service,
+		   uint64_t software, bool current, uint64_t now);
 void software_forget(struct software_history *h, uint64_t software);
 struct software_recent software_recent(const struct software_history *h,
 				       uint64_t service, uint64_t life_ms,
--- a/proxyd/origins.c
+++ b/proxyd/origins.c
@@ -160,9 +160,8 @@
 {
 	struct endpoints *endpoints = t->proxyd->endpoints;
 	const struct endpoint *e;
-	uint32_t i = 0;
-
 	uint64_t longest_ms = longest_timeout_ms(t->proxyd->routes);
+	uint32_t i = 0;
 
 	t->listed_ms = now;
 	if (t->longest_deadline_ms > longest_ms)
@@ -464,19 +463,11 @@
 		return;
 	}
 	if (row->software) {
-		bool current = row->software->era ==
-			       watches_era(t->proxyd->watches);
-
-		for (i = 0; i < t->history.n; i++)
-			if (t->history.version[i].software ==
-			    row->software->software)
-				break;
-		if (i == t->history.n)
-			software_note(&t->history, row->software->service,
-				      row->software->software, now);
-		if (i < t->history.n)
-			t->history.version[i].stored = current ? STORED
-							       : STORED_NOT;
+		software_read(&t->history, row->software->service,
+			      row->software->software,
+			      row->software->era ==
+				      watches_era(t->proxyd->watches),
+			      now);
 		return;
 	}
 	if (!row->origins)
@@ -532,9 +523,7 @@
 	n += add_removals(t, rows + n, STORE_STREAM_ROWS_MAX - n, mixed, now);
 	if (n) {
 		t->writing = true;
-		t->next_write_ms =
-			now + stream_origin_interval_ms(
-				      peers_listed(t->proxyd->peers) + 1);
+		t->next_write_ms = now + origins_write_interval_ms(t);
 		counter_add(t->writes, 1);
 		s->ops->put_streams(s, rows, n, on_written, t);
 	}
