--- a/review/world/world.cc
+++ b/review/world/world.cc
@@ -259,7 +259,7 @@
 // could hold it when a worker that was away comes back.
 int free_port()
 {
-	static int next = 12000 + (int)(getpid() % 1500) * 12;
+	static int next = 12000 + (int)(getpid() % 200) * 95;
 
 	for (int i = 0; i < 18000; i++) {
 		struct sockaddr_in sin = {};
@@ -558,6 +558,12 @@
 	for (;;) {
 		std::map<uint64_t, std::vector<const row *>> found;
 
+		if (l.hush && arg("table") == "op") {
+			c.silent = true;
+			l.hushed++;
+			return "";
+		}
+
 		for (auto &i : rows_)
 			if (i.second.table == arg("table") &&
 			    i.second.ver > after)
@@ -645,6 +651,12 @@
 		else
 			status = 404;
 	}
+	if (c.silent) {
+		while (!ended_)
+			sleep_ms(50);
+		c.closed = true;
+		return;
+	}
 	if (l.mode == LINK_BUSY) {
 		c.send(reply_text(503, "Service Unavailable", "", "{}"));
 		return;
--- a/review/world/world.hh
+++ b/review/world/world.hh
@@ -44,6 +44,7 @@
 	int fd = -1;
 	std::string in;
 	std::atomic<bool> closed{false};
+	bool silent = false; // the store answers nothing on it any more
 
 	~conn();
 	bool send(const std::string &bytes);
@@ -90,6 +91,10 @@
 
 struct store_link {
 	std::atomic<int> mode{LINK_OPEN};
+	// while set, connections with a call that waits for changes of the
+	// table of the configuration go silent for good
+	std::atomic<bool> hush{false};
+	std::atomic<int> hushed{0}; // how many have
 	std::unique_ptr<server> srv;
 };
 
