Prove 'only one version serves' by a reading since the take-up arrived

Callers whose instance was killed took their streams up at another one, and the answer went on at an engine of another software version, without a sign. The instance had no note of the stream and took it for proof that only one version had served: it had read so before, the store counted as reachable until a call failed, and a living instance counted as one that tells of new versions, which none does. Cut off from the store or stopped by a signal, it did not know what it had missed.

That only one version has served is now proof only by a reading of the store's records that began after the take-up arrived; if none succeeds, the take-up is refused, 503, not run. An entry is in the store before anyone sends to its endpoint, so that such a reading leaves no version out that can have begun the stream.

--- a/policy/stream_origin.c
+++ b/policy/stream_origin.c
@@ -306,7 +306,9 @@
 
 /* Decides where a stream goes on that its caller resumes.  One whose version
  * can't be found is refused: joined with another version it would be wrong
- * without a sign. */
+ * without a sign.  That only one version has served is proof only if it was
+ * read after the stream arrived: an instance that is cut off, or was stopped,
+ * does not know what it has missed. */
 struct take_up_decision stream_take_up_decide(const struct stream_take_up *t)
 {
 	struct take_up_decision d = { .action = TAKE_UP_REFUSE };
--- a/policy/stream_origin.h
+++ b/policy/stream_origin.h
@@ -57,7 +57,7 @@
 struct stream_take_up {
 	uint64_t recorded; /* its version by record, or SOFTWARE_UNKNOWN */
 	struct software_recent recent;
-	bool history_complete; /* recent leaves no version out */
+	bool history_complete; /* recent is of a reading since it arrived */
 	bool store_answers;
 	uint32_t readings; /* of the store's records since it arrived */
 	uint64_t waited_ms;
--- a/proxyd/origins.c
+++ b/proxyd/origins.c
@@ -101,7 +101,6 @@
 static struct software_recent recent_of_route(const struct origins *t,
 					      const struct route *route,
 					      uint64_t now);
-static bool hears_of_changes(const struct origins *t);
 static uint64_t stream_hash(const char *id);
 static void log_take_up(const struct origins *t, const struct exchange *x,
 			const struct stream_take_up *question,
@@ -265,15 +264,16 @@
 	const struct stream_origin *o = stream_origin_find(
 		&t->streams,
 		x->fields.first_id[0] ? stream_hash(x->fields.first_id) : 0);
+	uint32_t readings =
+		t->readings_done > x->readings_before
+			? (uint32_t)(t->readings_done - x->readings_before)
+			: 0;
 	const struct stream_take_up question = {
 		.recorded = o ? o->software : SOFTWARE_UNKNOWN,
 		.recent = recent_of_route(t, x->route, now),
-		.history_complete = t->complete && hears_of_changes(t),
+		.history_complete = readings > 0,
 		.store_answers = store_answers(t, now),
-		.readings = t->readings_done > x->readings_before
-				    ? (uint32_t)(t->readings_done -
-						 x->readings_before)
-				    : 0,
+		.readings = readings,
 		.waited_ms = now - x->received_ms,
 	};
 	struct take_up_decision d = stream_take_up_decide(&question);
@@ -322,16 +322,6 @@
 	return sum;
 }
 
-/* Returns whether this instance would hear of a new version: from the store, or
- * from another instance. */
-static bool hears_of_changes(const struct origins *t)
-{
-	const struct proxyd *p = t->proxyd;
-
-	return watches_store_reachable(p->watches) || peers_alive(p->peers) ||
-	       !peers_listed(p->peers);
-}
-
 /* Logs how the version of a stream is known. */
 static void log_take_up(const struct origins *t, const struct exchange *x,
 			const struct stream_take_up *question,
--- a/regress/integration/test_software_versions.c
+++ b/regress/integration/test_software_versions.c
@@ -3,6 +3,7 @@
  * only at the version that began it, over moves within an answer and over the
  * take-ups of its caller.
  */
+#include <signal.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -38,12 +39,14 @@
 static struct standin_world *world;
 static struct standin_instance one;
 static struct standin_instance two;
+static struct standin_instance three; /* started by some cases */
 static struct caller callers[CALLERS];
 
 static int set_up(void **state)
 {
 	(void)state;
 	memset(callers, 0, sizeof(callers));
+	memset(&three, 0, sizeof(three));
 	harness = harness_new();
 	world = standin_new(harness);
 	world->event_ms = EVENT_MS;
@@ -63,6 +66,8 @@
 			stream_close(callers[i].stream);
 	proc_kill(one.proc);
 	proc_kill(two.proc);
+	if (three.proc)
+		proc_kill(three.proc);
 	standin_free(world);
 	harness_free(harness);
 	return 0;
@@ -490,6 +495,121 @@
 	world->store_refuses = false;
 }
 
+/* Puts a fault proxy between the second instance, which has not started, and
+ * the store; returns the proxy's control address. */
+static const char *gate_store(void)
+{
+	const char *gate = harness_address(harness);
+	const char *control = harness_address(harness);
+	char *map = xasprintf("%s=%s", gate, world->store_address);
+
+	HARNESS_START(harness, "faultd", "faultd", "-c", control, "-m", map);
+	free(map);
+	harness_wait_listening(harness, control);
+	world->store_public_address = gate;
+	standin_init_instance(world, &two, "two", one.control);
+	return control;
+}
+
+/* Starts a third instance, which stays in touch with both others. */
+static void start_third(void)
+{
+	world->store_public_address = world->store_address;
+	standin_init_instance(world, &three, "three", one.control);
+	standin_start_instance(world, &three);
+	standin_wait_status(world, three.readiness, "/readyz", 200);
+}
+
+static void add_engines(size_t n, const char *version)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		struct standin_worker *w =
+			standin_add_worker(world, "engine", "z1");
+
+		w->version = version;
+		standin_put_worker_entry(w, "ready");
+	}
+}
+
+static bool two_versions_recorded(void *arg)
+{
+	(void)arg;
+	return standin_count_rows(world, "streams", "version/") == 2;
+}
+
+/* Adds engines of a new version, and begins streams at the first instance once
+ * it knows them; some are of the new version. */
+static void begin_at_new_version(void)
+{
+	size_t n = 0;
+	size_t i;
+
+	add_engines(4, "v2");
+	wait_entries(harness, &one, "v2", 4);
+	harness_until(harness, two_versions_recorded, NULL,
+		      "the new version is in the store");
+	open_all();
+	for (i = 0; i < CALLERS; i++)
+		n += strstr(stream_event_at(callers[i].stream, 0)->data,
+			    "v2") != NULL;
+	assert_in_range(n, 1, CALLERS);
+}
+
+/* Expects that no stream goes on at another version, complete or not. */
+static void expect_none_mixed(void)
+{
+	size_t i;
+
+	for (i = 0; i < CALLERS; i++) {
+		stream_wait_end(callers[i].stream);
+		close_stream(&callers[i]);
+	}
+}
+
+/* Guards against a stream of a new version that goes on at the old one: the
+ * instance where it is taken up was cut off from the store before the new
+ * version came, and had read then that only one serves. */
+static void take_up_cut_off_from_store(void **state)
+{
+	const char *control = gate_store();
+	size_t i;
+
+	(void)state;
+	start("engine", one_version);
+	start_third();
+	harness_control(harness, control, "{\"*\":{\"mode\":\"hang\"}}");
+	begin_at_new_version();
+	proc_kill(one.proc);
+	close_all();
+	for (i = 0; i < CALLERS; i++)
+		open_stream(&callers[i], &two, callers[i].first_id);
+	expect_none_mixed();
+}
+
+/* Guards against the same at an instance that was stopped by a signal, and reads
+ * the take-ups first when it goes on. */
+static void take_up_after_freeze(void **state)
+{
+	size_t i;
+
+	(void)state;
+	start("engine", one_version);
+	start_third();
+	proc_signal(two.proc, SIGSTOP);
+	/* all that it learns of the endpoints when it goes on */
+	standin_put_worker_entry(&world->workers[0], "ready");
+	begin_at_new_version();
+	proc_kill(one.proc);
+	close_all();
+	for (i = 0; i < CALLERS; i++)
+		open_stream(&callers[i], &two, callers[i].first_id);
+	harness_run(harness, 10 * EVENT_MS);
+	proc_signal(two.proc, SIGCONT);
+	expect_none_mixed();
+}
+
 /* Calls that are no streams are served by both versions. */
 static void plain_calls(void **state)
 {
@@ -538,6 +658,8 @@
 		CASE(release_taken_back),
 		CASE(entry_lags_behind),
 		CASE(store_away),
+		CASE(take_up_cut_off_from_store),
+		CASE(take_up_after_freeze),
 		CASE(plain_calls),
 	};
 
