Date the life of an endpoint by the request that it answered

Bookings ran at a worker of another service. Its address had belonged to a booking worker that ended while the instance was stopped by a signal; when it went on it first read the old worker's answer, took the time of reading for the time at which that worker was last alive, and took the new worker at the address for its restart, in its service and under the new id.

An answer shows that its endpoint was alive when the request was sent, no later: after a stall of this process, or a cut that heals and retransmits, it may be of any age up to that. endpoint_seen() now takes the time of the sending, from all its callers. That an endpoint is up or suspected is dated by the last turn of the loop that read all its input, as no safety hangs on it. The age at which another id is accepted is reckoned to the clock and not to the loop's time, which stands still within a turn.

--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -281,7 +281,7 @@
 	if (x->answer.misdirected) {
 		store_current_endpoint_id(x);
 	} else {
-		endpoint_seen(p->endpoints, x->endpoint);
+		endpoint_seen(p->endpoints, x->endpoint, x->sent_ms);
 		endpoint_apply_status(p->endpoints, x->endpoint, &x->answer,
 				      x->sent_ms, x->fields.id);
 	}
@@ -507,7 +507,7 @@
 		exchange_avoid(x, endpoint);
 		endpoint_replaced(x->proxyd->endpoints, endpoint, x->fields.id);
 		rediscover_with_id(x->proxyd, endpoint, x->current_endpoint_id,
-				   strlen(x->current_endpoint_id));
+				   strlen(x->current_endpoint_id), x->sent_ms);
 		if (handover_restore(x, "misdirected"))
 			return;
 		if (++x->failed_connects > ENDPOINT_AVOID_MAX)
--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -372,43 +372,51 @@
 	exchanges_endpoint_lost(t->proxyd->exchanges, h);
 }
 
-/* Returns the time since the last answer of the endpoint itself, ms; -1 if it
- * never answered. */
+/* Returns the time since the endpoint itself is known to have been alive, ms; -1
+ * if it never answered. */
 int64_t endpoint_last_seen_ms_ago(const struct endpoint *e, uint64_t now)
 {
 	return e->last_seen_ms ? (int64_t)(now - e->last_seen_ms) : -1;
 }
 
-/* Records a connection or answer at the endpoint's address and marks it as up
- * if it was down.  Another endpoint may have answered, so that an endpoint that
- * comes up this way stays unconfirmed. */
-void endpoint_reached(struct endpoints *t, struct handle h)
+/* Records a connection or answer at the endpoint's address, to a call made at
+ * sent_ms, and marks it as up if it was down and this is newer.  Another
+ * endpoint may have answered, so that an endpoint that comes up this way stays
+ * unconfirmed. */
+void endpoint_reached(struct endpoints *t, struct handle h, uint64_t sent_ms)
 {
 	struct endpoint *e = endpoint_get(t, h);
+	uint64_t since_ms = proxyd_received_ms(t->proxyd);
 
 	if (!e)
 		return;
-	e->reached_ms = proxyd_now(t->proxyd);
-	if (e->state != ENDPOINT_DOWN)
+	if (sent_ms > since_ms)
+		since_ms = sent_ms;
+	if (since_ms > e->reached_ms)
+		e->reached_ms = since_ms;
+	if (e->state != ENDPOINT_DOWN || since_ms < e->down_ms)
 		return;
 	e->state = ENDPOINT_UP;
 	e->ended = false;
 	e->unconfirmed = true;
 	event_log(EVENT_NOTABLE, "endpoint-back", NULL, "{s:s, s:I}",
 		  "endpoint", e->id, "down_ms",
-		  (json_int_t)(e->reached_ms - e->down_ms));
+		  (json_int_t)(proxyd_now(t->proxyd) - e->down_ms));
 }
 
-/* Records an answer of the endpoint itself: no other endpoint answers requests
- * that name it. */
-void endpoint_seen(struct endpoints *t, struct handle h)
+/* Records an answer of the endpoint itself, to a request sent at sent_ms: no
+ * other endpoint answers requests that name it.  The answer may be old when it
+ * is read, after a stall of this process or a cut that has healed, so that it
+ * only shows that the endpoint was alive when the request was sent. */
+void endpoint_seen(struct endpoints *t, struct handle h, uint64_t sent_ms)
 {
 	struct endpoint *e = endpoint_get(t, h);
 
-	endpoint_reached(t, h);
+	endpoint_reached(t, h, sent_ms);
 	if (!e)
 		return;
-	e->last_seen_ms = e->reached_ms;
+	if (sent_ms > e->last_seen_ms)
+		e->last_seen_ms = sent_ms;
 	e->unconfirmed = false;
 }
 
@@ -772,11 +780,11 @@
 		rediscover(t->proxyd, e->self);
 }
 
-/* Records that the endpoint with an id answered at an address.  One that counted
- * as replaced there is up again.  Returns false if no entry lists this id with
- * this address. */
+/* Records that the endpoint with an id answered a request, sent at sent_ms to an
+ * address.  One that counted as replaced there is up again.  Returns false if no
+ * entry lists this id with this address. */
 bool endpoint_answered_at(struct endpoints *t, const char *id,
-			  const char *address)
+			  const char *address, uint64_t sent_ms)
 {
 	struct endpoint *e = endpoint_by_id(t, id);
 
@@ -789,7 +797,7 @@
 			  "{s:s, s:s}", "endpoint", e->id, "address",
 			  e->address);
 	}
-	endpoint_seen(t, e->self);
+	endpoint_seen(t, e->self, sent_ms);
 	return true;
 }
 
@@ -863,6 +871,6 @@
 		endpoint_unreachable(t, e->self, NULL, outcome);
 	else {
 		suspects_endpoint_alive(e, e->probed_ms);
-		endpoint_reached(t, e->self);
+		endpoint_reached(t, e->self, e->probed_ms);
 	}
 }
--- a/proxyd/endpoints.h
+++ b/proxyd/endpoints.h
@@ -76,7 +76,8 @@
 	enum endpoint_state state;
 	bool ended; /* not up: its end is shown, not only presumed */
 	uint64_t down_ms; /* when it was found dead */
-	uint64_t last_seen_ms; /* last answer of its own; 0: none yet */
+	/* sending of the last request that it answered itself; 0: none yet */
+	uint64_t last_seen_ms;
 	uint64_t reached_ms; /* last connection or answer at its address */
 	uint64_t probed_ms; /* start of the last probe */
 	uint64_t reported_lost_ms; /* another instance reported it dead */
@@ -148,11 +149,11 @@
 void endpoint_unreachable(struct endpoints *t, struct handle h,
 			  const char *request, enum http1_outcome outcome);
 bool endpoint_answered_at(struct endpoints *t, const char *id,
-			  const char *address);
+			  const char *address, uint64_t sent_ms);
 void endpoint_replaced(struct endpoints *t, struct handle h,
 		       const char *request);
-void endpoint_reached(struct endpoints *t, struct handle h);
-void endpoint_seen(struct endpoints *t, struct handle h);
+void endpoint_reached(struct endpoints *t, struct handle h, uint64_t sent_ms);
+void endpoint_seen(struct endpoints *t, struct handle h, uint64_t sent_ms);
 void endpoint_apply_status(struct endpoints *t, struct handle h,
 			   const struct answer_fields *answer, uint64_t sent_ms,
 			   const char *request);
--- a/proxyd/proxyd.c
+++ b/proxyd/proxyd.c
@@ -86,6 +86,19 @@
 	return uv_now(p->loop);
 }
 
+/* Returns the present time by the clock of the event loop, ms. */
+uint64_t proxyd_clock_ms(void)
+{
+	return uv_hrtime() / 1000000;
+}
+
+/* Returns a time after which all arrived that is read now, ms: if this process
+ * was stalled, a time before that. */
+uint64_t proxyd_received_ms(const struct proxyd *p)
+{
+	return p->input_read_ms ? p->input_read_ms : p->start_ms;
+}
+
 /* Returns Unix time, ms. */
 uint64_t proxyd_unix_ms(void)
 {
@@ -189,6 +202,7 @@
 		return; /* read the input received during the stall first */
 	}
 	p->last_tick_ms = now;
+	p->input_read_ms = now;
 	http1_client_tick(p->client);
 	p->store->ops->tick(p->store);
 	watches_tick(p->watches);
--- a/proxyd/proxyd.h
+++ b/proxyd/proxyd.h
@@ -52,6 +52,7 @@
 	struct routes *routes; /* active configuration, or NULL */
 	struct planned_stop planned_stop;
 	uint64_t last_tick_ms; /* loop time of the last tick */
+	uint64_t input_read_ms; /* of the last one that followed no stall */
 	uint64_t start_unix_ms; /* Unix time of the process start */
 	uint64_t start_ms; /* loop time of the process start */
 	struct endpoints *endpoints;
@@ -70,6 +71,8 @@
 	       const char *settings_file,
 	       const struct proxyd_settings *settings);
 uint64_t proxyd_now(const struct proxyd *p);
+uint64_t proxyd_clock_ms(void);
+uint64_t proxyd_received_ms(const struct proxyd *p);
 uint64_t proxyd_unix_ms(void);
 uint64_t proxyd_random(void);
 void proxyd_apply_routes(struct proxyd *p, struct routes *routes);
--- a/proxyd/rediscover.c
+++ b/proxyd/rediscover.c
@@ -92,9 +92,10 @@
 	send_get(r, e->address, p->protocol->report_path);
 }
 
-/* Handles an answer with another id at the address of an endpoint. */
+/* Handles an answer with another id at the address of an endpoint, to a request
+ * sent at sent_ms. */
 void rediscover_with_id(struct proxyd *p, struct handle endpoint,
-			const char *id, size_t id_len)
+			const char *id, size_t id_len, uint64_t sent_ms)
 {
 	struct endpoint *e = endpoint_get(p->endpoints, endpoint);
 	struct rediscovery *r;
@@ -105,6 +106,7 @@
 	r = xcalloc(1, sizeof(*r));
 	r->proxyd = p;
 	r->old = endpoint;
+	r->sent_ms = sent_ms;
 	memcpy(r->id, id, id_len);
 	e->rediscovering = true;
 	handle_id(r);
@@ -199,17 +201,18 @@
 	struct endpoint_restart known;
 
 	if (is_same_endpoint(r, e)) {
-		endpoint_seen(p->endpoints, r->old);
+		endpoint_seen(p->endpoints, r->old, r->sent_ms);
 		finish(r);
 		return;
 	}
-	if (endpoint_answered_at(p->endpoints, r->id, e->address)) {
+	if (endpoint_answered_at(p->endpoints, r->id, e->address, r->sent_ms)) {
 		endpoint_replaced(p->endpoints, r->old, NULL);
 		finish(r);
 		return;
 	}
 	known = (struct endpoint_restart){
-		.last_seen_ms_ago = endpoint_last_seen_ms_ago(e, proxyd_now(p)),
+		.last_seen_ms_ago =
+			endpoint_last_seen_ms_ago(e, proxyd_clock_ms()),
 		.reuse_after_ms = (uint64_t)(p->settings.reuse_after_s * 1000),
 		.engine_services = routes_engine_services(p->routes),
 		.is_engine = routes_service(p->routes, e->service) &&
--- a/proxyd/rediscover.h
+++ b/proxyd/rediscover.h
@@ -2,6 +2,7 @@
 #define PROXYD_REDISCOVER_H
 
 #include <stddef.h>
+#include <stdint.h>
 
 #include "lib/slots.h"
 
@@ -10,6 +11,6 @@
 void rediscover(struct proxyd *p, struct handle endpoint);
 void rediscover_start(struct proxyd *p, struct handle endpoint);
 void rediscover_with_id(struct proxyd *p, struct handle endpoint,
-			const char *id, size_t id_len);
+			const char *id, size_t id_len, uint64_t sent_ms);
 
 #endif /* PROXYD_REDISCOVER_H */
--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -55,7 +55,7 @@
 	size_t n;
 
 	event_stream_add(&x->stream, data, len);
-	endpoint_seen(x->proxyd->endpoints, x->endpoint);
+	endpoint_seen(x->proxyd->endpoints, x->endpoint, x->sent_ms);
 	if (x->first_event_due_ms && software_changed(x)) {
 		handle_invalid_event(x, "endpoint started again");
 		return;
