Tell the version of a begun stream to the keepers of its record

24 of 24 callers whose instance ended were refused, 503, at the two others, which were in touch with all: their instance had been cut off from the store when a second software version came. What it noted of its streams went to the store alone, and only once it knew of two versions; it could neither learn of them nor write, and its notes ended with it.

The version of a stream is now told by datagram to the instances that keep its record when its first event comes, always: to all with fewer than eight others, else to the four that keep records of crashes by the same hash. An instance where a stream is taken up that it does not know asks them before it reads the store, and waits 100 ms at most; a keeper that has no note does not answer, as it may have started since. An instance that starts, or is heard again, is told of the streams that go on. Such a note is made after the first event and is final, so that it counts more than a record of the store, which may be of an attempt that brought none.

Cost a stream: 20 bytes to each of five others at six instances, to four at 295, in one datagram a tick; a take-up that nothing here tells of asks as many and costs no call to the store if one answers.

--- a/policy/stream_origin.c
+++ b/policy/stream_origin.c
@@ -2,7 +2,8 @@
  * Which software version began a stream.  What two versions write does not fit
  * together, so a stream that its caller resumes goes on only at endpoints of
  * the version that began it.  Instances note the version of each stream they
- * begin.  While endpoints of a service run several versions, or did so within
+ * begin, and tell it to a few others, its keepers, as an instance may end while
+ * it cannot write to the store.  While endpoints of a service run several versions, or did so within
  * the longest life of a stream, the notes are written to the store too, as all
  * instances may end at once.  Otherwise no note is needed: only one version can
  * have begun the stream.
@@ -25,6 +26,10 @@
  * anew. */
 #define WAIT_MAX_MS 1000
 
+/* A keeper answers within two ticks of this process and the way there and
+ * back. */
+#define KEEPERS_WAIT_MS 100
+
 /* Reading a prompt of usual length takes a second; a record that is written
  * within a third of that is in the store before the first event. */
 #define WRITE_INTERVAL_MS 300
@@ -75,10 +80,43 @@
 	};
 }
 
-/* Applies a record of the store.  Own notes count more, and are not replaced
- * before they are written; two records with
- * different versions, of a stream that was sent to both before it began, prove
- * nothing. */
+/* Handles the first event of a stream that this instance has sent: its version
+ * is final. */
+void stream_origin_begin(struct stream_origin_table *t, uint64_t stream,
+			 uint64_t software, uint64_t now)
+{
+	struct stream_origin *slot;
+
+	stream_origin_note(t, stream, software, now);
+	slot = slot_for(t, stream);
+	slot->begun = true;
+}
+
+/* Applies the note of another instance on a stream that has begun.  It counts
+ * more than one that was made before; two that differ prove nothing. */
+void stream_origin_keep(struct stream_origin_table *t, uint64_t stream,
+			uint64_t software, uint64_t now)
+{
+	struct stream_origin *slot = slot_for(t, stream);
+
+	if (slot->stream == stream && slot->begun) {
+		if (slot->software != software)
+			slot->software = SOFTWARE_UNKNOWN;
+		return;
+	}
+	*slot = (struct stream_origin){
+		.stream = stream,
+		.software = software,
+		.noted_ms = now,
+		.begun = true,
+		.stored = STORED,
+	};
+}
+
+/* Applies a record of the store, which may have been made before the stream
+ * began.  Own notes and those of begun streams count more, and own ones are not
+ * replaced before they are written; two records with different versions, of a
+ * stream that was sent to both before it began, prove nothing. */
 void stream_origin_read(struct stream_origin_table *t, uint64_t stream,
 			uint64_t software, uint64_t now)
 {
@@ -88,7 +126,7 @@
 	    slot->stored != STORED)
 		return;
 	if (slot->stream == stream) {
-		if (!slot->own && slot->software != software)
+		if (!slot->own && !slot->begun && slot->software != software)
 			slot->software = SOFTWARE_UNKNOWN;
 		return;
 	}
@@ -308,12 +346,16 @@
  * can't be found is refused: joined with another version it would be wrong
  * without a sign.  That only one version has served is proof only if it was
  * read after the stream arrived: an instance that is cut off, or was stopped,
- * does not know what it has missed. */
+ * does not know what it has missed.  A record made before the first event may
+ * be of an attempt that brought none, so that the keepers are asked first. */
 struct take_up_decision stream_take_up_decide(const struct stream_take_up *t)
 {
 	struct take_up_decision d = { .action = TAKE_UP_REFUSE };
 
-	if (t->recorded != SOFTWARE_UNKNOWN) {
+	if (!(t->recorded != SOFTWARE_UNKNOWN && t->begun) && t->keepers &&
+	    t->asked_ms_ago < KEEPERS_WAIT_MS) {
+		d.action = TAKE_UP_ASK;
+	} else if (t->recorded != SOFTWARE_UNKNOWN) {
 		d.action = TAKE_UP_BOUND;
 		d.software = t->recorded;
 	} else if (t->history_complete && t->recent.n == 1) {
--- a/policy/stream_origin.h
+++ b/policy/stream_origin.h
@@ -22,7 +22,8 @@
 	uint64_t stream; /* hash of the id of its first request; 0: unused */
 	uint64_t software; /* SOFTWARE_UNKNOWN: records contradict each other */
 	uint64_t noted_ms;
-	bool own; /* begun by this instance */
+	bool own; /* sent by this instance */
+	bool begun; /* had an event, so that its version is final */
 	enum stored stored;
 };
 
@@ -56,6 +57,9 @@
 /* A stream that a caller resumes here. */
 struct stream_take_up {
 	uint64_t recorded; /* its version by record, or SOFTWARE_UNKNOWN */
+	bool begun; /* the record was made after its first event */
+	size_t keepers; /* instances that may have such a record */
+	uint64_t asked_ms_ago; /* when these were asked; 0: not yet */
 	struct software_recent recent;
 	bool history_complete; /* recent is of a reading since it arrived */
 	bool store_answers;
@@ -65,6 +69,7 @@
 
 enum take_up_action {
 	TAKE_UP_BOUND, /* goes on at the endpoints of one version */
+	TAKE_UP_ASK, /* the keepers of its record, and wait for them */
 	TAKE_UP_WAIT, /* until the store's records are read */
 	TAKE_UP_REFUSE,
 };
@@ -78,6 +83,10 @@
 void stream_origin_release(struct stream_origin_table *t);
 void stream_origin_note(struct stream_origin_table *t, uint64_t stream,
 			uint64_t software, uint64_t now);
+void stream_origin_begin(struct stream_origin_table *t, uint64_t stream,
+			 uint64_t software, uint64_t now);
+void stream_origin_keep(struct stream_origin_table *t, uint64_t stream,
+			uint64_t software, uint64_t now);
 void stream_origin_read(struct stream_origin_table *t, uint64_t stream,
 			uint64_t software, uint64_t now);
 const struct stream_origin *stream_origin_find(
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -772,6 +772,96 @@
   assert(message->base.descriptor == &peer_permits__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer_origin__init
+                     (PeerOrigin         *message)
+{
+  static const PeerOrigin init_value = PEER_ORIGIN__INIT;
+  *message = init_value;
+}
+size_t peer_origin__get_packed_size
+                     (const PeerOrigin *message)
+{
+  assert(message->base.descriptor == &peer_origin__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer_origin__pack
+                     (const PeerOrigin *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer_origin__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer_origin__pack_to_buffer
+                     (const PeerOrigin *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer_origin__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PeerOrigin *
+       peer_origin__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PeerOrigin *)
+     protobuf_c_message_unpack (&peer_origin__descriptor,
+                                allocator, len, data);
+}
+void   peer_origin__free_unpacked
+                     (PeerOrigin *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer_origin__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   peer_origins__init
+                     (PeerOrigins         *message)
+{
+  static const PeerOrigins init_value = PEER_ORIGINS__INIT;
+  *message = init_value;
+}
+size_t peer_origins__get_packed_size
+                     (const PeerOrigins *message)
+{
+  assert(message->base.descriptor == &peer_origins__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer_origins__pack
+                     (const PeerOrigins *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer_origins__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer_origins__pack_to_buffer
+                     (const PeerOrigins *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer_origins__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PeerOrigins *
+       peer_origins__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PeerOrigins *)
+     protobuf_c_message_unpack (&peer_origins__descriptor,
+                                allocator, len, data);
+}
+void   peer_origins__free_unpacked
+                     (PeerOrigins *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer_origins__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer_datagram__init
                      (PeerDatagram         *message)
 {
@@ -2502,7 +2592,122 @@
   (ProtobufCMessageInit) peer_permits__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer_datagram__field_descriptors[10] =
+static const ProtobufCFieldDescriptor peer_origin__field_descriptors[2] =
+{
+  {
+    "stream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(PeerOrigin, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "software",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(PeerOrigin, software),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer_origin__field_indices_by_name[] = {
+  1,   /* field[1] = software */
+  0,   /* field[0] = stream */
+};
+static const ProtobufCIntRange peer_origin__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor peer_origin__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PeerOrigin",
+  "PeerOrigin",
+  "PeerOrigin",
+  "",
+  sizeof(PeerOrigin),
+  2,
+  peer_origin__field_descriptors,
+  peer_origin__field_indices_by_name,
+  1,  peer_origin__number_ranges,
+  (ProtobufCMessageInit) peer_origin__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer_origins__field_descriptors[3] =
+{
+  {
+    "instance",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(PeerOrigins, instance),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "origins",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(PeerOrigins, n_origins),
+    offsetof(PeerOrigins, origins),
+    &peer_origin__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wanted",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(PeerOrigins, n_wanted),
+    offsetof(PeerOrigins, wanted),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer_origins__field_indices_by_name[] = {
+  0,   /* field[0] = instance */
+  1,   /* field[1] = origins */
+  2,   /* field[2] = wanted */
+};
+static const ProtobufCIntRange peer_origins__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor peer_origins__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PeerOrigins",
+  "PeerOrigins",
+  "PeerOrigins",
+  "",
+  sizeof(PeerOrigins),
+  3,
+  peer_origins__field_descriptors,
+  peer_origins__field_indices_by_name,
+  1,  peer_origins__number_ranges,
+  (ProtobufCMessageInit) peer_origins__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor peer_datagram__field_descriptors[11] =
 {
   {
     "pulse",
@@ -2624,11 +2829,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "origins",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(PeerDatagram, origins),
+    &peer_origins__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer_datagram__field_indices_by_name[] = {
   1,   /* field[1] = borrow */
   7,   /* field[7] = limits */
   2,   /* field[2] = loan */
+  10,   /* field[10] = origins */
   8,   /* field[8] = permit_request */
   9,   /* field[9] = permits */
   0,   /* field[0] = pulse */
@@ -2641,7 +2859,7 @@
 {
   { 1, 0 },
   { 3, 1 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor peer_datagram__descriptor =
 {
@@ -2651,7 +2869,7 @@
   "PeerDatagram",
   "",
   sizeof(PeerDatagram),
-  10,
+  11,
   peer_datagram__field_descriptors,
   peer_datagram__field_indices_by_name,
   2,  peer_datagram__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -32,6 +32,8 @@
 typedef struct PeerLimits PeerLimits;
 typedef struct PeerPermitRequest PeerPermitRequest;
 typedef struct PeerPermits PeerPermits;
+typedef struct PeerOrigin PeerOrigin;
+typedef struct PeerOrigins PeerOrigins;
 typedef struct PeerDatagram PeerDatagram;
 typedef struct PeerLoad PeerLoad;
 typedef struct PeerSnapshot PeerSnapshot;
@@ -526,6 +528,46 @@
     , 0, 0, NULL, 0, 0, 0 }
 
 
+/*
+ * The software version that began a stream.
+ */
+struct  PeerOrigin
+{
+  ProtobufCMessage base;
+  /*
+   * hash of the id of its first request
+   */
+  uint64_t stream;
+  uint64_t software;
+};
+#define PEER_ORIGIN__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer_origin__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * Notes of streams that have begun, and questions for such notes.
+ */
+struct  PeerOrigins
+{
+  ProtobufCMessage base;
+  /*
+   * hash of its name
+   */
+  uint64_t instance;
+  size_t n_origins;
+  PeerOrigin **origins;
+  /*
+   * streams whose notes the sender wants; one that has none does not answer
+   */
+  size_t n_wanted;
+  uint64_t *wanted;
+};
+#define PEER_ORIGINS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer_origins__descriptor) \
+    , 0, 0,NULL, 0,NULL }
+
+
 /*
  * One datagram.
  */
@@ -545,10 +587,11 @@
   PeerLimits *limits;
   PeerPermitRequest *permit_request;
   PeerPermits *permits;
+  PeerOrigins *origins;
 };
 #define PEER_DATAGRAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer_datagram__descriptor) \
-    , NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL }
+    , NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL }
 
 
 /*
@@ -966,6 +1009,44 @@
 void   peer_permits__free_unpacked
                      (PeerPermits *message,
                       ProtobufCAllocator *allocator);
+/* PeerOrigin methods */
+void   peer_origin__init
+                     (PeerOrigin         *message);
+size_t peer_origin__get_packed_size
+                     (const PeerOrigin   *message);
+size_t peer_origin__pack
+                     (const PeerOrigin   *message,
+                      uint8_t             *out);
+size_t peer_origin__pack_to_buffer
+                     (const PeerOrigin   *message,
+                      ProtobufCBuffer     *buffer);
+PeerOrigin *
+       peer_origin__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer_origin__free_unpacked
+                     (PeerOrigin *message,
+                      ProtobufCAllocator *allocator);
+/* PeerOrigins methods */
+void   peer_origins__init
+                     (PeerOrigins         *message);
+size_t peer_origins__get_packed_size
+                     (const PeerOrigins   *message);
+size_t peer_origins__pack
+                     (const PeerOrigins   *message,
+                      uint8_t             *out);
+size_t peer_origins__pack_to_buffer
+                     (const PeerOrigins   *message,
+                      ProtobufCBuffer     *buffer);
+PeerOrigins *
+       peer_origins__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer_origins__free_unpacked
+                     (PeerOrigins *message,
+                      ProtobufCAllocator *allocator);
 /* PeerDatagram methods */
 void   peer_datagram__init
                      (PeerDatagram         *message);
@@ -1114,6 +1195,12 @@
 typedef void (*PeerPermits_Closure)
                  (const PeerPermits *message,
                   void *closure_data);
+typedef void (*PeerOrigin_Closure)
+                 (const PeerOrigin *message,
+                  void *closure_data);
+typedef void (*PeerOrigins_Closure)
+                 (const PeerOrigins *message,
+                  void *closure_data);
 typedef void (*PeerDatagram_Closure)
                  (const PeerDatagram *message,
                   void *closure_data);
@@ -1152,6 +1239,8 @@
 extern const ProtobufCMessageDescriptor peer_limits__descriptor;
 extern const ProtobufCMessageDescriptor peer_permit_request__descriptor;
 extern const ProtobufCMessageDescriptor peer_permits__descriptor;
+extern const ProtobufCMessageDescriptor peer_origin__descriptor;
+extern const ProtobufCMessageDescriptor peer_origins__descriptor;
 extern const ProtobufCMessageDescriptor peer_datagram__descriptor;
 extern const ProtobufCMessageDescriptor peer_load__descriptor;
 extern const ProtobufCMessageDescriptor peer_snapshot__descriptor;
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -210,6 +210,7 @@
 		choose_service_of_origin(x);
 		start(x);
 		break;
+	case TAKE_UP_ASK:
 	case TAKE_UP_WAIT:
 		x->awaits_origin = true;
 		break;
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -87,6 +87,8 @@
 	uint64_t software;
 	bool awaits_origin; /* until that version is found */
 	uint64_t readings_before; /* of the store's records, at the arrival */
+	uint64_t origin_asked_ms; /* of its keepers; 0: not asked */
+	bool origin_told; /* its version, to its keepers */
 
 	/* the current or last attempt */
 	struct http1_call *call;
--- a/proxyd/origins.c
+++ b/proxyd/origins.c
@@ -21,7 +21,9 @@
 #include "proxyd/proxyd.h"
 #include "proxyd/watch.h"
 
-#define STREAMS_MAX 8192 /* begun within the longest life of a stream */
+/* Begun within the longest life of a stream, at this instance or at those that
+ * it is a keeper for. */
+#define STREAMS_MAX 32768
 #define ROW_STREAMS_MAX 256
 #define SEGMENTS_MAX 1024 /* rows of this instance in the store */
 #define LISTED_INTERVAL_MS 1000 /* between two looks at all endpoints */
@@ -73,6 +75,7 @@
 	size_t n_removing; /* of the first segments, in the current call */
 
 	struct counter *by_own;
+	struct counter *by_keeper;
 	struct counter *by_row;
 	struct counter *by_only;
 	struct counter *refused;
@@ -101,6 +104,7 @@
 static struct software_recent recent_of_route(const struct origins *t,
 					      const struct route *route,
 					      uint64_t now);
+static uint64_t stream_of(const struct exchange *x);
 static uint64_t stream_hash(const char *id);
 static void log_take_up(const struct origins *t, const struct exchange *x,
 			const struct stream_take_up *question,
@@ -121,6 +125,8 @@
 	t->segments = xcalloc(SEGMENTS_MAX, sizeof(*t->segments));
 	stream_origin_init(&t->streams, STREAMS_MAX);
 	t->by_own = counter_labelled(name, help, COUNTER_TOTAL, "known", "own");
+	t->by_keeper =
+		counter_labelled(name, help, COUNTER_TOTAL, "known", "keeper");
 	t->by_row =
 		counter_labelled(name, help, COUNTER_TOTAL, "known", "store");
 	t->by_only = counter_labelled(name, help, COUNTER_TOTAL, "known",
@@ -243,6 +249,64 @@
 		      x->sent_software, now);
 }
 
+/* Handles the first event of a stream here: its version is final, and the
+ * keepers of its record are told, also of one that was begun elsewhere, as its
+ * first keepers may have ended since. */
+void origins_note_begun(struct origins *t, struct exchange *x)
+{
+	uint64_t stream = stream_of(x);
+	uint64_t software = x->software; /* if it was begun elsewhere */
+
+	if (!stream || x->origin_told)
+		return;
+	if (software == SOFTWARE_UNKNOWN)
+		software = x->sent_software;
+	x->origin_told = true;
+	stream_origin_begin(&t->streams, stream, software,
+			    proxyd_now(t->proxyd));
+	peers_announce_origin(t->proxyd->peers, stream, software);
+}
+
+/* Tells an instance that has started, or was silent, of the streams that go on
+ * here and whose keeper it is. */
+void origins_tell(struct origins *t, const struct peer *peer)
+{
+	const struct exchange *x;
+
+	TAILQ_FOREACH(x, &t->proxyd->exchanges->list, link)
+	if (x->origin_told)
+		peers_send_origin(t->proxyd->peers, peer, stream_of(x),
+				  x->software);
+}
+
+/* Handles the note of another instance on a stream that has begun. */
+void origins_receive(struct origins *t, uint64_t stream, uint64_t software)
+{
+	if (stream && software != SOFTWARE_UNKNOWN)
+		stream_origin_keep(&t->streams, stream, software,
+				   proxyd_now(t->proxyd));
+}
+
+/* Returns the version that began a stream, SOFTWARE_UNKNOWN if it is not known
+ * for sure. */
+uint64_t origins_begun_software(const struct origins *t, uint64_t stream)
+{
+	const struct stream_origin *o = stream_origin_find(&t->streams, stream);
+
+	return o && o->begun ? o->software : SOFTWARE_UNKNOWN;
+}
+
+/* Returns the hash that names a stream over all its requests, 0 if its caller
+ * can't resume it. */
+static uint64_t stream_of(const struct exchange *x)
+{
+	const char *id = x->fields.resumes ? x->fields.first_id : x->fields.id;
+
+	if (x->route->kind != KIND_STREAM || !x->route->resumable || !id[0])
+		return 0;
+	return stream_hash(id);
+}
+
 /* Returns after how long the records of all instances that run are in the store,
  * ms. */
 uint32_t origins_write_interval_ms(const struct origins *t)
@@ -261,15 +325,19 @@
 enum take_up_action origins_find(struct origins *t, struct exchange *x)
 {
 	uint64_t now = proxyd_now(t->proxyd);
-	const struct stream_origin *o = stream_origin_find(
-		&t->streams,
-		x->fields.first_id[0] ? stream_hash(x->fields.first_id) : 0);
+	uint64_t stream =
+		x->fields.first_id[0] ? stream_hash(x->fields.first_id) : 0;
+	const struct stream_origin *o = stream_origin_find(&t->streams, stream);
 	uint32_t readings =
 		t->readings_done > x->readings_before
 			? (uint32_t)(t->readings_done - x->readings_before)
 			: 0;
 	const struct stream_take_up question = {
 		.recorded = o ? o->software : SOFTWARE_UNKNOWN,
+		.begun = o && o->begun,
+		.keepers = stream ? peers_alive(t->proxyd->peers) : 0,
+		.asked_ms_ago = x->origin_asked_ms ? now - x->origin_asked_ms
+						   : 0,
 		.recent = recent_of_route(t, x->route, now),
 		.history_complete = readings > 0,
 		.store_answers = store_answers(t, now),
@@ -280,14 +348,23 @@
 	const char *from = "unknown";
 	struct counter *counter = t->refused;
 
+	if (d.action == TAKE_UP_ASK) {
+		if (!x->origin_asked_ms)
+			peers_ask_origin(t->proxyd->peers, stream);
+		x->origin_asked_ms = x->origin_asked_ms ? x->origin_asked_ms
+							: now;
+		return d.action;
+	}
 	if (d.action == TAKE_UP_WAIT) {
 		if (!t->reading)
 			t->readings_wanted = t->readings_begun + 1;
 		return d.action;
 	}
 	if (question.recorded != SOFTWARE_UNKNOWN) {
-		from = o->own ? "own" : "store";
-		counter = o->own ? t->by_own : t->by_row;
+		from = o->own ? "own" : o->begun ? "keeper" : "store";
+		counter = o->own     ? t->by_own
+			  : o->begun ? t->by_keeper
+				     : t->by_row;
 	} else if (d.action == TAKE_UP_BOUND) {
 		from = "only one";
 		counter = t->by_only;
--- a/proxyd/origins.h
+++ b/proxyd/origins.h
@@ -10,6 +10,7 @@
 struct endpoint;
 struct exchange;
 struct origins;
+struct peer;
 struct proxyd;
 
 struct origins *origins_new(struct proxyd *p);
@@ -17,6 +18,10 @@
 void origins_endpoint_listed(struct origins *t, const struct endpoint *e);
 void origins_endpoint_named(struct origins *t, const struct endpoint *e);
 void origins_note_sent(struct origins *t, const struct exchange *x);
+void origins_note_begun(struct origins *t, struct exchange *x);
+void origins_tell(struct origins *t, const struct peer *peer);
+void origins_receive(struct origins *t, uint64_t stream, uint64_t software);
+uint64_t origins_begun_software(const struct origins *t, uint64_t stream);
 uint32_t origins_write_interval_ms(const struct origins *t);
 void origins_arrived(struct origins *t, struct exchange *x);
 enum take_up_action origins_find(struct origins *t, struct exchange *x);
--- a/proxyd/peers.c
+++ b/proxyd/peers.c
@@ -18,6 +18,7 @@
 #include "policy/store_era.h"
 #include "proto/peer.pb-c.h"
 #include "proxyd/limits.h"
+#include "proxyd/origins.h"
 #include "proxyd/proxyd.h"
 #include "proxyd/watch.h"
 
@@ -86,6 +87,7 @@
 	peers_announce_reader(t);
 	peers_send_changed_work(t);
 	peers_send_suspects(t);
+	peers_send_origins(t);
 	if ((t->pulse_due_ms && now >= t->pulse_due_ms) ||
 	    now - t->last_pulse_ms >= heartbeat_interval_ms(t->n + 1))
 		peers_announce_now(t);
@@ -301,6 +303,8 @@
 		receive_reader(t, d->reader);
 	if (d->suspects)
 		peers_receive_suspects(t, d->suspects);
+	if (d->origins)
+		peers_receive_origins(t, d->origins);
 	if (d->borrow)
 		peers_lend(t, d->borrow);
 	if (d->loan)
@@ -359,6 +363,7 @@
 	if (pulse->born != peer->start_unix_ms) {
 		suspects_send_refusals(t->proxyd->suspects, peer);
 		limits_tell(t->proxyd->limits, peer);
+		origins_tell(t->proxyd->origins, peer);
 	}
 	peer->start_unix_ms = pulse->born;
 	peer->heartbeat.last_seen_ms = proxyd_now(t->proxyd);
@@ -591,6 +596,7 @@
 /* Removes an instance with its loads and frees it. */
 static void peer_remove(struct peers *t, struct peer *peer)
 {
+	peers_send_origins(t); /* none in the queue names it any more */
 	remove_loads(t, peer);
 	TAILQ_REMOVE(&t->list, peer, link);
 	t->n--;
@@ -683,9 +689,10 @@
 			continue;
 		peer->alive = alive;
 		t->version++;
-		if (!alive) {
+		if (alive)
+			origins_tell(t->proxyd->origins, peer);
+		else
 			remove_loads(t, peer);
-		}
 		event_log(EVENT_NOTABLE,
 			  alive ? "instance-alive" : "instance-silent", NULL,
 			  "{s:s, s:I}", "peer", peer->name, "heard_ms_ago",
--- a/proxyd/peers.h
+++ b/proxyd/peers.h
@@ -42,6 +42,10 @@
 bool peers_is_record_keeper(const struct peers *t, uint64_t content);
 bool peers_all_keep_records(const struct peers *t);
 bool peers_is_first_keeper(const struct peers *t, uint64_t content);
+void peers_announce_origin(struct peers *t, uint64_t stream, uint64_t software);
+void peers_send_origin(struct peers *t, const struct peer *to, uint64_t stream,
+		       uint64_t software);
+void peers_ask_origin(struct peers *t, uint64_t stream);
 void peers_announce_soon(struct peers *t);
 void peers_announce_now(struct peers *t);
 void peers_announce_rows(struct peers *t, enum store_table table,
--- a/proxyd/peers_suspects.c
+++ b/proxyd/peers_suspects.c
@@ -74,11 +74,10 @@
 		if (!item->sends_left || now < item->due_ms)
 			continue;
 		due[n_due++] = item;
-		item->to_all = item->update.kind != SUSPECT_CRASH ||
-			       t->n < ALL_KEEP_PEERS_MAX;
-		if (!item->to_all)
-			find_keepers(t, item->update.content,
-				     &item->least_keeper_weight);
+		peers_find_keepers(t, item->update.content, &item->to_all,
+				   &item->least_keeper_weight);
+		if (item->update.kind != SUSPECT_CRASH)
+			item->to_all = true;
 		item->sends_left--;
 		item->due_ms = now + RESEND_MS;
 	}
@@ -198,6 +197,17 @@
 	return n;
 }
 
+/* Finds the other instances that keep the records of a hash: all of them, or
+ * those whose weight is at least least_weight. */
+void peers_find_keepers(const struct peers *t, uint64_t hash, bool *to_all,
+			uint64_t *least_weight)
+{
+	*least_weight = 0;
+	*to_all = t->n < ALL_KEEP_PEERS_MAX;
+	if (!*to_all)
+		find_keepers(t, hash, least_weight);
+}
+
 /* Returns whether an update is sent to an instance. */
 static bool is_recipient(const struct announced_suspect *item,
 			 const struct peer *peer)
--- a/proxyd/peers_table.h
+++ b/proxyd/peers_table.h
@@ -19,6 +19,7 @@
 #define PROMPTS_MAX 16 /* prompt locations per datagram */
 #define PROMPTS_QUEUED 64 /* prompt locations queued for sending */
 #define SUSPECTS_QUEUED 128 /* updates on suspected requests queued */
+#define ORIGINS_QUEUED 256 /* notes or questions; sent at once if full */
 #define DATAGRAM_MAX_BYTES 2048
 
 struct peer_load {
@@ -67,6 +68,16 @@
 	unsigned int sends_left;
 };
 
+/* The version that began a stream, as sent to the keepers of its record, or a
+ * question for it. */
+struct announced_origin {
+	uint64_t stream;
+	uint64_t software; /* SOFTWARE_UNKNOWN: a question */
+	const struct peer *to; /* alone; NULL: all keepers */
+	bool to_all; /* every instance is a keeper */
+	uint64_t least_keeper_weight;
+};
+
 /* An update on a suspected request, as sent to the others. */
 struct announced_suspect {
 	struct suspect_update update;
@@ -92,6 +103,8 @@
 	size_t prompt_next; /* the oldest */
 	struct announced_suspect suspects[SUSPECTS_QUEUED];
 	size_t suspect_next; /* the oldest */
+	struct announced_origin origins[ORIGINS_QUEUED];
+	size_t n_origins;
 	bool listed_before; /* an earlier process of this instance was */
 	uint64_t version; /* of the list, and of which instances are alive */
 	struct counter *sent;
@@ -111,6 +124,10 @@
 void peers_send_changed_work(struct peers *t);
 void peers_send_suspects(struct peers *t);
 void peers_receive_suspects(struct peers *t, const PeerSuspects *msg);
+void peers_find_keepers(const struct peers *t, uint64_t hash, bool *to_all,
+			uint64_t *least_weight);
+void peers_send_origins(struct peers *t);
+void peers_receive_origins(struct peers *t, const PeerOrigins *msg);
 void peers_lend(struct peers *t, const PeerBorrow *borrow);
 void peers_receive_loan(struct peers *t, const PeerLoan *loan);
 
--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -422,6 +422,7 @@
 	x->first_event_due_ms = 0;
 	handover_end(x);
 	origins_note_sent(x->proxyd->origins, x);
+	origins_note_begun(x->proxyd->origins, x);
 	x->software = x->sent_software;
 	suspects_run_began(x);
 	if (x->prefill_counted && e) {
--- a/regress/integration/test_software_versions.c
+++ b/regress/integration/test_software_versions.c
@@ -164,16 +164,21 @@
 	c->stream = NULL;
 }
 
-static void open_all(void)
+static void open_all_at(const struct standin_instance *in)
 {
 	size_t i;
 
 	for (i = 0; i < CALLERS; i++)
-		open_stream(&callers[i], &one, NULL);
+		open_stream(&callers[i], in, NULL);
 	for (i = 0; i < CALLERS; i++)
 		stream_wait_events(callers[i].stream, EVENTS_BEFORE);
 }
 
+static void open_all(void)
+{
+	open_all_at(&one);
+}
+
 static void close_all(void)
 {
 	size_t i;
@@ -471,27 +476,17 @@
 	expect_all_complete();
 }
 
-/* Without the store a stream goes on at the instance that sent it; another one
- * refuses it if it does not know the version. */
+/* Without the store a stream goes on at the instance that sent it, and at another
+ * one, which it was told to. */
 static void store_away(void **state)
 {
-	size_t i;
-
 	(void)state;
 	start("engine", two_versions);
 	open_all();
 	close_all();
 	world->store_refuses = true;
 	take_up_all();
-	for (i = 0; i < CALLERS; i++) {
-		stream_wait_end(callers[i].stream);
-		if (i % 2 && stream_status(callers[i].stream) == 503) {
-			close_stream(&callers[i]);
-			continue;
-		}
-		close_stream(&callers[i]);
-		assert_int_equal(callers[i].received, STANDIN_EVENTS);
-	}
+	expect_all_complete();
 	world->store_refuses = false;
 }
 
@@ -524,13 +519,8 @@
 {
 	size_t i;
 
-	for (i = 0; i < n; i++) {
-		struct standin_worker *w =
-			standin_add_worker(world, "engine", "z1");
-
-		w->version = version;
-		standin_put_worker_entry(w, "ready");
-	}
+	for (i = 0; i < n; i++)
+		standin_add_worker_of(world, "engine", "z1", version);
 }
 
 static bool two_versions_recorded(void *arg)
@@ -610,6 +600,78 @@
 	expect_none_mixed();
 }
 
+/* Cuts an instance off from the store, has a new version come, and takes the
+ * instance's streams up at the others once it is gone: all of them go on.
+ * begun_first: the streams begin before the new version comes. */
+static void lose_cut_off_instance(bool begun_first, bool planned)
+{
+	const char *control = gate_store();
+	size_t i;
+
+	start("engine", one_version);
+	start_third();
+	if (begun_first)
+		open_all_at(&two);
+	harness_control(harness, control, "{\"*\":{\"mode\":\"hang\"}}");
+	add_engines(2, "v2");
+	wait_entries(harness, &one, "v2", 2);
+	wait_entries(harness, &three, "v2", 2);
+	if (!begun_first)
+		open_all_at(&two);
+	if (planned) {
+		proc_signal(two.proc, SIGTERM);
+		harness_run(harness, 3 * EVENT_MS);
+	}
+	proc_kill(two.proc);
+	close_all();
+	for (i = 0; i < CALLERS; i++)
+		open_stream(&callers[i], i % 2 ? &three : &one,
+			    callers[i].first_id);
+	expect_all_complete();
+}
+
+/* Guards against the loss of streams whose instance was cut off from the store
+ * when a second version came, so that it alone knew their version. */
+static void cut_off_instance_killed(void **state)
+{
+	(void)state;
+	lose_cut_off_instance(true, false);
+}
+
+static void cut_off_instance_begins_and_is_killed(void **state)
+{
+	(void)state;
+	lose_cut_off_instance(false, false);
+}
+
+static void cut_off_instance_stops(void **state)
+{
+	(void)state;
+	lose_cut_off_instance(true, true);
+}
+
+/* Guards against the loss of streams whose keepers have all started again since
+ * they were told. */
+static void keepers_started_again(void **state)
+{
+	size_t i;
+
+	(void)state;
+	start("engine", two_versions);
+	open_all();
+	world->store_refuses = true;
+	proc_kill(two.proc);
+	standin_start_instance(world, &two);
+	standin_wait_status(world, two.readiness, "/readyz", 200);
+	harness_run(harness, 3 * EVENT_MS);
+	proc_kill(one.proc);
+	close_all();
+	for (i = 0; i < CALLERS; i++)
+		open_stream(&callers[i], &two, callers[i].first_id);
+	expect_all_complete();
+	world->store_refuses = false;
+}
+
 /* Calls that are no streams are served by both versions. */
 static void plain_calls(void **state)
 {
@@ -660,6 +722,10 @@
 		CASE(store_away),
 		CASE(take_up_cut_off_from_store),
 		CASE(take_up_after_freeze),
+		CASE(cut_off_instance_killed),
+		CASE(cut_off_instance_begins_and_is_killed),
+		CASE(cut_off_instance_stops),
+		CASE(keepers_started_again),
 		CASE(plain_calls),
 	};
 
--- a/regress/platform_standin.c
+++ b/regress/platform_standin.c
@@ -247,6 +247,15 @@
 /* Adds a worker, starts it and writes its entry as ready. */
 struct standin_worker *standin_add_worker(struct standin_world *w,
 					  const char *service, const char *zone)
+{
+	return standin_add_worker_of(w, service, zone, "v1");
+}
+
+/* Adds a worker with a version of its software. */
+struct standin_worker *standin_add_worker_of(struct standin_world *w,
+					     const char *service,
+					     const char *zone,
+					     const char *version)
 {
 	struct standin_worker *worker = &w->workers[w->n_workers];
 
@@ -257,7 +266,7 @@
 	worker->zone = zone;
 	worker->address = harness_address(w->harness);
 	worker->public_address = worker->address;
-	worker->version = "v1";
+	worker->version = version;
 	worker->born_ms = 1000;
 	standin_start_worker(worker, worker->id);
 	return worker;
--- a/regress/platform_standin.h
+++ b/regress/platform_standin.h
@@ -128,6 +128,10 @@
 struct standin_worker *standin_add_worker(struct standin_world *w,
 					  const char *service,
 					  const char *zone);
+struct standin_worker *standin_add_worker_of(struct standin_world *w,
+					     const char *service,
+					     const char *zone,
+					     const char *version);
 void standin_put_worker_entry(struct standin_worker *worker, const char *state);
 void standin_kill_worker(struct standin_worker *worker);
 void standin_start_worker(struct standin_worker *worker, const char *id);
--- a/regress/unit/test_stream_origin.c
+++ b/regress/unit/test_stream_origin.c
@@ -63,6 +63,32 @@
 	stream_origin_release(&t);
 }
 
+/* Notes of begun streams: they count more than records of the store. */
+static void kept_notes(void **state)
+{
+	struct stream_origin_table t;
+	size_t position = 0;
+
+	(void)state;
+	stream_origin_init(&t, 64);
+	stream_origin_read(&t, 1, V1, 100); /* made before its first event */
+	stream_origin_keep(&t, 1, V2, 110);
+	assert_int_equal(stream_origin_find(&t, 1)->software, V2);
+	assert_true(stream_origin_find(&t, 1)->begun);
+	stream_origin_read(&t, 1, V1, 120);
+	assert_int_equal(stream_origin_find(&t, 1)->software, V2);
+	assert_null(stream_origin_next_unstored(&t, 0, &position));
+	stream_origin_keep(&t, 1, V1, 130);
+	assert_int_equal(stream_origin_find(&t, 1)->software, SOFTWARE_UNKNOWN);
+	stream_origin_note(&t, 2, V1, 140);
+	assert_false(stream_origin_find(&t, 2)->begun);
+	stream_origin_begin(&t, 2, V2, 150);
+	assert_true(stream_origin_find(&t, 2)->begun);
+	assert_true(stream_origin_find(&t, 2)->own);
+	assert_int_equal(stream_origin_find(&t, 2)->software, V2);
+	stream_origin_release(&t);
+}
+
 /* The oldest notes give way; a table holds the streams of its size. */
 static void notes_are_bounded(void **state)
 {
@@ -218,6 +244,23 @@
 		{ { .recent = { .n = 0 }, .history_complete = true },
 		  TAKE_UP_REFUSE,
 		  0 },
+		/* keepers are asked unless the record is final */
+		{ { .recorded = V1, .begun = true, .keepers = 3 },
+		  TAKE_UP_BOUND,
+		  V1 },
+		{ { .recorded = V1, .keepers = 3 }, TAKE_UP_ASK, 0 },
+		{ { .keepers = 3, .asked_ms_ago = 99, .store_answers = true },
+		  TAKE_UP_ASK,
+		  0 },
+		{ { .keepers = 3, .asked_ms_ago = 100, .store_answers = true },
+		  TAKE_UP_WAIT,
+		  0 },
+		{ { .recorded = V1, .keepers = 3, .asked_ms_ago = 100 },
+		  TAKE_UP_BOUND,
+		  V1 },
+		{ { .begun = true, .keepers = 3, .asked_ms_ago = 100 },
+		  TAKE_UP_REFUSE,
+		  0 },
 	};
 	size_t i;
 
@@ -250,6 +293,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(notes_and_records),
+		cmocka_unit_test(kept_notes),
 		cmocka_unit_test(notes_are_bounded),
 		cmocka_unit_test(reading_keeps_unwritten_notes),
 		cmocka_unit_test(named_versions),
