--- a/policy/crash_suspect.c
+++ b/policy/crash_suspect.c
@@ -31,6 +31,8 @@
  * runs that overlap, as the requests that share a part differ, but crashes in
  * one moment count once, as the loss of a zone is no part's doing.  The first
  * event of any run clears its parts, which are shared with sound requests.
+ * A part that was in one crash only, or in those of one request with many parts,
+ * is a sighting (policy/crash_sighting.c).
  * While a part is suspected its requests run one at a time; when its refusal
  * expires one run in the fleet is a trial, and the part is refused meanwhile.
  */
@@ -41,6 +43,7 @@
 
 #include "lib/xalloc.h"
 #include "policy/content.h"
+#include "policy/crash_sighting.h"
 #include "policy/pair_hash.h"
 
 #define WAYS 8 /* records per set of the table */
@@ -65,6 +68,7 @@
 	struct crash_suspect_params params;
 	struct crash_suspect_record *records;
 	size_t n_sets;
+	struct crash_sightings sightings;
 	struct completed_run *completed;
 	size_t n_completed;
 	uint64_t evaluate_ms; /* next evaluation of suspects; 0: none */
@@ -72,7 +76,8 @@
 
 const struct crash_suspect_params crash_suspect_defaults = {
 	.records_max = 1024,
-	.completed_max = 8192,
+	.sightings_max = 32768,
+	.completed_max = 32768,
 	.completed_ms = 30000,
 	.min_gap_ms = 1000,
 	.settle_ms = 100,
@@ -95,6 +100,16 @@
 					 uint64_t content, uint64_t now);
 static struct crash_suspect_record *find_or_add(struct crash_suspects *p,
 						uint64_t content, uint64_t now);
+static bool second_crash(struct crash_suspects *p, uint64_t part,
+			 const struct run_crash *crash, uint64_t now);
+static bool add_sighting(struct crash_suspects *p, uint64_t part,
+			 const struct run_crash *crash, uint64_t now);
+static bool is_same_or_simultaneous(const struct run_crash *a,
+				    const struct run_crash *b);
+static bool clear_sighting(struct crash_suspects *p, uint64_t part);
+static struct crash_sighting *find_sighting(const struct crash_suspects *p,
+					    uint64_t part, uint64_t now);
+static uint64_t oldest_ms(const struct crash_suspects *p, uint64_t now);
 static bool replaced_before(const struct crash_suspect_record *a,
 			    const struct crash_suspect_record *b, uint64_t now);
 static bool completed_since(const struct crash_suspects *p, uint64_t content,
@@ -122,6 +137,13 @@
 static bool same_crash(const struct run_crash *a, const struct run_crash *b);
 static bool was_running(const struct crash_suspect_record *r,
 			const struct run_crash *crash);
+static void add_uncounted(struct crash_suspects *p,
+			  struct crash_suspect_record *r,
+			  const struct run_crash *crash, uint64_t now);
+static bool has_as_many(const struct crash_suspect_record *o,
+			const struct crash_suspect_record *r);
+static bool was_uncounted(const struct crash_suspect_record *r,
+			  const struct run_crash *crash);
 static void remove_explained_crashes(
 	struct crash_suspects *p, const struct crash_suspect_record *refused);
 static void refuse(struct crash_suspects *p, struct crash_suspect_record *r,
@@ -138,6 +160,7 @@
 	p->n_sets = power_of_two(params->records_max) / WAYS;
 	if (!p->n_sets)
 		p->n_sets = 1;
+	crash_sightings_init(&p->sightings, params->sightings_max);
 	p->n_completed = power_of_two(params->completed_max);
 	p->records = xcalloc(p->n_sets * WAYS, sizeof(*p->records));
 	p->completed = xcalloc(p->n_completed, sizeof(*p->completed));
@@ -150,6 +173,7 @@
 	if (!p)
 		return;
 	free(p->records);
+	crash_sightings_release(&p->sightings);
 	free(p->completed);
 	free(p);
 }
@@ -164,14 +188,20 @@
 
 	if (completed_since(p, content, crash->sent_ms))
 		return false;
+	if (content_is_part(content) && !find(p, content, now) &&
+	    !second_crash(p, content, crash, now))
+		return add_sighting(p, content, crash, now);
 	r = find_or_add(p, content, now);
 	expire_refusal(r, now);
 	if (r->refused_until_ms || r->n_crashes == CRASH_SUSPECT_CRASHES_MAX ||
 	    is_known(r, crash))
 		return false;
-	if (content_is_part(content) &&
-	    (was_running(r, crash) || is_simultaneous(r, crash)))
+	if (content_is_part(content) && was_running(r, crash))
 		return false;
+	if (content_is_part(content) && is_simultaneous(r, crash)) {
+		add_uncounted(p, r, crash, now);
+		return false;
+	}
 	if (!content_is_part(content) &&
 	    (is_concurrent(r, crash) || was_running(r, crash))) {
 		r->concurrent += crashed_simultaneously(r, crash);
@@ -222,9 +252,14 @@
 						 uint64_t content, uint64_t now)
 {
 	struct crash_suspect_record *r = find(p, content, now);
+	const struct crash_sighting *s;
 
-	if (!r)
-		return CRASH_SUSPECT_RUN;
+	if (!r) {
+		s = find_sighting(p, content, now);
+		return s && now < s->at_ms + p->params.alone_ms
+			       ? CRASH_SUSPECT_ALONE
+			       : CRASH_SUSPECT_RUN;
+	}
 	expire_refusal(r, now);
 	if (r->refused_until_ms)
 		return CRASH_SUSPECT_REFUSE;
@@ -298,14 +333,108 @@
 	return true;
 }
 
-/* Clears the record of a content; returns true if there was one. */
+/* Clears the record of a content, or the sighting of a part; returns true if
+ * there was one. */
 bool crash_suspect_clear(struct crash_suspects *p, uint64_t content)
 {
 	struct crash_suspect_record *r = lookup(p, content);
+	bool sighted = clear_sighting(p, content);
 
 	if (r)
 		*r = (struct crash_suspect_record){ 0 };
-	return r != NULL;
+	return r || sighted;
+}
+
+/* Clears the sighting of a part; returns true if there was one. */
+static bool clear_sighting(struct crash_suspects *p, uint64_t part)
+{
+	struct crash_sighting *s =
+		content_is_part(part)
+			? crash_sighting_find(&p->sightings, part, 0)
+			: NULL;
+
+	if (s)
+		*s = (struct crash_sighting){ 0 };
+	return s != NULL;
+}
+
+/* Returns whether there is a record of the content, or a sighting of the
+ * part. */
+bool crash_suspect_known(struct crash_suspects *p, uint64_t content,
+			 uint64_t now)
+{
+	return find(p, content, now) || find_sighting(p, content, now);
+}
+
+/* Returns how many sightings were replaced before they expired. */
+uint64_t crash_suspect_forgotten(const struct crash_suspects *p)
+{
+	return p->sightings.forgotten;
+}
+
+/* Makes a record of a part that was in one crash before and is in another one
+ * now, of another request unless its parts are few: of many parts, those that
+ * are the request's own would all get one whenever it is sent again.  Returns
+ * false if it makes none. */
+static bool second_crash(struct crash_suspects *p, uint64_t part,
+			 const struct run_crash *crash, uint64_t now)
+{
+	struct crash_sighting *s = find_sighting(p, part, now);
+	struct crash_sighting first;
+	struct crash_suspect_record *r;
+
+	if (!s || is_same_or_simultaneous(&s->crash, crash) ||
+	    (crash->content && crash->content == s->crash.content))
+		return false;
+	first = *s;
+	r = find_or_add(p, part, now);
+	clear_sighting(p, part);
+	insert(r, &first.crash);
+	r->last_crash_ms = first.at_ms;
+	r->expires_ms = now + p->params.suspected_ms;
+	return true;
+}
+
+/* Records that a part was in a crash for the first time, or that it was in a
+ * further one that makes no record, and returns false. */
+static bool add_sighting(struct crash_suspects *p, uint64_t part,
+			 const struct run_crash *crash, uint64_t now)
+{
+	struct crash_sighting *known = find_sighting(p, part, now);
+	const struct crash_sighting s = {
+		.part = part,
+		.crash = *crash,
+		.at_ms = now,
+	};
+
+	if (!known)
+		crash_sighting_add(&p->sightings, &s, oldest_ms(p, now));
+	else if (known->crash.id != crash->id)
+		known->at_ms = now;
+	return !known;
+}
+
+/* Tells whether two runs were cut off by the same crash, or in one moment. */
+static bool is_same_or_simultaneous(const struct run_crash *a,
+				    const struct run_crash *b)
+{
+	return a->id == b->id || same_crash(a, b) ||
+	       time_between_ms(a, b) < SAME_MOMENT_MS;
+}
+
+/* Returns the sighting of a part, or NULL if there is none or it expired. */
+static struct crash_sighting *find_sighting(const struct crash_suspects *p,
+					    uint64_t part, uint64_t now)
+{
+	return content_is_part(part) ? crash_sighting_find(&p->sightings, part,
+							   oldest_ms(p, now))
+				     : NULL;
+}
+
+/* Returns the time of the oldest sightings that have not expired, ms. */
+static uint64_t oldest_ms(const struct crash_suspects *p, uint64_t now)
+{
+	return now > p->params.suspected_ms ? now - p->params.suspected_ms : 0;
 }
 
 /* Returns for how long the content is still refused, ms; 0 if it is not. */
@@ -556,7 +685,8 @@
 		    !(part && ever_completed(p, o->content) &&
 		      !ever_completed(p, r->content)) &&
 		    o->content && o->expires_ms > now && !o->refused_until_ms &&
-		    o->n_crashes >= r->n_crashes && was_running(o, last))
+		    has_as_many(o, r) &&
+		    (was_running(o, last) || was_uncounted(o, last)))
 			return false;
 	return true;
 }
@@ -588,14 +718,59 @@
 	return false;
 }
 
+/* Adds a crash in the same moment as one that counts.  It counts only in the
+ * comparison with other parts, which may be another one by it. */
+static void add_uncounted(struct crash_suspects *p,
+			  struct crash_suspect_record *r,
+			  const struct run_crash *crash, uint64_t now)
+{
+	if (was_uncounted(r, crash))
+		return;
+	r->uncounted[r->n_uncounted++ % CRASH_SUSPECT_CRASHES_MAX] = *crash;
+	if (r->n_crashes < CRASH_SUSPECT_CRASHES)
+		return;
+	r->decided = false;
+	r->last_crash_ms = now;
+	if (!p->evaluate_ms)
+		p->evaluate_ms = now + p->params.settle_ms;
+}
+
+/* Tells whether record o has as many crashes as r: of those that count, and with
+ * those in the same moments. */
+static bool has_as_many(const struct crash_suspect_record *o,
+			const struct crash_suspect_record *r)
+{
+	return o->n_crashes >= r->n_crashes &&
+	       o->n_crashes + o->n_uncounted >= r->n_crashes + r->n_uncounted;
+}
+
+/* Tells whether a run with the part was cut off by the same crash, which does
+ * not count. */
+static bool was_uncounted(const struct crash_suspect_record *r,
+			  const struct run_crash *crash)
+{
+	uint32_t i;
+
+	for (i = 0; i < r->n_uncounted && i < CRASH_SUSPECT_CRASHES_MAX; i++)
+		if (same_crash(&r->uncounted[i], crash))
+			return true;
+	return false;
+}
+
 /* Removes the crashes that a refused content explains from the records of
  * others, and those that a refused part explains from all others. */
 static void remove_explained_crashes(struct crash_suspects *p,
 				     const struct crash_suspect_record *refused)
 {
 	struct crash_suspect_record *o;
+	struct crash_sighting *s;
+	size_t index = 0;
 	uint32_t i;
 
+	while (content_is_part(refused->content) &&
+	       (s = crash_sighting_next(&p->sightings, &index)))
+		if (was_running(refused, &s->crash))
+			*s = (struct crash_sighting){ 0 };
 	for (o = p->records; o < p->records + p->n_sets * WAYS; o++) {
 		uint32_t left = 0;
 
--- a/policy/crash_suspect.h
+++ b/policy/crash_suspect.h
@@ -5,6 +5,10 @@
 #include <stddef.h>
 #include <stdint.h>
 
+/* Parts of a run that are all recorded once the same request crashes a second
+ * endpoint. */
+#define CRASH_SUSPECT_FEW_PARTS 8
+
 /* Crashes after which a content is refused. */
 enum {
 	CRASH_SUSPECT_CRASHES = 3, /* if it stands out among the suspects */
@@ -18,6 +22,9 @@
 	uint64_t endpoint; /* hash of its id */
 	uint64_t sent_ms;
 	uint64_t crashed_ms;
+	/* of a run with more than CRASH_SUSPECT_FEW_PARTS suspected parts, its
+	 * content; else 0 */
+	uint64_t content;
 };
 
 /* The evidence against a content or a part.  Times in ms. */
@@ -27,6 +34,9 @@
 	struct run_crash crashes[CRASH_SUSPECT_CRASHES_MAX];
 	uint32_t n_crashes;
 	uint32_t concurrent; /* runs cut off elsewhere at the same times */
+	/* of a part, the last crashes in the same moment as one that counts */
+	struct run_crash uncounted[CRASH_SUSPECT_CRASHES_MAX];
+	uint32_t n_uncounted; /* in total */
 	uint64_t last_crash_ms; /* when the last one was received */
 	bool decided; /* the crashes have been evaluated */
 	uint32_t refusals; /* number of refusals so far */
@@ -45,6 +55,7 @@
 
 struct crash_suspect_params {
 	uint32_t records_max; /* rounded up to a power of two */
+	uint32_t sightings_max; /* parts in one crash; rounded alike */
 	uint32_t completed_max; /* recently completed contents; rounded alike */
 	/* Crashes of runs sent this soon after a completed one don't count. */
 	uint64_t completed_ms;
@@ -90,6 +101,9 @@
 	const struct crash_suspects *p, uint64_t content, uint64_t now);
 const struct crash_suspect_record *crash_suspect_next_refused(
 	const struct crash_suspects *p, uint64_t now, size_t *index);
+bool crash_suspect_known(struct crash_suspects *p, uint64_t content,
+			 uint64_t now);
+uint64_t crash_suspect_forgotten(const struct crash_suspects *p);
 uint64_t crash_suspect_weight(uint64_t content, uint64_t instance);
 
 #endif /* POLICY_CRASH_SUSPECT_H */
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -772,6 +772,51 @@
   assert(message->base.descriptor == &peer_permits__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   peer_parts__init
+                     (PeerParts         *message)
+{
+  static const PeerParts init_value = PEER_PARTS__INIT;
+  *message = init_value;
+}
+size_t peer_parts__get_packed_size
+                     (const PeerParts *message)
+{
+  assert(message->base.descriptor == &peer_parts__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t peer_parts__pack
+                     (const PeerParts *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &peer_parts__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t peer_parts__pack_to_buffer
+                     (const PeerParts *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &peer_parts__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+PeerParts *
+       peer_parts__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (PeerParts *)
+     protobuf_c_message_unpack (&peer_parts__descriptor,
+                                allocator, len, data);
+}
+void   peer_parts__free_unpacked
+                     (PeerParts *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &peer_parts__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   peer_origin__init
                      (PeerOrigin         *message)
 {
@@ -2592,6 +2637,122 @@
   (ProtobufCMessageInit) peer_permits__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor peer_parts__field_descriptors[7] =
+{
+  {
+    "instance",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(PeerParts, instance),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "strike",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(PeerParts, strike),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "endpoint",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(PeerParts, endpoint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_ms_ago",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PeerParts, sent_ms_ago),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended_ms_ago",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PeerParts, ended_ms_ago),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "parts",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(PeerParts, n_parts),
+    offsetof(PeerParts, parts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "content",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(PeerParts, content),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned peer_parts__field_indices_by_name[] = {
+  6,   /* field[6] = content */
+  4,   /* field[4] = ended_ms_ago */
+  2,   /* field[2] = endpoint */
+  0,   /* field[0] = instance */
+  5,   /* field[5] = parts */
+  3,   /* field[3] = sent_ms_ago */
+  1,   /* field[1] = strike */
+};
+static const ProtobufCIntRange peer_parts__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor peer_parts__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "PeerParts",
+  "PeerParts",
+  "PeerParts",
+  "",
+  sizeof(PeerParts),
+  7,
+  peer_parts__field_descriptors,
+  peer_parts__field_indices_by_name,
+  1,  peer_parts__number_ranges,
+  (ProtobufCMessageInit) peer_parts__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor peer_origin__field_descriptors[2] =
 {
   {
@@ -2707,7 +2868,7 @@
   (ProtobufCMessageInit) peer_origins__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer_datagram__field_descriptors[11] =
+static const ProtobufCFieldDescriptor peer_datagram__field_descriptors[12] =
 {
   {
     "pulse",
@@ -2841,12 +3002,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "parts",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(PeerDatagram, parts),
+    &peer_parts__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer_datagram__field_indices_by_name[] = {
   1,   /* field[1] = borrow */
   7,   /* field[7] = limits */
   2,   /* field[2] = loan */
   10,   /* field[10] = origins */
+  11,   /* field[11] = parts */
   8,   /* field[8] = permit_request */
   9,   /* field[9] = permits */
   0,   /* field[0] = pulse */
@@ -2859,7 +3033,7 @@
 {
   { 1, 0 },
   { 3, 1 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor peer_datagram__descriptor =
 {
@@ -2869,7 +3043,7 @@
   "PeerDatagram",
   "",
   sizeof(PeerDatagram),
-  11,
+  12,
   peer_datagram__field_descriptors,
   peer_datagram__field_indices_by_name,
   2,  peer_datagram__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -32,6 +32,7 @@
 typedef struct PeerLimits PeerLimits;
 typedef struct PeerPermitRequest PeerPermitRequest;
 typedef struct PeerPermits PeerPermits;
+typedef struct PeerParts PeerParts;
 typedef struct PeerOrigin PeerOrigin;
 typedef struct PeerOrigins PeerOrigins;
 typedef struct PeerDatagram PeerDatagram;
@@ -528,6 +529,42 @@
     , 0, 0, NULL, 0, 0, 0 }
 
 
+/*
+ * Parts of prompts.  Times are ages in ms.
+ */
+struct  PeerParts
+{
+  ProtobufCMessage base;
+  /*
+   * hash of its name
+   */
+  uint64_t instance;
+  /*
+   * an endpoint crashed during a run with all of them: random id of the run;
+   * 0: a run with them had its first event, so that they are sound
+   */
+  uint32_t strike;
+  /*
+   * hash of the id of the crashed endpoint
+   */
+  uint64_t endpoint;
+  uint32_t sent_ms_ago;
+  uint32_t ended_ms_ago;
+  /*
+   * their hashes
+   */
+  size_t n_parts;
+  uint64_t *parts;
+  /*
+   * of the run, if it had many; else 0
+   */
+  uint64_t content;
+};
+#define PEER_PARTS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&peer_parts__descriptor) \
+    , 0, 0, 0, 0, 0, 0,NULL, 0 }
+
+
 /*
  * The software version that began a stream.
  */
@@ -588,10 +625,11 @@
   PeerPermitRequest *permit_request;
   PeerPermits *permits;
   PeerOrigins *origins;
+  PeerParts *parts;
 };
 #define PEER_DATAGRAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer_datagram__descriptor) \
-    , NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL }
+    , NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL, NULL }
 
 
 /*
@@ -1009,6 +1047,25 @@
 void   peer_permits__free_unpacked
                      (PeerPermits *message,
                       ProtobufCAllocator *allocator);
+/* PeerParts methods */
+void   peer_parts__init
+                     (PeerParts         *message);
+size_t peer_parts__get_packed_size
+                     (const PeerParts   *message);
+size_t peer_parts__pack
+                     (const PeerParts   *message,
+                      uint8_t             *out);
+size_t peer_parts__pack_to_buffer
+                     (const PeerParts   *message,
+                      ProtobufCBuffer     *buffer);
+PeerParts *
+       peer_parts__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   peer_parts__free_unpacked
+                     (PeerParts *message,
+                      ProtobufCAllocator *allocator);
 /* PeerOrigin methods */
 void   peer_origin__init
                      (PeerOrigin         *message);
@@ -1195,6 +1252,9 @@
 typedef void (*PeerPermits_Closure)
                  (const PeerPermits *message,
                   void *closure_data);
+typedef void (*PeerParts_Closure)
+                 (const PeerParts *message,
+                  void *closure_data);
 typedef void (*PeerOrigin_Closure)
                  (const PeerOrigin *message,
                   void *closure_data);
@@ -1239,6 +1299,7 @@
 extern const ProtobufCMessageDescriptor peer_limits__descriptor;
 extern const ProtobufCMessageDescriptor peer_permit_request__descriptor;
 extern const ProtobufCMessageDescriptor peer_permits__descriptor;
+extern const ProtobufCMessageDescriptor peer_parts__descriptor;
 extern const ProtobufCMessageDescriptor peer_origin__descriptor;
 extern const ProtobufCMessageDescriptor peer_origins__descriptor;
 extern const ProtobufCMessageDescriptor peer_datagram__descriptor;
--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -242,7 +242,8 @@
 	char parts[CONTENT_PARTS_LOGGED * CONTENT_TEXT_SIZE];
 
 	content_text(x->content, content);
-	content_parts_text(x->fields.parts, x->fields.n_parts, parts);
+	content_parts_text(x->fields.parts ? x->fields.parts->hash : NULL,
+			   prompt_parts_count(x->fields.parts), parts);
 	event_log(
 		EVENT_ROUTINE, "sent", x->fields.id,
 		"{s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:b, s:s, s:I, s:I, s:I, "
--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -805,10 +805,13 @@
 static void endpoint_free(struct endpoints *t, struct endpoint *e)
 {
 	struct handle h = e->self;
+	size_t i;
 
 	if (e->probe)
 		http1_call_cancel(e->probe);
 	limits_release(e);
+	for (i = 0; e->broken_runs && i < ENDPOINT_BROKEN_RUNS_MAX; i++)
+		prompt_parts_unref(e->broken_runs[i].parts);
 	free(e->broken_runs);
 	free(e->service);
 	free(e);
--- a/proxyd/endpoints.h
+++ b/proxyd/endpoints.h
@@ -11,6 +11,7 @@
 #include "policy/limit_wait.h"
 #include "policy/entry_expiry.h"
 #include "policy/placement.h"
+#include "policy/prompt_parts.h"
 #include "policy/repeat.h"
 #include "proxyd/store.h"
 
@@ -34,14 +35,10 @@
 	uint32_t prefills; /* requests among these without an event yet */
 };
 
-#define BROKEN_RUN_PARTS_MAX 8
-
 /* A run whose connection broke: the endpoint may have crashed. */
 struct broken_run {
 	uint64_t content;
-	/* of a run without events, that are not known to be sound */
-	uint64_t parts[BROKEN_RUN_PARTS_MAX];
-	size_t n_parts;
+	struct prompt_parts *parts; /* of a run without events, else NULL */
 	uint64_t sent_ms;
 	uint64_t broke_ms;
 	bool endpoint_alive; /* it has accepted a connection since */
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -794,6 +794,7 @@
 	bytes_release(&x->headers);
 	attempt_discard_answer(x);
 	event_stream_release(&x->stream);
+	prompt_parts_unref(x->fields.parts);
 	routes_unref(x->routes);
 	free(x);
 }
--- a/proxyd/peers.c
+++ b/proxyd/peers.c
@@ -88,6 +88,7 @@
 	peers_send_changed_work(t);
 	peers_send_suspects(t);
 	peers_send_origins(t);
+	peers_send_due_parts(t);
 	if ((t->pulse_due_ms && now >= t->pulse_due_ms) ||
 	    now - t->last_pulse_ms >= heartbeat_interval_ms(t->n + 1))
 		peers_announce_now(t);
@@ -303,6 +304,8 @@
 		receive_reader(t, d->reader);
 	if (d->suspects)
 		peers_receive_suspects(t, d->suspects);
+	if (d->parts)
+		peers_receive_parts(t, d->parts);
 	if (d->origins)
 		peers_receive_origins(t, d->origins);
 	if (d->borrow)
--- a/proxyd/peers.h
+++ b/proxyd/peers.h
@@ -13,6 +13,7 @@
 struct peer;
 struct peers;
 struct proxyd;
+struct run_crash;
 struct suspect_update;
 
 /* The store entry of an instance, with its name. */
@@ -39,6 +40,10 @@
 void peers_announce_suspect(struct peers *t, const struct suspect_update *news);
 void peers_send_suspect(struct peers *t, const struct peer *peer,
 			const struct suspect_update *news);
+void peers_announce_parts(struct peers *t, const struct run_crash *crash,
+			  const uint64_t *parts, size_t n);
+void peers_send_parts(struct peers *t, const struct peer *to,
+		      const uint64_t *parts, size_t n);
 bool peers_is_record_keeper(const struct peers *t, uint64_t content);
 bool peers_all_keep_records(const struct peers *t);
 bool peers_is_first_keeper(const struct peers *t, uint64_t content);
--- a/proxyd/peers_table.h
+++ b/proxyd/peers_table.h
@@ -19,6 +19,7 @@
 #define PROMPTS_MAX 16 /* prompt locations per datagram */
 #define PROMPTS_QUEUED 64 /* prompt locations queued for sending */
 #define SUSPECTS_QUEUED 128 /* updates on suspected requests queued */
+#define PARTS_QUEUED 32 /* crashed or sound runs whose parts are told */
 #define ORIGINS_QUEUED 256 /* notes or questions; sent at once if full */
 #define DATAGRAM_MAX_BYTES 2048
 
@@ -68,6 +69,16 @@
 	unsigned int sends_left;
 };
 
+/* The parts of a run that a crash cut off, or that are sound after all, as sent
+ * to the others. */
+struct announced_parts {
+	uint64_t *parts;
+	size_t n;
+	struct run_crash crash; /* its id is 0: they are sound */
+	unsigned int sends_left;
+	uint64_t due_ms;
+};
+
 /* The version that began a stream, as sent to the keepers of its record, or a
  * question for it. */
 struct announced_origin {
@@ -103,6 +114,8 @@
 	size_t prompt_next; /* the oldest */
 	struct announced_suspect suspects[SUSPECTS_QUEUED];
 	size_t suspect_next; /* the oldest */
+	struct announced_parts parts[PARTS_QUEUED];
+	size_t parts_next; /* the oldest */
 	struct announced_origin origins[ORIGINS_QUEUED];
 	size_t n_origins;
 	bool listed_before; /* an earlier process of this instance was */
@@ -126,6 +139,8 @@
 void peers_receive_suspects(struct peers *t, const PeerSuspects *msg);
 void peers_find_keepers(const struct peers *t, uint64_t hash, bool *to_all,
 			uint64_t *least_weight);
+void peers_send_due_parts(struct peers *t);
+void peers_receive_parts(struct peers *t, const PeerParts *msg);
 void peers_send_origins(struct peers *t);
 void peers_receive_origins(struct peers *t, const PeerOrigins *msg);
 void peers_lend(struct peers *t, const PeerBorrow *borrow);
--- a/proxyd/protocol.h
+++ b/proxyd/protocol.h
@@ -7,9 +7,9 @@
 
 #include "lib/bytes.h"
 #include "lib/http1_server.h"
+#include "policy/prompt_parts.h"
 
 #define REQUEST_ID_SIZE 80
-#define REQUEST_PARTS_MAX 32 /* of a prompt; further ones are ignored */
 
 /* Decoded headers of a caller's request.  Strings are not NUL-terminated unless
  * noted, and live as long as the request. */
@@ -28,9 +28,8 @@
 	 * NUL-terminated, empty if it is unknown */
 	char first_id[REQUEST_ID_SIZE];
 	uint64_t session; /* hash of the prompt's last part; 0: none */
-	/* hashes of the prompt's other parts, each once */
-	uint64_t parts[REQUEST_PARTS_MAX];
-	size_t n_parts;
+	/* the prompt's other parts, a reference, or NULL */
+	struct prompt_parts *parts;
 };
 
 /* Headers that this system adds to a request for an endpoint. */
--- a/proxyd/suspects.c
+++ b/proxyd/suspects.c
@@ -4,6 +4,8 @@
  */
 #include "proxyd/suspects_table.h"
 
+#include <stdlib.h>
+
 #include "lib/event_log.h"
 #include "lib/xalloc.h"
 #include "policy/content.h"
@@ -25,15 +27,21 @@
 /* Retry-After for a part that awaits a trial at another instance. */
 #define RETRY_TRIAL_MS 2000
 
+static void note_forgotten(struct suspects *t);
 static uint64_t stop_runs_ms(const struct suspects *t, uint64_t now);
 static void stop_refused_runs(struct suspects *t);
 static enum crash_suspect_decision decide(const struct exchange *x,
 					  uint64_t *suspect);
-static bool has_part(const struct exchange *x, uint64_t part);
 static bool runs_alone(const struct exchange *x, uint64_t part);
 static bool begin_trial(struct exchange *x, uint64_t part);
-static void record_part_crashes(struct suspects *t, const struct endpoint *e,
-				const struct broken_run *run);
+static void record_part_crashes(struct suspects *t,
+				const struct run_crash *crash,
+				const uint64_t *parts, size_t n);
+static size_t suspected_parts(const struct suspects *t,
+			      const struct broken_run *run, uint64_t *parts);
+static uint64_t *new_list(const struct prompt_parts *parts);
+static void note_parts_cleared(struct suspects *t, const uint64_t *parts,
+			       size_t n, const char *by);
 static void await_confirmation(const struct exchange *x, struct endpoint *e);
 static struct broken_run current_run(const struct exchange *x);
 static void record_crash(struct suspects *t, const struct endpoint *e,
@@ -60,6 +68,7 @@
 	t->refused = step_counter("refused");
 	t->cleared = step_counter("cleared");
 	t->rejected = step_counter("turned away");
+	t->forgotten = step_counter("forgotten");
 	return t;
 }
 
@@ -71,11 +80,26 @@
 
 	while ((r = crash_suspect_evaluate(t->records, now)))
 		announce_refusal(t, r);
+	note_forgotten(t);
 	if (t->stop_runs_ms && now >= t->stop_runs_ms)
 		stop_refused_runs(t);
 	suspects_sync_rows(t);
 }
 
+/* Counts and logs the parts of crashed runs that were forgotten for want of
+ * room. */
+static void note_forgotten(struct suspects *t)
+{
+	uint64_t n = crash_suspect_forgotten(t->records);
+
+	if (n == t->n_forgotten)
+		return;
+	event_log(EVENT_NOTABLE, "parts-forgotten", NULL, "{s:I, s:I}", "parts",
+		  (json_int_t)(n - t->n_forgotten), "in_all", (json_int_t)n);
+	counter_add(t->forgotten, n - t->n_forgotten);
+	t->n_forgotten = n;
+}
+
 /* Handles a connection that broke before the run's answer was complete.  It
  * counts as a crash once the endpoint is known to have crashed.  For a content
  * that is one crash short of a decision it counts at once, so that no other
@@ -91,9 +115,10 @@
 		return;
 	x->crash_counted = true;
 	if (r && r->n_crashes >= CRASH_SUSPECT_CRASHES - 1) {
-		const struct broken_run run = current_run(x);
+		struct broken_run run = current_run(x);
 
 		record_crash(t, e, &run, x->fields.id);
+		prompt_parts_unref(run.parts);
 		return;
 	}
 	await_confirmation(x, e);
@@ -115,24 +140,29 @@
  * crashed. */
 static void await_confirmation(const struct exchange *x, struct endpoint *e)
 {
+	struct broken_run *run;
+
 	if (!e->broken_runs)
 		e->broken_runs = xcalloc(ENDPOINT_BROKEN_RUNS_MAX,
 					 sizeof(*e->broken_runs));
-	e->broken_runs[e->n_broken_runs++ % ENDPOINT_BROKEN_RUNS_MAX] =
-		current_run(x);
+	run = &e->broken_runs[e->n_broken_runs++ % ENDPOINT_BROKEN_RUNS_MAX];
+	prompt_parts_unref(run->parts);
+	*run = current_run(x);
 }
 
 /* Handles the loss of the endpoint that runs the request.  It counts as a crash
  * if the endpoint has ended; otherwise the run may go on there. */
 void suspects_endpoint_lost(struct exchange *x, struct endpoint *e)
 {
-	const struct broken_run run = current_run(x);
+	struct broken_run run;
 
 	if (!e->ended || x->crash_counted || !http1_call_connected(x->call) ||
 	    endpoint_is_leaving(e))
 		return;
 	x->crash_counted = true;
+	run = current_run(x);
 	record_crash(x->proxyd->suspects, e, &run, x->fields.id);
+	prompt_parts_unref(run.parts);
 }
 
 /* Handles an endpoint that was lost, replaced, restarted or removed: the runs
@@ -147,12 +177,14 @@
 
 	e->n_broken_runs = 0;
 	for (i = 0; i < n; i++) {
-		const struct broken_run *run = &e->broken_runs[i];
+		struct broken_run *run = &e->broken_runs[i];
 
 		if (now - run->broke_ms < (run->endpoint_alive
 						   ? CRASH_CONFIRM_ALIVE_MS
 						   : CRASH_CONFIRM_MS))
 			record_crash(t, e, run, NULL);
+		prompt_parts_unref(run->parts);
+		run->parts = NULL;
 	}
 }
 
@@ -190,20 +222,39 @@
 void suspects_run_began(struct exchange *x)
 {
 	struct suspects *t = x->proxyd->suspects;
+	uint64_t now = proxyd_now(x->proxyd);
+	size_t n_parts = prompt_parts_count(x->fields.parts);
+	uint64_t *cleared = new_list(x->fields.parts);
+	size_t n = 0;
 	size_t i;
 
-	for (i = 0; i < x->fields.n_parts; i++) {
-		const struct suspect_update update = {
-			.kind = SUSPECT_COMPLETED,
-			.content = x->fields.parts[i],
-		};
-
-		if (!crash_suspect_run_completed(t->records, update.content,
-						 proxyd_now(x->proxyd)))
-			continue;
-		suspects_note_cleared(t, update.content, "run here");
-		peers_announce_suspect(t->proxyd->peers, &update);
+	for (i = 0; i < n_parts; i++)
+		if (crash_suspect_run_completed(t->records,
+						x->fields.parts->hash[i], now))
+			cleared[n++] = x->fields.parts->hash[i];
+	if (n) {
+		note_parts_cleared(t, cleared, n, "run here");
+		peers_announce_parts(t->proxyd->peers, NULL, cleared, n);
 	}
+	free(cleared);
+}
+
+/* Returns a list with room for all parts of a prompt; the caller frees it. */
+static uint64_t *new_list(const struct prompt_parts *parts)
+{
+	return xcalloc(prompt_parts_count(parts) + 1, sizeof(uint64_t));
+}
+
+/* Logs and counts parts that are sound after all. */
+static void note_parts_cleared(struct suspects *t, const uint64_t *parts,
+			       size_t n, const char *by)
+{
+	char text[CONTENT_PARTS_LOGGED * CONTENT_TEXT_SIZE];
+
+	content_parts_text(parts, n, text);
+	event_log(EVENT_NOTABLE, "content-cleared", NULL, "{s:s, s:s, s:i}",
+		  "content", text, "by", by, "parts", (int)n);
+	counter_add(t->cleared, n);
 }
 
 /* Refuses a request whose content or one of whose parts is refused, or holds it
@@ -259,32 +310,22 @@
 	uint64_t now = proxyd_now(x->proxyd);
 	enum crash_suspect_decision worst =
 		crash_suspect_decide(records, x->content, now);
+	size_t n_parts = prompt_parts_count(x->fields.parts);
 	size_t i;
 
 	*suspect = x->content;
-	for (i = 0; i < x->fields.n_parts; i++) {
-		enum crash_suspect_decision d =
-			crash_suspect_decide(records, x->fields.parts[i], now);
+	for (i = 0; i < n_parts; i++) {
+		enum crash_suspect_decision d = crash_suspect_decide(
+			records, x->fields.parts->hash[i], now);
 
 		if (d <= worst)
 			continue;
 		worst = d;
-		*suspect = x->fields.parts[i];
+		*suspect = x->fields.parts->hash[i];
 	}
 	return worst;
 }
 
-/* Returns whether a request has a part. */
-static bool has_part(const struct exchange *x, uint64_t part)
-{
-	size_t i;
-
-	for (i = 0; i < x->fields.n_parts; i++)
-		if (x->fields.parts[i] == part)
-			return true;
-	return false;
-}
-
 /* Returns whether a request with a suspected part may be sent: no other one
  * awaits its first event here, and a new request is at the first keeper if all
  * instances know of the suspicion. */
@@ -297,7 +338,8 @@
 		return false;
 	TAILQ_FOREACH(other, &x->proxyd->exchanges->list, link)
 	if (other != x && other->phase == EXCHANGE_SENT &&
-	    other->first_event_due_ms && has_part(other, part))
+	    other->first_event_due_ms &&
+	    prompt_parts_has(other->fields.parts, part))
 		return false;
 	return true;
 }
@@ -347,12 +389,13 @@
  * its parts. */
 bool suspects_has_record(const struct exchange *x)
 {
-	const struct crash_suspects *records = x->proxyd->suspects->records;
+	struct crash_suspects *records = x->proxyd->suspects->records;
 	uint64_t now = proxyd_now(x->proxyd);
+	size_t n_parts = prompt_parts_count(x->fields.parts);
 	size_t i;
 
-	for (i = 0; i < x->fields.n_parts; i++)
-		if (crash_suspect_find(records, x->fields.parts[i], now))
+	for (i = 0; i < n_parts; i++)
+		if (crash_suspect_known(records, x->fields.parts->hash[i], now))
 			return true;
 	return crash_suspect_find(records, x->content, now) != NULL;
 }
@@ -406,27 +449,18 @@
 	}
 }
 
-/* Returns the request's current run as a run that broke now.  Its parts are
- * suspects if no event has arrived from it. */
+/* Returns the request's current run as a run that broke now, with a reference to
+ * its parts: they are suspects if no event has arrived from it. */
 static struct broken_run current_run(const struct exchange *x)
 {
-	uint64_t now = proxyd_now(x->proxyd);
-	struct broken_run run = {
+	return (struct broken_run){
 		.content = x->content,
+		.parts = x->first_event_due_ms
+				 ? prompt_parts_ref(x->fields.parts)
+				 : NULL,
 		.sent_ms = x->sent_ms,
-		.broke_ms = now,
+		.broke_ms = proxyd_now(x->proxyd),
 	};
-	size_t i;
-
-	if (!x->first_event_due_ms)
-		return run;
-	for (i = 0; i < x->fields.n_parts; i++)
-		if (run.n_parts < BROKEN_RUN_PARTS_MAX &&
-		    !crash_suspect_completed_lately(
-			    x->proxyd->suspects->records, x->fields.parts[i],
-			    x->sent_ms))
-			run.parts[run.n_parts++] = x->fields.parts[i];
-	return run;
 }
 
 /* Records a crash that was seen here, and sends it to the instances that keep
@@ -449,47 +483,103 @@
 	bool discounted = outlasted_by_another(t, run->content, ran_ms);
 	char text[CONTENT_TEXT_SIZE];
 	char parts[CONTENT_PARTS_LOGGED * CONTENT_TEXT_SIZE];
+	uint64_t *list = new_list(run->parts);
+	size_t n = suspected_parts(t, run, list);
+	struct run_crash part_crash;
 
 	content_text(run->content, text);
-	content_parts_text(run->parts, run->n_parts, parts);
+	content_parts_text(list, n, parts);
 	event_log(EVENT_NOTABLE, "endpoint-ended-under", request,
-		  "{s:s, s:s, s:s, s:I, s:I, s:b}", "content", text,
-		  "suspected_parts", parts, "endpoint", e->id, "ran_ms",
-		  (json_int_t)ran_ms, "ended_ms_ago",
+		  "{s:s, s:s, s:i, s:s, s:I, s:I, s:b}", "content", text,
+		  "suspected_parts", parts, "n_suspected_parts", (int)n,
+		  "endpoint", e->id, "ran_ms", (json_int_t)ran_ms,
+		  "ended_ms_ago",
 		  (json_int_t)(proxyd_now(t->proxyd) - run->broke_ms),
 		  "another_lasts", discounted);
-	record_part_crashes(t, e, run);
+	part_crash = update.crash;
+	part_crash.content = n > CRASH_SUSPECT_FEW_PARTS ? run->content : 0;
+	record_part_crashes(t, &part_crash, list, n);
+	free(list);
 	if (discounted)
 		return;
 	apply_crash(t, &update, NULL);
 	peers_announce_suspect(t->proxyd->peers, &update);
 }
 
+/* Lists the parts of a crashed run that are not known to be sound; returns their
+ * number. */
+static size_t suspected_parts(const struct suspects *t,
+			      const struct broken_run *run, uint64_t *parts)
+{
+	size_t n = 0;
+	size_t i;
+
+	for (i = 0; i < prompt_parts_count(run->parts); i++)
+		if (!crash_suspect_completed_lately(
+			    t->records, run->parts->hash[i], run->sent_ms))
+			parts[n++] = run->parts->hash[i];
+	return n;
+}
+
 /* Records a crash against the suspected parts of its run, and sends it to the
  * instances that keep their records. */
-static void record_part_crashes(struct suspects *t, const struct endpoint *e,
-				const struct broken_run *run)
+static void record_part_crashes(struct suspects *t,
+				const struct run_crash *crash,
+				const uint64_t *parts, size_t n)
 {
 	size_t i;
 
-	for (i = 0; i < run->n_parts; i++) {
+	for (i = 0; i < n; i++) {
 		const struct suspect_update update = {
 			.kind = SUSPECT_CRASH,
-			.content = run->parts[i],
-			.crash = {
-				.id = (uint32_t)proxyd_random() | 1,
-				.endpoint = e->hash,
-				.sent_ms = run->sent_ms,
-				.crashed_ms = run->broke_ms,
-			},
+			.content = parts[i],
+			.crash = *crash,
 		};
 
-		if (crash_suspect_completed_lately(t->records, run->parts[i],
-						   run->sent_ms))
-			continue;
 		apply_crash(t, &update, NULL);
-		peers_announce_suspect(t->proxyd->peers, &update);
 	}
+	if (n)
+		peers_announce_parts(t->proxyd->peers, crash, parts, n);
+}
+
+/* Handles parts that another instance reports: those of a run that a crash of
+ * its endpoint cut off, or, if crash is NULL, sound ones.  Those that are known
+ * to be sound here are sent back. */
+void suspects_receive_parts(struct suspects *t, const struct run_crash *crash,
+			    const uint64_t *parts, size_t n, struct peer *from)
+{
+	uint64_t now = proxyd_now(t->proxyd);
+	uint64_t *sound = xcalloc(n + 1, sizeof(*sound));
+	size_t n_sound = 0;
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		struct suspect_update update = {
+			.kind = SUSPECT_CRASH,
+			.content = parts[i],
+		};
+
+		if (!content_is_part(parts[i]))
+			continue;
+		if (!crash) {
+			if (crash_suspect_run_completed(t->records, parts[i],
+							now))
+				sound[n_sound++] = parts[i];
+			continue;
+		}
+		if (crash_suspect_completed_lately(t->records, parts[i],
+						   crash->sent_ms)) {
+			sound[n_sound++] = parts[i];
+			continue;
+		}
+		update.crash = *crash;
+		apply_crash(t, &update, from);
+	}
+	if (n_sound && crash)
+		peers_send_parts(t->proxyd->peers, from, sound, n_sound);
+	else if (n_sound)
+		note_parts_cleared(t, sound, n_sound, "run elsewhere");
+	free(sound);
 }
 
 /* Returns whether another run of the content on this instance has sent events
--- a/proxyd/suspects.h
+++ b/proxyd/suspects.h
@@ -43,6 +43,8 @@
 bool suspects_may_run(const struct exchange *x);
 void suspects_receive(struct suspects *t, const struct suspect_update *update,
 		      struct peer *from);
+void suspects_receive_parts(struct suspects *t, const struct run_crash *crash,
+			    const uint64_t *parts, size_t n, struct peer *from);
 void suspects_send_refusals(struct suspects *t, struct peer *peer);
 bool suspects_apply_row(struct suspects *t, const struct store_row *row);
 void suspects_remove_unlisted(struct suspects *t, const struct store_row *rows,
--- a/proxyd/suspects_table.h
+++ b/proxyd/suspects_table.h
@@ -27,6 +27,8 @@
 	struct counter *refused;
 	struct counter *cleared;
 	struct counter *rejected;
+	struct counter *forgotten;
+	uint64_t n_forgotten; /* parts, when last looked at */
 };
 
 void suspects_sync_rows(struct suspects *t);
--- a/regress/fuzz/fuzz_http1.c
+++ b/regress/fuzz/fuzz_http1.c
@@ -40,6 +40,7 @@
 		if (used > size)
 			abort();
 		platform_protocol.decode_request(&r.head, &fields);
+		prompt_parts_unref(fields.parts);
 		platform_protocol.decode_directory(&r.head, zone, sizeof(zone));
 		platform_protocol.encode_request(&out, &r, &forward);
 		if (http1_request_framing(&r.head, &body))
--- a/regress/integration/test_crashing_parts.c
+++ b/regress/integration/test_crashing_parts.c
@@ -25,6 +25,7 @@
 #define CRASHING_EVERY 4 /* of these, one in so many crashes its engine */
 #define DOWN_MS 1500 /* from a crash to the restart */
 #define PREFILL_MS 400 /* from an arrival to the crash */
+#define PROMPT_MAX 15000 /* bytes */
 #define REQUESTS_MAX ((BEFORE_MS + BESIDE_MS) / INTERVAL_MS)
 
 /* A request of a caller. */
@@ -38,6 +39,8 @@
 struct prompts {
 	const char *sound;
 	const char *crashing;
+	size_t own; /* parts before these that no other request has */
+	size_t shared; /* parts before these that all requests have */
 };
 
 static struct harness *harness;
@@ -96,9 +99,9 @@
 }
 
 /* Sends a request with a new last part and body to the next instance. */
-static void send_request(const char *parts, bool crashing)
+static void send_request(const struct prompts *p, bool crashing)
 {
-	char prompt[128];
+	static char prompt[PROMPT_MAX];
 	char body[32];
 	const struct httpc_header headers[] = {
 		{ "credential", "k1" },
@@ -117,8 +120,17 @@
 		.body = body,
 	};
 	struct sent_request *s = &sent[n_sent++];
+	size_t len = 0;
+	size_t i;
 
-	snprintf(prompt, sizeof(prompt), "%s,%zx:20", parts, n_sent);
+	for (i = 0; i < p->own; i++)
+		len += (size_t)snprintf(prompt + len, sizeof(prompt) - len,
+					"o%zx.%zx:9,", n_sent, i);
+	for (i = 0; i < p->shared; i++)
+		len += (size_t)snprintf(prompt + len, sizeof(prompt) - len,
+					"s%zx:9,", i);
+	snprintf(prompt + len, sizeof(prompt) - len, "%s,%zx:20",
+		 crashing ? p->crashing : p->sound, n_sent);
 	snprintf(body, sizeof(body), "request %zu", n_sent);
 	r.body_len = strlen(body);
 	*s = (struct sent_request){
@@ -137,7 +149,7 @@
 	for (i = 0; i < ms / INTERVAL_MS; i++) {
 		bool crashing = beside && n_sent % CRASHING_EVERY == 0;
 
-		send_request(crashing ? p->crashing : p->sound, crashing);
+		send_request(p, crashing);
 		harness_run(harness, INTERVAL_MS);
 	}
 }
@@ -209,6 +221,48 @@
 	check(&p);
 }
 
+/* Guards against parts that are left out of a prompt's first ones. */
+static void part_behind_shared_parts(void **state)
+{
+	const struct prompts p = {
+		.sound = "aa1:100,bb2:50",
+		.crashing = "aa1:100,bb2:50," PART ":70",
+		.shared = 60,
+	};
+
+	(void)state;
+	check(&p);
+}
+
+/* Guards against parts that are left out of those of a crashed run, as parts of
+ * the request's own stand before them. */
+static void part_behind_own_parts(void **state)
+{
+	const struct prompts p = {
+		.sound = "aa1:100,bb2:50",
+		.crashing = "aa1:100,bb2:50," PART ":70",
+		.own = 12,
+	};
+
+	(void)state;
+	check(&p);
+}
+
+/* As many parts as a head holds: the records of others are not pushed out. */
+static void part_behind_very_many(void **state)
+{
+	const struct prompts p = {
+		.sound = "aa1:100,bb2:50",
+		.crashing = "aa1:100,bb2:50," PART ":70",
+		.own = 1200,
+		.shared = 100,
+	};
+
+	(void)state;
+	world->header_bytes = 16384;
+	check(&p);
+}
+
 /* Returns whether the store has the refusal of a part. */
 static bool refusal_is_stored(void *arg)
 {
@@ -273,6 +327,9 @@
 	const struct CMUnitTest tests[] = {
 		CASE(middle_part_crashes_engines),
 		CASE(first_part_crashes_engines),
+		CASE(part_behind_shared_parts),
+		CASE(part_behind_own_parts),
+		CASE(part_behind_very_many),
 		CASE(all_restarted_instances_refuse),
 	};
 
--- a/regress/platform_standin.c
+++ b/regress/platform_standin.c
@@ -18,6 +18,7 @@
 #include "lib/bytes.h"
 #include "lib/xalloc.h"
 
+#define HEAD_BYTES 4096 /* of a head, in the configuration */
 #define SIGNATURE "response-signature: m.1\r\n"
 #define FEEDS_TICK_MS 20 /* between looks at feeds that wait */
 #define EXTRA_HEADERS_BYTES 160
@@ -234,11 +235,12 @@
 		"{\"name\":\"engine\",\"healthPath\":\"/healthz\",\"engine\":{"
 		"\"slots\":16,\"kvCapacity\":55000,\"backups\":true,"
 		"\"moves\":true}}],"
-		"\"limits\":{\"maxHeaderBytes\":4096,\"maxBodyBytes\":10000,"
+		"\"limits\":{\"maxHeaderBytes\":%u,\"maxBodyBytes\":10000,"
 		"\"headerTimeoutMs\":2000,\"idleTimeoutMs\":15000},"
 		"\"tenants\":[{\"name\":\"ajoke\",\"apiKeys\":[\"%s\"]}]}",
 		version, extra_routes ? "," : "",
-		extra_routes ? extra_routes : "", w->key);
+		extra_routes ? extra_routes : "",
+		w->header_bytes ? w->header_bytes : HEAD_BYTES, w->key);
 
 	standin_put(w, "op", "config", text);
 	free(text);
--- a/regress/platform_standin.h
+++ b/regress/platform_standin.h
@@ -91,6 +91,7 @@
 	bool store_refuses_writes; /* answers writes with 503 */
 	const char *extra_settings; /* lines added to all settings, or NULL */
 	unsigned int grace_s; /* of instances; 0: 2 */
+	unsigned int header_bytes; /* in the configuration; 0: 4096 */
 	size_t plain_bytes; /* of plain answers; 0: a short text */
 	uint64_t event_ms; /* interval between two events of a stream */
 	const char *key; /* API key of the organisation */
--- a/regress/unit/test_crash_parts.c
+++ b/regress/unit/test_crash_parts.c
@@ -688,12 +688,117 @@
 	crash_suspect_free(s);
 }
 
+/* Records a crash under a list of parts, up to a 0. */
+static void crash_under(struct crash_suspects *s, const uint64_t *parts,
+			uint32_t number, uint64_t at_ms)
+{
+	const struct run_crash crash = {
+		.id = number,
+		.endpoint = number,
+		.sent_ms = at_ms - 100,
+		.crashed_ms = at_ms,
+	};
+
+	for (; *parts; parts++)
+		crash_suspect_add_crash(s, *parts, &crash, at_ms);
+}
+
+/* Two requests that are sent again crash endpoints in turn, every 200 ms: a part
+ * of each alone was in as many crashes that count as the one that both have, but
+ * not in the others. */
+static void parts_of_repeated_requests(void **state)
+{
+	struct crash_suspects *s = crash_suspect_new(&crash_suspect_defaults);
+	const uint64_t one[] = { part("own1"), part("bad"), 0 };
+	const uint64_t other[] = { part("own2"), part("bad"), 0 };
+	const struct crash_suspect_record *r = NULL;
+	uint64_t now = START_MS;
+	uint32_t i;
+
+	(void)state;
+	for (i = 0; i < 10 && !r; i++) {
+		crash_under(s, i % 2 ? other : one, i + 1, now);
+		now += 200;
+		r = crash_suspect_evaluate(s, now);
+	}
+	assert_non_null(r);
+	assert_int_equal(r->content, part("bad"));
+	crash_suspect_free(s);
+}
+
+/* The parts of a request that is sent again have no record each. */
+static void many_parts_of_a_repeated_request(void **state)
+{
+	struct crash_suspects *s = crash_suspect_new(&crash_suspect_defaults);
+	struct run_crash crash = { .content = 77 };
+	const uint64_t own = part("own");
+	uint64_t now = START_MS;
+	uint32_t i;
+
+	(void)state;
+	for (i = 1; i <= 4; i++) {
+		crash.id = i;
+		crash.endpoint = i;
+		crash.sent_ms = now;
+		crash.crashed_ms = now + 100;
+		now += 1000;
+		crash_suspect_add_crash(s, own, &crash, now);
+		assert_null(crash_suspect_find(s, own, now));
+		assert_true(crash_suspect_known(s, own, now));
+		assert_int_equal(crash_suspect_decide(s, own, now),
+				 CRASH_SUSPECT_ALONE);
+	}
+	crash.content = 78; /* another request with the part */
+	crash.id = i;
+	crash.endpoint = i;
+	crash.sent_ms = now;
+	crash.crashed_ms = now + 100;
+	assert_true(crash_suspect_add_crash(s, own, &crash, now + 100));
+	assert_int_equal(crash_suspect_find(s, own, now + 100)->n_crashes, 2);
+	assert_true(crash_suspect_run_completed(s, own, now + 200));
+	assert_false(crash_suspect_known(s, own, now + 200));
+	crash_suspect_free(s);
+}
+
+/* The parts of some requests do not push out what is known of another part. */
+static void very_many_parts(void **state)
+{
+	struct crash_suspects *s = crash_suspect_new(&crash_suspect_defaults);
+	const uint64_t bad = part("bad");
+	const uint64_t bad_list[] = { bad, 0 };
+	uint64_t now = START_MS;
+	uint32_t number = 0;
+	uint32_t i;
+	uint32_t k;
+
+	(void)state;
+	for (i = 0; i < 3; i++) {
+		for (k = 0; k < 4000; k++) {
+			char id[24];
+			uint64_t own[] = { 0, 0 };
+
+			snprintf(id, sizeof(id), "own%u.%u", i, k);
+			own[0] = part(id);
+			crash_under(s, own, number + 1, now);
+		}
+		crash_under(s, bad_list, ++number, now);
+		now += 1000;
+	}
+	assert_int_equal(crash_suspect_evaluate(s, now)->content, bad);
+	assert_null(crash_suspect_evaluate(s, now));
+	assert_int_equal(crash_suspect_forgotten(s), 0);
+	crash_suspect_free(s);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(replays_of_the_incident),
 		cmocka_unit_test(zone_that_ends_at_the_start),
 		cmocka_unit_test(part_with_event_is_spared),
+		cmocka_unit_test(parts_of_repeated_requests),
+		cmocka_unit_test(many_parts_of_a_repeated_request),
+		cmocka_unit_test(very_many_parts),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/regress/unit/test_platform_wire.c
+++ b/regress/unit/test_platform_wire.c
@@ -231,7 +231,7 @@
 /* Decodes a request with these header lines; false if it is rejected. */
 static bool decode(const char *lines, struct request_fields *fields)
 {
-	static char text[8192];
+	static char text[20000];
 	static struct http1_head head;
 	size_t used;
 
@@ -242,35 +242,44 @@
 }
 
 /* Parts that requests share: all but the last one, each once, without their
- * sizes; at most REQUEST_PARTS_MAX. */
+ * sizes, however many there are. */
 static void prompt_parts(void **state)
 {
 	struct request_fields f;
+	struct prompt_parts *parts;
 	uint64_t first;
-	char lines[4096] = "Prompt-Prefix: ";
+	char lines[16384] = "Prompt-Prefix: ";
 	size_t i;
 
 	(void)state;
 	assert_true(
 		decode("Prompt-Prefix: 5c:800,91:410,5c:800, 7:1,e:2\r\n", &f));
-	assert_int_equal(f.n_parts, 3);
-	assert_true(content_is_part(f.parts[0]));
-	first = f.parts[0];
-	assert_int_not_equal(f.parts[1], first);
+	parts = f.parts;
+	assert_int_equal(prompt_parts_count(parts), 3);
+	first = parts->hash[0];
+	assert_true(content_is_part(first));
+	assert_int_not_equal(parts->hash[1], first);
+	assert_true(prompt_parts_has(parts, parts->hash[2]));
+	prompt_parts_unref(parts);
 	assert_true(decode("Prompt-Prefix: 5c:9,e4:2\r\n", &f));
-	assert_int_equal(f.n_parts, 1);
-	assert_int_equal(f.parts[0], first);
+	assert_int_equal(prompt_parts_count(f.parts), 1);
+	assert_int_equal(f.parts->hash[0], first);
+	prompt_parts_unref(f.parts);
 	assert_true(decode("Prompt-Prefix: 5c:800\r\n", &f));
-	assert_int_equal(f.n_parts, 0);
+	assert_int_equal(prompt_parts_count(f.parts), 0);
+	assert_false(prompt_parts_has(f.parts, first));
 	assert_true(decode("Request-Id: r1\r\n", &f));
-	assert_int_equal(f.n_parts, 0);
+	assert_int_equal(prompt_parts_count(f.parts), 0);
 	assert_true(decode("Prompt-Prefix: ,,zz,:,%%:x,\r\n", &f));
-	assert_int_equal(f.n_parts, 2); /* not checked further */
-	for (i = 0; i < 1000; i++)
+	assert_int_equal(prompt_parts_count(f.parts),
+			 2); /* not checked further */
+	prompt_parts_unref(f.parts);
+	for (i = 0; i < 3000; i++)
 		snprintf(lines + strlen(lines), 8, "%zx,", i);
 	strcat(lines, "e:1\r\n");
 	assert_true(decode(lines, &f));
-	assert_int_equal(f.n_parts, REQUEST_PARTS_MAX);
+	assert_int_equal(prompt_parts_count(f.parts), 3000);
+	prompt_parts_unref(f.parts);
 }
 
 static void request_headers(void **state)
