Ask an engine for its start when no connection to it is open

Streams held events of two software versions: an engine at which an instance had no run ended and started again with another version, and until its new entry was read, during an outage of the store for seconds, its streams were bound to, or continued, those of the old one. The start that an entry names was asked for only after a loss that the instance saw itself; nothing tied an answer to it.

A connection ends at one process, and an engine states its start in its reports. With an attempt at an engine to which no connection has been open since it stated the listed start, it is asked, beside the attempt. No event waits for the binding of its stream: a stream that begins first is bound to this engine and gets the version's name with the answer. The first event of a stream that is bound already waits for the answer; if the engine has started again, the stream moves on. An engine that states no start is taken at the word of its entry. Engines that instances tell each other of carry their start. A report that never ends closes its connection now; before, it was read for two seconds, as fast as it came.

--- a/lib/http1_client.c
+++ b/lib/http1_client.c
@@ -49,6 +49,7 @@
 	enum conn_state state;
 	struct bytes input; /* of the incomplete head */
 	struct http1_body body;
+	uint64_t opened_ms; /* when it was established; 0: not yet */
 	uint64_t idle_since_ms;
 	uint64_t idle_limit_ms;
 	bool keep_alive;
@@ -296,6 +297,27 @@
 			      on_read);
 }
 
+/* Returns when the connection of a call was established, 0 if it is not. */
+uint64_t http1_call_opened_ms(const struct http1_call *call)
+{
+	return call->conn ? call->conn->opened_ms : 0;
+}
+
+/* Returns whether a connection to an address that was established at since_ms or
+ * before is still open.  It ends at one process, which has run all that
+ * time. */
+bool http1_client_spans(const struct http1_client *c, const char *address,
+			uint64_t since_ms)
+{
+	const struct client_conn *k;
+
+	TAILQ_FOREACH(k, &c->conns, link)
+	if (k->opened_ms && k->opened_ms <= since_ms &&
+	    !strcmp(k->address, address))
+		return true;
+	return false;
+}
+
 /* Reports whether the call has an established connection. */
 bool http1_call_connected(const struct http1_call *call)
 {
@@ -459,6 +481,7 @@
 		call_end(call, HTTP1_COMPLETE);
 		return;
 	}
+	k->opened_ms = uv_now(k->client->loop);
 	uv_read_start((uv_stream_t *)&k->tcp, on_alloc, on_read);
 	send_request(k);
 }
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1442,7 +1442,7 @@
   (ProtobufCMessageInit) peer_prompt__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer_found__field_descriptors[5] =
+static const ProtobufCFieldDescriptor peer_found__field_descriptors[6] =
 {
   {
     "id",
@@ -1504,9 +1504,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "born",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PeerFound, born),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer_found__field_indices_by_name[] = {
   1,   /* field[1] = address */
+  5,   /* field[5] = born */
   0,   /* field[0] = id */
   2,   /* field[2] = service */
   4,   /* field[4] = version */
@@ -1515,7 +1528,7 @@
 static const ProtobufCIntRange peer_found__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor peer_found__descriptor =
 {
@@ -1525,7 +1538,7 @@
   "PeerFound",
   "",
   sizeof(PeerFound),
-  5,
+  6,
   peer_found__field_descriptors,
   peer_found__field_indices_by_name,
   1,  peer_found__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -167,10 +167,14 @@
    * of its software, as listed; empty: unknown
    */
   char *version;
+  /*
+   * Unix time of its start in ms, as listed; 0: unknown
+   */
+  uint64_t born;
 };
 #define PEER_FOUND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer_found__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -127,6 +127,9 @@
 	exchange_count_delivery(x);
 	x->sent_ms = now;
 	x->sent_software = endpoint_software(e);
+	x->start_excused = false;
+	if (x->engine && x->route->kind == KIND_STREAM)
+		endpoint_want_start(p->endpoints, e);
 	origins_note_sent(p->origins, x);
 	x->last_event_ms = now;
 	x->first_event_due_ms =
--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -50,6 +50,7 @@
 
 static uint32_t slots_at_address(const struct endpoints *t,
 				 const char *address);
+static void ask_start(struct endpoints *t, struct endpoint *e);
 static bool probe_due(const struct endpoints *t, const struct endpoint *e,
 		      bool store_answers);
 static const char *row_problem(const struct store_row *row);
@@ -102,14 +103,7 @@
 	uint32_t i = 0;
 
 	while ((e = endpoint_next(t, &i))) {
-		if (e->software_doubted && e->state == ENDPOINT_UP &&
-		    !e->rediscovering && endpoint_accepts_work(e, now) &&
-		    now - e->start_asked_ms >= CONFIRM_START_MS &&
-		    limits_take_for_check(e)) {
-			e->start_asked_ms = now;
-			counter_add(t->probes, 1);
-			rediscover_start(t->proxyd, e->self);
-		}
+		ask_start(t, e);
 		if (e->expiry.removed &&
 		    now - e->expiry.removed_ms > REMOVED_KEEP_MS &&
 		    !e->own_load.requests && !e->own_load.tokens) {
@@ -202,31 +196,26 @@
 }
 
 /* Adds an endpoint that was found at an address before the store lists it; the
- * version of its software may be NULL, unknown.
+ * version of its software may be NULL, unknown, and so may its start be, 0.
  * Endpoints that were known at this address are marked as replaced. */
-void endpoints_adopt(struct endpoints *t, const char *id, const char *address,
-		     const char *service, const char *zone, const char *version)
+void endpoints_adopt(struct endpoints *t, const char *id,
+		     const struct endpoint_entry *found)
 {
 	struct endpoint *e = endpoint_by_id(t, id);
-	const struct endpoint_entry entry = {
-		.service = service,
-		.address = address,
-		.zone = zone,
-		.slots = slots_at_address(t, address),
-		.version = version,
-	};
+	struct endpoint_entry entry = *found;
 	struct endpoint *other;
 	uint32_t i = 0;
 
 	if (e || strlen(id) >= ENDPOINT_ID_SIZE ||
-	    strlen(address) >= ENDPOINT_ADDRESS_SIZE)
+	    strlen(found->address) >= ENDPOINT_ADDRESS_SIZE)
 		return;
+	entry.slots = slots_at_address(t, found->address);
 	e = endpoint_new(t, id);
-	e->zone = zone_index(t, zone);
+	e->zone = zone_index(t, found->zone);
 	entry_updated(e, &entry);
 	e->adopted_ms = proxyd_now(t->proxyd);
 	while ((other = endpoint_next(t, &i)))
-		if (other != e && !strcmp(other->address, address))
+		if (other != e && !strcmp(other->address, e->address))
 			endpoint_replaced(t, other->self, NULL);
 }
 
@@ -644,8 +633,11 @@
 				 : SOFTWARE_UNKNOWN;
 	snprintf(e->version, sizeof(e->version), "%s",
 		 n->version ? n->version : "");
-	if (restarted || e->software != before)
+	if (restarted || e->software != before) {
 		e->software_doubted = false;
+		e->start_wanted = false;
+		e->proved_ms = 0;
+	}
 	if (!before && e->software)
 		origins_endpoint_named(e->proxyd->origins, e);
 	if (e->software != before || e->expiry.removed)
@@ -669,19 +661,80 @@
 }
 
 /* Handles the start time that an endpoint itself states, Unix ms, 0 if it states
- * none: if its entry has the same, it runs the version that is listed. */
-void endpoint_confirmed_start(struct endpoints *t, struct handle h,
-			      uint64_t born_ms)
+ * none, on a connection that was open at since_ms.  If its entry has the same, it
+ * runs the version that is listed; otherwise it has started again since. */
+void endpoint_stated_start(struct endpoints *t, struct handle h,
+			   uint64_t born_ms, uint64_t since_ms)
+{
+	struct endpoint *e = endpoint_get(t, h);
+	bool same;
+
+	if (!e || (!e->software_doubted && !e->start_wanted))
+		return;
+	same = !born_ms || !e->born_ms || born_ms == e->born_ms;
+	e->start_wanted = false;
+	if (same)
+		e->proved_ms = since_ms;
+	if (same || !e->software_doubted)
+		event_log(EVENT_NOTABLE,
+			  same ? "endpoint-same-start" : "endpoint-other-start",
+			  NULL, "{s:s, s:s, s:I, s:I}", "endpoint", e->id,
+			  "software", e->version, "born", (json_int_t)born_ms,
+			  "listed_born", (json_int_t)e->born_ms);
+	e->software_doubted = !same;
+	if (same)
+		origins_endpoint_named(t->proxyd->origins, e);
+	exchanges_start_stated(t->proxyd->exchanges, h, false);
+}
+
+/* Handles an endpoint that was asked for its start and stated none.  Unless it
+ * was found dead, its entry is taken at its word. */
+void endpoint_unstated_start(struct endpoints *t, struct handle h)
 {
 	struct endpoint *e = endpoint_get(t, h);
 
-	if (!e || !e->software_doubted || (born_ms && born_ms != e->born_ms))
+	if (!e || e->software_doubted || !e->start_wanted)
 		return;
-	e->software_doubted = false;
+	e->start_wanted = false;
+	event_log(EVENT_NOTABLE, "endpoint-no-start", NULL, "{s:s, s:s}",
+		  "endpoint", e->id, "software", e->version);
 	origins_endpoint_named(t->proxyd->origins, e);
-	event_log(EVENT_NOTABLE, "endpoint-same-start", NULL, "{s:s, s:s, s:I}",
-		  "endpoint", e->id, "software", e->version, "born",
-		  (json_int_t)born_ms);
+	exchanges_start_stated(t->proxyd->exchanges, h, true);
+}
+
+/* Has an engine asked for its start, unless a connection has been open since it
+ * stated the one that its entry names: with none open, it may have started again
+ * with another version. */
+void endpoint_want_start(struct endpoints *t, struct endpoint *e)
+{
+	if (!e->software || e->software_doubted || endpoint_start_proved(e))
+		return;
+	e->start_wanted = true;
+	ask_start(t, e);
+}
+
+/* Returns whether an endpoint is known to run since the start that its entry
+ * names, and so the listed version. */
+bool endpoint_start_proved(const struct endpoint *e)
+{
+	return !e->software_doubted && e->proved_ms &&
+	       http1_client_spans(e->proxyd->client, e->address, e->proved_ms);
+}
+
+/* Asks an endpoint for its start, if that is wanted and it may be asked now. */
+static void ask_start(struct endpoints *t, struct endpoint *e)
+{
+	uint64_t now = proxyd_now(t->proxyd);
+
+	if ((!e->software_doubted && !e->start_wanted) ||
+	    e->state != ENDPOINT_UP || e->rediscovering ||
+	    !endpoint_accepts_work(e, now) ||
+	    now - e->start_asked_ms < CONFIRM_START_MS ||
+	    !limits_take_for_check(e))
+		return;
+	e->start_asked_ms = now;
+	counter_add(t->probes, 1);
+	rediscover_start(t->proxyd, e->self);
 }
 
 /* Returns whether an endpoint of a service runs a version. */
--- a/proxyd/endpoints.h
+++ b/proxyd/endpoints.h
@@ -59,7 +59,10 @@
 	uint64_t unlisted_software; /* stands for a version not known */
 	/* it may have started again since its entry was written */
 	bool software_doubted;
+	bool start_wanted; /* it is to be asked for its start */
 	uint64_t start_asked_ms; /* when it was last asked for its start */
+	/* when it stated the start that its entry names; 0: not yet */
+	uint64_t proved_ms;
 	uint64_t hash; /* of the id */
 	uint64_t address_hash;
 	char *service;
@@ -128,14 +131,16 @@
 struct handle endpoints_place_kv_copy(struct endpoints *t,
 				      const struct endpoint_criteria *criteria,
 				      struct handle run_at);
-void endpoints_adopt(struct endpoints *t, const char *id, const char *address,
-		     const char *service, const char *zone,
-		     const char *version);
+void endpoints_adopt(struct endpoints *t, const char *id,
+		     const struct endpoint_entry *found);
 const char *endpoints_zone_name(const struct endpoints *t, uint16_t zone);
 uint64_t endpoint_software(const struct endpoint *e);
 bool endpoint_continues(const struct endpoint *e, uint64_t software);
-void endpoint_confirmed_start(struct endpoints *t, struct handle h,
-			      uint64_t born_ms);
+void endpoint_stated_start(struct endpoints *t, struct handle h,
+			   uint64_t born_ms, uint64_t since_ms);
+void endpoint_unstated_start(struct endpoints *t, struct handle h);
+void endpoint_want_start(struct endpoints *t, struct endpoint *e);
+bool endpoint_start_proved(const struct endpoint *e);
 bool endpoints_software_in_service(const struct endpoints *t, uint64_t software,
 				   const char *service);
 const char *endpoints_software_text(const struct endpoints *t,
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -135,6 +135,28 @@
 	}
 }
 
+/* Handles the start that an endpoint has stated, or, if it is excused, that it
+ * stated none: its streams are told to their keepers, and those that waited for
+ * it go on. */
+void exchanges_start_stated(struct exchanges *t, struct handle endpoint,
+			    bool excused)
+{
+	struct exchange *x = TAILQ_FIRST(&t->list);
+
+	while (x) {
+		struct exchange *next = TAILQ_NEXT(x, link);
+
+		if (x->phase == EXCHANGE_SENT && x->call &&
+		    handle_equal(x->endpoint, endpoint)) {
+			x->start_excused = x->start_excused || excused;
+			if (!x->first_event_due_ms)
+				origins_note_begun(t->proxyd->origins, x);
+			stream_start_stated(x);
+		}
+		x = next;
+	}
+}
+
 /* Handles a version that was not known and is now: streams that began at what
  * stood for it are bound to it. */
 void exchanges_software_named(struct exchanges *t, uint64_t from, uint64_t to)
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -95,6 +95,7 @@
 	struct handle endpoint;
 	uint64_t sent_ms;
 	uint64_t sent_software; /* version of the endpoint then */
+	bool start_excused; /* the endpoint was asked and stated no start */
 	uint32_t sends; /* attempts that reached an endpoint, or may have */
 	uint32_t failed_connects; /* or misdirected attempts */
 	uint64_t no_socket_ms; /* since when this process has none; 0: has */
@@ -181,6 +182,9 @@
 void exchanges_start(struct exchanges *t, struct http1_conn *caller,
 		     struct http1_request *r);
 void exchanges_endpoint_lost(struct exchanges *t, struct handle endpoint);
+void stream_start_stated(struct exchange *x);
+void exchanges_start_stated(struct exchanges *t, struct handle endpoint,
+			    bool excused);
 void exchanges_software_named(struct exchanges *t, uint64_t from, uint64_t to);
 uint32_t exchanges_open(const struct exchanges *t);
 void exchange_caller_left(void *owner);
--- a/proxyd/origins.c
+++ b/proxyd/origins.c
@@ -256,15 +256,20 @@
 {
 	uint64_t stream = stream_of(x);
 	uint64_t software = x->software; /* if it was begun elsewhere */
+	const struct endpoint *e =
+		endpoint_get(t->proxyd->endpoints, x->endpoint);
 
 	if (!stream || x->origin_told)
 		return;
 	if (software == SOFTWARE_UNKNOWN)
 		software = x->sent_software;
-	x->origin_told = true;
+	/* the keepers are told once the version has a name, or gets none */
+	x->origin_told = !e || !e->start_wanted ||
+			 software != e->unlisted_software;
 	stream_origin_begin(&t->streams, stream, software,
 			    proxyd_now(t->proxyd));
-	peers_announce_origin(t->proxyd->peers, stream, software);
+	if (x->origin_told)
+		peers_announce_origin(t->proxyd->peers, stream, software);
 }
 
 /* Tells an instance that has started, or was silent, of the streams that go on
--- a/proxyd/peers.c
+++ b/proxyd/peers.c
@@ -380,11 +380,16 @@
 		endpoint_reported_leaving(t->proxyd->endpoints,
 					  pulse->leaving_endpoints[i]->id,
 					  pulse->leaving_endpoints[i]->born);
-	for (i = 0; i < pulse->n_found; i++)
+	for (i = 0; i < pulse->n_found; i++) {
+		const struct endpoint_entry found = {
+			.service = pulse->found[i]->service,
+			.address = pulse->found[i]->address,
+			.zone = pulse->found[i]->zone,
+		};
+
 		endpoints_adopt(t->proxyd->endpoints, pulse->found[i]->id,
-				pulse->found[i]->address,
-				pulse->found[i]->service, pulse->found[i]->zone,
-				NULL);
+				&found);
+	}
 	record_prompts(t, pulse->prompts, pulse->n_prompts);
 	if (pulse->reading)
 		store_reader_announced(&peer->reader, true,
--- a/proxyd/rediscover.c
+++ b/proxyd/rediscover.c
@@ -30,6 +30,8 @@
 	bool awaiting_report; /* the second of two requests */
 	bool awaiting_start; /* only the time of its start is of interest */
 	uint64_t sent_ms;
+	struct http1_call *call; /* NULL once it has ended */
+	uint64_t opened_ms; /* when the connection of the answer was */
 	int status;
 	struct bytes body;
 };
@@ -81,7 +83,7 @@
 	struct rediscovery *r;
 
 	if (!s || !s->engine) {
-		endpoint_confirmed_start(p->endpoints, endpoint, 0);
+		endpoint_stated_start(p->endpoints, endpoint, 0, proxyd_now(p));
 		return;
 	}
 	r = xcalloc(1, sizeof(*r));
@@ -127,8 +129,8 @@
 	r->body.len = 0;
 	r->sent_ms = proxyd_now(r->proxyd);
 	bytes_addf(&out, "GET %s HTTP/1.1\r\nhost: %s\r\n\r\n", path, address);
-	http1_call_start(r->proxyd->client, &options, out.data, out.len, &ops,
-			 r);
+	r->call = http1_call_start(r->proxyd->client, &options, out.data,
+				   out.len, &ops, r);
 }
 
 /* Handles the head of an answer. */
@@ -139,6 +141,7 @@
 	struct answer_fields fields;
 
 	r->status = head->status;
+	r->opened_ms = http1_call_opened_ms(r->call);
 	r->proxyd->protocol->decode_answer(head, &fields);
 	if (!r->awaiting_report && fields.endpoint &&
 	    fields.endpoint_len < sizeof(r->id)) {
@@ -158,13 +161,18 @@
 	return e && !strcmp(r->id, e->id);
 }
 
-/* Handles a part of an answer's body; parts beyond the limit are dropped. */
+/* Handles a part of an answer's body.  One that exceeds the limit, or never
+ * ends, is no report: its connection is closed. */
 static void on_body(void *arg, const char *data, size_t len)
 {
 	struct rediscovery *r = arg;
 
-	if (r->body.len + len <= REPORT_MAX_BYTES)
+	if (r->body.len + len <= REPORT_MAX_BYTES) {
 		bytes_add(&r->body, data, len);
+		return;
+	}
+	http1_call_cancel(r->call);
+	on_end(r, HTTP1_MALFORMED);
 }
 
 /* Handles the end of an answer, or its failure. */
@@ -175,7 +183,10 @@
 	uint64_t born_ms = 0;
 	bool engine;
 
+	r->call = NULL;
 	if (!e || outcome != HTTP1_COMPLETE || r->status != 200) {
+		if (r->awaiting_start)
+			endpoint_unstated_start(r->proxyd->endpoints, r->old);
 		finish(r);
 		return;
 	}
@@ -186,9 +197,13 @@
 	engine = r->proxyd->protocol->decode_report(r->body.data, r->body.len,
 						    &born_ms);
 	if (engine && r->awaiting_start)
-		endpoint_confirmed_start(r->proxyd->endpoints, r->old, born_ms);
+		endpoint_stated_start(r->proxyd->endpoints, r->old, born_ms,
+				      r->opened_ms > r->sent_ms ? r->opened_ms
+								: r->sent_ms);
 	else if (engine)
 		adopt(r, e);
+	else if (r->awaiting_start)
+		endpoint_unstated_start(r->proxyd->endpoints, r->old);
 	finish(r);
 }
 
@@ -237,15 +252,19 @@
  * instances. */
 static void adopt(struct rediscovery *r, const struct endpoint *old)
 {
+	const struct endpoint_entry found = {
+		.service = old->service,
+		.address = old->address,
+		.zone = endpoints_zone_name(r->proxyd->endpoints, old->zone),
+	};
+
 	event_log(EVENT_NOTABLE, "endpoint-rediscovered", NULL,
 		  "{s:s, s:s, s:s, s:I, s:b}", "endpoint", r->id, "before",
 		  old->id, "address", old->address, "heard_ms_ago",
 		  (json_int_t)endpoint_last_seen_ms_ago(old,
 							proxyd_now(r->proxyd)),
 		  "by_report", r->awaiting_report);
-	endpoints_adopt(r->proxyd->endpoints, r->id, old->address, old->service,
-			endpoints_zone_name(r->proxyd->endpoints, old->zone),
-			NULL);
+	endpoints_adopt(r->proxyd->endpoints, r->id, &found);
 	peers_announce_found(r->proxyd->peers, r->id);
 }
 
--- a/proxyd/snapshot.c
+++ b/proxyd/snapshot.c
@@ -254,14 +254,18 @@
 		return false;
 	}
 	watches_era_seen(p->watches, all->store_era, "snapshot");
-	for (i = 0; i < all->n_endpoints; i++)
-		endpoints_adopt(p->endpoints, all->endpoints[i]->id,
-				all->endpoints[i]->address,
-				all->endpoints[i]->service,
-				all->endpoints[i]->zone,
-				all->endpoints[i]->version[0]
-					? all->endpoints[i]->version
-					: NULL);
+	for (i = 0; i < all->n_endpoints; i++) {
+		const PeerFound *f = all->endpoints[i];
+		const struct endpoint_entry found = {
+			.service = f->service,
+			.address = f->address,
+			.zone = f->zone,
+			.born_ms = f->born,
+			.version = f->version[0] ? f->version : NULL,
+		};
+
+		endpoints_adopt(p->endpoints, f->id, &found);
+	}
 	for (i = 0; i < all->n_software; i++)
 		origins_adopt_version(p->origins, all->software[i]->service,
 				      all->software[i]->software,
@@ -306,6 +310,7 @@
 		list[n].service = e->service;
 		if (!e->software_doubted)
 			list[n].version = e->version;
+		list[n].born = e->born_ms;
 		list[n++].zone =
 			(char *)endpoints_zone_name(p->endpoints, e->zone);
 	}
--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -34,6 +34,7 @@
 #define MEAN_WEIGHT 0.1F
 
 static bool software_changed(const struct exchange *x);
+static bool software_proved(const struct exchange *x);
 static void forward_events(struct exchange *x, size_t n);
 static void handle_invalid_event(struct exchange *x, const char *why);
 static bool copy_awaits_permit(struct exchange *x);
@@ -60,6 +61,12 @@
 		handle_invalid_event(x, "endpoint started again");
 		return;
 	}
+	if (x->first_event_due_ms && x->software != SOFTWARE_UNKNOWN &&
+	    !software_proved(x)) { /* until the endpoint states its start */
+		if (x->stream.pending.len > EVENT_MAX_BYTES)
+			handle_invalid_event(x, "event without end");
+		return;
+	}
 	n = filter_events(x, &foreign);
 	if (!foreign && x->stream.pending.len - n > EVENT_MAX_BYTES) {
 		handle_invalid_event(x, "event without end");
@@ -82,6 +89,36 @@
 	       x->sent_software != e->unlisted_software;
 }
 
+/* Returns whether the endpoint of an attempt is known to run the version that
+ * its entry names.  Only engines can be asked. */
+static bool software_proved(const struct exchange *x)
+{
+	const struct endpoint *e =
+		endpoint_get(x->proxyd->endpoints, x->endpoint);
+
+	return !x->engine || !e || !e->software || x->start_excused ||
+	       endpoint_start_proved(e);
+}
+
+/* Handles the start that the endpoint of an attempt has stated, or that it stated
+ * none: a bound stream that waited for it goes on, or moves if it is not the one
+ * that the entry names.  If the attempt's connection is younger than what
+ * was stated, the endpoint is asked again. */
+void stream_start_stated(struct exchange *x)
+{
+	struct endpoint *e = endpoint_get(x->proxyd->endpoints, x->endpoint);
+
+	if (!x->first_event_due_ms || !x->is_event_stream ||
+	    x->software == SOFTWARE_UNKNOWN)
+		return;
+	if (!e || !endpoint_continues(e, x->software))
+		handle_invalid_event(x, "endpoint started again");
+	else if (!software_proved(x))
+		endpoint_want_start(x->proxyd->endpoints, e);
+	else if (x->stream.pending.len)
+		stream_receive(x, "", 0);
+}
+
 /* Forwards the first n pending bytes, which are complete events. */
 static void forward_events(struct exchange *x, size_t n)
 {
@@ -421,7 +458,12 @@
 
 	x->first_event_due_ms = 0;
 	handover_end(x);
-	origins_note_sent(x->proxyd->origins, x);
+	if (e && x->software == SOFTWARE_UNKNOWN && !software_proved(x)) {
+		x->sent_software = e->unlisted_software; /* named later */
+		endpoint_want_start(x->proxyd->endpoints, e);
+	} else {
+		origins_note_sent(x->proxyd->origins, x);
+	}
 	origins_note_begun(x->proxyd->origins, x);
 	x->software = x->sent_software;
 	suspects_run_began(x);
