Test many endless answers at once beside streams that go on

One at a time is held by test_endless_answers; 48 at once against one instance, beside eight streams, were not shown.

--- a/regress/integration/test_endless_answers.c
+++ b/regress/integration/test_endless_answers.c
@@ -25,6 +25,8 @@
  * (8 MB), as much chunk framing, and the socket buffers of both sides. */
 #define READ_MAX (32u << 20)
 #define MEMORY_MAX_KB (100u << 10) /* total memory of the smallest instance */
+#define STREAMS 8 /* beside MANY calls */
+#define MANY 48
 #define SOON_MS 5000 /* well before the requests' deadline */
 
 /* What an endpoint sends: a prefix, then a block repeated without end. */
@@ -454,6 +456,65 @@
 	check_bounds(endless.name);
 }
 
+/* Starts a request with an id of its own. */
+static struct stream_reader *open_request(const char *path, size_t number)
+{
+	char id[16];
+	const struct httpc_header headers[] = {
+		{ "credential", "k1" },
+		{ "request-id", id },
+		{ "deadline-ms", "15000" },
+		{ "token-usage", "300,100" },
+	};
+	const struct httpc_request r = {
+		.method = "POST",
+		.address = one.callers,
+		.path = path,
+		.headers = headers,
+		.n_headers = N(headers),
+		.body = id,
+		.body_len = 4,
+	};
+
+	snprintf(id, sizeof(id), "m-%02zu", number);
+	return stream_open(harness, &r);
+}
+
+/* Guards against memory that grows with the number of endless answers, and
+ * against other callers' streams that end with the instance: many calls get one
+ * at once. */
+static void many_beside_streams(void **state)
+{
+	static const struct endless endless = { "many at once", HEAD "\r\n",
+						"body " };
+	struct stream_reader *streams[STREAMS];
+	struct stream_reader *calls[MANY];
+	size_t i;
+
+	(void)state;
+	standin_add_worker(world, "engine", "z1");
+	world->event_ms = 100;
+	start("plain", &endless);
+	for (i = 0; i < STREAMS; i++)
+		streams[i] = open_request("/write/a", i);
+	for (i = 0; i < STREAMS; i++)
+		stream_wait_events(streams[i], 1);
+	for (i = 0; i < MANY; i++)
+		calls[i] = open_request("/look/a", STREAMS + i);
+	for (i = 0; i < MANY; i++) {
+		stream_wait_end(calls[i]);
+		assert_true(stream_status(calls[i]) != 200);
+		stream_close(calls[i]);
+	}
+	for (i = 0; i < STREAMS; i++) {
+		stream_wait_end(streams[i]);
+		assert_int_equal(stream_outcome(streams[i]), HTTPC_OK);
+		assert_int_equal(stream_n_events(streams[i]), STANDIN_EVENTS);
+		stream_close(streams[i]);
+	}
+	check_bounds(endless.name);
+}
+
 int main(int argc, char **argv)
 {
 #define CASE(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
@@ -472,6 +533,7 @@
 		CASE(endless_event),
 		CASE(endless_event_lines),
 		CASE(health_check),
+		CASE(many_beside_streams),
 	};
 
 	if (argc > 1) /* one case */
