Ask again for the start of an engine whose connection has closed

A bound stream waits with its first event until its engine is known to run since the start in its entry. If the connection that proved this closed after the attempt began, as after a stop of this process, nobody asked again, and the stream waited until its silence moved it. Read in the diff, not seen in a run. test_unseen_version, test_software_versions and test_endless_answers pass.

--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -35,6 +35,7 @@
 
 static bool software_changed(const struct exchange *x);
 static bool software_proved(const struct exchange *x);
+static void await_start(struct exchange *x);
 static void forward_events(struct exchange *x, size_t n);
 static void handle_invalid_event(struct exchange *x, const char *why);
 static bool copy_awaits_permit(struct exchange *x);
@@ -62,9 +63,8 @@
 		return;
 	}
 	if (x->first_event_due_ms && x->software != SOFTWARE_UNKNOWN &&
-	    !software_proved(x)) { /* until the endpoint states its start */
-		if (x->stream.pending.len > EVENT_MAX_BYTES)
-			handle_invalid_event(x, "event without end");
+	    !software_proved(x)) {
+		await_start(x);
 		return;
 	}
 	n = filter_events(x, &foreign);
@@ -89,6 +89,20 @@
 	       x->sent_software != e->unlisted_software;
 }
 
+/* Keeps what a bound stream has received until its endpoint states its start.
+ * The connection that proved it may have closed since the attempt began, so that
+ * the endpoint may have to be asked once more. */
+static void await_start(struct exchange *x)
+{
+	struct endpoints *endpoints = x->proxyd->endpoints;
+
+	if (x->stream.pending.len > EVENT_MAX_BYTES)
+		handle_invalid_event(x, "event without end");
+	else
+		endpoint_want_start(endpoints,
+				    endpoint_get(endpoints, x->endpoint));
+}
+
 /* Returns whether the endpoint of an attempt is known to run the version that
  * its entry names.  Only engines can be asked. */
 static bool software_proved(const struct exchange *x)
