--- a/regress/unit/test_platform_wire.c
+++ b/regress/unit/test_platform_wire.c
@@ -299,8 +299,10 @@
 	assert_true(f.resumes);
 	assert_int_equal(f.resume_after, 12);
 	session = f.session;
+	prompt_parts_unref(f.parts);
 	assert_true(decode("Prompt-Prefix: aa:1,91:410\r\n", &f));
 	assert_int_equal(f.session, session); /* hash of the last part only */
+	prompt_parts_unref(f.parts);
 	assert_true(decode("Prompt-Prefix: 5c:800\r\n", &f));
 	assert_int_not_equal(f.session, session);
 	assert_false(f.resumes);
