Ask no engine for its start that names a limit on its requests

streams of test_request_limit lost one stream of 32 under ASan, beside a load of 27: an engine that names a limit takes a question as one of its requests. A bound stream that came to it waited for the answer to a question for which there was no permit, and its attempts ran out. Such an engine is taken at the word of its entry. The cause was read in the code and not shown by a log.

--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -714,9 +714,12 @@
 }
 
 /* Returns whether an endpoint is known to run since the start that its entry
- * names, and so the listed version. */
+ * names, and so the listed version.  One with a limit on its requests is taken
+ * at the word of its entry, as a question counts as one of these. */
 bool endpoint_start_proved(const struct endpoint *e)
 {
+	if (!e->software_doubted && limits_in_force(e))
+		return true;
 	return !e->software_doubted && e->proved_ms &&
 	       http1_client_spans(e->proxyd->client, e->address, e->proved_ms);
 }
@@ -726,6 +729,10 @@
 {
 	uint64_t now = proxyd_now(t->proxyd);
 
+	if (e->start_wanted && endpoint_start_proved(e)) {
+		endpoint_unstated_start(t, e->self); /* it names a limit now */
+		return;
+	}
 	if ((!e->software_doubted && !e->start_wanted) ||
 	    e->state != ENDPOINT_UP || e->rediscovering ||
 	    !endpoint_accepts_work(e, now) ||
