Test in one place who keeps a record

Whether an instance keeps the records of a hash was tested three times since the notes of streams and the lists of parts are sent to keepers, too: in peers_suspects.c, peers_origins.c and peers_parts.c, with a flag and a weight side by side in each. peers_record_keepers() and peer_keeps_record() serve all three, and the number of sends has one name. was_running() and was_uncounted() share their loop. The first event of a stream allocates a list only if a part is cleared, which is seldom; it did each time. Nothing else behaves differently.

--- a/policy/crash_suspect.c
+++ b/policy/crash_suspect.c
@@ -137,6 +137,8 @@
 static bool same_crash(const struct run_crash *a, const struct run_crash *b);
 static bool was_running(const struct crash_suspect_record *r,
 			const struct run_crash *crash);
+static bool has_crash(const struct run_crash *list, uint32_t n,
+		      const struct run_crash *crash);
 static void add_uncounted(struct crash_suspects *p,
 			  struct crash_suspect_record *r,
 			  const struct run_crash *crash, uint64_t now);
@@ -709,11 +711,30 @@
 /* Tells whether a recorded run of the content was cut off by the same crash. */
 static bool was_running(const struct crash_suspect_record *r,
 			const struct run_crash *crash)
+{
+	return has_crash(r->crashes, r->n_crashes, crash);
+}
+
+/* Tells whether a run with the part was cut off by the same crash, which does
+ * not count. */
+static bool was_uncounted(const struct crash_suspect_record *r,
+			  const struct run_crash *crash)
+{
+	uint32_t n = r->n_uncounted < CRASH_SUSPECT_CRASHES_MAX
+			     ? r->n_uncounted
+			     : CRASH_SUSPECT_CRASHES_MAX;
+
+	return has_crash(r->uncounted, n, crash);
+}
+
+/* Tells whether one of n runs was cut off by the same crash. */
+static bool has_crash(const struct run_crash *list, uint32_t n,
+		      const struct run_crash *crash)
 {
 	uint32_t i;
 
-	for (i = 0; i < r->n_crashes; i++)
-		if (same_crash(&r->crashes[i], crash))
+	for (i = 0; i < n; i++)
+		if (same_crash(&list[i], crash))
 			return true;
 	return false;
 }
@@ -744,19 +765,6 @@
 	       o->n_crashes + o->n_uncounted >= r->n_crashes + r->n_uncounted;
 }
 
-/* Tells whether a run with the part was cut off by the same crash, which does
- * not count. */
-static bool was_uncounted(const struct crash_suspect_record *r,
-			  const struct run_crash *crash)
-{
-	uint32_t i;
-
-	for (i = 0; i < r->n_uncounted && i < CRASH_SUSPECT_CRASHES_MAX; i++)
-		if (same_crash(&r->uncounted[i], crash))
-			return true;
-	return false;
-}
-
 /* Removes the crashes that a refused content explains from the records of
  * others, and those that a refused part explains from all others. */
 static void remove_explained_crashes(struct crash_suspects *p,
--- a/policy/stream_origin.c
+++ b/policy/stream_origin.c
@@ -3,10 +3,9 @@
  * together, so a stream that its caller resumes goes on only at endpoints of
  * the version that began it.  Instances note the version of each stream they
  * begin, and tell it to a few others, its keepers, as an instance may end while
- * it cannot write to the store.  While endpoints of a service run several versions, or did so within
- * the longest life of a stream, the notes are written to the store too, as all
- * instances may end at once.  Otherwise no note is needed: only one version can
- * have begun the stream.
+ * it cannot write to the store.  While endpoints of a service run several
+ * versions, or did so within the longest life of a stream, the notes are written
+ * to the store too, as all instances may end at once.
  */
 #include "policy/stream_origin.h"
 
--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -718,10 +718,11 @@
  * at the word of its entry, as a question counts as one of these. */
 bool endpoint_start_proved(const struct endpoint *e)
 {
-	if (!e->software_doubted && limits_in_force(e))
-		return true;
-	return !e->software_doubted && e->proved_ms &&
-	       http1_client_spans(e->proxyd->client, e->address, e->proved_ms);
+	if (e->software_doubted)
+		return false;
+	return limits_in_force(e) ||
+	       (e->proved_ms && http1_client_spans(e->proxyd->client,
+						   e->address, e->proved_ms));
 }
 
 /* Asks an endpoint for its start, if that is wanted and it may be asked now. */
--- a/proxyd/origins.c
+++ b/proxyd/origins.c
@@ -354,10 +354,10 @@
 	struct counter *counter = t->refused;
 
 	if (d.action == TAKE_UP_ASK) {
-		if (!x->origin_asked_ms)
+		if (!x->origin_asked_ms) {
+			x->origin_asked_ms = now;
 			peers_ask_origin(t->proxyd->peers, stream);
-		x->origin_asked_ms = x->origin_asked_ms ? x->origin_asked_ms
-							: now;
+		}
 		return d.action;
 	}
 	if (d.action == TAKE_UP_WAIT) {
--- a/proxyd/peers_origins.c
+++ b/proxyd/peers_origins.c
@@ -5,7 +5,6 @@
  */
 #include "proxyd/peers_table.h"
 
-#include "policy/crash_suspect.h"
 #include "policy/stream_origin.h"
 #include "proxyd/origins.h"
 #include "proxyd/proxyd.h"
@@ -23,8 +22,6 @@
 
 static void enqueue(struct peers *t, const struct peer *to, uint64_t stream,
 		    uint64_t software);
-static bool is_recipient(const struct announced_origin *o,
-			 const struct peer *peer);
 static void add_origin(struct parcel *p, uint64_t stream, uint64_t software);
 static void send_parcel(struct peers *t, const struct peer *to,
 			struct parcel *p);
@@ -71,15 +68,15 @@
 	size_t i;
 
 	for (i = 0; i < t->n_origins; i++)
-		peers_find_keepers(t, t->origins[i].stream,
-				   &t->origins[i].to_all,
-				   &t->origins[i].least_keeper_weight);
+		t->origins[i].keepers =
+			peers_record_keepers(t, t->origins[i].stream);
 	TAILQ_FOREACH(peer, &t->list, link)
 	{
 		for (i = 0; i < t->n_origins; i++) {
 			const struct announced_origin *o = &t->origins[i];
 
-			if (!is_recipient(o, peer))
+			if ((o->to && o->to != peer) ||
+			    !peer_keeps_record(peer, o->stream, &o->keepers))
 				continue;
 			if (o->software == SOFTWARE_UNKNOWN)
 				parcel.wanted[parcel.n_wanted++] = o->stream;
@@ -94,17 +91,6 @@
 	t->n_origins = 0;
 }
 
-/* Returns whether something in the queue is for an instance. */
-static bool is_recipient(const struct announced_origin *o,
-			 const struct peer *peer)
-{
-	if (o->to && o->to != peer)
-		return false;
-	return o->to_all ||
-	       (peer->alive && crash_suspect_weight(o->stream, peer->hash) >=
-				       o->least_keeper_weight);
-}
-
 /* Applies the notes of another instance, and answers its questions with those
  * notes that this one has.  It does not say that it has none, as that proves
  * nothing: it may have started since. */
--- a/proxyd/peers_parts.c
+++ b/proxyd/peers_parts.c
@@ -12,8 +12,6 @@
 #include "proxyd/proxyd.h"
 #include "proxyd/suspects.h"
 
-#define SENDS 3 /* datagrams may be lost */
-#define RESEND_MS 250 /* between the sends of a list */
 #define PER_DATAGRAM_MAX 200 /* parts, each of 8 bytes */
 
 static void send_due(struct peers *t, struct announced_parts *item);
@@ -21,20 +19,20 @@
 		      const struct run_crash *crash, uint64_t *parts, size_t n);
 
 /* Queues the parts of a run that a crash cut off, or, if crash is NULL, sound
- * ones: they are sent SENDS times, from the next tick on. */
+ * ones: they are sent SUSPECT_SENDS times, from the next tick on. */
 void peers_announce_parts(struct peers *t, const struct run_crash *crash,
 			  const uint64_t *parts, size_t n)
 {
 	struct announced_parts *item =
 		&t->parts[t->parts_next++ % PARTS_QUEUED];
 
-	if (item->sends_left == SENDS)
+	if (item->sends_left == SUSPECT_SENDS)
 		send_due(t, item);
 	free(item->parts);
 	*item = (struct announced_parts){
 		.parts = xcalloc(n, sizeof(*parts)),
 		.n = n,
-		.sends_left = SENDS,
+		.sends_left = SUSPECT_SENDS,
 		.due_ms = proxyd_now(t->proxyd),
 	};
 	memcpy(item->parts, parts, n * sizeof(*parts));
@@ -75,26 +73,24 @@
  * all. */
 static void send_due(struct peers *t, struct announced_parts *item)
 {
-	uint64_t *least_weight = xcalloc(item->n, sizeof(*least_weight));
-	bool to_all = !item->crash.id;
+	struct record_keepers *keepers = xcalloc(item->n, sizeof(*keepers));
 	uint64_t list[PER_DATAGRAM_MAX];
 	const struct peer *peer;
 	size_t i;
 
 	item->sends_left--;
-	item->due_ms = proxyd_now(t->proxyd) + RESEND_MS;
-	for (i = 0; !to_all && i < item->n; i++)
-		peers_find_keepers(t, item->parts[i], &to_all,
-				   &least_weight[i]);
+	item->due_ms = proxyd_now(t->proxyd) + SUSPECT_RESEND_MS;
+	for (i = 0; i < item->n; i++)
+		keepers[i] = item->crash.id
+				     ? peers_record_keepers(t, item->parts[i])
+				     : (struct record_keepers){ .all = true };
 	TAILQ_FOREACH(peer, &t->list, link)
 	{
 		size_t n = 0;
 
 		for (i = 0; i < item->n; i++) {
-			if (!to_all &&
-			    (!peer->alive ||
-			     crash_suspect_weight(item->parts[i], peer->hash) <
-				     least_weight[i]))
+			if (!peer_keeps_record(peer, item->parts[i],
+					       &keepers[i]))
 				continue;
 			list[n++] = item->parts[i];
 			if (n < PER_DATAGRAM_MAX)
@@ -105,7 +101,7 @@
 		if (n)
 			send_list(t, peer, &item->crash, list, n);
 	}
-	free(least_weight);
+	free(keepers);
 }
 
 /* Sends a list of parts to an instance. */
--- a/proxyd/peers_suspects.c
+++ b/proxyd/peers_suspects.c
@@ -20,20 +20,16 @@
  * make up for it. */
 #define KEEPERS_MAX 4
 
-#define SENDS 3 /* datagrams may be lost */
-#define RESEND_MS 250 /* between the sends of an update */
 #define PER_DATAGRAM_MAX 24 /* each at most 50 bytes */
 
 static size_t find_keepers(const struct peers *t, uint64_t content,
 			   uint64_t *least_weight);
-static bool is_recipient(const struct announced_suspect *item,
-			 const struct peer *peer);
 static void fill_suspect(PeerSuspect *out, const struct suspect_update *update,
 			 uint64_t now);
 static void send_list(struct peers *t, const struct peer *to, PeerSuspect *list,
 		      size_t n);
 
-/* Queues an update for the instances concerned: it is sent SENDS times, from
+/* Queues an update for the instances concerned: it is sent SUSPECT_SENDS times, from
  * the next tick on. */
 void peers_announce_suspect(struct peers *t,
 			    const struct suspect_update *update)
@@ -43,7 +39,7 @@
 
 	*item = (struct announced_suspect){
 		.update = *update,
-		.sends_left = SENDS,
+		.sends_left = SUSPECT_SENDS,
 		.due_ms = proxyd_now(t->proxyd),
 	};
 }
@@ -74,12 +70,12 @@
 		if (!item->sends_left || now < item->due_ms)
 			continue;
 		due[n_due++] = item;
-		peers_find_keepers(t, item->update.content, &item->to_all,
-				   &item->least_keeper_weight);
-		if (item->update.kind != SUSPECT_CRASH)
-			item->to_all = true;
+		item->recipients =
+			item->update.kind == SUSPECT_CRASH
+				? peers_record_keepers(t, item->update.content)
+				: (struct record_keepers){ .all = true };
 		item->sends_left--;
-		item->due_ms = now + RESEND_MS;
+		item->due_ms = now + SUSPECT_RESEND_MS;
 	}
 	if (!n_due)
 		return;
@@ -88,7 +84,8 @@
 		size_t n = 0;
 
 		for (i = 0; i < n_due; i++) {
-			if (!is_recipient(due[i], peer))
+			if (!peer_keeps_record(peer, due[i]->update.content,
+					       &due[i]->recipients))
 				continue;
 			fill_suspect(&list[n++], &due[i]->update, now);
 			if (n < PER_DATAGRAM_MAX)
@@ -197,25 +194,23 @@
 	return n;
 }
 
-/* Finds the other instances that keep the records of a hash: all of them, or
- * those whose weight is at least least_weight. */
-void peers_find_keepers(const struct peers *t, uint64_t hash, bool *to_all,
-			uint64_t *least_weight)
+/* Returns the other instances that keep the records of a hash. */
+struct record_keepers peers_record_keepers(const struct peers *t, uint64_t hash)
 {
-	*least_weight = 0;
-	*to_all = t->n < ALL_KEEP_PEERS_MAX;
-	if (!*to_all)
-		find_keepers(t, hash, least_weight);
+	struct record_keepers keepers = { .all = t->n < ALL_KEEP_PEERS_MAX };
+
+	if (!keepers.all)
+		find_keepers(t, hash, &keepers.least_weight);
+	return keepers;
 }
 
-/* Returns whether an update is sent to an instance. */
-static bool is_recipient(const struct announced_suspect *item,
-			 const struct peer *peer)
+/* Returns whether an instance is one of the keepers of a hash. */
+bool peer_keeps_record(const struct peer *peer, uint64_t hash,
+		       const struct record_keepers *keepers)
 {
-	return item->to_all ||
-	       (peer->alive &&
-		crash_suspect_weight(item->update.content, peer->hash) >=
-			item->least_keeper_weight);
+	return keepers->all ||
+	       (peer->alive && crash_suspect_weight(hash, peer->hash) >=
+				       keepers->least_weight);
 }
 
 /* Fills in the message for an update, with times relative to now. */
--- a/proxyd/peers_table.h
+++ b/proxyd/peers_table.h
@@ -19,6 +19,8 @@
 #define PROMPTS_MAX 16 /* prompt locations per datagram */
 #define PROMPTS_QUEUED 64 /* prompt locations queued for sending */
 #define SUSPECTS_QUEUED 128 /* updates on suspected requests queued */
+#define SUSPECT_SENDS 3 /* of a list or update; datagrams may be lost */
+#define SUSPECT_RESEND_MS 250 /* between these */
 #define PARTS_QUEUED 32 /* crashed or sound runs whose parts are told */
 #define ORIGINS_QUEUED 256 /* notes or questions; sent at once if full */
 #define DATAGRAM_MAX_BYTES 2048
@@ -69,6 +71,12 @@
 	unsigned int sends_left;
 };
 
+/* The other instances that keep the records of a hash. */
+struct record_keepers {
+	bool all; /* every one; else the live ones of this weight or more */
+	uint64_t least_weight;
+};
+
 /* The parts of a run that a crash cut off, or that are sound after all, as sent
  * to the others. */
 struct announced_parts {
@@ -85,8 +93,7 @@
 	uint64_t stream;
 	uint64_t software; /* SOFTWARE_UNKNOWN: a question */
 	const struct peer *to; /* alone; NULL: all keepers */
-	bool to_all; /* every instance is a keeper */
-	uint64_t least_keeper_weight;
+	struct record_keepers keepers;
 };
 
 /* An update on a suspected request, as sent to the others. */
@@ -94,8 +101,7 @@
 	struct suspect_update update;
 	unsigned int sends_left;
 	uint64_t due_ms;
-	bool to_all; /* not only to the keepers of its records */
-	uint64_t least_keeper_weight; /* of the keepers */
+	struct record_keepers recipients;
 };
 
 struct peers {
@@ -137,8 +143,10 @@
 void peers_send_changed_work(struct peers *t);
 void peers_send_suspects(struct peers *t);
 void peers_receive_suspects(struct peers *t, const PeerSuspects *msg);
-void peers_find_keepers(const struct peers *t, uint64_t hash, bool *to_all,
-			uint64_t *least_weight);
+struct record_keepers peers_record_keepers(const struct peers *t,
+					   uint64_t hash);
+bool peer_keeps_record(const struct peer *peer, uint64_t hash,
+		       const struct record_keepers *keepers);
 void peers_send_due_parts(struct peers *t);
 void peers_receive_parts(struct peers *t, const PeerParts *msg);
 void peers_send_origins(struct peers *t);
--- a/proxyd/suspects.c
+++ b/proxyd/suspects.c
@@ -224,14 +224,19 @@
 	struct suspects *t = x->proxyd->suspects;
 	uint64_t now = proxyd_now(x->proxyd);
 	size_t n_parts = prompt_parts_count(x->fields.parts);
-	uint64_t *cleared = new_list(x->fields.parts);
+	uint64_t *cleared = NULL; /* seldom any */
 	size_t n = 0;
 	size_t i;
 
-	for (i = 0; i < n_parts; i++)
-		if (crash_suspect_run_completed(t->records,
-						x->fields.parts->hash[i], now))
-			cleared[n++] = x->fields.parts->hash[i];
+	for (i = 0; i < n_parts; i++) {
+		uint64_t part = x->fields.parts->hash[i];
+
+		if (!crash_suspect_run_completed(t->records, part, now))
+			continue;
+		if (!cleared)
+			cleared = new_list(x->fields.parts);
+		cleared[n++] = part;
+	}
 	if (n) {
 		note_parts_cleared(t, cleared, n, "run here");
 		peers_announce_parts(t->proxyd->peers, NULL, cleared, n);
