Test engines that are killed while they write a stream

The first is reproduced: an engine that is killed while it writes an answer without a length closes its connections in order, as the kernel of a killed process does, and the caller gets what has come as the whole stream.

For it raw endpoints can be killed and started again, and answer for their reports, which an engine has by the users' pages; streams on /once/ may not go on elsewhere.

--- a/regress/integration/test_cut_heads.c
+++ b/regress/integration/test_cut_heads.c
@@ -122,7 +122,7 @@
 
 static void test_call_that_may_repeat(void **state)
 {
-	static const struct raw_way way = { "POST", false };
+	static const struct raw_way way = { .method = "POST", .kept = false };
 
 	(void)state;
 	repeated_call(&way, WHOLE, N(cuts));
@@ -130,7 +130,7 @@
 
 static void test_call_that_may_repeat_on_kept_connection(void **state)
 {
-	static const struct raw_way way = { "POST", true };
+	static const struct raw_way way = { .method = "POST", .kept = true };
 
 	(void)state;
 	repeated_call(&way, WHOLE, N(cuts));
@@ -139,8 +139,8 @@
 /* Heads alone: the answer to HEAD is whole with its head. */
 static void test_head(void **state)
 {
-	static const struct raw_way way = { "HEAD", false };
-	static const struct raw_way kept = { "HEAD", true };
+	static const struct raw_way way = { .method = "HEAD", .kept = false };
+	static const struct raw_way kept = { .method = "HEAD", .kept = true };
 	const size_t heads = 10;
 
 	(void)state;
@@ -150,7 +150,7 @@
 
 static void test_call_that_may_run_once(void **state)
 {
-	static const struct raw_way way = { "POST", false };
+	static const struct raw_way way = { .method = "POST", .kept = false };
 
 	(void)state;
 	single_call(&way);
@@ -158,7 +158,7 @@
 
 static void test_call_that_may_run_once_on_kept_connection(void **state)
 {
-	static const struct raw_way way = { "POST", true };
+	static const struct raw_way way = { .method = "POST", .kept = true };
 
 	(void)state;
 	single_call(&way);
@@ -168,7 +168,7 @@
  * events that came, each once. */
 static void test_new_stream(void **state)
 {
-	static const struct raw_way way = { "POST", false };
+	static const struct raw_way way = { .method = "POST", .kept = false };
 	struct raw_case c = {
 		.target = "/write/a",
 		.version = "1.1",
@@ -200,7 +200,7 @@
  * its head: the stream goes on at the third one. */
 static void test_begun_stream(void **state)
 {
-	static const struct raw_way way = { "POST", false };
+	static const struct raw_way way = { .method = "POST", .kept = false };
 	const struct raw_case c = {
 		.target = "/write/a",
 		.version = "1.1",
@@ -220,7 +220,7 @@
 /* All further answers are cut in their heads: the stream has no end. */
 static void test_begun_stream_for_good(void **state)
 {
-	static const struct raw_way way = { "POST", false };
+	static const struct raw_way way = { .method = "POST", .kept = false };
 	const struct raw_case c = {
 		.target = "/write/a",
 		.version = "1.1",
--- a/regress/raw_endpoint.c
+++ b/regress/raw_endpoint.c
@@ -19,13 +19,23 @@
 
 #define REPEATS "repeat_window_s = 0.1\nrepeat_ratio = 10\nrepeat_slack = 100\n"
 #define HEALTHY "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
+#define REFUSED "HTTP/1.1 503 S\r\ncontent-length: 0\r\n\r\n"
+#define BORN_MS 1 /* of the first start, in entries */
+/* A stream that may not go on elsewhere. */
+#define ROUTE_ONCE                                                      \
+	"{\"name\":\"once\",\"hostname\":\"127.0.0.1\",\"pathPrefix\":" \
+	"\"/once/\",\"routeType\":\"streaming\",\"timeoutMs\":20000,"   \
+	"\"targetLatencyMs\":4500,\"targetGapMs\":700,\"backend\":"     \
+	"\"engine\",\"maxAttempts\":5}"
 #define CONNECT_MS 1000
 #define CLOSE_MS 50 /* for handles to be closed */
 #define EARLIER "w-" /* ids of requests that leave kept connections */
 #define EARLIER_MAX 200 /* enough that each endpoint gets one */
 
 struct raw_endpoint {
-	uv_tcp_t listener;
+	const char *address;
+	uv_tcp_t *listener; /* NULL once it is killed */
+	unsigned int born_ms;
 };
 
 struct raw_conn {
@@ -64,6 +74,34 @@
 			   (unsigned int)(sizeof(c->input) - c->len));
 }
 
+static void listen_at(struct raw_endpoint *e);
+
+static void on_listener_closed(uv_handle_t *h)
+{
+	free(h);
+}
+
+/* Ends an endpoint as if its process were killed. */
+static void kill_endpoint(size_t i)
+{
+	struct raw_conn *c;
+
+	if (endpoints[i].listener)
+		uv_close((uv_handle_t *)endpoints[i].listener,
+			 on_listener_closed);
+	endpoints[i].listener = NULL;
+	for (c = conns; c; c = c->next)
+		if (c->endpoint == i && !uv_is_closing((uv_handle_t *)&c->tcp))
+			uv_close((uv_handle_t *)&c->tcp, NULL);
+}
+
+/* Starts an endpoint again that was killed. */
+static void restart_endpoint(size_t i)
+{
+	endpoints[i].born_ms++;
+	listen_at(&endpoints[i]);
+}
+
 /* Sends an answer and ends the connection as it says. */
 static void answer(struct raw_conn *c, const struct raw_answer *a)
 {
@@ -76,6 +114,27 @@
 		uv_close((uv_handle_t *)&c->tcp, NULL);
 	else if (a->end == RAW_RESET)
 		uv_tcp_close_reset(&c->tcp, NULL);
+	else if (a->end == RAW_KILLED || a->end == RAW_RESTARTED)
+		kill_endpoint(c->endpoint);
+	if (a->end == RAW_RESTARTED)
+		restart_endpoint(c->endpoint);
+}
+
+/* Answers for the report of an engine. */
+static void answer_report(struct raw_conn *c)
+{
+	char *body = xasprintf("{\"models\":[{\"name\":\"m\"}],\"born\":%u}",
+			       endpoints[c->endpoint].born_ms);
+	char *bytes = xasprintf("HTTP/1.1 200 OK\r\ncontent-length: %zu\r\n"
+				"\r\n%s",
+				strlen(body), body);
+
+	if (current_way->report == RAW_REPORT_WHOLE)
+		answer(c, &(const struct raw_answer){ bytes, RAW_KEEP });
+	else if (current_way->report == RAW_REPORT_REFUSED)
+		answer(c, &(const struct raw_answer){ REFUSED, RAW_KEEP });
+	free(bytes);
+	free(body);
 }
 
 /* Returns the answer to the next attempt. */
@@ -128,7 +187,10 @@
 	if (!memmem(c->input, (size_t)(end - c->input), target,
 		    strlen(target))) {
 		c->len = 0;
-		answer(c, &healthy);
+		if (!memcmp(c->input, "GET /report ", 12))
+			answer_report(c);
+		else
+			answer(c, &healthy);
 	} else if (memcmp(c->input, "POST", 4) != 0 ||
 		   end + 4 < c->input + c->len) {
 		if (!answer_earlier(c)) {
@@ -147,7 +209,8 @@
 
 	assert_int_equal(status, 0);
 	c->tcp.data = c;
-	c->endpoint = (size_t)((struct raw_endpoint *)listener - endpoints);
+	c->endpoint =
+		(size_t)((struct raw_endpoint *)listener->data - endpoints);
 	c->next = conns;
 	conns = c;
 	uv_tcp_init(listener->loop, &c->tcp);
@@ -155,28 +218,39 @@
 	uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
 }
 
-/* Starts an endpoint and writes its entry. */
-static void add_endpoint(size_t i, const char *service)
+/* Opens the listener of an endpoint. */
+static void listen_at(struct raw_endpoint *e)
 {
-	const char *address = harness_address(harness);
-	struct raw_endpoint *e = &endpoints[i];
 	struct sockaddr_in sin;
 	char host[64];
-	char id[16];
 	uint16_t port;
-	char *entry = xasprintf(
-		"{\"backend\":\"%s\",\"address\":\"%s\",\"zone\":\"z1\","
-		"\"version\":\"v1\",\"slots\":16,\"state\":\"ready\","
-		"\"born\":1}",
-		service, address);
 
-	address_parse(address, host, sizeof(host), &port);
+	e->listener = xcalloc(1, sizeof(*e->listener));
+	address_parse(e->address, host, sizeof(host), &port);
 	uv_ip4_addr(host, port, &sin);
-	uv_tcp_init(harness_loop(harness), &e->listener);
+	uv_tcp_init(harness_loop(harness), e->listener);
+	e->listener->data = e;
 	assert_int_equal(
-		uv_tcp_bind(&e->listener, (const struct sockaddr *)&sin, 0), 0);
+		uv_tcp_bind(e->listener, (const struct sockaddr *)&sin, 0), 0);
 	assert_int_equal(
-		uv_listen((uv_stream_t *)&e->listener, 64, on_connection), 0);
+		uv_listen((uv_stream_t *)e->listener, 64, on_connection), 0);
+}
+
+/* Starts an endpoint and writes its entry. */
+static void add_endpoint(size_t i, const char *service)
+{
+	struct raw_endpoint *e = &endpoints[i];
+	char id[16];
+	char *entry;
+
+	e->address = harness_address(harness);
+	e->born_ms = BORN_MS;
+	entry = xasprintf(
+		"{\"backend\":\"%s\",\"address\":\"%s\",\"zone\":\"z1\","
+		"\"version\":\"v1\",\"slots\":16,\"state\":\"ready\","
+		"\"born\":%u}",
+		service, e->address, e->born_ms);
+	listen_at(e);
 	snprintf(id, sizeof(id), "i-raw-%zu", i);
 	standin_put(world, "servers", id, entry);
 	free(entry);
@@ -184,7 +258,8 @@
 
 static void start(void)
 {
-	bool stream = !strncmp(current->target, "/write/", 7);
+	bool stream = !strncmp(current->target, "/write/", 7) ||
+		      !strncmp(current->target, "/once/", 6);
 	size_t i;
 
 	harness = harness_new();
@@ -194,7 +269,7 @@
 	first_kept = false;
 	for (i = 0; i < RAW_ENDPOINTS; i++)
 		add_endpoint(i, stream ? "engine" : "plain");
-	standin_put_configuration(world, 2, NULL);
+	standin_put_configuration(world, 2, ROUTE_ONCE);
 	standin_init_instance(world, &one, "one", NULL);
 	standin_start_instance(world, &one);
 	standin_wait_status(world, one.readiness, "/readyz", 200);
@@ -207,10 +282,7 @@
 
 	proc_kill(one.proc);
 	for (i = 0; i < RAW_ENDPOINTS; i++)
-		uv_close((uv_handle_t *)&endpoints[i].listener, NULL);
-	for (c = conns; c; c = c->next)
-		if (!uv_is_closing((uv_handle_t *)&c->tcp))
-			uv_close((uv_handle_t *)&c->tcp, NULL);
+		kill_endpoint(i);
 	harness_run(harness, CLOSE_MS);
 	while ((c = conns)) {
 		conns = c->next;
@@ -264,15 +336,15 @@
 		.connect_timeout_ms = CONNECT_MS,
 		.head = !strcmp(current_way->method, "HEAD"),
 	};
-	char *request = xasprintf("%s %s HTTP/%s\r\nhost: 127.0.0.1\r\n"
-				  "request-id: %s\r\ncredential: k1\r\n"
-				  "deadline-ms: 15000\r\n%s",
-				  current_way->method, current->target,
-				  current->version, id,
-				  strcmp(current_way->method, "POST")
-					  ? "\r\n"
-					  : "content-length: 1\r\n"
-					    "\r\nx");
+	char *request = xasprintf(
+		"%s %s HTTP/%s\r\nhost: 127.0.0.1\r\n"
+		"request-id: %s\r\ncredential: k1\r\n"
+		"deadline-ms: 15000\r\n%s%s",
+		current_way->method, current->target, current->version, id,
+		current_way->headers ? current_way->headers : "",
+		strcmp(current_way->method, "POST") ? "\r\n"
+						    : "content-length: 1\r\n"
+						      "\r\nx");
 
 	http1_call_start(client, &options, request, strlen(request), &ops,
 			 reply);
@@ -315,7 +387,7 @@
  * connection. */
 void raw_run_case(void **state)
 {
-	static const struct raw_way way = { "POST", false };
+	static const struct raw_way way = { .method = "POST" };
 
 	raw_run_case_in_way(*state, &way);
 }
--- a/regress/raw_endpoint.h
+++ b/regress/raw_endpoint.h
@@ -15,6 +15,17 @@
 	RAW_KEEP, /* the connection stays open */
 	RAW_FIN, /* closed in order */
 	RAW_RESET,
+	/* the endpoint is killed: its listener and all its connections are
+	 * closed in order, as the kernel does for a process */
+	RAW_KILLED,
+	RAW_RESTARTED, /* killed, and started again under its id */
+};
+
+/* How an engine answers for its report, which states its start. */
+enum raw_report {
+	RAW_REPORT_WHOLE,
+	RAW_REPORT_REFUSED, /* 503 */
+	RAW_REPORT_SILENT, /* never */
 };
 
 /* The bytes that an endpoint sends for one attempt, and what it does with the
@@ -42,6 +53,8 @@
 	const char
 		*method; /* "POST" with a body of one byte, "GET" or "HEAD" */
 	bool kept; /* the first attempt arrives on a kept connection */
+	const char *headers; /* further lines of the request, or NULL */
+	enum raw_report report;
 };
 
 void raw_run_case(void **state);
