Ask an endpoint whether it has outlived a stream without a length

Callers got a part of a stream as the whole one: the first events and the last chunk. A stream without a length ends with its connection, and the kernel of an engine that is killed closes its connections in order, so that the end of the process was taken for the end of the stream.

Such a stream now waits with its end, not with its events, until its endpoint was asked after it: if the process that was known there before the request was sent answers, it has outlived the stream. If it refuses the connection or states another start, the stream goes on elsewhere from its last event, or, where it may not, the caller's connection is closed without a last chunk; so it is if the end can't be told. A begun stream that brings no event is whole after two such runs in a row of endpoints that live; before, it moved until its attempts were used up, and a caller that had all of a stream and took it up got 502.

--- /dev/null
+++ b/policy/answer_end.c
@@ -0,0 +1,59 @@
+/*
+ * Ends of answers without a length.  Such an answer ends with its connection, and
+ * the kernel closes the connections of a process that is killed in order, too.
+ * So its end is its own only if the process that wrote it has outlived it.
+ */
+#include "policy/answer_end.h"
+
+/* A sound endpoint may be silent for a second or so. */
+#define ANSWER_MAX_MS 2000
+
+/* An endpoint that lives accepts a connection within some milliseconds; a second
+ * attempt follows one that was lost. */
+#define CONNECT_MAX_MS 500
+
+/* Runs without an event after which a stream is taken for whole: a single one
+ * may have been broken off before its first event. */
+#define EMPTY_RUNS 2
+
+/* Decides what an answer is whose connection was closed in order. */
+enum answer_end answer_end_decide(const struct answer_end_signs *s)
+{
+	switch (s->endpoint) {
+	case ENDPOINT_SIGN_ENDED:
+		return ANSWER_END_CUT;
+	case ENDPOINT_SIGN_LIVES:
+		return s->empty && s->empty_before + 1 < EMPTY_RUNS
+			       ? ANSWER_END_EMPTY
+			       : ANSWER_END_WHOLE;
+	case ENDPOINT_SIGN_NONE:
+		break;
+	}
+	return s->waited_ms >= (s->reached ? ANSWER_MAX_MS : CONNECT_MAX_MS)
+		       ? ANSWER_END_CUT
+		       : ANSWER_END_WAIT;
+}
+
+/* Tells from the start that an endpoint states after the end of an answer, and
+ * the one that was known before the request was sent to it, whether its process
+ * is still the same.  Times of the endpoint's clock, 0 if there is none: then it
+ * is taken for the same. */
+enum endpoint_sign answer_end_start_sign(uint64_t known_ms, uint64_t stated_ms)
+{
+	return known_ms && stated_ms && known_ms != stated_ms
+		       ? ENDPOINT_SIGN_ENDED
+		       : ENDPOINT_SIGN_LIVES;
+}
+
+/* Returns the name of a decision, for logs and metrics. */
+const char *answer_end_name(enum answer_end end)
+{
+	static const char *const names[] = {
+		[ANSWER_END_WAIT] = "waits",
+		[ANSWER_END_WHOLE] = "whole",
+		[ANSWER_END_CUT] = "cut",
+		[ANSWER_END_EMPTY] = "empty",
+	};
+
+	return names[end];
+}
--- /dev/null
+++ b/policy/answer_end.h
@@ -0,0 +1,36 @@
+#ifndef POLICY_ANSWER_END_H
+#define POLICY_ANSWER_END_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* What became of an answer that has no length and ended with its connection. */
+enum answer_end {
+	ANSWER_END_WAIT, /* not known yet: the endpoint is to be asked */
+	ANSWER_END_WHOLE,
+	ANSWER_END_CUT, /* or it can't be told */
+	/* a stream that was to go on had no event: another endpoint is to be
+	 * asked for the rest */
+	ANSWER_END_EMPTY,
+};
+
+/* What is known of the endpoint since the answer ended. */
+enum endpoint_sign {
+	ENDPOINT_SIGN_NONE,
+	ENDPOINT_SIGN_LIVES, /* the process that wrote the answer lives */
+	ENDPOINT_SIGN_ENDED, /* that process has ended */
+};
+
+struct answer_end_signs {
+	enum endpoint_sign endpoint;
+	bool reached; /* the endpoint accepted a connection after the end */
+	uint64_t waited_ms; /* since the end */
+	bool empty; /* no event came of a stream that was to go on */
+	uint32_t empty_before; /* runs of it in a row of which none came */
+};
+
+enum answer_end answer_end_decide(const struct answer_end_signs *s);
+enum endpoint_sign answer_end_start_sign(uint64_t known_ms, uint64_t stated_ms);
+const char *answer_end_name(enum answer_end end);
+
+#endif /* POLICY_ANSWER_END_H */
--- /dev/null
+++ b/proxyd/answer_ends.c
@@ -0,0 +1,281 @@
+/*
+ * Streams without a length whose connection was closed in order: each waits until
+ * its endpoint, asked after the end, shows whether the process that wrote the
+ * stream still lives.  One question answers for all streams that ended before it
+ * was sent.
+ */
+#include "proxyd/answer_ends.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "lib/bytes.h"
+#include "lib/event_log.h"
+#include "lib/http1_client.h"
+#include "lib/xalloc.h"
+#include "policy/answer_end.h"
+#include "proxyd/exchange.h"
+#include "proxyd/limits.h"
+#include "proxyd/suspects.h"
+
+/* Time limits of a question; both are below those of the decision, so that a
+ * second one may follow. */
+#define CONNECT_MS 200
+#define ANSWER_MS 1500
+
+#define ASK_AGAIN_MS 100 /* after a question without an answer */
+#define REPORT_MAX_BYTES 65536
+
+/* A question to an endpoint, in progress or the last one. */
+struct end_question {
+	struct proxyd *proxyd;
+	struct handle endpoint;
+	struct http1_call *call; /* NULL once it has ended */
+	uint64_t asked_ms;
+	bool is_report; /* else any answer counts */
+	bool other_id; /* the answer names another endpoint */
+	uint64_t reached_ms; /* when a connection was last known to stand */
+	int status;
+	struct bytes body;
+};
+
+/* How a question has ended. */
+struct finding {
+	enum endpoint_sign sign;
+	const char *why; /* for logs */
+};
+
+static void ask(struct proxyd *p, struct endpoint *e);
+static enum http1_head_decision on_head(void *arg,
+					const struct http1_head *head);
+static void on_body(void *arg, const char *data, size_t len);
+static void on_end(void *arg, enum http1_outcome outcome);
+static struct finding evaluate(const struct end_question *q,
+			       enum http1_outcome outcome, uint64_t *born_ms);
+static bool was_asked_for(const struct exchange *x,
+			  const struct end_question *q);
+static void judge(struct exchange *x, const struct finding *f, uint64_t now);
+static bool is_reached(const struct endpoint *e, const struct exchange *x);
+
+static const struct http1_call_ops ops = {
+	.on_head = on_head,
+	.on_body = on_body,
+	.on_end = on_end,
+};
+
+/* Has a stream whose connection was closed in order wait until its end is
+ * known.  Its events have been passed on. */
+void answer_end_await(struct exchange *x)
+{
+	x->ended_ms = proxyd_now(x->proxyd);
+	x->staged = false;
+	kv_copy_cancel_order(x);
+}
+
+/* Decides on a stream that waits, or asks its endpoint. */
+void answer_end_tick(struct exchange *x, uint64_t now)
+{
+	struct endpoint *e = endpoint_get(x->proxyd->endpoints, x->endpoint);
+	struct finding f = { ENDPOINT_SIGN_NONE, "no answer" };
+
+	if (!e || (e->state != ENDPOINT_UP && e->ended))
+		f = (struct finding){ ENDPOINT_SIGN_ENDED, "endpoint ended" };
+	judge(x, &f, now);
+	if (x->ended_ms && now > x->ended_ms)
+		ask(x->proxyd, e);
+}
+
+/* Cancels the question to an endpoint, which is freed. */
+void answer_end_forget(struct endpoint *e)
+{
+	struct end_question *q = e->end_question;
+
+	if (!q)
+		return;
+	if (q->call)
+		http1_call_cancel(q->call);
+	bytes_release(&q->body);
+	free(q);
+	e->end_question = NULL;
+}
+
+/* Asks an endpoint, unless a question is in progress or has just failed: an
+ * engine for its report, which states its start, another service for its health.
+ * One that wants no requests now, or has neither, is only connected to. */
+static void ask(struct proxyd *p, struct endpoint *e)
+{
+	const struct route_service *s =
+		p->routes ? routes_service(p->routes, e->service) : NULL;
+	uint64_t now = proxyd_now(p);
+	struct http1_call_options options = {
+		.address = e->address,
+		.connect_timeout_ms = CONNECT_MS,
+		.timeout_ms = ANSWER_MS,
+	};
+	struct end_question *q = e->end_question;
+	struct bytes out = { 0 };
+	const char *path = NULL;
+
+	if (q && (q->call || now - q->asked_ms < ASK_AGAIN_MS))
+		return;
+	if (!q)
+		q = e->end_question = xcalloc(1, sizeof(*q));
+	q->proxyd = p;
+	q->endpoint = e->self;
+	q->asked_ms = now;
+	q->status = 0;
+	q->other_id = false;
+	q->body.len = 0;
+	if (s && endpoint_accepts_work(e, now) && !limits_in_force(e))
+		path = s->engine ? p->protocol->report_path : s->health_path;
+	q->is_report = path && s->engine;
+	if (path)
+		bytes_addf(&out, "GET %s HTTP/1.1\r\nhost: %s\r\n\r\n", path,
+			   e->address);
+	counter_add(p->exchanges->end_questions, 1);
+	q->call = http1_call_start(p->client, &options, out.data, out.len, &ops,
+				   q);
+}
+
+/* Handles the head of the answer to a question. */
+static enum http1_head_decision on_head(void *arg,
+					const struct http1_head *head)
+{
+	struct end_question *q = arg;
+	const struct endpoint *e =
+		endpoint_get(q->proxyd->endpoints, q->endpoint);
+	struct answer_fields fields;
+
+	q->status = head->status;
+	q->proxyd->protocol->decode_answer(head, &fields);
+	q->other_id =
+		fields.endpoint &&
+		(fields.endpoint_len != strlen(e->id) ||
+		 memcmp(fields.endpoint, e->id, fields.endpoint_len) != 0);
+	return HTTP1_ACCEPT;
+}
+
+/* Handles a part of the answer's body.  One that exceeds the limit, or never
+ * ends, is no report: its connection is closed. */
+static void on_body(void *arg, const char *data, size_t len)
+{
+	struct end_question *q = arg;
+
+	if (q->body.len + len <= REPORT_MAX_BYTES) {
+		bytes_add(&q->body, data, len);
+		return;
+	}
+	http1_call_cancel(q->call);
+	on_end(q, HTTP1_MALFORMED);
+}
+
+/* Handles the end of a question: judges the streams that ended before it was
+ * sent.  Their runs are noted before the endpoint is taken for dead, as its end
+ * counts against these. */
+static void on_end(void *arg, enum http1_outcome outcome)
+{
+	struct end_question *q = arg;
+	struct proxyd *p = q->proxyd;
+	struct endpoint *e = endpoint_get(p->endpoints, q->endpoint);
+	uint64_t now = proxyd_now(p);
+	uint64_t born_ms = 0;
+	struct finding f = evaluate(q, outcome, &born_ms);
+	struct exchange *x;
+
+	q->call = NULL;
+	if (outcome == HTTP1_COMPLETE || outcome == HTTP1_BROKEN ||
+	    outcome == HTTP1_MALFORMED)
+		q->reached_ms = now;
+	TAILQ_FOREACH(x, &p->exchanges->list, link)
+	if (f.sign == ENDPOINT_SIGN_ENDED && was_asked_for(x, q))
+		suspects_run_broke(x, e);
+	if (outcome == HTTP1_NOT_SENT || outcome == HTTP1_CONNECT_TIMEOUT)
+		endpoint_unreachable(p->endpoints, q->endpoint, NULL, outcome);
+	TAILQ_FOREACH(x, &p->exchanges->list, link)
+	{
+		struct finding own = f;
+
+		if (!was_asked_for(x, q))
+			continue;
+		if (own.sign == ENDPOINT_SIGN_LIVES && q->is_report)
+			own.sign =
+				answer_end_start_sign(x->sent_born_ms, born_ms);
+		if (own.sign != f.sign) {
+			own.why = "other start";
+			suspects_run_broke(x, e);
+		}
+		judge(x, &own, now);
+	}
+}
+
+/* Returns what the outcome of a question shows.  Sets *born_ms to the start that
+ * a report states. */
+static struct finding evaluate(const struct end_question *q,
+			       enum http1_outcome outcome, uint64_t *born_ms)
+{
+	if (outcome == HTTP1_NOT_SENT)
+		return (struct finding){ ENDPOINT_SIGN_ENDED, "refused" };
+	if (outcome != HTTP1_COMPLETE)
+		return (struct finding){ ENDPOINT_SIGN_NONE,
+					 http1_outcome_name(outcome) };
+	if (q->other_id)
+		return (struct finding){ ENDPOINT_SIGN_ENDED,
+					 "other endpoint" };
+	if (!q->is_report)
+		return (struct finding){ ENDPOINT_SIGN_LIVES,
+					 q->status ? "answers" : "accepts" };
+	if (q->status == 200 && q->proxyd->protocol->decode_report(
+					q->body.data, q->body.len, born_ms))
+		return (struct finding){ ENDPOINT_SIGN_LIVES, "same start" };
+	return (struct finding){ ENDPOINT_SIGN_NONE, "no report" };
+}
+
+/* Returns whether an exchange is a stream that had ended when a question was
+ * sent to its endpoint. */
+static bool was_asked_for(const struct exchange *x,
+			  const struct end_question *q)
+{
+	return x->phase == EXCHANGE_SENT && x->ended_ms &&
+	       x->ended_ms < q->asked_ms &&
+	       handle_equal(x->endpoint, q->endpoint);
+}
+
+/* Completes a stream that waits, moves it, or lets it wait on. */
+static void judge(struct exchange *x, const struct finding *f, uint64_t now)
+{
+	const struct endpoint *e =
+		endpoint_get(x->proxyd->endpoints, x->endpoint);
+	const struct answer_end_signs signs = {
+		.endpoint = f->sign,
+		.reached = is_reached(e, x),
+		.waited_ms = now - x->ended_ms,
+		.empty = x->first_event_due_ms != 0,
+		.empty_before = x->empty_runs,
+	};
+	enum answer_end end = answer_end_decide(&signs);
+
+	if (end == ANSWER_END_WAIT)
+		return;
+	counter_add(x->proxyd->exchanges->ends[end], 1);
+	event_log(end == ANSWER_END_WHOLE ? EVENT_ROUTINE : EVENT_NOTABLE,
+		  "unframed-end", x->fields.id,
+		  "{s:s, s:s, s:s, s:I, s:b, s:b, s:I, s:I}", "outcome",
+		  answer_end_name(end), "why", f->why, "endpoint",
+		  e ? e->id : "", "waited_ms", (json_int_t)signs.waited_ms,
+		  "reached", signs.reached, "empty", signs.empty, "known_start",
+		  (json_int_t)x->sent_born_ms, "last_event",
+		  (json_int_t)(x->has_last_event ? (int64_t)x->last_event_id
+						 : -1));
+	x->ended_ms = 0;
+	stream_end_known(x, end);
+}
+
+/* Returns whether the endpoint has accepted the connection of a question after
+ * the end of a stream. */
+static bool is_reached(const struct endpoint *e, const struct exchange *x)
+{
+	const struct end_question *q = e ? e->end_question : NULL;
+
+	return q && (q->reached_ms > x->ended_ms ||
+		     (q->call && http1_call_connected(q->call)));
+}
--- /dev/null
+++ b/proxyd/answer_ends.h
@@ -0,0 +1,13 @@
+#ifndef PROXYD_ANSWER_ENDS_H
+#define PROXYD_ANSWER_ENDS_H
+
+#include <stdint.h>
+
+struct endpoint;
+struct exchange;
+
+void answer_end_await(struct exchange *x);
+void answer_end_tick(struct exchange *x, uint64_t now);
+void answer_end_forget(struct endpoint *e);
+
+#endif /* PROXYD_ANSWER_ENDS_H */
--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -127,6 +127,8 @@
 	exchange_count_delivery(x);
 	x->sent_ms = now;
 	x->sent_software = endpoint_software(e);
+	x->sent_born_ms = endpoint_known_start(e);
+	x->ended_ms = 0;
 	x->start_excused = false;
 	if (x->engine && x->route->kind == KIND_STREAM)
 		endpoint_want_start(p->endpoints, e);
--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -15,6 +15,7 @@
 #include "lib/xalloc.h"
 #include "policy/endpoint_restart.h"
 #include "policy/gossip_select.h"
+#include "proxyd/answer_ends.h"
 #include "proxyd/exchange.h"
 #include "proxyd/limits.h"
 #include "proxyd/origins.h"
@@ -603,6 +604,7 @@
 	if (restarted) {
 		suspects_endpoint_crashed(e->proxyd->suspects, e);
 		e->holdoff = (struct holdoff){ 0 };
+		e->stated_born_ms = 0;
 		limits_release(e);
 	}
 	snprintf(e->address, sizeof(e->address), "%s", n->address);
@@ -652,6 +654,14 @@
 						   : e->unlisted_software;
 }
 
+/* Returns when the process that is known at an endpoint's address started, by the
+ * endpoint's clock, ms: as it stated itself, or as its entry does; 0 if neither
+ * is known. */
+uint64_t endpoint_known_start(const struct endpoint *e)
+{
+	return e->stated_born_ms ? e->stated_born_ms : e->born_ms;
+}
+
 /* Returns whether an endpoint may continue a stream that a version began. */
 bool endpoint_continues(const struct endpoint *e, uint64_t software)
 {
@@ -672,6 +682,7 @@
 	if (!e || (!e->software_doubted && !e->start_wanted))
 		return;
 	same = !born_ms || !e->born_ms || born_ms == e->born_ms;
+	e->stated_born_ms = born_ms;
 	e->start_wanted = false;
 	if (same)
 		e->proved_ms = since_ms;
@@ -870,6 +881,7 @@
 
 	if (e->probe)
 		http1_call_cancel(e->probe);
+	answer_end_forget(e);
 	limits_release(e);
 	for (i = 0; e->broken_runs && i < ENDPOINT_BROKEN_RUNS_MAX; i++)
 		prompt_parts_unref(e->broken_runs[i].parts);
--- a/proxyd/endpoints.h
+++ b/proxyd/endpoints.h
@@ -22,6 +22,7 @@
 #define ENDPOINT_BROKEN_RUNS_MAX 64 /* ring of recent broken runs */
 
 struct answer_fields;
+struct end_question;
 struct endpoint_limit;
 struct endpoints;
 struct http1_call;
@@ -69,6 +70,7 @@
 	uint16_t zone;
 	uint32_t slots;
 	uint64_t born_ms;
+	uint64_t stated_born_ms; /* as it last stated itself; 0: not yet */
 	bool leaving; /* according to its entry */
 	struct holdoff holdoff; /* as its answers report */
 	struct endpoint_limit *limit; /* NULL until it names one */
@@ -83,6 +85,7 @@
 	uint64_t reported_lost_ms; /* another instance reported it dead */
 	bool unconfirmed; /* up by a probe, without an answer since */
 	struct http1_call *probe;
+	struct end_question *end_question; /* the last one, or NULL */
 	bool rediscovering; /* the id at its address is being queried */
 	uint64_t adopted_ms; /* added without a store entry; 0: not */
 	struct proxyd *proxyd;
@@ -135,6 +138,7 @@
 		     const struct endpoint_entry *found);
 const char *endpoints_zone_name(const struct endpoints *t, uint16_t zone);
 uint64_t endpoint_software(const struct endpoint *e);
+uint64_t endpoint_known_start(const struct endpoint *e);
 bool endpoint_continues(const struct endpoint *e, uint64_t software);
 void endpoint_stated_start(struct endpoints *t, struct handle h,
 			   uint64_t born_ms, uint64_t since_ms);
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -13,6 +13,7 @@
 #include "policy/content.h"
 #include "policy/capacity_wait.h"
 #include "policy/unconfigured.h"
+#include "proxyd/answer_ends.h"
 #include "proxyd/origins.h"
 #include "proxyd/peers.h"
 #include "proxyd/suspects.h"
@@ -71,6 +72,7 @@
 struct exchanges *exchanges_new(struct proxyd *p)
 {
 	struct exchanges *t = xcalloc(1, sizeof(*t));
+	enum answer_end end;
 
 	t->proxyd = p;
 	TAILQ_INIT(&t->list);
@@ -89,6 +91,15 @@
 	t->moved_decode = counter_labelled(
 		"cdm_moves_total", "Runs that went on at another endpoint",
 		COUNTER_TOTAL, "from", "prompt read");
+	t->end_questions = counter_labelled(
+		"cdm_probes_total",
+		"Connections made only to see whether an endpoint lives",
+		COUNTER_TOTAL, "kind", "end of an answer");
+	for (end = ANSWER_END_WHOLE; end <= ANSWER_END_EMPTY; end++)
+		t->ends[end] = counter_labelled(
+			"cdm_unframed_ends_total",
+			"Streams without a length whose connection was closed",
+			COUNTER_TOTAL, "outcome", answer_end_name(end));
 	exchange_repeats_init(t);
 	t->first_event.name = "cdm_first_event_ms";
 	t->first_event.help = "Arrival to first event of a stream, ms";
@@ -132,6 +143,8 @@
 		x->held.last_event_ms += stall_ms;
 		if (x->first_event_due_ms)
 			x->first_event_due_ms += stall_ms;
+		if (x->ended_ms)
+			x->ended_ms += stall_ms;
 	}
 }
 
@@ -780,6 +793,10 @@
 	}
 	if (x->route->kind != KIND_STREAM)
 		return;
+	if (x->ended_ms) {
+		answer_end_tick(x, now);
+		return;
+	}
 	handover_tick(x, now);
 	kv_copy_tick(x, now);
 	stream_check_silence(x, now);
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -10,6 +10,7 @@
 #include "lib/counters.h"
 #include "lib/event_stream.h"
 #include "lib/http1_client.h"
+#include "policy/answer_end.h"
 #include "policy/request_limit.h"
 #include "proxyd/endpoints.h"
 #include "proxyd/limits.h"
@@ -47,6 +48,7 @@
 	struct handle endpoint;
 	uint64_t sent_ms;
 	uint64_t sent_software;
+	uint64_t sent_born_ms;
 	enum request_permit permit;
 	bool load_counted;
 	bool prefill_counted;
@@ -95,6 +97,7 @@
 	struct handle endpoint;
 	uint64_t sent_ms;
 	uint64_t sent_software; /* version of the endpoint then */
+	uint64_t sent_born_ms; /* its start, as known then; 0: unknown */
 	bool start_excused; /* the endpoint was asked and stated no start */
 	uint32_t sends; /* attempts that reached an endpoint, or may have */
 	uint32_t failed_connects; /* or misdirected attempts */
@@ -147,6 +150,10 @@
 	uint64_t last_relayed_ms; /* last event sent to the caller */
 	uint64_t first_event_ms; /* from arrival to the first event */
 	uint32_t moves;
+	/* when the answer ended with its connection, while it is not known
+	 * whether it is whole; 0: it has not */
+	uint64_t ended_ms;
+	uint32_t empty_runs; /* in a row, without an event of a begun stream */
 };
 
 TAILQ_HEAD(exchange_list, exchange);
@@ -171,6 +178,8 @@
 	struct counter *repeats_denied;
 	struct counter *repeats_sent;
 	struct counter *repeats_lent; /* to other instances */
+	struct counter *end_questions;
+	struct counter *ends[ANSWER_END_EMPTY + 1];
 	struct histogram first_event;
 	struct histogram plain_answer;
 	struct histogram pause_moved;
@@ -234,6 +243,7 @@
 struct handle kv_copy_choose(struct exchange *x);
 void kv_copy_set(struct exchange *x, struct handle endpoint, const char *id);
 void kv_copy_clear(struct exchange *x);
+void kv_copy_cancel_order(struct exchange *x);
 void kv_copy_release(struct exchange *x, bool used);
 void kv_copy_keep(struct exchange *x, const struct kv_copy *copy);
 void kv_copy_drop_kept(struct exchange *x);
@@ -245,6 +255,7 @@
 /* stream.c */
 void stream_receive(struct exchange *x, const char *data, size_t len);
 void stream_ended(struct exchange *x, enum http1_outcome outcome);
+void stream_end_known(struct exchange *x, enum answer_end end);
 void stream_move(struct exchange *x, const char *why, bool may_go_on);
 void stream_resume(struct exchange *x);
 void stream_check_silence(struct exchange *x, uint64_t now);
--- a/proxyd/handover.c
+++ b/proxyd/handover.c
@@ -114,6 +114,7 @@
 		.endpoint = x->endpoint,
 		.sent_ms = x->sent_ms,
 		.sent_software = x->sent_software,
+		.sent_born_ms = x->sent_born_ms,
 		.permit = x->permit,
 		.load_counted = x->load_counted,
 		.prefill_counted = x->prefill_counted,
@@ -135,6 +136,7 @@
 	x->endpoint = x->held.endpoint;
 	x->sent_ms = x->held.sent_ms;
 	x->sent_software = x->held.sent_software;
+	x->sent_born_ms = x->held.sent_born_ms;
 	x->permit = x->held.permit;
 	x->load_counted = x->held.load_counted;
 	x->prefill_counted = x->held.prefill_counted;
--- a/proxyd/kv_copy.c
+++ b/proxyd/kv_copy.c
@@ -82,13 +82,19 @@
 	x->copy.id[0] = '\0';
 }
 
-/* Cancels an order in progress when the run has ended or moved, and frees an
- * ordered copy unless it is used: otherwise the engine keeps it for seconds. */
-void kv_copy_release(struct exchange *x, bool used)
+/* Cancels an order in progress, if there is one. */
+void kv_copy_cancel_order(struct exchange *x)
 {
 	if (x->copy.call)
 		http1_call_cancel(x->copy.call);
 	x->copy.call = NULL;
+}
+
+/* Cancels an order in progress when the run has ended or moved, and frees an
+ * ordered copy unless it is used: otherwise the engine keeps it for seconds. */
+void kv_copy_release(struct exchange *x, bool used)
+{
+	kv_copy_cancel_order(x);
 	if (!used && x->copy.id[0])
 		free_copy(x->proxyd, &x->copy);
 	kv_copy_clear(x);
--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -9,6 +9,7 @@
 
 #include "lib/event_log.h"
 #include "policy/silence.h"
+#include "proxyd/answer_ends.h"
 #include "proxyd/origins.h"
 #include "proxyd/peers.h"
 #include "proxyd/suspects.h"
@@ -48,6 +49,7 @@
 static void start_response(struct exchange *x);
 static void handle_first_event(struct exchange *x, uint64_t now);
 static void record_event_time(struct exchange *x, uint64_t now);
+static bool awaits_end(const struct exchange *x, bool complete);
 static void complete_stream(struct exchange *x);
 
 /* Handles a part of a stream: forwards the events that are complete. */
@@ -161,19 +163,21 @@
 
 /* Handles the end of the engine's answer, complete or not.  An answer that ends
  * with its connection has been broken off if that is inside an event or before
- * the first one. */
+ * the first one; otherwise the endpoint is asked whether it lives. */
 void stream_ended(struct exchange *x, enum http1_outcome outcome)
 {
 	struct handle endpoint = x->endpoint;
-	bool empty = x->unframed && x->first_event_due_ms;
-	bool whole = outcome == HTTP1_COMPLETE && !x->stream.pending.len &&
-		     !empty;
+	bool complete = outcome == HTTP1_COMPLETE && !x->stream.pending.len;
 	const char *why = http1_outcome_name(outcome);
 
-	if (whole && x->caller) {
+	if (complete && x->caller && !x->unframed) {
 		complete_stream(x);
 		return;
 	}
+	if (x->caller && awaits_end(x, complete)) {
+		answer_end_await(x);
+		return;
+	}
 	if (!x->caller) {
 		attempt_cancel(x);
 		exchange_finish(x, "left by caller");
@@ -189,6 +193,34 @@
 	stream_move(x, why, false);
 }
 
+/* Returns whether an answer that has ended with its connection may be the whole
+ * rest of the stream.  One without events can be only if its caller has some; and
+ * if the run that it was to replace is held, that one goes on. */
+static bool awaits_end(const struct exchange *x, bool complete)
+{
+	bool goes_on = x->response_started || x->fields.resume_after;
+
+	return complete && !x->held.call && (!x->first_event_due_ms || goes_on);
+}
+
+/* Handles what is known now of a stream that ended with its connection. */
+void stream_end_known(struct exchange *x, enum answer_end end)
+{
+	if (end == ANSWER_END_WHOLE) {
+		complete_stream(x);
+		return;
+	}
+	if (end == ANSWER_END_EMPTY)
+		x->empty_runs++;
+	else
+		suspects_run_broke(x, endpoint_get(x->proxyd->endpoints,
+						   x->endpoint));
+	stream_move(x,
+		    end == ANSWER_END_EMPTY ? "ended before an event"
+					    : "ended with its endpoint",
+		    false);
+}
+
 /* Handles the loss of a run's engine: resumes the stream from its KV-cache copy,
  * or from its prompt if there is none.  The old run is cancelled; one that may
  * go on is held until the new endpoint has taken the request.  A run that may
@@ -471,6 +503,7 @@
 	float took = (float)(now - x->sent_ms);
 
 	x->first_event_due_ms = 0;
+	x->empty_runs = 0;
 	handover_end(x);
 	if (e && x->software == SOFTWARE_UNKNOWN && !software_proved(x)) {
 		x->sent_software = e->unlisted_software; /* named later */
--- /dev/null
+++ b/regress/unit/test_answer_end.c
@@ -0,0 +1,91 @@
+/* Unit test of policy/answer_end.c: what an answer is that ended with its
+ * connection, by what its endpoint shows afterwards. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include "policy/answer_end.h"
+
+#define N(list) (sizeof(list) / sizeof((list)[0]))
+#define TICK_MS 20
+#define SILENCE_MS 1500 /* of a sound endpoint */
+#define CUT_MS 200 /* a connection that was lost, and one more */
+#define STREAM_GAP_MS 5600 /* the shortest after which callers leave */
+
+static void decisions(void **state)
+{
+	static const struct {
+		struct answer_end_signs signs;
+		enum answer_end end;
+	} cases[] = {
+		{ { .endpoint = ENDPOINT_SIGN_NONE }, ANSWER_END_WAIT },
+		{ { .endpoint = ENDPOINT_SIGN_LIVES }, ANSWER_END_WHOLE },
+		{ { .endpoint = ENDPOINT_SIGN_ENDED }, ANSWER_END_CUT },
+		{ { .endpoint = ENDPOINT_SIGN_ENDED, .empty = true },
+		  ANSWER_END_CUT },
+		{ { .endpoint = ENDPOINT_SIGN_ENDED,
+		    .empty = true,
+		    .empty_before = 1 },
+		  ANSWER_END_CUT },
+		{ { .endpoint = ENDPOINT_SIGN_LIVES, .empty = true },
+		  ANSWER_END_EMPTY },
+		{ { .endpoint = ENDPOINT_SIGN_LIVES,
+		    .empty = true,
+		    .empty_before = 1 },
+		  ANSWER_END_WHOLE },
+		{ { .endpoint = ENDPOINT_SIGN_NONE, .waited_ms = CUT_MS },
+		  ANSWER_END_WAIT },
+		{ { .endpoint = ENDPOINT_SIGN_NONE,
+		    .reached = true,
+		    .waited_ms = SILENCE_MS },
+		  ANSWER_END_WAIT },
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < N(cases); i++)
+		assert_int_equal(answer_end_decide(&cases[i].signs),
+				 cases[i].end);
+}
+
+/* A stream waits neither without end nor until its caller leaves, and never
+ * ends as whole for want of an answer. */
+static void wait_is_bounded(void **state)
+{
+	struct answer_end_signs s = { .endpoint = ENDPOINT_SIGN_NONE };
+	int reached;
+
+	(void)state;
+	for (reached = 0; reached < 2; reached++) {
+		s.reached = reached;
+		s.waited_ms = 0;
+		while (answer_end_decide(&s) == ANSWER_END_WAIT)
+			s.waited_ms += TICK_MS;
+		assert_int_equal(answer_end_decide(&s), ANSWER_END_CUT);
+		assert_true(s.waited_ms < STREAM_GAP_MS / 2);
+	}
+}
+
+static void starts(void **state)
+{
+	(void)state;
+	assert_int_equal(answer_end_start_sign(7, 7), ENDPOINT_SIGN_LIVES);
+	assert_int_equal(answer_end_start_sign(7, 8), ENDPOINT_SIGN_ENDED);
+	assert_int_equal(answer_end_start_sign(8, 7), ENDPOINT_SIGN_ENDED);
+	assert_int_equal(answer_end_start_sign(0, 7), ENDPOINT_SIGN_LIVES);
+	assert_int_equal(answer_end_start_sign(7, 0), ENDPOINT_SIGN_LIVES);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(decisions),
+		cmocka_unit_test(wait_is_bounded),
+		cmocka_unit_test(starts),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
