Ask also after plain answers without a length

Callers of a service that was killed while it wrote an answer without a length got the part that had come as a success, and the answer counted for the endpoint's health and cleared its content of crashes. The same cause as of streams: the kernel of a killed process closes its connections in order.

Such a success now waits until its endpoint has accepted a connection after it, some 10 ms; if it refuses, the request is repeated or fails as after a broken connection. If nothing can be told in half a second, the answer is passed on as it came, without a length.

--- a/policy/answer_end.c
+++ b/policy/answer_end.c
@@ -30,7 +30,7 @@
 		break;
 	}
 	return s->waited_ms >= (s->reached ? ANSWER_MAX_MS : CONNECT_MAX_MS)
-		       ? ANSWER_END_CUT
+		       ? ANSWER_END_UNKNOWN
 		       : ANSWER_END_WAIT;
 }
 
@@ -49,9 +49,8 @@
 const char *answer_end_name(enum answer_end end)
 {
 	static const char *const names[] = {
-		[ANSWER_END_WAIT] = "waits",
-		[ANSWER_END_WHOLE] = "whole",
-		[ANSWER_END_CUT] = "cut",
+		[ANSWER_END_WAIT] = "waits",  [ANSWER_END_WHOLE] = "whole",
+		[ANSWER_END_CUT] = "cut",     [ANSWER_END_UNKNOWN] = "unknown",
 		[ANSWER_END_EMPTY] = "empty",
 	};
 
--- a/policy/answer_end.h
+++ b/policy/answer_end.h
@@ -8,7 +8,8 @@
 enum answer_end {
 	ANSWER_END_WAIT, /* not known yet: the endpoint is to be asked */
 	ANSWER_END_WHOLE,
-	ANSWER_END_CUT, /* or it can't be told */
+	ANSWER_END_CUT,
+	ANSWER_END_UNKNOWN, /* the endpoint gave no sign in time */
 	/* a stream that was to go on had no event: another endpoint is to be
 	 * asked for the rest */
 	ANSWER_END_EMPTY,
--- a/proxyd/answer_ends.c
+++ b/proxyd/answer_ends.c
@@ -1,13 +1,12 @@
 /*
- * Streams without a length whose connection was closed in order: each waits until
+ * Answers without a length whose connection was closed in order: each waits until
  * its endpoint, asked after the end, shows whether the process that wrote the
- * stream still lives.  One question answers for all streams that ended before it
- * was sent.
+ * answer still lives.  One question serves all answers that ended before it was
+ * sent.
  */
 #include "proxyd/answer_ends.h"
 
 #include <stdlib.h>
-#include <string.h>
 
 #include "lib/bytes.h"
 #include "lib/event_log.h"
@@ -32,8 +31,7 @@
 	struct handle endpoint;
 	struct http1_call *call; /* NULL once it has ended */
 	uint64_t asked_ms;
-	bool is_report; /* else any answer counts */
-	bool other_id; /* the answer names another endpoint */
+	bool is_report; /* else only a connection */
 	uint64_t reached_ms; /* when a connection was last known to stand */
 	int status;
 	struct bytes body;
@@ -54,7 +52,8 @@
 			       enum http1_outcome outcome, uint64_t *born_ms);
 static bool was_asked_for(const struct exchange *x,
 			  const struct end_question *q);
-static void judge(struct exchange *x, const struct finding *f, uint64_t now);
+static void judge(struct exchange *x, const struct finding *f, uint64_t now,
+		  bool last);
 static bool is_reached(const struct endpoint *e, const struct exchange *x);
 
 static const struct http1_call_ops ops = {
@@ -63,8 +62,8 @@
 	.on_end = on_end,
 };
 
-/* Has a stream whose connection was closed in order wait until its end is
- * known.  Its events have been passed on. */
+/* Has an answer whose connection was closed in order wait until its end is
+ * known.  The events of a stream have been passed on. */
 void answer_end_await(struct exchange *x)
 {
 	x->ended_ms = proxyd_now(x->proxyd);
@@ -72,15 +71,17 @@
 	kv_copy_cancel_order(x);
 }
 
-/* Decides on a stream that waits, or asks its endpoint. */
-void answer_end_tick(struct exchange *x, uint64_t now)
+/* Decides on an answer that waits, which it must not any longer if last is set,
+ * or asks its endpoint.  By then a process that was killed has closed its
+ * listener, too. */
+void answer_end_tick(struct exchange *x, uint64_t now, bool last)
 {
 	struct endpoint *e = endpoint_get(x->proxyd->endpoints, x->endpoint);
 	struct finding f = { ENDPOINT_SIGN_NONE, "no answer" };
 
 	if (!e || (e->state != ENDPOINT_UP && e->ended))
 		f = (struct finding){ ENDPOINT_SIGN_ENDED, "endpoint ended" };
-	judge(x, &f, now);
+	judge(x, &f, now, last);
 	if (x->ended_ms && now > x->ended_ms)
 		ask(x->proxyd, e);
 }
@@ -100,8 +101,8 @@
 }
 
 /* Asks an endpoint, unless a question is in progress or has just failed: an
- * engine for its report, which states its start, another service for its health.
- * One that wants no requests now, or has neither, is only connected to. */
+ * engine for its report, which states its start.  One that wants no requests now,
+ * or has no reports, is only connected to. */
 static void ask(struct proxyd *p, struct endpoint *e)
 {
 	const struct route_service *s =
@@ -114,7 +115,6 @@
 	};
 	struct end_question *q = e->end_question;
 	struct bytes out = { 0 };
-	const char *path = NULL;
 
 	if (q && (q->call || now - q->asked_ms < ASK_AGAIN_MS))
 		return;
@@ -124,14 +124,12 @@
 	q->endpoint = e->self;
 	q->asked_ms = now;
 	q->status = 0;
-	q->other_id = false;
 	q->body.len = 0;
-	if (s && endpoint_accepts_work(e, now) && !limits_in_force(e))
-		path = s->engine ? p->protocol->report_path : s->health_path;
-	q->is_report = path && s->engine;
-	if (path)
-		bytes_addf(&out, "GET %s HTTP/1.1\r\nhost: %s\r\n\r\n", path,
-			   e->address);
+	q->is_report = s && s->engine && endpoint_accepts_work(e, now) &&
+		       !limits_in_force(e);
+	if (q->is_report)
+		bytes_addf(&out, "GET %s HTTP/1.1\r\nhost: %s\r\n\r\n",
+			   p->protocol->report_path, e->address);
 	counter_add(p->exchanges->end_questions, 1);
 	q->call = http1_call_start(p->client, &options, out.data, out.len, &ops,
 				   q);
@@ -141,17 +139,7 @@
 static enum http1_head_decision on_head(void *arg,
 					const struct http1_head *head)
 {
-	struct end_question *q = arg;
-	const struct endpoint *e =
-		endpoint_get(q->proxyd->endpoints, q->endpoint);
-	struct answer_fields fields;
-
-	q->status = head->status;
-	q->proxyd->protocol->decode_answer(head, &fields);
-	q->other_id =
-		fields.endpoint &&
-		(fields.endpoint_len != strlen(e->id) ||
-		 memcmp(fields.endpoint, e->id, fields.endpoint_len) != 0);
+	((struct end_question *)arg)->status = head->status;
 	return HTTP1_ACCEPT;
 }
 
@@ -169,7 +157,7 @@
 	on_end(q, HTTP1_MALFORMED);
 }
 
-/* Handles the end of a question: judges the streams that ended before it was
+/* Handles the end of a question: judges the answers that ended before it was
  * sent.  Their runs are noted before the endpoint is taken for dead, as its end
  * counts against these. */
 static void on_end(void *arg, enum http1_outcome outcome)
@@ -204,7 +192,7 @@
 			own.why = "other start";
 			suspects_run_broke(x, e);
 		}
-		judge(x, &own, now);
+		judge(x, &own, now, false);
 	}
 }
 
@@ -218,20 +206,16 @@
 	if (outcome != HTTP1_COMPLETE)
 		return (struct finding){ ENDPOINT_SIGN_NONE,
 					 http1_outcome_name(outcome) };
-	if (q->other_id)
-		return (struct finding){ ENDPOINT_SIGN_ENDED,
-					 "other endpoint" };
 	if (!q->is_report)
-		return (struct finding){ ENDPOINT_SIGN_LIVES,
-					 q->status ? "answers" : "accepts" };
+		return (struct finding){ ENDPOINT_SIGN_LIVES, "accepts" };
 	if (q->status == 200 && q->proxyd->protocol->decode_report(
 					q->body.data, q->body.len, born_ms))
 		return (struct finding){ ENDPOINT_SIGN_LIVES, "same start" };
 	return (struct finding){ ENDPOINT_SIGN_NONE, "no report" };
 }
 
-/* Returns whether an exchange is a stream that had ended when a question was
- * sent to its endpoint. */
+/* Returns whether the answer of an exchange had ended when a question was sent to
+ * its endpoint. */
 static bool was_asked_for(const struct exchange *x,
 			  const struct end_question *q)
 {
@@ -240,8 +224,10 @@
 	       handle_equal(x->endpoint, q->endpoint);
 }
 
-/* Completes a stream that waits, moves it, or lets it wait on. */
-static void judge(struct exchange *x, const struct finding *f, uint64_t now)
+/* Completes an answer that waits, takes it for broken off, or lets it wait on;
+ * not if last is set. */
+static void judge(struct exchange *x, const struct finding *f, uint64_t now,
+		  bool last)
 {
 	const struct endpoint *e =
 		endpoint_get(x->proxyd->endpoints, x->endpoint);
@@ -249,11 +235,13 @@
 		.endpoint = f->sign,
 		.reached = is_reached(e, x),
 		.waited_ms = now - x->ended_ms,
-		.empty = x->first_event_due_ms != 0,
+		.empty = x->is_event_stream && x->first_event_due_ms,
 		.empty_before = x->empty_runs,
 	};
 	enum answer_end end = answer_end_decide(&signs);
 
+	if (end == ANSWER_END_WAIT && last)
+		end = ANSWER_END_UNKNOWN;
 	if (end == ANSWER_END_WAIT)
 		return;
 	counter_add(x->proxyd->exchanges->ends[end], 1);
@@ -267,7 +255,10 @@
 		  (json_int_t)(x->has_last_event ? (int64_t)x->last_event_id
 						 : -1));
 	x->ended_ms = 0;
-	stream_end_known(x, end);
+	if (x->is_event_stream)
+		stream_end_known(x, end);
+	else
+		attempt_end_known(x, end);
 }
 
 /* Returns whether the endpoint has accepted the connection of a question after
--- a/proxyd/answer_ends.h
+++ b/proxyd/answer_ends.h
@@ -1,13 +1,14 @@
 #ifndef PROXYD_ANSWER_ENDS_H
 #define PROXYD_ANSWER_ENDS_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 struct endpoint;
 struct exchange;
 
 void answer_end_await(struct exchange *x);
-void answer_end_tick(struct exchange *x, uint64_t now);
+void answer_end_tick(struct exchange *x, uint64_t now, bool last);
 void answer_end_forget(struct endpoint *e);
 
 #endif /* PROXYD_ANSWER_ENDS_H */
--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -8,6 +8,7 @@
 #include "lib/event_log.h"
 #include "policy/content.h"
 #include "policy/capacity_wait.h"
+#include "proxyd/answer_ends.h"
 #include "proxyd/exchange.h"
 #include "proxyd/origins.h"
 #include "proxyd/peers.h"
@@ -55,6 +56,8 @@
 static void on_body(void *arg, const char *data, size_t len);
 static void handle_oversized_answer(struct exchange *x);
 static void on_end(void *arg, enum http1_outcome outcome);
+static bool awaits_end(const struct exchange *x);
+static void end_attempt(struct exchange *x, enum http1_outcome outcome);
 static void handle_not_sent(struct exchange *x, struct handle endpoint,
 			    enum http1_outcome outcome);
 static void handle_no_socket(struct exchange *x, struct handle endpoint);
@@ -389,7 +392,6 @@
 static void on_end(void *arg, enum http1_outcome outcome)
 {
 	struct exchange *x = arg;
-	struct handle endpoint = x->endpoint;
 
 	x->call = NULL;
 	x->awaits_repeat = false;
@@ -400,6 +402,33 @@
 		stream_ended(x, outcome);
 		return;
 	}
+	if (outcome == HTTP1_COMPLETE && awaits_end(x)) {
+		answer_end_await(x);
+		return;
+	}
+	end_attempt(x, outcome);
+}
+
+/* Returns whether an answer is a success that has ended with its connection. */
+static bool awaits_end(const struct exchange *x)
+{
+	return x->unframed && x->caller && !x->response_started &&
+	       !x->answer.not_run && x->answer.authentic && x->status >= 200 &&
+	       x->status < 300;
+}
+
+/* Handles what is known now of an answer that ended with its connection.  One of
+ * which nothing is known is forwarded as it came, without a length. */
+void attempt_end_known(struct exchange *x, enum answer_end end)
+{
+	end_attempt(x, end == ANSWER_END_CUT ? HTTP1_BROKEN : HTTP1_COMPLETE);
+}
+
+/* Handles the outcome of an attempt whose answer is no event stream. */
+static void end_attempt(struct exchange *x, enum http1_outcome outcome)
+{
+	struct handle endpoint = x->endpoint;
+
 	kv_copy_release(x, false);
 	load_remove(x);
 	switch (outcome) {
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -98,7 +98,7 @@
 	for (end = ANSWER_END_WHOLE; end <= ANSWER_END_EMPTY; end++)
 		t->ends[end] = counter_labelled(
 			"cdm_unframed_ends_total",
-			"Streams without a length whose connection was closed",
+			"Answers without a length whose connection was closed",
 			COUNTER_TOTAL, "outcome", answer_end_name(end));
 	exchange_repeats_init(t);
 	t->first_event.name = "cdm_first_event_ms";
@@ -773,6 +773,10 @@
 			refuse_unconfigured(x);
 		return;
 	}
+	if (x->ended_ms && !x->is_event_stream) {
+		answer_end_tick(x, now, must_end || now >= x->deadline_ms);
+		return;
+	}
 	if (now >= x->deadline_ms) {
 		exchange_fail(x, 504, "its time is up");
 		return;
@@ -794,7 +798,7 @@
 	if (x->route->kind != KIND_STREAM)
 		return;
 	if (x->ended_ms) {
-		answer_end_tick(x, now);
+		answer_end_tick(x, now, false);
 		return;
 	}
 	handover_tick(x, now);
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -222,6 +222,7 @@
 /* attempt.c */
 void attempt_start(struct exchange *x, struct handle endpoint,
 		   const struct kv_copy *from);
+void attempt_end_known(struct exchange *x, enum answer_end end);
 void attempt_discard_answer(struct exchange *x);
 void attempt_cancel(struct exchange *x);
 void attempt_reassign(struct exchange *x);
--- a/regress/integration/test_killed_engine.c
+++ b/regress/integration/test_killed_engine.c
@@ -1,7 +1,7 @@
 /*
- * An engine that is killed while it writes a stream without a length: its kernel
- * closes the connection in order, and the caller never takes the part that it
- * has for the whole stream.
+ * An endpoint that is killed while it writes an answer without a length: its
+ * kernel closes the connection in order, and the caller never takes the part
+ * that it has for the whole answer.
  */
 #include <stdarg.h>
 #include <stddef.h>
@@ -17,6 +17,9 @@
 	"HTTP/1.1 200 OK\r\nrequest-id: r-1\r\n" \
 	"response-signature: m.1\r\n"            \
 	"content-type: text/event-stream\r\n\r\n"
+#define PLAIN                                    \
+	"HTTP/1.1 200 OK\r\nrequest-id: r-1\r\n" \
+	"response-signature: m.1\r\n\r\n"
 #define E1 "id: 1\ndata: a\n\n"
 #define E2 "id: 2\ndata: b\n\n"
 
@@ -136,6 +139,32 @@
 	    .body = E1,
 	    .n_attempts = 1 },
 	  { .method = "POST", .report = RAW_REPORT_SILENT } },
+	{ { .what = "plain, killed",
+	    .target = "/look/a",
+	    .version = "1.1",
+	    .answers = { { PLAIN "o", RAW_KILLED }, { PLAIN "ok", RAW_FIN } },
+	    .outcome = HTTP1_COMPLETE,
+	    .status = 200,
+	    .body = "ok",
+	    .n_attempts = 2 },
+	  { .method = "POST" } },
+	{ { .what = "plain, killed, may run once",
+	    .target = "/book/a",
+	    .version = "1.1",
+	    .answers = { { PLAIN "o", RAW_KILLED } },
+	    .outcome = HTTP1_COMPLETE,
+	    .status = 502,
+	    .n_attempts = 1 },
+	  { .method = "POST" } },
+	{ { .what = "plain, ends in order, may run once",
+	    .target = "/book/a",
+	    .version = "1.1",
+	    .answers = { { PLAIN "ok", RAW_FIN } },
+	    .outcome = HTTP1_COMPLETE,
+	    .status = 200,
+	    .body = "ok",
+	    .n_attempts = 1 },
+	  { .method = "POST" } },
 };
 
 static void run(void **state)
