--- a/proxyd/answer_ends.c
+++ b/proxyd/answer_ends.c
@@ -82,7 +82,7 @@
 	if (!e || (e->state != ENDPOINT_UP && e->ended))
 		f = (struct finding){ ENDPOINT_SIGN_ENDED, "endpoint ended" };
 	judge(x, &f, now, last);
-	if (x->ended_ms && now > x->ended_ms)
+	if (e && x->ended_ms && now > x->ended_ms)
 		ask(x->proxyd, e);
 }
 
