--- a/regress/integration/test_killed_engine.c
+++ b/regress/integration/test_killed_engine.c
@@ -17,6 +17,16 @@
 	"HTTP/1.1 200 OK\r\nrequest-id: r-1\r\n" \
 	"response-signature: m.1\r\n"            \
 	"content-type: text/event-stream\r\n\r\n"
+#define LIMITED                                  \
+	"HTTP/1.1 200 OK\r\nrequest-id: r-1\r\n" \
+	"response-signature: m.1\r\n"            \
+	"server-limit: 50\r\n"                   \
+	"content-type: text/event-stream\r\n\r\n"
+#define LEAVING                                  \
+	"HTTP/1.1 200 OK\r\nrequest-id: r-1\r\n" \
+	"response-signature: m.1\r\n"            \
+	"server-leaving: 1\r\n"                  \
+	"content-type: text/event-stream\r\n\r\n"
 #define PLAIN                                    \
 	"HTTP/1.1 200 OK\r\nrequest-id: r-1\r\n" \
 	"response-signature: m.1\r\n\r\n"
@@ -48,6 +58,16 @@
 	    .body = E1 E2,
 	    .n_attempts = 2 },
 	  { .method = "POST" } },
+	{ { .what = "started again while the instance was frozen",
+	    .target = "/write/a",
+	    .version = "1.1",
+	    .answers = { { STREAM E1, RAW_RESTARTED_UNSEEN },
+			 { STREAM E2, RAW_FIN } },
+	    .outcome = HTTP1_COMPLETE,
+	    .status = 200,
+	    .body = E1 E2,
+	    .n_attempts = 2 },
+	  { .method = "POST" } },
 	{ { .what = "killed, to a caller with HTTP/1.0",
 	    .target = "/write/a",
 	    .version = "1.0",
@@ -139,6 +159,33 @@
 	    .body = E1,
 	    .n_attempts = 1 },
 	  { .method = "POST", .report = RAW_REPORT_SILENT } },
+	{ { .what = "ends in order, names a limit: is not asked",
+	    .target = "/write/a",
+	    .version = "1.1",
+	    .answers = { { LIMITED E1 E2, RAW_FIN } },
+	    .outcome = HTTP1_COMPLETE,
+	    .status = 200,
+	    .body = E1 E2,
+	    .n_attempts = 1 },
+	  { .method = "POST", .report = RAW_REPORT_REFUSED } },
+	{ { .what = "killed, named a limit",
+	    .target = "/write/a",
+	    .version = "1.1",
+	    .answers = { { LIMITED E1, RAW_KILLED }, { LIMITED E2, RAW_FIN } },
+	    .outcome = HTTP1_COMPLETE,
+	    .status = 200,
+	    .body = E1 E2,
+	    .n_attempts = 2 },
+	  { .method = "POST" } },
+	{ { .what = "ends in order, is leaving: is not asked",
+	    .target = "/write/a",
+	    .version = "1.1",
+	    .answers = { { LEAVING E1 E2, RAW_FIN } },
+	    .outcome = HTTP1_COMPLETE,
+	    .status = 200,
+	    .body = E1 E2,
+	    .n_attempts = 1 },
+	  { .method = "POST", .report = RAW_REPORT_REFUSED } },
 	{ { .what = "plain, killed",
 	    .target = "/look/a",
 	    .version = "1.1",
--- a/regress/raw_endpoint.c
+++ b/regress/raw_endpoint.c
@@ -5,6 +5,7 @@
 #include "regress/raw_endpoint.h"
 
 #include <netinet/in.h>
+#include <signal.h>
 #include <stdarg.h>
 #include <stdint.h>
 #include <stdio.h>
@@ -102,22 +103,46 @@
 	listen_at(&endpoints[i]);
 }
 
+/* Writes the entry of an endpoint. */
+static void put_entry(size_t i)
+{
+	bool stream = !strncmp(current->target, "/write/", 7) ||
+		      !strncmp(current->target, "/once/", 6);
+	char id[16];
+	char *entry = xasprintf(
+		"{\"backend\":\"%s\",\"address\":\"%s\",\"zone\":\"z1\","
+		"\"version\":\"v1\",\"slots\":16,\"state\":\"ready\","
+		"\"born\":%u}",
+		stream ? "engine" : "plain", endpoints[i].address,
+		endpoints[i].born_ms);
+
+	snprintf(id, sizeof(id), "i-raw-%zu", i);
+	standin_put(world, "servers", id, entry);
+	free(entry);
+}
+
 /* Sends an answer and ends the connection as it says. */
 static void answer(struct raw_conn *c, const struct raw_answer *a)
 {
 	uv_buf_t buf =
 		uv_buf_init((char *)a->bytes, (unsigned int)strlen(a->bytes));
 
+	if (a->end == RAW_RESTARTED_UNSEEN)
+		proc_signal(one.proc, SIGSTOP);
 	if (buf.len)
 		uv_try_write((uv_stream_t *)&c->tcp, &buf, 1);
 	if (a->end == RAW_FIN)
 		uv_close((uv_handle_t *)&c->tcp, NULL);
 	else if (a->end == RAW_RESET)
 		uv_tcp_close_reset(&c->tcp, NULL);
-	else if (a->end == RAW_KILLED || a->end == RAW_RESTARTED)
+	else if (a->end != RAW_KEEP)
 		kill_endpoint(c->endpoint);
-	if (a->end == RAW_RESTARTED)
+	if (a->end == RAW_RESTARTED || a->end == RAW_RESTARTED_UNSEEN)
 		restart_endpoint(c->endpoint);
+	if (a->end == RAW_RESTARTED_UNSEEN) {
+		put_entry(c->endpoint);
+		proc_signal(one.proc, SIGCONT);
+	}
 }
 
 /* Answers for the report of an engine. */
@@ -237,29 +262,18 @@
 }
 
 /* Starts an endpoint and writes its entry. */
-static void add_endpoint(size_t i, const char *service)
+static void add_endpoint(size_t i)
 {
 	struct raw_endpoint *e = &endpoints[i];
-	char id[16];
-	char *entry;
 
 	e->address = harness_address(harness);
 	e->born_ms = BORN_MS;
-	entry = xasprintf(
-		"{\"backend\":\"%s\",\"address\":\"%s\",\"zone\":\"z1\","
-		"\"version\":\"v1\",\"slots\":16,\"state\":\"ready\","
-		"\"born\":%u}",
-		service, e->address, e->born_ms);
 	listen_at(e);
-	snprintf(id, sizeof(id), "i-raw-%zu", i);
-	standin_put(world, "servers", id, entry);
-	free(entry);
+	put_entry(i);
 }
 
 static void start(void)
 {
-	bool stream = !strncmp(current->target, "/write/", 7) ||
-		      !strncmp(current->target, "/once/", 6);
 	size_t i;
 
 	harness = harness_new();
@@ -268,7 +282,7 @@
 	n_attempts = 0;
 	first_kept = false;
 	for (i = 0; i < RAW_ENDPOINTS; i++)
-		add_endpoint(i, stream ? "engine" : "plain");
+		add_endpoint(i);
 	standin_put_configuration(world, 2, ROUTE_ONCE);
 	standin_init_instance(world, &one, "one", NULL);
 	standin_start_instance(world, &one);
--- a/regress/raw_endpoint.h
+++ b/regress/raw_endpoint.h
@@ -19,6 +19,9 @@
 	 * closed in order, as the kernel does for a process */
 	RAW_KILLED,
 	RAW_RESTARTED, /* killed, and started again under its id */
+	/* the same while the instance is frozen, with an entry of the new
+	 * start */
+	RAW_RESTARTED_UNSEEN,
 };
 
 /* How an engine answers for its report, which states its start. */
