Test a late entry after one that names no start

entry_updated() takes the start of each entry that it applies, also if the entry has none. Another writer's entry without a start so makes the known one 0, and the next entry of an earlier start, which endpoints_apply_row() drops otherwise, is applied, with its address, version and state.

The mend is not part of this commit.

--- a/regress/integration/test_unordered_entries.c
+++ b/regress/integration/test_unordered_entries.c
@@ -1,7 +1,7 @@
 /*
  * An endpoint's write to the store may be performed late, after later ones of
- * it, and a copy of the store holds an older entry.  Its sequence shows that:
- * cdmproxyd goes on by the newest entry of an endpoint.
+ * it, and a copy of the store holds an older entry.  The start in an entry and
+ * its sequence show that: cdmproxyd goes on by the newest entry of an endpoint.
  */
 #include <stdarg.h>
 #include <stddef.h>
@@ -22,8 +22,9 @@
 /* What orders the entries of an endpoint. */
 struct entry {
 	const char *state;
-	unsigned int born_ms;
+	unsigned int born_ms; /* 0: the entry has none */
 	unsigned int sequence;
+	const char *address; /* NULL: the endpoint's own */
 };
 
 static struct harness *harness;
@@ -37,7 +38,7 @@
 
 static int set_up(void **state)
 {
-	static const struct entry ready = { "ready", 1000, 1 };
+	static const struct entry ready = { "ready", 1000, 1, NULL };
 
 	(void)state;
 	harness = harness_new();
@@ -66,14 +67,18 @@
 static void put_entry(const struct standin_worker *worker,
 		      const struct entry *e)
 {
+	char *born = e->born_ms ? xasprintf(",\"born\":%u", e->born_ms)
+				: xstrdup("");
 	char *text = xasprintf(
 		"{\"backend\":\"plain\",\"address\":\"%s\",\"zone\":\"z1\","
 		"\"version\":\"v1\",\"slots\":16,\"state\":\"%s\","
-		"\"born\":%u,\"sequence\":%u}",
-		worker->address, e->state, e->born_ms, e->sequence);
+		"\"sequence\":%u%s}",
+		e->address ? e->address : worker->address, e->state,
+		e->sequence, born);
 
 	standin_put(world, "servers", worker->id, text);
 	free(text);
+	free(born);
 }
 
 static bool has_logged(void *arg)
@@ -156,8 +161,8 @@
 /* A ready entry of a leaving worker's start comes late. */
 static void late_entry_of_a_leaving_worker(void **state)
 {
-	static const struct entry leaving = { "draining", 1000, 8 };
-	static const struct entry late = { "ready", 1000, 7 };
+	static const struct entry leaving = { "draining", 1000, 8, NULL };
+	static const struct entry late = { "ready", 1000, 7, NULL };
 
 	(void)state;
 	put_entry(first, &leaving);
@@ -171,7 +176,7 @@
 /* The copy of the store has the ready entry of a worker that leaves. */
 static void copy_with_a_leaving_worker(void **state)
 {
-	static const struct entry leaving = { "draining", 1000, 8 };
+	static const struct entry leaving = { "draining", 1000, 8, NULL };
 
 	(void)state;
 	standin_copy_store(world);
@@ -185,12 +190,33 @@
 	expect_first_unused("after the return from the copy");
 }
 
+/* The entry of an earlier start comes late, after an entry of another writer
+ * without a start. */
+static void late_entry_after_one_without_a_start(void **state)
+{
+	const char *gone = harness_address(harness);
+	const struct entry restarted = { "ready", 3000, 1, NULL };
+	const struct entry unknown = { "ready", 0, 1, NULL };
+	const struct entry late = { "ready", 2000, 9, gone };
+
+	(void)state;
+	standin_remove(world, "servers", second->id);
+	put_entry(first, &restarted);
+	put_entry(first, &unknown);
+	expect_read();
+	assert_int_equal(book_often(), CALLS);
+	put_entry(first, &late);
+	expect_read();
+	assert_int_equal(book_often(), CALLS);
+}
+
 int main(void)
 {
 #define CASE(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
 	const struct CMUnitTest tests[] = {
 		CASE(late_entry_of_a_leaving_worker),
 		CASE(copy_with_a_leaving_worker),
+		CASE(late_entry_after_one_without_a_start),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
