Kill engines between two events in the soak, and follow whole streams

The soak could not see it: its engines send chunks and reset what they have not finished, and it checks each answer alone.

The stand-in's engines can now send streams without a length or chunks, and be ended as a kernel ends a process: listener and connections are closed in order. A new phase kills and restarts them, under their id with another start and version or under a new id, listed at once or up to 2.5 s late, beside instances that are frozen, killed or stopped, links that are cut or silent and a store that refuses. In odd seeds some engines name a limit or leave. Callers, a quarter with HTTP/1.0, take broken streams up at random instances, five times at most; a third of the streams may not go on. The phase has random numbers of its own, so the other faults of a seed stay the same, and may run alone (`soak_proxyd SEED SECONDS INSTANCES order`).

--- a/regress/platform_standin.c
+++ b/regress/platform_standin.c
@@ -31,6 +31,9 @@
 	struct standin_worker *worker;
 	struct standin_arrival *arrival;
 	const char *version; /* of the worker's software at its begin */
+	unsigned int run; /* number in the order of starts */
+	char request_id[40];
+	bool unframed; /* it ends with its connection */
 	uv_timer_t timer;
 	int next_event;
 	uint64_t written_ms; /* time of the last event written; 0: none */
@@ -357,6 +360,19 @@
 	worker->server = NULL;
 }
 
+/* Ends a worker as a kernel ends a process that is killed: closes its listener
+ * and its connections in order, also those of streams without a length, which
+ * standin_kill_worker() resets.  Its entry remains. */
+void standin_kill_in_order(struct standin_worker *worker)
+{
+	struct standin_stream *s;
+
+	for (s = worker->world->streams; s; s = s->next)
+		if (s->worker == worker && s->conn && s->unframed)
+			http1_stream_end(s->conn);
+	standin_kill_worker(worker);
+}
+
 /* Stops the store: connections to it are refused. */
 void standin_stop_store(struct standin_world *w)
 {
@@ -784,6 +800,8 @@
 		 worker->id, id[0] ? "request-id: " : "", id,
 		 id[0] ? "\r\n" : "", extra_headers_of(worker));
 	a->misdirected = expected[0] && strcmp(expected, worker->id) != 0;
+	if (worker->streams_unframed)
+		r->head.minor_version = 0; /* as for a client without chunks */
 	if (a->misdirected)
 		http1_reply(c, 421, headers, "", 0);
 	else if (standin_is_crash_request(a))
@@ -1053,6 +1071,9 @@
 	s->worker = worker;
 	s->arrival = a;
 	s->version = worker->version;
+	s->unframed = worker->streams_unframed;
+	s->run = ++worker->world->n_runs;
+	snprintf(s->request_id, sizeof(s->request_id), "%s", id);
 	s->next_event = after ? atoi(after + 16) + 1 : 1;
 	s->next = worker->world->streams;
 	worker->world->streams = s;
@@ -1084,7 +1105,8 @@
 {
 	struct standin_stream *s = timer->data;
 	struct http1_conn *c = s->conn;
-	char event[96];
+	char event[160];
+	char run[64] = "";
 
 	if (s->worker->behaviour == STANDIN_TRICKLES && s->next_event > 1) {
 		http1_stream_write(c, ":", 1);
@@ -1092,8 +1114,11 @@
 	}
 	update_longest_gap(s);
 	if (s->next_event <= STANDIN_EVENTS) {
-		snprintf(event, sizeof(event), "id: %d\ndata: e%d %s\n\n",
-			 s->next_event, s->next_event, s->version);
+		if (s->worker->world->events_name_runs)
+			snprintf(run, sizeof(run), " %u %s", s->run,
+				 s->request_id);
+		snprintf(event, sizeof(event), "id: %d\ndata: e%d %s%s\n\n",
+			 s->next_event, s->next_event, s->version, run);
 		s->next_event++;
 		http1_stream_write(c, event, strlen(event));
 		return;
--- a/regress/platform_standin.h
+++ b/regress/platform_standin.h
@@ -45,6 +45,9 @@
 	enum standin_behaviour behaviour;
 	const char *extra_headers; /* lines added to all answers, or NULL */
 	const char *limit; /* requests per second that answers name, or NULL */
+	/* its streams have neither a length nor chunks: they end with their
+	 * connection */
+	bool streams_unframed;
 	unsigned int born_ms; /* start time in its entry */
 	struct http1_server *server; /* NULL while it is down */
 	uv_timer_t crash_timer; /* for its crash, then its restart */
@@ -94,6 +97,10 @@
 	unsigned int header_bytes; /* in the configuration; 0: 4096 */
 	size_t plain_bytes; /* of plain answers; 0: a short text */
 	uint64_t event_ms; /* interval between two events of a stream */
+	/* events of streams also name the number of their run, in the order of
+	 * starts, and the id of its request */
+	bool events_name_runs;
+	unsigned int n_runs; /* streams started by all workers */
 	const char *key; /* API key of the organisation */
 	uint64_t longest_gap_ms; /* longest time between two events written */
 	json_t *rows; /* of all tables, ordered by version */
@@ -135,6 +142,7 @@
 					     const char *version);
 void standin_put_worker_entry(struct standin_worker *worker, const char *state);
 void standin_kill_worker(struct standin_worker *worker);
+void standin_kill_in_order(struct standin_worker *worker);
 void standin_start_worker(struct standin_worker *worker, const char *id);
 void standin_start_unlisted(struct standin_worker *worker, const char *id);
 void standin_restart_worker(struct standin_worker *worker, const char *version);
--- a/regress/soak/soak_proxyd.c
+++ b/regress/soak/soak_proxyd.c
@@ -3,7 +3,8 @@
  * workers behind a fault proxy, a steady load of callers, and external faults,
  * consecutive and overlapping, drawn from a seed.  During the run and at its
  * end the users' rules are checked by what callers and workers received.
- * usage: soak_proxyd SEED SECONDS [INSTANCES]
+ * usage: soak_proxyd SEED SECONDS [INSTANCES [order]]; with "order" only that
+ * phase runs, for all the time.
  */
 #include <signal.h>
 #include <stdarg.h>
@@ -26,12 +27,15 @@
 #include "regress/soak/crash_rule.h"
 #include "regress/soak/holdoff_rule.h"
 #include "regress/soak/limit_check.h"
+#include "regress/soak/order_phase.h"
 #include "regress/soak/version_phase.h"
 
 #define INSTANCES 3 /* default of the third argument */
 #define INSTANCES_MAX 256
 #define WORKERS 7
 #define PLAIN_WORKERS 2 /* the first ones of all */
+#define PROXIED_ENGINES 2 /* in the phase on the order of events */
+#define ORDER_MS 3000 /* that phase, unless it is the only one */
 #define STEP_MS 20
 #define CALLS_MAX 256 /* concurrent calls */
 #define FAULT_INTERVAL_MS 350 /* mean time between two faults */
@@ -143,6 +147,7 @@
 static unsigned faults;
 static int version = 2;
 static bool high_load;
+static bool only_order; /* the phase on the order of events runs alone */
 static uint64_t seed;
 static unsigned seconds;
 static struct repeat_rule rule = {
@@ -875,17 +880,12 @@
 	}
 }
 
-static void soak(void **state)
+/* Runs all phases but the one on the order of events, with their checks. */
+static void run_phases(void)
 {
 	uint64_t end;
 	size_t i;
 
-	(void)state;
-	random_numbers = (struct random_source){ .seed = seed };
-	limit_numbers = (struct random_source){ .seed = seed + LIMIT_SEED };
-	silence_numbers = (struct random_source){ .seed = seed + SILENCE_SEED };
-	limit_check_init(&limits, &holdoffs);
-	set_up();
 	for (end = now_ms() + seconds * 1000; now_ms() < end;)
 		step(true);
 	end_faults(true);
@@ -930,6 +930,41 @@
 		.first_engine = PLAIN_WORKERS,
 		.seed = seed,
 	});
+}
+
+/* Runs the phase on the order of events. */
+static void run_order_phase(void)
+{
+	version++;
+	order_phase_run(&(struct order_phase){
+		.harness = harness,
+		.world = world,
+		.client = client,
+		.instances = instances,
+		.n_instances = n_instances,
+		.first_engine = PLAIN_WORKERS,
+		.first_direct = PLAIN_WORKERS + PROXIED_ENGINES,
+		.fault_control = fault_control,
+		.proxy_addresses = proxy_addresses,
+		.version = version,
+		.ms = only_order ? seconds * 1000 : ORDER_MS,
+		.seed = seed,
+	});
+}
+
+static void soak(void **state)
+{
+	size_t i;
+
+	(void)state;
+	random_numbers = (struct random_source){ .seed = seed };
+	limit_numbers = (struct random_source){ .seed = seed + LIMIT_SEED };
+	silence_numbers = (struct random_source){ .seed = seed + SILENCE_SEED };
+	limit_check_init(&limits, &holdoffs);
+	set_up();
+	if (!only_order)
+		run_phases();
+	run_order_phase();
 	for (i = 0; i < n_instances; i++) {
 		check_log(&instances[i]);
 		proc_kill(instances[i].proc);
@@ -950,6 +985,7 @@
 	seconds = argc > 2 ? (unsigned)strtoul(argv[2], NULL, 10) : 10;
 	if (argc > 3)
 		n_instances = (uint32_t)strtoul(argv[3], NULL, 10);
+	only_order = argc > 4 && !strcmp(argv[4], "order");
 	if (!n_instances || n_instances > INSTANCES_MAX)
 		return 2;
 	return cmocka_run_group_tests(tests, NULL, NULL);
