Ignore an answer of the store that is older than what a reader told

An endpoint that was leaving, or whose entry had been removed, got requests again for up to 0.7 s at an instance that reads the store in a fleet above 16: its own answer was held up, the other reader's newer rows had been applied meanwhile, and on_rows() applied the older ones over them and lowered the version of the table.

watches_apply_change() compares versions; now the answer of a call is compared as well. Rows of an older version say nothing that is not known.

test_late_answer failed 5 of 5 times and passes; test_older_rows and test_dead_calls pass.

--- a/proxyd/watch.c
+++ b/proxyd/watch.c
@@ -521,6 +521,9 @@
 	    watches_designated(w->watches))
 		peers_announce_rows(p->peers, w->table, w->row_version, version,
 				    rows, n);
+	w->answered_ms = now;
+	if (w->loaded && version < w->version)
+		return; /* another reader has told of newer rows meanwhile */
 	apply_rows(w, rows, n);
 	if (!w->loaded || n)
 		w->row_version = version;
@@ -529,7 +532,6 @@
 			w->newest_row = rows[i].version;
 	w->version = version;
 	w->behind_ms = 0;
-	w->answered_ms = now;
 	w->loaded = true;
 	w->from_copy = false;
 }
