Drop events up to the caller's last one at a take-up, too

A caller that took a stream up after event 2 got event 2, or 1, again if the endpoint did not go on where it was asked to: numbers that go back. Within an answer such events were dropped, but the last event of the caller itself was not known to record_event_id(). Not seen of an endpoint that keeps to the pages.

--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -475,12 +475,14 @@
 	return n;
 }
 
-/* Records an event's id; false if the caller has already received the event. */
+/* Records an event's id; false if the caller has already received the event, in
+ * this answer or before it took the stream up. */
 static bool record_event_id(struct exchange *x, const struct whole_event *event)
 {
 	if (!event->has_id)
 		return true;
-	if (x->has_last_event && event->id <= x->last_event_id)
+	if ((x->has_last_event && event->id <= x->last_event_id) ||
+	    (x->fields.resumes && event->id <= x->fields.resume_after))
 		return false;
 	x->has_last_event = true;
 	x->last_event_id = event->id;
