Ignore a pulse from before an instance began to stop

Callers were sent to an instance that was stopping, for 0.25 s in small fleets and up to 4 s in large ones, if a pulse from before its signal came after one from after it: datagrams have no order, and receive_pulse() ordered them by the start of their process alone. A process that has been told to stop does not go back on it, so a pulse that says otherwise is older.

--- a/proxyd/peers.c
+++ b/proxyd/peers.c
@@ -349,14 +349,16 @@
 	return XXH3_64bits(name, strlen(name));
 }
 
-/* Applies a pulse.  Pulses of an earlier process of the instance, which arrive
- * late, are ignored. */
+/* Applies a pulse.  Those that arrive late are ignored: of an earlier process of
+ * the instance, or from before it began to stop, which it does not take back. */
 static void receive_pulse(struct peers *t, const PeerPulse *pulse)
 {
 	struct peer *peer = peers_find(t, pulse->instance);
 	size_t i;
 
-	if (!peer || pulse->born < peer->start_unix_ms)
+	if (!peer || pulse->born < peer->start_unix_ms ||
+	    (pulse->born == peer->start_unix_ms && peer->heartbeat.leaving &&
+	     !pulse->leaving))
 		return;
 	if (pulse->leaving != peer->heartbeat.leaving)
 		event_log(EVENT_NOTABLE,
