Keep the start of an endpoint over an entry that names none

A row of another writer that names no start made the known start of an endpoint 0, and a late row of an earlier process was applied after it: 0 of 12 requests were served, as nothing listens at its address any more. An entry without a start now leaves the known one.

late_entry_after_one_without_a_start of test_unordered_entries failed each time and passes. The case waits until the row before has been read, too: without that the instance may never see the start that it is to keep, as the store has the newest row alone. With the wait it fails on the code before as well.

--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -611,7 +611,8 @@
 	software_updated(e, n, restarted);
 	e->address_hash = XXH3_64bits(e->address, strlen(e->address));
 	e->slots = n->slots;
-	e->born_ms = n->born_ms;
+	if (n->born_ms)
+		e->born_ms = n->born_ms;
 	e->leaving = n->leaving;
 	e->adopted_ms = 0;
 	entry_expiry_restored(&e->expiry);
--- a/regress/integration/test_unordered_entries.c
+++ b/regress/integration/test_unordered_entries.c
@@ -202,6 +202,7 @@
 	(void)state;
 	standin_remove(world, "servers", second->id);
 	put_entry(first, &restarted);
+	expect_read();
 	put_entry(first, &unknown);
 	expect_read();
 	assert_int_equal(book_often(), CALLS);
