Ignore an entry from before its endpoint said that it is leaving

An endpoint that was leaving got requests again if its own earlier write was performed late, or came back with a copy of the store: 4 to 7, and 1 to 7, of 12 requests. Entries of one start were applied in any order, as their sequence was not read. A ready entry with a lower sequence than the one that said that the endpoint is leaving is ignored now; everything else is applied as before, so that a sequence that makes no sense takes no endpoint out of use.

--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -54,6 +54,8 @@
 static void ask_start(struct endpoints *t, struct endpoint *e);
 static bool probe_due(const struct endpoints *t, const struct endpoint *e,
 		      bool store_answers);
+static bool is_older_than_leaving(const struct endpoint *e,
+				  const struct endpoint_entry *n);
 static const char *row_problem(const struct store_row *row);
 static void entry_updated(struct endpoint *e, const struct endpoint_entry *n);
 static void software_updated(struct endpoint *e, const struct endpoint_entry *n,
@@ -146,6 +148,8 @@
 	}
 	if (e && row->endpoint->born_ms && row->endpoint->born_ms < e->born_ms)
 		return; /* late row of an earlier start */
+	if (e && is_older_than_leaving(e, row->endpoint))
+		return;
 	if (!e)
 		e = endpoint_new(t, row->key);
 	e->zone = zone_index(t, row->endpoint->zone);
@@ -153,6 +157,16 @@
 	resolve_address_conflict(t, e);
 }
 
+/* Returns whether an entry is from before its endpoint said that it is leaving:
+ * it was written late, or comes with a copy of the store. */
+static bool is_older_than_leaving(const struct endpoint *e,
+				  const struct endpoint_entry *n)
+{
+	return e->leaving && !n->leaving && n->born_ms &&
+	       n->born_ms == e->born_ms && n->sequence &&
+	       n->sequence < e->sequence;
+}
+
 /* Returns why no endpoint can be used by a row, "" if the row was removed; NULL
  * if one can.  The id goes into requests, and so does the address, so neither
  * may hold characters that end a header line. */
@@ -614,6 +628,7 @@
 	if (n->born_ms)
 		e->born_ms = n->born_ms;
 	e->leaving = n->leaving;
+	e->sequence = n->sequence;
 	e->adopted_ms = 0;
 	entry_expiry_restored(&e->expiry);
 }
--- a/proxyd/endpoints.h
+++ b/proxyd/endpoints.h
@@ -72,6 +72,7 @@
 	uint64_t born_ms;
 	uint64_t stated_born_ms; /* as it last stated itself; 0: not yet */
 	bool leaving; /* according to its entry */
+	uint64_t sequence; /* of its entry; 0: unknown */
 	struct holdoff holdoff; /* as its answers report */
 	struct endpoint_limit *limit; /* NULL until it names one */
 	struct entry_expiry expiry;
--- a/proxyd/store.h
+++ b/proxyd/store.h
@@ -35,6 +35,7 @@
 	const char *zone;
 	bool leaving;
 	uint64_t born_ms; /* Unix time of its start; 0: unknown */
+	uint64_t sequence; /* rises with each of its writes; 0: unknown */
 	uint32_t slots;
 	const char *version; /* of its software; NULL: unknown */
 };
