Name an unlisted version by the process that runs it

What stood for a version that is not known was the hash of the endpoint's id, the same for each of its processes, so that the next one was taken for the same version, and an entry that came later gave its version to streams of the process before.

The name is of the process now: another start, stated or listed, and a refused connection give a new one. An entry that is the first of an endpoint names no earlier streams.

--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -58,8 +58,10 @@
 				  const struct endpoint_entry *n);
 static const char *row_problem(const struct store_row *row);
 static void entry_updated(struct endpoint *e, const struct endpoint_entry *n);
+static void name_process(struct endpoint *e, uint64_t start);
 static void software_updated(struct endpoint *e, const struct endpoint_entry *n,
 			     bool restarted);
+static void other_start_stated(struct endpoint *e, uint64_t born_ms);
 static void entry_removed(struct endpoints *t, struct endpoint *e,
 			  uint64_t outage_end_ms);
 static struct endpoint *endpoint_new(struct endpoints *t, const char *id);
@@ -338,6 +340,7 @@
 		return;
 	if (outcome == HTTP1_NOT_SENT) {
 		e->ended = true;
+		name_process(e, ~proxyd_now(t->proxyd));
 		suspects_endpoint_crashed(t->proxyd->suspects, e);
 	}
 	if (e->state != ENDPOINT_UP)
@@ -618,6 +621,8 @@
 	if (restarted) {
 		suspects_endpoint_crashed(e->proxyd->suspects, e);
 		e->holdoff = (struct holdoff){ 0 };
+		if (e->stated_born_ms != n->born_ms)
+			name_process(e, n->born_ms);
 		e->stated_born_ms = 0;
 		limits_release(e);
 	}
@@ -633,6 +638,17 @@
 	entry_expiry_restored(&e->expiry);
 }
 
+/* Gives the process at an endpoint a name that stands for its version while that
+ * is not known.  It is not that of any earlier process there: start is the start
+ * of the process, Unix ms, or a number that no start has. */
+static void name_process(struct endpoint *e, uint64_t start)
+{
+	uint64_t service = XXH3_64bits(e->service, strlen(e->service));
+
+	e->unlisted_software =
+		XXH3_64bits_withSeed(e->id, strlen(e->id), ~service ^ start);
+}
+
 /* Applies the software version in an entry.  An entry that names another
  * version is of a later start; the same one proves nothing if the endpoint may
  * have started again since. */
@@ -643,8 +659,7 @@
 	uint64_t before = e->software;
 
 	if (!e->unlisted_software)
-		e->unlisted_software =
-			XXH3_64bits_withSeed(e->id, strlen(e->id), ~service);
+		name_process(e, 0);
 	e->software = n->version ? XXH3_64bits_withSeed(n->version,
 							strlen(n->version),
 							service)
@@ -657,7 +672,7 @@
 		e->proved_ms = 0;
 	}
 	if (!before && e->software)
-		origins_endpoint_named(e->proxyd->origins, e);
+		name_process(e, ~n->born_ms);
 	if (e->software != before || e->expiry.removed)
 		origins_endpoint_listed(e->proxyd->origins, e);
 }
@@ -698,6 +713,8 @@
 	if (!e || (!e->software_doubted && !e->start_wanted))
 		return;
 	same = !born_ms || !e->born_ms || born_ms == e->born_ms;
+	if (!same && born_ms != e->stated_born_ms)
+		other_start_stated(e, born_ms);
 	e->stated_born_ms = born_ms;
 	e->start_wanted = false;
 	if (same)
@@ -714,6 +731,19 @@
 	exchanges_start_stated(t->proxyd->exchanges, h, false);
 }
 
+/* Handles a start that is not the listed one.  The streams that began since the
+ * endpoint was doubted are of that process, unless another one had stated its
+ * start meanwhile. */
+static void other_start_stated(struct endpoint *e, uint64_t born_ms)
+{
+	uint64_t before = e->unlisted_software;
+
+	name_process(e, born_ms);
+	if (!e->stated_born_ms || e->stated_born_ms == e->born_ms)
+		origins_rename(e->proxyd->origins, before,
+			       e->unlisted_software);
+}
+
 /* Handles an endpoint that was asked for its start and stated none.  Unless it
  * was found dead, its entry is taken at its word. */
 void endpoint_unstated_start(struct endpoints *t, struct handle h)
--- a/proxyd/origins.c
+++ b/proxyd/origins.c
@@ -225,10 +225,15 @@
  * is no version of its own, and its streams are of the listed one. */
 void origins_endpoint_named(struct origins *t, const struct endpoint *e)
 {
-	software_forget(&t->history, e->unlisted_software);
-	stream_origin_rename(&t->streams, e->unlisted_software, e->software);
-	exchanges_software_named(t->proxyd->exchanges, e->unlisted_software,
-				 e->software);
+	origins_rename(t, e->unlisted_software, e->software);
+}
+
+/* Gives the streams of a name that stands for a version another one. */
+void origins_rename(struct origins *t, uint64_t from, uint64_t to)
+{
+	software_forget(&t->history, from);
+	stream_origin_rename(&t->streams, from, to);
+	exchanges_software_named(t->proxyd->exchanges, from, to);
 }
 
 /* Notes the version of the endpoint that a stream without events is sent to;
--- a/proxyd/origins.h
+++ b/proxyd/origins.h
@@ -32,5 +32,6 @@
 void origins_adopt_version(struct origins *t, uint64_t service,
 			   uint64_t software, uint32_t listed_ms_ago);
 void origins_adopt_complete(struct origins *t);
+void origins_rename(struct origins *t, uint64_t from, uint64_t to);
 
 #endif /* PROXYD_ORIGINS_H */
