Test plain requests beside changes in series

The stand-in's endpoints may be silent before a plain answer, name their slots, and take a number of requests at once; what other tests see of it is unchanged.

--- a/regress/platform_standin.c
+++ b/regress/platform_standin.c
@@ -34,6 +34,8 @@
 	uv_timer_t timer;
 	int next_event;
 	uint64_t written_ms; /* time of the last event written; 0: none */
+	/* of a plain answer that waits for the end of its worker's silence */
+	char headers[HEADERS_BYTES];
 };
 
 static void on_store(struct http1_conn *c, struct http1_request *r, void *arg);
@@ -77,6 +79,10 @@
 			const char *text);
 static void serve_stream(struct standin_worker *worker, struct http1_conn *c,
 			 struct standin_arrival *a, const char *id);
+static void answer_later(struct standin_worker *worker, struct http1_conn *c,
+			 struct standin_arrival *a, const char *id);
+static void on_silence_over(uv_timer_t *timer);
+static size_t n_in_progress(const struct standin_worker *worker);
 static void update_longest_gap(struct standin_stream *s);
 static void on_event(uv_timer_t *timer);
 static void stream_free(struct standin_stream *s);
@@ -327,10 +333,11 @@
 {
 	char *text =
 		xasprintf("{\"backend\":\"%s\",\"address\":\"%s\","
-			  "\"zone\":\"%s\",\"version\":\"%s\",\"slots\":16,"
+			  "\"zone\":\"%s\",\"version\":\"%s\",\"slots\":%u,"
 			  "\"state\":\"%s\",\"born\":%u}",
 			  worker->service, worker->public_address, worker->zone,
-			  worker->version, state, worker->born_ms);
+			  worker->version, worker->slots ? worker->slots : 16,
+			  state, worker->born_ms);
 
 	standin_put(worker->world, "servers", worker->id, text);
 	free(text);
@@ -784,7 +791,9 @@
 		 worker->id, id[0] ? "request-id: " : "", id,
 		 id[0] ? "\r\n" : "", extra_headers_of(worker));
 	a->misdirected = expected[0] && strcmp(expected, worker->id) != 0;
-	if (a->misdirected)
+	if (worker->connections && n_in_progress(worker) >= worker->connections)
+		http1_abort(c);
+	else if (a->misdirected)
 		http1_reply(c, 421, headers, "", 0);
 	else if (standin_is_crash_request(a))
 		begin_crash(worker, c, a, id);
@@ -797,6 +806,8 @@
 			   "{\"handle\":\"h1\",\"created\":3}");
 	else if (!strncmp(a->target, "/kv-handle/", 11))
 		http1_reply(c, 200, extra_headers_of(worker), "", 0);
+	else if (worker->silent_ms)
+		answer_later(worker, c, a, id);
 	else if (!strcmp(worker->service, "engine") &&
 		 (worker->behaviour == STANDIN_NORMAL ||
 		  worker->behaviour == STANDIN_TRICKLES))
@@ -1068,6 +1079,49 @@
 		       worker->world->event_ms);
 }
 
+/* Answers a request when the silence of its worker is over. */
+static void answer_later(struct standin_worker *worker, struct http1_conn *c,
+			 struct standin_arrival *a, const char *id)
+{
+	struct standin_stream *s = xcalloc(1, sizeof(*s));
+
+	a->ran = true;
+	s->conn = c;
+	s->worker = worker;
+	s->arrival = a;
+	s->next = worker->world->streams;
+	worker->world->streams = s;
+	snprintf(s->headers, sizeof(s->headers),
+		 SIGNATURE "request-id: %s\r\n%s", id,
+		 extra_headers_of(worker));
+	http1_set_owner(c, s);
+	uv_timer_init(harness_loop(worker->world->harness), &s->timer);
+	s->timer.data = s;
+	uv_timer_start(&s->timer, on_silence_over, worker->silent_ms, 0);
+}
+
+/* Sends an answer that waited for the end of a silence. */
+static void on_silence_over(uv_timer_t *timer)
+{
+	struct standin_stream *s = timer->data;
+	struct http1_conn *c = s->conn;
+
+	http1_set_owner(c, NULL);
+	reply_plain(s->worker, c, s->headers, "plain answer");
+	stream_free(s);
+}
+
+/* Returns how many requests a worker is at work on. */
+static size_t n_in_progress(const struct standin_worker *worker)
+{
+	const struct standin_stream *s;
+	size_t n = 0;
+
+	for (s = worker->world->streams; s; s = s->next)
+		n += s->worker == worker;
+	return n;
+}
+
 /* Updates the longest time between two events of a stream. */
 static void update_longest_gap(struct standin_stream *s)
 {
--- a/regress/platform_standin.h
+++ b/regress/platform_standin.h
@@ -46,6 +46,13 @@
 	const char *extra_headers; /* lines added to all answers, or NULL */
 	const char *limit; /* requests per second that answers name, or NULL */
 	unsigned int born_ms; /* start time in its entry */
+	unsigned int slots; /* in its entry; 0: 16 */
+	/* it is silent for so long before it answers a request, which a plain
+	 * answer then does, also of an engine; 0: it answers at once */
+	unsigned int silent_ms;
+	/* requests in progress at most; the connections of further ones are
+	 * closed, and they are not executed; 0: any number */
+	unsigned int connections;
 	struct http1_server *server; /* NULL while it is down */
 	uv_timer_t crash_timer; /* for its crash, then its restart */
 	bool crashing; /* crash_timer is active */
