Take an engine for alive only by its own word after a stream's end

An engine is asked for its report now, also one that leaves, and one with a limit if a permit is left; a connection shows only its death. A start that can't be compared tells nothing, and the stream goes on elsewhere.

Two cases of test_killed_engine, engines that start again at once and named a limit or were leaving, failed before and pass.

--- a/policy/answer_end.c
+++ b/policy/answer_end.c
@@ -26,6 +26,8 @@
 		return s->empty && s->empty_before + 1 < EMPTY_RUNS
 			       ? ANSWER_END_EMPTY
 			       : ANSWER_END_WHOLE;
+	case ENDPOINT_SIGN_UNKNOWN:
+		return ANSWER_END_UNKNOWN;
 	case ENDPOINT_SIGN_NONE:
 		break;
 	}
@@ -36,13 +38,13 @@
 
 /* Tells from the start that an endpoint states after the end of an answer, and
  * the one that was known before the request was sent to it, whether its process
- * is still the same.  Times of the endpoint's clock, 0 if there is none: then it
- * is taken for the same. */
+ * is still the same.  Times of the endpoint's clock, 0 if there is none.  One that
+ * states none is taken for the same. */
 enum endpoint_sign answer_end_start_sign(uint64_t known_ms, uint64_t stated_ms)
 {
-	return known_ms && stated_ms && known_ms != stated_ms
-		       ? ENDPOINT_SIGN_ENDED
-		       : ENDPOINT_SIGN_LIVES;
+	if (!stated_ms || known_ms == stated_ms)
+		return ENDPOINT_SIGN_LIVES;
+	return known_ms ? ENDPOINT_SIGN_ENDED : ENDPOINT_SIGN_UNKNOWN;
 }
 
 /* Returns the name of a decision, for logs and metrics. */
--- a/policy/answer_end.h
+++ b/policy/answer_end.h
@@ -20,6 +20,7 @@
 	ENDPOINT_SIGN_NONE,
 	ENDPOINT_SIGN_LIVES, /* the process that wrote the answer lives */
 	ENDPOINT_SIGN_ENDED, /* that process has ended */
+	ENDPOINT_SIGN_UNKNOWN, /* a process answers, which one can't be told */
 };
 
 struct answer_end_signs {
--- a/proxyd/answer_ends.c
+++ b/proxyd/answer_ends.c
@@ -31,6 +31,7 @@
 	struct handle endpoint;
 	struct http1_call *call; /* NULL once it has ended */
 	uint64_t asked_ms;
+	bool is_engine; /* only its report shows that it lives */
 	bool is_report; /* else only a connection */
 	uint64_t reached_ms; /* when a connection was last known to stand */
 	int status;
@@ -101,8 +102,9 @@
 }
 
 /* Asks an endpoint, unless a question is in progress or has just failed: an
- * engine for its report, which states its start.  One that wants no requests now,
- * or has no reports, is only connected to. */
+ * engine for its report, which states its start.  An endpoint that pauses or has
+ * no permit left for a request, or a service without reports, is only connected
+ * to: if it refuses, it has ended. */
 static void ask(struct proxyd *p, struct endpoint *e)
 {
 	const struct route_service *s =
@@ -125,8 +127,10 @@
 	q->asked_ms = now;
 	q->status = 0;
 	q->body.len = 0;
-	q->is_report = s && s->engine && endpoint_accepts_work(e, now) &&
-		       !limits_in_force(e);
+	q->is_engine = s && s->engine;
+	q->is_report = q->is_engine &&
+		       !holdoff_remaining_ms(&e->holdoff, now) &&
+		       limits_take_for_check(e);
 	if (q->is_report)
 		bytes_addf(&out, "GET %s HTTP/1.1\r\nhost: %s\r\n\r\n",
 			   p->protocol->report_path, e->address);
@@ -188,7 +192,9 @@
 		if (own.sign == ENDPOINT_SIGN_LIVES && q->is_report)
 			own.sign =
 				answer_end_start_sign(x->sent_born_ms, born_ms);
-		if (own.sign != f.sign) {
+		if (own.sign == ENDPOINT_SIGN_UNKNOWN)
+			own.why = "start not known before";
+		if (own.sign == ENDPOINT_SIGN_ENDED && own.sign != f.sign) {
 			own.why = "other start";
 			suspects_run_broke(x, e);
 		}
@@ -207,7 +213,9 @@
 		return (struct finding){ ENDPOINT_SIGN_NONE,
 					 http1_outcome_name(outcome) };
 	if (!q->is_report)
-		return (struct finding){ ENDPOINT_SIGN_LIVES, "accepts" };
+		return (struct finding){ q->is_engine ? ENDPOINT_SIGN_NONE
+						      : ENDPOINT_SIGN_LIVES,
+					 "accepts" };
 	if (q->status == 200 && q->proxyd->protocol->decode_report(
 					q->body.data, q->body.len, born_ms))
 		return (struct finding){ ENDPOINT_SIGN_LIVES, "same start" };
--- a/regress/unit/test_answer_end.c
+++ b/regress/unit/test_answer_end.c
@@ -30,6 +30,7 @@
 		    .empty = true,
 		    .empty_before = 1 },
 		  ANSWER_END_CUT },
+		{ { .endpoint = ENDPOINT_SIGN_UNKNOWN }, ANSWER_END_UNKNOWN },
 		{ { .endpoint = ENDPOINT_SIGN_LIVES, .empty = true },
 		  ANSWER_END_EMPTY },
 		{ { .endpoint = ENDPOINT_SIGN_LIVES,
@@ -75,7 +76,8 @@
 	assert_int_equal(answer_end_start_sign(7, 7), ENDPOINT_SIGN_LIVES);
 	assert_int_equal(answer_end_start_sign(7, 8), ENDPOINT_SIGN_ENDED);
 	assert_int_equal(answer_end_start_sign(8, 7), ENDPOINT_SIGN_ENDED);
-	assert_int_equal(answer_end_start_sign(0, 7), ENDPOINT_SIGN_LIVES);
+	assert_int_equal(answer_end_start_sign(0, 7), ENDPOINT_SIGN_UNKNOWN);
+	assert_int_equal(answer_end_start_sign(0, 0), ENDPOINT_SIGN_LIVES);
 	assert_int_equal(answer_end_start_sign(7, 0), ENDPOINT_SIGN_LIVES);
 }
 
