Let no forwarded change hide rows that an instance lacks

In fleets above 16 instances, an instance that had missed a datagram, as it had just started, stayed without some rows for good: an endpoint that had left was used until it was found dead, or one was never used. A reader that followed the other's datagrams announced its own next rows as following an old version, as watches_apply_change() raised the version but not row_version, so that the instance saw no gap; and any announcement of a version that was not above its own took back that it was behind, before it had read the store.

Forwarded changes raise row_version, and an instance is behind until it has reached the newest version that was announced.

--- a/proxyd/watch.c
+++ b/proxyd/watch.c
@@ -40,6 +40,7 @@
 	uint64_t row_version; /* version of the newest rows received */
 	uint64_t answered_ms; /* when the store last answered; 0: never */
 	uint64_t behind_ms; /* others are ahead since then; 0: no */
+	uint64_t announced_version; /* newest one of a reader; see behind_ms */
 	uint64_t newest_row; /* version of the newest row that it read itself */
 	uint64_t heard_version; /* of the newest row that others know */
 	uint64_t heard_ms; /* since when they know rows that it lacks */
@@ -72,6 +73,7 @@
 static void apply_decoded(void *arg, const struct store_row *rows, size_t n);
 static void note_era(struct watches *w, const char *by, bool first_hand);
 static void begin_era(struct watches *w, uint64_t now, uint32_t delay_ms);
+static void note_caught_up(struct watch *w);
 static bool is_missing_rows(const struct watch *w);
 static void end_if_dead(struct watch *w, uint64_t now);
 static void end_waiting(struct watches *w, const struct watch *except);
@@ -297,6 +299,7 @@
 		t->version = 0;
 		t->row_version = 0;
 		t->behind_ms = 0;
+		t->announced_version = 0;
 		t->newest_row = 0;
 		t->heard_version = 0;
 		t->poll.recovered_ms = now;
@@ -314,9 +317,19 @@
 	struct watch *t = &w->watch[table];
 
 	if (version <= t->version)
-		t->behind_ms = 0;
-	else if (!t->behind_ms)
+		return;
+	if (!t->behind_ms)
 		t->behind_ms = proxyd_now(w->proxyd);
+	if (version > t->announced_version)
+		t->announced_version = version;
+}
+
+/* Ends that a table is behind, once it has reached the newest version that a
+ * store reader has announced. */
+static void note_caught_up(struct watch *w)
+{
+	if (w->version >= w->announced_version)
+		w->behind_ms = 0;
 }
 
 /* Records the version of a row of a table that another instance knows. */
@@ -378,7 +391,8 @@
 			proxyd_now(w->proxyd) - change->since_recovery_ms + 1;
 	w->proxyd->store->ops->decode(table, change, apply_decoded, t);
 	t->version = change->version;
-	t->behind_ms = 0;
+	t->row_version = change->version;
+	note_caught_up(t);
 }
 
 /* Applies decoded rows; callback of decode(). */
