Take a connection that lasts for a sign of life where none may be asked

A stream without a length of an engine that names a limit, or pauses, went on elsewhere after 2 s if the instance had no permit to ask for a report. If another connection to the engine, which was open when the stream ended, still is 300 ms later, its process lives: a kernel closes all connections of a process that is killed at once.

--- a/proxyd/answer_ends.c
+++ b/proxyd/answer_ends.c
@@ -23,6 +23,11 @@
 #define ANSWER_MS 1500
 
 #define ASK_AGAIN_MS 100 /* after a question without an answer */
+
+/* The ends of all connections of a process that is killed arrive within this
+ * time. */
+#define ENDS_TOGETHER_MS 300
+
 #define REPORT_MAX_BYTES 65536
 
 /* A question to an endpoint, in progress or the last one. */
@@ -44,6 +49,7 @@
 	const char *why; /* for logs */
 };
 
+static bool can_not_ask(const struct endpoint *e);
 static void ask(struct proxyd *p, struct endpoint *e);
 static enum http1_head_decision on_head(void *arg,
 					const struct http1_head *head);
@@ -82,11 +88,22 @@
 
 	if (!e || (e->state != ENDPOINT_UP && e->ended))
 		f = (struct finding){ ENDPOINT_SIGN_ENDED, "endpoint ended" };
+	else if (now - x->ended_ms >= ENDS_TOGETHER_MS && can_not_ask(e) &&
+		 http1_client_spans(x->proxyd->client, e->address, x->ended_ms))
+		f = (struct finding){ ENDPOINT_SIGN_LIVES, "connection lasts" };
 	judge(x, &f, now, last);
 	if (e && x->ended_ms && now > x->ended_ms)
 		ask(x->proxyd, e);
 }
 
+/* Returns whether the last question to an engine could only be a connection. */
+static bool can_not_ask(const struct endpoint *e)
+{
+	const struct end_question *q = e->end_question;
+
+	return q && q->is_engine && !q->is_report;
+}
+
 /* Cancels the question to an endpoint, which is freed. */
 void answer_end_forget(struct endpoint *e)
 {
