--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -45,6 +45,10 @@
 /* Between two questions to an endpoint that may have started again. */
 #define CONFIRM_START_MS 1000
 
+/* How long a question to an endpoint with a limit waits for a permit, while
+ * streams wait for its answer. */
+#define START_PERMIT_MS 300
+
 /* Weight of the newest answer in the exponential moving averages. */
 #define LATENCY_WEIGHT 0.2F
 #define FAILURE_WEIGHT 0.1F
@@ -61,6 +65,7 @@
 static void name_process(struct endpoint *e, uint64_t start);
 static void software_updated(struct endpoint *e, const struct endpoint_entry *n,
 			     bool restarted);
+static void unlisted_start_stated(struct endpoint *e, uint64_t born_ms);
 static void other_start_stated(struct endpoint *e, uint64_t born_ms);
 static void entry_removed(struct endpoints *t, struct endpoint *e,
 			  uint64_t outage_end_ms);
@@ -671,7 +676,10 @@
 		e->start_wanted = false;
 		e->proved_ms = 0;
 	}
-	if (!before && e->software)
+	if (!before && e->software && e->stated_born_ms &&
+	    e->stated_born_ms == n->born_ms)
+		origins_endpoint_named(e->proxyd->origins, e);
+	else if (!before && e->software)
 		name_process(e, ~n->born_ms);
 	if (e->software != before || e->expiry.removed)
 		origins_endpoint_listed(e->proxyd->origins, e);
@@ -712,6 +720,10 @@
 
 	if (!e || (!e->software_doubted && !e->start_wanted))
 		return;
+	if (!e->software) {
+		unlisted_start_stated(e, born_ms);
+		return;
+	}
 	same = !born_ms || !e->born_ms || born_ms == e->born_ms;
 	if (!same && born_ms != e->stated_born_ms)
 		other_start_stated(e, born_ms);
@@ -731,6 +743,17 @@
 	exchanges_start_stated(t->proxyd->exchanges, h, false);
 }
 
+/* Handles the start of an endpoint that has no entry yet: once it has one with
+ * the same start, the streams that began there are of the listed version. */
+static void unlisted_start_stated(struct endpoint *e, uint64_t born_ms)
+{
+	if (e->stated_born_ms && e->stated_born_ms != born_ms)
+		name_process(e, born_ms);
+	e->stated_born_ms = born_ms;
+	e->start_wanted = false;
+	exchanges_start_stated(e->proxyd->exchanges, e->self, false);
+}
+
 /* Handles a start that is not the listed one.  The streams that began since the
  * endpoint was doubted are of that process, unless another one had stated its
  * start meanwhile. */
@@ -761,42 +784,45 @@
 
 /* Has an engine asked for its start, unless a connection has been open since it
  * stated the one that its entry names: with none open, it may have started again
- * with another version. */
+ * with another version.  One without an entry is asked once. */
 void endpoint_want_start(struct endpoints *t, struct endpoint *e)
 {
-	if (!e->software || e->software_doubted || endpoint_start_proved(e))
+	if (e->software_doubted || (e->software ? endpoint_start_proved(e)
+						: endpoint_known_start(e) != 0))
 		return;
+	if (!e->start_wanted)
+		e->start_wanted_ms = proxyd_now(t->proxyd);
 	e->start_wanted = true;
 	ask_start(t, e);
 }
 
 /* Returns whether an endpoint is known to run since the start that its entry
- * names, and so the listed version.  One with a limit on its requests is taken
- * at the word of its entry, as a question counts as one of these. */
+ * names, and so the listed version. */
 bool endpoint_start_proved(const struct endpoint *e)
 {
 	if (e->software_doubted)
 		return false;
-	return limits_in_force(e) ||
-	       (e->proved_ms && http1_client_spans(e->proxyd->client,
-						   e->address, e->proved_ms));
+	return e->proved_ms &&
+	       http1_client_spans(e->proxyd->client, e->address, e->proved_ms);
 }
 
-/* Asks an endpoint for its start, if that is wanted and it may be asked now. */
+/* Asks an endpoint for its start, if that is wanted and it may be asked now.  One
+ * with a limit that leaves no permit for the question is taken at the word of its
+ * entry. */
 static void ask_start(struct endpoints *t, struct endpoint *e)
 {
 	uint64_t now = proxyd_now(t->proxyd);
 
-	if (e->start_wanted && endpoint_start_proved(e)) {
-		endpoint_unstated_start(t, e->self); /* it names a limit now */
-		return;
-	}
 	if ((!e->software_doubted && !e->start_wanted) ||
 	    e->state != ENDPOINT_UP || e->rediscovering ||
 	    !endpoint_accepts_work(e, now) ||
-	    now - e->start_asked_ms < CONFIRM_START_MS ||
-	    !limits_take_for_check(e))
+	    now - e->start_asked_ms < CONFIRM_START_MS)
+		return;
+	if (!limits_take_for_check(e)) {
+		if (now - e->start_wanted_ms >= START_PERMIT_MS)
+			endpoint_unstated_start(t, e->self);
 		return;
+	}
 	e->start_asked_ms = now;
 	counter_add(t->probes, 1);
 	rediscover_start(t->proxyd, e->self);
--- a/proxyd/endpoints.h
+++ b/proxyd/endpoints.h
@@ -61,6 +61,7 @@
 	/* it may have started again since its entry was written */
 	bool software_doubted;
 	bool start_wanted; /* it is to be asked for its start */
+	uint64_t start_wanted_ms; /* since when */
 	uint64_t start_asked_ms; /* when it was last asked for its start */
 	/* when it stated the start that its entry names; 0: not yet */
 	uint64_t proved_ms;
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -154,6 +154,8 @@
 void exchanges_start_stated(struct exchanges *t, struct handle endpoint,
 			    bool excused)
 {
+	const struct endpoint *e = endpoint_get(t->proxyd->endpoints, endpoint);
+	uint64_t known_ms = e ? endpoint_known_start(e) : 0;
 	struct exchange *x = TAILQ_FIRST(&t->list);
 
 	while (x) {
@@ -162,6 +164,8 @@
 		if (x->phase == EXCHANGE_SENT && x->call &&
 		    handle_equal(x->endpoint, endpoint)) {
 			x->start_excused = x->start_excused || excused;
+			if (!x->sent_born_ms)
+				x->sent_born_ms = known_ms;
 			if (!x->first_event_due_ms)
 				origins_note_begun(t->proxyd->origins, x);
 			stream_start_stated(x);
--- a/proxyd/origins.c
+++ b/proxyd/origins.c
@@ -225,6 +225,8 @@
  * is no version of its own, and its streams are of the listed one. */
 void origins_endpoint_named(struct origins *t, const struct endpoint *e)
 {
+	if (!e->software)
+		return;
 	origins_rename(t, e->unlisted_software, e->software);
 }
 
