--- a/regress/soak/soak_proxyd.c
+++ b/regress/soak/soak_proxyd.c
@@ -26,6 +26,7 @@
 #include "regress/soak/crash_rule.h"
 #include "regress/soak/holdoff_rule.h"
 #include "regress/soak/limit_check.h"
+#include "regress/soak/served_rule.h"
 #include "regress/soak/version_phase.h"
 
 #define INSTANCES 3 /* default of the third argument */
@@ -89,12 +90,13 @@
 
 /* The deadline of a request, and the number of workers that may run it. */
 static const struct {
+	const char *name;
 	unsigned deadline_ms;
 	unsigned attempts;
 } kinds[CALL_KINDS] = {
-	[CALL_BOOKING] = { 900, 1 },
-	[CALL_LOOKUP] = { 900, 2 },
-	[CALL_STREAM] = { 8000, 5 },
+	[CALL_BOOKING] = { "booking", 900, 1 },
+	[CALL_LOOKUP] = { "lookup", 900, 2 },
+	[CALL_STREAM] = { "stream", 8000, 5 },
 };
 
 /* A request of a caller. */
@@ -139,7 +141,7 @@
 static struct random_source silence_numbers;
 static bool silences; /* the phase of silences has begun */
 static unsigned lost; /* requests of that phase that were lost */
-static unsigned served[CALL_KINDS];
+static struct served_class served[CALL_KINDS];
 static unsigned faults;
 static int version = 2;
 static bool high_load;
@@ -516,6 +518,8 @@
 {
 	unsigned runs = runs_of(c->id);
 
+	served_rule_record(&served[c->kind], outcome, c->status, c->body.data,
+			   c->body.len);
 	if (runs > kinds[c->kind].attempts)
 		fail_msg("request %s ran %u times", c->id, runs);
 	if (outcome != HTTP1_COMPLETE)
@@ -526,7 +530,6 @@
 		fail_msg("request %s was answered %d", c->id, c->status);
 	if (c->status != 200)
 		return;
-	served[c->kind]++;
 	if (c->kind == CALL_STREAM && c->last_event != STANDIN_EVENTS)
 		fail_msg("stream %s ended after event %llu", c->id,
 			 (unsigned long long)c->last_event);
@@ -901,7 +904,7 @@
 	for (end = now_ms() + SETTLE_MS; now_ms() < end;)
 		step(false);
 	for (i = 0; i < CALL_KINDS; i++)
-		assert_true(served[i] > 0);
+		served_rule_check(&served[i], kinds[i].name, seed);
 	phase_of_silences();
 	for (i = 0; i < CALLS_MAX; i++)
 		if (calls[i].open) {
