Tell the first reading of a table from later ones again

All instances that were restarted at once left an endpoint with a limit unused for two seconds: 0 of 12 requests were served (all_instances_restarted of test_request_limit, 4 of 4 runs). noted the answer of the store before its rows were applied, and remove_unlisted() tells by that whether they are the first, so that an instance did not see that it had been listed before.

all_instances_restarted passes, 3 of 3; test_late_answer and test_forwarded_rows pass.

--- a/proxyd/watch.c
+++ b/proxyd/watch.c
@@ -535,10 +535,11 @@
 	    watches_designated(w->watches))
 		peers_announce_rows(p->peers, w->table, w->row_version, version,
 				    rows, n);
-	w->answered_ms = now;
-	if (w->loaded && version < w->version)
-		return; /* another reader has told of newer rows meanwhile */
-	apply_rows(w, rows, n);
+	if (w->loaded && version < w->version) {
+		w->answered_ms = now; /* another reader has told of newer rows */
+		return;
+	}
+	apply_rows(w, rows, n); /* the first answer is told by answered_ms */
 	if (!w->loaded || n)
 		w->row_version = version;
 	for (i = 0; i < n; i++)
@@ -546,6 +547,7 @@
 			w->newest_row = rows[i].version;
 	w->version = version;
 	w->behind_ms = 0;
+	w->answered_ms = now;
 	w->loaded = true;
 	w->from_copy = false;
 }
