Measure an instance's silence by datagrams that name its process

Found by a review of, read in the code: in fleets above 128, where datagrams on work name no process and keep an instance alive, one that had started again after its clock was set back was shut out for as long as it had work. And an instance counts as not alive also while it stops, so that a late pulse of its earlier process was taken for a later one. What counts now is the time since a datagram that named its process. test_stepped_clock and test_late_pulse pass.

--- a/proxyd/peers.c
+++ b/proxyd/peers.c
@@ -22,10 +22,14 @@
 #include "proxyd/proxyd.h"
 #include "proxyd/watch.h"
 
+/* Pulses that are missing in a row of an instance whose process has ended. */
+#define SILENT_PULSES 4
+
 static void on_alloc(uv_handle_t *h, size_t suggested, uv_buf_t *buf);
 static void on_datagram(uv_udp_t *udp, ssize_t n, const uv_buf_t *buf,
 			const struct sockaddr *from, unsigned int flags);
-static bool is_of_earlier_process(const struct peer *peer, uint64_t born_ms);
+static bool is_of_earlier_process(const struct peers *t, struct peer *peer,
+				  uint64_t born_ms);
 static void receive_pulse(struct peers *t, const PeerPulse *pulse);
 static void receive_reader(struct peers *t, const PeerReader *msg);
 static void receive_work(struct peers *t, const PeerWork *work);
@@ -351,11 +355,19 @@
 }
 
 /* Returns whether a datagram, which names the start of its process, is of an
- * earlier process of an instance and late.  If the instance has fallen silent, it
- * is of a later one that started after its clock was set back. */
-static bool is_of_earlier_process(const struct peer *peer, uint64_t born_ms)
+ * earlier process of an instance and late.  If none of a later one has come for
+ * SILENT_PULSES, it is of a still later one, whose clock was set back. */
+static bool is_of_earlier_process(const struct peers *t, struct peer *peer,
+				  uint64_t born_ms)
 {
-	return born_ms < peer->start_unix_ms && peer->alive;
+	uint64_t now = proxyd_now(t->proxyd);
+
+	if (born_ms < peer->start_unix_ms &&
+	    now - peer->named_ms <
+		    SILENT_PULSES * heartbeat_interval_ms(t->n + 1))
+		return true;
+	peer->named_ms = now;
+	return false;
 }
 
 /* Applies a pulse.  Those that arrive late are ignored: of an earlier process of
@@ -365,7 +377,7 @@
 	struct peer *peer = peers_find(t, pulse->instance);
 	size_t i;
 
-	if (!peer || is_of_earlier_process(peer, pulse->born) ||
+	if (!peer || is_of_earlier_process(t, peer, pulse->born) ||
 	    (pulse->born == peer->start_unix_ms && peer->heartbeat.leaving &&
 	     !pulse->leaving))
 		return;
@@ -427,7 +439,7 @@
 	uint64_t now = proxyd_now(t->proxyd);
 	bool was_able;
 
-	if (!peer || is_of_earlier_process(peer, msg->born))
+	if (!peer || is_of_earlier_process(t, peer, msg->born))
 		return;
 	was_able = peer->reader.announced_ms && !peer->reader.unable;
 	peer->heartbeat.last_seen_ms = now;
