--- a/proxyd/watch.c
+++ b/proxyd/watch.c
@@ -531,14 +531,15 @@
 	w->next_call_ms = now + store_poll_after_success(
 					&w->poll, peers_alive(p->peers) + 1,
 					watches_designated(w->watches), now);
+	if (w->loaded && version < w->version) {
+		w->answered_ms =
+			now; /* another reader has told of newer rows */
+		return;
+	}
 	if (w->loaded && n && w->table != STORE_CONFIGURATION &&
 	    watches_designated(w->watches))
 		peers_announce_rows(p->peers, w->table, w->row_version, version,
 				    rows, n);
-	if (w->loaded && version < w->version) {
-		w->answered_ms = now; /* another reader has told of newer rows */
-		return;
-	}
 	apply_rows(w, rows, n); /* the first answer is told by answered_ms */
 	if (!w->loaded || n)
 		w->row_version = version;
