Judge no end of an answer by what was not read or asked

Found by a review, read in the code, no run shows them: after a stall of the loop the time of an end could lie ahead of the clock, and the answer was taken for one of which nothing can be told, unasked. A connection whose answer is not read, as its caller reads slowly, shows no end, and counted as one that lasts. The configuration in force now, not that of the request, decided whether an engine was asked for its report. The start that an engine stated was not kept, so that later answers were compared with an older one. A plain answer of which nothing can be told was passed on also where its request may run again.

test_killed_engine and test_unframed_answers pass.

--- a/lib/http1_client.c
+++ b/lib/http1_client.c
@@ -297,6 +297,12 @@
 			      on_read);
 }
 
+/* Returns whether the answer is not read now, so that its end is not seen. */
+bool http1_call_paused(const struct http1_call *call)
+{
+	return call->paused;
+}
+
 /* Returns when the connection of a call was established, 0 if it is not. */
 uint64_t http1_call_opened_ms(const struct http1_call *call)
 {
@@ -305,7 +311,7 @@
 
 /* Returns whether a connection to an address that was established at since_ms or
  * before is still open.  It ends at one process, which has run all that
- * time. */
+ * time.  Those that are not read don't count: their end is not seen. */
 bool http1_client_spans(const struct http1_client *c, const char *address,
 			uint64_t since_ms)
 {
@@ -313,7 +319,7 @@
 
 	TAILQ_FOREACH(k, &c->conns, link)
 	if (k->opened_ms && k->opened_ms <= since_ms &&
-	    !strcmp(k->address, address))
+	    !(k->call && k->call->paused) && !strcmp(k->address, address))
 		return true;
 	return false;
 }
--- a/lib/http1_client.h
+++ b/lib/http1_client.h
@@ -72,6 +72,7 @@
 void http1_call_reassign(struct http1_call *call,
 			 const struct http1_call_ops *ops, void *arg);
 void http1_call_pause(struct http1_call *call, bool paused);
+bool http1_call_paused(const struct http1_call *call);
 uint64_t http1_call_opened_ms(const struct http1_call *call);
 bool http1_client_spans(const struct http1_client *c, const char *address,
 			uint64_t since_ms);
--- a/proxyd/answer_ends.c
+++ b/proxyd/answer_ends.c
@@ -50,7 +50,7 @@
 };
 
 static bool can_not_ask(const struct endpoint *e);
-static void ask(struct proxyd *p, struct endpoint *e);
+static void ask(struct proxyd *p, struct endpoint *e, bool is_engine);
 static enum http1_head_decision on_head(void *arg,
 					const struct http1_head *head);
 static void on_body(void *arg, const char *data, size_t len);
@@ -93,7 +93,7 @@
 		f = (struct finding){ ENDPOINT_SIGN_LIVES, "connection lasts" };
 	judge(x, &f, now, last);
 	if (e && x->ended_ms && now > x->ended_ms)
-		ask(x->proxyd, e);
+		ask(x->proxyd, e, x->engine != NULL);
 }
 
 /* Returns whether the last question to an engine could only be a connection. */
@@ -122,10 +122,8 @@
  * engine for its report, which states its start.  An endpoint that pauses or has
  * no permit left for a request, or a service without reports, is only connected
  * to: if it refuses, it has ended. */
-static void ask(struct proxyd *p, struct endpoint *e)
+static void ask(struct proxyd *p, struct endpoint *e, bool is_engine)
 {
-	const struct route_service *s =
-		p->routes ? routes_service(p->routes, e->service) : NULL;
 	uint64_t now = proxyd_now(p);
 	struct http1_call_options options = {
 		.address = e->address,
@@ -144,7 +142,7 @@
 	q->asked_ms = now;
 	q->status = 0;
 	q->body.len = 0;
-	q->is_engine = s && s->engine;
+	q->is_engine = is_engine;
 	q->is_report = q->is_engine &&
 		       !holdoff_remaining_ms(&e->holdoff, now) &&
 		       limits_take_for_check(e);
@@ -217,6 +215,12 @@
 		}
 		judge(x, &own, now, false);
 	}
+	if (f.sign == ENDPOINT_SIGN_LIVES && q->is_report && e &&
+	    born_ms != endpoint_known_start(e)) {
+		e->start_wanted = true;
+		endpoint_stated_start(p->endpoints, q->endpoint, born_ms,
+				      q->asked_ms);
+	}
 }
 
 /* Returns what the outcome of a question shows.  Sets *born_ms to the start that
--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -418,10 +418,14 @@
 }
 
 /* Handles what is known now of an answer that ended with its connection.  One of
- * which nothing is known is forwarded as it came, without a length. */
+ * which nothing is known is forwarded as it came, without a length, if its
+ * request may not run again. */
 void attempt_end_known(struct exchange *x, enum answer_end end)
 {
-	end_attempt(x, end == ANSWER_END_CUT ? HTTP1_BROKEN : HTTP1_COMPLETE);
+	bool broken = end == ANSWER_END_CUT || (end == ANSWER_END_UNKNOWN &&
+						route_may_run_again(x->route));
+
+	end_attempt(x, broken ? HTTP1_BROKEN : HTTP1_COMPLETE);
 }
 
 /* Handles the outcome of an attempt whose answer is no event stream. */
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -135,6 +135,7 @@
 /* Discounts a stall of this process from the silence of all runs. */
 void exchanges_discount_stall(struct exchanges *t, uint64_t stall_ms)
 {
+	uint64_t now = proxyd_now(t->proxyd);
 	struct exchange *x;
 
 	TAILQ_FOREACH(x, &t->list, link)
@@ -144,7 +145,9 @@
 		if (x->first_event_due_ms)
 			x->first_event_due_ms += stall_ms;
 		if (x->ended_ms)
-			x->ended_ms += stall_ms;
+			x->ended_ms = x->ended_ms + stall_ms < now
+					      ? x->ended_ms + stall_ms
+					      : now;
 	}
 }
 
@@ -164,7 +167,7 @@
 		if (x->phase == EXCHANGE_SENT && x->call &&
 		    handle_equal(x->endpoint, endpoint)) {
 			x->start_excused = x->start_excused || excused;
-			if (!x->sent_born_ms)
+			if (!x->sent_born_ms && !http1_call_paused(x->call))
 				x->sent_born_ms = known_ms;
 			if (!x->first_event_due_ms)
 				origins_note_begun(t->proxyd->origins, x);
