Give a stated start no streams of a process that was not doubted

An engine was killed and back as v1 before its entry was read, a stream began there, and it was killed and back as v2. The report that stated the start of v2 gave its name to what stood for the version of the process before, though the endpoint was not doubted: its streams may be of the listed process. Only those that began while it was doubted get the name now.

--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -754,15 +754,17 @@
 	exchanges_start_stated(e->proxyd->exchanges, e->self, false);
 }
 
-/* Handles a start that is not the listed one.  The streams that began since the
+/* Handles a start that is not the listed one.  The streams that began while the
  * endpoint was doubted are of that process, unless another one had stated its
- * start meanwhile. */
+ * start meanwhile.  Of an endpoint that was not doubted they may be of the listed
+ * one. */
 static void other_start_stated(struct endpoint *e, uint64_t born_ms)
 {
 	uint64_t before = e->unlisted_software;
 
 	name_process(e, born_ms);
-	if (!e->stated_born_ms || e->stated_born_ms == e->born_ms)
+	if (e->software_doubted &&
+	    (!e->stated_born_ms || e->stated_born_ms == e->born_ms))
 		origins_rename(e->proxyd->origins, before,
 			       e->unlisted_software);
 }
