--- a/regress/integration/test_killed_instance.c
+++ b/regress/integration/test_killed_instance.c
@@ -28,14 +28,21 @@
 	struct http1_call *call;
 	size_t wanted; /* bytes or events, before the kill */
 	bool events;
+	bool killed; /* the instance */
 	struct bytes body;
 	enum http1_outcome outcome;
 	bool over;
 };
 
+/* Reads events as they come, and of another answer its first bytes, so that its
+ * rest cannot have been sent when the instance is killed. */
 static void on_body(void *arg, const char *data, size_t len)
 {
-	bytes_add(&((struct reply *)arg)->body, data, len);
+	struct reply *r = arg;
+
+	bytes_add(&r->body, data, len);
+	if (!r->events && !r->killed)
+		http1_call_pause(r->call, true);
 }
 
 static void on_end(void *arg, enum http1_outcome outcome)
@@ -118,9 +125,8 @@
 				   &ops, r);
 	harness_until(harness, has_wanted, r, "a part of the answer has come");
 	assert_false(r->over);
-	if (!r->events)
-		http1_call_pause(r->call, true);
 	proc_kill(one.proc);
+	r->killed = true;
 	if (!r->events)
 		http1_call_pause(r->call, false);
 	harness_until(harness, is_over, r, "the connection ends");
