Note a broken run once, where its answer is given up

The question after an answer's end noted the run of an answer that is judged as cut, and stream_end_known() and handle_broken_answer() note it again; only those that the endpoint's loss is to find must be noted before. The question's owner is set once, and endpoint_start_proved() is one expression again.

--- a/proxyd/answer_ends.c
+++ b/proxyd/answer_ends.c
@@ -135,16 +135,16 @@
 
 	if (q && (q->call || now - q->asked_ms < ASK_AGAIN_MS))
 		return;
-	if (!q)
+	if (!q) {
 		q = e->end_question = xcalloc(1, sizeof(*q));
-	q->proxyd = p;
-	q->endpoint = e->self;
+		q->proxyd = p;
+		q->endpoint = e->self;
+	}
 	q->asked_ms = now;
 	q->status = 0;
 	q->body.len = 0;
 	q->is_engine = is_engine;
-	q->is_report = q->is_engine &&
-		       !holdoff_remaining_ms(&e->holdoff, now) &&
+	q->is_report = is_engine && !holdoff_remaining_ms(&e->holdoff, now) &&
 		       limits_take_for_check(e);
 	if (q->is_report)
 		bytes_addf(&out, "GET %s HTTP/1.1\r\nhost: %s\r\n\r\n",
@@ -209,10 +209,8 @@
 				answer_end_start_sign(x->sent_born_ms, born_ms);
 		if (own.sign == ENDPOINT_SIGN_UNKNOWN)
 			own.why = "start not known before";
-		if (own.sign == ENDPOINT_SIGN_ENDED && own.sign != f.sign) {
+		if (own.sign == ENDPOINT_SIGN_ENDED && own.sign != f.sign)
 			own.why = "other start";
-			suspects_run_broke(x, e);
-		}
 		judge(x, &own, now, false);
 	}
 	if (f.sign == ENDPOINT_SIGN_LIVES && q->is_report && e &&
--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -802,9 +802,7 @@
  * names, and so the listed version. */
 bool endpoint_start_proved(const struct endpoint *e)
 {
-	if (e->software_doubted)
-		return false;
-	return e->proved_ms &&
+	return !e->software_doubted && e->proved_ms &&
 	       http1_client_spans(e->proxyd->client, e->address, e->proved_ms);
 }
 
