--- a/regress/harness.c
+++ b/regress/harness.c
@@ -339,6 +339,19 @@
 	return read_file(p->out_path);
 }
 
+/* Returns how often a text stands in what a process wrote to standard output. */
+size_t proc_output_count(const struct proc *p, const char *text)
+{
+	char *output = proc_output(p);
+	const char *at;
+	size_t n = 0;
+
+	for (at = output; (at = strstr(at, text)); at++)
+		n++;
+	free(output);
+	return n;
+}
+
 /* Returns a file's content, an empty string if it cannot be read. */
 static char *read_file(const char *path)
 {
--- a/regress/harness.h
+++ b/regress/harness.h
@@ -52,6 +52,7 @@
 void proc_signal(struct proc *p, int signum);
 char *proc_log(const struct proc *p);
 char *proc_output(const struct proc *p);
+size_t proc_output_count(const struct proc *p, const char *text);
 
 void harness_run(struct harness *h, uint64_t ms);
 void harness_until(struct harness *h, bool (*holds)(void *arg), void *arg,
--- a/regress/integration/test_dead_calls.c
+++ b/regress/integration/test_dead_calls.c
@@ -91,11 +91,8 @@
 static bool has_logged(void *arg)
 {
 	const struct logged *l = arg;
-	char *log = proc_output(l->in->proc);
-	bool found = strstr(log, l->text) != NULL;
 
-	free(log);
-	return found;
+	return proc_output_count(l->in->proc, l->text) > 0;
 }
 
 /* Waits until all instances know an endpoint; one call at most may time out. */
--- a/regress/integration/test_forwarded_rows.c
+++ b/regress/integration/test_forwarded_rows.c
@@ -152,11 +152,7 @@
 
 static bool has_logged(const char *text)
 {
-	char *log = proc_output(one.proc);
-	bool found = strstr(log, text) != NULL;
-
-	free(log);
-	return found;
+	return proc_output_count(one.proc, text) > 0;
 }
 
 /* Has the simulated readers read the store, until the instance has ended its
--- a/regress/integration/test_kept_connections.c
+++ b/regress/integration/test_kept_connections.c
@@ -153,11 +153,7 @@
 /* Returns whether the process has logged a text. */
 static bool has_logged(void *text)
 {
-	char *log = proc_output(one.proc);
-	bool found = strstr(log, text) != NULL;
-
-	free(log);
-	return found;
+	return proc_output_count(one.proc, text) > 0;
 }
 
 static void wait_logged(const char *text)
--- a/regress/integration/test_late_pulse.c
+++ b/regress/integration/test_late_pulse.c
@@ -62,11 +62,7 @@
 
 static bool has_logged(void *arg)
 {
-	char *log = proc_output(one.proc);
-	bool found = strstr(log, arg) != NULL;
-
-	free(log);
-	return found;
+	return proc_output_count(one.proc, arg) > 0;
 }
 
 /* The process that stops started at 1; one that starts after it at 2. */
--- a/regress/integration/test_late_requests.c
+++ b/regress/integration/test_late_requests.c
@@ -116,11 +116,7 @@
 
 static bool has_logged(void *text)
 {
-	char *log = proc_output(one.proc);
-	bool found = strstr(log, text) != NULL;
-
-	free(log);
-	return found;
+	return proc_output_count(one.proc, text) > 0;
 }
 
 static void stop(void)
--- a/regress/integration/test_older_configuration.c
+++ b/regress/integration/test_older_configuration.c
@@ -127,11 +127,7 @@
 
 static bool has_logged(void *arg)
 {
-	char *log = proc_output(one.proc);
-	bool found = strstr(log, arg) != NULL;
-
-	free(log);
-	return found;
+	return proc_output_count(one.proc, arg) > 0;
 }
 
 /* Waits until the first instance has put a version in force after another. */
--- a/regress/integration/test_proxyd.c
+++ b/regress/integration/test_proxyd.c
@@ -393,12 +393,7 @@
 	int tries;
 
 	for (tries = 0; seen < times; tries++) {
-		char *log = proc_output(p);
-		const char *at = log;
-
-		for (seen = 0; (at = strstr(at, event)); at++)
-			seen++;
-		free(log);
+		seen = proc_output_count(p, event);
 		if (tries == 1000)
 			fail_msg("%s was logged %zu times", event, seen);
 		harness_run(harness, 10);
--- a/regress/integration/test_software_versions.c
+++ b/regress/integration/test_software_versions.c
@@ -237,17 +237,10 @@
 static bool has_read_entries(void *arg)
 {
 	const struct listing *l = arg;
-	char *log = proc_output(l->instance->proc);
 	char *entry = xasprintf("\"software\":\"%s\",\"leaving\"", l->version);
-	const char *p = log;
-	size_t n = 0;
+	size_t n = proc_output_count(l->instance->proc, entry);
 
-	while ((p = strstr(p, entry))) {
-		p++;
-		n++;
-	}
 	free(entry);
-	free(log);
 	return n >= l->n;
 }
 
--- a/regress/integration/test_stepped_clock.c
+++ b/regress/integration/test_stepped_clock.c
@@ -80,18 +80,11 @@
 static bool has_logged(void *arg)
 {
 	const struct logged *l = arg;
-	char *log;
-	const char *at;
-	size_t n = 0;
 
 	if (l->born_ms)
 		send_pulse(l->born_ms);
 	harness_run(harness, PULSE_MS);
-	log = proc_output(one.proc);
-	for (at = log; (at = strstr(at, l->text)); at++)
-		n++;
-	free(log);
-	return n >= l->times;
+	return proc_output_count(one.proc, l->text) >= l->times;
 }
 
 /* Lets a process of the other instance send pulses until it counts as alive,
--- a/regress/integration/test_store_copy.c
+++ b/regress/integration/test_store_copy.c
@@ -164,16 +164,8 @@
 static bool has_logged(void *arg)
 {
 	const struct logged *l = arg;
-	char *log = proc_output(l->in->proc);
-	const char *at = log;
-	size_t n = 0;
 
-	while ((at = strstr(at, l->text))) {
-		at++;
-		n++;
-	}
-	free(log);
-	return n >= l->times;
+	return proc_output_count(l->in->proc, l->text) >= l->times;
 }
 
 /* Waits until the logs of all instances contain a text so often. */
--- a/regress/integration/test_unordered_entries.c
+++ b/regress/integration/test_unordered_entries.c
@@ -83,11 +83,7 @@
 
 static bool has_logged(void *arg)
 {
-	char *log = proc_output(one.proc);
-	bool found = strstr(log, arg) != NULL;
-
-	free(log);
-	return found;
+	return proc_output_count(one.proc, arg) > 0;
 }
 
 /* Waits until the instance has applied all rows that were written so far. */
