--- a/proxyd/watch.c
+++ b/proxyd/watch.c
@@ -532,15 +532,16 @@
 					&w->poll, peers_alive(p->peers) + 1,
 					watches_designated(w->watches), now);
 	if (w->loaded && version < w->version) {
-		w->answered_ms =
-			now; /* another reader has told of newer rows */
+		/* another reader has told of newer rows meanwhile */
+		w->answered_ms = now;
 		return;
 	}
 	if (w->loaded && n && w->table != STORE_CONFIGURATION &&
 	    watches_designated(w->watches))
 		peers_announce_rows(p->peers, w->table, w->row_version, version,
 				    rows, n);
-	apply_rows(w, rows, n); /* the first answer is told by answered_ms */
+	/* before answered_ms is set, which tells the first reading from later */
+	apply_rows(w, rows, n);
 	if (!w->loaded || n)
 		w->row_version = version;
 	for (i = 0; i < n; i++)
