Log how the end of an unframed answer was judged: leaving, listed, when asked

unframed-end did not tell whether the endpoint was known to leave, whether its entry had gone, or how long after the end it was asked, so that a planned exit and a kill looked alike.

--- a/proxyd/answer_ends.c
+++ b/proxyd/answer_ends.c
@@ -61,6 +61,8 @@
 			  const struct end_question *q);
 static void judge(struct exchange *x, const struct finding *f, uint64_t now,
 		  bool last);
+static int64_t asked_after_ms(const struct endpoint *e,
+			      const struct exchange *x);
 static bool is_reached(const struct endpoint *e, const struct exchange *x);
 
 static const struct http1_call_ops ops = {
@@ -274,10 +276,13 @@
 	counter_add(x->proxyd->exchanges->ends[end], 1);
 	event_log(end == ANSWER_END_WHOLE ? EVENT_ROUTINE : EVENT_NOTABLE,
 		  "unframed-end", x->fields.id,
-		  "{s:s, s:s, s:s, s:I, s:b, s:b, s:I, s:I}", "outcome",
-		  answer_end_name(end), "why", f->why, "endpoint",
-		  e ? e->id : "", "waited_ms", (json_int_t)signs.waited_ms,
-		  "reached", signs.reached, "empty", signs.empty, "known_start",
+		  "{s:s, s:s, s:s, s:b, s:b, s:I, s:I, s:b, s:b, s:I, s:I}",
+		  "outcome", answer_end_name(end), "why", f->why, "endpoint",
+		  e ? e->id : "", "leaving", e && endpoint_is_leaving(e),
+		  "listed", e && !e->expiry.removed, "waited_ms",
+		  (json_int_t)signs.waited_ms, "asked_after_ms",
+		  (json_int_t)asked_after_ms(e, x), "reached", signs.reached,
+		  "empty", signs.empty, "known_start",
 		  (json_int_t)x->sent_born_ms, "last_event",
 		  (json_int_t)(x->has_last_event ? (int64_t)x->last_event_id
 						 : -1));
@@ -288,6 +293,18 @@
 		attempt_end_known(x, end);
 }
 
+/* Returns how long after the end of an answer its endpoint was last asked, ms; -1
+ * if it has not been since. */
+static int64_t asked_after_ms(const struct endpoint *e,
+			      const struct exchange *x)
+{
+	const struct end_question *q = e ? e->end_question : NULL;
+
+	return q && q->asked_ms >= x->ended_ms
+		       ? (int64_t)(q->asked_ms - x->ended_ms)
+		       : -1;
+}
+
 /* Returns whether the endpoint has accepted the connection of a question after
  * the end of a stream. */
 static bool is_reached(const struct endpoint *e, const struct exchange *x)
