Test that whole requests end with an answer beside planned work

Not run before: bodies of megabytes, to endpoints that read slowly or answer first; routes that change their service while its endpoints leave; reloads and stops of one instance in a series; requests to an instance that has no configuration yet; many instances.

test_unanswered_requests plays them together from a seed: real cdmproxyd processes, changes 250 ms apart, releases, silences of 0.8 to 1.8 s, answers with chunks or a length. It follows each request to its end, and compares bodies, events and the number of runs.

--- /dev/null
+++ b/regress/integration/test_unanswered_requests.c
@@ -0,0 +1,603 @@
+/*
+ * Requests that were sent whole, bodies of megabytes among them, get an answer or
+ * a refusal beside planned work: changes of the configuration in series, routes
+ * that change their service while its endpoints leave, releases, reloads, stops
+ * and starts of instances, and endpoints that are silent for 0.8 to 1.8 s.  An
+ * instance hears from the store late in its first second, so that requests come
+ * before its configuration.
+ *
+ * By hand: WHOLE_SEED=101 WHOLE_SEEDS=10 WHOLE_SECONDS=30 WHOLE_INSTANCES=4.
+ */
+#include <signal.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <setjmp.h>
+#include <cmocka.h>
+
+#include "lib/xalloc.h"
+#include "regress/whole_requests.h"
+
+#define FIRST_SEED 1
+#define SEEDS 2
+#define RUN_S 6
+#define STEP_MS 2
+#define INSTANCES 3
+#define INSTANCES_PER_STOP 4 /* so many stand for each that stops at once */
+#define CALLERS 32
+#define GRACE_S 8
+#define SERIES_CHANGES 4
+#define CHANGE_MS 250
+#define FRESH_MS 1000 /* of an instance */
+#define FRESH_CHANGE_MS 300 /* a change after a start, at most */
+#define STORE_DELAY_MAX_MS 600 /* in each direction, of a fresh instance */
+#define PAUSE_MIN_MS 200
+#define PAUSE_MAX_MS 1200
+#define DRAW_SILENCE_MS 500
+#define SILENCE_MIN_MS 800
+#define SILENCE_SPREAD_MS 1000
+#define ENDPOINTS_PER_SERVICE 2
+#define BODY_BYTES 8000000
+#define BODY_BYTES_LOW 1000000
+
+/* What a configuration changes. */
+enum change {
+	CHANGE_TIMEOUT,
+	/* of plain routes, shorter than silences; a stream would be cut */
+	CHANGE_TIMEOUT_SHORT,
+	CHANGE_IDLE,
+	CHANGE_BODY,
+	CHANGE_KEY,
+	CHANGE_ATTEMPTS,
+	CHANGE_SLOTS,
+	CHANGE_ROUTE, /* one more */
+	CHANGE_PLAIN, /* plain routes go to the other service */
+	CHANGE_ENGINE, /* streams go to the other engines */
+	CHANGES,
+};
+
+/* Signals that an instance gets beside a change. */
+enum signals {
+	SIGNALS_NONE,
+	SIGNALS_RELOAD,
+	SIGNALS_STOP,
+	SIGNALS_RELOAD_STOP,
+	SIGNALS_STOP_RELOAD,
+	SIGNALS_KINDS,
+};
+
+struct instance {
+	struct standin_instance in;
+	char name[32];
+	const char *gate; /* of the fault proxy, to the store */
+	bool delayed; /* what it hears from the store */
+	size_t starts;
+	bool up; /* the process has said that it has started */
+	bool stopping;
+};
+
+struct run {
+	unsigned int seed;
+	struct random_source random;
+	bool changed[CHANGES]; /* in force */
+	unsigned int n_series; /* changes made in this series */
+	size_t target; /* instance that gets the signals of this series */
+	uint64_t change_ms; /* time of the next change */
+	uint64_t silence_ms; /* when silences are drawn anew */
+	unsigned int releases;
+	unsigned int reloads;
+	unsigned int stops;
+	unsigned int failed_exits;
+};
+
+static struct harness *harness;
+static struct standin_world *platform;
+static struct instance instances[WHOLE_ADDRESSES_MAX];
+static size_t n_instances;
+static const char *control; /* of the fault proxy */
+static struct whole_world world;
+static struct run run;
+static int version;
+
+static uint64_t now_ms(void)
+{
+	return uv_now(harness_loop(harness));
+}
+
+static unsigned int number(const char *name, unsigned int otherwise)
+{
+	const char *text = getenv(name);
+
+	return text ? (unsigned int)strtoul(text, NULL, 10) : otherwise;
+}
+
+/* Writes a route of a configuration. */
+static char *route(const char *name, const char *type, const char *service,
+		   int attempts)
+{
+	const bool *on = run.changed;
+	bool plain = strcmp(type, "streaming") != 0;
+
+	return xasprintf(
+		"{\"name\":\"%s\",\"hostname\":\"127.0.0.1\",\"pathPrefix\":"
+		"\"/%s/\",\"routeType\":\"%s\",\"timeoutMs\":%d,"
+		"\"targetLatencyMs\":4500,\"targetGapMs\":700,\"backend\":\"%s\","
+		"\"maxAttempts\":%d,\"resumable\":%s}",
+		name, name, type,
+		on[CHANGE_TIMEOUT_SHORT] && plain ? 700
+		: on[CHANGE_TIMEOUT]		  ? 5000
+						  : 20000,
+		service, on[CHANGE_ATTEMPTS] ? 1 : attempts,
+		!strcmp(name, "write") ? "true" : "false");
+}
+
+/* Writes a configuration with the changes that are in force. */
+static void put_configuration(void)
+{
+	const bool *on = run.changed;
+	const char *plain = on[CHANGE_PLAIN] ? "beta" : "alpha";
+	const char *engine = on[CHANGE_ENGINE] ? "motor" : "engine";
+	char *routes[] = {
+		route("book", "non_idempotent", plain, 1),
+		route("look", "idempotent", plain, 2),
+		route("tell", "streaming", engine, 1),
+		route("write", "streaming", engine, 5),
+		route(on[CHANGE_ROUTE] ? "more" : "less", "idempotent", plain,
+		      2),
+	};
+	int slots = on[CHANGE_SLOTS] ? 2 : 48;
+	char *text = xasprintf(
+		"{\"version\":%d,\"routes\":[%s,%s,%s,%s,%s],\"services\":["
+		"{\"name\":\"alpha\",\"healthPath\":\"/healthz\"},"
+		"{\"name\":\"beta\",\"healthPath\":\"/healthz\"},"
+		"{\"name\":\"engine\",\"healthPath\":\"/healthz\",\"engine\":{"
+		"\"slots\":%d,\"kvCapacity\":55000}},"
+		"{\"name\":\"motor\",\"healthPath\":\"/healthz\",\"engine\":{"
+		"\"slots\":%d,\"kvCapacity\":55000}}],"
+		"\"limits\":{\"maxHeaderBytes\":4096,\"maxBodyBytes\":%d,"
+		"\"headerTimeoutMs\":4000,\"idleTimeoutMs\":%d},"
+		"\"tenants\":[{\"name\":\"ajoke\",\"apiKeys\":[\"k1\"%s]}]}",
+		++version, routes[0], routes[1], routes[2], routes[3],
+		routes[4], slots, slots,
+		on[CHANGE_BODY] ? BODY_BYTES_LOW : BODY_BYTES,
+		on[CHANGE_IDLE] ? 900 : 15000, on[CHANGE_KEY] ? "" : ",\"k2\"");
+	size_t i;
+
+	standin_put(platform, "op", "config", text);
+	world.changes++;
+	free(text);
+	for (i = 0; i < sizeof(routes) / sizeof(routes[0]); i++)
+		free(routes[i]);
+}
+
+/* Starts endpoints of a service until as many serve it as should. */
+static void start_endpoints(const char *service, bool engine)
+{
+	size_t n = 0;
+	size_t i;
+
+	for (i = 0; i < world.n_endpoints; i++)
+		n += world.endpoints[i].listener >= 0 &&
+		     !world.endpoints[i].leaving_ms &&
+		     !strcmp(world.endpoints[i].service, service);
+	for (; n < ENDPOINTS_PER_SERVICE; n++)
+		whole_endpoint_start(&world, service, engine);
+}
+
+/* Has endpoints of a service leave, at most so many. */
+static void leave(const char *service, size_t most)
+{
+	size_t i;
+
+	for (i = 0; most && i < world.n_endpoints; i++) {
+		struct whole_endpoint *e = &world.endpoints[i];
+
+		if (e->listener < 0 || e->leaving_ms ||
+		    strcmp(e->service, service) != 0)
+			continue;
+		whole_endpoint_leave(&world, e, random_below(&run.random, 2));
+		run.releases++;
+		most--;
+	}
+}
+
+/* Puts the changes in force into the configuration, and has the endpoints of
+ * services without routes leave, before or after it. */
+static void apply_changes(void)
+{
+	const bool *on = run.changed;
+	bool before = random_below(&run.random, 2);
+	size_t at_once = 1 + random_below(&run.random, ENDPOINTS_PER_SERVICE);
+
+	start_endpoints(on[CHANGE_PLAIN] ? "beta" : "alpha", false);
+	start_endpoints(on[CHANGE_ENGINE] ? "motor" : "engine", true);
+	if (!before)
+		put_configuration();
+	leave(on[CHANGE_PLAIN] ? "alpha" : "beta", at_once);
+	leave(on[CHANGE_ENGINE] ? "engine" : "motor", at_once);
+	if (before)
+		put_configuration();
+}
+
+/* Replaces one endpoint of each service that has routes: the new ones serve
+ * first. */
+static void release(void)
+{
+	static const struct {
+		const char *service;
+		bool engine;
+	} services[] = {
+		{ "alpha", false },
+		{ "beta", false },
+		{ "engine", true },
+		{ "motor", true },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(services) / sizeof(services[0]); i++) {
+		enum change change = services[i].engine ? CHANGE_ENGINE
+							: CHANGE_PLAIN;
+
+		if (run.changed[change] != i % 2)
+			continue;
+		whole_endpoint_start(&world, services[i].service,
+				     services[i].engine);
+		leave(services[i].service, 1);
+	}
+}
+
+/* Delays what an instance and the store send to each other. */
+static void delay_store(struct instance *i, uint32_t ms)
+{
+	harness_control(harness, control, "{\"%s\":{\"delay_ms\":%u}}", i->gate,
+			ms);
+	i->delayed = ms > 0;
+}
+
+/* Starts the process of an instance; callers try to reach it from now on. */
+static void start_instance(struct instance *i)
+{
+	struct whole_address *a = &world.addresses[i - instances];
+
+	delay_store(i, random_below(&run.random, STORE_DELAY_MAX_MS));
+	i->in.proc = HARNESS_START(harness, i->name, "cdmproxyd", "-f",
+				   i->in.settings);
+	i->starts++;
+	i->up = false;
+	i->stopping = false;
+	a->listed = true;
+	a->started_ms = now_ms();
+}
+
+/* Starts instances again that have stopped, with a change of the configuration
+ * soon after. */
+static void step_instances(void)
+{
+	size_t i;
+
+	for (i = 0; i < n_instances; i++) {
+		struct instance *in = &instances[i];
+
+		if (in->delayed &&
+		    now_ms() - world.addresses[i].started_ms >= FRESH_MS)
+			delay_store(in, 0);
+		if (!in->up)
+			in->up = proc_output_count(in->in.proc,
+						   "\"event\":\"start\"") >=
+				 in->starts;
+		if (proc_running(in->in.proc))
+			continue;
+		if (!in->stopping || in->in.proc->exit_code) {
+			run.failed_exits++;
+			print_message("%s ended with %d\n", in->name,
+				      in->in.proc->exit_code);
+		}
+		start_instance(in);
+		if (run.change_ms > now_ms() + FRESH_CHANGE_MS)
+			run.change_ms =
+				now_ms() +
+				random_below(&run.random, FRESH_CHANGE_MS);
+	}
+}
+
+/* Rewrites the settings of an instance with another budget of repeats and has it
+ * reload them. */
+static void reload(struct instance *i)
+{
+	static const char name[] = "repeat_slack = ";
+	FILE *f = fopen(i->in.settings, "r+");
+	char line[256];
+	long at = 0;
+
+	assert_non_null(f);
+	while (fgets(line, sizeof(line), f) &&
+	       strncmp(line, name, strlen(name)) != 0)
+		at = ftell(f);
+	fseek(f, at + (long)strlen(name), SEEK_SET);
+	fputc('1' + (int)random_below(&run.random, 3), f);
+	fclose(f);
+	proc_signal(i->in.proc, SIGHUP);
+	run.reloads++;
+}
+
+/* Stops an instance unless as many stop as may. */
+static void stop_instance(struct instance *i)
+{
+	size_t stopping = 0;
+	size_t k;
+
+	for (k = 0; k < n_instances; k++)
+		stopping += instances[k].stopping;
+	if (i->stopping || stopping * INSTANCES_PER_STOP >= n_instances)
+		return;
+	proc_signal(i->in.proc, SIGTERM);
+	i->stopping = true;
+	world.addresses[i - instances].listed = false;
+	run.stops++;
+}
+
+/* Sends the instance of this series the signals of a step. */
+static void send_signals(void)
+{
+	struct instance *i = &instances[run.target];
+
+	if (!i->up)
+		return;
+	switch ((enum signals)random_below(&run.random, SIGNALS_KINDS)) {
+	case SIGNALS_RELOAD:
+		reload(i);
+		break;
+	case SIGNALS_STOP:
+		stop_instance(i);
+		break;
+	case SIGNALS_RELOAD_STOP:
+		reload(i);
+		stop_instance(i);
+		break;
+	case SIGNALS_STOP_RELOAD:
+		stop_instance(i);
+		reload(i);
+		break;
+	default:
+		break;
+	}
+}
+
+/* Makes the next change of a series, or takes all of them back. */
+static void step_changes(void)
+{
+	struct random_source *r = &run.random;
+	bool before = random_below(r, 2);
+
+	if (!run.n_series)
+		run.target = random_below(r, (uint32_t)n_instances);
+	if (before)
+		send_signals();
+	if (run.n_series < SERIES_CHANGES) {
+		run.changed[random_below(r, CHANGES)] = true;
+		run.n_series++;
+		run.change_ms = now_ms() + CHANGE_MS;
+	} else {
+		memset(run.changed, 0, sizeof(run.changed));
+		run.n_series = 0;
+		run.change_ms =
+			now_ms() + PAUSE_MIN_MS + random_below(r, PAUSE_MAX_MS);
+	}
+	apply_changes();
+	if (!random_below(r, 3))
+		release();
+	if (!before)
+		send_signals();
+}
+
+/* Draws which endpoints fall silent as a whole. */
+static void draw_silences(void)
+{
+	size_t i;
+
+	for (i = 0; i < world.n_endpoints; i++) {
+		struct whole_endpoint *e = &world.endpoints[i];
+
+		if (e->listener >= 0 && now_ms() >= e->silent_until_ms &&
+		    !random_below(&run.random, 4))
+			e->silent_until_ms =
+				now_ms() + SILENCE_MIN_MS +
+				random_below(&run.random, SILENCE_SPREAD_MS);
+	}
+	run.silence_ms = now_ms() + DRAW_SILENCE_MS;
+}
+
+/* Steps all that goes on; returns whether all requests have ended. */
+static bool step(void *unused)
+{
+	(void)unused;
+	step_instances();
+	whole_callers_step(&world);
+	whole_endpoints_step(&world);
+	return whole_callers_over(&world);
+}
+
+/* Starts the fault proxy between each instance and the store. */
+static void start_gates(void)
+{
+	const char *args[2 * WHOLE_ADDRESSES_MAX + 3] = { "-c" };
+	char *maps[WHOLE_ADDRESSES_MAX] = { NULL };
+	size_t i;
+
+	args[1] = control = harness_address(harness);
+	for (i = 0; i < n_instances; i++) {
+		instances[i] = (struct instance){
+			.gate = harness_address(harness),
+		};
+		maps[i] = xasprintf("%s=%s", instances[i].gate,
+				    platform->store_address);
+		args[2 * i + 2] = "-m";
+		args[2 * i + 3] = maps[i];
+	}
+	harness_startv(harness, "faultd", "faultd", args);
+	for (i = 0; i < n_instances; i++)
+		free(maps[i]);
+	harness_wait_listening(harness, control);
+}
+
+/* Starts the platform, the endpoints and the instances of a seed. */
+static void start(unsigned int seed)
+{
+	size_t i;
+
+	run = (struct run){ .seed = seed, .random = { .seed = seed } };
+	harness = harness_new();
+	platform = standin_new(harness);
+	platform->grace_s = GRACE_S;
+	platform->extra_settings = "repeat_slack = 150\n"
+				   "directory_ttl_s = 1\n";
+	world = (struct whole_world){ .platform = platform,
+				      .random = &run.random };
+	version = 1;
+	apply_changes();
+	n_instances = number("WHOLE_INSTANCES", INSTANCES);
+	assert_true(n_instances <= WHOLE_ADDRESSES_MAX);
+	world.n_addresses = n_instances;
+	start_gates();
+	for (i = 0; i < n_instances; i++) {
+		struct instance *in = &instances[i];
+
+		platform->store_public_address = in->gate;
+		snprintf(in->name, sizeof(in->name), "front-%zu", i);
+		standin_init_instance(platform, &in->in, in->name,
+				      i ? instances[0].in.control : NULL);
+		start_instance(in);
+		world.addresses[i].address = in->in.callers;
+	}
+	whole_callers_init(&world, number("WHOLE_CALLERS", CALLERS));
+}
+
+static void stop(void)
+{
+	size_t i;
+
+	for (i = 0; i < n_instances; i++)
+		proc_kill(instances[i].in.proc);
+	whole_world_release(&world);
+	standin_free(platform);
+	harness_free(harness);
+}
+
+/* Returns how many requests got other bytes than they should, ran again though
+ * they may run once, or were refused and have run. */
+static size_t count_wrong(void)
+{
+	size_t n = 0;
+	size_t i;
+
+	for (i = 0; i < world.n_requests; i++) {
+		const struct whole_request *r = world.requests[i];
+		bool once = r->path == WHOLE_BOOK || r->path == WHOLE_TELL;
+		bool promised = r->status == 408 || r->status == 429 ||
+				r->status == 503;
+
+		if (!r->wrong && !(once && r->runs > 1) &&
+		    !(once && promised && r->runs))
+			continue;
+		print_message("wrong: %s %s, status %d, %u runs, %d events\n",
+			      r->id, whole_path_prefix(r->path), r->status,
+			      r->runs, r->n_events);
+		n++;
+	}
+	return n;
+}
+
+/* Prints how the requests of each path ended. */
+static void report(void)
+{
+	size_t path;
+
+	for (path = 0; path < WHOLE_PATHS; path++) {
+		size_t n[WHOLE_ENDS] = { 0 };
+		size_t large = 0;
+		size_t held = 0;
+		size_t fresh = 0;
+		size_t i;
+
+		for (i = 0; i < world.n_requests; i++) {
+			const struct whole_request *r = world.requests[i];
+
+			if (r->path != path)
+				continue;
+			n[r->end]++;
+			large += r->len > 100000;
+			held += r->held;
+			fresh += r->fresh;
+		}
+		print_message(
+			"seed %u, %s: %zu answered, %zu refused, %zu failed, "
+			"%zu lost, %zu crossed, %zu unfinished; %zu large, "
+			"%zu held across a change, %zu at fresh instances\n",
+			run.seed, whole_path_prefix((enum whole_path)path),
+			n[WHOLE_ANSWERED], n[WHOLE_REFUSED], n[WHOLE_FAILED],
+			n[WHOLE_LOST], n[WHOLE_CROSSED], n[WHOLE_UNFINISHED],
+			large, held, fresh);
+	}
+}
+
+/* Plays the planned work and the requests of a seed. */
+static void play(unsigned int seconds)
+{
+	uint64_t end_ms = now_ms() + seconds * 1000ull;
+
+	while (now_ms() < end_ms) {
+		if (now_ms() >= run.silence_ms)
+			draw_silences();
+		if (now_ms() >= run.change_ms)
+			step_changes();
+		step(NULL);
+		harness_run(harness, STEP_MS);
+	}
+	world.ending = true;
+	harness_until(harness, step, NULL, "each request ends");
+}
+
+static void every_whole_request_ends_with_an_answer(void **state)
+{
+	unsigned int first = number("WHOLE_SEED", FIRST_SEED);
+	unsigned int n = number("WHOLE_SEEDS", SEEDS);
+	unsigned int i;
+	size_t bad = 0;
+
+	(void)state;
+	for (i = 0; i < n; i++) {
+		size_t lost;
+		size_t wrong;
+
+		start(first + i);
+		play(number("WHOLE_SECONDS", RUN_S));
+		report();
+		lost = whole_count(&world, WHOLE_LOST);
+		wrong = count_wrong();
+		bad += lost + wrong + run.failed_exits;
+		print_message("seed %u: %zu requests, %zu lost, %zu wrong, %u "
+			      "failed exits, %zu broken off by endpoints; %u "
+			      "changes, %u leavings, %u reloads, %u stops\n",
+			      run.seed, world.n_requests, lost, wrong,
+			      run.failed_exits, world.n_broken_off,
+			      world.changes, run.releases, run.reloads,
+			      run.stops);
+		assert_true(whole_count(&world, WHOLE_ANSWERED) > 0);
+		stop();
+	}
+	assert_int_equal(bad, 0);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(every_whole_request_ends_with_an_answer),
+	};
+
+	return cmocka_run_group_tests_name("unanswered requests", tests, NULL,
+					   NULL);
+}
--- /dev/null
+++ b/regress/whole_requests.h
@@ -0,0 +1,129 @@
+#ifndef REGRESS_WHOLE_REQUESTS_H
+#define REGRESS_WHOLE_REQUESTS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "lib/bytes.h"
+#include "lib/http1.h"
+#include "regress/platform_standin.h"
+#include "regress/random.h"
+
+/* Callers that follow each request to its end, and endpoints that read bodies
+ * of megabytes slowly, answer before they have read them, are silent for a time
+ * and leave by plan.  The test steps them; they share a table of requests. */
+
+#define WHOLE_CALLERS_MAX 64
+#define WHOLE_ENDPOINTS_MAX 256 /* all starts of a run */
+#define WHOLE_ADDRESSES_MAX 96
+
+/* The routes, which the test configures. */
+enum whole_path {
+	WHOLE_BOOK, /* plain, runs once */
+	WHOLE_LOOK, /* plain, may be repeated */
+	WHOLE_TELL, /* a stream that does not resume */
+	WHOLE_WRITE, /* a stream that resumes */
+	WHOLE_PATHS,
+};
+
+/* How a request ended. */
+enum whole_end {
+	WHOLE_OPEN, /* not yet */
+	WHOLE_ANSWERED, /* a success, complete */
+	WHOLE_REFUSED, /* 4xx or 503 */
+	WHOLE_FAILED, /* another status of 500 and above */
+	/* its connection ended without a complete answer: */
+	WHOLE_LOST, /* it was whole, and passed on or sent long before */
+	WHOLE_CROSSED, /* it was whole and crossed the close */
+	WHOLE_UNFINISHED, /* it was not whole */
+	WHOLE_ENDS,
+};
+
+struct whole_request {
+	char id[32];
+	enum whole_path path;
+	enum whole_end end;
+	size_t len; /* of its body */
+	bool chunks; /* its body is sent in chunks */
+	bool kept; /* its connection had carried a request before */
+	bool held; /* a change came while a part of it was held back */
+	bool fresh; /* sent in the first second of its instance */
+	unsigned int runs; /* endpoints that began to read it */
+	bool wrong; /* an endpoint got other bytes, or its caller did */
+	uint64_t whole_ms; /* loop time at which it was sent whole; 0: not */
+	int status;
+	int n_events; /* of a stream, received in order */
+};
+
+/* An instance as callers see it. */
+struct whole_address {
+	const char *address;
+	bool listed; /* new connections go there */
+	uint64_t started_ms;
+};
+
+struct whole_caller {
+	const struct whole_address *to;
+	int fd; /* -1: not connected */
+	struct bytes out;
+	size_t sent; /* bytes of out */
+	size_t held; /* bytes at the end of out that are held back */
+	struct bytes in;
+	struct bytes text; /* decoded, of an answer */
+	struct http1_body framing;
+	bool in_body; /* the head of the answer was read */
+	bool closing; /* the answer closes the connection */
+	bool reads_slowly;
+	struct whole_request *open; /* NULL: none */
+	size_t n_answers; /* on this connection */
+	unsigned int changes_seen; /* when bytes were held back */
+	uint64_t next_ms; /* of the next request */
+};
+
+struct whole_endpoint {
+	const char *service;
+	bool engine;
+	char id[24];
+	const char *address;
+	int listener; /* -1: down */
+	struct whole_conn **conns;
+	size_t n_conns;
+	uint64_t silent_until_ms;
+	uint64_t leaving_ms; /* 0: it does not leave */
+	bool unlisted; /* its entry has gone */
+};
+
+struct whole_world {
+	struct standin_world *platform;
+	struct random_source *random;
+	struct whole_request **requests;
+	size_t n_requests;
+	struct whole_address addresses[WHOLE_ADDRESSES_MAX];
+	size_t n_addresses;
+	struct whole_caller callers[WHOLE_CALLERS_MAX];
+	size_t n_callers;
+	struct whole_endpoint endpoints[WHOLE_ENDPOINTS_MAX];
+	size_t n_endpoints;
+	unsigned int changes; /* of the configuration, so far */
+	bool ending; /* no new requests, and nothing is held back */
+	size_t n_broken_off; /* connections that an endpoint closed in use */
+};
+
+void whole_callers_init(struct whole_world *w, size_t n);
+void whole_callers_step(struct whole_world *w);
+bool whole_callers_over(const struct whole_world *w);
+size_t whole_count(const struct whole_world *w, enum whole_end end);
+const char *whole_path_prefix(enum whole_path path);
+
+struct whole_endpoint *whole_endpoint_start(struct whole_world *w,
+					    const char *service, bool engine);
+void whole_endpoint_leave(struct whole_world *w, struct whole_endpoint *e,
+			  bool unlisted);
+void whole_endpoints_step(struct whole_world *w);
+struct whole_request *whole_find(const struct whole_world *w, const char *id,
+				 size_t len);
+char whole_fill(const struct whole_request *r);
+void whole_world_release(struct whole_world *w);
+
+#endif /* REGRESS_WHOLE_REQUESTS_H */
