--- /dev/null
+++ b/regress/leaving_endpoint.h
@@ -0,0 +1,69 @@
+#ifndef REGRESS_LEAVING_ENDPOINT_H
+#define REGRESS_LEAVING_ENDPOINT_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* An instance of cdmproxyd before endpoints whose answers end with their
+ * connection, and one of which leaves. */
+
+#define LEAVING_REQUESTS_MAX 32
+#define LEAVING_EVENTS 3 /* in a complete stream */
+
+/* How the instance learns that the endpoint leaves. */
+enum leaving_notice {
+	NOTICE_NONE,
+	NOTICE_ANSWERS, /* its answers say so */
+	NOTICE_ENTRY, /* its entry says so */
+	NOTICE_REMOVED, /* its entry is removed, and it serves on */
+};
+
+/* When the endpoint ends, all its answers at once. */
+enum leaving_exit {
+	EXIT_NEVER,
+	EXIT_AT_ONCE, /* in the moment in which it closes its answers */
+	/* once the instance has handled the ends, and a question that has
+	 * arrived at the endpoint by then is answered */
+	EXIT_WHEN_ASKED,
+	EXIT_LATER, /* a given time after it has closed its answers */
+	/* killed with a part of each answer written, which has been read */
+	EXIT_KILLED,
+	/* the same, but the part is written in that moment */
+	EXIT_KILLED_WRITING,
+};
+
+struct leaving_case {
+	const char *what;
+	const char *target; /* its prefix is that of a route, see the source */
+	size_t n; /* requests at once; 0: one */
+	/* the endpoint is silent for so long before it answers; 0: it is not */
+	unsigned int silent_ms;
+	enum leaving_notice notice;
+	enum leaving_exit exit;
+	unsigned int exit_ms; /* of EXIT_LATER */
+	unsigned int last_event; /* that the callers have; 0: none */
+	unsigned int allowed; /* ends of answers, bits of enum leaving_end */
+};
+
+/* How a caller's answer ended. */
+enum leaving_end {
+	END_WHOLE, /* 200, with all bytes */
+	END_BROKEN, /* its connection was closed before its end */
+	END_LOST, /* 502 */
+	END_REFUSED, /* another status */
+	END_FALSE, /* 200 and an orderly end, without all bytes */
+	LEAVING_ENDS,
+};
+
+struct leaving_result {
+	size_t ends[LEAVING_ENDS];
+	size_t attempts; /* at all endpoints */
+};
+
+void leaving_start(void);
+void leaving_stop(void);
+void leaving_play(const struct leaving_case *c, struct leaving_result *result);
+const char *leaving_end_name(enum leaving_end end);
+
+#endif /* REGRESS_LEAVING_ENDPOINT_H */
