--- a/regress/integration/test_leaving_engine.c
+++ b/regress/integration/test_leaving_engine.c
@@ -282,9 +282,7 @@
 	struct leaving_result result = { .attempts = 0 };
 	unsigned int end;
 
-	leaving_start();
 	leaving_play(c, &result);
-	leaving_stop();
 	print_message("%s:", c->what);
 	for (end = 0; end < LEAVING_ENDS; end++)
 		if (result.ends[end])
--- a/regress/leaving_endpoint.c
+++ b/regress/leaving_endpoint.c
@@ -419,21 +419,28 @@
 	bytes_release(&b);
 }
 
-/* Starts the platform; the first case starts the instance. */
-void leaving_start(void)
+/* Starts the endpoint that leaves, the only one of its service, and an
+ * instance. */
+static void start(void)
 {
 	conns = NULL;
 	endpoints = NULL;
+	silent = false;
+	exits_when_asked = false;
+	n_attempts = 0;
 	harness = harness_new();
 	world = standin_new(harness);
 	world->extra_settings = REPEATS;
 	put_configuration();
+	leaver = add_endpoint(true);
 	standin_init_instance(world, &one, "one", NULL);
+	standin_start_instance(world, &one);
+	standin_wait_status(world, one.readiness, "/readyz", 200);
 	client = http1_client_new(harness_loop(harness));
 }
 
 /* Ends the instance and all endpoints. */
-void leaving_stop(void)
+static void stop(void)
 {
 	struct endpoint_process *e;
 	struct endpoint_conn *c;
@@ -653,34 +660,6 @@
 	return whole ? END_WHOLE : END_FALSE;
 }
 
-/* Ends the endpoints of an earlier case, which the instance no longer lists. */
-static void remove_endpoints(void)
-{
-	struct endpoint_process *e;
-
-	for (e = endpoints; e; e = e->next)
-		if (standin_row_exists(world, "servers", e->id))
-			standin_remove(world, "servers", e->id);
-	wait_for_entries();
-	for (e = endpoints; e; e = e->next)
-		end_endpoint(e);
-}
-
-/* Has the only endpoint of the service be one that leaves, and the instance know
- * it. */
-static void start_leaver(void)
-{
-	if (one.proc)
-		remove_endpoints();
-	leaver = add_endpoint(true);
-	if (one.proc) {
-		wait_for_entries();
-		return;
-	}
-	standin_start_instance(world, &one);
-	standin_wait_status(world, one.readiness, "/readyz", 200);
-}
-
 static void set_route(const char *target)
 {
 	size_t i;
@@ -693,8 +672,8 @@
 	assert_non_null(route);
 }
 
-/* Plays a case: its requests arrive at the only endpoint, others are started, and
- * that one leaves.  Adds how the answers ended to the result. */
+/* Plays a case with a new instance: its requests arrive at the only endpoint,
+ * others are started, and that one leaves.  Adds how the answers ended to the result. */
 void leaving_play(const struct leaving_case *c, struct leaving_result *result)
 {
 	size_t i;
@@ -702,11 +681,8 @@
 	current = c;
 	set_route(c->target);
 	n_replies = c->n ? c->n : 1;
-	n_attempts = 0;
-	silent = false;
-	exits_when_asked = false;
 	assert_true(n_replies <= LEAVING_REQUESTS_MAX);
-	start_leaver();
+	start();
 	for (i = 0; i < n_replies; i++)
 		call(&replies[i]);
 	harness_until(harness, have_arrived, NULL, "the requests arrive");
@@ -722,14 +698,15 @@
 		bytes_release(&replies[i].body);
 	}
 	result->attempts += n_attempts;
+	stop();
 }
 
 const char *leaving_end_name(enum leaving_end end)
 {
 	static const char *const names[] = {
-		[END_WHOLE] = "whole",	       [END_BROKEN] = "broken",
-		[END_LOST] = "lost",	       [END_REFUSED] = "refused",
-		[END_FALSE] = "falsely whole",
+		[END_WHOLE] = "whole", [END_BROKEN] = "broken",
+		[END_LOST] = "lost",   [END_REFUSED] = "refused",
+		[END_FALSE] = "false",
 	};
 
 	return names[end];
--- a/regress/leaving_endpoint.h
+++ b/regress/leaving_endpoint.h
@@ -61,8 +61,6 @@
 	size_t attempts; /* at all endpoints */
 };
 
-void leaving_start(void);
-void leaving_stop(void);
 void leaving_play(const struct leaving_case *c, struct leaving_result *result);
 const char *leaving_end_name(enum leaving_end end);
 
