--- a/regress/integration/test_leaving_engine.c
+++ b/regress/integration/test_leaving_engine.c
@@ -72,6 +72,11 @@
 	  .notice = NOTICE_REMOVED,
 	  .exit = EXIT_WHEN_ASKED,
 	  .allowed = WHOLE },
+	{ .what = "once, stops listening with its last byte and serves on",
+	  .target = "/once/a",
+	  .notice = NOTICE_ENTRY,
+	  .exit = EXIT_REFUSES,
+	  .allowed = WHOLE },
 	/* it can't be told */
 	{ .what = "once, exits at once, its answer says it leaves",
 	  .target = "/once/a",
--- /dev/null
+++ b/regress/integration/test_unproved_starts.c
@@ -0,0 +1,94 @@
+/*
+ * An engine that had started again before a request was sent to it, unnoticed, is
+ * not taken for one that has ended since.
+ */
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <setjmp.h>
+#include <cmocka.h>
+
+#include "regress/raw_endpoint.h"
+
+#define N(list) (sizeof(list) / sizeof((list)[0]))
+#define HEAD                                     \
+	"HTTP/1.1 200 OK\r\nrequest-id: r-1\r\n" \
+	"response-signature: m.1\r\n"
+#define UNFRAMED HEAD "content-type: text/event-stream\r\n\r\n"
+#define CHUNKED                                    \
+	HEAD "content-type: text/event-stream\r\n" \
+	     "transfer-encoding: chunked\r\n\r\n"
+#define LAST_CHUNK "0\r\n\r\n"
+#define E1 "id: 1\ndata: a\n\n"
+#define E2 "id: 2\ndata: b\n\n"
+#define C1 "f\r\n" E1 "\r\n"
+
+/* A case and how its request is sent, by POST. */
+struct way_case {
+	struct raw_case c;
+	struct raw_way way;
+};
+
+/* The entries of all engines name their earlier starts. */
+static const struct way_case cases[] = {
+	{ .c = { .what = "unframed, its start was not known when it was sent",
+		 .target = "/write/one/a",
+		 .answers = { { UNFRAMED E1 "id: 2\nd", RAW_FIN },
+			      { UNFRAMED E2, RAW_FIN } },
+		 .outcome = HTTP1_BROKEN,
+		 .status = 200,
+		 .body = E1,
+		 .n_attempts = 1 },
+	  .way = { .restarted_before = true } },
+	{ .c = { .what = "unframed, no event, its start was not known",
+		 .target = "/write/one/a",
+		 .answers = { { UNFRAMED, RAW_FIN }, { UNFRAMED E1, RAW_FIN } },
+		 .outcome = HTTP1_COMPLETE,
+		 .status = 502,
+		 .n_attempts = 1 },
+	  .way = { .restarted_before = true } },
+	{ .c = { .what = "chunks, no event, its start was not known",
+		 .target = "/write/one/a",
+		 .answers = { { CHUNKED, RAW_FIN },
+			      { CHUNKED C1 LAST_CHUNK, RAW_KEEP } },
+		 .outcome = HTTP1_COMPLETE,
+		 .status = 502,
+		 .n_attempts = 1 },
+	  .way = { .restarted_before = true } },
+	{ .c = { .what = "unframed and whole, its start was not known",
+		 .target = "/write/one/a",
+		 .answers = { { UNFRAMED E1, RAW_FIN },
+			      { UNFRAMED E2, RAW_FIN } },
+		 .outcome = HTTP1_COMPLETE,
+		 .status = 200,
+		 .body = E1,
+		 .n_attempts = 1 },
+	  .way = { .restarted_before = true } },
+};
+
+static void run(void **state)
+{
+	const struct way_case *w = *state;
+	struct raw_case c = w->c;
+	struct raw_way way = w->way;
+
+	c.version = "1.1";
+	way.method = "POST";
+	raw_run_case_in_way(&c, &way);
+}
+
+int main(void)
+{
+	struct CMUnitTest tests[N(cases)];
+	size_t i;
+
+	for (i = 0; i < N(cases); i++)
+		tests[i] = (struct CMUnitTest){
+			.name = cases[i].c.what,
+			.test_func = run,
+			.initial_state = (void *)&cases[i],
+		};
+	return _cmocka_run_group_tests("unproved starts", tests, N(tests), NULL,
+				       NULL);
+}
--- a/regress/leaving_endpoint.c
+++ b/regress/leaving_endpoint.c
@@ -126,15 +126,20 @@
 		uv_close((uv_handle_t *)&c->tcp, NULL);
 }
 
+static void stop_listening(struct endpoint_process *e)
+{
+	if (e->listener)
+		uv_close((uv_handle_t *)e->listener, on_listener_closed);
+	e->listener = NULL;
+}
+
 /* Ends an endpoint: as the kernel does for a process, its listener and all its
  * connections are closed in order. */
 static void end_endpoint(struct endpoint_process *e)
 {
 	struct endpoint_conn *c;
 
-	if (e->listener)
-		uv_close((uv_handle_t *)e->listener, on_listener_closed);
-	e->listener = NULL;
+	stop_listening(e);
 	for (c = conns; c; c = c->next)
 		if (c->endpoint == e)
 			close_conn(c);
@@ -622,6 +627,11 @@
 		start_round_trips();
 		harness_until(harness, has_exited, NULL, "the endpoint exits");
 		return;
+	case EXIT_REFUSES:
+		stop_listening(leaver);
+		close_answers();
+		harness_until(harness, are_over, NULL, "the answers end");
+		break;
 	case EXIT_LATER:
 		close_answers();
 		uv_update_time(harness_loop(harness));
--- a/regress/leaving_endpoint.h
+++ b/regress/leaving_endpoint.h
@@ -26,6 +26,9 @@
 	/* once the instance has handled the ends, and a question that has
 	 * arrived at the endpoint by then is answered */
 	EXIT_WHEN_ASKED,
+	/* it stops listening with its last byte, and serves the connections
+	 * that it has until all answers are over */
+	EXIT_REFUSES,
 	EXIT_LATER, /* a given time after it has closed its answers */
 	/* killed with a part of each answer written, which has been read */
 	EXIT_KILLED,
--- a/regress/raw_endpoint.c
+++ b/regress/raw_endpoint.c
@@ -28,6 +28,20 @@
 	"\"/once/\",\"routeType\":\"streaming\",\"timeoutMs\":20000,"   \
 	"\"targetLatencyMs\":4500,\"targetGapMs\":700,\"backend\":"     \
 	"\"engine\",\"maxAttempts\":5}"
+/* Routes with few attempts. */
+#define ROUTES_FEW                                                          \
+	"{\"name\":\"write-one\",\"hostname\":\"127.0.0.1\","               \
+	"\"pathPrefix\":\"/write/one/\",\"routeType\":\"streaming\","       \
+	"\"timeoutMs\":20000,\"targetLatencyMs\":4500,\"targetGapMs\":"     \
+	"700,\"backend\":\"engine\",\"maxAttempts\":1,\"resumable\":true}," \
+	"{\"name\":\"write-two\",\"hostname\":\"127.0.0.1\","               \
+	"\"pathPrefix\":\"/write/two/\",\"routeType\":\"streaming\","       \
+	"\"timeoutMs\":20000,\"targetLatencyMs\":4500,\"targetGapMs\":"     \
+	"700,\"backend\":\"engine\",\"maxAttempts\":2,\"resumable\":true}," \
+	"{\"name\":\"look-one\",\"hostname\":\"127.0.0.1\","                \
+	"\"pathPrefix\":\"/look/one/\",\"routeType\":\"idempotent\","       \
+	"\"timeoutMs\":900,\"targetLatencyMs\":400,\"backend\":"            \
+	"\"plain\",\"maxAttempts\":1}"
 #define CONNECT_MS 1000
 #define CLOSE_MS 50 /* for handles to be closed */
 #define EARLIER "w-" /* ids of requests that leave kept connections */
@@ -82,15 +96,21 @@
 	free(h);
 }
 
-/* Ends an endpoint as if its process were killed. */
-static void kill_endpoint(size_t i)
+/* Closes the listener of an endpoint. */
+static void stop_listening(size_t i)
 {
-	struct raw_conn *c;
-
 	if (endpoints[i].listener)
 		uv_close((uv_handle_t *)endpoints[i].listener,
 			 on_listener_closed);
 	endpoints[i].listener = NULL;
+}
+
+/* Ends an endpoint as if its process were killed. */
+static void kill_endpoint(size_t i)
+{
+	struct raw_conn *c;
+
+	stop_listening(i);
 	for (c = conns; c; c = c->next)
 		if (c->endpoint == i && !uv_is_closing((uv_handle_t *)&c->tcp))
 			uv_close((uv_handle_t *)&c->tcp, NULL);
@@ -133,6 +153,8 @@
 		uv_try_write((uv_stream_t *)&c->tcp, &buf, 1);
 	if (a->end == RAW_FIN)
 		uv_close((uv_handle_t *)&c->tcp, NULL);
+	else if (a->end == RAW_REFUSES)
+		stop_listening(c->endpoint);
 	else if (a->end == RAW_RESET)
 		uv_tcp_close_reset(&c->tcp, NULL);
 	else if (a->end != RAW_KEEP)
@@ -283,7 +305,7 @@
 	first_kept = false;
 	for (i = 0; i < RAW_ENDPOINTS; i++)
 		add_endpoint(i);
-	standin_put_configuration(world, 2, ROUTE_ONCE);
+	standin_put_configuration(world, 2, ROUTE_ONCE "," ROUTES_FEW);
 	standin_init_instance(world, &one, "one", NULL);
 	standin_start_instance(world, &one);
 	standin_wait_status(world, one.readiness, "/readyz", 200);
@@ -411,6 +433,7 @@
 {
 	struct raw_reply reply = { 0 };
 	struct http1_client *client;
+	size_t i;
 
 	current = c;
 	current_way = way;
@@ -418,6 +441,12 @@
 	client = http1_client_new(harness_loop(harness));
 	if (way->kept)
 		keep_connections(client);
+	for (i = 0; i < way->n_dead; i++)
+		kill_endpoint(i);
+	for (i = 0; way->restarted_before && i < RAW_ENDPOINTS; i++) {
+		kill_endpoint(i);
+		restart_endpoint(i);
+	}
 	call(client, "r-1", &reply);
 	print_message("%s: %s, %d, \"%s\", %zu attempts\n", current->what,
 		      http1_outcome_name(reply.outcome), reply.status,
--- a/regress/raw_endpoint.h
+++ b/regress/raw_endpoint.h
@@ -22,6 +22,8 @@
 	/* the same while the instance is frozen, with an entry of the new
 	 * start */
 	RAW_RESTARTED_UNSEEN,
+	/* the connection stays open, but no new one is accepted */
+	RAW_REFUSES,
 };
 
 /* How an engine answers for its report, which states its start. */
@@ -58,6 +60,10 @@
 	bool kept; /* the first attempt arrives on a kept connection */
 	const char *headers; /* further lines of the request, or NULL */
 	enum raw_report report;
+	size_t n_dead; /* so many endpoints are killed before the request */
+	/* all are started again before the request, and their entries name
+	 * their earlier starts */
+	bool restarted_before;
 };
 
 void raw_run_case(void **state);
