Ask an engine about the end of an answer at once, not at the next tick

A caller of a stream without a length lost its end when the engine left: the engine had written the stream whole and closed it, was idle, and exited about a millisecond later. The instance asked it at its next tick, up to 20 ms after the end, was refused, and took the whole stream for cut. On a route that does not resume the caller's connection was closed without a last chunk; non_idempotent requests at engines got 502 though their answers had been written whole.

The question is sent in the callback that reads the end. One that is not sent yet, as its connection is not established, also serves ends that are read meanwhile, and one that was sent before an end is followed by another as soon as it is answered. Ends are numbered, as times in ms don't tell their order. A service without reports is asked at the tick, as before: a connection alone shows nothing until a killed process has closed its listener, too.

test_leaving_engine: of its cases in which the engine exits after it has answered what has reached it, those on /once/ and of non_idempotent requests at engines failed before.

--- a/proxyd/answer_ends.c
+++ b/proxyd/answer_ends.c
@@ -36,6 +36,8 @@
 	struct handle endpoint;
 	struct http1_call *call; /* NULL once it has ended */
 	uint64_t asked_ms;
+	/* number of the last end that was read before the question was sent */
+	uint64_t last_end;
 	bool is_engine; /* only its report shows that it lives */
 	bool is_report; /* else only a connection */
 	uint64_t reached_ms; /* when a connection was last known to stand */
@@ -50,15 +52,17 @@
 };
 
 static bool can_not_ask(const struct endpoint *e);
-static void ask(struct proxyd *p, struct endpoint *e, bool is_engine);
+static void ask(struct exchange *x, struct endpoint *e);
 static enum http1_head_decision on_head(void *arg,
 					const struct http1_head *head);
 static void on_body(void *arg, const char *data, size_t len);
 static void on_end(void *arg, enum http1_outcome outcome);
 static struct finding evaluate(const struct end_question *q,
 			       enum http1_outcome outcome, uint64_t *born_ms);
+static void ask_for_later_ends(struct proxyd *p, struct handle endpoint);
 static bool was_asked_for(const struct exchange *x,
 			  const struct end_question *q);
+static bool awaits_end_at(const struct exchange *x, struct handle endpoint);
 static void judge(struct exchange *x, const struct finding *f, uint64_t now,
 		  bool last);
 static int64_t asked_after_ms(const struct endpoint *e,
@@ -72,12 +76,18 @@
 };
 
 /* Has an answer whose connection was closed in order wait until its end is
- * known.  The events of a stream have been passed on. */
+ * known.  The events of a stream have been passed on.  An engine is asked at
+ * once: one that leaves may exit as soon as its last answer is out. */
 void answer_end_await(struct exchange *x)
 {
+	struct endpoint *e = endpoint_get(x->proxyd->endpoints, x->endpoint);
+
 	x->ended_ms = proxyd_now(x->proxyd);
+	x->end_number = ++x->proxyd->exchanges->n_ends;
 	x->staged = false;
 	kv_copy_cancel_order(x);
+	if (e && x->engine)
+		ask(x, e);
 }
 
 /* Decides on an answer that waits, which it must not any longer if last is set,
@@ -95,7 +105,7 @@
 		f = (struct finding){ ENDPOINT_SIGN_LIVES, "connection lasts" };
 	judge(x, &f, now, last);
 	if (e && x->ended_ms && now > x->ended_ms)
-		ask(x->proxyd, e, x->engine != NULL);
+		ask(x, e);
 }
 
 /* Returns whether the last question to an engine could only be a connection. */
@@ -120,12 +130,13 @@
 	e->end_question = NULL;
 }
 
-/* Asks an endpoint, unless a question is in progress or has just failed: an
- * engine for its report, which states its start.  An endpoint that pauses or has
- * no permit left for a request, or a service without reports, is only connected
- * to: if it refuses, it has ended. */
-static void ask(struct proxyd *p, struct endpoint *e, bool is_engine)
+/* Asks an endpoint about the end of an answer, unless a question is in progress or
+ * has just failed: an engine for its report, which states its start.  An endpoint
+ * that pauses or has no permit left for a request, or a service without reports, is
+ * only connected to: if it refuses, it has ended. */
+static void ask(struct exchange *x, struct endpoint *e)
 {
+	struct proxyd *p = x->proxyd;
 	uint64_t now = proxyd_now(p);
 	struct http1_call_options options = {
 		.address = e->address,
@@ -135,7 +146,13 @@
 	struct end_question *q = e->end_question;
 	struct bytes out = { 0 };
 
-	if (q && (q->call || now - q->asked_ms < ASK_AGAIN_MS))
+	if (q && q->call) {
+		if (q->is_report && !http1_call_connected(q->call))
+			q->last_end = p->exchanges->n_ends; /* not sent yet */
+		return;
+	}
+	if (q && x->end_number <= q->last_end &&
+	    now - q->asked_ms < ASK_AGAIN_MS)
 		return;
 	if (!q) {
 		q = e->end_question = xcalloc(1, sizeof(*q));
@@ -143,10 +160,12 @@
 		q->endpoint = e->self;
 	}
 	q->asked_ms = now;
+	q->last_end = p->exchanges->n_ends;
 	q->status = 0;
 	q->body.len = 0;
-	q->is_engine = is_engine;
-	q->is_report = is_engine && !holdoff_remaining_ms(&e->holdoff, now) &&
+	q->is_engine = x->engine != NULL;
+	q->is_report = q->is_engine &&
+		       !holdoff_remaining_ms(&e->holdoff, now) &&
 		       limits_take_for_check(e);
 	if (q->is_report)
 		bytes_addf(&out, "GET %s HTTP/1.1\r\nhost: %s\r\n\r\n",
@@ -221,6 +240,19 @@
 		endpoint_stated_start(p->endpoints, q->endpoint, born_ms,
 				      q->asked_ms);
 	}
+	ask_for_later_ends(p, q->endpoint);
+}
+
+/* Asks an engine about answers that ended after the last question to it was
+ * sent. */
+static void ask_for_later_ends(struct proxyd *p, struct handle endpoint)
+{
+	struct endpoint *e = endpoint_get(p->endpoints, endpoint);
+	struct exchange *x;
+
+	TAILQ_FOREACH(x, &p->exchanges->list, link)
+	if (e && x->engine && awaits_end_at(x, endpoint))
+		ask(x, e);
 }
 
 /* Returns what the outcome of a question shows.  Sets *born_ms to the start that
@@ -243,14 +275,22 @@
 	return (struct finding){ ENDPOINT_SIGN_NONE, "no report" };
 }
 
-/* Returns whether the answer of an exchange had ended when a question was sent to
- * its endpoint. */
+/* Returns whether an answer waits for its end to be known and had ended when a
+ * question was sent to its endpoint.  A process that is killed closes its listener
+ * some time after a connection, so that one which is only connected to must have
+ * been asked later. */
 static bool was_asked_for(const struct exchange *x,
 			  const struct end_question *q)
+{
+	return awaits_end_at(x, q->endpoint) && x->end_number <= q->last_end &&
+	       (q->is_report || x->ended_ms < q->asked_ms);
+}
+
+/* Returns whether an answer of an endpoint waits for its end to be known. */
+static bool awaits_end_at(const struct exchange *x, struct handle endpoint)
 {
 	return x->phase == EXCHANGE_SENT && x->ended_ms &&
-	       x->ended_ms < q->asked_ms &&
-	       handle_equal(x->endpoint, q->endpoint);
+	       handle_equal(x->endpoint, endpoint);
 }
 
 /* Completes an answer that waits, takes it for broken off, or lets it wait on;
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -153,6 +153,7 @@
 	/* when the answer ended with its connection, while it is not known
 	 * whether it is whole; 0: it has not */
 	uint64_t ended_ms;
+	uint64_t end_number; /* of that end, among all that were read here */
 	uint32_t empty_runs; /* in a row, without an event of a begun stream */
 };
 
@@ -164,6 +165,7 @@
 	uint32_t n_open;
 	uint64_t last_borrow_ms; /* last request for loans of repeats */
 	uint64_t answer_bytes; /* of all answers being read */
+	uint64_t n_ends; /* of answers that had to wait for them to be known */
 	uint64_t waiting_tokens; /* needed by the runs that wait */
 	float run_ms; /* moving mean of run durations */
 	float prefill_ms_per_token; /* moving mean */
