Take a stream without an event for whole where no second run is allowed

A caller that had all events of a stream and asked for its end got 502 if its route allowed one attempt: the engine, which lives, answered 200 without an event, and a second one was to be asked, for which no attempt was left.

The engine has closed the answer itself, as it lives on, and that is the best there is to know: where no second run is allowed, by the route, the attempts or the budget, the stream is whole. Where one is allowed, it is made as before.

test_leaving_engine, "taken up with all events, one attempt, stays", and test_ended_attempts, "taken up by a caller that has all, without a length", failed before.

--- a/policy/answer_end.c
+++ b/policy/answer_end.c
@@ -13,7 +13,8 @@
 #define CONNECT_MAX_MS 500
 
 /* Runs without an event after which a stream is taken for whole: a single one
- * may have been broken off before its first event. */
+ * may have been broken off before its first event.  Where no second run is
+ * allowed, one is enough, as its endpoint has ended it itself. */
 #define EMPTY_RUNS 2
 
 /* Decides what an answer is whose connection was closed in order. */
@@ -23,7 +24,8 @@
 	case ENDPOINT_SIGN_ENDED:
 		return ANSWER_END_CUT;
 	case ENDPOINT_SIGN_LIVES:
-		return s->empty && s->empty_before + 1 < EMPTY_RUNS
+		return s->empty && s->may_run_again &&
+				       s->empty_before + 1 < EMPTY_RUNS
 			       ? ANSWER_END_EMPTY
 			       : ANSWER_END_WHOLE;
 	case ENDPOINT_SIGN_UNKNOWN:
--- a/policy/answer_end.h
+++ b/policy/answer_end.h
@@ -29,6 +29,7 @@
 	uint64_t waited_ms; /* since the end */
 	bool empty; /* no event came of a stream that was to go on */
 	uint32_t empty_before; /* runs of it in a row of which none came */
+	bool may_run_again; /* another endpoint may be asked for the rest */
 };
 
 enum answer_end answer_end_decide(const struct answer_end_signs *s);
--- a/proxyd/answer_ends.c
+++ b/proxyd/answer_ends.c
@@ -300,12 +300,16 @@
 {
 	const struct endpoint *e =
 		endpoint_get(x->proxyd->endpoints, x->endpoint);
+	bool empty = x->is_event_stream && x->first_event_due_ms;
 	const struct answer_end_signs signs = {
 		.endpoint = f->sign,
 		.reached = is_reached(e, x),
 		.waited_ms = now - x->ended_ms,
-		.empty = x->is_event_stream && x->first_event_due_ms,
+		.empty = empty,
 		.empty_before = x->empty_runs,
+		.may_run_again = empty && f->sign == ENDPOINT_SIGN_LIVES &&
+				 route_may_run_again(x->route) &&
+				 exchange_repeat_allowed(x),
 	};
 	enum answer_end end = answer_end_decide(&signs);
 
