Count no attempt at an endpoint that has ended

Callers of routes with one or two attempts got 502, or a stream that ended early, when the endpoint of the last attempt was killed or left, though other endpoints were there.

An exchange keeps which process each attempt went to, by its endpoint and the start that was proved then or was stated while the attempt ran. An attempt counts unless that process is known to have ended. When the last one breaks, that is not known yet: the request waits for the probe, and for an engine's report, as one that has started again accepts connections; 200 ms at most. A start that an engine states after an answer is noted before its end is judged.

test_ended_attempts: 26 of 38 cases failed before, none after. Of test_unproved_starts the three cases in which a living engine must not count as ended pass, as before.

--- a/proxyd/answer_ends.c
+++ b/proxyd/answer_ends.c
@@ -219,6 +219,12 @@
 		suspects_run_broke(x, e);
 	if (outcome == HTTP1_NOT_SENT || outcome == HTTP1_CONNECT_TIMEOUT)
 		endpoint_unreachable(p->endpoints, q->endpoint, NULL, outcome);
+	if (f.sign == ENDPOINT_SIGN_LIVES && q->is_report && e &&
+	    born_ms != endpoint_known_start(e)) {
+		e->start_wanted = true;
+		endpoint_stated_start(p->endpoints, q->endpoint, born_ms,
+				      q->asked_ms);
+	}
 	TAILQ_FOREACH(x, &p->exchanges->list, link)
 	{
 		struct finding own = f;
@@ -234,12 +240,6 @@
 			own.why = "other start";
 		judge(x, &own, now, false);
 	}
-	if (f.sign == ENDPOINT_SIGN_LIVES && q->is_report && e &&
-	    born_ms != endpoint_known_start(e)) {
-		e->start_wanted = true;
-		endpoint_stated_start(p->endpoints, q->endpoint, born_ms,
-				      q->asked_ms);
-	}
 	ask_for_later_ends(p, q->endpoint);
 }
 
--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -126,7 +126,11 @@
 	x->phase = EXCHANGE_SENT;
 	x->endpoint = endpoint;
 	x->from_copy = from != NULL;
-	x->sends++;
+	x->targets[x->sends++ % ENDPOINT_AVOID_MAX] = (struct attempt_target){
+		.endpoint = endpoint,
+		.born_ms = endpoint_start_proved(e) ? endpoint_known_start(e)
+						    : 0,
+	};
 	exchange_count_delivery(x);
 	x->sent_ms = now;
 	x->sent_software = endpoint_software(e);
@@ -524,7 +528,7 @@
 		return;
 	else if (route_may_run_again(x->route) && exchange_repeat_allowed(x))
 		exchange_dispatch(x);
-	else
+	else if (!route_may_run_again(x->route) || !exchange_await_probe(x))
 		exchange_fail(x, 502, "the endpoint's answer was lost");
 }
 
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -65,6 +65,7 @@
 			const char *why);
 static void tick_exchange(struct exchange *x, uint64_t now);
 static void tick_waiting(struct exchange *x, uint64_t now);
+static void repeat(struct exchange *x);
 static void free_exchange(struct exchanges *t, struct exchange *x);
 static struct counter *outcome_counter(const char *outcome);
 
@@ -167,6 +168,8 @@
 		if (x->phase == EXCHANGE_SENT && x->call &&
 		    handle_equal(x->endpoint, endpoint)) {
 			x->start_excused = x->start_excused || excused;
+			if (!excused)
+				exchange_note_target_start(x, known_ms);
 			if (!x->sent_born_ms && !http1_call_paused(x->call))
 				x->sent_born_ms = known_ms;
 			if (!x->first_event_due_ms)
@@ -830,7 +833,20 @@
 	else if (!x->awaits_repeat)
 		exchange_dispatch(x);
 	else if (exchange_repeat_allowed(x))
+		repeat(x);
+	else if (exchange_attempts_exhausted(x))
+		exchange_fail(x, 502, "the run was lost and may not move");
+}
+
+/* Sends a request again that has waited for that to be allowed. */
+static void repeat(struct exchange *x)
+{
+	if (x->route->kind == KIND_STREAM) {
 		stream_resume(x);
+		return;
+	}
+	x->awaits_repeat = false;
+	exchange_dispatch(x);
 }
 
 /* Frees a finished exchange. */
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -67,6 +67,12 @@
 	uint64_t offered_ms; /* to the other endpoint; 0: not connected yet */
 };
 
+/* A process that a request was sent to. */
+struct attempt_target {
+	struct handle endpoint;
+	uint64_t born_ms; /* its start, as known then; 0: unknown */
+};
+
 /* One request of a caller, from its arrival until its answer is complete. */
 struct exchange {
 	struct proxyd *proxyd;
@@ -100,6 +106,8 @@
 	uint64_t sent_born_ms; /* its start, as known then; 0: unknown */
 	bool start_excused; /* the endpoint was asked and stated no start */
 	uint32_t sends; /* attempts that reached an endpoint, or may have */
+	/* the last of these; attempt n is at n % ENDPOINT_AVOID_MAX */
+	struct attempt_target targets[ENDPOINT_AVOID_MAX];
 	uint32_t failed_connects; /* or misdirected attempts */
 	uint64_t no_socket_ms; /* since when this process has none; 0: has */
 	uint32_t skipped_leaving; /* endpoints skipped at the last choice */
@@ -214,8 +222,12 @@
 
 /* repeats.c */
 void exchange_repeats_init(struct exchanges *t);
+uint32_t exchange_attempts_used(const struct exchange *x);
+bool exchange_attempts_exhausted(const struct exchange *x);
+void exchange_note_target_start(struct exchange *x, uint64_t born_ms);
 bool exchange_repeat_allowed(struct exchange *x);
 bool exchange_optional_repeat_allowed(struct exchange *x);
+bool exchange_await_probe(struct exchange *x);
 void exchange_count_delivery(struct exchange *x);
 void exchange_delivery_failed(struct exchange *x);
 void exchange_return_repeat(struct exchange *x);
--- a/proxyd/repeats.c
+++ b/proxyd/repeats.c
@@ -14,6 +14,11 @@
  * milliseconds and is read at the next tick. */
 #define BORROW_INTERVAL_MS 40
 
+/* Within this time a probe or a report shows whether an endpoint has ended. */
+#define PROBED_WITHIN_MS 200
+
+static bool has_ended(const struct endpoints *t,
+		      const struct attempt_target *target);
 static void log_repeat(const struct exchange *x, bool allowed,
 		       const struct repeat_share *seen);
 static bool waits_for_repeat(const struct exchange *x);
@@ -28,6 +33,55 @@
 	t->repeats_lent = repeat_counter("lent");
 }
 
+/* Returns how many attempts count towards the limit of the route.  Those at
+ * processes that have ended don't, of the last ENDPOINT_AVOID_MAX. */
+uint32_t exchange_attempts_used(const struct exchange *x)
+{
+	uint32_t n = x->sends < ENDPOINT_AVOID_MAX ? x->sends
+						   : ENDPOINT_AVOID_MAX;
+	uint32_t used = x->sends;
+	uint32_t i;
+
+	for (i = 0; i < n; i++)
+		used -= has_ended(x->proxyd->endpoints, &x->targets[i]);
+	return used;
+}
+
+/* Returns whether a request has no attempt left, and it is not being found out
+ * whether the endpoint of the last one has ended. */
+bool exchange_attempts_exhausted(const struct exchange *x)
+{
+	const struct endpoint *e =
+		endpoint_get(x->proxyd->endpoints, x->endpoint);
+
+	return exchange_attempts_used(x) >= x->route->attempts_max &&
+	       !(e && (e->probe || e->rediscovering));
+}
+
+/* Records the start that the endpoint of the current attempt has stated while the
+ * attempt's connection was open: it is that of its process. */
+void exchange_note_target_start(struct exchange *x, uint64_t born_ms)
+{
+	struct attempt_target *target;
+
+	if (!x->sends || !http1_call_connected(x->call) ||
+	    http1_call_paused(x->call))
+		return;
+	target = &x->targets[(x->sends - 1) % ENDPOINT_AVOID_MAX];
+	if (!target->born_ms)
+		target->born_ms = born_ms;
+}
+
+/* Returns whether a process that a request was sent to is known to have ended. */
+static bool has_ended(const struct endpoints *t,
+		      const struct attempt_target *target)
+{
+	const struct endpoint *e = endpoint_get(t, target->endpoint);
+
+	return !e || e->ended ||
+	       (target->born_ms && endpoint_known_start(e) != target->born_ms);
+}
+
 /* Returns whether the request may be sent to an endpoint again.  If so, it
  * holds a repeat of the budget until it is sent or finished. */
 bool exchange_repeat_allowed(struct exchange *x)
@@ -36,7 +90,7 @@
 	struct repeat_share seen;
 	bool allowed;
 
-	if (x->sends >= x->route->attempts_max)
+	if (exchange_attempts_used(x) >= x->route->attempts_max)
 		return false;
 	if (!x->deliveries || x->repeat_reserved)
 		return true;
@@ -82,6 +136,32 @@
 		&p->repeat_group, proxyd_now(p));
 }
 
+/* Has a request without attempts left wait for the probe of its endpoint, and an
+ * engine asked for its start, as one that has started again accepts connections: if
+ * it has ended, the attempt there does not count.  Returns false if the request has
+ * attempts left or nothing is to be learned. */
+bool exchange_await_probe(struct exchange *x)
+{
+	struct endpoints *endpoints = x->proxyd->endpoints;
+	struct endpoint *e = endpoint_get(endpoints, x->endpoint);
+
+	if (exchange_attempts_used(x) < x->route->attempts_max || !e)
+		return false;
+	if (x->engine) {
+		e->start_asked_ms = 0; /* asked before the attempt ended */
+		endpoint_want_start(endpoints, e);
+	}
+	if (exchange_attempts_exhausted(x))
+		return false;
+	event_log(EVENT_NOTABLE, "awaits-probe", x->fields.id,
+		  "{s:s, s:i, s:i, s:i}", "endpoint", e->id, "sends",
+		  (int)x->sends, "attempts_max", (int)x->route->attempts_max,
+		  "at_most_ms", PROBED_WITHIN_MS);
+	exchange_wait_for(x, PROBED_WITHIN_MS);
+	x->awaits_repeat = true;
+	return true;
+}
+
 /* Counts a request sent to an endpoint; any but the first uses the repeat that
  * the request holds. */
 void exchange_count_delivery(struct exchange *x)
@@ -146,7 +226,8 @@
 static bool waits_for_repeat(const struct exchange *x)
 {
 	return x->phase != EXCHANGE_FINISHED && x->awaits_repeat &&
-	       !x->repeat_reserved; /* else it waits for something else */
+	       !x->repeat_reserved && /* else it waits for something else */
+	       exchange_attempts_used(x) < x->route->attempts_max;
 }
 
 /* Returns the counter of repeats with a step label. */
