Let another connection that lasts speak for an endpoint that refuses new ones

An engine that stops listening as it leaves, and serves the connections that it has, refuses the question about the end of an answer. That counted as its death, so that a whole stream was closed without a last chunk, or read anew.

test_leaving_engine, "once, stops listening with its last byte and serves on", failed before.

--- a/proxyd/answer_ends.c
+++ b/proxyd/answer_ends.c
@@ -51,6 +51,7 @@
 	const char *why; /* for logs */
 };
 
+static bool outlasted(const struct exchange *x, const struct endpoint *e);
 static bool can_not_ask(const struct endpoint *e);
 static void ask(struct exchange *x, struct endpoint *e);
 static enum http1_head_decision on_head(void *arg,
@@ -97,17 +98,26 @@
 {
 	struct endpoint *e = endpoint_get(x->proxyd->endpoints, x->endpoint);
 	struct finding f = { ENDPOINT_SIGN_NONE, "no answer" };
+	bool ended = !e || (e->state != ENDPOINT_UP && e->ended);
+	bool lasts = e && outlasted(x, e);
 
-	if (!e || (e->state != ENDPOINT_UP && e->ended))
+	if (ended && !lasts)
 		f = (struct finding){ ENDPOINT_SIGN_ENDED, "endpoint ended" };
-	else if (now - x->ended_ms >= ENDS_TOGETHER_MS && can_not_ask(e) &&
-		 http1_client_spans(x->proxyd->client, e->address, x->ended_ms))
+	else if (lasts && now - x->ended_ms >= ENDS_TOGETHER_MS &&
+		 (ended || can_not_ask(e)))
 		f = (struct finding){ ENDPOINT_SIGN_LIVES, "connection lasts" };
 	judge(x, &f, now, last);
 	if (e && x->ended_ms && now > x->ended_ms)
 		ask(x, e);
 }
 
+/* Returns whether another connection to the endpoint that was open at the end of an
+ * answer still is.  One that leaves may refuse new connections and serve on. */
+static bool outlasted(const struct exchange *x, const struct endpoint *e)
+{
+	return http1_client_spans(x->proxyd->client, e->address, x->ended_ms);
+}
+
 /* Returns whether the last question to an engine could only be a connection. */
 static bool can_not_ask(const struct endpoint *e)
 {
@@ -231,13 +241,15 @@
 
 		if (!was_asked_for(x, q))
 			continue;
+		if (outcome == HTTP1_NOT_SENT && e && outlasted(x, e))
+			continue;
 		if (own.sign == ENDPOINT_SIGN_LIVES && q->is_report)
 			own.sign =
 				answer_end_start_sign(x->sent_born_ms, born_ms);
-		if (own.sign == ENDPOINT_SIGN_UNKNOWN)
-			own.why = "start not known before";
 		if (own.sign == ENDPOINT_SIGN_ENDED && own.sign != f.sign)
 			own.why = "other start";
+		if (own.sign == ENDPOINT_SIGN_UNKNOWN)
+			own.why = "start not known before";
 		judge(x, &own, now, false);
 	}
 	ask_for_later_ends(p, q->endpoint);
