Don't take the planned exit of an endpoint for its death in an answer

Callers of non_idempotent requests got 502 though they had run and their answers had been written whole, as the endpoint left right after; and a stream that had ended so counted against its content as a run that its endpoint died in, if only the entry of that had gone. A refused connection shows that the process has ended, not that it had before its answer was whole: an endpoint that leaves ends as soon as its last answer is out. That it was leaving is no witness for the answer either, as it may be killed meanwhile.

So it can't be told, which is an outcome of its own now (left). A stream moves, and is closed without a last chunk on a route that does not resume, as before: of the two errors a cut answer shows, a part that is taken for the whole does not. A request that may run again is repeated. A plain answer to one that may not is passed on as it came, without a length, if its end came within 5 ms of its last bytes: an endpoint closes its answer when it has written it, and is killed at any time. The same now holds where an endpoint gave no sign (unknown), which passed on part of a body, too, when the endpoint had been killed and the request's time was up.

--- a/policy/answer_end.c
+++ b/policy/answer_end.c
@@ -12,6 +12,10 @@
  * attempt follows one that was lost. */
 #define CONNECT_MAX_MS 500
 
+/* An endpoint that has written its answer closes the connection within this time;
+ * one that is killed in the middle does so at any time. */
+#define AT_ONCE_MS 5
+
 /* Runs without an event after which a stream is taken for whole: a single one
  * may have been broken off before its first event.  Where no second run is
  * allowed, one is enough, as its endpoint has ended it itself. */
@@ -28,6 +32,8 @@
 				       s->empty_before + 1 < EMPTY_RUNS
 			       ? ANSWER_END_EMPTY
 			       : ANSWER_END_WHOLE;
+	case ENDPOINT_SIGN_LEFT:
+		return ANSWER_END_LEFT;
 	case ENDPOINT_SIGN_UNKNOWN:
 		return ANSWER_END_UNKNOWN;
 	case ENDPOINT_SIGN_NONE:
@@ -38,6 +44,23 @@
 		       : ANSWER_END_WAIT;
 }
 
+/* Tells whether a plain answer is passed on as it came, without a length.  One that
+ * may not be whole is only if its request may not run again, as it would be lost
+ * otherwise, and if its end came at once, ended_after_ms after its last bytes. */
+bool answer_end_delivers(enum answer_end end, bool may_run_again,
+			 uint64_t ended_after_ms)
+{
+	switch (end) {
+	case ANSWER_END_WHOLE:
+		return true;
+	case ANSWER_END_UNKNOWN:
+	case ANSWER_END_LEFT:
+		return !may_run_again && ended_after_ms <= AT_ONCE_MS;
+	default:
+		return false;
+	}
+}
+
 /* Tells from the start that an endpoint states after the end of an answer, and
  * the one that was known before the request was sent to it, whether its process
  * is still the same.  Times of the endpoint's clock, 0 if there is none.  One that
@@ -55,7 +78,7 @@
 	static const char *const names[] = {
 		[ANSWER_END_WAIT] = "waits",  [ANSWER_END_WHOLE] = "whole",
 		[ANSWER_END_CUT] = "cut",     [ANSWER_END_UNKNOWN] = "unknown",
-		[ANSWER_END_EMPTY] = "empty",
+		[ANSWER_END_EMPTY] = "empty", [ANSWER_END_LEFT] = "left",
 	};
 
 	return names[end];
--- a/policy/answer_end.h
+++ b/policy/answer_end.h
@@ -13,6 +13,9 @@
 	/* a stream that was to go on had no event: another endpoint is to be
 	 * asked for the rest */
 	ANSWER_END_EMPTY,
+	/* the endpoint has ended and was to: as its last answer was out, or in
+	 * the middle of it */
+	ANSWER_END_LEFT,
 };
 
 /* What is known of the endpoint since the answer ended. */
@@ -20,6 +23,8 @@
 	ENDPOINT_SIGN_NONE,
 	ENDPOINT_SIGN_LIVES, /* the process that wrote the answer lives */
 	ENDPOINT_SIGN_ENDED, /* that process has ended */
+	/* the same, but it was known to leave, so that its end shows nothing */
+	ENDPOINT_SIGN_LEFT,
 	ENDPOINT_SIGN_UNKNOWN, /* a process answers, which one can't be told */
 };
 
@@ -33,6 +38,8 @@
 };
 
 enum answer_end answer_end_decide(const struct answer_end_signs *s);
+bool answer_end_delivers(enum answer_end end, bool may_run_again,
+			 uint64_t ended_after_ms);
 enum endpoint_sign answer_end_start_sign(uint64_t known_ms, uint64_t stated_ms);
 const char *answer_end_name(enum answer_end end);
 
--- a/proxyd/answer_ends.c
+++ b/proxyd/answer_ends.c
@@ -59,7 +59,10 @@
 static void on_body(void *arg, const char *data, size_t len);
 static void on_end(void *arg, enum http1_outcome outcome);
 static struct finding evaluate(const struct end_question *q,
+			       const struct endpoint *e,
 			       enum http1_outcome outcome, uint64_t *born_ms);
+static enum endpoint_sign ended_sign(const struct proxyd *p,
+				     const struct endpoint *e);
 static void ask_for_later_ends(struct proxyd *p, struct handle endpoint);
 static bool was_asked_for(const struct exchange *x,
 			  const struct end_question *q);
@@ -84,6 +87,7 @@
 	struct endpoint *e = endpoint_get(x->proxyd->endpoints, x->endpoint);
 
 	x->ended_ms = proxyd_now(x->proxyd);
+	x->ended_after_ms = x->ended_ms - x->read_ms;
 	x->end_number = ++x->proxyd->exchanges->n_ends;
 	x->staged = false;
 	kv_copy_cancel_order(x);
@@ -102,7 +106,8 @@
 	bool lasts = e && outlasted(x, e);
 
 	if (ended && !lasts)
-		f = (struct finding){ ENDPOINT_SIGN_ENDED, "endpoint ended" };
+		f = (struct finding){ ended_sign(x->proxyd, e),
+				      "endpoint ended" };
 	else if (lasts && now - x->ended_ms >= ENDS_TOGETHER_MS &&
 		 (ended || can_not_ask(e)))
 		f = (struct finding){ ENDPOINT_SIGN_LIVES, "connection lasts" };
@@ -217,7 +222,7 @@
 	struct endpoint *e = endpoint_get(p->endpoints, q->endpoint);
 	uint64_t now = proxyd_now(p);
 	uint64_t born_ms = 0;
-	struct finding f = evaluate(q, outcome, &born_ms);
+	struct finding f = evaluate(q, e, outcome, &born_ms);
 	struct exchange *x;
 
 	q->call = NULL;
@@ -246,8 +251,10 @@
 		if (own.sign == ENDPOINT_SIGN_LIVES && q->is_report)
 			own.sign =
 				answer_end_start_sign(x->sent_born_ms, born_ms);
-		if (own.sign == ENDPOINT_SIGN_ENDED && own.sign != f.sign)
+		if (own.sign == ENDPOINT_SIGN_ENDED && own.sign != f.sign) {
 			own.why = "other start";
+			own.sign = ended_sign(p, e);
+		}
 		if (own.sign == ENDPOINT_SIGN_UNKNOWN)
 			own.why = "start not known before";
 		judge(x, &own, now, false);
@@ -270,10 +277,11 @@
 /* Returns what the outcome of a question shows.  Sets *born_ms to the start that
  * a report states. */
 static struct finding evaluate(const struct end_question *q,
+			       const struct endpoint *e,
 			       enum http1_outcome outcome, uint64_t *born_ms)
 {
 	if (outcome == HTTP1_NOT_SENT)
-		return (struct finding){ ENDPOINT_SIGN_ENDED, "refused" };
+		return (struct finding){ ended_sign(q->proxyd, e), "refused" };
 	if (outcome != HTTP1_COMPLETE)
 		return (struct finding){ ENDPOINT_SIGN_NONE,
 					 http1_outcome_name(outcome) };
@@ -287,6 +295,17 @@
 	return (struct finding){ ENDPOINT_SIGN_NONE, "no report" };
 }
 
+/* Returns what it shows of an answer that the process which wrote it has ended
+ * since. */
+static enum endpoint_sign ended_sign(const struct proxyd *p,
+				     const struct endpoint *e)
+{
+	return e && (endpoint_is_leaving(e) ||
+		     !entry_expiry_accepts_work(&e->expiry, proxyd_now(p)))
+		       ? ENDPOINT_SIGN_LEFT
+		       : ENDPOINT_SIGN_ENDED;
+}
+
 /* Returns whether an answer waits for its end to be known and had ended when a
  * question was sent to its endpoint.  A process that is killed closes its listener
  * some time after a connection, so that one which is only connected to must have
@@ -330,18 +349,20 @@
 	if (end == ANSWER_END_WAIT)
 		return;
 	counter_add(x->proxyd->exchanges->ends[end], 1);
-	event_log(end == ANSWER_END_WHOLE ? EVENT_ROUTINE : EVENT_NOTABLE,
-		  "unframed-end", x->fields.id,
-		  "{s:s, s:s, s:s, s:b, s:b, s:I, s:I, s:b, s:b, s:I, s:I}",
-		  "outcome", answer_end_name(end), "why", f->why, "endpoint",
-		  e ? e->id : "", "leaving", e && endpoint_is_leaving(e),
-		  "listed", e && !e->expiry.removed, "waited_ms",
-		  (json_int_t)signs.waited_ms, "asked_after_ms",
-		  (json_int_t)asked_after_ms(e, x), "reached", signs.reached,
-		  "empty", signs.empty, "known_start",
-		  (json_int_t)x->sent_born_ms, "last_event",
-		  (json_int_t)(x->has_last_event ? (int64_t)x->last_event_id
-						 : -1));
+	event_log(
+		end == ANSWER_END_WHOLE ? EVENT_ROUTINE : EVENT_NOTABLE,
+		"unframed-end", x->fields.id,
+		"{s:s, s:s, s:s, s:b, s:b, s:I, s:I, s:b, s:I, s:b, s:I, s:I}",
+		"outcome", answer_end_name(end), "why", f->why, "endpoint",
+		e ? e->id : "", "leaving", e && endpoint_is_leaving(e),
+		"listed", e && !e->expiry.removed, "waited_ms",
+		(json_int_t)signs.waited_ms, "asked_after_ms",
+		(json_int_t)asked_after_ms(e, x), "reached", signs.reached,
+		"ended_after_ms", (json_int_t)x->ended_after_ms, "empty",
+		signs.empty, "known_start", (json_int_t)x->sent_born_ms,
+		"last_event",
+		(json_int_t)(x->has_last_event ? (int64_t)x->last_event_id
+					       : -1));
 	x->ended_ms = 0;
 	if (x->is_event_stream)
 		stream_end_known(x, end);
--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -298,6 +298,7 @@
 		endpoint_apply_status(p->endpoints, x->endpoint, &x->answer,
 				      x->sent_ms, x->fields.id);
 	}
+	x->read_ms = proxyd_now(p);
 	x->status = head->status;
 	x->unframed = http1_call_unframed(x->call);
 	x->headers.len = 0;
@@ -360,6 +361,7 @@
 
 	struct exchanges *t = x->proxyd->exchanges;
 
+	x->read_ms = proxyd_now(x->proxyd);
 	if (x->is_event_stream) {
 		stream_receive(x, data, len);
 	} else if (x->body.len + len <= ANSWER_MAX_BYTES &&
@@ -421,15 +423,13 @@
 	       x->status < 300;
 }
 
-/* Handles what is known now of an answer that ended with its connection.  One of
- * which nothing is known is forwarded as it came, without a length, if its
- * request may not run again. */
+/* Handles what is known now of an answer that ended with its connection. */
 void attempt_end_known(struct exchange *x, enum answer_end end)
 {
-	bool broken = end == ANSWER_END_CUT || (end == ANSWER_END_UNKNOWN &&
-						route_may_run_again(x->route));
+	bool whole = answer_end_delivers(end, route_may_run_again(x->route),
+					 x->ended_after_ms);
 
-	end_attempt(x, broken ? HTTP1_BROKEN : HTTP1_COMPLETE);
+	end_attempt(x, whole ? HTTP1_COMPLETE : HTTP1_BROKEN);
 }
 
 /* Handles the outcome of an attempt whose answer is no event stream. */
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -96,7 +96,7 @@
 		"cdm_probes_total",
 		"Connections made only to see whether an endpoint lives",
 		COUNTER_TOTAL, "kind", "end of an answer");
-	for (end = ANSWER_END_WHOLE; end <= ANSWER_END_EMPTY; end++)
+	for (end = ANSWER_END_WHOLE; end <= ANSWER_END_LEFT; end++)
 		t->ends[end] = counter_labelled(
 			"cdm_unframed_ends_total",
 			"Answers without a length whose connection was closed",
@@ -145,6 +145,7 @@
 		x->held.last_event_ms += stall_ms;
 		if (x->first_event_due_ms)
 			x->first_event_due_ms += stall_ms;
+		x->ended_after_ms += stall_ms;
 		if (x->ended_ms)
 			x->ended_ms = x->ended_ms + stall_ms < now
 					      ? x->ended_ms + stall_ms
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -141,6 +141,7 @@
 	bool unframed; /* ends with its connection */
 	struct bytes headers;
 	struct bytes body;
+	uint64_t read_ms; /* when bytes of the answer were last read */
 
 	/* a stream of events */
 	bool is_event_stream; /* the current answer is one */
@@ -161,6 +162,7 @@
 	/* when the answer ended with its connection, while it is not known
 	 * whether it is whole; 0: it has not */
 	uint64_t ended_ms;
+	uint64_t ended_after_ms; /* the last bytes */
 	uint64_t end_number; /* of that end, among all that were read here */
 	uint32_t empty_runs; /* in a row, without an event of a begun stream */
 };
@@ -189,7 +191,7 @@
 	struct counter *repeats_sent;
 	struct counter *repeats_lent; /* to other instances */
 	struct counter *end_questions;
-	struct counter *ends[ANSWER_END_EMPTY + 1];
+	struct counter *ends[ANSWER_END_LEFT + 1];
 	struct histogram first_event;
 	struct histogram plain_answer;
 	struct histogram pause_moved;
--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -212,7 +212,7 @@
 	}
 	if (end == ANSWER_END_EMPTY)
 		x->empty_runs++;
-	else
+	else if (end != ANSWER_END_LEFT)
 		suspects_run_broke(x, endpoint_get(x->proxyd->endpoints,
 						   x->endpoint));
 	stream_move(x,
@@ -385,8 +385,8 @@
 		.move_tried_ms = x->move_tried_ms,
 		.endpoint_lost = !e || e->state != ENDPOINT_UP,
 		.resumable = route_may_run_again(x->route),
-		.attempts_left =
-			exchange_attempts_used(x) < x->route->attempts_max,
+		.attempts_left = exchange_attempts_used(x) <
+				 x->route->attempts_max,
 		.has_copy = kv_copy_usable(x),
 		.from_copy = x->from_copy,
 		.has_spare_budget = x->from_copy && x->first_event_due_ms &&
--- a/regress/unit/test_answer_end.c
+++ b/regress/unit/test_answer_end.c
@@ -12,6 +12,7 @@
 #define N(list) (sizeof(list) / sizeof((list)[0]))
 #define TICK_MS 20
 #define SILENCE_MS 1500 /* of a sound endpoint */
+#define PART_GAP_MS 20 /* between two parts of an answer */
 #define CUT_MS 200 /* a connection that was lost, and one more */
 #define STREAM_GAP_MS 5600 /* the shortest after which callers leave */
 
@@ -30,6 +31,9 @@
 		    .empty = true,
 		    .empty_before = 1 },
 		  ANSWER_END_CUT },
+		{ { .endpoint = ENDPOINT_SIGN_LEFT }, ANSWER_END_LEFT },
+		{ { .endpoint = ENDPOINT_SIGN_LEFT, .empty = true },
+		  ANSWER_END_LEFT },
 		{ { .endpoint = ENDPOINT_SIGN_UNKNOWN }, ANSWER_END_UNKNOWN },
 		{ { .endpoint = ENDPOINT_SIGN_LIVES,
 		    .empty = true,
@@ -57,6 +61,37 @@
 				 cases[i].end);
 }
 
+/* A plain answer of an endpoint that has ended is never passed on where another
+ * can be had, or where its endpoint may have been killed in the middle of it. */
+static void plain_answers(void **state)
+{
+	static const struct {
+		enum answer_end end;
+		bool may_run_again;
+		uint64_t ended_after_ms;
+		bool delivers;
+	} cases[] = {
+		{ ANSWER_END_WHOLE, true, PART_GAP_MS, true },
+		{ ANSWER_END_WHOLE, false, PART_GAP_MS, true },
+		{ ANSWER_END_CUT, true, 0, false },
+		{ ANSWER_END_CUT, false, 0, false },
+		{ ANSWER_END_UNKNOWN, true, 0, false },
+		{ ANSWER_END_UNKNOWN, false, PART_GAP_MS, false },
+		{ ANSWER_END_UNKNOWN, false, 0, true },
+		{ ANSWER_END_LEFT, true, 0, false },
+		{ ANSWER_END_LEFT, false, PART_GAP_MS, false },
+		{ ANSWER_END_LEFT, false, 0, true },
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < N(cases); i++)
+		assert_int_equal(answer_end_delivers(cases[i].end,
+						     cases[i].may_run_again,
+						     cases[i].ended_after_ms),
+				 cases[i].delivers);
+}
+
 /* A stream waits neither without end nor until its caller leaves, and never
  * ends as whole for want of an answer. */
 static void wait_is_bounded(void **state)
@@ -90,6 +125,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(decisions),
+		cmocka_unit_test(plain_answers),
 		cmocka_unit_test(wait_is_bounded),
 		cmocka_unit_test(starts),
 	};
