Name the version of streams at a dead engine that could not be asked

streams of test_request_limit lost one stream of 32 in 2 of 10 runs under ASan, ten at once beside 14 busy processes (load 16 to 18 on 8 cores). In the logs of both, the instance had sent its first request ever to i-0 with its only permit there, so that none was left to ask i-0 for its start, and the others lent none (permits-lent, lent 0). The stream began, bound to the name that stands for i-0 alone, and i-0 was killed 205 ms after the request. The load only decides which engine that request goes to: in the other runs in which it went to i-0, the instance had the start of i-0.

The loss of such an engine ends the wait for a permit now: its entry is taken at its word, as after the 300 ms. One that could be asked, and died before it stated its start, stays unnamed as before. An engine that had started again unseen with another version would be misnamed, as it is after the 300 ms.

killed_engine_without_permit_for_its_start brings that about without load: it failed 4 of 4 plain and 4 of 4 under ASan without the change, and passed 4 of 4 and 4 of 4 with it. streams, ten at once beside 14 busy processes under ASan: 20 of 20 with the change; without it 20 of 20 in the same minute, so that it tells nothing. test_request_limit under ASan, four at once beside two busy processes (load 4 to 7): 4 of 4. Plain, test_request_limit, test_unseen_version, test_killed_engine and test_software_versions passed once each.

--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -67,6 +67,7 @@
 			     bool restarted);
 static void unlisted_start_stated(struct endpoint *e, uint64_t born_ms);
 static void other_start_stated(struct endpoint *e, uint64_t born_ms);
+static void name_unasked_start(const struct endpoint *e);
 static void entry_removed(struct endpoints *t, struct endpoint *e,
 			  uint64_t outage_end_ms);
 static struct endpoint *endpoint_new(struct endpoints *t, const char *id);
@@ -343,6 +344,7 @@
 
 	if (!e || e->state == ENDPOINT_REPLACED)
 		return;
+	name_unasked_start(e);
 	if (outcome == HTTP1_NOT_SENT) {
 		e->ended = true;
 		name_process(e, ~proxyd_now(t->proxyd));
@@ -367,6 +369,19 @@
 	exchanges_endpoint_lost(t->proxyd->exchanges, h);
 }
 
+/* Takes an endpoint that is found dead at the word of its entry if its limit left
+ * no permit to ask it for its start: the streams that began there have the listed
+ * version.  They could go on nowhere if they kept the name that stands for that
+ * endpoint alone. */
+static void name_unasked_start(const struct endpoint *e)
+{
+	if (!e->start_wanted || e->software_doubted || !limits_check_wanted(e))
+		return;
+	event_log(EVENT_NOTABLE, "endpoint-no-start", NULL, "{s:s, s:s}",
+		  "endpoint", e->id, "software", e->version);
+	origins_endpoint_named(e->proxyd->origins, e);
+}
+
 /* Marks an endpoint as replaced because another one answered at its address;
  * its store entry is out of date.  Its runs move. */
 void endpoint_replaced(struct endpoints *t, struct handle h,
--- a/regress/integration/test_request_limit.c
+++ b/regress/integration/test_request_limit.c
@@ -556,6 +556,60 @@
 	assert_true(t.served >= 24);
 }
 
+/* Returns whether the last call has had the head of its answer, which comes with
+ * its first event. */
+static bool last_call_began(void *arg)
+{
+	(void)arg;
+	return calls[n_calls - 1].status != 0;
+}
+
+/* Returns the worker at which a call arrived last, NULL if at none. */
+static struct standin_worker *worker_of_call(size_t call)
+{
+	struct standin_worker *worker = NULL;
+	char line[32];
+	size_t i;
+
+	snprintf(line, sizeof(line), "request-id: r-%zu", call);
+	for (i = 0; i < world->n_arrivals; i++)
+		if (standin_arrival_has_line(world->arrivals[i], line))
+			worker = world->arrivals[i]->worker;
+	return worker;
+}
+
+/* An engine dies that an instance had no permit to ask for its start: the stream
+ * that began there with the instance's only permit goes on elsewhere. */
+static void killed_engine_without_permit_for_its_start(void **state)
+{
+	static const char line[] =
+		"GET /write/a HTTP/1.1\r\n"
+		"token-usage: 100,30\r\nprompt-prefix: a:100\r\n";
+	struct standin_worker *worker;
+	size_t i;
+
+	(void)state;
+	world->event_ms = 40;
+	start_workers("engine", 2);
+	world->workers[0].limit = "2";
+	world->workers[1].limit = "2";
+	start(2);
+	for (i = 0; i < 2; i++) /* both engines name their limits */
+		send_call(&instances[0], line, 15000);
+	load(3000, 2, 0);
+	for (i = 0; i < 2; i++) /* leaves the first instance none to lend */
+		send_call(&instances[0], line, 15000);
+	send_call(&instances[1], line, 15000);
+	harness_until(harness, last_call_began, NULL, "the stream begins");
+	worker = worker_of_call(n_calls - 1);
+	assert_non_null(worker);
+	standin_kill_worker(worker);
+	load(6000, 2, 0);
+	check_limits();
+	assert_ptr_not_equal(worker_of_call(n_calls - 1), worker);
+	assert_int_equal(tally_from(0).served, n_calls);
+}
+
 int main(int argc, char **argv)
 {
 #define CASE(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
@@ -574,6 +628,7 @@
 		CASE(invalid_limits),
 		CASE(limit_of_zero),
 		CASE(streams),
+		CASE(killed_engine_without_permit_for_its_start),
 	};
 
 	if (argc > 1) /* one case */
