Keep the grace time of a planned stop that is in progress

A stream that an instance had accepted was cut when its settings were reloaded with a lower grace_s while it was stopping: the reload applied the new time to the stop. Its requests were accepted under the time that held at the signal, and the platform kills the process by that, too. A reload applies to later stops.

test_lowered_grace failed before (19 of 30 events) and passes.

--- a/proxyd/proxyd.c
+++ b/proxyd/proxyd.c
@@ -171,12 +171,15 @@
 	return true;
 }
 
-/* Derives the planned-stop and repeat parameters from the settings. */
+/* Derives the planned-stop and repeat parameters from the settings.  The grace time
+ * of a stop in progress stays: requests were accepted under it. */
 static void apply_settings(struct proxyd *p)
 {
 	double ttl_s = p->settings.directory_ttl_s;
 
-	p->planned_stop.grace_ms = (uint64_t)(p->settings.grace_s * 1000);
+	if (!p->planned_stop.signal_ms)
+		p->planned_stop.grace_ms =
+			(uint64_t)(p->settings.grace_s * 1000);
 	p->planned_stop.directory_ttl_ms =
 		(uint64_t)(ttl_s < DIRECTORY_TTL_MAX_S ? ttl_s
 						       : DIRECTORY_TTL_MAX_S) *
