Handle signals before the first listener is open

A SIGHUP that came when an instance had just begun to listen ended it, with the requests that it had read: its handler was set after the listeners.

There is no test: the moment can't be held from outside.

--- a/proxyd/proxyd.c
+++ b/proxyd/proxyd.c
@@ -37,6 +37,7 @@
 
 static bool start(struct proxyd *p, const struct proxyd_platform *platform,
 		  char *err, size_t err_size);
+static void handle_signals(struct proxyd *p);
 static void apply_settings(struct proxyd *p);
 static void on_tick(uv_timer_t *timer);
 static bool should_exit(const struct proxyd *p, uint64_t now);
@@ -141,6 +142,7 @@
 {
 	p->protocol = platform->protocol;
 	apply_settings(p);
+	handle_signals(p);
 	p->client = http1_client_new(p->loop);
 	p->store = platform->store_new(p->client, p->loop, p->settings.store);
 	p->limits = limits_new(p);
@@ -156,6 +158,18 @@
 	p->listeners = listeners_new(p, err, err_size);
 	if (!p->listeners)
 		return false;
+	uv_timer_init(p->loop, &p->tick);
+	p->tick.data = p;
+	uv_timer_start(&p->tick, on_tick, 0, PROXYD_TICK_MS);
+	return true;
+}
+
+/* Handles the signals that were held since the start of the process; the loop
+ * delivers them once all parts exist. */
+static void handle_signals(struct proxyd *p)
+{
+	sigset_t held;
+
 	uv_signal_init(p->loop, &p->sigterm);
 	uv_signal_init(p->loop, &p->sigint);
 	uv_signal_init(p->loop, &p->sighup);
@@ -165,10 +179,11 @@
 	uv_signal_start(&p->sigterm, on_stop_signal, SIGTERM);
 	uv_signal_start(&p->sigint, on_stop_signal, SIGINT);
 	uv_signal_start(&p->sighup, on_reload_signal, SIGHUP);
-	uv_timer_init(p->loop, &p->tick);
-	p->tick.data = p;
-	uv_timer_start(&p->tick, on_tick, 0, PROXYD_TICK_MS);
-	return true;
+	sigemptyset(&held);
+	sigaddset(&held, SIGHUP);
+	sigaddset(&held, SIGTERM);
+	sigaddset(&held, SIGINT);
+	sigprocmask(SIG_UNBLOCK, &held, NULL);
 }
 
 /* Derives the planned-stop and repeat parameters from the settings.  The grace time
