Ask for the outliving of an answer, and believe no end of a living endpoint

Now the endpoint must have accepted a connection that was begun after the end was read, too: a killed one refuses it. Read, and mended with them: a connection that was opened while a stream was not read, or the instance stood still, may be another process's; a start was noted for an earlier attempt of a run that was held; a run whose endpoint serves on was recorded as a crash of its content.

--- a/policy/answer_end.c
+++ b/policy/answer_end.c
@@ -46,8 +46,9 @@
 
 /* Tells whether a plain answer is passed on as it came, without a length.  One that
  * may not be whole is only if its request may not run again, as it would be lost
- * otherwise, and if its end came at once, ended_after_ms after its last bytes. */
-bool answer_end_delivers(enum answer_end end, bool may_run_again,
+ * otherwise; if its end came at once, ended_after_ms after its last bytes; and if
+ * its endpoint accepted a connection after it (outlived). */
+bool answer_end_delivers(enum answer_end end, bool may_run_again, bool outlived,
 			 uint64_t ended_after_ms)
 {
 	switch (end) {
@@ -55,7 +56,8 @@
 		return true;
 	case ANSWER_END_UNKNOWN:
 	case ANSWER_END_LEFT:
-		return !may_run_again && ended_after_ms <= AT_ONCE_MS;
+		return !may_run_again && outlived &&
+		       ended_after_ms <= AT_ONCE_MS;
 	default:
 		return false;
 	}
--- a/policy/answer_end.h
+++ b/policy/answer_end.h
@@ -38,7 +38,7 @@
 };
 
 enum answer_end answer_end_decide(const struct answer_end_signs *s);
-bool answer_end_delivers(enum answer_end end, bool may_run_again,
+bool answer_end_delivers(enum answer_end end, bool may_run_again, bool outlived,
 			 uint64_t ended_after_ms);
 enum endpoint_sign answer_end_start_sign(uint64_t known_ms, uint64_t stated_ms);
 const char *answer_end_name(enum answer_end end);
--- a/proxyd/answer_ends.c
+++ b/proxyd/answer_ends.c
@@ -36,8 +36,11 @@
 	struct handle endpoint;
 	struct http1_call *call; /* NULL once it has ended */
 	uint64_t asked_ms;
-	/* number of the last end that was read before the question was sent */
+	/* numbers of the last ends that were read before the connection of the
+	 * question was begun, and before the question was sent */
+	uint64_t last_end_before;
 	uint64_t last_end;
+	bool at_once; /* as soon as an end was read */
 	bool is_engine; /* only its report shows that it lives */
 	bool is_report; /* else only a connection */
 	uint64_t reached_ms; /* when a connection was last known to stand */
@@ -51,9 +54,12 @@
 	const char *why; /* for logs */
 };
 
+static bool asks_at_once(const struct exchange *x, const struct endpoint *e);
 static bool outlasted(const struct exchange *x, const struct endpoint *e);
 static bool can_not_ask(const struct endpoint *e);
-static void ask(struct exchange *x, struct endpoint *e);
+static void ask_soon(struct exchanges *t);
+static void on_ask_timer(uv_timer_t *timer);
+static void ask(struct exchange *x, struct endpoint *e, bool at_once);
 static enum http1_head_decision on_head(void *arg,
 					const struct http1_head *head);
 static void on_body(void *arg, const char *data, size_t len);
@@ -63,7 +69,8 @@
 			       enum http1_outcome outcome, uint64_t *born_ms);
 static enum endpoint_sign ended_sign(const struct proxyd *p,
 				     const struct endpoint *e);
-static void ask_for_later_ends(struct proxyd *p, struct handle endpoint);
+static bool may_exit(const struct proxyd *p, const struct endpoint *e);
+static void note_reached(struct end_question *q, uint64_t now);
 static bool was_asked_for(const struct exchange *x,
 			  const struct end_question *q);
 static bool awaits_end_at(const struct exchange *x, struct handle endpoint);
@@ -79,20 +86,63 @@
 	.on_end = on_end,
 };
 
+/* Prepares the questions. */
+void answer_ends_init(struct exchanges *t)
+{
+	uv_timer_init(t->proxyd->loop, &t->ask_timer);
+	t->ask_timer.data = t;
+}
+
 /* Has an answer whose connection was closed in order wait until its end is
- * known.  The events of a stream have been passed on.  An engine is asked at
- * once: one that leaves may exit as soon as its last answer is out. */
+ * known.  The events of a stream have been passed on.  An engine, and an endpoint
+ * that leaves, are asked at once: that may exit as soon as its last answer is
+ * out. */
 void answer_end_await(struct exchange *x)
 {
-	struct endpoint *e = endpoint_get(x->proxyd->endpoints, x->endpoint);
+	uint64_t since_ms = proxyd_received_ms(x->proxyd);
 
 	x->ended_ms = proxyd_now(x->proxyd);
-	x->ended_after_ms = x->ended_ms - x->read_ms;
+	x->ended_since_ms = x->was_paused ? x->sent_ms : since_ms;
+	x->ended_after_ms =
+		x->ended_ms - (x->ended_ms - since_ms > PROXYD_STALL_MS
+				       ? since_ms
+				       : x->read_ms);
+	x->end_outlived = false;
 	x->end_number = ++x->proxyd->exchanges->n_ends;
 	x->staged = false;
 	kv_copy_cancel_order(x);
-	if (e && x->engine)
-		ask(x, e);
+	ask_soon(x->proxyd->exchanges);
+}
+
+/* Has the endpoints of answers asked that are to be at once, when all ends that
+ * have arrived are read. */
+static void ask_soon(struct exchanges *t)
+{
+	uv_timer_start(&t->ask_timer, on_ask_timer, 0, 0);
+}
+
+/* Asks about the ends that came after the last question to their endpoints. */
+static void on_ask_timer(uv_timer_t *timer)
+{
+	struct exchanges *t = timer->data;
+	struct exchange *x;
+
+	TAILQ_FOREACH(x, &t->list, link)
+	{
+		struct endpoint *e =
+			endpoint_get(t->proxyd->endpoints, x->endpoint);
+
+		if (e && awaits_end_at(x, e->self) && asks_at_once(x, e) &&
+		    (!e->end_question ||
+		     x->end_number > e->end_question->last_end))
+			ask(x, e, true);
+	}
+}
+
+/* Returns whether an endpoint is asked as soon as the end of an answer is read. */
+static bool asks_at_once(const struct exchange *x, const struct endpoint *e)
+{
+	return x->engine || may_exit(x->proxyd, e);
 }
 
 /* Decides on an answer that waits, which it must not any longer if last is set,
@@ -113,14 +163,16 @@
 		f = (struct finding){ ENDPOINT_SIGN_LIVES, "connection lasts" };
 	judge(x, &f, now, last);
 	if (e && x->ended_ms && now > x->ended_ms)
-		ask(x, e);
+		ask(x, e, false);
 }
 
 /* Returns whether another connection to the endpoint that was open at the end of an
  * answer still is.  One that leaves may refuse new connections and serve on. */
 static bool outlasted(const struct exchange *x, const struct endpoint *e)
 {
-	return http1_client_spans(x->proxyd->client, e->address, x->ended_ms);
+	return e->state != ENDPOINT_REPLACED &&
+	       http1_client_spans(x->proxyd->client, e->address,
+				  x->ended_since_ms);
 }
 
 /* Returns whether the last question to an engine could only be a connection. */
@@ -149,7 +201,7 @@
  * has just failed: an engine for its report, which states its start.  An endpoint
  * that pauses or has no permit left for a request, or a service without reports, is
  * only connected to: if it refuses, it has ended. */
-static void ask(struct exchange *x, struct endpoint *e)
+static void ask(struct exchange *x, struct endpoint *e, bool at_once)
 {
 	struct proxyd *p = x->proxyd;
 	uint64_t now = proxyd_now(p);
@@ -166,8 +218,7 @@
 			q->last_end = p->exchanges->n_ends; /* not sent yet */
 		return;
 	}
-	if (q && x->end_number <= q->last_end &&
-	    now - q->asked_ms < ASK_AGAIN_MS)
+	if (q && was_asked_for(x, q) && now - q->asked_ms < ASK_AGAIN_MS)
 		return;
 	if (!q) {
 		q = e->end_question = xcalloc(1, sizeof(*q));
@@ -175,9 +226,10 @@
 		q->endpoint = e->self;
 	}
 	q->asked_ms = now;
-	q->last_end = p->exchanges->n_ends;
+	q->last_end_before = q->last_end = p->exchanges->n_ends;
 	q->status = 0;
 	q->body.len = 0;
+	q->at_once = at_once;
 	q->is_engine = x->engine != NULL;
 	q->is_report = q->is_engine &&
 		       !holdoff_remaining_ms(&e->holdoff, now) &&
@@ -228,9 +280,10 @@
 	q->call = NULL;
 	if (outcome == HTTP1_COMPLETE || outcome == HTTP1_BROKEN ||
 	    outcome == HTTP1_MALFORMED)
-		q->reached_ms = now;
+		note_reached(q, now);
 	TAILQ_FOREACH(x, &p->exchanges->list, link)
-	if (f.sign == ENDPOINT_SIGN_ENDED && was_asked_for(x, q))
+	if (f.sign == ENDPOINT_SIGN_ENDED && was_asked_for(x, q) &&
+	    !(e && outlasted(x, e)))
 		suspects_run_broke(x, e);
 	if (outcome == HTTP1_NOT_SENT || outcome == HTTP1_CONNECT_TIMEOUT)
 		endpoint_unreachable(p->endpoints, q->endpoint, NULL, outcome);
@@ -259,19 +312,19 @@
 			own.why = "start not known before";
 		judge(x, &own, now, false);
 	}
-	ask_for_later_ends(p, q->endpoint);
+	ask_soon(p->exchanges);
 }
 
-/* Asks an engine about answers that ended after the last question to it was
- * sent. */
-static void ask_for_later_ends(struct proxyd *p, struct handle endpoint)
+/* Notes that an endpoint has accepted the connection of a question. */
+static void note_reached(struct end_question *q, uint64_t now)
 {
-	struct endpoint *e = endpoint_get(p->endpoints, endpoint);
 	struct exchange *x;
 
-	TAILQ_FOREACH(x, &p->exchanges->list, link)
-	if (e && x->engine && awaits_end_at(x, endpoint))
-		ask(x, e);
+	q->reached_ms = now;
+	TAILQ_FOREACH(x, &q->proxyd->exchanges->list, link)
+	if (awaits_end_at(x, q->endpoint) &&
+	    x->end_number <= q->last_end_before)
+		x->end_outlived = true;
 }
 
 /* Returns what the outcome of a question shows.  Sets *born_ms to the start that
@@ -300,10 +353,14 @@
 static enum endpoint_sign ended_sign(const struct proxyd *p,
 				     const struct endpoint *e)
 {
-	return e && (endpoint_is_leaving(e) ||
-		     !entry_expiry_accepts_work(&e->expiry, proxyd_now(p)))
-		       ? ENDPOINT_SIGN_LEFT
-		       : ENDPOINT_SIGN_ENDED;
+	return e && may_exit(p, e) ? ENDPOINT_SIGN_LEFT : ENDPOINT_SIGN_ENDED;
+}
+
+/* Returns whether an endpoint may exit as planned. */
+static bool may_exit(const struct proxyd *p, const struct endpoint *e)
+{
+	return endpoint_is_leaving(e) ||
+	       !entry_expiry_accepts_work(&e->expiry, proxyd_now(p));
 }
 
 /* Returns whether an answer waits for its end to be known and had ended when a
@@ -314,7 +371,7 @@
 			  const struct end_question *q)
 {
 	return awaits_end_at(x, q->endpoint) && x->end_number <= q->last_end &&
-	       (q->is_report || x->ended_ms < q->asked_ms);
+	       (q->is_report || (!q->at_once && x->ended_ms < q->asked_ms));
 }
 
 /* Returns whether an answer of an endpoint waits for its end to be known. */
@@ -352,15 +409,15 @@
 	event_log(
 		end == ANSWER_END_WHOLE ? EVENT_ROUTINE : EVENT_NOTABLE,
 		"unframed-end", x->fields.id,
-		"{s:s, s:s, s:s, s:b, s:b, s:I, s:I, s:b, s:I, s:b, s:I, s:I}",
+		"{s:s, s:s, s:s, s:b, s:b, s:I, s:I, s:b, s:b, s:I, s:b, s:I, s:I}",
 		"outcome", answer_end_name(end), "why", f->why, "endpoint",
 		e ? e->id : "", "leaving", e && endpoint_is_leaving(e),
 		"listed", e && !e->expiry.removed, "waited_ms",
 		(json_int_t)signs.waited_ms, "asked_after_ms",
 		(json_int_t)asked_after_ms(e, x), "reached", signs.reached,
-		"ended_after_ms", (json_int_t)x->ended_after_ms, "empty",
-		signs.empty, "known_start", (json_int_t)x->sent_born_ms,
-		"last_event",
+		"outlived", x->end_outlived, "ended_after_ms",
+		(json_int_t)x->ended_after_ms, "empty", signs.empty,
+		"known_start", (json_int_t)x->sent_born_ms, "last_event",
 		(json_int_t)(x->has_last_event ? (int64_t)x->last_event_id
 					       : -1));
 	x->ended_ms = 0;
--- a/proxyd/answer_ends.h
+++ b/proxyd/answer_ends.h
@@ -6,7 +6,9 @@
 
 struct endpoint;
 struct exchange;
+struct exchanges;
 
+void answer_ends_init(struct exchanges *t);
 void answer_end_await(struct exchange *x);
 void answer_end_tick(struct exchange *x, uint64_t now, bool last);
 void answer_end_forget(struct endpoint *e);
--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -149,6 +149,7 @@
 					      e->others_load.prefill_tokens,
 				      p->exchanges->prefill_ms_per_token));
 	x->is_event_stream = false;
+	x->was_paused = false;
 	x->status = 0;
 	x->headers.len = 0;
 	attempt_discard_answer(x);
@@ -427,7 +428,7 @@
 void attempt_end_known(struct exchange *x, enum answer_end end)
 {
 	bool whole = answer_end_delivers(end, route_may_run_again(x->route),
-					 x->ended_after_ms);
+					 x->end_outlived, x->ended_after_ms);
 
 	end_attempt(x, whole ? HTTP1_COMPLETE : HTTP1_BROKEN);
 }
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -102,6 +102,7 @@
 			"Answers without a length whose connection was closed",
 			COUNTER_TOTAL, "outcome", answer_end_name(end));
 	exchange_repeats_init(t);
+	answer_ends_init(t);
 	t->first_event.name = "cdm_first_event_ms";
 	t->first_event.help = "Arrival to first event of a stream, ms";
 	histogram_register(&t->first_event);
@@ -145,7 +146,6 @@
 		x->held.last_event_ms += stall_ms;
 		if (x->first_event_due_ms)
 			x->first_event_due_ms += stall_ms;
-		x->ended_after_ms += stall_ms;
 		if (x->ended_ms)
 			x->ended_ms = x->ended_ms + stall_ms < now
 					      ? x->ended_ms + stall_ms
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -146,6 +146,7 @@
 	/* a stream of events */
 	bool is_event_stream; /* the current answer is one */
 	bool response_started; /* the caller has the head of the answer */
+	bool was_paused; /* the attempt was not read for a time */
 	struct event_stream stream;
 	uint64_t last_event_id;
 	bool has_last_event;
@@ -162,7 +163,9 @@
 	/* when the answer ended with its connection, while it is not known
 	 * whether it is whole; 0: it has not */
 	uint64_t ended_ms;
-	uint64_t ended_after_ms; /* the last bytes */
+	uint64_t ended_after_ms; /* the last bytes, as far as is known */
+	uint64_t ended_since_ms; /* that end came then at the earliest */
+	bool end_outlived; /* the endpoint accepted a connection after it */
 	uint64_t end_number; /* of that end, among all that were read here */
 	uint32_t empty_runs; /* in a row, without an event of a begun stream */
 };
@@ -175,6 +178,7 @@
 	uint32_t n_open;
 	uint64_t last_borrow_ms; /* last request for loans of repeats */
 	uint64_t answer_bytes; /* of all answers being read */
+	uv_timer_t ask_timer; /* asks endpoints about ends of answers */
 	uint64_t n_ends; /* of answers that had to wait for them to be known */
 	uint64_t waiting_tokens; /* needed by the runs that wait */
 	float run_ms; /* moving mean of run durations */
--- a/proxyd/proxyd.c
+++ b/proxyd/proxyd.c
@@ -25,10 +25,6 @@
 #include "proxyd/suspects.h"
 #include "proxyd/watch.h"
 
-/* If a tick comes later than this, the process itself was stalled, and silence
- * of endpoints and instances in that time is no sign of a failure. */
-#define STALL_MS 60
-
 /* Upper bound of the directory TTL: callers learn of a stop within this time,
  * and asking again costs them little. */
 #define DIRECTORY_TTL_MAX_S 1
@@ -214,7 +210,7 @@
 	struct proxyd *p = timer->data;
 	uint64_t now = proxyd_now(p);
 
-	if (p->last_tick_ms && now - p->last_tick_ms > STALL_MS) {
+	if (p->last_tick_ms && now - p->last_tick_ms > PROXYD_STALL_MS) {
 		discount_stall(p, now - p->last_tick_ms);
 		p->last_tick_ms = now;
 		return; /* read the input received during the stall first */
--- a/proxyd/proxyd.h
+++ b/proxyd/proxyd.h
@@ -16,6 +16,10 @@
 
 #define PROXYD_TICK_MS 20
 
+/* If a tick comes later than this, the process itself was stalled, and silence
+ * of endpoints and instances in that time is no sign of a failure. */
+#define PROXYD_STALL_MS 60
+
 struct limits;
 struct origins;
 struct listeners;
--- a/proxyd/repeats.c
+++ b/proxyd/repeats.c
@@ -68,7 +68,7 @@
 	    http1_call_paused(x->call))
 		return;
 	target = &x->targets[(x->sends - 1) % ENDPOINT_AVOID_MAX];
-	if (!target->born_ms)
+	if (!target->born_ms && handle_equal(target->endpoint, x->endpoint))
 		target->born_ms = born_ms;
 }
 
@@ -78,6 +78,9 @@
 {
 	const struct endpoint *e = endpoint_get(t, target->endpoint);
 
+	if (e && e->state == ENDPOINT_DOWN &&
+	    http1_client_spans(e->proxyd->client, e->address, e->down_ms))
+		return false; /* it refuses connections, and serves on */
 	return !e || e->ended ||
 	       (target->born_ms && endpoint_known_start(e) != target->born_ms);
 }
--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -147,8 +147,10 @@
 	record_event_time(x, now);
 	http1_stream_write(x->caller, x->stream.pending.data, n);
 	event_stream_consume(&x->stream, n);
-	if (x->call && http1_pending(x->caller) > PENDING_MAX_BYTES)
+	if (x->call && http1_pending(x->caller) > PENDING_MAX_BYTES) {
 		http1_call_pause(x->call, true);
+		x->was_paused = true;
+	}
 }
 
 /* Handles an event that exceeds the size limit without an end, or bytes in its
--- a/regress/unit/test_answer_end.c
+++ b/regress/unit/test_answer_end.c
@@ -68,19 +68,22 @@
 	static const struct {
 		enum answer_end end;
 		bool may_run_again;
+		bool outlived;
 		uint64_t ended_after_ms;
 		bool delivers;
 	} cases[] = {
-		{ ANSWER_END_WHOLE, true, PART_GAP_MS, true },
-		{ ANSWER_END_WHOLE, false, PART_GAP_MS, true },
-		{ ANSWER_END_CUT, true, 0, false },
-		{ ANSWER_END_CUT, false, 0, false },
-		{ ANSWER_END_UNKNOWN, true, 0, false },
-		{ ANSWER_END_UNKNOWN, false, PART_GAP_MS, false },
-		{ ANSWER_END_UNKNOWN, false, 0, true },
-		{ ANSWER_END_LEFT, true, 0, false },
-		{ ANSWER_END_LEFT, false, PART_GAP_MS, false },
-		{ ANSWER_END_LEFT, false, 0, true },
+		{ ANSWER_END_WHOLE, true, false, PART_GAP_MS, true },
+		{ ANSWER_END_WHOLE, false, false, PART_GAP_MS, true },
+		{ ANSWER_END_CUT, true, true, 0, false },
+		{ ANSWER_END_CUT, false, true, 0, false },
+		{ ANSWER_END_UNKNOWN, true, true, 0, false },
+		{ ANSWER_END_UNKNOWN, false, true, PART_GAP_MS, false },
+		{ ANSWER_END_UNKNOWN, false, false, 0, false },
+		{ ANSWER_END_UNKNOWN, false, true, 0, true },
+		{ ANSWER_END_LEFT, true, true, 0, false },
+		{ ANSWER_END_LEFT, false, true, PART_GAP_MS, false },
+		{ ANSWER_END_LEFT, false, false, 0, false },
+		{ ANSWER_END_LEFT, false, true, 0, true },
 	};
 	size_t i;
 
@@ -88,6 +91,7 @@
 	for (i = 0; i < N(cases); i++)
 		assert_int_equal(answer_end_delivers(cases[i].end,
 						     cases[i].may_run_again,
+						     cases[i].outlived,
 						     cases[i].ended_after_ms),
 				 cases[i].delivers);
 }
