--- a/proxyd/main.c
+++ b/proxyd/main.c
@@ -3,7 +3,6 @@
  */
 #include <argp.h>
 #include <err.h>
-#include <signal.h>
 
 #include "lib/daemon_args.h"
 #include "platform/platform.h"
@@ -16,19 +15,6 @@
 	.store_new = platform_store_new,
 };
 
-/* Holds the signals that the process handles until it does: a reload that is asked
- * for while it starts must not end it. */
-static void hold_signals(void)
-{
-	sigset_t held;
-
-	sigemptyset(&held);
-	sigaddset(&held, SIGHUP);
-	sigaddset(&held, SIGTERM);
-	sigaddset(&held, SIGINT);
-	sigprocmask(SIG_BLOCK, &held, NULL);
-}
-
 int main(int argc, char **argv)
 {
 	struct daemon_args args = { .file = NULL };
@@ -36,7 +22,7 @@
 	char err[512];
 	int status = 0;
 
-	hold_signals();
+	proxyd_hold_signals();
 	daemon_args_parse(
 		argc, argv,
 		"Forwards requests from callers to services and model "
--- a/proxyd/proxyd.c
+++ b/proxyd/proxyd.c
@@ -33,6 +33,7 @@
 
 static bool start(struct proxyd *p, const struct proxyd_platform *platform,
 		  char *err, size_t err_size);
+static sigset_t handled_signals(void);
 static void handle_signals(struct proxyd *p);
 static void apply_settings(struct proxyd *p);
 static void on_tick(uv_timer_t *timer);
@@ -160,11 +161,32 @@
 	return true;
 }
 
+/* Returns the signals that the process handles. */
+static sigset_t handled_signals(void)
+{
+	sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGHUP);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	return set;
+}
+
+/* Holds the signals that the process handles until it does: a reload that is asked
+ * for while it starts must not end it. */
+void proxyd_hold_signals(void)
+{
+	sigset_t held = handled_signals();
+
+	sigprocmask(SIG_BLOCK, &held, NULL);
+}
+
 /* Handles the signals that were held since the start of the process; the loop
  * delivers them once all parts exist. */
 static void handle_signals(struct proxyd *p)
 {
-	sigset_t held;
+	sigset_t held = handled_signals();
 
 	uv_signal_init(p->loop, &p->sigterm);
 	uv_signal_init(p->loop, &p->sigint);
@@ -175,10 +197,6 @@
 	uv_signal_start(&p->sigterm, on_stop_signal, SIGTERM);
 	uv_signal_start(&p->sigint, on_stop_signal, SIGINT);
 	uv_signal_start(&p->sighup, on_reload_signal, SIGHUP);
-	sigemptyset(&held);
-	sigaddset(&held, SIGHUP);
-	sigaddset(&held, SIGTERM);
-	sigaddset(&held, SIGINT);
 	sigprocmask(SIG_UNBLOCK, &held, NULL);
 }
 
--- a/proxyd/proxyd.h
+++ b/proxyd/proxyd.h
@@ -71,6 +71,7 @@
 	bool ending;
 };
 
+void proxyd_hold_signals(void);
 int proxyd_run(const struct proxyd_platform *platform,
 	       const char *settings_file,
 	       const struct proxyd_settings *settings);
