Run the case tables of three tests by one function

test_killed_engine, test_ended_attempts and test_unproved_starts each had the struct, the loop and the main.

--- a/regress/integration/test_ended_attempts.c
+++ b/regress/integration/test_ended_attempts.c
@@ -2,13 +2,6 @@
  * Attempts at endpoints that have ended meanwhile don't count towards the
  * attempts that a route allows; those at endpoints that live on do.
  */
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdint.h>
-
-#include <setjmp.h>
-#include <cmocka.h>
-
 #include "regress/raw_endpoint.h"
 
 #define N(list) (sizeof(list) / sizeof((list)[0]))
@@ -33,15 +26,9 @@
 	"response-signature: m.1\r\nnot-executed: 1\r\n" \
 	"content-length: 0\r\n\r\n"
 
-/* A case and how its request is sent, by POST. */
-struct way_case {
-	struct raw_case c;
-	struct raw_way way;
-};
-
 /* Of routes with one attempt: /write/one/, /look/one/; with two: /write/two/,
  * /look/.  All may run again. */
-static const struct way_case cases[] = {
+static const struct raw_way_case cases[] = {
 	{ .c = { .what = "chunks, killed before its first event",
 		 .target = "/write/one/a",
 		 .answers = { { CHUNKED, RAW_KILLED },
@@ -352,28 +339,7 @@
 		 .n_attempts = 3 } },
 };
 
-static void run(void **state)
-{
-	const struct way_case *w = *state;
-	struct raw_case c = w->c;
-	struct raw_way way = w->way;
-
-	c.version = "1.1";
-	way.method = "POST";
-	raw_run_case_in_way(&c, &way);
-}
-
 int main(void)
 {
-	struct CMUnitTest tests[N(cases)];
-	size_t i;
-
-	for (i = 0; i < N(cases); i++)
-		tests[i] = (struct CMUnitTest){
-			.name = cases[i].c.what,
-			.test_func = run,
-			.initial_state = (void *)&cases[i],
-		};
-	return _cmocka_run_group_tests("ended attempts", tests, N(tests), NULL,
-				       NULL);
+	return raw_run_cases("ended attempts", cases, N(cases));
 }
--- a/regress/integration/test_killed_engine.c
+++ b/regress/integration/test_killed_engine.c
@@ -3,13 +3,6 @@
  * kernel closes the connection in order, and the caller never takes the part
  * that it has for the whole answer.
  */
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdint.h>
-
-#include <setjmp.h>
-#include <cmocka.h>
-
 #include "regress/raw_endpoint.h"
 
 #define N(list) (sizeof(list) / sizeof((list)[0]))
@@ -25,13 +18,7 @@
 #define E1 "id: 1\ndata: a\n\n"
 #define E2 "id: 2\ndata: b\n\n"
 
-/* A case and how its request is sent, by POST. */
-struct way_case {
-	struct raw_case c;
-	struct raw_way way;
-};
-
-static const struct way_case cases[] = {
+static const struct raw_way_case cases[] = {
 	{ .c = { .what = "killed between two events",
 		 .target = "/write/a",
 		 .version = "1.1",
@@ -209,26 +196,7 @@
 		 .n_attempts = 1 } },
 };
 
-static void run(void **state)
-{
-	const struct way_case *w = *state;
-	struct raw_way way = w->way;
-
-	way.method = "POST";
-	raw_run_case_in_way(&w->c, &way);
-}
-
 int main(void)
 {
-	struct CMUnitTest tests[N(cases)];
-	size_t i;
-
-	for (i = 0; i < N(cases); i++)
-		tests[i] = (struct CMUnitTest){
-			.name = cases[i].c.what,
-			.test_func = run,
-			.initial_state = (void *)&cases[i],
-		};
-	return _cmocka_run_group_tests("killed engine", tests, N(tests), NULL,
-				       NULL);
+	return raw_run_cases("killed engine", cases, N(cases));
 }
--- a/regress/integration/test_unproved_starts.c
+++ b/regress/integration/test_unproved_starts.c
@@ -2,13 +2,6 @@
  * An engine that had started again before a request was sent to it, unnoticed, is
  * not taken for one that has ended since.
  */
-#include <stdarg.h>
-#include <stddef.h>
-#include <stdint.h>
-
-#include <setjmp.h>
-#include <cmocka.h>
-
 #include "regress/raw_endpoint.h"
 
 #define N(list) (sizeof(list) / sizeof((list)[0]))
@@ -24,14 +17,8 @@
 #define E2 "id: 2\ndata: b\n\n"
 #define C1 "f\r\n" E1 "\r\n"
 
-/* A case and how its request is sent, by POST. */
-struct way_case {
-	struct raw_case c;
-	struct raw_way way;
-};
-
 /* The entries of all engines name their earlier starts. */
-static const struct way_case cases[] = {
+static const struct raw_way_case cases[] = {
 	{ .c = { .what = "unframed, its start was not known when it was sent",
 		 .target = "/write/one/a",
 		 .answers = { { UNFRAMED E1 "id: 2\nd", RAW_FIN },
@@ -67,28 +54,7 @@
 	  .way = { .restarted_before = true } },
 };
 
-static void run(void **state)
-{
-	const struct way_case *w = *state;
-	struct raw_case c = w->c;
-	struct raw_way way = w->way;
-
-	c.version = "1.1";
-	way.method = "POST";
-	raw_run_case_in_way(&c, &way);
-}
-
 int main(void)
 {
-	struct CMUnitTest tests[N(cases)];
-	size_t i;
-
-	for (i = 0; i < N(cases); i++)
-		tests[i] = (struct CMUnitTest){
-			.name = cases[i].c.what,
-			.test_func = run,
-			.initial_state = (void *)&cases[i],
-		};
-	return _cmocka_run_group_tests("unproved starts", tests, N(tests), NULL,
-				       NULL);
+	return raw_run_cases("unproved starts", cases, N(cases));
 }
--- a/regress/raw_endpoint.c
+++ b/regress/raw_endpoint.c
@@ -461,3 +461,34 @@
 	http1_client_free(client);
 	stop();
 }
+
+/* Runs the case that is the test's state. */
+static void run_way_case(void **state)
+{
+	const struct raw_way_case *w = *state;
+	struct raw_case c = w->c;
+	struct raw_way way = w->way;
+
+	if (!c.version)
+		c.version = "1.1";
+	way.method = "POST";
+	raw_run_case_in_way(&c, &way);
+}
+
+/* Runs a test program of n cases; returns its exit status. */
+int raw_run_cases(const char *name, const struct raw_way_case *cases, size_t n)
+{
+	struct CMUnitTest *tests = xcalloc(n, sizeof(*tests));
+	size_t i;
+	int failed;
+
+	for (i = 0; i < n; i++)
+		tests[i] = (struct CMUnitTest){
+			.name = cases[i].c.what,
+			.test_func = run_way_case,
+			.initial_state = (void *)&cases[i],
+		};
+	failed = _cmocka_run_group_tests(name, tests, n, NULL, NULL);
+	free(tests);
+	return failed;
+}
--- a/regress/raw_endpoint.h
+++ b/regress/raw_endpoint.h
@@ -66,7 +66,14 @@
 	bool restarted_before;
 };
 
+/* A case and how its request is sent, by POST. */
+struct raw_way_case {
+	struct raw_case c; /* its version: "1.1" if there is none */
+	struct raw_way way;
+};
+
 void raw_run_case(void **state);
+int raw_run_cases(const char *name, const struct raw_way_case *cases, size_t n);
 void raw_run_case_in_way(const struct raw_case *c, const struct raw_way *way);
 
 #endif /* REGRESS_RAW_ENDPOINT_H */
