Ask in one place whether a request has attempts left

The question also ends as soon as one is known to be left, so that a run whose sends are below the limit, asked at each tick, looks up no endpoint. The answer is the same.

--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -70,7 +70,8 @@
 /* A process that a request was sent to. */
 struct attempt_target {
 	struct handle endpoint;
-	uint64_t born_ms; /* its start, as known then; 0: unknown */
+	uint64_t
+		born_ms; /* its start, proved then or stated since; 0: unknown */
 };
 
 /* One request of a caller, from its arrival until its answer is complete. */
@@ -228,7 +229,7 @@
 
 /* repeats.c */
 void exchange_repeats_init(struct exchanges *t);
-uint32_t exchange_attempts_used(const struct exchange *x);
+bool exchange_has_attempts(const struct exchange *x);
 bool exchange_attempts_exhausted(const struct exchange *x);
 void exchange_note_target_start(struct exchange *x, uint64_t born_ms);
 bool exchange_repeat_allowed(struct exchange *x);
--- a/proxyd/repeats.c
+++ b/proxyd/repeats.c
@@ -33,18 +33,18 @@
 	t->repeats_lent = repeat_counter("lent");
 }
 
-/* Returns how many attempts count towards the limit of the route.  Those at
- * processes that have ended don't, of the last ENDPOINT_AVOID_MAX. */
-uint32_t exchange_attempts_used(const struct exchange *x)
+/* Returns whether the route allows another attempt.  Those at processes that have
+ * ended don't count, of the last ENDPOINT_AVOID_MAX. */
+bool exchange_has_attempts(const struct exchange *x)
 {
 	uint32_t n = x->sends < ENDPOINT_AVOID_MAX ? x->sends
 						   : ENDPOINT_AVOID_MAX;
 	uint32_t used = x->sends;
 	uint32_t i;
 
-	for (i = 0; i < n; i++)
+	for (i = 0; i < n && used >= x->route->attempts_max; i++)
 		used -= has_ended(x->proxyd->endpoints, &x->targets[i]);
-	return used;
+	return used < x->route->attempts_max;
 }
 
 /* Returns whether a request has no attempt left, and it is not being found out
@@ -54,7 +54,7 @@
 	const struct endpoint *e =
 		endpoint_get(x->proxyd->endpoints, x->endpoint);
 
-	return exchange_attempts_used(x) >= x->route->attempts_max &&
+	return !exchange_has_attempts(x) &&
 	       !(e && (e->probe || e->rediscovering));
 }
 
@@ -93,7 +93,7 @@
 	struct repeat_share seen;
 	bool allowed;
 
-	if (exchange_attempts_used(x) >= x->route->attempts_max)
+	if (!exchange_has_attempts(x))
 		return false;
 	if (!x->deliveries || x->repeat_reserved)
 		return true;
@@ -148,7 +148,7 @@
 	struct endpoints *endpoints = x->proxyd->endpoints;
 	struct endpoint *e = endpoint_get(endpoints, x->endpoint);
 
-	if (exchange_attempts_used(x) < x->route->attempts_max || !e)
+	if (exchange_has_attempts(x) || !e)
 		return false;
 	if (x->engine) {
 		e->start_asked_ms = 0; /* asked before the attempt ended */
@@ -230,7 +230,7 @@
 {
 	return x->phase != EXCHANGE_FINISHED && x->awaits_repeat &&
 	       !x->repeat_reserved && /* else it waits for something else */
-	       exchange_attempts_used(x) < x->route->attempts_max;
+	       exchange_has_attempts(x);
 }
 
 /* Returns the counter of repeats with a step label. */
--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -346,8 +346,7 @@
 
 	if (exchange_await_probe(x))
 		return;
-	if ((x->response_started && alone) ||
-	    exchange_attempts_used(x) >= x->route->attempts_max ||
+	if ((x->response_started && alone) || !exchange_has_attempts(x) ||
 	    now >= until) {
 		exchange_fail(x, 502, "the run was lost and may not move");
 		return;
@@ -387,8 +386,7 @@
 		.move_tried_ms = x->move_tried_ms,
 		.endpoint_lost = !e || e->state != ENDPOINT_UP,
 		.resumable = route_may_run_again(x->route),
-		.attempts_left = exchange_attempts_used(x) <
-				 x->route->attempts_max,
+		.attempts_left = exchange_has_attempts(x),
 		.has_copy = kv_copy_usable(x),
 		.from_copy = x->from_copy,
 		.has_spare_budget = x->from_copy && x->first_event_due_ms &&
