run_one: print the failed assertions before the tail of the output

Of a test that fails under ASan the last 60 lines are the report of what the broken-off test leaked; the assertion that failed is not among them, and where only the printed output is kept it is lost. Its lines are printed first now. Tried with a test program that fails.

--- a/regress/run_one.sh
+++ b/regress/run_one.sh
@@ -19,7 +19,9 @@
 	echo "RED   $t (known, see KNOWN-RED.txt)"
 	: >"$results/$t.red"
 else
-	printf '%s\n%s\n' "FAIL  $t, whole output in $out/failed/$t.log" \
+	# A leak report after a failed assertion is longer than the tail.
+	printf '%s\n%s\n%s\n' "FAIL  $t, whole output in $out/failed/$t.log" \
+		"$(grep '^ERROR\|^\[  ERROR\|^\[   LINE\|^\[  FAILED' "$log")" \
 		"$(tail -n 60 "$log")"
 	: >"$results/$t.failed"
 fi
