test_at_most_once: start each case with both services seen as up

Seen once under ASan, in a run of the whole script: test_faults failed, the line was lost. Run again: 0 of 100 at four and at ten at once, 2 of 60 at thirty at once under ASan (8 cores), both in "one service takes no connection", 503 not-run "No endpoint of the service accepted a connection" in place of 200.

By the logs the case "services restarted" before it had killed and started the services; a cdmfleetd probed service-2 in that moment and took it for down ("it refuses connections"), 200 ms before the case that cuts the link of service-1. Both beliefs were right, and the refusal too: the case assumes a second service and did not see to it. A probe during "answer cut on its way" could do the same.

Each case waits now until every instance reports both services as up. What it expects is unchanged.

--- a/regress/integration/test_at_most_once.c
+++ b/regress/integration/test_at_most_once.c
@@ -176,11 +176,35 @@
 		fleet_set_faults(f, f->services[i].advertised, "%s", settings);
 }
 
-/* Injects the faults that precede the call. */
+/* Returns whether every instance takes both services for up. */
+static bool services_are_up(void *arg)
+{
+	struct fleet *f = arg;
+	size_t up = 0;
+	size_t i;
+
+	for (i = 0; i < f->options.n_instances; i++) {
+		json_t *all = harness_get(f->harness,
+					  f->instances[i].entry_operator,
+					  "/v1/endpoints");
+		json_t *item;
+		size_t j;
+
+		json_array_foreach(json_object_get(all, "endpoints"), j, item)
+			up += json_is_true(json_object_get(item, "up"));
+		json_decref(all);
+	}
+	return up == f->options.n_instances * f->options.n_services;
+}
+
+/* Injects the faults that precede the call.  A probe may have found a service
+ * down during the case before; of two services one would then be left for the
+ * cases that take the other away. */
 static void inject_first_faults(struct fleet *f, const struct fault_case *c)
 {
 	size_t i;
 
+	harness_until(f->harness, services_are_up, f, "both services are up");
 	for (i = 0; c->restart && i < f->options.n_services; i++) {
 		proc_kill(f->services[i].proc);
 		fleet_start_endpoint(f, &f->services[i]);
