Answer all requests that a caller sent before it ended its input

They are answered in turn now; the connection is closed after the last one, and what is left and is not whole is dropped.

test_half_closed_callers, new case: 4 of 6 sequences failed (1 of 2, 1 of 3, 1 of 3, 1 of 2 answered); all pass now, also under ASan and UBSan. test_kept_connections, test_cut_heads, test_rolling, test_restart, test_proxyd, test_stalled_streams, test_late_requests and test_endless_answers pass.

--- a/lib/http1_server.c
+++ b/lib/http1_server.c
@@ -121,6 +121,7 @@
 static void dispatch_request(struct http1_conn *c);
 static void refuse(struct http1_conn *c, int status);
 static void finish_answer(struct http1_conn *c);
+static void end_connection(struct http1_conn *c);
 static void half_close(struct http1_conn *c);
 static void on_shutdown(uv_shutdown_t *req, int status);
 static void drop_input(struct http1_conn *c, ssize_t n);
@@ -537,6 +538,8 @@
 		break;
 	}
 	c->parsing = false;
+	if (c->peer_closed && (c->state == CONN_HEAD || c->state == CONN_BODY))
+		end_connection(c); /* what is left will never be whole */
 }
 
 /* Parses a head.  Returns true if the state changed and parsing may
@@ -609,6 +612,8 @@
 static void dispatch_request(struct http1_conn *c)
 {
 	c->state = CONN_ANSWERING;
+	if (c->peer_closed && !c->input.len)
+		c->keep_alive = false;
 	c->begun = false;
 	c->unframed = false;
 	c->request.body = c->body.data;
@@ -638,16 +643,22 @@
 	if (!c->peer_closed)
 		uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
 	if (!c->keep_alive) {
-		c->state = CONN_CLOSING;
-		bytes_release(&c->input);
-		if (!http1_pending(c))
-			half_close(c);
+		end_connection(c);
 		return;
 	}
 	c->state = CONN_HEAD;
 	parse(c);
 }
 
+/* Closes a connection once all bytes are sent. */
+static void end_connection(struct http1_conn *c)
+{
+	c->state = CONN_CLOSING;
+	bytes_release(&c->input);
+	if (!http1_pending(c))
+		half_close(c);
+}
+
 /* Ends the sending direction after the last answer.  The connection is closed
  * when its caller has closed it too, or after LINGER_MAX_MS. */
 static void half_close(struct http1_conn *c)
@@ -689,13 +700,14 @@
 		conn_close(c);
 }
 
-/* Keeps a connection for its answer alone after its caller has ended the input.
- * One that has closed the whole connection looks the same until it is sent
+/* Keeps a connection for the answers to what its caller sent before it ended the
+ * input.  One that has closed the whole connection looks the same until it is sent
  * bytes, which it answers with a reset: the first bytes that are due are sent at
  * once, before the rest is known. */
 static void keep_half_closed(struct http1_conn *c)
 {
-	c->keep_alive = false;
+	if (!c->input.len)
+		c->keep_alive = false;
 	c->input_ended_ms = uv_now(c->server->loop);
 	if (!watch_reset(c)) {
 		conn_close(c);
--- a/regress/integration/test_half_closed_callers.c
+++ b/regress/integration/test_half_closed_callers.c
@@ -295,6 +295,94 @@
 	assert_int_equal(unanswered, 0);
 }
 
+struct pipelined_case {
+	const char *what;
+	const char *paths[4]; /* sent in one go, before the end of the input */
+	const char *rest; /* of a request that is not whole, or NULL */
+};
+
+static const struct pipelined_case pipelined_cases[] = {
+	{ .what = "two that run once", .paths = { "/book/p", "/book/q" } },
+	{ .what = "three that may be repeated",
+	  .paths = { "/look/p", "/look/q", "/look/r" } },
+	{ .what = "one of each kind",
+	  .paths = { "/book/s", "/write/p", "/look/s" } },
+	{ .what = "one behind a refusal", .paths = { "/none/p", "/look/t" } },
+	{ .what = "part of one behind two",
+	  .paths = { "/look/u", "/look/v" },
+	  .rest = "POST /look/w HTTP/1.1\r\n" },
+	{ .what = "part of one behind one",
+	  .paths = { "/look/x" },
+	  .rest = "POST /look/y HTTP/1.1\r\nHost: 127.0.0.1\r\n"
+		  "content-length: 2\r\n\r\nx" },
+};
+
+/* Returns how many whole answers a caller received, 0 if other bytes follow
+ * them. */
+static size_t count_answers(const struct caller *c)
+{
+	char *text = xcalloc(1, c->in.len + 1);
+	size_t left = c->in.len;
+	size_t n = 0;
+
+	memcpy(text, c->in.data, left);
+	for (; left; n++) {
+		struct http1_body framing;
+		struct http1_head head;
+		size_t decoded;
+		size_t used;
+
+		if (http1_parse_response(text, left, &head, &used) !=
+			    HTTP1_DONE ||
+		    !http1_response_framing(&head, false, &framing))
+			break;
+		left -= used;
+		memmove(text, text + used, left);
+		if (http1_body_read(&framing, text, left, &decoded, &used) !=
+		    HTTP1_DONE)
+			break;
+		memmove(text, text + decoded, used);
+		left = used;
+	}
+	free(text);
+	return left ? 0 : n;
+}
+
+/* Requests that a caller has sent before the end of its input are answered in
+ * turn. */
+static void whole_requests_are_answered_in_turn(void **state)
+{
+	unsigned int unanswered = 0;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < N(pipelined_cases); i++) {
+		const struct pipelined_case *k = &pipelined_cases[i];
+		size_t answers;
+		struct caller c;
+		size_t n;
+
+		connect_caller(&c);
+		for (n = 0; k->paths[n]; n++)
+			send_request(&c, k->paths[n], false);
+		if (k->rest)
+			assert_int_equal(send(c.fd, k->rest, strlen(k->rest),
+					      MSG_NOSIGNAL),
+					 strlen(k->rest));
+		assert_int_equal(shutdown(c.fd, SHUT_WR), 0);
+		harness_until(harness, is_closed, &c, k->what);
+		answers = count_answers(&c);
+		if (answers != n) {
+			print_message("%s: %zu of %zu answered\n", k->what,
+				      answers, n);
+			unanswered++;
+		}
+		close(c.fd);
+		bytes_release(&c.in);
+	}
+	assert_int_equal(unanswered, 0);
+}
+
 /* Returns the last arrival of a request at an endpoint, or NULL. */
 static const struct standin_arrival *arrival_of(const char *path)
 {
@@ -362,6 +450,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(whole_request_is_answered,
 						set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			whole_requests_are_answered_in_turn, set_up, tear_down),
 		cmocka_unit_test_setup_teardown(closed_caller_is_left, set_up,
 						tear_down),
 	};
