Take a host without a way to it for silent, not for ended

Each error of connecting but a want of descriptors counted as a refusal: "the endpoint has ended". EHOSTUNREACH, ENETUNREACH and ETIMEDOUT say something of the way to its host. In a cut of the network the endpoints beyond it would have been taken for ended: their whole answers without a length for cut, and their contents for those that crash them.

They are HTTP1_UNREACHABLE now, handled as a connection that takes too long: the endpoint gets nothing while it is not reached, it is no evidence against a content, and several at once suggest a fault of this instance.

test_http1_client connects to a broadcast address: "not sent" before (0x1 != 0x2 with that line taken out again), "unreachable" after. test_killed_engine, test_silent_endpoint and test_leaving_engine pass.

--- a/lib/http1_client.c
+++ b/lib/http1_client.c
@@ -343,12 +343,21 @@
 	return call->reused;
 }
 
+/* Returns whether an outcome says that no connection to the server came about, so
+ * that it received nothing. */
+bool http1_not_connected(enum http1_outcome outcome)
+{
+	return outcome == HTTP1_NOT_SENT || outcome == HTTP1_UNREACHABLE ||
+	       outcome == HTTP1_CONNECT_TIMEOUT;
+}
+
 /* Returns the name of an outcome for logs. */
 const char *http1_outcome_name(enum http1_outcome outcome)
 {
 	static const char *const names[] = {
 		[HTTP1_COMPLETE] = "complete",
 		[HTTP1_NOT_SENT] = "not sent",
+		[HTTP1_UNREACHABLE] = "unreachable",
 		[HTTP1_NO_SOCKET] = "no socket available",
 		[HTTP1_CONNECT_TIMEOUT] = "no connection in time",
 		[HTTP1_BROKEN] = "connection broken",
@@ -430,9 +439,9 @@
 	return k;
 }
 
-/* Returns the outcome that an error of connecting stands for: the server's, or a
- * want of descriptors, ports or memory here, which shows nothing of the
- * server. */
+/* Returns the outcome that an error of connecting stands for: the server's, one
+ * of the way to its host, which doesn't show that the server has ended, or a want
+ * of descriptors, ports or memory here, which shows nothing of the server. */
 static enum http1_outcome connect_failure(int error)
 {
 	switch (error) {
@@ -442,6 +451,12 @@
 	case UV_ENOBUFS:
 	case UV_ENOMEM:
 		return HTTP1_NO_SOCKET;
+	case UV_EHOSTUNREACH:
+	case UV_ENETUNREACH:
+	case UV_ENETDOWN:
+	case UV_EHOSTDOWN:
+	case UV_ETIMEDOUT:
+		return HTTP1_UNREACHABLE;
 	default:
 		return HTTP1_NOT_SENT;
 	}
--- a/lib/http1_client.h
+++ b/lib/http1_client.h
@@ -14,7 +14,8 @@
 /* How a call ended. */
 enum http1_outcome {
 	HTTP1_COMPLETE, /* the whole answer was received */
-	HTTP1_NOT_SENT, /* connecting failed; the server received nothing */
+	HTTP1_NOT_SENT, /* refused; the server received nothing */
+	HTTP1_UNREACHABLE, /* there was no way to the server's host */
 	HTTP1_NO_SOCKET, /* this process had no descriptor or port for it */
 	HTTP1_CONNECT_TIMEOUT, /* no connection within the time limit */
 	HTTP1_BROKEN, /* connection broken, or timeout, after sending */
@@ -80,5 +81,6 @@
 bool http1_call_unframed(const struct http1_call *call);
 bool http1_call_reused(const struct http1_call *call);
 const char *http1_outcome_name(enum http1_outcome outcome);
+bool http1_not_connected(enum http1_outcome outcome);
 
 #endif /* LIB_HTTP1_CLIENT_H */
--- a/proxyd/answer_ends.c
+++ b/proxyd/answer_ends.c
@@ -285,7 +285,7 @@
 	if (f.sign == ENDPOINT_SIGN_ENDED && was_asked_for(x, q) &&
 	    !(e && outlasted(x, e)))
 		suspects_run_broke(x, e);
-	if (outcome == HTTP1_NOT_SENT || outcome == HTTP1_CONNECT_TIMEOUT)
+	if (http1_not_connected(outcome))
 		endpoint_unreachable(p->endpoints, q->endpoint, NULL, outcome);
 	if (f.sign == ENDPOINT_SIGN_LIVES && q->is_report && e &&
 	    born_ms != endpoint_known_start(e)) {
--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -442,6 +442,7 @@
 	load_remove(x);
 	switch (outcome) {
 	case HTTP1_NOT_SENT:
+	case HTTP1_UNREACHABLE:
 	case HTTP1_CONNECT_TIMEOUT:
 		handle_not_sent(x, endpoint, outcome);
 		break;
--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -310,7 +310,8 @@
 }
 
 /* Handles a failed connection attempt.  The endpoint is marked as lost, unless
- * timeouts of other endpoints suggest a network fault of this instance. */
+ * it was not refused, and attempts at other endpoints suggest a network fault of
+ * this instance. */
 void endpoint_unreachable(struct endpoints *t, struct handle h,
 			  const char *request, enum http1_outcome outcome)
 {
@@ -319,7 +320,7 @@
 
 	if (!e)
 		return;
-	if (outcome == HTTP1_CONNECT_TIMEOUT) {
+	if (outcome != HTTP1_NOT_SENT) {
 		local_fault_record_timeout(&t->local_fault, e->zone, now);
 		if (local_fault_likely(&t->local_fault, now)) {
 			event_log(
@@ -335,8 +336,9 @@
 /* Marks an endpoint as dead: its silent runs move, and it gets no requests until
  * it is reached again or its entry changes.  Other instances are informed,
  * unless one of them has just reported the loss.  A refused connection shows
- * that it has ended; one that takes too long only suggests it, as an endpoint
- * may be silent for a time, and is no evidence against its requests. */
+ * that it has ended; one that takes too long, or has no way to its host, only
+ * suggests it, as an endpoint or the network may be silent for a time, and is no
+ * evidence against its requests. */
 void endpoint_lost(struct endpoints *t, struct handle h, const char *request,
 		   enum http1_outcome outcome)
 {
@@ -1030,7 +1032,7 @@
 	e->probe = NULL;
 	if (outcome == HTTP1_NO_SOCKET)
 		return; /* shows nothing of the endpoint */
-	if (outcome == HTTP1_NOT_SENT || outcome == HTTP1_CONNECT_TIMEOUT)
+	if (http1_not_connected(outcome))
 		endpoint_unreachable(t, e->self, NULL, outcome);
 	else {
 		suspects_endpoint_alive(e, e->probed_ms);
--- a/regress/contract/test_http1_client.c
+++ b/regress/contract/test_http1_client.c
@@ -18,6 +18,8 @@
 #include "regress/harness.h"
 
 #define HEAD "HTTP/1.1 200 OK\r\n"
+/* No connection can be made to it; the kernel says that there is no way. */
+#define BROADCAST_ADDRESS "127.255.255.255:1"
 #define WAYS 4 /* closed in order or reset, on a new or a kept connection */
 
 /* What the server does with a connection after its answer. */
@@ -532,10 +534,13 @@
 {
 	struct result refused = { .over = false };
 	struct result malformed = { .over = false };
+	struct result unreachable = { .over = false };
 
 	(void)state;
 	call(&refused, harness_address(harness), 0);
 	assert_int_equal(refused.outcome, HTTP1_NOT_SENT);
+	call(&unreachable, BROADCAST_ADDRESS, 0);
+	assert_int_equal(unreachable.outcome, HTTP1_UNREACHABLE);
 	call(&malformed, "not an address", 0);
 	assert_int_equal(malformed.outcome, HTTP1_NOT_SENT);
 }
