Write the own entry again when the store has lost it

A write of a stopping process that is not answered may be done 1 to 6 s later (the store's pages). Its removal of the own entry then takes away the one that the next process of the instance has written, and nothing wrote it again: peers_apply_row() ignores the own row and on_put() ends the matter. The instance was unlisted at the others for as long as it ran. If that happens to all, each takes itself for the only holder of an endpoint's limit and gives out the whole of it.

An entry bears the start of its process now, and an instance looks for its own one in all that it reads of the table (changes, whole listings, changes that another instance forwards). The store's answer to the write names its version; what was read at that version or later and is missing or of another process shows that the entry is lost, and it is written again: at once, or spread over up to a second among many, and with doubled waits up to 32 s while the store goes on losing (policy/own_entry.c).

The condition that the store offers for a removal was weighed and not taken here (docs/decisions/044): it costs no call, but covers neither late writes nor what an older program sends, and leaves the entry for good if the own write was done twice.

--- a/proxyd/watch.c
+++ b/proxyd/watch.c
@@ -2,7 +2,8 @@
  * Follows the tables of the store: the configuration, the endpoints and the
  * other instances; and writes this instance's own entry.  Each table is read
  * whole once, and then only its changes are read.  When the store returns from
- * a copy, the tables are read whole again, and the own entry is written again.
+ * a copy, the tables are read whole again, and the own entry is written again;
+ * so is one that the store has lost (policy/own_entry.c).
  */
 #include "proxyd/watch.h"
 
@@ -14,6 +15,7 @@
 #include "lib/counters.h"
 #include "lib/event_log.h"
 #include "lib/xalloc.h"
+#include "policy/own_entry.h"
 #include "policy/store_era.h"
 #include "policy/store_poll.h"
 #include "proxyd/endpoints.h"
@@ -38,6 +40,7 @@
 	uint64_t next_call_ms; /* earliest time of the next call */
 	uint64_t version; /* of the store when it last answered */
 	uint64_t row_version; /* version of the newest rows received */
+	uint64_t change_version; /* of the change that is being decoded */
 	uint64_t answered_ms; /* when the store last answered; 0: never */
 	uint64_t behind_ms; /* others are ahead since then; 0: no */
 	uint64_t announced_version; /* newest one of a reader; see behind_ms */
@@ -59,13 +62,15 @@
 	struct watch watch[STORE_TABLES];
 	uint64_t era; /* of the store, that the tables follow; 0: unknown */
 	bool listed; /* the instances were read and the own entry written */
-	bool entry_written; /* the own entry is in the store */
+	struct own_entry own_entry;
 	bool write_busy;
 	bool stopping;
 	uint64_t next_write_ms;
 	struct counter *calls[STORE_TABLES];
 	struct counter *stale[STORE_TABLES];
 	struct counter *writes;
+	struct counter *missing; /* losses of the own entry, as read */
+	struct counter *other;
 };
 
 static bool waits_for_configuration(const struct watches *w, int table);
@@ -83,17 +88,25 @@
 static void on_rows(void *arg, enum store_outcome outcome,
 		    const struct store_row *rows, size_t n, uint64_t version);
 static void on_failure(struct watch *w, enum store_outcome outcome);
-static void apply_rows(struct watch *w, const struct store_row *rows, size_t n);
+static void apply_rows(struct watch *w, const struct store_row *rows, size_t n,
+		       uint64_t version);
 static void remove_unlisted(struct watch *w, const struct store_row *rows,
 			    size_t n);
 static void apply_configuration(struct watch *w, const struct store_row *row);
+static void note_own_entry(struct watches *w, const struct store_row *rows,
+			   size_t n, bool whole, uint64_t version);
+static void rewrite_entry_if_lost(struct watches *w);
 static void put_entry(struct watches *w);
-static void on_put(void *arg, enum store_outcome outcome);
+static void on_put(void *arg, enum store_outcome outcome, uint64_t version);
 static void on_removed(void *arg, enum store_outcome outcome);
 
 /* Creates the watches; reading starts at the next tick. */
 struct watches *watches_new(struct proxyd *p)
 {
+	static const char rewrites[] = "cdm_own_entry_rewrites_total";
+	static const char rewrites_help[] =
+		"Losses of the own entry in the store, after each of which it "
+		"is written again";
 	struct watches *w = xcalloc(1, sizeof(*w));
 	int i;
 
@@ -113,6 +126,10 @@
 	w->writes = counter_labelled("cdm_store_calls_total",
 				     "Calls to the store", COUNTER_TOTAL,
 				     "table", "own entry");
+	w->missing = counter_labelled(rewrites, rewrites_help, COUNTER_TOTAL,
+				      "read", "missing");
+	w->other = counter_labelled(rewrites, rewrites_help, COUNTER_TOTAL,
+				    "read", "of another process");
 	return w;
 }
 
@@ -128,10 +145,10 @@
 		if (!w->watch[i].busy && now >= w->watch[i].next_call_ms &&
 		    !waits_for_configuration(w, i))
 			call_if_due(&w->watch[i], now);
-	if (!w->entry_written && !w->write_busy && !w->stopping &&
+	if (!w->own_entry.written && !w->write_busy && !w->stopping &&
 	    now >= w->next_write_ms)
 		put_entry(w);
-	if (w->watch[STORE_INSTANCES].loaded && w->entry_written)
+	if (w->watch[STORE_INSTANCES].loaded && w->own_entry.written)
 		w->listed = true;
 }
 
@@ -305,7 +322,7 @@
 		t->poll.recovered_ms = now;
 		t->next_call_ms = now + delay_ms;
 	}
-	w->entry_written = false;
+	own_entry_era_began(&w->own_entry);
 	w->next_write_ms = now + delay_ms;
 	origins_era_began(w->proxyd->origins);
 }
@@ -389,6 +406,7 @@
 	if (change->since_recovery_ms)
 		t->poll.recovered_ms =
 			proxyd_now(w->proxyd) - change->since_recovery_ms + 1;
+	t->change_version = change->version;
 	w->proxyd->store->ops->decode(table, change, apply_decoded, t);
 	t->version = change->version;
 	t->row_version = change->version;
@@ -398,7 +416,9 @@
 /* Applies decoded rows; callback of decode(). */
 static void apply_decoded(void *arg, const struct store_row *rows, size_t n)
 {
-	apply_rows(arg, rows, n);
+	struct watch *w = arg;
+
+	apply_rows(w, rows, n, w->change_version);
 }
 
 /* Returns why this instance reads a table from the store itself,
@@ -541,7 +561,7 @@
 		peers_announce_rows(p->peers, w->table, w->row_version, version,
 				    rows, n);
 	/* before answered_ms is set, which tells the first reading from later */
-	apply_rows(w, rows, n);
+	apply_rows(w, rows, n, version);
 	if (!w->loaded || n)
 		w->row_version = version;
 	for (i = 0; i < n; i++)
@@ -572,9 +592,10 @@
 					now, proxyd_random());
 }
 
-/* Applies rows to the tables.  After a full read, entries that are not among
- * the rows are removed. */
-static void apply_rows(struct watch *w, const struct store_row *rows, size_t n)
+/* Applies rows to the tables, as they are at a version.  After a full read,
+ * entries that are not among the rows are removed. */
+static void apply_rows(struct watch *w, const struct store_row *rows, size_t n,
+		       uint64_t version)
 {
 	struct proxyd *p = w->watches->proxyd;
 	size_t i;
@@ -596,6 +617,8 @@
 	}
 	if (!w->loaded)
 		remove_unlisted(w, rows, n);
+	if (w->table == STORE_INSTANCES)
+		note_own_entry(w->watches, rows, n, !w->loaded, version);
 }
 
 /* Removes the entries that are missing from a full listing.  Those that are
@@ -629,6 +652,56 @@
 			  row->problem);
 }
 
+/* Notes the own entry if it is among the rows, or missing from a whole table;
+ * version is that of the rows. */
+static void note_own_entry(struct watches *w, const struct store_row *rows,
+			   size_t n, bool whole, uint64_t version)
+{
+	const struct proxyd *p = w->proxyd;
+	enum own_entry_state state = OWN_ENTRY_MISSING;
+	bool found = false;
+	size_t i;
+
+	for (i = 0; i < n; i++) {
+		if (strcmp(rows[i].key, p->settings.name) != 0)
+			continue;
+		found = true;
+		if (rows[i].removed)
+			state = OWN_ENTRY_MISSING;
+		else if (rows[i].instance &&
+			 rows[i].instance->born_ms == p->start_unix_ms)
+			state = OWN_ENTRY_PRESENT;
+		else
+			state = OWN_ENTRY_OTHER;
+	}
+	if (!found && !whole)
+		return;
+	own_entry_read(&w->own_entry, state, version);
+	rewrite_entry_if_lost(w);
+}
+
+/* Has the own entry written again if the store has lost it, unless this process
+ * is stopping. */
+static void rewrite_entry_if_lost(struct watches *w)
+{
+	struct own_entry *e = &w->own_entry;
+	uint64_t now = proxyd_now(w->proxyd);
+	uint32_t delay_ms;
+
+	if (w->stopping || !own_entry_is_lost(e))
+		return;
+	delay_ms = own_entry_rewrite(e, peers_alive(w->proxyd->peers) + 1, now,
+				     proxyd_random());
+	w->next_write_ms = now + delay_ms;
+	counter_add(e->read == OWN_ENTRY_MISSING ? w->missing : w->other, 1);
+	event_log(EVENT_ALWAYS, "own-entry-lost", NULL,
+		  "{s:s, s:I, s:I, s:i, s:I}", "read",
+		  own_entry_state_text(e->read), "version",
+		  (json_int_t)e->read_version, "written",
+		  (json_int_t)e->written_version, "rewrites", (int)e->rewrites,
+		  "delay_ms", (json_int_t)delay_ms);
+}
+
 /* Writes the own entry. */
 static void put_entry(struct watches *w)
 {
@@ -638,6 +711,7 @@
 		.peers = p->settings.peers,
 		.control = p->settings.control,
 		.zone = p->settings.zone,
+		.born_ms = p->start_unix_ms,
 	};
 
 	w->write_busy = true;
@@ -648,17 +722,20 @@
 
 /* Handles the result of writing the own entry.  If the answer was lost, the
  * entry is written again; the write is idempotent. */
-static void on_put(void *arg, enum store_outcome outcome)
+static void on_put(void *arg, enum store_outcome outcome, uint64_t version)
 {
 	struct watches *w = arg;
 
 	w->write_busy = false;
 	note_era(w, "store", true);
-	w->entry_written = outcome == STORE_OK;
 	w->next_write_ms = proxyd_now(w->proxyd) + ENTRY_RETRY_MS +
 			   proxyd_random() % ENTRY_RETRY_MS;
-	event_log(EVENT_ALWAYS, "own-entry", NULL, "{s:s}", "outcome",
-		  store_outcome_name(outcome));
+	event_log(EVENT_ALWAYS, "own-entry", NULL, "{s:s, s:I}", "outcome",
+		  store_outcome_name(outcome), "version", (json_int_t)version);
+	if (outcome != STORE_OK)
+		return;
+	own_entry_written(&w->own_entry, version);
+	rewrite_entry_if_lost(w);
 }
 
 /* Logs the result of removing the own entry.  A failure needs no retry, as the
--- a/regress/platform_standin.c
+++ b/regress/platform_standin.c
@@ -54,6 +54,9 @@
 static void answer_pending_feeds(struct standin_world *w);
 static void set_row(struct standin_world *w, const char *table,
 		    const char *part, const char *key, const char *value64);
+static bool is_held(const struct standin_world *w, const json_t *tx);
+static bool names_key(const json_t *entries, const char *prefix);
+static void apply_tx(struct standin_world *w, const json_t *tx);
 static void apply_entry(struct standin_world *w, const json_t *entry);
 static bool is_row(const json_t *row, const char *table, const char *part,
 		   const char *key);
@@ -110,6 +113,7 @@
 	w->event_ms = STANDIN_EVENT_MS;
 	w->key = "k1";
 	w->rows = json_array();
+	w->held = json_array();
 	w->version = 1;
 	w->era = 1;
 	w->store_address = harness_address(h);
@@ -156,6 +160,7 @@
 	free(w->arrivals);
 	json_decref(w->rows);
 	json_decref(w->copy_rows);
+	json_decref(w->held);
 	free(w);
 }
 
@@ -196,6 +201,34 @@
 	return false;
 }
 
+/* Returns whether a row exists, is not deleted, and its value contains a text of
+ * printable characters. */
+bool standin_row_contains(const struct standin_world *w, const char *table,
+			  const char *key, const char *text)
+{
+	json_t *row;
+	size_t i;
+
+	json_array_foreach(w->rows, i, row)
+	{
+		const char *value =
+			json_string_value(json_object_get(row, "value"));
+		char *plain;
+		bool contains;
+
+		if (!value || !is_row(row, table, "", key))
+			continue;
+		plain = xcalloc(strlen(value) + 1, 1);
+		EVP_DecodeBlock((unsigned char *)plain,
+				(const unsigned char *)value,
+				(int)strlen(value));
+		contains = strstr(plain, text) != NULL;
+		free(plain);
+		return contains;
+	}
+	return false;
+}
+
 /* Returns the number of rows of a table, in all parts, whose keys begin with a
  * prefix. */
 size_t standin_count_rows(const struct standin_world *w, const char *table,
@@ -537,6 +570,30 @@
 	return n;
 }
 
+/* Returns the number of transactions that are held. */
+size_t standin_count_held(const struct standin_world *w)
+{
+	return json_array_size(w->held);
+}
+
+/* Does the transactions that are held; their callers get no answer. */
+void standin_do_held(struct standin_world *w)
+{
+	json_t *tx;
+	size_t i;
+
+	json_array_foreach(w->held, i, tx) apply_tx(w, tx);
+	json_array_clear(w->held);
+	answer_pending_feeds(w);
+}
+
+/* Forgets the history: calls for changes after an older version than the present
+ * one are answered 410. */
+void standin_forget_history(struct standin_world *w)
+{
+	w->history_from = w->version;
+}
+
 /* Handles a call to the store. */
 static void on_store(struct http1_conn *c, struct http1_request *r, void *arg)
 {
@@ -596,7 +653,8 @@
 	char *wait = parameter(target, "waitMs");
 	size_t i;
 
-	if (strtoll(after, NULL, 10) > w->version) {
+	if (strtoll(after, NULL, 10) > w->version ||
+	    strtoll(after, NULL, 10) < w->history_from) {
 		reply_store(w, c, 410, "{}");
 	} else if (!strcmp(wait, "0")) {
 		if (!answer_feed(w, c, table, strtoll(after, NULL, 10)))
@@ -623,14 +681,13 @@
 		     const struct http1_request *r)
 {
 	json_t *root = json_loadb(r->body, r->body_len, 0, NULL);
-	json_t *row;
 	char answer[64];
-	size_t i;
 
-	json_array_foreach(json_object_get(root, "puts"), i, row)
-		apply_entry(w, row);
-	json_array_foreach(json_object_get(root, "remove"), i, row)
-		apply_entry(w, row);
+	if (is_held(w, root)) {
+		json_array_append_new(w->held, root);
+		return;
+	}
+	apply_tx(w, root);
 	json_decref(root);
 	snprintf(answer, sizeof(answer), "{\"ver\":%lld}",
 		 (long long)w->version);
@@ -638,6 +695,42 @@
 	answer_pending_feeds(w);
 }
 
+/* Returns whether a transaction is done later. */
+static bool is_held(const struct standin_world *w, const json_t *tx)
+{
+	return names_key(json_object_get(tx, "puts"), w->held_puts) ||
+	       names_key(json_object_get(tx, "remove"), w->held_removals);
+}
+
+/* Returns whether an entry has a key that begins with a prefix; NULL: none. */
+static bool names_key(const json_t *entries, const char *prefix)
+{
+	json_t *entry;
+	size_t i;
+
+	if (!prefix)
+		return false;
+	json_array_foreach(entries, i, entry)
+	{
+		if (!strncmp(json_string_value(json_object_get(entry, "key")),
+			     prefix, strlen(prefix)))
+			return true;
+	}
+	return false;
+}
+
+/* Applies all entries of a transaction. */
+static void apply_tx(struct standin_world *w, const json_t *tx)
+{
+	json_t *entry;
+	size_t i;
+
+	json_array_foreach(json_object_get(tx, "puts"), i, entry)
+		apply_entry(w, entry);
+	json_array_foreach(json_object_get(tx, "remove"), i, entry)
+		apply_entry(w, entry);
+}
+
 /* Writes or removes the row that an entry of a transaction names. */
 static void apply_entry(struct standin_world *w, const json_t *entry)
 {
--- a/regress/platform_standin.h
+++ b/regress/platform_standin.h
@@ -100,6 +100,12 @@
 	struct http1_server *store;
 	bool store_refuses; /* answers every call with 503 */
 	bool store_refuses_writes; /* answers writes with 503 */
+	/* transactions that write, or remove, a row whose key begins so are not
+	 * answered, and done by standin_do_held() only; NULL: none */
+	const char *held_puts;
+	const char *held_removals;
+	json_t *held; /* these transactions, in the order of arrival */
+	json_int_t history_from; /* feeds after older versions get 410 */
 	const char *extra_settings; /* lines added to all settings, or NULL */
 	unsigned int grace_s; /* of instances; 0: 2 */
 	unsigned int header_bytes; /* in the configuration; 0: 4096 */
@@ -139,6 +145,8 @@
 			  const char *prefix);
 bool standin_row_exists(const struct standin_world *w, const char *table,
 			const char *key);
+bool standin_row_contains(const struct standin_world *w, const char *table,
+			  const char *key, const char *text);
 void standin_put_configuration(struct standin_world *w, int version,
 			       const char *extra_routes);
 struct standin_worker *standin_add_worker(struct standin_world *w,
@@ -160,6 +168,9 @@
 void standin_copy_store(struct standin_world *w);
 void standin_restore_store(struct standin_world *w);
 void standin_lose_feeds(struct standin_world *w);
+size_t standin_count_held(const struct standin_world *w);
+void standin_do_held(struct standin_world *w);
+void standin_forget_history(struct standin_world *w);
 size_t standin_waiting_feeds(const struct standin_world *w, const char *table,
 			     uint64_t least_ms);
 const struct standin_arrival *standin_last_arrival(
--- a/regress/unit/test_platform_wire.c
+++ b/regress/unit/test_platform_wire.c
@@ -209,7 +209,10 @@
 		.peers = "1.2.3.4:6",
 		.control = "1.2.3.4:7",
 		.zone = "z",
+		.born_ms = 1700000000123,
 	};
+	static const char older[] = "{\"callers\":\"a\",\"peers\":\"b\","
+				    "\"control\":\"c\",\"zone\":\"z\"}";
 	char *text = platform_instance_encode(&entry);
 	struct instance_entry got;
 	char err[160];
@@ -223,8 +226,14 @@
 	assert_string_equal(got.peers, entry.peers);
 	assert_string_equal(got.control, entry.control);
 	assert_string_equal(got.zone, entry.zone);
+	assert_int_equal(got.born_ms, entry.born_ms);
 	json_document_free(root);
 	free(text);
+	root = platform_instance_decode(older, strlen(older), &got, err,
+					sizeof(err));
+	assert_non_null(root);
+	assert_int_equal(got.born_ms, 0);
+	json_document_free(root);
 	assert_null(platform_instance_decode("{}", 2, &got, err, sizeof(err)));
 }
 
