Remove the row of a refusal only at the version that was read

The removal of a refusal's row may be done seconds late (the store's pages), also after a second removal has succeeded. If the content has crashed endpoints again meanwhile and its row was written anew, the late removal takes that row, and every instance clears the refusal: the request reaches endpoints again.

A removal names the version of the row now (expectedRev); the store does it late only if the row still has it. That costs no call more. Rows that a reader forwards carry their versions, so that an instance that does not read the table knows them too; with a reader of an older program the version is unknown and the removal unconditional, as before. A removal that is answered "changed meanwhile" shows that a change was missed, and the table is read.

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1892,7 +1892,7 @@
   (ProtobufCMessageInit) peer_rows__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer_row__field_descriptors[3] =
+static const ProtobufCFieldDescriptor peer_row__field_descriptors[4] =
 {
   {
     "key",
@@ -1930,16 +1930,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "version",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(PeerRow, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer_row__field_indices_by_name[] = {
   0,   /* field[0] = key */
   1,   /* field[1] = removed */
   2,   /* field[2] = value */
+  3,   /* field[3] = version */
 };
 static const ProtobufCIntRange peer_row__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor peer_row__descriptor =
 {
@@ -1949,7 +1962,7 @@
   "PeerRow",
   "",
   sizeof(PeerRow),
-  3,
+  4,
   peer_row__field_descriptors,
   peer_row__field_indices_by_name,
   1,  peer_row__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -293,10 +293,14 @@
    * as stored
    */
   ProtobufCBinaryData value;
+  /*
+   * of the row; 0: unknown
+   */
+  uint64_t version;
 };
 #define PEER_ROW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer_row__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, {0,NULL} }
+    , (char *)protobuf_c_empty_string, 0, {0,NULL}, 0 }
 
 
 /*
--- a/proxyd/peers.c
+++ b/proxyd/peers.c
@@ -497,6 +497,7 @@
 	for (i = 0; i < rows->n_rows; i++) {
 		change.rows[i].key = rows->rows[i]->key;
 		change.rows[i].removed = rows->rows[i]->removed;
+		change.rows[i].version = rows->rows[i]->version;
 		change.rows[i].raw = (const char *)rows->rows[i]->value.data;
 		change.rows[i].raw_len = rows->rows[i]->value.len;
 	}
--- a/proxyd/peers_announce.c
+++ b/proxyd/peers_announce.c
@@ -130,6 +130,7 @@
 		peer_row__init(r);
 		r->key = (char *)rows[i].key;
 		r->removed = rows[i].removed;
+		r->version = rows[i].version;
 		r->value.data = (uint8_t *)rows[i].raw;
 		r->value.len = rows[i].raw_len;
 		list[change.n_rows++] = r;
--- a/proxyd/snapshot.c
+++ b/proxyd/snapshot.c
@@ -224,7 +224,7 @@
 			  http1_outcome_name(outcome), "status", f->status,
 			  "unframed", f->unframed, "all", f->all);
 	if (!taken && !f->all)
-		watches_configuration_fetch_failed(s->proxyd->watches);
+		watches_rows_missed(s->proxyd->watches, STORE_CONFIGURATION);
 	bytes_release(&f->body);
 }
 
--- a/proxyd/store.c
+++ b/proxyd/store.c
@@ -13,6 +13,7 @@
 		[STORE_UNREACHABLE] = "unreachable",
 		[STORE_MALFORMED] = "malformed answer",
 		[STORE_OLD_ERA] = "answer of an older era",
+		[STORE_CHANGED] = "changed meanwhile",
 		[STORE_ENDED] = "ended",
 	};
 
--- a/proxyd/store.h
+++ b/proxyd/store.h
@@ -23,6 +23,7 @@
 	STORE_UNREACHABLE,
 	STORE_MALFORMED, /* the answer cannot be decoded */
 	STORE_OLD_ERA, /* it answered before it returned from a copy */
+	STORE_CHANGED, /* the row has another version than the call named */
 	STORE_ENDED, /* end_waiting() ended the call */
 };
 
@@ -89,7 +90,7 @@
 	const struct origin_entry *origins; /* in STORE_STREAMS */
 	const struct software_entry *software; /* in STORE_STREAMS */
 	char problem[160]; /* why it cannot be decoded */
-	uint64_t version; /* of this row */
+	uint64_t version; /* of this row; 0: unknown */
 	const char *raw; /* the value as stored */
 	size_t raw_len;
 };
@@ -99,7 +100,8 @@
 	uint64_t after; /* version before the changes */
 	uint64_t version; /* version after the changes */
 	uint32_t since_recovery_ms; /* 0: no outage */
-	struct store_row *rows; /* only key, removed, raw and raw_len are set */
+	/* only key, removed, version, raw and raw_len are set */
+	struct store_row *rows;
 	size_t n;
 };
 
@@ -150,8 +152,9 @@
 			    size_t n,
 			    void (*done)(void *arg, enum store_outcome outcome),
 			    void *arg);
-	/* removes an instance's entry or a refusal */
-	void (*remove_entry)(struct store *s, const char *key,
+	/* removes an instance's entry or a refusal, if it has a version; 0: in
+	 * any case */
+	void (*remove_entry)(struct store *s, const char *key, uint64_t version,
 			     void (*done)(void *arg,
 					  enum store_outcome outcome),
 			     void *arg);
--- a/proxyd/suspects_rows.c
+++ b/proxyd/suspects_rows.c
@@ -64,6 +64,7 @@
 		*known = (struct refusal_row){
 			.content = row->refusal->content,
 			.until_ms = row->refusal->until_ms,
+			.version = row->version,
 		};
 	left_ms = row->refusal->until_ms > unix_now
 			  ? row->refusal->until_ms - unix_now
@@ -114,7 +115,8 @@
 }
 
 /* Removes one row whose content is not refused any more; false if there is
- * none. */
+ * none.  A removal may be done seconds later, when the content is refused again
+ * and its row was written anew, so that it names the version of the row. */
 static bool remove_stale_row(struct suspects *t)
 {
 	struct proxyd *p = t->proxyd;
@@ -128,7 +130,8 @@
 			continue;
 		row_key(t->rows[i].content, key);
 		t->row_pending = true;
-		p->store->ops->remove_entry(p->store, key, on_row_written, t);
+		p->store->ops->remove_entry(p->store, key, t->rows[i].version,
+					    on_row_written, t);
 		return true;
 	}
 	return false;
@@ -167,12 +170,14 @@
 }
 
 /* Handles the end of a write or removal.  The table of rows changes only by the
- * updates that the store sends. */
+ * updates that the store sends; one that has another version was missed. */
 static void on_row_written(void *arg, enum store_outcome outcome)
 {
 	struct suspects *t = arg;
 
 	t->row_pending = false;
+	if (outcome == STORE_CHANGED)
+		watches_rows_missed(t->proxyd->watches, STORE_INSTANCES);
 	event_log(EVENT_ALWAYS, "refusal-row", NULL, "{s:s}", "outcome",
 		  store_outcome_name(outcome));
 }
--- a/proxyd/suspects_table.h
+++ b/proxyd/suspects_table.h
@@ -13,6 +13,7 @@
 struct refusal_row {
 	uint64_t content;
 	uint64_t until_ms; /* Unix time */
+	uint64_t version; /* of the row; 0: unknown */
 };
 
 struct suspects {
--- a/proxyd/watch.c
+++ b/proxyd/watch.c
@@ -168,7 +168,7 @@
 
 	w->stopping = true;
 	counter_add(w->writes, 1);
-	s->ops->remove_entry(s, w->proxyd->settings.name, on_removed, w);
+	s->ops->remove_entry(s, w->proxyd->settings.name, 0, on_removed, w);
 }
 
 /* Returns whether the first read of the configuration has neither succeeded nor
@@ -380,10 +380,10 @@
 		snapshot_fetch_configuration(w->proxyd->snapshots, control);
 }
 
-/* Marks the configuration as behind, so that it is read from the store. */
-void watches_configuration_fetch_failed(struct watches *w)
+/* Marks a table as behind, so that it is read from the store. */
+void watches_rows_missed(struct watches *w, enum store_table table)
 {
-	struct watch *t = &w->watch[STORE_CONFIGURATION];
+	struct watch *t = &w->watch[table];
 
 	if (t->loaded && !t->behind_ms)
 		t->behind_ms = proxyd_now(w->proxyd);
--- a/proxyd/watch.h
+++ b/proxyd/watch.h
@@ -31,7 +31,7 @@
 		      uint64_t version, const char *peer);
 void watches_configuration_seen(struct watches *w, uint64_t version,
 				const char *control);
-void watches_configuration_fetch_failed(struct watches *w);
+void watches_rows_missed(struct watches *w, enum store_table table);
 void watches_apply_change(struct watches *w, enum store_table table,
 			  const struct store_change *change);
 
--- a/regress/contract/test_platform_store.c
+++ b/regress/contract/test_platform_store.c
@@ -296,6 +296,7 @@
 		.zone = "z",
 	};
 	struct result r = { .finished = false };
+	const json_t *expected;
 	json_t *root;
 
 	(void)state;
@@ -312,11 +313,26 @@
 			 0);
 	json_decref(root);
 	r.finished = false;
-	store->ops->remove_entry(store, "me", record_outcome, &r);
+	store->ops->remove_entry(store, "me", 0, record_outcome, &r);
 	wait_for(&r);
 	assert_int_equal(r.outcome, STORE_OK);
 	root = json_loads(last_body, 0, NULL);
 	assert_int_equal(json_array_size(json_object_get(root, "remove")), 1);
+	assert_int_equal(json_array_size(json_object_get(root, "expectedRev")),
+			 0);
+	json_decref(root);
+	script[2] = (struct script){ REPLY_SENT, 412, "{\"rows\":[]}" };
+	r.finished = false;
+	store->ops->remove_entry(store, "me", 7, record_outcome, &r);
+	wait_for(&r);
+	assert_int_equal(r.outcome, STORE_CHANGED);
+	root = json_loads(last_body, 0, NULL);
+	assert_int_equal(json_array_size(json_object_get(root, "remove")), 1);
+	expected = json_array_get(json_object_get(root, "expectedRev"), 0);
+	assert_string_equal(json_string_value(json_object_get(expected, "key")),
+			    "me");
+	assert_int_equal(json_integer_value(json_object_get(expected, "ver")),
+			 7);
 	json_decref(root);
 }
 
--- a/regress/contract/test_store_cut.c
+++ b/regress/contract/test_store_cut.c
@@ -144,7 +144,7 @@
 	if (way < 2)
 		store->ops->list(store, STORE_ENDPOINTS, on_rows, &r);
 	else
-		store->ops->remove_entry(store, "k", on_written, &r);
+		store->ops->remove_entry(store, "k", 0, on_written, &r);
 	harness_until(harness, is_finished, &r, "the call ends");
 	return r;
 }
--- a/regress/platform_standin.c
+++ b/regress/platform_standin.c
@@ -56,6 +56,9 @@
 		    const char *part, const char *key, const char *value64);
 static bool is_held(const struct standin_world *w, const json_t *tx);
 static bool names_key(const json_t *entries, const char *prefix);
+static bool condition_holds(const struct standin_world *w, const json_t *tx);
+static json_int_t version_of(const struct standin_world *w,
+			     const json_t *entry);
 static void apply_tx(struct standin_world *w, const json_t *tx);
 static void apply_entry(struct standin_world *w, const json_t *entry);
 static bool is_row(const json_t *row, const char *table, const char *part,
@@ -201,6 +204,28 @@
 	return false;
 }
 
+/* Returns the version of the newest row of a table, in any part, whose key begins
+ * with a prefix; 0 if there is none. */
+json_int_t standin_newest_row(const struct standin_world *w, const char *table,
+			      const char *prefix)
+{
+	json_int_t newest = 0;
+	json_t *row;
+	size_t i;
+
+	json_array_foreach(w->rows, i, row)
+	{
+		if (strcmp(json_string_value(json_object_get(row, "table")),
+			   table) != 0 ||
+		    strncmp(json_string_value(json_object_get(row, "key")),
+			    prefix, strlen(prefix)) != 0 ||
+		    json_is_true(json_object_get(row, "deleted")))
+			continue;
+		newest = json_integer_value(json_object_get(row, "ver"));
+	}
+	return newest; /* as rows are ordered by version */
+}
+
 /* Returns whether a row exists, is not deleted, and its value contains a text of
  * printable characters. */
 bool standin_row_contains(const struct standin_world *w, const char *table,
@@ -576,13 +601,18 @@
 	return json_array_size(w->held);
 }
 
-/* Does the transactions that are held; their callers get no answer. */
+/* Does the transactions that are held and whose conditions hold; their callers
+ * get no answer. */
 void standin_do_held(struct standin_world *w)
 {
 	json_t *tx;
 	size_t i;
 
-	json_array_foreach(w->held, i, tx) apply_tx(w, tx);
+	json_array_foreach(w->held, i, tx)
+	{
+		if (condition_holds(w, tx))
+			apply_tx(w, tx);
+	}
 	json_array_clear(w->held);
 	answer_pending_feeds(w);
 }
@@ -676,7 +706,7 @@
 	free(after);
 }
 
-/* Executes a transaction; conditions are not checked. */
+/* Executes a transaction; one whose condition does not hold is answered 412. */
 static void serve_tx(struct standin_world *w, struct http1_conn *c,
 		     const struct http1_request *r)
 {
@@ -687,6 +717,11 @@
 		json_array_append_new(w->held, root);
 		return;
 	}
+	if (!condition_holds(w, root)) {
+		json_decref(root);
+		reply_store(w, c, 412, "{\"rows\":[]}");
+		return;
+	}
 	apply_tx(w, root);
 	json_decref(root);
 	snprintf(answer, sizeof(answer), "{\"ver\":%lld}",
@@ -719,6 +754,41 @@
 	return false;
 }
 
+/* Returns whether the rows of a transaction's condition have the versions that it
+ * names. */
+static bool condition_holds(const struct standin_world *w, const json_t *tx)
+{
+	json_t *entry;
+	size_t i;
+
+	json_array_foreach(json_object_get(tx, "expectedRev"), i, entry)
+	{
+		if (json_integer_value(json_object_get(entry, "ver")) !=
+		    version_of(w, entry))
+			return false;
+	}
+	return true;
+}
+
+/* Returns the version of the row that an entry names, 0 if it does not exist. */
+static json_int_t version_of(const struct standin_world *w, const json_t *entry)
+{
+	const char *part = json_string_value(json_object_get(entry, "part"));
+	json_t *row;
+	size_t i;
+
+	json_array_foreach(w->rows, i, row)
+	{
+		if (is_row(row,
+			   json_string_value(json_object_get(entry, "table")),
+			   part ? part : "",
+			   json_string_value(json_object_get(entry, "key"))) &&
+		    !json_is_true(json_object_get(row, "deleted")))
+			return json_integer_value(json_object_get(row, "ver"));
+	}
+	return 0;
+}
+
 /* Applies all entries of a transaction. */
 static void apply_tx(struct standin_world *w, const json_t *tx)
 {
--- a/regress/platform_standin.h
+++ b/regress/platform_standin.h
@@ -143,6 +143,8 @@
 		    const char *key);
 size_t standin_count_rows(const struct standin_world *w, const char *table,
 			  const char *prefix);
+json_int_t standin_newest_row(const struct standin_world *w, const char *table,
+			      const char *prefix);
 bool standin_row_exists(const struct standin_world *w, const char *table,
 			const char *key);
 bool standin_row_contains(const struct standin_world *w, const char *table,
