Remove the row of a software version only as it was read

The row of a version that serves no more is removed by one instance. If that is done seconds late (the store's pages), and the version serves again meanwhile, as when a release is taken back, the row that was written anew goes, and every instance takes it for stored: nobody writes it again. An instance that starts later, when that version is just gone, finds by the store's rows that only one version has served, and may send a stream that its caller resumes to the other one.

The one that removes the row reads the table once before, and its removal names the row's version (expectedRev); the store does it late only if the row still has it. It goes in a call of its own, as a row that has changed fails all of a call. That is one call to read more for each version that ends, by one instance, and one call to write where the removal used to go with other rows.

--- a/policy/stream_origin.c
+++ b/policy/stream_origin.c
@@ -237,8 +237,10 @@
 
 	for (i = 0; i < h->n; i++) {
 		if (h->version[i].software == software) {
-			if (now > h->version[i].listed_ms)
-				h->version[i].listed_ms = now;
+			if (now <= h->version[i].listed_ms)
+				return;
+			h->version[i].listed_ms = now;
+			h->version[i].end_reading = 0;
 			return;
 		}
 		if (h->version[i].listed_ms < v->listed_ms)
@@ -256,16 +258,19 @@
 }
 
 /* Applies a row of the store that names a version; it is to be written again
- * unless it is of the current era. */
+ * unless it is of the current era.  row_version is that of the row. */
 void software_read(struct software_history *h, uint64_t service,
-		   uint64_t software, bool current, uint64_t now)
+		   uint64_t software, bool current, uint64_t row_version,
+		   uint64_t now)
 {
 	size_t i = find_software(h, software);
 
 	if (i == h->n)
 		software_note(h, service, software, now);
-	if (i < h->n)
-		h->version[i].stored = current ? STORED : STORED_NOT;
+	if (i == h->n)
+		return;
+	h->version[i].stored = current ? STORED : STORED_NOT;
+	h->version[i].row_version = row_version;
 }
 
 /* Returns the index of a version, h->n if it is not known. */
@@ -279,6 +284,14 @@
 	return i;
 }
 
+/* Tells whether a version that the store has began no stream which lasts life_ms
+ * at most and is not over. */
+bool software_over(const struct software_version *v, uint64_t life_ms,
+		   uint64_t now)
+{
+	return v->stored == STORED && now - v->listed_ms > life_ms;
+}
+
 /* Forgets a version that no endpoint runs or ran. */
 void software_forget(struct software_history *h, uint64_t software)
 {
--- a/policy/stream_origin.h
+++ b/policy/stream_origin.h
@@ -40,6 +40,9 @@
 	uint64_t software;
 	uint64_t listed_ms; /* when an endpoint with it was last listed */
 	enum stored stored;
+	uint64_t row_version; /* of its row, as read last; 0: it had none */
+	uint64_t end_reading; /* number of the reading by which its row is
+			       * removed; 0: it serves */
 };
 
 struct software_history {
@@ -102,13 +105,16 @@
 void software_note(struct software_history *h, uint64_t service,
 		   uint64_t software, uint64_t now);
 void software_read(struct software_history *h, uint64_t service,
-		   uint64_t software, bool current, uint64_t now);
+		   uint64_t software, bool current, uint64_t row_version,
+		   uint64_t now);
 void software_forget(struct software_history *h, uint64_t software);
 struct software_recent software_recent(const struct software_history *h,
 				       uint64_t service, uint64_t life_ms,
 				       uint64_t now);
 bool software_mixed(const struct software_history *h, uint64_t life_ms,
 		    uint64_t now);
+bool software_over(const struct software_version *v, uint64_t life_ms,
+		   uint64_t now);
 bool software_stored(const struct software_history *h, uint64_t software);
 struct take_up_decision stream_take_up_decide(const struct stream_take_up *t);
 uint32_t stream_origin_interval_ms(size_t instances);
--- a/proxyd/origins.c
+++ b/proxyd/origins.c
@@ -63,6 +63,7 @@
 	uint64_t readings_begun;
 	uint64_t readings_done; /* successful ones */
 	uint64_t readings_wanted;
+	uint64_t read_number; /* of the last successful reading */
 	uint64_t next_reading_ms;
 	uint32_t failed_readings; /* consecutive */
 	uint64_t failed_ms; /* when the last of these ended */
@@ -94,12 +95,16 @@
 		      uint64_t now);
 static void keep_segment(struct origins *t, const char *key, uint64_t now);
 static void write_rows(struct origins *t, uint64_t now);
+static void send_rows(struct origins *t, const struct stream_row *rows,
+		      size_t n, uint64_t now);
 static size_t add_versions(struct origins *t, struct stream_row *rows,
 			   struct software_entry *entries, size_t most);
 static size_t add_streams(struct origins *t, struct stream_row *rows,
 			  struct batch *batches, size_t most, uint64_t now);
 static size_t add_removals(struct origins *t, struct stream_row *rows,
 			   size_t most, bool mixed, uint64_t now);
+static size_t add_ended_versions(struct origins *t, struct stream_row *rows,
+				 size_t most, uint64_t now);
 static void on_written(void *arg, enum store_outcome outcome);
 static struct software_recent recent_of_route(const struct origins *t,
 					      const struct route *route,
@@ -522,10 +527,13 @@
 		t->readings_wanted = t->readings_begun + 1;
 		return;
 	}
+	for (i = 0; i < t->history.n; i++)
+		t->history.version[i].row_version = 0;
 	for (i = 0; i < n; i++)
 		apply_row(t, &rows[i], now);
 	t->failed_readings = 0;
 	t->readings_done++;
+	t->read_number = t->readings_begun;
 	t->complete = true;
 }
 
@@ -546,7 +554,7 @@
 			      row->software->software,
 			      row->software->era ==
 				      watches_era(t->proxyd->watches),
-			      now);
+			      row->version, now);
 		return;
 	}
 	if (!row->origins)
@@ -581,7 +589,6 @@
  * mixed. */
 static void write_rows(struct origins *t, uint64_t now)
 {
-	struct store *s = t->proxyd->store;
 	struct stream_row rows[STORE_STREAM_ROWS_MAX];
 	struct software_entry versions[STORE_STREAM_ROWS_MAX / 4];
 	struct batch *batches = NULL;
@@ -593,6 +600,12 @@
 			  "{s:b, s:i, s:I}", "mixed", mixed, "known",
 			  (int)t->history.n, "life_ms", (json_int_t)t->life_ms);
 	t->was_mixed = mixed;
+	/* in a call of their own, as a row that has changed fails all of it */
+	n = add_ended_versions(t, rows, STORE_STREAM_ROWS_MAX, now);
+	if (n) {
+		send_rows(t, rows, n, now);
+		return;
+	}
 	n = add_versions(t, rows, versions, STORE_STREAM_ROWS_MAX / 4);
 	if (mixed) {
 		batches = xcalloc(STORE_STREAM_ROWS_MAX / 4, sizeof(*batches));
@@ -600,15 +613,23 @@
 				 STORE_STREAM_ROWS_MAX / 4, now);
 	}
 	n += add_removals(t, rows + n, STORE_STREAM_ROWS_MAX - n, mixed, now);
-	if (n) {
-		t->writing = true;
-		t->next_write_ms = now + origins_write_interval_ms(t);
-		counter_add(t->writes, 1);
-		s->ops->put_streams(s, rows, n, on_written, t);
-	}
+	if (n)
+		send_rows(t, rows, n, now);
 	free(batches);
 }
 
+/* Sends rows to be written and removed. */
+static void send_rows(struct origins *t, const struct stream_row *rows,
+		      size_t n, uint64_t now)
+{
+	struct store *s = t->proxyd->store;
+
+	t->writing = true;
+	t->next_write_ms = now + origins_write_interval_ms(t);
+	counter_add(t->writes, 1);
+	s->ops->put_streams(s, rows, n, on_written, t);
+}
+
 /* Adds the rows of versions that the store does not have; returns their
  * number. */
 static size_t add_versions(struct origins *t, struct stream_row *rows,
@@ -679,8 +700,7 @@
 	return n;
 }
 
-/* Adds the removal of own rows whose streams are over, and of the versions that
- * began none that is not over; returns their number. */
+/* Adds the removal of own rows whose streams are over; returns their number. */
 static size_t add_removals(struct origins *t, struct stream_row *rows,
 			   size_t most, bool mixed, uint64_t now)
 {
@@ -696,17 +716,40 @@
 		n++;
 		t->n_removing++;
 	}
+	return n;
+}
+
+/* Forgets the versions that began no stream which is not over, and adds the
+ * removal of their rows, by one instance; returns their number.  A removal may
+ * be done seconds later, when the version serves again and its row was written
+ * anew, so that it names the version of the row by a reading made for it. */
+static size_t add_ended_versions(struct origins *t, struct stream_row *rows,
+				 size_t most, uint64_t now)
+{
+	size_t n = 0;
+	size_t i;
+
 	for (i = 0; i < t->history.n && n < most; i++) {
 		struct software_version *v = &t->history.version[i];
 
-		if (v->stored != STORED || now - v->listed_ms <= t->life_ms)
+		if (!software_over(v, t->life_ms, now))
 			continue;
 		if (peers_is_first_keeper(t->proxyd->peers, v->software)) {
-			rows[n] = (struct stream_row){ 0 };
-			snprintf(rows[n].key, sizeof(rows[n].key),
-				 STORE_SOFTWARE_PREFIX "%016llx",
-				 (unsigned long long)v->software);
-			n++;
+			if (!v->end_reading) {
+				v->end_reading = t->readings_begun + 1;
+				t->readings_wanted = v->end_reading;
+			}
+			if (t->read_number < v->end_reading)
+				continue;
+			if (v->row_version) {
+				rows[n] = (struct stream_row){
+					.version = v->row_version,
+				};
+				snprintf(rows[n].key, sizeof(rows[n].key),
+					 STORE_SOFTWARE_PREFIX "%016llx",
+					 (unsigned long long)v->software);
+				n++;
+			}
 		}
 		software_forget(&t->history, v->software);
 		i--;
@@ -719,7 +762,8 @@
 static void on_written(void *arg, enum store_outcome outcome)
 {
 	struct origins *t = arg;
-	bool success = outcome == STORE_OK;
+	/* a row that has changed is of a version that serves again */
+	bool success = outcome == STORE_OK || outcome == STORE_CHANGED;
 	size_t i;
 
 	t->writing = false;
@@ -732,11 +776,12 @@
 		t->n_segments -= t->n_removing;
 		memmove(t->segments, t->segments + t->n_removing,
 			t->n_segments * sizeof(*t->segments));
-	} else {
+	}
+	if (outcome != STORE_OK)
 		event_log(EVENT_NOTABLE, "origins-not-written", NULL, "{s:s}",
 			  "outcome", store_outcome_name(outcome));
+	if (!success)
 		t->next_write_ms = proxyd_now(t->proxyd) + RETRY_MS;
-	}
 	t->n_removing = 0;
 }
 
--- a/proxyd/store.h
+++ b/proxyd/store.h
@@ -73,6 +73,7 @@
 /* A row of STORE_STREAMS to be written, or removed if neither entry is set. */
 struct stream_row {
 	char key[STORE_STREAM_KEY_SIZE];
+	uint64_t version; /* that it has to have; 0: any, or none */
 	const struct origin_entry *origins;
 	const struct software_entry *software;
 };
@@ -147,7 +148,8 @@
 			    const struct refusal_entry *entry,
 			    void (*done)(void *arg, enum store_outcome outcome),
 			    void *arg);
-	/* writes and removes rows of STORE_STREAMS, all or none */
+	/* writes and removes rows of STORE_STREAMS, all or none; none if one has
+	 * another version than it has to have */
 	void (*put_streams)(struct store *s, const struct stream_row *rows,
 			    size_t n,
 			    void (*done)(void *arg, enum store_outcome outcome),
--- a/regress/contract/test_platform_store.c
+++ b/regress/contract/test_platform_store.c
@@ -336,6 +336,37 @@
 	json_decref(root);
 }
 
+/* The condition of a transaction names the rows that have to have a version. */
+static void conditional_removals(void **state)
+{
+	const struct stream_row rows[] = {
+		{ .key = "a", .version = 5 },
+		{ .key = "b" },
+	};
+	struct result r = { .finished = false };
+	const json_t *expected;
+	json_t *root;
+
+	(void)state;
+	script[0] = (struct script){ REPLY_SENT, 412, "{\"rows\":[]}" };
+	store->ops->put_streams(store, rows, N(rows), record_outcome, &r);
+	wait_for(&r);
+	assert_int_equal(r.outcome, STORE_CHANGED);
+	root = json_loads(last_body, 0, NULL);
+	assert_int_equal(json_array_size(json_object_get(root, "remove")), 2);
+	expected = json_object_get(root, "expectedRev");
+	assert_int_equal(json_array_size(expected), 1);
+	expected = json_array_get(expected, 0);
+	assert_string_equal(json_string_value(json_object_get(expected, "key")),
+			    "a");
+	assert_string_equal(
+		json_string_value(json_object_get(expected, "part")),
+		"streams");
+	assert_int_equal(json_integer_value(json_object_get(expected, "ver")),
+			 5);
+	json_decref(root);
+}
+
 /* The newest era of any answer is kept, whatever its status.  An answer of an
  * older one fails the call, and so do pages of two eras. */
 static void eras(void **state)
@@ -403,6 +434,7 @@
 		cmocka_unit_test_setup(page_that_ends_with_an_odd_key, reset),
 		cmocka_unit_test_setup(unreadable_rows, reset),
 		cmocka_unit_test_setup(own_entry, reset),
+		cmocka_unit_test_setup(conditional_removals, reset),
 		cmocka_unit_test_setup(eras, reset),
 		cmocka_unit_test_setup(pages_of_two_eras, reset),
 	};
--- a/regress/integration/test_late_rows.c
+++ b/regress/integration/test_late_rows.c
@@ -19,6 +19,17 @@
 #define LONG_S 3600
 #define FLEET 18 /* only the first ones by name poll the store */
 
+/* The only route; streams end within a second, so that versions are forgotten
+ * soon. */
+#define SHORT_STREAMS                                                         \
+	"{\"version\":2,\"routes\":[{\"name\":\"write\",\"hostname\":"        \
+	"\"127.0.0.1\",\"pathPrefix\":\"/write/\",\"routeType\":"             \
+	"\"streaming\",\"timeoutMs\":1000,\"backend\":\"engine\","            \
+	"\"maxAttempts\":5,\"resumable\":true}],\"services\":[{\"name\":"     \
+	"\"engine\",\"engine\":{\"slots\":16,\"kvCapacity\":55000}}],"        \
+	"\"limits\":{},\"tenants\":[{\"name\":\"ajoke\",\"apiKeys\":[\"k1\"]" \
+	"}]}"
+
 static struct harness *harness;
 static struct standin_world *world;
 static struct standin_instance instances[FLEET];
@@ -142,12 +153,71 @@
 	late_removal_of_a_refusal(FLEET);
 }
 
+/* Numbers of rows of versions, and of the newest one. */
+struct version_rows {
+	size_t n;
+	json_int_t newer_than;
+};
+
+static bool are_versions_in_store(void *arg)
+{
+	const struct version_rows *v = arg;
+
+	return standin_count_rows(world, "streams", "version/") >= v->n &&
+	       standin_newest_row(world, "streams", "version/") > v->newer_than;
+}
+
+/* A version serves again before the removal of its row is done. */
+static void version_that_serves_again(void **state)
+{
+	struct version_rows two = { 2, 0 };
+	struct standin_worker *second;
+
+	(void)state;
+	standin_put(world, "op", "config", SHORT_STREAMS);
+	standin_add_worker_of(world, "engine", "z1", "v1");
+	second = standin_add_worker_of(world, "engine", "z1", "v2");
+	start(1);
+	harness_until(harness, are_versions_in_store, &two, "both are written");
+	world->held_removals = "version/";
+	standin_kill_worker(second);
+	standin_remove(world, "servers", second->id);
+	harness_until(harness, one_is_held, NULL, "the removal is sent");
+	world->held_removals = NULL;
+	two.newer_than = world->version;
+	standin_start_worker(second, "i-again");
+	harness_until(harness, are_versions_in_store, &two,
+		      "it is written again");
+	standin_do_held(world);
+	assert_int_equal(standin_count_rows(world, "streams", "version/"), 2);
+}
+
+/* A version that serves no more is forgotten by the store too. */
+static void version_that_is_over(void **state)
+{
+	struct standin_worker *second;
+
+	(void)state;
+	standin_put(world, "op", "config", SHORT_STREAMS);
+	standin_add_worker_of(world, "engine", "z1", "v1");
+	second = standin_add_worker_of(world, "engine", "z1", "v2");
+	start(2);
+	world->held_removals = "version/";
+	standin_kill_worker(second);
+	standin_remove(world, "servers", second->id);
+	harness_until(harness, one_is_held, NULL, "the removal is sent");
+	standin_do_held(world);
+	assert_int_equal(standin_count_rows(world, "streams", "version/"), 1);
+}
+
 int main(int argc, char **argv)
 {
 #define CASE(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
 	const struct CMUnitTest tests[] = {
 		CASE(refusal_that_each_reads),
 		CASE(refusal_that_others_forward),
+		CASE(version_that_serves_again),
+		CASE(version_that_is_over),
 	};
 
 	if (argc > 1) /* one case */
--- a/regress/unit/test_stream_origin.c
+++ b/regress/unit/test_stream_origin.c
@@ -176,6 +176,36 @@
 		software_recent(&h, SERVICE, LIFE_MS, 1002 + LIFE_MS).only, V2);
 }
 
+/* The row of a version is removed when the version is over, unless it serves
+ * again before. */
+static void versions_that_are_over(void **state)
+{
+	struct software_history h = { .n = 0 };
+	struct software_version *v = h.version;
+
+	(void)state;
+	software_note(&h, SERVICE, V1, 1000);
+	assert_false(software_over(v, LIFE_MS, 1001 + LIFE_MS)); /* no row */
+	software_read(&h, SERVICE, V1, true, 12, 2000);
+	assert_int_equal(h.n, 1);
+	assert_int_equal(v->row_version, 12);
+	assert_int_equal(v->listed_ms, 1000); /* a row shows no endpoint */
+	assert_false(software_over(v, LIFE_MS, 1000 + LIFE_MS));
+	assert_true(software_over(v, LIFE_MS, 1001 + LIFE_MS));
+	v->end_reading = 3;
+	software_note(&h, SERVICE, V1, 500); /* older news */
+	software_read(&h, SERVICE, V1, true, 13, 1002 + LIFE_MS);
+	assert_true(software_over(v, LIFE_MS, 1002 + LIFE_MS));
+	assert_int_equal(v->end_reading, 3);
+	assert_int_equal(v->row_version, 13);
+	software_note(&h, SERVICE, V1, 1003 + LIFE_MS);
+	assert_false(software_over(v, LIFE_MS, 1003 + LIFE_MS));
+	assert_int_equal(v->end_reading, 0);
+	/* a row of an older era is written again first */
+	software_read(&h, SERVICE, V1, false, 4, 1004 + LIFE_MS);
+	assert_false(software_over(v, LIFE_MS, 2000 + 2 * LIFE_MS));
+}
+
 /* More versions than are remembered prove nothing. */
 static void forgotten_versions_prove_nothing(void **state)
 {
@@ -298,6 +328,7 @@
 		cmocka_unit_test(reading_keeps_unwritten_notes),
 		cmocka_unit_test(named_versions),
 		cmocka_unit_test(versions_within_the_life_of_a_stream),
+		cmocka_unit_test(versions_that_are_over),
 		cmocka_unit_test(forgotten_versions_prove_nothing),
 		cmocka_unit_test(take_ups),
 		cmocka_unit_test(writes_are_bounded),
