--- a/proxyd/store.h
+++ b/proxyd/store.h
@@ -23,6 +23,7 @@
 	STORE_UNREACHABLE,
 	STORE_MALFORMED, /* the answer cannot be decoded */
 	STORE_OLD_ERA, /* it answered before it returned from a copy */
+	STORE_CHANGED, /* the row has another version than the call named */
 	STORE_ENDED, /* end_waiting() ended the call */
 };
 
@@ -45,6 +46,7 @@
 	const char *peers; /* address */
 	const char *control; /* address */
 	const char *zone;
+	uint64_t born_ms; /* Unix time of its process's start; 0: unknown */
 };
 
 /* A refused request content. */
@@ -71,6 +73,7 @@
 /* A row of STORE_STREAMS to be written, or removed if neither entry is set. */
 struct stream_row {
 	char key[STORE_STREAM_KEY_SIZE];
+	uint64_t version; /* that it has to have; 0: any, or none */
 	const struct origin_entry *origins;
 	const struct software_entry *software;
 };
@@ -88,7 +91,7 @@
 	const struct origin_entry *origins; /* in STORE_STREAMS */
 	const struct software_entry *software; /* in STORE_STREAMS */
 	char problem[160]; /* why it cannot be decoded */
-	uint64_t version; /* of this row */
+	uint64_t version; /* of this row; 0: unknown */
 	const char *raw; /* the value as stored */
 	size_t raw_len;
 };
@@ -98,7 +101,8 @@
 	uint64_t after; /* version before the changes */
 	uint64_t version; /* version after the changes */
 	uint32_t since_recovery_ms; /* 0: no outage */
-	struct store_row *rows; /* only key, removed, raw and raw_len are set */
+	/* only key, removed, version, raw and raw_len are set */
+	struct store_row *rows;
 	size_t n;
 };
 
@@ -133,22 +137,26 @@
 		       void (*done)(void *arg, const struct store_row *rows,
 				    size_t n),
 		       void *arg);
+	/* version is that of the store after the write, 0 if it failed or did not
+	 * say */
 	void (*put_instance)(struct store *s, const char *key,
 			     const struct instance_entry *entry,
-			     void (*done)(void *arg,
-					  enum store_outcome outcome),
+			     void (*done)(void *arg, enum store_outcome outcome,
+					  uint64_t version),
 			     void *arg);
 	void (*put_refusal)(struct store *s, const char *key,
 			    const struct refusal_entry *entry,
 			    void (*done)(void *arg, enum store_outcome outcome),
 			    void *arg);
-	/* writes and removes rows of STORE_STREAMS, all or none */
+	/* writes and removes rows of STORE_STREAMS, all or none; none if one has
+	 * another version than it has to have */
 	void (*put_streams)(struct store *s, const struct stream_row *rows,
 			    size_t n,
 			    void (*done)(void *arg, enum store_outcome outcome),
 			    void *arg);
-	/* removes an instance's entry or a refusal */
-	void (*remove_entry)(struct store *s, const char *key,
+	/* removes an instance's entry or a refusal, if it has a version; 0: in
+	 * any case */
+	void (*remove_entry)(struct store *s, const char *key, uint64_t version,
 			     void (*done)(void *arg,
 					  enum store_outcome outcome),
 			     void *arg);
--- a/regress/contract/test_platform_store.c
+++ b/regress/contract/test_platform_store.c
@@ -146,6 +146,15 @@
 	r->outcome = outcome;
 }
 
+static void record_write(void *arg, enum store_outcome outcome,
+			 uint64_t version)
+{
+	struct result *r = arg;
+
+	r->version = version;
+	record_outcome(r, outcome);
+}
+
 static bool is_finished(void *arg)
 {
 	http1_client_tick(client);
@@ -287,14 +296,16 @@
 		.zone = "z",
 	};
 	struct result r = { .finished = false };
+	const json_t *expected;
 	json_t *root;
 
 	(void)state;
 	script[0] = script[1] =
 		(struct script){ REPLY_SENT, 200, "{\"ver\":1,\"nowMs\":2}" };
-	store->ops->put_instance(store, "me", &entry, record_outcome, &r);
+	store->ops->put_instance(store, "me", &entry, record_write, &r);
 	wait_for(&r);
 	assert_int_equal(r.outcome, STORE_OK);
+	assert_int_equal(r.version, 1);
 	assert_string_equal(targets[0], "/rows-tx");
 	root = json_loads(last_body, 0, NULL);
 	assert_int_equal(json_array_size(json_object_get(root, "puts")), 1);
@@ -302,11 +313,57 @@
 			 0);
 	json_decref(root);
 	r.finished = false;
-	store->ops->remove_entry(store, "me", record_outcome, &r);
+	store->ops->remove_entry(store, "me", 0, record_outcome, &r);
 	wait_for(&r);
 	assert_int_equal(r.outcome, STORE_OK);
 	root = json_loads(last_body, 0, NULL);
 	assert_int_equal(json_array_size(json_object_get(root, "remove")), 1);
+	assert_int_equal(json_array_size(json_object_get(root, "expectedRev")),
+			 0);
+	json_decref(root);
+	script[2] = (struct script){ REPLY_SENT, 412, "{\"rows\":[]}" };
+	r.finished = false;
+	store->ops->remove_entry(store, "me", 7, record_outcome, &r);
+	wait_for(&r);
+	assert_int_equal(r.outcome, STORE_CHANGED);
+	root = json_loads(last_body, 0, NULL);
+	assert_int_equal(json_array_size(json_object_get(root, "remove")), 1);
+	expected = json_array_get(json_object_get(root, "expectedRev"), 0);
+	assert_string_equal(json_string_value(json_object_get(expected, "key")),
+			    "me");
+	assert_int_equal(json_integer_value(json_object_get(expected, "ver")),
+			 7);
+	json_decref(root);
+}
+
+/* The condition of a transaction names the rows that have to have a version. */
+static void conditional_removals(void **state)
+{
+	const struct stream_row rows[] = {
+		{ .key = "a", .version = 5 },
+		{ .key = "b" },
+	};
+	struct result r = { .finished = false };
+	const json_t *expected;
+	json_t *root;
+
+	(void)state;
+	script[0] = (struct script){ REPLY_SENT, 412, "{\"rows\":[]}" };
+	store->ops->put_streams(store, rows, N(rows), record_outcome, &r);
+	wait_for(&r);
+	assert_int_equal(r.outcome, STORE_CHANGED);
+	root = json_loads(last_body, 0, NULL);
+	assert_int_equal(json_array_size(json_object_get(root, "remove")), 2);
+	expected = json_object_get(root, "expectedRev");
+	assert_int_equal(json_array_size(expected), 1);
+	expected = json_array_get(expected, 0);
+	assert_string_equal(json_string_value(json_object_get(expected, "key")),
+			    "a");
+	assert_string_equal(
+		json_string_value(json_object_get(expected, "part")),
+		"streams");
+	assert_int_equal(json_integer_value(json_object_get(expected, "ver")),
+			 5);
 	json_decref(root);
 }
 
@@ -377,6 +434,7 @@
 		cmocka_unit_test_setup(page_that_ends_with_an_odd_key, reset),
 		cmocka_unit_test_setup(unreadable_rows, reset),
 		cmocka_unit_test_setup(own_entry, reset),
+		cmocka_unit_test_setup(conditional_removals, reset),
 		cmocka_unit_test_setup(eras, reset),
 		cmocka_unit_test_setup(pages_of_two_eras, reset),
 	};
