Ask an endpoint that leaves about later ends meanwhile

Cause: one question at a time was in progress at an endpoint. Ends that were read after it had been sent waited for its answer; an endpoint that leaves exits then, the next question is refused, and a whole answer that may not run again gets 502, or a stream that does not resume no end.

Change: an endpoint that is known to leave, or whose entry has gone, has up to eight questions in progress; any other has one, as before. A new one is sent only for ends that none in progress is about. A refusal, or another start, says nothing of an answer that an earlier question is about, which may have been answered before: that waits for it, 300 ms at most once the endpoint is known to have ended. The last rule was read, not shown by a run.

Measured: test_ends_while_asked holds the answers to the questions until all ends are handled, and exits then.

--- a/proxyd/answer_ends.c
+++ b/proxyd/answer_ends.c
@@ -2,7 +2,8 @@
  * Answers without a length whose connection was closed in order: each waits until
  * its endpoint, asked after the end, shows whether the process that wrote the
  * answer still lives.  One question serves all answers that ended before it was
- * sent.
+ * sent; one that leaves may exit once it has answered that, so that it is asked
+ * about later ends meanwhile.
  */
 #include "proxyd/answer_ends.h"
 
@@ -30,10 +31,13 @@
 
 #define REPORT_MAX_BYTES 65536
 
+/* Questions in progress at an endpoint that leaves; another one has one.  Ends that
+ * come together are read in a few goes. */
+#define QUESTIONS_MAX 8
+
 /* A question to an endpoint, in progress or the last one. */
 struct end_question {
-	struct proxyd *proxyd;
-	struct handle endpoint;
+	struct end_questions *all;
 	struct http1_call *call; /* NULL once it has ended */
 	uint64_t asked_ms;
 	/* numbers of the last ends that were read before the connection of the
@@ -43,11 +47,19 @@
 	bool at_once; /* as soon as an end was read */
 	bool is_engine; /* only its report shows that it lives */
 	bool is_report; /* else only a connection */
-	uint64_t reached_ms; /* when a connection was last known to stand */
 	int status;
 	struct bytes body;
 };
 
+/* The questions to an endpoint. */
+struct end_questions {
+	struct proxyd *proxyd;
+	struct handle endpoint;
+	struct end_question questions[QUESTIONS_MAX];
+	struct end_question *last; /* asked last */
+	uint64_t reached_ms; /* when a connection was last known to stand */
+};
+
 /* How a question has ended. */
 struct finding {
 	enum endpoint_sign sign;
@@ -60,6 +72,9 @@
 static void ask_soon(struct exchanges *t);
 static void on_ask_timer(uv_timer_t *timer);
 static void ask(struct exchange *x, struct endpoint *e, bool at_once);
+static bool is_asked_about(struct end_questions *all, uint64_t end_number);
+static struct end_question *next_question(struct exchange *x,
+					  struct endpoint *e);
 static enum http1_head_decision on_head(void *arg,
 					const struct http1_head *head);
 static void on_body(void *arg, const char *data, size_t len);
@@ -73,6 +88,7 @@
 static void note_reached(struct end_question *q, uint64_t now);
 static bool was_asked_for(const struct exchange *x,
 			  const struct end_question *q);
+static bool may_be_answered(const struct exchange *x, const struct endpoint *e);
 static bool awaits_end_at(const struct exchange *x, struct handle endpoint);
 static void judge(struct exchange *x, const struct finding *f, uint64_t now,
 		  bool last);
@@ -133,8 +149,8 @@
 			endpoint_get(t->proxyd->endpoints, x->endpoint);
 
 		if (e && awaits_end_at(x, e->self) && asks_at_once(x, e) &&
-		    (!e->end_question ||
-		     x->end_number > e->end_question->last_end))
+		    (!e->end_questions ||
+		     x->end_number > e->end_questions->last->last_end))
 			ask(x, e, true);
 	}
 }
@@ -154,8 +170,10 @@
 	struct finding f = { ENDPOINT_SIGN_NONE, "no answer" };
 	bool ended = !e || (e->state != ENDPOINT_UP && e->ended);
 	bool lasts = e && outlasted(x, e);
+	bool awaits = e && may_be_answered(x, e) &&
+		      now - x->ended_ms < ENDS_TOGETHER_MS;
 
-	if (ended && !lasts)
+	if (ended && !lasts && !awaits)
 		f = (struct finding){ ended_sign(x->proxyd, e),
 				      "endpoint ended" };
 	else if (lasts && now - x->ended_ms >= ENDS_TOGETHER_MS &&
@@ -178,29 +196,33 @@
 /* Returns whether the last question to an engine could only be a connection. */
 static bool can_not_ask(const struct endpoint *e)
 {
-	const struct end_question *q = e->end_question;
+	const struct end_question *q = e->end_questions ? e->end_questions->last
+							: NULL;
 
 	return q && q->is_engine && !q->is_report;
 }
 
-/* Cancels the question to an endpoint, which is freed. */
+/* Cancels the questions to an endpoint, which is freed. */
 void answer_end_forget(struct endpoint *e)
 {
-	struct end_question *q = e->end_question;
+	struct end_questions *all = e->end_questions;
+	size_t i;
 
-	if (!q)
+	if (!all)
 		return;
-	if (q->call)
-		http1_call_cancel(q->call);
-	bytes_release(&q->body);
-	free(q);
-	e->end_question = NULL;
+	for (i = 0; i < QUESTIONS_MAX; i++) {
+		if (all->questions[i].call)
+			http1_call_cancel(all->questions[i].call);
+		bytes_release(&all->questions[i].body);
+	}
+	free(all);
+	e->end_questions = NULL;
 }
 
-/* Asks an endpoint about the end of an answer, unless a question is in progress or
- * has just failed: an engine for its report, which states its start.  An endpoint
- * that pauses or has no permit left for a request, or a service without reports, is
- * only connected to: if it refuses, it has ended. */
+/* Asks an endpoint about the end of an answer, unless it is being asked about that,
+ * or has just given no answer: an engine for its report, which states its start.  An
+ * endpoint that pauses or has no permit left for a request, or a service without
+ * reports, is only connected to: if it refuses, it has ended. */
 static void ask(struct exchange *x, struct endpoint *e, bool at_once)
 {
 	struct proxyd *p = x->proxyd;
@@ -210,21 +232,11 @@
 		.connect_timeout_ms = CONNECT_MS,
 		.timeout_ms = ANSWER_MS,
 	};
-	struct end_question *q = e->end_question;
+	struct end_question *q = next_question(x, e);
 	struct bytes out = { 0 };
 
-	if (q && q->call) {
-		if (q->is_report && !http1_call_connected(q->call))
-			q->last_end = p->exchanges->n_ends; /* not sent yet */
-		return;
-	}
-	if (q && was_asked_for(x, q) && now - q->asked_ms < ASK_AGAIN_MS)
+	if (!q)
 		return;
-	if (!q) {
-		q = e->end_question = xcalloc(1, sizeof(*q));
-		q->proxyd = p;
-		q->endpoint = e->self;
-	}
 	q->asked_ms = now;
 	q->last_end_before = q->last_end = p->exchanges->n_ends;
 	q->status = 0;
@@ -242,6 +254,60 @@
 				   q);
 }
 
+/* Returns the question by which an endpoint is to be asked about the end of an
+ * answer, which is not in progress; NULL if it is not to be asked now. */
+static struct end_question *next_question(struct exchange *x,
+					  struct endpoint *e)
+{
+	struct proxyd *p = x->proxyd;
+	struct end_questions *all = e->end_questions;
+	size_t n_max = may_exit(p, e) ? QUESTIONS_MAX : 1;
+	struct end_question *next = NULL;
+	size_t n = 0;
+	size_t i;
+
+	if (!all) {
+		all = e->end_questions = xcalloc(1, sizeof(*all));
+		all->proxyd = p;
+		all->endpoint = e->self;
+		for (i = 0; i < QUESTIONS_MAX; i++)
+			all->questions[i].all = all;
+		all->last = &all->questions[0];
+		return all->last;
+	}
+	if (is_asked_about(all, x->end_number))
+		return NULL;
+	for (i = 0; i < QUESTIONS_MAX; i++) {
+		n += all->questions[i].call != NULL;
+		if (!all->questions[i].call)
+			next = &all->questions[i];
+	}
+	if (n >= n_max || (was_asked_for(x, all->last) &&
+			   proxyd_now(p) - all->last->asked_ms < ASK_AGAIN_MS))
+		return NULL;
+	all->last = next;
+	return next;
+}
+
+/* Returns whether an endpoint is being asked about an end.  A question that is not
+ * sent yet is about all ends that have been read. */
+static bool is_asked_about(struct end_questions *all, uint64_t end_number)
+{
+	size_t i;
+
+	for (i = 0; i < QUESTIONS_MAX; i++) {
+		struct end_question *q = &all->questions[i];
+
+		if (!q->call)
+			continue;
+		if (q->is_report && !http1_call_connected(q->call))
+			q->last_end = all->proxyd->exchanges->n_ends;
+		if (end_number <= q->last_end)
+			return true;
+	}
+	return false;
+}
+
 /* Handles the head of the answer to a question. */
 static enum http1_head_decision on_head(void *arg,
 					const struct http1_head *head)
@@ -270,8 +336,9 @@
 static void on_end(void *arg, enum http1_outcome outcome)
 {
 	struct end_question *q = arg;
-	struct proxyd *p = q->proxyd;
-	struct endpoint *e = endpoint_get(p->endpoints, q->endpoint);
+	struct proxyd *p = q->all->proxyd;
+	struct handle endpoint = q->all->endpoint;
+	struct endpoint *e = endpoint_get(p->endpoints, endpoint);
 	uint64_t now = proxyd_now(p);
 	uint64_t born_ms = 0;
 	struct finding f = evaluate(q, e, outcome, &born_ms);
@@ -283,14 +350,14 @@
 		note_reached(q, now);
 	TAILQ_FOREACH(x, &p->exchanges->list, link)
 	if (f.sign == ENDPOINT_SIGN_ENDED && was_asked_for(x, q) &&
-	    !(e && outlasted(x, e)))
+	    !(e && (outlasted(x, e) || may_be_answered(x, e))))
 		suspects_run_broke(x, e);
 	if (outcome == HTTP1_NOT_SENT || outcome == HTTP1_CONNECT_TIMEOUT)
-		endpoint_unreachable(p->endpoints, q->endpoint, NULL, outcome);
+		endpoint_unreachable(p->endpoints, endpoint, NULL, outcome);
 	if (f.sign == ENDPOINT_SIGN_LIVES && q->is_report && e &&
 	    born_ms != endpoint_known_start(e)) {
 		e->start_wanted = true;
-		endpoint_stated_start(p->endpoints, q->endpoint, born_ms,
+		endpoint_stated_start(p->endpoints, endpoint, born_ms,
 				      q->asked_ms);
 	}
 	TAILQ_FOREACH(x, &p->exchanges->list, link)
@@ -308,6 +375,9 @@
 			own.why = "other start";
 			own.sign = ended_sign(p, e);
 		}
+		if (own.sign != ENDPOINT_SIGN_LIVES && e &&
+		    may_be_answered(x, e))
+			continue;
 		if (own.sign == ENDPOINT_SIGN_UNKNOWN)
 			own.why = "start not known before";
 		judge(x, &own, now, false);
@@ -320,9 +390,9 @@
 {
 	struct exchange *x;
 
-	q->reached_ms = now;
-	TAILQ_FOREACH(x, &q->proxyd->exchanges->list, link)
-	if (awaits_end_at(x, q->endpoint) &&
+	q->all->reached_ms = now;
+	TAILQ_FOREACH(x, &q->all->proxyd->exchanges->list, link)
+	if (awaits_end_at(x, q->all->endpoint) &&
 	    x->end_number <= q->last_end_before)
 		x->end_outlived = true;
 }
@@ -334,7 +404,8 @@
 			       enum http1_outcome outcome, uint64_t *born_ms)
 {
 	if (outcome == HTTP1_NOT_SENT)
-		return (struct finding){ ended_sign(q->proxyd, e), "refused" };
+		return (struct finding){ ended_sign(q->all->proxyd, e),
+					 "refused" };
 	if (outcome != HTTP1_COMPLETE)
 		return (struct finding){ ENDPOINT_SIGN_NONE,
 					 http1_outcome_name(outcome) };
@@ -342,7 +413,7 @@
 		return (struct finding){ q->is_engine ? ENDPOINT_SIGN_NONE
 						      : ENDPOINT_SIGN_LIVES,
 					 "accepts" };
-	if (q->status == 200 && q->proxyd->protocol->decode_report(
+	if (q->status == 200 && q->all->proxyd->protocol->decode_report(
 					q->body.data, q->body.len, born_ms))
 		return (struct finding){ ENDPOINT_SIGN_LIVES, "same start" };
 	return (struct finding){ ENDPOINT_SIGN_NONE, "no report" };
@@ -370,10 +441,28 @@
 static bool was_asked_for(const struct exchange *x,
 			  const struct end_question *q)
 {
-	return awaits_end_at(x, q->endpoint) && x->end_number <= q->last_end &&
+	return awaits_end_at(x, q->all->endpoint) &&
+	       x->end_number <= q->last_end &&
 	       (q->is_report || (!q->at_once && x->ended_ms < q->asked_ms));
 }
 
+/* Returns whether a question about the end of an answer has reached its endpoint,
+ * which may have answered it before it refused a later one. */
+static bool may_be_answered(const struct exchange *x, const struct endpoint *e)
+{
+	const struct end_questions *all = e->end_questions;
+	size_t i;
+
+	for (i = 0; all && i < QUESTIONS_MAX; i++) {
+		const struct end_question *q = &all->questions[i];
+
+		if (q->call && q->is_report && http1_call_connected(q->call) &&
+		    was_asked_for(x, q))
+			return true;
+	}
+	return false;
+}
+
 /* Returns whether an answer of an endpoint waits for its end to be known. */
 static bool awaits_end_at(const struct exchange *x, struct handle endpoint)
 {
@@ -432,7 +521,8 @@
 static int64_t asked_after_ms(const struct endpoint *e,
 			      const struct exchange *x)
 {
-	const struct end_question *q = e ? e->end_question : NULL;
+	const struct end_question *q =
+		e && e->end_questions ? e->end_questions->last : NULL;
 
 	return q && q->asked_ms >= x->ended_ms
 		       ? (int64_t)(q->asked_ms - x->ended_ms)
@@ -443,8 +533,12 @@
  * the end of a stream. */
 static bool is_reached(const struct endpoint *e, const struct exchange *x)
 {
-	const struct end_question *q = e ? e->end_question : NULL;
-
-	return q && (q->reached_ms > x->ended_ms ||
-		     (q->call && http1_call_connected(q->call)));
+	const struct end_questions *all = e ? e->end_questions : NULL;
+	size_t i;
+
+	for (i = 0; all && i < QUESTIONS_MAX; i++)
+		if (all->questions[i].call &&
+		    http1_call_connected(all->questions[i].call))
+			return true;
+	return all && all->reached_ms > x->ended_ms;
 }
--- a/proxyd/endpoints.h
+++ b/proxyd/endpoints.h
@@ -22,7 +22,7 @@
 #define ENDPOINT_BROKEN_RUNS_MAX 64 /* ring of recent broken runs */
 
 struct answer_fields;
-struct end_question;
+struct end_questions;
 struct endpoint_limit;
 struct endpoints;
 struct http1_call;
@@ -87,7 +87,7 @@
 	uint64_t reported_lost_ms; /* another instance reported it dead */
 	bool unconfirmed; /* up by a probe, without an answer since */
 	struct http1_call *probe;
-	struct end_question *end_question; /* the last one, or NULL */
+	struct end_questions *end_questions; /* NULL until it is asked one */
 	bool rediscovering; /* the id at its address is being queried */
 	uint64_t adopted_ms; /* added without a store entry; 0: not */
 	struct proxyd *proxyd;
--- a/regress/leaving_endpoint.c
+++ b/regress/leaving_endpoint.c
@@ -217,6 +217,19 @@
 			close_conn(c);
 }
 
+/* Writes and closes n answers of the endpoint that leaves. */
+static void close_some_answers(size_t n)
+{
+	struct endpoint_conn *c;
+
+	for (c = conns; c && n; c = c->next)
+		if (c->endpoint == leaver && c->waits) {
+			write_answer(c, false);
+			close_conn(c);
+			n--;
+		}
+}
+
 /* Returns whether a connection has arrived at the endpoint that leaves on which it
  * has answered nothing. */
 static bool is_asked(void)
@@ -542,7 +555,7 @@
 		return;
 	}
 	handled = true;
-	exits_when_asked = current->exit == EXIT_WHEN_ASKED;
+	exits_when_asked = current->exit == EXIT_WHEN_ASKED && !silent;
 	exit_when_asked();
 }
 
@@ -587,19 +600,49 @@
 	return true;
 }
 
-/* Has the endpoint be silent for the time of the case, and then answer what has
- * arrived. */
-static void be_silent(void)
+/* Has the endpoint answer what has arrived while it was silent.  Returns how many
+ * requests these were. */
+static size_t end_silence(void)
 {
 	struct endpoint_conn *c;
+	size_t n = 0;
 
-	silent = true;
-	harness_run(harness, current->silent_ms);
 	silent = false;
 	for (c = conns; c; c = c->next)
 		if (c->endpoint == leaver && c->len && has_request(c) &&
-		    !uv_is_closing((uv_handle_t *)&c->tcp))
+		    !uv_is_closing((uv_handle_t *)&c->tcp)) {
 			handle_request(c);
+			n++;
+		}
+	return n;
+}
+
+/* Has the endpoint be silent for the time of the case, and then answer what has
+ * arrived. */
+static void be_silent(void)
+{
+	silent = true;
+	harness_run(harness, current->silent_ms);
+	end_silence();
+}
+
+/* Has the endpoint close its answers in the parts of the case, without the last
+ * ones, and then answer the questions that have arrived meanwhile.  Returns how many
+ * these were. */
+static size_t close_in_parts(unsigned int without)
+{
+	size_t left = n_replies;
+	unsigned int part;
+
+	silent = true;
+	for (part = current->parts; part > without; part--) {
+		close_some_answers(left / part);
+		left -= left / part;
+		start_round_trips();
+		harness_until(harness, is_handled, NULL,
+			      "the instance has handled the part");
+	}
+	return end_silence();
 }
 
 /* Tells the instance that the endpoint leaves, unless its answers will. */
@@ -630,14 +673,23 @@
 {
 	switch (current->exit) {
 	case EXIT_NEVER:
-		close_answers();
+		if (current->parts)
+			result->questions += close_in_parts(0);
+		else
+			close_answers();
 		return;
 	case EXIT_AT_ONCE:
 		close_answers();
 		break;
 	case EXIT_WHEN_ASKED:
-		close_answers();
-		start_round_trips();
+		if (current->parts) {
+			result->questions += close_in_parts(0);
+			exits_when_asked = true;
+			exit_when_asked();
+		} else {
+			close_answers();
+			start_round_trips();
+		}
 		harness_until(harness, has_exited, NULL, "the endpoint exits");
 		return;
 	case EXIT_REFUSES:
@@ -657,6 +709,8 @@
 		harness_run(harness, APART_MS);
 		break;
 	case EXIT_KILLED_WRITING:
+		if (current->parts)
+			result->questions += close_in_parts(1);
 		write_answers(true);
 		break;
 	}
@@ -735,10 +789,14 @@
 		if (result.ends[end])
 			print_message(" %zu %s,", result.ends[end],
 				      leaving_end_name(end));
-	print_message(" %zu attempts\n", result.attempts);
+	print_message(" %zu attempts, %zu questions\n", result.attempts,
+		      result.questions);
 	for (end = 0; end < LEAVING_ENDS; end++)
 		if (!(c->allowed & (1U << end)))
 			assert_int_equal(result.ends[end], 0);
+	assert_true(
+		result.questions <=
+		(c->questions_max ? c->questions_max : LEAVING_QUESTIONS_MAX));
 }
 
 /* Runs a test program of n cases; returns its exit status. */
--- a/regress/leaving_endpoint.h
+++ b/regress/leaving_endpoint.h
@@ -10,6 +10,8 @@
 
 #define LEAVING_REQUESTS_MAX 32
 #define LEAVING_EVENTS 3 /* in a complete stream */
+/* The most that the instance asks an endpoint about ends of answers at once. */
+#define LEAVING_QUESTIONS_MAX 8
 
 /* How the instance learns that the endpoint leaves. */
 enum leaving_notice {
@@ -45,6 +47,14 @@
 	enum leaving_notice notice;
 	enum leaving_exit exit;
 	unsigned int exit_ms; /* of EXIT_LATER */
+	/* it closes its answers in so many parts, each once the instance has
+	 * handled the one before, and answers no question meanwhile; 0: in one,
+	 * and answers questions.  Of EXIT_NEVER, EXIT_WHEN_ASKED and, without the
+	 * last part, EXIT_KILLED_WRITING. */
+	unsigned int parts;
+	/* the most questions without an answer when all parts are closed; 0:
+	 * LEAVING_QUESTIONS_MAX */
+	unsigned int questions_max;
 	unsigned int last_event; /* that the callers have; 0: none */
 	unsigned int allowed; /* ends of answers, bits of enum leaving_end */
 };
@@ -62,6 +72,7 @@
 struct leaving_result {
 	size_t ends[LEAVING_ENDS];
 	size_t attempts; /* at all endpoints */
+	size_t questions; /* without an answer when all parts were closed */
 	double held_ms; /* of EXIT_LATER, in all */
 };
 
