Take the start that is stated while an answer's connection is open

Cause: an engine that had started again unseen before a request was sent is known by the start in its entry. It states another one after the end of its answer, and a whole stream was taken for cut. What it had stated meanwhile, as it is asked for its start with the request, counted only if no start was known before.

Change: a start that is stated on a connection which was open together with the attempt's is that of the attempt's process, and takes the place of what was known; also if it comes after the end, if its connection stood a tick before that. Not if the attempt was not read for a time, as its end may be unread. No call more.

--- a/proxyd/answer_ends.c
+++ b/proxyd/answer_ends.c
@@ -40,6 +40,7 @@
 	struct end_questions *all;
 	struct http1_call *call; /* NULL once it has ended */
 	uint64_t asked_ms;
+	uint64_t opened_ms; /* when its connection was */
 	/* numbers of the last ends that were read before the connection of the
 	 * question was begun, and before the question was sent */
 	uint64_t last_end_before;
@@ -312,7 +313,10 @@
 static enum http1_head_decision on_head(void *arg,
 					const struct http1_head *head)
 {
-	((struct end_question *)arg)->status = head->status;
+	struct end_question *q = arg;
+
+	q->status = head->status;
+	q->opened_ms = http1_call_opened_ms(q->call);
 	return HTTP1_ACCEPT;
 }
 
@@ -358,7 +362,7 @@
 	    born_ms != endpoint_known_start(e)) {
 		e->start_wanted = true;
 		endpoint_stated_start(p->endpoints, endpoint, born_ms,
-				      q->asked_ms);
+				      q->opened_ms);
 	}
 	TAILQ_FOREACH(x, &p->exchanges->list, link)
 	{
--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -65,7 +65,8 @@
 static void name_process(struct endpoint *e, uint64_t start);
 static void software_updated(struct endpoint *e, const struct endpoint_entry *n,
 			     bool restarted);
-static void unlisted_start_stated(struct endpoint *e, uint64_t born_ms);
+static void unlisted_start_stated(struct endpoint *e, uint64_t born_ms,
+				  uint64_t since_ms);
 static void other_start_stated(struct endpoint *e, uint64_t born_ms);
 static void name_unasked_start(const struct endpoint *e);
 static void entry_removed(struct endpoints *t, struct endpoint *e,
@@ -736,7 +737,7 @@
 	if (!e || (!e->software_doubted && !e->start_wanted))
 		return;
 	if (!e->software) {
-		unlisted_start_stated(e, born_ms);
+		unlisted_start_stated(e, born_ms, since_ms);
 		return;
 	}
 	same = !born_ms || !e->born_ms || born_ms == e->born_ms;
@@ -755,18 +756,19 @@
 	e->software_doubted = !same;
 	if (same)
 		origins_endpoint_named(t->proxyd->origins, e);
-	exchanges_start_stated(t->proxyd->exchanges, h, false);
+	exchanges_start_stated(t->proxyd->exchanges, h, since_ms, false);
 }
 
 /* Handles the start of an endpoint that has no entry yet: once it has one with
  * the same start, the streams that began there are of the listed version. */
-static void unlisted_start_stated(struct endpoint *e, uint64_t born_ms)
+static void unlisted_start_stated(struct endpoint *e, uint64_t born_ms,
+				  uint64_t since_ms)
 {
 	if (e->stated_born_ms && e->stated_born_ms != born_ms)
 		name_process(e, born_ms);
 	e->stated_born_ms = born_ms;
 	e->start_wanted = false;
-	exchanges_start_stated(e->proxyd->exchanges, e->self, false);
+	exchanges_start_stated(e->proxyd->exchanges, e->self, since_ms, false);
 }
 
 /* Handles a start that is not the listed one.  The streams that began while the
@@ -796,7 +798,7 @@
 	event_log(EVENT_NOTABLE, "endpoint-no-start", NULL, "{s:s, s:s}",
 		  "endpoint", e->id, "software", e->version);
 	origins_endpoint_named(t->proxyd->origins, e);
-	exchanges_start_stated(t->proxyd->exchanges, h, true);
+	exchanges_start_stated(t->proxyd->exchanges, h, 0, true);
 }
 
 /* Has an engine asked for its start, unless a connection has been open since it
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -63,6 +63,8 @@
 static uint64_t used_tokens(const struct exchange *x);
 static void reply_error(struct exchange *x, int status, uint32_t retry_ms,
 			const char *why);
+static void note_own_start(struct exchange *x, uint64_t stated_ms,
+			   uint64_t since_ms);
 static void tick_exchange(struct exchange *x, uint64_t now);
 static void tick_waiting(struct exchange *x, uint64_t now);
 static void repeat(struct exchange *x);
@@ -153,11 +155,11 @@
 	}
 }
 
-/* Handles the start that an endpoint has stated, or, if it is excused, that it
- * stated none: its streams are told to their keepers, and those that waited for
- * it go on. */
+/* Handles the start that an endpoint has stated on a connection that was open at
+ * since_ms, or, if it is excused, that it stated none: its streams are told to their
+ * keepers, and those that waited for it go on. */
 void exchanges_start_stated(struct exchanges *t, struct handle endpoint,
-			    bool excused)
+			    uint64_t since_ms, bool excused)
 {
 	const struct endpoint *e = endpoint_get(t->proxyd->endpoints, endpoint);
 	uint64_t known_ms = e ? endpoint_known_start(e) : 0;
@@ -166,12 +168,15 @@
 	while (x) {
 		struct exchange *next = TAILQ_NEXT(x, link);
 
+		if (x->phase == EXCHANGE_SENT && !excused &&
+		    handle_equal(x->endpoint, endpoint))
+			note_own_start(x, e ? e->stated_born_ms : 0, since_ms);
 		if (x->phase == EXCHANGE_SENT && x->call &&
 		    handle_equal(x->endpoint, endpoint)) {
 			x->start_excused = x->start_excused || excused;
 			if (!excused)
 				exchange_note_target_start(x, known_ms);
-			if (!x->sent_born_ms && !http1_call_paused(x->call))
+			if (!x->sent_born_ms && !x->was_paused)
 				x->sent_born_ms = known_ms;
 			if (!x->first_event_due_ms)
 				origins_note_begun(t->proxyd->origins, x);
@@ -181,6 +186,20 @@
 	}
 }
 
+/* Notes the start that an endpoint has stated, 0 if it stated none, on a connection
+ * that was open at since_ms.  If the attempt's connection was open at the same time,
+ * and its end would have been read, both end at one process: what was known before,
+ * by its entry or an earlier word, is of no account then. */
+static void note_own_start(struct exchange *x, uint64_t stated_ms,
+			   uint64_t since_ms)
+{
+	bool open = x->call && http1_call_connected(x->call) && !x->was_paused;
+	bool was_open = x->ended_ms && since_ms < x->ended_since_ms;
+
+	if (stated_ms && (open || was_open))
+		x->sent_born_ms = stated_ms;
+}
+
 /* Handles a version that was not known and is now: streams that began at what
  * stood for it are bound to it. */
 void exchanges_software_named(struct exchanges *t, uint64_t from, uint64_t to)
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -104,7 +104,9 @@
 	struct handle endpoint;
 	uint64_t sent_ms;
 	uint64_t sent_software; /* version of the endpoint then */
-	uint64_t sent_born_ms; /* its start, as known then; 0: unknown */
+	/* its start, as known then, or stated while the connection was open; 0:
+	 * unknown */
+	uint64_t sent_born_ms;
 	bool start_excused; /* the endpoint was asked and stated no start */
 	uint32_t sends; /* attempts that reached an endpoint, or may have */
 	/* the last of these; attempt n is at n % ENDPOINT_AVOID_MAX */
@@ -210,7 +212,7 @@
 void exchanges_endpoint_lost(struct exchanges *t, struct handle endpoint);
 void stream_start_stated(struct exchange *x);
 void exchanges_start_stated(struct exchanges *t, struct handle endpoint,
-			    bool excused);
+			    uint64_t since_ms, bool excused);
 void exchanges_software_named(struct exchanges *t, uint64_t from, uint64_t to);
 uint32_t exchanges_open(const struct exchanges *t);
 void exchange_caller_left(void *owner);
--- a/regress/raw_endpoint.c
+++ b/regress/raw_endpoint.c
@@ -51,6 +51,10 @@
 	const char *address;
 	uv_tcp_t *listener; /* NULL once it is killed */
 	unsigned int born_ms;
+	/* of RAW_REPORT_LATE, or NULL: waits for a report, and for the answer to
+	 * the attempt */
+	struct raw_conn *awaits_report;
+	struct raw_conn *awaits_answer;
 };
 
 struct raw_conn {
@@ -73,6 +77,7 @@
 static struct harness *harness;
 static struct standin_world *world;
 static struct standin_instance one;
+static struct http1_client *client;
 static struct raw_endpoint endpoints[RAW_ENDPOINTS];
 static struct raw_conn *conns; /* freed at the end of the case */
 static const struct raw_case *current;
@@ -120,6 +125,7 @@
 static void restart_endpoint(size_t i)
 {
 	endpoints[i].born_ms++;
+	endpoints[i].awaits_report = NULL;
 	listen_at(&endpoints[i]);
 }
 
@@ -167,16 +173,56 @@
 	}
 }
 
+static void answer_report(struct raw_conn *c);
+
+/* Answers for the report that was asked for last, as the instance has read the
+ * answer before it. */
+static void on_round_trip(void *arg, enum http1_outcome outcome)
+{
+	struct raw_endpoint *e = arg;
+	struct raw_conn *waits = e->awaits_report;
+
+	assert_int_equal(outcome, HTTP1_COMPLETE);
+	e->awaits_report = NULL;
+	if (waits)
+		answer_report(waits);
+}
+
+/* Has the instance answer a request of the test, which it does after it has read
+ * what had arrived before. */
+static void start_round_trip(struct raw_endpoint *e)
+{
+	static const struct http1_call_ops ops = { .on_end = on_round_trip };
+	const struct http1_call_options options = {
+		.address = one.readiness,
+		.connect_timeout_ms = CONNECT_MS,
+	};
+	char *request =
+		xasprintf("GET /readyz HTTP/1.1\r\nhost: 127.0.0.1\r\n\r\n");
+
+	http1_call_start(client, &options, request, strlen(request), &ops, e);
+}
+
 /* Answers for the report of an engine. */
 static void answer_report(struct raw_conn *c)
 {
+	struct raw_endpoint *e = &endpoints[c->endpoint];
+	struct raw_conn *waits = e->awaits_report;
 	char *body = xasprintf("{\"models\":[{\"name\":\"m\"}],\"born\":%u}",
 			       endpoints[c->endpoint].born_ms);
 	char *bytes = xasprintf("HTTP/1.1 200 OK\r\ncontent-length: %zu\r\n"
 				"\r\n%s",
 				strlen(body), body);
 
-	if (current_way->report == RAW_REPORT_WHOLE)
+	e->awaits_report = NULL;
+	if (current_way->report == RAW_REPORT_LATE && !n_attempts) {
+		e->awaits_report = c;
+	} else if (waits) {
+		answer(waits, &(const struct raw_answer){ bytes, RAW_KEEP });
+		e->awaits_report = c;
+		start_round_trip(e);
+	} else if (current_way->report == RAW_REPORT_WHOLE ||
+		   current_way->report == RAW_REPORT_LATE)
 		answer(c, &(const struct raw_answer){ bytes, RAW_KEEP });
 	else if (current_way->report == RAW_REPORT_REFUSED)
 		answer(c, &(const struct raw_answer){ REFUSED, RAW_KEEP });
@@ -219,11 +265,16 @@
 {
 	static const struct raw_answer healthy = { HEALTHY, RAW_KEEP };
 	struct raw_conn *c = stream->data;
+	struct raw_endpoint *e = &endpoints[c->endpoint];
 	const char *end;
 	char *target = xasprintf(" %s ", current->target);
 
 	(void)buf;
 	if (n < 0) {
+		if (e->awaits_report == c)
+			e->awaits_report = NULL;
+		if (e->awaits_answer == c)
+			e->awaits_answer = NULL;
 		uv_close((uv_handle_t *)stream, NULL);
 		goto out;
 	}
@@ -242,7 +293,11 @@
 		   end + 4 < c->input + c->len) {
 		if (!answer_earlier(c)) {
 			first_kept = n_attempts ? first_kept : c->kept;
-			answer(c, next_answer());
+			if (current_way->report == RAW_REPORT_LATE &&
+			    !n_attempts)
+				e->awaits_answer = c;
+			else
+				answer(c, next_answer());
 		}
 		c->len = 0;
 	}
@@ -253,16 +308,21 @@
 static void on_connection(uv_stream_t *listener, int status)
 {
 	struct raw_conn *c = xcalloc(1, sizeof(*c));
+	struct raw_endpoint *e = listener->data;
+	struct raw_conn *waits = e->awaits_answer;
 
 	assert_int_equal(status, 0);
 	c->tcp.data = c;
-	c->endpoint =
-		(size_t)((struct raw_endpoint *)listener->data - endpoints);
+	c->endpoint = (size_t)(e - endpoints);
 	c->next = conns;
 	conns = c;
 	uv_tcp_init(listener->loop, &c->tcp);
 	uv_accept(listener, (uv_stream_t *)&c->tcp);
 	uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
+	if (waits && e->awaits_report) {
+		e->awaits_answer = NULL;
+		answer(waits, next_answer());
+	}
 }
 
 /* Opens the listener of an endpoint. */
@@ -290,6 +350,8 @@
 
 	e->address = harness_address(harness);
 	e->born_ms = BORN_MS;
+	e->awaits_report = NULL;
+	e->awaits_answer = NULL;
 	listen_at(e);
 	put_entry(i);
 }
@@ -359,8 +421,7 @@
 
 /* Sends the request of the case, with an id, and waits for the end of its
  * answer. */
-static void call(struct http1_client *client, const char *id,
-		 struct raw_reply *reply)
+static void call(const char *id, struct raw_reply *reply)
 {
 	static const struct http1_call_ops ops = {
 		.on_head = on_reply_head,
@@ -403,7 +464,7 @@
 }
 
 /* Sends requests until each endpoint has a connection that is kept. */
-static void keep_connections(struct http1_client *client)
+static void keep_connections(void)
 {
 	size_t i;
 
@@ -411,7 +472,7 @@
 		char *id = xasprintf(EARLIER "%zu", i);
 		struct raw_reply reply = { 0 };
 
-		call(client, id, &reply);
+		call(id, &reply);
 		assert_int_equal(reply.status, 200);
 		bytes_release(&reply.body);
 		free(id);
@@ -432,7 +493,6 @@
 void raw_run_case_in_way(const struct raw_case *c, const struct raw_way *way)
 {
 	struct raw_reply reply = { 0 };
-	struct http1_client *client;
 	size_t i;
 
 	current = c;
@@ -440,14 +500,14 @@
 	start();
 	client = http1_client_new(harness_loop(harness));
 	if (way->kept)
-		keep_connections(client);
+		keep_connections();
 	for (i = 0; i < way->n_dead; i++)
 		kill_endpoint(i);
 	for (i = 0; way->restarted_before && i < RAW_ENDPOINTS; i++) {
 		kill_endpoint(i);
 		restart_endpoint(i);
 	}
-	call(client, "r-1", &reply);
+	call("r-1", &reply);
 	print_message("%s: %s, %d, \"%s\", %zu attempts\n", current->what,
 		      http1_outcome_name(reply.outcome), reply.status,
 		      reply.body.data, n_attempts);
--- a/regress/raw_endpoint.h
+++ b/regress/raw_endpoint.h
@@ -31,6 +31,10 @@
 	RAW_REPORT_WHOLE,
 	RAW_REPORT_REFUSED, /* 503 */
 	RAW_REPORT_SILENT, /* never */
+	/* one that is asked for before the first attempt is answered, only when
+	 * another one is asked for; and that attempt is answered at the next
+	 * connection, a probe of its silence */
+	RAW_REPORT_LATE,
 };
 
 /* The bytes that an endpoint sends for one attempt, and what it does with the
