Ask an engine for its start at once when its entry names a new one

release_taken_back of test_software_versions, 503 in place of 200: an engine with runs starts again, an attempt goes to it before its new entry, and it states the new start. 20 ms later its entry comes with that start (so in the logs of four failed runs; one has the refusals too, the others end before). The instance forgets then what was stated, and asks no engine twice within a second: what begins there in the rest of that second is bound to this engine alone. When it ends, its streams are refused, "no endpoint runs the stream's software version", beside others of their version; a stream that moves to it meanwhile waits up to a second for its next event.

The time of the last question is forgotten with the start that it was about, as it is when an endpoint is lost, so that the next attempt asks.

--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -644,6 +644,7 @@
 		if (e->stated_born_ms != n->born_ms)
 			name_process(e, n->born_ms);
 		e->stated_born_ms = 0;
+		e->start_asked_ms = 0; /* asked before its entry came */
 		limits_release(e);
 	}
 	snprintf(e->address, sizeof(e->address), "%s", n->address);
--- a/regress/integration/test_software_versions.c
+++ b/regress/integration/test_software_versions.c
@@ -469,6 +469,59 @@
 	expect_all_complete();
 }
 
+static bool two_other_starts(void *arg)
+{
+	(void)arg;
+	return proc_output_count(one.proc, "endpoint-other-start") >= 2;
+}
+
+/* Returns how many streams a worker has run since a number of arrivals. */
+static size_t runs_since(const struct standin_worker *worker, size_t arrivals)
+{
+	size_t n = 0;
+	size_t i;
+
+	for (i = arrivals; i < world->n_arrivals; i++)
+		n += world->arrivals[i]->worker == worker &&
+		     world->arrivals[i]->ran;
+	return n;
+}
+
+/* Guards against streams that are bound to one engine, and lost with it, because
+ * it had stated its start shortly before its entry came and was not asked again
+ * for a second. */
+static void entry_after_stated_start(void **state)
+{
+	size_t arrivals;
+	size_t i;
+
+	(void)state;
+	start("engine", two_versions);
+	for (i = 0; i < 2; i++)
+		standin_restart_worker(&world->workers[i], "v2");
+	for (i = 0; i < CALLERS; i++)
+		open_stream(&callers[i], &one, NULL);
+	harness_until(harness, two_other_starts, NULL,
+		      "the engines state that they have started again");
+	close_all();
+	for (i = 0; i < 2; i++)
+		standin_put_worker_entry(&world->workers[i], "ready");
+	wait_entries(harness, &one, "v2", 4);
+	wait_entries(harness, &two, "v2", 4);
+	arrivals = world->n_arrivals;
+	for (i = 0; i < CALLERS; i++) {
+		callers[i].received = 0;
+		open_stream(&callers[i], &one, NULL);
+	}
+	for (i = 0; i < CALLERS; i++)
+		stream_wait_events(callers[i].stream, 1);
+	close_all();
+	assert_true(runs_since(&world->workers[0], arrivals) > 0);
+	standin_kill_worker(&world->workers[0]);
+	take_up_all();
+	expect_all_complete();
+}
+
 /* Without the store a stream goes on at the instance that sent it, and at another
  * one, which it was told to. */
 static void store_away(void **state)
@@ -712,6 +765,7 @@
 		CASE(unnamed_with_two_versions),
 		CASE(release_taken_back),
 		CASE(entry_lags_behind),
+		CASE(entry_after_stated_start),
 		CASE(store_away),
 		CASE(take_up_cut_off_from_store),
 		CASE(take_up_after_freeze),
