crash_estimate: reports of runs that may come twice and in any order

What instances tell each other comes by datagrams. A report has a run, its state and its last event; the last state is kept, and a run that is over stays so. crash_estimate_next_report() lists an instance's own runs, to be told once their content is a suspect. A run that another instance had sent before a refusal, and that was told during it, was taken for the trial: it is none now.

--- a/policy/crash_estimate.c
+++ b/policy/crash_estimate.c
@@ -46,11 +46,13 @@
 
 /* A run that is over. */
 struct past_run {
+	uint64_t id;
 	uint64_t endpoint;
 	uint64_t sent_ms;
 	uint64_t last_ms; /* when it completed or broke */
 	bool broke;
 	bool trial;
+	bool own;
 };
 
 struct content_record {
@@ -155,6 +157,8 @@
 		      uint64_t at_ms, bool broke);
 static size_t past_count(const struct crash_estimates *p,
 			 const struct content_record *c);
+static bool is_past(const struct crash_estimates *p,
+		    const struct content_record *c, uint64_t id);
 static bool is_remembered(const struct crash_estimates *p,
 			  const struct past_run *run, uint64_t now);
 static struct endpoint_record *end_of(const struct crash_estimates *p,
@@ -218,9 +222,9 @@
 	free(p);
 }
 
-/* Records that a run was sent to its endpoint.  Of a refused content it is the
- * trial.  If there is no room, it takes the place of the run that had the
- * oldest event. */
+/* Records that a run was sent to its endpoint, unless it is known.  Of a content
+ * whose refusal had lapsed then it is the trial.  If there is no room, it takes
+ * the place of the run that had the oldest event. */
 void crash_estimate_run_began(struct crash_estimates *p,
 			      const struct crash_estimate_run *run)
 {
@@ -228,6 +232,8 @@
 	struct content_record *c = add_content(p, run->content, run->sent_ms);
 	size_t way;
 
+	if (find_run(p, run->id) || is_past(p, c, run->id))
+		return;
 	for (way = 1; way < WAYS && r->run.id; way++) {
 		struct open_run *o = &p->runs[home(run->id, p->n_runs, way)];
 
@@ -235,7 +241,7 @@
 			r = o;
 	}
 	*r = (struct open_run){ .run = *run, .last_ms = run->sent_ms };
-	if (c->refused && !c->trial) {
+	if (c->refused && !c->trial && run->sent_ms >= c->refused_until_ms) {
 		c->trial = run->id;
 		c->trial_broke_ms = 0;
 	}
@@ -277,6 +283,68 @@
 		close_run(p, r, at_ms, true);
 }
 
+/* Records what an instance tells of a run.  Reports may come twice and in any
+ * order: the last state of a run is kept. */
+void crash_estimate_add_report(struct crash_estimates *p,
+			       const struct crash_estimate_report *report)
+{
+	crash_estimate_run_began(p, &report->run);
+	switch (report->state) {
+	case CRASH_ESTIMATE_IN_PROGRESS:
+		if (report->last_ms > report->run.sent_ms)
+			crash_estimate_run_lives(p, report->run.id,
+						 report->last_ms);
+		break;
+	case CRASH_ESTIMATE_COMPLETED:
+		crash_estimate_run_completed(p, report->run.id,
+					     report->last_ms);
+		break;
+	case CRASH_ESTIMATE_BROKE:
+		crash_estimate_run_broke(p, report->run.id, report->last_ms);
+		break;
+	}
+}
+
+/* Iterates over the own runs of a content that are remembered, to tell them to
+ * other instances; *index is 0 for the first call.  Returns false at the end. */
+bool crash_estimate_next_report(const struct crash_estimates *p,
+				uint64_t content, size_t *index,
+				struct crash_estimate_report *report)
+{
+	const struct content_record *c = find_content(p, content);
+	size_t n_past = c ? past_count(p, c) : 0;
+
+	while (*index < n_past) {
+		const struct past_run *run = &c->past[(*index)++];
+
+		if (!run->own)
+			continue;
+		*report = (struct crash_estimate_report){
+			.run = { .id = run->id,
+				 .content = content,
+				 .endpoint = run->endpoint,
+				 .sent_ms = run->sent_ms },
+			.state = run->broke ? CRASH_ESTIMATE_BROKE
+					    : CRASH_ESTIMATE_COMPLETED,
+			.last_ms = run->last_ms,
+		};
+		return true;
+	}
+	while (*index < n_past + p->n_runs) {
+		const struct open_run *r = &p->runs[(*index)++ - n_past];
+
+		if (!r->run.id || r->run.content != content || !r->run.own)
+			continue;
+		*report = (struct crash_estimate_report){
+			.run = r->run,
+			.last_ms = r->last_ms,
+		};
+		report->run.own = false;
+		return true;
+	}
+	return false;
+}
+
 /* Records that an endpoint answered a request, other than a run, that was sent
  * to it at at_ms. */
 void crash_estimate_endpoint_answered(struct crash_estimates *p,
@@ -521,11 +589,13 @@
 	bool trial = c->trial == r->run.id;
 
 	c->past[c->n_past++ % p->params.history_max] = (struct past_run){
+		.id = r->run.id,
 		.endpoint = r->run.endpoint,
 		.sent_ms = r->run.sent_ms,
 		.last_ms = at_ms,
 		.broke = broke,
 		.trial = trial,
+		.own = r->run.own,
 	};
 	if (broke && at_ms >= c->broke_ms) {
 		c->broke_ms = at_ms;
@@ -547,6 +617,19 @@
 						 : p->params.history_max;
 }
 
+/* Tells whether a run is over and remembered. */
+static bool is_past(const struct crash_estimates *p,
+		    const struct content_record *c, uint64_t id)
+{
+	size_t n = past_count(p, c);
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		if (c->past[i].id == id)
+			return true;
+	return false;
+}
+
 /* Tells whether a run counts still. */
 static bool is_remembered(const struct crash_estimates *p,
 			  const struct past_run *run, uint64_t now)
--- a/policy/crash_estimate.h
+++ b/policy/crash_estimate.h
@@ -36,6 +36,20 @@
 	uint64_t content; /* not 0 */
 	uint64_t endpoint; /* hash of the id of this start of it, not 0 */
 	uint64_t sent_ms;
+	bool own; /* of this instance, which tells it to others */
+};
+
+enum crash_estimate_state {
+	CRASH_ESTIMATE_IN_PROGRESS,
+	CRASH_ESTIMATE_COMPLETED,
+	CRASH_ESTIMATE_BROKE,
+};
+
+/* What an instance tells others of a run. */
+struct crash_estimate_report {
+	struct crash_estimate_run run;
+	enum crash_estimate_state state;
+	uint64_t last_ms; /* its last event, or when it completed or broke */
 };
 
 /* What is known of a content. */
@@ -67,6 +81,11 @@
 				  uint64_t at_ms);
 void crash_estimate_run_broke(struct crash_estimates *p, uint64_t id,
 			      uint64_t at_ms);
+void crash_estimate_add_report(struct crash_estimates *p,
+			       const struct crash_estimate_report *report);
+bool crash_estimate_next_report(const struct crash_estimates *p,
+				uint64_t content, size_t *index,
+				struct crash_estimate_report *report);
 void crash_estimate_endpoint_answered(struct crash_estimates *p,
 				      uint64_t endpoint, uint64_t at_ms);
 void crash_estimate_endpoint_ended(struct crash_estimates *p, uint64_t endpoint,
--- a/regress/unit/test_crash_estimate.c
+++ b/regress/unit/test_crash_estimate.c
@@ -256,6 +256,89 @@
 	expect(A, 0, 0, 0, START_MS + 700);
 }
 
+/* What one instance tells another, in the wrong order, twice and mixed with
+ * older states, gives the other the same estimate; it tells none of that on. */
+static void reports_may_repeat_in_any_order(void **state)
+{
+	struct crash_estimates *other =
+		crash_estimate_new(&crash_estimate_defaults);
+	struct random_source random = { .seed = 11 };
+	struct crash_estimate_report told[200];
+	struct crash_estimate_report own;
+	struct crash_estimate_result mine;
+	struct crash_estimate_result theirs;
+	size_t index = 0;
+	size_t n = 0;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < 20; i++) {
+		const struct crash_estimate_run run = {
+			.id = ++n_ids,
+			.content = A,
+			.endpoint = i < 3 ? i + 1 : 9,
+			.sent_ms = START_MS + i * 50,
+			.own = true,
+		};
+
+		crash_estimate_run_began(estimates, &run);
+		crash_estimate_run_lives(estimates, run.id, run.sent_ms + 5);
+		index = 0;
+		while (crash_estimate_next_report(estimates, A, &index, &own) &&
+		       n < 100)
+			told[n++] = own;
+		if (i < 3)
+			crash_estimate_run_broke(estimates, run.id,
+						 run.sent_ms + 10);
+		else if (i % 2)
+			crash_estimate_run_completed(estimates, run.id,
+						     run.sent_ms + 40);
+	}
+	index = 0;
+	while (crash_estimate_next_report(estimates, A, &index, &own))
+		told[n++] = own;
+	for (i = 0; i < 3 * n; i++)
+		crash_estimate_add_report(
+			other, &told[random_below(&random, (uint32_t)n)]);
+	for (i = n; i-- > 0;)
+		crash_estimate_add_report(other, &told[i]);
+	for (i = 1; i <= 3; i++) {
+		crash_estimate_endpoint_ended(estimates, i, START_MS + 500);
+		crash_estimate_endpoint_ended(other, i, START_MS + 500);
+	}
+	crash_estimate_evaluate(estimates, START_MS + 2000);
+	crash_estimate_evaluate(other, START_MS + 2000);
+	mine = crash_estimate_result(estimates, A);
+	theirs = crash_estimate_result(other, A);
+	assert_int_equal(mine.ends, 3);
+	assert_int_equal(mine.at_risk, 20);
+	assert_int_equal(theirs.ends, mine.ends);
+	assert_int_equal(theirs.at_risk, mine.at_risk);
+	assert_float_equal(theirs.estimate, mine.estimate, NEAR);
+	index = 0;
+	assert_false(crash_estimate_next_report(other, A, &index, &own));
+	crash_estimate_free(other);
+}
+
+/* A run that another instance had sent before the refusal is no trial. */
+static void earlier_run_is_no_trial(void **state)
+{
+	uint64_t now = START_MS + 200;
+	int i;
+
+	(void)state;
+	for (i = 0; i < 3; i++)
+		ended(A, 1 + (uint64_t)i, START_MS + (uint64_t)i * 50, 10);
+	crash_estimate_evaluate(estimates, now);
+	now += crash_estimate_defaults.refused_ms;
+	begin(A, 7, START_MS + 100); /* told late */
+	assert_int_equal(crash_estimate_decide(estimates, A, now),
+			 CRASH_ESTIMATE_TRIAL);
+	begin(A, 7, now);
+	assert_int_equal(crash_estimate_decide(estimates, A, now),
+			 CRASH_ESTIMATE_REFUSE);
+}
+
 /* Three ends of three runs refuse a content; runs that live on elsewhere lift
  * it. */
 static void later_runs_lift(void **state)
@@ -417,6 +500,8 @@
 		CASE(reset_is_no_end),
 		CASE(run_on_ended_endpoint_counts_nothing),
 		CASE(order_of_reports_does_not_matter),
+		CASE(reports_may_repeat_in_any_order),
+		CASE(earlier_run_is_no_trial),
 		CASE(later_runs_lift),
 		CASE(trial_that_ends_refuses_longer),
 		CASE(trial_that_lives_allows_another),
