--- a/regress/crash_replay.c
+++ b/regress/crash_replay.c
@@ -109,10 +109,7 @@
 	NEWS_REFUSED,
 	NEWS_COMPLETED,
 	/* for the estimate */
-	NEWS_RUN_BEGAN,
-	NEWS_RUN_LIVES,
-	NEWS_RUN_COMPLETED,
-	NEWS_RUN_BROKE,
+	NEWS_RUN,
 	NEWS_ANSWERED,
 	NEWS_ENDED,
 };
@@ -123,7 +120,8 @@
 	struct run_crash crash;
 	uint64_t until_ms;
 	uint64_t since_ms;
-	struct crash_estimate_run run;
+	struct crash_estimate_report run; /* of NEWS_RUN */
+	uint64_t endpoint; /* of the others */
 	uint64_t at_ms;
 };
 
@@ -136,6 +134,7 @@
 	uint64_t refused_ms[CONTENTS];
 	uint64_t held_ms[CONTENTS];
 	bool ever_refused[CONTENTS];
+	bool suspected[CONTENTS]; /* its runs are told */
 };
 
 struct replay {
@@ -198,7 +197,10 @@
 static void tell(struct replay *r, uint32_t from, const struct news *n);
 static void hear(struct replay *r, uint32_t o, const struct news *n);
 static void estimate_hears(struct observer *o, const struct news *n);
-static void report(struct replay *r, uint32_t from, const struct news *n);
+static void report(struct replay *r, uint32_t from, const struct news *news);
+static void report_run(struct replay *r, const struct run *run,
+		       enum crash_estimate_state state);
+static void tell_suspects(struct replay *r, uint32_t from);
 static void record_crash(struct replay *r, uint32_t o, const struct broken *b);
 static bool outlasted(const struct replay *r, uint32_t o, uint64_t content,
 		      uint64_t ran_ms);
@@ -466,15 +468,10 @@
 
 	if (e->kind == FIRST_EVENT) {
 		run->has_event = true;
-		report(r, run->observer,
-		       &(struct news){ .kind = NEWS_RUN_LIVES,
-				       .run.id = run->id });
+		report_run(r, run, CRASH_ESTIMATE_IN_PROGRESS);
 	} else if (e->kind == COMPLETE) {
 		run->over = true;
-		report(r, run->observer,
-		       &(struct news){ .kind = NEWS_RUN_COMPLETED,
-				       .content = content_hash_of[run->content],
-				       .run.id = run->id });
+		report_run(r, run, CRASH_ESTIMATE_COMPLETED);
 	} else if (e->kind == BREAK) {
 		break_run(r, e->a, false);
 	} else if (!r->slot[run->slot].ended &&
@@ -503,7 +500,8 @@
 	plan_end_of_run(r, (uint32_t)r->n_runs - 1);
 }
 
-/* Asks an observer's rule. */
+/* Asks an observer's rule.  One observer alone tries a refused content again, as
+ * is done for parts. */
 static enum verdict judge(const struct replay *r, uint32_t o,
 			  enum content_name content)
 {
@@ -522,6 +520,8 @@
 			return MAY_RUN;
 		}
 	d = crash_estimate_decide(b->estimates, hash, now);
+	if (d == CRASH_ESTIMATE_TRIAL)
+		return o == hash % r->n_observers ? MAY_RUN : REFUSED;
 	return d == CRASH_ESTIMATE_REFUSE ? REFUSED
 	       : d == CRASH_ESTIMATE_HOLD ? HELD
 					  : MAY_RUN;
@@ -597,13 +597,7 @@
 	};
 	q->attempts_left--;
 	r->active[r->n_active++] = (uint32_t)r->n_runs;
-	report(r, q->observer,
-	       &(struct news){
-		       .kind = NEWS_RUN_BEGAN,
-		       .run = { .id = run->id,
-				.content = content_hash_of[run->content],
-				.endpoint = endpoint_of(slot, run->start),
-				.sent_ms = START_MS + r->now } });
+	report_run(r, run, CRASH_ESTIMATE_IN_PROGRESS);
 	r->n_runs++;
 }
 
@@ -704,8 +698,7 @@
 			o->broken[o->n_broken++] = b;
 		}
 	}
-	report(r, n->observer,
-	       &(struct news){ .kind = NEWS_RUN_BROKE, .run.id = n->id });
+	report_run(r, n, CRASH_ESTIMATE_BROKE);
 	if (r->requests[n->request].attempts_left)
 		schedule(r, r->now + MOVE_MS,
 			 (struct event){ .kind = ARRIVE, .a = n->request });
@@ -730,7 +723,7 @@
 	if (r->slot[e->a].start == e->b)
 		r->slot[e->a].lost[e->c] = true;
 	report(r, e->c,
-	       &(struct news){ .kind = NEWS_ENDED, .run.endpoint = endpoint });
+	       &(struct news){ .kind = NEWS_ENDED, .endpoint = endpoint });
 	for (i = 0; i < r->n_active; i++) {
 		struct run *run = &r->runs[r->active[i]];
 
@@ -791,9 +784,7 @@
 		if (!run->over && run->has_event && !s->ended &&
 		    s->start == run->start &&
 		    (!run->quiet_ms || r->now <= run->quiet_ms))
-			report(r, run->observer,
-			       &(struct news){ .kind = NEWS_RUN_LIVES,
-					       .run.id = run->id });
+			report_run(r, run, CRASH_ESTIMATE_IN_PROGRESS);
 	}
 }
 
@@ -819,7 +810,7 @@
 {
 	report(r, e->c,
 	       &(struct news){ .kind = NEWS_ANSWERED,
-			       .run.endpoint = endpoint_of(e->a, e->b) });
+			       .endpoint = endpoint_of(e->a, e->b) });
 }
 
 static void remove_over(struct replay *r)
@@ -856,8 +847,10 @@
 					     rec->n_crashes
 						     ? rec->crashes[0].sent_ms
 						     : 0 });
-		if (b->estimates)
+		if (b->estimates) {
 			crash_estimate_evaluate(b->estimates, now);
+			tell_suspects(r, o);
+		}
 		for (c = 0; c < CONTENTS; c++) {
 			enum verdict v = judge(r, o, c);
 
@@ -937,24 +930,15 @@
 static void estimate_hears(struct observer *o, const struct news *n)
 {
 	switch (n->kind) {
-	case NEWS_RUN_BEGAN:
-		crash_estimate_run_began(o->estimates, &n->run);
-		break;
-	case NEWS_RUN_LIVES:
-		crash_estimate_run_lives(o->estimates, n->run.id, n->at_ms);
-		break;
-	case NEWS_RUN_COMPLETED:
-		crash_estimate_run_completed(o->estimates, n->run.id, n->at_ms);
-		break;
-	case NEWS_RUN_BROKE:
-		crash_estimate_run_broke(o->estimates, n->run.id, n->at_ms);
+	case NEWS_RUN:
+		crash_estimate_add_report(o->estimates, &n->run);
 		break;
 	case NEWS_ANSWERED:
-		crash_estimate_endpoint_answered(o->estimates, n->run.endpoint,
+		crash_estimate_endpoint_answered(o->estimates, n->endpoint,
 						 n->at_ms);
 		break;
 	case NEWS_ENDED:
-		crash_estimate_endpoint_ended(o->estimates, n->run.endpoint,
+		crash_estimate_endpoint_ended(o->estimates, n->endpoint,
 					      n->at_ms);
 		break;
 	default:
@@ -962,23 +946,74 @@
 	}
 }
 
-/* Passes what an observer saw now to its rule; the estimates of the others hear
- * it later.  The present rules hear of completed runs alone, and tell those that
- * clear a record. */
+/* Passes what an observer saw now of an endpoint to its estimate; those of the
+ * others hear it later. */
 static void report(struct replay *r, uint32_t from, const struct news *news)
 {
 	struct observer *o = &r->observer[from];
 	struct news n = *news;
 
+	if (!o->estimates)
+		return;
 	n.at_ms = START_MS + r->now;
-	if (o->estimates) {
-		estimate_hears(o, &n);
-		tell(r, from, &n);
-	} else if (n.kind == NEWS_RUN_COMPLETED &&
-		   crash_suspect_run_completed(o->suspects, n.content,
-					       n.at_ms)) {
-		n.kind = NEWS_COMPLETED;
-		tell(r, from, &n);
+	estimate_hears(o, &n);
+	tell(r, from, &n);
+}
+
+/* Passes what an observer saw now of a run to its rule.  The others hear of the
+ * runs of suspects.  The present rules hear of completed runs alone, and tell
+ * those that clear a record. */
+static void report_run(struct replay *r, const struct run *run,
+		       enum crash_estimate_state state)
+{
+	struct observer *o = &r->observer[run->observer];
+	uint64_t content = content_hash_of[run->content];
+	uint64_t now = START_MS + r->now;
+	struct news n = {
+		.kind = NEWS_RUN,
+		.run = { .run = { .id = run->id,
+				  .content = content,
+				  .endpoint =
+					  endpoint_of(run->slot, run->start),
+				  .sent_ms = START_MS + run->sent_ms,
+				  .own = true },
+			 .state = state,
+			 .last_ms = now },
+	};
+
+	if (o->suspects) {
+		if (state == CRASH_ESTIMATE_COMPLETED &&
+		    crash_suspect_run_completed(o->suspects, content, now))
+			tell(r, run->observer,
+			     &(struct news){ .kind = NEWS_COMPLETED,
+					     .content = content });
+		return;
+	}
+	crash_estimate_add_report(o->estimates, &n.run);
+	n.run.run.own = false;
+	if (o->suspected[run->content])
+		tell(r, run->observer, &n);
+}
+
+/* Tells the others an observer's own runs of each content that has become a
+ * suspect: an endpoint has ended under a run of it, here or elsewhere. */
+static void tell_suspects(struct replay *r, uint32_t from)
+{
+	struct observer *o = &r->observer[from];
+	struct news n = { .kind = NEWS_RUN };
+	uint32_t c;
+
+	for (c = 0; c < CONTENTS; c++) {
+		uint64_t hash = content_hash_of[c];
+		size_t i = 0;
+
+		if (o->suspected[c] ||
+		    !crash_estimate_result(o->estimates, hash).ends)
+			continue;
+		o->suspected[c] = true;
+		while (crash_estimate_next_report(o->estimates, hash, &i,
+						  &n.run))
+			tell(r, from, &n);
 	}
 }
 
