crash_estimate: look at each run in progress once an evaluation

Each content under an end looked through the table of all runs in progress: with 900 of them an evaluation took 7.6 to 8.2 ms of processor time, three times measured.

--- a/policy/crash_estimate.c
+++ b/policy/crash_estimate.c
@@ -60,6 +60,7 @@
 	uint64_t used_ms;
 	struct past_run *past; /* ring of history_max */
 	uint64_t n_past; /* in total */
+	uint32_t first_open; /* in one evaluation: index + 1; 0: none */
 	struct crash_estimate_result result;
 	uint64_t held_ms; /* since then; 0: it is not */
 	uint64_t broke_ms; /* last break whose cause is not known; 0: none */
@@ -74,6 +75,7 @@
 struct open_run {
 	struct crash_estimate_run run; /* id 0: unused */
 	uint64_t last_ms; /* its last event */
+	uint32_t next; /* of its content, in one evaluation; 0: none */
 };
 
 struct endpoint_record {
@@ -164,6 +166,7 @@
 static struct endpoint_record *end_of(const struct crash_estimates *p,
 				      const struct past_run *run);
 static void date_ends(struct crash_estimates *p, uint64_t now);
+static void link_open_runs(struct crash_estimates *p);
 static size_t list_candidates(struct crash_estimates *p, uint64_t now);
 static size_t list_shares(struct crash_estimates *p, struct content_record *c,
 			  size_t first, uint64_t now);
@@ -378,8 +381,11 @@
 	p->watched = false;
 	p->evaluated_ms = now;
 	date_ends(p, now);
-	for (i = 0; i < p->n_contents; i++)
+	for (i = 0; i < p->n_contents; i++) {
 		p->contents[i].result = (struct crash_estimate_result){ 0 };
+		p->contents[i].first_open = 0;
+	}
+	link_open_runs(p);
 	n = list_candidates(p, now);
 	share_ends(p, n);
 	for (i = 0; i < n; i++)
@@ -675,6 +681,23 @@
 	}
 }
 
+/* Links the runs in progress of each content. */
+static void link_open_runs(struct crash_estimates *p)
+{
+	size_t i;
+
+	for (i = 0; i < p->n_runs; i++) {
+		struct open_run *r = &p->runs[i];
+		struct content_record *c =
+			r->run.id ? find_content(p, r->run.content) : NULL;
+
+		if (!c)
+			continue;
+		r->next = c->first_open;
+		c->first_open = (uint32_t)i + 1;
+	}
+}
+
 /* Lists the contents that had runs under ends, with their shares.  Returns their
  * number. */
 static size_t list_candidates(struct crash_estimates *p, uint64_t now)
@@ -764,10 +787,9 @@
 				? UINT64_MAX
 				: (e ? e->end_ms : run->last_ms) - run->sent_ms;
 	}
-	for (i = 0; i < p->n_runs; i++)
-		if (p->runs[i].run.id && p->runs[i].run.content == c->content)
-			p->ages[n++] =
-				p->runs[i].last_ms - p->runs[i].run.sent_ms;
+	for (i = c->first_open; i; i = p->runs[i - 1].next)
+		p->ages[n++] =
+			p->runs[i - 1].last_ms - p->runs[i - 1].run.sent_ms;
 	qsort(p->ages, n, sizeof(*p->ages), compare_ages);
 	return n;
 }
