crash_estimate: keep the ends that count against refused contents

100,000 ends of other endpoints under other contents took the place of those of a refused one in the table of endpoints, so that its estimate fell and it was lifted (found by refusals_survive_a_flood_of_suspects of test_crash_suspect, played to the estimate on a scratch copy). refusal_survives_a_flood now evaluates after its flood, and did not see that before: it fails without this change and passes with it.

--- a/policy/crash_estimate.c
+++ b/policy/crash_estimate.c
@@ -84,6 +84,7 @@
 	uint64_t shown_ms; /* first sign that it has ended; 0: none */
 	uint64_t end_ms; /* computed by each evaluation */
 	double weight; /* sum of the estimates of contents there */
+	bool kept; /* it counts against a refused content */
 };
 
 /* One run of a content under one end. */
@@ -183,6 +184,7 @@
 			uint64_t now);
 static void refuse(struct crash_estimates *p, struct content_record *c,
 		   uint64_t now);
+static void keep_ends(struct crash_estimates *p, size_t n);
 static int compare_ages(const void *a, const void *b);
 static int compare_shares(const void *a, const void *b);
 
@@ -394,6 +396,24 @@
 	for (i = 0; i < p->n_contents; i++)
 		if (p->contents[i].content)
 			judge(p, &p->contents[i], now);
+	keep_ends(p, n);
+}
+
+/* Keeps the ends that count against refused contents, of n candidates: else the
+ * ends of others would lift a refusal. */
+static void keep_ends(struct crash_estimates *p, size_t n)
+{
+	size_t i;
+	size_t k;
+
+	for (i = 0; i < p->n_endpoints; i++)
+		p->endpoints[i].kept = false;
+	for (i = 0; i < n; i++) {
+		const struct candidate *c = &p->candidates[i];
+
+		for (k = 0; c->content->refused && k < c->n; k++)
+			p->shares[c->first + k].end->kept = true;
+	}
 }
 
 /* Decides whether a run of the content may be sent. */
@@ -546,7 +566,8 @@
 }
 
 /* Returns the record of an endpoint; a new one takes the place of the one that
- * was heard of the longest time ago. */
+ * was heard of the longest time ago, of those that count against no refused
+ * content. */
 static struct endpoint_record *add_endpoint(struct crash_estimates *p,
 					    uint64_t endpoint, uint64_t now)
 {
@@ -560,7 +581,8 @@
 		struct endpoint_record *o =
 			&p->endpoints[home(endpoint, p->n_endpoints, way)];
 
-		if (!o->endpoint || o->alive_ms < e->alive_ms)
+		if (!o->endpoint ||
+		    (o->kept == e->kept ? o->alive_ms < e->alive_ms : e->kept))
 			e = o;
 	}
 	/* a run that is sent says nothing about its endpoint, but later breaks
--- a/regress/unit/test_crash_estimate.c
+++ b/regress/unit/test_crash_estimate.c
@@ -480,7 +480,10 @@
 		begin(random_next(&random) | 1, random_next(&random) | 1, now);
 		broke(random_next(&random) | 1, random_next(&random) | 1, now,
 		      5);
+		ended(random_next(&random) | 1, random_next(&random) | 1, now,
+		      5);
 	}
+	crash_estimate_evaluate(estimates, now + 100);
 	assert_int_equal(crash_estimate_decide(estimates, A, now),
 			 CRASH_ESTIMATE_REFUSE);
 }
