Stand-in: an entry with another address keeps the start of its process

standin_put_instance_entry() wrote entries without a start. Since an instance writes its own entry again when it reads one of another process, the tests that send an instance's datagrams elsewhere in this way no longer did: the entry was put right within milliseconds (instances_without_datagrams of test_request_limit and test_repeat_budget, the soak's fault of datagrams).

--- a/regress/platform_standin.c
+++ b/regress/platform_standin.c
@@ -54,6 +54,8 @@
 static void answer_pending_feeds(struct standin_world *w);
 static void set_row(struct standin_world *w, const char *table,
 		    const char *part, const char *key, const char *value64);
+static char *row_value(const struct standin_world *w, const char *table,
+		       const char *key);
 static bool is_held(const struct standin_world *w, const json_t *tx);
 static bool names_key(const json_t *entries, const char *prefix);
 static bool condition_holds(const struct standin_world *w, const json_t *tx);
@@ -226,10 +228,10 @@
 	return newest; /* as rows are ordered by version */
 }
 
-/* Returns whether a row exists, is not deleted, and its value contains a text of
- * printable characters. */
-bool standin_row_contains(const struct standin_world *w, const char *table,
-			  const char *key, const char *text)
+/* Returns the value of a row, decoded, NULL if there is none; the caller frees
+ * it. */
+static char *row_value(const struct standin_world *w, const char *table,
+		       const char *key)
 {
 	json_t *row;
 	size_t i;
@@ -239,7 +241,6 @@
 		const char *value =
 			json_string_value(json_object_get(row, "value"));
 		char *plain;
-		bool contains;
 
 		if (!value || !is_row(row, table, "", key))
 			continue;
@@ -247,11 +248,21 @@
 		EVP_DecodeBlock((unsigned char *)plain,
 				(const unsigned char *)value,
 				(int)strlen(value));
-		contains = strstr(plain, text) != NULL;
-		free(plain);
-		return contains;
+		return plain;
 	}
-	return false;
+	return NULL;
+}
+
+/* Returns whether a row exists, is not deleted, and its value contains a text of
+ * printable characters. */
+bool standin_row_contains(const struct standin_world *w, const char *table,
+			  const char *key, const char *text)
+{
+	char *value = row_value(w, table, key);
+	bool contains = value && strstr(value, text);
+
+	free(value);
+	return contains;
 }
 
 /* Returns the number of rows of a table, in all parts, whose keys begin with a
@@ -531,17 +542,24 @@
 }
 
 /* Writes an instance's entry; peers is the address that other instances send
- * their datagrams to. */
+ * their datagrams to.  An entry that exists keeps the start of its process, which
+ * would take it for that of another one and write its own again. */
 void standin_put_instance_entry(struct standin_world *w, const char *name,
 				const char *callers, const char *control,
 				const char *peers)
 {
+	char *before = row_value(w, "instances", name);
+	json_t *entry = before ? json_loads(before, 0, NULL) : NULL;
+	json_int_t born = json_integer_value(json_object_get(entry, "born"));
 	char *text = xasprintf("{\"callers\":\"%s\",\"peers\":\"%s\","
-			       "\"control\":\"%s\",\"zone\":\"z1\"}",
-			       callers, peers, control);
+			       "\"control\":\"%s\",\"zone\":\"z1\","
+			       "\"born\":%lld}",
+			       callers, peers, control, (long long)born);
 
 	standin_put(w, "instances", name, text);
 	free(text);
+	json_decref(entry);
+	free(before);
 }
 
 /* Repeats a GET until it is answered with a status; fails after
