Soak: stop and start instances beside late removals

A phase after that of versions: instances are stopped and started in turn while the store does their removals 1 to 6 s late and the plain workers name limits. Checks the rule LIMIT over all arrivals and that all instances are listed at the end. It takes 10 s and the time of the last stops, for each seed; its random numbers are drawn apart, so that the faults of a seed stay the same.

--- a/regress/soak/soak_proxyd.c
+++ b/regress/soak/soak_proxyd.c
@@ -26,6 +26,7 @@
 #include "regress/repeat_rule.h"
 #include "regress/soak/crash_rule.h"
 #include "regress/soak/holdoff_rule.h"
+#include "regress/soak/late_phase.h"
 #include "regress/soak/limit_check.h"
 #include "regress/soak/order_phase.h"
 #include "regress/soak/served_rule.h"
@@ -945,6 +946,15 @@
 		.first_engine = PLAIN_WORKERS,
 		.seed = seed,
 	});
+	late_phase_run(&(struct late_phase){
+		.harness = harness,
+		.world = world,
+		.client = client,
+		.instances = instances,
+		.n_instances = n_instances,
+		.n_plain = PLAIN_WORKERS,
+		.seed = seed,
+	});
 }
 
 /* Runs the phase on the order of events. */
