--- a/regress/integration/test_late_rows.c
+++ b/regress/integration/test_late_rows.c
@@ -13,6 +13,7 @@
 
 #include "regress/platform_standin.h"
 
+#define N(list) (sizeof(list) / sizeof((list)[0]))
 #define REFUSAL "refused/00000000000000a7"
 #define OTHER_REFUSAL "refused/00000000000000a8"
 #define SHORT_S 2 /* a refusal that ends in the test */
@@ -192,6 +193,68 @@
 	assert_int_equal(standin_count_rows(world, "streams", "version/"), 2);
 }
 
+static bool is_stream_in_store(void *arg)
+{
+	return standin_count_rows(world, "streams", "began/") >=
+	       *(const size_t *)arg;
+}
+
+/* Has a stream begin, and waits until the store knows so many rows of streams. */
+static void begin_stream(size_t rows)
+{
+	static unsigned int number;
+	char id[24];
+	const struct httpc_header headers[] = {
+		{ "credential", "k1" },
+		{ "request-id", id },
+		{ "deadline-ms", "1000" },
+		{ "token-usage", "300,100" },
+	};
+	const struct httpc_request r = {
+		.method = "POST",
+		.address = instances[0].callers,
+		.path = "/write/a",
+		.headers = headers,
+		.n_headers = N(headers),
+		.body = "x",
+		.body_len = 1,
+	};
+	struct answer a;
+
+	snprintf(id, sizeof(id), "s-%u", ++number);
+	harness_request(harness, &r, &a);
+	assert_int_equal(a.status, 200);
+	answer_release(&a);
+	harness_until(harness, is_stream_in_store, &rows,
+		      "the stream is recorded");
+}
+
+/* A process removes its row of streams that are over; that is done when the next
+ * process of the instance has written its own. */
+static void streams_of_the_next_process(void **state)
+{
+	static const char *const versions[] = { "v1", "v1", "v2", "v2" };
+	json_int_t first;
+	size_t i;
+
+	(void)state;
+	standin_put(world, "op", "config", SHORT_STREAMS);
+	for (i = 0; i < N(versions); i++)
+		standin_add_worker_of(world, "engine", "z1", versions[i]);
+	start(1);
+	world->held_removals = "began/";
+	begin_stream(1);
+	first = standin_newest_row(world, "streams", "began/");
+	harness_until(harness, one_is_held, NULL, "the removal is sent");
+	proc_kill(instances[0].proc);
+	standin_start_instance(world, &instances[0]);
+	standin_wait_status(world, instances[0].readiness, "/readyz", 200);
+	begin_stream(2);
+	standin_do_held(world);
+	assert_int_equal(standin_count_rows(world, "streams", "began/"), 1);
+	assert_true(standin_newest_row(world, "streams", "began/") > first);
+}
+
 /* A version that serves no more is forgotten by the store too. */
 static void version_that_is_over(void **state)
 {
@@ -218,6 +281,7 @@
 		CASE(refusal_that_others_forward),
 		CASE(version_that_serves_again),
 		CASE(version_that_is_over),
+		CASE(streams_of_the_next_process),
 	};
 
 	if (argc > 1) /* one case */
