Count a run that was held as one that was not read

Cause: a run that is held while another endpoint is tried is not read, and goes on if that refuses. Its connection may have ended meanwhile, but its end was dated to when it was read. If its endpoint had started again and asked for a pause, so that it could only be connected to, a connection that had been opened to the new process counted as open at the end, and a part of the answer was passed on as the whole.

Change: handover_restore() notes that the run was not read, as is done for slow callers, so that only connections older than the run count.

If the machine is so slow that the run is ended first, the case shows nothing, and passes.

--- a/proxyd/handover.c
+++ b/proxyd/handover.c
@@ -49,6 +49,7 @@
 	x->staged = false;
 	x->lost_ms = 0;
 	x->move_tried_ms = now;
+	x->was_paused = true;
 	attempt_reassign(x);
 	http1_call_pause(x->call, false);
 	event_log(EVENT_NOTABLE, "move-undone", x->fields.id,
--- a/regress/raw_endpoint.c
+++ b/regress/raw_endpoint.c
@@ -44,6 +44,9 @@
 	"\"plain\",\"maxAttempts\":1}"
 #define CONNECT_MS 1000
 #define CLOSE_MS 50 /* for handles to be closed */
+/* Some ticks of the instance, and less than it holds a run. */
+#define TICKS_MS 80
+#define PAUSE "retry-after: 8\r\n"
 #define EARLIER "w-" /* ids of requests that leave kept connections */
 #define EARLIER_MAX 200 /* enough that each endpoint gets one */
 
@@ -84,6 +87,8 @@
 static const struct raw_way *current_way;
 static size_t n_attempts;
 static bool first_kept; /* the first attempt came on a kept connection */
+static size_t first_endpoint; /* that got the first attempt */
+static struct raw_conn *second; /* of restarted_while_held: waits, or NULL */
 
 static void on_alloc(uv_handle_t *h, size_t suggested, uv_buf_t *buf)
 {
@@ -240,20 +245,23 @@
 	return &current->answers[i];
 }
 
-/* Answers a request that came before that of the case, whose connection is
- * kept.  Returns false if the request is no such one. */
+/* Answers a request that came before that of the case, or refuses it while that is
+ * held; its connection is kept.  Returns false if the request is no such one. */
 static bool answer_earlier(struct raw_conn *c)
 {
 	const char *id = memmem(c->input, c->len, ": " EARLIER, 4);
+	bool held = current_way->restarted_while_held;
 	unsigned int number;
 	char *bytes;
 
 	if (!id || sscanf(id, ": " EARLIER "%u", &number) != 1)
 		return false;
-	bytes = xasprintf("HTTP/1.1 200 OK\r\nrequest-id: " EARLIER "%u\r\n"
-			  "response-signature: m.1\r\n"
+	bytes = xasprintf("HTTP/1.1 %s\r\nrequest-id: " EARLIER "%u\r\n"
+			  "response-signature: m.1\r\n%s%s"
 			  "content-length: 0\r\n\r\n",
-			  number);
+			  held ? "503 S" : "200 OK", number,
+			  held ? "not-executed: 1\r\n" : "",
+			  held && c->endpoint == first_endpoint ? PAUSE : "");
 	c->kept = true;
 	answer(c, &(const struct raw_answer){ bytes, RAW_KEEP });
 	free(bytes);
@@ -293,9 +301,14 @@
 		   end + 4 < c->input + c->len) {
 		if (!answer_earlier(c)) {
 			first_kept = n_attempts ? first_kept : c->kept;
+			first_endpoint = n_attempts ? first_endpoint
+						    : c->endpoint;
 			if (current_way->report == RAW_REPORT_LATE &&
 			    !n_attempts)
 				e->awaits_answer = c;
+			else if (current_way->restarted_while_held &&
+				 n_attempts == 1)
+				second = c;
 			else
 				answer(c, next_answer());
 		}
@@ -365,6 +378,7 @@
 	world->extra_settings = REPEATS;
 	n_attempts = 0;
 	first_kept = false;
+	second = NULL;
 	for (i = 0; i < RAW_ENDPOINTS; i++)
 		add_endpoint(i);
 	standin_put_configuration(world, 2, ROUTE_ONCE "," ROUTES_FEW);
@@ -419,9 +433,8 @@
 	return ((struct raw_reply *)arg)->over;
 }
 
-/* Sends the request of the case, with an id, and waits for the end of its
- * answer. */
-static void call(const char *id, struct raw_reply *reply)
+/* Sends the request of the case, with an id. */
+static void start_call(const char *id, struct raw_reply *reply)
 {
 	static const struct http1_call_ops ops = {
 		.on_head = on_reply_head,
@@ -445,10 +458,65 @@
 
 	http1_call_start(client, &options, request, strlen(request), &ops,
 			 reply);
+}
+
+/* Waits for the end of the answer to a request. */
+static void await_reply(struct raw_reply *reply)
+{
 	harness_until(harness, is_over, reply, "the answer ends");
 	bytes_add(&reply->body, "", 1);
 }
 
+/* Sends the request of the case, with an id, and waits for the end of its
+ * answer. */
+static void call(const char *id, struct raw_reply *reply)
+{
+	start_call(id, reply);
+	await_reply(reply);
+}
+
+/* Returns whether an endpoint has a connection that has carried a request that
+ * came before that of the case. */
+static bool has_kept(size_t endpoint)
+{
+	const struct raw_conn *c;
+
+	for (c = conns; c; c = c->next)
+		if (c->kept && c->endpoint == endpoint &&
+		    !uv_is_closing((const uv_handle_t *)&c->tcp))
+			return true;
+	return false;
+}
+
+static bool has_second(void *arg)
+{
+	(void)arg;
+	return second != NULL;
+}
+
+/* Has the endpoint of the first attempt start again while its connection is not
+ * read, as the second attempt waits at another one; leaves a connection to it that
+ * is kept; and answers the second attempt. */
+static void restart_while_held(void)
+{
+	size_t i;
+
+	harness_until(harness, has_second, NULL, "the second attempt arrives");
+	kill_endpoint(first_endpoint);
+	restart_endpoint(first_endpoint);
+	for (i = 0; i < EARLIER_MAX && !has_kept(first_endpoint); i++) {
+		char *id = xasprintf(EARLIER "%zu", i);
+		struct raw_reply reply = { 0 };
+
+		call(id, &reply);
+		bytes_release(&reply.body);
+		free(id);
+	}
+	assert_true(has_kept(first_endpoint));
+	harness_run(harness, TICKS_MS);
+	answer(second, next_answer());
+}
+
 /* Returns whether each endpoint has a connection that has carried a request. */
 static bool all_have_kept(void)
 {
@@ -507,7 +575,10 @@
 		kill_endpoint(i);
 		restart_endpoint(i);
 	}
-	call("r-1", &reply);
+	start_call("r-1", &reply);
+	if (way->restarted_while_held)
+		restart_while_held();
+	await_reply(&reply);
 	print_message("%s: %s, %d, \"%s\", %zu attempts\n", current->what,
 		      http1_outcome_name(reply.outcome), reply.status,
 		      reply.body.data, n_attempts);
--- a/regress/raw_endpoint.h
+++ b/regress/raw_endpoint.h
@@ -68,6 +68,9 @@
 	/* all are started again before the request, and their entries name
 	 * their earlier starts */
 	bool restarted_before;
+	/* the endpoint of the first attempt is started again, and asks for a
+	 * pause, while the second attempt waits for its answer elsewhere */
+	bool restarted_while_held;
 };
 
 /* A case and how its request is sent, by POST. */
