Write no version of a stream while its engine is asked for its start

An instance that has no connection open to an engine asks for its start beside the attempt. The stream was noted with the listed version meanwhile, and the note written to the store, while keepers are told only after the answer. What stands for the engine was noted with the first event, and written as a second record that contradicts the first, also if the answer then named the listed version.

The note names what stands for the engine from the start, and is marked: it is not written before the answer names the version.

--- a/policy/stream_origin.c
+++ b/policy/stream_origin.c
@@ -91,6 +91,17 @@
 	slot->begun = true;
 }
 
+/* Marks the note of a stream whose version is not known but will be soon, with the
+ * name that stands for it: it is not written to the store under that name, as a
+ * second record, of the version, would contradict it. */
+void stream_origin_await_name(struct stream_origin_table *t, uint64_t stream)
+{
+	struct stream_origin *slot = slot_for(t, stream);
+
+	if (slot->stream == stream)
+		slot->awaits_name = true;
+}
+
 /* Applies the note of another instance on a stream that has begun.  It counts
  * more than one that was made before; two that differ prove nothing. */
 void stream_origin_keep(struct stream_origin_table *t, uint64_t stream,
@@ -159,8 +170,8 @@
 	while (*position < (size_t)t->n_sets * WAYS) {
 		struct stream_origin *slot = &t->slot[(*position)++];
 
-		if (slot->stream && slot->own && slot->stored == STORED_NOT &&
-		    slot->noted_ms >= since)
+		if (slot->stream && slot->own && !slot->awaits_name &&
+		    slot->stored == STORED_NOT && slot->noted_ms >= since)
 			return slot;
 	}
 	return NULL;
@@ -179,6 +190,7 @@
 		if (!slot->stream || slot->software != from)
 			continue;
 		slot->software = to;
+		slot->awaits_name = false;
 		slot->stored = STORED_NOT;
 	}
 }
--- a/policy/stream_origin.h
+++ b/policy/stream_origin.h
@@ -24,6 +24,8 @@
 	uint64_t noted_ms;
 	bool own; /* sent by this instance */
 	bool begun; /* had an event, so that its version is final */
+	/* software is to be replaced by the version once that is known */
+	bool awaits_name;
 	enum stored stored;
 };
 
@@ -85,6 +87,7 @@
 			uint64_t software, uint64_t now);
 void stream_origin_begin(struct stream_origin_table *t, uint64_t stream,
 			 uint64_t software, uint64_t now);
+void stream_origin_await_name(struct stream_origin_table *t, uint64_t stream);
 void stream_origin_keep(struct stream_origin_table *t, uint64_t stream,
 			uint64_t software, uint64_t now);
 void stream_origin_read(struct stream_origin_table *t, uint64_t stream,
--- a/proxyd/origins.c
+++ b/proxyd/origins.c
@@ -104,6 +104,7 @@
 static struct software_recent recent_of_route(const struct origins *t,
 					      const struct route *route,
 					      uint64_t now);
+static bool awaits_start(const struct endpoint *e);
 static uint64_t stream_of(const struct exchange *x);
 static uint64_t stream_hash(const char *id);
 static void log_take_up(const struct origins *t, const struct exchange *x,
@@ -239,18 +240,28 @@
 }
 
 /* Notes the version of the endpoint that a stream without events is sent to;
- * that of an endpoint whose version is not known counts from here on. */
+ * that of an endpoint whose version is not known counts from here on.  While the
+ * endpoint is being asked for its start, the listed version may be outdated, and
+ * the stream is noted with what stands for it. */
 void origins_note_sent(struct origins *t, const struct exchange *x)
 {
+	const struct endpoint *e =
+		endpoint_get(t->proxyd->endpoints, x->endpoint);
+	bool awaited = awaits_start(e);
 	uint64_t now = proxyd_now(t->proxyd);
+	uint64_t stream;
 
 	if (x->route->kind != KIND_STREAM || !x->route->resumable ||
 	    !x->fields.id[0] || x->software != SOFTWARE_UNKNOWN)
 		return;
 	if (x->fields.deadline_ms > t->longest_deadline_ms)
 		t->longest_deadline_ms = x->fields.deadline_ms;
-	stream_origin_note(&t->streams, stream_hash(x->fields.id),
-			   x->sent_software, now);
+	stream = stream_hash(x->fields.id);
+	stream_origin_note(&t->streams, stream,
+			   awaited ? e->unlisted_software : x->sent_software,
+			   now);
+	if (awaited)
+		stream_origin_await_name(&t->streams, stream);
 	software_note(&t->history,
 		      endpoints_service_hash(t->proxyd->endpoints, x->service),
 		      x->sent_software, now);
@@ -277,6 +288,15 @@
 			    proxyd_now(t->proxyd));
 	if (x->origin_told)
 		peers_announce_origin(t->proxyd->peers, stream, software);
+	else if (awaits_start(e))
+		stream_origin_await_name(&t->streams, stream);
+}
+
+/* Returns whether an endpoint is being asked whether it still runs since the
+ * start that its entry names. */
+static bool awaits_start(const struct endpoint *e)
+{
+	return e && e->software && e->start_wanted && !e->software_doubted;
 }
 
 /* Tells an instance that has started, or was silent, of the streams that go on
--- a/regress/integration/test_software_versions.c
+++ b/regress/integration/test_software_versions.c
@@ -522,6 +522,50 @@
 	expect_all_complete();
 }
 
+/* Guards against a stream that goes on at the version in an outdated entry: its
+ * engine had started again with another one, and its instance is lost before the
+ * engine has stated that. */
+static void instance_lost_before_start_stated(void **state)
+{
+	struct standin_worker *again = &world->workers[0];
+	size_t refused = 0;
+	size_t ran;
+	size_t i;
+
+	(void)state;
+	start("engine", two_versions);
+	standin_restart_worker(again, "v2");
+	again->holds_reports = true;
+	world->event_ms = 10 * EVENT_MS;
+	for (i = 0; i < CALLERS; i++)
+		open_stream(&callers[i], &one, NULL);
+	/* what was noted before the first events is written, and no more */
+	harness_run(harness, 7 * EVENT_MS);
+	world->store_refuses_writes = true;
+	for (i = 0; i < CALLERS; i++)
+		stream_wait_events(callers[i].stream, 1);
+	proc_kill(one.proc);
+	close_all();
+	ran = runs_since(again, 0);
+	assert_true(ran > 0);
+	again->holds_reports = false;
+	world->store_refuses_writes = false;
+	world->event_ms = EVENT_MS;
+	for (i = 0; i < CALLERS; i++)
+		open_stream(&callers[i], &two, callers[i].first_id);
+	for (i = 0; i < CALLERS; i++) {
+		int status;
+
+		stream_wait_end(callers[i].stream);
+		status = stream_status(callers[i].stream);
+		close_stream(&callers[i]);
+		refused += status == 503;
+		if (status != 503)
+			assert_int_equal(callers[i].received, STANDIN_EVENTS);
+	}
+	assert_in_range(refused, 0, ran);
+}
+
 /* Without the store a stream goes on at the instance that sent it, and at another
  * one, which it was told to. */
 static void store_away(void **state)
@@ -766,6 +810,7 @@
 		CASE(release_taken_back),
 		CASE(entry_lags_behind),
 		CASE(entry_after_stated_start),
+		CASE(instance_lost_before_start_stated),
 		CASE(store_away),
 		CASE(take_up_cut_off_from_store),
 		CASE(take_up_after_freeze),
--- a/regress/platform_standin.c
+++ b/regress/platform_standin.c
@@ -836,12 +836,14 @@
 	free(id);
 }
 
-/* Answers with an engine's report. */
+/* Answers with an engine's report, unless the engine holds it back. */
 static void reply_report(const struct standin_worker *worker,
 			 struct http1_conn *c, const char *headers)
 {
 	char text[96];
 
+	if (worker->holds_reports)
+		return;
 	snprintf(text, sizeof(text),
 		 "{\"models\":[{\"name\":\"m\"}],\"born\":%u}",
 		 worker->born_ms);
--- a/regress/platform_standin.h
+++ b/regress/platform_standin.h
@@ -48,6 +48,7 @@
 	/* its streams have neither a length nor chunks: they end with their
 	 * connection */
 	bool streams_unframed;
+	bool holds_reports; /* it leaves requests for its report unanswered */
 	unsigned int born_ms; /* start time in its entry */
 	unsigned int slots; /* in its entry; 0: 16 */
 	/* it is silent for so long before it answers a request, which a plain
--- a/regress/unit/test_stream_origin.c
+++ b/regress/unit/test_stream_origin.c
@@ -143,6 +143,43 @@
 	stream_origin_release(&t);
 }
 
+/* A note whose version will be known soon is written once it is. */
+static void awaited_names(void **state)
+{
+	struct stream_origin_table t;
+	size_t position = 0;
+	struct stream_origin *o;
+
+	(void)state;
+	stream_origin_init(&t, 64);
+	stream_origin_await_name(&t, 1); /* not noted */
+	assert_null(stream_origin_find(&t, 1));
+	stream_origin_note(&t, 1, V3, 100);
+	stream_origin_await_name(&t, 1);
+	stream_origin_note(&t, 2, V3, 100);
+	stream_origin_await_name(&t, 2);
+	stream_origin_begin(&t, 2, V3, 110);
+	stream_origin_await_name(&t, 2);
+	assert_null(stream_origin_next_unstored(&t, 0, &position));
+	stream_origin_lost(&t);
+	assert_null(stream_origin_next_unstored(&t, 0, &position));
+	stream_origin_rename(&t, V3, V1);
+	position = 0;
+	assert_non_null(stream_origin_next_unstored(&t, 0, &position));
+	assert_non_null(stream_origin_next_unstored(&t, 0, &position));
+	assert_true(stream_origin_find(&t, 2)->begun);
+	assert_int_equal(stream_origin_find(&t, 2)->software, V1);
+	/* sent on to an endpoint whose version is known */
+	stream_origin_note(&t, 3, V3, 200);
+	stream_origin_await_name(&t, 3);
+	stream_origin_note(&t, 3, V2, 210);
+	position = 0;
+	o = stream_origin_next_unstored(&t, 210, &position);
+	assert_int_equal(o->stream, 3);
+	assert_int_equal(o->software, V2);
+	stream_origin_release(&t);
+}
+
 static void versions_within_the_life_of_a_stream(void **state)
 {
 	struct software_history h = { .n = 0 };
@@ -297,6 +334,7 @@
 		cmocka_unit_test(notes_are_bounded),
 		cmocka_unit_test(reading_keeps_unwritten_notes),
 		cmocka_unit_test(named_versions),
+		cmocka_unit_test(awaited_names),
 		cmocka_unit_test(versions_within_the_life_of_a_stream),
 		cmocka_unit_test(forgotten_versions_prove_nothing),
 		cmocka_unit_test(take_ups),
