--- a/regress/crash_replay.c
+++ b/regress/crash_replay.c
@@ -221,12 +221,12 @@
 
 	r->s = s;
 	r->rule = rule;
-	r->n_observers = observers;
+	r->n_observers = observers ? observers : 1;
 	r->seed = seed;
 	r->faults.seed = seed ^ 0xfa0175;
 	r->n_events = 1;
 	r->events = xcalloc(1, sizeof(*r->events));
-	for (i = 0; i < observers; i++) {
+	for (i = 0; i < r->n_observers; i++) {
 		struct observer *o = &r->observer[i];
 
 		if (rule->estimate)
@@ -234,7 +234,7 @@
 		else
 			o->suspects =
 				crash_suspect_new(&crash_suspect_defaults);
-		for (k = 0; k < observers; k++)
+		for (k = 0; k < r->n_observers; k++)
 			o->delay_ms[k] =
 				draw(&delays, TOLD_MIN_MS, TOLD_MAX_MS);
 	}
@@ -252,7 +252,7 @@
 		if (r->now % TICK_MS == 0)
 			tick(r);
 	}
-	for (i = 0; i < observers; i++)
+	for (i = 0; i < r->n_observers; i++)
 		for (k = STREAM; k <= LOOKUP; k++) {
 			struct observer *o = &r->observer[i];
 			uint64_t ms = o->refused_ms[k] + refused_ms(r, i, k);
@@ -265,11 +265,11 @@
 	for (k = STREAM; k <= LOOKUP; k++) {
 		bool any = false;
 
-		for (i = 0; i < observers; i++)
+		for (i = 0; i < r->n_observers; i++)
 			any |= r->observer[i].ever_refused[k];
 		r->result.innocents_refused += any;
 	}
-	for (i = 0; i < observers; i++) {
+	for (i = 0; i < r->n_observers; i++) {
 		r->result.crashing_refused |=
 			r->observer[i].ever_refused[CRASHING];
 		crash_suspect_free(r->observer[i].suspects);
