Find dead calls for every table that is waited for

Instances compared their newest rows for endpoints alone, and a change that none of them has read shows in no comparison.

Datagrams name the newest row of each table now (newest_rows; field 15 is gone), and a call that lacks it is ended as one for endpoints was. The first of up to 16 instances, which calls for endpoints once a second, looks for changes that none has read: the store numbers all changes, each answer names the newest, and policy/store_gap.c tells whether rows of all are known. If not, it reads the other tables without a wait (store-checked), and its datagrams tell the others. Versions of own writes to the table of streams, which is not followed, go with the datagrams, as they would be taken for missed changes.

--- a/policy/store_poll.c
+++ b/policy/store_poll.c
@@ -28,9 +28,10 @@
 /* Duration of a long poll; the store holds a call for 30 s at most. */
 #define WAIT_MS 25000
 
-/* The first instance of a small fleet asks more often, so that the loss of all
- * instances' calls is noticed: with the time limit of a call, before a store
- * that was silent counts as stable again. */
+/* The first instance of a small fleet asks for one table more often, so that the
+ * loss of all instances' calls is noticed: with the time limit of a call, before
+ * a store that was silent counts as stable again.  The answers also show when
+ * the calls for other tables alone are dead; see store_gap.c. */
 #define WAIT_FIRST_MS 1000
 
 /* A call that waits is dead if others have newer rows for so long: the time of
@@ -74,6 +75,13 @@
 	       others->preceding + others->unable < READERS_MAX;
 }
 
+/* Tells whether an instance is the first of those that poll each for itself.  It
+ * finds out for all of them whether a change was missed by every one. */
+bool store_poll_first(const struct store_poll_others *others)
+{
+	return store_poll_all_read(others->instances) && !others->preceding;
+}
+
 /* Returns how long a call waits for changes, ms.  A reader uses a short time, as
  * it must know that the store still answers it.  So does, for the table whose
  * changes are urgent, the first of the instances that poll each for itself: the
@@ -82,8 +90,7 @@
 {
 	if (store_poll_designated(others))
 		return WAIT_FOR_OTHERS_MS;
-	if (urgent && store_poll_all_read(others->instances) &&
-	    !others->preceding)
+	if (urgent && store_poll_first(others))
 		return WAIT_FIRST_MS;
 	return WAIT_MS;
 }
--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1132,7 +1132,7 @@
   assert(message->base.descriptor == &peer_instance__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor peer_pulse__field_descriptors[14] =
+static const ProtobufCFieldDescriptor peer_pulse__field_descriptors[15] =
 {
   {
     "instance",
@@ -1291,15 +1291,27 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "newest_endpoint",
-    15,
-    PROTOBUF_C_LABEL_NONE,
+    "newest_rows",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(PeerPulse, newest_endpoint),
+    offsetof(PeerPulse, n_newest_rows),
+    offsetof(PeerPulse, newest_rows),
     NULL,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "writes",
+    17,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT64,
+    offsetof(PeerPulse, n_writes),
+    offsetof(PeerPulse, writes),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
@@ -1313,17 +1325,19 @@
   11,   /* field[11] = leaving_endpoints */
   4,   /* field[4] = loads */
   5,   /* field[5] = lost */
-  13,   /* field[13] = newest_endpoint */
+  13,   /* field[13] = newest_rows */
   10,   /* field[10] = prompts */
   7,   /* field[7] = reading */
   12,   /* field[12] = store_era */
   3,   /* field[3] = version */
+  14,   /* field[14] = writes */
 };
-static const ProtobufCIntRange peer_pulse__number_ranges[2 + 1] =
+static const ProtobufCIntRange peer_pulse__number_ranges[3 + 1] =
 {
   { 1, 0 },
   { 8, 6 },
-  { 0, 14 }
+  { 16, 13 },
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor peer_pulse__descriptor =
 {
@@ -1333,10 +1347,10 @@
   "PeerPulse",
   "",
   sizeof(PeerPulse),
-  14,
+  15,
   peer_pulse__field_descriptors,
   peer_pulse__field_indices_by_name,
-  2,  peer_pulse__number_ranges,
+  3,  peer_pulse__number_ranges,
   (ProtobufCMessageInit) peer_pulse__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -106,14 +106,21 @@
    */
   uint64_t store_era;
   /*
-   * of the newest row of the endpoint table that the sender has read itself;
-   * 0: none
+   * of the newest row of each table, in the order of PeerRows.table, that the
+   * sender has read itself; 0: none
    */
-  uint64_t newest_endpoint;
+  size_t n_newest_rows;
+  uint64_t *newest_rows;
+  /*
+   * versions of changes that the sender has just made in tables that are not
+   * followed
+   */
+  size_t n_writes;
+  uint64_t *writes;
 };
 #define PEER_PULSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer_pulse__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL }
 
 
 /*
--- a/proxyd/origins.c
+++ b/proxyd/origins.c
@@ -729,6 +729,10 @@
 			t->history.version[i].stored = success ? STORED
 							       : STORED_NOT;
 	if (success) {
+		watches_change_known(t->proxyd->watches,
+				     t->proxyd->store->written);
+		peers_announce_write(t->proxyd->peers,
+				     t->proxyd->store->written);
 		t->n_segments -= t->n_removing;
 		memmove(t->segments, t->segments + t->n_removing,
 			t->n_segments * sizeof(*t->segments));
--- a/proxyd/peers.c
+++ b/proxyd/peers.c
@@ -421,8 +421,13 @@
 		store_reader_seen(&peer->reader, peer->heartbeat.last_seen_ms);
 	if (watches_era_seen(t->proxyd->watches, pulse->store_era,
 			     peer->name)) {
-		watches_row_seen(t->proxyd->watches, STORE_ENDPOINTS,
-				 pulse->newest_endpoint, peer->name);
+		for (i = 0; i < pulse->n_newest_rows && i < STORE_TABLES; i++)
+			watches_row_seen(t->proxyd->watches,
+					 (enum store_table)i,
+					 pulse->newest_rows[i], peer->name);
+		for (i = 0; i < pulse->n_writes; i++)
+			watches_change_known(t->proxyd->watches,
+					     pulse->writes[i]);
 		if (pulse->reading)
 			watches_version_seen(t->proxyd->watches,
 					     STORE_ENDPOINTS,
--- a/proxyd/peers.h
+++ b/proxyd/peers.h
@@ -51,6 +51,7 @@
 void peers_send_origin(struct peers *t, const struct peer *to, uint64_t stream,
 		       uint64_t software);
 void peers_ask_origin(struct peers *t, uint64_t stream);
+void peers_announce_write(struct peers *t, uint64_t version);
 void peers_announce_soon(struct peers *t);
 void peers_announce_now(struct peers *t);
 void peers_announce_rows(struct peers *t, enum store_table table,
--- a/proxyd/peers_announce.c
+++ b/proxyd/peers_announce.c
@@ -20,6 +20,7 @@
 #define ROW_OVERHEAD_BYTES 24 /* at most, per row besides key and value */
 #define ANNOUNCE_MS 2000 /* time that pulses repeat an announcement */
 #define PROMPT_SENDS 2 /* datagrams may be lost */
+#define WRITE_SENDS 2
 
 /* Losses and new runs are announced after PULSE_DELAY_MS, together.  With more
  * than PULSE_PEERS_MAX other instances, only changes of the work are announced,
@@ -37,6 +38,7 @@
 static void fill_load(PeerLoad *load, struct endpoint *e);
 static size_t gather_found(struct peers *t, PeerFound *found);
 static size_t gather_prompts(struct peers *t, PeerPrompt *prompts);
+static size_t gather_writes(struct peers *t, uint64_t *versions);
 static void send_rows(struct peers *t, const PeerRows *rows);
 static size_t pack(const PeerDatagram *d, uint8_t *out);
 static void send_packed(struct peers *t, const struct peer *to, uint8_t *out,
@@ -100,6 +102,22 @@
 		t->work_due_ms = by_ms;
 }
 
+/* Announces a change of the store that this instance made in a table that is not
+ * followed, 0 if its version is unknown, so that the others don't search for its rows.  Only instances that
+ * poll each for itself do that. */
+void peers_announce_write(struct peers *t, uint64_t version)
+{
+	if (!version || !store_poll_all_read(t->n + 1))
+		return;
+	t->writes[t->write_next] = (struct announced_write){
+		.version = version,
+		.era = watches_era(t->proxyd->watches),
+		.sends_left = WRITE_SENDS,
+	};
+	t->write_next = (t->write_next + 1) % WRITES_QUEUED;
+	peers_announce_soon(t);
+}
+
 /* Schedules a pulse within PULSE_DELAY_MS, e.g. for a new configuration. */
 void peers_announce_soon(struct peers *t)
 {
@@ -210,6 +228,8 @@
 	PeerLeaving leaving[ANNOUNCED_MAX];
 	PeerLeaving *leaving_list[ANNOUNCED_MAX];
 	char *lost[ANNOUNCED_MAX];
+	uint64_t newest[STORE_TABLES];
+	uint64_t writes[WRITES_MAX];
 	size_t i;
 
 	t->last_pulse_ms = proxyd_now(p);
@@ -250,7 +270,12 @@
 	pulse.store_era = watches_era(p->watches);
 	pulse.endpoints_version =
 		watches_row_version(p->watches, STORE_ENDPOINTS);
-	pulse.newest_endpoint = watches_newest_row(p->watches, STORE_ENDPOINTS);
+	for (i = 0; i < STORE_TABLES; i++)
+		newest[i] = watches_newest_row(p->watches, (enum store_table)i);
+	pulse.n_newest_rows = STORE_TABLES;
+	pulse.newest_rows = newest;
+	pulse.n_writes = gather_writes(t, writes);
+	pulse.writes = writes;
 	d.pulse = &pulse;
 	if (peer_datagram__get_packed_size(&d) > DATAGRAM_MAX_BYTES)
 		pulse.n_loads /= 4;
@@ -402,6 +427,25 @@
 	return choice.n;
 }
 
+/* Fills in the versions of own writes that are still to be sent, of this era of
+ * the store; returns the number. */
+static size_t gather_writes(struct peers *t, uint64_t *versions)
+{
+	uint64_t era = watches_era(t->proxyd->watches);
+	size_t n = 0;
+	size_t i;
+
+	for (i = 0; i < WRITES_QUEUED && n < WRITES_MAX; i++) {
+		struct announced_write *w = &t->writes[i];
+
+		if (!w->sends_left || w->era != era)
+			continue;
+		w->sends_left--;
+		versions[n++] = w->version;
+	}
+	return n;
+}
+
 /* Sends a datagram to every other instance.  It may be lost: its content is
  * repeated later, or the gap is detected by a version number. */
 void peers_send_all(struct peers *t, const PeerDatagram *d)
--- a/proxyd/peers_table.h
+++ b/proxyd/peers_table.h
@@ -18,6 +18,8 @@
 #define ANNOUNCED_MAX 8 /* endpoints lost, found or leaving, per datagram */
 #define PROMPTS_MAX 16 /* prompt locations per datagram */
 #define PROMPTS_QUEUED 64 /* prompt locations queued for sending */
+#define WRITES_MAX 8 /* versions of own writes per datagram */
+#define WRITES_QUEUED 32 /* of these, queued for sending */
 #define SUSPECTS_QUEUED 128 /* updates on suspected requests queued */
 #define SUSPECT_SENDS 3 /* of a list or update; datagrams may be lost */
 #define SUSPECT_RESEND_MS 250 /* between these */
@@ -72,6 +74,14 @@
 	unsigned int sends_left;
 };
 
+/* A change that this instance made in a table that is not followed, as sent to
+ * the others. */
+struct announced_write {
+	uint64_t version;
+	uint64_t era; /* of the store */
+	unsigned int sends_left;
+};
+
 /* The other instances that keep the records of a hash. */
 struct record_keepers {
 	bool all; /* every one; else the live ones of this weight or more */
@@ -119,6 +129,8 @@
 	struct announced_endpoints leaving;
 	struct announced_prompt prompts[PROMPTS_QUEUED];
 	size_t prompt_next; /* the oldest */
+	struct announced_write writes[WRITES_QUEUED];
+	size_t write_next; /* the oldest */
 	struct announced_suspect suspects[SUSPECTS_QUEUED];
 	size_t suspect_next; /* the oldest */
 	struct announced_parts parts[PARTS_QUEUED];
--- a/proxyd/store.h
+++ b/proxyd/store.h
@@ -160,6 +160,9 @@
 struct store {
 	const struct store_ops *ops;
 	uint64_t era; /* newest one known; 0: none */
+	/* version of the transaction that was acknowledged last, set before its
+	 * done is called; 0: unknown */
+	uint64_t written;
 };
 
 /* Returns whether a key of STORE_STREAMS is that of a software version. */
--- a/proxyd/watch.c
+++ b/proxyd/watch.c
@@ -15,6 +15,7 @@
 #include "lib/event_log.h"
 #include "lib/xalloc.h"
 #include "policy/store_era.h"
+#include "policy/store_gap.h"
 #include "policy/store_poll.h"
 #include "proxyd/endpoints.h"
 #include "proxyd/origins.h"
@@ -45,6 +46,8 @@
 	uint64_t heard_version; /* of the newest row that others know */
 	uint64_t heard_ms; /* since when they know rows that it lacks */
 	char heard_from[64]; /* the instance that named heard_version */
+	uint64_t checked_ms; /* when the call that check_table() ended began; 0:
+				none, or the answer since was handled */
 	uint64_t called_ms; /* when the last call began */
 	bool waits; /* the call in progress waits for changes */
 	bool loaded; /* version is known, changes are followed */
@@ -63,7 +66,9 @@
 	bool write_busy;
 	bool stopping;
 	uint64_t next_write_ms;
+	struct store_gap gap; /* changes of which no row was read */
 	struct counter *calls[STORE_TABLES];
+	struct counter *checked[STORE_TABLES];
 	struct counter *stale[STORE_TABLES];
 	struct counter *writes;
 };
@@ -76,6 +81,13 @@
 static void note_caught_up(struct watch *w);
 static bool is_missing_rows(const struct watch *w);
 static void end_if_dead(struct watch *w, uint64_t now);
+static void note_stale(struct watch *w, uint64_t now, uint64_t waited_ms);
+static void check_tables(struct watches *w, uint64_t now);
+static void check_table(struct watch *w, uint64_t now);
+static void note_checked(struct watch *w, size_t n, uint64_t now);
+static void account_for(struct watch *w, const struct store_row *rows, size_t n,
+			uint64_t now);
+static uint64_t tables_version(const struct watches *w);
 static void end_waiting(struct watches *w, const struct watch *except);
 static void call_if_due(struct watch *w, uint64_t now);
 static void call_store(struct watch *w);
@@ -109,6 +121,10 @@
 			"cdm_store_stale_total",
 			"Calls that waited while others had newer rows",
 			COUNTER_TOTAL, "table", store_table_name(i));
+		w->checked[i] = counter_labelled(
+			"cdm_store_checked_total",
+			"Calls ended as the store named an unknown change",
+			COUNTER_TOTAL, "table", store_table_name(i));
 	}
 	w->writes = counter_labelled("cdm_store_calls_total",
 				     "Calls to the store", COUNTER_TOTAL,
@@ -124,6 +140,7 @@
 
 	for (i = 0; i < STORE_TABLES; i++)
 		end_if_dead(&w->watch[i], now);
+	check_tables(w, now);
 	for (i = 0; i < STORE_TABLES; i++)
 		if (!w->watch[i].busy && now >= w->watch[i].next_call_ms &&
 		    !waits_for_configuration(w, i))
@@ -302,9 +319,11 @@
 		t->announced_version = 0;
 		t->newest_row = 0;
 		t->heard_version = 0;
+		t->checked_ms = 0;
 		t->poll.recovered_ms = now;
 		t->next_call_ms = now + delay_ms;
 	}
+	memset(&w->gap, 0, sizeof(w->gap));
 	w->entry_written = false;
 	w->next_write_ms = now + delay_ms;
 	origins_era_began(w->proxyd->origins);
@@ -346,6 +365,12 @@
 	strlcpy(t->heard_from, peer, sizeof(t->heard_from));
 }
 
+/* Records the version of a change of a table that is not followed. */
+void watches_change_known(struct watches *w, uint64_t version)
+{
+	store_gap_row(&w->gap, version, proxyd_now(w->proxyd));
+}
+
 /* Tells whether another instance has named a newer row than this one knows. */
 static bool is_missing_rows(const struct watch *w)
 {
@@ -421,14 +446,101 @@
 	if (!w->busy || !w->waits || !is_missing_rows(w) ||
 	    !store_poll_call_dead(w->heard_ms, w->called_ms, now))
 		return;
+	note_stale(w, now, now - w->called_ms);
+	end_waiting(w->watches, NULL);
+}
+
+/* Counts and logs a dead call, which had waited for waited_ms when it was
+ * ended. */
+static void note_stale(struct watch *w, uint64_t now, uint64_t waited_ms)
+{
 	counter_add(w->watches->stale[w->table], 1);
 	event_log(EVENT_ALWAYS, "store-stale", NULL,
 		  "{s:s, s:I, s:I, s:s, s:I, s:I}", "table",
 		  store_table_name(w->table), "version", (json_int_t)w->version,
 		  "heard", (json_int_t)w->heard_version, "from", w->heard_from,
 		  "age_ms", (json_int_t)(now - w->heard_ms), "waited_ms",
-		  (json_int_t)(now - w->called_ms));
-	end_waiting(w->watches, NULL);
+		  (json_int_t)waited_ms);
+}
+
+/* On the first instance: reads the tables to which a change of unknown rows may
+ * belong, without a wait.  The others compare their tables with what this one
+ * then reads. */
+static void check_tables(struct watches *w, uint64_t now)
+{
+	struct store_poll_others others;
+	int i;
+
+	if (!store_gap_open(&w->gap, now))
+		return;
+	others = peers_store_readers(w->proxyd->peers);
+	if (!store_poll_first(&others) ||
+	    !store_poll_all_read(peers_listed(w->proxyd->peers) + 1))
+		return; /* also if many start that are not heard yet */
+	for (i = 0; i < STORE_TABLES; i++)
+		check_table(&w->watch[i], now);
+}
+
+/* Has a table read without a wait, and ends its call that waits, which may be
+ * dead; once for each change.  See check_tables(). */
+static void check_table(struct watch *w, uint64_t now)
+{
+	struct store *s = w->watches->proxyd->store;
+	uint64_t newest = w->watches->gap.newest;
+
+	if (!w->loaded || w->version >= newest || w->heard_version >= newest)
+		return;
+	watches_row_seen(w->watches, w->table, newest, "the store");
+	if (!w->busy || !w->waits)
+		return;
+	counter_add(w->watches->checked[w->table], 1);
+	event_log(EVENT_ROUTINE, "store-checked", NULL, "{s:s, s:I, s:I, s:I}",
+		  "table", store_table_name(w->table), "version",
+		  (json_int_t)w->version, "newest", (json_int_t)newest,
+		  "waited_ms", (json_int_t)(now - w->called_ms));
+	w->checked_ms = w->called_ms;
+	s->ops->end_waiting(s, w->table);
+}
+
+/* Handles the answer that follows a check: rows show that the call which the
+ * check ended was dead. */
+static void note_checked(struct watch *w, size_t n, uint64_t now)
+{
+	if (w->checked_ms && n)
+		note_stale(w, now, w->heard_ms - w->checked_ms);
+	w->checked_ms = 0;
+}
+
+/* Records the rows of an answer, and the version of the store that it names, as
+ * accounted for. */
+static void account_for(struct watch *w, const struct store_row *rows, size_t n,
+			uint64_t now)
+{
+	struct store_gap *gap = &w->watches->gap;
+	uint64_t all_read = tables_version(w->watches);
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		store_gap_row(gap, rows[i].version, now);
+	store_gap_tables_read(gap, all_read, now);
+	if (w->table == STORE_ENDPOINTS && all_read)
+		store_gap_newest(gap, w->version, now);
+}
+
+/* Returns the version of the store up to which all tables are read, 0 if one is
+ * not loaded. */
+static uint64_t tables_version(const struct watches *w)
+{
+	uint64_t version = UINT64_MAX;
+	int i;
+
+	for (i = 0; i < STORE_TABLES; i++) {
+		if (!w->watch[i].loaded)
+			return 0;
+		if (w->watch[i].version < version)
+			version = w->watch[i].version;
+	}
+	return version;
 }
 
 /* Ends the calls that wait for changes, except that of one table; NULL: of
@@ -547,11 +659,13 @@
 	for (i = 0; i < n; i++)
 		if (rows[i].version > w->newest_row)
 			w->newest_row = rows[i].version;
+	note_checked(w, n, now);
 	w->version = version;
 	w->behind_ms = 0;
 	w->answered_ms = now;
 	w->loaded = true;
 	w->from_copy = false;
+	account_for(w, rows, n, now);
 }
 
 /* Handles a failed call: schedules the next one with a delay.  An instance
--- a/proxyd/watch.h
+++ b/proxyd/watch.h
@@ -29,6 +29,7 @@
 			  uint64_t version);
 void watches_row_seen(struct watches *w, enum store_table table,
 		      uint64_t version, const char *peer);
+void watches_change_known(struct watches *w, uint64_t version);
 void watches_configuration_seen(struct watches *w, uint64_t version,
 				const char *control);
 void watches_configuration_fetch_failed(struct watches *w);
--- a/regress/integration/test_dead_calls.c
+++ b/regress/integration/test_dead_calls.c
@@ -16,6 +16,10 @@
 #define INSTANCES_MAX 3
 #define LONG_MS 10000 /* that the calls of most instances wait at least */
 
+/* Lines of the log that show what an instance knows. */
+#define CONFIGURATION_3 "\"event\":\"configuration\",\"version\":3"
+#define LISTED_99 "\"event\":\"instance-listed\",\"peer\":\"n-99\""
+
 static struct harness *harness;
 static struct standin_world *world;
 static struct standin_instance instances[INSTANCES_MAX];
@@ -58,17 +62,23 @@
 	return standin_waiting_feeds(world, w->table, w->least_ms) >= w->n;
 }
 
-/* Waits until n calls wait for changes of endpoints, all but one of them for
- * long. */
-static void expect_waiting(size_t n)
+/* Waits until n calls wait for changes of a table, n_long of them for long. */
+static void expect_waiting_for(const char *table, size_t n, size_t n_long)
 {
-	struct waiting all = { "servers", n, 0 };
-	struct waiting lengthy = { "servers", n - 1, LONG_MS };
+	struct waiting all = { table, n, 0 };
+	struct waiting lengthy = { table, n_long, LONG_MS };
 
 	harness_until(harness, so_many_wait, &lengthy, "calls that wait long");
 	harness_until(harness, so_many_wait, &all, "calls that wait");
 }
 
+/* Waits until n calls wait for changes of endpoints, all but one of them for
+ * long. */
+static void expect_waiting(size_t n)
+{
+	expect_waiting_for("servers", n, n - 1);
+}
+
 /* Starts an instance. */
 static void start_instance(void)
 {
@@ -95,8 +105,9 @@
 	return proc_output_count(l->in->proc, l->text) > 0;
 }
 
-/* Waits until all instances know an endpoint; one call at most may time out. */
-static void expect_known_by_all(const char *text)
+/* Waits until all instances have logged a text; so many calls at most may time
+ * out. */
+static void expect_known_by_all(const char *text, size_t lost_max)
 {
 	size_t lost = 0;
 	size_t i;
@@ -109,7 +120,22 @@
 		harness_until(harness, has_logged, &known, text);
 		lost += has_logged(&timeout);
 	}
-	assert_in_range(lost, 0, 1);
+	assert_in_range(lost, 0, lost_max);
+}
+
+/* Starts n instances that know a configuration, and waits until their calls for
+ * all tables wait. */
+static void start_instances(size_t n)
+{
+	size_t i;
+
+	standin_add_worker(world, "plain", "z1");
+	standin_put_configuration(world, 2, NULL);
+	for (i = 0; i < n; i++)
+		start_instance();
+	expect_waiting(n);
+	expect_waiting_for("op", n, n);
+	expect_waiting_for("instances", n, n);
 }
 
 /* The calls of all instances are dead. */
@@ -123,9 +149,9 @@
 	for (i = 0; i < INSTANCES_MAX; i++)
 		start_instance();
 	expect_waiting(INSTANCES_MAX);
-	standin_lose_feeds(world);
+	standin_lose_feeds(world, NULL);
 	standin_add_worker(world, "plain", "z1");
-	expect_known_by_all("\"endpoint\":\"i-1\"");
+	expect_known_by_all("\"endpoint\":\"i-1\"", 1);
 }
 
 /* The calls of some are dead, those of one that starts later are not. */
@@ -139,11 +165,68 @@
 	for (i = 0; i + 1 < INSTANCES_MAX; i++)
 		start_instance();
 	expect_waiting(INSTANCES_MAX - 1);
-	standin_lose_feeds(world);
+	standin_lose_feeds(world, NULL);
 	start_instance();
 	expect_waiting(1);
 	standin_add_worker(world, "plain", "z1");
-	expect_known_by_all("\"endpoint\":\"i-1\"");
+	expect_known_by_all("\"endpoint\":\"i-1\"", 1);
+}
+
+/* The calls of two instances for the configuration are dead, those for the other
+ * tables are not: none of them times out before the next version is in force. */
+static void configuration_calls_are_lost(void **state)
+{
+	(void)state;
+	start_instances(2);
+	standin_lose_feeds(world, "op");
+	standin_put_configuration(world, 3, NULL);
+	expect_known_by_all(CONFIGURATION_3, 0);
+}
+
+/* The same for the table of instances: the first instance finds it out, and the
+ * second one learns of it from the first one's datagrams. */
+static void instance_calls_are_lost(void **state)
+{
+	struct logged stale = {
+		&instances[1],
+		"\"event\":\"store-stale\",\"table\":\"instances\"",
+	};
+
+	(void)state;
+	start_instances(2);
+	standin_lose_feeds(world, "instances");
+	standin_put_instance_entry(world, "n-99", "127.0.0.1:1", "127.0.0.1:1",
+				   "127.0.0.1:1");
+	expect_known_by_all(LISTED_99, 0);
+	harness_until(harness, has_logged, &stale, stale.text);
+}
+
+/* The calls of all instances for all tables are dead: the first instance's short
+ * call alone times out, after which all know the next configuration. */
+static void all_calls_for_configuration_are_lost(void **state)
+{
+	(void)state;
+	start_instances(INSTANCES_MAX);
+	standin_lose_feeds(world, NULL);
+	standin_put_configuration(world, 3, NULL);
+	expect_known_by_all(CONFIGURATION_3, 1);
+}
+
+/* The calls for two tables are dead; a change of each comes after the other
+ * one's was made good. */
+static void calls_are_lost_in_turn(void **state)
+{
+	(void)state;
+	start_instances(2);
+	standin_lose_feeds(world, "op");
+	standin_put_configuration(world, 3, NULL);
+	expect_known_by_all(CONFIGURATION_3, 0);
+	expect_waiting_for("op", 2, 2);
+	expect_waiting_for("instances", 2, 2);
+	standin_lose_feeds(world, "instances");
+	standin_put_instance_entry(world, "n-99", "127.0.0.1:1", "127.0.0.1:1",
+				   "127.0.0.1:1");
+	expect_known_by_all(LISTED_99, 0);
 }
 
 int main(void)
@@ -153,6 +236,15 @@
 						tear_down),
 		cmocka_unit_test_setup_teardown(some_calls_are_lost, set_up,
 						tear_down),
+		cmocka_unit_test_setup_teardown(configuration_calls_are_lost,
+						set_up, tear_down),
+		cmocka_unit_test_setup_teardown(instance_calls_are_lost, set_up,
+						tear_down),
+		cmocka_unit_test_setup_teardown(
+			all_calls_for_configuration_are_lost, set_up,
+			tear_down),
+		cmocka_unit_test_setup_teardown(calls_are_lost_in_turn, set_up,
+						tear_down),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/regress/platform_standin.c
+++ b/regress/platform_standin.c
@@ -508,15 +508,18 @@
 		 status);
 }
 
-/* Forgets the calls that wait for changes: they are never answered, though their
- * connections stand. */
-void standin_lose_feeds(struct standin_world *w)
+/* Forgets the calls that wait for changes of a table, NULL: of any table: they
+ * are never answered, though their connections stand.  Later calls are
+ * answered. */
+void standin_lose_feeds(struct standin_world *w, const char *table)
 {
 	size_t i;
 
 	for (i = 0; i < STANDIN_PENDING_FEEDS_MAX; i++) {
-		if (w->pending_feeds[i])
-			http1_set_owner(w->pending_feeds[i], NULL);
+		if (!w->pending_feeds[i] ||
+		    (table && strcmp(w->pending_table[i], table) != 0))
+			continue;
+		http1_set_owner(w->pending_feeds[i], NULL);
 		w->pending_feeds[i] = NULL;
 	}
 }
--- a/regress/platform_standin.h
+++ b/regress/platform_standin.h
@@ -159,7 +159,7 @@
 void standin_start_store(struct standin_world *w);
 void standin_copy_store(struct standin_world *w);
 void standin_restore_store(struct standin_world *w);
-void standin_lose_feeds(struct standin_world *w);
+void standin_lose_feeds(struct standin_world *w, const char *table);
 size_t standin_waiting_feeds(const struct standin_world *w, const char *table,
 			     uint64_t least_ms);
 const struct standin_arrival *standin_last_arrival(
--- a/regress/unit/test_heartbeat.c
+++ b/regress/unit/test_heartbeat.c
@@ -65,6 +65,12 @@
 	o.instances = 9;
 	o.preceding = 0;
 	assert_false(store_poll_designated(&o));
+	assert_true(store_poll_first(&o)); /* looks for missed changes */
+	o.preceding = 1;
+	assert_false(store_poll_first(&o));
+	o.instances = 64; /* readers ask all the time */
+	o.preceding = 0;
+	assert_false(store_poll_first(&o));
 }
 
 /* Regression test: both readers are cut off from the store without an
