--- a/proxyd/origins.c
+++ b/proxyd/origins.c
@@ -792,6 +792,12 @@
 		if (t->history.version[i].stored == STORED_IN_CALL)
 			t->history.version[i].stored = success ? STORED
 							       : STORED_NOT;
+	if (outcome == STORE_OK) {
+		watches_change_known(t->proxyd->watches,
+				     t->proxyd->store->written);
+		peers_announce_write(t->proxyd->peers,
+				     t->proxyd->store->written);
+	}
 	if (success) {
 		t->n_segments -= t->n_removing;
 		memmove(t->segments, t->segments + t->n_removing,
--- a/regress/platform_standin.h
+++ b/regress/platform_standin.h
@@ -170,7 +170,7 @@
 void standin_start_store(struct standin_world *w);
 void standin_copy_store(struct standin_world *w);
 void standin_restore_store(struct standin_world *w);
-void standin_lose_feeds(struct standin_world *w);
+void standin_lose_feeds(struct standin_world *w, const char *table);
 size_t standin_count_held(const struct standin_world *w);
 void standin_do_held(struct standin_world *w);
 void standin_forget_history(struct standin_world *w);
