test_faultd: see a connection stand before its target is found gone

test_target_that_is_gone, "0x1 != 0x2" (connect failed in place of broken): 8 of 40 runs, two at once beside load 10 to 12 on 8 cores.

The fault proxy accepts, finds its target gone and resets. If the caller runs only after that, its connect fails with the reset, and "connect failed" is right.

The mapping is frozen now until the caller's connection stands, and the outcome is broken in each run, as before. Of a connection to a mapping that passes, which was all that was tried, either outcome is right, and no other.

--- a/regress/contract/test_faultd.c
+++ b/regress/contract/test_faultd.c
@@ -196,12 +196,29 @@
 	}
 }
 
+/* Connections are reset.  A caller that has seen its connection stand before
+ * finds it broken; one that has not finds, by which process runs first, that or
+ * a failed connect. */
 static void test_target_that_is_gone(void **state)
 {
 	struct fixture *f = *state;
+	const struct httpc_request r = { .method = "GET",
+					 .address = f->listen,
+					 .path = "/v1/load" };
+	enum httpc_outcome outcome;
+	struct stream_reader *s;
 
 	harness_control(f->h, f->listen, "{\"die\":true}");
-	assert_int_equal(request_load(f, f->listen), HTTPC_BROKEN);
+	harness_control(f->h, f->control, "{\"%s\":{\"mode\":\"freeze\"}}",
+			f->listen);
+	s = stream_open(f->h, &r);
+	harness_control(f->h, f->control, "{\"%s\":{\"mode\":\"pass\"}}",
+			f->listen);
+	stream_wait_end(s);
+	assert_int_equal(stream_outcome(s), HTTPC_BROKEN);
+	stream_close(s);
+	outcome = request_load(f, f->listen);
+	assert_true(outcome == HTTPC_BROKEN || outcome == HTTPC_CONNECT_FAILED);
 	assert_int_equal(proc_stop(f->proxy), 0);
 }
 
