Send a queued answer to its end after the end of its caller's input

An answer that is larger than the sockets take is handed over, and its request is over, before the caller has received it. If the caller ended its sending side then, the connection was closed and the rest dropped: a whole answer arrived cut.

With bytes queued, the connection is closed once they are sent. A caller that has gone resets it at the next of them.

test_kept_connections, end_of_input_spares_a_queued_answer: failed before (7 MB, connection reset), passes after, with all other cases and test_half_closed_callers.

--- a/lib/http1_server.c
+++ b/lib/http1_server.c
@@ -509,6 +509,8 @@
 		c->peer_closed = true;
 		if (n == UV_EOF && c->state == CONN_ANSWERING)
 			keep_half_closed(c);
+		else if (n == UV_EOF && http1_pending(c))
+			end_connection(c); /* the caller may still read */
 		else
 			conn_close(c);
 		return;
--- a/regress/integration/test_kept_connections.c
+++ b/regress/integration/test_kept_connections.c
@@ -577,6 +577,23 @@
 	close_kept(&k);
 }
 
+/* An answer that is queued when its caller ends its sending direction is
+ * complete. */
+static void end_of_input_spares_a_queued_answer(void **state)
+{
+	struct kept k = open_kept();
+
+	(void)state;
+	world->plain_bytes = BIG_ANSWER;
+	send_head(&k, "/look/a", "k1", 1);
+	send_text(&k, "x");
+	wait_logged("\"outcome\":\"served\"");
+	assert_int_equal(shutdown(k.fd, SHUT_WR), 0);
+	harness_run(harness, IDLE_TICKS_MS);
+	expect_answer(&k, "a queued answer", 200);
+	close_kept(&k);
+}
+
 /* Sends a stream's request with the tokens of its prompt and output. */
 static void send_stream(struct kept *k, const char *tokens)
 {
@@ -688,6 +705,7 @@
 		TEST(idle_limit_spares_a_slow_reader),
 		TEST(idle_limit_ends_a_silent_reader),
 		TEST(stop_sends_queued_answers),
+		TEST(end_of_input_spares_a_queued_answer),
 		cmocka_unit_test_setup_teardown(stop_refuses_waiting_requests,
 						set_up_short_grace, tear_down),
 		TEST(stall_ends_no_request),
