Take only a refused connection for the end of an endpoint

A refusal is ECONNREFUSED or ECONNRESET now, and any other error is "unreachable". Found in a review; test_http1_client passes.

--- a/lib/http1_client.c
+++ b/lib/http1_client.c
@@ -439,9 +439,10 @@
 	return k;
 }
 
-/* Returns the outcome that an error of connecting stands for: the server's, one
- * of the way to its host, which doesn't show that the server has ended, or a want
- * of descriptors, ports or memory here, which shows nothing of the server. */
+/* Returns the outcome that an error of connecting stands for: a refusal by the
+ * server's host, a want of descriptors, ports or memory here, which shows nothing
+ * of the server, or else one of the way to the host, which doesn't show that the
+ * server has ended. */
 static enum http1_outcome connect_failure(int error)
 {
 	switch (error) {
@@ -451,14 +452,11 @@
 	case UV_ENOBUFS:
 	case UV_ENOMEM:
 		return HTTP1_NO_SOCKET;
-	case UV_EHOSTUNREACH:
-	case UV_ENETUNREACH:
-	case UV_ENETDOWN:
-	case UV_EHOSTDOWN:
-	case UV_ETIMEDOUT:
-		return HTTP1_UNREACHABLE;
-	default:
+	case UV_ECONNREFUSED:
+	case UV_ECONNRESET:
 		return HTTP1_NOT_SENT;
+	default:
+		return HTTP1_UNREACHABLE;
 	}
 }
 
