Ends of answers: two limits found in a review

A start that is stated while the attempt's connection is open is not taken of an endpoint that leaves: it may have closed its listener, and its successor may accept at its address while it still answers.

Both were read, not shown by a run. test_ends_while_asked, test_leaving_engine, test_ended_attempts and test_unproved_starts pass.

--- a/proxyd/answer_ends.c
+++ b/proxyd/answer_ends.c
@@ -171,8 +171,10 @@
 	struct finding f = { ENDPOINT_SIGN_NONE, "no answer" };
 	bool ended = !e || (e->state != ENDPOINT_UP && e->ended);
 	bool lasts = e && outlasted(x, e);
+	uint64_t since_ms = e && e->down_ms > x->ended_ms ? e->down_ms
+							  : x->ended_ms;
 	bool awaits = e && may_be_answered(x, e) &&
-		      now - x->ended_ms < ENDS_TOGETHER_MS;
+		      now - since_ms < ENDS_TOGETHER_MS;
 
 	if (ended && !lasts && !awaits)
 		f = (struct finding){ ended_sign(x->proxyd, e),
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -63,7 +63,7 @@
 static uint64_t used_tokens(const struct exchange *x);
 static void reply_error(struct exchange *x, int status, uint32_t retry_ms,
 			const char *why);
-static void note_own_start(struct exchange *x, uint64_t stated_ms,
+static void note_own_start(struct exchange *x, const struct endpoint *e,
 			   uint64_t since_ms);
 static void tick_exchange(struct exchange *x, uint64_t now);
 static void tick_waiting(struct exchange *x, uint64_t now);
@@ -170,7 +170,7 @@
 
 		if (x->phase == EXCHANGE_SENT && !excused &&
 		    handle_equal(x->endpoint, endpoint))
-			note_own_start(x, e ? e->stated_born_ms : 0, since_ms);
+			note_own_start(x, e, since_ms);
 		if (x->phase == EXCHANGE_SENT && x->call &&
 		    handle_equal(x->endpoint, endpoint)) {
 			x->start_excused = x->start_excused || excused;
@@ -186,18 +186,21 @@
 	}
 }
 
-/* Notes the start that an endpoint has stated, 0 if it stated none, on a connection
- * that was open at since_ms.  If the attempt's connection was open at the same time,
- * and its end would have been read, both end at one process: what was known before,
- * by its entry or an earlier word, is of no account then. */
-static void note_own_start(struct exchange *x, uint64_t stated_ms,
+/* Notes the start that an attempt's endpoint, e, has stated on a connection that was
+ * open at since_ms; e may be NULL.  If the attempt's connection was open at the same
+ * time, and its end would have been read, both end at one process: what was known
+ * before, by its entry or an earlier word, is of no account then.  Not so if the
+ * endpoint leaves: it may have closed its listener, and another process may accept at
+ * its address while it still answers. */
+static void note_own_start(struct exchange *x, const struct endpoint *e,
 			   uint64_t since_ms)
 {
 	bool open = x->call && http1_call_connected(x->call) && !x->was_paused;
 	bool was_open = x->ended_ms && since_ms < x->ended_since_ms;
 
-	if (stated_ms && (open || was_open))
-		x->sent_born_ms = stated_ms;
+	if (e && e->stated_born_ms && (open || was_open) &&
+	    !endpoint_is_leaving(e))
+		x->sent_born_ms = e->stated_born_ms;
 }
 
 /* Handles a version that was not known and is now: streams that began at what
