Forget a software version when the removal of its row is done

A version that is over was forgotten as soon as the removal of its row was sent, together with those of other versions: if one of these had changed, or the store did not answer, rows stayed that nobody looked after, and the next instance to read them counted their versions as listed then. In a new era of the store, the removal named a version of the one before.

One row goes in a call; the version is forgotten when it is done. A removal without an answer may still be done, so that the row is written anew, with another version; one that has changed is read again.

--- a/policy/stream_origin.h
+++ b/policy/stream_origin.h
@@ -45,6 +45,7 @@
 	uint64_t row_version; /* of its row, as read last; 0: it had none */
 	uint64_t end_reading; /* number of the reading by which its row is
 			       * removed; 0: it serves */
+	bool removing; /* its row, in a call that is not answered */
 };
 
 struct software_history {
--- a/proxyd/origins.c
+++ b/proxyd/origins.c
@@ -106,6 +106,8 @@
 static size_t add_ended_versions(struct origins *t, struct stream_row *rows,
 				 size_t most, uint64_t now);
 static void on_written(void *arg, enum store_outcome outcome);
+static void forget_removed_versions(struct origins *t,
+				    enum store_outcome outcome);
 static struct software_recent recent_of_route(const struct origins *t,
 					      const struct route *route,
 					      uint64_t now);
@@ -474,8 +476,13 @@
 	t->n_removing = 0;
 	t->readings_wanted = t->readings_begun + 1;
 	stream_origin_lost(&t->streams);
-	for (i = 0; i < t->history.n; i++)
-		t->history.version[i].stored = STORED_NOT;
+	for (i = 0; i < t->history.n; i++) {
+		struct software_version *v = &t->history.version[i];
+
+		v->stored = STORED_NOT;
+		v->row_version = 0;
+		v->end_reading = 0;
+	}
 }
 
 /* Returns the versions that serve or served. */
@@ -620,8 +627,8 @@
 			  "{s:b, s:i, s:I}", "mixed", mixed, "known",
 			  (int)t->history.n, "life_ms", (json_int_t)t->life_ms);
 	t->was_mixed = mixed;
-	/* in a call of their own, as a row that has changed fails all of it */
-	n = add_ended_versions(t, rows, STORE_STREAM_ROWS_MAX, now);
+	/* one in a call of its own, as a row that has changed fails all of it */
+	n = add_ended_versions(t, rows, 1, now);
 	if (n) {
 		send_rows(t, rows, n, now);
 		return;
@@ -740,9 +747,10 @@
 }
 
 /* Forgets the versions that began no stream which is not over, and adds the
- * removal of their rows, by one instance; returns their number.  A removal may
- * be done seconds later, when the version serves again and its row was written
- * anew, so that it names the version of the row by a reading made for it. */
+ * removal of their rows, by one instance, which forgets them once it is done;
+ * returns how many were added, at most most.  A removal may be done seconds later,
+ * when the version serves again and its row was written anew, so that it names the
+ * version of the row by a reading made for it. */
 static size_t add_ended_versions(struct origins *t, struct stream_row *rows,
 				 size_t most, uint64_t now)
 {
@@ -769,6 +777,8 @@
 					 STORE_SOFTWARE_PREFIX "%016llx",
 					 (unsigned long long)v->software);
 				n++;
+				v->removing = true;
+				continue;
 			}
 		}
 		software_forget(&t->history, v->software);
@@ -792,6 +802,7 @@
 		if (t->history.version[i].stored == STORED_IN_CALL)
 			t->history.version[i].stored = success ? STORED
 							       : STORED_NOT;
+	forget_removed_versions(t, outcome);
 	if (outcome == STORE_OK) {
 		watches_change_known(t->proxyd->watches,
 				     t->proxyd->store->written);
@@ -811,6 +822,30 @@
 	t->n_removing = 0;
 }
 
+/* Forgets a version whose row was removed, unless it serves again.  A row that has
+ * changed is read before it is removed.  A removal without an answer may still be
+ * done: the row is written anew, so that it has another version then. */
+static void forget_removed_versions(struct origins *t,
+				    enum store_outcome outcome)
+{
+	uint64_t now = proxyd_now(t->proxyd);
+	size_t i;
+
+	for (i = 0; i < t->history.n; i++) {
+		struct software_version *v = &t->history.version[i];
+
+		if (!v->removing)
+			continue;
+		v->removing = false;
+		v->end_reading = 0;
+		if (outcome == STORE_OK && software_over(v, t->life_ms, now))
+			software_forget(&t->history, v->software);
+		else if (outcome != STORE_CHANGED)
+			v->stored = STORED_NOT;
+		return;
+	}
+}
+
 /* Returns the hash of the id of a stream's first request, not 0. */
 static uint64_t stream_hash(const char *id)
 {
