store: name the version of a write in one way

The version of an acknowledged write had two ways to its caller: a second kind of done for the own entry, and the member `written` of the store, which came with the check for missed changes. The own entry reads `written` now, so that put_instance() and put_refusal() share put_entry() again. No change of behaviour.

--- a/proxyd/store.h
+++ b/proxyd/store.h
@@ -137,12 +137,10 @@
 		       void (*done)(void *arg, const struct store_row *rows,
 				    size_t n),
 		       void *arg);
-	/* version is that of the store after the write, 0 if it failed or did not
-	 * say */
 	void (*put_instance)(struct store *s, const char *key,
 			     const struct instance_entry *entry,
-			     void (*done)(void *arg, enum store_outcome outcome,
-					  uint64_t version),
+			     void (*done)(void *arg,
+					  enum store_outcome outcome),
 			     void *arg);
 	void (*put_refusal)(struct store *s, const char *key,
 			    const struct refusal_entry *entry,
--- a/proxyd/watch.c
+++ b/proxyd/watch.c
@@ -109,7 +109,7 @@
 			   size_t n, bool whole, uint64_t version);
 static void rewrite_entry_if_lost(struct watches *w);
 static void put_entry(struct watches *w);
-static void on_put(void *arg, enum store_outcome outcome, uint64_t version);
+static void on_put(void *arg, enum store_outcome outcome);
 static void on_removed(void *arg, enum store_outcome outcome);
 
 /* Creates the watches; reading starts at the next tick. */
@@ -836,9 +836,10 @@
 
 /* Handles the result of writing the own entry.  If the answer was lost, the
  * entry is written again; the write is idempotent. */
-static void on_put(void *arg, enum store_outcome outcome, uint64_t version)
+static void on_put(void *arg, enum store_outcome outcome)
 {
 	struct watches *w = arg;
+	uint64_t version = outcome == STORE_OK ? w->proxyd->store->written : 0;
 
 	w->write_busy = false;
 	note_era(w, "store", true);
--- a/regress/contract/test_platform_store.c
+++ b/regress/contract/test_platform_store.c
@@ -146,15 +146,6 @@
 	r->outcome = outcome;
 }
 
-static void record_write(void *arg, enum store_outcome outcome,
-			 uint64_t version)
-{
-	struct result *r = arg;
-
-	r->version = version;
-	record_outcome(r, outcome);
-}
-
 static bool is_finished(void *arg)
 {
 	http1_client_tick(client);
@@ -302,10 +293,10 @@
 	(void)state;
 	script[0] = script[1] =
 		(struct script){ REPLY_SENT, 200, "{\"ver\":1,\"nowMs\":2}" };
-	store->ops->put_instance(store, "me", &entry, record_write, &r);
+	store->ops->put_instance(store, "me", &entry, record_outcome, &r);
 	wait_for(&r);
 	assert_int_equal(r.outcome, STORE_OK);
-	assert_int_equal(r.version, 1);
+	assert_int_equal(store->written, 1);
 	assert_string_equal(targets[0], "/rows-tx");
 	root = json_loads(last_body, 0, NULL);
 	assert_int_equal(json_array_size(json_object_get(root, "puts")), 1);
