watch: tell how old an instance's view of the store is (CONFIG)

An instance whose calls are dead, one whose store answers from an older state, and one that could not read a row all look alike in the logs: requests are refused by an older version, and nothing says what the instance knows.

Each instance now keeps the time by which all changes that the store had acknowledged are known to it: by its own calls (a call that waited in vain shows that there was no change meanwhile), or by another instance's, told in pulses and readers' announcements, if nothing that the other one has named is missing here. Datagrams of builds without the field tell nothing.

No decision depends on it yet.

--- a/proto/peer.pb-c.c
+++ b/proto/peer.pb-c.c
@@ -1177,7 +1177,7 @@
   assert(message->base.descriptor == &peer_instance__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor peer_pulse__field_descriptors[16] =
+static const ProtobufCFieldDescriptor peer_pulse__field_descriptors[17] =
 {
   {
     "instance",
@@ -1371,6 +1371,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_read_ms_ago",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PeerPulse, store_read_ms_ago),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer_pulse__field_indices_by_name[] = {
   1,   /* field[1] = born */
@@ -1387,6 +1399,7 @@
   10,   /* field[10] = prompts */
   7,   /* field[7] = reading */
   12,   /* field[12] = store_era */
+  16,   /* field[16] = store_read_ms_ago */
   3,   /* field[3] = version */
   14,   /* field[14] = writes */
 };
@@ -1395,7 +1408,7 @@
   { 1, 0 },
   { 8, 6 },
   { 16, 13 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor peer_pulse__descriptor =
 {
@@ -1405,7 +1418,7 @@
   "PeerPulse",
   "",
   sizeof(PeerPulse),
-  16,
+  17,
   peer_pulse__field_descriptors,
   peer_pulse__field_indices_by_name,
   3,  peer_pulse__number_ranges,
@@ -2105,7 +2118,7 @@
   (ProtobufCMessageInit) peer_row__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peer_reader__field_descriptors[7] =
+static const ProtobufCFieldDescriptor peer_reader__field_descriptors[8] =
 {
   {
     "instance",
@@ -2191,6 +2204,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_read_ms_ago",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(PeerReader, store_read_ms_ago),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peer_reader__field_indices_by_name[] = {
   2,   /* field[2] = answers */
@@ -2199,12 +2224,13 @@
   3,   /* field[3] = ends */
   0,   /* field[0] = instance */
   6,   /* field[6] = store_era */
+  7,   /* field[7] = store_read_ms_ago */
   5,   /* field[5] = version */
 };
 static const ProtobufCIntRange peer_reader__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor peer_reader__descriptor =
 {
@@ -2214,7 +2240,7 @@
   "PeerReader",
   "",
   sizeof(PeerReader),
-  7,
+  8,
   peer_reader__field_descriptors,
   peer_reader__field_indices_by_name,
   1,  peer_reader__number_ranges,
--- a/proto/peer.pb-c.h
+++ b/proto/peer.pb-c.h
@@ -123,10 +123,15 @@
    */
   size_t n_paths;
   PeerPath **paths;
+  /*
+   * time since which the sender may lack changes of the store, by answers of the
+   * store to its own calls, ms, plus 1; 0: unknown
+   */
+  uint32_t store_read_ms_ago;
 };
 #define PEER_PULSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer_pulse__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0 }
 
 
 /*
@@ -368,10 +373,14 @@
    * as in its pulse
    */
   uint64_t store_era;
+  /*
+   * as in its pulse
+   */
+  uint32_t store_read_ms_ago;
 };
 #define PEER_READER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peer_reader__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -14,6 +14,7 @@
 #include "proxyd/peers.h"
 #include "proxyd/rediscover.h"
 #include "proxyd/suspects.h"
+#include "proxyd/watch.h"
 
 /* Connection timeout.  A live endpoint completes a connection within 4 ms; the
  * retransmission of a lost packet takes a second, by which time another
@@ -280,12 +281,14 @@
 	event_log(
 		EVENT_ROUTINE, "sent", x->fields.id,
 		"{s:s, s:s, s:s, s:s, s:s, s:s, s:i, s:b, s:s, s:I, s:I, s:I, "
-		"s:I, s:I, s:I, s:b, s:s, s:b, s:b, s:b, s:i, s:i}",
+		"s:I, s:I, s:I, s:I, s:b, s:s, s:b, s:b, s:b, s:i, s:i}",
 		"route", x->route->name, "content", content, "parts", parts,
 		"endpoint", e->id, "address", e->address, "software",
 		e->version, "send", (int)x->sends, "from_copy", x->from_copy,
 		"copy_to", copy ? copy->id : "", "version",
-		(json_int_t)x->routes->version, "tokens_there",
+		(json_int_t)x->routes->version, "view_ms",
+		(json_int_t)watches_view_age_ms(x->proxyd->watches),
+		"tokens_there",
 		(json_int_t)e->own_load.tokens + e->others_load.tokens,
 		"prefill_there",
 		(json_int_t)e->own_load.prefill_tokens +
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -633,12 +633,13 @@
 void exchange_fail(struct exchange *x, int status, const char *why)
 {
 	event_log(EVENT_NOTABLE, "failed", x->fields.id,
-		  "{s:i, s:s, s:i, s:I, s:I, s:s, s:b}", "status", status,
+		  "{s:i, s:s, s:i, s:I, s:I, s:I, s:s, s:b}", "status", status,
 		  "why", why, "sends", (int)x->sends, "age_ms",
 		  (json_int_t)(proxyd_now(x->proxyd) - x->received_ms),
 		  "version", (json_int_t)(x->routes ? x->routes->version : 0),
-		  "route", x->route ? x->route->name : "", "begun",
-		  x->response_started);
+		  "view_ms",
+		  (json_int_t)watches_view_age_ms(x->proxyd->watches), "route",
+		  x->route ? x->route->name : "", "begun", x->response_started);
 	counter_add(x->proxyd->exchanges->failed, 1);
 	attempt_cancel(x);
 	reply_error(x, status, 0, why);
--- a/proxyd/peers.c
+++ b/proxyd/peers.c
@@ -436,6 +436,8 @@
 			watches_version_seen(t->proxyd->watches,
 					     STORE_ENDPOINTS,
 					     pulse->endpoints_version);
+		watches_view_told(t->proxyd->watches, pulse->store_read_ms_ago,
+				  pulse->version);
 	}
 	watches_configuration_seen(t->proxyd->watches, pulse->version,
 				   peer->control);
@@ -461,9 +463,12 @@
 			  "peer", peer->name, "answers", msg->answers, "ends",
 			  msg->ends);
 	if (msg->answers && !msg->ends &&
-	    watches_era_seen(t->proxyd->watches, msg->store_era, peer->name))
+	    watches_era_seen(t->proxyd->watches, msg->store_era, peer->name)) {
 		watches_version_seen(t->proxyd->watches, STORE_ENDPOINTS,
 				     msg->endpoints_version);
+		watches_view_told(t->proxyd->watches, msg->store_read_ms_ago,
+				  msg->version);
+	}
 	watches_configuration_seen(t->proxyd->watches, msg->version,
 				   peer->control);
 }
--- a/proxyd/peers_announce.c
+++ b/proxyd/peers_announce.c
@@ -277,6 +277,7 @@
 		newest[i] = watches_newest_row(p->watches, (enum store_table)i);
 	pulse.n_newest_rows = STORE_TABLES;
 	pulse.newest_rows = newest;
+	pulse.store_read_ms_ago = watches_read_ms_ago(p->watches);
 	pulse.n_writes = gather_writes(t, writes);
 	pulse.writes = writes;
 	pulse.n_paths = peers_gather_paths(t, paths);
@@ -318,6 +319,7 @@
 	msg.endpoints_version =
 		watches_row_version(p->watches, STORE_ENDPOINTS);
 	msg.version = p->routes ? p->routes->version : 0;
+	msg.store_read_ms_ago = watches_read_ms_ago(p->watches);
 	d.reader = &msg;
 	peers_send_all(t, &d);
 }
--- a/proxyd/watch.c
+++ b/proxyd/watch.c
@@ -19,6 +19,7 @@
 #include "policy/store_era.h"
 #include "policy/store_gap.h"
 #include "policy/store_poll.h"
+#include "policy/store_view.h"
 #include "proxyd/endpoints.h"
 #include "proxyd/origins.h"
 #include "proxyd/peers.h"
@@ -52,6 +53,9 @@
 	uint64_t checked_ms; /* when the call that check_table() ended began; 0:
 				none, or the answer since was handled */
 	uint64_t called_ms; /* when the last call began */
+	uint32_t wait_ms; /* for which it waits for changes at most */
+	uint64_t
+		seen_ms; /* all changes made by then are known; 0: never read */
 	bool waits; /* the call in progress waits for changes */
 	bool loaded; /* version is known, changes are followed */
 	bool busy;
@@ -70,6 +74,8 @@
 	bool stopping;
 	uint64_t next_write_ms;
 	struct store_gap gap; /* changes of which no row was read */
+	struct store_view view;
+	struct counter *view_age;
 	struct counter *calls[STORE_TABLES];
 	struct counter *checked[STORE_TABLES];
 	struct counter *stale[STORE_TABLES];
@@ -93,6 +99,9 @@
 static void account_for(struct watch *w, const struct store_row *rows, size_t n,
 			uint64_t now);
 static uint64_t tables_version(const struct watches *w);
+static void note_seen(struct watch *w, size_t n, uint64_t now);
+static void renew_view(struct watches *w);
+static void note_view_age(struct watches *w, uint64_t now);
 static void end_waiting(struct watches *w, const struct watch *except);
 static void call_if_due(struct watch *w, uint64_t now);
 static void call_store(struct watch *w);
@@ -144,6 +153,10 @@
 				     "table", "own entry");
 	w->missing = counter_labelled(rewrites, rewrites_help, COUNTER_TOTAL,
 				      "read", "missing");
+	w->view_age = counter_labelled("cdm_store_view_age_ms",
+				       "Time since which changes of the store "
+				       "may be unknown; -1: not read yet",
+				       COUNTER_GAUGE, "by", "self");
 	w->other = counter_labelled(rewrites, rewrites_help, COUNTER_TOTAL,
 				    "read", "of another process");
 	return w;
@@ -155,6 +168,7 @@
 	uint64_t now = proxyd_now(w->proxyd);
 	int i;
 
+	note_view_age(w, now);
 	for (i = 0; i < STORE_TABLES; i++)
 		end_if_dead(&w->watch[i], now);
 	check_tables(w, now);
@@ -337,10 +351,12 @@
 		t->newest_row = 0;
 		t->heard_version = 0;
 		t->checked_ms = 0;
+		t->seen_ms = 0;
 		t->poll.recovered_ms = now;
 		t->next_call_ms = now + delay_ms;
 	}
 	memset(&w->gap, 0, sizeof(w->gap));
+	store_view_reset(&w->view);
 	own_entry_era_began(&w->own_entry);
 	w->next_write_ms = now + delay_ms;
 	origins_era_began(w->proxyd->origins);
@@ -386,6 +402,7 @@
 void watches_change_known(struct watches *w, uint64_t version)
 {
 	store_gap_row(&w->gap, version, proxyd_now(w->proxyd));
+	renew_view(w);
 }
 
 /* Tells whether another instance has named a newer row than this one knows. */
@@ -531,6 +548,92 @@
 	w->checked_ms = 0;
 }
 
+/* Records up to when an answer with n rows shows the changes of a table: a call
+ * that waited in vain shows that there was none while it waited. */
+static void note_seen(struct watch *w, size_t n, uint64_t now)
+{
+	uint64_t ms = w->called_ms + (n ? 0 : w->wait_ms);
+
+	w->seen_ms = ms < now ? ms : now;
+}
+
+/* Renews the view of the store by what has been read: of all tables, or of the
+ * one whose answers name the newest change, while all changes are known. */
+static void renew_view(struct watches *w)
+{
+	uint64_t ms = UINT64_MAX;
+	int i;
+
+	for (i = 0; i < STORE_TABLES; i++) {
+		if (!w->watch[i].loaded)
+			return;
+		if (w->watch[i].seen_ms < ms)
+			ms = w->watch[i].seen_ms;
+	}
+	store_view_read(&w->view, ms);
+	if (!w->gap.since_ms)
+		store_view_read(&w->view, w->watch[STORE_ENDPOINTS].seen_ms);
+}
+
+/* Sets the metric of the view's age, and logs that the view has become old or has
+ * been renewed. */
+static void note_view_age(struct watches *w, uint64_t now)
+{
+	const struct watch *c = &w->watch[STORE_CONFIGURATION];
+	const struct proxyd *p = w->proxyd;
+	uint64_t age_ms = store_view_age_ms(&w->view, now);
+	bool known = age_ms != UINT64_MAX;
+
+	counter_set(w->view_age, known ? (double)age_ms : -1);
+	if (!known || !store_view_old_changes(&w->view, now))
+		return;
+	event_log(EVENT_ALWAYS,
+		  w->view.old ? "store-view-old" : "store-view-renewed", NULL,
+		  "{s:I, s:b, s:I, s:I, s:I, s:b, s:I}", "age_ms",
+		  (json_int_t)age_ms, "by_others",
+		  w->view.told_ms > w->view.read_ms, "answered_ms_ago",
+		  (json_int_t)(now - c->answered_ms), "asked_ms_ago",
+		  (json_int_t)(now - c->called_ms), "row",
+		  (json_int_t)c->newest_row, "missing", is_missing_rows(c),
+		  "version", (json_int_t)(p->routes ? p->routes->version : 0));
+}
+
+/* Returns the age of the view of the store, ms; UINT64_MAX if there is none. */
+uint64_t watches_view_age_ms(const struct watches *w)
+{
+	return store_view_age_ms(&w->view, proxyd_now(w->proxyd));
+}
+
+/* Returns the age of the view of the store as read by this instance itself, ms,
+ * plus 1, for other instances; 0: unknown. */
+uint32_t watches_read_ms_ago(const struct watches *w)
+{
+	uint64_t now = proxyd_now(w->proxyd);
+	uint64_t ms_ago = now - w->view.read_ms + 1;
+
+	return w->view.read_ms && ms_ago < UINT32_MAX ? (uint32_t)ms_ago : 0;
+}
+
+/* Handles the age of the view of the store that another instance has read, 0 if
+ * it names none, and the version of its configuration.  The view counts here if
+ * nothing that the other one has named is missing. */
+void watches_view_told(struct watches *w, uint32_t read_ms_ago,
+		       uint64_t configuration)
+{
+	const struct routes *routes = w->proxyd->routes;
+	uint64_t now = proxyd_now(w->proxyd);
+	int i;
+
+	if (!read_ms_ago || read_ms_ago > now || !routes ||
+	    configuration > routes->version)
+		return;
+	for (i = 0; i < STORE_TABLES; i++)
+		if (!w->watch[i].loaded || w->watch[i].behind_ms ||
+		    is_missing_rows(&w->watch[i]))
+			return;
+	store_view_told(&w->view, now - (read_ms_ago - 1));
+}
+
 /* Records the rows of an answer, and the version of the store that it names, as
  * accounted for. */
 static void account_for(struct watch *w, const struct store_row *rows, size_t n,
@@ -603,6 +706,7 @@
 
 	w->busy = true;
 	w->waits = wait_ms > 0;
+	w->wait_ms = wait_ms;
 	w->called_ms = proxyd_now(w->watches->proxyd);
 	w->listing = !w->loaded;
 	counter_add(w->watches->calls[w->table], 1);
@@ -685,7 +789,9 @@
 	w->answered_ms = now;
 	w->loaded = true;
 	w->from_copy = false;
+	note_seen(w, n, now);
 	account_for(w, rows, n, now);
+	renew_view(w->watches);
 }
 
 /* Handles a failed call: schedules the next one with a delay.  An instance
--- a/proxyd/watch.h
+++ b/proxyd/watch.h
@@ -24,6 +24,10 @@
 uint32_t watches_since_recovery_ms(const struct watches *w,
 				   enum store_table table);
 uint64_t watches_era(const struct watches *w);
+uint64_t watches_view_age_ms(const struct watches *w);
+uint32_t watches_read_ms_ago(const struct watches *w);
+void watches_view_told(struct watches *w, uint32_t read_ms_ago,
+		       uint64_t configuration);
 bool watches_era_seen(struct watches *w, uint64_t era, const char *peer);
 void watches_version_seen(struct watches *w, enum store_table table,
 			  uint64_t version);
