Soak: a phase of configurations beside lost calls to the store (CONFIG)

A run of our own for the users' report: configurations in series, also some that can't be read, while calls to the store fall silent for good, alone and with a second fault beside: the link to the store of one instance (either way or both), a frozen, killed or stopped instance, datagrams, SIGHUP, a store that refuses.

--- a/Makefile
+++ b/Makefile
@@ -125,6 +125,10 @@
 soak-path:
 	@PHASE=path $(MAKE) -s soak
 
+# The phase of configurations that change beside lost calls to the store.
+soak-configuration:
+	@PHASE=configuration INSTANCES=6 $(MAKE) -s soak
+
 # Proofs under failure: all, or `make prove T=name`.
 T = $(basename $(notdir $(wildcard regress/integration/test_*.c)))
 prove: programs tests
@@ -172,5 +176,5 @@
 
 .PHONY: all programs tests benches fuzzers check check-built bench demo fuzz \
 	prove format format-check lint tidy cppcheck man-check docs-check \
-	platform-check soak soak-path \
+	platform-check soak soak-path soak-configuration \
 	clean setup proto-gen
--- a/regress/soak/run.sh
+++ b/regress/soak/run.sh
@@ -1,9 +1,9 @@
 # Runs the fault soak for each seed, JOBS (default 4) at a time, with INSTANCES
-# (default 3) instances; PHASE=order or PHASE=path runs that phase alone.  Exits
-# with 1 if a seed fails and keeps its log, and the last KEPT_LINES lines of each
-# log of its processes in seed-N.logs.  A seed may fail with the one message that
-# an entry "red: soak seed N, MESSAGE" of KNOWN-RED.txt names (there may be several
-# of a seed); that is printed.
+# (default 3) instances; PHASE=order, PHASE=path or PHASE=configuration runs that
+# phase alone.  Exits with 1 if a seed fails and keeps its log, and the last
+# KEPT_LINES lines of each log of its processes in seed-N.logs.  A seed may fail
+# with the one message that an entry "red: soak seed N, MESSAGE" of KNOWN-RED.txt
+# names (there may be several of a seed); that is printed.
 # usage: run.sh BUILD-DIRECTORY SECONDS SEED ...
 out=$1
 seconds=$2
--- a/regress/soak/soak_proxyd.c
+++ b/regress/soak/soak_proxyd.c
@@ -3,9 +3,11 @@
  * workers behind a fault proxy, a steady load of callers, and external faults,
  * consecutive and overlapping, drawn from a seed.  During the run and at its
  * end the users' rules are checked by what callers and workers received.
- * usage: soak_proxyd SEED SECONDS [INSTANCES [order|path]]; with "order" only that
- * phase runs, for all the time; with "path" only the phase in which instances lose
- * their path to the endpoints.
+ * usage: soak_proxyd SEED SECONDS [INSTANCES [order|path|configuration]]; with
+ * "order" only that phase runs, for all the time; with "path" only the phase in
+ * which instances lose their path to the endpoints; with "configuration" only the
+ * one in which the configuration changes while calls to the store are lost, for
+ * all the time.
  */
 #include <signal.h>
 #include <stdarg.h>
@@ -25,6 +27,7 @@
 #include "regress/platform_standin.h"
 #include "regress/random.h"
 #include "regress/repeat_rule.h"
+#include "regress/soak/config_phase.h"
 #include "regress/soak/crash_rule.h"
 #include "regress/soak/exemptions.h"
 #include "regress/soak/holdoff_rule.h"
@@ -1026,6 +1029,14 @@
 	path_phase_run(n_instances, seed);
 }
 
+/* Runs the phase in which the configuration changes, with a platform of its
+ * own. */
+static void soak_configuration(void **state)
+{
+	(void)state;
+	config_phase_run(n_instances, seed, seconds * 1000);
+}
+
 int main(int argc, char **argv)
 {
 	const struct CMUnitTest tests[] = {
@@ -1034,6 +1045,9 @@
 	const struct CMUnitTest path_tests[] = {
 		cmocka_unit_test(soak_path),
 	};
+	const struct CMUnitTest configuration_tests[] = {
+		cmocka_unit_test(soak_configuration),
+	};
 
 	seed = argc > 1 ? strtoull(argv[1], NULL, 10) : 1;
 	seconds = argc > 2 ? (unsigned)strtoul(argv[2], NULL, 10) : 10;
@@ -1046,5 +1060,7 @@
 		return n_instances < 2
 			       ? 2
 			       : cmocka_run_group_tests(path_tests, NULL, NULL);
+	if (argc > 4 && !strcmp(argv[4], "configuration"))
+		return cmocka_run_group_tests(configuration_tests, NULL, NULL);
 	return cmocka_run_group_tests(tests, NULL, NULL);
 }
