watch: each instance sees to it that its view of the store is recent (CONFIG)

What callers saw: requests sent up to 8 s after the 2 s that a configuration has were run by its old service, or refused for a route or key that was there, at every instance.

Cause: of up to 16 instances each waits 25 s in one call a table. That all these calls are dead was found by one instance, the first by name, with a call of its own for one table. If that call is dead too, it ends after 3.5 s; if the first instance can't reach the store, stands still or ends, nobody finds out before the others' calls time out after 27.5 s. The class: a promise of all that one instance and one connection watch over.

Now each instance judges by its view's age (policy/store_view.c): if that isn't renewed within 1.1 s, or up to 0.6 s later by its rank, it ends its calls and reads the tables anew, on new connections, and tells the others at once. It asks for no cause, so that any failure of the first instance, its link, its calls or the datagrams is met by the same rule. The first instance's call now waits 0.6 s, less a pause or a slow answer before it, and follows without a pause.

--- a/policy/store_poll.c
+++ b/policy/store_poll.c
@@ -28,11 +28,12 @@
 /* Duration of a long poll; the store holds a call for 30 s at most. */
 #define WAIT_MS 25000
 
-/* The first instance of a small fleet asks for one table more often, so that the
- * loss of all instances' calls is noticed: with the time limit of a call, before
- * a store that was silent counts as stable again.  The answers also show when
- * the calls for other tables alone are dead; see store_gap.c. */
-#define WAIT_FIRST_MS 1000
+/* The first instance of a small fleet asks for one table more often, and without
+ * a pause as long as nothing changes: that renews the view of all instances; see
+ * store_view.c.  The answers also show when the calls for other tables alone are
+ * dead; see store_gap.c. */
+#define WAIT_FIRST_MS 600
+#define WAIT_FIRST_MIN_MS 100 /* if the answers take longer than that */
 
 /* A call that waits is dead if others have newer rows for so long: the time of
  * an answer and of the datagrams' delay. */
@@ -82,17 +83,28 @@
 	return store_poll_all_read(others->instances) && !others->preceding;
 }
 
-/* Returns how long a call waits for changes, ms.  A reader uses a short time, as
- * it must know that the store still answers it.  So does, for the table whose
- * changes are urgent, the first of the instances that poll each for itself: the
- * others compare their versions with its own. */
-uint32_t store_poll_wait_ms(const struct store_poll_others *others, bool urgent)
+/* Returns how long a call waits for changes of a table, ms.  A reader uses a short
+ * time, as it must know that the store still answers it.  So does, for the table
+ * whose changes are urgent, the first of the instances that poll each for itself:
+ * its answers renew the view of all.  age_ms is the age of its view of the table;
+ * a pause or a slow answer leaves less time to wait. */
+uint32_t store_poll_wait_ms(const struct store_poll_others *others, bool urgent,
+			    uint64_t age_ms)
 {
 	if (store_poll_designated(others))
 		return WAIT_FOR_OTHERS_MS;
-	if (urgent && store_poll_first(others))
-		return WAIT_FIRST_MS;
-	return WAIT_MS;
+	if (!urgent || !store_poll_first(others))
+		return WAIT_MS;
+	if (age_ms > WAIT_FIRST_MS - WAIT_FIRST_MIN_MS)
+		return WAIT_FIRST_MIN_MS;
+	return WAIT_FIRST_MS - (uint32_t)age_ms;
+}
+
+/* Tells whether the call after one that brought no change follows without a
+ * pause. */
+bool store_poll_follows_at_once(const struct store_poll_others *others)
+{
+	return store_poll_first(others);
 }
 
 /* Tells whether a call that waits for changes is dead though its connection
--- a/policy/store_poll.h
+++ b/policy/store_poll.h
@@ -36,8 +36,9 @@
 bool store_poll_all_read(size_t instances);
 bool store_poll_designated(const struct store_poll_others *others);
 bool store_poll_first(const struct store_poll_others *others);
-uint32_t store_poll_wait_ms(const struct store_poll_others *others,
-			    bool urgent);
+uint32_t store_poll_wait_ms(const struct store_poll_others *others, bool urgent,
+			    uint64_t age_ms);
+bool store_poll_follows_at_once(const struct store_poll_others *others);
 bool store_poll_call_dead(uint64_t heard_ms, uint64_t called_ms, uint64_t now);
 bool store_poll_fresh(uint64_t answered_ms, uint64_t now);
 enum store_poll_reason store_poll_decide(const struct store_poll_others *others,
--- a/proxyd/store.h
+++ b/proxyd/store.h
@@ -24,7 +24,7 @@
 	STORE_MALFORMED, /* the answer cannot be decoded */
 	STORE_OLD_ERA, /* it answered before it returned from a copy */
 	STORE_CHANGED, /* the row has another version than the call named */
-	STORE_ENDED, /* end_waiting() ended the call */
+	STORE_ENDED, /* end_reading() ended the call */
 };
 
 #define STORE_STREAM_KEY_SIZE 160
@@ -158,8 +158,8 @@
 			     void (*done)(void *arg,
 					  enum store_outcome outcome),
 			     void *arg);
-	/* ends the calls that wait for changes of a table, with STORE_ENDED */
-	void (*end_waiting)(struct store *s, enum store_table table);
+	/* ends the calls that read a table, with STORE_ENDED */
+	void (*end_reading)(struct store *s, enum store_table table);
 	void (*tick)(struct store *s); /* ends calls that timed out */
 };
 
--- a/proxyd/watch.c
+++ b/proxyd/watch.c
@@ -50,13 +50,15 @@
 	uint64_t heard_version; /* of the newest row that others know */
 	uint64_t heard_ms; /* since when they know rows that it lacks */
 	char heard_from[64]; /* the instance that named heard_version */
-	uint64_t checked_ms; /* when the call that check_table() ended began; 0:
-				none, or the answer since was handled */
+	/* when the call that a check or a renewal ended began; 0: none, or the
+	 * answer since was handled */
+	uint64_t checked_ms;
 	uint64_t called_ms; /* when the last call began */
 	uint32_t wait_ms; /* for which it waits for changes at most */
 	uint64_t
 		seen_ms; /* all changes made by then are known; 0: never read */
 	bool waits; /* the call in progress waits for changes */
+	bool renews; /* the next call renews the view: it does not wait */
 	bool loaded; /* version is known, changes are followed */
 	bool busy;
 	bool listing; /* the call reads the table whole */
@@ -76,6 +78,8 @@
 	struct store_gap gap; /* changes of which no row was read */
 	struct store_view view;
 	struct counter *view_age;
+	struct counter
+		*renewals; /* of the view, by this instance's own calls */
 	struct counter *calls[STORE_TABLES];
 	struct counter *checked[STORE_TABLES];
 	struct counter *stale[STORE_TABLES];
@@ -101,6 +105,7 @@
 static uint64_t tables_version(const struct watches *w);
 static void note_seen(struct watch *w, size_t n, uint64_t now);
 static void renew_view(struct watches *w);
+static void renew_view_if_due(struct watches *w, uint64_t now);
 static void note_view_age(struct watches *w, uint64_t now);
 static void end_waiting(struct watches *w, const struct watch *except);
 static void call_if_due(struct watch *w, uint64_t now);
@@ -157,6 +162,10 @@
 				       "Time since which changes of the store "
 				       "may be unknown; -1: not read yet",
 				       COUNTER_GAUGE, "by", "self");
+	w->renewals = counter_labelled("cdm_store_view_renewals_total",
+				       "Readings of all tables as the view of "
+				       "the store was not renewed in time",
+				       COUNTER_TOTAL, "by", "self");
 	w->other = counter_labelled(rewrites, rewrites_help, COUNTER_TOTAL,
 				    "read", "of another process");
 	return w;
@@ -172,6 +181,7 @@
 	for (i = 0; i < STORE_TABLES; i++)
 		end_if_dead(&w->watch[i], now);
 	check_tables(w, now);
+	renew_view_if_due(w, now);
 	for (i = 0; i < STORE_TABLES; i++)
 		if (!w->watch[i].busy && now >= w->watch[i].next_call_ms &&
 		    !waits_for_configuration(w, i))
@@ -487,16 +497,19 @@
 	end_waiting(w->watches, NULL);
 }
 
-/* Counts and logs a dead call, which had waited for waited_ms when it was
- * ended. */
+/* Counts and logs a dead call, which had waited for waited_ms when it was ended: by
+ * a row that others or the store had named, or by reading the table again. */
 static void note_stale(struct watch *w, uint64_t now, uint64_t waited_ms)
 {
+	bool named = is_missing_rows(w);
+
 	counter_add(w->watches->stale[w->table], 1);
 	event_log(EVENT_ALWAYS, "store-stale", NULL,
 		  "{s:s, s:I, s:I, s:s, s:I, s:I}", "table",
 		  store_table_name(w->table), "version", (json_int_t)w->version,
-		  "heard", (json_int_t)w->heard_version, "from", w->heard_from,
-		  "age_ms", (json_int_t)(now - w->heard_ms), "waited_ms",
+		  "heard", (json_int_t)(named ? w->heard_version : 0), "from",
+		  named ? w->heard_from : "own reading", "age_ms",
+		  (json_int_t)(named ? now - w->heard_ms : 0), "waited_ms",
 		  (json_int_t)waited_ms);
 }
 
@@ -536,15 +549,15 @@
 		  (json_int_t)w->version, "newest", (json_int_t)newest,
 		  "waited_ms", (json_int_t)(now - w->called_ms));
 	w->checked_ms = w->called_ms;
-	s->ops->end_waiting(s, w->table);
+	s->ops->end_reading(s, w->table);
 }
 
-/* Handles the answer that follows a check: rows show that the call which the
- * check ended was dead. */
+/* Handles the answer that follows a check or a renewal: rows show that the call
+ * which that ended was dead. */
 static void note_checked(struct watch *w, size_t n, uint64_t now)
 {
 	if (w->checked_ms && n)
-		note_stale(w, now, w->heard_ms - w->checked_ms);
+		note_stale(w, now, now - w->checked_ms);
 	w->checked_ms = 0;
 }
 
@@ -570,9 +583,47 @@
 		if (w->watch[i].seen_ms < ms)
 			ms = w->watch[i].seen_ms;
 	}
-	store_view_read(&w->view, ms);
-	if (!w->gap.since_ms)
-		store_view_read(&w->view, w->watch[STORE_ENDPOINTS].seen_ms);
+	if (!w->gap.since_ms && w->watch[STORE_ENDPOINTS].seen_ms > ms)
+		ms = w->watch[STORE_ENDPOINTS].seen_ms;
+	if (store_view_read(&w->view, ms))
+		peers_announce_soon(w->proxyd->peers);
+}
+
+/* Reads the tables if the view is not renewed in time.  Calls in progress may be
+ * dead, and are ended; those that follow a failure are made again anyway. */
+static void renew_view_if_due(struct watches *w, uint64_t now)
+{
+	struct store *s = w->proxyd->store;
+	struct store_poll_others others;
+	uint64_t age_ms;
+	int i;
+
+	for (i = 0; i < STORE_TABLES; i++)
+		if (!w->watch[i].loaded)
+			return;
+	others = peers_store_readers(w->proxyd->peers);
+	age_ms = store_view_age_ms(&w->view, now);
+	if (!store_poll_all_read(others.instances) ||
+	    !store_view_renewal_due(&w->view, others.preceding,
+				    others.instances, now))
+		return;
+	counter_add(w->renewals, 1);
+	event_log(EVENT_NOTABLE, "store-view-read", NULL,
+		  "{s:I, s:I, s:I, s:I}", "age_ms", (json_int_t)age_ms,
+		  "preceding", (json_int_t)others.preceding, "instances",
+		  (json_int_t)others.instances, "patience_ms",
+		  (json_int_t)w->view.patience_ms);
+	for (i = 0; i < STORE_TABLES; i++) {
+		struct watch *t = &w->watch[i];
+
+		if (t->poll.failures)
+			continue;
+		t->checked_ms = t->busy && t->waits ? t->called_ms : 0;
+		if (t->busy)
+			s->ops->end_reading(s, t->table);
+		t->renews = true;
+		t->next_call_ms = now;
+	}
 }
 
 /* Sets the metric of the view's age, and logs that the view has become old or has
@@ -676,7 +727,7 @@
 	for (i = 0; i < STORE_TABLES; i++)
 		if (&w->watch[i] != except && w->watch[i].busy &&
 		    w->watch[i].waits)
-			s->ops->end_waiting(s, (enum store_table)i);
+			s->ops->end_reading(s, (enum store_table)i);
 }
 
 /* Reads a table if this instance has to, and logs a change of the reason. */
@@ -706,6 +757,7 @@
 
 	w->busy = true;
 	w->waits = wait_ms > 0;
+	w->renews = false;
 	w->wait_ms = wait_ms;
 	w->called_ms = proxyd_now(w->watches->proxyd);
 	w->listing = !w->loaded;
@@ -717,16 +769,18 @@
 }
 
 /* Returns how long a call waits for changes, in ms.  It is 0 if changes are
- * known to exist, and after a failure, so that the recovery of the store is
- * noticed at once. */
+ * known to exist, to renew the view, and after a failure, so that the recovery of
+ * the store is noticed at once. */
 static uint32_t follow_ms(const struct watch *w)
 {
+	uint64_t now = proxyd_now(w->watches->proxyd);
 	struct store_poll_others others;
 
-	if (w->behind_ms || is_missing_rows(w) || w->poll.failures)
+	if (w->behind_ms || is_missing_rows(w) || w->poll.failures || w->renews)
 		return 0;
 	others = peers_store_readers(w->watches->proxyd->peers);
-	return store_poll_wait_ms(&others, w->table == STORE_ENDPOINTS);
+	return store_poll_wait_ms(&others, w->table == STORE_ENDPOINTS,
+				  now - w->seen_ms);
 }
 
 /* Handles the result of a call to the store. */
@@ -735,7 +789,9 @@
 {
 	struct watch *w = arg;
 	struct proxyd *p = w->watches->proxyd;
+	struct store_poll_others others;
 	uint64_t now = proxyd_now(p);
+	uint32_t pause_ms;
 	size_t i;
 
 	w->busy = false;
@@ -764,9 +820,13 @@
 			  (json_int_t)(now - w->poll.first_failure_ms));
 		end_waiting(w->watches, w);
 	}
-	w->next_call_ms = now + store_poll_after_success(
-					&w->poll, peers_alive(p->peers) + 1,
-					watches_designated(w->watches), now);
+	others = peers_store_readers(p->peers);
+	pause_ms = store_poll_after_success(&w->poll, peers_alive(p->peers) + 1,
+					    store_poll_designated(&others),
+					    now);
+	if (!n && store_poll_follows_at_once(&others))
+		pause_ms = 0;
+	w->next_call_ms = now + pause_ms;
 	if (w->loaded && version < w->version) {
 		/* another reader has told of newer rows meanwhile */
 		w->answered_ms = now;
--- a/regress/integration/test_dead_calls.c
+++ b/regress/integration/test_dead_calls.c
@@ -9,8 +9,10 @@
 #include <string.h>
 
 #include <setjmp.h>
+#include <signal.h>
 #include <cmocka.h>
 
+#include "lib/xalloc.h"
 #include "regress/platform_standin.h"
 
 #define INSTANCES_MAX 3
@@ -105,14 +107,14 @@
 	return proc_output_count(l->in->proc, l->text) > 0;
 }
 
-/* Waits until all instances have logged a text; so many calls at most may time
- * out. */
-static void expect_known_by_all(const char *text, size_t lost_max)
+/* Waits until all instances from the first-th on have logged a text; so many calls
+ * of these at most may time out. */
+static void expect_known_from(size_t first, const char *text, size_t lost_max)
 {
 	size_t lost = 0;
 	size_t i;
 
-	for (i = 0; i < n_instances; i++) {
+	for (i = first; i < n_instances; i++) {
 		struct logged known = { &instances[i], text };
 		struct logged timeout = { &instances[i],
 					  "\"event\":\"store-lost\"" };
@@ -123,6 +125,12 @@
 	assert_in_range(lost, 0, lost_max);
 }
 
+/* The same of all instances. */
+static void expect_known_by_all(const char *text, size_t lost_max)
+{
+	expect_known_from(0, text, lost_max);
+}
+
 /* Starts n instances that know a configuration, and waits until their calls for
  * all tables wait. */
 static void start_instances(size_t n)
@@ -138,7 +146,8 @@
 	expect_waiting_for("instances", n, n);
 }
 
-/* The calls of all instances are dead. */
+/* The calls of all instances are dead: none times out before they know of the next
+ * endpoint. */
 static void all_calls_are_lost(void **state)
 {
 	size_t i;
@@ -151,7 +160,7 @@
 	expect_waiting(INSTANCES_MAX);
 	standin_lose_feeds(world, NULL);
 	standin_add_worker(world, "plain", "z1");
-	expect_known_by_all("\"endpoint\":\"i-1\"", 1);
+	expect_known_by_all("\"endpoint\":\"i-1\"", 0);
 }
 
 /* The calls of some are dead, those of one that starts later are not. */
@@ -169,7 +178,7 @@
 	start_instance();
 	expect_waiting(1);
 	standin_add_worker(world, "plain", "z1");
-	expect_known_by_all("\"endpoint\":\"i-1\"", 1);
+	expect_known_by_all("\"endpoint\":\"i-1\"", 0);
 }
 
 /* The calls of two instances for the configuration are dead, those for the other
@@ -201,17 +210,87 @@
 	harness_until(harness, has_logged, &stale, stale.text);
 }
 
-/* The calls of all instances for all tables are dead: the first instance's short
- * call alone times out, after which all know the next configuration. */
+/* The calls of all instances for all tables are dead: none times out before the
+ * next version is in force. */
 static void all_calls_for_configuration_are_lost(void **state)
 {
 	(void)state;
 	start_instances(INSTANCES_MAX);
 	standin_lose_feeds(world, NULL);
 	standin_put_configuration(world, 3, NULL);
+	expect_known_by_all(CONFIGURATION_3, 0);
+}
+
+/* The same for an instance without any others. */
+static void calls_of_a_lone_instance_are_lost(void **state)
+{
+	(void)state;
+	start_instances(1);
+	standin_lose_feeds(world, NULL);
+	standin_put_configuration(world, 3, NULL);
+	expect_known_by_all(CONFIGURATION_3, 0);
+}
+
+/* All calls are dead, and the first instance is parted from the store: the others
+ * find it out in its place. */
+static void first_instance_is_parted(void **state)
+{
+	const char *gate = harness_address(harness);
+	const char *control = harness_address(harness);
+	char *map = xasprintf("%s=%s", gate, world->store_address);
+
+	(void)state;
+	HARNESS_START(harness, "faultd", "faultd", "-c", control, "-m", map);
+	free(map);
+	harness_wait_listening(harness, control);
+	standin_add_worker(world, "plain", "z1");
+	standin_put_configuration(world, 2, NULL);
+	world->store_public_address = gate;
+	start_instance();
+	world->store_public_address = world->store_address;
+	start_instance();
+	start_instance();
+	expect_waiting(INSTANCES_MAX);
+	expect_waiting_for("op", INSTANCES_MAX, INSTANCES_MAX);
+	expect_waiting_for("instances", INSTANCES_MAX, INSTANCES_MAX);
+	harness_control(harness, control, "{\"*\":{\"mode\":\"freeze\"}}");
+	standin_lose_feeds(world, NULL);
+	standin_put_configuration(world, 3, NULL);
+	expect_known_from(1, CONFIGURATION_3, 0);
 	expect_known_by_all(CONFIGURATION_3, 1);
 }
 
+/* All calls are dead, and the first instance stands still. */
+static void first_instance_stands_still(void **state)
+{
+	(void)state;
+	start_instances(INSTANCES_MAX);
+	proc_signal(instances[0].proc, SIGSTOP);
+	standin_lose_feeds(world, NULL);
+	standin_put_configuration(world, 3, NULL);
+	expect_known_from(1, CONFIGURATION_3, 0);
+	proc_signal(instances[0].proc, SIGCONT);
+}
+
+/* All calls are dead, and the instances can't reach each other: each of them finds
+ * it out. */
+static void instances_are_parted_from_each_other(void **state)
+{
+	const char *unused_address = harness_address(harness);
+	size_t i;
+
+	(void)state;
+	start_instances(INSTANCES_MAX);
+	for (i = 0; i < n_instances; i++)
+		standin_put_instance_entry(world, instances[i].name,
+					   unused_address, unused_address,
+					   unused_address);
+	expect_waiting_for("instances", INSTANCES_MAX, INSTANCES_MAX);
+	standin_lose_feeds(world, NULL);
+	standin_put_configuration(world, 3, NULL);
+	expect_known_by_all(CONFIGURATION_3, 0);
+}
+
 /* The calls for two tables are dead; a change of each comes after the other
  * one's was made good. */
 static void calls_are_lost_in_turn(void **state)
@@ -243,6 +322,15 @@
 		cmocka_unit_test_setup_teardown(
 			all_calls_for_configuration_are_lost, set_up,
 			tear_down),
+		cmocka_unit_test_setup_teardown(
+			calls_of_a_lone_instance_are_lost, set_up, tear_down),
+		cmocka_unit_test_setup_teardown(first_instance_is_parted,
+						set_up, tear_down),
+		cmocka_unit_test_setup_teardown(first_instance_stands_still,
+						set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			instances_are_parted_from_each_other, set_up,
+			tear_down),
 		cmocka_unit_test_setup_teardown(calls_are_lost_in_turn, set_up,
 						tear_down),
 	};
--- a/regress/unit/test_heartbeat.c
+++ b/regress/unit/test_heartbeat.c
@@ -86,7 +86,7 @@
 
 	(void)state;
 	assert_true(store_poll_fresh(
-		CUT_MS, CUT_MS + store_poll_wait_ms(&reader, true)));
+		CUT_MS, CUT_MS + store_poll_wait_ms(&reader, true, 0)));
 	/* last announcement of a reader that still counts as fresh */
 	for (now = CUT_MS; store_poll_fresh(CUT_MS, now); now++)
 		o.announced_ms = o.answered_ms = now;
@@ -234,18 +234,22 @@
 	(void)state;
 	/* a call made at the end of a silence, and a change made as soon as the
 	 * store is stable: with the datagram and the others' calls */
-	assert_true(store_poll_wait_ms(&o, true) + CALL_TIMEOUT_MS + 1000 <=
+	assert_true(store_poll_wait_ms(&o, true, 0) + CALL_TIMEOUT_MS + 1000 <=
 		    STABLE_MS + BOUND_MS);
-	assert_true(store_poll_wait_ms(&o, false) >= LONG_MS);
+	assert_true(store_poll_wait_ms(&o, false, 0) >= LONG_MS);
 	o.preceding = 1;
-	assert_true(store_poll_wait_ms(&o, true) >= LONG_MS);
+	assert_true(store_poll_wait_ms(&o, true, 0) >= LONG_MS);
 	o.instances = 1; /* alone */
 	o.preceding = 0;
-	assert_true(store_poll_wait_ms(&o, true) < BOUND_MS);
+	assert_true(store_poll_wait_ms(&o, true, 0) < BOUND_MS);
+	/* a pause after changes, or a slow answer, is made up for */
+	assert_int_equal(store_poll_wait_ms(&o, true, 450) + 450,
+			 store_poll_wait_ms(&o, true, 0));
+	assert_true(store_poll_wait_ms(&o, true, 60000) > 0);
 	o.instances = 295; /* the readers ask for the others */
-	assert_true(store_poll_wait_ms(&o, false) < BOUND_MS);
+	assert_true(store_poll_wait_ms(&o, false, 0) < BOUND_MS);
 	o.preceding = 9;
-	assert_true(store_poll_wait_ms(&o, true) >= LONG_MS);
+	assert_true(store_poll_wait_ms(&o, true, 0) >= LONG_MS);
 
 	assert_false(store_poll_call_dead(HEARD_MS, 1000, HEARD_MS));
 	assert_true(store_poll_call_dead(HEARD_MS, 1000, HEARD_MS + 1000));
