answer ends: a stream that nobody else takes waits for its silent endpoint (LOST)

What callers saw: all events of a stream, and then a connection that ended as broken, though the endpoint had written its answer whole. It was seen beside changes of the configuration, as these take endpoints and connections away.

Cause: an answer without a length counts as whole once its endpoint, asked after its end, has shown that it lives. That was waited for 2 s at most, 0.5 s if no connection stood, after which the answer counted as lost, also where nothing else could be done: the route doesn't resume, no attempt or no repeat is left. A sound endpoint may be silent for a second or so, and again soon after, and a silence is no reason to end an answer. The class: a time limit that gives up what nothing else can serve.

Now such a stream waits on until its deadline, by the same rule by which a silent run stays at its endpoint (is_taken_elsewhere()); its endpoint is asked every 0.5 s then. One that another endpoint takes moves as before.

--- a/policy/answer_end.c
+++ b/policy/answer_end.c
@@ -21,7 +21,16 @@
  * allowed, one is enough, as its endpoint has ended it itself. */
 #define EMPTY_RUNS 2
 
-/* Decides what an answer is whose connection was closed in order. */
+/* Tells whether an endpoint has given no sign for longer than one that lives needs,
+ * unless it is silent for longer. */
+bool answer_end_overdue(const struct answer_end_signs *s)
+{
+	return s->endpoint == ENDPOINT_SIGN_NONE &&
+	       s->waited_ms >= (s->reached ? ANSWER_MAX_MS : CONNECT_MAX_MS);
+}
+
+/* Decides what an answer is whose connection was closed in order.  A stream that no
+ * other endpoint takes waits on for its own, which may be sound and silent. */
 enum answer_end answer_end_decide(const struct answer_end_signs *s)
 {
 	switch (s->endpoint) {
@@ -39,9 +48,8 @@
 	case ENDPOINT_SIGN_NONE:
 		break;
 	}
-	return s->waited_ms >= (s->reached ? ANSWER_MAX_MS : CONNECT_MAX_MS)
-		       ? ANSWER_END_UNKNOWN
-		       : ANSWER_END_WAIT;
+	return answer_end_overdue(s) && !s->stays ? ANSWER_END_UNKNOWN
+						  : ANSWER_END_WAIT;
 }
 
 /* Tells whether a plain answer is passed on as it came, without a length.  One that
--- a/policy/answer_end.h
+++ b/policy/answer_end.h
@@ -35,8 +35,10 @@
 	bool empty; /* no event came of a stream that was to go on */
 	uint32_t empty_before; /* runs of it in a row of which none came */
 	bool may_run_again; /* another endpoint may be asked for the rest */
+	bool stays; /* no other endpoint takes the rest of a stream now */
 };
 
+bool answer_end_overdue(const struct answer_end_signs *s);
 enum answer_end answer_end_decide(const struct answer_end_signs *s);
 bool answer_end_delivers(enum answer_end end, bool may_run_again, bool outlived,
 			 uint64_t ended_after_ms);
--- a/proxyd/answer_ends.c
+++ b/proxyd/answer_ends.c
@@ -23,7 +23,10 @@
 #define CONNECT_MS 200
 #define ANSWER_MS 1500
 
-#define ASK_AGAIN_MS 100 /* after a question without an answer */
+/* Intervals of questions without an answer; an answer that is overdue may have to
+ * wait until its deadline. */
+#define ASK_AGAIN_MS 100
+#define ASK_OVERDUE_MS 500
 
 /* The ends of all connections of a process that is killed arrive within this
  * time. */
@@ -125,6 +128,7 @@
 				       ? since_ms
 				       : x->read_ms);
 	x->end_outlived = false;
+	x->end_overdue = false;
 	x->end_number = ++x->proxyd->exchanges->n_ends;
 	x->staged = false;
 	kv_copy_cancel_order(x);
@@ -263,6 +267,7 @@
 					  struct endpoint *e)
 {
 	struct proxyd *p = x->proxyd;
+	uint64_t now = proxyd_now(p);
 	struct end_questions *all = e->end_questions;
 	size_t n_max = may_exit(p, e) ? QUESTIONS_MAX : 1;
 	struct end_question *next = NULL;
@@ -285,8 +290,10 @@
 		if (!all->questions[i].call)
 			next = &all->questions[i];
 	}
-	if (n >= n_max || (was_asked_for(x, all->last) &&
-			   proxyd_now(p) - all->last->asked_ms < ASK_AGAIN_MS))
+	if (n >= n_max ||
+	    (was_asked_for(x, all->last) &&
+	     now - all->last->asked_ms <
+		     (x->end_overdue ? ASK_OVERDUE_MS : ASK_AGAIN_MS)))
 		return NULL;
 	all->last = next;
 	return next;
@@ -485,7 +492,7 @@
 	const struct endpoint *e =
 		endpoint_get(x->proxyd->endpoints, x->endpoint);
 	bool empty = x->is_event_stream && x->first_event_due_ms;
-	const struct answer_end_signs signs = {
+	struct answer_end_signs signs = {
 		.endpoint = f->sign,
 		.reached = is_reached(e, x),
 		.waited_ms = now - x->ended_ms,
@@ -495,8 +502,12 @@
 				 route_may_run_again(x->route) &&
 				 exchange_repeat_allowed(x),
 	};
-	enum answer_end end = answer_end_decide(&signs);
+	enum answer_end end;
 
+	x->end_overdue = answer_end_overdue(&signs);
+	signs.stays = x->end_overdue && x->is_event_stream && x->caller &&
+		      !stream_is_taken_elsewhere(x);
+	end = answer_end_decide(&signs);
 	if (end == ANSWER_END_WAIT && last)
 		end = ANSWER_END_UNKNOWN;
 	if (end == ANSWER_END_WAIT)
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -192,6 +192,7 @@
 	uint64_t ended_after_ms; /* the last bytes, as far as is known */
 	uint64_t ended_since_ms; /* that end came then at the earliest */
 	bool end_outlived; /* the endpoint accepted a connection after it */
+	bool end_overdue; /* the endpoint should have given a sign by now */
 	uint64_t end_number; /* of that end, among all that were read here */
 	uint32_t empty_runs; /* in a row, without an event of a begun stream */
 };
@@ -323,6 +324,7 @@
 void stream_receive(struct exchange *x, const char *data, size_t len);
 void stream_ended(struct exchange *x, enum http1_outcome outcome);
 void stream_end_known(struct exchange *x, enum answer_end end);
+bool stream_is_taken_elsewhere(struct exchange *x);
 void stream_move(struct exchange *x, const char *why, bool may_go_on);
 void stream_resume(struct exchange *x);
 void stream_check_silence(struct exchange *x, uint64_t now);
--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -454,6 +454,14 @@
 			  x->awaits_repeat, "sends", (int)x->sends);
 }
 
+/* Returns whether the rest of a stream whose run has ended may come from another
+ * endpoint now; if so, it holds the repeat for it. */
+bool stream_is_taken_elsewhere(struct exchange *x)
+{
+	return route_may_run_again(x->route) && exchange_has_attempts(x) &&
+	       is_taken_elsewhere(x);
+}
+
 /* Returns whether a run may continue at another endpoint now; if so, it holds
  * the repeat for it. */
 static bool is_taken_elsewhere(struct exchange *x)
--- a/regress/integration/test_unanswered_requests.c
+++ b/regress/integration/test_unanswered_requests.c
@@ -6,7 +6,9 @@
  * instance hears from the store late in its first second, so that requests come
  * before its configuration.
  *
- * By hand: WHOLE_SEED=101 WHOLE_SEEDS=10 WHOLE_SECONDS=30 WHOLE_INSTANCES=4.
+ * By hand: WHOLE_SEED=101 WHOLE_SEEDS=10 WHOLE_SECONDS=30 WHOLE_INSTANCES=4; with
+ * WHOLE_UNFRAMED=1 half of the answers end with their connection, and one in eight
+ * of these ends is followed by a silence of the endpoint.
  */
 #include <signal.h>
 #include <stdarg.h>
@@ -456,7 +458,8 @@
 	platform->extra_settings = "repeat_slack = 150\n"
 				   "directory_ttl_s = 1\n";
 	world = (struct whole_world){ .platform = platform,
-				      .random = &run.random };
+				      .random = &run.random,
+				      .unframed = number("WHOLE_UNFRAMED", 0) };
 	version = 1;
 	apply_changes();
 	n_instances = number("WHOLE_INSTANCES", INSTANCES);
--- a/regress/unit/test_answer_end.c
+++ b/regress/unit/test_answer_end.c
@@ -12,6 +12,7 @@
 #define N(list) (sizeof(list) / sizeof((list)[0]))
 #define TICK_MS 20
 #define SILENCE_MS 1500 /* of a sound endpoint */
+#define LONG_MS 20000 /* far longer than that */
 #define PART_GAP_MS 20 /* between two parts of an answer */
 #define CUT_MS 200 /* a connection that was lost, and one more */
 #define STREAM_GAP_MS 5600 /* the shortest after which callers leave */
@@ -52,6 +53,18 @@
 		    .reached = true,
 		    .waited_ms = SILENCE_MS },
 		  ANSWER_END_WAIT },
+		{ { .endpoint = ENDPOINT_SIGN_NONE, .waited_ms = LONG_MS },
+		  ANSWER_END_UNKNOWN },
+		{ { .endpoint = ENDPOINT_SIGN_NONE,
+		    .waited_ms = LONG_MS,
+		    .stays = true },
+		  ANSWER_END_WAIT },
+		{ { .endpoint = ENDPOINT_SIGN_UNKNOWN, .stays = true },
+		  ANSWER_END_UNKNOWN },
+		{ { .endpoint = ENDPOINT_SIGN_ENDED, .stays = true },
+		  ANSWER_END_CUT },
+		{ { .endpoint = ENDPOINT_SIGN_LIVES, .stays = true },
+		  ANSWER_END_WHOLE },
 	};
 	size_t i;
 
--- a/regress/whole_callers.c
+++ b/regress/whole_callers.c
@@ -263,6 +263,9 @@
 		return;
 	if (c->open)
 		take_answer(w, c);
+	if (n == 0 && c->open && c->in_body &&
+	    c->framing.framing == HTTP1_UNTIL_CLOSE)
+		settle(w, c);
 	if (n <= 0 || (c->closing && !c->open))
 		end_connection(w, c);
 }
@@ -284,7 +287,6 @@
 		c->open->status = head.status;
 		c->closing = !http1_keeps_alive(&head);
 		assert_true(http1_response_framing(&head, false, &c->framing));
-		assert_true(c->framing.framing != HTTP1_UNTIL_CLOSE);
 		c->in_body = true;
 		bytes_consume(&c->in, used);
 	}
--- a/regress/whole_endpoints.c
+++ b/regress/whole_endpoints.c
@@ -28,6 +28,9 @@
 #define CLOSES_ONE_IN 8 /* answers, of an endpoint that does not leave */
 #define LEAVING_MIN_MS 1500 /* it serves on for so long at least */
 #define PAD_MAX 400000 /* of a long answer */
+#define SILENT_ENDS_ONE_IN 8 /* ends of answers that a silence follows */
+#define SILENCE_MIN_MS 800
+#define SILENCE_SPREAD_MS 1000
 
 enum conn_state {
 	CONN_HEAD,
@@ -48,6 +51,7 @@
 	bool slow;
 	bool early; /* answered before the body was read */
 	bool closes; /* the connection is closed after the answer */
+	bool unframed; /* the answer ends with the connection */
 	uint64_t due_ms; /* of the answer or the next event */
 	int next_event;
 };
@@ -233,6 +237,10 @@
 	flush(c);
 	if (c->closes && c->state == CONN_HEAD && !c->out.len) {
 		close_conn(c);
+		if (c->unframed && !random_below(w->random, SILENT_ENDS_ONE_IN))
+			e->silent_until_ms =
+				now + SILENCE_MIN_MS +
+				random_below(w->random, SILENCE_SPREAD_MS);
 		return true;
 	}
 	return n > 0 || c->state != CONN_HEAD || c->in.len || c->out.len;
@@ -334,15 +342,17 @@
 	bool chunks = random_below(w->random, 2);
 	char *body;
 
-	c->closes = e->leaving_ms || !random_below(w->random, CLOSES_ONE_IN);
+	c->unframed = !c->early && w->unframed && random_below(w->random, 2);
+	c->closes = c->unframed || e->leaving_ms ||
+		    !random_below(w->random, CLOSES_ONE_IN);
 	bytes_addf(&c->out,
 		   "HTTP/1.1 200 OK\r\nresponse-signature: m.1\r\n"
 		   "request-id: %s\r\ninstance-id: %s\r\n%s%s",
 		   c->request->id, e->id, leaving,
 		   c->closes ? "connection: close\r\n" : "");
 	if (e->engine) {
-		bytes_addf(&c->out, "content-type: text/event-stream\r\n"
-				    "transfer-encoding: chunked\r\n\r\n");
+		bytes_addf(&c->out, "content-type: text/event-stream\r\n%s\r\n",
+			   c->unframed ? "" : "transfer-encoding: chunked\r\n");
 		c->state = CONN_STREAM;
 		c->due_ms = now_ms(w) + STANDIN_EVENT_MS;
 		return;
@@ -350,13 +360,15 @@
 	body = xcalloc(len + 1, 1);
 	memset(body, '.', len);
 	memcpy(body, c->request->id, strlen(c->request->id));
-	if (chunks)
+	if (c->unframed)
+		bytes_addf(&c->out, "\r\n");
+	else if (chunks)
 		bytes_addf(&c->out, "transfer-encoding: chunked\r\n\r\n%zx\r\n",
 			   len);
 	else
 		bytes_addf(&c->out, "content-length: %zu\r\n\r\n", len);
 	bytes_add(&c->out, body, len);
-	if (chunks)
+	if (chunks && !c->unframed)
 		bytes_addf(&c->out, "\r\n0\r\n\r\n");
 	free(body);
 	if (!c->early)
@@ -389,12 +401,17 @@
 	while (now >= c->due_ms && c->next_event <= STANDIN_EVENTS) {
 		snprintf(event, sizeof(event), "id: %d\ndata: e\n\n",
 			 c->next_event++);
-		bytes_addf(&c->out, "%zx\r\n%s\r\n", strlen(event), event);
+		if (c->unframed)
+			bytes_addf(&c->out, "%s", event);
+		else
+			bytes_addf(&c->out, "%zx\r\n%s\r\n", strlen(event),
+				   event);
 		c->due_ms += STANDIN_EVENT_MS;
 	}
 	if (c->next_event <= STANDIN_EVENTS)
 		return;
-	bytes_addf(&c->out, "0\r\n\r\n");
+	if (!c->unframed)
+		bytes_addf(&c->out, "0\r\n\r\n");
 	c->state = CONN_HEAD;
 }
 
--- a/regress/whole_requests.h
+++ b/regress/whole_requests.h
@@ -107,6 +107,7 @@
 	size_t n_endpoints;
 	unsigned int changes; /* of the configuration, so far */
 	bool ending; /* no new requests, and nothing is held back */
+	bool unframed; /* half of the answers end with their connection */
 	size_t n_broken_off; /* connections that an endpoint closed in use */
 };
 
