relay: a stopping instance doesn't take the others for ended (LOST)

What callers saw: a stream of an instance that had lost its path and was stopped was broken off, all its events received, while another instance served it and waited for the end of its answer.

Cause: a stopping instance removes its entry, and the others stop sending it datagrams. A second later it has heard of none of them, and a relayed answer without a byte for a second counts as that of an ended instance. The stream then moves and finds no other place, as the paths of the others are unknown too. The class: a sign of one's own state taken for a sign of the other side, as in refused connections of an instance without a path.

An instance that stops now waits for a silent one as for one that isn't listed any more (5 s); if that one ends, its connections show it.

--- a/proxyd/peers_relay.c
+++ b/proxyd/peers_relay.c
@@ -18,7 +18,8 @@
 /* An instance that sends events is not silent, whatever its datagrams tell. */
 #define SILENT_MS 1000
 
-/* One that is not listed any more may be about to end its last requests. */
+/* One that is not listed any more may be about to end its last requests.  If this
+ * instance isn't, as it stops, the others send it no datagrams. */
 #define UNLISTED_SILENT_MS 5000
 
 static const struct peer_path *find_path(const struct peer *peer,
@@ -195,7 +196,7 @@
 {
 	const struct peer *peer = peers_find_hash(t, instance);
 
-	if (!peer)
+	if (!peer || !planned_stop_ready(&t->proxyd->planned_stop))
 		return silent_ms >= UNLISTED_SILENT_MS;
 	return silent_ms >= SILENT_MS && !peer->alive &&
 	       !heartbeat_stopping(&peer->heartbeat, t->n + 1,
