peers: go on telling a stopping instance which others live (LOST)

What callers saw: requests that came to an instance without a path, a second or more after its SIGTERM, were refused, or held until the process ended, though the other instances reached the endpoints.

Cause: a stopping instance removes its entry, and an instance that reads that drops it from its table, to which datagrams go. So the stopping one hears of nobody for the rest of its grace time, and relays nothing more.

An instance that is dropped while it was heard of goes on getting pulses for the grace time, unless its entry comes back.

--- a/proxyd/peers.c
+++ b/proxyd/peers.c
@@ -47,6 +47,8 @@
 static void peer_missing(struct peers *t, struct peer *peer);
 static void remove_missing(struct peers *t);
 static void peer_remove(struct peers *t, struct peer *peer);
+static void note_parting(struct peers *t, const struct peer *peer);
+static void forget_parting(struct peers *t, const struct sockaddr_in *address);
 static void update_liveness(struct peers *t);
 
 static char datagram[DATAGRAM_MAX_BYTES];
@@ -137,6 +139,7 @@
 	peer->peers = xstrdup(row->instance->peers);
 	peer->zone = xstrdup(row->instance->zone);
 	uv_ip4_addr(host, port, &peer->address);
+	forget_parting(t, &peer->address);
 	peer->heartbeat.leaving = false;
 	peer->heartbeat.listed_ms = proxyd_now(t->proxyd);
 	peer->missing_ms = 0;
@@ -643,6 +646,7 @@
 static void peer_remove(struct peers *t, struct peer *peer)
 {
 	peers_send_origins(t); /* none in the queue names it any more */
+	note_parting(t, peer);
 	remove_loads(t, peer);
 	TAILQ_REMOVE(&t->list, peer, link);
 	t->n--;
@@ -655,6 +659,35 @@
 	free(peer);
 }
 
+/* Notes that an instance which is heard of is not listed any more: it may be
+ * stopping, and is told for its grace time which others live. */
+static void note_parting(struct peers *t, const struct peer *peer)
+{
+	uint64_t now = proxyd_now(t->proxyd);
+	uint32_t silent_ms = SILENT_PULSES * heartbeat_interval_ms(t->n + 1);
+
+	if (!peer->heartbeat.last_seen_ms ||
+	    now - peer->heartbeat.last_seen_ms > silent_ms)
+		return;
+	t->parting[t->parting_next] = (struct parting_peer){
+		.address = peer->address,
+		.until_ms = now + t->proxyd->planned_stop.grace_ms,
+	};
+	t->parting_next = (t->parting_next + 1) % PARTING_MAX;
+}
+
+/* Forgets that an instance was stopping, as it is listed again. */
+static void forget_parting(struct peers *t, const struct sockaddr_in *address)
+{
+	size_t i;
+
+	for (i = 0; i < PARTING_MAX; i++)
+		if (t->parting[i].address.sin_port == address->sin_port &&
+		    t->parting[i].address.sin_addr.s_addr ==
+			    address->sin_addr.s_addr)
+			t->parting[i].until_ms = 0;
+}
+
 /* Summarizes the instances that read the store for others, and those that take
  * precedence over this one as readers.  The caller sets behind_ms. */
 struct store_poll_others peers_store_readers(const struct peers *t)
--- a/proxyd/peers_announce.c
+++ b/proxyd/peers_announce.c
@@ -41,8 +41,8 @@
 static size_t gather_writes(struct peers *t, uint64_t *versions);
 static void send_rows(struct peers *t, const PeerRows *rows);
 static size_t pack(const PeerDatagram *d, uint8_t *out);
-static void send_packed(struct peers *t, const struct peer *to, uint8_t *out,
-			size_t len);
+static void send_packed(struct peers *t, const struct sockaddr_in *to,
+			uint8_t *out, size_t len);
 
 /* Announces that an endpoint was found dead. */
 void peers_announce_lost(struct peers *t, const char *endpoint)
@@ -290,6 +290,7 @@
 	if (peer_datagram__get_packed_size(&d) > DATAGRAM_MAX_BYTES)
 		pulse.n_prompts = 0;
 	peers_send_all(t, &d);
+	peers_send_parting(t, &d);
 }
 
 /* Announces, at short intervals, that this instance is designated to read the
@@ -469,7 +470,7 @@
 	if (!len)
 		return;
 	TAILQ_FOREACH(peer, &t->list, link)
-	send_packed(t, peer, out, len);
+	send_packed(t, &peer->address, out, len);
 }
 
 /* Sends a datagram to one instance. */
@@ -479,7 +480,20 @@
 	size_t len = pack(d, out);
 
 	if (len)
-		send_packed(t, to, out, len);
+		send_packed(t, &to->address, out, len);
+}
+
+/* Sends a datagram to the instances that stop and are not listed any more. */
+void peers_send_parting(struct peers *t, const PeerDatagram *d)
+{
+	uint64_t now = proxyd_now(t->proxyd);
+	uint8_t out[DATAGRAM_MAX_BYTES];
+	size_t len = pack(d, out);
+	size_t i;
+
+	for (i = 0; len && i < PARTING_MAX; i++)
+		if (now < t->parting[i].until_ms)
+			send_packed(t, &t->parting[i].address, out, len);
 }
 
 /* Packs a datagram into DATAGRAM_MAX_BYTES bytes; returns its length, 0 if it
@@ -492,14 +506,13 @@
 	return 0;
 }
 
-/* Sends a packed datagram to an instance. */
-static void send_packed(struct peers *t, const struct peer *to, uint8_t *out,
-			size_t len)
+/* Sends a packed datagram to an address. */
+static void send_packed(struct peers *t, const struct sockaddr_in *to,
+			uint8_t *out, size_t len)
 {
 	const uv_buf_t buf = uv_buf_init((char *)out, (unsigned int)len);
 
-	if (uv_udp_try_send(&t->udp, &buf, 1,
-			    (const struct sockaddr *)&to->address) > 0)
+	if (uv_udp_try_send(&t->udp, &buf, 1, (const struct sockaddr *)to) > 0)
 		counter_add(t->sent, 1);
 }
 
--- a/proxyd/peers_relay.c
+++ b/proxyd/peers_relay.c
@@ -19,7 +19,7 @@
 #define SILENT_MS 1000
 
 /* One that is not listed any more may be about to end its last requests.  If this
- * instance isn't, as it stops, the others send it no datagrams. */
+ * instance isn't, as it stops, others of an earlier build send it no datagrams. */
 #define UNLISTED_SILENT_MS 5000
 
 static const struct peer_path *find_path(const struct peer *peer,
--- a/proxyd/peers_table.h
+++ b/proxyd/peers_table.h
@@ -18,6 +18,7 @@
 #define ANNOUNCED_MAX 8 /* endpoints lost, found or leaving, per datagram */
 #define PROMPTS_MAX 16 /* prompt locations per datagram */
 #define PROMPTS_QUEUED 64 /* prompt locations queued for sending */
+#define PARTING_MAX 16 /* instances that stop and are not listed any more */
 #define PATHS_MAX 8 /* services whose paths are told, per datagram */
 #define WRITES_MAX 8 /* versions of own writes per datagram */
 #define WRITES_QUEUED 32 /* of these, queued for sending */
@@ -93,6 +94,13 @@
 	unsigned int sends_left;
 };
 
+/* An instance that has removed its entry, as it stops.  It still relays what it has
+ * accepted, and has to know which others live. */
+struct parting_peer {
+	struct sockaddr_in address;
+	uint64_t until_ms; /* end of its grace time; 0: none */
+};
+
 /* The other instances that keep the records of a hash. */
 struct record_keepers {
 	bool all; /* every one; else the live ones of this weight or more */
@@ -136,6 +144,8 @@
 	uint64_t pulse_due_ms; /* time of an early pulse; 0: none */
 	uint64_t work_due_ms; /* time of a datagram on changed work; 0: none */
 	uint64_t reader_sent_ms; /* last PeerReader sent; 0: not a reader */
+	struct parting_peer parting[PARTING_MAX];
+	size_t parting_next; /* the oldest */
 	struct announced_endpoints lost;
 	struct announced_endpoints found;
 	struct announced_endpoints leaving;
@@ -161,6 +171,7 @@
 uint64_t peers_name_hash(const char *name);
 void peers_send(struct peers *t, const struct peer *to, const PeerDatagram *d);
 void peers_send_all(struct peers *t, const PeerDatagram *d);
+void peers_send_parting(struct peers *t, const PeerDatagram *d);
 bool peer_path_lost(const struct peer *peer);
 void peers_receive_paths(struct peers *t, struct peer *peer,
 			 const PeerPulse *pulse);
--- a/regress/integration/test_stopping_relay.c
+++ b/regress/integration/test_stopping_relay.c
@@ -15,6 +15,9 @@
 
 #define EVENTS_RELAYED 6 /* more than come before the cut */
 #define SILENT_MS 1700 /* before the ends are known */
+#define STOPPING_MS 1500 /* others that aren't heard of count as lost by then */
+#define LOOKUPS 5
+#define LOOKUP_BYTES 24
 
 static bool all_have(int n_events)
 {
@@ -66,11 +69,38 @@
 	assert_int_equal(path_callers_report(&rig->callers), 0);
 }
 
+/* Requests that come while the instance stops are relayed too. */
+static void requests_of_a_stopping_instance_are_relayed(void **state)
+{
+	struct lost_path *rig = lost_path_get();
+	struct path_request *lookups[LOOKUPS];
+	size_t i;
+
+	(void)state;
+	lost_path_warm_up();
+	lost_path_begin_streams();
+	lost_path_set_mode("cut");
+	harness_until(rig->harness, all_are_relayed, NULL,
+		      "the streams are relayed");
+	proc_signal(rig->instances[0].proc, SIGTERM);
+	harness_run(rig->harness, STOPPING_MS);
+	for (i = 0; i < LOOKUPS; i++)
+		lookups[i] = path_send(&rig->callers, PATH_LOOK, PATH_STOPPING,
+				       true, LOOKUP_BYTES);
+	harness_until(rig->harness, path_callers_over, &rig->callers,
+		      "all requests end");
+	assert_int_equal(path_callers_report(&rig->callers), 0);
+	for (i = 0; i < LOOKUPS; i++)
+		assert_true(path_is_whole(lookups[i]));
+}
+
 int main(void)
 {
 	static const struct lost_path_case alone = { .mode = "cut" };
 	const struct CMUnitTest tests[] = {
 		LOST_PATH_PLAY(ends_of_relayed_streams_are_awaited, &alone),
+		LOST_PATH_PLAY(requests_of_a_stopping_instance_are_relayed,
+			       &alone),
 	};
 
 	return cmocka_run_group_tests_name("stopping relay", tests, NULL, NULL);
