repeats: attempts of a begun stream on a lost path don't count (LOST)

What callers saw: streams that had begun at an instance that then lost its path in one direction were broken off at their deadline, though the other instances reached the endpoints.

Cause: connections are accepted and nothing comes back, so that a stream moves from one endpoint to the next, each silent, until its route's attempts are used up; a second later the path is known to be lost, and the stream may go nowhere any more, not to another instance either.

While the path is lost, an attempt of a begun stream that brought no answer no longer counts for its route's limit, like one at an endpoint that has ended.

--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -315,6 +315,8 @@
 	p->protocol->decode_answer(head, &x->answer);
 	if (!is_own_answer(x, head))
 		return HTTP1_SKIP;
+	if (x->sends)
+		x->targets[(x->sends - 1) % ENDPOINT_AVOID_MAX].answered = true;
 	endpoint_answered(p->endpoints, x->endpoint, x->sent_ms,
 			  http1_call_reused(x->call));
 	if (x->answer.misdirected) {
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -82,6 +82,7 @@
 	uint64_t
 		born_ms; /* its start, proved then or stated since; 0: unknown */
 	bool relayed; /* to another instance, which chose the process */
+	bool answered; /* it sent the head of an answer */
 };
 
 /* One request of a caller, from its arrival until its answer is complete. */
--- a/proxyd/repeats.c
+++ b/proxyd/repeats.c
@@ -19,6 +19,8 @@
 
 static bool has_ended(const struct endpoints *t,
 		      const struct attempt_target *target);
+static bool was_cut_off(const struct exchange *x,
+			const struct attempt_target *target);
 static void log_repeat(const struct exchange *x, bool allowed,
 		       const struct repeat_share *seen);
 static bool waits_for_repeat(const struct exchange *x);
@@ -33,9 +35,10 @@
 	t->repeats_lent = repeat_counter("lent");
 }
 
-/* Returns the attempts that count for the route's limit.  Those at processes that
- * have ended don't, of the last ENDPOINT_AVOID_MAX.  Those by other instances do, as
- * it is not known here what became of them. */
+/* Returns the attempts that count for the route's limit.  Of the last
+ * ENDPOINT_AVOID_MAX, those at processes that have ended don't, nor do those of a
+ * begun stream at processes that are cut off.  Those by other instances do, as it is
+ * not known here what became of them. */
 uint32_t exchange_attempts_used(const struct exchange *x)
 {
 	uint32_t n = x->sends < ENDPOINT_AVOID_MAX ? x->sends
@@ -44,7 +47,8 @@
 	uint32_t i;
 
 	for (i = 0; i < n; i++)
-		used -= has_ended(x->proxyd->endpoints, &x->targets[i]);
+		used -= has_ended(x->proxyd->endpoints, &x->targets[i]) ||
+			was_cut_off(x, &x->targets[i]);
 	return used;
 }
 
@@ -97,6 +101,16 @@
 	       (target->born_ms && endpoint_known_start(e) != target->born_ms);
 }
 
+/* Returns whether this instance has lost its path to the service and has had no
+ * answer from a process that a begun stream was sent to: before the loss is known,
+ * the stream may use up its attempts on the lost path. */
+static bool was_cut_off(const struct exchange *x,
+			const struct attempt_target *target)
+{
+	return x->response_started && !target->relayed && !target->answered &&
+	       endpoints_path_lost(x->proxyd->endpoints, x->service);
+}
+
 /* Returns whether the request may be sent to an endpoint again.  If so, it
  * holds a repeat of the budget until it is sent or finished. */
 bool exchange_repeat_allowed(struct exchange *x)
