--- a/policy/answer_end.c
+++ b/policy/answer_end.c
@@ -21,8 +21,8 @@
  * allowed, one is enough, as its endpoint has ended it itself. */
 #define EMPTY_RUNS 2
 
-/* Tells whether an endpoint has given no sign for longer than one that lives needs,
- * unless it is silent for longer. */
+/* Tells whether an endpoint has given no sign for as long as one that lives, and
+ * has just fallen silent, takes at most. */
 bool answer_end_overdue(const struct answer_end_signs *s)
 {
 	return s->endpoint == ENDPOINT_SIGN_NONE &&
--- a/proxyd/watch.c
+++ b/proxyd/watch.c
@@ -55,8 +55,7 @@
 	uint64_t checked_ms;
 	uint64_t called_ms; /* when the last call began */
 	uint32_t wait_ms; /* for which it waits for changes at most */
-	uint64_t
-		seen_ms; /* all changes made by then are known; 0: never read */
+	uint64_t seen_ms; /* changes until then are known; 0: none read */
 	bool waits; /* the call in progress waits for changes */
 	bool renews; /* the next call renews the view: it does not wait */
 	bool loaded; /* version is known, changes are followed */
@@ -78,8 +77,7 @@
 	struct store_gap gap; /* changes of which no row was read */
 	struct store_view view;
 	struct counter *view_age;
-	struct counter
-		*renewals; /* of the view, by this instance's own calls */
+	struct counter *renewals; /* of the view, by own calls */
 	struct counter *calls[STORE_TABLES];
 	struct counter *checked[STORE_TABLES];
 	struct counter *stale[STORE_TABLES];
