Soak: an unreadable configuration comes once the one before had its time

Traced: a version was written while the store refused all calls, and overwritten 1 s later, in the store, by a row that can't be read. No instance had read it (its version is in none of the six logs), and nobody could any more: each said configuration-unreadable at its first answer, and took the next version when it came. The users' store accepts valid configurations only.

The phase now writes such a row only when each instance in touch has had the time that the rule gives it to read the version before.

--- a/regress/soak/config_phase.c
+++ b/regress/soak/config_phase.c
@@ -44,7 +44,7 @@
 #define QUIET_MIN_MS 1000
 #define QUIET_MAX_MS 4500
 #define SERIES_MAX 5
-#define UNREADABLE_IN 12 /* one of so many writes can't be read */
+#define UNREADABLE_IN 6 /* one of so many writes may be unreadable */
 
 #define FAULT_MIN_MS 2500 /* between two faults */
 #define FAULT_MAX_MS 6500
@@ -444,7 +444,8 @@
 	default:
 		note("store refuses", i);
 		world->store_refuses = true;
-		store_stable_ms = UINT64_MAX - CONTACT_MS;
+		store_stable_ms =
+			UINT64_MAX - CONTACT_MS - CONFIG_RULE_APPLY_MS;
 		schedule_end(ms, store_recovers, 0);
 		break;
 	}
@@ -559,6 +560,15 @@
 	return false;
 }
 
+/* Returns whether each instance in touch has had the time to read the last version:
+ * one that can't be read takes its place in the store, from where nobody can read it
+ * any more. */
+static bool last_version_is_known(void)
+{
+	return now_ms() >= rule.written_ms[rule.n - 1] + CONFIG_RULE_APPLY_MS &&
+	       now_ms() >= store_stable_ms + CONTACT_MS + CONFIG_RULE_APPLY_MS;
+}
+
 /* Writes series of versions with pauses between them. */
 static void change(void)
 {
@@ -567,7 +577,8 @@
 
 	if (now_ms() < next_ms)
 		return;
-	put_configuration(random_below(&change_numbers, UNREADABLE_IN) > 0);
+	put_configuration(random_below(&change_numbers, UNREADABLE_IN) > 0 ||
+			  !last_version_is_known());
 	if (!left--) {
 		left = random_below(&change_numbers, SERIES_MAX);
 		next_ms = now_ms() + QUIET_MIN_MS +
