store_poll: one place decides the pause; no walk while the view is recent

watch.c set the pause to 0 after any empty answer on the first instance, beside store_poll_after_success(), which decides pauses. A call that doesn't wait, as others name a row that it lacks, could thus follow itself at every tick if the store never shows that row (read in the code, not seen). The policy now gets the instances and whether a call waited in vain, and pauses in all other cases, as before. The view's age is looked at before the list of instances is walked, and tables_version() tells whether all tables are loaded.

--- a/policy/store_poll.c
+++ b/policy/store_poll.c
@@ -100,13 +100,6 @@
 	return WAIT_FIRST_MS - (uint32_t)age_ms;
 }
 
-/* Tells whether the call after one that brought no change follows without a
- * pause. */
-bool store_poll_follows_at_once(const struct store_poll_others *others)
-{
-	return store_poll_first(others);
-}
-
 /* Tells whether a call that waits for changes is dead though its connection
  * stands: others have had newer rows for some time, all of which it waited.
  * heard_ms is when that was heard first, called_ms when the call began. */
@@ -174,17 +167,21 @@
 	return wait / 2 + (uint32_t)(rnd % (wait / 2 + 1));
 }
 
-/* Records an answer of the store.  Returns how long to batch changes, ms. */
-uint32_t store_poll_after_success(struct store_poll *r, size_t instances,
-				  bool for_others, uint64_t now)
+/* Records an answer of the store.  Returns how long to batch changes, ms.  There is
+ * nothing to batch after a wait in vain: the first instance then asks again at once,
+ * which keeps its view of the store recent. */
+uint32_t store_poll_after_success(struct store_poll *r,
+				  const struct store_poll_others *others,
+				  bool waited_in_vain, uint64_t now)
 {
-	size_t wait = BATCH_MS + instances * BATCH_PER_INSTANCE_MS;
-
-	if (for_others)
-		wait = BATCH_FOR_OTHERS_MS;
+	size_t wait = BATCH_MS + others->instances * BATCH_PER_INSTANCE_MS;
 
 	if (r->failures >= OUTAGE_FAILURES_MIN)
 		r->recovered_ms = now;
 	r->failures = 0;
+	if (waited_in_vain && store_poll_first(others))
+		return 0;
+	if (store_poll_designated(others))
+		wait = BATCH_FOR_OTHERS_MS;
 	return wait > BATCH_MAX_MS ? BATCH_MAX_MS : (uint32_t)wait;
 }
--- a/policy/store_poll.h
+++ b/policy/store_poll.h
@@ -38,7 +38,6 @@
 bool store_poll_first(const struct store_poll_others *others);
 uint32_t store_poll_wait_ms(const struct store_poll_others *others, bool urgent,
 			    uint64_t age_ms);
-bool store_poll_follows_at_once(const struct store_poll_others *others);
 bool store_poll_call_dead(uint64_t heard_ms, uint64_t called_ms, uint64_t now);
 bool store_poll_fresh(uint64_t answered_ms, uint64_t now);
 enum store_poll_reason store_poll_decide(const struct store_poll_others *others,
@@ -46,7 +45,8 @@
 const char *store_poll_reason_text(enum store_poll_reason reason);
 uint32_t store_poll_after_failure(struct store_poll *r, size_t instances,
 				  uint64_t now, uint64_t rnd);
-uint32_t store_poll_after_success(struct store_poll *r, size_t instances,
-				  bool for_others, uint64_t now);
+uint32_t store_poll_after_success(struct store_poll *r,
+				  const struct store_poll_others *others,
+				  bool waited_in_vain, uint64_t now);
 
 #endif /* POLICY_STORE_POLL_H */
--- a/policy/store_view.c
+++ b/policy/store_view.c
@@ -34,6 +34,16 @@
 	return renewed;
 }
 
+/* Tells whether a view is so old that an instance may have to renew it; ends a
+ * renewal that others have made needless. */
+bool store_view_aged(struct store_view *v, uint64_t now)
+{
+	if (store_view_age_ms(v, now) > RENEW_MS)
+		return true;
+	v->asked_ms = 0;
+	return false;
+}
+
 /* Decides whether an instance reads the tables now to renew its view; it then
  * counts as begun.  preceding are the live instances before it in the order,
  * of all instances, itself included. */
--- a/policy/store_view.h
+++ b/policy/store_view.h
@@ -23,6 +23,7 @@
 void store_view_told(struct store_view *v, uint64_t ms);
 void store_view_reset(struct store_view *v);
 uint64_t store_view_age_ms(const struct store_view *v, uint64_t now);
+bool store_view_aged(struct store_view *v, uint64_t now);
 bool store_view_renewal_due(struct store_view *v, size_t preceding,
 			    size_t instances, uint64_t now);
 bool store_view_old_changes(struct store_view *v, uint64_t now);
--- a/proxyd/watch.c
+++ b/proxyd/watch.c
@@ -593,14 +593,12 @@
 {
 	struct store *s = w->proxyd->store;
 	struct store_poll_others others;
-	uint64_t age_ms;
+	uint64_t age_ms = store_view_age_ms(&w->view, now);
 	int i;
 
-	for (i = 0; i < STORE_TABLES; i++)
-		if (!w->watch[i].loaded)
-			return;
+	if (!store_view_aged(&w->view, now) || !tables_version(w))
+		return;
 	others = peers_store_readers(w->proxyd->peers);
-	age_ms = store_view_age_ms(&w->view, now);
 	if (!store_poll_all_read(others.instances) ||
 	    !store_view_renewal_due(&w->view, others.preceding,
 				    others.instances, now))
@@ -789,7 +787,6 @@
 	struct proxyd *p = w->watches->proxyd;
 	struct store_poll_others others;
 	uint64_t now = proxyd_now(p);
-	uint32_t pause_ms;
 	size_t i;
 
 	w->busy = false;
@@ -819,19 +816,15 @@
 		end_waiting(w->watches, w);
 	}
 	others = peers_store_readers(p->peers);
-	pause_ms = store_poll_after_success(&w->poll, peers_alive(p->peers) + 1,
-					    store_poll_designated(&others),
-					    now);
-	if (!n && store_poll_follows_at_once(&others))
-		pause_ms = 0;
-	w->next_call_ms = now + pause_ms;
+	w->next_call_ms = now + store_poll_after_success(&w->poll, &others,
+							 w->waits && !n, now);
 	if (w->loaded && version < w->version) {
 		/* another reader has told of newer rows meanwhile */
 		w->answered_ms = now;
 		return;
 	}
 	if (w->loaded && n && w->table != STORE_CONFIGURATION &&
-	    watches_designated(w->watches))
+	    store_poll_designated(&others))
 		peers_announce_rows(p->peers, w->table, w->row_version, version,
 				    rows, n);
 	/* before answered_ms is set, which tells the first reading from later */
--- a/regress/unit/test_heartbeat.c
+++ b/regress/unit/test_heartbeat.c
@@ -200,6 +200,8 @@
  * Each instance calls it ten times at most, and not all at the same moment. */
 static void outage(void **state)
 {
+	const struct store_poll_others others = { .preceding = 5,
+						  .instances = 64 };
 	struct store_poll r = { 0 };
 	uint64_t now = 0;
 	int calls = 0;
@@ -212,16 +214,32 @@
 	}
 	assert_true(calls >= 4); /* recovery is detected in time */
 	assert_true(calls <= 10);
-	assert_true(store_poll_after_success(&r, 64, false, now) <= 1000);
+	assert_true(store_poll_after_success(&r, &others, false, now) <= 1000);
 	assert_int_equal(r.recovered_ms, now);
 	assert_int_equal(r.failures, 0);
 	/* a single failed call is not an outage */
 	r.recovered_ms = 0;
 	store_poll_after_failure(&r, 64, now, 1);
-	store_poll_after_success(&r, 64, false, now + 10);
+	store_poll_after_success(&r, &others, false, now + 10);
 	assert_int_equal(r.recovered_ms, 0);
 }
 
+/* The first instance asks again at once after a wait in vain, and only then: a call
+ * that does not wait, as others name a row that it lacks, may bring none either. */
+static void pauses(void **state)
+{
+	struct store_poll_others o = { .instances = 6 };
+	struct store_poll r = { 0 };
+
+	(void)state;
+	assert_int_equal(store_poll_after_success(&r, &o, true, 0), 0);
+	assert_true(store_poll_after_success(&r, &o, false, 0) >= 400);
+	o.preceding = 1;
+	assert_true(store_poll_after_success(&r, &o, true, 0) >= 400);
+	o.instances = 64; /* a reader */
+	assert_true(store_poll_after_success(&r, &o, true, 0) >= 100);
+}
+
 /* Instances that poll each for itself stayed without news for 25 s, as their
  * calls were dead: of these the first one asks often, for the urgent table
  * alone.  The others end a call that has waited while newer rows were known. */
@@ -268,6 +286,7 @@
 		cmocka_unit_test(readers_lost_among_many),
 		cmocka_unit_test(readers_refused_among_many),
 		cmocka_unit_test(outage),
+		cmocka_unit_test(pauses),
 		cmocka_unit_test(dead_calls),
 	};
 
