--- a/proxyd/peers.c
+++ b/proxyd/peers.c
@@ -664,10 +664,9 @@
 static void note_parting(struct peers *t, const struct peer *peer)
 {
 	uint64_t now = proxyd_now(t->proxyd);
-	uint32_t silent_ms = SILENT_PULSES * heartbeat_interval_ms(t->n + 1);
 
-	if (!peer->heartbeat.last_seen_ms ||
-	    now - peer->heartbeat.last_seen_ms > silent_ms)
+	if (!peer->alive &&
+	    !heartbeat_stopping(&peer->heartbeat, t->n + 1, now))
 		return;
 	t->parting[t->parting_next] = (struct parting_peer){
 		.address = peer->address,
--- a/proxyd/peers_announce.c
+++ b/proxyd/peers_announce.c
@@ -40,6 +40,8 @@
 static size_t gather_prompts(struct peers *t, PeerPrompt *prompts);
 static size_t gather_writes(struct peers *t, uint64_t *versions);
 static void send_rows(struct peers *t, const PeerRows *rows);
+static void send_pulse(struct peers *t, const PeerDatagram *d);
+static void send_to_listed(struct peers *t, uint8_t *out, size_t len);
 static size_t pack(const PeerDatagram *d, uint8_t *out);
 static void send_packed(struct peers *t, const struct sockaddr_in *to,
 			uint8_t *out, size_t len);
@@ -289,8 +291,7 @@
 		pulse.n_loads /= 4;
 	if (peer_datagram__get_packed_size(&d) > DATAGRAM_MAX_BYTES)
 		pulse.n_prompts = 0;
-	peers_send_all(t, &d);
-	peers_send_parting(t, &d);
+	send_pulse(t, &d);
 }
 
 /* Announces, at short intervals, that this instance is designated to read the
@@ -465,10 +466,33 @@
 {
 	uint8_t out[DATAGRAM_MAX_BYTES];
 	size_t len = pack(d, out);
-	const struct peer *peer;
+
+	if (len)
+		send_to_listed(t, out, len);
+}
+
+/* Sends a pulse to every other instance, and to those that stop and are not listed
+ * any more. */
+static void send_pulse(struct peers *t, const PeerDatagram *d)
+{
+	uint64_t now = proxyd_now(t->proxyd);
+	uint8_t out[DATAGRAM_MAX_BYTES];
+	size_t len = pack(d, out);
+	size_t i;
 
 	if (!len)
 		return;
+	send_to_listed(t, out, len);
+	for (i = 0; i < PARTING_MAX; i++)
+		if (now < t->parting[i].until_ms)
+			send_packed(t, &t->parting[i].address, out, len);
+}
+
+/* Sends a packed datagram to every other instance. */
+static void send_to_listed(struct peers *t, uint8_t *out, size_t len)
+{
+	const struct peer *peer;
+
 	TAILQ_FOREACH(peer, &t->list, link)
 	send_packed(t, &peer->address, out, len);
 }
@@ -483,19 +507,6 @@
 		send_packed(t, &to->address, out, len);
 }
 
-/* Sends a datagram to the instances that stop and are not listed any more. */
-void peers_send_parting(struct peers *t, const PeerDatagram *d)
-{
-	uint64_t now = proxyd_now(t->proxyd);
-	uint8_t out[DATAGRAM_MAX_BYTES];
-	size_t len = pack(d, out);
-	size_t i;
-
-	for (i = 0; len && i < PARTING_MAX; i++)
-		if (now < t->parting[i].until_ms)
-			send_packed(t, &t->parting[i].address, out, len);
-}
-
 /* Packs a datagram into DATAGRAM_MAX_BYTES bytes; returns its length, 0 if it
  * is too large. */
 static size_t pack(const PeerDatagram *d, uint8_t *out)
--- a/proxyd/peers_table.h
+++ b/proxyd/peers_table.h
@@ -171,7 +171,6 @@
 uint64_t peers_name_hash(const char *name);
 void peers_send(struct peers *t, const struct peer *to, const PeerDatagram *d);
 void peers_send_all(struct peers *t, const PeerDatagram *d);
-void peers_send_parting(struct peers *t, const PeerDatagram *d);
 bool peer_path_lost(const struct peer *peer);
 void peers_receive_paths(struct peers *t, struct peer *peer,
 			 const PeerPulse *pulse);
