regress: one table of fault ends, one way to silence an endpoint

Two phases of the soak scheduled the ends of faults by the same code, and two files drew the same silence.

--- a/regress/integration/test_unanswered_requests.c
+++ b/regress/integration/test_unanswered_requests.c
@@ -40,8 +40,6 @@
 #define PAUSE_MIN_MS 200
 #define PAUSE_MAX_MS 1200
 #define DRAW_SILENCE_MS 500
-#define SILENCE_MIN_MS 800
-#define SILENCE_SPREAD_MS 1000
 #define ENDPOINTS_PER_SERVICE 2
 #define BODY_BYTES 8000000
 #define BODY_BYTES_LOW 1000000
@@ -406,9 +404,7 @@
 
 		if (e->listener >= 0 && now_ms() >= e->silent_until_ms &&
 		    !random_below(&run.random, 4))
-			e->silent_until_ms =
-				now_ms() + SILENCE_MIN_MS +
-				random_below(&run.random, SILENCE_SPREAD_MS);
+			whole_endpoint_silence(&world, e);
 	}
 	run.silence_ms = now_ms() + DRAW_SILENCE_MS;
 }
--- a/regress/soak/config_phase.c
+++ b/regress/soak/config_phase.c
@@ -23,6 +23,7 @@
 #include "regress/config_rule.h"
 #include "regress/platform_standin.h"
 #include "regress/random.h"
+#include "regress/soak/fault_ends.h"
 
 /* Faults, changes and callers are drawn apart. */
 #define FAULT_SEED 11000003
@@ -84,13 +85,6 @@
 	bool of_build_before;
 };
 
-/* The end of a fault. */
-struct fault_end {
-	uint64_t at_ms;
-	void (*end)(size_t what);
-	size_t what;
-};
-
 static struct harness *harness;
 static struct standin_world *world;
 static struct http1_client *client;
@@ -105,7 +99,7 @@
 static struct config_rule rule;
 static struct call calls[CALLS_MAX];
 static unsigned int n_calls;
-static struct fault_end fault_ends[32];
+static struct fault_ends fault_ends;
 static uint64_t store_stable_ms; /* the store was last disturbed until then */
 static unsigned int n_faults;
 static unsigned int n_unreadable;
@@ -282,32 +276,10 @@
 			 out.data, out.len, &call_ops, c);
 }
 
-/* Has a fault end later; at once if there are too many. */
+/* Schedules the end of a fault. */
 static void schedule_end(uint32_t ms, void (*end)(size_t what), size_t what)
 {
-	size_t i;
-
-	for (i = 0; i < sizeof(fault_ends) / sizeof(fault_ends[0]); i++) {
-		if (fault_ends[i].end)
-			continue;
-		fault_ends[i] = (struct fault_end){ now_ms() + ms, end, what };
-		return;
-	}
-	end(what);
-}
-
-static void end_faults(void)
-{
-	size_t i;
-
-	for (i = 0; i < sizeof(fault_ends) / sizeof(fault_ends[0]); i++) {
-		struct fault_end e = fault_ends[i];
-
-		if (!e.end || now_ms() < e.at_ms)
-			continue;
-		fault_ends[i].end = NULL;
-		e.end(e.what);
-	}
+	fault_ends_add(&fault_ends, now_ms() + ms, end, what);
 }
 
 static void instance_recovers(size_t i)
@@ -608,7 +580,7 @@
 	next_fault_ms = now_ms() + draw(FAULT_MIN_MS);
 	next_replace_ms = now_ms() + REPLACE_MS;
 	while (now_ms() < end_ms) {
-		end_faults();
+		fault_ends_due(&fault_ends, now_ms());
 		if (now_ms() >= next_fault_ms) {
 			fault();
 			next_fault_ms = now_ms() + FAULT_MIN_MS +
--- a/regress/soak/soak_proxyd.c
+++ b/regress/soak/soak_proxyd.c
@@ -30,6 +30,7 @@
 #include "regress/soak/config_phase.h"
 #include "regress/soak/crash_rule.h"
 #include "regress/soak/exemptions.h"
+#include "regress/soak/fault_ends.h"
 #include "regress/soak/holdoff_rule.h"
 #include "regress/soak/late_phase.h"
 #include "regress/soak/limit_check.h"
@@ -125,13 +126,6 @@
 	uint64_t started_ms;
 };
 
-/* The scheduled end of a fault. */
-struct fault_end {
-	uint64_t at_ms;
-	void (*end)(size_t what);
-	size_t what; /* argument of end: a worker, a link or an instance */
-};
-
 static struct harness *harness;
 static struct standin_world *world;
 static struct http1_client *client;
@@ -142,7 +136,7 @@
 static const char *fault_control;
 static const char *unused_address; /* without a listener */
 static const char *proxy_addresses[FAULT_MAPPINGS]; /* of the fault proxy */
-static struct fault_end fault_ends[64];
+static struct fault_ends fault_ends;
 static struct call calls[CALLS_MAX];
 static unsigned n_calls;
 static uint64_t *deadlines_ms; /* of each request, by number */
@@ -179,33 +173,10 @@
 	return random_below(&random_numbers, n);
 }
 
-/* Schedules the end of a fault; ends it at once if the table is full. */
+/* Schedules the end of a fault; what is a worker, a link or an instance. */
 static void schedule_end(uint32_t ms, void (*end)(size_t what), size_t what)
 {
-	size_t i;
-
-	for (i = 0; i < sizeof(fault_ends) / sizeof(fault_ends[0]); i++) {
-		if (fault_ends[i].end)
-			continue;
-		fault_ends[i] = (struct fault_end){ now_ms() + ms, end, what };
-		return;
-	}
-	end(what);
-}
-
-/* Ends the faults that are due, or all of them. */
-static void end_faults(bool all)
-{
-	size_t i;
-
-	for (i = 0; i < sizeof(fault_ends) / sizeof(fault_ends[0]); i++) {
-		struct fault_end e = fault_ends[i];
-
-		if (!e.end || (!all && now_ms() < e.at_ms))
-			continue;
-		fault_ends[i].end = NULL;
-		e.end(e.what);
-	}
+	fault_ends_add(&fault_ends, now_ms() + ms, end, what);
 }
 
 static void worker_restarts(size_t i)
@@ -747,7 +718,7 @@
 	    random_below(&limit_numbers, LIMIT_INTERVAL_MS) < STEP_MS)
 		start_limit();
 	check_running();
-	end_faults(false);
+	fault_ends_due(&fault_ends, now_ms());
 	cancel_old_calls();
 	http1_client_tick(client);
 	harness_run(harness, STEP_MS);
@@ -771,7 +742,7 @@
 			standin_put_configuration(world, ++version, ROUTE_ONCE);
 		step(false);
 	}
-	end_faults(true);
+	fault_ends_due(&fault_ends, UINT64_MAX);
 	for (end = now_ms() + DRAIN_MS; now_ms() < end && any_call_open();) {
 		cancel_old_calls();
 		http1_client_tick(client);
@@ -924,7 +895,7 @@
 
 	for (end = now_ms() + seconds * 1000; now_ms() < end;)
 		step(true);
-	end_faults(true);
+	fault_ends_due(&fault_ends, UINT64_MAX);
 	for (i = 0; i < WORKERS; i++)
 		world->workers[i].behaviour = STANDIN_NORMAL;
 	for (i = 0; i < n_instances; i++)
--- a/regress/whole_endpoints.c
+++ b/regress/whole_endpoints.c
@@ -28,9 +28,9 @@
 #define CLOSES_ONE_IN 8 /* answers, of an endpoint that does not leave */
 #define LEAVING_MIN_MS 1500 /* it serves on for so long at least */
 #define PAD_MAX 400000 /* of a long answer */
-#define SILENT_ENDS_ONE_IN 8 /* ends of answers that a silence follows */
 #define SILENCE_MIN_MS 800
 #define SILENCE_SPREAD_MS 1000
+#define SILENT_ENDS_ONE_IN 8 /* ends of answers that a silence follows */
 
 enum conn_state {
 	CONN_HEAD,
@@ -134,6 +134,13 @@
 	free(text);
 }
 
+/* Makes an endpoint silent for a second or so, as a sound one may be. */
+void whole_endpoint_silence(struct whole_world *w, struct whole_endpoint *e)
+{
+	e->silent_until_ms = now_ms(w) + SILENCE_MIN_MS +
+			     random_below(w->random, SILENCE_SPREAD_MS);
+}
+
 /* Lets each endpoint that is not silent read and answer what it can now. */
 void whole_endpoints_step(struct whole_world *w)
 {
@@ -238,9 +245,7 @@
 	if (c->closes && c->state == CONN_HEAD && !c->out.len) {
 		close_conn(c);
 		if (c->unframed && !random_below(w->random, SILENT_ENDS_ONE_IN))
-			e->silent_until_ms =
-				now + SILENCE_MIN_MS +
-				random_below(w->random, SILENCE_SPREAD_MS);
+			whole_endpoint_silence(w, e);
 		return true;
 	}
 	return n > 0 || c->state != CONN_HEAD || c->in.len || c->out.len;
--- a/regress/whole_requests.h
+++ b/regress/whole_requests.h
@@ -121,6 +121,7 @@
 					    const char *service, bool engine);
 void whole_endpoint_leave(struct whole_world *w, struct whole_endpoint *e,
 			  bool unlisted);
+void whole_endpoint_silence(struct whole_world *w, struct whole_endpoint *e);
 void whole_endpoints_step(struct whole_world *w);
 struct whole_request *whole_find(const struct whole_world *w, const char *id,
 				 size_t len);
