--- a/regress/integration/test_unanswered_requests.c
+++ b/regress/integration/test_unanswered_requests.c
@@ -8,7 +8,8 @@
  *
  * By hand: WHOLE_SEED=101 WHOLE_SEEDS=10 WHOLE_SECONDS=30 WHOLE_INSTANCES=4; with
  * WHOLE_UNFRAMED=1 half of the answers end with their connection, and one in eight
- * of these ends is followed by a silence of the endpoint.
+ * of these ends is followed by a silence of the endpoint, and with WHOLE_ROOM=5 an
+ * endpoint turns away what it gets beyond five requests at once.
  */
 #include <signal.h>
 #include <stdarg.h>
@@ -455,7 +456,8 @@
 				   "directory_ttl_s = 1\n";
 	world = (struct whole_world){ .platform = platform,
 				      .random = &run.random,
-				      .unframed = number("WHOLE_UNFRAMED", 0) };
+				      .unframed = number("WHOLE_UNFRAMED", 0),
+				      .room = number("WHOLE_ROOM", 0) };
 	version = 1;
 	apply_changes();
 	n_instances = number("WHOLE_INSTANCES", INSTANCES);
@@ -578,13 +580,14 @@
 		lost = whole_count(&world, WHOLE_LOST);
 		wrong = count_wrong();
 		bad += lost + wrong + run.failed_exits;
-		print_message("seed %u: %zu requests, %zu lost, %zu wrong, %u "
-			      "failed exits, %zu broken off by endpoints; %u "
-			      "changes, %u leavings, %u reloads, %u stops\n",
-			      run.seed, world.n_requests, lost, wrong,
-			      run.failed_exits, world.n_broken_off,
-			      world.changes, run.releases, run.reloads,
-			      run.stops);
+		print_message(
+			"seed %u: %zu requests, %zu lost, %zu wrong, %u "
+			"failed exits, %zu turned away and %zu broken off "
+			"by endpoints; %u changes, %u leavings, %u reloads, %u stops\n",
+			run.seed, world.n_requests, lost, wrong,
+			run.failed_exits, world.n_turned_away,
+			world.n_broken_off, world.changes, run.releases,
+			run.reloads, run.stops);
 		assert_true(whole_count(&world, WHOLE_ANSWERED) > 0);
 		stop();
 	}
--- a/regress/whole_endpoints.c
+++ b/regress/whole_endpoints.c
@@ -64,6 +64,9 @@
 		      struct whole_conn *c);
 static void begin_request(struct whole_world *w, struct whole_conn *c,
 			  const struct http1_head *head);
+static bool has_room(struct whole_world *w, const struct whole_endpoint *e,
+		     const struct http1_head *head);
+static void turn_away(struct whole_world *w, struct whole_conn *c);
 static bool take_body(struct whole_world *w, struct whole_endpoint *e,
 		      struct whole_conn *c);
 static void answer(struct whole_world *w, struct whole_endpoint *e,
@@ -276,9 +279,13 @@
 	if (id) {
 		c->request = whole_find(w, id->value, id->value_len);
 		assert_non_null(c->request);
-		begin_request(w, c, &head);
-		if (c->early)
-			answer(w, e, c);
+		if (!has_room(w, e, &head)) {
+			turn_away(w, c);
+		} else {
+			begin_request(w, c, &head);
+			if (c->early)
+				answer(w, e, c);
+		}
 		c->state = CONN_BODY;
 	} else {
 		answer_call(e, c, &head);
@@ -287,6 +294,40 @@
 	return true;
 }
 
+/* Returns whether an endpoint takes one more request, and has the KV-cache copy
+ * that it names. */
+static bool has_room(struct whole_world *w, const struct whole_endpoint *e,
+		     const struct http1_head *head)
+{
+	size_t used = 0;
+	size_t i;
+
+	if (!w->room)
+		return true;
+	for (i = 0; i < e->n_conns; i++) {
+		const struct whole_conn *c = e->conns[i];
+
+		used += c->fd >= 0 && c->state != CONN_HEAD &&
+			!(c->state == CONN_BODY && c->early);
+	}
+	return used < w->room && !(http1_find_header(head, "kv-from") &&
+				   !random_below(w->random, 3));
+}
+
+/* Turns a request away, which has not run; its body is read. */
+static void turn_away(struct whole_world *w, struct whole_conn *c)
+{
+	w->n_turned_away++;
+	c->got = 0;
+	c->early = true;
+	c->closes = false;
+	c->unframed = false;
+	bytes_addf(&c->out,
+		   "HTTP/1.1 503 Full\r\nnot-executed: 1\r\nrequest-id: "
+		   "%s\r\ncontent-length: 0\r\n\r\n",
+		   c->request->id);
+}
+
 /* Draws how a request is read and answered. */
 static void begin_request(struct whole_world *w, struct whole_conn *c,
 			  const struct http1_head *head)
--- a/regress/whole_requests.h
+++ b/regress/whole_requests.h
@@ -108,6 +108,8 @@
 	unsigned int changes; /* of the configuration, so far */
 	bool ending; /* no new requests, and nothing is held back */
 	bool unframed; /* half of the answers end with their connection */
+	size_t room; /* requests that an endpoint takes at once; 0: all */
+	size_t n_turned_away; /* requests, by endpoints without room */
 	size_t n_broken_off; /* connections that an endpoint closed in use */
 };
 
