exchange: a request that was turned away and waits for room is looked after

Callers of streams got no answer and no refusal until their deadline, although the instance had logged that it would wait 2.5 s at most, and although endpoints had room again.

wait_for_capacity() set the time until which a request waits, but not its phase. A request that had not been sent was in that phase already; one that an endpoint had turned away, while the others were full, was still marked as sent, so that no tick looked for room for it or ended its wait. Its tokens stayed counted as waiting for good, too, so that the instance refused more and more of what could have waited.

test_forgotten_waiter: both cases got 504 at the deadline (15 s) before, and get 200 and 503 now.

--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -849,8 +849,7 @@
 	}
 	if (x->wait_until_ms)
 		return;
-	x->wait_until_ms = now + decision.wait_ms;
-	t->waiting_tokens += x->tokens;
+	exchange_wait_for(x, decision.wait_ms);
 	event_log(EVENT_NOTABLE, "waits", x->fields.id, "{s:I, s:I, s:I}",
 		  "at_most_ms", (json_int_t)decision.wait_ms, "used_tokens",
 		  (json_int_t)wait.used_tokens, "waiting_tokens",
--- /dev/null
+++ b/regress/integration/test_forgotten_waiter.c
@@ -0,0 +1,147 @@
+/*
+ * A stream that an engine has turned away, while the others are full, waits for
+ * room for a bounded time and no longer: it is sent once there is room, or refused.
+ * Neither its caller nor those after it wait for a place that nobody looks for.
+ */
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <setjmp.h>
+#include <cmocka.h>
+
+#include "regress/platform_standin.h"
+
+#define N(list) (sizeof(list) / sizeof((list)[0]))
+#define ALL_TOKENS "20000,34990" /* of an engine */
+
+static struct harness *harness;
+static struct standin_world *world;
+static struct standin_instance one;
+
+/* Starts an instance with two engines, of which the first is silent. */
+static int set_up(void **state)
+{
+	(void)state;
+	harness = harness_new();
+	world = standin_new(harness);
+	standin_init_instance(world, &one, "one", NULL);
+	standin_add_worker(world, "engine", "z1");
+	standin_add_worker(world, "engine", "z1");
+	standin_put_configuration(world, 2, NULL);
+	standin_start_instance(world, &one);
+	standin_wait_status(world, one.readiness, "/readyz", 200);
+	return 0;
+}
+
+static int tear_down(void **state)
+{
+	(void)state;
+	proc_kill(one.proc);
+	standin_free(world);
+	harness_free(harness);
+	return 0;
+}
+
+static struct stream_reader *ask(const char *path, const char *tokens)
+{
+	const struct httpc_header headers[] = {
+		{ "credential", "k1" },
+		{ "request-id", path },
+		{ "token-usage", tokens },
+		{ "deadline-ms", "15000" },
+	};
+	const struct httpc_request r = {
+		.method = "POST",
+		.address = one.callers,
+		.path = path,
+		.headers = headers,
+		.n_headers = N(headers),
+		.body = "x",
+		.body_len = 1,
+	};
+
+	return stream_open(harness, &r);
+}
+
+/* Returns the engine that a request has reached, NULL if none. */
+static struct standin_worker *engine_of(const char *path)
+{
+	size_t i;
+
+	for (i = 0; i < world->n_arrivals; i++)
+		if (!strcmp(world->arrivals[i]->target, path))
+			return world->arrivals[i]->worker;
+	return NULL;
+}
+
+static bool has_arrived(void *path)
+{
+	return engine_of(path) != NULL;
+}
+
+static bool has_logged(void *text)
+{
+	return proc_output_count(one.proc, text) > 0;
+}
+
+/* Fills one engine with a stream that goes on, and has the other turn away all that
+ * it gets. */
+static struct stream_reader *fill_engines(void)
+{
+	struct stream_reader *full;
+	size_t i;
+
+	for (i = 0; i < world->n_workers; i++)
+		world->workers[i].behaviour = STANDIN_SILENT;
+	full = ask("/write/full", ALL_TOKENS);
+	harness_until(harness, has_arrived, "/write/full", "a stream runs");
+	for (i = 0; i < world->n_workers; i++)
+		if (&world->workers[i] != engine_of("/write/full"))
+			world->workers[i].behaviour = STANDIN_FULL;
+	return full;
+}
+
+static void turned_away_stream_takes_the_next_room(void **state)
+{
+	struct stream_reader *full = fill_engines();
+	struct stream_reader *s = ask("/write/a", "10,10");
+
+	(void)state;
+	harness_until(harness, has_logged, "\"event\":\"waits\"",
+		      "a stream waits");
+	engine_of("/write/full")->behaviour = STANDIN_NORMAL;
+	stream_close(full);
+	stream_wait_end(s);
+	assert_int_equal(stream_status(s), 200);
+	assert_int_equal(stream_n_events(s), STANDIN_EVENTS);
+	stream_close(s);
+}
+
+static void turned_away_stream_is_refused(void **state)
+{
+	struct stream_reader *full = fill_engines();
+	struct stream_reader *s = ask("/write/a", "10,10");
+
+	(void)state;
+	stream_wait_end(s);
+	assert_int_equal(stream_status(s), 503);
+	stream_close(s);
+	stream_close(full);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test_setup_teardown(
+			turned_away_stream_takes_the_next_room, set_up,
+			tear_down),
+		cmocka_unit_test_setup_teardown(turned_away_stream_is_refused,
+						set_up, tear_down),
+	};
+
+	return cmocka_run_group_tests_name("forgotten waiter", tests, NULL,
+					   NULL);
+}
