--- a/regress/integration/test_forgotten_waiter.c
+++ b/regress/integration/test_forgotten_waiter.c
@@ -132,6 +132,25 @@
 	stream_close(full);
 }
 
+/* The tokens of one that has ended are no longer counted as waiting. */
+static void turned_away_stream_leaves_no_tokens(void **state)
+{
+	struct stream_reader *full = fill_engines();
+	struct stream_reader *s;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < 2; i++) {
+		s = ask(i ? "/write/b" : "/write/a", "10,10");
+		stream_wait_end(s);
+		stream_close(s);
+	}
+	assert_int_equal(proc_output_count(one.proc, "\"event\":\"waits\""), 2);
+	assert_int_equal(proc_output_count(one.proc, "\"waiting_tokens\":20}"),
+			 2);
+	stream_close(full);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -140,6 +159,8 @@
 			tear_down),
 		cmocka_unit_test_setup_teardown(turned_away_stream_is_refused,
 						set_up, tear_down),
+		cmocka_unit_test_setup_teardown(
+			turned_away_stream_leaves_no_tokens, set_up, tear_down),
 	};
 
 	return cmocka_run_group_tests_name("forgotten waiter", tests, NULL,
