handover: a run is not ended while the new endpoint can't have read it

Streams whose sound endpoint was silent for a second were closed, though that endpoint went on. A stream moved, its new endpoint said nothing for 250 ms, which was taken for consent, and the old run was ended; but the new endpoint was silent itself, and turned the stream away when it went on. So did the others, within 20 ms: "endpoints are full".

The time in which the new endpoint may refuse now begins when that is heard of; an engine of which nothing is heard for 100 ms is asked for its report. While the stream goes by another instance for want of a path, the time doesn't run: the old endpoint is out of reach. And a run that was only silent is read while it is held: if it speaks before the new endpoint has answered, it goes on, and the new attempt is cancelled. So at no time do two endpoints work on the request that both have been heard of for more than 250 ms.

full_endpoint_is_silent_too of test_full_after_silence failed before (connection closed), and passes now. silences_are_no_crashes of test_silent_endpoint ended each silence as soon as the new engine had been reached; the stream may go back now, so that the test waits for an event of the new engine first. It passes on in this form, too.

--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -440,8 +440,12 @@
 /* Handles the end of a call, complete or not. */
 static void on_end(void *arg, enum http1_outcome outcome)
 {
-	struct exchange *x = arg;
+	attempt_ended(arg, outcome);
+}
 
+/* Handles the end of the current call. */
+void attempt_ended(struct exchange *x, enum http1_outcome outcome)
+{
 	x->call = NULL;
 	x->awaits_repeat = false;
 	x->move_tried_ms = 0;
--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -875,6 +875,24 @@
 	rediscover_start(t->proxyd, e->self);
 }
 
+/* Asks an engine for a sign of life, unless it is being asked something.  Returns
+ * false if it can't be asked, for want of a permit. */
+bool endpoint_want_sign(struct endpoints *t, struct handle h)
+{
+	struct endpoint *e = endpoint_get(t, h);
+
+	if (!e)
+		return false;
+	if (e->rediscovering)
+		return true;
+	if (!limits_take_for_check(e))
+		return false;
+	e->start_asked_ms = proxyd_now(t->proxyd);
+	counter_add(t->probes, 1);
+	rediscover_start(t->proxyd, h);
+	return true;
+}
+
 /* Returns whether an endpoint of a service runs a version. */
 bool endpoints_software_in_service(const struct endpoints *t, uint64_t software,
 				   const char *service)
--- a/proxyd/endpoints.h
+++ b/proxyd/endpoints.h
@@ -86,6 +86,7 @@
 	uint64_t refused_ms;
 	/* sending of the last request that it answered itself; 0: none yet */
 	uint64_t last_seen_ms;
+	uint64_t heard_ms; /* when its last bytes came; 0: none yet */
 	uint64_t reached_ms; /* last connection or answer at its address */
 	uint64_t probed_ms; /* start of the last probe */
 	uint64_t reported_lost_ms; /* another instance reported it dead */
@@ -159,6 +160,7 @@
 			   uint64_t born_ms, uint64_t since_ms);
 void endpoint_unstated_start(struct endpoints *t, struct handle h);
 void endpoint_want_start(struct endpoints *t, struct endpoint *e);
+bool endpoint_want_sign(struct endpoints *t, struct handle h);
 bool endpoint_start_proved(const struct endpoint *e);
 bool endpoints_software_in_service(const struct endpoints *t, uint64_t software,
 				   const char *service);
--- a/proxyd/endpoints_path.c
+++ b/proxyd/endpoints_path.c
@@ -97,11 +97,12 @@
 /* Handles bytes of an endpoint. */
 void endpoint_heard(struct endpoints *t, struct handle h)
 {
-	const struct endpoint *e = endpoint_get(t, h);
+	struct endpoint *e = endpoint_get(t, h);
 
-	if (e)
-		path_heard(&endpoints_service(t, e->service)->path,
-			   proxyd_now(t->proxyd));
+	if (!e)
+		return;
+	e->heard_ms = proxyd_now(t->proxyd);
+	path_heard(&endpoints_service(t, e->service)->path, e->heard_ms);
 }
 
 /* Handles a connection to an endpoint, begun at begun_ms, that has failed. */
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -73,7 +73,11 @@
 	struct event_stream stream;
 	uint64_t last_event_ms;
 	uint64_t first_event_due_ms;
+	bool goes_on; /* if it speaks before the other endpoint has answered */
 	uint64_t offered_ms; /* to the other endpoint; 0: not connected yet */
+	uint64_t can_refuse_ms; /* since when that may refuse; 0: not yet */
+	bool asked; /* that endpoint, for a sign of life */
+	bool unanswerable; /* it can't be asked for one */
 };
 
 /* A process that a request was sent to. */
@@ -280,6 +284,7 @@
 void attempt_begin(struct exchange *x, uint64_t now);
 void attempt_keep_head(struct exchange *x, const struct http1_head *head);
 void attempt_receive(struct exchange *x, const char *data, size_t len);
+void attempt_ended(struct exchange *x, enum http1_outcome outcome);
 void attempt_no_socket(struct exchange *x);
 void attempt_deliver(struct exchange *x, const char *outcome);
 void attempt_end_known(struct exchange *x, enum answer_end end);
@@ -297,7 +302,7 @@
 void relay_tick(struct exchange *x, uint64_t now);
 
 /* handover.c */
-bool handover_begin(struct exchange *x);
+bool handover_begin(struct exchange *x, bool may_be_silent);
 bool handover_restore(struct exchange *x, const char *why);
 void handover_end(struct exchange *x);
 void handover_release(struct exchange *x);
--- a/proxyd/handover.c
+++ b/proxyd/handover.c
@@ -1,30 +1,37 @@
 /*
  * Hand-over of a run that leaves an endpoint which may be sound: the old run is
- * held, unread, until the new endpoint has taken the request.  If that refuses
- * it or can't be reached, the old run goes on.
+ * held until the new endpoint has taken the request.  If that refuses it or can't
+ * be reached, or the old run was only silent and speaks first, the old run goes
+ * on.
  */
 #include "proxyd/exchange.h"
 
 #include "lib/event_log.h"
 #include "policy/handover.h"
 
+static void on_body(void *arg, const char *data, size_t len);
 static void on_end(void *arg, enum http1_outcome outcome);
+static struct handover state_of(const struct exchange *x);
 static void swap_runs(struct exchange *x);
 
-/* A held call is not read; it only ends if its connection fails. */
 static const struct http1_call_ops held_ops = {
+	.on_body = on_body,
 	.on_end = on_end,
 };
 
-/* Holds the current run while another endpoint is tried.  Returns false if there
- * is none, or its request has not reached its endpoint. */
-bool handover_begin(struct exchange *x)
+/* Holds the current run while another endpoint is tried.  One that moves because its
+ * endpoint is silent is read on if it has begun its answer; any other is not.
+ * Returns false if there is none, or its request has not reached its endpoint. */
+bool handover_begin(struct exchange *x, bool may_be_silent)
 {
+	bool goes_on = may_be_silent && x->is_event_stream;
+
 	if (!x->call || !http1_call_connected(x->call) || x->held.call)
 		return false;
-	http1_call_pause(x->call, true);
+	http1_call_pause(x->call, !goes_on);
 	http1_call_reassign(x->call, &held_ops, x);
 	swap_runs(x);
+	x->held.goes_on = goes_on;
 	return true;
 }
 
@@ -82,22 +89,70 @@
 }
 
 /* Ends the run that is held once the new endpoint has had time to refuse the
- * request. */
+ * request.  Until that speaks it may be silent, too. */
 void handover_tick(struct exchange *x, uint64_t now)
 {
+	struct endpoints *endpoints = x->proxyd->endpoints;
+	struct handover h;
+
 	if (!x->held.call || !x->call || !http1_call_connected(x->call))
 		return;
 	if (!x->held.offered_ms)
 		x->held.offered_ms = now;
-	if (handover_over(now - x->held.offered_ms, x->is_event_stream))
+	h = state_of(x);
+	if (!x->held.asked && handover_should_ask(&h, now)) {
+		x->held.asked = true;
+		x->held.unanswerable =
+			!x->engine ||
+			!endpoint_want_sign(endpoints, x->endpoint);
+	}
+	if (!handover_can_refuse(&h))
+		x->held.can_refuse_ms = 0;
+	else if (!x->held.can_refuse_ms)
+		x->held.can_refuse_ms = now;
+	if (handover_over(x->held.can_refuse_ms ? now - x->held.can_refuse_ms
+						: 0,
+			  x->is_event_stream))
 		handover_end(x);
 }
 
-/* Handles the end of the connection of a run that is held. */
+/* Returns what is known of the place that the run is offered to. */
+static struct handover state_of(const struct exchange *x)
+{
+	struct endpoints *endpoints = x->proxyd->endpoints;
+	const struct endpoint *e = endpoint_get(endpoints, x->endpoint);
+
+	return (struct handover){
+		.goes_on = x->held.goes_on,
+		.relayed = relay_in_use(x),
+		.path_lost = endpoints_path_lost(endpoints, x->service),
+		.unanswerable = x->held.unanswerable,
+		.offered_ms = x->held.offered_ms,
+		.heard_ms = e ? e->heard_ms : 0,
+	};
+}
+
+/* Handles a part of the answer of a run that is held: its endpoint was only
+ * silent, so that it goes on. */
+static void on_body(void *arg, const char *data, size_t len)
+{
+	struct exchange *x = arg;
+
+	handover_restore(x, "the old run goes on");
+	attempt_receive(x, data, len);
+}
+
+/* Handles the end of the connection of a run that is held.  The end of its answer
+ * is a part of that. */
 static void on_end(void *arg, enum http1_outcome outcome)
 {
 	struct exchange *x = arg;
 
+	if (outcome == HTTP1_COMPLETE && x->held.goes_on) {
+		handover_restore(x, "the old run goes on");
+		attempt_ended(x, outcome);
+		return;
+	}
 	event_log(EVENT_NOTABLE, "held-run-ended", x->fields.id, "{s:s}",
 		  "outcome", http1_outcome_name(outcome));
 	x->held.call = NULL;
--- a/proxyd/stage.c
+++ b/proxyd/stage.c
@@ -49,7 +49,7 @@
 		  "after_ms", (json_int_t)(proxyd_now(x->proxyd) - x->sent_ms),
 		  "last_event", (json_int_t)x->last_event_id);
 	kv_copy_release(x, true);
-	if (!handover_begin(x))
+	if (!handover_begin(x, false))
 		attempt_cancel(x);
 	attempt_start(x, copy.endpoint, &copy);
 }
--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -251,7 +251,7 @@
 		return;
 	}
 	kv_copy_release(x, by_copy);
-	if (!may_go_on || !handover_begin(x))
+	if (!may_go_on || !handover_begin(x, true))
 		attempt_cancel(x);
 	if (!sent)
 		x->sends--;
--- a/regress/integration/test_full_after_silence.c
+++ b/regress/integration/test_full_after_silence.c
@@ -95,9 +95,44 @@
 			      "hang", 1);
 }
 
+/* The endpoint that a stream moves to is silent as well, and turns it away when it
+ * goes on: the stream goes on where it was. */
+static void full_endpoint_is_silent_too(void **state)
+{
+	const struct silence_case c = {
+		.route = SILENCE_ROUTE "\"maxAttempts\":5,\"resumable\":true}",
+		.instances = 1,
+		.engines = 1,
+	};
+	struct stream_reader *s;
+	size_t engine;
+	size_t i;
+
+	(void)state;
+	silence_start(&c);
+	s = silence_open_stream();
+	stream_wait_events(s, EVENTS_BEFORE);
+	engine = silence_engine_of_run();
+	for (i = 0; i < silence_world->n_workers; i++)
+		silence_world->workers[i].behaviour =
+			STANDIN_FULL; /* for further requests */
+	silence_set_mode(engine, "freeze");
+	silence_set_mode(!engine, "freeze");
+	harness_run(silence_harness, SILENT_MS);
+	silence_set_mode(!engine, "pass");
+	harness_run(silence_harness, SILENT_MS / 4);
+	silence_set_mode(engine, "pass");
+	stream_wait_end(s);
+	assert_int_equal(stream_outcome(s), HTTPC_OK);
+	assert_int_equal(stream_n_events(s), STANDIN_EVENTS);
+	stream_close(s);
+	silence_end(&c);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(full_endpoint_is_silent_too),
 		cmocka_unit_test(full_endpoint_after_silence),
 		cmocka_unit_test(only_endpoint_is_silent),
 		cmocka_unit_test(full_endpoint_with_attempts_left),
--- a/regress/integration/test_silent_endpoint.c
+++ b/regress/integration/test_silent_endpoint.c
@@ -135,6 +135,7 @@
 		silence_set_mode(engine, "hang");
 		harness_until(silence_harness, has_moved, &before,
 			      "the stream moves");
+		stream_wait_events(s, stream_n_events(s) + 1);
 		silence_set_mode(engine, "pass");
 	}
 	stream_wait_end(s);
