regress: brittle endpoints, routes and services that go, and another build

test_unanswered_requests also leaves out routes and services that have requests under way. By hand, WHOLE_BRITTLE has endpoints fall over that turn away too much, and CDM_BIN_BEFORE has instances begin as another build. A request whose endpoint fell over is counted apart.

--- a/regress/integration/test_unanswered_requests.c
+++ b/regress/integration/test_unanswered_requests.c
@@ -9,7 +9,9 @@
  * By hand: WHOLE_SEED=101 WHOLE_SEEDS=10 WHOLE_SECONDS=30 WHOLE_INSTANCES=4; with
  * WHOLE_UNFRAMED=1 half of the answers end with their connection, and one in eight
  * of these ends is followed by a silence of the endpoint, and with WHOLE_ROOM=5 an
- * endpoint turns away what it gets beyond five requests at once.
+ * endpoint turns away what it gets beyond five requests at once; with WHOLE_BRITTLE=2
+ * too it falls over if these are more than two in a second.  With CDM_BIN_BEFORE
+ * instances begin as that build.
  */
 #include <signal.h>
 #include <stdarg.h>
@@ -58,6 +60,8 @@
 	CHANGE_ROUTE, /* one more */
 	CHANGE_PLAIN, /* plain routes go to the other service */
 	CHANGE_ENGINE, /* streams go to the other engines */
+	CHANGE_SERVICES, /* those without routes are left out */
+	CHANGE_GONE, /* half of the routes are left out */
 	CHANGES,
 };
 
@@ -103,6 +107,7 @@
 static struct whole_world world;
 static struct run run;
 static int version;
+static char *bin; /* directory of the programs under test */
 
 static uint64_t now_ms(void)
 {
@@ -136,6 +141,35 @@
 		!strcmp(name, "write") ? "true" : "false");
 }
 
+/* Writes the services of a configuration, of which one plain and one of engines have
+ * routes. */
+static char *list_services(const char *plain, const char *engine)
+{
+	static const char plain_service[] =
+		"{\"name\":\"%s\",\"healthPath\":\"/healthz\"}";
+	static const char engine_service[] =
+		"{\"name\":\"%s\",\"healthPath\":\"/healthz\",\"engine\":{"
+		"\"slots\":%d,\"kvCapacity\":55000}}";
+	const char *idle_plain = strcmp(plain, "alpha") ? "alpha" : "beta";
+	const char *idle_engine = strcmp(engine, "engine") ? "engine" : "motor";
+	int slots = run.changed[CHANGE_SLOTS] ? 2 : 48;
+	char *parts[] = {
+		xasprintf(plain_service, plain),
+		xasprintf(engine_service, engine, slots),
+		xasprintf(plain_service, idle_plain),
+		xasprintf(engine_service, idle_engine, slots),
+	};
+	char *all = run.changed[CHANGE_SERVICES]
+			    ? xasprintf("%s,%s", parts[0], parts[1])
+			    : xasprintf("%s,%s,%s,%s", parts[0], parts[1],
+					parts[2], parts[3]);
+	size_t i;
+
+	for (i = 0; i < sizeof(parts) / sizeof(parts[0]); i++)
+		free(parts[i]);
+	return all;
+}
+
 /* Writes a configuration with the changes that are in force. */
 static void put_configuration(void)
 {
@@ -144,26 +178,22 @@
 	const char *engine = on[CHANGE_ENGINE] ? "motor" : "engine";
 	char *routes[] = {
 		route("book", "non_idempotent", plain, 1),
-		route("look", "idempotent", plain, 2),
-		route("tell", "streaming", engine, 1),
+		route(on[CHANGE_GONE] ? "gone" : "look", "idempotent", plain,
+		      2),
+		route(on[CHANGE_GONE] ? "went" : "tell", "streaming", engine,
+		      1),
 		route("write", "streaming", engine, 5),
 		route(on[CHANGE_ROUTE] ? "more" : "less", "idempotent", plain,
 		      2),
 	};
-	int slots = on[CHANGE_SLOTS] ? 2 : 48;
+	char *services = list_services(plain, engine);
 	char *text = xasprintf(
-		"{\"version\":%d,\"routes\":[%s,%s,%s,%s,%s],\"services\":["
-		"{\"name\":\"alpha\",\"healthPath\":\"/healthz\"},"
-		"{\"name\":\"beta\",\"healthPath\":\"/healthz\"},"
-		"{\"name\":\"engine\",\"healthPath\":\"/healthz\",\"engine\":{"
-		"\"slots\":%d,\"kvCapacity\":55000}},"
-		"{\"name\":\"motor\",\"healthPath\":\"/healthz\",\"engine\":{"
-		"\"slots\":%d,\"kvCapacity\":55000}}],"
+		"{\"version\":%d,\"routes\":[%s,%s,%s,%s,%s],\"services\":[%s],"
 		"\"limits\":{\"maxHeaderBytes\":4096,\"maxBodyBytes\":%d,"
 		"\"headerTimeoutMs\":4000,\"idleTimeoutMs\":%d},"
 		"\"tenants\":[{\"name\":\"ajoke\",\"apiKeys\":[\"k1\"%s]}]}",
 		++version, routes[0], routes[1], routes[2], routes[3],
-		routes[4], slots, slots,
+		routes[4], services,
 		on[CHANGE_BODY] ? BODY_BYTES_LOW : BODY_BYTES,
 		on[CHANGE_IDLE] ? 900 : 15000, on[CHANGE_KEY] ? "" : ",\"k2\"");
 	size_t i;
@@ -171,6 +201,7 @@
 	standin_put(platform, "op", "config", text);
 	world.changes++;
 	free(text);
+	free(services);
 	for (i = 0; i < sizeof(routes) / sizeof(routes[0]); i++)
 		free(routes[i]);
 }
@@ -259,14 +290,19 @@
 	i->delayed = ms > 0;
 }
 
-/* Starts the process of an instance; callers try to reach it from now on. */
+/* Starts the process of an instance, first of the build in CDM_BIN_BEFORE if that is
+ * set; callers try to reach it from now on. */
 static void start_instance(struct instance *i)
 {
 	struct whole_address *a = &world.addresses[i - instances];
+	const char *before = getenv("CDM_BIN_BEFORE");
 
 	delay_store(i, random_below(&run.random, STORE_DELAY_MAX_MS));
+	if (before && !i->starts)
+		setenv("CDM_BIN", before, 1);
 	i->in.proc = HARNESS_START(harness, i->name, "cdmproxyd", "-f",
 				   i->in.settings);
+	setenv("CDM_BIN", bin, 1);
 	i->starts++;
 	i->up = false;
 	i->stopping = false;
@@ -450,6 +486,7 @@
 
 	run = (struct run){ .seed = seed, .random = { .seed = seed } };
 	harness = harness_new();
+	bin = xstrdup(getenv("CDM_BIN"));
 	platform = standin_new(harness);
 	platform->grace_s = GRACE_S;
 	platform->extra_settings = "repeat_slack = 150\n"
@@ -457,7 +494,8 @@
 	world = (struct whole_world){ .platform = platform,
 				      .random = &run.random,
 				      .unframed = number("WHOLE_UNFRAMED", 0),
-				      .room = number("WHOLE_ROOM", 0) };
+				      .room = number("WHOLE_ROOM", 0),
+				      .brittle = number("WHOLE_BRITTLE", 0) };
 	version = 1;
 	apply_changes();
 	n_instances = number("WHOLE_INSTANCES", INSTANCES);
@@ -486,6 +524,7 @@
 	whole_world_release(&world);
 	standin_free(platform);
 	harness_free(harness);
+	free(bin);
 }
 
 /* Returns how many requests got other bytes than they should, ran again though
@@ -583,11 +622,12 @@
 		print_message(
 			"seed %u: %zu requests, %zu lost, %zu wrong, %u "
 			"failed exits, %zu turned away and %zu broken off "
-			"by endpoints; %u changes, %u leavings, %u reloads, %u stops\n",
+			"by endpoints, %zu falls; %u changes, %u leavings, "
+			"%u reloads, %u stops\n",
 			run.seed, world.n_requests, lost, wrong,
 			run.failed_exits, world.n_turned_away,
-			world.n_broken_off, world.changes, run.releases,
-			run.reloads, run.stops);
+			world.n_broken_off, world.n_falls, world.changes,
+			run.releases, run.reloads, run.stops);
 		assert_true(whole_count(&world, WHOLE_ANSWERED) > 0);
 		stop();
 	}
--- a/regress/whole_callers.c
+++ b/regress/whole_callers.c
@@ -354,6 +354,8 @@
 
 	if (r && !r->whole_ms)
 		r->end = WHOLE_UNFINISHED;
+	else if (r && r->broken_off)
+		r->end = WHOLE_BROKEN_OFF;
 	else if (r)
 		r->end = r->runs || c->in_body ||
 					 now - r->whole_ms > LOSS_SLACK_MS
@@ -362,8 +364,10 @@
 	if (r && r->whole_ms)
 		print_message("%s: %s %s at %s, body of %zu in %s%s%s, %llu ms "
 			      "after its last byte, %s, answer %s\n",
-			      r->end == WHOLE_LOST ? "lost" : "crossed", r->id,
-			      whole_path_prefix(r->path), c->to->address,
+			      r->end == WHOLE_LOST	? "lost"
+			      : r->end == WHOLE_CROSSED ? "crossed"
+							: "broken off",
+			      r->id, whole_path_prefix(r->path), c->to->address,
 			      r->len, r->chunks ? "chunks" : "one piece",
 			      r->kept ? ", kept" : "",
 			      r->fresh ? ", fresh instance" : "",
--- a/regress/whole_endpoints.c
+++ b/regress/whole_endpoints.c
@@ -30,6 +30,7 @@
 #define PAD_MAX 400000 /* of a long answer */
 #define SILENCE_MIN_MS 800
 #define SILENCE_SPREAD_MS 1000
+#define LISTED_MS 1500 /* an endpoint that has fallen over */
 #define SILENT_ENDS_ONE_IN 8 /* ends of answers that a silence follows */
 
 enum conn_state {
@@ -66,7 +67,9 @@
 			  const struct http1_head *head);
 static bool has_room(struct whole_world *w, const struct whole_endpoint *e,
 		     const struct http1_head *head);
-static void turn_away(struct whole_world *w, struct whole_conn *c);
+static void turn_away(struct whole_world *w, struct whole_endpoint *e,
+		      struct whole_conn *c);
+static void fall_over(struct whole_world *w, struct whole_endpoint *e);
 static bool take_body(struct whole_world *w, struct whole_endpoint *e,
 		      struct whole_conn *c);
 static void answer(struct whole_world *w, struct whole_endpoint *e,
@@ -155,6 +158,10 @@
 		bool idle = true;
 		size_t k;
 
+		if (e->lapses && now - e->fallen_ms >= LISTED_MS) {
+			e->lapses = false;
+			standin_remove(w->platform, "servers", e->id);
+		}
 		if (e->listener < 0 || now < e->silent_until_ms)
 			continue;
 		accept_all(e);
@@ -162,6 +169,10 @@
 			if (e->conns[k]->fd >= 0 &&
 			    step_conn(w, e, e->conns[k]))
 				idle = false;
+		if (e->fallen_ms) {
+			fall_over(w, e);
+			continue;
+		}
 		if (idle && e->leaving_ms &&
 		    now >= e->leaving_ms + LEAVING_MIN_MS)
 			end_endpoint(w, e);
@@ -280,7 +291,7 @@
 		c->request = whole_find(w, id->value, id->value_len);
 		assert_non_null(c->request);
 		if (!has_room(w, e, &head)) {
-			turn_away(w, c);
+			turn_away(w, e, c);
 		} else {
 			begin_request(w, c, &head);
 			if (c->early)
@@ -314,9 +325,17 @@
 				   !random_below(w->random, 3));
 }
 
-/* Turns a request away, which has not run; its body is read. */
-static void turn_away(struct whole_world *w, struct whole_conn *c)
+/* Turns a request away, which has not run; its body is read.  A brittle endpoint
+ * falls over if there are too many in a second. */
+static void turn_away(struct whole_world *w, struct whole_endpoint *e,
+		      struct whole_conn *c)
 {
+	if (now_ms(w) - e->turned_away_ms >= 1000) {
+		e->turned_away_ms = now_ms(w);
+		e->turned_away = 0;
+	}
+	if (++e->turned_away > w->brittle && w->brittle)
+		e->fallen_ms = now_ms(w);
 	w->n_turned_away++;
 	c->got = 0;
 	c->early = true;
@@ -381,6 +400,7 @@
 		   struct whole_conn *c)
 {
 	const char *leaving = e->leaving_ms ? "server-leaving: 1\r\n" : "";
+	char brittle[48] = "";
 	size_t pad = random_below(w->random, 8)
 			     ? 0
 			     : random_below(w->random, PAD_MAX);
@@ -388,13 +408,16 @@
 	bool chunks = random_below(w->random, 2);
 	char *body;
 
+	if (w->brittle)
+		snprintf(brittle, sizeof(brittle), "server-brittle: %u\r\n",
+			 w->brittle);
 	c->unframed = !c->early && w->unframed && random_below(w->random, 2);
 	c->closes = c->unframed || e->leaving_ms ||
 		    !random_below(w->random, CLOSES_ONE_IN);
 	bytes_addf(&c->out,
 		   "HTTP/1.1 200 OK\r\nresponse-signature: m.1\r\n"
-		   "request-id: %s\r\ninstance-id: %s\r\n%s%s",
-		   c->request->id, e->id, leaving,
+		   "request-id: %s\r\ninstance-id: %s\r\n%s%s%s",
+		   c->request->id, e->id, leaving, brittle,
 		   c->closes ? "connection: close\r\n" : "");
 	if (e->engine) {
 		bytes_addf(&c->out, "content-type: text/event-stream\r\n%s\r\n",
@@ -461,6 +484,21 @@
 	c->state = CONN_HEAD;
 }
 
+/* Breaks off all that an endpoint runs, and ends it.  Its entry lapses later. */
+static void fall_over(struct whole_world *w, struct whole_endpoint *e)
+{
+	size_t i;
+
+	for (i = 0; i < e->n_conns; i++)
+		if (e->conns[i]->fd >= 0 && e->conns[i]->state != CONN_HEAD &&
+		    e->conns[i]->request)
+			e->conns[i]->request->broken_off = true;
+	w->n_falls++;
+	e->lapses = !e->unlisted;
+	e->unlisted = true;
+	end_endpoint(w, e);
+}
+
 /* Sends what the socket takes.  An error shows at the next read. */
 static void flush(struct whole_conn *c)
 {
--- a/regress/whole_requests.h
+++ b/regress/whole_requests.h
@@ -37,6 +37,7 @@
 	WHOLE_LOST, /* it was whole, and passed on or sent long before */
 	WHOLE_CROSSED, /* it was whole and crossed the close */
 	WHOLE_UNFINISHED, /* it was not whole */
+	WHOLE_BROKEN_OFF, /* an endpoint that ran it fell over */
 	WHOLE_ENDS,
 };
 
@@ -51,6 +52,7 @@
 	bool fresh; /* sent in the first second of its instance */
 	unsigned int runs; /* endpoints that began to read it */
 	bool wrong; /* an endpoint got other bytes, or its caller did */
+	bool broken_off; /* an endpoint that ran it fell over */
 	uint64_t whole_ms; /* loop time at which it was sent whole; 0: not */
 	int status;
 	int n_events; /* of a stream, received in order */
@@ -92,6 +94,10 @@
 	uint64_t silent_until_ms;
 	uint64_t leaving_ms; /* 0: it does not leave */
 	bool unlisted; /* its entry has gone */
+	uint64_t turned_away_ms; /* begin of the second that is counted */
+	unsigned int turned_away; /* requests, in that second */
+	uint64_t fallen_ms; /* when it fell over; 0: it has not */
+	bool lapses; /* its entry stands for a while after that */
 };
 
 struct whole_world {
@@ -109,7 +115,9 @@
 	bool ending; /* no new requests, and nothing is held back */
 	bool unframed; /* half of the answers end with their connection */
 	size_t room; /* requests that an endpoint takes at once; 0: all */
+	unsigned int brittle; /* turned away in a second; more, and it falls */
 	size_t n_turned_away; /* requests, by endpoints without room */
+	size_t n_falls; /* of brittle endpoints */
 	size_t n_broken_off; /* connections that an endpoint closed in use */
 };
 
