handover: a run goes by another instance only once its own endpoint had its say

A stream of a silent endpoint that was held for a path was ended 250 ms after there was one again, though its endpoint was still silent, and though the other instance had found no endpoint yet that took it: it was turned away by three in a row, the last one 2.2 s later.

While a stream is offered to another instance, the time after which its old run is ended begins once the old endpoint has been heard of, or has ended.

--- a/policy/handover.c
+++ b/policy/handover.c
@@ -18,6 +18,12 @@
 	return h->heard_ms >= h->offered_ms;
 }
 
+/* Tells whether the old endpoint has said anything since then, or never will. */
+static bool old_is_heard(const struct handover *h)
+{
+	return h->old_ended || h->old_heard_ms >= h->offered_ms;
+}
+
 /* Tells whether the new endpoint is to be asked for a sign of life. */
 bool handover_should_ask(const struct handover *h, uint64_t now)
 {
@@ -26,8 +32,9 @@
 }
 
 /* Tells whether the new place can have refused the run by now.  A silent endpoint
- * has not read it; another instance takes it because there is no path, so that the
- * old endpoint is not reached and works on alone. */
+ * has not read it.  Another instance takes it because there is no path; until there
+ * is one and the old endpoint is heard of, that is out of reach and may go on
+ * first. */
 bool handover_can_refuse(const struct handover *h)
 {
 	if (!h->offered_ms)
@@ -35,7 +42,7 @@
 	if (!h->goes_on)
 		return true;
 	if (h->relayed)
-		return !h->path_lost;
+		return !h->path_lost && old_is_heard(h);
 	return h->unanswerable || is_heard(h);
 }
 
--- a/policy/handover.h
+++ b/policy/handover.h
@@ -13,6 +13,8 @@
 	bool unanswerable; /* the new endpoint can't be asked for a sign of life */
 	uint64_t offered_ms; /* when its connection stood; 0: not yet */
 	uint64_t heard_ms; /* when its last bytes came; 0: never */
+	uint64_t old_heard_ms; /* the same of the old endpoint */
+	bool old_ended; /* that can't go on any more */
 };
 
 bool handover_should_ask(const struct handover *h, uint64_t now);
--- a/proxyd/handover.c
+++ b/proxyd/handover.c
@@ -121,6 +121,7 @@
 {
 	struct endpoints *endpoints = x->proxyd->endpoints;
 	const struct endpoint *e = endpoint_get(endpoints, x->endpoint);
+	const struct endpoint *old = endpoint_get(endpoints, x->held.endpoint);
 
 	return (struct handover){
 		.goes_on = x->held.goes_on,
@@ -129,6 +130,8 @@
 		.unanswerable = x->held.unanswerable,
 		.offered_ms = x->held.offered_ms,
 		.heard_ms = e ? e->heard_ms : 0,
+		.old_heard_ms = old ? old->heard_ms : 0,
+		.old_ended = !old || old->ended,
 	};
 }
 
--- a/regress/unit/test_handover.c
+++ b/regress/unit/test_handover.c
@@ -61,6 +61,25 @@
 	assert_false(handover_can_refuse(&h));
 	assert_false(handover_should_ask(&h, OFFERED_MS + BOTH_MAX_MS));
 	h.path_lost = false;
+	assert_false(handover_can_refuse(&h));
+	h.old_heard_ms = OFFERED_MS;
+	assert_true(handover_can_refuse(&h));
+	h.path_lost = true;
+	assert_false(handover_can_refuse(&h));
+}
+
+/* An endpoint that has ended doesn't go on. */
+static void ended_endpoint_is_not_waited_for(void **state)
+{
+	struct handover h = {
+		.goes_on = true,
+		.relayed = true,
+		.offered_ms = OFFERED_MS,
+	};
+
+	(void)state;
+	assert_false(handover_can_refuse(&h));
+	h.old_ended = true;
 	assert_true(handover_can_refuse(&h));
 }
 
@@ -82,6 +101,7 @@
 		cmocka_unit_test(
 			old_run_outlasts_the_silence_of_the_new_endpoint),
 		cmocka_unit_test(old_run_outlasts_a_lost_path),
+		cmocka_unit_test(ended_endpoint_is_not_waited_for),
 		cmocka_unit_test(unread_run_is_held_for_a_refusal_only),
 	};
 
