exchange: a begun stream is not closed as endpoints are full for a moment

Streams whose endpoint was lost or silent were closed within 20 to 40 ms if the others were full: each refusal counted as an attempt, also the third one of the same endpoint, and each was followed at once by the next one. A want of a repeat closed them, too, though others lend some.

A run that all have turned away is now offered to one of them again after 100, 200, 400 and 800 ms, within the 1.5 s that a lost run waits for an endpoint. If the budget has no repeat, a begun stream waits for one in the same time.

all_others_are_full_for_a_moment of test_full_after_silence failed before (closed), and passes now.

--- a/policy/lost_run_wait.c
+++ b/policy/lost_run_wait.c
@@ -9,6 +9,24 @@
 /* How long a run whose caller has no event yet waits. */
 #define NOT_BEGUN_MS 1500
 
+/* An endpoint that turns a run away does so again within the first of these times,
+ * which doubles with each offer, up to the second one. */
+#define OFFER_AGAIN_MS 100
+#define OFFER_AGAIN_MAX_MS 800
+
+/* Tells whether endpoints that a run was at are offered it again, if one turned it
+ * away at refused_ms (0: none has), and it was offered again so many times before.
+ * Handles endpoints that are all full at once, of which each offer uses an attempt
+ * and a repeat. */
+bool lost_run_offered_again(uint64_t refused_ms, uint32_t offers, uint64_t now)
+{
+	uint64_t wait_ms = OFFER_AGAIN_MS;
+
+	while (offers-- && wait_ms < OFFER_AGAIN_MAX_MS)
+		wait_ms *= 2;
+	return !refused_ms || now - refused_ms >= wait_ms;
+}
+
 /* Returns the time, ms, of left_ms until the caller's deadline.  out_of_reach tells
  * that no endpoint that continues the run can be reached; one that is only full, or
  * has another version, is not waited for that long. */
--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -675,12 +675,16 @@
 {
 	event_log(EVENT_NOTABLE, "endpoint-refused", x->fields.id, "{s:i, s:b}",
 		  "status", x->status, "from_copy", x->from_copy);
+	x->targets[(x->sends - 1) % ENDPOINT_AVOID_MAX].refused = true;
+	x->refused_ms = proxyd_now(x->proxyd);
 	if (!x->from_copy)
 		exchange_avoid(x, endpoint);
 	if (handover_restore(x, "refused"))
 		return;
 	if (exchange_repeat_allowed(x))
 		exchange_dispatch(x);
+	else if (x->response_started && exchange_has_attempts(x))
+		exchange_wait_repeat(x);
 	else
 		exchange_refuse(x, 503, RETRY_FULL_MS, "endpoints are full");
 }
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -528,7 +528,8 @@
 {
 	const struct endpoint_criteria criteria = exchange_endpoint_criteria(x);
 	struct handle endpoint = { 0 };
-	struct placement_choice choice;
+	struct placement_choice choice = { .outcome = PLACEMENT_ALL_AVOIDED };
+	bool offer_again;
 
 	if (!may_have_begun(x) && !accept_or_refuse(x))
 		return;
@@ -544,11 +545,15 @@
 		take_up(x);
 		return;
 	}
-	choice = endpoints_place(x->proxyd->endpoints, &criteria,
-				 x->engine != NULL, &endpoint);
+	offer_again = lost_run_offered_again(x->refused_ms, x->offers_again,
+					     proxyd_now(x->proxyd));
+	if (!x->offers_again || offer_again)
+		choice = endpoints_place(x->proxyd->endpoints, &criteria,
+					 x->engine != NULL, &endpoint);
 	if (choice.outcome == PLACEMENT_ALL_AVOIDED && x->n_avoided &&
-	    x->route->kind == KIND_STREAM) {
+	    x->route->kind == KIND_STREAM && offer_again) {
 		x->n_avoided = 0; /* an avoided endpoint is better than none */
+		x->offers_again += x->refused_ms != 0;
 		if (x->held.call)
 			exchange_avoid(x, x->held.endpoint);
 		choice = endpoints_place(x->proxyd->endpoints, &criteria,
@@ -596,6 +601,14 @@
 				 x->deadline_ms - proxyd_now(x->proxyd)));
 }
 
+/* Makes a run that has lost its endpoint wait for a repeat, as the budget has none
+ * left now. */
+void exchange_wait_repeat(struct exchange *x)
+{
+	exchange_wait_lost(x, false);
+	x->awaits_repeat = true;
+}
+
 /* Excludes an endpoint from later choices; drops the oldest exclusion if there
  * are too many. */
 void exchange_avoid(struct exchange *x, struct handle h)
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -87,6 +87,7 @@
 		born_ms; /* its start, proved then or stated since; 0: unknown */
 	bool relayed; /* to another instance, which chose the process */
 	bool answered; /* it sent the head of an answer */
+	bool refused; /* it turned the request away, which has not run there */
 };
 
 /* One request of a caller, from its arrival until its answer is complete. */
@@ -139,6 +140,9 @@
 	/* the last of these; attempt n is at n % ENDPOINT_AVOID_MAX */
 	struct attempt_target targets[ENDPOINT_AVOID_MAX];
 	uint32_t failed_connects; /* or misdirected attempts */
+	uint64_t refused_ms; /* when an endpoint last refused it; 0: none has */
+	/* to endpoints it was at, as there were no others */
+	uint32_t offers_again;
 	uint64_t no_socket_ms; /* since when this process has none; 0: has */
 	uint32_t skipped_leaving; /* endpoints skipped at the last choice */
 	uint32_t skipped_paused;
@@ -257,6 +261,7 @@
 void exchange_wait(struct exchange *x);
 void exchange_wait_for(struct exchange *x, uint32_t ms);
 void exchange_wait_lost(struct exchange *x, bool out_of_reach);
+void exchange_wait_repeat(struct exchange *x);
 void exchange_avoid(struct exchange *x, struct handle h);
 void exchange_refuse(struct exchange *x, int status, uint32_t retry_after_ms,
 		     const char *why);
--- a/regress/integration/test_full_after_silence.c
+++ b/regress/integration/test_full_after_silence.c
@@ -20,6 +20,8 @@
 /* A sound endpoint may be silent for about a second. */
 #define SILENT_MS 1000
 
+#define FULL_MS 500 /* a place is free again after that */
+
 /* A stream moves away from a silent endpoint to one that is full: it waits, and
  * is complete once one of them goes on. */
 static void refused_after_silence(const char *route, const char *mode,
@@ -129,9 +131,41 @@
 	silence_end(&c);
 }
 
+/* The endpoint of a stream is lost while all others are full for a moment: the
+ * stream waits, and is complete once one of them has room. */
+static void all_others_are_full_for_a_moment(void **state)
+{
+	const struct silence_case c = {
+		.route = SILENCE_ROUTE "\"maxAttempts\":5,\"resumable\":true}",
+		.instances = 1,
+		.engines = 2,
+	};
+	struct stream_reader *s;
+	size_t engine;
+	size_t i;
+
+	(void)state;
+	silence_start(&c);
+	s = silence_open_stream();
+	stream_wait_events(s, EVENTS_BEFORE);
+	engine = silence_engine_of_run();
+	for (i = 0; i < silence_world->n_workers; i++)
+		silence_world->workers[i].behaviour = STANDIN_FULL;
+	silence_set_mode(engine, "cut");
+	harness_run(silence_harness, FULL_MS);
+	for (i = 0; i < silence_world->n_workers; i++)
+		silence_world->workers[i].behaviour = STANDIN_NORMAL;
+	stream_wait_end(s);
+	assert_int_equal(stream_outcome(s), HTTPC_OK);
+	assert_int_equal(stream_n_events(s), STANDIN_EVENTS);
+	stream_close(s);
+	silence_end(&c);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(all_others_are_full_for_a_moment),
 		cmocka_unit_test(full_endpoint_is_silent_too),
 		cmocka_unit_test(full_endpoint_after_silence),
 		cmocka_unit_test(only_endpoint_is_silent),
--- a/regress/unit/test_lost_run_wait.c
+++ b/regress/unit/test_lost_run_wait.c
@@ -31,9 +31,25 @@
 	assert_int_equal(lost_run_wait_ms(false, false, 17000), 1500);
 }
 
+/* All endpoints are full: a run is offered at a few of them, and not all its
+ * attempts are used in the same moment. */
+static void endpoint_that_turned_the_run_away(void **state)
+{
+	(void)state;
+	assert_true(lost_run_offered_again(0, 0, 5000));
+	assert_false(lost_run_offered_again(5000, 0, 5000));
+	assert_false(lost_run_offered_again(5000, 0, 5020));
+	assert_true(lost_run_offered_again(5000, 0, 5100));
+	assert_false(lost_run_offered_again(5100, 1, 5200));
+	assert_true(lost_run_offered_again(5100, 1, 5300));
+	assert_false(lost_run_offered_again(5300, UINT32_MAX, 6000));
+	assert_true(lost_run_offered_again(5300, UINT32_MAX, 6100));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(endpoint_that_turned_the_run_away),
 		cmocka_unit_test(run_that_has_begun),
 		cmocka_unit_test(run_without_events),
 		cmocka_unit_test(endpoints_that_are_full),
