exchange: left-out is logged once for a request that waits

A request that waits looks for an endpoint at each tick, and logged a left-out line each time while some endpoint was leaving: 25 lines in half a second in one log of test_unanswered_requests with WHOLE_ROOM=4. The line comes when the wait begins.

--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -800,7 +800,7 @@
 	if (handover_restore(x, why))
 		return;
 	x->unable = endpoints_path_lost(x->proxyd->endpoints, x->service);
-	if (choice->leaving || choice->paused)
+	if ((choice->leaving || choice->paused) && !x->wait_until_ms)
 		event_log(EVENT_NOTABLE, "left-out", x->fields.id,
 			  "{s:s, s:i, s:i, s:I}", "outcome", why, "leaving",
 			  (int)choice->leaving, "paused", (int)choice->paused,
