--- a/regress/whole_callers.c
+++ b/regress/whole_callers.c
@@ -31,10 +31,11 @@
 #define SLOW_BYTES 16384 /* a step */
 #define RETRY_CONNECT_MS 5
 #define PAUSE_MAX_MS 150
-#define DEADLINE_MS 9000
+#define APPLIED_MS 2000 /* a configuration, after the next one */
 
 static bool connect_caller(struct whole_world *w, struct whole_caller *c);
 static const struct whole_address *choose_address(struct whole_world *w);
+static void note_limit(const struct whole_world *w, struct whole_request *r);
 static void begin(struct whole_world *w, struct whole_caller *c);
 static void write_request(struct whole_world *w, struct whole_caller *c);
 static void send_some(struct whole_world *w, struct whole_caller *c);
@@ -159,6 +160,13 @@
 	return true;
 }
 
+/* Notes the time limit that an instance may apply to what it receives now. */
+static void note_limit(const struct whole_world *w, struct whole_request *r)
+{
+	if (w->limited_ms && now_ms(w) - w->limited_ms < APPLIED_MS)
+		r->limit_ms = WHOLE_TIMEOUT_MS;
+}
+
 /* Prepares the next request of a caller. */
 static void begin(struct whole_world *w, struct whole_caller *c)
 {
@@ -173,6 +181,9 @@
 	r->path = (enum whole_path)random_below(w->random, WHOLE_PATHS);
 	r->chunks = random_below(w->random, 2);
 	r->kept = c->n_answers > 0;
+	r->begun_ms = now_ms(w);
+	r->limit_ms = WHOLE_DEADLINE_MS;
+	note_limit(w, r);
 	r->fresh = now_ms(w) - c->to->started_ms < FRESH_MS;
 	r->len = r->path > WHOLE_LOOK || random_below(w->random, 3)
 			 ? random_below(w->random, SMALL_MAX)
@@ -202,7 +213,7 @@
 		   "token-usage: 120,60\r\n",
 		   whole_path_prefix(r->path),
 		   random_below(w->random, 6) ? "k1" : "k2", r->id,
-		   DEADLINE_MS);
+		   WHOLE_DEADLINE_MS);
 	if (r->chunks)
 		bytes_addf(&c->out, "transfer-encoding: chunked\r\n\r\n");
 	else
@@ -246,6 +257,7 @@
 	if (n <= 0)
 		return;
 	c->sent += (size_t)n;
+	note_limit(w, c->open);
 	if (c->sent == c->out.len)
 		c->open->whole_ms = now;
 }
@@ -349,6 +361,12 @@
 /* Notes the end of a connection, whose request has no complete answer. */
 static void end_connection(struct whole_world *w, struct whole_caller *c)
 {
+	static const char *const ends[WHOLE_ENDS] = {
+		[WHOLE_LOST] = "lost",
+		[WHOLE_CROSSED] = "crossed",
+		[WHOLE_BROKEN_OFF] = "broken off",
+		[WHOLE_OUT_OF_TIME] = "out of time",
+	};
 	struct whole_request *r = c->open;
 	uint64_t now = now_ms(w);
 
@@ -356,6 +374,8 @@
 		r->end = WHOLE_UNFINISHED;
 	else if (r && r->broken_off)
 		r->end = WHOLE_BROKEN_OFF;
+	else if (r && now - r->begun_ms >= r->limit_ms)
+		r->end = WHOLE_OUT_OF_TIME;
 	else if (r)
 		r->end = r->runs || c->in_body ||
 					 now - r->whole_ms > LOSS_SLACK_MS
@@ -364,11 +384,9 @@
 	if (r && r->whole_ms)
 		print_message("%s: %s %s at %s, body of %zu in %s%s%s, %llu ms "
 			      "after its last byte, %s, answer %s\n",
-			      r->end == WHOLE_LOST	? "lost"
-			      : r->end == WHOLE_CROSSED ? "crossed"
-							: "broken off",
-			      r->id, whole_path_prefix(r->path), c->to->address,
-			      r->len, r->chunks ? "chunks" : "one piece",
+			      ends[r->end], r->id, whole_path_prefix(r->path),
+			      c->to->address, r->len,
+			      r->chunks ? "chunks" : "one piece",
 			      r->kept ? ", kept" : "",
 			      r->fresh ? ", fresh instance" : "",
 			      (unsigned long long)(now - r->whole_ms),
--- a/regress/whole_requests.h
+++ b/regress/whole_requests.h
@@ -18,6 +18,9 @@
 #define WHOLE_ENDPOINTS_MAX 256 /* all starts of a run */
 #define WHOLE_ADDRESSES_MAX 96
 
+#define WHOLE_DEADLINE_MS 9000 /* of each request */
+#define WHOLE_TIMEOUT_MS 5000 /* the shorter time limit of routes */
+
 /* The routes, which the test configures. */
 enum whole_path {
 	WHOLE_BOOK, /* plain, runs once */
@@ -38,6 +41,7 @@
 	WHOLE_CROSSED, /* it was whole and crossed the close */
 	WHOLE_UNFINISHED, /* it was not whole */
 	WHOLE_BROKEN_OFF, /* an endpoint that ran it fell over */
+	WHOLE_OUT_OF_TIME, /* the time limit of its route was reached */
 	WHOLE_ENDS,
 };
 
@@ -53,6 +57,8 @@
 	unsigned int runs; /* endpoints that began to read it */
 	bool wrong; /* an endpoint got other bytes, or its caller did */
 	bool broken_off; /* an endpoint that ran it fell over */
+	uint64_t begun_ms; /* loop time of its first byte */
+	uint64_t limit_ms; /* shortest that may apply to it */
 	uint64_t whole_ms; /* loop time at which it was sent whole; 0: not */
 	int status;
 	int n_events; /* of a stream, received in order */
@@ -112,6 +118,8 @@
 	struct whole_endpoint endpoints[WHOLE_ENDPOINTS_MAX];
 	size_t n_endpoints;
 	unsigned int changes; /* of the configuration, so far */
+	/* when a shorter time limit of the routes was last in force; 0: never */
+	uint64_t limited_ms;
 	bool ending; /* no new requests, and nothing is held back */
 	bool unframed; /* half of the answers end with their connection */
 	size_t room; /* requests that an endpoint takes at once; 0: all */
