soak: a pause binds the instance that was asked for it, also for relayed requests

By the logs the worker had asked that pause of another instance, to which the request had been relayed, or the requests had been relayed to one that had been restarted since. The users' rule counts what a machine sends to a worker that has answered that machine.

The check takes from the logs which instance sent a request to a worker, and no longer the one that the caller sent it to.

--- a/regress/soak/holdoff_rule.c
+++ b/regress/soak/holdoff_rule.c
@@ -25,6 +25,8 @@
 			  const struct holdoff_leaving_answer *l);
 static void check_pause(const struct holdoff_rule *r,
 			const struct standin_world *w, size_t asked);
+static size_t sender_of(const struct holdoff_rule *r,
+			const struct standin_arrival *a);
 
 /* Records that a caller sends a request with a number to an instance. */
 void holdoff_rule_sent(struct holdoff_rule *r, unsigned int number,
@@ -111,6 +113,7 @@
 {
 	free(r->requests);
 	free(r->leaving);
+	free(r->sends);
 	exemption_list_release(&r->instance_exemptions);
 	exemption_list_release(&r->link_exemptions);
 }
@@ -149,7 +152,7 @@
 			const struct standin_world *w, size_t asked)
 {
 	const struct standin_arrival *first = w->arrivals[asked];
-	size_t instance = holdoff_rule_request(r, first)->instance;
+	size_t instance = sender_of(r, first);
 	size_t worker = (size_t)(first->worker - w->workers);
 	unsigned int n = 0;
 	size_t i;
@@ -158,7 +161,7 @@
 		const struct standin_arrival *a = w->arrivals[i];
 		const struct holdoff_request *q = holdoff_rule_request(r, a);
 
-		if (!q || q->instance != instance ||
+		if (!q || sender_of(r, a) != instance ||
 		    a->at_ms <= first->at_ms + PAUSE_APPLIED_MS ||
 		    a->at_ms >= first->at_ms + PAUSE_MS ||
 		    strcmp(a->worker_id, first->worker_id) != 0)
@@ -178,6 +181,54 @@
 			 n, instance, first->worker_id);
 }
 
+/* Notes by an instance's log which requests it sent to which workers. */
+void holdoff_rule_read_log(struct holdoff_rule *r, size_t instance,
+			   const char *log)
+{
+	static const char sent[] = "\"event\":\"sent\",\"request\":\"r-";
+	static const char to[] = "\"endpoint\":\"";
+	const char *p = log;
+
+	while ((p = strstr(p, sent))) {
+		const char *worker = strstr(p, to);
+		struct holdoff_send *s;
+
+		p += strlen(sent);
+		if (!worker)
+			continue;
+		worker += strlen(to);
+		r->sends = xreallocarray(r->sends, r->n_sends + 1,
+					 sizeof(*r->sends));
+		s = &r->sends[r->n_sends++];
+		s->number = strtoul(p, NULL, 10);
+		s->instance = instance;
+		snprintf(s->worker_id, sizeof(s->worker_id), "%.*s",
+			 (int)strcspn(worker, "\""), worker);
+	}
+}
+
+/* Returns the instance that sent a request to a worker: that of its caller, unless
+ * only another one, to which it was relayed, sent it there. */
+static size_t sender_of(const struct holdoff_rule *r,
+			const struct standin_arrival *a)
+{
+	const struct holdoff_request *q = holdoff_rule_request(r, a);
+	size_t sender = q->instance;
+	size_t i;
+
+	for (i = 0; i < r->n_sends; i++) {
+		const struct holdoff_send *s = &r->sends[i];
+
+		if (s->number != (size_t)(q - r->requests) ||
+		    strcmp(s->worker_id, a->worker_id) != 0)
+			continue;
+		if (s->instance == q->instance)
+			return q->instance;
+		sender = s->instance;
+	}
+	return sender;
+}
+
 /* Returns the caller's request that arrived at a worker, or NULL if the arrival
  * is of another kind. */
 const struct holdoff_request *holdoff_rule_request(
--- a/regress/soak/holdoff_rule.h
+++ b/regress/soak/holdoff_rule.h
@@ -25,11 +25,20 @@
 	uint64_t at_ms;
 };
 
+/* A request that an instance sent to a worker, by its log. */
+struct holdoff_send {
+	size_t number;
+	size_t instance;
+	char worker_id[32];
+};
+
 struct holdoff_rule {
 	struct holdoff_request *requests; /* by number; [0] is unused */
 	size_t n_requests;
 	struct holdoff_leaving_answer *leaving;
 	size_t n_leaving;
+	struct holdoff_send *sends;
+	size_t n_sends;
 	struct exemption_list instance_exemptions; /* started or resumed */
 	struct exemption_list link_exemptions; /* of links to workers */
 };
@@ -41,6 +50,8 @@
 				 unsigned int number, uint64_t now);
 const struct holdoff_request *holdoff_rule_request(
 	const struct holdoff_rule *r, const struct standin_arrival *a);
+void holdoff_rule_read_log(struct holdoff_rule *r, size_t instance,
+			   const char *log);
 void holdoff_rule_exempt(struct holdoff_rule *r, size_t instance, uint64_t now);
 void holdoff_rule_link_fault(struct holdoff_rule *r, size_t worker,
 			     uint64_t now);
--- a/regress/soak/soak_proxyd.c
+++ b/regress/soak/soak_proxyd.c
@@ -922,6 +922,12 @@
 	check_deadlines();
 	limit_check_all(&limits, seed, world);
 	limit_check_release(&limits);
+	for (i = 0; i < n_instances; i++) {
+		char *log = proc_output(instances[i].proc);
+
+		holdoff_rule_read_log(&holdoffs, i, log);
+		free(log);
+	}
 	holdoff_rule_check(&holdoffs, seed, world);
 	holdoff_rule_release(&holdoffs);
 	exemption_list_release(&link_cuts);
