handover: what came in the ms of the offer may have come before it

Found in a reading of the change. Bytes of the new endpoint that were read in the same ms as it was offered the run counted as heard since, so that the time for a refusal ran for an endpoint that had just fallen silent. Also plainer names and a comment.

--- a/policy/handover.c
+++ b/policy/handover.c
@@ -12,16 +12,17 @@
 /* A new endpoint that is busy is heard of by its other runs within this time. */
 #define ASK_AFTER_MS 100
 
-/* Tells whether the new endpoint has said anything since it was offered the run. */
+/* Tells whether the new endpoint has said anything since it was offered the run.
+ * What came in the same ms may have come before. */
 static bool is_heard(const struct handover *h)
 {
-	return h->heard_ms >= h->offered_ms;
+	return h->heard_ms > h->offered_ms;
 }
 
 /* Tells whether the old endpoint has said anything since then, or never will. */
 static bool old_is_heard(const struct handover *h)
 {
-	return h->old_ended || h->old_heard_ms >= h->offered_ms;
+	return h->old_ended || h->old_heard_ms > h->offered_ms;
 }
 
 /* Tells whether the new endpoint is to be asked for a sign of life. */
@@ -43,7 +44,7 @@
 		return true;
 	if (h->relayed)
 		return !h->path_lost && old_is_heard(h);
-	return h->unanswerable || is_heard(h);
+	return h->cannot_be_asked || is_heard(h);
 }
 
 /* Tells whether the new endpoint has taken the request, so that the old run is
--- a/policy/handover.h
+++ b/policy/handover.h
@@ -10,7 +10,7 @@
 	bool goes_on; /* the old run may speak first, and is read */
 	bool relayed; /* the new one is at another instance */
 	bool path_lost; /* this instance reaches no endpoint of the service */
-	bool unanswerable; /* the new endpoint can't be asked for a sign of life */
+	bool cannot_be_asked; /* the new endpoint, for a sign of life */
 	uint64_t offered_ms; /* when its connection stood; 0: not yet */
 	uint64_t heard_ms; /* when its last bytes came; 0: never */
 	uint64_t old_heard_ms; /* the same of the old endpoint */
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -77,7 +77,7 @@
 	uint64_t offered_ms; /* to the other endpoint; 0: not connected yet */
 	uint64_t can_refuse_ms; /* since when that may refuse; 0: not yet */
 	bool asked; /* that endpoint, for a sign of life */
-	bool unanswerable; /* it can't be asked for one */
+	bool cannot_be_asked; /* for one */
 };
 
 /* A process that a request was sent to. */
--- a/proxyd/handover.c
+++ b/proxyd/handover.c
@@ -102,7 +102,7 @@
 	h = state_of(x);
 	if (!x->held.asked && handover_should_ask(&h, now)) {
 		x->held.asked = true;
-		x->held.unanswerable =
+		x->held.cannot_be_asked =
 			!x->engine ||
 			!endpoint_want_sign(endpoints, x->endpoint);
 	}
@@ -127,7 +127,7 @@
 		.goes_on = x->held.goes_on,
 		.relayed = relay_in_use(x),
 		.path_lost = endpoints_path_lost(endpoints, x->service),
-		.unanswerable = x->held.unanswerable,
+		.cannot_be_asked = x->held.cannot_be_asked,
 		.offered_ms = x->held.offered_ms,
 		.heard_ms = e ? e->heard_ms : 0,
 		.old_heard_ms = old ? old->heard_ms : 0,
--- a/proxyd/repeats.c
+++ b/proxyd/repeats.c
@@ -38,8 +38,8 @@
 
 /* Returns the attempts that count for the route's limit.  Of the last
  * ENDPOINT_AVOID_MAX, those at processes that have ended don't, nor do those of a
- * begun stream at processes that are cut off, nor a second refusal of one.  Those by other instances do, as it is
- * not known here what became of them. */
+ * begun stream at processes that are cut off, nor a second refusal of one process.
+ * Those by other instances do, as it is not known here what became of them. */
 uint32_t exchange_attempts_used(const struct exchange *x)
 {
 	uint32_t n = x->sends < ENDPOINT_AVOID_MAX ? x->sends
--- a/regress/unit/test_handover.c
+++ b/regress/unit/test_handover.c
@@ -32,18 +32,18 @@
 	struct handover h = {
 		.goes_on = true,
 		.offered_ms = OFFERED_MS,
-		.heard_ms = OFFERED_MS - 1,
+		.heard_ms = OFFERED_MS,
 	};
 
 	(void)state;
 	assert_false(handover_can_refuse(&h));
 	assert_false(handover_should_ask(&h, OFFERED_MS));
 	assert_true(handover_should_ask(&h, OFFERED_MS + BOTH_MAX_MS));
-	h.heard_ms = OFFERED_MS;
+	h.heard_ms = OFFERED_MS + 1;
 	assert_true(handover_can_refuse(&h));
 	assert_false(handover_should_ask(&h, OFFERED_MS + BOTH_MAX_MS));
 	h.heard_ms = 0;
-	h.unanswerable = true;
+	h.cannot_be_asked = true;
 	assert_true(handover_can_refuse(&h));
 }
 
@@ -63,6 +63,8 @@
 	h.path_lost = false;
 	assert_false(handover_can_refuse(&h));
 	h.old_heard_ms = OFFERED_MS;
+	assert_false(handover_can_refuse(&h));
+	h.old_heard_ms = OFFERED_MS + 1;
 	assert_true(handover_can_refuse(&h));
 	h.path_lost = true;
 	assert_false(handover_can_refuse(&h));
