--- a/policy/lost_run_wait.c
+++ b/policy/lost_run_wait.c
@@ -11,7 +11,7 @@
 
 /* An endpoint that turns a run away does so again within the first of these times,
  * which doubles with each offer, up to the second one. */
-#define OFFER_AGAIN_MS 100
+#define OFFER_AGAIN_MS 200
 #define OFFER_AGAIN_MAX_MS 800
 
 /* Tells whether endpoints that a run was at are offered it again, if one turned it
--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -675,7 +675,6 @@
 {
 	event_log(EVENT_NOTABLE, "endpoint-refused", x->fields.id, "{s:i, s:b}",
 		  "status", x->status, "from_copy", x->from_copy);
-	x->targets[(x->sends - 1) % ENDPOINT_AVOID_MAX].refused = true;
 	x->refused_ms = proxyd_now(x->proxyd);
 	if (!x->from_copy)
 		exchange_avoid(x, endpoint);
--- a/proxyd/repeats.c
+++ b/proxyd/repeats.c
@@ -21,7 +21,6 @@
 		      const struct attempt_target *target);
 static bool was_cut_off(const struct exchange *x,
 			const struct attempt_target *target);
-static bool was_refused_twice(const struct exchange *x, uint32_t attempt);
 static void log_repeat(const struct exchange *x, bool allowed,
 		       const struct repeat_share *seen);
 static bool waits_for_repeat(const struct exchange *x);
@@ -38,8 +37,8 @@
 
 /* Returns the attempts that count for the route's limit.  Of the last
  * ENDPOINT_AVOID_MAX, those at processes that have ended don't, nor do those of a
- * begun stream at processes that are cut off, nor a second refusal of one process.
- * Those by other instances do, as it is not known here what became of them. */
+ * begun stream at processes that are cut off.  Those by other instances do, as it is
+ * not known here what became of them. */
 uint32_t exchange_attempts_used(const struct exchange *x)
 {
 	uint32_t n = x->sends < ENDPOINT_AVOID_MAX ? x->sends
@@ -49,8 +48,7 @@
 
 	for (i = 0; i < n; i++)
 		used -= has_ended(x->proxyd->endpoints, &x->targets[i]) ||
-			was_cut_off(x, &x->targets[i]) ||
-			was_refused_twice(x, i);
+			was_cut_off(x, &x->targets[i]);
 	return used;
 }
 
@@ -113,26 +111,6 @@
 	       endpoints_path_lost(x->proxyd->endpoints, x->service);
 }
 
-/* Returns whether the endpoint of an attempt refused it, and is the endpoint of
- * another attempt that counts: the limit is of endpoints. */
-static bool was_refused_twice(const struct exchange *x, uint32_t attempt)
-{
-	const struct attempt_target *target = &x->targets[attempt];
-	uint32_t i;
-
-	if (!target->refused || target->relayed)
-		return false;
-	for (i = 0; i < ENDPOINT_AVOID_MAX; i++) {
-		const struct attempt_target *other = &x->targets[i];
-
-		if (i != attempt && !other->relayed &&
-		    handle_equal(other->endpoint, target->endpoint) &&
-		    (!other->refused || i < attempt))
-			return true;
-	}
-	return false;
-}
-
 /* Returns whether the request may be sent to an endpoint again.  If so, it
  * holds a repeat of the budget until it is sent or finished. */
 bool exchange_repeat_allowed(struct exchange *x)
--- a/regress/unit/test_lost_run_wait.c
+++ b/regress/unit/test_lost_run_wait.c
@@ -39,11 +39,11 @@
 	assert_true(lost_run_offered_again(0, 0, 5000));
 	assert_false(lost_run_offered_again(5000, 0, 5000));
 	assert_false(lost_run_offered_again(5000, 0, 5020));
-	assert_true(lost_run_offered_again(5000, 0, 5100));
-	assert_false(lost_run_offered_again(5100, 1, 5200));
-	assert_true(lost_run_offered_again(5100, 1, 5300));
-	assert_false(lost_run_offered_again(5300, UINT32_MAX, 6000));
-	assert_true(lost_run_offered_again(5300, UINT32_MAX, 6100));
+	assert_true(lost_run_offered_again(5000, 0, 5200));
+	assert_false(lost_run_offered_again(5200, 1, 5400));
+	assert_true(lost_run_offered_again(5200, 1, 5600));
+	assert_false(lost_run_offered_again(5600, UINT32_MAX, 6300));
+	assert_true(lost_run_offered_again(5600, UINT32_MAX, 6400));
 }
 
 int main(void)
