exchange: one place begins a request's wait, and one ends it

A request waits by its phase, its time and the tokens that are counted for it. They call exchange_wait_for() and exchange_stop_waiting() now.

--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -158,9 +158,7 @@
  * yet. */
 void attempt_begin(struct exchange *x, uint64_t now)
 {
-	if (x->phase == EXCHANGE_WAITING && x->wait_until_ms)
-		x->proxyd->exchanges->waiting_tokens -= x->tokens;
-	x->wait_until_ms = 0;
+	exchange_stop_waiting(x);
 	limit_queue_leave(x);
 	x->permit = PERMIT_NOT_NEEDED;
 	x->phase = EXCHANGE_SENT;
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -587,6 +587,15 @@
 	x->phase = EXCHANGE_WAITING;
 }
 
+/* Ends the time for which a request waits; its phase is set by what follows. */
+void exchange_stop_waiting(struct exchange *x)
+{
+	if (x->phase == EXCHANGE_WAITING && x->wait_until_ms)
+		x->proxyd->exchanges->waiting_tokens -=
+			x->tokens; /* 0 before its route is known */
+	x->wait_until_ms = 0;
+}
+
 /* Makes a run that has lost its endpoint wait for another one; out_of_reach tells
  * whether none that continues it can be reached now.  If that is not for want of a
  * path, its caller does better to come back at another instance. */
@@ -667,9 +676,7 @@
 
 	if (x->phase == EXCHANGE_FINISHED)
 		return;
-	if (x->phase == EXCHANGE_WAITING && x->wait_until_ms)
-		t->waiting_tokens -=
-			x->tokens; /* 0 before its route is known */
+	exchange_stop_waiting(x);
 	if (x->repeat_reserved)
 		repeat_return(endpoints_budget(x->proxyd->endpoints,
 					       x->service),
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -259,6 +259,7 @@
 void exchange_dispatch(struct exchange *x);
 void exchange_wait(struct exchange *x);
 void exchange_wait_for(struct exchange *x, uint32_t ms);
+void exchange_stop_waiting(struct exchange *x);
 void exchange_wait_lost(struct exchange *x, bool out_of_reach);
 void exchange_wait_repeat(struct exchange *x);
 void exchange_avoid(struct exchange *x, struct handle h);
--- a/proxyd/handover.c
+++ b/proxyd/handover.c
@@ -43,9 +43,7 @@
 
 	if (!x->held.call)
 		return false;
-	if (x->phase == EXCHANGE_WAITING && x->wait_until_ms)
-		x->proxyd->exchanges->waiting_tokens -= x->tokens;
-	x->wait_until_ms = 0;
+	exchange_stop_waiting(x);
 	x->awaits_repeat = false;
 	limit_queue_leave(x);
 	kv_copy_drop_kept(x);
--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -308,9 +308,7 @@
 	}
 	x->kept_copy.endpoint = none;
 	x->awaits_repeat = false;
-	if (x->wait_until_ms)
-		t->waiting_tokens -= x->tokens;
-	x->wait_until_ms = 0;
+	exchange_stop_waiting(x);
 	by_copy = by_copy && limits_available(endpoint_get(x->proxyd->endpoints,
 							   copy.endpoint));
 	x->moves++;
@@ -363,10 +361,8 @@
 		exchange_fail(x, 502, "the run was lost and may not move");
 		return;
 	}
-	x->phase = EXCHANGE_WAITING;
+	exchange_wait_for(x, (uint32_t)(until - now));
 	x->awaits_repeat = true;
-	x->wait_until_ms = until;
-	x->proxyd->exchanges->waiting_tokens += x->tokens;
 }
 
 /* Returns whether the caller's stream has already missed its targets: its first
