--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -56,6 +56,7 @@
 static uint32_t slots_at_address(const struct endpoints *t,
 				 const char *address);
 static void ask_start(struct endpoints *t, struct endpoint *e);
+static void query_start(struct endpoints *t, struct endpoint *e);
 static bool probe_due(const struct endpoints *t, const struct endpoint *e,
 		      bool store_answers);
 static bool is_older_than_leaving(const struct endpoint *e,
@@ -870,7 +871,13 @@
 			endpoint_unstated_start(t, e->self);
 		return;
 	}
-	e->start_asked_ms = now;
+	query_start(t, e);
+}
+
+/* Sends an endpoint the question for its start. */
+static void query_start(struct endpoints *t, struct endpoint *e)
+{
+	e->start_asked_ms = proxyd_now(t->proxyd);
 	counter_add(t->probes, 1);
 	rediscover_start(t->proxyd, e->self);
 }
@@ -887,9 +894,7 @@
 		return true;
 	if (!limits_take_for_check(e))
 		return false;
-	e->start_asked_ms = proxyd_now(t->proxyd);
-	counter_add(t->probes, 1);
-	rediscover_start(t->proxyd, h);
+	query_start(t, e);
 	return true;
 }
 
