--- a/regress/integration/test_full_after_silence.c
+++ b/regress/integration/test_full_after_silence.c
@@ -97,6 +97,36 @@
 			      "hang", 1);
 }
 
+/* Has all engines behave in one way towards further requests. */
+static void set_behaviour(enum standin_behaviour behaviour)
+{
+	size_t i;
+
+	for (i = 0; i < silence_world->n_workers; i++)
+		silence_world->workers[i].behaviour = behaviour;
+}
+
+/* Waits for the end of a stream, which is whole, and ends its case. */
+static void end_whole(struct stream_reader *s, const struct silence_case *c)
+{
+	stream_wait_end(s);
+	assert_int_equal(stream_outcome(s), HTTPC_OK);
+	assert_int_equal(stream_n_events(s), STANDIN_EVENTS);
+	stream_close(s);
+	silence_end(c);
+}
+
+/* Starts a case and a stream, which has begun. */
+static struct stream_reader *begin_stream(const struct silence_case *c)
+{
+	struct stream_reader *s;
+
+	silence_start(c);
+	s = silence_open_stream();
+	stream_wait_events(s, EVENTS_BEFORE);
+	return s;
+}
+
 /* The endpoint that a stream moves to is silent as well, and turns it away when it
  * goes on: the stream goes on where it was. */
 static void full_endpoint_is_silent_too(void **state)
@@ -106,29 +136,18 @@
 		.instances = 1,
 		.engines = 1,
 	};
-	struct stream_reader *s;
-	size_t engine;
-	size_t i;
+	struct stream_reader *s = begin_stream(&c);
+	size_t engine = silence_engine_of_run();
 
 	(void)state;
-	silence_start(&c);
-	s = silence_open_stream();
-	stream_wait_events(s, EVENTS_BEFORE);
-	engine = silence_engine_of_run();
-	for (i = 0; i < silence_world->n_workers; i++)
-		silence_world->workers[i].behaviour =
-			STANDIN_FULL; /* for further requests */
+	set_behaviour(STANDIN_FULL);
 	silence_set_mode(engine, "freeze");
 	silence_set_mode(!engine, "freeze");
 	harness_run(silence_harness, SILENT_MS);
 	silence_set_mode(!engine, "pass");
 	harness_run(silence_harness, SILENT_MS / 4);
 	silence_set_mode(engine, "pass");
-	stream_wait_end(s);
-	assert_int_equal(stream_outcome(s), HTTPC_OK);
-	assert_int_equal(stream_n_events(s), STANDIN_EVENTS);
-	stream_close(s);
-	silence_end(&c);
+	end_whole(s, &c);
 }
 
 /* The endpoint of a stream is lost while all others are full for a moment: the
@@ -140,26 +159,14 @@
 		.instances = 1,
 		.engines = 2,
 	};
-	struct stream_reader *s;
-	size_t engine;
-	size_t i;
+	struct stream_reader *s = begin_stream(&c);
 
 	(void)state;
-	silence_start(&c);
-	s = silence_open_stream();
-	stream_wait_events(s, EVENTS_BEFORE);
-	engine = silence_engine_of_run();
-	for (i = 0; i < silence_world->n_workers; i++)
-		silence_world->workers[i].behaviour = STANDIN_FULL;
-	silence_set_mode(engine, "cut");
+	set_behaviour(STANDIN_FULL);
+	silence_set_mode(silence_engine_of_run(), "cut");
 	harness_run(silence_harness, FULL_MS);
-	for (i = 0; i < silence_world->n_workers; i++)
-		silence_world->workers[i].behaviour = STANDIN_NORMAL;
-	stream_wait_end(s);
-	assert_int_equal(stream_outcome(s), HTTPC_OK);
-	assert_int_equal(stream_n_events(s), STANDIN_EVENTS);
-	stream_close(s);
-	silence_end(&c);
+	set_behaviour(STANDIN_NORMAL);
+	end_whole(s, &c);
 }
 
 int main(void)
