exchange: a stream that each endpoint failed once is offered again

Callers of a stream that had not begun got 502 within a millisecond when each endpoint of its service had broken its connection once, though attempts were left and an endpoint took it right after.

exchange_dispatch() lifts the exclusions of such a stream and then chose by the criteria that it had copied before, so that the second choice failed like the first one; the stream was refused. Chosen by new criteria alone, all five attempts were used within 18 ms (seen in the new test): a limit that is used up in a moment. So endpoints that broke an answer off are offered the stream again after the same intervals as those that turned it away, and the stream waits for that.

test_streams_offered_again, stream_that_each_endpoint_failed_once, failed before (502, "it failed at each endpoint that is up") and passes.

--- a/policy/lost_run_wait.c
+++ b/policy/lost_run_wait.c
@@ -15,16 +15,16 @@
 #define OFFER_AGAIN_MAX_MS 800
 
 /* Tells whether endpoints that a run was at are offered it again, if one turned it
- * away at refused_ms (0: none has), and it was offered again so many times before.
- * Handles endpoints that are all full at once, of which each offer uses an attempt
- * and a repeat. */
-bool lost_run_offered_again(uint64_t refused_ms, uint32_t offers, uint64_t now)
+ * away or broke its answer off at failed_ms (0: none has), and it was offered again
+ * so many times before.  Handles endpoints that are all full or fail all at once, of
+ * which each offer uses an attempt and a repeat. */
+bool lost_run_offered_again(uint64_t failed_ms, uint32_t offers, uint64_t now)
 {
 	uint64_t wait_ms = OFFER_AGAIN_MS;
 
 	while (offers-- && wait_ms < OFFER_AGAIN_MAX_MS)
 		wait_ms *= 2;
-	return !refused_ms || now - refused_ms >= wait_ms;
+	return !failed_ms || now - failed_ms >= wait_ms;
 }
 
 /* Returns the time, ms, of left_ms until the caller's deadline.  out_of_reach tells
--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -568,6 +568,7 @@
 				 enum http1_outcome outcome)
 {
 	x->may_have_run = true;
+	x->failed_ms = proxyd_now(x->proxyd);
 	event_log(EVENT_NOTABLE, "answer-lost", x->fields.id, "{s:s, s:I}",
 		  "how", http1_outcome_name(outcome), "sent_ms_ago",
 		  (json_int_t)(proxyd_now(x->proxyd) - x->sent_ms));
@@ -673,7 +674,7 @@
 {
 	event_log(EVENT_NOTABLE, "endpoint-refused", x->fields.id, "{s:i, s:b}",
 		  "status", x->status, "from_copy", x->from_copy);
-	x->refused_ms = proxyd_now(x->proxyd);
+	x->failed_ms = proxyd_now(x->proxyd);
 	if (!x->from_copy)
 		exchange_avoid(x, endpoint);
 	if (handover_restore(x, "refused"))
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -526,7 +526,7 @@
  * planned stop. */
 void exchange_dispatch(struct exchange *x)
 {
-	const struct endpoint_criteria criteria = exchange_endpoint_criteria(x);
+	struct endpoint_criteria criteria = exchange_endpoint_criteria(x);
 	struct handle endpoint = { 0 };
 	struct placement_choice choice = { .outcome = PLACEMENT_ALL_AVOIDED };
 	bool offer_again;
@@ -545,7 +545,7 @@
 		take_up(x);
 		return;
 	}
-	offer_again = lost_run_offered_again(x->refused_ms, x->offers_again,
+	offer_again = lost_run_offered_again(x->failed_ms, x->offers_again,
 					     proxyd_now(x->proxyd));
 	if (!x->offers_again || offer_again)
 		choice = endpoints_place(x->proxyd->endpoints, &criteria,
@@ -553,9 +553,10 @@
 	if (choice.outcome == PLACEMENT_ALL_AVOIDED && x->n_avoided &&
 	    x->route->kind == KIND_STREAM && offer_again) {
 		x->n_avoided = 0; /* an avoided endpoint is better than none */
-		x->offers_again += x->refused_ms != 0;
+		x->offers_again += x->failed_ms != 0;
 		if (x->held.call)
 			exchange_avoid(x, x->held.endpoint);
+		criteria = exchange_endpoint_criteria(x);
 		choice = endpoints_place(x->proxyd->endpoints, &criteria,
 					 x->engine != NULL, &endpoint);
 	}
@@ -825,6 +826,9 @@
 		wait_for_endpoint(x, choice);
 	else if (choice->outcome == PLACEMENT_FULL && x->engine)
 		wait_for_capacity(x);
+	else if (choice->outcome == PLACEMENT_ALL_AVOIDED && x->may_have_run &&
+		 x->route->kind == KIND_STREAM)
+		exchange_wait_lost(x, false);
 	else if (choice->limited)
 		limit_queue_refuse(x);
 	else
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -139,7 +139,8 @@
 	/* the last of these; attempt n is at n % ENDPOINT_AVOID_MAX */
 	struct attempt_target targets[ENDPOINT_AVOID_MAX];
 	uint32_t failed_connects; /* or misdirected attempts */
-	uint64_t refused_ms; /* when an endpoint last refused it; 0: none has */
+	/* when an endpoint last refused it or broke its answer off; 0: none has */
+	uint64_t failed_ms;
 	/* to endpoints it was at, as there were no others */
 	uint32_t offers_again;
 	uint64_t no_socket_ms; /* since when this process has none; 0: has */
--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -531,7 +531,7 @@
 	x->first_event_due_ms = 0;
 	x->empty_runs = 0;
 	x->offers_again = 0;
-	x->refused_ms = 0;
+	x->failed_ms = 0;
 	handover_end(x);
 	if (relay_in_use(x))
 		note_begun_elsewhere(x);
--- /dev/null
+++ b/regress/integration/test_streams_offered_again.c
@@ -0,0 +1,90 @@
+/*
+ * A stream that endpoints have failed is offered again while attempts and time are
+ * left, also to an endpoint that failed it before.
+ */
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <setjmp.h>
+#include <cmocka.h>
+
+#include "regress/silence.h"
+
+#define ROUTE SILENCE_ROUTE "\"maxAttempts\":5,\"resumable\":true}"
+
+static size_t attempts_wanted;
+
+/* Returns whether so many attempts have reached an engine. */
+static bool have_arrived(void *unused)
+{
+	(void)unused;
+	return silence_attempts() >= attempts_wanted;
+}
+
+/* Waits until n attempts have reached an engine. */
+static void wait_attempts(size_t n)
+{
+	attempts_wanted = n;
+	harness_until(silence_harness, have_arrived, NULL, "attempts arrive");
+}
+
+/* Has all engines behave in one way towards further requests. */
+static void set_behaviour(enum standin_behaviour behaviour)
+{
+	size_t i;
+
+	for (i = 0; i < silence_world->n_workers; i++)
+		silence_world->workers[i].behaviour = behaviour;
+}
+
+/* Waits for the end of a stream, which is whole. */
+static void read_whole(struct stream_reader *s)
+{
+	stream_wait_end(s);
+	assert_int_equal(stream_status(s), 200);
+	assert_int_equal(stream_outcome(s), HTTPC_OK);
+	assert_int_equal(stream_n_events(s), STANDIN_EVENTS);
+	stream_close(s);
+}
+
+/* Starts a case with a whole stream: a process that has just started has no
+ * repeats. */
+static void start(const struct silence_case *c)
+{
+	silence_start(c);
+	read_whole(silence_open_stream());
+}
+
+/* Each endpoint has failed a stream that has not begun, and attempts are left. */
+static void stream_that_each_endpoint_failed_once(void **state)
+{
+	const struct silence_case c = {
+		.route = ROUTE,
+		.instances = 1,
+		.engines = 1,
+	};
+	struct stream_reader *s;
+
+	(void)state;
+	start(&c);
+	set_behaviour(STANDIN_DISCONNECTS);
+	s = silence_open_stream();
+	wait_attempts(2);
+	set_behaviour(STANDIN_NORMAL);
+	read_whole(s);
+	silence_end(&c);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(stream_that_each_endpoint_failed_once),
+	};
+
+	return cmocka_run_group_tests_name("streams offered again", tests, NULL,
+					   NULL);
+}
