attempt: a misdirected stream that has begun waits for a repeat

A stream that had lost its endpoint moved to an address that had become another endpoint's (421, nothing has run); if the budget had no repeat left at that moment, the caller's connection was closed within a millisecond, though other endpoints were up and the budget allows a repeat again when the window has passed. The same holds after many misdirected or refused connections.

A stream that endpoints had turned away already waited for a repeat; the way of a misdirected one was another copy of that code, without the wait, and the way of a refused connection a third one. Now one function decides on a request that reached nobody, and one on a request without a repeat.

test_streams_offered_again, misdirected_stream_waits_for_a_repeat: failed before ("addresses of endpoints are others', and no repeat is left", 1 ms after the 421), passes in 5 of 5 runs.

--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -61,7 +61,9 @@
 static void end_attempt(struct exchange *x, enum http1_outcome outcome);
 static void handle_not_sent(struct exchange *x, struct handle endpoint,
 			    enum http1_outcome outcome);
-static void wait_begun(struct exchange *x);
+static void try_another(struct exchange *x);
+static void handle_misdirected(struct exchange *x, struct handle endpoint);
+static void handle_no_repeat(struct exchange *x, const char *why);
 static void handle_broken_answer(struct exchange *x, struct handle endpoint,
 				 enum http1_outcome outcome);
 static void handle_answer(struct exchange *x, struct handle endpoint);
@@ -516,23 +518,24 @@
 			     x->fields.id, outcome);
 	if (!x->caller)
 		exchange_finish(x, "left by caller");
-	else if (handover_restore(x, http1_outcome_name(outcome)))
-		return;
-	else if (x->failed_connects > ENDPOINT_AVOID_MAX && x->response_started)
-		wait_begun(x);
-	else if (x->failed_connects > ENDPOINT_AVOID_MAX)
-		exchange_refuse(x, 503, RETRY_FULL_MS,
-				"no endpoint can be reached");
-	else
-		exchange_dispatch(x);
+	else if (!handover_restore(x, http1_outcome_name(outcome)))
+		try_another(x);
 }
 
-/* Makes a stream that has begun, and reaches none of many endpoints, wait for one:
- * its caller has events already. */
-static void wait_begun(struct exchange *x)
+/* Sends a request that has reached none of x->failed_connects endpoints to another
+ * one.  After many a stream that has begun waits, as its caller has events
+ * already; any other request is refused. */
+static void try_another(struct exchange *x)
 {
-	x->failed_connects = 0;
-	exchange_wait_lost(x, true);
+	if (x->failed_connects <= ENDPOINT_AVOID_MAX) {
+		exchange_dispatch(x);
+	} else if (x->response_started) {
+		x->failed_connects = 0;
+		exchange_wait_lost(x, true);
+	} else {
+		exchange_refuse(x, 503, RETRY_FULL_MS,
+				"no endpoint can be reached");
+	}
 }
 
 /* Handles a connection for which this process had no descriptor or port, which
@@ -604,22 +607,7 @@
 		return;
 	}
 	if (x->answer.misdirected && !names_itself(x, endpoint)) {
-		x->sends--;
-		exchange_avoid(x, endpoint);
-		endpoint_replaced(x->proxyd->endpoints, endpoint, x->fields.id);
-		rediscover_with_id(x->proxyd, endpoint, x->current_endpoint_id,
-				   strlen(x->current_endpoint_id), x->sent_ms);
-		if (handover_restore(x, "misdirected"))
-			return;
-		if (++x->failed_connects > ENDPOINT_AVOID_MAX)
-			exchange_refuse(x, 503, RETRY_FULL_MS,
-					"no endpoint can be reached");
-		else if (!exchange_repeat_allowed(x))
-			exchange_refuse(x, 503, RETRY_FULL_MS,
-					"addresses of endpoints are others', "
-					"and no repeat is left");
-		else
-			exchange_dispatch(x);
+		handle_misdirected(x, endpoint);
 		return;
 	}
 	if (x->answer.not_run) {
@@ -646,6 +634,34 @@
 		forward_answer(x, endpoint);
 }
 
+/* Handles an address that is another endpoint's now: nothing has run. */
+static void handle_misdirected(struct exchange *x, struct handle endpoint)
+{
+	x->sends--;
+	x->failed_connects++;
+	exchange_avoid(x, endpoint);
+	endpoint_replaced(x->proxyd->endpoints, endpoint, x->fields.id);
+	rediscover_with_id(x->proxyd, endpoint, x->current_endpoint_id,
+			   strlen(x->current_endpoint_id), x->sent_ms);
+	if (handover_restore(x, "misdirected"))
+		return;
+	if (exchange_repeat_allowed(x))
+		try_another(x);
+	else
+		handle_no_repeat(x, "addresses of endpoints are others', "
+				    "and no repeat is left");
+}
+
+/* Handles a request that has not run at an endpoint and has no repeat left.  A
+ * stream that has begun waits for one, as its caller has events already. */
+static void handle_no_repeat(struct exchange *x, const char *why)
+{
+	if (x->response_started && exchange_has_attempts(x))
+		exchange_wait_repeat(x);
+	else
+		exchange_refuse(x, 503, RETRY_FULL_MS, why);
+}
+
 /* Handles a plain answer to a stream that has begun: the endpoint does not
  * continue it, so another one is to. */
 static void handle_no_stream(struct exchange *x, struct handle endpoint)
@@ -681,10 +697,8 @@
 		return;
 	if (exchange_repeat_allowed(x))
 		exchange_dispatch(x);
-	else if (x->response_started && exchange_has_attempts(x))
-		exchange_wait_repeat(x);
 	else
-		exchange_refuse(x, 503, RETRY_FULL_MS, "endpoints are full");
+		handle_no_repeat(x, "endpoints are full");
 }
 
 /* Forwards the endpoint's answer to the caller. */
--- a/regress/integration/test_streams_offered_again.c
+++ b/regress/integration/test_streams_offered_again.c
@@ -14,6 +14,7 @@
 
 #include "regress/silence.h"
 
+#define EVENTS_BEFORE 5 /* received before the loss */
 #define ROUTE SILENCE_ROUTE "\"maxAttempts\":5,\"resumable\":true}"
 
 static size_t attempts_wanted;
@@ -79,10 +80,38 @@
 	silence_end(&c);
 }
 
+/* A begun stream moves to an address that is another endpoint's now, and the
+ * budget has no repeat left for a moment. */
+static void misdirected_stream_waits_for_a_repeat(void **state)
+{
+	const struct silence_case c = {
+		/* two attempts, so that it does not run in two stages */
+		.route = SILENCE_ROUTE "\"maxAttempts\":2,\"resumable\":true}",
+		.settings = "repeat_slack = 24\n"
+			    "repeat_ratio = 0.0\n"
+			    "repeat_window_s = 1.0\n",
+		.instances = 1,
+		.engines = 2,
+	};
+	struct stream_reader *s;
+
+	(void)state;
+	silence_start(&c);
+	s = silence_open_stream();
+	stream_wait_events(s, EVENTS_BEFORE);
+	set_behaviour(STANDIN_MISDIRECTED);
+	silence_set_mode(silence_engine_of_run(), "cut");
+	wait_attempts(2);
+	set_behaviour(STANDIN_NORMAL);
+	read_whole(s);
+	silence_end(&c);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(stream_that_each_endpoint_failed_once),
+		cmocka_unit_test(misdirected_stream_waits_for_a_repeat),
 	};
 
 	return cmocka_run_group_tests_name("streams offered again", tests, NULL,
