proxyd: a request that is read after the decision to exit is refused

A caller of a stopping instance could have its whole request read and the connection closed in order, without an answer or a refusal: the exit is decided in a timer, and the event loop polls once more after uv_stop(), so that a request which arrives in between on a kept connection is read, accepted if it is short, and ends with the process. If a connection to an endpoint was open, it was passed on, too.

From the decision on planned_stop_accepts() is false, so that what is still read is refused (503), which is sent before the loop ends.

In a test the window is some microseconds wide; the regression test is of the policy.

--- a/policy/planned_stop.c
+++ b/policy/planned_stop.c
@@ -43,13 +43,16 @@
 
 /* Returns whether a request that has not run may start now: it ends by its own
  * time limit before it would be aborted, or it may run again, came early in the
- * grace time and is expected to end. */
+ * grace time and is expected to end.  Once the process has decided to exit none
+ * may: the event loop can still read requests then. */
 bool planned_stop_accepts(const struct planned_stop *s,
 			  const struct planned_stop_request *r, uint64_t now)
 {
 	uint64_t percent = r->other_instance ? DURATION_PERCENT
 					     : DURATION_ALONE_PERCENT;
 
+	if (s->over)
+		return false;
 	if (!s->signal_ms || r->until_ms < abort_ms(s))
 		return true;
 	if (!r->repeatable || r->received_ms >= s->signal_ms + ESTIMATE_MS)
--- a/policy/planned_stop.h
+++ b/policy/planned_stop.h
@@ -10,6 +10,7 @@
 	uint64_t signal_ms; /* time of the signal; 0: none yet */
 	uint64_t grace_ms;
 	uint64_t directory_ttl_ms; /* TTL of a directory's answer */
+	bool over; /* the process has decided to exit */
 };
 
 /* A request that is about to be sent to an endpoint. */
--- a/proxyd/proxyd.c
+++ b/proxyd/proxyd.c
@@ -216,8 +216,10 @@
 		listeners_tick(p->listeners);
 		event_log_tick(now);
 	}
-	if (should_exit(p, now))
+	if (should_exit(p, now)) {
+		p->planned_stop.over = true; /* the loop polls once more */
 		uv_stop(p->loop);
+	}
 }
 
 /* Returns whether the planned stop is over: no request is open and all answers
--- a/regress/unit/test_capacity_wait.c
+++ b/regress/unit/test_capacity_wait.c
@@ -108,6 +108,21 @@
 	assert_true(planned_stop_should_exit(&s, 8900, 1));
 }
 
+/* A process that has decided to exit accepts nothing that it reads after that,
+ * however short. */
+static void request_read_after_decision_to_exit(void **state)
+{
+	struct planned_stop s = { .grace_ms = 8000,
+				  .directory_ttl_ms = 1000,
+				  .signal_ms = 1000 };
+
+	(void)state;
+	assert_true(accepts(&s, 20, true, 3000));
+	s.over = true;
+	assert_false(accepts(&s, 20, true, 3000));
+	assert_false(accepts(&s, 20, false, 3000));
+}
+
 /* A run that may not end in time is refused if another instance can take it,
  * and started if there is no other. */
 static void run_during_planned_stop(void **state)
@@ -239,6 +254,7 @@
 		cmocka_unit_test(burst_of_long_prompts),
 		cmocka_unit_test(no_time_left),
 		cmocka_unit_test(planned_stop),
+		cmocka_unit_test(request_read_after_decision_to_exit),
 		cmocka_unit_test(run_during_planned_stop),
 		cmocka_unit_test(limits_during_planned_stop),
 		cmocka_unit_test(instances_stopped_in_turn),
