proxyd: one place that sees how each request ends

A run counts as broken off by its endpoint only if that is shown: the end of an answer that can't be told, and an endpoint that is only presumed to be dead, are no excuse.

A request that waits without an end of its wait, or is sent without a call, or with a call beside an end that is being judged, is logged as unattended once, and counted. No behaviour towards callers changes.

--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -568,6 +568,7 @@
 				 enum http1_outcome outcome)
 {
 	x->may_have_run = true;
+	x->broken_off = true;
 	event_log(EVENT_NOTABLE, "answer-lost", x->fields.id, "{s:s, s:I}",
 		  "how", http1_outcome_name(outcome), "sent_ms_ago",
 		  (json_int_t)(proxyd_now(x->proxyd) - x->sent_ms));
@@ -707,6 +708,7 @@
 		      (double)(now - x->received_ms));
 	x->caller = NULL;
 	http1_set_owner(caller, NULL);
+	x->given = true;
 	bytes_add(&x->headers, "", 1);
 	if (x->unframed)
 		http1_reply_unframed(caller, x->status, x->headers.data,
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -17,6 +17,7 @@
 #include "proxyd/answer_ends.h"
 #include "proxyd/origins.h"
 #include "proxyd/peers.h"
+#include "proxyd/request_end.h"
 #include "proxyd/suspects.h"
 #include "proxyd/watch.h"
 
@@ -108,6 +109,7 @@
 			COUNTER_TOTAL, "outcome", answer_end_name(end));
 	exchange_repeats_init(t);
 	answer_ends_init(t);
+	request_ends_init(t);
 	relay_init(t);
 	t->first_event.name = "cdm_first_event_ms";
 	t->first_event.help = "Arrival to first event of a stream, ms";
@@ -133,6 +135,7 @@
 
 		if (x->phase != EXCHANGE_FINISHED)
 			tick_exchange(x, now);
+		request_check_attended(x, now);
 		next = TAILQ_NEXT(x, link);
 		if (x->phase == EXCHANGE_FINISHED)
 			free_exchange(t, x);
@@ -468,6 +471,7 @@
 
 	x->caller = NULL;
 	x->request = NULL;
+	x->caller_left = true;
 	if (x->phase == EXCHANGE_SENT && x->route->kind == KIND_AT_MOST_ONCE &&
 	    x->call && http1_call_connected(x->call))
 		return;
@@ -641,6 +645,7 @@
 		exchange_fail(x, 502, why);
 		return;
 	}
+	x->why = why;
 	event_log(EVENT_NOTABLE, "refused", x->fields.id,
 		  "{s:i, s:s, s:I, s:I, s:I, s:s}", "status", status, "why",
 		  why, "retry_after_ms", (json_int_t)retry_after_ms, "age_ms",
@@ -663,6 +668,7 @@
 		  (json_int_t)watches_view_age_ms(x->proxyd->watches), "route",
 		  x->route ? x->route->name : "", "begun", x->response_started);
 	counter_add(x->proxyd->exchanges->failed, 1);
+	x->why = why;
 	attempt_cancel(x);
 	reply_error(x, status, 0, why);
 	exchange_finish(x, "failed");
@@ -676,6 +682,7 @@
 
 	if (x->phase == EXCHANGE_FINISHED)
 		return;
+	request_ended(x, outcome);
 	exchange_stop_waiting(x);
 	if (x->repeat_reserved)
 		repeat_return(endpoints_budget(x->proxyd->endpoints,
@@ -939,6 +946,7 @@
 			 x->proxyd->protocol->relay_unable);
 	snprintf(body, sizeof(body), "{\"error\":\"%s\"}\n", why);
 	x->status = status;
+	x->given = true;
 	http1_reply(caller, status, headers, body, strlen(body));
 }
 
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -11,6 +11,7 @@
 #include "lib/event_stream.h"
 #include "lib/http1_client.h"
 #include "policy/answer_end.h"
+#include "policy/request_end.h"
 #include "policy/request_limit.h"
 #include "proxyd/endpoints.h"
 #include "proxyd/limits.h"
@@ -117,6 +118,13 @@
 	 * resumes it, or its first event came by another instance */
 	bool origin_needed;
 	bool counted; /* among the requests for its service */
+	bool caller_left; /* before its answer was complete */
+	bool given; /* a whole answer, to the caller's connection */
+	/* its endpoint broke off the last run that had reached one, and no other
+	 * run has had an event since */
+	bool broken_off;
+	bool unattended; /* only its deadline would end it; logged */
+	const char *why; /* it was refused or failed; NULL: it was not */
 
 	/* the current or last attempt */
 	struct http1_call *call;
@@ -234,6 +242,8 @@
 	struct counter *relays_unable;
 	struct counter *end_questions;
 	struct counter *ends[ANSWER_END_LEFT + 1];
+	struct counter *request_ends[REQUEST_END_UNEXCUSED + 1];
+	struct counter *unattended;
 	struct histogram first_event;
 	struct histogram plain_answer;
 	struct histogram pause_moved;
--- a/proxyd/handover.c
+++ b/proxyd/handover.c
@@ -51,6 +51,7 @@
 	swap_runs(x);
 	handover_release(x);
 	x->phase = EXCHANGE_SENT;
+	x->broken_off = false;
 	x->staged = false;
 	x->lost_ms = 0;
 	x->move_tried_ms = now;
--- a/proxyd/proxyd.c
+++ b/proxyd/proxyd.c
@@ -21,6 +21,7 @@
 #include "proxyd/exchange.h"
 #include "proxyd/origins.h"
 #include "proxyd/peers.h"
+#include "proxyd/request_end.h"
 #include "proxyd/snapshot.h"
 #include "proxyd/suspects.h"
 #include "proxyd/watch.h"
@@ -67,6 +68,7 @@
 		  p->settings.store);
 	event_log_tick(proxyd_now(p));
 	uv_run(p->loop, UV_RUN_DEFAULT);
+	request_ends_at_exit(p->exchanges);
 	listeners_end(p->listeners);
 	event_log(EVENT_ALWAYS, "stop", NULL, "{s:I, s:I}", "open_requests",
 		  (json_int_t)exchanges_open(p->exchanges), "ms_after_signal",
@@ -125,6 +127,7 @@
 		  (json_int_t)routes->n_organisations);
 	routes_unref(p->routes);
 	p->routes = routes;
+	p->routes_since_ms = proxyd_now(p);
 	snapshots_invalidate(p->snapshots);
 	peers_announce_soon(p->peers);
 	listeners_apply_limits(p->listeners);
--- a/proxyd/proxyd.h
+++ b/proxyd/proxyd.h
@@ -53,6 +53,7 @@
 	struct store *store;
 	struct http1_client *client;
 	struct routes *routes; /* active configuration, or NULL */
+	uint64_t routes_since_ms; /* when that was activated; 0: never */
 	struct planned_stop planned_stop;
 	uint64_t last_tick_ms; /* loop time of the last tick */
 	uint64_t input_read_ms; /* of the last one that followed no stall */
--- a/proxyd/relay.c
+++ b/proxyd/relay.c
@@ -260,6 +260,7 @@
 	const char *why = http1_outcome_name(outcome);
 
 	x->may_have_run = true;
+	x->broken_off = false;
 	avoid(x);
 	event_log(EVENT_NOTABLE, "relay-lost", x->fields.id, "{s:s, s:I}",
 		  "how", why, "sent_ms_ago",
@@ -351,6 +352,7 @@
 		return;
 	if (x->route->kind == KIND_STREAM) {
 		avoid(x);
+		x->broken_off = false;
 		stream_move(x, "instance silent", false);
 		return;
 	}
--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -43,6 +43,7 @@
 static bool copy_awaits_permit(struct exchange *x);
 static void leave_endpoint(struct exchange *x, bool endpoint_lost);
 static bool is_taken_elsewhere(struct exchange *x);
+static bool has_ended(const struct exchange *x);
 static void defer_move(struct exchange *x);
 static size_t filter_events(struct exchange *x, bool *foreign);
 static bool record_event_id(struct exchange *x,
@@ -162,6 +163,7 @@
  * parsed, so the run moves. */
 static void handle_invalid_event(struct exchange *x, const char *why)
 {
+	x->broken_off = !relay_in_use(x);
 	endpoint_record_answer(x->proxyd->endpoints, x->endpoint,
 			       proxyd_now(x->proxyd) - x->sent_ms, true);
 	stream_move(x, why, false);
@@ -195,6 +197,7 @@
 	if (outcome == HTTP1_BROKEN || x->unframed)
 		suspects_run_broke(x, endpoint_get(x->proxyd->endpoints,
 						   endpoint));
+	x->broken_off = !relay_in_use(x);
 	endpoint_probe(x->proxyd->endpoints, endpoint, x->fields.id, 0);
 	stream_move(x, why, false);
 }
@@ -216,6 +219,7 @@
 		complete_stream(x);
 		return;
 	}
+	x->broken_off = end == ANSWER_END_CUT;
 	if (end == ANSWER_END_EMPTY)
 		x->empty_runs++;
 	else if (end != ANSWER_END_LEFT)
@@ -436,6 +440,7 @@
 	const char *why = endpoint_lost ? "endpoint lost" : "no event in time";
 
 	if (!x->caller || is_taken_elsewhere(x)) {
+		x->broken_off = has_ended(x);
 		if (endpoint_lost)
 			suspects_run_left(x);
 		stream_move(x, why, true);
@@ -450,6 +455,15 @@
 			  x->awaits_repeat, "sends", (int)x->sends);
 }
 
+/* Returns whether the end of an attempt's endpoint is shown, not only presumed. */
+static bool has_ended(const struct exchange *x)
+{
+	const struct endpoint *e =
+		endpoint_get(x->proxyd->endpoints, x->endpoint);
+
+	return e && e->state != ENDPOINT_UP && e->ended;
+}
+
 /* Returns whether the rest of a stream whose run has ended may come from another
  * endpoint now; if so, it holds the repeat for it. */
 bool stream_is_taken_elsewhere(struct exchange *x)
@@ -529,6 +543,7 @@
 	float took = (float)(now - x->sent_ms);
 
 	x->first_event_due_ms = 0;
+	x->broken_off = false;
 	x->empty_runs = 0;
 	x->offers_again = 0;
 	x->refused_ms = 0;
@@ -632,6 +647,7 @@
 	suspects_run_completed(x);
 	x->caller = NULL;
 	http1_set_owner(caller, NULL);
+	x->given = true;
 	http1_stream_end(caller);
 	exchange_finish(x, "served");
 }
