proxyd: a run that goes on is not ended by another endpoint's answer

What callers saw: a stream whose endpoint was silent, and then went on, ended after the events that came first, with its last chunk, as if it were whole.

While a silent stream without events is held, its request is offered to another endpoint. If that answers with a plain 200 without a length, the exchange notes when that answer ended (ended_ms) and asks the endpoint whether it lives. If the first endpoint goes on before that is known, handover_restore() puts its run back, but ended_ms stayed, as it is no part of what the two runs exchange. At the next tick the first endpoint was asked about an end that was not its own; it lives, so that the stream was taken for whole and ended beside its open call.

--- a/proxyd/handover.c
+++ b/proxyd/handover.c
@@ -52,6 +52,7 @@
 	handover_release(x);
 	x->phase = EXCHANGE_SENT;
 	x->broken_off = false;
+	x->ended_ms = 0; /* of the other endpoint's answer */
 	x->staged = false;
 	x->lost_ms = 0;
 	x->move_tried_ms = now;
--- a/regress/integration/test_restored_runs.c
+++ b/regress/integration/test_restored_runs.c
@@ -1,7 +1,8 @@
 /*
- * A run that is not read while another endpoint is tried, and whose own endpoint ends
- * meanwhile: a connection that was opened to that one in between is no witness that
- * it lived at the end of the answer.
+ * A run that is held while another endpoint is tried.  Its own endpoint ends
+ * meanwhile and it was not read: a connection that was opened to that one in between
+ * is no witness that it lived at the end of the answer.  Or it goes on: the end of the
+ * other endpoint's answer does not end it.
  */
 #include "regress/raw_endpoint.h"
 
@@ -10,6 +11,12 @@
 	"HTTP/1.1 200 OK\r\nrequest-id: r-1\r\n" \
 	"response-signature: m.1\r\n"
 #define UNFRAMED HEAD "content-type: text/event-stream\r\n\r\n"
+#define CHUNKED                                    \
+	HEAD "content-type: text/event-stream\r\n" \
+	     "transfer-encoding: chunked\r\n\r\n"
+#define CHUNK(event) "f\r\n" event "\r\n"
+#define LAST_CHUNK "0\r\n\r\n"
+#define PLAIN HEAD "content-type: text/plain\r\n\r\nplain"
 #define NOT_EXECUTED                            \
 	"HTTP/1.1 503 S\r\nrequest-id: r-1\r\n" \
 	"not-executed: 1\r\ncontent-length: 0\r\n\r\n"
@@ -27,6 +34,17 @@
 		 .body = E1 E2,
 		 .n_attempts = 3 },
 	  .way = { .n_dead = 1, .restarted_while_held = true } },
+	{ .c = { .what = "goes on while another answer's end is not known",
+		 .target = "/write/a",
+		 .answers = { { CHUNKED, RAW_KEEP },
+			      { PLAIN, RAW_FIN },
+			      { CHUNK(E1), RAW_KEEP },
+			      { CHUNK(E2) LAST_CHUNK, RAW_KEEP } },
+		 .outcome = HTTP1_COMPLETE,
+		 .status = 200,
+		 .body = E1 E2,
+		 .n_attempts = 4 },
+	  .way = { .n_dead = 1, .goes_on_while_held = true } },
 };
 
 int main(void)
--- a/regress/raw_endpoint.c
+++ b/regress/raw_endpoint.c
@@ -88,7 +88,9 @@
 static size_t n_attempts;
 static bool first_kept; /* the first attempt came on a kept connection */
 static size_t first_endpoint; /* that got the first attempt */
-static struct raw_conn *second; /* of restarted_while_held: waits, or NULL */
+static struct raw_conn *first; /* that the first attempt came on, or NULL */
+/* of restarted_while_held and goes_on_while_held: waits, or NULL */
+static struct raw_conn *second;
 
 static void on_alloc(uv_handle_t *h, size_t suggested, uv_buf_t *buf)
 {
@@ -220,7 +222,10 @@
 				strlen(body), body);
 
 	e->awaits_report = NULL;
-	if (current_way->report == RAW_REPORT_LATE && !n_attempts) {
+	if (current_way->goes_on_while_held && second &&
+	    c->endpoint == second->endpoint) {
+		goto out;
+	} else if (current_way->report == RAW_REPORT_LATE && !n_attempts) {
 		e->awaits_report = c;
 	} else if (waits) {
 		answer(waits, &(const struct raw_answer){ bytes, RAW_KEEP });
@@ -231,6 +236,7 @@
 		answer(c, &(const struct raw_answer){ bytes, RAW_KEEP });
 	else if (current_way->report == RAW_REPORT_REFUSED)
 		answer(c, &(const struct raw_answer){ REFUSED, RAW_KEEP });
+out:
 	free(bytes);
 	free(body);
 }
@@ -303,10 +309,12 @@
 			first_kept = n_attempts ? first_kept : c->kept;
 			first_endpoint = n_attempts ? first_endpoint
 						    : c->endpoint;
+			first = n_attempts ? first : c;
 			if (current_way->report == RAW_REPORT_LATE &&
 			    !n_attempts)
 				e->awaits_answer = c;
-			else if (current_way->restarted_while_held &&
+			else if ((current_way->restarted_while_held ||
+				  current_way->goes_on_while_held) &&
 				 n_attempts == 1)
 				second = c;
 			else
@@ -378,6 +386,7 @@
 	world->extra_settings = REPEATS;
 	n_attempts = 0;
 	first_kept = false;
+	first = NULL;
 	second = NULL;
 	for (i = 0; i < RAW_ENDPOINTS; i++)
 		add_endpoint(i);
@@ -517,6 +526,18 @@
 	answer(second, next_answer());
 }
 
+/* Answers the second attempt, and has the first one go on while the end of that
+ * answer is not known; some ticks pass before its last part. */
+static void go_on_while_held(void)
+{
+	harness_until(harness, has_second, NULL, "the second attempt arrives");
+	answer(second, next_answer());
+	harness_run(harness, TICKS_MS);
+	answer(first, next_answer());
+	harness_run(harness, TICKS_MS);
+	answer(first, next_answer());
+}
+
 /* Returns whether each endpoint has a connection that has carried a request. */
 static bool all_have_kept(void)
 {
@@ -578,6 +599,8 @@
 	start_call("r-1", &reply);
 	if (way->restarted_while_held)
 		restart_while_held();
+	if (way->goes_on_while_held)
+		go_on_while_held();
 	await_reply(&reply);
 	print_message("%s: %s, %d, \"%s\", %zu attempts\n", current->what,
 		      http1_outcome_name(reply.outcome), reply.status,
--- a/regress/raw_endpoint.h
+++ b/regress/raw_endpoint.h
@@ -71,6 +71,11 @@
 	/* the endpoint of the first attempt is started again, and asks for a
 	 * pause, while the second attempt waits for its answer elsewhere */
 	bool restarted_while_held;
+	/* the second attempt is answered while the first one is held, and the
+	 * end of that answer is not known, as its endpoint holds back its
+	 * report; then the first one goes on, and sends the last two answers of
+	 * the case as parts of its own */
+	bool goes_on_while_held;
 };
 
 /* A case and how its request is sent, by POST. */
