http1_server: each answer that is not sent whole is reported

An answer that was handed over whole counts as given; what became of its bytes was known to the server alone. It closed connections without a report at the linger limits (256 connections, 2 s, 64 MB), and those of callers that have ended their input and can't be watched or asked. Closing one with unread input resets it, which may discard the answer. An idle end with bytes of an answer queued was logged as routine.

These ends are reported with two more figures, the bytes that the caller's host has not received, and whether a whole answer is cut; cdm_answers_cut_total counts the latter by reason. When and how connections are closed is as before.

--- a/lib/http1_server.c
+++ b/lib/http1_server.c
@@ -139,6 +139,8 @@
 static void note_sending(struct http1_conn *c, uint64_t now);
 static size_t unread_bytes(const struct http1_conn *c);
 static size_t socket_bytes(const struct http1_conn *c, unsigned long what);
+static bool is_unfinished(const struct http1_conn *c);
+static bool is_answer_cut(const struct http1_conn *c, enum http1_end why);
 static void report_end(const struct http1_conn *c, enum http1_end why,
 		       int status);
 static void send_bytes(struct http1_conn *c, const void *data, size_t len);
@@ -239,8 +241,12 @@
 	if (is_idle_too_long(c, now)) {
 		report_end(c, HTTP1_END_IDLE, 0);
 		conn_close(c);
-	} else if (is_unknown_too_long(c, now) ||
-		   (c->state == CONN_LINGERING && age > LINGER_MAX_MS)) {
+	} else if (is_unknown_too_long(c, now)) {
+		report_end(c, HTTP1_END_UNKNOWN, 0);
+		conn_close(c);
+	} else if (c->state == CONN_LINGERING && age > LINGER_MAX_MS) {
+		if (is_unfinished(c))
+			report_end(c, HTTP1_END_LINGER, 0);
 		conn_close(c);
 	} else if ((c->state == CONN_HEAD && c->input.len &&
 		    age > s->limits.header_ms) ||
@@ -332,6 +338,9 @@
 		[HTTP1_END_IDLE] = "idle",
 		[HTTP1_END_REFUSED] = "refused",
 		[HTTP1_END_ABORTED] = "aborted",
+		[HTTP1_END_UNKNOWN] = "caller unknown",
+		[HTTP1_END_NO_DESCRIPTOR] = "no descriptor",
+		[HTTP1_END_LINGER] = "linger limit",
 		[HTTP1_END_PROCESS] = "process ends",
 	};
 
@@ -670,6 +679,8 @@
 	if (c->unframed)
 		reset_at_close(c, false);
 	c->shutdown.data = c;
+	if (!c->peer_closed && s->n_lingering == LINGER_CONNS_MAX)
+		report_end(c, HTTP1_END_LINGER, 0);
 	if (c->peer_closed || s->n_lingering == LINGER_CONNS_MAX ||
 	    uv_shutdown(&c->shutdown, (uv_stream_t *)&c->tcp, on_shutdown)) {
 		conn_close(c);
@@ -698,6 +709,8 @@
 	}
 	if (n > 0)
 		c->dropped += (size_t)n;
+	if (n > 0 && c->dropped > LINGER_MAX_BYTES)
+		report_end(c, HTTP1_END_LINGER, 0);
 	if (n < 0 || c->dropped > LINGER_MAX_BYTES)
 		conn_close(c);
 }
@@ -712,6 +725,7 @@
 		c->keep_alive = false;
 	c->input_ended_ms = uv_now(c->server->loop);
 	if (!watch_reset(c)) {
+		report_end(c, HTTP1_END_NO_DESCRIPTOR, 0);
 		conn_close(c);
 	} else if (http1_pending(c)) {
 		c->asked = true;
@@ -833,6 +847,22 @@
 	return (size_t)n;
 }
 
+/* Returns whether closing a connection after its last answer resets it, as its caller
+ * has sent more, or leaves bytes that the caller's host has not received. */
+static bool is_unfinished(const struct http1_conn *c)
+{
+	return unread_bytes(c) || socket_bytes(c, TIOCOUTQ);
+}
+
+/* Returns whether the end of a connection cuts an answer that was handed over
+ * whole: it is queued, or was sent last and a reset may discard it. */
+static bool is_answer_cut(const struct http1_conn *c, enum http1_end why)
+{
+	if (c->state == CONN_ANSWERING || why == HTTP1_END_REFUSED)
+		return false;
+	return http1_pending(c) || (why == HTTP1_END_LINGER && unread_bytes(c));
+}
+
 /* Reports that the server ends a connection. */
 static void report_end(const struct http1_conn *c, enum http1_end why,
 		       int status)
@@ -853,6 +883,8 @@
 		.parsed = c->input.len + c->body.len,
 		.unread = unread_bytes(c),
 		.unsent = http1_pending(c),
+		.unreceived = socket_bytes(c, TIOCOUTQ),
+		.cut = is_answer_cut(c, why),
 	};
 
 	if (s->ops->on_end)
--- a/lib/http1_server.h
+++ b/lib/http1_server.h
@@ -34,6 +34,10 @@
 	HTTP1_END_IDLE, /* no request for too long */
 	HTTP1_END_REFUSED, /* refused by the server itself, see the status */
 	HTTP1_END_ABORTED, /* its answer had begun and can't be completed */
+	/* its caller ended its input, and nothing shows that it still receives */
+	HTTP1_END_UNKNOWN,
+	HTTP1_END_NO_DESCRIPTOR, /* the same, as it can't be watched */
+	HTTP1_END_LINGER, /* not read on after its last answer, for a limit */
 	HTTP1_END_PROCESS, /* the server ends */
 };
 
@@ -46,6 +50,10 @@
 	size_t parsed; /* bytes of an unfinished request */
 	size_t unread; /* bytes in the socket, not yet read */
 	size_t unsent; /* bytes of answers, not yet sent */
+	size_t unreceived; /* bytes sent that the caller's host has not got */
+	/* an answer was handed over whole, and a part of it is not sent, or was
+	 * sent and may be discarded by a reset */
+	bool cut;
 };
 
 struct http1_server_ops {
@@ -56,8 +64,8 @@
 	void (*on_gone)(void *owner);
 	/* all queued bytes have been sent; may be NULL */
 	void (*on_sent)(void *owner);
-	/* the server ends a connection without a complete answer, or refuses
-	 * a request itself; may be NULL */
+	/* the server ends a connection without a complete answer, or before it
+	 * is known to have arrived, or refuses a request itself; may be NULL */
 	void (*on_end)(const struct http1_ended *ended, void *arg);
 };
 
--- a/proxyd/listeners.c
+++ b/proxyd/listeners.c
@@ -29,6 +29,7 @@
 	struct counter *reuses;
 	struct counter *lines_dropped;
 	struct counter *ended[HTTP1_END_PROCESS + 1];
+	struct counter *cut[HTTP1_END_PROCESS + 1];
 };
 
 static void on_caller(struct http1_conn *c, struct http1_request *r, void *arg);
@@ -75,11 +76,17 @@
 	l->lines_dropped = counter_labelled("cdm_log_lines_dropped_total",
 					    "Lines left out of the log",
 					    COUNTER_TOTAL, "kind", "all");
-	for (why = HTTP1_END_IDLE; why <= HTTP1_END_PROCESS; why++)
+	for (why = HTTP1_END_IDLE; why <= HTTP1_END_PROCESS; why++) {
 		l->ended[why] = counter_labelled(
 			"cdm_connections_ended_total",
 			"Connections of callers that were ended", COUNTER_TOTAL,
 			"why", http1_end_text(why));
+		l->cut[why] = counter_labelled(
+			"cdm_answers_cut_total",
+			"Whole answers whose connection was ended before they "
+			"were sent",
+			COUNTER_TOTAL, "why", http1_end_text(why));
+	}
 	if (http1_server_listen(l->callers, p->settings.callers, err,
 				err_size) ||
 	    http1_server_listen(l->services, p->settings.readiness, err,
@@ -132,16 +139,20 @@
 	const struct proxyd *p = arg;
 	const char *why = http1_end_text(ended->why);
 	/* closing an idle connection is routine unless a request is in it */
-	bool routine = ended->why == HTTP1_END_IDLE && !ended->unread;
+	bool routine = ended->why == HTTP1_END_IDLE && !ended->unread &&
+		       !ended->cut;
 
 	counter_add(p->listeners->ended[ended->why], 1);
+	if (ended->cut)
+		counter_add(p->listeners->cut[ended->why], 1);
 	event_log(routine ? EVENT_ROUTINE : EVENT_NOTABLE, "connection-ended",
-		  NULL, "{s:s, s:s, s:i, s:I, s:I, s:I, s:I, s:I}", "why", why,
-		  "state", ended->state, "status", ended->status, "idle_ms",
-		  (json_int_t)ended->idle_ms, "parsed",
+		  NULL, "{s:s, s:s, s:i, s:I, s:I, s:I, s:I, s:I, s:b, s:I}",
+		  "why", why, "state", ended->state, "status", ended->status,
+		  "idle_ms", (json_int_t)ended->idle_ms, "parsed",
 		  (json_int_t)ended->parsed, "unread",
 		  (json_int_t)ended->unread, "unsent",
-		  (json_int_t)ended->unsent, "version",
+		  (json_int_t)ended->unsent, "unreceived",
+		  (json_int_t)ended->unreceived, "cut", ended->cut, "version",
 		  (json_int_t)(p->routes ? p->routes->version : 0));
 }
 
