http1_server: the idle limit does not cut an answer that is being taken

A caller that paused for some seconds while it read a long answer lost the rest: the connection was closed as idle after idle_ms and 2 s without progress, also with bytes of the answer queued, and a change of the configuration lowers idle_ms while the answer is under way. The caller saw an answer that is cut, though it was served.

The idle limit is for connections that wait for a request. While bytes of an answer are not taken yet, the limit is 10 s at least. Bytes in the socket that follow the last queued ones count as well, so that a kept connection is not idle before its caller has taken them.

test_http1_server lowers the limit to 50 ms beside five answers of 16 MB whose callers pause for 3 s (kept connection, Connection: close, stop, chunks, no length).

--- a/lib/http1_server.c
+++ b/lib/http1_server.c
@@ -27,6 +27,10 @@
  * far apart: an idle connection is kept for longer than the limit by this. */
 #define LIMIT_CHANGE_MS 2000
 
+/* A caller may pause for this long while it takes an answer, also if the idle
+ * limit is lower: it doesn't wait for a request. */
+#define UNTAKEN_MAX_MS 10000
+
 /* A body that takes longer is refused even if it makes progress. */
 #define BODY_MAX_MS 120000
 
@@ -257,7 +261,7 @@
 {
 	size_t unsent = http1_pending(c);
 
-	if (unsent)
+	if (unsent || c->unsent)
 		unsent += socket_bytes(c, TIOCOUTQ);
 	if (unsent != c->unsent)
 		c->progress_ms = now;
@@ -269,10 +273,13 @@
  * arrived, though it was not read yet. */
 static bool is_idle_too_long(const struct http1_conn *c, uint64_t now)
 {
+	uint64_t limit = (uint64_t)c->server->limits.idle_ms + LIMIT_CHANGE_MS;
+
 	if ((c->state != CONN_HEAD || c->input.len) && c->state != CONN_CLOSING)
 		return false;
-	return without_progress_ms(c, now) >
-		       (uint64_t)c->server->limits.idle_ms + LIMIT_CHANGE_MS &&
+	if (c->unsent && limit < UNTAKEN_MAX_MS)
+		limit = UNTAKEN_MAX_MS;
+	return without_progress_ms(c, now) > limit &&
 	       (c->state == CONN_CLOSING || !unread_bytes(c));
 }
 
--- a/lib/http1_server.h
+++ b/lib/http1_server.h
@@ -21,7 +21,7 @@
 
 /* Limits for the size and duration of requests and for idle connections.
  * idle_ms also limits the time in which no byte of a body is received, or none
- * of an answer is taken. */
+ * of an answer is taken; for an answer it is 10000 at least. */
 struct http1_limits {
 	size_t header_bytes;
 	size_t body_bytes;
--- /dev/null
+++ b/regress/contract/test_http1_server.c
@@ -0,0 +1,321 @@
+/*
+ * Contract tests of lib/http1_server.h with callers that read or send slowly:
+ * limits that fall while a request or an answer is under way, and callers that
+ * are refused while they send.
+ */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <setjmp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <cmocka.h>
+#include <uv.h>
+
+#include "lib/bytes.h"
+#include "lib/http1.h"
+#include "lib/http1_server.h"
+#include "lib/xalloc.h"
+
+#define N(list) (sizeof(list) / sizeof((list)[0]))
+#define TICK_MS 100
+#define WAIT_MS 60000 /* for an expected condition */
+#define PAUSE_MS 3000 /* over the low limits and what is added to them */
+#define BIG_ANSWER (16u << 20) /* more than sockets take */
+#define READ_BYTES 65536
+#define RECEIVE_BUFFER_BYTES 65536 /* of a caller that reads slowly */
+
+static const struct http1_limits usual = {
+	.header_bytes = 4096,
+	.body_bytes = 4u << 20,
+	.header_ms = 15000,
+	.idle_ms = 15000,
+};
+
+static const struct http1_limits low = {
+	.header_bytes = 4096,
+	.body_bytes = 1000,
+	.header_ms = 50,
+	.idle_ms = 50,
+};
+
+/* The connection of a caller. */
+struct caller {
+	int fd;
+	int error; /* of a send or a receive; 0: none */
+	bool closed; /* by the server */
+	struct bytes in;
+};
+
+static uv_loop_t *loop;
+static uv_timer_t tick;
+static struct http1_server *server;
+static uint16_t port;
+static char *big;
+static unsigned int n_requests;
+
+static void on_request(struct http1_conn *c, struct http1_request *r, void *arg)
+{
+	const char *target = r->head.target;
+
+	(void)arg;
+	n_requests++;
+	if (!strncmp(target, "/big", 4)) {
+		http1_reply(c, 200, NULL, big, BIG_ANSWER);
+	} else if (!strncmp(target, "/unframed", 9)) {
+		http1_reply_unframed(c, 200, NULL, big, BIG_ANSWER);
+	} else if (!strncmp(target, "/stream", 7)) {
+		http1_stream_begin(c, 200, NULL);
+		http1_stream_write(c, big, BIG_ANSWER);
+		http1_stream_end(c);
+	} else {
+		http1_reply(c, 200, NULL, target, r->head.target_len);
+	}
+}
+
+static const struct http1_server_ops ops = {
+	.on_request = on_request,
+};
+
+static void on_tick(uv_timer_t *t)
+{
+	(void)t;
+	http1_server_tick(server);
+}
+
+static int set_up(void **state)
+{
+	char address[32];
+	char err[128];
+
+	(void)state;
+	n_requests = 0;
+	loop = uv_default_loop();
+	server = http1_server_new(loop, &ops, NULL);
+	http1_server_limits(server, &usual);
+	big = xcalloc(1, BIG_ANSWER);
+	memset(big, 'a', BIG_ANSWER);
+	uv_timer_init(loop, &tick);
+	uv_timer_start(&tick, on_tick, TICK_MS, TICK_MS);
+	for (port = 21200; port < 21300; port++) {
+		snprintf(address, sizeof(address), "127.0.0.1:%u", port);
+		if (!http1_server_listen(server, address, err, sizeof(err)))
+			return 0;
+	}
+	return -1;
+}
+
+static int tear_down(void **state)
+{
+	(void)state;
+	uv_close((uv_handle_t *)&tick, NULL);
+	http1_server_free(server);
+	while (uv_run(loop, UV_RUN_NOWAIT))
+		continue;
+	free(big);
+	return 0;
+}
+
+/* Runs the loop for a time. */
+static void run_for(uint64_t ms)
+{
+	uint64_t until;
+
+	uv_update_time(loop);
+	until = uv_now(loop) + ms;
+	while (uv_now(loop) < until)
+		uv_run(loop, UV_RUN_ONCE);
+}
+
+/* Runs what is due in the loop; fails the test after WAIT_MS from since. */
+static void run_once(uint64_t since)
+{
+	uv_run(loop, UV_RUN_NOWAIT);
+	assert_true(uv_now(loop) - since < WAIT_MS);
+}
+
+/* Opens the connection of a caller, with a receive buffer of this size; 0: the
+ * usual one. */
+static struct caller open_caller(int receive_bytes)
+{
+	struct caller c = {
+		.fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0),
+	};
+	const struct sockaddr_in sin = {
+		.sin_family = AF_INET,
+		.sin_port = htons(port),
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	};
+
+	assert_true(c.fd >= 0);
+	if (receive_bytes)
+		assert_int_equal(setsockopt(c.fd, SOL_SOCKET, SO_RCVBUF,
+					    &receive_bytes,
+					    sizeof(receive_bytes)),
+				 0);
+	assert_int_equal(
+		connect(c.fd, (const struct sockaddr *)&sin, sizeof(sin)), 0);
+	assert_int_equal(fcntl(c.fd, F_SETFL, O_NONBLOCK), 0);
+	return c;
+}
+
+static void close_caller(struct caller *c)
+{
+	close(c->fd);
+	bytes_release(&c->in);
+}
+
+/* Sends a short text. */
+static void send_text(struct caller *c, const char *text)
+{
+	assert_int_equal(send(c->fd, text, strlen(text), MSG_NOSIGNAL),
+			 strlen(text));
+}
+
+/* Receives what has arrived. */
+static void receive(struct caller *c)
+{
+	char buf[READ_BYTES];
+	ssize_t n;
+
+	while ((n = recv(c->fd, buf, sizeof(buf), 0)) > 0)
+		bytes_add(&c->in, buf, (size_t)n);
+	if (!n)
+		c->closed = true;
+	else if (errno != EAGAIN)
+		c->error = errno;
+}
+
+/* Returns the length of the first answer received if it is whole, otherwise 0.
+ * One in chunks, or that ends with its connection, is the last one. */
+static size_t whole_length(const struct caller *c, int *status)
+{
+	static const char last_chunk[] = "\r\n0\r\n\r\n";
+	struct http1_body framing;
+	struct http1_head head;
+	size_t used;
+
+	if (!c->in.len || http1_parse_response(c->in.data, c->in.len, &head,
+					       &used) != HTTP1_DONE)
+		return 0;
+	*status = head.status;
+	assert_true(http1_response_framing(&head, false, &framing));
+	switch (framing.framing) {
+	case HTTP1_CHUNKED:
+		return c->in.len > BIG_ANSWER &&
+				       !memcmp(c->in.data + c->in.len -
+						       strlen(last_chunk),
+					       last_chunk, strlen(last_chunk))
+			       ? c->in.len
+			       : 0;
+	case HTTP1_UNTIL_CLOSE:
+		return c->closed && c->in.len == used + BIG_ANSWER ? c->in.len
+								   : 0;
+	default:
+		return c->in.len >= used + framing.left ? used + framing.left
+							: 0;
+	}
+}
+
+/* Waits until a whole answer is received or the connection ends; returns its
+ * status, 0 if there is none. */
+static int wait_answer(struct caller *c)
+{
+	uint64_t since = uv_now(loop);
+	int status = 0;
+	size_t len;
+
+	do {
+		run_once(since);
+		receive(c);
+		len = whole_length(c, &status);
+	} while (!len && !c->closed && !c->error);
+	if (!len)
+		return 0;
+	bytes_consume(&c->in, len);
+	return status;
+}
+
+/* Waits until the server has read this many whole requests. */
+static void wait_requests(unsigned int n)
+{
+	uint64_t since = uv_now(loop);
+
+	while (n_requests < n)
+		run_once(since);
+}
+
+struct reader_case {
+	const char *what;
+	const char *request;
+	bool stopping; /* the answer is the last one of its connection */
+};
+
+static const struct reader_case reader_cases[] = {
+	{ .what = "kept connection",
+	  .request = "GET /big HTTP/1.1\r\nHost: a\r\n\r\n" },
+	{ .what = "last answer of a connection",
+	  .request = "GET /big HTTP/1.1\r\nHost: a\r\n"
+		     "Connection: close\r\n\r\n" },
+	{ .what = "last answer before a stop",
+	  .request = "GET /big HTTP/1.1\r\nHost: a\r\n\r\n",
+	  .stopping = true },
+	{ .what = "stream",
+	  .request = "GET /stream HTTP/1.1\r\nHost: a\r\n"
+		     "Connection: close\r\n\r\n" },
+	{ .what = "answer without a length",
+	  .request = "GET /unframed HTTP/1.1\r\nHost: a\r\n\r\n" },
+};
+
+/* An answer that its caller takes with pauses is not ended by an idle limit that
+ * falls meanwhile. */
+static void lower_idle_limit_spares_a_reader_that_pauses(void **state)
+{
+	struct caller callers[N(reader_cases)];
+	unsigned int cut = 0;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < N(reader_cases); i++) {
+		callers[i] = open_caller(RECEIVE_BUFFER_BYTES);
+		if (reader_cases[i].stopping)
+			continue;
+		send_text(&callers[i], reader_cases[i].request);
+	}
+	wait_requests(N(reader_cases) - 1);
+	http1_server_disable_keepalive(server);
+	for (i = 0; i < N(reader_cases); i++) {
+		if (reader_cases[i].stopping)
+			send_text(&callers[i], reader_cases[i].request);
+	}
+	wait_requests(N(reader_cases));
+	http1_server_limits(server, &low);
+	run_for(PAUSE_MS);
+	for (i = 0; i < N(reader_cases); i++) {
+		if (wait_answer(&callers[i]) != 200) {
+			print_message("%s: %zu bytes\n", reader_cases[i].what,
+				      callers[i].in.len);
+			cut++;
+		}
+		close_caller(&callers[i]);
+	}
+	assert_int_equal(cut, 0);
+}
+
+#define TEST(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		TEST(lower_idle_limit_spares_a_reader_that_pauses),
+	};
+
+	return cmocka_run_group_tests_name("HTTP/1.1 server", tests, NULL,
+					   NULL);
+}
