http1_server: a request keeps the limits under which it began

A caller that was sending a head or a body when a change of the configuration lowered headerTimeoutMs or idleTimeoutMs got 408 for a request that was in all limits when it began: the time limits in force at the moment of the tick counted, only the size of a body was kept.

The limits are now taken when the first byte of a request is read, all four in one place; those in force later count if they allow more. A request that begins after the change has the new ones.

--- a/lib/http1_server.c
+++ b/lib/http1_server.c
@@ -70,7 +70,7 @@
 	struct http1_request request;
 	struct http1_body framing;
 	void *owner;
-	size_t body_limit; /* in force when the head was read */
+	struct http1_limits limits; /* in force when its request began */
 	size_t dropped; /* bytes, while lingering */
 	size_t unsent; /* bytes not received by the caller at the last tick */
 	size_t sent_early; /* bytes sent of what is sent next */
@@ -137,6 +137,8 @@
 static void conn_close(struct http1_conn *c);
 static void reset_at_close(struct http1_conn *c, bool on);
 static void examine(struct http1_conn *c, uint64_t now);
+static void begin_request(struct http1_conn *c);
+static struct http1_limits limits_of(const struct http1_conn *c);
 static uint64_t without_progress_ms(const struct http1_conn *c, uint64_t now);
 static bool is_busy(const struct http1_conn *c);
 static bool is_idle_too_long(const struct http1_conn *c, uint64_t now);
@@ -236,7 +238,7 @@
 /* Closes one connection, or refuses its request, if it takes too long. */
 static void examine(struct http1_conn *c, uint64_t now)
 {
-	const struct http1_server *s = c->server;
+	const struct http1_limits limits = limits_of(c);
 	uint64_t age = now - c->since_ms;
 
 	note_sending(c, now);
@@ -247,14 +249,39 @@
 		   (c->state == CONN_LINGERING && age > LINGER_MAX_MS)) {
 		conn_close(c);
 	} else if ((c->state == CONN_HEAD && c->input.len &&
-		    age > s->limits.header_ms) ||
+		    age > limits.header_ms) ||
 		   (c->state == CONN_BODY &&
 		    (age > BODY_MAX_MS ||
-		     without_progress_ms(c, now) > s->limits.idle_ms))) {
+		     without_progress_ms(c, now) > limits.idle_ms))) {
 		refuse(c, 408);
 	}
 }
 
+/* Starts the time of a request, or of a connection that waits for one, under the
+ * limits in force now. */
+static void begin_request(struct http1_conn *c)
+{
+	c->since_ms = uv_now(c->server->loop);
+	c->limits = c->server->limits;
+}
+
+/* Returns the limits of the request that is being received: those in force now
+ * or when it began, whichever allow more. */
+static struct http1_limits limits_of(const struct http1_conn *c)
+{
+	struct http1_limits limits = c->server->limits;
+
+	if (limits.header_bytes < c->limits.header_bytes)
+		limits.header_bytes = c->limits.header_bytes;
+	if (limits.body_bytes < c->limits.body_bytes)
+		limits.body_bytes = c->limits.body_bytes;
+	if (limits.header_ms < c->limits.header_ms)
+		limits.header_ms = c->limits.header_ms;
+	if (limits.idle_ms < c->limits.idle_ms)
+		limits.idle_ms = c->limits.idle_ms;
+	return limits;
+}
+
 /* Notes whether the caller has taken bytes of a queued answer since the last
  * tick.  The queue alone moves in steps of megabytes. */
 static void note_sending(struct http1_conn *c, uint64_t now)
@@ -481,7 +508,7 @@
 	c->tcp.data = c;
 	c->server = s;
 	c->keep_alive = true;
-	c->since_ms = uv_now(s->loop);
+	begin_request(c);
 	TAILQ_INSERT_TAIL(&s->conns, c, link);
 	if (uv_accept(stream, (uv_stream_t *)&c->tcp) < 0) {
 		conn_close(c);
@@ -523,7 +550,7 @@
 		return;
 	}
 	if (c->state == CONN_HEAD && !c->input.len)
-		c->since_ms = uv_now(c->server->loop);
+		begin_request(c);
 	c->progress_ms = uv_now(c->server->loop);
 	bytes_add(&c->input, buf->base, (size_t)n);
 	if (c->state == CONN_ANSWERING && c->input.len > max_buffered) {
@@ -561,11 +588,11 @@
 
 	result = http1_parse_request(c->input.data, c->input.len, head, &used);
 	if (result == HTTP1_MORE) {
-		if (c->input.len > c->server->limits.header_bytes)
+		if (c->input.len > limits_of(c).header_bytes)
 			refuse(c, 431);
 		return false;
 	}
-	if (result == HTTP1_DONE && used > c->server->limits.header_bytes) {
+	if (result == HTTP1_DONE && used > limits_of(c).header_bytes) {
 		refuse(c, 431);
 		return false;
 	}
@@ -578,7 +605,6 @@
 	bytes_consume(&c->input, used);
 	http1_parse_request(c->head.data, c->head.len, head, &used);
 	c->body.len = 0;
-	c->body_limit = c->server->limits.body_bytes;
 	c->keep_alive = http1_keeps_alive(head);
 	c->request.received_ms = c->since_ms;
 	c->state = CONN_BODY;
@@ -589,11 +615,9 @@
 	return true;
 }
 
-/* Decodes the next bytes of a body, which may have the size that was allowed
- * when its head was read.  Returns true if the body is complete. */
+/* Decodes the next bytes of a body.  Returns true if the body is complete. */
 static bool parse_body(struct http1_conn *c)
 {
-	size_t limit = c->server->limits.body_bytes;
 	size_t decoded;
 	size_t rest;
 	enum http1_result result = http1_body_read(
@@ -603,9 +627,7 @@
 		refuse(c, 400);
 		return false;
 	}
-	if (limit < c->body_limit)
-		limit = c->body_limit;
-	if (c->body.len + decoded > limit) {
+	if (c->body.len + decoded > limits_of(c).body_bytes) {
 		refuse(c, 413);
 		return false;
 	}
@@ -647,7 +669,7 @@
 	if (c->state != CONN_ANSWERING)
 		return;
 	c->owner = NULL;
-	c->since_ms = uv_now(c->server->loop);
+	begin_request(c);
 	bytes_release(&c->body);
 	if (!c->peer_closed)
 		uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
--- a/regress/contract/test_http1_server.c
+++ b/regress/contract/test_http1_server.c
@@ -308,12 +308,82 @@
 	assert_int_equal(cut, 0);
 }
 
+struct sender_case {
+	const char *what;
+	const char *first; /* sent before the limits fall */
+	const char *rest;
+};
+
+static const struct sender_case sender_cases[] = {
+	{ .what = "head under way",
+	  .first = "POST /a HTTP/1.1\r\nHost: a\r\n",
+	  .rest = "content-length: 1\r\n\r\nx" },
+	{ .what = "body under way",
+	  .first = "POST /b HTTP/1.1\r\nHost: a\r\ncontent-length: 4\r\n\r\nx",
+	  .rest = "xyz" },
+	{ .what = "body in chunks under way",
+	  .first = "POST /c HTTP/1.1\r\nHost: a\r\n"
+		   "transfer-encoding: chunked\r\n\r\n1\r\nx\r\n",
+	  .rest = "1\r\ny\r\n0\r\n\r\n" },
+};
+
+/* A request keeps the time limits that were in force when it began. */
+static void lower_limits_spare_a_request_under_way(void **state)
+{
+	struct caller callers[N(sender_cases)];
+	unsigned int refused = 0;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < N(sender_cases); i++) {
+		callers[i] = open_caller(0);
+		send_text(&callers[i], sender_cases[i].first);
+	}
+	run_for(TICK_MS);
+	http1_server_limits(server, &low);
+	run_for(PAUSE_MS);
+	for (i = 0; i < N(sender_cases); i++) {
+		int status;
+
+		send_text(&callers[i], sender_cases[i].rest);
+		status = wait_answer(&callers[i]);
+		if (status != 200) {
+			print_message("%s: status %d\n", sender_cases[i].what,
+				      status);
+			refused++;
+		}
+		close_caller(&callers[i]);
+	}
+	assert_int_equal(refused, 0);
+}
+
+/* A request whose head is in the limit is not whole for longer than low.header_ms
+ * if no limit fell either. */
+static void limits_in_force_end_a_request(void **state)
+{
+	struct caller callers[N(sender_cases)];
+	size_t i;
+
+	(void)state;
+	http1_server_limits(server, &low);
+	for (i = 0; i < N(sender_cases); i++) {
+		callers[i] = open_caller(0);
+		send_text(&callers[i], sender_cases[i].first);
+	}
+	for (i = 0; i < N(sender_cases); i++) {
+		assert_int_equal(wait_answer(&callers[i]), 408);
+		close_caller(&callers[i]);
+	}
+}
+
 #define TEST(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
 
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		TEST(lower_idle_limit_spares_a_reader_that_pauses),
+		TEST(lower_limits_spare_a_request_under_way),
+		TEST(limits_in_force_end_a_request),
 	};
 
 	return cmocka_run_group_tests_name("HTTP/1.1 server", tests, NULL,
