http1_server: a request behind another one is answered before a stop

Two requests that a caller sent at once on one connection: if the first was answered after SIGTERM, its answer said "Connection: close" and the second, read whole, was dropped; the caller had neither an answer nor a refusal to it.

While the server closes its connections, an answer is the last one of its connection only if nothing behind its request has been received, neither read nor in the socket. The stop bounds it as any request.

--- a/lib/http1_server.c
+++ b/lib/http1_server.c
@@ -124,6 +124,7 @@
 static bool parse_body(struct http1_conn *c);
 static void dispatch_request(struct http1_conn *c);
 static void refuse(struct http1_conn *c, int status);
+static bool is_last_answer(const struct http1_conn *c);
 static void finish_answer(struct http1_conn *c);
 static void end_connection(struct http1_conn *c);
 static void half_close(struct http1_conn *c);
@@ -215,7 +216,8 @@
 	s->limits = *limits;
 }
 
-/* Closes each connection after its next answer from now on. */
+/* Closes each connection after its next answer from now on, or after the answers
+ * to the requests that have been received by then. */
 void http1_server_disable_keepalive(struct http1_server *s)
 {
 	s->closing = true;
@@ -395,13 +397,20 @@
 	c->owner = owner;
 }
 
+/* Returns whether a server that closes its connections does so after this answer.
+ * What the caller has already sent behind the request is answered first. */
+static bool is_last_answer(const struct http1_conn *c)
+{
+	return c->server->closing && !c->input.len && !unread_bytes(c);
+}
+
 /* Sends a whole answer; headers are lines that each end in CRLF, or NULL. */
 void http1_reply(struct http1_conn *c, int status, const char *headers,
 		 const void *body, size_t len)
 {
 	struct bytes out = { 0 };
 
-	if (c->server->closing)
+	if (is_last_answer(c))
 		c->keep_alive = false;
 	bytes_addf(&out,
 		   VERSION_TEXT "%d %s\r\n%scontent-length: %zu\r\n%s\r\n",
@@ -441,7 +450,7 @@
 	c->unframed = !c->chunked;
 	if (c->unframed)
 		reset_at_close(c, true);
-	if (c->server->closing || !c->chunked)
+	if (is_last_answer(c) || !c->chunked)
 		c->keep_alive = false;
 	bytes_addf(&out, VERSION_TEXT "%d %s\r\n%s%s%s\r\n", status,
 		   reason_phrase(status), headers ? headers : "",
--- a/regress/contract/test_http1_server.c
+++ b/regress/contract/test_http1_server.c
@@ -59,6 +59,7 @@
 static uint16_t port;
 static char *big;
 static unsigned int n_requests;
+static struct http1_conn *held; /* its request is answered by the test */
 
 static void on_request(struct http1_conn *c, struct http1_request *r, void *arg)
 {
@@ -74,6 +75,8 @@
 		http1_stream_begin(c, 200, NULL);
 		http1_stream_write(c, big, BIG_ANSWER);
 		http1_stream_end(c);
+	} else if (!strncmp(target, "/later", 6)) {
+		held = c;
 	} else {
 		http1_reply(c, 200, NULL, target, r->head.target_len);
 	}
@@ -376,6 +379,60 @@
 	}
 }
 
+struct stop_case {
+	const char *what;
+	const char *first; /* sent before the server closes connections */
+	const char
+		*rest; /* sent after that, before the first answer; or NULL */
+	const char *last; /* sent after the first answer; or NULL */
+};
+
+static const struct stop_case stop_cases[] = {
+	{ .what = "sent at once",
+	  .first = "GET /later HTTP/1.1\r\nHost: a\r\n\r\n"
+		   "GET /b HTTP/1.1\r\nHost: a\r\n\r\n" },
+	{ .what = "not read yet",
+	  .first = "GET /later HTTP/1.1\r\nHost: a\r\n\r\n",
+	  .rest = "GET /b HTTP/1.1\r\nHost: a\r\n\r\n" },
+	{ .what = "begun",
+	  .first = "GET /later HTTP/1.1\r\nHost: a\r\n\r\nGET /b HT",
+	  .last = "TP/1.1\r\nHost: a\r\n\r\n" },
+};
+
+/* A request that a caller sent behind another one is answered, although the server
+ * closes connections after their answers by then. */
+static void requests_sent_at_once_are_answered_before_a_stop(void **state)
+{
+	unsigned int unanswered = 0;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < N(stop_cases); i++) {
+		const struct stop_case *k = &stop_cases[i];
+		struct caller c = open_caller(0);
+
+		send_text(&c, k->first);
+		n_requests = 0;
+		wait_requests(1);
+		http1_server_disable_keepalive(server);
+		if (k->rest)
+			send_text(&c, k->rest);
+		http1_reply(held, 200, NULL, "", 0);
+		assert_int_equal(wait_answer(&c), 200);
+		if (k->last)
+			send_text(&c, k->last);
+		if (wait_answer(&c) != 200) {
+			print_message("%s: error %d\n", k->what, c.error);
+			unanswered++;
+		}
+		/* then the connection is closed in order */
+		assert_int_equal(wait_answer(&c), 0);
+		assert_int_equal(c.error, 0);
+		close_caller(&c);
+	}
+	assert_int_equal(unanswered, 0);
+}
+
 #define TEST(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
 
 int main(void)
@@ -384,6 +441,7 @@
 		TEST(lower_idle_limit_spares_a_reader_that_pauses),
 		TEST(lower_limits_spare_a_request_under_way),
 		TEST(limits_in_force_end_a_request),
+		TEST(requests_sent_at_once_are_answered_before_a_stop),
 	};
 
 	return cmocka_run_group_tests_name("HTTP/1.1 server", tests, NULL,
