http1_server: many refused uploads at once are not reset

A change that lowers maxBodyBytes refuses all uploads that begin after it. Over 256 connections that were read and dropped after their answer (LINGER_CONNS_MAX), a further one was closed at once, with bytes of the upload unread: the kernel resets such a connection, and the reset may overtake the 413. The caller saw a broken connection for a refusal.

The bound is gone: a connection that lingers holds a descriptor and no buffers, for less time and less memory than one that is idle or sends, and these have no bound of their own either.

test_http1_server refuses 300 callers that upload 2 MB each: 256 sent their body and read the 413 before, the others were reset; all 300 do now.

--- a/lib/http1_server.c
+++ b/lib/http1_server.c
@@ -38,7 +38,6 @@
  * no reset overtakes the answer while its caller still sends. */
 #define LINGER_MAX_MS 2000
 #define LINGER_MAX_BYTES ((size_t)64 << 20)
-#define LINGER_CONNS_MAX 256 /* at once; others are closed at once */
 
 #define VERSION_TEXT "HTTP/1.1 " /* each answer begins with it */
 
@@ -100,7 +99,6 @@
 	size_t n_listeners;
 	struct conn_list conns;
 	size_t n_handles; /* not yet closed by the loop */
-	size_t n_lingering;
 	bool closing; /* close connections after their answers */
 	bool freed; /* free the server with its last handle */
 };
@@ -703,19 +701,16 @@
  * when its caller has closed it too, or after LINGER_MAX_MS. */
 static void half_close(struct http1_conn *c)
 {
-	struct http1_server *s = c->server;
-
 	if (c->unframed)
 		reset_at_close(c, false);
 	c->shutdown.data = c;
-	if (c->peer_closed || s->n_lingering == LINGER_CONNS_MAX ||
+	if (c->peer_closed ||
 	    uv_shutdown(&c->shutdown, (uv_stream_t *)&c->tcp, on_shutdown)) {
 		conn_close(c);
 		return;
 	}
 	c->state = CONN_LINGERING;
-	c->since_ms = uv_now(s->loop);
-	s->n_lingering++;
+	c->since_ms = uv_now(c->server->loop);
 }
 
 /* Closes the connection if its sending direction could not be ended. */
@@ -823,8 +818,6 @@
 
 	if (c->state == CONN_CLOSED)
 		return;
-	if (c->state == CONN_LINGERING)
-		c->server->n_lingering--;
 	c->state = CONN_CLOSED;
 	c->owner = NULL;
 	TAILQ_REMOVE(&c->server->conns, c, link);
--- a/regress/contract/test_http1_server.c
+++ b/regress/contract/test_http1_server.c
@@ -50,6 +50,7 @@
 	int fd;
 	int error; /* of a send or a receive; 0: none */
 	bool closed; /* by the server */
+	size_t unsent; /* bytes of its body */
 	struct bytes in;
 };
 
@@ -60,6 +61,7 @@
 static char *big;
 static unsigned int n_requests;
 static struct http1_conn *held; /* its request is answered by the test */
+static unsigned int n_refused;
 
 static void on_request(struct http1_conn *c, struct http1_request *r, void *arg)
 {
@@ -82,8 +84,16 @@
 	}
 }
 
+static void on_end(const struct http1_ended *ended, void *arg)
+{
+	(void)arg;
+	if (ended->why == HTTP1_END_REFUSED)
+		n_refused++;
+}
+
 static const struct http1_server_ops ops = {
 	.on_request = on_request,
+	.on_end = on_end,
 };
 
 static void on_tick(uv_timer_t *t)
@@ -99,6 +109,7 @@
 
 	(void)state;
 	n_requests = 0;
+	n_refused = 0;
 	loop = uv_default_loop();
 	server = http1_server_new(loop, &ops, NULL);
 	http1_server_limits(server, &usual);
@@ -181,6 +192,22 @@
 			 strlen(text));
 }
 
+/* Sends what the socket takes of a body. */
+static void send_body(struct caller *c)
+{
+	while (c->unsent && !c->error) {
+		size_t len = c->unsent < READ_BYTES ? c->unsent : READ_BYTES;
+		ssize_t n = send(c->fd, big, len, MSG_NOSIGNAL);
+
+		if (n < 0) {
+			if (errno != EAGAIN)
+				c->error = errno;
+			return;
+		}
+		c->unsent -= (size_t)n;
+	}
+}
+
 /* Receives what has arrived. */
 static void receive(struct caller *c)
 {
@@ -379,6 +406,57 @@
 	}
 }
 
+#define UPLOADERS 300
+#define UPLOAD_BYTES (2u << 20)
+
+/* Callers that are refused while they send a long body see the refusal, and no
+ * reset while they send, however many they are. */
+static void many_refused_uploads_are_not_reset(void **state)
+{
+	static struct caller callers[UPLOADERS];
+	unsigned int refused = 0;
+	uint64_t since;
+	size_t left;
+	char text[128];
+	size_t i;
+
+	(void)state;
+	http1_server_limits(server, &low);
+	snprintf(text, sizeof(text),
+		 "POST /a HTTP/1.1\r\nHost: a\r\ncontent-length: %u\r\n\r\n",
+		 UPLOAD_BYTES);
+	for (i = 0; i < UPLOADERS; i++) {
+		callers[i] = open_caller(0);
+		callers[i].unsent = UPLOAD_BYTES;
+		send_text(&callers[i], text);
+		run_once(uv_now(loop));
+	}
+	/* all are refused before one has sent its body */
+	since = uv_now(loop);
+	while (n_refused < UPLOADERS) {
+		for (i = 0; i < UPLOADERS; i++) {
+			if (callers[i].unsent == UPLOAD_BYTES &&
+			    send(callers[i].fd, big, READ_BYTES,
+				 MSG_NOSIGNAL) == READ_BYTES)
+				callers[i].unsent -= READ_BYTES;
+		}
+		run_once(since);
+	}
+	do {
+		left = 0;
+		for (i = 0; i < UPLOADERS; i++) {
+			send_body(&callers[i]);
+			left += callers[i].error ? 0 : callers[i].unsent;
+		}
+		run_once(since);
+	} while (left);
+	for (i = 0; i < UPLOADERS; i++) {
+		refused += !callers[i].error && wait_answer(&callers[i]) == 413;
+		close_caller(&callers[i]);
+	}
+	assert_int_equal(refused, UPLOADERS);
+}
+
 struct stop_case {
 	const char *what;
 	const char *first; /* sent before the server closes connections */
@@ -441,6 +519,7 @@
 		TEST(lower_idle_limit_spares_a_reader_that_pauses),
 		TEST(lower_limits_spare_a_request_under_way),
 		TEST(limits_in_force_end_a_request),
+		TEST(many_refused_uploads_are_not_reset),
 		TEST(requests_sent_at_once_are_answered_before_a_stop),
 	};
 
