http1_server: a refused caller that sends on slowly is not reset

A caller that was refused while it sent a body was reset 2 s later, also if it still sent: the time counted from the refusal. A slow uploader saw its connection break in place of the 413 or 408.

A connection that lingers is now closed if nothing was sent on it for 2 s, and nothing is in its socket, or after 30 s in all; the bound of 64 MB stays.

test_http1_server refuses a caller that sends 100 bytes each 100 ms for 6 s: EPIPE before, now it sends them all and reads the 413.

--- a/lib/http1_server.c
+++ b/lib/http1_server.c
@@ -34,9 +34,11 @@
 /* A body that takes longer is refused even if it makes progress. */
 #define BODY_MAX_MS 120000
 
-/* After its last answer a connection is read and dropped for this long, so that
- * no reset overtakes the answer while its caller still sends. */
-#define LINGER_MAX_MS 2000
+/* After its last answer a connection is read and dropped, so that no reset
+ * overtakes the answer while its caller still sends: until nothing was sent for
+ * this long, and no longer than LINGER_MAX_MS. */
+#define LINGER_SILENT_MS 2000
+#define LINGER_MAX_MS 30000
 #define LINGER_MAX_BYTES ((size_t)64 << 20)
 
 #define VERSION_TEXT "HTTP/1.1 " /* each answer begins with it */
@@ -141,6 +143,7 @@
 static uint64_t without_progress_ms(const struct http1_conn *c, uint64_t now);
 static bool is_busy(const struct http1_conn *c);
 static bool is_idle_too_long(const struct http1_conn *c, uint64_t now);
+static bool lingers_too_long(const struct http1_conn *c, uint64_t now);
 static void note_sending(struct http1_conn *c, uint64_t now);
 static size_t unread_bytes(const struct http1_conn *c);
 static size_t socket_bytes(const struct http1_conn *c, unsigned long what);
@@ -245,8 +248,7 @@
 	if (is_idle_too_long(c, now)) {
 		report_end(c, HTTP1_END_IDLE, 0);
 		conn_close(c);
-	} else if (is_unknown_too_long(c, now) ||
-		   (c->state == CONN_LINGERING && age > LINGER_MAX_MS)) {
+	} else if (is_unknown_too_long(c, now) || lingers_too_long(c, now)) {
 		conn_close(c);
 	} else if ((c->state == CONN_HEAD && c->input.len &&
 		    age > limits.header_ms) ||
@@ -310,8 +312,18 @@
 	       (c->state == CONN_CLOSING || !unread_bytes(c));
 }
 
-/* Returns for how long a connection made no progress under the idle limit, in
- * ms: since bytes were read or sent, its state changed, or the limit fell. */
+/* Returns whether the caller of a connection that lingers has sent nothing for
+ * too long, or has sent for too long. */
+static bool lingers_too_long(const struct http1_conn *c, uint64_t now)
+{
+	return c->state == CONN_LINGERING &&
+	       (now - c->since_ms > LINGER_MAX_MS ||
+		(without_progress_ms(c, now) > LINGER_SILENT_MS &&
+		 !unread_bytes(c)));
+}
+
+/* Returns for how long a connection made no progress, in ms: since bytes were
+ * read or sent, its state changed, or the idle limit fell. */
 static uint64_t without_progress_ms(const struct http1_conn *c, uint64_t now)
 {
 	uint64_t since = c->server->idle_lowered_ms;
@@ -698,7 +710,7 @@
 }
 
 /* Ends the sending direction after the last answer.  The connection is closed
- * when its caller has closed it too, or after LINGER_MAX_MS. */
+ * when its caller has closed it too, or by examine(). */
 static void half_close(struct http1_conn *c)
 {
 	if (c->unframed)
@@ -729,8 +741,11 @@
 		c->peer_closed = true;
 		return;
 	}
-	if (n > 0)
+	if (n > 0) {
 		c->dropped += (size_t)n;
+		if (c->state == CONN_LINGERING)
+			c->progress_ms = uv_now(c->server->loop);
+	}
 	if (n < 0 || c->dropped > LINGER_MAX_BYTES)
 		conn_close(c);
 }
--- a/regress/contract/test_http1_server.c
+++ b/regress/contract/test_http1_server.c
@@ -457,6 +457,28 @@
 	assert_int_equal(refused, UPLOADERS);
 }
 
+#define SLOW_PART_BYTES 100
+
+/* A caller that sends on slowly after its refusal is not reset. */
+static void slow_refused_upload_is_not_reset(void **state)
+{
+	struct caller c = open_caller(0);
+	unsigned int parts;
+
+	(void)state;
+	http1_server_limits(server, &low);
+	send_text(&c, "POST /a HTTP/1.1\r\nHost: a\r\n"
+		      "content-length: 100000\r\n\r\n");
+	for (parts = 0; parts < 2 * PAUSE_MS / TICK_MS && !c.error; parts++) {
+		c.unsent = parts ? SLOW_PART_BYTES : 2 * low.body_bytes;
+		send_body(&c);
+		run_for(TICK_MS);
+	}
+	assert_int_equal(c.error, 0);
+	assert_int_equal(wait_answer(&c), 413);
+	close_caller(&c);
+}
+
 struct stop_case {
 	const char *what;
 	const char *first; /* sent before the server closes connections */
@@ -520,6 +542,7 @@
 		TEST(lower_limits_spare_a_request_under_way),
 		TEST(limits_in_force_end_a_request),
 		TEST(many_refused_uploads_are_not_reset),
+		TEST(slow_refused_upload_is_not_reset),
 		TEST(requests_sent_at_once_are_answered_before_a_stop),
 	};
 
