http1_server: a stop waits for refused callers that still send

A stopping process exited while it still read and dropped the rest of an upload that it had refused: the kernel resets a connection that is closed with unread bytes, or that bytes arrive on later, and the reset may overtake the 413 or 408. A connection that lingers counted as not busy.

It is busy now if its request was refused before it was whole, as more of it may come, or if bytes of it are unread.

--- a/lib/http1_server.c
+++ b/lib/http1_server.c
@@ -81,6 +81,7 @@
 	unsigned int n_handles; /* not yet closed by the loop */
 	bool keep_alive; /* the connection may be reused */
 	bool begun; /* a streamed answer has begun */
+	bool refused; /* before its request was whole; more of it may come */
 	bool chunked; /* the answer is sent in chunks */
 	bool unframed; /* the answer ends with the connection */
 	bool parsing;
@@ -336,7 +337,7 @@
 }
 
 /* Returns whether a request is being received, waits in a socket or is being
- * answered, or bytes of an answer are queued. */
+ * answered, bytes of an answer are queued, or a refused caller may still send. */
 bool http1_server_busy(const struct http1_server *s)
 {
 	const struct http1_conn *c;
@@ -349,11 +350,12 @@
 	return false;
 }
 
-/* Returns whether the end of the process would lose something of c. */
+/* Returns whether the end of the process would lose something of c.  It resets a
+ * connection whose caller still sends, which may lose the answer. */
 static bool is_busy(const struct http1_conn *c)
 {
 	if (c->state == CONN_LINGERING)
-		return false;
+		return c->refused || unread_bytes(c);
 	return c->state != CONN_HEAD || c->input.len || http1_pending(c) ||
 	       unread_bytes(c);
 }
@@ -676,6 +678,7 @@
 static void refuse(struct http1_conn *c, int status)
 {
 	report_end(c, HTTP1_END_REFUSED, status);
+	c->refused = true;
 	c->keep_alive = false;
 	c->state = CONN_ANSWERING;
 	http1_reply(c, status, NULL, "", 0);
--- a/regress/contract/test_http1_server.c
+++ b/regress/contract/test_http1_server.c
@@ -479,6 +479,54 @@
 	close_caller(&c);
 }
 
+/* A server is busy while a caller that was refused still sends: the end of its
+ * process would reset the connection.  It is not once the caller has gone. */
+static void server_is_busy_while_a_refused_caller_sends(void **state)
+{
+	struct caller c = open_caller(0);
+	uint64_t since;
+	char text[128];
+
+	(void)state;
+	http1_server_limits(server, &low);
+	snprintf(text, sizeof(text),
+		 "POST /a HTTP/1.1\r\nHost: a\r\ncontent-length: %u\r\n\r\n",
+		 UPLOAD_BYTES);
+	send_text(&c, text);
+	c.unsent = 2 * low.body_bytes;
+	send_body(&c);
+	since = uv_now(loop);
+	while (!n_refused)
+		run_once(since);
+	assert_true(http1_server_busy(server));
+	c.unsent = UPLOAD_BYTES - 2 * low.body_bytes;
+	while (c.unsent) {
+		send_body(&c);
+		assert_int_equal(c.error, 0);
+		assert_true(http1_server_busy(server));
+		run_once(since);
+	}
+	assert_int_equal(wait_answer(&c), 413);
+	close_caller(&c);
+	while (http1_server_busy(server))
+		run_once(since);
+}
+
+/* A refused caller that neither sends nor closes keeps no process alive. */
+static void silent_refused_caller_is_closed(void **state)
+{
+	struct caller c = open_caller(0);
+	uint64_t since;
+
+	(void)state;
+	send_text(&c, "nonsense\r\n\r\n");
+	assert_int_equal(wait_answer(&c), 400);
+	since = uv_now(loop);
+	while (http1_server_busy(server))
+		run_once(since);
+	close_caller(&c);
+}
+
 struct stop_case {
 	const char *what;
 	const char *first; /* sent before the server closes connections */
@@ -543,6 +591,8 @@
 		TEST(limits_in_force_end_a_request),
 		TEST(many_refused_uploads_are_not_reset),
 		TEST(slow_refused_upload_is_not_reset),
+		TEST(server_is_busy_while_a_refused_caller_sends),
+		TEST(silent_refused_caller_is_closed),
 		TEST(requests_sent_at_once_are_answered_before_a_stop),
 	};
 
