regress: refusals, stops and silence beside lower limits, real processes

Three cases of test_kept_connections, with cdmproxyd and one instance: 300 uploads of 2 MB that a lower maxBodyBytes refuses, with SIGTERM half way; a refused caller that sends on slowly over the end of an idle stopping process; five requests at an endpoint that is silent for 1.5 s while a change lowers idle and header time to 50 ms and SIGTERM follows.

--- a/regress/integration/test_kept_connections.c
+++ b/regress/integration/test_kept_connections.c
@@ -30,11 +30,15 @@
 #define BODY_LIMIT_BEFORE (4u << 20)
 #define IDLE_BEFORE_MS 15000
 #define BIG_BODY (6u << 20)
+#define UPLOADS 300
+#define UPLOAD_BYTES (2u << 20)
+#define SILENT_MS 1500 /* of an endpoint before it answers */
 #define SLOW_BODY 3000 /* bytes, one part of it in each PART_MS */
 #define PART_BYTES 100
 #define PART_MS 100
 #define IDLE_LOW_MS 2000
 #define IDLE_LOWEST_MS 1000
+#define IDLE_SHORTEST_MS 50
 #define IDLE_TICKS_MS 400 /* connections are examined each 100 ms */
 #define BIG_ANSWER (7u << 20) /* more than sockets take */
 #define READ_BYTES 65536
@@ -301,7 +305,8 @@
 	if (n > 0 || (n < 0 && errno == EAGAIN))
 		return n > 0;
 	k->closed = true;
-	k->error = n < 0 ? errno : 0;
+	if (n < 0)
+		k->error = errno;
 	return false;
 }
 
@@ -458,6 +463,101 @@
 	close_kept(&k);
 }
 
+/* Callers whose long bodies are refused at one moment, beside a stop, see the
+ * refusal and no error, however many they are. */
+static void refusals_of_many_long_bodies(void **state)
+{
+	const struct settings_case low = { .body_bytes = BODY_LIMIT };
+	static struct kept uploads[UPLOADS];
+	size_t sent;
+	size_t i;
+
+	(void)state;
+	change(&low);
+	for (i = 0; i < UPLOADS; i++) {
+		uploads[i] = open_kept();
+		send_head(&uploads[i], "/look/a", "k1", UPLOAD_BYTES);
+	}
+	for (sent = 0; sent < UPLOAD_BYTES; sent += READ_BYTES) {
+		if (sent == UPLOAD_BYTES / 2)
+			proc_signal(one.proc, SIGTERM);
+		for (i = 0; i < UPLOADS; i++)
+			send_body(&uploads[i], READ_BYTES);
+	}
+	for (i = 0; i < UPLOADS; i++) {
+		expect_answer(&uploads[i], "one of many long bodies", 413);
+		close_kept(&uploads[i]);
+	}
+}
+
+/* A caller whose long body is refused before a stop, and which sends on slowly,
+ * sees the refusal and no error. */
+static void stop_spares_a_refused_caller_that_sends(void **state)
+{
+	const struct settings_case low = { .body_bytes = BODY_LIMIT };
+	struct kept k = open_kept();
+	unsigned int ms;
+
+	(void)state;
+	change(&low);
+	send_head(&k, "/look/a", "k1", UPLOAD_BYTES);
+	send_body(&k, 2 * BODY_LIMIT);
+	wait_logged("\"event\":\"connection-ended\",\"why\":\"refused\"");
+	proc_signal(one.proc, SIGTERM);
+	for (ms = 0; ms < LINGER_MS; ms += PART_MS) {
+		send_body(&k, PART_BYTES);
+		harness_run(harness, PART_MS);
+	}
+	expect_answer(&k, "a refused caller that sends", 413);
+	close_kept(&k);
+}
+
+/* Requests that wait for an endpoint that is silent for a time are answered,
+ * although a change lowers the limits, and a stop begins, meanwhile: also one
+ * that is behind another one, one whose body is under way, and one whose caller
+ * has ended its sending direction. */
+static void changes_spare_requests_at_a_silent_endpoint(void **state)
+{
+	const struct settings_case low = {
+		.body_bytes = 1,
+		.header_ms = IDLE_SHORTEST_MS,
+		.idle_ms = IDLE_SHORTEST_MS,
+	};
+	struct kept whole = open_kept();
+	struct kept two = open_kept();
+	struct kept part = open_kept();
+	struct kept half = open_kept();
+
+	(void)state;
+	world->workers[0].silent_ms = SILENT_MS;
+	send_head(&whole, "/look/a", "k1", 1);
+	send_body(&whole, 1);
+	send_head(&two, "/look/b", "k1", 1);
+	send_body(&two, 1);
+	send_head(&two, "/look/c", "k1", 1);
+	send_body(&two, 1);
+	send_head(&part, "/look/d", "k1", 2);
+	send_body(&part, 1);
+	send_head(&half, "/look/e", "k1", 1);
+	send_body(&half, 1);
+	assert_int_equal(shutdown(half.fd, SHUT_WR), 0);
+	harness_run(harness, PART_MS);
+	change(&low);
+	harness_run(harness, IDLE_TICKS_MS);
+	send_body(&part, 1);
+	harness_run(harness, PART_MS);
+	proc_signal(one.proc, SIGTERM);
+	expect_answer(&whole, "a whole request", 200);
+	expect_answer(&two, "the first of two", 200);
+	expect_answer(&two, "the second of two", 200);
+	expect_answer(&part, "a body under way", 200);
+	expect_answer(&half, "a half-closed caller", 200);
+	close_kept(&whole);
+	close_kept(&two);
+	close_kept(&part);
+	close_kept(&half);
+}
+
 /* A malformed request is refused; what follows it is dropped. */
 static void refusal_of_a_malformed_request(void **state)
 {
@@ -698,6 +798,9 @@
 		TEST(changes_end_no_request),
 		TEST(changes_in_quick_succession),
 		TEST(refusal_of_a_long_body),
+		TEST(refusals_of_many_long_bodies),
+		TEST(stop_spares_a_refused_caller_that_sends),
+		TEST(changes_spare_requests_at_a_silent_endpoint),
 		TEST(refusal_of_a_malformed_request),
 		TEST(lower_body_limit_spares_a_body_under_way),
 		TEST(lower_idle_limit_spares_kept_connections),
