--- a/lib/http1_server.c
+++ b/lib/http1_server.c
@@ -27,14 +27,19 @@
  * far apart: an idle connection is kept for longer than the limit by this. */
 #define LIMIT_CHANGE_MS 2000
 
+/* A caller may pause for this long while it takes an answer, also if the idle
+ * limit is lower: it doesn't wait for a request. */
+#define UNTAKEN_MAX_MS 10000
+
 /* A body that takes longer is refused even if it makes progress. */
 #define BODY_MAX_MS 120000
 
-/* After its last answer a connection is read and dropped for this long, so that
- * no reset overtakes the answer while its caller still sends. */
-#define LINGER_MAX_MS 2000
+/* After its last answer a connection is read and dropped, so that no reset
+ * overtakes the answer while its caller still sends: until nothing was sent for
+ * this long, and no longer than LINGER_MAX_MS. */
+#define LINGER_SILENT_MS 2000
+#define LINGER_MAX_MS 30000
 #define LINGER_MAX_BYTES ((size_t)64 << 20)
-#define LINGER_CONNS_MAX 256 /* at once; others are closed at once */
 
 #define VERSION_TEXT "HTTP/1.1 " /* each answer begins with it */
 
@@ -66,7 +71,7 @@
 	struct http1_request request;
 	struct http1_body framing;
 	void *owner;
-	size_t body_limit; /* in force when the head was read */
+	struct http1_limits limits; /* in force when its request began */
 	size_t dropped; /* bytes, while lingering */
 	size_t unsent; /* bytes not received by the caller at the last tick */
 	size_t sent_early; /* bytes sent of what is sent next */
@@ -76,6 +81,7 @@
 	unsigned int n_handles; /* not yet closed by the loop */
 	bool keep_alive; /* the connection may be reused */
 	bool begun; /* a streamed answer has begun */
+	bool refused; /* before its request was whole; more of it may come */
 	bool chunked; /* the answer is sent in chunks */
 	bool unframed; /* the answer ends with the connection */
 	bool parsing;
@@ -96,7 +102,6 @@
 	size_t n_listeners;
 	struct conn_list conns;
 	size_t n_handles; /* not yet closed by the loop */
-	size_t n_lingering;
 	bool closing; /* close connections after their answers */
 	bool freed; /* free the server with its last handle */
 };
@@ -120,6 +125,7 @@
 static bool parse_body(struct http1_conn *c);
 static void dispatch_request(struct http1_conn *c);
 static void refuse(struct http1_conn *c, int status);
+static bool is_last_answer(const struct http1_conn *c);
 static void finish_answer(struct http1_conn *c);
 static void end_connection(struct http1_conn *c);
 static void half_close(struct http1_conn *c);
@@ -133,9 +139,12 @@
 static void conn_close(struct http1_conn *c);
 static void reset_at_close(struct http1_conn *c, bool on);
 static void examine(struct http1_conn *c, uint64_t now);
+static void begin_request(struct http1_conn *c);
+static struct http1_limits limits_of(const struct http1_conn *c);
 static uint64_t without_progress_ms(const struct http1_conn *c, uint64_t now);
 static bool is_busy(const struct http1_conn *c);
 static bool is_idle_too_long(const struct http1_conn *c, uint64_t now);
+static bool lingers_too_long(const struct http1_conn *c, uint64_t now);
 static void note_sending(struct http1_conn *c, uint64_t now);
 static size_t unread_bytes(const struct http1_conn *c);
 static size_t socket_bytes(const struct http1_conn *c, unsigned long what);
@@ -211,7 +220,8 @@
 	s->limits = *limits;
 }
 
-/* Closes each connection after its next answer from now on. */
+/* Closes each connection after its next answer from now on, or after the answers
+ * to the requests that have been received by then. */
 void http1_server_disable_keepalive(struct http1_server *s)
 {
 	s->closing = true;
@@ -234,7 +244,7 @@
 /* Closes one connection, or refuses its request, if it takes too long. */
 static void examine(struct http1_conn *c, uint64_t now)
 {
-	const struct http1_server *s = c->server;
+	const struct http1_limits limits = limits_of(c);
 	uint64_t age = now - c->since_ms;
 
 	note_sending(c, now);
@@ -244,26 +254,51 @@
 	} else if (is_unknown_too_long(c, now)) {
 		report_end(c, HTTP1_END_UNKNOWN, 0);
 		conn_close(c);
-	} else if (c->state == CONN_LINGERING && age > LINGER_MAX_MS) {
+	} else if (lingers_too_long(c, now)) {
 		if (is_unfinished(c))
 			report_end(c, HTTP1_END_LINGER, 0);
 		conn_close(c);
 	} else if ((c->state == CONN_HEAD && c->input.len &&
-		    age > s->limits.header_ms) ||
+		    age > limits.header_ms) ||
 		   (c->state == CONN_BODY &&
 		    (age > BODY_MAX_MS ||
-		     without_progress_ms(c, now) > s->limits.idle_ms))) {
+		     without_progress_ms(c, now) > limits.idle_ms))) {
 		refuse(c, 408);
 	}
 }
 
+/* Starts the time of a request, or of a connection that waits for one, under the
+ * limits in force now. */
+static void begin_request(struct http1_conn *c)
+{
+	c->since_ms = uv_now(c->server->loop);
+	c->limits = c->server->limits;
+}
+
+/* Returns the limits of the request that is being received: those in force now
+ * or when it began, whichever allow more. */
+static struct http1_limits limits_of(const struct http1_conn *c)
+{
+	struct http1_limits limits = c->server->limits;
+
+	if (limits.header_bytes < c->limits.header_bytes)
+		limits.header_bytes = c->limits.header_bytes;
+	if (limits.body_bytes < c->limits.body_bytes)
+		limits.body_bytes = c->limits.body_bytes;
+	if (limits.header_ms < c->limits.header_ms)
+		limits.header_ms = c->limits.header_ms;
+	if (limits.idle_ms < c->limits.idle_ms)
+		limits.idle_ms = c->limits.idle_ms;
+	return limits;
+}
+
 /* Notes whether the caller has taken bytes of a queued answer since the last
  * tick.  The queue alone moves in steps of megabytes. */
 static void note_sending(struct http1_conn *c, uint64_t now)
 {
 	size_t unsent = http1_pending(c);
 
-	if (unsent)
+	if (unsent || c->unsent)
 		unsent += socket_bytes(c, TIOCOUTQ);
 	if (unsent != c->unsent)
 		c->progress_ms = now;
@@ -275,15 +310,28 @@
  * arrived, though it was not read yet. */
 static bool is_idle_too_long(const struct http1_conn *c, uint64_t now)
 {
+	uint64_t limit = (uint64_t)c->server->limits.idle_ms + LIMIT_CHANGE_MS;
+
 	if ((c->state != CONN_HEAD || c->input.len) && c->state != CONN_CLOSING)
 		return false;
-	return without_progress_ms(c, now) >
-		       (uint64_t)c->server->limits.idle_ms + LIMIT_CHANGE_MS &&
+	if (c->unsent && limit < UNTAKEN_MAX_MS)
+		limit = UNTAKEN_MAX_MS;
+	return without_progress_ms(c, now) > limit &&
 	       (c->state == CONN_CLOSING || !unread_bytes(c));
 }
 
-/* Returns for how long a connection made no progress under the idle limit, in
- * ms: since bytes were read or sent, its state changed, or the limit fell. */
+/* Returns whether the caller of a connection that lingers has sent nothing for
+ * too long, or has sent for too long. */
+static bool lingers_too_long(const struct http1_conn *c, uint64_t now)
+{
+	return c->state == CONN_LINGERING &&
+	       (now - c->since_ms > LINGER_MAX_MS ||
+		(without_progress_ms(c, now) > LINGER_SILENT_MS &&
+		 !unread_bytes(c)));
+}
+
+/* Returns for how long a connection made no progress, in ms: since bytes were
+ * read or sent, its state changed, or the idle limit fell. */
 static uint64_t without_progress_ms(const struct http1_conn *c, uint64_t now)
 {
 	uint64_t since = c->server->idle_lowered_ms;
@@ -296,7 +344,7 @@
 }
 
 /* Returns whether a request is being received, waits in a socket or is being
- * answered, or bytes of an answer are queued. */
+ * answered, bytes of an answer are queued, or a refused caller may still send. */
 bool http1_server_busy(const struct http1_server *s)
 {
 	const struct http1_conn *c;
@@ -309,11 +357,12 @@
 	return false;
 }
 
-/* Returns whether the end of the process would lose something of c. */
+/* Returns whether the end of the process would lose something of c.  It resets a
+ * connection whose caller still sends, which may lose the answer. */
 static bool is_busy(const struct http1_conn *c)
 {
 	if (c->state == CONN_LINGERING)
-		return false;
+		return c->refused || unread_bytes(c);
 	return c->state != CONN_HEAD || c->input.len || http1_pending(c) ||
 	       unread_bytes(c);
 }
@@ -370,13 +419,20 @@
 	c->owner = owner;
 }
 
+/* Returns whether a server that closes its connections does so after this answer.
+ * What the caller has already sent behind the request is answered first. */
+static bool is_last_answer(const struct http1_conn *c)
+{
+	return c->server->closing && !c->input.len && !unread_bytes(c);
+}
+
 /* Sends a whole answer; headers are lines that each end in CRLF, or NULL. */
 void http1_reply(struct http1_conn *c, int status, const char *headers,
 		 const void *body, size_t len)
 {
 	struct bytes out = { 0 };
 
-	if (c->server->closing)
+	if (is_last_answer(c))
 		c->keep_alive = false;
 	bytes_addf(&out,
 		   VERSION_TEXT "%d %s\r\n%scontent-length: %zu\r\n%s\r\n",
@@ -416,7 +472,7 @@
 	c->unframed = !c->chunked;
 	if (c->unframed)
 		reset_at_close(c, true);
-	if (c->server->closing || !c->chunked)
+	if (is_last_answer(c) || !c->chunked)
 		c->keep_alive = false;
 	bytes_addf(&out, VERSION_TEXT "%d %s\r\n%s%s%s\r\n", status,
 		   reason_phrase(status), headers ? headers : "",
@@ -483,7 +539,7 @@
 	c->tcp.data = c;
 	c->server = s;
 	c->keep_alive = true;
-	c->since_ms = uv_now(s->loop);
+	begin_request(c);
 	TAILQ_INSERT_TAIL(&s->conns, c, link);
 	if (uv_accept(stream, (uv_stream_t *)&c->tcp) < 0) {
 		conn_close(c);
@@ -525,7 +581,7 @@
 		return;
 	}
 	if (c->state == CONN_HEAD && !c->input.len)
-		c->since_ms = uv_now(c->server->loop);
+		begin_request(c);
 	c->progress_ms = uv_now(c->server->loop);
 	bytes_add(&c->input, buf->base, (size_t)n);
 	if (c->state == CONN_ANSWERING && c->input.len > max_buffered) {
@@ -563,11 +619,11 @@
 
 	result = http1_parse_request(c->input.data, c->input.len, head, &used);
 	if (result == HTTP1_MORE) {
-		if (c->input.len > c->server->limits.header_bytes)
+		if (c->input.len > limits_of(c).header_bytes)
 			refuse(c, 431);
 		return false;
 	}
-	if (result == HTTP1_DONE && used > c->server->limits.header_bytes) {
+	if (result == HTTP1_DONE && used > limits_of(c).header_bytes) {
 		refuse(c, 431);
 		return false;
 	}
@@ -580,7 +636,6 @@
 	bytes_consume(&c->input, used);
 	http1_parse_request(c->head.data, c->head.len, head, &used);
 	c->body.len = 0;
-	c->body_limit = c->server->limits.body_bytes;
 	c->keep_alive = http1_keeps_alive(head);
 	c->request.received_ms = c->since_ms;
 	c->state = CONN_BODY;
@@ -591,11 +646,9 @@
 	return true;
 }
 
-/* Decodes the next bytes of a body, which may have the size that was allowed
- * when its head was read.  Returns true if the body is complete. */
+/* Decodes the next bytes of a body.  Returns true if the body is complete. */
 static bool parse_body(struct http1_conn *c)
 {
-	size_t limit = c->server->limits.body_bytes;
 	size_t decoded;
 	size_t rest;
 	enum http1_result result = http1_body_read(
@@ -605,9 +658,7 @@
 		refuse(c, 400);
 		return false;
 	}
-	if (limit < c->body_limit)
-		limit = c->body_limit;
-	if (c->body.len + decoded > limit) {
+	if (c->body.len + decoded > limits_of(c).body_bytes) {
 		refuse(c, 413);
 		return false;
 	}
@@ -637,6 +688,7 @@
 static void refuse(struct http1_conn *c, int status)
 {
 	report_end(c, HTTP1_END_REFUSED, status);
+	c->refused = true;
 	c->keep_alive = false;
 	c->state = CONN_ANSWERING;
 	http1_reply(c, status, NULL, "", 0);
@@ -649,7 +701,7 @@
 	if (c->state != CONN_ANSWERING)
 		return;
 	c->owner = NULL;
-	c->since_ms = uv_now(c->server->loop);
+	begin_request(c);
 	bytes_release(&c->body);
 	if (!c->peer_closed)
 		uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
@@ -671,24 +723,19 @@
 }
 
 /* Ends the sending direction after the last answer.  The connection is closed
- * when its caller has closed it too, or after LINGER_MAX_MS. */
+ * when its caller has closed it too, or by examine(). */
 static void half_close(struct http1_conn *c)
 {
-	struct http1_server *s = c->server;
-
 	if (c->unframed)
 		reset_at_close(c, false);
 	c->shutdown.data = c;
-	if (!c->peer_closed && s->n_lingering == LINGER_CONNS_MAX)
-		report_end(c, HTTP1_END_LINGER, 0);
-	if (c->peer_closed || s->n_lingering == LINGER_CONNS_MAX ||
+	if (c->peer_closed ||
 	    uv_shutdown(&c->shutdown, (uv_stream_t *)&c->tcp, on_shutdown)) {
 		conn_close(c);
 		return;
 	}
 	c->state = CONN_LINGERING;
-	c->since_ms = uv_now(s->loop);
-	s->n_lingering++;
+	c->since_ms = uv_now(c->server->loop);
 }
 
 /* Closes the connection if its sending direction could not be ended. */
@@ -707,10 +754,13 @@
 		c->peer_closed = true;
 		return;
 	}
-	if (n > 0)
+	if (n > 0) {
 		c->dropped += (size_t)n;
-	if (n > 0 && c->dropped > LINGER_MAX_BYTES)
-		report_end(c, HTTP1_END_LINGER, 0);
+		if (c->state == CONN_LINGERING)
+			c->progress_ms = uv_now(c->server->loop);
+		if (c->dropped > LINGER_MAX_BYTES)
+			report_end(c, HTTP1_END_LINGER, 0);
+	}
 	if (n < 0 || c->dropped > LINGER_MAX_BYTES)
 		conn_close(c);
 }
@@ -799,8 +849,6 @@
 
 	if (c->state == CONN_CLOSED)
 		return;
-	if (c->state == CONN_LINGERING)
-		c->server->n_lingering--;
 	c->state = CONN_CLOSED;
 	c->owner = NULL;
 	TAILQ_REMOVE(&c->server->conns, c, link);
