regress: silences and changes of the configuration as one step

By hand, WHOLE_STEP=1: an endpoint falls silent at the last byte of a request, of a head or of a part of an answer, and in the same tick the configuration changes what this request relies on; signals and releases beside it. WHOLE_STEP=2: series go on, too. Lines on lost requests are copied from the instances' logs, and the users' rule is judged an instance and a change at a time; the stricter check stays. An endpoint that falls silent after an end of an answer now does nothing more in that tick.

--- a/regress/integration/test_unanswered_requests.c
+++ b/regress/integration/test_unanswered_requests.c
@@ -12,6 +12,15 @@
  * endpoint turns away what it gets beyond five requests at once; with WHOLE_BRITTLE=2
  * too it falls over if these are more than two in a second.  With CDM_BIN_BEFORE
  * instances begin as that build.
+ *
+ * With WHOLE_STEP=1 changes come as one step with a silence: at the last byte of a
+ * request, of an answer's head or of a part of its body, its endpoint falls silent
+ * and the configuration changes what this request relies on, sometimes with a
+ * signal for its instance, and sometimes its endpoint leaves.  WHOLE_STEP=2: series
+ * go on beside these.
+ *
+ * The lines in the instances' logs on each request without an answer are printed,
+ * and what breaks the users' rule LOST at each instance.
  */
 #include <signal.h>
 #include <stdarg.h>
@@ -25,6 +34,7 @@
 #include <cmocka.h>
 
 #include "lib/xalloc.h"
+#include "regress/lost_rule.h"
 #include "regress/whole_requests.h"
 
 #define FIRST_SEED 1
@@ -44,6 +54,12 @@
 #define PAUSE_MAX_MS 1200
 #define DRAW_SILENCE_MS 500
 #define ENDPOINTS_PER_SERVICE 2
+#define STEP_PAUSE_MIN_MS 300 /* between two steps */
+#define STEP_PAUSE_MAX_MS 900 /* beyond that */
+#define STEP_HOLDS_MIN_MS 200 /* a step's change */
+#define STEP_HOLDS_MAX_MS 2000 /* beyond that */
+#define STEP_CHANGES 2
+#define LOG_LINES 60 /* printed of a request */
 #define ROOM 5 /* of an endpoint that turns requests away */
 #define BODY_BYTES 8000000
 #define BODY_BYTES_LOW 1000000
@@ -63,6 +79,15 @@
 	CHANGE_ENGINE, /* streams go to the other engines */
 	CHANGE_SERVICES, /* those without routes are left out */
 	CHANGE_GONE, /* half of the routes are left out */
+	CHANGES_DRAWN, /* a series draws from those above */
+	/* a step draws from these, too: */
+	CHANGE_STREAM_SHORT = CHANGES_DRAWN, /* the same limit for streams */
+	CHANGE_IDLE_SHORT,
+	CHANGE_FIRST_KEY,
+	CHANGE_ONE_SLOT,
+	CHANGE_NO_ROUTE, /* that of the request */
+	CHANGE_NOT_RESUMABLE,
+	CHANGE_HEALTH, /* another path */
 	CHANGES,
 };
 
@@ -94,6 +119,14 @@
 	size_t target; /* instance that gets the signals of this series */
 	uint64_t change_ms; /* time of the next change */
 	uint64_t silence_ms; /* when silences are drawn anew */
+	unsigned int steps_with; /* 0: no steps; 2: series, too */
+	uint64_t step_ms; /* time of the next step */
+	enum whole_moment moment; /* of the next step */
+	enum whole_path path; /* of the next step */
+	enum whole_path without; /* a route, by CHANGE_NO_ROUTE */
+	unsigned int steps;
+	struct lost_work *works;
+	size_t n_works;
 	unsigned int releases;
 	unsigned int reloads;
 	unsigned int stops;
@@ -135,11 +168,13 @@
 		"\"targetLatencyMs\":4500,\"targetGapMs\":700,\"backend\":\"%s\","
 		"\"maxAttempts\":%d,\"resumable\":%s}",
 		name, name, type,
-		on[CHANGE_TIMEOUT_SHORT] && plain ? 700
-		: on[CHANGE_TIMEOUT]		  ? WHOLE_TIMEOUT_MS
-						  : 20000,
+		on[plain ? CHANGE_TIMEOUT_SHORT : CHANGE_STREAM_SHORT]
+			? WHOLE_SHORT_TIMEOUT_MS
+		: on[CHANGE_TIMEOUT] ? WHOLE_TIMEOUT_MS
+				     : 20000,
 		service, on[CHANGE_ATTEMPTS] ? 1 : attempts,
-		!strcmp(name, "write") ? "true" : "false");
+		!strcmp(name, "write") && !on[CHANGE_NOT_RESUMABLE] ? "true"
+								    : "false");
 }
 
 /* Writes the services of a configuration, of which one plain and one of engines have
@@ -147,18 +182,21 @@
 static char *list_services(const char *plain, const char *engine)
 {
 	static const char plain_service[] =
-		"{\"name\":\"%s\",\"healthPath\":\"/healthz\"}";
+		"{\"name\":\"%s\",\"healthPath\":\"/%s\"}";
 	static const char engine_service[] =
-		"{\"name\":\"%s\",\"healthPath\":\"/healthz\",\"engine\":{"
+		"{\"name\":\"%s\",\"healthPath\":\"/%s\",\"engine\":{"
 		"\"slots\":%d,\"kvCapacity\":55000}}";
 	const char *idle_plain = strcmp(plain, "alpha") ? "alpha" : "beta";
 	const char *idle_engine = strcmp(engine, "engine") ? "engine" : "motor";
-	int slots = run.changed[CHANGE_SLOTS] ? 2 : 48;
+	const char *health = run.changed[CHANGE_HEALTH] ? "health" : "healthz";
+	int slots = run.changed[CHANGE_ONE_SLOT] ? 1
+		    : run.changed[CHANGE_SLOTS]	 ? 2
+						 : 48;
 	char *parts[] = {
-		xasprintf(plain_service, plain),
-		xasprintf(engine_service, engine, slots),
-		xasprintf(plain_service, idle_plain),
-		xasprintf(engine_service, idle_engine, slots),
+		xasprintf(plain_service, plain, health),
+		xasprintf(engine_service, engine, health, slots),
+		xasprintf(plain_service, idle_plain, health),
+		xasprintf(engine_service, idle_engine, health, slots),
 	};
 	char *all = run.changed[CHANGE_SERVICES]
 			    ? xasprintf("%s,%s", parts[0], parts[1])
@@ -171,6 +209,25 @@
 	return all;
 }
 
+/* Notes planned work. */
+static void note_work(enum lost_work_kind kind, size_t of)
+{
+	run.works =
+		xreallocarray(run.works, run.n_works + 1, sizeof(*run.works));
+	run.works[run.n_works++] = (struct lost_work){
+		.kind = kind,
+		.instance = of,
+		.at_ms = now_ms(),
+	};
+}
+
+/* Returns the name of the route of a path, another one if it is left out. */
+static const char *route_name(enum whole_path path, const char *name)
+{
+	return run.changed[CHANGE_NO_ROUTE] && run.without == path ? "away"
+								   : name;
+}
+
 /* Writes a configuration with the changes that are in force. */
 static void put_configuration(void)
 {
@@ -178,12 +235,13 @@
 	const char *plain = on[CHANGE_PLAIN] ? "beta" : "alpha";
 	const char *engine = on[CHANGE_ENGINE] ? "motor" : "engine";
 	char *routes[] = {
-		route("book", "non_idempotent", plain, 1),
-		route(on[CHANGE_GONE] ? "gone" : "look", "idempotent", plain,
-		      2),
-		route(on[CHANGE_GONE] ? "went" : "tell", "streaming", engine,
+		route(route_name(WHOLE_BOOK, "book"), "non_idempotent", plain,
 		      1),
-		route("write", "streaming", engine, 5),
+		route(on[CHANGE_GONE] ? "gone" : route_name(WHOLE_LOOK, "look"),
+		      "idempotent", plain, 2),
+		route(on[CHANGE_GONE] ? "went" : route_name(WHOLE_TELL, "tell"),
+		      "streaming", engine, 1),
+		route(route_name(WHOLE_WRITE, "write"), "streaming", engine, 5),
 		route(on[CHANGE_ROUTE] ? "more" : "less", "idempotent", plain,
 		      2),
 	};
@@ -192,15 +250,20 @@
 		"{\"version\":%d,\"routes\":[%s,%s,%s,%s,%s],\"services\":[%s],"
 		"\"limits\":{\"maxHeaderBytes\":4096,\"maxBodyBytes\":%d,"
 		"\"headerTimeoutMs\":4000,\"idleTimeoutMs\":%d},"
-		"\"tenants\":[{\"name\":\"ajoke\",\"apiKeys\":[\"k1\"%s]}]}",
+		"\"tenants\":[{\"name\":\"ajoke\",\"apiKeys\":[\"%s\"%s]}]}",
 		++version, routes[0], routes[1], routes[2], routes[3],
 		routes[4], services,
 		on[CHANGE_BODY] ? BODY_BYTES_LOW : BODY_BYTES,
-		on[CHANGE_IDLE] ? 900 : 15000, on[CHANGE_KEY] ? "" : ",\"k2\"");
+		on[CHANGE_IDLE_SHORT] ? 300
+		: on[CHANGE_IDLE]     ? 900
+				      : 15000,
+		on[CHANGE_FIRST_KEY] ? "k3" : "k1",
+		on[CHANGE_KEY] ? "" : ",\"k2\"");
 	size_t i;
 
 	standin_put(platform, "op", "config", text);
 	world.changes++;
+	note_work(LOST_WORK_CONFIG, 0);
 	free(text);
 	free(services);
 	for (i = 0; i < sizeof(routes) / sizeof(routes[0]); i++)
@@ -359,6 +422,7 @@
 	fputc('1' + (int)random_below(&run.random, 3), f);
 	fclose(f);
 	proc_signal(i->in.proc, SIGHUP);
+	note_work(LOST_WORK_RELOAD, (size_t)(i - instances));
 	run.reloads++;
 }
 
@@ -373,6 +437,7 @@
 	if (i->stopping || stopping * INSTANCES_PER_STOP >= n_instances)
 		return;
 	proc_signal(i->in.proc, SIGTERM);
+	note_work(LOST_WORK_STOP, (size_t)(i - instances));
 	i->stopping = true;
 	world.addresses[i - instances].listed = false;
 	run.stops++;
@@ -416,14 +481,16 @@
 	if (before)
 		send_signals();
 	if (run.n_series < SERIES_CHANGES) {
-		run.changed[random_below(r, CHANGES)] = true;
+		run.changed[random_below(r, CHANGES_DRAWN)] = true;
 		run.n_series++;
 		run.change_ms = now_ms() + CHANGE_MS;
 	} else {
 		memset(run.changed, 0, sizeof(run.changed));
 		run.n_series = 0;
-		run.change_ms =
-			now_ms() + PAUSE_MIN_MS + random_below(r, PAUSE_MAX_MS);
+		run.change_ms = run.steps_with == 1
+					? UINT64_MAX
+					: now_ms() + PAUSE_MIN_MS +
+						  random_below(r, PAUSE_MAX_MS);
 	}
 	apply_changes();
 	if (!random_below(r, 3))
@@ -432,6 +499,103 @@
 		send_signals();
 }
 
+/* Changes one thing that a request relies on. */
+static void change_under(const struct whole_request *r)
+{
+	bool *on = run.changed;
+	bool stream = r->path > WHOLE_LOOK;
+
+	switch (random_below(&run.random, 10)) {
+	case 0:
+		on[stream ? CHANGE_ENGINE : CHANGE_PLAIN] = true;
+		break;
+	case 1:
+		on[stream ? CHANGE_ENGINE : CHANGE_PLAIN] = true;
+		on[CHANGE_SERVICES] = true;
+		break;
+	case 2:
+		on[stream ? CHANGE_STREAM_SHORT : CHANGE_TIMEOUT_SHORT] = true;
+		break;
+	case 3:
+		on[CHANGE_IDLE_SHORT] = true;
+		break;
+	case 4:
+		on[r->second_key ? CHANGE_KEY : CHANGE_FIRST_KEY] = true;
+		break;
+	case 5:
+		on[CHANGE_ATTEMPTS] = true;
+		break;
+	case 6:
+		on[CHANGE_ONE_SLOT] = true;
+		break;
+	case 7:
+		on[CHANGE_HEALTH] = true;
+		break;
+	case 8:
+		on[stream ? CHANGE_NOT_RESUMABLE : CHANGE_BODY] = true;
+		break;
+	default:
+		on[CHANGE_NO_ROUTE] = true;
+		run.without = r->path;
+		break;
+	}
+}
+
+/* Draws the next step. */
+static void draw_step(void)
+{
+	struct random_source *r = &run.random;
+
+	run.step_ms = now_ms() + STEP_PAUSE_MIN_MS +
+		      random_below(r, STEP_PAUSE_MAX_MS);
+	run.moment = (enum whole_moment)random_below(r, WHOLE_MOMENTS);
+	run.path = (enum whole_path)random_below(r, WHOLE_PATHS);
+}
+
+/* Takes a step if it is due and this is its moment: changes what the request relies
+ * on, whose endpoint is silent from now on and sometimes leaves.  Returns whether
+ * it was taken. */
+static bool step_at(struct whole_endpoint *e, struct whole_request *r,
+		    enum whole_moment moment)
+{
+	bool signals_first = random_below(&run.random, 2);
+	unsigned int n = 1 + random_below(&run.random, STEP_CHANGES);
+
+	if (now_ms() < run.step_ms || moment != run.moment ||
+	    r->path != run.path || world.ending ||
+	    (moment == WHOLE_MOMENT_PART && random_below(&run.random, 8)))
+		return false;
+	run.target = (size_t)(r->to - world.addresses);
+	while (n--)
+		change_under(r);
+	if (signals_first && random_below(&run.random, 2))
+		send_signals();
+	start_endpoints(run.changed[CHANGE_PLAIN] ? "beta" : "alpha", false);
+	start_endpoints(run.changed[CHANGE_ENGINE] ? "motor" : "engine", true);
+	put_configuration();
+	if (!e->leaving_ms && !random_below(&run.random, 3)) {
+		whole_endpoint_leave(&world, e, random_below(&run.random, 2));
+		run.releases++;
+		start_endpoints(e->service, e->engine);
+	}
+	if (!signals_first && random_below(&run.random, 2))
+		send_signals();
+	run.n_series = SERIES_CHANGES;
+	run.change_ms = now_ms() + STEP_HOLDS_MIN_MS +
+			random_below(&run.random, STEP_HOLDS_MAX_MS);
+	run.steps++;
+	print_message(
+		"step at %s, at the end of its %s, endpoint %s%s, version "
+		"%d\n",
+		r->id,
+		moment == WHOLE_MOMENT_REQUEST ? "request"
+		: moment == WHOLE_MOMENT_HEAD  ? "head"
+					       : "part",
+		e->id, e->leaving_ms ? ", leaving" : "", version);
+	draw_step();
+	return true;
+}
+
 /* Draws which endpoints fall silent as a whole. */
 static void draw_silences(void)
 {
@@ -453,6 +617,8 @@
 	(void)unused;
 	if (run.changed[CHANGE_TIMEOUT])
 		world.limited_ms = now_ms();
+	if (run.changed[CHANGE_STREAM_SHORT])
+		world.stream_limited_ms = now_ms();
 	step_instances();
 	whole_callers_step(&world);
 	whole_endpoints_step(&world);
@@ -499,6 +665,13 @@
 				      .unframed = number("WHOLE_UNFRAMED", 0),
 				      .room = number("WHOLE_ROOM", room),
 				      .brittle = number("WHOLE_BRITTLE", 0) };
+	run.steps_with = number("WHOLE_STEP", 0);
+	if (run.steps_with) {
+		world.on_moment = step_at;
+		draw_step();
+	}
+	if (run.steps_with == 1)
+		run.change_ms = UINT64_MAX;
 	version = 1;
 	apply_changes();
 	n_instances = number("WHOLE_INSTANCES", INSTANCES);
@@ -527,9 +700,97 @@
 	whole_world_release(&world);
 	standin_free(platform);
 	harness_free(harness);
+	free(run.works);
 	free(bin);
 }
 
+/* Prints the lines on a request in the logs of the instances. */
+static void print_lines(const struct whole_request *r)
+{
+	char *id = xasprintf("\"%s\"", r->id);
+	size_t n = 0;
+	size_t i;
+
+	for (i = 0; i < n_instances; i++) {
+		char *output = proc_output(instances[i].in.proc);
+		char *rest = output;
+		const char *line;
+
+		while ((line = strsep(&rest, "\n")) && n < LOG_LINES)
+			if (strstr(line, id)) {
+				print_message("%s: %s\n", instances[i].name,
+					      line);
+				n++;
+			}
+		free(output);
+	}
+	free(id);
+}
+
+/* Prints those lines on each request that was lost. */
+static void print_lost(void)
+{
+	size_t i;
+
+	for (i = 0; i < world.n_requests; i++) {
+		if (world.requests[i]->end != WHOLE_LOST)
+			continue;
+		print_message("lost: %s\n", world.requests[i]->id);
+		print_lines(world.requests[i]);
+	}
+}
+
+/* Prints what breaks the users' rule at each instance. */
+static void judge_instances(uint64_t begin_ms)
+{
+	struct lost_request *cut = xcalloc(world.n_requests + 1, sizeof(*cut));
+	struct lost_run all = {
+		.begin_ms = begin_ms,
+		.end_ms = now_ms(),
+		.grace_ms = GRACE_S * 1000ull,
+		.requests = cut,
+		.works = run.works,
+		.n_works = run.n_works,
+	};
+	size_t broken = 0;
+	size_t i;
+
+	for (i = 0; i < world.n_requests; i++) {
+		const struct whole_request *r = world.requests[i];
+
+		if (r->end < WHOLE_LOST)
+			continue;
+		cut[all.n_requests++] = (struct lost_request){
+			.instance = (size_t)(r->to - world.addresses),
+			.sent_ms = r->begun_ms,
+			.whole_ms = r->whole_ms,
+			.over_ms = r->over_ms,
+			.limit_ms = r->limit_ms,
+			.kept = r->kept,
+			.passed_on = r->runs > 0,
+			.begun = r->begun,
+			.broken_off = r->broken_off,
+			.at_work = r->at_work,
+		};
+	}
+	for (i = 0; i < n_instances; i++) {
+		struct lost_verdict v = lost_rule_judge(&all, i);
+
+		if (lost_rule_holds(&v))
+			continue;
+		print_message("seed %u, the rule is broken at %s: %zu beside "
+			      "stops, %zu beside reloads, %zu beside a "
+			      "configuration, %zu on kept connections\n",
+			      run.seed, instances[i].name, v.beside_stops,
+			      v.beside_reloads, v.beside_config, v.kept);
+		broken++;
+	}
+	print_message("seed %u: %zu requests cut, the rule is broken at %zu of "
+		      "%zu instances; %u steps\n",
+		      run.seed, all.n_requests, broken, n_instances, run.steps);
+	free(cut);
+}
+
 /* Returns how many requests got other bytes than they should, ran again though
  * they may run once, or were refused and have run. */
 static size_t count_wrong(void)
@@ -549,6 +810,7 @@
 		print_message("wrong: %s %s, status %d, %u runs, %d events\n",
 			      r->id, whole_path_prefix(r->path), r->status,
 			      r->runs, r->n_events);
+		print_lines(r);
 		n++;
 	}
 	return n;
@@ -616,11 +878,15 @@
 	for (i = 0; i < n; i++) {
 		size_t lost;
 		size_t wrong;
+		uint64_t begin_ms;
 
 		start(first + i, room);
+		begin_ms = now_ms();
 		play(number("WHOLE_SECONDS", RUN_S));
 		report();
+		judge_instances(begin_ms);
 		lost = whole_count(&world, WHOLE_LOST);
+		print_lost();
 		wrong = count_wrong();
 		bad += lost + wrong + run.failed_exits;
 		print_message(
--- a/regress/whole_callers.c
+++ b/regress/whole_callers.c
@@ -165,6 +165,9 @@
 {
 	if (w->limited_ms && now_ms(w) - w->limited_ms < APPLIED_MS)
 		r->limit_ms = WHOLE_TIMEOUT_MS;
+	if (r->path > WHOLE_LOOK && w->stream_limited_ms &&
+	    now_ms(w) - w->stream_limited_ms < APPLIED_MS)
+		r->limit_ms = WHOLE_SHORT_TIMEOUT_MS;
 }
 
 /* Prepares the next request of a caller. */
@@ -178,7 +181,9 @@
 	}
 	r = xcalloc(1, sizeof(*r));
 	snprintf(r->id, sizeof(r->id), "p-%zu-x", w->n_requests);
+	r->to = c->to;
 	r->path = (enum whole_path)random_below(w->random, WHOLE_PATHS);
+	r->second_key = !random_below(w->random, 6);
 	r->chunks = random_below(w->random, 2);
 	r->kept = c->n_answers > 0;
 	r->begun_ms = now_ms(w);
@@ -211,9 +216,8 @@
 		   "POST %sa HTTP/1.1\r\nHost: 127.0.0.1\r\n"
 		   "credential: %s\r\nrequest-id: %s\r\ndeadline-ms: %d\r\n"
 		   "token-usage: 120,60\r\n",
-		   whole_path_prefix(r->path),
-		   random_below(w->random, 6) ? "k1" : "k2", r->id,
-		   WHOLE_DEADLINE_MS);
+		   whole_path_prefix(r->path), r->second_key ? "k2" : "k1",
+		   r->id, WHOLE_DEADLINE_MS);
 	if (r->chunks)
 		bytes_addf(&c->out, "transfer-encoding: chunked\r\n\r\n");
 	else
@@ -297,6 +301,7 @@
 			    HTTP1_DONE)
 			return;
 		c->open->status = head.status;
+		c->open->begun = true;
 		c->closing = !http1_keeps_alive(&head);
 		assert_true(http1_response_framing(&head, false, &c->framing));
 		c->in_body = true;
@@ -325,6 +330,7 @@
 		r->end = WHOLE_REFUSED;
 	else
 		r->end = WHOLE_FAILED;
+	r->over_ms = now_ms(w);
 	if (r->end == WHOLE_ANSWERED && r->path > WHOLE_LOOK)
 		r->wrong = r->wrong || !count_events(r, &c->text);
 	else if (r->end == WHOLE_ANSWERED)
@@ -370,6 +376,10 @@
 	struct whole_request *r = c->open;
 	uint64_t now = now_ms(w);
 
+	if (r) {
+		r->over_ms = now;
+		r->at_work = whole_at_work(w, r);
+	}
 	if (r && !r->whole_ms)
 		r->end = WHOLE_UNFINISHED;
 	else if (r && r->broken_off)
--- a/regress/whole_endpoints.c
+++ b/regress/whole_endpoints.c
@@ -76,8 +76,11 @@
 		   struct whole_conn *c);
 static void answer_call(const struct whole_endpoint *e, struct whole_conn *c,
 			const struct http1_head *head);
-static void step_stream(struct whole_conn *c, uint64_t now);
-static void flush(struct whole_conn *c);
+static void step_stream(struct whole_world *w, struct whole_endpoint *e,
+			struct whole_conn *c);
+static bool falls_silent(struct whole_world *w, struct whole_endpoint *e,
+			 struct whole_conn *c, enum whole_moment moment);
+static void flush(struct whole_conn *c, size_t most);
 static void end_endpoint(struct whole_world *w, struct whole_endpoint *e);
 
 static uint64_t now_ms(const struct whole_world *w)
@@ -165,7 +168,7 @@
 		if (e->listener < 0 || now < e->silent_until_ms)
 			continue;
 		accept_all(e);
-		for (k = 0; k < e->n_conns; k++)
+		for (k = 0; k < e->n_conns && now >= e->silent_until_ms; k++)
 			if (e->conns[k]->fd >= 0 &&
 			    step_conn(w, e, e->conns[k]))
 				idle = false;
@@ -173,12 +176,29 @@
 			fall_over(w, e);
 			continue;
 		}
-		if (idle && e->leaving_ms &&
+		if (idle && now >= e->silent_until_ms && e->leaving_ms &&
 		    now >= e->leaving_ms + LEAVING_MIN_MS)
 			end_endpoint(w, e);
 	}
 }
 
+/* Returns whether an endpoint is at work on a request. */
+bool whole_at_work(const struct whole_world *w, const struct whole_request *r)
+{
+	size_t i;
+	size_t k;
+
+	for (i = 0; i < w->n_endpoints; i++)
+		for (k = 0; k < w->endpoints[i].n_conns; k++) {
+			const struct whole_conn *c = w->endpoints[i].conns[k];
+
+			if (c->fd >= 0 && c->request == r &&
+			    (c->state != CONN_HEAD || c->out.len))
+				return true;
+		}
+	return false;
+}
+
 /* Returns the request with an id, NULL if there is none. */
 struct whole_request *whole_find(const struct whole_world *w, const char *id,
 				 size_t len)
@@ -248,14 +268,18 @@
 		close_conn(c);
 		return true;
 	}
-	while ((c->state == CONN_HEAD && take_head(w, e, c)) ||
-	       (c->state == CONN_BODY && take_body(w, e, c)))
+	while (now >= e->silent_until_ms &&
+	       ((c->state == CONN_HEAD && take_head(w, e, c)) ||
+		(c->state == CONN_BODY && take_body(w, e, c))))
 		;
-	if (c->state == CONN_WORK && now >= c->due_ms)
+	if (now >= e->silent_until_ms && c->state == CONN_WORK &&
+	    now >= c->due_ms)
 		answer(w, e, c);
-	if (c->state == CONN_STREAM)
-		step_stream(c, now);
-	flush(c);
+	if (now >= e->silent_until_ms && c->state == CONN_STREAM)
+		step_stream(w, e, c);
+	if (now < e->silent_until_ms)
+		return true;
+	flush(c, c->out.len);
 	if (c->closes && c->state == CONN_HEAD && !c->out.len) {
 		close_conn(c);
 		if (c->unframed && !random_below(w->random, SILENT_ENDS_ONE_IN))
@@ -390,7 +414,9 @@
 		c->request->wrong = true;
 	c->slow = false;
 	c->state = c->early ? CONN_HEAD : CONN_WORK;
-	if (c->state == CONN_WORK && now_ms(w) >= c->due_ms)
+	if (c->state == CONN_WORK &&
+	    !falls_silent(w, e, c, WHOLE_MOMENT_REQUEST) &&
+	    now_ms(w) >= c->due_ms)
 		answer(w, e, c);
 	return true;
 }
@@ -406,6 +432,7 @@
 			     : random_below(w->random, PAD_MAX);
 	size_t len = strlen(c->request->id) + pad;
 	bool chunks = random_below(w->random, 2);
+	size_t head;
 	char *body;
 
 	if (w->brittle)
@@ -424,6 +451,8 @@
 			   c->unframed ? "" : "transfer-encoding: chunked\r\n");
 		c->state = CONN_STREAM;
 		c->due_ms = now_ms(w) + STANDIN_EVENT_MS;
+		if (falls_silent(w, e, c, WHOLE_MOMENT_HEAD))
+			flush(c, c->out.len);
 		return;
 	}
 	body = xcalloc(len + 1, 1);
@@ -432,16 +461,32 @@
 	if (c->unframed)
 		bytes_addf(&c->out, "\r\n");
 	else if (chunks)
-		bytes_addf(&c->out, "transfer-encoding: chunked\r\n\r\n%zx\r\n",
-			   len);
+		bytes_addf(&c->out, "transfer-encoding: chunked\r\n\r\n");
 	else
 		bytes_addf(&c->out, "content-length: %zu\r\n\r\n", len);
+	head = c->out.len;
+	if (chunks && !c->unframed)
+		bytes_addf(&c->out, "%zx\r\n", len);
 	bytes_add(&c->out, body, len);
 	if (chunks && !c->unframed)
 		bytes_addf(&c->out, "\r\n0\r\n\r\n");
 	free(body);
 	if (!c->early)
 		c->state = CONN_HEAD;
+	if (falls_silent(w, e, c, WHOLE_MOMENT_HEAD))
+		flush(c, head);
+	else if (falls_silent(w, e, c, WHOLE_MOMENT_PART))
+		flush(c, head + (c->out.len - head) / 2);
+}
+
+/* Returns whether an endpoint falls silent at a moment of a request. */
+static bool falls_silent(struct whole_world *w, struct whole_endpoint *e,
+			 struct whole_conn *c, enum whole_moment moment)
+{
+	if (!w->on_moment || !w->on_moment(e, c->request, moment))
+		return false;
+	whole_endpoint_silence(w, e);
+	return true;
 }
 
 /* Answers a call of an instance that no caller sent: for health or a report. */
@@ -463,11 +508,12 @@
 }
 
 /* Writes the events of a stream that are due, and its end. */
-static void step_stream(struct whole_conn *c, uint64_t now)
+static void step_stream(struct whole_world *w, struct whole_endpoint *e,
+			struct whole_conn *c)
 {
 	char event[64];
 
-	while (now >= c->due_ms && c->next_event <= STANDIN_EVENTS) {
+	while (now_ms(w) >= c->due_ms && c->next_event <= STANDIN_EVENTS) {
 		snprintf(event, sizeof(event), "id: %d\ndata: e\n\n",
 			 c->next_event++);
 		if (c->unframed)
@@ -476,6 +522,11 @@
 			bytes_addf(&c->out, "%zx\r\n%s\r\n", strlen(event),
 				   event);
 		c->due_ms += STANDIN_EVENT_MS;
+		if (c->next_event <= STANDIN_EVENTS &&
+		    falls_silent(w, e, c, WHOLE_MOMENT_PART)) {
+			flush(c, c->out.len);
+			return;
+		}
 	}
 	if (c->next_event <= STANDIN_EVENTS)
 		return;
@@ -499,14 +550,15 @@
 	end_endpoint(w, e);
 }
 
-/* Sends what the socket takes.  An error shows at the next read. */
-static void flush(struct whole_conn *c)
+/* Sends what the socket takes, at most so many bytes.  An error shows at the next
+ * read. */
+static void flush(struct whole_conn *c, size_t most)
 {
 	ssize_t n;
 
-	if (!c->out.len)
+	if (!most)
 		return;
-	n = send(c->fd, c->out.data, c->out.len, MSG_NOSIGNAL);
+	n = send(c->fd, c->out.data, most, MSG_NOSIGNAL);
 	if (n > 0)
 		bytes_consume(&c->out, (size_t)n);
 }
--- a/regress/whole_requests.h
+++ b/regress/whole_requests.h
@@ -15,11 +15,12 @@
  * and leave by plan.  The test steps them; they share a table of requests. */
 
 #define WHOLE_CALLERS_MAX 64
-#define WHOLE_ENDPOINTS_MAX 256 /* all starts of a run */
+#define WHOLE_ENDPOINTS_MAX 800 /* all starts of a run */
 #define WHOLE_ADDRESSES_MAX 96
 
 #define WHOLE_DEADLINE_MS 9000 /* of each request */
 #define WHOLE_TIMEOUT_MS 5000 /* the shorter time limit of routes */
+#define WHOLE_SHORT_TIMEOUT_MS 700 /* the shortest, under that of a silence */
 
 /* The routes, which the test configures. */
 enum whole_path {
@@ -45,8 +46,18 @@
 	WHOLE_ENDS,
 };
 
+/* Moments at which an endpoint may fall silent. */
+enum whole_moment {
+	WHOLE_MOMENT_REQUEST, /* it has read the last byte of a request */
+	WHOLE_MOMENT_HEAD, /* it has sent the last byte of an answer's head */
+	WHOLE_MOMENT_PART, /* it has sent an event, or half of a plain body */
+	WHOLE_MOMENTS,
+};
+
 struct whole_request {
 	char id[32];
+	const struct whole_address *to;
+	bool second_key; /* of its organisation */
 	enum whole_path path;
 	enum whole_end end;
 	size_t len; /* of its body */
@@ -57,9 +68,12 @@
 	unsigned int runs; /* endpoints that began to read it */
 	bool wrong; /* an endpoint got other bytes, or its caller did */
 	bool broken_off; /* an endpoint that ran it fell over */
+	bool begun; /* a part of its answer arrived */
+	bool at_work; /* an endpoint, when its connection ended */
 	uint64_t begun_ms; /* loop time of its first byte */
 	uint64_t limit_ms; /* shortest that may apply to it */
 	uint64_t whole_ms; /* loop time at which it was sent whole; 0: not */
+	uint64_t over_ms; /* loop time of its end */
 	int status;
 	int n_events; /* of a stream, received in order */
 };
@@ -117,9 +131,14 @@
 	size_t n_callers;
 	struct whole_endpoint endpoints[WHOLE_ENDPOINTS_MAX];
 	size_t n_endpoints;
+	/* is told of each moment of a request that an endpoint runs; returns whether
+	 * the endpoint is silent from this moment on.  NULL: none is told */
+	bool (*on_moment)(struct whole_endpoint *e, struct whole_request *r,
+			  enum whole_moment moment);
 	unsigned int changes; /* of the configuration, so far */
 	/* when a shorter time limit of the routes was last in force; 0: never */
 	uint64_t limited_ms;
+	uint64_t stream_limited_ms; /* the same of the shortest, of streams */
 	bool ending; /* no new requests, and nothing is held back */
 	bool unframed; /* half of the answers end with their connection */
 	size_t room; /* requests that an endpoint takes at once; 0: all */
@@ -141,6 +160,7 @@
 			  bool unlisted);
 void whole_endpoint_silence(struct whole_world *w, struct whole_endpoint *e);
 void whole_endpoints_step(struct whole_world *w);
+bool whole_at_work(const struct whole_world *w, const struct whole_request *r);
 struct whole_request *whole_find(const struct whole_world *w, const char *id,
 				 size_t len);
 char whole_fill(const struct whole_request *r);
