regress: callers of several manners in the run of whole requests

By hand, WHOLE_CALLERS_KINDS=1: callers that read nothing for up to 4 s from small buffers, that send two requests at once, that end their sending direction, and of HTTP/1.0. An answer of HTTP/1.0 that ends with its connection is compared with what its endpoint sent.

The rest behind a body in chunks follows the decoded bytes, as lib/http1.c says; callers and endpoints took it from the end, which was the same as long as nothing was sent behind a request.

--- a/regress/integration/test_unanswered_requests.c
+++ b/regress/integration/test_unanswered_requests.c
@@ -19,6 +19,9 @@
  * signal for its instance, and sometimes its endpoint leaves.  WHOLE_STEP=2: series
  * go on beside these.
  *
+ * With WHOLE_CALLERS_KINDS=1 some callers read nothing for seconds, some send two
+ * requests at once, end their sending direction, or are of HTTP/1.0.
+ *
  * The lines in the instances' logs on each request without an answer are printed,
  * and what breaks the users' rule LOST at each instance.
  */
@@ -665,6 +668,7 @@
 				      .unframed = number("WHOLE_UNFRAMED", 0),
 				      .room = number("WHOLE_ROOM", room),
 				      .brittle = number("WHOLE_BRITTLE", 0) };
+	world.manners = number("WHOLE_CALLERS_KINDS", 0);
 	run.steps_with = number("WHOLE_STEP", 0);
 	if (run.steps_with) {
 		world.on_moment = step_at;
@@ -850,6 +854,35 @@
 	}
 }
 
+/* Prints how the requests of each manner ended, if there are several. */
+static void report_manners(void)
+{
+	static const char *const names[WHOLE_MANNERS] = {
+		[WHOLE_PLAINLY] = "plainly",
+		[WHOLE_PAUSING] = "read late",
+		[WHOLE_TWO] = "two at once",
+		[WHOLE_HALF_CLOSED] = "sending direction ended",
+		[WHOLE_HTTP_1_0] = "HTTP/1.0",
+	};
+	size_t manner;
+
+	for (manner = 0; world.manners && manner < WHOLE_MANNERS; manner++) {
+		size_t n[WHOLE_ENDS] = { 0 };
+		size_t i;
+
+		for (i = 0; i < world.n_requests; i++)
+			if (world.requests[i]->manner == manner)
+				n[world.requests[i]->end]++;
+		print_message("seed %u, %s: %zu answered, %zu refused, %zu "
+			      "failed, %zu lost, %zu out of time, %zu crossed, "
+			      "%zu unfinished\n",
+			      run.seed, names[manner], n[WHOLE_ANSWERED],
+			      n[WHOLE_REFUSED], n[WHOLE_FAILED], n[WHOLE_LOST],
+			      n[WHOLE_OUT_OF_TIME], n[WHOLE_CROSSED],
+			      n[WHOLE_UNFINISHED]);
+	}
+}
+
 /* Plays the planned work and the requests of a seed. */
 static void play(unsigned int seconds)
 {
@@ -885,6 +918,7 @@
 		play(number("WHOLE_SECONDS", RUN_S));
 		report();
 		judge_instances(begin_ms);
+		report_manners();
 		lost = whole_count(&world, WHOLE_LOST);
 		print_lost();
 		wrong = count_wrong();
--- a/regress/whole_callers.c
+++ b/regress/whole_callers.c
@@ -30,6 +30,9 @@
 #define READ_BYTES 262144
 #define SLOW_BYTES 16384 /* a step */
 #define RETRY_CONNECT_MS 5
+#define SMALL_BUFFER \
+	4096 /* of a socket, so that answers wait at the instance */
+#define READS_MAX_MS 4000 /* a caller that pauses, after it has begun to send */
 #define PAUSE_MAX_MS 150
 #define APPLIED_MS 2000 /* a configuration, after the next one */
 
@@ -37,12 +40,18 @@
 static const struct whole_address *choose_address(struct whole_world *w);
 static void note_limit(const struct whole_world *w, struct whole_request *r);
 static void begin(struct whole_world *w, struct whole_caller *c);
-static void write_request(struct whole_world *w, struct whole_caller *c);
+static struct whole_request *new_request(struct whole_world *w,
+					 struct whole_caller *c);
+static void write_request(struct whole_caller *c,
+			  const struct whole_request *r);
 static void send_some(struct whole_world *w, struct whole_caller *c);
 static void receive_some(struct whole_world *w, struct whole_caller *c);
 static void take_answer(struct whole_world *w, struct whole_caller *c);
 static void settle(struct whole_world *w, struct whole_caller *c);
+static bool is_complete(struct whole_caller *c);
 static bool count_events(struct whole_request *r, const struct bytes *text);
+static void end_request(struct whole_world *w, struct whole_caller *c,
+			struct whole_request *r);
 static void end_connection(struct whole_world *w, struct whole_caller *c);
 
 static uint64_t now_ms(const struct whole_world *w)
@@ -72,7 +81,8 @@
 	for (i = 0; i < w->n_callers; i++) {
 		struct whole_caller *c = &w->callers[i];
 
-		if (!c->open && !w->ending && now_ms(w) >= c->next_ms)
+		if (!c->open && !c->next && !w->ending &&
+		    now_ms(w) >= c->next_ms)
 			begin(w, c);
 		if (c->fd >= 0)
 			send_some(w, c);
@@ -87,7 +97,7 @@
 	size_t i;
 
 	for (i = 0; i < w->n_callers; i++)
-		if (w->callers[i].open)
+		if (w->callers[i].open || w->callers[i].next)
 			return false;
 	return true;
 }
@@ -141,11 +151,14 @@
 static bool connect_caller(struct whole_world *w, struct whole_caller *c)
 {
 	struct sockaddr_in sin = { .sin_family = AF_INET };
+	int size = SMALL_BUFFER;
 
 	c->to = choose_address(w);
 	if (!c->to)
 		return false;
 	c->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	if (w->manners && random_below(w->random, 2))
+		setsockopt(c->fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
 	sin.sin_port = htons(
 		(uint16_t)strtoul(strchr(c->to->address, ':') + 1, NULL, 10));
 	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -179,12 +192,46 @@
 		c->next_ms = now_ms(w) + RETRY_CONNECT_MS;
 		return;
 	}
-	r = xcalloc(1, sizeof(*r));
+	r = new_request(w, c);
+	c->open = r;
+	c->reads_slowly = !random_below(w->random, 8);
+	c->changes_seen = w->changes;
+	c->next_ms = now_ms(w);
+	c->reads_ms = 0;
+	if (r->manner == WHOLE_PAUSING)
+		c->reads_ms = now_ms(w) + random_below(w->random, READS_MAX_MS);
+	write_request(c, r);
+	c->first_len = c->out.len;
+	c->sent = 0;
+	c->held =
+		random_below(w->random, 3)
+			? 0
+			: 1 + random_below(w->random, (uint32_t)c->out.len - 1);
+	if (r->manner != WHOLE_TWO)
+		return;
+	c->held = 0;
+	c->next = new_request(w, c);
+	c->next->kept = true;
+	c->next->manner = WHOLE_TWO;
+	if (c->next->len > SMALL_MAX)
+		c->next->len = SMALL_MAX;
+	write_request(c, c->next);
+}
+
+/* Draws a request of a caller. */
+static struct whole_request *new_request(struct whole_world *w,
+					 struct whole_caller *c)
+{
+	struct whole_request *r = xcalloc(1, sizeof(*r));
+
 	snprintf(r->id, sizeof(r->id), "p-%zu-x", w->n_requests);
 	r->to = c->to;
 	r->path = (enum whole_path)random_below(w->random, WHOLE_PATHS);
 	r->second_key = !random_below(w->random, 6);
-	r->chunks = random_below(w->random, 2);
+	if (w->manners)
+		r->manner = (enum whole_manner)random_below(w->random,
+							    WHOLE_MANNERS);
+	r->chunks = r->manner != WHOLE_HTTP_1_0 && random_below(w->random, 2);
 	r->kept = c->n_answers > 0;
 	r->begun_ms = now_ms(w);
 	r->limit_ms = WHOLE_DEADLINE_MS;
@@ -197,27 +244,22 @@
 	w->requests = xreallocarray(w->requests, w->n_requests + 1,
 				    sizeof(r)); /* NOLINT: of pointers */
 	w->requests[w->n_requests++] = r;
-	c->open = r;
-	c->reads_slowly = !random_below(w->random, 8);
-	c->changes_seen = w->changes;
-	c->next_ms = now_ms(w);
-	write_request(w, c);
+	return r;
 }
 
-/* Writes the bytes of a request and draws how many at the end are held back. */
-static void write_request(struct whole_world *w, struct whole_caller *c)
+/* Writes the bytes of a request behind what a caller is to send. */
+static void write_request(struct whole_caller *c, const struct whole_request *r)
 {
-	const struct whole_request *r = c->open;
 	static char fill[CHUNK];
 	size_t left = r->len;
 
 	memset(fill, whole_fill(r), sizeof(fill));
 	bytes_addf(&c->out,
-		   "POST %sa HTTP/1.1\r\nHost: 127.0.0.1\r\n"
+		   "POST %sa HTTP/1.%d\r\nHost: 127.0.0.1\r\n"
 		   "credential: %s\r\nrequest-id: %s\r\ndeadline-ms: %d\r\n"
 		   "token-usage: 120,60\r\n",
-		   whole_path_prefix(r->path), r->second_key ? "k2" : "k1",
-		   r->id, WHOLE_DEADLINE_MS);
+		   whole_path_prefix(r->path), r->manner != WHOLE_HTTP_1_0,
+		   r->second_key ? "k2" : "k1", r->id, WHOLE_DEADLINE_MS);
 	if (r->chunks)
 		bytes_addf(&c->out, "transfer-encoding: chunked\r\n\r\n");
 	else
@@ -234,11 +276,6 @@
 	}
 	if (r->chunks)
 		bytes_addf(&c->out, "0\r\n\r\n");
-	c->sent = 0;
-	c->held =
-		random_below(w->random, 3)
-			? 0
-			: 1 + random_below(w->random, (uint32_t)c->out.len - 1);
 }
 
 /* Sends what is not held back; that goes on after a change, or after
@@ -262,8 +299,14 @@
 		return;
 	c->sent += (size_t)n;
 	note_limit(w, c->open);
-	if (c->sent == c->out.len)
+	if (c->sent >= c->first_len && !c->open->whole_ms)
 		c->open->whole_ms = now;
+	if (c->next)
+		note_limit(w, c->next);
+	if (c->next && c->sent == c->out.len)
+		c->next->whole_ms = now;
+	if (c->open->manner == WHOLE_HALF_CLOSED && c->open->whole_ms)
+		shutdown(c->fd, SHUT_WR);
 }
 
 /* Receives what has arrived, and the answer from it. */
@@ -271,18 +314,25 @@
 {
 	static char buf[READ_BYTES];
 	size_t most = c->reads_slowly ? SLOW_BYTES : sizeof(buf);
-	ssize_t n = recv(c->fd, buf, most, 0);
+	size_t n_answers = c->n_answers;
+	ssize_t n;
 
+	if (c->open && now_ms(w) < c->reads_ms)
+		return;
+	n = recv(c->fd, buf, most, 0);
 	if (n > 0)
 		bytes_add(&c->in, buf, (size_t)n);
 	if (n < 0 && errno == EAGAIN)
 		return;
 	if (c->open)
 		take_answer(w, c);
+	if (c->open && c->n_answers > n_answers)
+		take_answer(w, c); /* of the request that was sent behind it */
 	if (n == 0 && c->open && c->in_body &&
-	    c->framing.framing == HTTP1_UNTIL_CLOSE)
+	    c->framing.framing == HTTP1_UNTIL_CLOSE && is_complete(c))
 		settle(w, c);
-	if (n <= 0 || (c->closing && !c->open))
+	if (n <= 0 ||
+	    (c->closing && !c->open && !(c->next && c->next->whole_ms)))
 		end_connection(w, c);
 }
 
@@ -302,22 +352,35 @@
 			return;
 		c->open->status = head.status;
 		c->open->begun = true;
-		c->closing = !http1_keeps_alive(&head);
+		c->closing = !http1_keeps_alive(&head) ||
+			     c->open->manner == WHOLE_HALF_CLOSED;
 		assert_true(http1_response_framing(&head, false, &c->framing));
 		c->in_body = true;
 		bytes_consume(&c->in, used);
 	}
-	result = c->framing.framing == HTTP1_EMPTY
-			 ? HTTP1_DONE
-			 : http1_body_read(&c->framing, c->in.data, c->in.len,
-					   &decoded, &rest);
+	result = http1_body_read(&c->framing, c->in.data, c->in.len, &decoded,
+				 &rest);
 	assert_true(result != HTTP1_BAD);
 	bytes_add(&c->text, c->in.data, decoded);
-	bytes_consume(&c->in, c->in.len - rest);
+	bytes_consume(&c->in, decoded);
+	c->in.len = rest;
 	if (result == HTTP1_DONE)
 		settle(w, c);
 }
 
+/* Returns whether an answer that ends with its connection is all that an endpoint
+ * sent, as far as that is known: a plain one may come of another run. */
+static bool is_complete(struct whole_caller *c)
+{
+	struct whole_request copy = *c->open;
+
+	if (c->open->status >= 300)
+		return true;
+	if (c->open->path > WHOLE_LOOK)
+		return count_events(&copy, &c->text);
+	return c->open->runs > 1 || c->text.len == c->open->answer_len;
+}
+
 /* Notes a complete answer. */
 static void settle(struct whole_world *w, struct whole_caller *c)
 {
@@ -336,15 +399,23 @@
 	else if (r->end == WHOLE_ANSWERED)
 		r->wrong = r->wrong || c->text.len < id_len ||
 			   memcmp(c->text.data, r->id, id_len) != 0;
-	if (c->sent < c->out.len)
+	if (c->sent < c->first_len)
 		c->closing = true; /* the rest of the request is not sent */
 	c->n_answers++;
-	c->open = NULL;
 	c->in_body = false;
-	c->out.len = 0;
-	c->sent = 0;
 	c->held = 0;
 	c->text.len = 0;
+	if (c->next && !c->closing) {
+		bytes_consume(&c->out, c->first_len);
+		c->sent -= c->first_len;
+		c->first_len = c->out.len;
+		c->open = c->next;
+		c->next = NULL;
+		return;
+	}
+	c->open = NULL;
+	c->out.len = 0;
+	c->sent = 0;
 	c->next_ms = now_ms(w) + random_below(w->random, PAUSE_MAX_MS);
 }
 
@@ -364,8 +435,9 @@
 	return r->n_events == STANDIN_EVENTS;
 }
 
-/* Notes the end of a connection, whose request has no complete answer. */
-static void end_connection(struct whole_world *w, struct whole_caller *c)
+/* Notes the end of a connection for a request that has no complete answer. */
+static void end_request(struct whole_world *w, struct whole_caller *c,
+			struct whole_request *r)
 {
 	static const char *const ends[WHOLE_ENDS] = {
 		[WHOLE_LOST] = "lost",
@@ -373,43 +445,58 @@
 		[WHOLE_BROKEN_OFF] = "broken off",
 		[WHOLE_OUT_OF_TIME] = "out of time",
 	};
-	struct whole_request *r = c->open;
+	static const char *const manners[WHOLE_MANNERS] = {
+		[WHOLE_PLAINLY] = "",
+		[WHOLE_PAUSING] = ", reading late",
+		[WHOLE_TWO] = ", one of two at once",
+		[WHOLE_HALF_CLOSED] = ", sending direction ended",
+		[WHOLE_HTTP_1_0] = ", HTTP/1.0",
+	};
 	uint64_t now = now_ms(w);
 
-	if (r) {
-		r->over_ms = now;
-		r->at_work = whole_at_work(w, r);
-	}
-	if (r && !r->whole_ms)
+	r->over_ms = now;
+	r->at_work = whole_at_work(w, r);
+	if (!r->whole_ms)
 		r->end = WHOLE_UNFINISHED;
-	else if (r && r->broken_off)
+	else if (r->broken_off)
 		r->end = WHOLE_BROKEN_OFF;
-	else if (r && now - r->begun_ms >= r->limit_ms)
+	else if (now - r->begun_ms >= r->limit_ms)
 		r->end = WHOLE_OUT_OF_TIME;
-	else if (r)
-		r->end = r->runs || c->in_body ||
+	else
+		r->end = r->runs || r->begun ||
 					 now - r->whole_ms > LOSS_SLACK_MS
 				 ? WHOLE_LOST
 				 : WHOLE_CROSSED;
-	if (r && r->whole_ms)
-		print_message("%s: %s %s at %s, body of %zu in %s%s%s, %llu ms "
-			      "after its last byte, %s, answer %s\n",
-			      ends[r->end], r->id, whole_path_prefix(r->path),
-			      c->to->address, r->len,
-			      r->chunks ? "chunks" : "one piece",
-			      r->kept ? ", kept" : "",
-			      r->fresh ? ", fresh instance" : "",
-			      (unsigned long long)(now - r->whole_ms),
-			      r->runs ? "passed on" : "not passed on",
-			      c->in_body ? "begun" : "not begun");
+	if (r->whole_ms)
+		print_message(
+			"%s: %s %s at %s, body of %zu in %s%s%s%s, %llu ms "
+			"after its last byte, %s, answer %s\n",
+			ends[r->end], r->id, whole_path_prefix(r->path),
+			c->to->address, r->len,
+			r->chunks ? "chunks" : "one piece",
+			r->kept ? ", kept" : "",
+			r->fresh ? ", fresh instance" : "", manners[r->manner],
+			(unsigned long long)(now - r->whole_ms),
+			r->runs ? "passed on" : "not passed on",
+			r->begun ? "begun" : "not begun");
+}
+
+/* Notes the end of a connection. */
+static void end_connection(struct whole_world *w, struct whole_caller *c)
+{
+	if (c->open)
+		end_request(w, c, c->open);
+	if (c->next)
+		end_request(w, c, c->next);
 	close(c->fd);
 	c->fd = -1;
 	c->open = NULL;
+	c->next = NULL;
 	c->in_body = false;
 	c->in.len = 0;
 	c->text.len = 0;
 	c->out.len = 0;
 	c->sent = 0;
 	c->held = 0;
-	c->next_ms = now + random_below(w->random, PAUSE_MAX_MS);
+	c->next_ms = now_ms(w) + random_below(w->random, PAUSE_MAX_MS);
 }
--- a/regress/whole_endpoints.c
+++ b/regress/whole_endpoints.c
@@ -407,7 +407,8 @@
 		if (c->in.data[i] != whole_fill(c->request))
 			c->request->wrong = true;
 	c->got += decoded;
-	bytes_consume(&c->in, c->in.len - rest);
+	bytes_consume(&c->in, decoded);
+	c->in.len = rest;
 	if (result != HTTP1_DONE)
 		return false;
 	if (c->got != c->request->len)
@@ -455,6 +456,7 @@
 			flush(c, c->out.len);
 		return;
 	}
+	c->request->answer_len = len;
 	body = xcalloc(len + 1, 1);
 	memset(body, '.', len);
 	memcpy(body, c->request->id, strlen(c->request->id));
--- a/regress/whole_requests.h
+++ b/regress/whole_requests.h
@@ -54,6 +54,16 @@
 	WHOLE_MOMENTS,
 };
 
+/* How a caller treats its request. */
+enum whole_manner {
+	WHOLE_PLAINLY,
+	WHOLE_PAUSING, /* it reads nothing for some seconds */
+	WHOLE_TWO, /* it sends another request at once behind it */
+	WHOLE_HALF_CLOSED, /* it ends its sending direction after it */
+	WHOLE_HTTP_1_0,
+	WHOLE_MANNERS,
+};
+
 struct whole_request {
 	char id[32];
 	const struct whole_address *to;
@@ -61,6 +71,8 @@
 	enum whole_path path;
 	enum whole_end end;
 	size_t len; /* of its body */
+	size_t answer_len; /* of its plain answer, as an endpoint sent it */
+	enum whole_manner manner;
 	bool chunks; /* its body is sent in chunks */
 	bool kept; /* its connection had carried a request before */
 	bool held; /* a change came while a part of it was held back */
@@ -98,6 +110,9 @@
 	bool closing; /* the answer closes the connection */
 	bool reads_slowly;
 	struct whole_request *open; /* NULL: none */
+	struct whole_request *next; /* sent behind it; NULL: none */
+	size_t first_len; /* bytes of out of the open request */
+	uint64_t reads_ms; /* it reads nothing before */
 	size_t n_answers; /* on this connection */
 	unsigned int changes_seen; /* when bytes were held back */
 	uint64_t next_ms; /* of the next request */
@@ -141,6 +156,7 @@
 	uint64_t stream_limited_ms; /* the same of the shortest, of streams */
 	bool ending; /* no new requests, and nothing is held back */
 	bool unframed; /* half of the answers end with their connection */
+	bool manners; /* callers have all of them */
 	size_t room; /* requests that an endpoint takes at once; 0: all */
 	unsigned int brittle; /* turned away in a second; more, and it falls */
 	size_t n_turned_away; /* requests, by endpoints without room */
