http1_server: a request behind another one is answered while stopping

Callers that send a request behind another one on a connection lost it if its instance was told to stop before the first one's answer began: that answer said "connection: close", and what had been read behind it was dropped.

The answer that says so is now the first one behind which nothing has been sent; the request gets an answer or the refusal of a stopping instance. It was read before, so the stop already waited for callers like this one.

--- a/lib/http1_server.c
+++ b/lib/http1_server.c
@@ -136,6 +136,7 @@
 static uint64_t without_progress_ms(const struct http1_conn *c, uint64_t now);
 static bool is_busy(const struct http1_conn *c);
 static bool is_idle_too_long(const struct http1_conn *c, uint64_t now);
+static bool is_last_answer(const struct http1_conn *c);
 static void note_sending(struct http1_conn *c, uint64_t now);
 static size_t unread_bytes(const struct http1_conn *c);
 static size_t socket_bytes(const struct http1_conn *c, unsigned long what);
@@ -209,7 +210,8 @@
 	s->limits = *limits;
 }
 
-/* Closes each connection after its next answer from now on. */
+/* Closes each connection from now on after the answer behind which its caller has
+ * sent nothing. */
 void http1_server_disable_keepalive(struct http1_server *s)
 {
 	s->closing = true;
@@ -361,13 +363,20 @@
 	c->owner = owner;
 }
 
+/* Returns whether the answer that begins now is the last one on its connection.
+ * A request that its caller has sent behind it would be dropped unanswered. */
+static bool is_last_answer(const struct http1_conn *c)
+{
+	return c->server->closing && !c->input.len && !unread_bytes(c);
+}
+
 /* Sends a whole answer; headers are lines that each end in CRLF, or NULL. */
 void http1_reply(struct http1_conn *c, int status, const char *headers,
 		 const void *body, size_t len)
 {
 	struct bytes out = { 0 };
 
-	if (c->server->closing)
+	if (is_last_answer(c))
 		c->keep_alive = false;
 	bytes_addf(&out,
 		   VERSION_TEXT "%d %s\r\n%scontent-length: %zu\r\n%s\r\n",
@@ -407,7 +416,7 @@
 	c->unframed = !c->chunked;
 	if (c->unframed)
 		reset_at_close(c, true);
-	if (c->server->closing || !c->chunked)
+	if (is_last_answer(c) || !c->chunked)
 		c->keep_alive = false;
 	bytes_addf(&out, VERSION_TEXT "%d %s\r\n%s%s%s\r\n", status,
 		   reason_phrase(status), headers ? headers : "",
