regress: limited endpoints and waits at the time limit in that run

By hand, WHOLE_LIMIT=N: answers name a limit, and series of changes begin with fewer slots; with WHOLE_BRITTLE too endpoints say in all their answers that they are brittle. A request that its time limit ended, while no endpoint was at work on it, none was silent and one of its service was free, is counted and printed with its lines.

--- a/regress/integration/test_unanswered_requests.c
+++ b/regress/integration/test_unanswered_requests.c
@@ -19,6 +19,10 @@
  * signal for its instance, and sometimes its endpoint leaves.  WHOLE_STEP=2: series
  * go on beside these.
  *
+ * With WHOLE_LIMIT=20 answers name a limit of so many requests per second, and each
+ * series of changes begins with fewer slots.  Requests that were ended by their time
+ * limit though endpoints were free are counted.
+ *
  * With WHOLE_CALLERS_KINDS=1 some callers read nothing for seconds, some send two
  * requests at once, end their sending direction, or are of HTTP/1.0.
  *
@@ -264,6 +268,8 @@
 		on[CHANGE_KEY] ? "" : ",\"k2\"");
 	size_t i;
 
+	world.routed[0] = plain;
+	world.routed[1] = engine;
 	standin_put(platform, "op", "config", text);
 	world.changes++;
 	note_work(LOST_WORK_CONFIG, 0);
@@ -484,6 +490,8 @@
 	if (before)
 		send_signals();
 	if (run.n_series < SERIES_CHANGES) {
+		if (world.limit && !run.n_series)
+			run.changed[CHANGE_SLOTS] = true;
 		run.changed[random_below(r, CHANGES_DRAWN)] = true;
 		run.n_series++;
 		run.change_ms = now_ms() + CHANGE_MS;
@@ -668,6 +676,7 @@
 				      .unframed = number("WHOLE_UNFRAMED", 0),
 				      .room = number("WHOLE_ROOM", room),
 				      .brittle = number("WHOLE_BRITTLE", 0) };
+	world.limit = number("WHOLE_LIMIT", 0);
 	world.manners = number("WHOLE_CALLERS_KINDS", 0);
 	run.steps_with = number("WHOLE_STEP", 0);
 	if (run.steps_with) {
@@ -731,17 +740,26 @@
 	free(id);
 }
 
-/* Prints those lines on each request that was lost. */
-static void print_lost(void)
+/* Prints those lines on each request that was lost, or waited beside free endpoints;
+ * returns how many waited so. */
+static size_t print_lost(void)
 {
+	size_t waited = 0;
 	size_t i;
 
 	for (i = 0; i < world.n_requests; i++) {
-		if (world.requests[i]->end != WHOLE_LOST)
+		const struct whole_request *r = world.requests[i];
+
+		waited += r->waited;
+		if (r->end != WHOLE_LOST && !r->waited)
 			continue;
-		print_message("lost: %s\n", world.requests[i]->id);
-		print_lines(world.requests[i]);
+		print_message("%s: %s %s, status %d after %llu ms\n",
+			      r->end == WHOLE_LOST ? "lost" : "waited", r->id,
+			      whole_path_prefix(r->path), r->status,
+			      (unsigned long long)(r->over_ms - r->begun_ms));
+		print_lines(r);
 	}
+	return waited;
 }
 
 /* Prints what breaks the users' rule at each instance. */
@@ -910,6 +928,7 @@
 
 	for (i = 0; i < n; i++) {
 		size_t lost;
+		size_t waited;
 		size_t wrong;
 		uint64_t begin_ms;
 
@@ -920,18 +939,19 @@
 		judge_instances(begin_ms);
 		report_manners();
 		lost = whole_count(&world, WHOLE_LOST);
-		print_lost();
+		waited = print_lost();
 		wrong = count_wrong();
 		bad += lost + wrong + run.failed_exits;
 		print_message(
 			"seed %u: %zu requests, %zu lost, %zu wrong, %u "
 			"failed exits, %zu turned away and %zu broken off "
 			"by endpoints, %zu falls; %u changes, %u leavings, "
-			"%u reloads, %u stops\n",
+			"%u reloads, %u stops; %zu at their time limit beside "
+			"free endpoints\n",
 			run.seed, world.n_requests, lost, wrong,
 			run.failed_exits, world.n_turned_away,
 			world.n_broken_off, world.n_falls, world.changes,
-			run.releases, run.reloads, run.stops);
+			run.releases, run.reloads, run.stops, waited);
 		assert_true(whole_count(&world, WHOLE_ANSWERED) > 0);
 		stop();
 	}
--- a/regress/whole_callers.c
+++ b/regress/whole_callers.c
@@ -49,6 +49,7 @@
 static void take_answer(struct whole_world *w, struct whole_caller *c);
 static void settle(struct whole_world *w, struct whole_caller *c);
 static bool is_complete(struct whole_caller *c);
+static void note_wait(const struct whole_world *w, struct whole_request *r);
 static bool count_events(struct whole_request *r, const struct bytes *text);
 static void end_request(struct whole_world *w, struct whole_caller *c,
 			struct whole_request *r);
@@ -394,6 +395,7 @@
 	else
 		r->end = WHOLE_FAILED;
 	r->over_ms = now_ms(w);
+	note_wait(w, r);
 	if (r->end == WHOLE_ANSWERED && r->path > WHOLE_LOOK)
 		r->wrong = r->wrong || !count_events(r, &c->text);
 	else if (r->end == WHOLE_ANSWERED)
@@ -419,6 +421,19 @@
 	c->next_ms = now_ms(w) + random_below(w->random, PAUSE_MAX_MS);
 }
 
+/* Notes whether a request was ended by its time limit though no endpoint was at work
+ * on it and some were free. */
+static void note_wait(const struct whole_world *w, struct whole_request *r)
+{
+	bool late =
+		r->end == WHOLE_OUT_OF_TIME || r->status == 504 ||
+		(r->status == 503 && r->over_ms - r->begun_ms >= r->limit_ms);
+
+	r->waited = late && r->whole_ms &&
+		    r->over_ms - r->whole_ms > LOSS_SLACK_MS &&
+		    !whole_at_work(w, r) && whole_has_free(w, r);
+}
+
 /* Returns whether a complete stream has each event once and in order. */
 static bool count_events(struct whole_request *r, const struct bytes *text)
 {
@@ -467,6 +482,7 @@
 					 now - r->whole_ms > LOSS_SLACK_MS
 				 ? WHOLE_LOST
 				 : WHOLE_CROSSED;
+	note_wait(w, r);
 	if (r->whole_ms)
 		print_message(
 			"%s: %s %s at %s, body of %zu in %s%s%s%s, %llu ms "
--- a/regress/whole_endpoints.c
+++ b/regress/whole_endpoints.c
@@ -30,6 +30,8 @@
 #define PAD_MAX 400000 /* of a long answer */
 #define SILENCE_MIN_MS 800
 #define SILENCE_SPREAD_MS 1000
+#define SILENT_SLACK_MS 100 /* in which one that was silent reads what waits */
+#define SECOND_MS 1000 /* in which requests are counted */
 #define LISTED_MS 1500 /* an endpoint that has fallen over */
 #define SILENT_ENDS_ONE_IN 8 /* ends of answers that a silence follows */
 
@@ -63,10 +65,12 @@
 static void close_conn(struct whole_conn *c);
 static bool take_head(struct whole_world *w, struct whole_endpoint *e,
 		      struct whole_conn *c);
-static void begin_request(struct whole_world *w, struct whole_conn *c,
-			  const struct http1_head *head);
+static void begin_request(struct whole_world *w, struct whole_endpoint *e,
+			  struct whole_conn *c, const struct http1_head *head);
 static bool has_room(struct whole_world *w, const struct whole_endpoint *e,
 		     const struct http1_head *head);
+static size_t count_used(const struct whole_endpoint *e);
+static void write_words(const struct whole_world *w, struct whole_conn *c);
 static void turn_away(struct whole_world *w, struct whole_endpoint *e,
 		      struct whole_conn *c);
 static void fall_over(struct whole_world *w, struct whole_endpoint *e);
@@ -74,7 +78,8 @@
 		      struct whole_conn *c);
 static void answer(struct whole_world *w, struct whole_endpoint *e,
 		   struct whole_conn *c);
-static void answer_call(const struct whole_endpoint *e, struct whole_conn *c,
+static void answer_call(const struct whole_world *w,
+			const struct whole_endpoint *e, struct whole_conn *c,
 			const struct http1_head *head);
 static void step_stream(struct whole_world *w, struct whole_endpoint *e,
 			struct whole_conn *c);
@@ -199,6 +204,32 @@
 	return false;
 }
 
+/* Returns whether an endpoint of a request's service is free: it neither leaves nor
+ * has as much to do as it takes, and none is silent, which may hold the request. */
+bool whole_has_free(const struct whole_world *w, const struct whole_request *r)
+{
+	const char *service = w->routed[r->path > WHOLE_LOOK];
+	uint64_t now = now_ms(w);
+	bool found = false;
+	size_t i;
+
+	for (i = 0; i < w->n_endpoints; i++) {
+		const struct whole_endpoint *e = &w->endpoints[i];
+
+		if (e->listener < 0)
+			continue;
+		if (now < e->silent_until_ms + SILENT_SLACK_MS)
+			return false;
+		if (strcmp(e->service, service) != 0 || e->leaving_ms ||
+		    (w->room && count_used(e) >= w->room) ||
+		    (w->limit && now - e->taken_ms < 2 * SECOND_MS &&
+		     (e->taken >= w->limit || e->taken_before >= w->limit)))
+			continue;
+		found = true;
+	}
+	return found;
+}
+
 /* Returns the request with an id, NULL if there is none. */
 struct whole_request *whole_find(const struct whole_world *w, const char *id,
 				 size_t len)
@@ -317,13 +348,13 @@
 		if (!has_room(w, e, &head)) {
 			turn_away(w, e, c);
 		} else {
-			begin_request(w, c, &head);
+			begin_request(w, e, c, &head);
 			if (c->early)
 				answer(w, e, c);
 		}
 		c->state = CONN_BODY;
 	} else {
-		answer_call(e, c, &head);
+		answer_call(w, e, c, &head);
 	}
 	bytes_consume(&c->in, used);
 	return true;
@@ -333,20 +364,27 @@
  * that it names. */
 static bool has_room(struct whole_world *w, const struct whole_endpoint *e,
 		     const struct http1_head *head)
+{
+	if (!w->room)
+		return true;
+	return count_used(e) < w->room &&
+	       !(http1_find_header(head, "kv-from") &&
+		 !random_below(w->random, 3));
+}
+
+/* Returns how many requests an endpoint runs. */
+static size_t count_used(const struct whole_endpoint *e)
 {
 	size_t used = 0;
 	size_t i;
 
-	if (!w->room)
-		return true;
 	for (i = 0; i < e->n_conns; i++) {
 		const struct whole_conn *c = e->conns[i];
 
 		used += c->fd >= 0 && c->state != CONN_HEAD &&
 			!(c->state == CONN_BODY && c->early);
 	}
-	return used < w->room && !(http1_find_header(head, "kv-from") &&
-				   !random_below(w->random, 3));
+	return used;
 }
 
 /* Turns a request away, which has not run; its body is read.  A brittle endpoint
@@ -366,19 +404,36 @@
 	c->closes = false;
 	c->unframed = false;
 	bytes_addf(&c->out,
-		   "HTTP/1.1 503 Full\r\nnot-executed: 1\r\nrequest-id: "
-		   "%s\r\ncontent-length: 0\r\n\r\n",
+		   "HTTP/1.1 503 Full\r\nnot-executed: 1\r\nrequest-id: %s\r\n",
 		   c->request->id);
+	write_words(w, c);
+	bytes_addf(&c->out, "content-length: 0\r\n\r\n");
+}
+
+/* Writes what endpoints say of themselves in all their answers. */
+static void write_words(const struct whole_world *w, struct whole_conn *c)
+{
+	if (w->brittle)
+		bytes_addf(&c->out, "server-brittle: %u\r\n", w->brittle);
+	if (w->limit)
+		bytes_addf(&c->out, "server-limit: %u\r\n", w->limit);
 }
 
 /* Draws how a request is read and answered. */
-static void begin_request(struct whole_world *w, struct whole_conn *c,
-			  const struct http1_head *head)
+static void begin_request(struct whole_world *w, struct whole_endpoint *e,
+			  struct whole_conn *c, const struct http1_head *head)
 {
 	const struct http1_header *after =
 		http1_find_header(head, "last-event-id");
 	bool plain = c->request->path <= WHOLE_LOOK;
 
+	if (now_ms(w) - e->taken_ms >= SECOND_MS) {
+		e->taken_before =
+			now_ms(w) - e->taken_ms < 2 * SECOND_MS ? e->taken : 0;
+		e->taken_ms = now_ms(w);
+		e->taken = 0;
+	}
+	e->taken++;
 	c->request->runs++;
 	c->got = 0;
 	c->slow = !random_below(w->random, 3);
@@ -427,7 +482,6 @@
 		   struct whole_conn *c)
 {
 	const char *leaving = e->leaving_ms ? "server-leaving: 1\r\n" : "";
-	char brittle[48] = "";
 	size_t pad = random_below(w->random, 8)
 			     ? 0
 			     : random_below(w->random, PAD_MAX);
@@ -436,17 +490,15 @@
 	size_t head;
 	char *body;
 
-	if (w->brittle)
-		snprintf(brittle, sizeof(brittle), "server-brittle: %u\r\n",
-			 w->brittle);
 	c->unframed = !c->early && w->unframed && random_below(w->random, 2);
 	c->closes = c->unframed || e->leaving_ms ||
 		    !random_below(w->random, CLOSES_ONE_IN);
 	bytes_addf(&c->out,
 		   "HTTP/1.1 200 OK\r\nresponse-signature: m.1\r\n"
-		   "request-id: %s\r\ninstance-id: %s\r\n%s%s%s",
-		   c->request->id, e->id, leaving, brittle,
+		   "request-id: %s\r\ninstance-id: %s\r\n%s%s",
+		   c->request->id, e->id, leaving,
 		   c->closes ? "connection: close\r\n" : "");
+	write_words(w, c);
 	if (e->engine) {
 		bytes_addf(&c->out, "content-type: text/event-stream\r\n%s\r\n",
 			   c->unframed ? "" : "transfer-encoding: chunked\r\n");
@@ -492,7 +544,8 @@
 }
 
 /* Answers a call of an instance that no caller sent: for health or a report. */
-static void answer_call(const struct whole_endpoint *e, struct whole_conn *c,
+static void answer_call(const struct whole_world *w,
+			const struct whole_endpoint *e, struct whole_conn *c,
 			const struct http1_head *head)
 {
 	static const char report[] = "{\"models\":[{\"name\":\"m\"}],"
@@ -501,11 +554,11 @@
 		       !memcmp(head->target, "/report", head->target_len);
 
 	assert_int_equal(c->framing.framing, HTTP1_EMPTY);
-	bytes_addf(&c->out,
-		   "HTTP/1.1 %s\r\ninstance-id: %s\r\n%scontent-length: "
-		   "%zu\r\n\r\n%s",
+	bytes_addf(&c->out, "HTTP/1.1 %s\r\ninstance-id: %s\r\n%s",
 		   e->leaving_ms && !reports ? "503 Leaving" : "200 OK", e->id,
-		   e->leaving_ms ? "server-leaving: 1\r\n" : "",
+		   e->leaving_ms ? "server-leaving: 1\r\n" : "");
+	write_words(w, c);
+	bytes_addf(&c->out, "content-length: %zu\r\n\r\n%s",
 		   reports ? strlen(report) : 0, reports ? report : "");
 }
 
--- a/regress/whole_requests.h
+++ b/regress/whole_requests.h
@@ -82,6 +82,8 @@
 	bool broken_off; /* an endpoint that ran it fell over */
 	bool begun; /* a part of its answer arrived */
 	bool at_work; /* an endpoint, when its connection ended */
+	/* its time limit ended it while endpoints of its service were free */
+	bool waited;
 	uint64_t begun_ms; /* loop time of its first byte */
 	uint64_t limit_ms; /* shortest that may apply to it */
 	uint64_t whole_ms; /* loop time at which it was sent whole; 0: not */
@@ -131,6 +133,9 @@
 	bool unlisted; /* its entry has gone */
 	uint64_t turned_away_ms; /* begin of the second that is counted */
 	unsigned int turned_away; /* requests, in that second */
+	uint64_t taken_ms; /* begin of the second that is counted */
+	unsigned int taken; /* requests, in that second */
+	unsigned int taken_before; /* in the one before */
 	uint64_t fallen_ms; /* when it fell over; 0: it has not */
 	bool lapses; /* its entry stands for a while after that */
 };
@@ -159,6 +164,8 @@
 	bool manners; /* callers have all of them */
 	size_t room; /* requests that an endpoint takes at once; 0: all */
 	unsigned int brittle; /* turned away in a second; more, and it falls */
+	unsigned int limit; /* requests per second that answers name; 0: none */
+	const char *routed[2]; /* services with routes: plain, of engines */
 	size_t n_turned_away; /* requests, by endpoints without room */
 	size_t n_falls; /* of brittle endpoints */
 	size_t n_broken_off; /* connections that an endpoint closed in use */
@@ -177,6 +184,7 @@
 void whole_endpoint_silence(struct whole_world *w, struct whole_endpoint *e);
 void whole_endpoints_step(struct whole_world *w);
 bool whole_at_work(const struct whole_world *w, const struct whole_request *r);
+bool whole_has_free(const struct whole_world *w, const struct whole_request *r);
 struct whole_request *whole_find(const struct whole_world *w, const char *id,
 				 size_t len);
 char whole_fill(const struct whole_request *r);
