--- a/regress/whole_endpoints.c
+++ b/regress/whole_endpoints.c
@@ -30,6 +30,8 @@
 #define PAD_MAX 400000 /* of a long answer */
 #define SILENCE_MIN_MS 800
 #define SILENCE_SPREAD_MS 1000
+#define SILENT_SLACK_MS 100 /* in which one that was silent reads what waits */
+#define SECOND_MS 1000 /* in which requests are counted */
 #define LISTED_MS 1500 /* an endpoint that has fallen over */
 #define SILENT_ENDS_ONE_IN 8 /* ends of answers that a silence follows */
 
@@ -63,10 +65,12 @@
 static void close_conn(struct whole_conn *c);
 static bool take_head(struct whole_world *w, struct whole_endpoint *e,
 		      struct whole_conn *c);
-static void begin_request(struct whole_world *w, struct whole_conn *c,
-			  const struct http1_head *head);
+static void begin_request(struct whole_world *w, struct whole_endpoint *e,
+			  struct whole_conn *c, const struct http1_head *head);
 static bool has_room(struct whole_world *w, const struct whole_endpoint *e,
 		     const struct http1_head *head);
+static size_t count_used(const struct whole_endpoint *e);
+static void write_words(const struct whole_world *w, struct whole_conn *c);
 static void turn_away(struct whole_world *w, struct whole_endpoint *e,
 		      struct whole_conn *c);
 static void fall_over(struct whole_world *w, struct whole_endpoint *e);
@@ -74,10 +78,14 @@
 		      struct whole_conn *c);
 static void answer(struct whole_world *w, struct whole_endpoint *e,
 		   struct whole_conn *c);
-static void answer_call(const struct whole_endpoint *e, struct whole_conn *c,
+static void answer_call(const struct whole_world *w,
+			const struct whole_endpoint *e, struct whole_conn *c,
 			const struct http1_head *head);
-static void step_stream(struct whole_conn *c, uint64_t now);
-static void flush(struct whole_conn *c);
+static void step_stream(struct whole_world *w, struct whole_endpoint *e,
+			struct whole_conn *c);
+static bool falls_silent(struct whole_world *w, struct whole_endpoint *e,
+			 struct whole_conn *c, enum whole_moment moment);
+static void flush(struct whole_conn *c, size_t most);
 static void end_endpoint(struct whole_world *w, struct whole_endpoint *e);
 
 static uint64_t now_ms(const struct whole_world *w)
@@ -165,7 +173,7 @@
 		if (e->listener < 0 || now < e->silent_until_ms)
 			continue;
 		accept_all(e);
-		for (k = 0; k < e->n_conns; k++)
+		for (k = 0; k < e->n_conns && now >= e->silent_until_ms; k++)
 			if (e->conns[k]->fd >= 0 &&
 			    step_conn(w, e, e->conns[k]))
 				idle = false;
@@ -173,12 +181,55 @@
 			fall_over(w, e);
 			continue;
 		}
-		if (idle && e->leaving_ms &&
+		if (idle && now >= e->silent_until_ms && e->leaving_ms &&
 		    now >= e->leaving_ms + LEAVING_MIN_MS)
 			end_endpoint(w, e);
 	}
 }
 
+/* Returns whether an endpoint is at work on a request. */
+bool whole_at_work(const struct whole_world *w, const struct whole_request *r)
+{
+	size_t i;
+	size_t k;
+
+	for (i = 0; i < w->n_endpoints; i++)
+		for (k = 0; k < w->endpoints[i].n_conns; k++) {
+			const struct whole_conn *c = w->endpoints[i].conns[k];
+
+			if (c->fd >= 0 && c->request == r &&
+			    (c->state != CONN_HEAD || c->out.len))
+				return true;
+		}
+	return false;
+}
+
+/* Returns whether an endpoint of a request's service is free: it neither leaves nor
+ * has as much to do as it takes, and none is silent, which may hold the request. */
+bool whole_has_free(const struct whole_world *w, const struct whole_request *r)
+{
+	const char *service = w->routed[r->path > WHOLE_LOOK];
+	uint64_t now = now_ms(w);
+	bool found = false;
+	size_t i;
+
+	for (i = 0; i < w->n_endpoints; i++) {
+		const struct whole_endpoint *e = &w->endpoints[i];
+
+		if (e->listener < 0)
+			continue;
+		if (now < e->silent_until_ms + SILENT_SLACK_MS)
+			return false;
+		if (strcmp(e->service, service) != 0 || e->leaving_ms ||
+		    (w->room && count_used(e) >= w->room) ||
+		    (w->limit && now - e->taken_ms < 2 * SECOND_MS &&
+		     (e->taken >= w->limit || e->taken_before >= w->limit)))
+			continue;
+		found = true;
+	}
+	return found;
+}
+
 /* Returns the request with an id, NULL if there is none. */
 struct whole_request *whole_find(const struct whole_world *w, const char *id,
 				 size_t len)
@@ -248,14 +299,18 @@
 		close_conn(c);
 		return true;
 	}
-	while ((c->state == CONN_HEAD && take_head(w, e, c)) ||
-	       (c->state == CONN_BODY && take_body(w, e, c)))
+	while (now >= e->silent_until_ms &&
+	       ((c->state == CONN_HEAD && take_head(w, e, c)) ||
+		(c->state == CONN_BODY && take_body(w, e, c))))
 		;
-	if (c->state == CONN_WORK && now >= c->due_ms)
+	if (now >= e->silent_until_ms && c->state == CONN_WORK &&
+	    now >= c->due_ms)
 		answer(w, e, c);
-	if (c->state == CONN_STREAM)
-		step_stream(c, now);
-	flush(c);
+	if (now >= e->silent_until_ms && c->state == CONN_STREAM)
+		step_stream(w, e, c);
+	if (now < e->silent_until_ms)
+		return true;
+	flush(c, c->out.len);
 	if (c->closes && c->state == CONN_HEAD && !c->out.len) {
 		close_conn(c);
 		if (c->unframed && !random_below(w->random, SILENT_ENDS_ONE_IN))
@@ -293,13 +348,13 @@
 		if (!has_room(w, e, &head)) {
 			turn_away(w, e, c);
 		} else {
-			begin_request(w, c, &head);
+			begin_request(w, e, c, &head);
 			if (c->early)
 				answer(w, e, c);
 		}
 		c->state = CONN_BODY;
 	} else {
-		answer_call(e, c, &head);
+		answer_call(w, e, c, &head);
 	}
 	bytes_consume(&c->in, used);
 	return true;
@@ -309,20 +364,27 @@
  * that it names. */
 static bool has_room(struct whole_world *w, const struct whole_endpoint *e,
 		     const struct http1_head *head)
+{
+	if (!w->room)
+		return true;
+	return count_used(e) < w->room &&
+	       !(http1_find_header(head, "kv-from") &&
+		 !random_below(w->random, 3));
+}
+
+/* Returns how many requests an endpoint runs. */
+static size_t count_used(const struct whole_endpoint *e)
 {
 	size_t used = 0;
 	size_t i;
 
-	if (!w->room)
-		return true;
 	for (i = 0; i < e->n_conns; i++) {
 		const struct whole_conn *c = e->conns[i];
 
 		used += c->fd >= 0 && c->state != CONN_HEAD &&
 			!(c->state == CONN_BODY && c->early);
 	}
-	return used < w->room && !(http1_find_header(head, "kv-from") &&
-				   !random_below(w->random, 3));
+	return used;
 }
 
 /* Turns a request away, which has not run; its body is read.  A brittle endpoint
@@ -342,19 +404,36 @@
 	c->closes = false;
 	c->unframed = false;
 	bytes_addf(&c->out,
-		   "HTTP/1.1 503 Full\r\nnot-executed: 1\r\nrequest-id: "
-		   "%s\r\ncontent-length: 0\r\n\r\n",
+		   "HTTP/1.1 503 Full\r\nnot-executed: 1\r\nrequest-id: %s\r\n",
 		   c->request->id);
+	write_words(w, c);
+	bytes_addf(&c->out, "content-length: 0\r\n\r\n");
+}
+
+/* Writes what endpoints say of themselves in all their answers. */
+static void write_words(const struct whole_world *w, struct whole_conn *c)
+{
+	if (w->brittle)
+		bytes_addf(&c->out, "server-brittle: %u\r\n", w->brittle);
+	if (w->limit)
+		bytes_addf(&c->out, "server-limit: %u\r\n", w->limit);
 }
 
 /* Draws how a request is read and answered. */
-static void begin_request(struct whole_world *w, struct whole_conn *c,
-			  const struct http1_head *head)
+static void begin_request(struct whole_world *w, struct whole_endpoint *e,
+			  struct whole_conn *c, const struct http1_head *head)
 {
 	const struct http1_header *after =
 		http1_find_header(head, "last-event-id");
 	bool plain = c->request->path <= WHOLE_LOOK;
 
+	if (now_ms(w) - e->taken_ms >= SECOND_MS) {
+		e->taken_before =
+			now_ms(w) - e->taken_ms < 2 * SECOND_MS ? e->taken : 0;
+		e->taken_ms = now_ms(w);
+		e->taken = 0;
+	}
+	e->taken++;
 	c->request->runs++;
 	c->got = 0;
 	c->slow = !random_below(w->random, 3);
@@ -383,14 +462,17 @@
 		if (c->in.data[i] != whole_fill(c->request))
 			c->request->wrong = true;
 	c->got += decoded;
-	bytes_consume(&c->in, c->in.len - rest);
+	bytes_consume(&c->in, decoded);
+	c->in.len = rest;
 	if (result != HTTP1_DONE)
 		return false;
 	if (c->got != c->request->len)
 		c->request->wrong = true;
 	c->slow = false;
 	c->state = c->early ? CONN_HEAD : CONN_WORK;
-	if (c->state == CONN_WORK && now_ms(w) >= c->due_ms)
+	if (c->state == CONN_WORK &&
+	    !falls_silent(w, e, c, WHOLE_MOMENT_REQUEST) &&
+	    now_ms(w) >= c->due_ms)
 		answer(w, e, c);
 	return true;
 }
@@ -400,52 +482,70 @@
 		   struct whole_conn *c)
 {
 	const char *leaving = e->leaving_ms ? "server-leaving: 1\r\n" : "";
-	char brittle[48] = "";
 	size_t pad = random_below(w->random, 8)
 			     ? 0
 			     : random_below(w->random, PAD_MAX);
 	size_t len = strlen(c->request->id) + pad;
 	bool chunks = random_below(w->random, 2);
+	size_t head;
 	char *body;
 
-	if (w->brittle)
-		snprintf(brittle, sizeof(brittle), "server-brittle: %u\r\n",
-			 w->brittle);
 	c->unframed = !c->early && w->unframed && random_below(w->random, 2);
 	c->closes = c->unframed || e->leaving_ms ||
 		    !random_below(w->random, CLOSES_ONE_IN);
 	bytes_addf(&c->out,
 		   "HTTP/1.1 200 OK\r\nresponse-signature: m.1\r\n"
-		   "request-id: %s\r\ninstance-id: %s\r\n%s%s%s",
-		   c->request->id, e->id, leaving, brittle,
+		   "request-id: %s\r\ninstance-id: %s\r\n%s%s",
+		   c->request->id, e->id, leaving,
 		   c->closes ? "connection: close\r\n" : "");
+	write_words(w, c);
 	if (e->engine) {
 		bytes_addf(&c->out, "content-type: text/event-stream\r\n%s\r\n",
 			   c->unframed ? "" : "transfer-encoding: chunked\r\n");
 		c->state = CONN_STREAM;
 		c->due_ms = now_ms(w) + STANDIN_EVENT_MS;
+		if (falls_silent(w, e, c, WHOLE_MOMENT_HEAD))
+			flush(c, c->out.len);
 		return;
 	}
+	c->request->answer_len = len;
 	body = xcalloc(len + 1, 1);
 	memset(body, '.', len);
 	memcpy(body, c->request->id, strlen(c->request->id));
 	if (c->unframed)
 		bytes_addf(&c->out, "\r\n");
 	else if (chunks)
-		bytes_addf(&c->out, "transfer-encoding: chunked\r\n\r\n%zx\r\n",
-			   len);
+		bytes_addf(&c->out, "transfer-encoding: chunked\r\n\r\n");
 	else
 		bytes_addf(&c->out, "content-length: %zu\r\n\r\n", len);
+	head = c->out.len;
+	if (chunks && !c->unframed)
+		bytes_addf(&c->out, "%zx\r\n", len);
 	bytes_add(&c->out, body, len);
 	if (chunks && !c->unframed)
 		bytes_addf(&c->out, "\r\n0\r\n\r\n");
 	free(body);
 	if (!c->early)
 		c->state = CONN_HEAD;
+	if (falls_silent(w, e, c, WHOLE_MOMENT_HEAD))
+		flush(c, head);
+	else if (falls_silent(w, e, c, WHOLE_MOMENT_PART))
+		flush(c, head + (c->out.len - head) / 2);
+}
+
+/* Returns whether an endpoint falls silent at a moment of a request. */
+static bool falls_silent(struct whole_world *w, struct whole_endpoint *e,
+			 struct whole_conn *c, enum whole_moment moment)
+{
+	if (!w->on_moment || !w->on_moment(e, c->request, moment))
+		return false;
+	whole_endpoint_silence(w, e);
+	return true;
 }
 
 /* Answers a call of an instance that no caller sent: for health or a report. */
-static void answer_call(const struct whole_endpoint *e, struct whole_conn *c,
+static void answer_call(const struct whole_world *w,
+			const struct whole_endpoint *e, struct whole_conn *c,
 			const struct http1_head *head)
 {
 	static const char report[] = "{\"models\":[{\"name\":\"m\"}],"
@@ -454,20 +554,21 @@
 		       !memcmp(head->target, "/report", head->target_len);
 
 	assert_int_equal(c->framing.framing, HTTP1_EMPTY);
-	bytes_addf(&c->out,
-		   "HTTP/1.1 %s\r\ninstance-id: %s\r\n%scontent-length: "
-		   "%zu\r\n\r\n%s",
+	bytes_addf(&c->out, "HTTP/1.1 %s\r\ninstance-id: %s\r\n%s",
 		   e->leaving_ms && !reports ? "503 Leaving" : "200 OK", e->id,
-		   e->leaving_ms ? "server-leaving: 1\r\n" : "",
+		   e->leaving_ms ? "server-leaving: 1\r\n" : "");
+	write_words(w, c);
+	bytes_addf(&c->out, "content-length: %zu\r\n\r\n%s",
 		   reports ? strlen(report) : 0, reports ? report : "");
 }
 
 /* Writes the events of a stream that are due, and its end. */
-static void step_stream(struct whole_conn *c, uint64_t now)
+static void step_stream(struct whole_world *w, struct whole_endpoint *e,
+			struct whole_conn *c)
 {
 	char event[64];
 
-	while (now >= c->due_ms && c->next_event <= STANDIN_EVENTS) {
+	while (now_ms(w) >= c->due_ms && c->next_event <= STANDIN_EVENTS) {
 		snprintf(event, sizeof(event), "id: %d\ndata: e\n\n",
 			 c->next_event++);
 		if (c->unframed)
@@ -476,6 +577,11 @@
 			bytes_addf(&c->out, "%zx\r\n%s\r\n", strlen(event),
 				   event);
 		c->due_ms += STANDIN_EVENT_MS;
+		if (c->next_event <= STANDIN_EVENTS &&
+		    falls_silent(w, e, c, WHOLE_MOMENT_PART)) {
+			flush(c, c->out.len);
+			return;
+		}
 	}
 	if (c->next_event <= STANDIN_EVENTS)
 		return;
@@ -499,14 +605,15 @@
 	end_endpoint(w, e);
 }
 
-/* Sends what the socket takes.  An error shows at the next read. */
-static void flush(struct whole_conn *c)
+/* Sends what the socket takes, at most so many bytes.  An error shows at the next
+ * read. */
+static void flush(struct whole_conn *c, size_t most)
 {
 	ssize_t n;
 
-	if (!c->out.len)
+	if (!most)
 		return;
-	n = send(c->fd, c->out.data, c->out.len, MSG_NOSIGNAL);
+	n = send(c->fd, c->out.data, most, MSG_NOSIGNAL);
 	if (n > 0)
 		bytes_consume(&c->out, (size_t)n);
 }
--- a/regress/whole_requests.h
+++ b/regress/whole_requests.h
@@ -15,11 +15,12 @@
  * and leave by plan.  The test steps them; they share a table of requests. */
 
 #define WHOLE_CALLERS_MAX 64
-#define WHOLE_ENDPOINTS_MAX 256 /* all starts of a run */
+#define WHOLE_ENDPOINTS_MAX 800 /* all starts of a run */
 #define WHOLE_ADDRESSES_MAX 96
 
 #define WHOLE_DEADLINE_MS 9000 /* of each request */
 #define WHOLE_TIMEOUT_MS 5000 /* the shorter time limit of routes */
+#define WHOLE_SHORT_TIMEOUT_MS 700 /* the shortest, under that of a silence */
 
 /* The routes, which the test configures. */
 enum whole_path {
@@ -45,11 +46,33 @@
 	WHOLE_ENDS,
 };
 
+/* Moments at which an endpoint may fall silent. */
+enum whole_moment {
+	WHOLE_MOMENT_REQUEST, /* it has read the last byte of a request */
+	WHOLE_MOMENT_HEAD, /* it has sent the last byte of an answer's head */
+	WHOLE_MOMENT_PART, /* it has sent an event, or half of a plain body */
+	WHOLE_MOMENTS,
+};
+
+/* How a caller treats its request. */
+enum whole_manner {
+	WHOLE_PLAINLY,
+	WHOLE_PAUSING, /* it reads nothing for some seconds */
+	WHOLE_TWO, /* it sends another request at once behind it */
+	WHOLE_HALF_CLOSED, /* it ends its sending direction after it */
+	WHOLE_HTTP_1_0,
+	WHOLE_MANNERS,
+};
+
 struct whole_request {
 	char id[32];
+	const struct whole_address *to;
+	bool second_key; /* of its organisation */
 	enum whole_path path;
 	enum whole_end end;
 	size_t len; /* of its body */
+	size_t answer_len; /* of its plain answer, as an endpoint sent it */
+	enum whole_manner manner;
 	bool chunks; /* its body is sent in chunks */
 	bool kept; /* its connection had carried a request before */
 	bool held; /* a change came while a part of it was held back */
@@ -57,9 +80,14 @@
 	unsigned int runs; /* endpoints that began to read it */
 	bool wrong; /* an endpoint got other bytes, or its caller did */
 	bool broken_off; /* an endpoint that ran it fell over */
+	bool begun; /* a part of its answer arrived */
+	bool at_work; /* an endpoint, when its connection ended */
+	/* its time limit ended it while endpoints of its service were free */
+	bool waited;
 	uint64_t begun_ms; /* loop time of its first byte */
 	uint64_t limit_ms; /* shortest that may apply to it */
 	uint64_t whole_ms; /* loop time at which it was sent whole; 0: not */
+	uint64_t over_ms; /* loop time of its end */
 	int status;
 	int n_events; /* of a stream, received in order */
 };
@@ -84,6 +112,9 @@
 	bool closing; /* the answer closes the connection */
 	bool reads_slowly;
 	struct whole_request *open; /* NULL: none */
+	struct whole_request *next; /* sent behind it; NULL: none */
+	size_t first_len; /* bytes of out of the open request */
+	uint64_t reads_ms; /* it reads nothing before */
 	size_t n_answers; /* on this connection */
 	unsigned int changes_seen; /* when bytes were held back */
 	uint64_t next_ms; /* of the next request */
@@ -102,6 +133,9 @@
 	bool unlisted; /* its entry has gone */
 	uint64_t turned_away_ms; /* begin of the second that is counted */
 	unsigned int turned_away; /* requests, in that second */
+	uint64_t taken_ms; /* begin of the second that is counted */
+	unsigned int taken; /* requests, in that second */
+	unsigned int taken_before; /* in the one before */
 	uint64_t fallen_ms; /* when it fell over; 0: it has not */
 	bool lapses; /* its entry stands for a while after that */
 };
@@ -117,13 +151,21 @@
 	size_t n_callers;
 	struct whole_endpoint endpoints[WHOLE_ENDPOINTS_MAX];
 	size_t n_endpoints;
+	/* is told of each moment of a request that an endpoint runs; returns whether
+	 * the endpoint is silent from this moment on.  NULL: none is told */
+	bool (*on_moment)(struct whole_endpoint *e, struct whole_request *r,
+			  enum whole_moment moment);
 	unsigned int changes; /* of the configuration, so far */
 	/* when a shorter time limit of the routes was last in force; 0: never */
 	uint64_t limited_ms;
+	uint64_t stream_limited_ms; /* the same of the shortest, of streams */
 	bool ending; /* no new requests, and nothing is held back */
 	bool unframed; /* half of the answers end with their connection */
+	bool manners; /* callers have all of them */
 	size_t room; /* requests that an endpoint takes at once; 0: all */
 	unsigned int brittle; /* turned away in a second; more, and it falls */
+	unsigned int limit; /* requests per second that answers name; 0: none */
+	const char *routed[2]; /* services with routes: plain, of engines */
 	size_t n_turned_away; /* requests, by endpoints without room */
 	size_t n_falls; /* of brittle endpoints */
 	size_t n_broken_off; /* connections that an endpoint closed in use */
@@ -141,6 +183,8 @@
 			  bool unlisted);
 void whole_endpoint_silence(struct whole_world *w, struct whole_endpoint *e);
 void whole_endpoints_step(struct whole_world *w);
+bool whole_at_work(const struct whole_world *w, const struct whole_request *r);
+bool whole_has_free(const struct whole_world *w, const struct whole_request *r);
 struct whole_request *whole_find(const struct whole_world *w, const char *id,
 				 size_t len);
 char whole_fill(const struct whole_request *r);
