http1: take an answer with a status that none may have for malformed

Callers got what is no answer: an answer of 600 or 999 as it came, and of one below 200, 101 included, the body, if its bytes were an answer: the head was skipped like an interim one. On a kept connection one of 000 without a body was waited on until the request's own limit. The client of cdmentryd passed on any status of three digits.

http1_parse_response() decides it now: 200 to 599 end an answer, 100 and 102 to 199 come before one, and all else is malformed. 101 is, too: no request of this system asks for another protocol. So is every answer that lib/http1_client reads: those of endpoints, relays, health checks, reports, copies and the store. lib/httpc asks the same function, as h2o reads its heads. The store's 999 is "unreachable" now, not "refused": it doesn't show that a write wasn't done.

Other odd status lines were malformed before and are tested now: fewer or more than three digits, signs, other spaces, control characters, versions other than HTTP/1.x. A higher minor version is read as 1.1 (RFC 9110, 2.5).

--- a/lib/http1.c
+++ b/lib/http1.c
@@ -12,6 +12,10 @@
 #include <sys/types.h>
 
 #define LENGTH_DIGITS_MAX 18 /* always fits into 64 bits */
+#define STATUS_INTERIM_MIN 100
+#define STATUS_SWITCHING 101 /* the connection changes its protocol */
+#define STATUS_FINAL_MIN 200
+#define STATUS_FINAL_MAX 599
 
 /* libh2o exports its parser but installs no header for it. */
 int phr_parse_request(const char *buf, size_t len, const char **method,
@@ -57,7 +61,7 @@
 }
 
 /* Parses the head of an answer; sets *used to its length once it is
- * complete. */
+ * complete.  One whose status no answer may have is malformed. */
 enum http1_result http1_parse_response(const char *data, size_t len,
 				       struct http1_head *head, size_t *used)
 {
@@ -73,11 +77,28 @@
 				&reason, &reason_len, head->headers,
 				&head->n_headers, 0);
 	result = parser_result(rc, used);
-	if (result == HTTP1_DONE && !has_no_folded_header(head))
+	if (result == HTTP1_DONE &&
+	    (!has_no_folded_header(head) || (!http1_is_interim(head->status) &&
+					     !http1_is_final(head->status))))
 		return HTTP1_BAD;
 	return result;
 }
 
+/* Returns whether a status is that of an interim answer, which another answer
+ * follows.  101 is none: it ends HTTP on its connection, and no request of this
+ * system asks for that. */
+bool http1_is_interim(int status)
+{
+	return status >= STATUS_INTERIM_MIN && status < STATUS_FINAL_MIN &&
+	       status != STATUS_SWITCHING;
+}
+
+/* Returns whether a status is that of a final answer. */
+bool http1_is_final(int status)
+{
+	return status >= STATUS_FINAL_MIN && status <= STATUS_FINAL_MAX;
+}
+
 /* Determines how the body of a request is framed.  Returns false if that is
  * ambiguous, which request smuggling relies on. */
 bool http1_request_framing(const struct http1_head *head,
--- a/lib/http1.h
+++ b/lib/http1.h
@@ -54,6 +54,8 @@
 				      struct http1_head *head, size_t *used);
 enum http1_result http1_parse_response(const char *data, size_t len,
 				       struct http1_head *head, size_t *used);
+bool http1_is_interim(int status);
+bool http1_is_final(int status);
 bool http1_request_framing(const struct http1_head *head,
 			   struct http1_body *body);
 bool http1_response_framing(const struct http1_head *head, bool to_head_request,
--- a/lib/http1_client.c
+++ b/lib/http1_client.c
@@ -628,7 +628,7 @@
 		call_end(call, HTTP1_MALFORMED);
 		return false;
 	}
-	if (head.status < 200) { /* informational: the answer follows */
+	if (http1_is_interim(head.status)) { /* the answer follows */
 		bytes_consume(&k->input, used);
 		return true;
 	}
--- a/lib/httpc.c
+++ b/lib/httpc.c
@@ -13,6 +13,7 @@
 #include <h2o.h>
 #include <h2o/http1client.h>
 
+#include "lib/http1.h"
 #include "lib/settings.h"
 #include "lib/xalloc.h"
 
@@ -359,7 +360,8 @@
 	return on_head;
 }
 
-/* Called by h2o with the answer's head, or with an error. */
+/* Called by h2o with the answer's head, or with an error.  h2o passes on any
+ * status of three digits but those of interim answers. */
 static h2o_http1client_body_cb on_head(h2o_http1client_t *client,
 				       const char *errstr, int minor_version,
 				       int status, h2o_iovec_t msg,
@@ -371,7 +373,8 @@
 	(void)minor_version;
 	(void)msg;
 	(void)rlen;
-	if (errstr && errstr != h2o_http1client_error_is_eos) {
+	if ((errstr && errstr != h2o_http1client_error_is_eos) ||
+	    !http1_is_final(status)) {
 		r->h2o = NULL;
 		finish(r, HTTPC_BROKEN);
 		return NULL;
--- a/lib/httpc.h
+++ b/lib/httpc.h
@@ -11,7 +11,7 @@
 enum httpc_outcome {
 	HTTPC_OK, /* the whole answer was received */
 	HTTPC_CONNECT_FAILED,
-	HTTPC_BROKEN, /* reset, or closed before the answer was complete */
+	HTTPC_BROKEN, /* reset, closed early, or no valid answer */
 	HTTPC_TIMEOUT, /* sent, then nothing received for timeout_ms */
 	HTTPC_DROPPED, /* the client was freed; from httpc_fetch() only */
 };
--- a/regress/contract/test_platform_store.c
+++ b/regress/contract/test_platform_store.c
@@ -23,6 +23,11 @@
 	"eyJiYWNrZW5kIjoicyIsImFkZHJlc3MiOiIxLjIuMy40OjUiLCJ6b25lIjoieiIs" \
 	"InN0YXRlIjoicmVhZHkifQ=="
 
+/* An answer, as the body of another one. */
+#define WHOLE                                           \
+	"HTTP/1.1 200 OK\r\ncontent-length: 19\r\n\r\n" \
+	"{\"rows\":[],\"ver\":5}"
+
 /* Reaction of the server to a call. */
 enum server_reply {
 	REPLY_SENT,
@@ -171,6 +176,9 @@
 		{ { REPLY_SENT, 200, "" }, STORE_MALFORMED },
 		{ { REPLY_SENT, 200, "{\"rows\":7}" }, STORE_MALFORMED },
 		{ { REPLY_SENT, 200, "<html>" }, STORE_MALFORMED },
+		{ { REPLY_SENT, 600, "" }, STORE_UNREACHABLE },
+		{ { REPLY_SENT, 999, "" }, STORE_UNREACHABLE },
+		{ { REPLY_SENT, 101, WHOLE }, STORE_UNREACHABLE },
 		{ { REPLY_ABORTED, 0, NULL }, STORE_UNREACHABLE },
 		{ { REPLY_NONE, 0, NULL }, STORE_UNREACHABLE },
 	};
--- a/regress/unit/test_http1.c
+++ b/regress/unit/test_http1.c
@@ -3,6 +3,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <string.h>
 
 #include <setjmp.h>
@@ -111,6 +112,74 @@
 	}
 }
 
+/* Statuses that no answer may have are malformed; one of 101 would answer to an
+ * upgrade that no request asks for. */
+static void test_statuses(void **state)
+{
+	int status;
+
+	(void)state;
+	for (status = 0; status <= 999; status++) {
+		bool interim = status >= 100 && status <= 199 && status != 101;
+		bool final = status >= 200 && status <= 599;
+		struct http1_head head;
+		char text[64];
+		size_t used;
+
+		snprintf(text, sizeof(text), "HTTP/1.1 %03d S\r\n\r\n", status);
+		assert_int_equal(http1_parse_response(text, strlen(text), &head,
+						      &used),
+				 interim || final ? HTTP1_DONE : HTTP1_BAD);
+		assert_int_equal(http1_is_interim(status), interim);
+		assert_int_equal(http1_is_final(status), final);
+	}
+}
+
+/* Status lines other than a version of HTTP/1, one space, three digits, one space
+ * and a reason are malformed.  A higher minor version is read as 1.1. */
+static void test_status_lines(void **state)
+{
+	static const struct {
+		const char *line;
+		enum http1_result result;
+	} cases[] = {
+		{ "HTTP/1.1 200 OK", HTTP1_DONE },
+		{ "HTTP/1.0 200 OK", HTTP1_DONE },
+		{ "HTTP/1.2 200 OK", HTTP1_DONE },
+		{ "HTTP/1.1 200 ", HTTP1_DONE },
+		{ "HTTP/1.1 200", HTTP1_BAD },
+		{ "HTTP/1.1 200OK", HTTP1_BAD },
+		{ "HTTP/1.1 20 OK", HTTP1_BAD },
+		{ "HTTP/1.1 2000 OK", HTTP1_BAD },
+		{ "HTTP/1.1 0200 OK", HTTP1_BAD },
+		{ "HTTP/1.1 +20 OK", HTTP1_BAD },
+		{ "HTTP/1.1 -20 OK", HTTP1_BAD },
+		{ "HTTP/1.1 2x0 OK", HTTP1_BAD },
+		{ "HTTP/1.1  200 OK", HTTP1_BAD },
+		{ "HTTP/1.1\t200 OK", HTTP1_BAD },
+		{ "HTTP/1.1 200 O\x01K", HTTP1_BAD },
+		{ "HTTP/1.1 200 O\rK", HTTP1_BAD },
+		{ "HTTP/0.9 200 OK", HTTP1_BAD },
+		{ "HTTP/1.10 200 OK", HTTP1_BAD },
+		{ "HTTP/2.0 200 OK", HTTP1_BAD },
+		{ "http/1.1 200 OK", HTTP1_BAD },
+		{ " HTTP/1.1 200 OK", HTTP1_BAD },
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct http1_head head;
+		char text[64];
+		size_t used;
+
+		snprintf(text, sizeof(text), "%s\r\n\r\n", cases[i].line);
+		assert_int_equal(http1_parse_response(text, strlen(text), &head,
+						      &used),
+				 cases[i].result);
+	}
+}
+
 /* For any division of a chunked body into two reads, the decoded bytes are the
  * same and the bytes after the body are returned as the rest. */
 static void test_chunked_body_in_two_reads(void **state)
@@ -179,6 +248,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_requests),
 		cmocka_unit_test(test_answers),
+		cmocka_unit_test(test_statuses),
+		cmocka_unit_test(test_status_lines),
 		cmocka_unit_test(test_chunked_body_in_two_reads),
 		cmocka_unit_test(test_hop_by_hop),
 	};
