http1_client: take no success for whole that ends before its request is read

An endpoint sent a part of an answer of 200 without a length and closed its sending side in order while a long request was still being written to it. The caller got the part as a complete answer, as the end in order ended the body, and the endpoint, asked about that end, was alive.

The client knows more: such an endpoint hasn't the whole request. An answer of 2xx that ends with its connection is broken now if a part of the request is still queued here, or the server's host hasn't acknowledged it (SIOCOUTQ). The end of a connection acknowledges the bytes that came before it, so that a server which has read its request is never among these. The call counts as one whose connection broke: it is repeated where it may be, else refused with 502, and a stream goes on elsewhere. An answer that states its own end stays complete, as an endpoint may answer before it has read a long request, and one that isn't 2xx is passed on as before.

--- a/lib/http1_client.c
+++ b/lib/http1_client.c
@@ -5,10 +5,12 @@
  */
 #include "lib/http1_client.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/queue.h>
 #include <sys/socket.h>
 
@@ -49,6 +51,8 @@
 	enum conn_state state;
 	struct bytes input; /* of the incomplete head */
 	struct http1_body body;
+	bool success; /* the status of the answer is 2xx */
+	bool unsent; /* a request couldn't be queued */
 	uint64_t opened_ms; /* when it was established; 0: not yet */
 	uint64_t idle_since_ms;
 	uint64_t idle_limit_ms;
@@ -114,6 +118,7 @@
 static void on_written(uv_write_t *req, int status);
 static void on_closed(uv_handle_t *h);
 static bool was_reset(const struct client_conn *k);
+static bool is_received(const struct client_conn *k);
 static bool is_past_deadline(const struct client_conn *k, uint64_t now);
 static void on_eof(struct client_conn *k, bool orderly);
 static bool read_head(struct client_conn *k);
@@ -530,7 +535,8 @@
 	buf = uv_buf_init(w->data + sent,
 			  (unsigned int)(call->request_len - (size_t)sent));
 	if (uv_write(&w->req, stream, &buf, 1, on_written)) {
-		free(w->data); /* the read side reports the error */
+		k->unsent = true; /* the read side reports the error */
+		free(w->data);
 		free(w);
 	}
 }
@@ -595,12 +601,29 @@
 	return error != 0;
 }
 
-/* Handles the end of a connection, closed in order or broken. */
+/* Returns whether the server's host has received all bytes of the requests on a
+ * connection that it has ended.  Its end acknowledges the bytes that came before
+ * it, so that none of these is counted. */
+static bool is_received(const struct client_conn *k)
+{
+	uv_os_fd_t fd;
+	int n;
+
+	return !k->unsent &&
+	       !uv_stream_get_write_queue_size((const uv_stream_t *)&k->tcp) &&
+	       !uv_fileno((const uv_handle_t *)&k->tcp, &fd) &&
+	       !ioctl(fd, SIOCOUTQ, &n) && !n;
+}
+
+/* Handles the end of a connection, closed in order or broken.  It ends the body of
+ * an answer without a length.  A success is none before the request was received:
+ * the server has given up, and may break off its answer as well. */
 static void on_eof(struct client_conn *k, bool orderly)
 {
 	struct http1_call *call = k->call;
 	bool whole = orderly && k->state == CONN_READING && !k->skipping &&
-		     k->body.framing == HTTP1_UNTIL_CLOSE;
+		     k->body.framing == HTTP1_UNTIL_CLOSE &&
+		     (!k->success || is_received(k));
 
 	conn_close(k);
 	if (call)
@@ -640,6 +663,7 @@
 	k->keep_alive = http1_keeps_alive(&head) &&
 			k->body.framing != HTTP1_UNTIL_CLOSE;
 	k->idle_limit_ms = idle_limit(&head);
+	k->success = head.status >= 200 && head.status < 300;
 	k->state = CONN_READING;
 	k->content_bytes = 0;
 	k->framing_bytes = 0;
--- a/regress/contract/test_http1_client.c
+++ b/regress/contract/test_http1_client.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
 
 #include <setjmp.h>
 #include <cmocka.h>
@@ -17,9 +18,12 @@
 #include "lib/xalloc.h"
 #include "regress/harness.h"
 
+#define N(list) (sizeof(list) / sizeof((list)[0]))
 #define HEAD "HTTP/1.1 200 OK\r\n"
 /* No connection can be made to it; the kernel says that there is no way. */
 #define BROADCAST_ADDRESS "127.255.255.255:1"
+/* Of a server's connections, so that a request of a few segments doesn't fit. */
+#define RECEIVE_BYTES 4096
 #define WAYS 4 /* closed in order or reset, on a new or a kept connection */
 
 /* What the server does with a connection after its answer. */
@@ -27,6 +31,8 @@
 	KEEP,
 	FIN,
 	RESET,
+	/* the sending side is closed in order; the connection stays open */
+	HALF,
 };
 
 struct script {
@@ -42,6 +48,8 @@
 	const char *address;
 	struct script script;
 	unsigned accepted;
+	bool stops_reading; /* when it answers */
+	struct connection *last; /* that it answered on */
 };
 
 struct connection {
@@ -68,6 +76,14 @@
 	free(h->data);
 }
 
+static void close_sending_side(struct connection *c)
+{
+	uv_os_fd_t fd;
+
+	assert_int_equal(uv_fileno((uv_handle_t *)&c->tcp, &fd), 0);
+	assert_int_equal(shutdown(fd, SHUT_WR), 0);
+}
+
 static void on_written(uv_write_t *req, int status)
 {
 	struct connection *c = req->data;
@@ -77,6 +93,8 @@
 		uv_close((uv_handle_t *)&c->tcp, on_closed);
 	else if (c->server->script.ending == RESET)
 		uv_tcp_close_reset(&c->tcp, on_closed);
+	else if (c->server->script.ending == HALF)
+		close_sending_side(c);
 }
 
 static void on_alloc(uv_handle_t *h, size_t suggested, uv_buf_t *buf)
@@ -105,6 +123,9 @@
 	}
 	out = uv_buf_init((char *)c->server->script.bytes,
 			  (unsigned int)strlen(c->server->script.bytes));
+	c->server->last = c;
+	if (c->server->stops_reading)
+		uv_read_stop(stream);
 	c->write.data = c;
 	uv_write(&c->write, stream, &out, 1, on_written);
 }
@@ -486,6 +507,106 @@
 	bytes_release(&second.body);
 }
 
+/* Sends a request of len bytes to the server, which answers when it has received
+ * answer_at of them, and waits for the end of the call. */
+static void upload(struct result *r, size_t len, size_t answer_at)
+{
+	static const struct http1_call_ops ops = {
+		.on_head = on_head,
+		.on_body = on_body,
+		.on_end = on_end,
+	};
+	const struct http1_call_options options = {
+		.address = server.address,
+		.connect_timeout_ms = 1000,
+	};
+	struct bytes record = { 0 };
+	char *request = xcalloc(len, 1);
+
+	memset(request, 'b', len);
+	server.record = &record;
+	server.answer_at = answer_at;
+	http1_call_start(client, &options, request, len, &ops, r);
+	harness_until(harness, is_over, r, "the call ends");
+	server.record = NULL;
+	bytes_release(&record);
+}
+
+/* The server closed its sending side in order while the request was still being
+ * written, after a part of an answer without a length, and the part was complete.
+ * It is broken if it is a success.  Other answers are complete, and so are those
+ * with a length, in chunks or without a body. */
+static void test_answer_ends_before_request_is_written(void **state)
+{
+	static const struct {
+		const char *what;
+		const char *answer;
+		bool needs_request; /* complete only after the whole request */
+	} answers[] = {
+		{ "a success without a length", HEAD "\r\nab", true },
+		{ "201", "HTTP/1.1 201 C\r\n\r\nab", true },
+		{ "HTTP/1.0", "HTTP/1.0 200 OK\r\n\r\nab", true },
+		{ "after an interim head", "HTTP/1.1 100 C\r\n\r\n" HEAD "\r\n",
+		  true },
+		{ "without a byte of its body", HEAD "\r\n", true },
+		{ "with a length", HEAD "content-length: 2\r\n\r\nab", false },
+		{ "in chunks",
+		  HEAD "transfer-encoding: chunked\r\n\r\n"
+		       "2\r\nab\r\n0\r\n\r\n",
+		  false },
+		{ "204", "HTTP/1.1 204 N\r\n\r\n", false },
+		{ "a refusal without a length", "HTTP/1.1 413 L\r\n\r\nab",
+		  false },
+		{ "a failure without a length", "HTTP/1.1 500 F\r\n\r\nab",
+		  false },
+	};
+	static const struct {
+		const char *what;
+		size_t len;
+		size_t answer_at;
+		int receive_bytes; /* of the server's socket; 0: as it is */
+	} ways[] = {
+		{ "8 MB, 1 byte read", 8 << 20, 1, 0 },
+		{ "8 MB, 16 KB read", 8 << 20, 16 << 10, 0 },
+		{ "8 MB, read whole", 8 << 20, 8 << 20, 0 },
+		{ "1 byte, read whole", 1, 1, 0 },
+		{ "taken by the socket, not received", 64 << 10, 1,
+		  RECEIVE_BYTES },
+		{ "the last 64 KB not received", 256 << 10, 192 << 10,
+		  RECEIVE_BYTES },
+		{ "64 KB, read whole", 64 << 10, 64 << 10, RECEIVE_BYTES },
+	};
+	uv_os_fd_t fd;
+	size_t n;
+
+	(void)state;
+	assert_int_equal(uv_fileno((uv_handle_t *)&server.listener, &fd), 0);
+	for (n = 0; n < N(answers) * N(ways); n++) {
+		size_t a = n % N(answers);
+		size_t w = n / N(answers);
+		bool whole = ways[w].answer_at == ways[w].len;
+		enum http1_outcome outcome = whole || !answers[a].needs_request
+						     ? HTTP1_COMPLETE
+						     : HTTP1_BROKEN;
+		struct result r = { .over = false };
+
+		if (ways[w].receive_bytes)
+			assert_int_equal(setsockopt(fd, SOL_SOCKET, SO_RCVBUF,
+						    &ways[w].receive_bytes,
+						    sizeof(int)),
+					 0);
+		server.stops_reading = !whole;
+		server.script = (struct script){ answers[a].answer, HALF };
+		upload(&r, ways[w].len, ways[w].answer_at);
+		if (r.outcome != outcome)
+			fail_msg("%s, %s: %s", answers[a].what, ways[w].what,
+				 http1_outcome_name(r.outcome));
+		bytes_release(&r.body);
+		if (server.stops_reading)
+			uv_close((uv_handle_t *)&server.last->tcp, on_closed);
+	}
+}
+
 /* A late answer to an earlier request precedes the expected one. */
 static void test_answer_to_earlier_request_is_skipped(void **state)
 {
@@ -573,6 +694,9 @@
 		cmocka_unit_test_setup_teardown(
 			test_answer_before_request_body_is_read, set_up,
 			tear_down),
+		cmocka_unit_test_setup_teardown(
+			test_answer_ends_before_request_is_written, set_up,
+			tear_down),
 		cmocka_unit_test_setup_teardown(
 			test_answer_to_earlier_request_is_skipped, set_up,
 			tear_down),
--- a/regress/platform_standin.c
+++ b/regress/platform_standin.c
@@ -18,6 +18,7 @@
 #include "lib/bytes.h"
 #include "lib/xalloc.h"
 
+#define BODY_BYTES 10000 /* of a request, in the configuration */
 #define HEAD_BYTES 4096 /* of a head, in the configuration */
 #define SIGNATURE "response-signature: m.1\r\n"
 #define FEEDS_TICK_MS 20 /* between looks at feeds that wait */
@@ -339,12 +340,13 @@
 		"{\"name\":\"engine\",\"healthPath\":\"/healthz\",\"engine\":{"
 		"\"slots\":16,\"kvCapacity\":55000,\"backups\":true,"
 		"\"moves\":true}}],"
-		"\"limits\":{\"maxHeaderBytes\":%u,\"maxBodyBytes\":10000,"
+		"\"limits\":{\"maxHeaderBytes\":%u,\"maxBodyBytes\":%u,"
 		"\"headerTimeoutMs\":2000,\"idleTimeoutMs\":15000},"
 		"\"tenants\":[{\"name\":\"ajoke\",\"apiKeys\":[\"%s\"]}]}",
 		version, extra_routes ? "," : "",
 		extra_routes ? extra_routes : "",
-		w->header_bytes ? w->header_bytes : HEAD_BYTES, w->key);
+		w->header_bytes ? w->header_bytes : HEAD_BYTES,
+		w->body_bytes ? w->body_bytes : BODY_BYTES, w->key);
 
 	standin_put(w, "op", "config", text);
 	free(text);
--- a/regress/platform_standin.h
+++ b/regress/platform_standin.h
@@ -113,6 +113,7 @@
 	const char *extra_settings; /* lines added to all settings, or NULL */
 	unsigned int grace_s; /* of instances; 0: 2 */
 	unsigned int header_bytes; /* in the configuration; 0: 4096 */
+	unsigned int body_bytes; /* in the configuration; 0: 10000 */
 	size_t plain_bytes; /* of plain answers; 0: a short text */
 	uint64_t event_ms; /* interval between two events of a stream */
 	size_t event_padding; /* bytes added to each event of a stream */
--- a/regress/raw_endpoint.c
+++ b/regress/raw_endpoint.c
@@ -11,6 +11,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include <setjmp.h>
 #include <cmocka.h>
@@ -152,6 +153,15 @@
 	free(entry);
 }
 
+/* Ends the answers of a connection in order, which stays open. */
+static void close_sending_side(struct raw_conn *c)
+{
+	uv_os_fd_t fd;
+
+	assert_int_equal(uv_fileno((uv_handle_t *)&c->tcp, &fd), 0);
+	assert_int_equal(shutdown(fd, SHUT_WR), 0);
+}
+
 /* Sends an answer and ends the connection as it says. */
 static void answer(struct raw_conn *c, const struct raw_answer *a)
 {
@@ -166,6 +176,8 @@
 		uv_close((uv_handle_t *)&c->tcp, NULL);
 	else if (a->end == RAW_REFUSES)
 		stop_listening(c->endpoint);
+	else if (a->end == RAW_HALF)
+		close_sending_side(c);
 	else if (a->end == RAW_RESET)
 		uv_tcp_close_reset(&c->tcp, NULL);
 	else if (a->end != RAW_KEEP)
@@ -303,6 +315,8 @@
 			first_kept = n_attempts ? first_kept : c->kept;
 			first_endpoint = n_attempts ? first_endpoint
 						    : c->endpoint;
+			if (current_way->body_bytes)
+				uv_read_stop(stream);
 			if (current_way->report == RAW_REPORT_LATE &&
 			    !n_attempts)
 				e->awaits_answer = c;
@@ -376,6 +390,7 @@
 	harness = harness_new();
 	world = standin_new(harness);
 	world->extra_settings = REPEATS;
+	world->body_bytes = (unsigned int)current_way->body_bytes;
 	n_attempts = 0;
 	first_kept = false;
 	second = NULL;
@@ -446,18 +461,24 @@
 		.connect_timeout_ms = CONNECT_MS,
 		.head = !strcmp(current_way->method, "HEAD"),
 	};
-	char *request = xasprintf(
-		"%s %s HTTP/%s\r\nhost: 127.0.0.1\r\n"
-		"request-id: %s\r\ncredential: k1\r\n"
-		"deadline-ms: 15000\r\n%s%s",
-		current_way->method, current->target, current->version, id,
-		current_way->headers ? current_way->headers : "",
-		strcmp(current_way->method, "POST") ? "\r\n"
-						    : "content-length: 1\r\n"
-						      "\r\nx");
-
-	http1_call_start(client, &options, request, strlen(request), &ops,
-			 reply);
+	bool earlier = !strncmp(id, EARLIER, strlen(EARLIER));
+	size_t n = current_way->body_bytes && !earlier ? current_way->body_bytes
+						       : 1;
+	bool post = !strcmp(current_way->method, "POST");
+	struct bytes out = { 0 };
+
+	bytes_addf(&out,
+		   "%s %s HTTP/%s\r\nhost: 127.0.0.1\r\n"
+		   "request-id: %s\r\ncredential: k1\r\n"
+		   "deadline-ms: 15000\r\n%s",
+		   current_way->method, current->target, current->version, id,
+		   current_way->headers ? current_way->headers : "");
+	if (post)
+		bytes_addf(&out, "content-length: %zu\r\n\r\n%*s", n, (int)n,
+			   "x");
+	else
+		bytes_addf(&out, "\r\n");
+	http1_call_start(client, &options, out.data, out.len, &ops, reply);
 }
 
 /* Waits for the end of the answer to a request. */
--- a/regress/raw_endpoint.h
+++ b/regress/raw_endpoint.h
@@ -24,6 +24,8 @@
 	RAW_RESTARTED_UNSEEN,
 	/* the connection stays open, but no new one is accepted */
 	RAW_REFUSES,
+	/* the sending side is closed in order; the connection stays open */
+	RAW_HALF,
 };
 
 /* How an engine answers for its report, which states its start. */
@@ -63,6 +65,9 @@
 		*method; /* "POST" with a body of one byte, "GET" or "HEAD" */
 	bool kept; /* the first attempt arrives on a kept connection */
 	const char *headers; /* further lines of the request, or NULL */
+	/* of a POST request, which is answered as its first bytes have arrived,
+	 * and not read on; 0: one byte, which is read */
+	size_t body_bytes;
 	enum raw_report report;
 	size_t n_dead; /* so many endpoints are killed before the request */
 	/* all are started again before the request, and their entries name
