regress: odd statuses and early ends, relayed and taken up

The cases had plain requests and streams of an instance's own callers only. Now also requests that another instance relays, and a stream that a caller takes up after an event.

Both programs pass now.

--- a/regress/integration/test_early_ends.c
+++ b/regress/integration/test_early_ends.c
@@ -33,10 +33,13 @@
 #define E2 "id: 2\ndata: b\n\n"
 #define CHUNK(event) "f\r\n" event "\r\n"
 #define REST STREAM_CHUNKED CHUNK(E2) "0\r\n\r\n"
-#define WAY                               \
-	{                                 \
-		.body_bytes = BODY_BYTES, \
+#define WAY_WITH(lines)                                      \
+	{                                                    \
+		.body_bytes = BODY_BYTES, .headers = (lines) \
 	}
+#define WAY WAY_WITH(NULL)
+#define TAKES_UP WAY_WITH("last-event-id: 1\r\n")
+#define RELAYED WAY_WITH("relayed-by: two\r\n")
 
 static const struct raw_way_case cases[] = {
 	{ { .what = "may run again, ends in order",
@@ -114,6 +117,33 @@
 	    .body = E1,
 	    .n_attempts = 1 },
 	  WAY },
+	{ { .what = "stream that a caller takes up",
+	    .target = "/write/a",
+	    .answers = { { STREAM, RAW_HALF }, { REST, RAW_KEEP } },
+	    .status = 200,
+	    .body = E2,
+	    .n_attempts = 2 },
+	  TAKES_UP },
+	{ { .what = "relayed, may run again",
+	    .target = "/look/a",
+	    .answers = { { PLAIN "o", RAW_HALF }, { WHOLE, RAW_KEEP } },
+	    .status = 200,
+	    .body = "ok",
+	    .n_attempts = 2 },
+	  RELAYED },
+	{ { .what = "relayed, may run once",
+	    .target = "/book/a",
+	    .answers = { { PLAIN "o", RAW_HALF } },
+	    .status = 502,
+	    .n_attempts = 1 },
+	  RELAYED },
+	{ { .what = "relayed stream",
+	    .target = "/write/a",
+	    .answers = { { STREAM E1, RAW_HALF }, { REST, RAW_KEEP } },
+	    .status = 200,
+	    .body = E1 E2,
+	    .n_attempts = 2 },
+	  RELAYED },
 	{ { .what = "with a length",
 	    .target = "/book/a",
 	    .answers = { { WHOLE, RAW_HALF } },
--- a/regress/integration/test_odd_status.c
+++ b/regress/integration/test_odd_status.c
@@ -110,6 +110,32 @@
 	run(may_run_once, 0, &kept);
 }
 
+static void relayed_call(void **state)
+{
+	static const struct raw_way way = { .method = "POST",
+					    .headers = "relayed-by: two\r\n" };
+
+	(void)state;
+	run(may_repeat, 0, &way);
+	run(may_run_once, 0, &way);
+}
+
+static void stream_that_a_caller_takes_up(void **state)
+{
+	static const struct raw_way way = { .method = "POST",
+					    .headers = "last-event-id: 1\r\n" };
+	const struct raw_case c = {
+		.target = "/write/a",
+		.answers = { [1] = { REST, RAW_KEEP } },
+		.status = 200,
+		.body = E2,
+		.n_attempts = 2,
+	};
+
+	(void)state;
+	run(c, 0, &way);
+}
+
 static void new_stream(void **state)
 {
 	const struct raw_case c = {
@@ -145,8 +171,10 @@
 		cmocka_unit_test(call_that_may_repeat_on_kept_connection),
 		cmocka_unit_test(call_that_may_run_once),
 		cmocka_unit_test(call_that_may_run_once_on_kept_connection),
+		cmocka_unit_test(relayed_call),
 		cmocka_unit_test(new_stream),
 		cmocka_unit_test(begun_stream),
+		cmocka_unit_test(stream_that_a_caller_takes_up),
 	};
 
 	return cmocka_run_group_tests_name("odd status", tests, NULL, NULL);
