httpc: take no answer without a length for whole that is reset or early

h2o signals the end of a connection, in order or by a reset, as the end of an answer without a length. The client of cdmentryd took an answer that was reset for complete, and so it took a success whose server had closed its sending side before it had received the request.

Both are "connection broken" now; answers other than 2xx that end early and in order, and those with a length or in chunks, stay complete.

--- a/lib/httpc.c
+++ b/lib/httpc.c
@@ -6,9 +6,14 @@
 #include "lib/httpc.h"
 
 #include <assert.h>
+#include <linux/sockios.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
 
 #include <h2o.h>
 #include <h2o/http1client.h>
@@ -52,6 +57,8 @@
 	enum httpc_phase phase;
 	bool head; /* the method is HEAD */
 	bool chunked; /* the answer is chunked */
+	bool until_close; /* its body ends with the connection */
+	bool success; /* its status is 2xx */
 	bool paused;
 	bool in_callback; /* of h2o, whose return value closes it */
 	bool done;
@@ -78,8 +85,10 @@
 				       h2o_header_t *headers, size_t n,
 				       int rlen);
 static int on_body(h2o_http1client_t *client, const char *errstr);
-static bool is_chunked(const h2o_header_t *headers, size_t n);
+static bool has_header(const h2o_header_t *headers, size_t n,
+		       const h2o_token_t *token);
 static bool closed_between_chunks(const struct httpc_req *r);
+static bool ended_early(const struct httpc_req *r);
 static void deliver_head(struct httpc_req *r, int status,
 			 const h2o_header_t *headers, size_t n);
 static void on_failure_timer(uv_timer_t *timer);
@@ -381,7 +390,10 @@
 	}
 	r->phase = PHASE_BODY;
 	r->last_activity_ms = uv_now(r->client->loop);
-	r->chunked = is_chunked(headers, n);
+	r->chunked = has_header(headers, n, H2O_TOKEN_TRANSFER_ENCODING);
+	r->until_close = !r->chunked &&
+			 !has_header(headers, n, H2O_TOKEN_CONTENT_LENGTH);
+	r->success = status >= 200 && status < 300;
 	r->in_callback = true;
 	deliver_head(r, status, headers, n);
 	r->in_callback = false;
@@ -403,7 +415,7 @@
 	struct httpc_req *r = client->data;
 	h2o_buffer_t **input = &client->sock->input;
 	bool broken = errstr && (errstr != h2o_http1client_error_is_eos ||
-				 closed_between_chunks(r));
+				 closed_between_chunks(r) || ended_early(r));
 
 	r->last_activity_ms = uv_now(r->client->loop);
 	r->in_callback = true;
@@ -418,13 +430,14 @@
 	return -1;
 }
 
-/* Reports whether the answer is chunked. */
-static bool is_chunked(const h2o_header_t *headers, size_t n)
+/* Reports whether an answer has a header that h2o knows. */
+static bool has_header(const h2o_header_t *headers, size_t n,
+		       const h2o_token_t *token)
 {
 	size_t i;
 
 	for (i = 0; i < n; i++)
-		if (headers[i].name == &H2O_TOKEN_TRANSFER_ENCODING->buf)
+		if (headers[i].name == &token->buf)
 			return true;
 	return false;
 }
@@ -439,6 +452,28 @@
 	return r->chunked && r->h2o->sock->bytes_read == 0;
 }
 
+/*
+ * Reports whether the end of a connection, which h2o signals as that of an answer
+ * without a length, is a reset, or ends a success before the server's host has
+ * received the whole request.  The state of the socket tells a reset from an end
+ * in order, which acknowledges the bytes that came before it.
+ */
+static bool ended_early(const struct httpc_req *r)
+{
+	struct tcp_info info;
+	socklen_t len = sizeof(info);
+	int unreceived;
+	int fd;
+
+	if (!r->until_close)
+		return false;
+	fd = h2o_socket_get_fd(r->h2o->sock);
+	if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &len) ||
+	    info.tcpi_state != TCP_CLOSE_WAIT)
+		return true;
+	return r->success && (ioctl(fd, SIOCOUTQ, &unreceived) || unreceived);
+}
+
 /* Calls on_head with null-terminated names and values, at most
  * HTTPC_HEADERS_MAX. */
 static void deliver_head(struct httpc_req *r, int status,
