--- a/regress/integration/test_odd_status.c
+++ b/regress/integration/test_odd_status.c
@@ -164,6 +164,27 @@
 	run(c, 1, &fresh);
 }
 
+/* A report with such a status shows nothing: the end of an answer without a length
+ * can't be told. */
+static void report(void **state)
+{
+	static const struct raw_way way = { .method = "POST",
+					    .report = RAW_REPORT_ODD };
+	static const struct raw_case c = {
+		.what = "report",
+		.target = "/once/a",
+		.version = "1.1",
+		.answers = { { OK TYPE "\r\n" E1, RAW_FIN } },
+		.outcome = HTTP1_BROKEN,
+		.status = 200,
+		.body = E1,
+		.n_attempts = 1,
+	};
+
+	(void)state;
+	raw_run_case_in_way(&c, &way);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -175,6 +196,7 @@
 		cmocka_unit_test(new_stream),
 		cmocka_unit_test(begun_stream),
 		cmocka_unit_test(stream_that_a_caller_takes_up),
+		cmocka_unit_test(report),
 	};
 
 	return cmocka_run_group_tests_name("odd status", tests, NULL, NULL);
--- a/regress/raw_endpoint.c
+++ b/regress/raw_endpoint.c
@@ -230,6 +230,8 @@
 	char *bytes = xasprintf("HTTP/1.1 200 OK\r\ncontent-length: %zu\r\n"
 				"\r\n%s",
 				strlen(body), body);
+	char *odd = xasprintf("HTTP/1.1 000 S\r\ncontent-length: %zu\r\n\r\n%s",
+			      strlen(bytes), bytes);
 
 	e->awaits_report = NULL;
 	if (current_way->report == RAW_REPORT_LATE && !n_attempts) {
@@ -243,6 +245,9 @@
 		answer(c, &(const struct raw_answer){ bytes, RAW_KEEP });
 	else if (current_way->report == RAW_REPORT_REFUSED)
 		answer(c, &(const struct raw_answer){ REFUSED, RAW_KEEP });
+	else if (current_way->report == RAW_REPORT_ODD)
+		answer(c, &(const struct raw_answer){ odd, RAW_KEEP });
+	free(odd);
 	free(bytes);
 	free(body);
 }
--- a/regress/raw_endpoint.h
+++ b/regress/raw_endpoint.h
@@ -33,6 +33,7 @@
 	RAW_REPORT_WHOLE,
 	RAW_REPORT_REFUSED, /* 503 */
 	RAW_REPORT_SILENT, /* never */
+	RAW_REPORT_ODD, /* 000, its body the bytes of a whole answer */
 	/* one that is asked for before the first attempt is answered, only when
 	 * another one is asked for; and that attempt is answered at the next
 	 * connection, a probe of its silence */
