--- a/regress/raw_endpoint.c
+++ b/regress/raw_endpoint.c
@@ -11,6 +11,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include <setjmp.h>
 #include <cmocka.h>
@@ -154,6 +155,15 @@
 	free(entry);
 }
 
+/* Ends the answers of a connection in order, which stays open. */
+static void close_sending_side(struct raw_conn *c)
+{
+	uv_os_fd_t fd;
+
+	assert_int_equal(uv_fileno((uv_handle_t *)&c->tcp, &fd), 0);
+	assert_int_equal(shutdown(fd, SHUT_WR), 0);
+}
+
 /* Sends an answer and ends the connection as it says. */
 static void answer(struct raw_conn *c, const struct raw_answer *a)
 {
@@ -168,6 +178,8 @@
 		uv_close((uv_handle_t *)&c->tcp, NULL);
 	else if (a->end == RAW_REFUSES)
 		stop_listening(c->endpoint);
+	else if (a->end == RAW_HALF)
+		close_sending_side(c);
 	else if (a->end == RAW_RESET)
 		uv_tcp_close_reset(&c->tcp, NULL);
 	else if (a->end != RAW_KEEP)
@@ -220,6 +232,8 @@
 	char *bytes = xasprintf("HTTP/1.1 200 OK\r\ncontent-length: %zu\r\n"
 				"\r\n%s",
 				strlen(body), body);
+	char *odd = xasprintf("HTTP/1.1 000 S\r\ncontent-length: %zu\r\n\r\n%s",
+			      strlen(bytes), bytes);
 
 	e->awaits_report = NULL;
 	if (current_way->goes_on_while_held && second &&
@@ -236,7 +250,10 @@
 		answer(c, &(const struct raw_answer){ bytes, RAW_KEEP });
 	else if (current_way->report == RAW_REPORT_REFUSED)
 		answer(c, &(const struct raw_answer){ REFUSED, RAW_KEEP });
+	else if (current_way->report == RAW_REPORT_ODD)
+		answer(c, &(const struct raw_answer){ odd, RAW_KEEP });
 out:
+	free(odd);
 	free(bytes);
 	free(body);
 }
@@ -310,6 +327,8 @@
 			first_endpoint = n_attempts ? first_endpoint
 						    : c->endpoint;
 			first = n_attempts ? first : c;
+			if (current_way->body_bytes)
+				uv_read_stop(stream);
 			if (current_way->report == RAW_REPORT_LATE &&
 			    !n_attempts)
 				e->awaits_answer = c;
@@ -384,6 +403,7 @@
 	harness = harness_new();
 	world = standin_new(harness);
 	world->extra_settings = REPEATS;
+	world->body_bytes = (unsigned int)current_way->body_bytes;
 	n_attempts = 0;
 	first_kept = false;
 	first = NULL;
@@ -455,18 +475,24 @@
 		.connect_timeout_ms = CONNECT_MS,
 		.head = !strcmp(current_way->method, "HEAD"),
 	};
-	char *request = xasprintf(
-		"%s %s HTTP/%s\r\nhost: 127.0.0.1\r\n"
-		"request-id: %s\r\ncredential: k1\r\n"
-		"deadline-ms: 15000\r\n%s%s",
-		current_way->method, current->target, current->version, id,
-		current_way->headers ? current_way->headers : "",
-		strcmp(current_way->method, "POST") ? "\r\n"
-						    : "content-length: 1\r\n"
-						      "\r\nx");
-
-	http1_call_start(client, &options, request, strlen(request), &ops,
-			 reply);
+	bool earlier = !strncmp(id, EARLIER, strlen(EARLIER));
+	size_t n = current_way->body_bytes && !earlier ? current_way->body_bytes
+						       : 1;
+	bool post = !strcmp(current_way->method, "POST");
+	struct bytes out = { 0 };
+
+	bytes_addf(&out,
+		   "%s %s HTTP/%s\r\nhost: 127.0.0.1\r\n"
+		   "request-id: %s\r\ncredential: k1\r\n"
+		   "deadline-ms: 15000\r\n%s",
+		   current_way->method, current->target, current->version, id,
+		   current_way->headers ? current_way->headers : "");
+	if (post)
+		bytes_addf(&out, "content-length: %zu\r\n\r\n%*s", n, (int)n,
+			   "x");
+	else
+		bytes_addf(&out, "\r\n");
+	http1_call_start(client, &options, out.data, out.len, &ops, reply);
 }
 
 /* Waits for the end of the answer to a request. */
--- a/regress/raw_endpoint.h
+++ b/regress/raw_endpoint.h
@@ -24,6 +24,8 @@
 	RAW_RESTARTED_UNSEEN,
 	/* the connection stays open, but no new one is accepted */
 	RAW_REFUSES,
+	/* the sending side is closed in order; the connection stays open */
+	RAW_HALF,
 };
 
 /* How an engine answers for its report, which states its start. */
@@ -31,6 +33,7 @@
 	RAW_REPORT_WHOLE,
 	RAW_REPORT_REFUSED, /* 503 */
 	RAW_REPORT_SILENT, /* never */
+	RAW_REPORT_ODD, /* 000, its body the bytes of a whole answer */
 	/* one that is asked for before the first attempt is answered, only when
 	 * another one is asked for; and that attempt is answered at the next
 	 * connection, a probe of its silence */
@@ -63,6 +66,9 @@
 		*method; /* "POST" with a body of one byte, "GET" or "HEAD" */
 	bool kept; /* the first attempt arrives on a kept connection */
 	const char *headers; /* further lines of the request, or NULL */
+	/* of a POST request, which is answered as its first bytes have arrived,
+	 * and not read on; 0: one byte, which is read */
+	size_t body_bytes;
 	enum raw_report report;
 	size_t n_dead; /* so many endpoints are killed before the request */
 	/* all are started again before the request, and their entries name
