proxyd: a stream whose endpoint falls silent as it ends and exits is whole

Callers of a route that doesn't resume had all events of a stream without a length, and their connection was closed without its end ("the run was lost and may not move", unframed-end "left"), when the endpoint was leaving, fell silent with its last byte and exited 0.8 to 1.8 s later. A plain answer of such an engine that may run once was 502.

The engine was asked after the end, accepted the question and exited before it answered. A connection to it that was open at the end and lasts 300 ms shows that it outlived the answer, but often there was none, and the one there was counted only once the endpoint had ended, and with it that connection.

While such an answer is open at an endpoint that leaves, the endpoint is now asked for its report on a connection that is kept, once a second until one stands. The connection counts only if the start stated on it is the one known before the request was sent: one that leaves may have closed its listener, and another process accept at its address. If it is refused and no end waits for it, nothing is taken from that. 300 ms after the end, the time in which all ends of a killed process arrive, it decides without an answer to the question.

--- a/lib/http1_client.c
+++ b/lib/http1_client.c
@@ -50,6 +50,7 @@
 	struct bytes input; /* of the incomplete head */
 	struct http1_body body;
 	uint64_t opened_ms; /* when it was established; 0: not yet */
+	uint64_t process; /* that it ends at; 0: unknown */
 	uint64_t idle_since_ms;
 	uint64_t idle_limit_ms;
 	bool keep_alive;
@@ -67,6 +68,9 @@
 	struct http1_client *client;
 	TAILQ_ENTRY(http1_call) link; /* in failed_calls */
 	struct client_conn *conn;
+	/* the connection that has become idle as the answer was complete, while
+	 * on_end is called; else NULL */
+	struct client_conn *kept;
 	uint64_t tag;
 	const struct http1_call_ops *ops;
 	void *arg;
@@ -106,6 +110,8 @@
 				      enum http1_outcome *failure);
 static enum http1_outcome connect_failure(int error);
 static void enable_keepalive(struct client_conn *k, uint32_t timeout_s);
+static bool spans(const struct client_conn *k, const char *address,
+		  uint64_t since_ms);
 static bool was_refused(const struct client_conn *k, uint64_t tag);
 static void send_request(struct client_conn *k);
 static void on_connect(uv_connect_t *req, int status);
@@ -318,12 +324,44 @@
 	const struct client_conn *k;
 
 	TAILQ_FOREACH(k, &c->conns, link)
-	if (k->opened_ms && k->opened_ms <= since_ms &&
-	    !(k->call && k->call->paused) && !strcmp(k->address, address))
+	if (spans(k, address, since_ms))
 		return true;
 	return false;
 }
 
+/* Names the process that the connection of a call ends at, for
+ * http1_client_spans_process().  In on_end this holds for a connection that carries
+ * later calls. */
+void http1_call_name_process(struct http1_call *call, uint64_t process)
+{
+	struct client_conn *k = call->conn ? call->conn : call->kept;
+
+	if (k)
+		k->process = process;
+}
+
+/* As http1_client_spans(), of connections that are known to end at a process. */
+bool http1_client_spans_process(const struct http1_client *c,
+				const char *address, uint64_t since_ms,
+				uint64_t process)
+{
+	const struct client_conn *k;
+
+	TAILQ_FOREACH(k, &c->conns, link)
+	if (process && k->process == process && spans(k, address, since_ms))
+		return true;
+	return false;
+}
+
+/* Returns whether a connection to an address that was established at since_ms or
+ * before is open and read. */
+static bool spans(const struct client_conn *k, const char *address,
+		  uint64_t since_ms)
+{
+	return k->opened_ms && k->opened_ms <= since_ms &&
+	       !(k->call && k->call->paused) && !strcmp(k->address, address);
+}
+
 /* Reports whether the call has an established connection. */
 bool http1_call_connected(const struct http1_call *call)
 {
@@ -723,6 +761,7 @@
 		k->idle_since_ms = uv_now(k->client->loop);
 		TAILQ_REMOVE(&k->client->conns, k, link);
 		TAILQ_INSERT_HEAD(&k->client->conns, k, link);
+		call->kept = k;
 	} else {
 		conn_close(k);
 	}
--- a/lib/http1_client.h
+++ b/lib/http1_client.h
@@ -77,6 +77,10 @@
 uint64_t http1_call_opened_ms(const struct http1_call *call);
 bool http1_client_spans(const struct http1_client *c, const char *address,
 			uint64_t since_ms);
+void http1_call_name_process(struct http1_call *call, uint64_t process);
+bool http1_client_spans_process(const struct http1_client *c,
+				const char *address, uint64_t since_ms,
+				uint64_t process);
 bool http1_call_connected(const struct http1_call *call);
 bool http1_call_unframed(const struct http1_call *call);
 bool http1_call_reused(const struct http1_call *call);
--- a/policy/answer_end.c
+++ b/policy/answer_end.c
@@ -16,6 +16,10 @@
  * one that is killed in the middle does so at any time. */
 #define AT_ONCE_MS 5
 
+/* The ends of all connections of a process that is killed arrive within this
+ * time. */
+#define ENDS_TOGETHER_MS 300
+
 /* Runs without an event after which a stream is taken for whole: a single one
  * may have been broken off before its first event.  Where no second run is
  * allowed, one is enough, as its endpoint has ended it itself. */
@@ -82,6 +86,18 @@
 	return known_ms ? ENDPOINT_SIGN_ENDED : ENDPOINT_SIGN_UNKNOWN;
 }
 
+/* Tells whether connections that last show that the process which wrote an answer has
+ * outlived it.  One whose process is not known does only if the endpoint can't be
+ * asked.  One that leaves may exit before it has answered a question, so that a
+ * connection at that process shows it as soon as it has lasted for long enough. */
+bool answer_end_connections_show(const struct answer_end_connections *c)
+{
+	if (c->waited_ms < ENDS_TOGETHER_MS)
+		return false;
+	return (c->last && (c->ended || c->cannot_be_asked)) ||
+	       (c->same_process && c->leaves);
+}
+
 /* Returns the name of a decision, for logs and metrics. */
 const char *answer_end_name(enum answer_end end)
 {
--- a/policy/answer_end.h
+++ b/policy/answer_end.h
@@ -38,11 +38,25 @@
 	bool stays; /* no other endpoint takes the rest of a stream now */
 };
 
+/* What is known of other connections to the endpoint that were open at the end of an
+ * answer and are read. */
+struct answer_end_connections {
+	bool last; /* one still is open */
+	/* one still is, and ends at the process that wrote the answer: it
+	 * stated its start there */
+	bool same_process;
+	bool ended; /* the endpoint counts as ended */
+	bool cannot_be_asked; /* it could only be connected to */
+	bool leaves; /* it may exit at any time */
+	uint64_t waited_ms; /* since the end */
+};
+
 bool answer_end_overdue(const struct answer_end_signs *s);
 enum answer_end answer_end_decide(const struct answer_end_signs *s);
 bool answer_end_delivers(enum answer_end end, bool may_run_again, bool outlived,
 			 uint64_t ended_after_ms);
 enum endpoint_sign answer_end_start_sign(uint64_t known_ms, uint64_t stated_ms);
+bool answer_end_connections_show(const struct answer_end_connections *c);
 const char *answer_end_name(enum answer_end end);
 
 #endif /* POLICY_ANSWER_END_H */
--- a/proxyd/answer_ends.c
+++ b/proxyd/answer_ends.c
@@ -3,7 +3,8 @@
  * its endpoint, asked after the end, shows whether the process that wrote the
  * answer still lives.  One question serves all answers that ended before it was
  * sent; one that leaves may exit once it has answered that, so that it is asked
- * about later ends meanwhile.
+ * about later ends meanwhile.  If it may fall silent and exit, a connection at its
+ * process that was open at the end shows as much.
  */
 #include "proxyd/answer_ends.h"
 
@@ -28,9 +29,11 @@
 #define ASK_AGAIN_MS 100
 #define ASK_OVERDUE_MS 500
 
-/* The ends of all connections of a process that is killed arrive within this
- * time. */
-#define ENDS_TOGETHER_MS 300
+/* What an endpoint has answered before it ended arrives within this time. */
+#define ANSWERED_MS 300
+
+/* Interval of questions to an endpoint that leaves, whose connection is to last. */
+#define WATCH_AGAIN_MS 1000
 
 #define REPORT_MAX_BYTES 65536
 
@@ -51,6 +54,7 @@
 	bool at_once; /* as soon as an end was read */
 	bool is_engine; /* only its report shows that it lives */
 	bool is_report; /* else only a connection */
+	bool watches; /* was sent before any end, for its connection */
 	int status;
 	struct bytes body;
 };
@@ -73,9 +77,16 @@
 static bool asks_at_once(const struct exchange *x, const struct endpoint *e);
 static bool outlasted(const struct exchange *x, const struct endpoint *e);
 static bool can_not_ask(const struct endpoint *e);
+static bool same_process_lasts(const struct exchange *x,
+			       const struct endpoint *e, uint64_t since_ms);
+static bool may_report(struct endpoint *e, uint64_t now);
 static void ask_soon(struct exchanges *t);
 static void on_ask_timer(uv_timer_t *timer);
 static void ask(struct exchange *x, struct endpoint *e, bool at_once);
+static struct end_questions *questions_of(struct endpoint *e);
+static void send_question(struct end_question *q, struct endpoint *e,
+			  bool is_report);
+static bool is_about_an_end(const struct end_question *q);
 static bool is_asked_about(struct end_questions *all, uint64_t end_number);
 static struct end_question *next_question(struct exchange *x,
 					  struct endpoint *e);
@@ -178,13 +189,21 @@
 	uint64_t since_ms = e && e->down_ms > x->ended_ms ? e->down_ms
 							  : x->ended_ms;
 	bool awaits = e && may_be_answered(x, e) &&
-		      now - since_ms < ENDS_TOGETHER_MS;
+		      now - since_ms < ANSWERED_MS;
+	const struct answer_end_connections connections = {
+		.last = lasts,
+		.same_process = lasts &&
+				same_process_lasts(x, e, x->ended_since_ms),
+		.ended = ended,
+		.cannot_be_asked = lasts && can_not_ask(e),
+		.leaves = lasts && may_exit(x->proxyd, e),
+		.waited_ms = now - x->ended_ms,
+	};
 
 	if (ended && !lasts && !awaits)
 		f = (struct finding){ ended_sign(x->proxyd, e),
 				      "endpoint ended" };
-	else if (lasts && now - x->ended_ms >= ENDS_TOGETHER_MS &&
-		 (ended || can_not_ask(e)))
+	else if (e && answer_end_connections_show(&connections))
 		f = (struct finding){ ENDPOINT_SIGN_LIVES, "connection lasts" };
 	judge(x, &f, now, last);
 	if (e && x->ended_ms && now > x->ended_ms)
@@ -209,6 +228,45 @@
 	return q && q->is_engine && !q->is_report;
 }
 
+/* Returns whether a connection at the process that a request was sent to is open
+ * that was at since_ms. */
+static bool same_process_lasts(const struct exchange *x,
+			       const struct endpoint *e, uint64_t since_ms)
+{
+	return http1_client_spans_process(x->proxyd->client, e->address,
+					  since_ms, x->sent_born_ms);
+}
+
+/* Has another connection stand at the process that writes an answer, if that leaves:
+ * it may fall silent with the end of the answer, and exit before it has answered a
+ * question.  It is asked for its report, whose connection is kept.  Only for an
+ * answer that no other endpoint may give. */
+void answer_end_watch(struct exchange *x, uint64_t now)
+{
+	struct endpoint *e = endpoint_get(x->proxyd->endpoints, x->endpoint);
+	struct end_questions *all;
+	size_t i;
+
+	if (!e || e->state != ENDPOINT_UP || !x->engine || !x->call ||
+	    !x->status || !x->unframed || x->ended_ms || !x->sent_born_ms ||
+	    route_may_run_again(x->route) || !may_exit(x->proxyd, e) ||
+	    same_process_lasts(x, e, now))
+		return;
+	all = questions_of(e);
+	if (all->last->asked_ms && now - all->last->asked_ms < WATCH_AGAIN_MS)
+		return;
+	for (i = 0; i < QUESTIONS_MAX; i++)
+		if (all->questions[i].call)
+			return;
+	if (!may_report(e, now))
+		return;
+	all->last = &all->questions[0];
+	all->last->at_once = false;
+	all->last->is_engine = true;
+	all->last->watches = true;
+	send_question(all->last, e, true);
+}
+
 /* Cancels the questions to an endpoint, which is freed. */
 void answer_end_forget(struct endpoint *e)
 {
@@ -232,28 +290,44 @@
  * reports, is only connected to: if it refuses, it has ended. */
 static void ask(struct exchange *x, struct endpoint *e, bool at_once)
 {
-	struct proxyd *p = x->proxyd;
-	uint64_t now = proxyd_now(p);
+	struct end_question *q = next_question(x, e);
+
+	if (!q)
+		return;
+	q->at_once = at_once;
+	q->is_engine = x->engine != NULL;
+	q->watches = false;
+	send_question(q, e,
+		      q->is_engine && may_report(e, proxyd_now(x->proxyd)));
+}
+
+/* Returns whether an endpoint may be asked for its report now, for which it takes a
+ * permit. */
+static bool may_report(struct endpoint *e, uint64_t now)
+{
+	return !holdoff_remaining_ms(&e->holdoff, now) &&
+	       limits_take_for_check(e);
+}
+
+/* Sends a question, for a report or as a connection only.  It is about all ends that
+ * have been read. */
+static void send_question(struct end_question *q, struct endpoint *e,
+			  bool is_report)
+{
+	struct proxyd *p = q->all->proxyd;
 	struct http1_call_options options = {
 		.address = e->address,
 		.connect_timeout_ms = CONNECT_MS,
 		.timeout_ms = ANSWER_MS,
 	};
-	struct end_question *q = next_question(x, e);
 	struct bytes out = { 0 };
 
-	if (!q)
-		return;
-	q->asked_ms = now;
+	q->asked_ms = proxyd_now(p);
 	q->last_end_before = q->last_end = p->exchanges->n_ends;
 	q->status = 0;
 	q->body.len = 0;
-	q->at_once = at_once;
-	q->is_engine = x->engine != NULL;
-	q->is_report = q->is_engine &&
-		       !holdoff_remaining_ms(&e->holdoff, now) &&
-		       limits_take_for_check(e);
-	if (q->is_report)
+	q->is_report = is_report;
+	if (is_report)
 		bytes_addf(&out, "GET %s HTTP/1.1\r\nhost: %s\r\n\r\n",
 			   p->protocol->report_path, e->address);
 	counter_add(p->exchanges->end_questions, 1);
@@ -268,21 +342,12 @@
 {
 	struct proxyd *p = x->proxyd;
 	uint64_t now = proxyd_now(p);
-	struct end_questions *all = e->end_questions;
+	struct end_questions *all = questions_of(e);
 	size_t n_max = may_exit(p, e) ? QUESTIONS_MAX : 1;
 	struct end_question *next = NULL;
 	size_t n = 0;
 	size_t i;
 
-	if (!all) {
-		all = e->end_questions = xcalloc(1, sizeof(*all));
-		all->proxyd = p;
-		all->endpoint = e->self;
-		for (i = 0; i < QUESTIONS_MAX; i++)
-			all->questions[i].all = all;
-		all->last = &all->questions[0];
-		return all->last;
-	}
 	if (is_asked_about(all, x->end_number))
 		return NULL;
 	for (i = 0; i < QUESTIONS_MAX; i++) {
@@ -299,6 +364,23 @@
 	return next;
 }
 
+/* Returns the questions to an endpoint, none of which may have been asked. */
+static struct end_questions *questions_of(struct endpoint *e)
+{
+	struct end_questions *all = e->end_questions;
+	size_t i;
+
+	if (all)
+		return all;
+	all = e->end_questions = xcalloc(1, sizeof(*all));
+	all->proxyd = e->proxyd;
+	all->endpoint = e->self;
+	for (i = 0; i < QUESTIONS_MAX; i++)
+		all->questions[i].all = all;
+	all->last = &all->questions[0];
+	return all;
+}
+
 /* Returns whether an endpoint is being asked about an end.  A question that is not
  * sent yet is about all ends that have been read. */
 static bool is_asked_about(struct end_questions *all, uint64_t end_number)
@@ -355,8 +437,11 @@
 	uint64_t now = proxyd_now(p);
 	uint64_t born_ms = 0;
 	struct finding f = evaluate(q, e, outcome, &born_ms);
+	bool about_none = q->watches && !is_about_an_end(q);
 	struct exchange *x;
 
+	if (f.sign == ENDPOINT_SIGN_LIVES && q->is_report)
+		http1_call_name_process(q->call, born_ms);
 	q->call = NULL;
 	if (outcome == HTTP1_COMPLETE || outcome == HTTP1_BROKEN ||
 	    outcome == HTTP1_MALFORMED)
@@ -365,7 +450,7 @@
 	if (f.sign == ENDPOINT_SIGN_ENDED && was_asked_for(x, q) &&
 	    !(e && (outlasted(x, e) || may_be_answered(x, e))))
 		suspects_run_broke(x, e);
-	if (http1_not_connected(outcome))
+	if (http1_not_connected(outcome) && !about_none)
 		endpoint_unreachable(p->endpoints, endpoint, q->asked_ms, NULL,
 				     outcome);
 	if (f.sign == ENDPOINT_SIGN_LIVES && q->is_report && e &&
@@ -399,6 +484,17 @@
 	ask_soon(p->exchanges);
 }
 
+/* Returns whether an answer waits for a question. */
+static bool is_about_an_end(const struct end_question *q)
+{
+	const struct exchange *x;
+
+	TAILQ_FOREACH(x, &q->all->proxyd->exchanges->list, link)
+	if (was_asked_for(x, q))
+		return true;
+	return false;
+}
+
 /* Notes that an endpoint has accepted the connection of a question. */
 static void note_reached(struct end_question *q, uint64_t now)
 {
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -986,6 +986,7 @@
 	check_overdue(x, now);
 	if (x->phase != EXCHANGE_SENT || relay_in_use(x))
 		return;
+	answer_end_watch(x, now);
 	if (x->route->kind != KIND_STREAM)
 		return;
 	if (x->ended_ms) {
--- a/regress/bench/bench_leaving.c
+++ b/regress/bench/bench_leaving.c
@@ -1,8 +1,9 @@
 /*
  * Measures how many answers without a length are lost whose endpoint leaves and
- * exits a given time after their last bytes, or is killed as it writes a part of
- * them, and how many of these parts are taken for whole.
- * usage: bench_leaving [ROUNDS [ROUTE REQUESTS EXIT-MS|killed]]
+ * exits a given time after their last bytes, answering questions meanwhile or
+ * silent, or is killed as it writes a part of them, and how many of these parts are
+ * taken for whole.
+ * usage: bench_leaving [ROUNDS [ROUTE REQUESTS EXIT-MS|killed|silent]]
  */
 #include <stdarg.h>
 #include <stddef.h>
@@ -19,6 +20,9 @@
 
 #define N(list) (sizeof(list) / sizeof((list)[0]))
 
+#define SILENT_MS 1200 /* before the exit */
+#define WATCH_MS 100 /* before the last bytes */
+
 static int n_args;
 static char **args;
 
@@ -27,13 +31,18 @@
 		    unsigned long rounds)
 {
 	char *target = xasprintf("/%s/a", route);
+	bool silent = !strcmp(exits, "silent");
 	const struct leaving_case c = {
 		.target = target,
 		.n = strtoul(requests, NULL, 10),
 		.notice = NOTICE_ENTRY,
-		.exit = strcmp(exits, "killed") ? EXIT_LATER
-						: EXIT_KILLED_WRITING,
-		.exit_ms = (unsigned int)strtoul(exits, NULL, 10),
+		.exit = silent			  ? EXIT_SILENT
+			: strcmp(exits, "killed") ? EXIT_LATER
+						  : EXIT_KILLED_WRITING,
+		.exit_ms = silent ? SILENT_MS
+				  : (unsigned int)strtoul(exits, NULL, 10),
+		.begun = silent,
+		.watch_ms = silent ? WATCH_MS : 0,
 	};
 	struct leaving_result result = { .attempts = 0 };
 	unsigned long i;
@@ -58,8 +67,8 @@
 	static const char *const routes[] = { "write", "once", "single", "pay",
 					      "order" };
 	static const char *const requests[] = { "1", "30" };
-	static const char *const exits[] = { "0",  "1",	  "5",
-					     "20", "100", "killed" };
+	static const char *const exits[] = { "0",   "1",      "5",     "20",
+					     "100", "killed", "silent" };
 	unsigned long rounds = n_args > 1 ? strtoul(args[1], NULL, 10) : 1;
 	size_t i;
 
--- a/regress/contract/test_http1_client.c
+++ b/regress/contract/test_http1_client.c
@@ -563,6 +563,73 @@
 	assert_int_equal(r.outcome, HTTP1_NO_SOCKET);
 }
 
+/* A call whose answer names the process that its connection ends at. */
+struct naming_call {
+	struct result result;
+	struct http1_call *call;
+	uint64_t process;
+};
+
+static void name_process(void *arg, enum http1_outcome outcome)
+{
+	struct naming_call *n = arg;
+
+	http1_call_name_process(n->call, n->process);
+	on_end(&n->result, outcome);
+}
+
+/* Only an open connection whose answer named a process shows that it still runs. */
+static void test_connections_of_a_process(void **state)
+{
+	static const struct http1_call_ops ops = { .on_end = name_process };
+	static const char request[] = "GET / HTTP/1.1\r\n\r\n";
+	struct naming_call n = { .process = 7 };
+	const struct http1_call_options options = {
+		.address = server.address,
+		.connect_timeout_ms = 1000,
+	};
+	struct result later = { .over = false };
+	uint64_t now;
+
+	(void)state;
+	server.script = (struct script){
+		HEAD "content-length: 2\r\n\r\nab",
+		KEEP,
+	};
+	n.call = http1_call_start(client, &options, xstrdup(request),
+				  strlen(request), &ops, &n);
+	harness_until(harness, is_over, &n.result, "the call ends");
+	now = uv_now(harness_loop(harness));
+	assert_true(http1_client_spans_process(client, server.address, now, 7));
+	assert_true(http1_client_spans(client, server.address, now));
+	assert_false(
+		http1_client_spans_process(client, server.address, now, 8));
+	assert_false(
+		http1_client_spans_process(client, server.address, now, 0));
+	assert_false(http1_client_spans_process(client, server.address, 0, 7));
+	assert_false(
+		http1_client_spans_process(client, BROADCAST_ADDRESS, now, 7));
+	call(&later, server.address, 0);
+	bytes_release(&later.body);
+	server.script = (struct script){ HEAD "\r\nab", FIN };
+	later = (struct result){ .over = false };
+	call(&later, server.address, 0);
+	bytes_release(&later.body);
+	assert_int_equal(server.accepted, 3);
+	assert_true(http1_client_spans_process(client, server.address, now, 7));
+	http1_client_free(client);
+	client = http1_client_new(harness_loop(harness));
+	assert_false(
+		http1_client_spans_process(client, server.address, now, 7));
+	n.result = (struct result){ .over = false };
+	n.call = http1_call_start(client, &options, xstrdup(request),
+				  strlen(request), &ops, &n);
+	harness_until(harness, is_over, &n.result, "the call ends");
+	now = uv_now(harness_loop(harness));
+	assert_false(
+		http1_client_spans_process(client, server.address, now, 7));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -580,6 +647,8 @@
 						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_no_descriptor, set_up,
 						tear_down),
+		cmocka_unit_test_setup_teardown(test_connections_of_a_process,
+						set_up, tear_down),
 		cmocka_unit_test_setup_teardown(test_nothing_sent, set_up,
 						tear_down),
 	};
--- a/regress/leaving_endpoint.c
+++ b/regress/leaving_endpoint.c
@@ -63,6 +63,7 @@
 	bool waits; /* carries a request of the case without an answer */
 	char request_id[40];
 	unsigned int last_event; /* that its request names */
+	size_t written; /* of its answer */
 	struct endpoint_conn *next;
 };
 
@@ -173,7 +174,8 @@
 	return xasprintf("whole");
 }
 
-/* Writes the head and the whole body of an answer, or a part of it. */
+/* Writes what is not written yet of the head and the body of an answer, or of a part
+ * of it. */
 static void write_answer(struct endpoint_conn *c, bool part)
 {
 	char *body = whole_body(c->last_event);
@@ -191,7 +193,9 @@
 				 ? "server-leaving: 1\r\n"
 				 : "",
 			 len, body);
-	write_text(c, text);
+	if (strlen(text) > c->written)
+		write_text(c, text + c->written);
+	c->written = strlen(text);
 	free(text);
 	free(body);
 }
@@ -206,17 +210,23 @@
 			write_answer(c, part);
 }
 
-/* Writes and closes all answers of the endpoint that leaves. */
-static void close_answers(void)
+/* Closes the connections of all answers of the endpoint that leaves. */
+static void close_waiting(void)
 {
 	struct endpoint_conn *c;
 
-	write_answers(false);
 	for (c = conns; c; c = c->next)
 		if (c->endpoint == leaver && c->waits)
 			close_conn(c);
 }
 
+/* Writes and closes all answers of the endpoint that leaves. */
+static void close_answers(void)
+{
+	write_answers(false);
+	close_waiting();
+}
+
 /* Writes and closes n answers of the endpoint that leaves. */
 static void close_some_answers(size_t n)
 {
@@ -378,6 +388,20 @@
 	return false;
 }
 
+/* Returns whether a connection to the endpoint that leaves stands on which it has
+ * answered a request. */
+static bool is_watched(void *arg)
+{
+	const struct endpoint_conn *c;
+
+	(void)arg;
+	for (c = conns; c; c = c->next)
+		if (c->endpoint == leaver && c->used && !c->waits &&
+		    !uv_is_closing((const uv_handle_t *)&c->tcp))
+			return true;
+	return false;
+}
+
 static void wait_for_entries(void)
 {
 	json_int_t version = world->version;
@@ -645,6 +669,20 @@
 	return end_silence();
 }
 
+/* Has the endpoint begin its answers, and close its other connections. */
+static void begin_answers(void)
+{
+	struct endpoint_conn *c;
+
+	write_answers(true);
+	for (c = conns; c; c = c->next)
+		if (c->endpoint == leaver && !c->waits)
+			close_conn(c);
+	start_round_trips();
+	harness_until(harness, is_handled, NULL,
+		      "the instance has read what has begun");
+}
+
 /* Tells the instance that the endpoint leaves, unless its answers will. */
 static void give_notice(void)
 {
@@ -713,6 +751,15 @@
 			result->questions += close_in_parts(1);
 		write_answers(true);
 		break;
+	case EXIT_SILENT:
+	case EXIT_KILLED_APART:
+		silent = true;
+		if (current->exit == EXIT_SILENT)
+			close_answers();
+		else
+			close_waiting();
+		harness_run(harness, current->exit_ms);
+		break;
 	}
 	end_endpoint(leaver);
 }
@@ -763,9 +810,16 @@
 	harness_until(harness, have_arrived, NULL, "the requests arrive");
 	if (c->silent_ms)
 		be_silent();
+	if (c->begun)
+		begin_answers();
 	for (i = 0; i < OTHERS; i++)
 		add_endpoint(false);
 	give_notice();
+	if (c->awaits_watch)
+		harness_until(harness, is_watched, NULL,
+			      "a connection to the endpoint stands");
+	if (c->watch_ms)
+		harness_run(harness, c->watch_ms);
 	leave(result);
 	harness_until(harness, are_over, NULL, "the answers end");
 	for (i = 0; i < n_replies; i++) {
--- a/regress/leaving_endpoint.h
+++ b/regress/leaving_endpoint.h
@@ -36,6 +36,12 @@
 	EXIT_KILLED,
 	/* the same, but the part is written in that moment */
 	EXIT_KILLED_WRITING,
+	/* it closes its answers, answers nothing more, and exits a given time
+	 * later */
+	EXIT_SILENT,
+	/* killed as in EXIT_KILLED; the ends of its other connections are read
+	 * a given time after those of its answers */
+	EXIT_KILLED_APART,
 };
 
 struct leaving_case {
@@ -46,7 +52,16 @@
 	unsigned int silent_ms;
 	enum leaving_notice notice;
 	enum leaving_exit exit;
-	unsigned int exit_ms; /* of EXIT_LATER */
+	/* of EXIT_LATER, EXIT_SILENT and EXIT_KILLED_APART */
+	unsigned int exit_ms;
+	/* its answers have begun before it leaves, and it has closed all other
+	 * connections */
+	bool begun;
+	/* it closes its answers once another connection to it stands, of a
+	 * request that it has answered */
+	bool awaits_watch;
+	/* it closes them so long after the instance knows that it leaves */
+	unsigned int watch_ms;
 	/* it closes its answers in so many parts, each once the instance has
 	 * handled the one before, and answers no question meanwhile; 0: in one,
 	 * and answers questions.  Of EXIT_NEVER, EXIT_WHEN_ASKED and, without the
--- a/regress/unit/test_answer_end.c
+++ b/regress/unit/test_answer_end.c
@@ -12,6 +12,7 @@
 #define N(list) (sizeof(list) / sizeof((list)[0]))
 #define TICK_MS 20
 #define SILENCE_MS 1500 /* of a sound endpoint */
+#define SILENCE_SHORTEST_MS 800 /* of one */
 #define LONG_MS 20000 /* far longer than that */
 #define PART_GAP_MS 20 /* between two parts of an answer */
 #define CUT_MS 200 /* a connection that was lost, and one more */
@@ -138,6 +139,61 @@
 	assert_int_equal(answer_end_start_sign(7, 0), ENDPOINT_SIGN_LIVES);
 }
 
+/* Replays the moments at which the connections of an endpoint are looked at, from the
+ * end of its answer on; returns when they show that it has outlived it, LONG_MS if
+ * they never do.  They are closed at closed_ms. */
+static uint64_t shown_ms(struct answer_end_connections c, uint64_t closed_ms)
+{
+	for (c.waited_ms = 0; c.waited_ms < LONG_MS; c.waited_ms += TICK_MS) {
+		if (c.waited_ms >= closed_ms)
+			c.last = c.same_process = false;
+		if (answer_end_connections_show(&c))
+			return c.waited_ms;
+	}
+	return LONG_MS;
+}
+
+/* An endpoint that leaves is silent after its answer and exits, or was killed, so that
+ * the ends of its connections come with that of the answer or one retransmission
+ * later. */
+static void connections(void **state)
+{
+	static const struct {
+		struct answer_end_connections connections;
+		uint64_t closed_ms;
+		bool shown;
+	} cases[] = {
+		{ { .last = true, .same_process = true, .leaves = true },
+		  SILENCE_SHORTEST_MS,
+		  true },
+		{ { .last = true, .same_process = true, .leaves = true },
+		  0,
+		  false },
+		{ { .last = true, .same_process = true, .leaves = true },
+		  CUT_MS + TICK_MS,
+		  false },
+		{ { .last = true, .leaves = true }, LONG_MS, false },
+		{ { .last = true, .same_process = true }, LONG_MS, false },
+		{ { .last = true, .ended = true }, LONG_MS, true },
+		{ { .last = true, .ended = true }, CUT_MS + TICK_MS, false },
+		{ { .last = true, .cannot_be_asked = true }, LONG_MS, true },
+		{ { .last = true, .cannot_be_asked = true }, 0, false },
+		{ { .ended = true, .cannot_be_asked = true, .leaves = true },
+		  LONG_MS,
+		  false },
+	};
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < N(cases); i++) {
+		uint64_t ms =
+			shown_ms(cases[i].connections, cases[i].closed_ms);
+
+		assert_int_equal(ms < cases[i].closed_ms, cases[i].shown);
+		assert_true(cases[i].shown || ms == LONG_MS);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -145,6 +201,7 @@
 		cmocka_unit_test(plain_answers),
 		cmocka_unit_test(wait_is_bounded),
 		cmocka_unit_test(starts),
+		cmocka_unit_test(connections),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
