exchange: a wait that ends, ends for a permit too

That a request waits for a permit (awaits_permit) and until when it waits (wait_until_ms) are two fields. stream_resume() ended the time and left the other one, and limit_queue_wait() then took the request for one that waits already and gave it no time: it waited for a permit until its deadline, looked for at each tick, instead of the 1.5 s of a lost run. The way there: a silent stream that may not leave for want of a repeat (awaits_repeat), whose endpoint then sends an answer over the size limit; handle_oversized_answer() does not clear that, so that the wait for a permit is taken for one for a repeat, too.

--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -161,7 +161,6 @@
 void attempt_begin(struct exchange *x, uint64_t now)
 {
 	exchange_stop_waiting(x);
-	limit_queue_leave(x);
 	x->permit = PERMIT_NOT_NEEDED;
 	x->phase = EXCHANGE_SENT;
 	x->endpoint = (struct handle){ 0 };
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -592,13 +592,15 @@
 	x->phase = EXCHANGE_WAITING;
 }
 
-/* Ends the time for which a request waits; its phase is set by what follows. */
+/* Ends the time for which a request waits, also for a permit; its phase is set by
+ * what follows. */
 void exchange_stop_waiting(struct exchange *x)
 {
 	if (x->phase == EXCHANGE_WAITING && x->wait_until_ms)
 		x->proxyd->exchanges->waiting_tokens -=
 			x->tokens; /* 0 before its route is known */
 	x->wait_until_ms = 0;
+	limit_queue_leave(x);
 }
 
 /* Makes a run that has lost its endpoint wait for another one; out_of_reach tells
@@ -693,7 +695,6 @@
 					       x->service),
 			      x->repeat_kind);
 	x->repeat_reserved = false;
-	limit_queue_leave(x);
 	handover_end(x);
 	kv_copy_drop_kept(x);
 	x->phase = EXCHANGE_FINISHED;
--- a/proxyd/handover.c
+++ b/proxyd/handover.c
@@ -45,7 +45,6 @@
 		return false;
 	exchange_stop_waiting(x);
 	x->awaits_repeat = false;
-	limit_queue_leave(x);
 	kv_copy_drop_kept(x);
 	attempt_cancel(x);
 	swap_runs(x);
