http1_server: no 408 for a request whose rest is in the socket

A request was refused with 408 at the first tick after the loop had been held up for longer than the time that it may take, though the rest of it had arrived meanwhile: the timers run before the sockets are read. With a time limit of 50 ms a delay far below a stall is enough.

A request is not refused for its time while there are bytes of it to be read; they are read before the next tick.

test_http1_server has the loop stand for 300 ms under limits of 50 ms while the rest of three requests arrives (head, body with a length, body in chunks): 408 for all three before, 200 now.

--- a/lib/http1_server.c
+++ b/lib/http1_server.c
@@ -144,6 +144,7 @@
 static uint64_t without_progress_ms(const struct http1_conn *c, uint64_t now);
 static bool is_busy(const struct http1_conn *c);
 static bool is_idle_too_long(const struct http1_conn *c, uint64_t now);
+static bool is_received_too_long(const struct http1_conn *c, uint64_t now);
 static bool lingers_too_long(const struct http1_conn *c, uint64_t now);
 static void note_sending(struct http1_conn *c, uint64_t now);
 static size_t unread_bytes(const struct http1_conn *c);
@@ -239,23 +240,17 @@
 	}
 }
 
-/* Closes one connection, or refuses its request, if it takes too long. */
+/* Closes one connection, or refuses its request, if it takes too long.  The rest
+ * of a request may be in the socket if the loop was held up. */
 static void examine(struct http1_conn *c, uint64_t now)
 {
-	const struct http1_limits limits = limits_of(c);
-	uint64_t age = now - c->since_ms;
-
 	note_sending(c, now);
 	if (is_idle_too_long(c, now)) {
 		report_end(c, HTTP1_END_IDLE, 0);
 		conn_close(c);
 	} else if (is_unknown_too_long(c, now) || lingers_too_long(c, now)) {
 		conn_close(c);
-	} else if ((c->state == CONN_HEAD && c->input.len &&
-		    age > limits.header_ms) ||
-		   (c->state == CONN_BODY &&
-		    (age > BODY_MAX_MS ||
-		     without_progress_ms(c, now) > limits.idle_ms))) {
+	} else if (is_received_too_long(c, now) && !unread_bytes(c)) {
 		refuse(c, 408);
 	}
 }
@@ -313,6 +308,19 @@
 	       (c->state == CONN_CLOSING || !unread_bytes(c));
 }
 
+/* Returns whether a request takes too long to be received. */
+static bool is_received_too_long(const struct http1_conn *c, uint64_t now)
+{
+	const struct http1_limits limits = limits_of(c);
+	uint64_t age = now - c->since_ms;
+
+	if (c->state == CONN_HEAD)
+		return c->input.len && age > limits.header_ms;
+	return c->state == CONN_BODY &&
+	       (age > BODY_MAX_MS ||
+		without_progress_ms(c, now) > limits.idle_ms);
+}
+
 /* Returns whether the caller of a connection that lingers has sent nothing for
  * too long, or has sent for too long. */
 static bool lingers_too_long(const struct http1_conn *c, uint64_t now)
--- a/regress/contract/test_http1_server.c
+++ b/regress/contract/test_http1_server.c
@@ -27,6 +27,7 @@
 #define TICK_MS 100
 #define WAIT_MS 60000 /* for an expected condition */
 #define PAUSE_MS 3000 /* over the low limits and what is added to them */
+#define STALL_MS 300 /* over low.idle_ms, low.header_ms and a tick */
 #define BIG_ANSWER (16u << 20) /* more than sockets take */
 #define READ_BYTES 65536
 #define RECEIVE_BUFFER_BYTES 65536 /* of a caller that reads slowly */
@@ -56,6 +57,7 @@
 
 static uv_loop_t *loop;
 static uv_timer_t tick;
+static bool examines; /* connections are examined at each tick */
 static struct http1_server *server;
 static uint16_t port;
 static char *big;
@@ -99,7 +101,8 @@
 static void on_tick(uv_timer_t *t)
 {
 	(void)t;
-	http1_server_tick(server);
+	if (examines)
+		http1_server_tick(server);
 }
 
 static int set_up(void **state)
@@ -110,6 +113,7 @@
 	(void)state;
 	n_requests = 0;
 	n_refused = 0;
+	examines = true;
 	loop = uv_default_loop();
 	server = http1_server_new(loop, &ops, NULL);
 	http1_server_limits(server, &usual);
@@ -406,6 +410,39 @@
 	}
 }
 
+/* Requests whose rest came while the loop stood still are answered: it is in the
+ * socket when the time limits are examined. */
+static void stall_of_the_loop_ends_no_request(void **state)
+{
+	struct caller callers[N(sender_cases)];
+	unsigned int refused = 0;
+	size_t i;
+
+	(void)state;
+	http1_server_limits(server, &low);
+	examines = false;
+	for (i = 0; i < N(sender_cases); i++) {
+		callers[i] = open_caller(0);
+		send_text(&callers[i], sender_cases[i].first);
+	}
+	run_for(TICK_MS);
+	examines = true;
+	for (i = 0; i < N(sender_cases); i++)
+		send_text(&callers[i], sender_cases[i].rest);
+	usleep(STALL_MS * 1000);
+	for (i = 0; i < N(sender_cases); i++) {
+		int status = wait_answer(&callers[i]);
+
+		if (status != 200) {
+			print_message("%s: status %d\n", sender_cases[i].what,
+				      status);
+			refused++;
+		}
+		close_caller(&callers[i]);
+	}
+	assert_int_equal(refused, 0);
+}
+
 #define UPLOADERS 300
 #define UPLOAD_BYTES (2u << 20)
 
@@ -589,6 +626,7 @@
 		TEST(lower_idle_limit_spares_a_reader_that_pauses),
 		TEST(lower_limits_spare_a_request_under_way),
 		TEST(limits_in_force_end_a_request),
+		TEST(stall_of_the_loop_ends_no_request),
 		TEST(many_refused_uploads_are_not_reset),
 		TEST(slow_refused_upload_is_not_reset),
 		TEST(server_is_busy_while_a_refused_caller_sends),
