--- a/regress/integration/test_unanswered_requests.c
+++ b/regress/integration/test_unanswered_requests.c
@@ -23,8 +23,8 @@
  * series of changes begins with fewer slots.  Requests that were ended by their time
  * limit though endpoints were free are counted.
  *
- * With WHOLE_CALLERS_KINDS=1 some callers read nothing for seconds, some send two
- * requests at once, end their sending direction, or are of HTTP/1.0.
+ * With WHOLE_CALLERS_KINDS=1 some callers send two requests at once, end their
+ * sending direction, or are of HTTP/1.0, and some of each read nothing for seconds.
  *
  * The lines in the instances' logs on each request without an answer are printed,
  * and what breaks the users' rule LOST at each instance.
@@ -877,7 +877,6 @@
 {
 	static const char *const names[WHOLE_MANNERS] = {
 		[WHOLE_PLAINLY] = "plainly",
-		[WHOLE_PAUSING] = "read late",
 		[WHOLE_TWO] = "two at once",
 		[WHOLE_HALF_CLOSED] = "sending direction ended",
 		[WHOLE_HTTP_1_0] = "HTTP/1.0",
--- a/regress/whole_callers.c
+++ b/regress/whole_callers.c
@@ -199,7 +199,7 @@
 	c->changes_seen = w->changes;
 	c->next_ms = now_ms(w);
 	c->reads_ms = 0;
-	if (r->manner == WHOLE_PAUSING)
+	if (r->pauses)
 		c->reads_ms = now_ms(w) + random_below(w->random, READS_MAX_MS);
 	write_request(c, r);
 	c->first_len = c->out.len;
@@ -232,6 +232,7 @@
 	if (w->manners)
 		r->manner = (enum whole_manner)random_below(w->random,
 							    WHOLE_MANNERS);
+	r->pauses = w->manners && !random_below(w->random, 4);
 	r->chunks = r->manner != WHOLE_HTTP_1_0 && random_below(w->random, 2);
 	r->kept = c->n_answers > 0;
 	r->begun_ms = now_ms(w);
@@ -429,7 +430,7 @@
 		r->end == WHOLE_OUT_OF_TIME || r->status == 504 ||
 		(r->status == 503 && r->over_ms - r->begun_ms >= r->limit_ms);
 
-	r->waited = late && r->whole_ms &&
+	r->waited = late && !r->pauses && r->whole_ms &&
 		    r->over_ms - r->whole_ms > LOSS_SLACK_MS &&
 		    !whole_at_work(w, r) && whole_has_free(w, r);
 }
@@ -462,7 +463,6 @@
 	};
 	static const char *const manners[WHOLE_MANNERS] = {
 		[WHOLE_PLAINLY] = "",
-		[WHOLE_PAUSING] = ", reading late",
 		[WHOLE_TWO] = ", one of two at once",
 		[WHOLE_HALF_CLOSED] = ", sending direction ended",
 		[WHOLE_HTTP_1_0] = ", HTTP/1.0",
@@ -485,13 +485,14 @@
 	note_wait(w, r);
 	if (r->whole_ms)
 		print_message(
-			"%s: %s %s at %s, body of %zu in %s%s%s%s, %llu ms "
+			"%s: %s %s at %s, body of %zu in %s%s%s%s%s, %llu ms "
 			"after its last byte, %s, answer %s\n",
 			ends[r->end], r->id, whole_path_prefix(r->path),
 			c->to->address, r->len,
 			r->chunks ? "chunks" : "one piece",
 			r->kept ? ", kept" : "",
 			r->fresh ? ", fresh instance" : "", manners[r->manner],
+			r->pauses ? ", reading late" : "",
 			(unsigned long long)(now - r->whole_ms),
 			r->runs ? "passed on" : "not passed on",
 			r->begun ? "begun" : "not begun");
--- a/regress/whole_endpoints.c
+++ b/regress/whole_endpoints.c
@@ -151,6 +151,8 @@
 /* Makes an endpoint silent for a second or so, as a sound one may be. */
 void whole_endpoint_silence(struct whole_world *w, struct whole_endpoint *e)
 {
+	if (now_ms(w) < e->silent_until_ms + SILENCE_MIN_MS)
+		print_message("%s is silent again\n", e->id);
 	e->silent_until_ms = now_ms(w) + SILENCE_MIN_MS +
 			     random_below(w->random, SILENCE_SPREAD_MS);
 }
@@ -482,7 +484,7 @@
 		   struct whole_conn *c)
 {
 	const char *leaving = e->leaving_ms ? "server-leaving: 1\r\n" : "";
-	size_t pad = random_below(w->random, 8)
+	size_t pad = !c->request->pauses && random_below(w->random, 8)
 			     ? 0
 			     : random_below(w->random, PAD_MAX);
 	size_t len = strlen(c->request->id) + pad;
--- a/regress/whole_requests.h
+++ b/regress/whole_requests.h
@@ -57,7 +57,6 @@
 /* How a caller treats its request. */
 enum whole_manner {
 	WHOLE_PLAINLY,
-	WHOLE_PAUSING, /* it reads nothing for some seconds */
 	WHOLE_TWO, /* it sends another request at once behind it */
 	WHOLE_HALF_CLOSED, /* it ends its sending direction after it */
 	WHOLE_HTTP_1_0,
@@ -73,6 +72,7 @@
 	size_t len; /* of its body */
 	size_t answer_len; /* of its plain answer, as an endpoint sent it */
 	enum whole_manner manner;
+	bool pauses; /* its caller reads nothing for some seconds */
 	bool chunks; /* its body is sent in chunks */
 	bool kept; /* its connection had carried a request before */
 	bool held; /* a change came while a part of it was held back */
