limits: a begun stream waits for a permit until its deadline

Callers of a stream that had lost its engine were cut off 1.5 s later, with 13 s left, while the others had reached their limits: "the limits of all endpoints are reached", with 0.54 of a permit at hand (test_request_limit, killed_engine_without_permit_for_its_start, whose line "unanswered" names it).

Permits come with time, and its caller would find the same limits at any other instance, so that an early end helps nobody. Such a run waits as for endpoints that are out of reach; one without events still waits for 1.5 s.

--- a/policy/lost_run_wait.c
+++ b/policy/lost_run_wait.c
@@ -28,8 +28,9 @@
 }
 
 /* Returns the time, ms, of left_ms until the caller's deadline.  out_of_reach tells
- * that no endpoint that continues the run can be reached; one that is only full, or
- * has another version, is not waited for that long. */
+ * that no endpoint that continues the run can be reached, or that all have reached
+ * their limits, which its caller would find at any instance; one that is only full,
+ * or has another version, is not waited for that long. */
 uint32_t lost_run_wait_ms(bool begun, bool out_of_reach, uint64_t left_ms)
 {
 	if (begun && out_of_reach)
--- a/proxyd/limit_queue.c
+++ b/proxyd/limit_queue.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "lib/event_log.h"
+#include "policy/lost_run_wait.h"
 #include "proxyd/exchange.h"
 #include "proxyd/limits_table.h"
 #include "proxyd/peers.h"
@@ -79,7 +80,9 @@
 	p->limits->n_waiting++;
 	counter_add(p->limits->waited, 1);
 	if (turn.lost)
-		exchange_wait(x);
+		exchange_wait_for(
+			x, lost_run_wait_ms(x->response_started, true,
+					    x->deadline_ms - proxyd_now(p)));
 	else
 		exchange_wait_for(x, w.left_ms);
 	if (s.endpoint)
