Revert "exchange: a begun stream's refused attempts do not count"

This reverts. maxAttempts is the number of endpoints to which a request may be sent, so that one that turned it away counts, and test_unframed_answers (stream, then refusals, to a caller with HTTP/1.0) found 13 attempts where the route allows 5. That begun streams end when full endpoints have used up their attempts stays open.

--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -691,8 +691,6 @@
 	event_log(EVENT_NOTABLE, "endpoint-refused", x->fields.id, "{s:i, s:b}",
 		  "status", x->status, "from_copy", x->from_copy);
 	x->failed_ms = proxyd_now(x->proxyd);
-	if (x->sends)
-		x->targets[(x->sends - 1) % ENDPOINT_AVOID_MAX].refused = true;
 	if (!x->from_copy)
 		exchange_avoid(x, endpoint);
 	if (handover_restore(x, "refused"))
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -88,7 +88,6 @@
 		born_ms; /* its start, proved then or stated since; 0: unknown */
 	bool relayed; /* to another instance, which chose the process */
 	bool answered; /* it sent the head of an answer */
-	bool refused; /* it stated that it has not run the request */
 };
 
 /* One request of a caller, from its arrival until its answer is complete. */
--- a/proxyd/repeats.c
+++ b/proxyd/repeats.c
@@ -37,9 +37,8 @@
 
 /* Returns the attempts that count for the route's limit.  Of the last
  * ENDPOINT_AVOID_MAX, those at processes that have ended don't, nor do those of a
- * begun stream at processes that are cut off or have refused it, which then have not
- * run it.  Those by other instances do, as it is not known here what became of
- * them. */
+ * begun stream at processes that are cut off.  Those by other instances do, as it is
+ * not known here what became of them. */
 uint32_t exchange_attempts_used(const struct exchange *x)
 {
 	uint32_t n = x->sends < ENDPOINT_AVOID_MAX ? x->sends
@@ -49,8 +48,7 @@
 
 	for (i = 0; i < n; i++)
 		used -= has_ended(x->proxyd->endpoints, &x->targets[i]) ||
-			was_cut_off(x, &x->targets[i]) ||
-			(x->response_started && x->targets[i].refused);
+			was_cut_off(x, &x->targets[i]);
 	return used;
 }
 
