http1_server: a request behind another one keeps its limits, too

Callers that had sent a request behind another one on a kept connection got 413 or 408 if a change lowered the limits before the first one was answered, though the second one had begun under the higher limits.

A request keeps the limits under which it began, noted as its first bytes are read on an idle connection or as the answer before it ends. What had arrived behind a request that was still being answered so took the limits in force at the end of that answer. They are now noted as its first bytes are read.

test_http1_server, lower_limits_spare_a_request_behind_another_one: failed before (413 for a body under way, 408 for a head), passes in 1 of 1 run with the fix, as do the other eight tests of the file.

--- a/lib/http1_server.c
+++ b/lib/http1_server.c
@@ -72,6 +72,8 @@
 	struct http1_body framing;
 	void *owner;
 	struct http1_limits limits; /* in force when its request began */
+	/* the same of what is received behind a request that is answered */
+	struct http1_limits limits_behind;
 	size_t dropped; /* bytes, while lingering */
 	size_t unsent; /* bytes not received by the caller at the last tick */
 	size_t sent_early; /* bytes sent of what is sent next */
@@ -582,6 +584,8 @@
 	}
 	if (c->state == CONN_HEAD && !c->input.len)
 		begin_request(c);
+	if (c->state == CONN_ANSWERING && !c->input.len)
+		c->limits_behind = c->server->limits;
 	c->progress_ms = uv_now(c->server->loop);
 	bytes_add(&c->input, buf->base, (size_t)n);
 	if (c->state == CONN_ANSWERING && c->input.len > max_buffered) {
@@ -674,6 +678,7 @@
 static void dispatch_request(struct http1_conn *c)
 {
 	c->state = CONN_ANSWERING;
+	c->limits_behind = limits_of(c);
 	if (c->peer_closed && !c->input.len)
 		c->keep_alive = false;
 	c->begun = false;
@@ -702,6 +707,8 @@
 		return;
 	c->owner = NULL;
 	begin_request(c);
+	if (c->input.len)
+		c->limits = c->limits_behind;
 	bytes_release(&c->body);
 	if (!c->peer_closed)
 		uv_read_start((uv_stream_t *)&c->tcp, on_alloc, on_read);
--- a/regress/contract/test_http1_server.c
+++ b/regress/contract/test_http1_server.c
@@ -581,6 +581,62 @@
 	assert_int_equal(unanswered, 0);
 }
 
+struct behind_case {
+	const char *what;
+	const char *behind; /* sent behind a request that is being answered */
+	const char *rest; /* sent once limits are lower; or NULL */
+};
+
+static const struct behind_case behind_cases[] = {
+	{ .what = "body under way, over the lower limit",
+	  .behind = "POST /b HTTP/1.1\r\nHost: a\r\n"
+		    "content-length: 1500\r\n\r\n" },
+	{ .what = "head under way",
+	  .behind = "POST /c HTTP/1.1\r\nHost: a\r\n",
+	  .rest = "content-length: 1\r\n\r\nx" },
+};
+
+/* A request that arrives behind another one keeps the limits under which it
+ * began, too. */
+static void lower_limits_spare_a_request_behind_another_one(void **state)
+{
+	unsigned int refused = 0;
+	size_t i;
+
+	(void)state;
+	for (i = 0; i < N(behind_cases); i++) {
+		const struct behind_case *k = &behind_cases[i];
+		struct caller c = open_caller(0);
+		int status;
+
+		http1_server_limits(server, &usual);
+		n_requests = 0;
+		send_text(&c, "GET /later HTTP/1.1\r\nHost: a\r\n\r\n");
+		send_text(&c, k->behind);
+		if (!k->rest) {
+			c.unsent = 1500;
+			send_body(&c);
+		}
+		wait_requests(1);
+		run_for(TICK_MS);
+		http1_server_limits(server, &low);
+		run_for(TICK_MS);
+		http1_reply(held, 200, NULL, "", 0);
+		assert_int_equal(wait_answer(&c), 200);
+		if (k->rest) {
+			run_for(PAUSE_MS);
+			send_text(&c, k->rest);
+		}
+		status = wait_answer(&c);
+		if (status != 200) {
+			print_message("%s: status %d\n", k->what, status);
+			refused++;
+		}
+		close_caller(&c);
+	}
+	assert_int_equal(refused, 0);
+}
+
 #define TEST(f) cmocka_unit_test_setup_teardown(f, set_up, tear_down)
 
 int main(void)
@@ -594,6 +650,7 @@
 		TEST(server_is_busy_while_a_refused_caller_sends),
 		TEST(silent_refused_caller_is_closed),
 		TEST(requests_sent_at_once_are_answered_before_a_stop),
+		TEST(lower_limits_spare_a_request_behind_another_one),
 	};
 
 	return cmocka_run_group_tests_name("HTTP/1.1 server", tests, NULL,
