stream: endpoints that break off before an event are not offered it at once

Callers of a stream got 502 within moments when each endpoint of its service broke its answer off behind the head: all attempts of the route had been used on the same endpoints, and one of them took streams right after.

Since endpoints that broke off an answer are offered the stream again after the intervals of those that turn it away, by failed_ms. An answer that breaks behind the head of a stream ends in stream_move(), which did not set that. It does now if the endpoint failed the attempt before its first event; not if the run is only silent, or was at another instance.

--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -245,6 +245,8 @@
 	uint64_t silent_ms = now - x->last_event_ms;
 
 	x->may_have_run = x->may_have_run || sent;
+	if (sent && !may_go_on && x->first_event_due_ms && !relay_in_use(x))
+		x->failed_ms = now;
 	x->move_tried_ms = 0;
 	x->awaits_repeat = false;
 	if (x->held.call) {
--- a/regress/integration/test_streams_offered_again.c
+++ b/regress/integration/test_streams_offered_again.c
@@ -15,6 +15,7 @@
 #include "regress/silence.h"
 
 #define EVENTS_BEFORE 5 /* received before the loss */
+#define FAILING_MS 100 /* within which attempts could be used up */
 #define ROUTE SILENCE_ROUTE "\"maxAttempts\":5,\"resumable\":true}"
 
 static size_t attempts_wanted;
@@ -60,9 +61,11 @@
 	read_whole(silence_open_stream());
 }
 
-/* Each endpoint has failed a stream that has not begun, and attempts are left. */
+/* Each endpoint has failed a stream that has not begun, in one way, and attempts are
+ * left. */
 static void stream_that_each_endpoint_failed_once(void **state)
 {
+	const enum standin_behaviour *behaviour = *state;
 	const struct silence_case c = {
 		.route = ROUTE,
 		.instances = 1,
@@ -71,12 +74,12 @@
 	struct stream_reader *s;
 	size_t before;
 
-	(void)state;
 	start(&c);
 	before = silence_attempts();
-	set_behaviour(STANDIN_DISCONNECTS);
+	set_behaviour(*behaviour);
 	s = silence_open_stream();
 	wait_attempts(before + 2);
+	harness_run(silence_harness, FAILING_MS);
 	set_behaviour(STANDIN_NORMAL);
 	read_whole(s);
 	silence_end(&c);
@@ -111,8 +114,13 @@
 
 int main(void)
 {
+	static enum standin_behaviour disconnects = STANDIN_DISCONNECTS;
+	static enum standin_behaviour breaks_off = STANDIN_BREAKS_OFF;
 	const struct CMUnitTest tests[] = {
-		cmocka_unit_test(stream_that_each_endpoint_failed_once),
+		cmocka_unit_test_prestate(stream_that_each_endpoint_failed_once,
+					  &disconnects),
+		cmocka_unit_test_prestate(stream_that_each_endpoint_failed_once,
+					  &breaks_off),
 		cmocka_unit_test(misdirected_stream_waits_for_a_repeat),
 	};
 
--- a/regress/platform_standin.c
+++ b/regress/platform_standin.c
@@ -1347,6 +1347,11 @@
 	case STANDIN_UNFRAMED:
 		reply_plain(worker, c, headers, body);
 		break;
+	case STANDIN_BREAKS_OFF:
+		strcat(headers, "content-type: text/event-stream\r\n");
+		http1_stream_begin(c, 200, headers);
+		http1_abort(c);
+		break;
 	case STANDIN_DISCONNECTS:
 		http1_abort(c);
 		break;
--- a/regress/platform_standin.h
+++ b/regress/platform_standin.h
@@ -26,6 +26,7 @@
 	STANDIN_ENCODED, /* 200 with a content encoding */
 	STANDIN_UNFRAMED, /* 200, ended by closing the connection */
 	STANDIN_DISCONNECTS, /* closes the connection after the request */
+	STANDIN_BREAKS_OFF, /* the same after the head of a stream */
 	STANDIN_SILENT, /* never answers */
 	STANDIN_MISDIRECTED, /* 421: another worker has this address */
 	STANDIN_MISDIRECTED_SELF, /* 421 that names the worker itself */
