--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -605,18 +605,18 @@
 
 /* Makes a run that has lost its endpoint wait for another one; out_of_reach tells
  * whether none that continues it can be reached now.  If that is not for want of a
- * path, its caller does better to come back at another instance, also if the path was
- * lost when the wait began. */
+ * path, its caller does better to come back at another instance.  What is known now
+ * decides, also if the wait has begun under other circumstances. */
 void exchange_wait_lost(struct exchange *x, bool out_of_reach)
 {
 	uint64_t now = proxyd_now(x->proxyd);
-	bool path_lost = endpoints_path_lost(x->proxyd->endpoints, x->service);
-	uint32_t ms = lost_run_wait_ms(x->response_started,
-				       out_of_reach && path_lost,
+	bool no_path = out_of_reach &&
+		       endpoints_path_lost(x->proxyd->endpoints, x->service);
+	uint32_t ms = lost_run_wait_ms(x->response_started, no_path,
 				       x->deadline_ms - now);
 
 	exchange_wait_for(x, ms);
-	if (now + ms < x->wait_until_ms)
+	if (now + ms < x->wait_until_ms || (no_path && x->response_started))
 		x->wait_until_ms = now + ms;
 }
 
