--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -155,6 +155,8 @@
 		x->held.last_event_ms += stall_ms;
 		if (x->first_event_due_ms)
 			x->first_event_due_ms += stall_ms;
+		if (x->held.first_event_due_ms)
+			x->held.first_event_due_ms += stall_ms;
 		if (x->ended_ms)
 			x->ended_ms = x->ended_ms + stall_ms < now
 					      ? x->ended_ms + stall_ms
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -59,6 +59,7 @@
 	uint64_t sent_ms;
 	uint64_t sent_software;
 	uint64_t sent_born_ms;
+	bool start_excused;
 	enum request_permit permit;
 	bool load_counted;
 	bool prefill_counted;
