attempt: an answer that is known to be whole has a length

A caller that sent two requests at once lost the second one, which had been read whole, if the endpoint's answer to the first one had no length: that was passed on without one, too, so that the connection ended with it, and nothing was logged.

An answer without a length is passed on once its end has been judged. If it is known to be whole, it gets a length, which says nothing that is not known; one that can't be told, and is passed on for want of anything better, stays without.

--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -469,12 +469,15 @@
 	       x->status < 300;
 }
 
-/* Handles what is known now of an answer that ended with its connection. */
+/* Handles what is known now of an answer that ended with its connection.  One that is
+ * known to be whole is passed on with a length: its caller's connection can be kept,
+ * and what the caller has sent behind the request is answered. */
 void attempt_end_known(struct exchange *x, enum answer_end end)
 {
 	bool whole = answer_end_delivers(end, route_may_run_again(x->route),
 					 x->end_outlived, x->ended_after_ms);
 
+	x->unframed = end != ANSWER_END_WHOLE;
 	end_attempt(x, whole ? HTTP1_COMPLETE : HTTP1_BROKEN);
 }
 
