exchange: a relayed request keeps the time limit that it came with

Callers of streams lost them beside a change of the configuration: an instance without a path relays what it has accepted, with the time that is left by the configuration under which it came; the other instance, which had a newer one already, cut it at that one's shorter time limit ("its time is up"), each of its repeats as well, and with the last attempt or the last repeat the caller's connection was closed, with most of its own time left.

--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -732,7 +732,10 @@
 	}
 	set_service(x, route_choose_service(x->route, proxyd_random()));
 	limit = x->route->timeout_ms;
-	if (x->fields.deadline_ms && x->fields.deadline_ms < limit)
+	/* the instance that relays a request has applied its route's limit, which
+	 * may be of another configuration */
+	if (x->fields.deadline_ms &&
+	    (x->fields.deadline_ms < limit || x->fields.relayed_by[0]))
 		limit = x->fields.deadline_ms;
 	x->deadline_ms = x->received_ms + limit;
 	return true;
--- a/regress/integration/test_relayed_requests.c
+++ b/regress/integration/test_relayed_requests.c
@@ -28,6 +28,7 @@
 #define RELAYS_SETTLE_MS 200
 #define MANY_CALLS 60
 #define CUT_MS 2000
+#define SHORT_TIMEOUT_MS 300 /* two events take as long */
 #define DENIED "\"allowed\":false"
 #define SLOW_CALLERS 4
 #define PAUSE_MS 6000 /* for so long they do not read */
@@ -313,6 +314,38 @@
 	assert_int_equal(report_from(first), 0);
 }
 
+/* Returns whether the other instances have a third configuration or a later one. */
+static bool have_shorter_routes(void *unused)
+{
+	size_t n = 0;
+	size_t i;
+
+	(void)unused;
+	for (i = 1; i < LOST_PATH_INSTANCES; i++)
+		n += count_lines(&lost_path_get()->instances[i],
+				 "configuration", NULL, "\"version\":3") > 0;
+	return n == LOST_PATH_INSTANCES - 1;
+}
+
+/* Streams that have begun outlast a shorter time limit of their route, under which
+ * the other instances get them: the one that came with them counts. */
+static void route_shortened_elsewhere(void **state)
+{
+	struct lost_path *l = lost_path_get();
+	size_t first;
+
+	(void)state;
+	lost_path_warm_up();
+	first = l->callers.n;
+	lost_path_begin_streams();
+	lost_path_shorten_routes(SHORT_TIMEOUT_MS);
+	harness_until(l->harness, have_shorter_routes, NULL,
+		      "the others have the configuration");
+	lost_path_set_mode("cut");
+	wait_over();
+	assert_int_equal(report_from(first), 0);
+}
+
 int main(int argc, char **argv)
 {
 	static const struct lost_path_case limited = { .default_repeats =
@@ -323,6 +356,7 @@
 		LOST_PATH_PLAY(attempts_over_relays, NULL),
 		LOST_PATH_PLAY(calls_in_flight_without_repeats, &limited),
 		LOST_PATH_PLAY(route_dropped_elsewhere, NULL),
+		LOST_PATH_PLAY(route_shortened_elsewhere, NULL),
 	};
 
 	if (argc > 1) /* one case */
--- a/regress/lost_path.c
+++ b/regress/lost_path.c
@@ -48,6 +48,8 @@
 static struct lost_path rig;
 static const char *control; /* of the fault proxy */
 static int version;
+static unsigned int
+	short_timeout_ms; /* of all routes; 0: they have long ones */
 
 static uint64_t now_ms(void)
 {
@@ -58,7 +60,9 @@
  * in timeouts and in one route. */
 static void put_configuration(void)
 {
-	unsigned int timeout_ms = 20000 + 1000 * (unsigned int)(version % 2);
+	unsigned int timeout_ms =
+		short_timeout_ms ? short_timeout_ms
+				 : 20000 + 1000 * (unsigned int)(version % 2);
 	char *routes = xasprintf(
 		ROUTE("again", "idempotent", "2", "plain") "}," ROUTE(
 			"once", "non_idempotent", "1",
@@ -83,6 +87,14 @@
 	standin_put_configuration(rig.world, ++version, NULL);
 }
 
+/* Writes the next version of the configuration, in which all routes of the callers
+ * have a time limit of so many ms. */
+void lost_path_shorten_routes(unsigned int timeout_ms)
+{
+	short_timeout_ms = timeout_ms;
+	put_configuration();
+}
+
 /* Returns the harness, the platform, the instances and the callers. */
 struct lost_path *lost_path_get(void)
 {
@@ -126,6 +138,7 @@
 
 	memset(&rig, 0, sizeof(rig));
 	version = 1;
+	short_timeout_ms = 0;
 	rig.harness = harness_new();
 	rig.world = standin_new(rig.harness);
 	rig.world->event_ms = EVENT_MS;
--- a/regress/lost_path.h
+++ b/regress/lost_path.h
@@ -43,6 +43,7 @@
 void lost_path_begin_streams(void);
 void lost_path_set_mode(const char *mode);
 void lost_path_drop_routes(void);
+void lost_path_shorten_routes(unsigned int timeout_ms);
 
 /* A cmocka test of a case. */
 #define LOST_PATH_TEST(name, case)                                            \
