--- a/regress/contract/test_odd_statuses.c
+++ b/regress/contract/test_odd_statuses.c
@@ -102,25 +102,14 @@
 
 static int set_up(void **state)
 {
-	struct sockaddr_in sin;
-	unsigned int port;
-
 	(void)state;
 	harness = harness_new();
 	client = http1_client_new(harness_loop(harness));
 	httpc = httpc_new(harness_loop(harness));
 	memset(&server, 0, sizeof(server));
 	server.address = harness_address(harness);
-	assert_int_equal(sscanf(server.address, "127.0.0.1:%u", &port), 1);
-	uv_tcp_init(harness_loop(harness), &server.listener);
-	server.listener.data = &server;
-	uv_ip4_addr("127.0.0.1", (int)port, &sin);
-	assert_int_equal(uv_tcp_bind(&server.listener,
-				     (const struct sockaddr *)&sin, 0),
-			 0);
-	assert_int_equal(uv_listen((uv_stream_t *)&server.listener, 16,
-				   on_connection),
-			 0);
+	harness_listen(harness, &server.listener, server.address, on_connection,
+		       &server);
 	return 0;
 }
 
--- a/regress/contract/test_store_cut.c
+++ b/regress/contract/test_store_cut.c
@@ -10,7 +10,6 @@
 #include <setjmp.h>
 #include <cmocka.h>
 
-#include "lib/settings.h"
 #include "lib/xalloc.h"
 #include "platform/platform.h"
 #include "regress/harness.h"
@@ -82,20 +81,11 @@
 static int set_up(void **state)
 {
 	const char *address;
-	struct sockaddr_in sin;
-	char host[64];
-	uint16_t port;
 
 	(void)state;
 	harness = harness_new();
 	address = harness_address(harness);
-	address_parse(address, host, sizeof(host), &port);
-	uv_ip4_addr(host, port, &sin);
-	uv_tcp_init(harness_loop(harness), &listener);
-	assert_int_equal(
-		uv_tcp_bind(&listener, (const struct sockaddr *)&sin, 0), 0);
-	assert_int_equal(uv_listen((uv_stream_t *)&listener, 16, on_connection),
-			 0);
+	harness_listen(harness, &listener, address, on_connection, NULL);
 	client = http1_client_new(harness_loop(harness));
 	store = platform_store_new(client, harness_loop(harness), address);
 	return 0;
--- a/regress/harness.c
+++ b/regress/harness.c
@@ -21,9 +21,11 @@
 #include <setjmp.h>
 #include <cmocka.h>
 
+#include "lib/settings.h"
 #include "lib/xalloc.h"
 
 /* Below the system's range of ephemeral ports. */
+#define LISTEN_BACKLOG 128 /* of harness_listen() */
 #define FIRST_PORT 20000
 #define N_PORTS 12000
 #define MAX_ADDRESSES 1024
@@ -186,6 +188,26 @@
 	return NULL;
 }
 
+/* Listens on an address of the loopback interface in the harness's loop, for a
+ * stand-in whose bytes the test writes itself; data is that of the listener. */
+void harness_listen(struct harness *h, uv_tcp_t *listener, const char *address,
+		    uv_connection_cb on_connection, void *data)
+{
+	struct sockaddr_in sin;
+	char host[64];
+	uint16_t port;
+
+	assert_true(address_parse(address, host, sizeof(host), &port));
+	uv_ip4_addr(host, port, &sin);
+	uv_tcp_init(harness_loop(h), listener);
+	listener->data = data;
+	assert_int_equal(
+		uv_tcp_bind(listener, (const struct sockaddr *)&sin, 0), 0);
+	assert_int_equal(uv_listen((uv_stream_t *)listener, LISTEN_BACKLOG,
+				   on_connection),
+			 0);
+}
+
 /* Binds a port; returns the socket, -1 if the port is in use. */
 static int reserve_port(unsigned port)
 {
--- a/regress/harness.h
+++ b/regress/harness.h
@@ -35,6 +35,8 @@
 struct httpc *harness_client(struct harness *h);
 const char *harness_dir(const struct harness *h);
 const char *harness_address(struct harness *h);
+void harness_listen(struct harness *h, uv_tcp_t *listener, const char *address,
+		    uv_connection_cb on_connection, void *data);
 const char *harness_file(struct harness *h, const char *name, const char *fmt,
 			 ...) __attribute__((format(printf, 3, 4)));
 
--- a/regress/integration/test_cut_snapshot.c
+++ b/regress/integration/test_cut_snapshot.c
@@ -14,7 +14,6 @@
 #include <cmocka.h>
 
 #include "lib/bytes.h"
-#include "lib/settings.h"
 #include "lib/xalloc.h"
 #include "proto/peer.pb-c.h"
 #include "regress/platform_standin.h"
@@ -151,18 +150,8 @@
 
 static void listen_as_peer(void)
 {
-	struct sockaddr_in sin;
-	char host[64];
-	uint16_t port;
-
-	address_parse(peer.address, host, sizeof(host), &port);
-	uv_ip4_addr(host, port, &sin);
-	uv_tcp_init(harness_loop(harness), &peer.listener);
-	assert_int_equal(uv_tcp_bind(&peer.listener,
-				     (const struct sockaddr *)&sin, 0),
-			 0);
-	assert_int_equal(
-		uv_listen((uv_stream_t *)&peer.listener, 64, on_connection), 0);
+	harness_listen(harness, &peer.listener, peer.address, on_connection,
+		       NULL);
 }
 
 /* Takes the snapshot of the first instance, which knows an endpoint. */
--- a/regress/integration/test_endless_answers.c
+++ b/regress/integration/test_endless_answers.c
@@ -12,7 +12,6 @@
 #include <setjmp.h>
 #include <cmocka.h>
 
-#include "lib/settings.h"
 #include "lib/xalloc.h"
 #include "regress/platform_standin.h"
 
@@ -172,9 +171,6 @@
 static void start(const char *service, const struct endless *endless)
 {
 	const char *address = harness_address(harness);
-	struct sockaddr_in sin;
-	char host[64];
-	uint16_t port;
 	size_t len = strlen(endless->repeated);
 	char *entry = xasprintf(
 		"{\"backend\":\"%s\",\"address\":\"%s\",\"zone\":\"z1\","
@@ -188,16 +184,8 @@
 	sender.block = xcalloc(sender.block_len, 1);
 	for (i = 0; i < sender.block_len; i += len)
 		memcpy(sender.block + i, endless->repeated, len);
-	address_parse(address, host, sizeof(host), &port);
-	uv_ip4_addr(host, port, &sin);
-	uv_tcp_init(harness_loop(harness), &sender.listener);
-	sender.listener.data = &sender;
-	assert_int_equal(uv_tcp_bind(&sender.listener,
-				     (const struct sockaddr *)&sin, 0),
-			 0);
-	assert_int_equal(uv_listen((uv_stream_t *)&sender.listener, 64,
-				   on_connection),
-			 0);
+	harness_listen(harness, &sender.listener, address, on_connection,
+		       &sender);
 	standin_put(world, "servers", "i-endless", entry);
 	free(entry);
 	standin_put_configuration(world, 2, NULL);
--- a/regress/integration/test_repeated_refusal.c
+++ b/regress/integration/test_repeated_refusal.c
@@ -185,20 +185,11 @@
 /* Starts a worker and writes its entry. */
 static void start_worker(struct faulty_worker *w, const char *service)
 {
-	struct sockaddr_in sin;
-	unsigned int port;
 	char *entry;
 
 	*w = (struct faulty_worker){ .service = service };
 	w->address = harness_address(harness);
-	assert_int_equal(sscanf(w->address, "127.0.0.1:%u", &port), 1);
-	uv_tcp_init(harness_loop(harness), &w->listener);
-	w->listener.data = w;
-	uv_ip4_addr("127.0.0.1", (int)port, &sin);
-	assert_int_equal(
-		uv_tcp_bind(&w->listener, (const struct sockaddr *)&sin, 0), 0);
-	assert_int_equal(
-		uv_listen((uv_stream_t *)&w->listener, 16, on_connection), 0);
+	harness_listen(harness, &w->listener, w->address, on_connection, w);
 	entry = xasprintf("{\"backend\":\"%s\",\"address\":\"%s\","
 			  "\"zone\":\"z1\",\"slots\":16,\"state\":\"ready\","
 			  "\"born\":1000}",
--- a/regress/leaving_endpoint.c
+++ b/regress/leaving_endpoint.c
@@ -16,7 +16,6 @@
 
 #include "lib/bytes.h"
 #include "lib/http1_client.h"
-#include "lib/settings.h"
 #include "lib/xalloc.h"
 #include "regress/platform_standin.h"
 
@@ -414,9 +413,6 @@
 static struct endpoint_process *add_endpoint(bool leaves)
 {
 	struct endpoint_process *e = xcalloc(1, sizeof(*e));
-	struct sockaddr_in sin;
-	char host[64];
-	uint16_t port;
 
 	snprintf(e->id, sizeof(e->id), "i-leaving-%u", n_endpoints++);
 	e->service = route->service;
@@ -425,14 +421,7 @@
 	e->next = endpoints;
 	endpoints = e;
 	e->listener = xcalloc(1, sizeof(*e->listener));
-	address_parse(e->address, host, sizeof(host), &port);
-	uv_ip4_addr(host, port, &sin);
-	uv_tcp_init(harness_loop(harness), e->listener);
-	e->listener->data = e;
-	assert_int_equal(
-		uv_tcp_bind(e->listener, (const struct sockaddr *)&sin, 0), 0);
-	assert_int_equal(
-		uv_listen((uv_stream_t *)e->listener, 128, on_connection), 0);
+	harness_listen(harness, e->listener, e->address, on_connection, e);
 	put_entry(e, "ready");
 	return e;
 }
--- a/regress/raw_endpoint.c
+++ b/regress/raw_endpoint.c
@@ -16,7 +16,6 @@
 #include <setjmp.h>
 #include <cmocka.h>
 
-#include "lib/settings.h"
 #include "lib/xalloc.h"
 
 #define REPEATS "repeat_window_s = 0.1\nrepeat_ratio = 10\nrepeat_slack = 100\n"
@@ -368,19 +367,8 @@
 /* Opens the listener of an endpoint. */
 static void listen_at(struct raw_endpoint *e)
 {
-	struct sockaddr_in sin;
-	char host[64];
-	uint16_t port;
-
 	e->listener = xcalloc(1, sizeof(*e->listener));
-	address_parse(e->address, host, sizeof(host), &port);
-	uv_ip4_addr(host, port, &sin);
-	uv_tcp_init(harness_loop(harness), e->listener);
-	e->listener->data = e;
-	assert_int_equal(
-		uv_tcp_bind(e->listener, (const struct sockaddr *)&sin, 0), 0);
-	assert_int_equal(
-		uv_listen((uv_stream_t *)e->listener, 64, on_connection), 0);
+	harness_listen(harness, e->listener, e->address, on_connection, e);
 }
 
 /* Starts an endpoint and writes its entry. */
