review: streams end as complete after a partition of their engine (case 7)

An engine is partitioned while it writes streams without a length on a route that does not resume, crashes behind the cut and starts again under its id. When the cut heals and the ends of the old connections arrive one after the other, the first stream is cut; of the others most get the end of their answer in the middle (ORDER).

At fault: note_own_start() in proxyd/exchange.c. The answer to the question about the first end names the new start, and all attempts there whose connections are still open are noted as run by that process.

--- a/review/world-2/net.hh
+++ b/review/world-2/net.hh
@@ -94,11 +94,20 @@
 	return fd;
 }
 
+// Returns a loopback host that other processes hardly use.
+inline std::string own_host()
+{
+	static const int pid = getpid();
+
+	return text("127.%d.%d.%d", 64 + (pid >> 16 & 63), pid >> 8 & 255,
+		    1 + (pid & 255) % 254);
+}
+
 // Returns a loopback address with a port that is free now, for TCP and UDP.
 inline std::string free_address()
 {
 	for (;;) {
-		std::string a = "127.0.0.1:0";
+		std::string a = own_host() + ":0";
 		int tcp = listen_on(a);
 		int udp = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
 		sockaddr_in s = address_of(a);
--- a/review/world-2/platform.hh
+++ b/review/world-2/platform.hh
@@ -248,7 +248,7 @@
 	}
 
 public:
-	std::string address = "127.0.0.1:0";
+	std::string address = own_host() + ":0";
 
 	store()
 	{
@@ -289,17 +289,21 @@
 	std::condition_variable healed;
 	bool cut_off = false;
 	std::vector<int> fillers;
+	std::atomic<int> connections{ 0 };
 
-	void wait_healed()
+	// Returns whether it had to wait.
+	bool wait_healed()
 	{
 		std::unique_lock<std::mutex> g(lock);
+		bool waits = cut_off;
 
 		while (cut_off)
 			healed.wait(g);
+		return waits;
 	}
 
 	// Passes bytes on until the end, and then the end.
-	void pass(int from, int onto)
+	void pass(int from, int onto, int number)
 	{
 		char buf[65536];
 
@@ -307,7 +311,8 @@
 			ssize_t n = recv(from, buf, sizeof(buf), 0);
 			linger l = { 1, 0 };
 
-			wait_healed();
+			if (wait_healed())
+				sleep_ms(resume_ms + number % 4 * resume_step_ms);
 			if (n < 0) { // a reset is passed on as one
 				setsockopt(onto, SOL_SOCKET, SO_LINGER, &l,
 					   sizeof(l));
@@ -355,10 +360,11 @@
 				}
 				fcntl(up, F_SETFL,
 				      fcntl(up, F_GETFL) & ~O_NONBLOCK);
-				std::thread back([this, fd, up] {
-					pass(up, fd);
+				int number = connections++;
+				std::thread back([this, fd, up, number] {
+					pass(up, fd, number);
 				});
-				pass(fd, up);
+				pass(fd, up, number);
 				back.join();
 				close(fd);
 				close(up);
@@ -367,7 +373,11 @@
 	}
 
 public:
-	std::string address = "127.0.0.1:0";
+	std::string address = own_host() + ":0";
+	// After a cut TCP sends what was held again by a timer of each
+	// connection: one after the other comes so much later.
+	int resume_ms = 0;
+	int resume_step_ms = 0;
 
 	explicit link_to(const std::string &target) : to(target)
 	{
