review: a stream holds events of two software versions (case 8)

An engine goes dark, starts again under its id with another software version and is lost once more. The streams that began there in the second before its entry named the new version go on at engines of the old one (ORDER).

At fault: endpoint_start_proved() in proxyd/endpoints.c. An idle connection to the process that went dark has not ended, so that the start which it stated counts as proved for the process that answers now.

The stand-in of a link has a long queue of connections again while it is not cut: a short one lost connections beside the disruption.

--- a/review/world-2/engine.cc
+++ b/review/world-2/engine.cc
@@ -1,12 +1,15 @@
-// A model worker: engine ID ADDRESS BORN PROMPT_MS EVENT_MS EVENTS.  Reads a
-// prompt for PROMPT_MS, then sends an event each EVENT_MS, behind last-event-id
-// if there is one.  Its streams have no length: they end with their connections.
-// It drops a run when its connection closes.  Prints what it runs.
+// A model worker: engine ID ADDRESS BORN PROMPT_MS EVENT_MS EVENTS VERSION
+// chunks|unframed.  Reads a prompt for PROMPT_MS, then sends an event each
+// EVENT_MS, behind last-event-id if there is one; events name VERSION, that of
+// its software.  Unframed streams have no length: they end with their
+// connections.  It drops a run when its connection closes.  Prints what it runs.
 #include "net.hh"
 
 static std::string id;
 static long long born;
 static int prompt_ms, event_ms, n_events;
+static std::string version;
+static bool chunks;
 
 static void say(const char *what, const std::string &request, long n)
 {
@@ -24,8 +27,13 @@
 	return !n || (n < 0 && errno != EAGAIN && errno != EINTR);
 }
 
-// Runs a stream, to the end of its connection.
-static void run(int fd, const message &m)
+static std::string part(const std::string &data)
+{
+	return chunks ? text("%zx\r\n", data.size()) + data + "\r\n" : data;
+}
+
+// Runs a stream; returns whether its connection can be used again.
+static bool run(int fd, const message &m)
 {
 	std::string request = m.get("request-id");
 	long n = atol(m.get("last-event-id").c_str());
@@ -36,24 +44,30 @@
 				  "\r\nResponse-Signature: " + id + "." +
 				  request +
 				  "\r\nWeight-Versions: 1\r\nContent-Type: "
-				  "text/event-stream\r\nConnection: "
-				  "close\r\n\r\n"))
-		return;
+				  "text/event-stream\r\n" +
+				  (chunks ? "Transfer-Encoding: chunked\r\n"
+					  : "Connection: close\r\n") +
+				  "\r\n"))
+		return false;
 	while (n < n_events) {
 		sleep_ms(next - now_ms());
 		next += event_ms;
 		n++;
 		if (is_closed(fd) ||
-		    !send_all(fd, text("id: %ld\ndata: t%ld\n\n", n, n))) {
+		    !send_all(fd, part(text("id: %ld\ndata: t%ld %s\n\n", n,
+					    n, version.c_str())))) {
 			say("dropped", request, n);
-			return;
+			return false;
 		}
 		if (n % 10 == 0)
 			say("sent", request, n);
 	}
 	say("ends", request, n);
+	if (chunks)
+		return send_all(fd, "0\r\n\r\n");
 	shutdown(fd, SHUT_WR);
 	reader(fd).read(false, now_ms() + 1000);
+	return false;
 }
 
 // Answers a request; returns whether its connection can be used again.
@@ -85,8 +99,7 @@
 	if (m.get("request-id").empty())
 		return send_all(fd, "HTTP/1.1 400 Bad Request\r\nNot-Executed: "
 				    "1\r\nContent-Length: 0\r\n\r\n");
-	run(fd, m);
-	return false;
+	return run(fd, m);
 }
 
 int main(int argc, char **argv)
@@ -94,7 +107,7 @@
 	std::string address;
 	int fd;
 
-	if (argc != 7)
+	if (argc != 9)
 		return 2;
 	id = argv[1];
 	address = argv[2];
@@ -102,6 +115,8 @@
 	prompt_ms = atoi(argv[4]);
 	event_ms = atoi(argv[5]);
 	n_events = atoi(argv[6]);
+	version = argv[7];
+	chunks = !strcmp(argv[8], "chunks");
 	signal(SIGPIPE, SIG_IGN);
 	fd = listen_on(address);
 	if (fd < 0)
--- a/review/world-2/net.hh
+++ b/review/world-2/net.hh
@@ -106,6 +106,8 @@
 // Returns a loopback address with a port that is free now, for TCP and UDP.
 inline std::string free_address()
 {
+	static std::map<std::string, bool> given;
+
 	for (;;) {
 		std::string a = own_host() + ":0";
 		int tcp = listen_on(a);
@@ -115,8 +117,10 @@
 
 		close(tcp);
 		close(udp);
-		if (!rc)
+		if (!rc && !given[a]) {
+			given[a] = true;
 			return a;
+		}
 	}
 }
 
--- a/review/world-2/platform.hh
+++ b/review/world-2/platform.hh
@@ -290,6 +290,7 @@
 	bool cut_off = false;
 	std::vector<int> fillers;
 	std::atomic<int> connections{ 0 };
+	std::atomic<int> muted_below{ 0 };
 
 	// Returns whether it had to wait.
 	bool wait_healed()
@@ -313,6 +314,12 @@
 
 			if (wait_healed())
 				sleep_ms(resume_ms + number % 4 * resume_step_ms);
+			while (number < muted_below) { // also its end
+				if (n <= 0)
+					sleep_ms(1000);
+				else
+					n = recv(from, buf, sizeof(buf), 0);
+			}
 			if (n < 0) { // a reset is passed on as one
 				setsockopt(onto, SOL_SOCKET, SO_LINGER, &l,
 					   sizeof(l));
@@ -334,11 +341,13 @@
 			int fd;
 
 			wait_healed();
-			if (poll(&p, 1, 20) != 1)
+			if (p.fd < 0 || poll(&p, 1, 20) != 1) {
+				sleep_ms(p.fd < 0 ? 5 : 0);
 				continue;
+			}
 			{
 				std::lock_guard<std::mutex> g(lock);
-				if (cut_off)
+				if (cut_off || listener != p.fd)
 					continue;
 				fd = accept4(listener, NULL, NULL,
 					     SOCK_CLOEXEC | SOCK_NONBLOCK);
@@ -381,7 +390,7 @@
 
 	explicit link_to(const std::string &target) : to(target)
 	{
-		listener = listen_on(address, 0);
+		listener = listen_on(address);
 		if (listener < 0)
 			exit(2);
 		fcntl(listener, F_SETFL, fcntl(listener, F_GETFL) | O_NONBLOCK);
@@ -398,6 +407,7 @@
 			std::lock_guard<std::mutex> g(lock);
 			cut_off = true;
 		}
+		listen(listener, 0); // a short queue, which is filled
 		for (i = 0; i < 4; i++) {
 			int fd = socket(AF_INET,
 					SOCK_STREAM | SOCK_CLOEXEC |
@@ -412,6 +422,38 @@
 		}
 	}
 
+	// The number of the next connection.
+	int next_number() const
+	{
+		return connections;
+	}
+
+	// The connections with lower numbers go silent for good, without a
+	// reset; all others work.
+	void silence_below(int number)
+	{
+		muted_below = number;
+	}
+
+	// Refuses new connections, as the host of a process that has ended.
+	void refuse()
+	{
+		std::lock_guard<std::mutex> g(lock);
+
+		close(listener);
+		listener = -1;
+	}
+
+	void accept_again()
+	{
+		std::lock_guard<std::mutex> g(lock);
+
+		listener = listen_on(address);
+		if (listener < 0)
+			exit(2);
+		fcntl(listener, F_SETFL, fcntl(listener, F_GETFL) | O_NONBLOCK);
+	}
+
 	void heal()
 	{
 		for (int fd : fillers)
@@ -425,6 +467,7 @@
 				break;
 			close(fd);
 		}
+		listen(listener, 256);
 		std::lock_guard<std::mutex> g(lock);
 		cut_off = false;
 		healed.notify_all();
