--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -1,88 +1,99 @@
-// Case 6: a booking's answer without a length, whose worker is partitioned,
-// crashes behind the cut and starts again.  See claim.txt.
+// Case 6: streams without a length whose engine crashes, while an instance
+// holds another connection to it that has gone silent for good.  See claim.txt.
 #include "../world-2/platform.hh"
 
-// figures of austral-despacho: reserva-repuesto, despacho-app
-static const int route_ms = 800;
-static const int deadline_ms = 1500;
-static const int work_ms = 15;
-static const int heartbeat_ms = 1200;
-static const int rest_ms = 60; // between the halves of an answer
-static const int rounds = 5;
-
-// after the first half of the answer was sent
-static const int cut_after_ms = 10; // its bytes are through the link by then
-static const int crash_after_ms = 20;
-static const int start_after_ms = 300;
-static const int heal_after_ms = 550;
-
-struct worker {
-	std::string id, listens;
+// figures of austral-despacho: informe-falla, redactor-tecnico
+static const int deadline_ms = 25000;
+static const int prompt_ms = 1040; // 5,200 tokens, 5 a ms
+static const int event_ms = 31;
+static const int n_events = 130;
+static const int n_engines = 6;
+static const int n_streams = 18; // of a round
+static const int rounds = 4;
+
+static const int crash_after_ms = 1200; // after the streams have begun
+static const int down_ms = 4500;
+
+struct engine {
+	std::string id, listens, zone;
+	long long born;
 	link_to *link;
 	process proc;
-	int64_t born = 0;
-	std::thread output;
 };
 
 static record *rec;
 static store *platform;
 static std::mutex lock;
-static std::condition_variable changed;
-static std::map<std::string, std::string> half_at; // request: worker that is half way
-static std::map<std::string, int> listening;
+static std::map<std::string, std::string> at; // request: its engine
 
-static void start_worker(worker &w, const std::string &id,
-			 const std::string &dir)
+static void start_engine(engine &e, const std::string &dir)
 {
+	std::string id = e.id;
 	int fd;
 
-	w.id = id;
-	w.born = unix_ms();
-	w.proc.start({ "build-review-2/worker", id, w.listens,
-		       std::to_string(work_ms), std::to_string(rest_ms) },
+	e.born = unix_ms();
+	e.proc.start({ "build-review-2/engine", e.id, e.listens,
+		       std::to_string(e.born), std::to_string(prompt_ms),
+		       std::to_string(event_ms), std::to_string(n_events), "v1",
+		       "unframed" },
 		     dir + "/workers.log", true);
-	fd = w.proc.out;
+	fd = e.proc.out;
 	std::thread([fd, id] {
 		FILE *f = fdopen(fd, "r");
 		char what[32], request[128];
+		long n;
 
-		while (fscanf(f, "%31s %127s", what, request) == 2) {
+		while (fscanf(f, "%31s %127s %ld", what, request, &n) == 3) {
 			std::lock_guard<std::mutex> g(lock);
 
-			rec->say("worker %s: %s %s", id.c_str(), what, request);
-			if (!strcmp(what, "half"))
-				half_at[request] = id;
-			if (!strcmp(what, "listens"))
-				listening[id] = 1;
-			changed.notify_all();
+			if (strcmp(what, "sent") != 0)
+				rec->say("worker %s: %s %s %ld", id.c_str(),
+					 what, request, n);
+			if (!strcmp(what, "begins"))
+				at[request] = id;
 		}
 		fclose(f);
 	}).detach();
 }
 
-static void list_worker(const worker &w)
+static void list_engine(const engine &e)
+{
+	platform->put(
+		"servers", e.id,
+		text("{\"backend\":\"redactor\",\"address\":\"%s\",\"zone\":"
+		     "\"%s\",\"version\":\"v1\",\"slots\":64,\"state\":"
+		     "\"ready\",\"coldRemainingMs\":0,\"stage\":\"colocated\","
+		     "\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":"
+		     "[]}],\"sequence\":1,\"born\":%lld}",
+		     e.link->address.c_str(), e.zone.c_str(), e.born));
+	rec->say("store: servers/%s written, born %lld", e.id.c_str(), e.born);
+}
+
+// Returns the id of the last event in a body, checking that none is missing.
+static long last_event(const std::string &body)
 {
-	platform->put("servers", w.id,
-		      text("{\"backend\":\"despacho\",\"address\":\"%s\","
-			   "\"zone\":\"santiago-norte\",\"version\":\"v1\","
-			   "\"slots\":6,\"state\":\"ready\","
-			   "\"coldRemainingMs\":0,\"sequence\":1,"
-			   "\"born\":%lld}",
-			   w.link->address.c_str(), (long long)w.born));
-	rec->say("store: servers/%s written, address %s", w.id.c_str(),
-		 w.link->address.c_str());
+	size_t pos = 0;
+	long n = 0;
+
+	while ((pos = body.find("id: ", pos)) != std::string::npos) {
+		if (atol(body.c_str() + pos + 4) != n + 1)
+			return -1;
+		n++;
+		pos += 4;
+	}
+	return n;
 }
 
 int main(int argc, char **argv)
 {
 	const char *off = getenv("TROUBLE");
 	bool trouble = !off || strcmp(off, "0") != 0;
-	std::vector<worker> workers(6);
+	std::vector<engine> engines(n_engines);
 	std::string dir;
+	std::map<std::string, bool> crashed;
 	int broken = 0;
-	int ran = 0;
-	int next_id = 1;
-	int i;
+	int whole = 0;
+	int i, k;
 
 	if (argc != 3)
 		return 2;
@@ -94,24 +105,32 @@
 	platform = &s;
 	rec->say("disruption: %s", trouble ? "yes" : "no");
 	s.put("op", "config",
-	      text("{\"version\":3,\"routes\":[{\"name\":\"r-book\","
-		   "\"hostname\":\"austral.example\",\"pathPrefix\":\"/book/\","
-		   "\"routeType\":\"non_idempotent\",\"timeoutMs\":%d,"
-		   "\"targetLatencyMs\":100,\"priority\":2,"
-		   "\"backend\":\"despacho\",\"maxAttempts\":1,"
-		   "\"public\":false}],\"services\":[{\"name\":\"despacho\","
-		   "\"healthPath\":\"/healthz\",\"maxConnections\":110,"
-		   "\"protocol\":\"h1\",\"tls\":false}],\"limits\":{"
-		   "\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,"
-		   "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},"
-		   "\"tenants\":[{\"name\":\"t1\",\"apiKeys\":[\"key-1\"],"
-		   "\"priority\":1}]}",
-		   route_ms));
-	for (worker &w : workers) {
-		w.listens = free_address();
-		w.link = new link_to(w.listens);
-		start_worker(w, text("i-%d", next_id++), dir);
-		list_worker(w);
+	      "{\"version\":3,\"routes\":[{\"name\":\"r-draft\","
+	      "\"hostname\":\"austral.example\",\"pathPrefix\":\"/draft/"
+	      "\",\"routeType\":\"streaming\",\"timeoutMs\":25000,"
+	      "\"targetLatencyMs\":4500,\"priority\":1,\"backend\":"
+	      "\"redactor\",\"maxAttempts\":5,\"public\":false,"
+	      "\"sticky\":true,\"resumable\":true,\"targetGapMs\":700}],"
+	      "\"services\":[{\"name\":\"redactor\",\"healthPath\":"
+	      "\"/healthz\",\"maxConnections\":370,\"protocol\":\"h1\","
+	      "\"tls\":false,\"engine\":{\"slots\":64,\"kvCapacity\":"
+	      "55000,\"kvTokenBytes\":163840,\"linkMbps\":550000.0,"
+	      "\"moves\":false,\"backups\":false,\"stride\":6,\"most\":12,"
+	      "\"pinMs\":4000.0,\"holdMs\":2000.0,\"handleS\":4.0,"
+	      "\"models\":[{\"name\":\"m\"}]}}],\"limits\":{"
+	      "\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,"
+	      "\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},"
+	      "\"tenants\":[{\"name\":\"t1\",\"apiKeys\":[\"key-1\"],"
+	      "\"priority\":1}]}");
+	for (k = 0; k < n_engines; k++) {
+		engine &e = engines[k];
+
+		e.id = text("i-%d", k + 1);
+		e.zone = k % 2 ? "santiago-sur" : "santiago-norte";
+		e.listens = free_address();
+		e.link = new link_to(e.listens);
+		start_engine(e, dir);
+		list_engine(e);
 	}
 	instance one("front-1");
 	instance two("front-2");
@@ -124,89 +143,96 @@
 	}
 	sleep_ms(1500);
 	for (i = 0; i < rounds; i++) {
-		std::string request = text("%016x", 0xb0000 + i);
-		worker *at = NULL;
-		std::string at_id;
-		int64_t sent = now_ms();
-		message m;
-
-		rec->say("client: sends %s to front-1, deadline %d ms",
-			 request.c_str(), deadline_ms);
-		std::thread client([&] {
-			int fd = connect_to(one.callers);
-
-			if (fd < 0)
-				return;
-			send_all(fd, text("POST /book/%d HTTP/1.1\r\nHost: "
-					  "austral.example\r\nRequest-Id: %s\r\n"
-					  "Deadline-Ms: %d\r\nCredential: "
-					  "key-1\r\nContent-Length: 4\r\n\r\n"
-					  "hose",
-					  i, request.c_str(), deadline_ms));
-			m = reader(fd).read(true, sent + deadline_ms);
-			close(fd);
-		});
-		{
-			std::unique_lock<std::mutex> g(lock);
+		std::vector<std::thread> clients;
+		std::vector<message> got(n_streams);
+		std::vector<std::string> requests(n_streams);
+		std::map<std::string, int> load;
+		engine *cut = NULL;
+		std::map<std::string, int> older;
+		int64_t begun;
 
-			changed.wait_for(g, std::chrono::milliseconds(deadline_ms),
-					 [&] { return half_at.count(request); });
-			at_id = half_at[request];
-		}
-		for (worker &w : workers)
-			if (w.id == at_id)
-				at = &w;
-		if (trouble && at) {
-			int64_t half = now_ms();
-
-			sleep_ms(half + cut_after_ms - now_ms());
-			at->link->cut();
-			rec->say("worker %s is partitioned", at->id.c_str());
-			sleep_ms(half + crash_after_ms - now_ms());
-			at->proc.kill_now();
-			rec->say("worker %s crashes", at->id.c_str());
-			sleep_ms(half + start_after_ms - now_ms());
-			start_worker(*at, text("i-%d", next_id++), dir);
-			rec->say("it starts again as %s", at->id.c_str());
-			list_worker(*at);
-			sleep_ms(half + heal_after_ms - now_ms());
-			at->link->heal();
-			rec->say("the cut heals");
+		for (engine &e : engines)
+			older[e.id] = e.link->next_number();
+		for (k = 0; k < n_streams; k++) {
+			requests[k] = text("%016x", 0xd0000 + i * 100 + k);
+			clients.emplace_back([&, i, k] {
+				int fd = connect_to(one.callers);
+
+				if (fd < 0)
+					return;
+				send_all(fd,
+					 text("POST /draft/%d HTTP/1.1\r\nHost: "
+					      "austral.example\r\nRequest-Id: "
+					      "%s\r\nModel: m\r\nToken-Usage: "
+					      "5200,780\r\nPrompt-Prefix: "
+					      "aa01:200,%x:5000\r\nDeadline-Ms: "
+					      "%d\r\nCredential: key-1\r\n"
+					      "Content-Length: 5\r\n\r\ndraft",
+					      i * 100 + k, requests[k].c_str(),
+					      0xb000 + i * 100 + k,
+					      deadline_ms));
+				got[k] = reader(fd).read(true, now_ms() +
+								       deadline_ms);
+				close(fd);
+			});
+			sleep_ms(30);
 		}
-		client.join();
-		rec->say("client: %s after %lld ms: status %d, signature %s, "
-			 "content-length %s, body %zu bytes, %s",
-			 request.c_str(), (long long)(now_ms() - sent),
-			 m.status(),
-			 m.get("response-signature").empty() ? "none" : "there",
-			 m.get("content-length").empty()
-				 ? "none"
-				 : m.get("content-length").c_str(),
-			 m.body.size(), m.whole ? "whole" : "cut");
-		ran += m.status() != 0;
-		if (m.whole && m.status() / 100 == 2 && m.body.size() != 4800) {
-			broken++;
-			rec->say("MIXED: a success with %zu of the 4800 bytes of "
-				 "the worker's body, and it looks whole",
-				 m.body.size());
+		sleep_ms(prompt_ms);
+		begun = now_ms();
+		{
+			std::lock_guard<std::mutex> g(lock);
+
+			for (k = 0; k < n_streams; k++)
+				load[at[requests[k]]]++;
 		}
-		if (!trouble && !(m.whole && m.status() == 200)) {
-			rec->say("no whole success without a disruption");
-			ran = -1;
-			break;
+		for (engine &e : engines)
+			if (!crashed[e.id] &&
+			    (!cut || load[e.id] > load[cut->id]))
+				cut = &e;
+		if (trouble && i) { // the first round only makes connections
+			crashed[cut->id] = true;
+			rec->say("%d older connections to worker %s, which runs "
+				 "%d streams, go silent",
+				 older[cut->id], cut->id.c_str(),
+				 load[cut->id]);
+			cut->link->silence_below(older[cut->id]);
+			sleep_ms(begun + crash_after_ms - now_ms());
+			cut->proc.kill_now();
+			cut->link->refuse();
+			rec->say("worker %s crashes", cut->id.c_str());
+			sleep_ms(down_ms);
+			cut->link->accept_again();
+			start_engine(*cut, dir);
+			list_engine(*cut);
 		}
-		if (trouble && at) { // three heartbeats of silence
-			sleep_ms(3 * heartbeat_ms);
-			s.remove("servers", at_id);
-			rec->say("store: servers/%s removed", at_id.c_str());
+		for (std::thread &t : clients)
+			t.join();
+		for (k = 0; k < n_streams; k++) {
+			const message &m = got[k];
+			long last = last_event(m.body);
+			bool early = m.status() == 200 && m.whole &&
+				     last != n_events;
+
+			rec->say("%sclient: %s at %s: status %d, %s, %ld of %d "
+				 "events",
+				 early ? "ORDER: " : "", requests[k].c_str(),
+				 at[requests[k]].c_str(), m.status(),
+				 m.whole ? "ends as complete" : "broken off",
+				 last, n_events);
+			broken += early;
+			whole += m.status() == 200 && m.whole && !early;
 		}
 		sleep_ms(500);
 	}
-	rec->say("%d of %d bookings broke the rule", broken, rounds);
+	rec->say("%d of %d streams ended as complete before their last event, "
+		 "%d were whole",
+		 broken, rounds * n_streams, whole);
 	one.proc.kill_now();
 	two.proc.kill_now();
-	for (worker &w : workers)
-		w.proc.kill_now();
+	for (engine &e : engines)
+		e.proc.kill_now();
 	fflush(NULL);
-	_exit(broken ? 1 : ran == rounds ? 0 : 2);
+	if (!trouble && whole != rounds * n_streams)
+		_exit(2);
+	_exit(broken ? 1 : whole ? 0 : 2);
 }
