answer_ends: an open connection is asked, and no longer believed

Cause: a refused connection shows that a process has ended, unless that refuses new connections and serves on. Whether it does was read off any other connection to its address that had not ended 300 ms later ("connection lasts"). Such a connection may have gone silent for good, without a reset; it looks open for as long as nobody writes.

Ruled out: a start that was noted wrongly (the route's other engines name their own), a late end (the process had been dead for 300 ms).

Now the endpoint is asked on the connections that are idle: an engine for its report, a service for its health. Only an answer shows that the process has outlived the end; a connection that gives none is closed. One that leaves and is silent until it exits has held a connection if its host received the question and the connection ended long after. An engine that may not be asked, as it pauses, is not known to live any more for a connection that is open: its streams wait or go on elsewhere.

The cases of `connections` in test_answer_end that took an open connection for a process asked for this fault; `witnesses` replaces them and has one for each of these, with the opposite outcome.

--- a/lib/http1_client.c
+++ b/lib/http1_client.c
@@ -54,6 +54,7 @@
 	bool success; /* the status of the answer is 2xx */
 	bool unsent; /* a request couldn't be queued */
 	uint64_t opened_ms; /* when it was established; 0: not yet */
+	uint64_t opened_moment; /* the same, among the client's moments */
 	uint64_t process; /* that it ends at; 0: unknown */
 	uint64_t idle_since_ms;
 	uint64_t idle_limit_ms;
@@ -80,6 +81,7 @@
 	void *arg;
 	char *request;
 	size_t request_len;
+	uint64_t sent_moment; /* when its request was begun to be written */
 	uint64_t connect_deadline_ms;
 	uint64_t deadline_ms; /* 0: none */
 	enum http1_outcome failure; /* while in failed_calls */
@@ -96,6 +98,9 @@
 	struct client_conn_list conns; /* most recently used first */
 	struct call_list failed_calls; /* reported at the next tick */
 	struct http1_client_stats stats;
+	/* number of the last moment: establishments of connections and
+	 * sendings of requests, in their order */
+	uint64_t moments;
 	size_t n_handles; /* not yet closed by the loop */
 	bool freed; /* free the client with its last handle */
 };
@@ -107,7 +112,7 @@
 
 static char read_buffer[READ_BYTES];
 
-static struct client_conn *find_idle(struct http1_client *c,
+static struct client_conn *find_idle(const struct http1_client *c,
 				     const struct http1_call_options *o);
 static struct client_conn *connect_to(struct http1_client *c,
 				      const struct http1_call_options *o,
@@ -320,6 +325,46 @@
 	return call->conn ? call->conn->opened_ms : 0;
 }
 
+/* Returns the moment at which the connection of a call was established, 0 if it is
+ * not.  Moments order what this client has done, also within a millisecond. */
+uint64_t http1_call_opened_moment(const struct http1_call *call)
+{
+	return call->conn ? call->conn->opened_moment : 0;
+}
+
+/* Returns the moment at which the request of a call was begun to be written, 0 if
+ * it was not. */
+uint64_t http1_call_sent_moment(const struct http1_call *call)
+{
+	return call->sent_moment;
+}
+
+/* Returns the process that the connection of a call is known to end at, as
+ * http1_call_name_process() named it; 0: unknown. */
+uint64_t http1_call_process(const struct http1_call *call)
+{
+	return call->conn ? call->conn->process : 0;
+}
+
+/* Returns whether the server's host has received the whole request of a call whose
+ * connection is open. */
+bool http1_call_received(const struct http1_call *call)
+{
+	return http1_call_connected(call) && is_received(call->conn);
+}
+
+/* Returns whether a call to an address would find an idle connection, however long
+ * that has been idle. */
+bool http1_client_has_idle(const struct http1_client *c, const char *address)
+{
+	const struct http1_call_options o = {
+		.address = address,
+		.max_idle_ms = UINT32_MAX,
+	};
+
+	return find_idle(c, &o) != NULL;
+}
+
 /* Returns whether a connection to an address that was established at since_ms or
  * before is still open.  It ends at one process, which has run all that
  * time.  Those that are not read don't count: their end is not seen. */
@@ -411,7 +456,7 @@
 }
 
 /* Returns the most recently used idle connection to the address, or NULL. */
-static struct client_conn *find_idle(struct http1_client *c,
+static struct client_conn *find_idle(const struct http1_client *c,
 				     const struct http1_call_options *o)
 {
 	uint64_t now = uv_now(c->loop);
@@ -544,6 +589,7 @@
 		return;
 	}
 	k->opened_ms = uv_now(k->client->loop);
+	k->opened_moment = ++k->client->moments;
 	uv_read_start((uv_stream_t *)&k->tcp, on_alloc, on_read);
 	send_request(k);
 }
@@ -561,6 +607,7 @@
 	k->skipping = false;
 	k->head_bytes = 0;
 	k->skipped_bytes = 0;
+	call->sent_moment = ++k->client->moments;
 	sent = uv_try_write(stream, &buf, 1);
 	if (sent < 0)
 		sent = 0;
--- a/lib/http1_client.h
+++ b/lib/http1_client.h
@@ -75,6 +75,11 @@
 void http1_call_pause(struct http1_call *call, bool paused);
 bool http1_call_paused(const struct http1_call *call);
 uint64_t http1_call_opened_ms(const struct http1_call *call);
+uint64_t http1_call_opened_moment(const struct http1_call *call);
+uint64_t http1_call_sent_moment(const struct http1_call *call);
+uint64_t http1_call_process(const struct http1_call *call);
+bool http1_call_received(const struct http1_call *call);
+bool http1_client_has_idle(const struct http1_client *c, const char *address);
 bool http1_client_spans(const struct http1_client *c, const char *address,
 			uint64_t since_ms);
 void http1_call_name_process(struct http1_call *call, uint64_t process);
--- a/policy/answer_end.c
+++ b/policy/answer_end.c
@@ -17,8 +17,12 @@
 #define AT_ONCE_MS 5
 
 /* The ends of all connections of a process that is killed arrive within this
- * time. */
-#define ENDS_TOGETHER_MS 300
+ * time: its host sends them together, and once more after 200 ms. */
+#define HELD_MIN_MS 500
+
+/* What an endpoint has answered before it ended, or answers while it refuses new
+ * connections, arrives within this time. */
+#define WITNESS_WAIT_MS 300
 
 /* Runs without an event after which a stream is taken for whole: a single one
  * may have been broken off before its first event.  Where no second run is
@@ -86,16 +90,31 @@
 	return known_ms ? ENDPOINT_SIGN_ENDED : ENDPOINT_SIGN_UNKNOWN;
 }
 
-/* Tells whether connections that last show that the process which wrote an answer has
- * outlived it.  One whose process is not known does only if the endpoint can't be
- * asked.  One that leaves may exit before it has answered a question, so that a
- * connection at that process shows it as soon as it has lasted for long enough. */
-bool answer_end_connections_show(const struct answer_end_connections *c)
+/* Tells from the answer to a request on an older connection, or from its end, whether
+ * the process that wrote an answer has outlived it.  A connection ends at one process,
+ * and an address has one process at a time, so that the process which answers on a
+ * connection from before the request has run all that time.  One that is only open
+ * shows nothing: it may have gone silent.  A process that leaves and is silent has
+ * held it if its host received the request, and the connection ended long after. */
+enum endpoint_sign answer_end_witness_sign(const struct answer_end_witness *w)
 {
-	if (c->waited_ms < ENDS_TOGETHER_MS)
-		return false;
-	return (c->last && (c->ended || c->cannot_be_asked)) ||
-	       (c->same_process && c->leaves);
+	if (w->answered && w->states_start && w->stated_ms &&
+	    w->stated_ms == w->known_ms)
+		return ENDPOINT_SIGN_LIVES;
+	if (w->answered && w->older && !(w->states_start && w->leaves))
+		return ENDPOINT_SIGN_LIVES;
+	if (!w->answered && w->leaves && w->same_process && w->received &&
+	    w->held_ms >= HELD_MIN_MS)
+		return ENDPOINT_SIGN_LIVES;
+	return ENDPOINT_SIGN_NONE;
+}
+
+/* Returns how long an answer waits for requests on older connections once its
+ * endpoint counts as ended, ms.  One that leaves may be silent and serve on; another
+ * endpoint is not kept waiting for that. */
+uint64_t answer_end_witness_wait_ms(bool leaves, bool may_run_again)
+{
+	return leaves && !may_run_again ? ANSWER_MAX_MS : WITNESS_WAIT_MS;
 }
 
 /* Returns the name of a decision, for logs and metrics. */
--- a/policy/answer_end.h
+++ b/policy/answer_end.h
@@ -38,17 +38,21 @@
 	bool stays; /* no other endpoint takes the rest of a stream now */
 };
 
-/* What is known of other connections to the endpoint that were open at the end of an
- * answer and are read. */
-struct answer_end_connections {
-	bool last; /* one still is open */
-	/* one still is, and ends at the process that wrote the answer: it
-	 * stated its start there */
+/* A request on a connection that was open before an answer ended, sent after that
+ * end. */
+struct answer_end_witness {
+	/* its connection was open before the request of the answer was sent */
+	bool older;
+	/* its connection ends at the process that wrote the answer: it stated
+	 * its start there before */
 	bool same_process;
-	bool ended; /* the endpoint counts as ended */
-	bool cannot_be_asked; /* it could only be connected to */
-	bool leaves; /* it may exit at any time */
-	uint64_t waited_ms; /* since the end */
+	bool answered;
+	bool states_start; /* its answer is a report */
+	uint64_t stated_ms; /* the start that the report states; 0: none */
+	uint64_t known_ms; /* the start known of the process; 0: none */
+	bool leaves; /* the endpoint may exit at any time */
+	bool received; /* the endpoint's host has received the request */
+	uint64_t held_ms; /* from the request to the connection's end */
 };
 
 bool answer_end_overdue(const struct answer_end_signs *s);
@@ -56,7 +60,8 @@
 bool answer_end_delivers(enum answer_end end, bool may_run_again, bool outlived,
 			 uint64_t ended_after_ms);
 enum endpoint_sign answer_end_start_sign(uint64_t known_ms, uint64_t stated_ms);
-bool answer_end_connections_show(const struct answer_end_connections *c);
+enum endpoint_sign answer_end_witness_sign(const struct answer_end_witness *w);
+uint64_t answer_end_witness_wait_ms(bool leaves, bool may_run_again);
 const char *answer_end_name(enum answer_end end);
 
 #endif /* POLICY_ANSWER_END_H */
--- a/proxyd/answer_ends.c
+++ b/proxyd/answer_ends.c
@@ -3,8 +3,8 @@
  * its endpoint, asked after the end, shows whether the process that wrote the
  * answer still lives.  One question serves all answers that ended before it was
  * sent; one that leaves may exit once it has answered that, so that it is asked
- * about later ends meanwhile.  If it may fall silent and exit, a connection at its
- * process that was open at the end shows as much.
+ * about later ends meanwhile.  One that refuses new connections may serve on: it is
+ * asked on those that are open, as witnesses of its process.
  */
 #include "proxyd/answer_ends.h"
 
@@ -24,14 +24,18 @@
 #define CONNECT_MS 200
 #define ANSWER_MS 1500
 
+/* Time limit of a question on an open connection; one that has not answered by then
+ * is closed. */
+#define WITNESS_MS 2000
+
+/* The ends of answers that an endpoint closes together are read within this time. */
+#define ENDS_TOGETHER_MS 100
+
 /* Intervals of questions without an answer; an answer that is overdue may have to
  * wait until its deadline. */
 #define ASK_AGAIN_MS 100
 #define ASK_OVERDUE_MS 500
 
-/* What an endpoint has answered before it ended arrives within this time. */
-#define ANSWERED_MS 300
-
 /* Interval of questions to an endpoint that leaves, whose connection is to last. */
 #define WATCH_AGAIN_MS 1000
 
@@ -53,7 +57,12 @@
 	uint64_t last_end;
 	bool at_once; /* as soon as an end was read */
 	bool is_engine; /* only its report shows that it lives */
-	bool is_report; /* else only a connection */
+	bool is_report; /* else a health check of a witness, or a connection */
+	/* was sent on a connection that was open, which ends at one process */
+	bool is_witness;
+	uint64_t process; /* the start of that process; 0: unknown */
+	bool received; /* by the endpoint's host, if it is a witness */
+	uint64_t opened_moment; /* when its connection was opened */
 	bool watches; /* was sent before any end, for its connection */
 	int status;
 	struct bytes body;
@@ -64,6 +73,7 @@
 	struct proxyd *proxyd;
 	struct handle endpoint;
 	struct end_question questions[QUESTIONS_MAX];
+	uint64_t last_end_witnessed; /* number of the last end asked about so */
 	struct end_question *last; /* asked last */
 	uint64_t reached_ms; /* when a connection was last known to stand */
 };
@@ -75,8 +85,6 @@
 };
 
 static bool asks_at_once(const struct exchange *x, const struct endpoint *e);
-static bool outlasted(const struct exchange *x, const struct endpoint *e);
-static bool can_not_ask(const struct endpoint *e);
 static bool same_process_lasts(const struct exchange *x,
 			       const struct endpoint *e, uint64_t since_ms);
 static bool may_report(struct endpoint *e, uint64_t now);
@@ -84,8 +92,11 @@
 static void on_ask_timer(uv_timer_t *timer);
 static void ask(struct exchange *x, struct endpoint *e, bool at_once);
 static struct end_questions *questions_of(struct endpoint *e);
+static void ask_witnesses(const struct exchange *x, struct endpoint *e);
+static const char *witness_path(const struct exchange *x);
+static void note_received(struct endpoint *e);
 static void send_question(struct end_question *q, struct endpoint *e,
-			  bool is_report);
+			  const char *path, bool is_report, bool may_reuse);
 static bool is_about_an_end(const struct end_question *q);
 static bool is_asked_about(struct end_questions *all, uint64_t end_number);
 static struct end_question *next_question(struct exchange *x,
@@ -103,6 +114,13 @@
 static void note_reached(struct end_question *q, uint64_t now);
 static bool was_asked_for(const struct exchange *x,
 			  const struct end_question *q);
+static bool concerns(const struct exchange *x, const struct end_question *q);
+static bool has_reached(const struct exchange *x, const struct end_question *q);
+static struct finding judge_witness(const struct exchange *x,
+				    const struct endpoint *e,
+				    const struct end_question *q,
+				    enum http1_outcome outcome,
+				    uint64_t born_ms);
 static bool may_be_answered(const struct exchange *x, const struct endpoint *e);
 static bool awaits_end_at(const struct exchange *x, struct handle endpoint);
 static void judge(struct exchange *x, const struct finding *f, uint64_t now,
@@ -185,49 +203,23 @@
 	struct endpoint *e = endpoint_get(x->proxyd->endpoints, x->endpoint);
 	struct finding f = { ENDPOINT_SIGN_NONE, "no answer" };
 	bool ended = !e || (e->state != ENDPOINT_UP && e->ended);
-	bool lasts = e && outlasted(x, e);
 	uint64_t since_ms = e && e->down_ms > x->ended_ms ? e->down_ms
 							  : x->ended_ms;
-	bool awaits = e && may_be_answered(x, e) &&
-		      now - since_ms < ANSWERED_MS;
-	const struct answer_end_connections connections = {
-		.last = lasts,
-		.same_process = lasts &&
-				same_process_lasts(x, e, x->ended_since_ms),
-		.ended = ended,
-		.cannot_be_asked = lasts && can_not_ask(e),
-		.leaves = lasts && may_exit(x->proxyd, e),
-		.waited_ms = now - x->ended_ms,
-	};
-
-	if (ended && !lasts && !awaits)
+	uint64_t wait_ms = answer_end_witness_wait_ms(
+		e && may_exit(x->proxyd, e), route_may_run_again(x->route));
+
+	if (e && ended)
+		ask_witnesses(x, e);
+	if (e)
+		note_received(e);
+	if (ended && !(e && may_be_answered(x, e) && now - since_ms < wait_ms))
 		f = (struct finding){ ended_sign(x->proxyd, e),
 				      "endpoint ended" };
-	else if (e && answer_end_connections_show(&connections))
-		f = (struct finding){ ENDPOINT_SIGN_LIVES, "connection lasts" };
 	judge(x, &f, now, last);
 	if (e && x->ended_ms && now > x->ended_ms)
 		ask(x, e, false);
 }
 
-/* Returns whether another connection to the endpoint that was open at the end of an
- * answer still is.  One that leaves may refuse new connections and serve on. */
-static bool outlasted(const struct exchange *x, const struct endpoint *e)
-{
-	return e->state != ENDPOINT_REPLACED &&
-	       http1_client_spans(x->proxyd->client, e->address,
-				  x->ended_since_ms);
-}
-
-/* Returns whether the last question to an engine could only be a connection. */
-static bool can_not_ask(const struct endpoint *e)
-{
-	const struct end_question *q = e->end_questions ? e->end_questions->last
-							: NULL;
-
-	return q && q->is_engine && !q->is_report;
-}
-
 /* Returns whether a connection at the process that a request was sent to is open
  * that was at since_ms. */
 static bool same_process_lasts(const struct exchange *x,
@@ -264,7 +256,8 @@
 	all->last->at_once = false;
 	all->last->is_engine = true;
 	all->last->watches = true;
-	send_question(all->last, e, true);
+	send_question(all->last, e, x->proxyd->protocol->report_path, true,
+		      false);
 }
 
 /* Cancels the questions to an endpoint, which is freed. */
@@ -291,14 +284,70 @@
 static void ask(struct exchange *x, struct endpoint *e, bool at_once)
 {
 	struct end_question *q = next_question(x, e);
+	bool is_report;
 
 	if (!q)
 		return;
 	q->at_once = at_once;
 	q->is_engine = x->engine != NULL;
 	q->watches = false;
-	send_question(q, e,
-		      q->is_engine && may_report(e, proxyd_now(x->proxyd)));
+	is_report = q->is_engine && may_report(e, proxyd_now(x->proxyd));
+	send_question(q, e, is_report ? x->proxyd->protocol->report_path : NULL,
+		      is_report, is_report && may_exit(x->proxyd, e));
+}
+
+/* Has an endpoint that refuses new connections, but may serve on, asked about the end
+ * of an answer on the connections to it that are idle, once. */
+static void ask_witnesses(const struct exchange *x, struct endpoint *e)
+{
+	struct proxyd *p = x->proxyd;
+	struct end_questions *all = questions_of(e);
+	const char *path = witness_path(x);
+	size_t i;
+
+	if (!path || x->end_number <= all->last_end_witnessed ||
+	    e->state == ENDPOINT_REPLACED)
+		return;
+	for (i = 0; i < QUESTIONS_MAX; i++) {
+		struct end_question *q = &all->questions[i];
+
+		if (q->call)
+			continue;
+		if (!http1_client_has_idle(p->client, e->address) ||
+		    !may_report(e, proxyd_now(p)))
+			return;
+		all->last_end_witnessed = p->exchanges->n_ends;
+		q->at_once = false;
+		q->is_engine = x->engine != NULL;
+		q->watches = false;
+		send_question(q, e, path, q->is_engine, true);
+	}
+}
+
+/* Returns what an endpoint is asked for on an open connection: an engine for its
+ * report, another one for its health.  NULL if there is nothing. */
+static const char *witness_path(const struct exchange *x)
+{
+	const struct proxyd *p = x->proxyd;
+	const struct route_service *s;
+
+	if (x->engine)
+		return p->protocol->report_path;
+	s = p->routes ? routes_service(p->routes, x->service) : NULL;
+	return s ? s->health_path : NULL;
+}
+
+/* Notes which requests on open connections the host of an endpoint has received. */
+static void note_received(struct endpoint *e)
+{
+	size_t i;
+
+	for (i = 0; e->end_questions && i < QUESTIONS_MAX; i++) {
+		struct end_question *q = &e->end_questions->questions[i];
+
+		if (q->call && q->is_witness && http1_call_received(q->call))
+			q->received = true;
+	}
 }
 
 /* Returns whether an endpoint may be asked for its report now, for which it takes a
@@ -309,10 +358,11 @@
 	       limits_take_for_check(e);
 }
 
-/* Sends a question, for a report or as a connection only.  It is about all ends that
- * have been read. */
+/* Sends a question for a path, or as a connection only if that is NULL; on a
+ * connection that is idle, if one may be used and there is one.  It is about all ends
+ * that have been read. */
 static void send_question(struct end_question *q, struct endpoint *e,
-			  bool is_report)
+			  const char *path, bool is_report, bool may_reuse)
 {
 	struct proxyd *p = q->all->proxyd;
 	struct http1_call_options options = {
@@ -322,17 +372,25 @@
 	};
 	struct bytes out = { 0 };
 
+	if (may_reuse && http1_client_has_idle(p->client, e->address)) {
+		options.timeout_ms = WITNESS_MS;
+		options.max_idle_ms = UINT32_MAX;
+	}
+
 	q->asked_ms = proxyd_now(p);
 	q->last_end_before = q->last_end = p->exchanges->n_ends;
 	q->status = 0;
 	q->body.len = 0;
 	q->is_report = is_report;
-	if (is_report)
-		bytes_addf(&out, "GET %s HTTP/1.1\r\nhost: %s\r\n\r\n",
-			   p->protocol->report_path, e->address);
+	if (path)
+		bytes_addf(&out, "GET %s HTTP/1.1\r\nhost: %s\r\n\r\n", path,
+			   e->address);
 	counter_add(p->exchanges->end_questions, 1);
 	q->call = http1_call_start(p->client, &options, out.data, out.len, &ops,
 				   q);
+	q->is_witness = http1_call_reused(q->call);
+	q->process = http1_call_process(q->call);
+	q->received = false;
 }
 
 /* Returns the question by which an endpoint is to be asked about the end of an
@@ -351,11 +409,12 @@
 	if (is_asked_about(all, x->end_number))
 		return NULL;
 	for (i = 0; i < QUESTIONS_MAX; i++) {
-		n += all->questions[i].call != NULL;
+		n += all->questions[i].call &&
+		     (n_max > 1 || !all->questions[i].is_witness);
 		if (!all->questions[i].call)
 			next = &all->questions[i];
 	}
-	if (n >= n_max ||
+	if (n >= n_max || !next ||
 	    (was_asked_for(x, all->last) &&
 	     now - all->last->asked_ms <
 		     (x->end_overdue ? ASK_OVERDUE_MS : ASK_AGAIN_MS)))
@@ -381,8 +440,8 @@
 	return all;
 }
 
-/* Returns whether an endpoint is being asked about an end.  A question that is not
- * sent yet is about all ends that have been read. */
+/* Returns whether an endpoint is being asked about an end on a new connection.  A
+ * question that is not sent yet is about all ends that have been read. */
 static bool is_asked_about(struct end_questions *all, uint64_t end_number)
 {
 	size_t i;
@@ -390,7 +449,7 @@
 	for (i = 0; i < QUESTIONS_MAX; i++) {
 		struct end_question *q = &all->questions[i];
 
-		if (!q->call)
+		if (!q->call || q->is_witness)
 			continue;
 		if (q->is_report && !http1_call_connected(q->call))
 			q->last_end = all->proxyd->exchanges->n_ends;
@@ -408,6 +467,7 @@
 
 	q->status = head->status;
 	q->opened_ms = http1_call_opened_ms(q->call);
+	q->opened_moment = http1_call_opened_moment(q->call);
 	return HTTP1_ACCEPT;
 }
 
@@ -443,13 +503,19 @@
 	if (f.sign == ENDPOINT_SIGN_LIVES && q->is_report)
 		http1_call_name_process(q->call, born_ms);
 	q->call = NULL;
-	if (outcome == HTTP1_COMPLETE || outcome == HTTP1_BROKEN ||
-	    outcome == HTTP1_MALFORMED)
+	if (!q->is_witness &&
+	    (outcome == HTTP1_COMPLETE || outcome == HTTP1_BROKEN ||
+	     outcome == HTTP1_MALFORMED))
 		note_reached(q, now);
 	TAILQ_FOREACH(x, &p->exchanges->list, link)
-	if (f.sign == ENDPOINT_SIGN_ENDED && was_asked_for(x, q) &&
-	    !(e && (outlasted(x, e) || may_be_answered(x, e))))
-		suspects_run_broke(x, e);
+	{
+		if (f.sign != ENDPOINT_SIGN_ENDED || !was_asked_for(x, q))
+			continue;
+		if (e)
+			ask_witnesses(x, e);
+		if (!e || !may_be_answered(x, e))
+			suspects_run_broke(x, e);
+	}
 	if (http1_not_connected(outcome) && !about_none)
 		endpoint_unreachable(p->endpoints, endpoint, q->asked_ms, NULL,
 				     outcome);
@@ -463,11 +529,11 @@
 	{
 		struct finding own = f;
 
-		if (!was_asked_for(x, q))
-			continue;
-		if (outcome == HTTP1_NOT_SENT && e && outlasted(x, e))
+		if (!concerns(x, q))
 			continue;
-		if (own.sign == ENDPOINT_SIGN_LIVES && q->is_report)
+		if (q->is_witness)
+			own = judge_witness(x, e, q, outcome, born_ms);
+		else if (own.sign == ENDPOINT_SIGN_LIVES && q->is_report)
 			own.sign =
 				answer_end_start_sign(x->sent_born_ms, born_ms);
 		if (own.sign == ENDPOINT_SIGN_ENDED && own.sign != f.sign) {
@@ -553,7 +619,48 @@
 {
 	return awaits_end_at(x, q->all->endpoint) &&
 	       x->end_number <= q->last_end &&
-	       (q->is_report || (!q->at_once && x->ended_ms < q->asked_ms));
+	       (q->is_report || q->is_witness ||
+		(!q->at_once && x->ended_ms < q->asked_ms));
+}
+
+/* Returns whether the outcome of a question may show what an answer is.  The end of a
+ * witness may also if the answer ended just after its question was sent. */
+static bool concerns(const struct exchange *x, const struct end_question *q)
+{
+	return was_asked_for(x, q) ||
+	       (q->is_witness && awaits_end_at(x, q->all->endpoint) &&
+		x->ended_ms <= q->asked_ms + ENDS_TOGETHER_MS);
+}
+
+/* Returns what a question on an open connection shows of an answer that had ended
+ * before. */
+static struct finding judge_witness(const struct exchange *x,
+				    const struct endpoint *e,
+				    const struct end_question *q,
+				    enum http1_outcome outcome,
+				    uint64_t born_ms)
+{
+	uint64_t now = proxyd_now(x->proxyd);
+	uint64_t since_ms = q->asked_ms > x->ended_ms ? q->asked_ms
+						      : x->ended_ms;
+	const struct answer_end_witness w = {
+		.older = q->opened_moment < x->sent_moment,
+		.same_process = q->process && q->process == x->sent_born_ms,
+		.answered = outcome == HTTP1_COMPLETE &&
+			    x->end_number <= q->last_end,
+		.states_start = q->is_report,
+		.stated_ms = born_ms,
+		.known_ms = x->sent_born_ms,
+		.leaves = e && may_exit(x->proxyd, e),
+		/* from the time limit on, it was closed here */
+		.received = q->received && outcome != HTTP1_COMPLETE &&
+			    now - q->asked_ms < WITNESS_MS,
+		.held_ms = now - since_ms,
+	};
+
+	return (struct finding){ answer_end_witness_sign(&w),
+				 w.answered ? "open connection answers"
+					    : "open connection ended" };
 }
 
 /* Returns whether a question about the end of an answer has reached its endpoint,
@@ -563,16 +670,20 @@
 	const struct end_questions *all = e->end_questions;
 	size_t i;
 
-	for (i = 0; all && i < QUESTIONS_MAX; i++) {
-		const struct end_question *q = &all->questions[i];
-
-		if (q->call && q->is_report && http1_call_connected(q->call) &&
-		    was_asked_for(x, q))
+	for (i = 0; all && i < QUESTIONS_MAX; i++)
+		if (has_reached(x, &all->questions[i]))
 			return true;
-	}
 	return false;
 }
 
+/* Returns whether a question about the end of an answer is in progress and was sent
+ * on a connection that stands. */
+static bool has_reached(const struct exchange *x, const struct end_question *q)
+{
+	return q->call && (q->is_report || q->is_witness) &&
+	       http1_call_connected(q->call) && concerns(x, q);
+}
+
 /* Returns whether an answer of an endpoint waits for its end to be known. */
 static bool awaits_end_at(const struct exchange *x, struct handle endpoint)
 {
@@ -651,7 +762,7 @@
 	size_t i;
 
 	for (i = 0; all && i < QUESTIONS_MAX; i++)
-		if (all->questions[i].call &&
+		if (all->questions[i].call && !all->questions[i].is_witness &&
 		    http1_call_connected(all->questions[i].call))
 			return true;
 	return all && all->reached_ms > x->ended_ms;
--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -174,6 +174,7 @@
 	x->sent_ms = now;
 	x->sent_software = SOFTWARE_UNKNOWN;
 	x->sent_born_ms = 0;
+	x->sent_moment = 0;
 	x->ended_ms = 0;
 	x->start_excused = false;
 	x->last_event_ms = now;
@@ -335,6 +336,7 @@
 	const struct proxyd *p = x->proxyd;
 
 	x->read_ms = proxyd_now(p);
+	x->sent_moment = http1_call_sent_moment(x->call);
 	x->status = head->status;
 	x->unframed = http1_call_unframed(x->call);
 	x->headers.len = 0;
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -59,6 +59,7 @@
 	uint64_t sent_ms;
 	uint64_t sent_software;
 	uint64_t sent_born_ms;
+	uint64_t sent_moment;
 	bool start_excused;
 	enum request_permit permit;
 	bool load_counted;
@@ -143,6 +144,9 @@
 	/* its start, as known then, or stated while the connection was open; 0:
 	 * unknown */
 	uint64_t sent_born_ms;
+	/* when its request was written, among the client's moments; set with
+	 * the head of its answer */
+	uint64_t sent_moment;
 	bool start_excused; /* the endpoint was asked and stated no start */
 	uint32_t sends; /* attempts that reached an endpoint, or may have */
 	/* the last of these; attempt n is at n % ENDPOINT_AVOID_MAX */
--- a/regress/leaving_endpoint.c
+++ b/regress/leaving_endpoint.c
@@ -513,8 +513,8 @@
 	r->over = true;
 }
 
-/* Sends a request of the case, whose content is no other's. */
-static void call(struct leaving_reply *reply)
+/* Sends a request, whose content is no other's. */
+static void call(const char *target, struct leaving_reply *reply)
 {
 	static const struct http1_call_ops ops = {
 		.on_head = on_reply_head,
@@ -532,7 +532,7 @@
 		   "POST %s HTTP/1.1\r\nhost: 127.0.0.1\r\n"
 		   "request-id: r-%u\r\ncredential: k1\r\n"
 		   "deadline-ms: 15000\r\ncontent-length: %zu\r\n",
-		   current->target, n_requests++, strlen(content));
+		   target, n_requests++, strlen(content));
 	if (current->last_event)
 		bytes_addf(&b, "last-event-id: %u\r\n", current->last_event);
 	bytes_addf(&b, "\r\n%s", content);
@@ -602,6 +602,11 @@
 	return !leaver->listener;
 }
 
+static bool is_over(void *arg)
+{
+	return ((struct leaving_reply *)arg)->over;
+}
+
 static bool are_over(void *arg)
 {
 	size_t i;
@@ -749,6 +754,16 @@
 			close_waiting();
 		harness_run(harness, current->exit_ms);
 		break;
+	case EXIT_KILLED_SILENT:
+		silent = true;
+		write_answers(true);
+		start_round_trips();
+		harness_until(harness, is_handled, NULL,
+			      "the instance has read the parts");
+		stop_listening(leaver);
+		close_waiting();
+		harness_until(harness, are_over, NULL, "the answers end");
+		break;
 	}
 	end_endpoint(leaver);
 }
@@ -783,6 +798,19 @@
 	assert_non_null(route);
 }
 
+/* Has the endpoint answer another request on the route of the case. */
+static void call_beside(void)
+{
+	struct leaving_reply reply;
+	char *target = xasprintf("%s-beside", current->target);
+
+	call(target, &reply);
+	harness_until(harness, is_over, &reply, "the other answer ends");
+	assert_true(is_watched(NULL));
+	bytes_release(&reply.body);
+	free(target);
+}
+
 /* Plays a case with a new instance: its requests arrive at the only endpoint,
  * others are started, and that one leaves.  Adds how the answers ended to the result. */
 void leaving_play(const struct leaving_case *c, struct leaving_result *result)
@@ -795,8 +823,10 @@
 	assert_true(n_replies <= LEAVING_REQUESTS_MAX);
 	start();
 	for (i = 0; i < n_replies; i++)
-		call(&replies[i]);
+		call(c->target, &replies[i]);
 	harness_until(harness, have_arrived, NULL, "the requests arrive");
+	if (c->beside)
+		call_beside();
 	if (c->silent_ms)
 		be_silent();
 	if (c->begun)
--- a/regress/leaving_endpoint.h
+++ b/regress/leaving_endpoint.h
@@ -42,6 +42,9 @@
 	/* killed as in EXIT_KILLED; the ends of its other connections are read
 	 * a given time after those of its answers */
 	EXIT_KILLED_APART,
+	/* killed as in EXIT_KILLED; its other connections have gone silent for
+	 * good, and don't end */
+	EXIT_KILLED_SILENT,
 };
 
 struct leaving_case {
@@ -54,6 +57,8 @@
 	enum leaving_exit exit;
 	/* of EXIT_LATER, EXIT_SILENT and EXIT_KILLED_APART */
 	unsigned int exit_ms;
+	/* it has answered another request meanwhile, whose connection is kept */
+	bool beside;
 	/* its answers have begun before it leaves, and it has closed all other
 	 * connections */
 	bool begun;
--- a/regress/unit/test_answer_end.c
+++ b/regress/unit/test_answer_end.c
@@ -139,59 +139,104 @@
 	assert_int_equal(answer_end_start_sign(7, 0), ENDPOINT_SIGN_LIVES);
 }
 
-/* Replays the moments at which the connections of an endpoint are looked at, from the
- * end of its answer on; returns when they show that it has outlived it, LONG_MS if
- * they never do.  They are closed at closed_ms. */
-static uint64_t shown_ms(struct answer_end_connections c, uint64_t closed_ms)
-{
-	for (c.waited_ms = 0; c.waited_ms < LONG_MS; c.waited_ms += TICK_MS) {
-		if (c.waited_ms >= closed_ms)
-			c.last = c.same_process = false;
-		if (answer_end_connections_show(&c))
-			return c.waited_ms;
-	}
-	return LONG_MS;
-}
-
-/* An endpoint that leaves is silent after its answer and exits, or was killed, so that
- * the ends of its connections come with that of the answer or one retransmission
- * later. */
-static void connections(void **state)
+/* Only a word of the process that wrote an answer, on a connection that was open
+ * before, or the end of one that its host had still acknowledged, shows that it has
+ * outlived the answer.  One that is only open never does: it may be silent. */
+static void witnesses(void **state)
 {
 	static const struct {
-		struct answer_end_connections connections;
-		uint64_t closed_ms;
-		bool shown;
+		struct answer_end_witness witness;
+		bool lives;
 	} cases[] = {
-		{ { .last = true, .same_process = true, .leaves = true },
-		  SILENCE_SHORTEST_MS,
+		/* answers */
+		{ { .answered = true, .older = true }, true },
+		{ { .answered = true }, false },
+		{ { .answered = true, .older = true, .leaves = true }, true },
+		{ { .answered = true,
+		    .states_start = true,
+		    .stated_ms = 7,
+		    .known_ms = 7 },
+		  true },
+		{ { .answered = true,
+		    .states_start = true,
+		    .stated_ms = 7,
+		    .known_ms = 7,
+		    .leaves = true },
+		  true },
+		{ { .answered = true,
+		    .states_start = true,
+		    .stated_ms = 8,
+		    .known_ms = 7 },
+		  false },
+		{ { .answered = true,
+		    .states_start = true,
+		    .stated_ms = 8,
+		    .known_ms = 7,
+		    .older = true },
+		  true },
+		{ { .answered = true,
+		    .states_start = true,
+		    .stated_ms = 8,
+		    .known_ms = 7,
+		    .older = true,
+		    .leaves = true },
+		  false },
+		{ { .answered = true, .states_start = true }, false },
+		{ { .answered = true, .states_start = true, .older = true },
 		  true },
-		{ { .last = true, .same_process = true, .leaves = true },
-		  0,
+		/* ends without an answer */
+		{ { .older = true, .same_process = true }, false },
+		{ { .older = true,
+		    .same_process = true,
+		    .received = true,
+		    .held_ms = LONG_MS },
 		  false },
-		{ { .last = true, .same_process = true, .leaves = true },
-		  CUT_MS + TICK_MS,
+		{ { .older = true, .leaves = true, .held_ms = LONG_MS },
 		  false },
-		{ { .last = true, .leaves = true }, LONG_MS, false },
-		{ { .last = true, .same_process = true }, LONG_MS, false },
-		{ { .last = true, .ended = true }, LONG_MS, true },
-		{ { .last = true, .ended = true }, CUT_MS + TICK_MS, false },
-		{ { .last = true, .cannot_be_asked = true }, LONG_MS, true },
-		{ { .last = true, .cannot_be_asked = true }, 0, false },
-		{ { .ended = true, .cannot_be_asked = true, .leaves = true },
-		  LONG_MS,
+		{ { .same_process = true,
+		    .leaves = true,
+		    .held_ms = SILENCE_SHORTEST_MS },
+		  false },
+		{ { .same_process = true,
+		    .leaves = true,
+		    .received = true,
+		    .held_ms = SILENCE_SHORTEST_MS },
+		  true },
+		{ { .older = true,
+		    .leaves = true,
+		    .received = true,
+		    .held_ms = SILENCE_SHORTEST_MS },
+		  false },
+		{ { .same_process = true, .leaves = true, .received = true },
+		  false },
+		{ { .same_process = true,
+		    .leaves = true,
+		    .received = true,
+		    .held_ms = CUT_MS + TICK_MS },
 		  false },
 	};
 	size_t i;
 
 	(void)state;
-	for (i = 0; i < N(cases); i++) {
-		uint64_t ms =
-			shown_ms(cases[i].connections, cases[i].closed_ms);
+	for (i = 0; i < N(cases); i++)
+		assert_int_equal(answer_end_witness_sign(&cases[i].witness),
+				 cases[i].lives ? ENDPOINT_SIGN_LIVES
+						: ENDPOINT_SIGN_NONE);
+}
 
-		assert_int_equal(ms < cases[i].closed_ms, cases[i].shown);
-		assert_true(cases[i].shown || ms == LONG_MS);
-	}
+/* A stream that goes on elsewhere is not kept waiting for connections that may be
+ * silent; one that can't, whose endpoint leaves, waits for a silence of that. */
+static void wait_for_witnesses(void **state)
+{
+	(void)state;
+	assert_true(answer_end_witness_wait_ms(false, true) <
+		    STREAM_GAP_MS / 8);
+	assert_true(answer_end_witness_wait_ms(false, false) <
+		    STREAM_GAP_MS / 8);
+	assert_true(answer_end_witness_wait_ms(true, true) < STREAM_GAP_MS / 8);
+	assert_true(answer_end_witness_wait_ms(true, false) > SILENCE_MS);
+	assert_true(answer_end_witness_wait_ms(true, false) <
+		    STREAM_GAP_MS / 2);
 }
 
 int main(void)
@@ -201,7 +246,8 @@
 		cmocka_unit_test(plain_answers),
 		cmocka_unit_test(wait_is_bounded),
 		cmocka_unit_test(starts),
-		cmocka_unit_test(connections),
+		cmocka_unit_test(witnesses),
+		cmocka_unit_test(wait_for_witnesses),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
