exchange: a start is that of an answer only if their times meet

What callers saw: an engine is partitioned, crashes behind the cut and starts again.

Cause: the question about the first end is answered by the new process. note_own_start() took its start for that of all attempts whose connections were open at that moment, "as both end at one process". They were open as seen here only: their ends were held up. When these came, the same start was stated once more, and the streams passed for whole.

Ruled out: late bytes of the new process (events are numbered on), the entry (it was written after all ends).

A process that states its start held its connection from the opening of that until it was asked, and no word that is read later says more; so did the process of an attempt, until it was sent the request. Reports of one start before and after a request join. Which processes a request was sent to (repeats.c) follows the same rule.

--- a/lib/http1_client.c
+++ b/lib/http1_client.c
@@ -54,7 +54,8 @@
 	bool success; /* the status of the answer is 2xx */
 	bool unsent; /* a request couldn't be queued */
 	uint64_t opened_ms; /* when it was established; 0: not yet */
-	uint64_t opened_moment; /* the same, among the client's moments */
+	uint64_t
+		opened_moment; /* of the client, no earlier than that; 0: not yet */
 	uint64_t process; /* that it ends at; 0: unknown */
 	uint64_t idle_since_ms;
 	uint64_t idle_limit_ms;
@@ -98,9 +99,11 @@
 	struct client_conn_list conns; /* most recently used first */
 	struct call_list failed_calls; /* reported at the next tick */
 	struct http1_client_stats stats;
-	/* number of the last moment: establishments of connections and
-	 * sendings of requests, in their order */
+	/* number of the last moment: iterations of the loop, and sendings of
+	 * requests in them */
 	uint64_t moments;
+	uint64_t iteration_moment; /* when the current iteration began */
+	uv_prepare_t prepare;
 	size_t n_handles; /* not yet closed by the loop */
 	bool freed; /* free the client with its last handle */
 };
@@ -128,6 +131,8 @@
 static void on_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf);
 static void on_written(uv_write_t *req, int status);
 static void on_closed(uv_handle_t *h);
+static void on_prepare(uv_prepare_t *prepare);
+static void on_prepare_closed(uv_handle_t *h);
 static bool was_reset(const struct client_conn *k);
 static bool is_received(const struct client_conn *k);
 static bool is_past_deadline(const struct client_conn *k, uint64_t now);
@@ -152,9 +157,24 @@
 	c->loop = loop;
 	TAILQ_INIT(&c->conns);
 	TAILQ_INIT(&c->failed_calls);
+	c->iteration_moment = ++c->moments;
+	uv_prepare_init(loop, &c->prepare);
+	c->prepare.data = c;
+	uv_prepare_start(&c->prepare, on_prepare);
+	uv_unref((uv_handle_t *)&c->prepare);
+	c->n_handles++;
 	return c;
 }
 
+/* Begins an iteration of the loop.  What is reported in it had happened before any of
+ * its callbacks runs. */
+static void on_prepare(uv_prepare_t *prepare)
+{
+	struct http1_client *c = prepare->data;
+
+	c->iteration_moment = ++c->moments;
+}
+
 /* Cancels calls in progress and closes all connections.  The loop frees the
  * client with its last connection.  The analyzer does not see that a freed call
  * has been removed from its list. */
@@ -172,7 +192,15 @@
 			conn_close(k);
 	}
 	c->freed = true;
-	if (!c->n_handles)
+	uv_close((uv_handle_t *)&c->prepare, on_prepare_closed);
+}
+
+/* Frees a freed client with its last handle. */
+static void on_prepare_closed(uv_handle_t *h)
+{
+	struct http1_client *c = h->data;
+
+	if (!--c->n_handles && c->freed)
 		free(c);
 }
 
@@ -325,18 +353,13 @@
 	return call->conn ? call->conn->opened_ms : 0;
 }
 
-/* Returns the moment at which the connection of a call was established, 0 if it is
- * not.  Moments order what this client has done, also within a millisecond. */
-uint64_t http1_call_opened_moment(const struct http1_call *call)
-{
-	return call->conn ? call->conn->opened_moment : 0;
-}
-
-/* Returns the moment at which the request of a call was begun to be written, 0 if
- * it was not. */
-uint64_t http1_call_sent_moment(const struct http1_call *call)
+/* Returns the moments of a call. */
+struct http1_moments http1_call_moments(const struct http1_call *call)
 {
-	return call->sent_moment;
+	return (struct http1_moments){
+		.opened = call->conn ? call->conn->opened_moment : 0,
+		.sent = call->sent_moment,
+	};
 }
 
 /* Returns the process that the connection of a call is known to end at, as
@@ -589,7 +612,7 @@
 		return;
 	}
 	k->opened_ms = uv_now(k->client->loop);
-	k->opened_moment = ++k->client->moments;
+	k->opened_moment = k->client->iteration_moment;
 	uv_read_start((uv_stream_t *)&k->tcp, on_alloc, on_read);
 	send_request(k);
 }
--- a/lib/http1_client.h
+++ b/lib/http1_client.h
@@ -49,6 +49,14 @@
 	uint32_t timeout_ms; /* to the end of the answer; 0: none */
 };
 
+/* When the connection of a call was established, at the latest, and when its request
+ * was begun to be written: numbers that order what a client has done, also within a
+ * millisecond; 0: not yet. */
+struct http1_moments {
+	uint64_t opened;
+	uint64_t sent;
+};
+
 /* Counts since the client was created. */
 struct http1_client_stats {
 	uint64_t connects;
@@ -75,8 +83,7 @@
 void http1_call_pause(struct http1_call *call, bool paused);
 bool http1_call_paused(const struct http1_call *call);
 uint64_t http1_call_opened_ms(const struct http1_call *call);
-uint64_t http1_call_opened_moment(const struct http1_call *call);
-uint64_t http1_call_sent_moment(const struct http1_call *call);
+struct http1_moments http1_call_moments(const struct http1_call *call);
 uint64_t http1_call_process(const struct http1_call *call);
 bool http1_call_received(const struct http1_call *call);
 bool http1_client_has_idle(const struct http1_client *c, const char *address);
--- a/proxyd/answer_ends.c
+++ b/proxyd/answer_ends.c
@@ -62,7 +62,7 @@
 	bool is_witness;
 	uint64_t process; /* the start of that process; 0: unknown */
 	bool received; /* by the endpoint's host, if it is a witness */
-	uint64_t opened_moment; /* when its connection was opened */
+	struct http1_moments moments;
 	bool watches; /* was sent before any end, for its connection */
 	int status;
 	struct bytes body;
@@ -151,7 +151,6 @@
 	uint64_t since_ms = proxyd_received_ms(x->proxyd);
 
 	x->ended_ms = proxyd_now(x->proxyd);
-	x->ended_since_ms = x->was_paused ? x->sent_ms : since_ms;
 	x->ended_after_ms =
 		x->ended_ms - (x->ended_ms - since_ms > PROXYD_STALL_MS
 				       ? since_ms
@@ -467,7 +466,7 @@
 
 	q->status = head->status;
 	q->opened_ms = http1_call_opened_ms(q->call);
-	q->opened_moment = http1_call_opened_moment(q->call);
+	q->moments = http1_call_moments(q->call);
 	return HTTP1_ACCEPT;
 }
 
@@ -500,8 +499,11 @@
 	bool about_none = q->watches && !is_about_an_end(q);
 	struct exchange *x;
 
-	if (f.sign == ENDPOINT_SIGN_LIVES && q->is_report)
+	if (f.sign == ENDPOINT_SIGN_LIVES && q->is_report) {
 		http1_call_name_process(q->call, born_ms);
+		endpoint_note_process(p->endpoints, endpoint, born_ms,
+				      q->moments);
+	}
 	q->call = NULL;
 	if (!q->is_witness &&
 	    (outcome == HTTP1_COMPLETE || outcome == HTTP1_BROKEN ||
@@ -644,7 +646,7 @@
 	uint64_t since_ms = q->asked_ms > x->ended_ms ? q->asked_ms
 						      : x->ended_ms;
 	const struct answer_end_witness w = {
-		.older = q->opened_moment < x->sent_moment,
+		.older = q->moments.opened < x->moments.sent,
 		.same_process = q->process && q->process == x->sent_born_ms,
 		.answered = outcome == HTTP1_COMPLETE &&
 			    x->end_number <= q->last_end,
--- a/proxyd/attempt.c
+++ b/proxyd/attempt.c
@@ -174,7 +174,7 @@
 	x->sent_ms = now;
 	x->sent_software = SOFTWARE_UNKNOWN;
 	x->sent_born_ms = 0;
-	x->sent_moment = 0;
+	x->moments = (struct http1_moments){ 0 };
 	x->ended_ms = 0;
 	x->start_excused = false;
 	x->last_event_ms = now;
@@ -327,6 +327,7 @@
 				      x->sent_ms, x->fields.id);
 	}
 	attempt_keep_head(x, head);
+	exchange_note_process(x, endpoint_get(p->endpoints, x->endpoint));
 	return x->answer.not_run ? HTTP1_ACCEPT_REFUSAL : HTTP1_ACCEPT;
 }
 
@@ -336,7 +337,7 @@
 	const struct proxyd *p = x->proxyd;
 
 	x->read_ms = proxyd_now(p);
-	x->sent_moment = http1_call_sent_moment(x->call);
+	x->moments = http1_call_moments(x->call);
 	x->status = head->status;
 	x->unframed = http1_call_unframed(x->call);
 	x->headers.len = 0;
--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -66,8 +66,7 @@
 static void name_process(struct endpoint *e, uint64_t start);
 static void software_updated(struct endpoint *e, const struct endpoint_entry *n,
 			     bool restarted);
-static void unlisted_start_stated(struct endpoint *e, uint64_t born_ms,
-				  uint64_t since_ms);
+static void unlisted_start_stated(struct endpoint *e, uint64_t born_ms);
 static void other_start_stated(struct endpoint *e, uint64_t born_ms);
 static void name_unasked_start(const struct endpoint *e);
 static void entry_removed(struct endpoints *t, struct endpoint *e,
@@ -678,6 +677,8 @@
 		e->start_asked_ms = 0; /* asked before its entry came */
 		limits_release(e);
 	}
+	if (strcmp(e->address, n->address) != 0)
+		e->process = (struct process_span){ 0 };
 	snprintf(e->address, sizeof(e->address), "%s", n->address);
 	software_updated(e, n, restarted);
 	e->address_hash = XXH3_64bits(e->address, strlen(e->address));
@@ -756,6 +757,19 @@
 	       software == e->unlisted_software;
 }
 
+/* Notes that an endpoint has stated a start, Unix ms, 0 if none, to a question whose
+ * moments are asked. */
+void endpoint_note_process(struct endpoints *t, struct handle h,
+			   uint64_t born_ms, struct http1_moments asked)
+{
+	struct endpoint *e = endpoint_get(t, h);
+
+	if (!e)
+		return;
+	process_span_note(&e->process, born_ms, asked.opened, asked.sent);
+	exchanges_process_noted(t->proxyd->exchanges, e);
+}
+
 /* Handles the start time that an endpoint itself states, Unix ms, 0 if it states
  * none, on a connection that was open at since_ms.  If its entry has the same, it
  * runs the version that is listed; otherwise it has started again since. */
@@ -768,7 +782,7 @@
 	if (!e || (!e->software_doubted && !e->start_wanted))
 		return;
 	if (!e->software) {
-		unlisted_start_stated(e, born_ms, since_ms);
+		unlisted_start_stated(e, born_ms);
 		return;
 	}
 	same = !born_ms || !e->born_ms || born_ms == e->born_ms;
@@ -787,19 +801,18 @@
 	e->software_doubted = !same;
 	if (same)
 		origins_endpoint_named(t->proxyd->origins, e);
-	exchanges_start_stated(t->proxyd->exchanges, h, since_ms, false);
+	exchanges_start_stated(t->proxyd->exchanges, h, false);
 }
 
 /* Handles the start of an endpoint that has no entry yet: once it has one with
  * the same start, the streams that began there are of the listed version. */
-static void unlisted_start_stated(struct endpoint *e, uint64_t born_ms,
-				  uint64_t since_ms)
+static void unlisted_start_stated(struct endpoint *e, uint64_t born_ms)
 {
 	if (e->stated_born_ms && e->stated_born_ms != born_ms)
 		name_process(e, born_ms);
 	e->stated_born_ms = born_ms;
 	e->start_wanted = false;
-	exchanges_start_stated(e->proxyd->exchanges, e->self, since_ms, false);
+	exchanges_start_stated(e->proxyd->exchanges, e->self, false);
 }
 
 /* Handles a start that is not the listed one.  The streams that began while the
@@ -829,7 +842,7 @@
 	event_log(EVENT_NOTABLE, "endpoint-no-start", NULL, "{s:s, s:s}",
 		  "endpoint", e->id, "software", e->version);
 	origins_endpoint_named(t->proxyd->origins, e);
-	exchanges_start_stated(t->proxyd->exchanges, h, 0, true);
+	exchanges_start_stated(t->proxyd->exchanges, h, true);
 }
 
 /* Has an engine asked for its start, unless a connection has been open since it
--- a/proxyd/endpoints.h
+++ b/proxyd/endpoints.h
@@ -12,6 +12,7 @@
 #include "policy/path.h"
 #include "policy/entry_expiry.h"
 #include "policy/placement.h"
+#include "policy/process_span.h"
 #include "policy/prompt_parts.h"
 #include "policy/repeat.h"
 #include "proxyd/store.h"
@@ -73,6 +74,7 @@
 	uint32_t slots;
 	uint64_t born_ms;
 	uint64_t stated_born_ms; /* as it last stated itself; 0: not yet */
+	struct process_span process; /* that has stated its start */
 	bool leaving; /* according to its entry */
 	uint64_t sequence; /* of its entry; 0: unknown */
 	struct holdoff holdoff; /* as its answers report */
@@ -156,6 +158,8 @@
 uint64_t endpoint_software(const struct endpoint *e);
 uint64_t endpoint_known_start(const struct endpoint *e);
 bool endpoint_continues(const struct endpoint *e, uint64_t software);
+void endpoint_note_process(struct endpoints *t, struct handle h,
+			   uint64_t born_ms, struct http1_moments asked);
 void endpoint_stated_start(struct endpoints *t, struct handle h,
 			   uint64_t born_ms, uint64_t since_ms);
 void endpoint_unstated_start(struct endpoints *t, struct handle h);
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -66,8 +66,6 @@
 static uint64_t used_tokens(const struct exchange *x);
 static void reply_error(struct exchange *x, int status, uint32_t retry_ms,
 			const char *why);
-static void note_own_start(struct exchange *x, const struct endpoint *e,
-			   uint64_t since_ms);
 static void check_overdue(struct exchange *x, uint64_t now);
 static void tick_exchange(struct exchange *x, uint64_t now);
 static void tick_waiting(struct exchange *x, uint64_t now);
@@ -164,29 +162,45 @@
 	}
 }
 
-/* Handles the start that an endpoint has stated on a connection that was open at
- * since_ms, or, if it is excused, that it stated none: its streams are told to their
- * keepers, and those that waited for it go on. */
+/* Handles a word of the process that runs at an endpoint. */
+void exchanges_process_noted(struct exchanges *t, const struct endpoint *e)
+{
+	struct exchange *x;
+
+	TAILQ_FOREACH(x, &t->list, link)
+	if (x->phase == EXCHANGE_SENT && handle_equal(x->endpoint, e->self))
+		exchange_note_process(x, e);
+}
+
+/* Notes the start of the process that an attempt was sent to, if that is proved.  What
+ * was known before, by the entry of the endpoint or an earlier word, is of no account
+ * then.  Not so if the endpoint leaves: it may have closed its listener, and another
+ * process may accept at its address while it still answers.  e may be NULL. */
+void exchange_note_process(struct exchange *x, const struct endpoint *e)
+{
+	struct http1_moments m = x->call ? http1_call_moments(x->call)
+					 : x->moments;
+
+	if (!e || endpoint_is_leaving(e) ||
+	    !process_span_covers(&e->process, m.opened, m.sent))
+		return;
+	x->sent_born_ms = e->process.start_ms;
+	exchange_note_target_start(x);
+}
+
+/* Handles the start that an endpoint has stated, or, if it is excused, that it stated
+ * none: its streams are told to their keepers, and those that waited for it go on. */
 void exchanges_start_stated(struct exchanges *t, struct handle endpoint,
-			    uint64_t since_ms, bool excused)
+			    bool excused)
 {
-	const struct endpoint *e = endpoint_get(t->proxyd->endpoints, endpoint);
-	uint64_t known_ms = e ? endpoint_known_start(e) : 0;
 	struct exchange *x = TAILQ_FIRST(&t->list);
 
 	while (x) {
 		struct exchange *next = TAILQ_NEXT(x, link);
 
-		if (x->phase == EXCHANGE_SENT && !excused &&
-		    handle_equal(x->endpoint, endpoint))
-			note_own_start(x, e, since_ms);
 		if (x->phase == EXCHANGE_SENT && x->call &&
 		    handle_equal(x->endpoint, endpoint)) {
 			x->start_excused = x->start_excused || excused;
-			if (!excused)
-				exchange_note_target_start(x, known_ms);
-			if (!x->sent_born_ms && !x->was_paused)
-				x->sent_born_ms = known_ms;
 			if (!x->first_event_due_ms)
 				origins_note_begun(t->proxyd->origins, x);
 			stream_start_stated(x);
@@ -195,23 +209,6 @@
 	}
 }
 
-/* Notes the start that an attempt's endpoint, e, has stated on a connection that was
- * open at since_ms; e may be NULL.  If the attempt's connection was open at the same
- * time, and its end would have been read, both end at one process: what was known
- * before, by its entry or an earlier word, is of no account then.  Not so if the
- * endpoint leaves: it may have closed its listener, and another process may accept at
- * its address while it still answers. */
-static void note_own_start(struct exchange *x, const struct endpoint *e,
-			   uint64_t since_ms)
-{
-	bool open = x->call && http1_call_connected(x->call) && !x->was_paused;
-	bool was_open = x->ended_ms && since_ms < x->ended_since_ms;
-
-	if (e && e->stated_born_ms && (open || was_open) &&
-	    !endpoint_is_leaving(e))
-		x->sent_born_ms = e->stated_born_ms;
-}
-
 /* Handles a version that was not known and is now: streams that began at what
  * stood for it are bound to it. */
 void exchanges_software_named(struct exchanges *t, uint64_t from, uint64_t to)
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -59,7 +59,7 @@
 	uint64_t sent_ms;
 	uint64_t sent_software;
 	uint64_t sent_born_ms;
-	uint64_t sent_moment;
+	struct http1_moments moments;
 	bool start_excused;
 	enum request_permit permit;
 	bool load_counted;
@@ -141,12 +141,10 @@
 	struct handle endpoint;
 	uint64_t sent_ms;
 	uint64_t sent_software; /* version of the endpoint then */
-	/* its start, as known then, or stated while the connection was open; 0:
-	 * unknown */
+	/* its start, as known then, or proved since to be that of the process
+	 * that the request was sent to; 0: unknown */
 	uint64_t sent_born_ms;
-	/* when its request was written, among the client's moments; set with
-	 * the head of its answer */
-	uint64_t sent_moment;
+	struct http1_moments moments; /* set with the head of its answer */
 	bool start_excused; /* the endpoint was asked and stated no start */
 	uint32_t sends; /* attempts that reached an endpoint, or may have */
 	/* the last of these; attempt n is at n % ENDPOINT_AVOID_MAX */
@@ -212,7 +210,6 @@
 	 * whether it is whole; 0: it has not */
 	uint64_t ended_ms;
 	uint64_t ended_after_ms; /* the last bytes, as far as is known */
-	uint64_t ended_since_ms; /* that end came then at the earliest */
 	bool end_outlived; /* the endpoint accepted a connection after it */
 	bool end_overdue; /* the endpoint should have given a sign by now */
 	uint64_t end_number; /* of that end, among all that were read here */
@@ -263,8 +260,10 @@
 void exchanges_path_lost(struct exchanges *t, const char *service);
 void exchanges_endpoint_lost(struct exchanges *t, struct handle endpoint);
 void stream_start_stated(struct exchange *x);
+void exchanges_process_noted(struct exchanges *t, const struct endpoint *e);
+void exchange_note_process(struct exchange *x, const struct endpoint *e);
 void exchanges_start_stated(struct exchanges *t, struct handle endpoint,
-			    uint64_t since_ms, bool excused);
+			    bool excused);
 void exchanges_software_named(struct exchanges *t, uint64_t from, uint64_t to);
 uint32_t exchanges_open(const struct exchanges *t);
 void exchange_caller_left(void *owner);
@@ -290,7 +289,7 @@
 uint32_t exchange_attempts_used(const struct exchange *x);
 bool exchange_has_attempts(const struct exchange *x);
 bool exchange_attempts_exhausted(const struct exchange *x);
-void exchange_note_target_start(struct exchange *x, uint64_t born_ms);
+void exchange_note_target_start(struct exchange *x);
 bool exchange_repeat_allowed(struct exchange *x);
 bool exchange_optional_repeat_allowed(struct exchange *x);
 bool exchange_await_probe(struct exchange *x);
--- a/proxyd/handover.c
+++ b/proxyd/handover.c
@@ -174,7 +174,7 @@
 		.sent_ms = x->sent_ms,
 		.sent_software = x->sent_software,
 		.sent_born_ms = x->sent_born_ms,
-		.sent_moment = x->sent_moment,
+		.moments = x->moments,
 		.start_excused = x->start_excused,
 		.permit = x->permit,
 		.load_counted = x->load_counted,
@@ -199,7 +199,7 @@
 	x->sent_ms = x->held.sent_ms;
 	x->sent_software = x->held.sent_software;
 	x->sent_born_ms = x->held.sent_born_ms;
-	x->sent_moment = x->held.sent_moment;
+	x->moments = x->held.moments;
 	x->start_excused = x->held.start_excused;
 	x->permit = x->held.permit;
 	x->load_counted = x->held.load_counted;
--- a/proxyd/rediscover.c
+++ b/proxyd/rediscover.c
@@ -34,6 +34,7 @@
 	uint64_t sent_ms;
 	struct http1_call *call; /* NULL once it has ended */
 	uint64_t opened_ms; /* when the connection of the answer was */
+	struct http1_moments moments; /* of the request of the answer */
 	int status;
 	struct bytes body;
 };
@@ -166,6 +167,7 @@
 	endpoint_answered(r->proxyd->endpoints, r->old, r->sent_ms, false);
 	r->status = head->status;
 	r->opened_ms = http1_call_opened_ms(r->call);
+	r->moments = http1_call_moments(r->call);
 	r->proxyd->protocol->decode_answer(head, &fields);
 	if (!r->awaiting_report && fields.endpoint &&
 	    fields.endpoint_len < sizeof(r->id)) {
@@ -225,6 +227,9 @@
 	}
 	engine = r->proxyd->protocol->decode_report(r->body.data, r->body.len,
 						    &born_ms);
+	if (engine && r->awaiting_start)
+		endpoint_note_process(r->proxyd->endpoints, r->old, born_ms,
+				      r->moments);
 	if (engine && r->awaiting_start)
 		endpoint_stated_start(r->proxyd->endpoints, r->old, born_ms,
 				      r->opened_ms > r->sent_ms ? r->opened_ms
--- a/proxyd/repeats.c
+++ b/proxyd/repeats.c
@@ -72,18 +72,17 @@
 	       !(e && (e->probe || e->rediscovering));
 }
 
-/* Records the start that the endpoint of the current attempt has stated while the
- * attempt's connection was open: it is that of its process. */
-void exchange_note_target_start(struct exchange *x, uint64_t born_ms)
+/* Records the start of the process that the current attempt was sent to, which has
+ * been proved. */
+void exchange_note_target_start(struct exchange *x)
 {
 	struct attempt_target *target;
 
-	if (!x->sends || !http1_call_connected(x->call) ||
-	    http1_call_paused(x->call))
+	if (!x->sends)
 		return;
 	target = &x->targets[(x->sends - 1) % ENDPOINT_AVOID_MAX];
 	if (!target->born_ms && handle_equal(target->endpoint, x->endpoint))
-		target->born_ms = born_ms;
+		target->born_ms = x->sent_born_ms;
 }
 
 /* Returns whether a process that a request was sent to is known to have ended. */
--- a/regress/leaving_endpoint.c
+++ b/regress/leaving_endpoint.c
@@ -22,7 +22,7 @@
 #define REPEATS "repeat_window_s = 0.1\nrepeat_ratio = 10\nrepeat_slack = 100\n"
 #define HEALTHY "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
 #define STREAM_TYPE "content-type: text/event-stream\r\n"
-#define BORN_MS 1 /* of all endpoints */
+#define BORN_MS 1 /* of all endpoints, and one more after a restart */
 #define SLOTS 64 /* of each; all requests of a case fit */
 #define OTHERS 2 /* endpoints that answer what the leaving one has lost */
 #define CONNECT_MS 1000
@@ -50,6 +50,7 @@
 	const char *address;
 	uv_tcp_t *listener; /* NULL once it has ended */
 	bool leaves; /* answers when the case says so */
+	unsigned int born_ms;
 	struct endpoint_process *next;
 };
 
@@ -60,6 +61,7 @@
 	size_t len;
 	bool used; /* has carried a request */
 	bool waits; /* carries a request of the case without an answer */
+	bool dead; /* its process has ended, it has not */
 	char request_id[40];
 	unsigned int last_event; /* that its request names */
 	size_t written; /* of its answer */
@@ -277,7 +279,7 @@
 		return;
 	}
 	body = xasprintf("{\"models\":[{\"name\":\"m\"}],\"born\":%u}",
-			 BORN_MS);
+			 c->endpoint->born_ms);
 	text = xasprintf("HTTP/1.1 200 OK\r\ncontent-length: %zu\r\n\r\n%s",
 			 strlen(body), body);
 	write_text(c, text);
@@ -313,7 +315,7 @@
 	bool of_case = !strncmp(c->input, start, strlen(start));
 
 	free(start);
-	if (!of_case && silent && c->endpoint == leaver)
+	if (c->dead || (!of_case && silent && c->endpoint == leaver))
 		return;
 	c->used = true;
 	c->len = 0;
@@ -418,6 +420,7 @@
 	e->service = route->service;
 	e->address = harness_address(harness);
 	e->leaves = leaves;
+	e->born_ms = BORN_MS;
 	e->next = endpoints;
 	endpoints = e;
 	e->listener = xcalloc(1, sizeof(*e->listener));
@@ -700,6 +703,25 @@
 	return (double)(uv_hrtime() - start) / 1e6;
 }
 
+/* Kills the endpoint and starts it again, unseen; then ends the connections of the
+ * earlier process one after the other, those of its answers first. */
+static void restart_apart(void)
+{
+	struct endpoint_conn *c;
+	int waits;
+
+	for (c = conns; c; c = c->next)
+		c->dead = c->endpoint == leaver;
+	leaver->born_ms++;
+	for (waits = 1; waits >= 0; waits--)
+		for (c = conns; c; c = c->next)
+			if (c->dead && c->waits == waits) {
+				close_conn(c);
+				c->dead = false;
+				harness_run(harness, current->exit_ms);
+			}
+}
+
 /* Has the endpoint write its answers and end as the case says. */
 static void leave(struct leaving_result *result)
 {
@@ -764,6 +786,14 @@
 		close_waiting();
 		harness_until(harness, are_over, NULL, "the answers end");
 		break;
+	case EXIT_RESTARTED_APART:
+		write_answers(true);
+		start_round_trips();
+		harness_until(harness, is_handled, NULL,
+			      "the instance has read the parts");
+		restart_apart();
+		harness_until(harness, are_over, NULL, "the answers end");
+		break;
 	}
 	end_endpoint(leaver);
 }
--- a/regress/leaving_endpoint.h
+++ b/regress/leaving_endpoint.h
@@ -45,6 +45,9 @@
 	/* killed as in EXIT_KILLED; its other connections have gone silent for
 	 * good, and don't end */
 	EXIT_KILLED_SILENT,
+	/* killed as in EXIT_KILLED and started again behind a partition: what its
+	 * earlier process had open ends later, one connection after the other */
+	EXIT_RESTARTED_APART,
 };
 
 struct leaving_case {
@@ -55,7 +58,8 @@
 	unsigned int silent_ms;
 	enum leaving_notice notice;
 	enum leaving_exit exit;
-	/* of EXIT_LATER, EXIT_SILENT and EXIT_KILLED_APART */
+	/* of EXIT_LATER, EXIT_SILENT and EXIT_KILLED_APART, and of each end of
+	 * EXIT_RESTARTED_APART */
 	unsigned int exit_ms;
 	/* it has answered another request meanwhile, whose connection is kept */
 	bool beside;
