answer_ends: a service is asked who it is, not only whether it accepts

What callers saw: a booking's answer without a length is half written when its worker is partitioned, crashes and starts again with a new id.

Now it is asked for its health, which states its id: another one shows that the process has ended. The question goes on a connection from before the request if one is idle, whose answer proves the process whatever its id. If such a connection gives no answer, a process with the same id is not taken for the same one: the answer can't be told, so that a request which may run again does. A plain answer waits 200 ms at most.

Not decided: a service that starts again under the same id, of which no older connection was open, is taken for the process that wrote the answer.

--- a/proxyd/answer_ends.c
+++ b/proxyd/answer_ends.c
@@ -9,6 +9,7 @@
 #include "proxyd/answer_ends.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 #include "lib/bytes.h"
 #include "lib/event_log.h"
@@ -28,6 +29,10 @@
  * is closed. */
 #define WITNESS_MS 2000
 
+/* Time limit of a health check, which is answered at once unless it waits for a slot;
+ * a plain answer waits no longer for it. */
+#define HEALTH_MS 200
+
 /* The ends of answers that an endpoint closes together are read within this time. */
 #define ENDS_TOGETHER_MS 100
 
@@ -57,14 +62,17 @@
 	uint64_t last_end;
 	bool at_once; /* as soon as an end was read */
 	bool is_engine; /* only its report shows that it lives */
-	bool is_report; /* else a health check of a witness, or a connection */
+	bool is_report;
+	bool is_health; /* a health check; else only a connection */
 	/* was sent on a connection that was open, which ends at one process */
 	bool is_witness;
 	uint64_t process; /* the start of that process; 0: unknown */
 	bool received; /* by the endpoint's host, if it is a witness */
-	struct http1_moments moments;
+	uint64_t opened_before; /* moment by which a witness's connection was */
+	struct http1_moments moments; /* set with the head of the answer */
 	bool watches; /* was sent before any end, for its connection */
 	int status;
+	char id[ENDPOINT_ID_SIZE]; /* of the endpoint that answers, or "" */
 	struct bytes body;
 };
 
@@ -93,10 +101,10 @@
 static void ask(struct exchange *x, struct endpoint *e, bool at_once);
 static struct end_questions *questions_of(struct endpoint *e);
 static void ask_witnesses(const struct exchange *x, struct endpoint *e);
-static const char *witness_path(const struct exchange *x);
+static const char *question_path(const struct exchange *x);
 static void note_received(struct endpoint *e);
 static void send_question(struct end_question *q, struct endpoint *e,
-			  const char *path, bool is_report, bool may_reuse);
+			  const char *path, bool may_reuse);
 static bool is_about_an_end(const struct end_question *q);
 static bool is_asked_about(struct end_questions *all, uint64_t end_number);
 static struct end_question *next_question(struct exchange *x,
@@ -108,6 +116,12 @@
 static struct finding evaluate(const struct end_question *q,
 			       const struct endpoint *e,
 			       enum http1_outcome outcome, uint64_t *born_ms);
+static struct finding evaluate_health(const struct end_question *q,
+				      const struct endpoint *e,
+				      enum http1_outcome outcome);
+static struct finding judge_health(struct exchange *x, const struct finding *f,
+				   const struct finding *own,
+				   const struct end_question *q);
 static enum endpoint_sign ended_sign(const struct proxyd *p,
 				     const struct endpoint *e);
 static bool may_exit(const struct proxyd *p, const struct endpoint *e);
@@ -156,6 +170,7 @@
 				       ? since_ms
 				       : x->read_ms);
 	x->end_outlived = false;
+	x->end_doubted = false;
 	x->end_overdue = false;
 	x->end_number = ++x->proxyd->exchanges->n_ends;
 	x->staged = false;
@@ -255,8 +270,7 @@
 	all->last->at_once = false;
 	all->last->is_engine = true;
 	all->last->watches = true;
-	send_question(all->last, e, x->proxyd->protocol->report_path, true,
-		      false);
+	send_question(all->last, e, x->proxyd->protocol->report_path, false);
 }
 
 /* Cancels the questions to an endpoint, which is freed. */
@@ -277,22 +291,30 @@
 }
 
 /* Asks an endpoint about the end of an answer, unless it is being asked about that,
- * or has just given no answer: an engine for its report, which states its start.  An
- * endpoint that pauses or has no permit left for a request, or a service without
- * reports, is only connected to: if it refuses, it has ended. */
+ * or has just given no answer: an engine for its report, which states its start; a
+ * service without reports for its health, which states its id, and on a connection
+ * that was open before if there is one.  An endpoint that pauses, has no permit left
+ * for a request, or may exit as soon as it has answered, is only connected to: if it
+ * refuses, it has ended. */
 static void ask(struct exchange *x, struct endpoint *e, bool at_once)
 {
+	struct proxyd *p = x->proxyd;
 	struct end_question *q = next_question(x, e);
-	bool is_report;
+	const char *path = NULL;
+	bool may_reuse;
 
 	if (!q)
 		return;
 	q->at_once = at_once;
 	q->is_engine = x->engine != NULL;
 	q->watches = false;
-	is_report = q->is_engine && may_report(e, proxyd_now(x->proxyd));
-	send_question(q, e, is_report ? x->proxyd->protocol->report_path : NULL,
-		      is_report, is_report && may_exit(x->proxyd, e));
+	may_reuse = x->engine ? may_exit(p, e)
+			      : x->end_number > q->all->last_end_witnessed;
+	if ((x->engine || !at_once) && may_report(e, proxyd_now(p)))
+		path = question_path(x);
+	if (path && !x->engine)
+		q->all->last_end_witnessed = p->exchanges->n_ends;
+	send_question(q, e, path, may_reuse);
 }
 
 /* Has an endpoint that refuses new connections, but may serve on, asked about the end
@@ -301,7 +323,7 @@
 {
 	struct proxyd *p = x->proxyd;
 	struct end_questions *all = questions_of(e);
-	const char *path = witness_path(x);
+	const char *path = question_path(x);
 	size_t i;
 
 	if (!path || x->end_number <= all->last_end_witnessed ||
@@ -319,13 +341,13 @@
 		q->at_once = false;
 		q->is_engine = x->engine != NULL;
 		q->watches = false;
-		send_question(q, e, path, q->is_engine, true);
+		send_question(q, e, path, true);
 	}
 }
 
-/* Returns what an endpoint is asked for on an open connection: an engine for its
- * report, another one for its health.  NULL if there is nothing. */
-static const char *witness_path(const struct exchange *x)
+/* Returns what an endpoint is asked for: an engine for its report, another one for its
+ * health; NULL if it has none. */
+static const char *question_path(const struct exchange *x)
 {
 	const struct proxyd *p = x->proxyd;
 	const struct route_service *s;
@@ -361,7 +383,7 @@
  * connection that is idle, if one may be used and there is one.  It is about all ends
  * that have been read. */
 static void send_question(struct end_question *q, struct endpoint *e,
-			  const char *path, bool is_report, bool may_reuse)
+			  const char *path, bool may_reuse)
 {
 	struct proxyd *p = q->all->proxyd;
 	struct http1_call_options options = {
@@ -371,16 +393,20 @@
 	};
 	struct bytes out = { 0 };
 
-	if (may_reuse && http1_client_has_idle(p->client, e->address)) {
+	q->is_report = path && q->is_engine;
+	q->is_health = path && !q->is_engine;
+	if (path && may_reuse && http1_client_has_idle(p->client, e->address)) {
 		options.timeout_ms = WITNESS_MS;
 		options.max_idle_ms = UINT32_MAX;
 	}
+	if (q->is_health)
+		options.timeout_ms = HEALTH_MS;
 
 	q->asked_ms = proxyd_now(p);
 	q->last_end_before = q->last_end = p->exchanges->n_ends;
 	q->status = 0;
+	q->id[0] = '\0';
 	q->body.len = 0;
-	q->is_report = is_report;
 	if (path)
 		bytes_addf(&out, "GET %s HTTP/1.1\r\nhost: %s\r\n\r\n", path,
 			   e->address);
@@ -389,6 +415,7 @@
 				   q);
 	q->is_witness = http1_call_reused(q->call);
 	q->process = http1_call_process(q->call);
+	q->opened_before = http1_call_moments(q->call).opened;
 	q->received = false;
 }
 
@@ -463,7 +490,13 @@
 					const struct http1_head *head)
 {
 	struct end_question *q = arg;
+	struct answer_fields fields;
 
+	q->all->proxyd->protocol->decode_answer(head, &fields);
+	if (fields.endpoint && fields.endpoint_len < sizeof(q->id)) {
+		memcpy(q->id, fields.endpoint, fields.endpoint_len);
+		q->id[fields.endpoint_len] = '\0';
+	}
 	q->status = head->status;
 	q->opened_ms = http1_call_opened_ms(q->call);
 	q->moments = http1_call_moments(q->call);
@@ -535,7 +568,10 @@
 			continue;
 		if (q->is_witness)
 			own = judge_witness(x, e, q, outcome, born_ms);
-		else if (own.sign == ENDPOINT_SIGN_LIVES && q->is_report)
+		if (q->is_health)
+			own = judge_health(x, &f, &own, q);
+		else if (own.sign == ENDPOINT_SIGN_LIVES && !q->is_witness &&
+			 q->is_report)
 			own.sign =
 				answer_end_start_sign(x->sent_born_ms, born_ms);
 		if (own.sign == ENDPOINT_SIGN_ENDED && own.sign != f.sign) {
@@ -584,6 +620,9 @@
 	if (outcome == HTTP1_NOT_SENT)
 		return (struct finding){ ended_sign(q->all->proxyd, e),
 					 "refused" };
+	if (q->is_health && !http1_not_connected(outcome) &&
+	    outcome != HTTP1_NO_SOCKET)
+		return evaluate_health(q, e, outcome);
 	if (outcome != HTTP1_COMPLETE)
 		return (struct finding){ ENDPOINT_SIGN_NONE,
 					 http1_outcome_name(outcome) };
@@ -597,6 +636,43 @@
 	return (struct finding){ ENDPOINT_SIGN_NONE, "no report" };
 }
 
+/* Returns what a health check shows that reached the address of an endpoint: whether
+ * that is still there.  One with the same id may have started again, so that another
+ * look at open connections goes before this. */
+static struct finding evaluate_health(const struct end_question *q,
+				      const struct endpoint *e,
+				      enum http1_outcome outcome)
+{
+	if (outcome != HTTP1_COMPLETE)
+		return (struct finding){ ENDPOINT_SIGN_UNKNOWN,
+					 "no health answer" };
+	if (e && q->id[0] && strcmp(q->id, e->id) != 0)
+		return (struct finding){ ended_sign(q->all->proxyd, e),
+					 "other endpoint" };
+	return (struct finding){ ENDPOINT_SIGN_LIVES, "same endpoint" };
+}
+
+/* Returns what a health check shows of an answer, from what it shows of the endpoint
+ * and, as own, of the process at its connection.  If a connection from before the
+ * request has given no answer, its process may have ended, and that which answers at
+ * the address may have followed it. */
+static struct finding judge_health(struct exchange *x, const struct finding *f,
+				   const struct finding *own,
+				   const struct end_question *q)
+{
+	if (q->is_witness && own->sign == ENDPOINT_SIGN_LIVES)
+		return *own;
+	if (q->is_witness && !q->status) {
+		x->end_doubted = x->end_doubted ||
+				 q->opened_before < x->moments.sent;
+		return *own;
+	}
+	if (f->sign == ENDPOINT_SIGN_LIVES && x->end_doubted)
+		return (struct finding){ ENDPOINT_SIGN_UNKNOWN,
+					 "older connection lost" };
+	return *f;
+}
+
 /* Returns what it shows of an answer that the process which wrote it has ended
  * since. */
 static enum endpoint_sign ended_sign(const struct proxyd *p,
@@ -682,7 +758,7 @@
  * on a connection that stands. */
 static bool has_reached(const struct exchange *x, const struct end_question *q)
 {
-	return q->call && (q->is_report || q->is_witness) &&
+	return q->call && (q->is_report || q->is_health) &&
 	       http1_call_connected(q->call) && concerns(x, q);
 }
 
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -211,6 +211,8 @@
 	uint64_t ended_ms;
 	uint64_t ended_after_ms; /* the last bytes, as far as is known */
 	bool end_outlived; /* the endpoint accepted a connection after it */
+	/* an older connection to the endpoint gave no answer after it */
+	bool end_doubted;
 	bool end_overdue; /* the endpoint should have given a sign by now */
 	uint64_t end_number; /* of that end, among all that were read here */
 	uint32_t empty_runs; /* in a row, without an event of a begun stream */
--- a/regress/leaving_endpoint.c
+++ b/regress/leaving_endpoint.c
@@ -20,7 +20,8 @@
 #include "regress/platform_standin.h"
 
 #define REPEATS "repeat_window_s = 0.1\nrepeat_ratio = 10\nrepeat_slack = 100\n"
-#define HEALTHY "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
+#define HEALTHY \
+	"HTTP/1.1 200 OK\r\ninstance-id: %s\r\ncontent-length: 0\r\n\r\n"
 #define STREAM_TYPE "content-type: text/event-stream\r\n"
 #define BORN_MS 1 /* of all endpoints, and one more after a restart */
 #define SLOTS 64 /* of each; all requests of a case fit */
@@ -275,7 +276,9 @@
 
 	c->used = true;
 	if (memcmp(c->input, "GET /report ", 12) != 0) {
-		write_text(c, HEALTHY);
+		text = xasprintf(HEALTHY, c->endpoint->id);
+		write_text(c, text);
+		free(text);
 		return;
 	}
 	body = xasprintf("{\"models\":[{\"name\":\"m\"}],\"born\":%u}",
@@ -713,6 +716,7 @@
 	for (c = conns; c; c = c->next)
 		c->dead = c->endpoint == leaver;
 	leaver->born_ms++;
+	snprintf(leaver->id, sizeof(leaver->id), "i-again-%u", n_endpoints++);
 	for (waits = 1; waits >= 0; waits--)
 		for (c = conns; c; c = c->next)
 			if (c->dead && c->waits == waits) {
