stream: where versions are mixed, an engine states its start after the send

What callers saw: an engine goes dark, starts again under its id with another software version and is lost once more.

Cause: an engine that had stated the listed start was not asked again as long as a connection from then was open (endpoint_start_proved()). The connection to the dark process stayed open here.

Where the entries of a service name more than one version, a stream's version is now proved only by a start that is stated between the opening of its connection and the end of its process, as for ends of answers (policy/process_span.c). The question goes on an open connection, 100 ms at most, and then on a new one. Elsewhere nothing is asked more.

The fault proxy can silence the open connections of a mapping for good.

Not decided: an engine that starts again unseen with a version that no entry names yet, beside a silent connection. A start that is stated late, after a cut, also names streams that were sent after it was asked for.

--- a/emulator/fault_link.c
+++ b/emulator/fault_link.c
@@ -101,9 +101,12 @@
 	fault_link_update(l);
 }
 
-/* Returns whether the mapping's mode blocks a direction. */
+/* Returns whether a direction passes nothing on, as its connection is silent or by the
+ * mapping's mode. */
 static bool is_blocked(const struct direction *d)
 {
+	if (d->owner->silent)
+		return true;
 	switch (d->owner->mapping->mode) {
 	case MODE_FREEZE:
 	case MODE_HANG:
@@ -146,7 +149,8 @@
 	else if (!read && d->reading)
 		uv_read_stop((uv_stream_t *)d->from);
 	d->reading = read;
-	write_due_chunks(d);
+	if (!d->owner->silent)
+		write_due_chunks(d);
 }
 
 /* Provides the read buffer for libuv. */
--- a/emulator/fault_link.h
+++ b/emulator/fault_link.h
@@ -46,6 +46,7 @@
 	bool connected;
 	bool closing;
 	bool reset_when_written;
+	bool silent; /* for good, whatever the mode */
 	int open_handles;
 };
 
--- a/emulator/fault_mapping.c
+++ b/emulator/fault_mapping.c
@@ -104,7 +104,8 @@
 
 		if (strcmp(name, "mode") == 0)
 			allowed = parse_mode(value) >= 0;
-		else if (strcmp(name, "reset") == 0)
+		else if (strcmp(name, "reset") == 0 ||
+			 strcmp(name, "silence") == 0)
 			allowed = json_is_boolean(value);
 		else if (strcmp(name, "delay_ms") != 0 &&
 			 strcmp(name, "reset_after_bytes") != 0)
@@ -146,7 +147,11 @@
 	if (listens(m->mode))
 		start_listening(m, err, sizeof(err));
 	TAILQ_FOREACH(l, &m->links, link)
-	fault_link_update(l);
+	{
+		l->silent = l->silent ||
+			    json_is_true(json_object_get(settings, "silence"));
+		fault_link_update(l);
+	}
 }
 
 /* Returns whether a mapping accepts connections in a mode. */
--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -56,13 +56,15 @@
 static uint32_t slots_at_address(const struct endpoints *t,
 				 const char *address);
 static void ask_start(struct endpoints *t, struct endpoint *e);
-static void query_start(struct endpoints *t, struct endpoint *e);
+static void query_start(struct endpoints *t, struct endpoint *e,
+			bool may_reuse);
 static bool probe_due(const struct endpoints *t, const struct endpoint *e,
 		      bool store_answers);
 static bool is_older_than_leaving(const struct endpoint *e,
 				  const struct endpoint_entry *n);
 static const char *row_problem(const struct store_row *row);
 static void entry_updated(struct endpoint *e, const struct endpoint_entry *n);
+static void note_versions(struct endpoints *t, const char *service);
 static void name_process(struct endpoint *e, uint64_t start);
 static void software_updated(struct endpoint *e, const struct endpoint_entry *n,
 			     bool restarted);
@@ -171,6 +173,7 @@
 		e = endpoint_new(t, row->key);
 	e->zone = zone_index(t, row->endpoint->zone);
 	entry_updated(e, row->endpoint);
+	note_versions(t, e->service);
 	resolve_address_conflict(t, e);
 }
 
@@ -799,9 +802,11 @@
 			  "software", e->version, "born", (json_int_t)born_ms,
 			  "listed_born", (json_int_t)e->born_ms);
 	e->software_doubted = !same;
+	if (endpoint_versions_mixed(e))
+		e->start_asked_ms = 0; /* the next stream has it asked again */
 	if (same)
 		origins_endpoint_named(t->proxyd->origins, e);
-	exchanges_start_stated(t->proxyd->exchanges, h, false);
+	exchanges_start_stated(t->proxyd->exchanges, h, !born_ms);
 }
 
 /* Handles the start of an endpoint that has no entry yet: once it has one with
@@ -859,6 +864,51 @@
 	ask_start(t, e);
 }
 
+/* Has an engine asked for its start though a connection has been open since it stated
+ * that: the connection may have gone silent. */
+void endpoint_want_start_again(struct endpoints *t, struct endpoint *e)
+{
+	if (e->software_doubted || (!e->software && endpoint_known_start(e)))
+		return;
+	if (!e->start_wanted)
+		e->start_wanted_ms = proxyd_now(t->proxyd);
+	e->start_wanted = true;
+	ask_start(t, e);
+}
+
+/* Returns whether the entries of an endpoint's service name more than one version of
+ * its software. */
+bool endpoint_versions_mixed(const struct endpoint *e)
+{
+	return endpoints_service(e->proxyd->endpoints, e->service)->mixed;
+}
+
+/* Notes whether the entries of a service name more than one version. */
+static void note_versions(struct endpoints *t, const char *service)
+{
+	uint64_t first = SOFTWARE_UNKNOWN;
+	const struct endpoint *e;
+	bool mixed = false;
+	uint32_t i = 0;
+
+	while ((e = endpoint_next(t, &i))) {
+		if (!e->software || e->expiry.removed ||
+		    strcmp(e->service, service) != 0)
+			continue;
+		mixed = mixed || (first && e->software != first);
+		first = e->software;
+	}
+	endpoints_service(t, service)->mixed = mixed;
+}
+
+/* Returns whether the process that last stated its start at an endpoint's address has
+ * the one that the entry names, and so the listed version. */
+bool endpoint_listed_start_known(const struct endpoint *e)
+{
+	return e->process.start_ms &&
+	       (!e->born_ms || e->process.start_ms == e->born_ms);
+}
+
 /* Returns whether an endpoint is known to run since the start that its entry
  * names, and so the listed version. */
 bool endpoint_start_proved(const struct endpoint *e)
@@ -884,15 +934,16 @@
 			endpoint_unstated_start(t, e->self);
 		return;
 	}
-	query_start(t, e);
+	query_start(t, e, endpoint_versions_mixed(e));
 }
 
-/* Sends an endpoint the question for its start. */
-static void query_start(struct endpoints *t, struct endpoint *e)
+/* Sends an endpoint the question for its start, on a connection that is idle if one
+ * may be used. */
+static void query_start(struct endpoints *t, struct endpoint *e, bool may_reuse)
 {
 	e->start_asked_ms = proxyd_now(t->proxyd);
 	counter_add(t->probes, 1);
-	rediscover_start(t->proxyd, e->self);
+	rediscover_start(t->proxyd, e->self, may_reuse);
 }
 
 /* Asks an engine for a sign of life, unless it is being asked something.  Returns
@@ -907,7 +958,7 @@
 		return true;
 	if (!limits_take_for_check(e))
 		return false;
-	query_start(t, e);
+	query_start(t, e, false);
 	return true;
 }
 
@@ -948,6 +999,7 @@
 	if (!endpoint_is_leaving(e))
 		suspects_endpoint_crashed(t->proxyd->suspects, e);
 	entry_expiry_removed(&e->expiry, outage_end_ms, proxyd_now(t->proxyd));
+	note_versions(t, e->service);
 	event_log(EVENT_NOTABLE, "endpoint-entry-removed", NULL, "{s:s, s:b}",
 		  "endpoint", e->id, "held", e->expiry.grace_until_ms != 0);
 }
--- a/proxyd/endpoints.h
+++ b/proxyd/endpoints.h
@@ -166,6 +166,9 @@
 void endpoint_want_start(struct endpoints *t, struct endpoint *e);
 bool endpoint_want_sign(struct endpoints *t, struct handle h);
 bool endpoint_start_proved(const struct endpoint *e);
+bool endpoint_listed_start_known(const struct endpoint *e);
+bool endpoint_versions_mixed(const struct endpoint *e);
+void endpoint_want_start_again(struct endpoints *t, struct endpoint *e);
 bool endpoints_software_in_service(const struct endpoints *t, uint64_t software,
 				   const char *service);
 const char *endpoints_software_text(const struct endpoints *t,
--- a/proxyd/endpoints_table.h
+++ b/proxyd/endpoints_table.h
@@ -19,6 +19,7 @@
 	struct limit_return limit_return; /* of callers refused by limits */
 	uint64_t lost_ms[ZONES_MAX]; /* last endpoint loss by zone; 0: none */
 	struct path path; /* to its endpoints */
+	bool mixed; /* entries name more than one version of its software */
 };
 
 struct endpoints {
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -996,6 +996,7 @@
 		exchange_fail(x, 502, "this instance ends");
 		return;
 	}
+	stream_prove_software(x);
 	if (relay_in_use(x)) {
 		handover_tick(x, now);
 		relay_tick(x, now);
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -356,6 +356,7 @@
 void stream_move(struct exchange *x, const char *why, bool may_go_on);
 void stream_resume(struct exchange *x);
 void stream_check_silence(struct exchange *x, uint64_t now);
+void stream_prove_software(struct exchange *x);
 bool stream_is_late(const struct exchange *x);
 
 #endif /* PROXYD_EXCHANGE_H */
--- a/proxyd/rediscover.c
+++ b/proxyd/rediscover.c
@@ -24,6 +24,9 @@
 #define PATH_ANSWER_TIMEOUT_MS 400 /* health checks are answered at once */
 #define REPORT_MAX_BYTES 65536
 
+/* Time limit on a connection that was open before: it may have gone silent. */
+#define REUSED_ANSWER_TIMEOUT_MS 100
+
 struct rediscovery {
 	struct proxyd *proxyd;
 	struct handle old;
@@ -31,6 +34,7 @@
 	bool awaiting_report; /* the second of two requests */
 	bool awaiting_start; /* only the time of its start is of interest */
 	bool path; /* it shows whether there is a path */
+	bool may_reuse; /* may be sent on a connection that is open */
 	uint64_t sent_ms;
 	struct http1_call *call; /* NULL once it has ended */
 	uint64_t opened_ms; /* when the connection of the answer was */
@@ -96,9 +100,10 @@
 }
 
 /* Asks an endpoint that may have started again when it started, so that it is
- * known whether it runs the listed version.  A service without engines has no
- * reports; its endpoints are taken at the word of their entries. */
-void rediscover_start(struct proxyd *p, struct handle endpoint)
+ * known whether it runs the listed version; on a connection that is idle if one may be
+ * used, and on a new one if that is silent.  A service without engines has no reports;
+ * its endpoints are taken at the word of their entries. */
+void rediscover_start(struct proxyd *p, struct handle endpoint, bool may_reuse)
 {
 	struct endpoint *e = endpoint_get(p->endpoints, endpoint);
 	const struct route_service *s =
@@ -113,6 +118,7 @@
 	r->proxyd = p;
 	r->old = endpoint;
 	r->awaiting_start = true;
+	r->may_reuse = may_reuse;
 	e->rediscovering = true;
 	send_get(r, e->address, p->protocol->report_path);
 }
@@ -141,7 +147,7 @@
 static void send_get(struct rediscovery *r, const char *address,
 		     const char *path)
 {
-	const struct http1_call_options options = {
+	struct http1_call_options options = {
 		.address = address,
 		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
 		.timeout_ms = r->path ? PATH_ANSWER_TIMEOUT_MS
@@ -149,6 +155,10 @@
 	};
 	struct bytes out = { 0 };
 
+	if (r->may_reuse && http1_client_has_idle(r->proxyd->client, address)) {
+		options.timeout_ms = REUSED_ANSWER_TIMEOUT_MS;
+		options.max_idle_ms = UINT32_MAX;
+	}
 	r->status = 0;
 	r->body.len = 0;
 	r->sent_ms = proxyd_now(r->proxyd);
@@ -207,9 +217,15 @@
 	struct rediscovery *r = arg;
 	struct endpoint *e = endpoint_get(r->proxyd->endpoints, r->old);
 	uint64_t born_ms = 0;
+	bool reused = r->call && http1_call_reused(r->call);
 	bool engine;
 
 	r->call = NULL;
+	if (e && reused && !r->status) {
+		r->may_reuse = false;
+		send_get(r, e->address, r->proxyd->protocol->report_path);
+		return;
+	}
 	if (http1_not_connected(outcome) && outcome != HTTP1_NO_SOCKET)
 		endpoint_not_connected(r->proxyd->endpoints, r->old,
 				       r->sent_ms);
--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -106,19 +106,39 @@
 	if (x->stream.pending.len > EVENT_MAX_BYTES)
 		handle_invalid_event(x, "event without end");
 	else
-		endpoint_want_start(endpoints,
-				    endpoint_get(endpoints, x->endpoint));
+		endpoint_want_start_again(endpoints,
+					  endpoint_get(endpoints, x->endpoint));
 }
 
-/* Returns whether the endpoint of an attempt is known to run the version that
- * its entry names.  Only engines can be asked. */
+/* Returns whether the process that an attempt was sent to is known to run the version
+ * that the entry of its endpoint names.  Only engines can be asked.  A connection that
+ * is open may have gone silent, so that where versions are mixed the process must have
+ * stated its start since. */
 static bool software_proved(const struct exchange *x)
 {
 	const struct endpoint *e =
 		endpoint_get(x->proxyd->endpoints, x->endpoint);
+	struct http1_moments m = x->call ? http1_call_moments(x->call)
+					 : x->moments;
 
-	return !x->engine || !e || !e->software || x->start_excused ||
-	       endpoint_start_proved(e);
+	if (!x->engine || !e || !e->software || x->start_excused)
+		return true;
+	if (!endpoint_versions_mixed(e))
+		return endpoint_start_proved(e);
+	return !e->software_doubted && endpoint_listed_start_known(e) &&
+	       process_span_covers(&e->process, m.opened, m.sent);
+}
+
+/* Has the engine of a stream without events asked for its start, if its version is
+ * not proved. */
+void stream_prove_software(struct exchange *x)
+{
+	struct endpoint *e = endpoint_get(x->proxyd->endpoints, x->endpoint);
+
+	if (x->engine && e && x->call && http1_call_connected(x->call) &&
+	    x->first_event_due_ms && !relay_in_use(x) &&
+	    endpoint_versions_mixed(e) && !software_proved(x))
+		endpoint_want_start_again(x->proxyd->endpoints, e);
 }
 
 /* Handles the start that the endpoint of an attempt has stated, or that it stated
@@ -135,7 +155,7 @@
 	if (!e || !endpoint_continues(e, x->software))
 		handle_invalid_event(x, "endpoint started again");
 	else if (!software_proved(x))
-		endpoint_want_start(x->proxyd->endpoints, e);
+		endpoint_want_start_again(x->proxyd->endpoints, e);
 	else if (x->stream.pending.len)
 		stream_receive(x, "", 0);
 }
@@ -595,7 +615,7 @@
 {
 	if (e && x->software == SOFTWARE_UNKNOWN && !software_proved(x)) {
 		x->sent_software = e->unlisted_software; /* named later */
-		endpoint_want_start(x->proxyd->endpoints, e);
+		endpoint_want_start_again(x->proxyd->endpoints, e);
 	} else {
 		origins_note_sent(x->proxyd->origins, x);
 	}
--- a/regress/integration/test_unseen_version.c
+++ b/regress/integration/test_unseen_version.c
@@ -1,7 +1,8 @@
 /*
  * An engine that no stream is at starts again under its id with another software
  * version, and its entry is the old one for some time: no stream holds events of
- * two versions.
+ * two versions.  Also if a connection to its earlier process has gone silent, and
+ * looks open.
  */
 #include <stdarg.h>
 #include <stddef.h>
@@ -13,7 +14,7 @@
 #include <setjmp.h>
 #include <cmocka.h>
 
-#include "regress/platform_standin.h"
+#include "regress/silence.h"
 
 #define N(list) (sizeof(list) / sizeof((list)[0]))
 #define STREAMS 12
@@ -92,10 +93,92 @@
 	harness_free(h);
 }
 
+#define CALLERS 24
+
+/* Opens the streams of all callers, whose contents differ. */
+static void open_callers(struct stream_reader **streams, const char *callers)
+{
+	size_t i;
+
+	for (i = 0; i < CALLERS; i++) {
+		char id[24];
+		const struct httpc_header headers[] = {
+			{ "credential", "k1" },
+			{ "request-id", id },
+			{ "deadline-ms", "15000" },
+			{ "token-usage", "300,100" },
+		};
+		const struct httpc_request r = {
+			.method = "POST",
+			.address = callers,
+			.path = "/case/a",
+			.headers = headers,
+			.n_headers = N(headers),
+			.body = id,
+			.body_len = sizeof(id) - 1,
+		};
+		static unsigned int number;
+
+		snprintf(id, sizeof(id), "%022u-", number++);
+		streams[i] = stream_open(silence_harness, &r);
+	}
+}
+
+static bool is_listed_with_v2(void *arg)
+{
+	(void)arg;
+	return proc_output_count(silence_instances[0].proc,
+				 "\"software\":\"v2\",\"leaving\"") >= 2;
+}
+
+/* Guards against streams that are bound to the listed version of an engine whose
+ * process has ended, as a connection to that has gone silent and looks open. */
+static void silent_connection(void **state)
+{
+	const struct silence_case c = {
+		.route = SILENCE_ROUTE "\"maxAttempts\":9,\"resumable\":true}",
+		.settings = "repeat_ratio = 10\n",
+		.instances = 1,
+		.engines = 3,
+	};
+	struct stream_reader *streams[CALLERS];
+	size_t mixed = 0;
+	size_t i;
+
+	(void)state;
+	silence_start(&c);
+	for (i = 2; i < 4; i++) {
+		standin_restart_worker(&silence_world->workers[i], "v2");
+		standin_put_worker_entry(&silence_world->workers[i], "ready");
+	}
+	harness_until(silence_harness, is_listed_with_v2, NULL,
+		      "two engines are listed with v2");
+	open_callers(streams, silence_instances[0].callers);
+	for (i = 0; i < CALLERS; i++) {
+		stream_wait_end(streams[i]);
+		stream_close(streams[i]);
+	}
+	silence_connections(0);
+	standin_restart_worker(&silence_world->workers[0], "v2");
+	open_callers(streams, silence_instances[0].callers);
+	for (i = 0; i < CALLERS; i++)
+		stream_wait_events(streams[i], EVENTS_BEFORE);
+	standin_kill_worker(&silence_world->workers[0]);
+	for (i = 0; i < CALLERS; i++) {
+		stream_wait_end(streams[i]);
+		mixed += !is_of_one_version(streams[i]);
+		stream_close(streams[i]);
+	}
+	print_message("%zu of %d streams hold two versions\n", mixed, CALLERS);
+	assert_int_equal(mixed, 0);
+	silence_end(&c);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(unseen_start),
+		cmocka_unit_test(silent_connection),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/regress/silence.c
+++ b/regress/silence.c
@@ -99,6 +99,13 @@
 			"{\"*\":{\"mode\":\"%s\"}}", mode);
 }
 
+/* Has the open connections to an engine go silent for good. */
+void silence_connections(size_t engine)
+{
+	harness_control(silence_harness, control[engine],
+			"{\"*\":{\"silence\":true}}");
+}
+
 /* Returns the engine that got the last attempt. */
 size_t silence_engine_of_run(void)
 {
--- a/regress/silence.h
+++ b/regress/silence.h
@@ -31,6 +31,7 @@
 void silence_end(const struct silence_case *c);
 struct stream_reader *silence_open_stream(void);
 void silence_set_mode(size_t engine, const char *mode);
+void silence_connections(size_t engine);
 size_t silence_engine_of_run(void);
 size_t silence_attempts(void);
 
