--- a/proxyd/answer_ends.c
+++ b/proxyd/answer_ends.c
@@ -801,15 +801,19 @@
 	event_log(
 		end == ANSWER_END_WHOLE ? EVENT_ROUTINE : EVENT_NOTABLE,
 		"unframed-end", x->fields.id,
-		"{s:s, s:s, s:s, s:b, s:b, s:I, s:I, s:b, s:b, s:I, s:b, s:I, s:I}",
+		"{s:s, s:s, s:s, s:b, s:b, s:I, s:I, s:b, s:b, s:b, s:I, s:b, s:I, s:b, s:I}",
 		"outcome", answer_end_name(end), "why", f->why, "endpoint",
 		e ? e->id : "", "leaving", e && endpoint_is_leaving(e),
 		"listed", e && !e->expiry.removed, "waited_ms",
 		(json_int_t)signs.waited_ms, "asked_after_ms",
 		(json_int_t)asked_after_ms(e, x), "reached", signs.reached,
-		"outlived", x->end_outlived, "ended_after_ms",
-		(json_int_t)x->ended_after_ms, "empty", signs.empty,
-		"known_start", (json_int_t)x->sent_born_ms, "last_event",
+		"outlived", x->end_outlived, "doubted", x->end_doubted,
+		"ended_after_ms", (json_int_t)x->ended_after_ms, "empty",
+		signs.empty, "known_start", (json_int_t)x->sent_born_ms,
+		"start_proved",
+		e && process_span_covers(&e->process, x->moments.opened,
+					 x->moments.sent),
+		"last_event",
 		(json_int_t)(x->has_last_event ? (int64_t)x->last_event_id
 					       : -1));
 	x->ended_ms = 0;
