answer_ends: another process that accepts is no witness of an answer

What callers saw: a booking's answer without a length, of an endpoint that leaves, is half written behind a partition, which holds its bytes up, too; the endpoint crashes and starts again. When the cut heals the half and the end come together, and the caller gets 200 with half of the body.

Cause: an answer that can't be told and may run once is passed on if its end came at once and its endpoint has accepted a connection since ("outlived"). The connection was accepted by the process that had started since, as its own word showed.

Evidence: "unframed-end" with "left", "other endpoint" or "other start", "outlived":true and "ended_after_ms":0. Found by the new cases.

A process whose word shows that it is another one is no witness now.

--- a/proxyd/answer_ends.c
+++ b/proxyd/answer_ends.c
@@ -105,6 +105,7 @@
 static void note_received(struct endpoint *e);
 static void send_question(struct end_question *q, struct endpoint *e,
 			  const char *path, bool may_reuse);
+static bool is_of_another(const struct finding *f, enum http1_outcome outcome);
 static bool is_about_an_end(const struct end_question *q);
 static bool is_asked_about(struct end_questions *all, uint64_t end_number);
 static struct end_question *next_question(struct exchange *x,
@@ -578,6 +579,8 @@
 			own.why = "other start";
 			own.sign = ended_sign(p, e);
 		}
+		if (is_of_another(&own, outcome))
+			x->end_outlived = false;
 		if (own.sign != ENDPOINT_SIGN_LIVES && e &&
 		    may_be_answered(x, e))
 			continue;
@@ -588,6 +591,14 @@
 	ask_soon(p->exchanges);
 }
 
+/* Returns whether a question was answered by another process than the one that wrote
+ * an answer: then its connection, which was accepted, shows nothing of that one. */
+static bool is_of_another(const struct finding *f, enum http1_outcome outcome)
+{
+	return outcome == HTTP1_COMPLETE && (f->sign == ENDPOINT_SIGN_ENDED ||
+					     f->sign == ENDPOINT_SIGN_LEFT);
+}
+
 /* Returns whether an answer waits for a question. */
 static bool is_about_an_end(const struct end_question *q)
 {
--- a/regress/leaving_endpoint.c
+++ b/regress/leaving_endpoint.c
@@ -720,6 +720,8 @@
 	for (waits = 1; waits >= 0; waits--)
 		for (c = conns; c; c = c->next)
 			if (c->dead && c->waits == waits) {
+				if (c->waits)
+					write_answer(c, true);
 				close_conn(c);
 				c->dead = false;
 				harness_run(harness, current->exit_ms);
@@ -798,6 +800,10 @@
 		restart_apart();
 		harness_until(harness, are_over, NULL, "the answers end");
 		break;
+	case EXIT_RESTARTED_HELD:
+		restart_apart();
+		harness_until(harness, are_over, NULL, "the answers end");
+		break;
 	}
 	end_endpoint(leaver);
 }
--- a/regress/leaving_endpoint.h
+++ b/regress/leaving_endpoint.h
@@ -48,6 +48,8 @@
 	/* killed as in EXIT_KILLED and started again behind a partition: what its
 	 * earlier process had open ends later, one connection after the other */
 	EXIT_RESTARTED_APART,
+	/* the same, and the parts of its answers are held up, too */
+	EXIT_RESTARTED_HELD,
 };
 
 struct leaving_case {
@@ -59,7 +61,7 @@
 	enum leaving_notice notice;
 	enum leaving_exit exit;
 	/* of EXIT_LATER, EXIT_SILENT and EXIT_KILLED_APART, and of each end of
-	 * EXIT_RESTARTED_APART */
+	 * EXIT_RESTARTED_APART and EXIT_RESTARTED_HELD */
 	unsigned int exit_ms;
 	/* it has answered another request meanwhile, whose connection is kept */
 	bool beside;
