answer_ends: a health check speaks for the ends before it only

Found by reading: the answer to a health check on an open connection was taken for the ends that were read within 100 ms after it was sent, too, for which only the end of such a connection is of account. An endpoint that leaves was asked on one silent connection after the other, each for 100 ms, before a new one was opened; it is once now, as a service is. The connections to a service are still asked if it refuses after a first question on a new one.

--- a/proxyd/answer_ends.c
+++ b/proxyd/answer_ends.c
@@ -68,8 +68,7 @@
 	bool is_witness;
 	uint64_t process; /* the start of that process; 0: unknown */
 	bool received; /* by the endpoint's host, if it is a witness */
-	uint64_t opened_before; /* moment by which a witness's connection was */
-	struct http1_moments moments; /* set with the head of the answer */
+	struct http1_moments moments; /* known once it is sent */
 	bool watches; /* was sent before any end, for its connection */
 	int status;
 	char id[ENDPOINT_ID_SIZE]; /* of the endpoint that answers, or "" */
@@ -309,13 +308,13 @@
 	q->at_once = at_once;
 	q->is_engine = x->engine != NULL;
 	q->watches = false;
-	may_reuse = x->engine ? may_exit(p, e)
-			      : x->end_number > q->all->last_end_witnessed;
+	may_reuse = (!x->engine || may_exit(p, e)) &&
+		    x->end_number > q->all->last_end_witnessed;
 	if ((x->engine || !at_once) && may_report(e, proxyd_now(p)))
 		path = question_path(x);
-	if (path && !x->engine)
-		q->all->last_end_witnessed = p->exchanges->n_ends;
 	send_question(q, e, path, may_reuse);
+	if (q->is_witness)
+		q->all->last_end_witnessed = q->last_end;
 }
 
 /* Has an endpoint that refuses new connections, but may serve on, asked about the end
@@ -338,11 +337,11 @@
 		if (!http1_client_has_idle(p->client, e->address) ||
 		    !may_report(e, proxyd_now(p)))
 			return;
-		all->last_end_witnessed = p->exchanges->n_ends;
 		q->at_once = false;
 		q->is_engine = x->engine != NULL;
 		q->watches = false;
 		send_question(q, e, path, true);
+		all->last_end_witnessed = q->last_end;
 	}
 }
 
@@ -416,7 +415,7 @@
 				   q);
 	q->is_witness = http1_call_reused(q->call);
 	q->process = http1_call_process(q->call);
-	q->opened_before = http1_call_moments(q->call).opened;
+	q->moments = http1_call_moments(q->call);
 	q->received = false;
 }
 
@@ -671,13 +670,13 @@
 				   const struct finding *own,
 				   const struct end_question *q)
 {
-	if (q->is_witness && own->sign == ENDPOINT_SIGN_LIVES)
+	if (own->sign == ENDPOINT_SIGN_LIVES && q->is_witness)
 		return *own;
-	if (q->is_witness && !q->status) {
+	if (q->is_witness && !q->status)
 		x->end_doubted = x->end_doubted ||
-				 q->opened_before < x->moments.sent;
+				 q->moments.opened < x->moments.sent;
+	if (q->is_witness && (!q->status || !was_asked_for(x, q)))
 		return *own;
-	}
 	if (f->sign == ENDPOINT_SIGN_LIVES && x->end_doubted)
 		return (struct finding){ ENDPOINT_SIGN_UNKNOWN,
 					 "older connection lost" };
