stream: an engine that may not be asked is taken by its open connection

Found by reading: where versions are mixed, a stream whose engine began to leave or to pause before it had stated its start since the send waited for a word that it was not asked for any more. As before, a connection that has been open since an earlier word counts then.

test_software_versions, test_restored_runs, test_unseen_version and test_streams_offered_again pass.

--- a/lib/http1_client.c
+++ b/lib/http1_client.c
@@ -54,8 +54,7 @@
 	bool success; /* the status of the answer is 2xx */
 	bool unsent; /* a request couldn't be queued */
 	uint64_t opened_ms; /* when it was established; 0: not yet */
-	uint64_t
-		opened_moment; /* of the client, no earlier than that; 0: not yet */
+	uint64_t opened_moment; /* in which it was reported; 0: not yet */
 	uint64_t process; /* that it ends at; 0: unknown */
 	uint64_t idle_since_ms;
 	uint64_t idle_limit_ms;
@@ -389,8 +388,9 @@
 }
 
 /* Returns whether a connection to an address that was established at since_ms or
- * before is still open.  It ends at one process, which has run all that
- * time.  Those that are not read don't count: their end is not seen. */
+ * before is still open here.  It ends at one process, which may have ended if the
+ * connection has gone silent or a partition holds its end back.  Those that are not
+ * read don't count: their end is not seen. */
 bool http1_client_spans(const struct http1_client *c, const char *address,
 			uint64_t since_ms)
 {
--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -113,7 +113,7 @@
 /* Returns whether the process that an attempt was sent to is known to run the version
  * that the entry of its endpoint names.  Only engines can be asked.  A connection that
  * is open may have gone silent, so that where versions are mixed the process must have
- * stated its start since. */
+ * stated its start since, unless it may not be asked any more. */
 static bool software_proved(const struct exchange *x)
 {
 	const struct endpoint *e =
@@ -123,7 +123,8 @@
 
 	if (!x->engine || !e || !e->software || x->start_excused)
 		return true;
-	if (!endpoint_versions_mixed(e))
+	if (!endpoint_versions_mixed(e) ||
+	    !endpoint_accepts_work(e, proxyd_now(x->proxyd)))
 		return endpoint_start_proved(e);
 	return !e->software_doubted && endpoint_listed_start_known(e) &&
 	       process_span_covers(&e->process, m.opened, m.sent);
