--- a/proxyd/rediscover.c
+++ b/proxyd/rediscover.c
@@ -35,6 +35,7 @@
 	bool awaiting_start; /* only the time of its start is of interest */
 	bool path; /* it shows whether there is a path */
 	bool may_reuse; /* may be sent on a connection that is open */
+	bool reused; /* was sent on one */
 	uint64_t sent_ms;
 	struct http1_call *call; /* NULL once it has ended */
 	uint64_t opened_ms; /* when the connection of the answer was */
@@ -165,6 +166,7 @@
 	bytes_addf(&out, "GET %s HTTP/1.1\r\nhost: %s\r\n\r\n", path, address);
 	r->call = http1_call_start(r->proxyd->client, &options, out.data,
 				   out.len, &ops, r);
+	r->reused = http1_call_reused(r->call);
 }
 
 /* Handles the head of an answer. */
@@ -217,11 +219,10 @@
 	struct rediscovery *r = arg;
 	struct endpoint *e = endpoint_get(r->proxyd->endpoints, r->old);
 	uint64_t born_ms = 0;
-	bool reused = r->call && http1_call_reused(r->call);
 	bool engine;
 
 	r->call = NULL;
-	if (e && reused && !r->status) {
+	if (e && r->reused && !r->status) {
 		r->may_reuse = false;
 		send_get(r, e->address, r->proxyd->protocol->report_path);
 		return;
