--- a/emulator/fault_mapping.c
+++ b/emulator/fault_mapping.c
@@ -126,6 +126,7 @@
 	const json_t *mode = json_object_get(settings, "mode");
 	const json_t *delay = json_object_get(settings, "delay_ms");
 	const json_t *after = json_object_get(settings, "reset_after_bytes");
+	bool silence = json_is_true(json_object_get(settings, "silence"));
 	struct fault_link *l;
 	char err[256];
 
@@ -148,8 +149,7 @@
 		start_listening(m, err, sizeof(err));
 	TAILQ_FOREACH(l, &m->links, link)
 	{
-		l->silent = l->silent ||
-			    json_is_true(json_object_get(settings, "silence"));
+		l->silent = l->silent || silence;
 		fault_link_update(l);
 	}
 }
--- a/proxyd/answer_ends.c
+++ b/proxyd/answer_ends.c
@@ -820,9 +820,7 @@
 		"outlived", x->end_outlived, "doubted", x->end_doubted,
 		"ended_after_ms", (json_int_t)x->ended_after_ms, "empty",
 		signs.empty, "known_start", (json_int_t)x->sent_born_ms,
-		"start_proved",
-		e && process_span_covers(&e->process, x->moments.opened,
-					 x->moments.sent),
+		"start_proved", e && exchange_process_proved(x, e),
 		"last_event",
 		(json_int_t)(x->has_last_event ? (int64_t)x->last_event_id
 					       : -1));
--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -855,13 +855,8 @@
  * with another version.  One without an entry is asked once. */
 void endpoint_want_start(struct endpoints *t, struct endpoint *e)
 {
-	if (e->software_doubted || (e->software ? endpoint_start_proved(e)
-						: endpoint_known_start(e) != 0))
-		return;
-	if (!e->start_wanted)
-		e->start_wanted_ms = proxyd_now(t->proxyd);
-	e->start_wanted = true;
-	ask_start(t, e);
+	if (!e->software || !endpoint_start_proved(e))
+		endpoint_want_start_again(t, e);
 }
 
 /* Has an engine asked for its start though a connection has been open since it stated
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -172,17 +172,23 @@
 		exchange_note_process(x, e);
 }
 
+/* Returns whether the process that last stated its start at an endpoint is the one that
+ * an attempt was sent to. */
+bool exchange_process_proved(const struct exchange *x, const struct endpoint *e)
+{
+	struct http1_moments m = x->call ? http1_call_moments(x->call)
+					 : x->moments;
+
+	return process_span_covers(&e->process, m.opened, m.sent);
+}
+
 /* Notes the start of the process that an attempt was sent to, if that is proved.  What
  * was known before, by the entry of the endpoint or an earlier word, is of no account
  * then.  Not so if the endpoint leaves: it may have closed its listener, and another
  * process may accept at its address while it still answers.  e may be NULL. */
 void exchange_note_process(struct exchange *x, const struct endpoint *e)
 {
-	struct http1_moments m = x->call ? http1_call_moments(x->call)
-					 : x->moments;
-
-	if (!e || endpoint_is_leaving(e) ||
-	    !process_span_covers(&e->process, m.opened, m.sent))
+	if (!e || endpoint_is_leaving(e) || !exchange_process_proved(x, e))
 		return;
 	x->sent_born_ms = e->process.start_ms;
 	exchange_note_target_start(x);
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -263,6 +263,8 @@
 void exchanges_endpoint_lost(struct exchanges *t, struct handle endpoint);
 void stream_start_stated(struct exchange *x);
 void exchanges_process_noted(struct exchanges *t, const struct endpoint *e);
+bool exchange_process_proved(const struct exchange *x,
+			     const struct endpoint *e);
 void exchange_note_process(struct exchange *x, const struct endpoint *e);
 void exchanges_start_stated(struct exchanges *t, struct handle endpoint,
 			    bool excused);
--- a/proxyd/rediscover.c
+++ b/proxyd/rediscover.c
@@ -244,14 +244,13 @@
 	}
 	engine = r->proxyd->protocol->decode_report(r->body.data, r->body.len,
 						    &born_ms);
-	if (engine && r->awaiting_start)
+	if (engine && r->awaiting_start) {
 		endpoint_note_process(r->proxyd->endpoints, r->old, born_ms,
 				      r->moments);
-	if (engine && r->awaiting_start)
 		endpoint_stated_start(r->proxyd->endpoints, r->old, born_ms,
 				      r->opened_ms > r->sent_ms ? r->opened_ms
 								: r->sent_ms);
-	else if (engine)
+	} else if (engine)
 		adopt(r, e);
 	else if (r->awaiting_start)
 		endpoint_unstated_start(r->proxyd->endpoints, r->old);
--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -118,8 +118,6 @@
 {
 	const struct endpoint *e =
 		endpoint_get(x->proxyd->endpoints, x->endpoint);
-	struct http1_moments m = x->call ? http1_call_moments(x->call)
-					 : x->moments;
 
 	if (!x->engine || !e || !e->software || x->start_excused)
 		return true;
@@ -127,7 +125,7 @@
 	    !endpoint_accepts_work(e, proxyd_now(x->proxyd)))
 		return endpoint_start_proved(e);
 	return !e->software_doubted && endpoint_listed_start_known(e) &&
-	       process_span_covers(&e->process, m.opened, m.sent);
+	       exchange_process_proved(x, e);
 }
 
 /* Has the engine of a stream without events asked for its start, if its version is
--- a/regress/integration/test_unseen_version.c
+++ b/regress/integration/test_unseen_version.c
@@ -34,6 +34,29 @@
 	return true;
 }
 
+/* Opens a stream whose id is its content, too. */
+static struct stream_reader *open_stream(struct harness *h, const char *callers,
+					 const char *path, const char *id)
+{
+	const struct httpc_header headers[] = {
+		{ "credential", "k1" },
+		{ "request-id", id },
+		{ "deadline-ms", "15000" },
+		{ "token-usage", "300,100" },
+	};
+	const struct httpc_request r = {
+		.method = "POST",
+		.address = callers,
+		.path = path,
+		.headers = headers,
+		.n_headers = N(headers),
+		.body = id,
+		.body_len = strlen(id),
+	};
+
+	return stream_open(h, &r);
+}
+
 static void unseen_start(void **state)
 {
 	struct harness *h = harness_new();
@@ -59,24 +82,9 @@
 	standin_restart_worker(&world->workers[0], "v2");
 	for (i = 0; i < STREAMS; i++) {
 		char id[16];
-		const struct httpc_header headers[] = {
-			{ "credential", "k1" },
-			{ "request-id", id },
-			{ "deadline-ms", "15000" },
-			{ "token-usage", "300,100" },
-		};
-		const struct httpc_request r = {
-			.method = "POST",
-			.address = in.callers,
-			.path = "/write/a",
-			.headers = headers,
-			.n_headers = N(headers),
-			.body = id,
-			.body_len = 4,
-		};
 
 		snprintf(id, sizeof(id), "s-%02zu", i);
-		streams[i] = stream_open(h, &r);
+		streams[i] = open_stream(h, in.callers, "/write/a", id);
 	}
 	for (i = 0; i < STREAMS; i++)
 		stream_wait_events(streams[i], EVENTS_BEFORE);
@@ -101,26 +109,12 @@
 	size_t i;
 
 	for (i = 0; i < CALLERS; i++) {
-		char id[24];
-		const struct httpc_header headers[] = {
-			{ "credential", "k1" },
-			{ "request-id", id },
-			{ "deadline-ms", "15000" },
-			{ "token-usage", "300,100" },
-		};
-		const struct httpc_request r = {
-			.method = "POST",
-			.address = callers,
-			.path = "/case/a",
-			.headers = headers,
-			.n_headers = N(headers),
-			.body = id,
-			.body_len = sizeof(id) - 1,
-		};
 		static unsigned int number;
+		char id[24];
 
 		snprintf(id, sizeof(id), "%022u-", number++);
-		streams[i] = stream_open(silence_harness, &r);
+		streams[i] =
+			open_stream(silence_harness, callers, "/case/a", id);
 	}
 }
 
--- a/regress/leaving_endpoint.c
+++ b/regress/leaving_endpoint.c
@@ -728,6 +728,15 @@
 			}
 }
 
+/* Has the endpoint write a part of each answer, which the instance reads. */
+static void write_parts(void)
+{
+	write_answers(true);
+	start_round_trips();
+	harness_until(harness, is_handled, NULL,
+		      "the instance has read the parts");
+}
+
 /* Has the endpoint write its answers and end as the case says. */
 static void leave(struct leaving_result *result)
 {
@@ -762,10 +771,7 @@
 		result->held_ms += hold_exit();
 		break;
 	case EXIT_KILLED:
-		write_answers(true);
-		start_round_trips();
-		harness_until(harness, is_handled, NULL,
-			      "the instance has read the parts");
+		write_parts();
 		harness_run(harness, APART_MS);
 		break;
 	case EXIT_KILLED_WRITING:
@@ -784,19 +790,13 @@
 		break;
 	case EXIT_KILLED_SILENT:
 		silent = true;
-		write_answers(true);
-		start_round_trips();
-		harness_until(harness, is_handled, NULL,
-			      "the instance has read the parts");
+		write_parts();
 		stop_listening(leaver);
 		close_waiting();
 		harness_until(harness, are_over, NULL, "the answers end");
 		break;
 	case EXIT_RESTARTED_APART:
-		write_answers(true);
-		start_round_trips();
-		harness_until(harness, is_handled, NULL,
-			      "the instance has read the parts");
+		write_parts();
 		restart_apart();
 		harness_until(harness, are_over, NULL, "the answers end");
 		break;
