repeats: an open connection does not show that an endpoint serves on

Callers saw a stream whose route allows one attempt broken off when its engine was killed, though others could go on with it, if a connection to the engine had gone silent.

Cause: has_ended() took any connection that was open before a refusal for a process that serves on, and so counted the attempt.

The attempt's own open connection still counts, as test_ended_attempts demands.

--- a/lib/http1_client.c
+++ b/lib/http1_client.c
@@ -55,6 +55,8 @@
 	bool unsent; /* a request couldn't be queued */
 	uint64_t opened_ms; /* when it was established; 0: not yet */
 	uint64_t opened_moment; /* in which it was reported; 0: not yet */
+	/* when the last request that was answered on it was sent; 0: none was */
+	uint64_t answered_moment;
 	uint64_t process; /* that it ends at; 0: unknown */
 	uint64_t idle_since_ms;
 	uint64_t idle_limit_ms;
@@ -402,6 +404,27 @@
 	return false;
 }
 
+/* Numbers the present moment, later than all before. */
+uint64_t http1_client_moment(struct http1_client *c)
+{
+	return ++c->moments;
+}
+
+/* Returns whether a connection to an address that was established before a moment has
+ * carried the answer to a request sent later: the process at its end has outlived the
+ * moment. */
+bool http1_client_outlasts(const struct http1_client *c, const char *address,
+			   uint64_t moment)
+{
+	const struct client_conn *k;
+
+	TAILQ_FOREACH(k, &c->conns, link)
+	if (k->opened_moment && k->opened_moment < moment &&
+	    k->answered_moment > moment && !strcmp(k->address, address))
+		return true;
+	return false;
+}
+
 /* Names the process that the connection of a call ends at, for
  * http1_client_spans_process().  In on_end this holds for a connection that carries
  * later calls. */
@@ -794,6 +817,8 @@
 {
 	k->skipping = decision == HTTP1_SKIP;
 	k->skipped = k->skipped || k->skipping;
+	if (!k->skipping)
+		k->answered_moment = k->call->sent_moment;
 	if (decision == HTTP1_ACCEPT_REFUSAL)
 		k->refused[k->n_refused++] = k->call->tag;
 }
--- a/lib/http1_client.h
+++ b/lib/http1_client.h
@@ -86,7 +86,10 @@
 struct http1_moments http1_call_moments(const struct http1_call *call);
 uint64_t http1_call_process(const struct http1_call *call);
 bool http1_call_received(const struct http1_call *call);
+uint64_t http1_client_moment(struct http1_client *c);
 bool http1_client_has_idle(const struct http1_client *c, const char *address);
+bool http1_client_outlasts(const struct http1_client *c, const char *address,
+			   uint64_t moment);
 bool http1_client_spans(const struct http1_client *c, const char *address,
 			uint64_t since_ms);
 void http1_call_name_process(struct http1_call *call, uint64_t process);
--- a/proxyd/answer_ends.c
+++ b/proxyd/answer_ends.c
@@ -94,7 +94,6 @@
 static bool asks_at_once(const struct exchange *x, const struct endpoint *e);
 static bool same_process_lasts(const struct exchange *x,
 			       const struct endpoint *e, uint64_t since_ms);
-static bool may_report(struct endpoint *e, uint64_t now);
 static void ask_soon(struct exchanges *t);
 static void on_ask_timer(uv_timer_t *timer);
 static void ask(struct exchange *x, struct endpoint *e, bool at_once);
@@ -264,7 +263,7 @@
 	for (i = 0; i < QUESTIONS_MAX; i++)
 		if (all->questions[i].call)
 			return;
-	if (!may_report(e, now))
+	if (!endpoint_take_check(e, now))
 		return;
 	all->last = &all->questions[0];
 	all->last->at_once = false;
@@ -310,7 +309,7 @@
 	q->watches = false;
 	may_reuse = (!x->engine || may_exit(p, e)) &&
 		    x->end_number > q->all->last_end_witnessed;
-	if ((x->engine || !at_once) && may_report(e, proxyd_now(p)))
+	if ((x->engine || !at_once) && endpoint_take_check(e, proxyd_now(p)))
 		path = question_path(x);
 	send_question(q, e, path, may_reuse);
 	if (q->is_witness)
@@ -335,7 +334,7 @@
 		if (q->call)
 			continue;
 		if (!http1_client_has_idle(p->client, e->address) ||
-		    !may_report(e, proxyd_now(p)))
+		    !endpoint_take_check(e, proxyd_now(p)))
 			return;
 		q->at_once = false;
 		q->is_engine = x->engine != NULL;
@@ -371,14 +370,6 @@
 	}
 }
 
-/* Returns whether an endpoint may be asked for its report now, for which it takes a
- * permit. */
-static bool may_report(struct endpoint *e, uint64_t now)
-{
-	return !holdoff_remaining_ms(&e->holdoff, now) &&
-	       limits_take_for_check(e);
-}
-
 /* Sends a question for a path, or as a connection only if that is NULL; on a
  * connection that is idle, if one may be used and there is one.  It is about all ends
  * that have been read. */
--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -23,6 +23,7 @@
 #include "proxyd/proxyd.h"
 #include "proxyd/rediscover.h"
 #include "proxyd/suspects.h"
+#include "proxyd/witness.h"
 #include "proxyd/watch.h"
 
 /* Prompts that all instances prefilled within the last seconds. */
@@ -376,6 +377,7 @@
 	e->software_doubted = true;
 	e->start_asked_ms = 0;
 	e->down_ms = proxyd_now(t->proxyd);
+	e->down_moment = http1_client_moment(t->proxyd->client);
 	e->probed_ms = e->down_ms;
 	endpoints_service(t, e->service)->lost_ms[e->zone] = e->down_ms;
 	counter_add(t->losses, 1);
@@ -387,6 +389,8 @@
 	if (gossip_is_new(e->reported_lost_ms, e->down_ms) &&
 	    !endpoints_path_lost(t, e->service))
 		peers_announce_lost(t->proxyd->peers, e->id);
+	if (e->ended)
+		witness_ask(e);
 	exchanges_endpoint_lost(t->proxyd->exchanges, h);
 }
 
@@ -536,6 +540,14 @@
 	       holdoff_accepts_work(&e->holdoff, now);
 }
 
+/* Returns whether an endpoint may be asked about itself now, for which it takes a
+ * permit. */
+bool endpoint_take_check(struct endpoint *e, uint64_t now)
+{
+	return !holdoff_remaining_ms(&e->holdoff, now) &&
+	       limits_take_for_check(e);
+}
+
 /* Starts a probe of an endpoint because a run there is silent for silent_ms. */
 void endpoint_probe(struct endpoints *t, struct handle h, const char *request,
 		    uint64_t silent_ms)
@@ -1085,6 +1097,7 @@
 	if (e->probe)
 		http1_call_cancel(e->probe);
 	answer_end_forget(e);
+	witness_forget(e);
 	limits_release(e);
 	for (i = 0; e->broken_runs && i < ENDPOINT_BROKEN_RUNS_MAX; i++)
 		prompt_parts_unref(e->broken_runs[i].parts);
--- a/proxyd/endpoints.h
+++ b/proxyd/endpoints.h
@@ -83,6 +83,7 @@
 	enum endpoint_state state;
 	bool ended; /* not up: its end is shown, not only presumed */
 	uint64_t down_ms; /* when it was found dead */
+	uint64_t down_moment; /* the same, as a moment of the HTTP client */
 	/* when it refused a connection and it is not known yet whether it has
 	 * ended; 0: nothing to be decided */
 	uint64_t refused_ms;
@@ -95,6 +96,8 @@
 	bool unconfirmed; /* up by a probe, without an answer since */
 	struct http1_call *probe;
 	bool path_probe; /* its connection counts as an answer */
+	/* the question whether it serves on, see witness.c; NULL: not asked now */
+	struct http1_call *witness;
 	struct end_questions *end_questions; /* NULL until it is asked one */
 	bool rediscovering; /* the id at its address is being queried */
 	uint64_t adopted_ms; /* added without a store entry; 0: not */
@@ -192,6 +195,7 @@
 			       uint64_t born_ms);
 bool endpoint_is_leaving(const struct endpoint *e);
 bool endpoint_accepts_work(const struct endpoint *e, uint64_t now);
+bool endpoint_take_check(struct endpoint *e, uint64_t now);
 void endpoint_probe(struct endpoints *t, struct handle h, const char *request,
 		    uint64_t silent_ms);
 void endpoint_record_answer(struct endpoints *t, struct handle h,
--- a/proxyd/repeats.c
+++ b/proxyd/repeats.c
@@ -9,6 +9,7 @@
 
 #include "lib/event_log.h"
 #include "proxyd/peers.h"
+#include "proxyd/witness.h"
 
 /* Interval between requests for loans: an answer arrives within a few
  * milliseconds and is read at the next tick. */
@@ -17,8 +18,10 @@
 /* Within this time a probe or a report shows whether an endpoint has ended. */
 #define PROBED_WITHIN_MS 200
 
-static bool has_ended(const struct endpoints *t,
+static bool has_ended(const struct exchange *x,
 		      const struct attempt_target *target);
+static bool is_open(const struct exchange *x,
+		    const struct attempt_target *target);
 static bool was_cut_off(const struct exchange *x,
 			const struct attempt_target *target);
 static void log_repeat(const struct exchange *x, bool allowed,
@@ -47,7 +50,7 @@
 	uint32_t i;
 
 	for (i = 0; i < n; i++)
-		used -= has_ended(x->proxyd->endpoints, &x->targets[i]) ||
+		used -= has_ended(x, &x->targets[i]) ||
 			was_cut_off(x, &x->targets[i]);
 	return used;
 }
@@ -62,14 +65,14 @@
 }
 
 /* Returns whether a request has no attempt left, and it is not being found out
- * whether the endpoint of the last one has ended. */
+ * whether the endpoint of the last one has ended, or serves on. */
 bool exchange_attempts_exhausted(const struct exchange *x)
 {
 	const struct endpoint *e =
 		endpoint_get(x->proxyd->endpoints, x->endpoint);
 
 	return !exchange_has_attempts(x) &&
-	       !(e && (e->probe || e->rediscovering));
+	       !(e && (e->probe || e->rediscovering || witness_awaited(e)));
 }
 
 /* Records the start of the process that the current attempt was sent to, which has
@@ -85,21 +88,34 @@
 		target->born_ms = x->sent_born_ms;
 }
 
-/* Returns whether a process that a request was sent to is known to have ended. */
-static bool has_ended(const struct endpoints *t,
+/* Returns whether a process that a request was sent to is known to have ended.  One
+ * that refuses connections may serve on, and is asked. */
+static bool has_ended(const struct exchange *x,
 		      const struct attempt_target *target)
 {
-	const struct endpoint *e = endpoint_get(t, target->endpoint);
+	const struct endpoint *e =
+		endpoint_get(x->proxyd->endpoints, target->endpoint);
 
 	if (target->relayed)
 		return false;
 	if (e && e->state == ENDPOINT_DOWN &&
-	    http1_client_spans(e->proxyd->client, e->address, e->down_ms))
-		return false; /* it refuses connections, and serves on */
+	    (is_open(x, target) || witness_awaited(e) || witness_serves_on(e)))
+		return false;
 	return !e || e->ended ||
 	       (target->born_ms && endpoint_known_start(e) != target->born_ms);
 }
 
+/* Returns whether a request has a connection of its own to a process that it was sent
+ * to. */
+static bool is_open(const struct exchange *x,
+		    const struct attempt_target *target)
+{
+	return (x->call && http1_call_connected(x->call) &&
+		handle_equal(x->endpoint, target->endpoint)) ||
+	       (x->held.call && http1_call_connected(x->held.call) &&
+		handle_equal(x->held.endpoint, target->endpoint));
+}
+
 /* Returns whether this instance has lost its path to the service and has had no
  * answer from a process that a begun stream was sent to: before the loss is known,
  * the stream may use up its attempts on the lost path. */
@@ -179,6 +195,8 @@
 		e->start_asked_ms = 0; /* asked before the attempt ended */
 		endpoint_want_start(endpoints, e);
 	}
+	if (e->ended)
+		witness_ask(e);
 	if (exchange_attempts_exhausted(x))
 		return false;
 	event_log(EVENT_NOTABLE, "awaits-probe", x->fields.id,
--- a/regress/contract/test_http1_client.c
+++ b/regress/contract/test_http1_client.c
@@ -740,6 +740,39 @@
 		http1_client_spans_process(client, server.address, now, 7));
 }
 
+/* Only an answer to a request that was sent after a moment, on a connection from before,
+ * shows that the process at its end has outlived the moment. */
+static void test_outlasted_moments(void **state)
+{
+	struct result r = { .over = false };
+	uint64_t first, second;
+
+	(void)state;
+	server.script = (struct script){
+		HEAD "content-length: 2\r\n\r\nab",
+		KEEP,
+	};
+	first = http1_client_moment(client);
+	call(&r, server.address, 0);
+	bytes_release(&r.body);
+	second = http1_client_moment(client);
+	assert_true(http1_client_has_idle(client, server.address));
+	assert_false(http1_client_outlasts(client, server.address, first));
+	assert_false(http1_client_outlasts(client, server.address, second));
+	r = (struct result){ .over = false };
+	call(&r, server.address, UINT32_MAX);
+	bytes_release(&r.body);
+	assert_int_equal(server.accepted, 1);
+	assert_false(http1_client_outlasts(client, server.address, first));
+	assert_true(http1_client_outlasts(client, server.address, second));
+	assert_false(http1_client_outlasts(client, BROADCAST_ADDRESS, second));
+	server.script = (struct script){ "", FIN };
+	r = (struct result){ .over = false };
+	call(&r, server.address, UINT32_MAX);
+	bytes_release(&r.body);
+	assert_false(http1_client_outlasts(client, server.address, second));
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -762,6 +795,8 @@
 						tear_down),
 		cmocka_unit_test_setup_teardown(test_connections_of_a_process,
 						set_up, tear_down),
+		cmocka_unit_test_setup_teardown(test_outlasted_moments, set_up,
+						tear_down),
 		cmocka_unit_test_setup_teardown(test_nothing_sent, set_up,
 						tear_down),
 	};
--- a/regress/leaving_endpoint.c
+++ b/regress/leaving_endpoint.c
@@ -82,6 +82,7 @@
 	{ "once", "streaming", "engine", 5, false, false },
 	{ "single", "streaming", "engine", 1, true, false },
 	{ "find", "idempotent", "plain", 2, false, false },
+	{ "glance", "idempotent", "plain", 1, false, false },
 	{ "pay", "non_idempotent", "plain", 1, false, false },
 	{ "seek", "idempotent", "engine", 2, false, false },
 	{ "order", "non_idempotent", "engine", 1, false, false },
--- a/regress/raw_endpoint.c
+++ b/regress/raw_endpoint.c
@@ -54,6 +54,7 @@
 	const char *address;
 	uv_tcp_t *listener; /* NULL once it is killed */
 	unsigned int born_ms;
+	bool silent; /* its connections are */
 	/* of RAW_REPORT_LATE, or NULL: waits for a report, and for the answer to
 	 * the attempt */
 	struct raw_conn *awaits_report;
@@ -173,15 +174,18 @@
 		proc_signal(one.proc, SIGSTOP);
 	if (buf.len)
 		uv_try_write((uv_stream_t *)&c->tcp, &buf, 1);
-	if (a->end == RAW_FIN)
-		uv_close((uv_handle_t *)&c->tcp, NULL);
-	else if (a->end == RAW_REFUSES)
+	if (a->end == RAW_REFUSES || a->end == RAW_REFUSES_AND_RESETS ||
+	    a->end == RAW_KILLED_SILENT)
 		stop_listening(c->endpoint);
+	if (a->end == RAW_KILLED_SILENT)
+		endpoints[c->endpoint].silent = true;
+	if (a->end == RAW_FIN || a->end == RAW_KILLED_SILENT)
+		uv_close((uv_handle_t *)&c->tcp, NULL);
 	else if (a->end == RAW_HALF)
 		close_sending_side(c);
-	else if (a->end == RAW_RESET)
+	else if (a->end == RAW_RESET || a->end == RAW_REFUSES_AND_RESETS)
 		uv_tcp_close_reset(&c->tcp, NULL);
-	else if (a->end != RAW_KEEP)
+	else if (a->end != RAW_KEEP && a->end != RAW_REFUSES)
 		kill_endpoint(c->endpoint);
 	if (a->end == RAW_RESTARTED || a->end == RAW_RESTARTED_UNSEEN)
 		restart_endpoint(c->endpoint);
@@ -308,6 +312,8 @@
 		uv_close((uv_handle_t *)stream, NULL);
 		goto out;
 	}
+	if (e->silent)
+		goto out;
 	c->len += (size_t)n;
 	end = memmem(c->input, c->len, "\r\n\r\n", 4);
 	if (!end)
@@ -378,6 +384,7 @@
 
 	e->address = harness_address(harness);
 	e->born_ms = BORN_MS;
+	e->silent = false;
 	e->awaits_report = NULL;
 	e->awaits_answer = NULL;
 	listen_at(e);
@@ -602,7 +609,7 @@
 	current_way = way;
 	start();
 	client = http1_client_new(harness_loop(harness));
-	if (way->kept)
+	if (way->kept || way->kept_beside)
 		keep_connections();
 	for (i = 0; i < way->n_dead; i++)
 		kill_endpoint(i);
@@ -624,7 +631,8 @@
 	if (current->body)
 		assert_string_equal(reply.body.data, current->body);
 	assert_int_equal(n_attempts, current->n_attempts);
-	assert_int_equal(first_kept, way->kept);
+	if (!way->kept_beside)
+		assert_int_equal(first_kept, way->kept);
 	bytes_release(&reply.body);
 	http1_client_free(client);
 	stop();
--- a/regress/raw_endpoint.h
+++ b/regress/raw_endpoint.h
@@ -24,6 +24,12 @@
 	RAW_RESTARTED_UNSEEN,
 	/* the connection stays open, but no new one is accepted */
 	RAW_REFUSES,
+	/* the connection is reset, and no new one is accepted; the endpoint
+	 * answers on those that it has */
+	RAW_REFUSES_AND_RESETS,
+	/* killed; its other connections have gone silent for good, and don't
+	 * end */
+	RAW_KILLED_SILENT,
 	/* the sending side is closed in order; the connection stays open */
 	RAW_HALF,
 };
@@ -65,6 +71,8 @@
 	const char
 		*method; /* "POST" with a body of one byte, "GET" or "HEAD" */
 	bool kept; /* the first attempt arrives on a kept connection */
+	/* each engine has two, one of them beside that of the first attempt */
+	bool kept_beside;
 	const char *headers; /* further lines of the request, or NULL */
 	/* of a POST request, which is answered as its first bytes have arrived,
 	 * and not read on; 0: one byte, which is read */
