stream: an engine without an entry states its start again for streams that go back

Callers saw streams that had begun at an engine which the store does not list go on, after their connections were reset, at the process that had followed it under its id with another software version.

Cause: such an engine was asked for its start once; its name then stood for whatever process answered at the address.

A stream that began at such a process and is sent there again waits with its next event until the engine has stated, asked after the sending, the start that the name stands for. Where that is another one the stream moves on or ends; it can't be known which version that process runs.

--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -829,7 +829,8 @@
 		name_process(e, born_ms);
 	e->stated_born_ms = born_ms;
 	e->start_wanted = false;
-	exchanges_start_stated(e->proxyd->exchanges, e->self, false);
+	e->start_asked_ms = 0; /* the next stream has it asked again */
+	exchanges_start_stated(e->proxyd->exchanges, e->self, !born_ms);
 }
 
 /* Handles a start that is not the listed one.  The streams that began while the
@@ -864,10 +865,11 @@
 
 /* Has an engine asked for its start, unless a connection has been open since it
  * stated the one that its entry names: with none open, it may have started again
- * with another version.  One without an entry is asked once. */
+ * with another version.  One without an entry is asked once, and again for streams that
+ * go on there. */
 void endpoint_want_start(struct endpoints *t, struct endpoint *e)
 {
-	if (!e->software || !endpoint_start_proved(e))
+	if (e->software ? !endpoint_start_proved(e) : !endpoint_known_start(e))
 		endpoint_want_start_again(t, e);
 }
 
@@ -875,7 +877,7 @@
  * that: the connection may have gone silent. */
 void endpoint_want_start_again(struct endpoints *t, struct endpoint *e)
 {
-	if (e->software_doubted || (!e->software && endpoint_known_start(e)))
+	if (e->software_doubted)
 		return;
 	if (!e->start_wanted)
 		e->start_wanted_ms = proxyd_now(t->proxyd);
--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -113,16 +113,22 @@
 /* Returns whether the process that an attempt was sent to is known to run the version
  * that the entry of its endpoint names.  Only engines can be asked.  A connection that
  * is open may have gone silent, so that where versions are mixed the process must have
- * stated its start since, unless it may not be asked any more. */
+ * stated its start since, unless it may not be asked any more.  So must that of an engine
+ * without an entry, if the stream began at a process there. */
 static bool software_proved(const struct exchange *x)
 {
 	const struct endpoint *e =
 		endpoint_get(x->proxyd->endpoints, x->endpoint);
+	bool may_ask;
 
-	if (!x->engine || !e || !e->software || x->start_excused)
+	if (!x->engine || !e || x->start_excused)
 		return true;
-	if (!endpoint_versions_mixed(e) ||
-	    !endpoint_accepts_work(e, proxyd_now(x->proxyd)))
+	may_ask = endpoint_accepts_work(e, proxyd_now(x->proxyd));
+	if (!e->software)
+		return x->software == SOFTWARE_UNKNOWN || !may_ask ||
+		       (e->process.start_ms == e->stated_born_ms &&
+			exchange_process_proved(x, e));
+	if (!endpoint_versions_mixed(e) || !may_ask)
 		return endpoint_start_proved(e);
 	return !e->software_doubted && endpoint_listed_start_known(e) &&
 	       exchange_process_proved(x, e);
@@ -136,7 +142,7 @@
 
 	if (x->engine && e && x->call && http1_call_connected(x->call) &&
 	    x->first_event_due_ms && !relay_in_use(x) &&
-	    endpoint_versions_mixed(e) && !software_proved(x))
+	    (endpoint_versions_mixed(e) || !e->software) && !software_proved(x))
 		endpoint_want_start_again(x->proxyd->endpoints, e);
 }
 
--- a/regress/integration/test_unseen_version.c
+++ b/regress/integration/test_unseen_version.c
@@ -168,11 +168,100 @@
 	silence_end(&c);
 }
 
+static struct standin_instance unlisted_in;
+
+static bool is_found(void *arg)
+{
+	return proc_output_count(unlisted_in.proc, arg) > 0;
+}
+
+/* Opens streams at an engine without an entry, has their connections closed in the
+ * middle, and sets how many of them hold two versions, and how many are whole.  If
+ * starts_again is set, the process that accepts connections then is another one with
+ * the same id and another version. */
+static void close_at_unlisted_engine(bool starts_again, size_t *mixed,
+				     size_t *whole)
+{
+	struct harness *h = harness_new();
+	struct standin_world *world = standin_new(h);
+	struct standin_worker *w = standin_add_worker(world, "engine", "z1");
+	struct stream_reader *streams[STREAMS];
+	struct stream_reader *finder;
+	size_t i;
+
+	*mixed = *whole = 0;
+	world->event_ms = EVENT_MS;
+	w->version = "v1";
+	standin_put_worker_entry(w, "ready");
+	standin_put_configuration(world, 2, NULL);
+	standin_init_instance(world, &unlisted_in, "one", NULL);
+	standin_start_instance(world, &unlisted_in);
+	standin_wait_status(world, unlisted_in.readiness, "/readyz", 200);
+	standin_kill_worker(w);
+	standin_start_unlisted(w, "i-found");
+	finder = open_stream(h, unlisted_in.callers, "/write/a", "finder");
+	harness_until(h, is_found,
+		      "\"event\":\"endpoint-rediscovered\","
+		      "\"endpoint\":\"i-found\"",
+		      "the engine is found");
+	for (i = 0; i < STREAMS; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "u-%02zu", i);
+		streams[i] =
+			open_stream(h, unlisted_in.callers, "/write/a", id);
+	}
+	for (i = 0; i < STREAMS; i++)
+		stream_wait_events(streams[i], EVENTS_BEFORE);
+	if (starts_again) {
+		standin_restart_worker(w, "v2");
+	} else {
+		standin_kill_worker(w);
+		standin_start_unlisted(w, w->id);
+	}
+	for (i = 0; i < STREAMS; i++) {
+		stream_wait_end(streams[i]);
+		*mixed += !is_of_one_version(streams[i]);
+		*whole += stream_outcome(streams[i]) == HTTPC_OK;
+		stream_close(streams[i]);
+	}
+	print_message("of %d streams %zu hold two versions, %zu are whole\n",
+		      STREAMS, *mixed, *whole);
+	stream_close(finder);
+	proc_kill(unlisted_in.proc);
+	standin_free(world);
+	harness_free(h);
+}
+
+/* Guards against streams that began at an engine without an entry and go on at the
+ * process that has followed it under its id, with another version. */
+static void unlisted_engine_starts_again(void **state)
+{
+	size_t mixed, whole;
+
+	(void)state;
+	close_at_unlisted_engine(true, &mixed, &whole);
+	assert_int_equal(mixed, 0);
+}
+
+/* Guards against streams that are lost where only their connections have ended. */
+static void unlisted_engine_closes_connections(void **state)
+{
+	size_t mixed, whole;
+
+	(void)state;
+	close_at_unlisted_engine(false, &mixed, &whole);
+	assert_int_equal(mixed, 0);
+	assert_int_equal(whole, STREAMS);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(unseen_start),
 		cmocka_unit_test(silent_connection),
+		cmocka_unit_test(unlisted_engine_starts_again),
+		cmocka_unit_test(unlisted_engine_closes_connections),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
