process_span: an entry shows that its process ran when it was read

A stream that is bound to a version, and comes to an engine whose start is asked for on a connection that is reported later than the stream's own, could wait for ever: no statement covers a request that was sent before its connection was open, and each one was followed by another question.

Cause: the time of a process was taken to begin with the connection of its first statement. It had written its entry before that was read, so that it has run since then. Where that doesn't help either, as the entry was read after the stream was sent, the stream moves on instead of waiting.

entries of test_process_span: 1 of 6 cases can't be told without it; its random orders now mix in entries, also of processes that have ended.

--- a/policy/process_span.c
+++ b/policy/process_span.c
@@ -16,20 +16,33 @@
 {
 	if (!start_ms || !opened)
 		return;
+	if (start_ms == p->listed_ms && p->listed < opened)
+		opened = p->listed;
 	if (p->start_ms == start_ms) {
 		if (opened < p->since)
 			p->since = opened;
 		if (asked > p->until)
 			p->until = asked;
 	} else if (asked > p->until) {
-		*p = (struct process_span){
-			.start_ms = start_ms,
-			.since = opened,
-			.until = asked,
-		};
+		p->start_ms = start_ms;
+		p->since = opened;
+		p->until = asked;
 	}
 }
 
+/* Notes a start, in ms, that an entry named which was read at a moment.  The process
+ * had written its entry by then, so that it runs from there to its own word. */
+void process_span_note_entry(struct process_span *p, uint64_t start_ms,
+			     uint64_t read)
+{
+	if (!start_ms || start_ms == p->listed_ms)
+		return;
+	p->listed_ms = start_ms;
+	p->listed = read;
+	if (p->start_ms == start_ms && read < p->since)
+		p->since = read;
+}
+
 /* Tells whether a request that was answered had been sent to the process: on a
  * connection that was opened by one moment, and at a later one. */
 bool process_span_covers(const struct process_span *p, uint64_t opened,
@@ -37,3 +50,10 @@
 {
 	return p->start_ms && opened && p->since < sent && opened < p->until;
 }
+
+/* Tells whether a request was sent before the process is known to have run: an earlier
+ * one may have received it, and no later word of the process shows otherwise. */
+bool process_span_begins_after(const struct process_span *p, uint64_t sent)
+{
+	return p->start_ms && sent <= p->since;
+}
--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -695,6 +695,8 @@
 	if (strcmp(e->address, n->address) != 0)
 		e->process = (struct process_span){ 0 };
 	snprintf(e->address, sizeof(e->address), "%s", n->address);
+	process_span_note_entry(&e->process, n->born_ms,
+				http1_client_moment(e->proxyd->client));
 	software_updated(e, n, restarted);
 	e->address_hash = XXH3_64bits(e->address, strlen(e->address));
 	e->slots = n->slots;
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -182,6 +182,17 @@
 	return process_span_covers(&e->process, m.opened, m.sent);
 }
 
+/* Returns whether an attempt may have been sent to an earlier process than the one that
+ * last stated its start at an endpoint, which no later statement of that can rule out. */
+bool exchange_precedes_process(const struct exchange *x,
+			       const struct endpoint *e)
+{
+	struct http1_moments m = x->call ? http1_call_moments(x->call)
+					 : x->moments;
+
+	return process_span_begins_after(&e->process, m.sent);
+}
+
 /* Notes the start of the process that an attempt was sent to, if that is proved.  What
  * was known before, by the entry of the endpoint or an earlier word, is of no account
  * then.  Not so if the endpoint leaves: it may have closed its listener, and another
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -265,6 +265,8 @@
 void exchanges_process_noted(struct exchanges *t, const struct endpoint *e);
 bool exchange_process_proved(const struct exchange *x,
 			     const struct endpoint *e);
+bool exchange_precedes_process(const struct exchange *x,
+			       const struct endpoint *e);
 void exchange_note_process(struct exchange *x, const struct endpoint *e);
 void exchanges_start_stated(struct exchanges *t, struct handle endpoint,
 			    bool excused);
--- a/proxyd/stream.c
+++ b/proxyd/stream.c
@@ -37,6 +37,7 @@
 static bool software_changed(const struct exchange *x);
 static bool software_proved(const struct exchange *x);
 static void await_start(struct exchange *x);
+static void receive_pending(struct exchange *x);
 static void forward_events(struct exchange *x, size_t n);
 static void handle_invalid_event(struct exchange *x, const char *why);
 static bool copy_reachable(const struct exchange *x);
@@ -148,8 +149,8 @@
 
 /* Handles the start that the endpoint of an attempt has stated, or that it stated
  * none: a bound stream that waited for it goes on, or moves if it is not the one
- * that the entry names.  If the attempt's connection is younger than what
- * was stated, the endpoint is asked again. */
+ * that the entry names, or if another process may have received it before.  If the
+ * attempt's connection is younger than what was stated, the endpoint is asked again. */
 void stream_start_stated(struct exchange *x)
 {
 	struct endpoint *e = endpoint_get(x->proxyd->endpoints, x->endpoint);
@@ -159,9 +160,19 @@
 		return;
 	if (!e || !endpoint_continues(e, x->software))
 		handle_invalid_event(x, "endpoint started again");
-	else if (!software_proved(x))
+	else if (software_proved(x))
+		receive_pending(x);
+	else if (http1_call_connected(x->call) &&
+		 exchange_precedes_process(x, e))
+		handle_invalid_event(x, "endpoint may have started again");
+	else
 		endpoint_want_start_again(x->proxyd->endpoints, e);
-	else if (x->stream.pending.len)
+}
+
+/* Handles what a stream has received while it waited for a start. */
+static void receive_pending(struct exchange *x)
+{
+	if (x->stream.pending.len)
 		stream_receive(x, "", 0);
 }
 
--- a/regress/unit/test_process_span.c
+++ b/regress/unit/test_process_span.c
@@ -63,6 +63,57 @@
 	}
 }
 
+/* The same for a request that was sent at 4 on a connection opened at 3, beside an
+ * entry. */
+static void entries(void **state)
+{
+	static const struct {
+		uint64_t listed_ms, read;
+		struct {
+			uint64_t start_ms, opened, asked;
+		} reports[2];
+		uint64_t start_ms; /* 0: it can't be told */
+	} cases[] = {
+		/* the process had written its entry before the request */
+		{ 7, 2, { { 7, 5, 9 } }, 7 },
+		{ 7, 4, { { 7, 5, 9 } }, 0 },
+		/* an entry of another process, or none stated */
+		{ 8, 2, { { 7, 5, 9 } }, 0 },
+		{ 7, 2, { { 0, 5, 9 } }, 0 },
+		/* its process may have ended after its last word */
+		{ 7, 1, { { 7, 1, 2 } }, 0 },
+		{ 7, 1, { { 7, 1, 2 }, { 8, 5, 9 } }, 0 },
+	};
+	size_t i;
+	size_t k;
+
+	(void)state;
+	for (i = 0; i < N(cases); i++) {
+		struct process_span p = { 0 };
+		bool covers;
+
+		for (k = 0; k < N(cases[i].reports); k++) {
+			if (k == 1)
+				process_span_note_entry(&p, cases[i].listed_ms,
+							cases[i].read);
+			process_span_note(&p, cases[i].reports[k].start_ms,
+					  cases[i].reports[k].opened,
+					  cases[i].reports[k].asked);
+		}
+		covers = process_span_covers(&p, 3, 4);
+		assert_int_equal(covers ? p.start_ms : 0, cases[i].start_ms);
+		assert_false(covers && process_span_begins_after(&p, 4));
+		p = (struct process_span){ 0 };
+		process_span_note_entry(&p, cases[i].listed_ms, cases[i].read);
+		for (k = 0; k < N(cases[i].reports); k++)
+			process_span_note(&p, cases[i].reports[k].start_ms,
+					  cases[i].reports[k].opened,
+					  cases[i].reports[k].asked);
+		covers = process_span_covers(&p, 3, 4);
+		assert_int_equal(covers ? p.start_ms : 0, cases[i].start_ms);
+	}
+}
+
 #define SEEDS 400
 #define PROCESSES_MAX 8
 #define CALLS_MAX 60
@@ -80,7 +131,8 @@
 /* Plays an endpoint that starts again at random, and calls to it some of which are
  * reports.  A connection ends at the process of its opening, and a request on it is
  * answered if that still runs.  The answers to reports are read in any order, as a
- * partition may hold each back.  Adds the requests whose process is told to *told. */
+ * partition may hold each back, and entries of processes that may have ended.  Adds the
+ * requests whose process is told to *told. */
 static void play(uint64_t seed, size_t *told)
 {
 	struct random_source random = { .seed = seed };
@@ -112,6 +164,17 @@
 		struct replayed_call *r =
 			&calls[random_below(&random, CALLS_MAX)];
 
+		if (random_below(&random, 4) == 0) {
+			size_t process = random_below(&random, PROCESSES_MAX);
+			uint64_t begun = process ? ends[process - 1] : 0;
+
+			process_span_note_entry(
+				&p, 100 + process,
+				begun + 1 +
+					random_below(
+						&random,
+						(uint32_t)(MOMENTS - begun)));
+		}
 		if (!r->is_report || !r->answered)
 			continue;
 		process_span_note(&p, r->start_ms, r->opened, r->sent);
@@ -142,6 +205,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(bounds),
+		cmocka_unit_test(entries),
 		cmocka_unit_test(random_orders),
 	};
 
