endpoints: a name that stands for a version is of one process

Callers saw streams that had begun at an engine without an entry, and whose instance ended, go on at the process that had followed that engine under its id with another version.

Cause: while no start was known, the name that stands for the version of the process was made of the engine's id alone, so that another instance, or the same one after a restart, gave the next process the same name; the record of a keeper then matched.

Such a name is now random, and is replaced by that of the start once that is stated, which is the same at all instances. A stream that was sent before the process is known to have run gets a name of its own, as an earlier one may have begun it.

--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -400,7 +400,7 @@
 {
 	e->ended = true;
 	e->refused_ms = 0;
-	name_process(e, ~proxyd_now(t->proxyd));
+	name_process(e, 0);
 	suspects_endpoint_crashed(t->proxyd->suspects, e);
 }
 
@@ -709,14 +709,15 @@
 }
 
 /* Gives the process at an endpoint a name that stands for its version while that
- * is not known.  It is not that of any earlier process there: start is the start
- * of the process, Unix ms, or a number that no start has. */
+ * is not known, the same at all instances that know its start, Unix ms.  If start is 0,
+ * unknown, no other process and no other instance has the name. */
 static void name_process(struct endpoint *e, uint64_t start)
 {
 	uint64_t service = XXH3_64bits(e->service, strlen(e->service));
 
-	e->unlisted_software =
-		XXH3_64bits_withSeed(e->id, strlen(e->id), ~service ^ start);
+	e->unlisted_software = XXH3_64bits_withSeed(
+		e->id, strlen(e->id),
+		~service ^ (start ? start : proxyd_random()));
 }
 
 /* Applies the software version in an entry.  An entry that names another
@@ -729,7 +730,7 @@
 	uint64_t before = e->software;
 
 	if (!e->unlisted_software)
-		name_process(e, 0);
+		name_process(e, n->born_ms);
 	e->software = n->version ? XXH3_64bits_withSeed(n->version,
 							strlen(n->version),
 							service)
@@ -745,7 +746,7 @@
 	    e->stated_born_ms == n->born_ms)
 		origins_endpoint_named(e->proxyd->origins, e);
 	else if (!before && e->software)
-		name_process(e, ~n->born_ms);
+		name_process(e, 0);
 	if (e->software != before || e->expiry.removed)
 		origins_endpoint_listed(e->proxyd->origins, e);
 }
@@ -824,11 +825,23 @@
 }
 
 /* Handles the start of an endpoint that has no entry yet: once it has one with
- * the same start, the streams that began there are of the listed version. */
+ * the same start, the streams that began there are of the listed version.  With the
+ * first start that is known they get its name, which all instances use; an earlier
+ * process may have begun those that were sent before it is known to have run. */
 static void unlisted_start_stated(struct endpoint *e, uint64_t born_ms)
 {
-	if (e->stated_born_ms && e->stated_born_ms != born_ms)
+	struct proxyd *p = e->proxyd;
+	uint64_t before = e->unlisted_software;
+	bool first = !endpoint_known_start(e);
+
+	if (born_ms && born_ms != endpoint_known_start(e)) {
 		name_process(e, born_ms);
+		if (first) {
+			exchanges_set_apart(p->exchanges, e, before);
+			origins_rename(p->origins, before,
+				       e->unlisted_software);
+		}
+	}
 	e->stated_born_ms = born_ms;
 	e->start_wanted = false;
 	e->start_asked_ms = 0; /* the next stream has it asked again */
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -226,6 +226,23 @@
 	}
 }
 
+/* Gives the streams that began at an endpoint, and that a process may have begun which
+ * ended before the one that last stated its start, a name of their own, in place of
+ * from: they go on nowhere until their version is known. */
+void exchanges_set_apart(struct exchanges *t, const struct endpoint *e,
+			 uint64_t from)
+{
+	uint64_t apart = proxyd_random();
+	struct exchange *x;
+
+	TAILQ_FOREACH(x, &t->list, link)
+	if (x->software == from && handle_equal(x->endpoint, e->self) &&
+	    exchange_precedes_process(x, e)) {
+		x->software = apart;
+		origins_note_begun(t->proxyd->origins, x);
+	}
+}
+
 /* Handles a version that was not known and is now: streams that began at what
  * stood for it are bound to it. */
 void exchanges_software_named(struct exchanges *t, uint64_t from, uint64_t to)
--- a/regress/integration/test_software_versions.c
+++ b/regress/integration/test_software_versions.c
@@ -566,6 +566,53 @@
 	assert_in_range(refused, 0, ran);
 }
 
+static bool one_has_logged(void *arg)
+{
+	return proc_output_count(one.proc, arg) > 0;
+}
+
+static bool two_has_logged(void *arg)
+{
+	return proc_output_count(two.proc, arg) > 0;
+}
+
+/* Guards against streams that began at an engine without an entry and are taken up at
+ * an instance which knows the process that has followed it, with another version, by
+ * the same name. */
+static void unlisted_engine_starts_again_before_take_up(void **state)
+{
+	static const char *const versions[] = { "v1", NULL };
+	struct caller finder = { .received = 0 };
+	struct standin_worker *engine;
+	size_t i;
+
+	(void)state;
+	start("engine", versions);
+	engine = &world->workers[0];
+	standin_kill_worker(engine);
+	standin_start_unlisted(engine, "i-found");
+	open_stream(&finder, &one, NULL);
+	harness_until(harness, one_has_logged,
+		      "\"event\":\"endpoint-rediscovered\","
+		      "\"endpoint\":\"i-found\"",
+		      "the first instance finds the engine");
+	harness_until(harness, two_has_logged,
+		      "\"event\":\"endpoint-entry\","
+		      "\"endpoint\":\"i-found\"",
+		      "the second instance hears of it");
+	open_all();
+	proc_kill(one.proc);
+	standin_restart_worker(engine, "v2");
+	close_all();
+	for (i = 0; i < CALLERS; i++)
+		open_stream(&callers[i], &two, callers[i].first_id);
+	for (i = 0; i < CALLERS; i++) {
+		stream_wait_end(callers[i].stream);
+		close_stream(&callers[i]);
+	}
+	stream_close(finder.stream);
+}
+
 /* Without the store a stream goes on at the instance that sent it, and at another
  * one, which it was told to. */
 static void store_away(void **state)
@@ -811,6 +858,7 @@
 		CASE(entry_lags_behind),
 		CASE(entry_after_stated_start),
 		CASE(instance_lost_before_start_stated),
+		CASE(unlisted_engine_starts_again_before_take_up),
 		CASE(store_away),
 		CASE(take_up_cut_off_from_store),
 		CASE(take_up_after_freeze),
