endpoints: a start that is stated names only streams that were sent before it was asked for

Callers could see streams that began at an engine which had started again with another version go on at the version that its entry still names, if a statement of its earlier process was read after they had begun: a partition may hold it back.

Cause: the statement named all streams that had begun there without a known version, also those that were sent after it was asked for.

Streams that were not sent to the stated process get another name, and the engine is asked once more, which names them. Engines that state no start are taken at the word of their entries as before.

--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -70,6 +70,7 @@
 static void software_updated(struct endpoint *e, const struct endpoint_entry *n,
 			     bool restarted);
 static void unlisted_start_stated(struct endpoint *e, uint64_t born_ms);
+static void name_streams(struct endpoints *t, struct endpoint *e);
 static void other_start_stated(struct endpoint *e, uint64_t born_ms);
 static void name_unasked_start(const struct endpoint *e);
 static void entry_removed(struct endpoints *t, struct endpoint *e,
@@ -819,11 +820,29 @@
 	e->software_doubted = !same;
 	if (endpoint_versions_mixed(e))
 		e->start_asked_ms = 0; /* the next stream has it asked again */
-	if (same)
+	if (same && born_ms)
+		name_streams(t, e);
+	else if (same)
 		origins_endpoint_named(t->proxyd->origins, e);
 	exchanges_start_stated(t->proxyd->exchanges, h, !born_ms);
 }
 
+/* Gives the streams that began at an endpoint the listed version, whose start it has
+ * stated.  Those that were sent later than that was asked for, as another process may
+ * have followed by then, get another name, and the endpoint is asked again. */
+static void name_streams(struct endpoints *t, struct endpoint *e)
+{
+	uint64_t before = e->unlisted_software;
+
+	name_process(e, 0);
+	e->start_wanted = true; /* what is set apart is not told to keepers */
+	e->start_wanted =
+		exchanges_set_later_apart(t->proxyd->exchanges, e, before);
+	if (e->start_wanted)
+		e->start_asked_ms = 0;
+	origins_rename(t->proxyd->origins, before, e->software);
+}
+
 /* Handles the start of an endpoint that has no entry yet: once it has one with
  * the same start, the streams that began there are of the listed version.  With the
  * first start that is known they get its name, which all instances use; an earlier
--- a/proxyd/exchange.c
+++ b/proxyd/exchange.c
@@ -243,6 +243,26 @@
 	}
 }
 
+/* Gives the streams that began at an endpoint, and that were not sent to the process
+ * that last stated its start there, the present name of that endpoint in place of from.
+ * Returns whether a later statement may name one of them. */
+bool exchanges_set_later_apart(struct exchanges *t, const struct endpoint *e,
+			       uint64_t from)
+{
+	struct exchange *x;
+	bool any = false;
+
+	TAILQ_FOREACH(x, &t->list, link)
+	if (x->software == from && handle_equal(x->endpoint, e->self) &&
+	    !x->start_excused && !exchange_process_proved(x, e)) {
+		x->software = e->unlisted_software;
+		origins_note_begun(t->proxyd->origins, x);
+		any = any || (x->call && http1_call_connected(x->call) &&
+			      !exchange_precedes_process(x, e));
+	}
+	return any;
+}
+
 /* Handles a version that was not known and is now: streams that began at what
  * stood for it are bound to it. */
 void exchanges_software_named(struct exchanges *t, uint64_t from, uint64_t to)
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -272,6 +272,8 @@
 			    bool excused);
 void exchanges_set_apart(struct exchanges *t, const struct endpoint *e,
 			 uint64_t from);
+bool exchanges_set_later_apart(struct exchanges *t, const struct endpoint *e,
+			       uint64_t from);
 void exchanges_software_named(struct exchanges *t, uint64_t from, uint64_t to);
 uint32_t exchanges_open(const struct exchanges *t);
 void exchange_caller_left(void *owner);
--- a/regress/integration/test_unseen_version.c
+++ b/regress/integration/test_unseen_version.c
@@ -255,11 +255,81 @@
 	assert_int_equal(whole, STREAMS);
 }
 
+static bool has_deferred_report(void *arg)
+{
+	return standin_defers_report(arg);
+}
+
+/* Guards against streams that get the listed version by a statement that was asked for
+ * before they were sent: an engine's earlier process has written it, and a partition has
+ * held it back while another one followed with another version. */
+static void statement_is_older_than_streams(void **state)
+{
+	struct harness *h = harness_new();
+	struct standin_world *world = standin_new(h);
+	struct stream_reader *streams[CALLERS];
+	struct stream_reader *earlier;
+	struct standin_instance in;
+	size_t mixed = 0;
+	size_t i;
+
+	(void)state;
+	world->event_ms = EVENT_MS;
+	for (i = 0; i < 3; i++) {
+		struct standin_worker *w =
+			standin_add_worker(world, "engine", "z1");
+
+		w->version = "v1";
+		w->slots = 64;
+		w->defers_reports = i == 0;
+		standin_put_worker_entry(w, "ready");
+	}
+	standin_put_configuration(world, 2, NULL);
+	standin_init_instance(world, &in, "one", NULL);
+	standin_start_instance(world, &in);
+	standin_wait_status(world, in.readiness, "/readyz", 200);
+	for (i = 0; !standin_defers_report(&world->workers[0]); i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "e-%02zu", i);
+		earlier = open_stream(h, in.callers, "/write/a", id);
+		stream_wait_events(earlier, 1);
+		stream_close(earlier);
+	}
+	harness_until(h, has_deferred_report, &world->workers[0],
+		      "the engine is asked for its start");
+	world->workers[0].version = "v2";
+	world->workers[0].born_ms += 1000;
+	for (i = 0; i < CALLERS; i++) {
+		char id[16];
+
+		snprintf(id, sizeof(id), "l-%02zu", i);
+		streams[i] = open_stream(h, in.callers, "/write/a", id);
+	}
+	for (i = 0; i < CALLERS; i++)
+		stream_wait_events(streams[i], 1);
+	standin_answer_reports(&world->workers[0]);
+	for (i = 0; i < CALLERS; i++)
+		stream_wait_events(streams[i], EVENTS_BEFORE);
+	standin_kill_worker(&world->workers[0]);
+	for (i = 0; i < CALLERS; i++) {
+		stream_wait_end(streams[i]);
+		mixed += !is_of_one_version(streams[i]);
+		stream_close(streams[i]);
+	}
+	print_message("%zu of %d streams hold two versions\n", mixed, CALLERS);
+	assert_int_equal(mixed, 0);
+	proc_kill(in.proc);
+	standin_free(world);
+	harness_free(h);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(unseen_start),
 		cmocka_unit_test(silent_connection),
+		cmocka_unit_test(statement_is_older_than_streams),
 		cmocka_unit_test(unlisted_engine_starts_again),
 		cmocka_unit_test(unlisted_engine_closes_connections),
 	};
--- a/regress/platform_standin.c
+++ b/regress/platform_standin.c
@@ -40,6 +40,7 @@
 	uint64_t written_ms; /* time of the last event written; 0: none */
 	/* of a plain answer that waits for the end of its worker's silence */
 	char headers[HEADERS_BYTES];
+	char report[96]; /* "" or a deferred one */
 };
 
 static struct http1_server *listen_store(struct standin_world *w,
@@ -85,8 +86,11 @@
 static void reply_text(struct http1_conn *c, const char *headers,
 		       const char *text);
 static void on_worker(struct http1_conn *c, struct http1_request *r, void *arg);
-static void reply_report(const struct standin_worker *worker,
-			 struct http1_conn *c, const char *headers);
+static void reply_report(struct standin_worker *worker, struct http1_conn *c,
+			 struct standin_arrival *a, const char *headers);
+static struct standin_stream *answer_begin(struct standin_worker *worker,
+					   struct http1_conn *c,
+					   struct standin_arrival *a);
 static const char *extra_headers_of(const struct standin_worker *worker);
 static void on_stream_closed(void *owner);
 static void begin_crash(struct standin_worker *worker, struct http1_conn *c,
@@ -1107,7 +1111,7 @@
 	else if (!strcmp(a->target, "/healthz"))
 		http1_reply(c, 200, headers, "", 0);
 	else if (!strcmp(a->target, "/report"))
-		reply_report(worker, c, headers);
+		reply_report(worker, c, a, headers);
 	else if (!strcmp(a->target, "/kv-move"))
 		reply_text(c, extra_headers_of(worker),
 			   "{\"handle\":\"h1\",\"created\":3}");
@@ -1126,17 +1130,53 @@
 }
 
 /* Answers with an engine's report, unless the engine holds it back. */
-static void reply_report(const struct standin_worker *worker,
-			 struct http1_conn *c, const char *headers)
+static void reply_report(struct standin_worker *worker, struct http1_conn *c,
+			 struct standin_arrival *a, const char *headers)
 {
-	char text[96];
+	struct standin_stream *s;
+	char text[sizeof(s->report)];
 
 	if (worker->holds_reports)
 		return;
 	snprintf(text, sizeof(text),
 		 "{\"models\":[{\"name\":\"m\"}],\"born\":%u}",
 		 worker->born_ms);
-	reply_text(c, headers, text);
+	if (!worker->defers_reports) {
+		reply_text(c, headers, text);
+		return;
+	}
+	s = answer_begin(worker, c, a);
+	snprintf(s->headers, sizeof(s->headers), "%s", headers);
+	memcpy(s->report, text, sizeof(text));
+}
+
+/* Returns whether a worker has been asked for a report that it has deferred. */
+bool standin_defers_report(const struct standin_worker *worker)
+{
+	const struct standin_stream *s;
+
+	for (s = worker->world->streams; s; s = s->next)
+		if (s->worker == worker && s->report[0])
+			return true;
+	return false;
+}
+
+/* Answers for the reports that a worker has deferred, and defers no more. */
+void standin_answer_reports(struct standin_worker *worker)
+{
+	struct standin_stream *s = worker->world->streams;
+
+	worker->defers_reports = false;
+	while (s) {
+		struct standin_stream *next = s->next;
+
+		if (s->worker == worker && s->report[0]) {
+			http1_set_owner(s->conn, NULL);
+			reply_text(s->conn, s->headers, s->report);
+			stream_free(s);
+		}
+		s = next;
+	}
 }
 
 /* Returns the header lines added to all answers of a worker, "" if none; valid
@@ -1401,21 +1441,31 @@
 static void answer_later(struct standin_worker *worker, struct http1_conn *c,
 			 struct standin_arrival *a, const char *id)
 {
-	struct standin_stream *s = xcalloc(1, sizeof(*s));
+	struct standin_stream *s = answer_begin(worker, c, a);
 
 	a->ran = true;
+	snprintf(s->headers, sizeof(s->headers),
+		 SIGNATURE "request-id: %s\r\n%s", id,
+		 extra_headers_of(worker));
+	uv_timer_start(&s->timer, on_silence_over, worker->silent_ms, 0);
+}
+
+/* Returns an answer that is to be written later. */
+static struct standin_stream *answer_begin(struct standin_worker *worker,
+					   struct http1_conn *c,
+					   struct standin_arrival *a)
+{
+	struct standin_stream *s = xcalloc(1, sizeof(*s));
+
 	s->conn = c;
 	s->worker = worker;
 	s->arrival = a;
 	s->next = worker->world->streams;
 	worker->world->streams = s;
-	snprintf(s->headers, sizeof(s->headers),
-		 SIGNATURE "request-id: %s\r\n%s", id,
-		 extra_headers_of(worker));
 	http1_set_owner(c, s);
 	uv_timer_init(harness_loop(worker->world->harness), &s->timer);
 	s->timer.data = s;
-	uv_timer_start(&s->timer, on_silence_over, worker->silent_ms, 0);
+	return s;
 }
 
 /* Sends an answer that waited for the end of a silence. */
--- a/regress/platform_standin.h
+++ b/regress/platform_standin.h
@@ -51,6 +51,10 @@
 	 * connection */
 	bool streams_unframed;
 	bool holds_reports; /* it leaves requests for its report unanswered */
+	/* it answers them at standin_answer_reports(), with what was true when
+	 * each came: as what a partition holds back and an earlier process has
+	 * sent */
+	bool defers_reports;
 	unsigned int born_ms; /* start time in its entry */
 	unsigned int slots; /* in its entry; 0: 16 */
 	/* it is silent for so long before it answers a request, which a plain
@@ -172,6 +176,8 @@
 void standin_start_worker(struct standin_worker *worker, const char *id);
 void standin_start_unlisted(struct standin_worker *worker, const char *id);
 void standin_restart_worker(struct standin_worker *worker, const char *version);
+bool standin_defers_report(const struct standin_worker *worker);
+void standin_answer_reports(struct standin_worker *worker);
 void standin_replace_worker(struct standin_worker *worker);
 void standin_stop_store(struct standin_world *w);
 void standin_start_store(struct standin_world *w);
