proxyd: files of their own for versions of endpoints and processes of requests

No behaviour changes: the functions on software versions and starts leave endpoints.c (1,219 lines) for endpoints_software.c, those on the process that a request was sent to leave exchange.c for exchange_process.c. exchanges_set_apart() is now exchanges_set_earlier_apart(), as its twin is of later streams.

--- a/policy/process_span.h
+++ b/policy/process_span.h
@@ -22,7 +22,6 @@
 			     uint64_t read);
 bool process_span_covers(const struct process_span *p, uint64_t opened,
 			 uint64_t sent);
-
 bool process_span_begins_after(const struct process_span *p, uint64_t sent);
 
 #endif /* POLICY_PROCESS_SPAN_H */
--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -23,8 +23,8 @@
 #include "proxyd/proxyd.h"
 #include "proxyd/rediscover.h"
 #include "proxyd/suspects.h"
-#include "proxyd/witness.h"
 #include "proxyd/watch.h"
+#include "proxyd/witness.h"
 
 /* Prompts that all instances prefilled within the last seconds. */
 #define PROMPT_LOCATIONS_MAX 2048
@@ -43,36 +43,18 @@
 /* A removed entry is kept this long, for runs that finish there. */
 #define REMOVED_KEEP_MS 30000
 
-/* Between two questions to an endpoint that may have started again. */
-#define CONFIRM_START_MS 1000
-
-/* How long a question to an endpoint with a limit waits for a permit, while
- * streams wait for its answer. */
-#define START_PERMIT_MS 300
-
 /* Weight of the newest answer in the exponential moving averages. */
 #define LATENCY_WEIGHT 0.2F
 #define FAILURE_WEIGHT 0.1F
 
 static uint32_t slots_at_address(const struct endpoints *t,
 				 const char *address);
-static void ask_start(struct endpoints *t, struct endpoint *e);
-static void query_start(struct endpoints *t, struct endpoint *e,
-			bool may_reuse);
 static bool probe_due(const struct endpoints *t, const struct endpoint *e,
 		      bool store_answers);
 static bool is_older_than_leaving(const struct endpoint *e,
 				  const struct endpoint_entry *n);
 static const char *row_problem(const struct store_row *row);
 static void entry_updated(struct endpoint *e, const struct endpoint_entry *n);
-static void note_versions(struct endpoints *t, const char *service);
-static void name_process(struct endpoint *e, uint64_t start);
-static void software_updated(struct endpoint *e, const struct endpoint_entry *n,
-			     bool restarted);
-static void unlisted_start_stated(struct endpoint *e, uint64_t born_ms);
-static void name_streams(struct endpoints *t, struct endpoint *e);
-static void other_start_stated(struct endpoint *e, uint64_t born_ms);
-static void name_unasked_start(const struct endpoint *e);
 static void entry_removed(struct endpoints *t, struct endpoint *e,
 			  uint64_t outage_end_ms);
 static struct endpoint *endpoint_new(struct endpoints *t, const char *id);
@@ -126,7 +108,7 @@
 	uint32_t i = 0;
 
 	while ((e = endpoint_next(t, &i))) {
-		ask_start(t, e);
+		endpoint_ask_start(t, e);
 		if (e->expiry.removed &&
 		    now - e->expiry.removed_ms > REMOVED_KEEP_MS &&
 		    !e->own_load.requests && !e->own_load.tokens) {
@@ -175,7 +157,7 @@
 		e = endpoint_new(t, row->key);
 	e->zone = zone_index(t, row->endpoint->zone);
 	entry_updated(e, row->endpoint);
-	note_versions(t, e->service);
+	endpoints_note_versions(t, e->service);
 	resolve_address_conflict(t, e);
 }
 
@@ -369,7 +351,7 @@
 
 	if (!e || e->state == ENDPOINT_REPLACED)
 		return;
-	name_unasked_start(e);
+	endpoint_name_unasked_start(e);
 	if (outcome == HTTP1_NOT_SENT && endpoint_refused(t, e))
 		endpoint_ended(t, e);
 	if (e->state != ENDPOINT_UP)
@@ -401,23 +383,10 @@
 {
 	e->ended = true;
 	e->refused_ms = 0;
-	name_process(e, 0);
+	endpoint_name_process(e, 0);
 	suspects_endpoint_crashed(t->proxyd->suspects, e);
 }
 
-/* Takes an endpoint that is found dead at the word of its entry if its limit left
- * no permit to ask it for its start: the streams that began there have the listed
- * version.  They could go on nowhere if they kept the name that stands for that
- * endpoint alone. */
-static void name_unasked_start(const struct endpoint *e)
-{
-	if (!e->start_wanted || e->software_doubted || !limits_check_wanted(e))
-		return;
-	event_log(EVENT_NOTABLE, "endpoint-no-start", NULL, "{s:s, s:s}",
-		  "endpoint", e->id, "software", e->version);
-	origins_endpoint_named(e->proxyd->origins, e);
-}
-
 /* Marks an endpoint as replaced because another one answered at its address;
  * its store entry is out of date.  Its runs move. */
 void endpoint_replaced(struct endpoints *t, struct handle h,
@@ -688,7 +657,7 @@
 		suspects_endpoint_crashed(e->proxyd->suspects, e);
 		e->holdoff = (struct holdoff){ 0 };
 		if (e->stated_born_ms != n->born_ms)
-			name_process(e, n->born_ms);
+			endpoint_name_process(e, n->born_ms);
 		e->stated_born_ms = 0;
 		e->start_asked_ms = 0; /* asked before its entry came */
 		limits_release(e);
@@ -698,7 +667,7 @@
 	snprintf(e->address, sizeof(e->address), "%s", n->address);
 	process_span_note_entry(&e->process, n->born_ms,
 				http1_client_moment(e->proxyd->client));
-	software_updated(e, n, restarted);
+	endpoint_software_updated(e, n, restarted);
 	e->address_hash = XXH3_64bits(e->address, strlen(e->address));
 	e->slots = n->slots;
 	if (n->born_ms)
@@ -709,329 +678,6 @@
 	entry_expiry_restored(&e->expiry);
 }
 
-/* Gives the process at an endpoint a name that stands for its version while that
- * is not known, the same at all instances that know its start, Unix ms.  If start is 0,
- * unknown, no other process and no other instance has the name. */
-static void name_process(struct endpoint *e, uint64_t start)
-{
-	uint64_t service = XXH3_64bits(e->service, strlen(e->service));
-
-	e->unlisted_software = XXH3_64bits_withSeed(
-		e->id, strlen(e->id),
-		~service ^ (start ? start : proxyd_random()));
-}
-
-/* Applies the software version in an entry.  An entry that names another
- * version is of a later start; the same one proves nothing if the endpoint may
- * have started again since. */
-static void software_updated(struct endpoint *e, const struct endpoint_entry *n,
-			     bool restarted)
-{
-	uint64_t service = XXH3_64bits(n->service, strlen(n->service));
-	uint64_t before = e->software;
-
-	if (!e->unlisted_software)
-		name_process(e, n->born_ms);
-	e->software = n->version ? XXH3_64bits_withSeed(n->version,
-							strlen(n->version),
-							service)
-				 : SOFTWARE_UNKNOWN;
-	snprintf(e->version, sizeof(e->version), "%s",
-		 n->version ? n->version : "");
-	if (restarted || e->software != before) {
-		e->software_doubted = false;
-		e->start_wanted = false;
-		e->proved_ms = 0;
-	}
-	if (!before && e->software && e->stated_born_ms &&
-	    e->stated_born_ms == n->born_ms)
-		origins_endpoint_named(e->proxyd->origins, e);
-	else if (!before && e->software)
-		name_process(e, 0);
-	if (e->software != before || e->expiry.removed)
-		origins_endpoint_listed(e->proxyd->origins, e);
-}
-
-/* Returns the version of an endpoint's software; one that stands for this
- * endpoint alone if it is not known for sure. */
-uint64_t endpoint_software(const struct endpoint *e)
-{
-	return e->software && !e->software_doubted ? e->software
-						   : e->unlisted_software;
-}
-
-/* Returns when the process that is known at an endpoint's address started, by the
- * endpoint's clock, ms: as it stated itself, or as its entry does; 0 if neither
- * is known. */
-uint64_t endpoint_known_start(const struct endpoint *e)
-{
-	return e->stated_born_ms ? e->stated_born_ms : e->born_ms;
-}
-
-/* Returns whether an endpoint may continue a stream that a version began. */
-bool endpoint_continues(const struct endpoint *e, uint64_t software)
-{
-	return software == SOFTWARE_UNKNOWN ||
-	       software == endpoint_software(e) ||
-	       software == e->unlisted_software;
-}
-
-/* Notes that an endpoint has stated a start, Unix ms, 0 if none, to a question whose
- * moments are asked. */
-void endpoint_note_process(struct endpoints *t, struct handle h,
-			   uint64_t born_ms, struct http1_moments asked)
-{
-	struct endpoint *e = endpoint_get(t, h);
-
-	if (!e)
-		return;
-	process_span_note(&e->process, born_ms, asked.opened, asked.sent);
-	exchanges_process_noted(t->proxyd->exchanges, e);
-}
-
-/* Handles the start time that an endpoint itself states, Unix ms, 0 if it states
- * none, on a connection that was open at since_ms.  If its entry has the same, it
- * runs the version that is listed; otherwise it has started again since. */
-void endpoint_stated_start(struct endpoints *t, struct handle h,
-			   uint64_t born_ms, uint64_t since_ms)
-{
-	struct endpoint *e = endpoint_get(t, h);
-	bool same;
-
-	if (!e || (!e->software_doubted && !e->start_wanted))
-		return;
-	if (!e->software) {
-		unlisted_start_stated(e, born_ms);
-		return;
-	}
-	same = !born_ms || !e->born_ms || born_ms == e->born_ms;
-	if (!same && born_ms != e->stated_born_ms)
-		other_start_stated(e, born_ms);
-	e->stated_born_ms = born_ms;
-	e->start_wanted = false;
-	if (same)
-		e->proved_ms = since_ms;
-	if (same || !e->software_doubted)
-		event_log(EVENT_NOTABLE,
-			  same ? "endpoint-same-start" : "endpoint-other-start",
-			  NULL, "{s:s, s:s, s:I, s:I}", "endpoint", e->id,
-			  "software", e->version, "born", (json_int_t)born_ms,
-			  "listed_born", (json_int_t)e->born_ms);
-	e->software_doubted = !same;
-	if (endpoint_versions_mixed(e))
-		e->start_asked_ms = 0; /* the next stream has it asked again */
-	if (same && born_ms)
-		name_streams(t, e);
-	else if (same)
-		origins_endpoint_named(t->proxyd->origins, e);
-	exchanges_start_stated(t->proxyd->exchanges, h, !born_ms);
-}
-
-/* Gives the streams that began at an endpoint the listed version, whose start it has
- * stated.  Those that were sent later than that was asked for, as another process may
- * have followed by then, get another name, and the endpoint is asked again. */
-static void name_streams(struct endpoints *t, struct endpoint *e)
-{
-	uint64_t before = e->unlisted_software;
-
-	name_process(e, 0);
-	e->start_wanted = true; /* what is set apart is not told to keepers */
-	e->start_wanted =
-		exchanges_set_later_apart(t->proxyd->exchanges, e, before);
-	if (e->start_wanted)
-		e->start_asked_ms = 0;
-	origins_rename(t->proxyd->origins, before, e->software);
-}
-
-/* Handles the start of an endpoint that has no entry yet: once it has one with
- * the same start, the streams that began there are of the listed version.  With the
- * first start that is known they get its name, which all instances use; an earlier
- * process may have begun those that were sent before it is known to have run. */
-static void unlisted_start_stated(struct endpoint *e, uint64_t born_ms)
-{
-	struct proxyd *p = e->proxyd;
-	uint64_t before = e->unlisted_software;
-	bool first = !endpoint_known_start(e);
-
-	if (born_ms && born_ms != endpoint_known_start(e)) {
-		name_process(e, born_ms);
-		if (first) {
-			exchanges_set_apart(p->exchanges, e, before);
-			origins_rename(p->origins, before,
-				       e->unlisted_software);
-		}
-	}
-	e->stated_born_ms = born_ms;
-	e->start_wanted = false;
-	e->start_asked_ms = 0; /* the next stream has it asked again */
-	exchanges_start_stated(e->proxyd->exchanges, e->self, !born_ms);
-}
-
-/* Handles a start that is not the listed one.  The streams that began while the
- * endpoint was doubted are of that process, unless another one had stated its
- * start meanwhile.  Of an endpoint that was not doubted they may be of the listed
- * one. */
-static void other_start_stated(struct endpoint *e, uint64_t born_ms)
-{
-	uint64_t before = e->unlisted_software;
-
-	name_process(e, born_ms);
-	if (e->software_doubted &&
-	    (!e->stated_born_ms || e->stated_born_ms == e->born_ms))
-		origins_rename(e->proxyd->origins, before,
-			       e->unlisted_software);
-}
-
-/* Handles an endpoint that was asked for its start and stated none.  Unless it
- * was found dead, its entry is taken at its word. */
-void endpoint_unstated_start(struct endpoints *t, struct handle h)
-{
-	struct endpoint *e = endpoint_get(t, h);
-
-	if (!e || e->software_doubted || !e->start_wanted)
-		return;
-	e->start_wanted = false;
-	event_log(EVENT_NOTABLE, "endpoint-no-start", NULL, "{s:s, s:s}",
-		  "endpoint", e->id, "software", e->version);
-	origins_endpoint_named(t->proxyd->origins, e);
-	exchanges_start_stated(t->proxyd->exchanges, h, true);
-}
-
-/* Has an engine asked for its start, unless a connection has been open since it
- * stated the one that its entry names: with none open, it may have started again
- * with another version.  One without an entry is asked once, and again for streams that
- * go on there. */
-void endpoint_want_start(struct endpoints *t, struct endpoint *e)
-{
-	if (e->software ? !endpoint_start_proved(e) : !endpoint_known_start(e))
-		endpoint_want_start_again(t, e);
-}
-
-/* Has an engine asked for its start though a connection has been open since it stated
- * that: the connection may have gone silent. */
-void endpoint_want_start_again(struct endpoints *t, struct endpoint *e)
-{
-	if (e->software_doubted)
-		return;
-	if (!e->start_wanted)
-		e->start_wanted_ms = proxyd_now(t->proxyd);
-	e->start_wanted = true;
-	ask_start(t, e);
-}
-
-/* Returns whether the entries of an endpoint's service name more than one version of
- * its software. */
-bool endpoint_versions_mixed(const struct endpoint *e)
-{
-	return endpoints_service(e->proxyd->endpoints, e->service)->mixed;
-}
-
-/* Notes whether the entries of a service name more than one version. */
-static void note_versions(struct endpoints *t, const char *service)
-{
-	uint64_t first = SOFTWARE_UNKNOWN;
-	const struct endpoint *e;
-	bool mixed = false;
-	uint32_t i = 0;
-
-	while ((e = endpoint_next(t, &i))) {
-		if (!e->software || e->expiry.removed ||
-		    strcmp(e->service, service) != 0)
-			continue;
-		mixed = mixed || (first && e->software != first);
-		first = e->software;
-	}
-	endpoints_service(t, service)->mixed = mixed;
-}
-
-/* Returns whether the process that last stated its start at an endpoint's address has
- * the one that the entry names, and so the listed version. */
-bool endpoint_listed_start_known(const struct endpoint *e)
-{
-	return e->process.start_ms &&
-	       (!e->born_ms || e->process.start_ms == e->born_ms);
-}
-
-/* Returns whether an endpoint is known to run since the start that its entry
- * names, and so the listed version. */
-bool endpoint_start_proved(const struct endpoint *e)
-{
-	return !e->software_doubted && e->proved_ms &&
-	       http1_client_spans(e->proxyd->client, e->address, e->proved_ms);
-}
-
-/* Asks an endpoint for its start, if that is wanted and it may be asked now.  One
- * with a limit that leaves no permit for the question is taken at the word of its
- * entry. */
-static void ask_start(struct endpoints *t, struct endpoint *e)
-{
-	uint64_t now = proxyd_now(t->proxyd);
-
-	if ((!e->software_doubted && !e->start_wanted) ||
-	    e->state != ENDPOINT_UP || e->rediscovering ||
-	    !endpoint_accepts_work(e, now) ||
-	    now - e->start_asked_ms < CONFIRM_START_MS)
-		return;
-	if (!limits_take_for_check(e)) {
-		if (now - e->start_wanted_ms >= START_PERMIT_MS)
-			endpoint_unstated_start(t, e->self);
-		return;
-	}
-	query_start(t, e, endpoint_versions_mixed(e));
-}
-
-/* Sends an endpoint the question for its start, on a connection that is idle if one
- * may be used. */
-static void query_start(struct endpoints *t, struct endpoint *e, bool may_reuse)
-{
-	e->start_asked_ms = proxyd_now(t->proxyd);
-	counter_add(t->probes, 1);
-	rediscover_start(t->proxyd, e->self, may_reuse);
-}
-
-/* Asks an engine for a sign of life, unless it is being asked something.  Returns
- * false if it can't be asked, for want of a permit. */
-bool endpoint_want_sign(struct endpoints *t, struct handle h)
-{
-	struct endpoint *e = endpoint_get(t, h);
-
-	if (!e)
-		return false;
-	if (e->rediscovering)
-		return true;
-	if (!limits_take_for_check(e))
-		return false;
-	query_start(t, e, false);
-	return true;
-}
-
-/* Returns whether an endpoint of a service runs a version. */
-bool endpoints_software_in_service(const struct endpoints *t, uint64_t software,
-				   const char *service)
-{
-	const struct endpoint *e;
-	uint32_t i = 0;
-
-	while ((e = endpoint_next(t, &i)))
-		if (!strcmp(e->service, service) &&
-		    endpoint_continues(e, software))
-			return true;
-	return false;
-}
-
-/* Returns the text of a version if an endpoint with it is known, else "". */
-const char *endpoints_software_text(const struct endpoints *t,
-				    uint64_t software)
-{
-	const struct endpoint *e;
-	uint32_t i = 0;
-
-	while ((e = endpoint_next(t, &i)))
-		if (e->software == software)
-			return e->version;
-	return "";
-}
-
 /* Handles the removal of the entry from the store.  Unless the endpoint was
  * leaving, its recent broken runs count as crashes. */
 static void entry_removed(struct endpoints *t, struct endpoint *e,
@@ -1042,7 +688,7 @@
 	if (!endpoint_is_leaving(e))
 		suspects_endpoint_crashed(t->proxyd->suspects, e);
 	entry_expiry_removed(&e->expiry, outage_end_ms, proxyd_now(t->proxyd));
-	note_versions(t, e->service);
+	endpoints_note_versions(t, e->service);
 	event_log(EVENT_NOTABLE, "endpoint-entry-removed", NULL, "{s:s, s:b}",
 		  "endpoint", e->id, "held", e->expiry.grace_until_ms != 0);
 }
--- a/proxyd/endpoints_table.h
+++ b/proxyd/endpoints_table.h
@@ -1,8 +1,8 @@
 #ifndef PROXYD_ENDPOINTS_TABLE_H
 #define PROXYD_ENDPOINTS_TABLE_H
 
-/* Private layout of the endpoint table, shared by endpoints.c and
- * endpoints_place.c. */
+/* Private layout of the endpoint table, shared by endpoints.c, endpoints_path.c,
+ * endpoints_place.c and endpoints_software.c. */
 
 #include "lib/counters.h"
 #include "policy/local_fault.h"
@@ -46,4 +46,12 @@
 struct service_state *endpoints_service(struct endpoints *t,
 					const char *service);
 
+/* endpoints_software.c */
+void endpoint_name_process(struct endpoint *e, uint64_t start);
+void endpoint_software_updated(struct endpoint *e,
+			       const struct endpoint_entry *n, bool restarted);
+void endpoints_note_versions(struct endpoints *t, const char *service);
+void endpoint_ask_start(struct endpoints *t, struct endpoint *e);
+void endpoint_name_unasked_start(const struct endpoint *e);
+
 #endif /* PROXYD_ENDPOINTS_TABLE_H */
