--- a/proxyd/endpoints_software.c
+++ b/proxyd/endpoints_software.c
@@ -24,22 +24,27 @@
  * streams wait for its answer. */
 #define START_PERMIT_MS 300
 
+static uint64_t process_name(const struct endpoint *e, uint64_t start);
 static void unlisted_start_stated(struct endpoint *e, uint64_t born_ms);
 static void name_streams(struct endpoints *t, struct endpoint *e);
 static void other_start_stated(struct endpoint *e, uint64_t born_ms);
 static void query_start(struct endpoints *t, struct endpoint *e,
 			bool may_reuse);
 
-/* Gives the process at an endpoint a name that stands for its version while that
- * is not known, the same at all instances that know its start, Unix ms.  If start is 0,
- * unknown, no other process and no other instance has the name. */
-void endpoint_name_process(struct endpoint *e, uint64_t start)
+/* Returns the name that stands for the version of the process at an endpoint with a
+ * start, Unix ms: the same at all instances, and no other process has it. */
+static uint64_t process_name(const struct endpoint *e, uint64_t start)
 {
 	uint64_t service = XXH3_64bits(e->service, strlen(e->service));
 
-	e->unlisted_software = XXH3_64bits_withSeed(
-		e->id, strlen(e->id),
-		~service ^ (start ? start : proxyd_random()));
+	return XXH3_64bits_withSeed(e->id, strlen(e->id), ~service ^ start);
+}
+
+/* Gives the process at an endpoint a name that stands for its version while that is not
+ * known: that of its start or, if start is 0, unknown, one of its own. */
+void endpoint_name_process(struct endpoint *e, uint64_t start)
+{
+	e->unlisted_software = process_name(e, start ? start : proxyd_random());
 }
 
 /* Applies the software version in an entry.  An entry that names another
@@ -164,28 +169,28 @@
 	origins_rename(t->proxyd->origins, before, e->software);
 }
 
-/* Handles the start of an endpoint that has no entry yet: once it has one with
- * the same start, the streams that began there are of the listed version.  With the
- * first start that is known they get its name, which all instances use; an earlier
- * process may have begun those that were sent before it is known to have run. */
+/* Handles the start of an endpoint that has no entry yet: once it has one with the same
+ * start, the streams that began there are of the listed version.  Those that began while
+ * the start was not known get its name; an earlier process may have begun what was sent
+ * before this one is known to have run. */
 static void unlisted_start_stated(struct endpoint *e, uint64_t born_ms)
 {
 	struct proxyd *p = e->proxyd;
 	uint64_t before = e->unlisted_software;
-	bool first = !endpoint_known_start(e);
+	uint64_t known = endpoint_known_start(e);
+	bool unknown = !known || before != process_name(e, known);
 
-	if (born_ms && born_ms != endpoint_known_start(e)) {
+	if (born_ms)
 		endpoint_name_process(e, born_ms);
-		if (first) {
-			exchanges_set_earlier_apart(p->exchanges, e, before);
-			origins_rename(p->origins, before,
-				       e->unlisted_software);
-		}
+	if (unknown && e->unlisted_software != before) {
+		exchanges_set_earlier_apart(p->exchanges, e, before);
+		origins_rename(p->origins, before, e->unlisted_software);
 	}
 	e->stated_born_ms = born_ms;
+	e->software_doubted = false;
 	e->start_wanted = false;
 	e->start_asked_ms = 0; /* the next stream has it asked again */
-	exchanges_start_stated(e->proxyd->exchanges, e->self, !born_ms);
+	exchanges_start_stated(p->exchanges, e->self, !born_ms);
 }
 
 /* Handles a start that is not the listed one.  The streams that began while the
--- a/regress/integration/test_unseen_version.c
+++ b/regress/integration/test_unseen_version.c
@@ -2,7 +2,8 @@
  * An engine that no stream is at starts again under its id with another software
  * version, and its entry is the old one for some time: no stream holds events of
  * two versions.  Also if a connection to its earlier process has gone silent, and
- * looks open.
+ * looks open, if a statement of that process is read late, and if the engine has no
+ * entry.
  */
 #include <stdarg.h>
 #include <stddef.h>
@@ -175,21 +176,13 @@
 	return proc_output_count(unlisted_in.proc, arg) > 0;
 }
 
-/* Opens streams at an engine without an entry, has their connections closed in the
- * middle, and sets how many of them hold two versions, and how many are whole.  If
- * starts_again is set, the process that accepts connections then is another one with
- * the same id and another version. */
-static void close_at_unlisted_engine(bool starts_again, size_t *mixed,
-				     size_t *whole)
+/* Starts an instance, and an engine under an id that the store doesn't list, which the
+ * instance finds. */
+static void find_unlisted_engine(struct harness *h, struct standin_world *world,
+				 struct standin_worker *w)
 {
-	struct harness *h = harness_new();
-	struct standin_world *world = standin_new(h);
-	struct standin_worker *w = standin_add_worker(world, "engine", "z1");
-	struct stream_reader *streams[STREAMS];
 	struct stream_reader *finder;
-	size_t i;
 
-	*mixed = *whole = 0;
 	world->event_ms = EVENT_MS;
 	w->version = "v1";
 	standin_put_worker_entry(w, "ready");
@@ -204,6 +197,24 @@
 		      "\"event\":\"endpoint-rediscovered\","
 		      "\"endpoint\":\"i-found\"",
 		      "the engine is found");
+	stream_close(finder);
+}
+
+/* Opens streams at an engine without an entry, has their connections closed in the
+ * middle, and sets how many of them hold two versions, and how many are whole.  If
+ * starts_again is set, the process that accepts connections then is another one with
+ * the same id and another version. */
+static void close_at_unlisted_engine(bool starts_again, size_t *mixed,
+				     size_t *whole)
+{
+	struct harness *h = harness_new();
+	struct standin_world *world = standin_new(h);
+	struct standin_worker *w = standin_add_worker(world, "engine", "z1");
+	struct stream_reader *streams[STREAMS];
+	size_t i;
+
+	*mixed = *whole = 0;
+	find_unlisted_engine(h, world, w);
 	for (i = 0; i < STREAMS; i++) {
 		char id[16];
 
@@ -227,7 +238,6 @@
 	}
 	print_message("of %d streams %zu hold two versions, %zu are whole\n",
 		      STREAMS, *mixed, *whole);
-	stream_close(finder);
 	proc_kill(unlisted_in.proc);
 	standin_free(world);
 	harness_free(h);
@@ -324,6 +334,55 @@
 	harness_free(h);
 }
 
+#define QUESTIONS_MS 1000 /* an engine in doubt is asked once in this time */
+
+/* Returns how often the engines have been asked for their reports. */
+static size_t n_reports(const struct standin_world *world)
+{
+	size_t n = 0;
+	size_t i;
+
+	for (i = 0; i < world->n_arrivals; i++)
+		n += !strcmp(world->arrivals[i]->target, "/report");
+	return n;
+}
+
+/* Guards against an engine without an entry that is asked for its start again and again
+ * once it was found dead and is back. */
+static void unlisted_engine_is_back(void **state)
+{
+	struct harness *h = harness_new();
+	struct standin_world *world = standin_new(h);
+	struct standin_worker *w = standin_add_worker(world, "engine", "z1");
+	struct stream_reader *s;
+	size_t before;
+
+	(void)state;
+	find_unlisted_engine(h, world, w);
+	s = open_stream(h, unlisted_in.callers, "/write/a", "before");
+	stream_wait_events(s, 1);
+	standin_kill_worker(w);
+	harness_until(h, is_found,
+		      "\"event\":\"endpoint-lost\",\"endpoint\":\"i-found\"",
+		      "the engine is found dead");
+	standin_start_unlisted(w, w->id);
+	harness_until(h, is_found,
+		      "\"event\":\"endpoint-back\",\"endpoint\":\"i-found\"",
+		      "the engine is back");
+	stream_close(s);
+	before = n_reports(world);
+	harness_run(h, 2 * QUESTIONS_MS);
+	print_message("%zu questions\n", n_reports(world) - before);
+	assert_in_range(n_reports(world) - before, 0, 4);
+	s = open_stream(h, unlisted_in.callers, "/write/a", "after");
+	stream_wait_end(s);
+	assert_int_equal(stream_outcome(s), HTTPC_OK);
+	stream_close(s);
+	proc_kill(unlisted_in.proc);
+	standin_free(world);
+	harness_free(h);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -332,6 +391,7 @@
 		cmocka_unit_test(statement_is_older_than_streams),
 		cmocka_unit_test(unlisted_engine_starts_again),
 		cmocka_unit_test(unlisted_engine_closes_connections),
+		cmocka_unit_test(unlisted_engine_is_back),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
