endpoints_software: what stands for a version is not named anew by each instance

Cause: made the name random while no start is known, so that each instance wrote one of its own for each such engine; what it protected from is met by the name of the start alone, which is stated before keepers are told.

--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -383,7 +383,7 @@
 {
 	e->ended = true;
 	e->refused_ms = 0;
-	endpoint_name_process(e, 0);
+	endpoint_name_process(e, ~proxyd_now(t->proxyd));
 	suspects_endpoint_crashed(t->proxyd->suspects, e);
 }
 
--- a/proxyd/endpoints_software.c
+++ b/proxyd/endpoints_software.c
@@ -32,7 +32,7 @@
 			bool may_reuse);
 
 /* Returns the name that stands for the version of the process at an endpoint with a
- * start, Unix ms: the same at all instances, and no other process has it. */
+ * start, Unix ms, or with a number that no start has: the same at all instances. */
 static uint64_t process_name(const struct endpoint *e, uint64_t start)
 {
 	uint64_t service = XXH3_64bits(e->service, strlen(e->service));
@@ -41,10 +41,11 @@
 }
 
 /* Gives the process at an endpoint a name that stands for its version while that is not
- * known: that of its start or, if start is 0, unknown, one of its own. */
+ * known.  It is not that of any earlier process there: start is the start of the process,
+ * Unix ms, or a number that no start has. */
 void endpoint_name_process(struct endpoint *e, uint64_t start)
 {
-	e->unlisted_software = process_name(e, start ? start : proxyd_random());
+	e->unlisted_software = process_name(e, start);
 }
 
 /* Applies the software version in an entry.  An entry that names another
@@ -73,7 +74,7 @@
 	    e->stated_born_ms == n->born_ms)
 		origins_endpoint_named(e->proxyd->origins, e);
 	else if (!before && e->software)
-		endpoint_name_process(e, 0);
+		endpoint_name_process(e, ~n->born_ms);
 	if (e->software != before || e->expiry.removed)
 		origins_endpoint_listed(e->proxyd->origins, e);
 }
@@ -160,19 +161,20 @@
 {
 	uint64_t before = e->unlisted_software;
 
-	endpoint_name_process(e, 0);
+	endpoint_name_process(e, proxyd_random());
 	e->start_wanted = true; /* what is set apart is not told to keepers */
 	e->start_wanted =
 		exchanges_set_later_apart(t->proxyd->exchanges, e, before);
 	if (e->start_wanted)
 		e->start_asked_ms = 0;
+	else /* the name that all instances use */
+		e->unlisted_software = before;
 	origins_rename(t->proxyd->origins, before, e->software);
 }
 
 /* Handles the start of an endpoint that has no entry yet: once it has one with the same
  * start, the streams that began there are of the listed version.  Those that began while
- * the start was not known get its name; an earlier process may have begun what was sent
- * before this one is known to have run. */
+ * the start was not known get its name, by which all instances tell processes apart. */
 static void unlisted_start_stated(struct endpoint *e, uint64_t born_ms)
 {
 	struct proxyd *p = e->proxyd;
@@ -182,10 +184,8 @@
 
 	if (born_ms)
 		endpoint_name_process(e, born_ms);
-	if (unknown && e->unlisted_software != before) {
-		exchanges_set_earlier_apart(p->exchanges, e, before);
+	if (unknown && e->unlisted_software != before)
 		origins_rename(p->origins, before, e->unlisted_software);
-	}
 	e->stated_born_ms = born_ms;
 	e->software_doubted = false;
 	e->start_wanted = false;
--- a/proxyd/exchange.h
+++ b/proxyd/exchange.h
@@ -270,8 +270,6 @@
 void exchange_note_process(struct exchange *x, const struct endpoint *e);
 void exchanges_start_stated(struct exchanges *t, struct handle endpoint,
 			    bool excused);
-void exchanges_set_earlier_apart(struct exchanges *t, const struct endpoint *e,
-				 uint64_t from);
 bool exchanges_set_later_apart(struct exchanges *t, const struct endpoint *e,
 			       uint64_t from);
 void exchanges_software_named(struct exchanges *t, uint64_t from, uint64_t to);
--- a/proxyd/exchange_process.c
+++ b/proxyd/exchange_process.c
@@ -71,23 +71,6 @@
 	}
 }
 
-/* Gives the streams that began at an endpoint, and that a process may have begun which
- * ended before the one that last stated its start, a name of their own, in place of
- * from: they go on nowhere until their version is known. */
-void exchanges_set_earlier_apart(struct exchanges *t, const struct endpoint *e,
-				 uint64_t from)
-{
-	uint64_t apart = proxyd_random();
-	struct exchange *x;
-
-	TAILQ_FOREACH(x, &t->list, link)
-	if (x->software == from && handle_equal(x->endpoint, e->self) &&
-	    exchange_precedes_process(x, e)) {
-		x->software = apart;
-		origins_note_begun(t->proxyd->origins, x);
-	}
-}
-
 /* Gives the streams that began at an endpoint, and that were not sent to the process
  * that last stated its start there, the present name of that endpoint in place of from.
  * Returns whether a later statement may name one of them. */
