One piece for what the change wrote twice

No behaviour changes. endpoint_question_path() serves the questions about ends and witnesses, attempt_moments() both looks at an attempt's process, release_handle() both kinds of handles of the HTTP client; answer_begin() of the stand-in also begins streams, and test_process_span notes reports in one place. Assertions are as before.

--- a/lib/http1_client.c
+++ b/lib/http1_client.c
@@ -134,6 +134,7 @@
 static void on_closed(uv_handle_t *h);
 static void on_prepare(uv_prepare_t *prepare);
 static void on_prepare_closed(uv_handle_t *h);
+static void release_handle(struct http1_client *c);
 static bool was_reset(const struct client_conn *k);
 static bool is_received(const struct client_conn *k);
 static bool is_past_deadline(const struct client_conn *k, uint64_t now);
@@ -196,11 +197,15 @@
 	uv_close((uv_handle_t *)&c->prepare, on_prepare_closed);
 }
 
-/* Frees a freed client with its last handle. */
+/* Handles the end of the client's own handle. */
 static void on_prepare_closed(uv_handle_t *h)
 {
-	struct http1_client *c = h->data;
+	release_handle(h->data);
+}
 
+/* Frees a freed client with its last handle. */
+static void release_handle(struct http1_client *c)
+{
 	if (!--c->n_handles && c->freed)
 		free(c);
 }
@@ -928,8 +933,7 @@
 	struct client_conn *k = h->data;
 
 	bytes_release(&k->input);
-	if (!--k->client->n_handles && k->client->freed)
-		free(k->client);
+	release_handle(k->client);
 	free(k);
 }
 
--- a/proxyd/answer_ends.c
+++ b/proxyd/answer_ends.c
@@ -99,7 +99,6 @@
 static void ask(struct exchange *x, struct endpoint *e, bool at_once);
 static struct end_questions *questions_of(struct endpoint *e);
 static void ask_witnesses(const struct exchange *x, struct endpoint *e);
-static const char *question_path(const struct exchange *x);
 static void note_received(struct endpoint *e);
 static void send_question(struct end_question *q, struct endpoint *e,
 			  const char *path, bool may_reuse);
@@ -310,7 +309,7 @@
 	may_reuse = (!x->engine || may_exit(p, e)) &&
 		    x->end_number > q->all->last_end_witnessed;
 	if ((x->engine || !at_once) && endpoint_take_check(e, proxyd_now(p)))
-		path = question_path(x);
+		path = endpoint_question_path(p, x->service, x->engine);
 	send_question(q, e, path, may_reuse);
 	if (q->is_witness)
 		q->all->last_end_witnessed = q->last_end;
@@ -322,7 +321,7 @@
 {
 	struct proxyd *p = x->proxyd;
 	struct end_questions *all = questions_of(e);
-	const char *path = question_path(x);
+	const char *path = endpoint_question_path(p, x->service, x->engine);
 	size_t i;
 
 	if (!path || x->end_number <= all->last_end_witnessed ||
@@ -344,19 +343,6 @@
 	}
 }
 
-/* Returns what an endpoint is asked for: an engine for its report, another one for its
- * health; NULL if it has none. */
-static const char *question_path(const struct exchange *x)
-{
-	const struct proxyd *p = x->proxyd;
-	const struct route_service *s;
-
-	if (x->engine)
-		return p->protocol->report_path;
-	s = p->routes ? routes_service(p->routes, x->service) : NULL;
-	return s ? s->health_path : NULL;
-}
-
 /* Notes which requests on open connections the host of an endpoint has received. */
 static void note_received(struct endpoint *e)
 {
--- a/proxyd/endpoints.c
+++ b/proxyd/endpoints.c
@@ -518,6 +518,19 @@
 	       limits_take_for_check(e);
 }
 
+/* Returns what an endpoint of a service is asked for about itself: an engine for its
+ * report, another one for its health; NULL if it has none. */
+const char *endpoint_question_path(const struct proxyd *p, const char *service,
+				   bool engine)
+{
+	const struct route_service *s;
+
+	if (engine)
+		return p->protocol->report_path;
+	s = p->routes ? routes_service(p->routes, service) : NULL;
+	return s ? s->health_path : NULL;
+}
+
 /* Starts a probe of an endpoint because a run there is silent for silent_ms. */
 void endpoint_probe(struct endpoints *t, struct handle h, const char *request,
 		    uint64_t silent_ms)
--- a/proxyd/endpoints.h
+++ b/proxyd/endpoints.h
@@ -196,6 +196,8 @@
 bool endpoint_is_leaving(const struct endpoint *e);
 bool endpoint_accepts_work(const struct endpoint *e, uint64_t now);
 bool endpoint_take_check(struct endpoint *e, uint64_t now);
+const char *endpoint_question_path(const struct proxyd *p, const char *service,
+				   bool engine);
 void endpoint_probe(struct endpoints *t, struct handle h, const char *request,
 		    uint64_t silent_ms);
 void endpoint_record_answer(struct endpoints *t, struct handle h,
--- a/proxyd/exchange_process.c
+++ b/proxyd/exchange_process.c
@@ -7,6 +7,12 @@
 #include "lib/http1_client.h"
 #include "proxyd/origins.h"
 
+/* Returns the moments of an attempt, also once its call has ended. */
+static struct http1_moments attempt_moments(const struct exchange *x)
+{
+	return x->call ? http1_call_moments(x->call) : x->moments;
+}
+
 /* Handles a word of the process that runs at an endpoint. */
 void exchanges_process_noted(struct exchanges *t, const struct endpoint *e)
 {
@@ -21,8 +27,7 @@
  * an attempt was sent to. */
 bool exchange_process_proved(const struct exchange *x, const struct endpoint *e)
 {
-	struct http1_moments m = x->call ? http1_call_moments(x->call)
-					 : x->moments;
+	struct http1_moments m = attempt_moments(x);
 
 	return process_span_covers(&e->process, m.opened, m.sent);
 }
@@ -32,10 +37,7 @@
 bool exchange_precedes_process(const struct exchange *x,
 			       const struct endpoint *e)
 {
-	struct http1_moments m = x->call ? http1_call_moments(x->call)
-					 : x->moments;
-
-	return process_span_begins_after(&e->process, m.sent);
+	return process_span_begins_after(&e->process, attempt_moments(x).sent);
 }
 
 /* Notes the start of the process that an attempt was sent to, if that is proved.  What
--- a/proxyd/witness.c
+++ b/proxyd/witness.c
@@ -14,7 +14,6 @@
 /* Time limit of the question.  Requests without attempts left wait for it. */
 #define ANSWER_MS 100
 
-static const char *question_path(const struct endpoint *e);
 static enum http1_head_decision on_head(void *arg,
 					const struct http1_head *head);
 static void on_end(void *arg, enum http1_outcome outcome);
@@ -35,7 +34,10 @@
 		.timeout_ms = ANSWER_MS,
 		.max_idle_ms = UINT32_MAX,
 	};
-	const char *path = question_path(e);
+	const struct route_service *s =
+		p->routes ? routes_service(p->routes, e->service) : NULL;
+	const char *path =
+		endpoint_question_path(p, e->service, s && s->engine);
 	struct bytes out = { 0 };
 
 	if (e->state != ENDPOINT_DOWN || e->witness || !path ||
@@ -71,19 +73,6 @@
 	e->witness = NULL;
 }
 
-/* Returns what an endpoint is asked for: an engine for its report, another one for its
- * health; NULL if its service has neither. */
-static const char *question_path(const struct endpoint *e)
-{
-	const struct proxyd *p = e->proxyd;
-	const struct route_service *s =
-		p->routes ? routes_service(p->routes, e->service) : NULL;
-
-	if (s && s->engine)
-		return p->protocol->report_path;
-	return s ? s->health_path : NULL;
-}
-
 /* Takes any answer: its connection shows which process gave it. */
 static enum http1_head_decision on_head(void *arg,
 					const struct http1_head *head)
--- a/regress/platform_standin.c
+++ b/regress/platform_standin.c
@@ -1410,29 +1410,21 @@
 static void serve_stream(struct standin_worker *worker, struct http1_conn *c,
 			 struct standin_arrival *a, const char *id)
 {
-	struct standin_stream *s = xcalloc(1, sizeof(*s));
+	struct standin_stream *s = answer_begin(worker, c, a);
 	const char *after = strstr(a->head, "\nlast-event-id: ");
 	char headers[HEADERS_BYTES];
 
 	a->ran = true;
-	s->conn = c;
-	s->worker = worker;
-	s->arrival = a;
 	s->version = worker->version;
 	s->unframed = worker->streams_unframed;
 	s->run = ++worker->world->n_runs;
 	snprintf(s->request_id, sizeof(s->request_id), "%s", id);
 	s->next_event = after ? atoi(after + 16) + 1 : 1;
-	s->next = worker->world->streams;
-	worker->world->streams = s;
 	snprintf(headers, sizeof(headers),
 		 SIGNATURE
 		 "content-type: text/event-stream\r\nrequest-id: %s\r\n%s",
 		 id, extra_headers_of(worker));
-	http1_set_owner(c, s);
 	http1_stream_begin(c, 200, headers);
-	uv_timer_init(harness_loop(worker->world->harness), &s->timer);
-	s->timer.data = s;
 	uv_timer_start(&s->timer, on_event, worker->world->event_ms,
 		       worker->world->event_ms);
 }
--- a/regress/unit/test_process_span.c
+++ b/regress/unit/test_process_span.c
@@ -11,14 +11,22 @@
 
 #define N(list) (sizeof(list) / sizeof((list)[0]))
 
+/* A start that was stated, and the moments of its question. */
+struct report {
+	uint64_t start_ms, opened, asked;
+};
+
+static void note(struct process_span *p, const struct report *r)
+{
+	process_span_note(p, r->start_ms, r->opened, r->asked);
+}
+
 /* The start that is stated for a request between the moments of two reports, or
  * beside those, by reports of one process and of two. */
 static void bounds(void **state)
 {
 	static const struct {
-		struct {
-			uint64_t start_ms, opened, asked;
-		} reports[3];
+		struct report reports[3];
 		uint64_t opened, sent;
 		uint64_t start_ms; /* 0: it can't be told */
 	} cases[] = {
@@ -54,9 +62,7 @@
 		bool covers;
 
 		for (k = 0; k < N(cases[i].reports); k++)
-			process_span_note(&p, cases[i].reports[k].start_ms,
-					  cases[i].reports[k].opened,
-					  cases[i].reports[k].asked);
+			note(&p, &cases[i].reports[k]);
 		covers =
 			process_span_covers(&p, cases[i].opened, cases[i].sent);
 		assert_int_equal(covers ? p.start_ms : 0, cases[i].start_ms);
@@ -69,9 +75,7 @@
 {
 	static const struct {
 		uint64_t listed_ms, read;
-		struct {
-			uint64_t start_ms, opened, asked;
-		} reports[2];
+		struct report reports[2];
 		uint64_t start_ms; /* 0: it can't be told */
 	} cases[] = {
 		/* the process had written its entry before the request */
@@ -96,9 +100,7 @@
 			if (k == 1)
 				process_span_note_entry(&p, cases[i].listed_ms,
 							cases[i].read);
-			process_span_note(&p, cases[i].reports[k].start_ms,
-					  cases[i].reports[k].opened,
-					  cases[i].reports[k].asked);
+			note(&p, &cases[i].reports[k]);
 		}
 		covers = process_span_covers(&p, 3, 4);
 		assert_int_equal(covers ? p.start_ms : 0, cases[i].start_ms);
@@ -106,9 +108,7 @@
 		p = (struct process_span){ 0 };
 		process_span_note_entry(&p, cases[i].listed_ms, cases[i].read);
 		for (k = 0; k < N(cases[i].reports); k++)
-			process_span_note(&p, cases[i].reports[k].start_ms,
-					  cases[i].reports[k].opened,
-					  cases[i].reports[k].asked);
+			note(&p, &cases[i].reports[k]);
 		covers = process_span_covers(&p, 3, 4);
 		assert_int_equal(covers ? p.start_ms : 0, cases[i].start_ms);
 	}
